--- /dev/null
+++ b/Makefile
@@ -0,0 +1,73 @@
+# arbutusspindle
+
+CC = gcc
+CXX = g++
+BUILD = build
+CFLAGS = -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror $(SAN)
+CXXFLAGS = -std=gnu++17 -D_GNU_SOURCE -O1 -g -Wall -Wextra $(SAN)
+IQUOTE = -iquote core -iquote shell -iquote gate -iquote control -iquote ctl \
+	 -iquote timeline -iquote standin -iquote tests
+LDLIBS = -lcivetweb -lcurl -lzmq -lmsgpackc -ljansson -largtable2 -lnettle \
+	 -lxxhash -lurcu-bp -lpthread -lm
+
+CORE = $(patsubst %.c,$(BUILD)/%.o,$(wildcard core/*.c))
+SHELL_O = $(patsubst %.c,$(BUILD)/%.o,$(wildcard shell/*.c))
+LIBS = $(BUILD)/libcore.a $(BUILD)/libshell.a
+
+PROGRAMS = spindle-gate spindle-control spindlectl spindle-timeline
+STANDINS = fake-platform fake-engine spindle-load
+BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS) $(STANDINS))
+
+FAKE_ENGINE = fake_engine fake_orders fake_service batch
+LOAD = spindle_load load_trace load_run load_report
+
+FORMATTED = $(wildcard core/*.[ch] shell/*.[ch] gate/*.[ch] control/*.[ch] \
+	    ctl/*.[ch] timeline/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch])
+LINTED = $(filter %.c,$(FORMATTED))
+
+all: $(BINARIES)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CFLAGS) $(IQUOTE) -MMD -MP -c $< -o $@
+
+$(BUILD)/libcore.a: $(CORE)
+	rm -f $@ && ar rcs $@ $^
+
+$(BUILD)/libshell.a: $(SHELL_O)
+	rm -f $@ && ar rcs $@ $^
+
+link = $(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+       $(BUILD)/libcore.a $(LDLIBS)
+
+$(BUILD)/spindle-gate: $(patsubst %.c,$(BUILD)/%.o,$(wildcard gate/*.c)) $(LIBS)
+	$(link)
+$(BUILD)/spindle-control: $(patsubst %.c,$(BUILD)/%.o,$(wildcard control/*.c)) $(LIBS)
+	$(link)
+$(BUILD)/spindlectl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard ctl/*.c)) $(LIBS)
+	$(link)
+$(BUILD)/spindle-timeline: $(patsubst %.c,$(BUILD)/%.o,$(wildcard timeline/*.c)) $(LIBS)
+	$(link)
+$(BUILD)/fake-platform: $(BUILD)/standin/fake_platform.o $(LIBS)
+	$(link)
+$(BUILD)/fake-engine: $(FAKE_ENGINE:%=$(BUILD)/standin/%.o) $(LIBS)
+	$(link)
+$(BUILD)/spindle-load: $(LOAD:%=$(BUILD)/standin/%.o) $(LIBS)
+	$(link)
+
+deps:
+	@scripts/deps.sh
+
+demo: deps
+	@$(MAKE) -s -j8 all
+	@scripts/demo.sh
+
+format:
+	clang-format -i $(FORMATTED)
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(wildcard $(BUILD)/*/*.d)
+
+.PHONY: all deps demo format clean
--- /dev/null
+++ b/control/api.h
@@ -0,0 +1,13 @@
+/* The control process's HTTP interface for operators. */
+#ifndef API_H
+#define API_H
+
+#include "err.h"
+#include "steer.h"
+
+struct api;
+
+struct api *api_create(const char *, struct steer *, struct err *);
+void api_destroy(struct api *);
+
+#endif
--- /dev/null
+++ b/control/kv.h
@@ -0,0 +1,19 @@
+/* The key-value service over etcd's version 3 JSON gateway. */
+#ifndef KV_H
+#define KV_H
+
+#include "fetch.h"
+#include "kvop.h"
+
+struct kv;
+
+/* The callback gets each result in the fetch thread. */
+struct kv *kv_create(struct fetch *, const char *,
+    void (*)(void *, const struct kv_result *), void *);
+void kv_destroy(struct kv *);
+/* Starts the operation and takes it over. */
+void kv_start(struct kv *, struct kv_op *);
+/* Calls started so far. */
+uint64_t kv_calls(const struct kv *);
+
+#endif
--- /dev/null
+++ b/control/observe.c
@@ -0,0 +1,242 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "log.h"
+#include "mem.h"
+#include "observe.h"
+
+#define OBSERVE_NS (100 * NSEC_PER_MSEC)
+
+struct seen_member {
+	char addr[ADDR_SIZE];
+	UT_hash_handle hh;
+	uint64_t incarnation;
+	enum member_state state;
+};
+
+struct seen_cell {
+	char name[NAME_SIZE];
+	UT_hash_handle hh;
+	int held;
+	uint64_t fence;
+};
+
+struct observe {
+	struct seen_member *members;
+	struct seen_cell *cells;
+	uint64_t looked;
+	uint64_t revision;
+	int ready;
+	int kv_failures;
+	int kv_down;
+};
+
+static void look_member(void *, const struct member_info *);
+static void look_cell(void *, const struct cell_core *);
+static const char *order_name(enum order_kind);
+
+#define KV_DOWN_AFTER 3 /* failures in a row */
+
+struct observe *
+observe_create(void)
+{
+	return mem_alloc(sizeof(struct observe));
+}
+
+void
+observe_destroy(struct observe *o)
+{
+	struct seen_member *m, *m_next;
+	struct seen_cell *c, *c_next;
+
+	HASH_ITER (hh, o->members, m, m_next) {
+		HASH_DEL(o->members, m);
+		free(m);
+	}
+	HASH_ITER (hh, o->cells, c, c_next) {
+		HASH_DEL(o->cells, c);
+		free(c);
+	}
+	free(o);
+}
+
+void
+observe_message(struct observe *o, const struct msg *m)
+{
+	struct log_about about = { 0 };
+
+	(void)o;
+	if (m->kind == MSG_GRANT) {
+		about.request = m->u.grant.key.rid;
+		about.order = m->u.grant.grant;
+		about.backend = m->u.grant.replica;
+		log_event(LOG_GRANT_SENT, &about, "attempt=%u",
+		    m->u.grant.key.attempt);
+	} else if (m->kind == MSG_REFUSE) {
+		about.request = m->u.refuse.key.rid;
+		log_event(
+		    LOG_WORK_REFUSED, &about, "reason=%u", m->u.refuse.reason);
+	}
+}
+
+void
+observe_kv_op(struct observe *o, const struct kv_op *op)
+{
+	struct log_about about = { 0 };
+
+	(void)o;
+	if (op->kind != KV_CAS || strncmp(op->key, "ledger/", 7) != 0)
+		return;
+	about.backend = op->key + 7;
+	log_event(LOG_LEDGER_WRITTEN, &about, "expect=%" PRIu64, op->expect);
+}
+
+void
+observe_kv_result(struct observe *o, const struct kv_result *r)
+{
+	if (r->status != KV_UNKNOWN) {
+		o->kv_failures = 0;
+		if (o->kv_down)
+			log_event(LOG_KV_UP, NULL, "%s", "");
+		o->kv_down = 0;
+		return;
+	}
+	if (r->kind == KV_WATCH || ++o->kv_failures < KV_DOWN_AFTER)
+		return;
+	if (!o->kv_down)
+		log_event(
+		    LOG_KV_DOWN, NULL, "operation=%s", kv_kind_name(r->kind));
+	o->kv_down = 1;
+}
+
+static const char *
+order_name(enum order_kind kind)
+{
+	static const char *const names[ORDER__MAX] = { "index", "load",
+		"unload", "adapter-load", "adapter-unload" };
+
+	return names[kind];
+}
+
+void
+observe_order(struct observe *ob, const struct order *o)
+{
+	struct log_about about = { 0 };
+
+	(void)ob;
+	if (o->kind == ORDER_INDEX)
+		return;
+	about.order = o->id;
+	about.model = o->model;
+	about.backend = o->backend;
+	log_event(LOG_ORDER_SENT, &about, "%s version=%s fence=%" PRIu64,
+	    order_name(o->kind), o->version, o->fence);
+}
+
+void
+observe_order_result(struct observe *ob, const struct order_result *r,
+    enum order_kind kind, const char *backend, const char *model)
+{
+	static const char *const names[] = { "done", "stale", "refused",
+		"unknown" };
+	struct log_about about = { 0 };
+
+	(void)ob;
+	if (kind == ORDER_INDEX)
+		return;
+	about.order = r->id;
+	about.model = model;
+	about.backend = backend;
+	log_event(r->outcome == ORDER_DONE ? LOG_ORDER_DONE : LOG_ORDER_FAILED,
+	    &about, "%s outcome=%s", order_name(kind), names[r->outcome]);
+}
+
+void
+observe_ticket(struct observe *o, const struct ticket_reply *r)
+{
+	struct log_about about = { 0 };
+
+	(void)o;
+	about.ticket = r->number;
+	if (r->status == TICKET_ACCEPTED || r->status == TICKET_SAME)
+		log_event(LOG_TICKET_ACCEPTED, &about, "revision=%" PRIu64 "%s",
+		    r->revision, r->status == TICKET_SAME ? " (again)" : "");
+	else
+		log_event(LOG_TICKET_REFUSED, &about, "%s", r->err.text);
+}
+
+static void
+look_member(void *arg, const struct member_info *info)
+{
+	static const enum log_id ids[MEMBER__MAX] = {
+		[MEMBER_ALIVE] = LOG_MEMBER_ALIVE,
+		[MEMBER_SUSPECT] = LOG_MEMBER_SUSPECT,
+		[MEMBER_DEAD] = LOG_MEMBER_DEAD,
+		[MEMBER_LEAVING] = LOG_MEMBER_LEAVING,
+	};
+	struct observe *o = arg;
+	struct seen_member *m;
+
+	if (info->id.incarnation == 0)
+		return; /* listed, never heard */
+	HASH_FIND_STR(o->members, info->id.addr, m);
+	if (m == NULL) {
+		m = mem_alloc(sizeof(*m));
+		memcpy(m->addr, info->id.addr, sizeof(m->addr));
+		HASH_ADD_STR(o->members, addr, m);
+		m->state = MEMBER__MAX;
+	}
+	if (m->state == info->state && m->incarnation == info->id.incarnation)
+		return;
+	m->state = info->state;
+	m->incarnation = info->id.incarnation;
+	log_event(ids[info->state], NULL, "peer=%s incarnation=%" PRIu64,
+	    info->id.addr, info->id.incarnation);
+}
+
+static void
+look_cell(void *arg, const struct cell_core *cell)
+{
+	struct observe *o = arg;
+	struct seen_cell *c;
+	int held = cell_held(cell);
+
+	HASH_FIND_STR(o->cells, cell_name(cell), c);
+	if (c == NULL) {
+		c = mem_alloc(sizeof(*c));
+		snprintf(c->name, sizeof(c->name), "%s", cell_name(cell));
+		HASH_ADD_STR(o->cells, name, c);
+	}
+	if (held && (!c->held || c->fence != cell_fence(cell)))
+		log_event(LOG_CELL_TAKEN, NULL, "cell=%s fence=%" PRIu64,
+		    c->name, cell_fence(cell));
+	if (!held && c->held)
+		log_event(LOG_CELL_LOST, NULL, "cell=%s fence=%" PRIu64,
+		    c->name, c->fence);
+	c->held = held;
+	c->fence = cell_fence(cell);
+}
+
+void
+observe_node(struct observe *o, const struct node *n, uint64_t now)
+{
+	int ready;
+
+	if (now < o->looked + OBSERVE_NS)
+		return;
+	o->looked = now;
+	node_each_member(n, look_member, o);
+	node_each_cell(n, look_cell, o);
+	if (node_revision(n) != o->revision) {
+		o->revision = node_revision(n);
+		log_event(
+		    LOG_CONF_IN_FORCE, NULL, "revision=%" PRIu64, o->revision);
+	}
+	ready = node_ready(n, now);
+	if (ready != o->ready)
+		log_event(ready ? LOG_READY : LOG_NOT_READY, NULL, "%s", "");
+	o->ready = ready;
+}
--- /dev/null
+++ b/core/conf.c
@@ -0,0 +1,495 @@
+/* Objects, tickets and chunks of the configuration; see conf.h. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf_int.h"
+#include "hash.h"
+#include "mem.h"
+
+#define KEY_SIZE (NAME_SIZE + 16)
+#define TICKET_MAX 1000000000000000LL
+
+/* One member of a ticket, and the kind of object it sets. */
+struct section {
+	const char *member;  /* in the ticket */
+	const char *kind;    /* prefix of the object's key */
+	const char *name_of; /* member of the body that names it, or NULL */
+};
+
+static const struct section sections[] = {
+	{ "models", "model", "name" },
+	{ "backends", "backend", "name" },
+	{ "services", "service", "name" },
+	{ "drains", "drain", "backend" },
+	{ "store", "store", NULL },
+};
+
+typedef int (*view_add)(
+    struct conf *, const json_t *, const char *, uint64_t, struct err *);
+
+static int view_model(
+    struct conf *, const json_t *, const char *, uint64_t, struct err *);
+static int view_backend(
+    struct conf *, const json_t *, const char *, uint64_t, struct err *);
+static int view_service(
+    struct conf *, const json_t *, const char *, uint64_t, struct err *);
+static int view_store(
+    struct conf *, const json_t *, const char *, uint64_t, struct err *);
+static int view_drain(
+    struct conf *, const json_t *, const char *, uint64_t, struct err *);
+static int conf_view(struct conf *, struct err *);
+static int conf_view_drains(struct conf *, struct err *);
+static int conf_crosscheck(const struct conf *, struct err *);
+static int ticket_number(const json_t *, uint64_t *, struct err *);
+static int ticket_members(const json_t *, struct err *);
+static int ticket_set(
+    json_t *, uint64_t, const char *, const json_t *, int *, struct err *);
+static int ticket_section(json_t *, uint64_t, const json_t *,
+    const struct section *, int *, struct err *);
+static int ticket_remove(
+    json_t *, uint64_t, const json_t *, int *, struct err *);
+
+static const struct {
+	const char *kind;
+	view_add add;
+} views[] = {
+	{ "model/", view_model },
+	{ "backend/", view_backend },
+	{ "service/", view_service },
+	{ "store/", view_store },
+};
+
+struct conf *
+conf_create(void)
+{
+	struct conf *c;
+
+	c = mem_alloc(sizeof(*c));
+	c->objects = json_object();
+	c->store.loads_per_second = 1.0;
+	c->store.concurrent = 1;
+	c->store.adapters_in_flight = 8;
+	return c;
+}
+
+void
+conf_destroy(struct conf *c)
+{
+	if (c == NULL)
+		return;
+	json_decref(c->objects);
+	free(c->models);
+	free(c->backends);
+	free(c->services);
+	free(c);
+}
+
+static int
+view_model(struct conf *c, const json_t *body, const char *path,
+    uint64_t ticket, struct err *e)
+{
+	c->models = mem_grow(c->models, c->nmodels + 1, sizeof(*c->models));
+	if (conf_parse_model(body, path, &c->models[c->nmodels], e) == -1)
+		return -1;
+	c->models[c->nmodels++].ticket = ticket;
+	return 0;
+}
+
+static int
+view_backend(struct conf *c, const json_t *body, const char *path,
+    uint64_t ticket, struct err *e)
+{
+	c->backends =
+	    mem_grow(c->backends, c->nbackends + 1, sizeof(*c->backends));
+	if (conf_parse_backend(body, path, &c->backends[c->nbackends], e) == -1)
+		return -1;
+	c->backends[c->nbackends++].ticket = ticket;
+	return 0;
+}
+
+static int
+view_service(struct conf *c, const json_t *body, const char *path,
+    uint64_t ticket, struct err *e)
+{
+	c->services =
+	    mem_grow(c->services, c->nservices + 1, sizeof(*c->services));
+	if (conf_parse_service(body, path, &c->services[c->nservices], e) == -1)
+		return -1;
+	c->services[c->nservices++].ticket = ticket;
+	return 0;
+}
+
+static int
+view_store(struct conf *c, const json_t *body, const char *path,
+    uint64_t ticket, struct err *e)
+{
+	(void)ticket;
+	return conf_parse_store(body, path, &c->store, e);
+}
+
+/* Marks the backend server or instance that a drain names. */
+static int
+view_drain(struct conf *c, const json_t *body, const char *path,
+    uint64_t ticket, struct err *e)
+{
+	char name[NAME_SIZE];
+	size_t i;
+	size_t k;
+	int leaving;
+
+	(void)ticket;
+	if (conf_parse_drain(body, path, name, &leaving, e) == -1)
+		return -1;
+	for (i = 0; i < c->nbackends; i++) {
+		if (strcmp(c->backends[i].name, name) == 0)
+			c->backends[i].leaving = leaving;
+	}
+	for (i = 0; i < c->nservices; i++) {
+		for (k = 0; k < c->services[i].ninstances; k++) {
+			if (strcmp(c->services[i].instances[k].name, name) == 0)
+				c->services[i].instances[k].leaving = leaving;
+		}
+	}
+	return 0;
+}
+
+/* Fills in the typed views from the objects. */
+static int
+conf_view(struct conf *c, struct err *e)
+{
+	const char *key;
+	json_t *object;
+	json_t *body;
+	uint64_t ticket;
+	size_t i;
+
+	json_object_foreach (c->objects, key, object) {
+		body = json_object_get(object, "body");
+		ticket = (uint64_t)json_integer_value(
+		    json_object_get(object, "ticket"));
+		if (json_is_null(body))
+			continue;
+		for (i = 0; i < nitems(views); i++) {
+			if (strncmp(
+				views[i].kind, key, strlen(views[i].kind)) != 0)
+				continue;
+			if (views[i].add(c, body, key, ticket, e) == -1)
+				return -1;
+		}
+	}
+	return conf_view_drains(c, e);
+}
+
+static int
+conf_view_drains(struct conf *c, struct err *e)
+{
+	const char *key;
+	json_t *object;
+	json_t *body;
+
+	json_object_foreach (c->objects, key, object) {
+		body = json_object_get(object, "body");
+		if (strncmp(key, "drain/", 6) != 0 || json_is_null(body))
+			continue;
+		if (view_drain(c, body, key, 0, e) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+/* Rules that concern several objects. */
+static int
+conf_crosscheck(const struct conf *c, struct err *e)
+{
+	const struct conf_backend *b;
+	size_t n;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < c->nbackends; i++) {
+		b = &c->backends[i];
+		n = 0;
+		for (k = 0; k < c->nbackends; k++) {
+			n += strcmp(b->cell, c->backends[k].cell) == 0;
+			if (k != i &&
+			    strcmp(b->address, c->backends[k].address) == 0)
+				return err_set(e, ERR_TICKET,
+				    "backend/%s.address: %s is also the "
+				    "address of backend/%s; correct one",
+				    b->name, b->address, c->backends[k].name);
+		}
+		if (n > CELL_REPLICAS_MAX)
+			return err_set(e, ERR_TICKET,
+			    "backend/%s.cell: cell %s would have %zu backend "
+			    "servers, more than %d; declare another cell",
+			    b->name, b->cell, n, CELL_REPLICAS_MAX);
+	}
+	return 0;
+}
+
+static int
+ticket_number(const json_t *ticket, uint64_t *number, struct err *e)
+{
+	const json_t *n = json_object_get(ticket, "ticket");
+
+	if (!json_is_object(ticket))
+		return err_set(e, ERR_TICKET,
+		    "the ticket is not a JSON object; write it as {...}");
+	if (!json_is_integer(n) || json_integer_value(n) < 1 ||
+	    json_integer_value(n) > TICKET_MAX)
+		return err_set(e, ERR_TICKET,
+		    "ticket: is missing or not a positive whole number; "
+		    "number the ticket");
+	*number = (uint64_t)json_integer_value(n);
+	return 0;
+}
+
+static int
+ticket_members(const json_t *ticket, struct err *e)
+{
+	const char *name;
+	json_t *value;
+	size_t i;
+
+	json_object_foreach ((json_t *)ticket, name, value) {
+		if (strcmp(name, "ticket") == 0 ||
+		    strcmp(name, "remove") == 0 || strcmp(name, "note") == 0)
+			continue;
+		for (i = 0; i < nitems(sections); i++) {
+			if (strcmp(name, sections[i].member) == 0)
+				break;
+		}
+		if (i == nitems(sections))
+			return err_set(e, ERR_TICKET,
+			    "%s: unknown member; remove it or correct its "
+			    "spelling",
+			    name);
+	}
+	return 0;
+}
+
+/*
+ * Sets one object.  An object set by a higher ticket refuses; the same
+ * ticket with other content refuses; the same content changes nothing.
+ */
+static int
+ticket_set(json_t *objects, uint64_t number, const char *key,
+    const json_t *body, int *changed, struct err *e)
+{
+	const json_t *old = json_object_get(objects, key);
+	uint64_t have;
+
+	if (old != NULL) {
+		have = (uint64_t)json_integer_value(
+		    json_object_get(old, "ticket"));
+		if (have > number)
+			return err_set(e, ERR_STALE,
+			    "%s: ticket %" PRIu64
+			    " has set it already, which is higher than "
+			    "%" PRIu64 "; use a higher number",
+			    key, have, number);
+		if (have == number) {
+			if (json_equal(json_object_get(old, "body"), body))
+				return 0;
+			return err_set(e, ERR_CONFLICT,
+			    "%s: ticket %" PRIu64
+			    " was applied with other content; use a new "
+			    "number",
+			    key, number);
+		}
+	}
+	*changed = 1;
+	json_object_set_new(objects, key,
+	    json_pack("{s:I,s:O}", "ticket", (json_int_t)number, "body",
+		(json_t *)body));
+	return 0;
+}
+
+static int
+ticket_section(json_t *objects, uint64_t number, const json_t *value,
+    const struct section *s, int *changed, struct err *e)
+{
+	const json_t *item;
+	const json_t *name;
+	char key[KEY_SIZE];
+	size_t i;
+
+	if (s->name_of == NULL) {
+		snprintf(key, sizeof(key), "%s/limits", s->kind);
+		return ticket_set(objects, number, key, value, changed, e);
+	}
+	if (!json_is_array(value))
+		return err_set(e, ERR_TICKET,
+		    "%s: is not an array; write it as [...]", s->member);
+	json_array_foreach (value, i, item) {
+		name = json_object_get(item, s->name_of);
+		if (!json_is_string(name) || json_string_length(name) == 0 ||
+		    json_string_length(name) >= NAME_SIZE)
+			return err_set(e, ERR_TICKET,
+			    "%s[%zu].%s: is missing or longer than %d "
+			    "characters; give a name",
+			    s->member, i, s->name_of, NAME_SIZE - 1);
+		snprintf(key, sizeof(key), "%s/%s", s->kind,
+		    json_string_value(name));
+		if (ticket_set(objects, number, key, item, changed, e) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+static int
+ticket_remove(json_t *objects, uint64_t number, const json_t *list,
+    int *changed, struct err *e)
+{
+	json_t *none = json_null();
+	const json_t *item;
+	size_t i;
+
+	if (list != NULL && !json_is_array(list))
+		return err_set(e, ERR_TICKET,
+		    "remove: is not an array; list keys such as "
+		    "\"model/NAME\"");
+	json_array_foreach (list, i, item) {
+		if (!json_is_string(item) ||
+		    json_object_get(objects, json_string_value(item)) == NULL)
+			return err_set(e, ERR_TICKET,
+			    "remove[%zu]: is not declared; give a key such "
+			    "as \"model/NAME\" that spindlectl show prints",
+			    i);
+		if (ticket_set(objects, number, json_string_value(item), none,
+			changed, e) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+enum conf_result
+conf_apply(const struct conf *base, const json_t *ticket, struct conf **out,
+    uint64_t *number, struct err *e)
+{
+	const json_t *value;
+	struct conf *c;
+	size_t i;
+	int changed = 0;
+
+	*number = 0;
+	if (ticket_number(ticket, number, e) == -1 ||
+	    ticket_members(ticket, e) == -1)
+		return CONF_REFUSED;
+	c = conf_create();
+	json_object_update(c->objects, base->objects);
+	c->revision = base->revision + 1;
+	for (i = 0; i < nitems(sections); i++) {
+		value = json_object_get(ticket, sections[i].member);
+		if (value == NULL)
+			continue;
+		if (ticket_section(c->objects, *number, value, &sections[i],
+			&changed, e) == -1)
+			goto refused;
+	}
+	if (ticket_remove(c->objects, *number,
+		json_object_get(ticket, "remove"), &changed, e) == -1)
+		goto refused;
+	if (!changed) {
+		conf_destroy(c);
+		return CONF_SAME;
+	}
+	if (conf_view(c, e) == -1 || conf_crosscheck(c, e) == -1 ||
+	    conf_feasible(c, e) == -1)
+		goto refused;
+	*out = c;
+	return CONF_CHANGED;
+refused:
+	conf_destroy(c);
+	return CONF_REFUSED;
+}
+
+char *
+conf_chunk(const struct conf *c, int chunk)
+{
+	json_t *part = json_object();
+	const char *key;
+	json_t *object;
+	char *text = NULL;
+
+	json_object_foreach (c->objects, key, object) {
+		if (hash_text(key) % CONF_CHUNKS == (uint64_t)chunk)
+			json_object_set(part, key, object);
+	}
+	if (json_object_size(part) != 0)
+		text = json_dumps(part, JSON_COMPACT | JSON_SORT_KEYS);
+	json_decref(part);
+	return text;
+}
+
+struct conf *
+conf_from_chunks(char *const *texts, size_t n, uint64_t revision, struct err *e)
+{
+	struct conf *c;
+	json_t *part;
+	size_t i;
+
+	c = conf_create();
+	c->revision = revision;
+	for (i = 0; i < n; i++) {
+		if (texts[i] == NULL)
+			continue;
+		part = json_loads(texts[i], 0, NULL);
+		if (!json_is_object(part)) {
+			json_decref(part);
+			conf_destroy(c);
+			err_set(e, ERR_FORMAT,
+			    "chunk %zu of revision %" PRIu64
+			    " is not a JSON object; apply the last tickets "
+			    "again",
+			    i, revision);
+			return NULL;
+		}
+		json_object_update(c->objects, part);
+		json_decref(part);
+	}
+	if (conf_view(c, e) == 0)
+		return c;
+	conf_destroy(c);
+	return NULL;
+}
+
+const struct conf_model *
+conf_model(const struct conf *c, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < c->nmodels; i++) {
+		if (strcmp(c->models[i].name, name) == 0)
+			return &c->models[i];
+	}
+	return NULL;
+}
+
+const struct conf_backend *
+conf_backend(const struct conf *c, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < c->nbackends; i++) {
+		if (strcmp(c->backends[i].name, name) == 0)
+			return &c->backends[i];
+	}
+	return NULL;
+}
+
+int
+conf_allows(const struct conf_model *m, const struct conf_backend *b)
+{
+	size_t i;
+
+	if (b->leaving)
+		return 0;
+	for (i = 0; i < m->nwhere; i++) {
+		if (strcmp(m->where[i], b->datacentre) == 0)
+			return 1;
+	}
+	return m->nwhere == 0;
+}
--- /dev/null
+++ b/core/conf.h
@@ -0,0 +1,118 @@
+/*
+ * The declared configuration: models, adapters, backend servers, services,
+ * store limits and drains, each with the number of the ticket that last set
+ * it.  A configuration is immutable; applying a ticket makes a new one.
+ */
+#ifndef CONF_H
+#define CONF_H
+
+#include <jansson.h>
+
+#include "base.h"
+#include "err.h"
+
+#define CONF_CHUNKS 32
+#define CONF_CHUNK_BYTES_MAX 65536
+#define CONF_WHERE_MAX 16
+#define CONF_ADAPTERS_MAX 32
+#define CONF_ACCELERATORS_MAX 16
+#define CONF_INSTANCES_MAX 32
+
+struct conf_adapter {
+	char name[NAME_SIZE];
+	char version[NAME_SIZE];
+	uint64_t memory_mb;
+};
+
+struct conf_model {
+	char name[NAME_SIZE];
+	char version[NAME_SIZE];
+	uint64_t memory_mb;
+	uint64_t priority; /* 0 to 9, higher is served better */
+	uint64_t copies;   /* least copies */
+	size_t nwhere;	   /* data centres; none means all */
+	char where[CONF_WHERE_MAX][NAME_SIZE];
+	size_t nadapters;
+	struct conf_adapter adapters[CONF_ADAPTERS_MAX];
+	uint64_t ticket;
+};
+
+struct conf_backend {
+	char name[NAME_SIZE];
+	char address[ADDR_SIZE];
+	char datacentre[NAME_SIZE];
+	char cell[NAME_SIZE];
+	size_t naccelerators;
+	uint64_t memory_mb[CONF_ACCELERATORS_MAX];
+	uint64_t adapter_pool_mb; /* reserved on each accelerator */
+	int fencing;		  /* refuses old fencing numbers */
+	int leaving;
+	uint64_t ticket;
+};
+
+struct conf_service {
+	char name[NAME_SIZE];
+	char prefix[PATH_SIZE];
+	uint32_t repeatable; /* METHOD_* bits */
+	size_t ninstances;
+	struct {
+		char name[NAME_SIZE];
+		char address[ADDR_SIZE];
+		int leaving;
+	} instances[CONF_INSTANCES_MAX];
+	uint64_t ticket;
+};
+
+struct conf_store {
+	double loads_per_second;
+	uint64_t concurrent;
+	uint64_t adapters_in_flight;
+};
+
+struct conf {
+	json_t *objects; /* key -> {"ticket": n, "body": {...} or null} */
+	uint64_t revision;
+	size_t nmodels;
+	struct conf_model *models;
+	size_t nbackends;
+	struct conf_backend *backends;
+	size_t nservices;
+	struct conf_service *services;
+	struct conf_store store;
+};
+
+enum conf_result {
+	CONF_CHANGED,
+	CONF_SAME, /* the ticket was applied before */
+	CONF_REFUSED
+};
+
+struct conf *conf_create(void);
+void conf_destroy(struct conf *);
+/*
+ * Applies a whole ticket to base.  On CONF_CHANGED *out is the new
+ * configuration with the next revision; on CONF_REFUSED err names the path
+ * and the remedy.  *number is the ticket's number when it could be read.
+ */
+enum conf_result conf_apply(const struct conf *, const json_t *, struct conf **,
+    uint64_t *, struct err *);
+/* Text of one chunk, as stored; the caller frees it.  NULL when empty. */
+char *conf_chunk(const struct conf *, int);
+/* Builds a configuration from chunk texts (NULL for empty ones). */
+struct conf *conf_from_chunks(char *const *, size_t, uint64_t, struct err *);
+/* Whether every declared model fits in memory with its least copies. */
+int conf_feasible(const struct conf *, struct err *);
+
+const struct conf_model *conf_model(const struct conf *, const char *);
+const struct conf_backend *conf_backend(const struct conf *, const char *);
+/* Whether the model may be placed on the backend server. */
+int conf_allows(const struct conf_model *, const struct conf_backend *);
+
+/*
+ * Whether the cell keeps copies of the model.  In each region (the cell's
+ * name up to a slash) one cell does, chosen by rendezvous hashing among those
+ * with a backend server that the model may use.
+ */
+int conf_home(const struct conf *, const struct conf_model *, const char *);
+
+#endif
--- /dev/null
+++ b/core/gate.c
@@ -0,0 +1,505 @@
+/* Entry points of the gate's decisions; see gate.h. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gate_int.h"
+#include "hash.h"
+#include "mem.h"
+
+typedef void (*gate_handler)(
+    struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
+
+static struct call *call_find(const struct gate_core *, uint64_t);
+static struct attempt *attempt_find(
+    const struct gate_core *, const struct job_key *);
+static void on_queued(
+    struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
+static void on_grant(
+    struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
+static void on_refuse(
+    struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
+static void on_cell(
+    struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
+static void on_model(
+    struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
+static void on_service(
+    struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
+static void send_sync(struct gate_core *, struct cell *, struct gate_actions *);
+static void send_report(
+    struct gate_core *, uint64_t, struct cell *, struct gate_actions *);
+static uint64_t oldest_waiting(
+    const struct gate_core *, const struct target *, uint64_t);
+
+static const gate_handler gate_handlers[MSG__MAX] = {
+	[MSG_QUEUED] = on_queued,
+	[MSG_GRANT] = on_grant,
+	[MSG_REFUSE] = on_refuse,
+	[MSG_CELL] = on_cell,
+	[MSG_MODEL] = on_model,
+	[MSG_SERVICE] = on_service,
+};
+
+static const char *const outcome_names[OUTCOME__MAX] = {
+	[OUTCOME_ANSWERED] = "answered",
+	[OUTCOME_NO_MODEL] = "not-run-no-model",
+	[OUTCOME_DEADLINE] = "not-run-deadline",
+	[OUTCOME_OVERLOAD] = "not-run-overload",
+	[OUTCOME_UNREACHABLE] = "not-run-unreachable",
+	[OUTCOME_CLOSING] = "not-run-closing",
+	[OUTCOME_UNKNOWN] = "unknown",
+	[OUTCOME_FAILED] = "failed",
+};
+
+void
+gate_config_default(struct gate_config *c)
+{
+	memset(c, 0, sizeof(*c));
+	c->acquire_timeout_ns = 30 * NSEC_PER_MSEC;
+	c->resend_ns = 1 * NSEC_PER_SEC;
+	c->resend_timeout_ns = 300 * NSEC_PER_MSEC;
+	c->sync_ns = 1 * NSEC_PER_SEC;
+	c->report_ns = 250 * NSEC_PER_MSEC;
+	c->alone_share = 4;
+	c->tries_max = 5;
+	c->retry_share = 0.1;
+	c->hedge_share = 0.03;
+	c->hold_max = 32U << 20;
+}
+
+struct gate_core *
+gate_create(
+    const struct gate_config *config, const struct node_id *self, uint64_t seed)
+{
+	struct gate_core *g;
+
+	g = mem_alloc(sizeof(*g));
+	g->config = *config;
+	g->self = *self;
+	g->seed[0] = (unsigned short)seed;
+	g->seed[1] = (unsigned short)(seed >> 16);
+	g->seed[2] = (unsigned short)(seed >> 32);
+	g->retry_tokens = 10.0;
+	g->hedge_tokens = 2.0;
+	return g;
+}
+
+void
+gate_destroy(struct gate_core *g)
+{
+	struct gate_actions out = TAILQ_HEAD_INITIALIZER(out);
+	struct gate_action *act;
+	struct call *call, *next;
+
+	if (g == NULL)
+		return;
+	HASH_ITER (hh, g->calls, call, next)
+		gate_call_fail(g, 0, call, OUTCOME_CLOSING, &out);
+	while ((act = TAILQ_FIRST(&out)) != NULL) {
+		TAILQ_REMOVE(&out, act, entry);
+		gate_action_destroy(act);
+	}
+	gate_table_destroy(g);
+	free(g);
+}
+
+struct gate_action *
+gate_act(struct gate_actions *out, enum gate_action_kind kind, uint64_t rid)
+{
+	struct gate_action *act;
+
+	act = mem_alloc(sizeof(*act));
+	act->kind = kind;
+	act->rid = rid;
+	TAILQ_INSERT_TAIL(out, act, entry);
+	return act;
+}
+
+void
+gate_send(struct gate_actions *out, struct msg *m)
+{
+	gate_act(out, GATE_SEND, 0)->msg = m;
+}
+
+void
+gate_action_destroy(struct gate_action *act)
+{
+	msg_destroy(act->msg);
+	free(act);
+}
+
+static struct call *
+call_find(const struct gate_core *g, uint64_t rid)
+{
+	struct call *call;
+
+	HASH_FIND(hh, g->calls, &rid, sizeof(rid), call);
+	return call;
+}
+
+static struct attempt *
+attempt_find(const struct gate_core *g, const struct job_key *key)
+{
+	struct attempt *a;
+	struct call *call;
+
+	call = call_find(g, key->rid);
+	if (call == NULL)
+		return NULL;
+	TAILQ_FOREACH (a, &call->attempts, entry) {
+		if (a->key.attempt == key->attempt)
+			return a;
+	}
+	return NULL;
+}
+
+void
+gate_arrive(struct gate_core *g, uint64_t now, const struct gate_request *req,
+    struct gate_actions *out)
+{
+	struct declared *d;
+	struct service *s;
+	struct call *call;
+
+	g->totals.arrived++;
+	HASH_FIND_STR(g->models, req->model, d);
+	HASH_FIND_STR(g->services, req->service, s);
+	call = mem_alloc(sizeof(*call));
+	call->req = *req;
+	call->retry_at = TIME_NEVER;
+	TAILQ_INIT(&call->attempts);
+	TAILQ_INIT(&call->held);
+	HASH_ADD(hh, g->calls, req.rid, sizeof(call->req.rid), call);
+	g->totals.calls++;
+	if (d == NULL && s == NULL) {
+		gate_call_fail(g, now, call, OUTCOME_NO_MODEL, out);
+		return;
+	}
+	gate_budget_earn(g);
+	gate_attempt_begin(g, now, call, "", out);
+}
+
+void
+gate_cancel(
+    struct gate_core *g, uint64_t now, uint64_t rid, struct gate_actions *out)
+{
+	struct attempt *a;
+	struct call *call;
+
+	call = call_find(g, rid);
+	if (call == NULL || call->detached)
+		return;
+	g->totals.cancelled++;
+	call->detached = 1;
+	/*
+	 * A request that must not run twice is left to finish once it may
+	 * have been written, so that it is never cut off half done.
+	 */
+	a = TAILQ_FIRST(&call->attempts);
+	if (!call->req.repeatable && a != NULL && a->state == ATTEMPT_RUNNING)
+		return;
+	gate_call_fail(g, now, call, OUTCOME_CLOSING, out);
+}
+
+static void
+on_queued(struct gate_core *g, uint64_t now, const struct msg *m,
+    struct gate_actions *out)
+{
+	struct attempt *a;
+	struct msg *reply;
+
+	a = attempt_find(g, &m->u.key);
+	if (a == NULL || a->state == ATTEMPT_RUNNING) {
+		if (a == NULL) {
+			reply = msg_create(MSG_CANCEL, m->from.addr);
+			reply->u.key = m->u.key;
+			gate_send(out, reply);
+		}
+		return;
+	}
+	a->state = ATTEMPT_QUEUED;
+	a->answer_due = TIME_NEVER;
+	a->resend_at = now + g->config.resend_ns;
+}
+
+static void
+on_grant(struct gate_core *g, uint64_t now, const struct msg *m,
+    struct gate_actions *out)
+{
+	const struct msg_grant *grant = &m->u.grant;
+	struct attempt *a;
+	struct target *t;
+
+	a = attempt_find(g, &grant->key);
+	if (a != NULL && a->state == ATTEMPT_RUNNING &&
+	    a->grant == grant->grant)
+		return; /* a duplicate */
+	t = gate_find_target(g, grant->replica);
+	if (a == NULL || a->state == ATTEMPT_RUNNING || t == NULL || t->gone ||
+	    t->leaving) {
+		gate_send_release(g, &grant->key, m->from.addr, grant->grant,
+		    NULL, RELEASE_UNUSED, out);
+		if (a != NULL && a->state != ATTEMPT_RUNNING)
+			a->resend_at = now;
+		return;
+	}
+	gate_attempt_run(g, now, a, t, grant->grant, out);
+}
+
+static void
+on_refuse(struct gate_core *g, uint64_t now, const struct msg *m,
+    struct gate_actions *out)
+{
+	struct attempt *a;
+
+	a = attempt_find(g, &m->u.refuse.key);
+	if (a == NULL || a->state == ATTEMPT_RUNNING)
+		return;
+	gate_call_refused(
+	    g, now, a, (enum refuse_reason)m->u.refuse.reason, out);
+}
+
+/* A new owner hears at once what is held and what waits in its cell. */
+static void
+on_cell(struct gate_core *g, uint64_t now, const struct msg *m,
+    struct gate_actions *out)
+{
+	struct node_id before = { "", 0 };
+	struct call *call, *next;
+	struct attempt *a;
+	struct cell *c;
+
+	c = gate_find_cell(g, m->u.cell.cell);
+	if (c != NULL)
+		before = c->owner;
+	gate_table_cell(g, &m->u.cell);
+	c = gate_find_cell(g, m->u.cell.cell);
+	if (strcmp(before.addr, c->owner.addr) == 0 &&
+	    before.incarnation == c->owner.incarnation)
+		return;
+	send_sync(g, c, out);
+	HASH_ITER (hh, g->calls, call, next) {
+		TAILQ_FOREACH (a, &call->attempts, entry) {
+			if (a->state != ATTEMPT_RUNNING &&
+			    (a->cell == c || a->cell == NULL))
+				a->resend_at = now;
+		}
+	}
+}
+
+static void
+on_model(struct gate_core *g, uint64_t now, const struct msg *m,
+    struct gate_actions *out)
+{
+	(void)now;
+	(void)out;
+	gate_table_model(g, &m->u.model);
+}
+
+static void
+on_service(struct gate_core *g, uint64_t now, const struct msg *m,
+    struct gate_actions *out)
+{
+	(void)now;
+	(void)out;
+	gate_table_service(g, &m->u.service);
+}
+
+void
+gate_message(struct gate_core *g, uint64_t now, const struct msg *m,
+    struct gate_actions *out)
+{
+	if ((unsigned)m->kind < MSG__MAX && gate_handlers[m->kind] != NULL)
+		gate_handlers[m->kind](g, now, m, out);
+}
+
+void
+gate_fetched(struct gate_core *g, uint64_t now, const struct gate_fetch *f,
+    struct gate_actions *out)
+{
+	struct attempt *a;
+
+	HASH_FIND(hh, g->fetches, &f->fetch, sizeof(f->fetch), a);
+	if (a == NULL) {
+		if (f->payload != NULL)
+			gate_act(out, GATE_DROP, 0)->payload = f->payload;
+		return;
+	}
+	switch (f->kind) {
+	case FETCH_PHASE:
+		if (f->phase > a->phase)
+			a->phase = f->phase;
+		if (a->phase >= PHASE_WRITTEN)
+			a->call->written = 1;
+		break;
+	case FETCH_HEAD:
+	case FETCH_DATA:
+		gate_call_data(g, now, a, f, out);
+		break;
+	case FETCH_END:
+		gate_call_finish(g, now, a, out);
+		break;
+	case FETCH_FAIL:
+		if (f->phase > a->phase)
+			a->phase = f->phase;
+		if (a->phase >= PHASE_WRITTEN)
+			a->call->written = 1;
+		gate_call_broken(g, now, a, out);
+		break;
+	}
+}
+
+static void
+send_sync(struct gate_core *g, struct cell *c, struct gate_actions *out)
+{
+	struct msg_sync_item *it;
+	struct attempt *a, *next;
+	struct msg *m = NULL;
+
+	if (c->owner.addr[0] == '\0')
+		return;
+	HASH_ITER (hh, g->fetches, a, next) {
+		if (a->cell != c)
+			continue;
+		if (m == NULL)
+			m = msg_create(MSG_SYNC, c->owner.addr);
+		it = &m->u.sync.items[m->u.sync.n++];
+		it->key = a->key;
+		it->grant = a->grant;
+		memcpy(it->replica, a->target->name, sizeof(it->replica));
+		if (m->u.sync.n == MSG_SYNC_MAX) {
+			gate_send(out, m);
+			m = NULL;
+		}
+	}
+	if (m != NULL)
+		gate_send(out, m);
+}
+
+/* Age of the oldest attempt on a target that has no token yet. */
+static uint64_t
+oldest_waiting(const struct gate_core *g, const struct target *t, uint64_t now)
+{
+	struct attempt *a, *next;
+	uint64_t oldest = 0;
+
+	HASH_ITER (hh, g->fetches, a, next) {
+		if (a->target != t || a->first_at != 0 || !a->call->req.stream)
+			continue;
+		if (now - a->started > oldest)
+			oldest = now - a->started;
+	}
+	return oldest;
+}
+
+static void
+send_report(
+    struct gate_core *g, uint64_t now, struct cell *c, struct gate_actions *out)
+{
+	struct msg_report_item *it;
+	struct target *t, *next;
+	struct msg *m;
+
+	if (c->owner.addr[0] == '\0')
+		return;
+	m = msg_create(MSG_REPORT, c->owner.addr);
+	HASH_ITER (hh, g->targets, t, next) {
+		if (t->cell != c || m->u.report.n == MSG_REPORTS_MAX)
+			continue;
+		if (t->first_n == 0 && t->token_n == 0 && t->outstanding == 0)
+			continue;
+		it = &m->u.report.items[m->u.report.n++];
+		memcpy(it->replica, t->name, sizeof(it->replica));
+		if (t->first_n != 0)
+			it->first_ns = t->first_sum / t->first_n;
+		if (t->token_n != 0)
+			it->token_ns = t->token_sum / t->token_n;
+		it->waiting_ns = oldest_waiting(g, t, now);
+		t->first_sum = t->token_sum = 0;
+		t->first_n = t->token_n = 0;
+	}
+	if (m->u.report.n != 0)
+		gate_send(out, m);
+	else
+		msg_destroy(m);
+}
+
+void
+gate_tick(struct gate_core *g, uint64_t now, struct gate_actions *out)
+{
+	struct call *call, *next;
+	struct cell *c, *c_next;
+
+	HASH_ITER (hh, g->calls, call, next)
+		gate_call_tick(g, now, call, out);
+	if (now >= g->sync_at) {
+		g->sync_at = now + g->config.sync_ns;
+		HASH_ITER (hh, g->cells, c, c_next)
+			send_sync(g, c, out);
+	}
+	if (now >= g->report_at) {
+		g->report_at = now + g->config.report_ns;
+		HASH_ITER (hh, g->cells, c, c_next)
+			send_report(g, now, c, out);
+	}
+}
+
+void
+gate_totals(const struct gate_core *g, struct gate_totals *out)
+{
+	*out = g->totals;
+}
+
+void
+gate_versions(const struct gate_core *g, struct msg_hello *h)
+{
+	struct cell *c, *c_next;
+	struct declared *d, *d_next;
+	struct service *s, *s_next;
+
+	h->cells = h->models = h->services = 0;
+	HASH_ITER (hh, g->cells, c, c_next) {
+		if (c->version != 0)
+			h->cells ^= hash_version(c->name, c->version);
+	}
+	HASH_ITER (hh, g->models, d, d_next)
+		h->models ^= hash_version(d->name, d->info.version);
+	HASH_ITER (hh, g->services, s, s_next)
+		h->services ^= hash_version(s->name, s->info.version);
+}
+
+void
+gate_each_model(const struct gate_core *g,
+    void (*report)(void *, const char *, const char *), void *ctx)
+{
+	struct declared *d, *next;
+	uint32_t i;
+
+	HASH_ITER (hh, g->models, d, next) {
+		report(ctx, d->name, "");
+		for (i = 0; i < d->info.nadapters; i++)
+			report(ctx, d->name, d->info.adapters[i]);
+	}
+}
+
+void
+gate_each_service(const struct gate_core *g,
+    void (*report)(void *, const struct msg_service *), void *ctx)
+{
+	struct service *s, *next;
+
+	HASH_ITER (hh, g->services, s, next)
+		report(ctx, &s->info);
+}
+
+const char *
+gate_outcome_name(enum gate_outcome outcome)
+{
+	return outcome_names[outcome];
+}
+
+int
+gate_outcome_not_run(enum gate_outcome outcome)
+{
+	return outcome >= OUTCOME_NO_MODEL && outcome <= OUTCOME_CLOSING;
+}
--- /dev/null
+++ b/core/gate_attempt.c
@@ -0,0 +1,172 @@
+/* One attempt: asking for a slot, running, and giving the slot back. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gate_int.h"
+#include "mem.h"
+
+static uint64_t remaining(uint64_t, uint64_t);
+
+static uint64_t
+remaining(uint64_t deadline, uint64_t now)
+{
+	if (deadline == TIME_NEVER)
+		return TIME_NEVER;
+	return deadline > now ? deadline - now : 0;
+}
+
+struct attempt *
+gate_attempt_begin(struct gate_core *g, uint64_t now, struct call *call,
+    const char *exclude, struct gate_actions *out)
+{
+	struct attempt *a;
+	struct target *t;
+
+	a = mem_alloc(sizeof(*a));
+	a->call = call;
+	a->key.rid = call->req.rid;
+	a->key.attempt = ++call->next_attempt;
+	snprintf(a->exclude, sizeof(a->exclude), "%s", exclude);
+	TAILQ_INSERT_TAIL(&call->attempts, a, entry);
+	call->retry_at = TIME_NEVER;
+	if (call->req.service[0] == '\0') {
+		gate_attempt_ask(g, now, a, out);
+		return a;
+	}
+	a->state = ATTEMPT_ALONE;
+	a->answer_due = TIME_NEVER;
+	a->resend_at = TIME_NEVER;
+	t = gate_pick_instance(g, now, a);
+	if (t != NULL)
+		gate_attempt_run(g, now, a, t, 0, out);
+	return a;
+}
+
+/* Asks the owner of a cell for a slot, again if it was asked before. */
+void
+gate_attempt_ask(struct gate_core *g, uint64_t now, struct attempt *a,
+    struct gate_actions *out)
+{
+	const struct gate_request *req = &a->call->req;
+	struct msg_acquire *q;
+	struct msg *m;
+
+	if (a->cell == NULL || a->cell->owner.addr[0] == '\0')
+		a->cell = gate_pick_cell(g, a->call);
+	a->resend_at = now + g->config.resend_ns;
+	if (a->cell == NULL || a->cell->owner.addr[0] == '\0') {
+		gate_attempt_alone(g, now, a, out);
+		return;
+	}
+	a->answer_due = now +
+	    (a->state == ATTEMPT_QUEUED ? g->config.resend_timeout_ns
+					: g->config.acquire_timeout_ns);
+	m = msg_create(MSG_ACQUIRE, a->cell->owner.addr);
+	q = &m->u.acquire;
+	q->key = a->key;
+	memcpy(q->model, req->model, sizeof(q->model));
+	memcpy(q->adapter, req->adapter, sizeof(q->adapter));
+	memcpy(q->exclude, a->exclude, sizeof(q->exclude));
+	q->job_class = req->job_class;
+	q->tokens = req->tokens > a->call->delivered
+	    ? req->tokens - a->call->delivered
+	    : 0;
+	q->prefix = req->prefix;
+	q->slack_ns = remaining(req->deadline, now);
+	gate_send(out, m);
+}
+
+/* Chooses a replica here, because no owner answers. */
+void
+gate_attempt_alone(struct gate_core *g, uint64_t now, struct attempt *a,
+    struct gate_actions *out)
+{
+	struct target *t;
+
+	a->state = ATTEMPT_ALONE;
+	a->answer_due = TIME_NEVER;
+	t = gate_pick_replica(g, now, a);
+	if (t == NULL)
+		return;
+	a->cell = t->cell;
+	g->totals.alone++;
+	gate_attempt_run(g, now, a, t, 0, out);
+}
+
+void
+gate_attempt_run(struct gate_core *g, uint64_t now, struct attempt *a,
+    struct target *t, uint64_t grant, struct gate_actions *out)
+{
+	struct gate_action *act;
+
+	a->state = ATTEMPT_RUNNING;
+	a->target = t;
+	a->grant = grant;
+	a->fetch = ++g->next_fetch;
+	a->phase = PHASE_CONNECTING;
+	a->started = now;
+	a->answer_due = TIME_NEVER;
+	a->resend_at = TIME_NEVER;
+	t->outstanding++;
+	HASH_ADD(hh, g->fetches, fetch, sizeof(a->fetch), a);
+	act = gate_act(out, GATE_START, a->key.rid);
+	act->fetch = a->fetch;
+	act->attempt = a->key.attempt;
+	act->resume = a->call->delivered;
+	act->once = !a->call->req.repeatable;
+	memcpy(act->addr, t->addr, sizeof(act->addr));
+	memcpy(act->target, t->name, sizeof(act->target));
+}
+
+/* Tells the owner that a slot is free.  The attempt may be NULL. */
+void
+gate_send_release(struct gate_core *g, const struct job_key *key,
+    const char *to, uint64_t grant, const struct attempt *a,
+    enum release_outcome outcome, struct gate_actions *out)
+{
+	struct msg_release *r;
+	struct msg *m;
+
+	(void)g;
+	m = msg_create(MSG_RELEASE, to);
+	r = &m->u.release;
+	r->key = *key;
+	r->grant = grant;
+	r->outcome = outcome;
+	if (a != NULL && a->first_at != 0) {
+		r->tokens = a->tokens;
+		r->first_ns = a->first_at - a->started;
+		if (a->tokens > 1)
+			r->token_ns =
+			    (a->last_at - a->first_at) / (a->tokens - 1);
+	}
+	gate_send(out, m);
+}
+
+/* Ends an attempt in any state and frees it. */
+void
+gate_attempt_end(struct gate_core *g, uint64_t now, struct attempt *a,
+    enum release_outcome outcome, struct gate_actions *out)
+{
+	const char *owner = a->cell == NULL ? "" : a->cell->owner.addr;
+	struct msg *m;
+
+	(void)now;
+	if (a->state == ATTEMPT_RUNNING) {
+		HASH_DEL(g->fetches, a);
+		a->target->outstanding--;
+		gate_act(out, GATE_STOP, a->key.rid)->fetch = a->fetch;
+		if (owner[0] != '\0')
+			gate_send_release(
+			    g, &a->key, owner, a->grant, a, outcome, out);
+	} else if (owner[0] != '\0') {
+		m = msg_create(MSG_CANCEL, owner);
+		m->u.key = a->key;
+		gate_send(out, m);
+	}
+	if (a->head != NULL)
+		gate_act(out, GATE_DROP, a->key.rid)->payload = a->head;
+	TAILQ_REMOVE(&a->call->attempts, a, entry);
+	free(a);
+}
--- /dev/null
+++ b/core/gate_table.c
@@ -0,0 +1,297 @@
+/* Routing table of a gate, learnt from its control process piece by piece. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gate_int.h"
+#include "mem.h"
+
+static struct target *target_learn(
+    struct gate_core *, const char *, const char *);
+static void target_models(struct target *, const struct msg_replica *);
+static void cell_sweep(struct gate_core *, const struct cell *);
+static int target_usable(const struct target *, uint64_t, const char *);
+static struct target *pick_two(struct gate_core *, struct target **, uint32_t);
+
+struct cell *
+gate_find_cell(struct gate_core *g, const char *name)
+{
+	struct cell *c;
+
+	HASH_FIND_STR(g->cells, name, c);
+	return c;
+}
+
+struct target *
+gate_find_target(struct gate_core *g, const char *name)
+{
+	struct target *t;
+
+	HASH_FIND_STR(g->targets, name, t);
+	return t;
+}
+
+/* Targets are never freed before the gate, so that attempts may name them. */
+static struct target *
+target_learn(struct gate_core *g, const char *name, const char *addr)
+{
+	struct target *t;
+
+	t = gate_find_target(g, name);
+	if (t == NULL) {
+		t = mem_alloc(sizeof(*t));
+		snprintf(t->name, sizeof(t->name), "%s", name);
+		HASH_ADD_STR(g->targets, name, t);
+	}
+	snprintf(t->addr, sizeof(t->addr), "%s", addr);
+	t->gone = 0;
+	t->mark = g->mark;
+	return t;
+}
+
+static void
+target_models(struct target *t, const struct msg_replica *r)
+{
+	free(t->models);
+	t->models = NULL;
+	t->nmodels = r->nmodels;
+	if (r->nmodels == 0)
+		return;
+	t->models = mem_alloc((size_t)r->nmodels * NAME_SIZE);
+	memcpy(t->models, r->models, (size_t)r->nmodels * NAME_SIZE);
+}
+
+/* Marks the cell's replicas that the last update did not list. */
+static void
+cell_sweep(struct gate_core *g, const struct cell *c)
+{
+	struct target *t, *next;
+
+	HASH_ITER (hh, g->targets, t, next) {
+		if (t->cell == c && t->mark != g->mark) {
+			t->gone = 1;
+			t->nmodels = 0;
+		}
+	}
+}
+
+void
+gate_table_cell(struct gate_core *g, const struct msg_cell *m)
+{
+	const struct msg_replica *r;
+	struct target *t;
+	struct cell *c;
+	uint32_t i;
+
+	c = gate_find_cell(g, m->cell);
+	if (c == NULL) {
+		c = mem_alloc(sizeof(*c));
+		memcpy(c->name, m->cell, sizeof(c->name));
+		HASH_ADD_STR(g->cells, name, c);
+	}
+	c->version = m->gone ? 0 : m->version;
+	c->load = m->load;
+	memcpy(c->owner.addr, m->owner, sizeof(c->owner.addr));
+	c->owner.incarnation = m->owner_incarnation;
+	g->mark++;
+	for (i = 0; i < m->nreplicas && !m->gone; i++) {
+		r = &m->replicas[i];
+		t = target_learn(g, r->name, r->addr);
+		t->cell = c;
+		t->leaving = r->leaving != 0;
+		target_models(t, r);
+	}
+	cell_sweep(g, c);
+}
+
+void
+gate_table_model(struct gate_core *g, const struct msg_model *m)
+{
+	struct declared *d;
+
+	HASH_FIND_STR(g->models, m->name, d);
+	if (d == NULL && m->gone)
+		return;
+	if (m->gone) {
+		HASH_DEL(g->models, d);
+		free(d);
+		return;
+	}
+	if (d == NULL) {
+		d = mem_alloc(sizeof(*d));
+		memcpy(d->name, m->name, sizeof(d->name));
+		HASH_ADD_STR(g->models, name, d);
+	}
+	d->info = *m;
+}
+
+void
+gate_table_service(struct gate_core *g, const struct msg_service *m)
+{
+	struct service *s;
+	struct target *t;
+	uint32_t i;
+
+	HASH_FIND_STR(g->services, m->name, s);
+	if (s == NULL && m->gone)
+		return;
+	if (m->gone) {
+		HASH_DEL(g->services, s);
+		free(s);
+		return;
+	}
+	if (s == NULL) {
+		s = mem_alloc(sizeof(*s));
+		memcpy(s->name, m->name, sizeof(s->name));
+		HASH_ADD_STR(g->services, name, s);
+	}
+	s->info = *m;
+	for (i = 0; i < m->nbackends; i++) {
+		t = target_learn(g, m->backends[i].name, m->backends[i].addr);
+		t->leaving = m->backends[i].leaving != 0;
+		s->targets[i] = t;
+	}
+}
+
+void
+gate_table_destroy(struct gate_core *g)
+{
+	struct cell *c, *c_next;
+	struct target *t, *t_next;
+	struct declared *d, *d_next;
+	struct service *s, *s_next;
+
+	HASH_ITER (hh, g->cells, c, c_next) {
+		HASH_DEL(g->cells, c);
+		free(c);
+	}
+	HASH_ITER (hh, g->targets, t, t_next) {
+		HASH_DEL(g->targets, t);
+		free(t->models);
+		free(t);
+	}
+	HASH_ITER (hh, g->models, d, d_next) {
+		HASH_DEL(g->models, d);
+		free(d);
+	}
+	HASH_ITER (hh, g->services, s, s_next) {
+		HASH_DEL(g->services, s);
+		free(s);
+	}
+}
+
+/* What a replica must hold: the adapter where there is one. */
+const char *
+gate_wanted(const struct gate_request *req)
+{
+	return req->adapter[0] != '\0' ? req->adapter : req->model;
+}
+
+int
+gate_target_has(const struct target *t, const char *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->nmodels; i++) {
+		if (strcmp(t->models[i], model) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * Chooses the least loaded cell that holds the model; when no cell does, one
+ * after another, since any of them may be about to load it.
+ */
+struct cell *
+gate_pick_cell(struct gate_core *g, const struct call *call)
+{
+	struct target *t, *t_next;
+	struct cell *best = NULL;
+	struct cell *c, *c_next;
+	uint32_t skip = 0;
+	uint32_t n;
+
+	HASH_ITER (hh, g->targets, t, t_next) {
+		if (t->cell == NULL || t->leaving || t->cell->version == 0)
+			continue;
+		if (!gate_target_has(t, gate_wanted(&call->req)))
+			continue;
+		if (best == NULL || t->cell->load < best->load)
+			best = t->cell;
+	}
+	if (best != NULL && call->refusals == 0)
+		return best;
+	n = HASH_COUNT(g->cells);
+	if (n != 0)
+		skip = call->refusals % n;
+	HASH_ITER (hh, g->cells, c, c_next) {
+		if (skip-- == 0)
+			return c->version == 0 ? best : c;
+	}
+	return best;
+}
+
+static int
+target_usable(const struct target *t, uint64_t now, const char *exclude)
+{
+	return !t->leaving && !t->gone && t->avoid_until <= now &&
+	    strcmp(t->name, exclude) != 0;
+}
+
+/* The less loaded of two candidates drawn at random. */
+static struct target *
+pick_two(struct gate_core *g, struct target **list, uint32_t n)
+{
+	struct target *a;
+	struct target *b;
+
+	if (n == 0)
+		return NULL;
+	a = list[(uint32_t)nrand48(g->seed) % n];
+	b = list[(uint32_t)nrand48(g->seed) % n];
+	return a->outstanding <= b->outstanding ? a : b;
+}
+
+/* Chooses a replica without its cell's owner, within this gate's share. */
+struct target *
+gate_pick_replica(struct gate_core *g, uint64_t now, const struct attempt *a)
+{
+	struct target *list[CELL_REPLICAS_MAX * 4];
+	struct target *t, *next;
+	uint32_t n = 0;
+
+	HASH_ITER (hh, g->targets, t, next) {
+		if (t->cell == NULL || n == nitems(list))
+			continue;
+		if (!target_usable(t, now, a->exclude) ||
+		    t->outstanding >= g->config.alone_share)
+			continue;
+		if (gate_target_has(t, gate_wanted(&a->call->req)))
+			list[n++] = t;
+	}
+	return pick_two(g, list, n);
+}
+
+/* Chooses an instance of a plain service; any when all are to be avoided. */
+struct target *
+gate_pick_instance(struct gate_core *g, uint64_t now, const struct attempt *a)
+{
+	struct target *list[CELL_REPLICAS_MAX];
+	struct service *s;
+	uint32_t n = 0;
+	uint32_t i;
+
+	HASH_FIND_STR(g->services, a->call->req.service, s);
+	if (s == NULL)
+		return NULL;
+	for (i = 0; i < s->info.nbackends; i++) {
+		if (target_usable(s->targets[i], now, a->exclude))
+			list[n++] = s->targets[i];
+	}
+	for (i = 0; i < s->info.nbackends && n == 0; i++) {
+		if (!s->targets[i]->leaving)
+			list[n++] = s->targets[i];
+	}
+	return pick_two(g, list, n);
+}
--- /dev/null
+++ b/core/kvop.c
@@ -0,0 +1,43 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "kvop.h"
+#include "mem.h"
+
+static const char *const kind_names[KV__MAX] = {
+	[KV_GET] = "get",
+	[KV_CAS] = "cas",
+	[KV_WATCH] = "watch",
+	[KV_GRANT] = "lease-grant",
+	[KV_KEEP] = "lease-keepalive",
+	[KV_REVOKE] = "lease-revoke",
+};
+
+struct kv_op *
+kv_op_create(
+    struct kv_ops *out, uint64_t id, enum kv_kind kind, const char *key)
+{
+	struct kv_op *op;
+
+	op = mem_alloc(sizeof(*op));
+	op->id = id;
+	op->kind = kind;
+	snprintf(op->key, sizeof(op->key), "%s", key);
+	TAILQ_INSERT_TAIL(out, op, entry);
+	return op;
+}
+
+void
+kv_op_destroy(struct kv_op *op)
+{
+	if (op == NULL)
+		return;
+	free(op->value);
+	free(op);
+}
+
+const char *
+kv_kind_name(enum kv_kind kind)
+{
+	return kind_names[kind];
+}
--- /dev/null
+++ b/core/msg.c
@@ -0,0 +1,84 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "msg.h"
+#include "mem.h"
+
+#define BODY(member)                                                           \
+	(offsetof(struct msg, u) + sizeof(((struct msg *)0)->u.member))
+
+struct msg_info {
+	const char *name;
+	size_t size;
+};
+
+static const struct msg_info msg_infos[MSG__MAX] = {
+	[MSG_NONE] = { "none", sizeof(struct msg) },
+	[MSG_ACQUIRE] = { "acquire", BODY(acquire) },
+	[MSG_QUEUED] = { "queued", BODY(key) },
+	[MSG_GRANT] = { "grant", BODY(grant) },
+	[MSG_REFUSE] = { "refuse", BODY(refuse) },
+	[MSG_CANCEL] = { "cancel", BODY(key) },
+	[MSG_RELEASE] = { "release", BODY(release) },
+	[MSG_SYNC] = { "sync", BODY(sync) },
+	[MSG_REPORT] = { "report", BODY(report) },
+	[MSG_HELLO] = { "hello", BODY(hello) },
+	[MSG_CELL] = { "cell", BODY(cell) },
+	[MSG_SERVICE] = { "service", BODY(service) },
+	[MSG_MODEL] = { "model", BODY(model) },
+	[MSG_READY] = { "ready", BODY(ready) },
+	[MSG_LOAD] = { "load", BODY(load) },
+	[MSG_LOAD_PULL] = { "load-pull", BODY(load) },
+	[MSG_SENDER_ASK] = { "sender-ask", BODY(sender_none) },
+	[MSG_PING] = { "ping", BODY(ping) },
+	[MSG_PING_REQ] = { "ping-req", BODY(ping) },
+	[MSG_ACK] = { "ack", BODY(ping) },
+	[MSG_CONF_PULL] = { "conf-pull", BODY(conf) },
+	[MSG_CONF_HEAD] = { "conf-head", BODY(conf) },
+	[MSG_CONF_CHUNK] = { "conf-chunk", BODY(conf) },
+	[MSG_SENDER_NONE] = { "sender-none", BODY(sender_none) },
+};
+
+struct msg *
+msg_create(enum msg_kind kind, const char *to)
+{
+	struct msg *m;
+
+	m = mem_alloc(msg_infos[kind].size);
+	m->kind = kind;
+	snprintf(m->to, sizeof(m->to), "%s", to);
+	return m;
+}
+
+struct msg *
+msg_copy(const struct msg *src)
+{
+	struct msg *m;
+
+	m = mem_alloc(msg_infos[src->kind].size);
+	memcpy(m, src, msg_infos[src->kind].size);
+	if (src->kind == MSG_CONF_CHUNK && src->u.conf.bytes != NULL) {
+		m->u.conf.bytes = mem_alloc(src->u.conf.len + 1U);
+		memcpy(m->u.conf.bytes, src->u.conf.bytes, src->u.conf.len);
+	}
+	return m;
+}
+
+void
+msg_destroy(struct msg *m)
+{
+	if (m == NULL)
+		return;
+	if (m->kind == MSG_CONF_CHUNK)
+		free(m->u.conf.bytes);
+	free(m);
+}
+
+const char *
+msg_name(enum msg_kind kind)
+{
+	if ((unsigned)kind >= MSG__MAX)
+		return "unknown";
+	return msg_infos[kind].name;
+}
--- /dev/null
+++ b/core/node.h
@@ -0,0 +1,94 @@
+/*
+ * All decisions of one control process: membership, the configuration and its
+ * tickets, the cells, and what its gates are told.  Deterministic: events and
+ * the time go in; messages, operations, orders and replies come out.
+ */
+#ifndef NODE_H
+#define NODE_H
+
+#include <jansson.h>
+
+#include "cell.h"
+#include "conf.h"
+#include "kvop.h"
+#include "member.h"
+#include "msg.h"
+
+struct node;
+
+struct node_config {
+	struct node_id self;
+	struct member_config member;
+	struct cell_config cell;
+	uint64_t ticket_ns;  /* longest time to a ticket's answer */
+	uint64_t poll_ns;    /* rare reading of the head by every node */
+	uint64_t silence_ns; /* hearing nobody so long: not ready */
+	uint32_t watchers;   /* nodes that watch the head */
+};
+
+enum ticket_status {
+	TICKET_ACCEPTED,
+	TICKET_SAME, /* it was applied before */
+	TICKET_REFUSED,
+	TICKET_UNKNOWN /* no answer from the service; apply it again */
+};
+
+struct ticket_reply {
+	TAILQ_ENTRY(ticket_reply) entry;
+	uint64_t cookie;
+	enum ticket_status status;
+	uint64_t number;
+	uint64_t revision;
+	struct err err;
+};
+
+TAILQ_HEAD(ticket_replies, ticket_reply);
+
+struct node_out {
+	struct msg_list msgs;
+	struct kv_ops kv;
+	struct orders orders;
+	struct ticket_replies replies;
+};
+
+/* One VM of the platform's list. */
+struct node_vm {
+	char addr[ADDR_SIZE]; /* bus address of its control process */
+	int leaving;
+};
+
+void node_config_default(struct node_config *);
+struct node *node_create(const struct node_config *, uint64_t);
+void node_destroy(struct node *);
+void node_out_init(struct node_out *);
+/* Destroys whatever is still on the lists. */
+void node_out_clear(struct node_out *);
+
+void node_message(
+    struct node *, uint64_t, const struct msg *, struct node_out *);
+void node_kv(
+    struct node *, uint64_t, const struct kv_result *, struct node_out *);
+void node_order(
+    struct node *, uint64_t, const struct order_result *, struct node_out *);
+/* An operator's ticket; its reply carries the cookie. */
+void node_ticket(
+    struct node *, uint64_t, const json_t *, uint64_t, struct node_out *);
+/* The platform's list of VMs. */
+void node_vms(struct node *, uint64_t, const struct node_vm *, size_t);
+void node_tick(struct node *, uint64_t, struct node_out *);
+/* This process is going to stop: leaves its cells and its peers. */
+void node_leave(struct node *, uint64_t, struct node_out *);
+
+uint64_t node_revision(const struct node *);
+int node_ready(const struct node *, uint64_t);
+/* Whether the key-value service answered lately. */
+int node_kv_up(const struct node *, uint64_t);
+/* The declared objects; the caller drops the reference. */
+json_t *node_state(const struct node *);
+json_t *node_status(const struct node *, uint64_t);
+void node_each_member(
+    const struct node *, void (*)(void *, const struct member_info *), void *);
+void node_each_cell(
+    const struct node *, void (*)(void *, const struct cell_core *), void *);
+
+#endif
--- /dev/null
+++ b/core/node_cell.c
@@ -0,0 +1,353 @@
+/* The cells as this node knows them, owned here or elsewhere. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "hash.h"
+#include "mem.h"
+#include "node_int.h"
+
+#define OWNER_SILENT_NS (1500 * NSEC_PER_MSEC)
+#define OWNER_FORGET_NS (10 * NSEC_PER_SEC)
+#define RANK_STEP_NS (600 * NSEC_PER_MSEC)
+#define RANKS_TRYING 3
+#define PER_PEER_NS (5 * NSEC_PER_MSEC) /* of an announcement's period */
+
+static int node_gone(void *, const struct node_id *);
+static int node_elsewhere(void *, const char *, const char *);
+static int ended_since(struct node *, const struct node_id *, uint64_t *);
+static int vm_listed(const struct node *, const char *);
+static struct seat *seat_create(struct node *, const char *);
+static void seat_own(struct node *, uint64_t, struct seat *, struct node_out *);
+static void seat_try(struct node *, uint64_t, struct seat *);
+static void announce(struct node *, uint64_t, struct seat *, struct node_out *);
+static void announce_one(void *, const struct member_info *);
+static void on_load(
+    struct node *, uint64_t, const struct msg *, struct node_out *);
+static void on_load_pull(
+    struct node *, uint64_t, const struct msg *, struct node_out *);
+static void rank_one(void *, const struct member_info *);
+static void send_load(
+    const struct seat *, const char *, int, struct node_out *);
+
+struct announce_ctx {
+	struct seat *seat;
+	const char *self;
+	struct node_out *out;
+	int whole;
+};
+
+struct rank_ctx {
+	const char *cell;
+	uint64_t mine;
+	uint32_t better;
+};
+
+struct cell_out
+node_cell_out(struct node_out *out)
+{
+	struct cell_out co = { &out->msgs, &out->kv, &out->orders };
+
+	return co;
+}
+
+struct seat *
+node_seat(struct node *n, const char *name)
+{
+	struct seat *s;
+
+	TAILQ_FOREACH (s, &n->seats, entry) {
+		if (strcmp(s->table.cell, name) == 0)
+			return s;
+	}
+	return NULL;
+}
+
+static struct seat *
+seat_create(struct node *n, const char *name)
+{
+	struct cell_env env = { node_gone, node_elsewhere, n };
+	struct seat *s;
+
+	s = mem_alloc(sizeof(*s));
+	snprintf(s->table.cell, sizeof(s->table.cell), "%s", name);
+	s->cell =
+	    cell_create(&n->config.cell, name, &n->config.self, &n->ids, &env);
+	TAILQ_INSERT_TAIL(&n->seats, s, entry);
+	return s;
+}
+
+void
+node_cells_configure(struct node *n, uint64_t now, struct node_out *out)
+{
+	struct cell_out co = node_cell_out(out);
+	struct seat *s;
+	size_t i;
+
+	for (i = 0; i < n->conf->nbackends; i++) {
+		if (node_seat(n, n->conf->backends[i].cell) == NULL)
+			seat_create(n, n->conf->backends[i].cell);
+	}
+	TAILQ_FOREACH (s, &n->seats, entry)
+		cell_configure(s->cell, now, n->conf, &co);
+}
+
+/* When the process is first known to have ended; -1 when it is not. */
+static int
+ended_since(struct node *n, const struct node_id *id, uint64_t *since)
+{
+	uint32_t i;
+
+	for (i = 0; i < n->nended; i++) {
+		if (strcmp(n->ended[i].id.addr, id->addr) == 0 &&
+		    n->ended[i].id.incarnation == id->incarnation) {
+			*since = n->ended[i].since;
+			return 0;
+		}
+	}
+	/* A later process has its address, or its VM left the list. */
+	if (member_incarnation(n->member, id->addr) <= id->incarnation &&
+	    vm_listed(n, id->addr))
+		return -1;
+	i = n->nended < NODE_ENDED_MAX ? n->nended++ : 0;
+	n->ended[i].id = *id;
+	n->ended[i].since = n->now;
+	*since = n->now;
+	return 0;
+}
+
+/* A VM that was never listed may be too new for the list. */
+static int
+vm_listed(const struct node *n, const char *addr)
+{
+	size_t i;
+
+	for (i = 0; i < n->nvms; i++) {
+		if (strcmp(n->vms[i], addr) == 0)
+			return 1;
+	}
+	for (i = 0; i < n->nvms_seen; i++) {
+		if (strcmp(n->vms_seen[i], addr) == 0)
+			return 0;
+	}
+	return 1;
+}
+
+/* The process has ended, and so long ago that nothing of it can arrive. */
+static int
+node_gone(void *arg, const struct node_id *id)
+{
+	struct node *n = arg;
+	uint64_t since;
+
+	if (ended_since(n, id, &since) == -1)
+		return 0;
+	return n->now >= since + n->config.cell.late_ns;
+}
+
+static int
+node_elsewhere(void *arg, const char *model, const char *cell)
+{
+	struct node *n = arg;
+	const struct msg_replica *r;
+	struct seat *s;
+	uint32_t i;
+	uint32_t k;
+
+	TAILQ_FOREACH (s, &n->seats, entry) {
+		if (strcmp(s->table.cell, cell) == 0 ||
+		    n->now > s->heard + OWNER_FORGET_NS)
+			continue;
+		for (i = 0; i < s->table.nreplicas; i++) {
+			r = &s->table.replicas[i];
+			for (k = 0; k < r->nmodels && !r->leaving; k++) {
+				if (strcmp(r->models[k], model) == 0)
+					return 1;
+			}
+		}
+	}
+	return 0;
+}
+
+static void
+send_load(const struct seat *s, const char *to, int whole, struct node_out *out)
+{
+	struct msg *m;
+
+	m = msg_create(MSG_LOAD, to);
+	memcpy(&m->u.load, &s->table, offsetof(struct msg_load, replicas));
+	m->u.load.whole = (uint32_t)whole;
+	if (whole)
+		memcpy(m->u.load.replicas, s->table.replicas,
+		    s->table.nreplicas * sizeof(s->table.replicas[0]));
+	else
+		m->u.load.nreplicas = 0;
+	TAILQ_INSERT_TAIL(&out->msgs, m, entry);
+}
+
+static void
+announce_one(void *arg, const struct member_info *info)
+{
+	struct announce_ctx *ctx = arg;
+
+	if (strcmp(info->id.addr, ctx->self) == 0 || info->state == MEMBER_DEAD)
+		return;
+	send_load(ctx->seat, info->id.addr, ctx->whole, ctx->out);
+}
+
+/* Tells the other nodes the load number, rarer when they are many. */
+static void
+announce(struct node *n, uint64_t now, struct seat *s, struct node_out *out)
+{
+	struct announce_ctx ctx = { s, n->config.self.addr, out, 0 };
+	uint64_t period = n->config.cell.load_ns;
+
+	if (now < s->announce_at)
+		return;
+	if (member_live(n->member) * PER_PEER_NS > period)
+		period = member_live(n->member) * PER_PEER_NS;
+	s->announce_at = now + period;
+	member_each(n->member, announce_one, &ctx);
+}
+
+/* Keeps the table of a cell that is owned here. */
+static void
+seat_own(struct node *n, uint64_t now, struct seat *s, struct node_out *out)
+{
+	uint64_t before = s->table.version;
+
+	cell_table(s->cell, &s->table);
+	s->load = s->table.load;
+	s->owner = n->config.self;
+	s->heard = now;
+	if (s->table.version != before)
+		s->announce_at = now;
+	announce(n, now, s, out);
+}
+
+static void
+rank_one(void *arg, const struct member_info *info)
+{
+	struct rank_ctx *ctx = arg;
+
+	if (info->state == MEMBER_ALIVE && info->id.incarnation != 0 &&
+	    hash_version(info->id.addr, hash_text(ctx->cell)) > ctx->mine)
+		ctx->better++;
+}
+
+/* Tries for a cell whose owner is silent, the best ranked node first. */
+static void
+seat_try(struct node *n, uint64_t now, struct seat *s)
+{
+	struct rank_ctx ctx;
+	int silent = now >= s->heard + OWNER_SILENT_NS;
+
+	if (!silent) {
+		s->wanted = 0;
+		cell_want(s->cell, 0, 0);
+		return;
+	}
+	if (now >= s->heard + OWNER_FORGET_NS)
+		memset(&s->owner, 0, sizeof(s->owner));
+	if (s->wanted)
+		return;
+	ctx.cell = s->table.cell;
+	ctx.mine = hash_version(n->config.self.addr, hash_text(ctx.cell));
+	ctx.better = 0;
+	member_each(n->member, rank_one, &ctx);
+	if (ctx.better >= RANKS_TRYING)
+		return;
+	s->wanted = 1;
+	cell_want(s->cell, 1, now + ctx.better * RANK_STEP_NS);
+}
+
+void
+node_cells_tick(struct node *n, uint64_t now, struct node_out *out)
+{
+	struct cell_out co = node_cell_out(out);
+	struct seat *s;
+
+	TAILQ_FOREACH (s, &n->seats, entry) {
+		cell_tick(s->cell, now, &co);
+		if (cell_held(s->cell))
+			seat_own(n, now, s, out);
+		else
+			seat_try(n, now, s);
+	}
+	node_gate_cells(n, now, out);
+}
+
+static void
+on_load(struct node *n, uint64_t now, const struct msg *m, struct node_out *out)
+{
+	const struct msg_load *l = &m->u.load;
+	struct seat *s = node_seat(n, l->cell);
+	struct msg *pull;
+
+	if (s == NULL || l->fence < s->table.fence)
+		return;
+	if (l->fence > cell_fence(s->cell))
+		cell_superseded(s->cell, l->fence);
+	if (cell_held(s->cell) && l->fence <= cell_fence(s->cell))
+		return;
+	s->heard = now;
+	s->owner = m->from;
+	s->load = l->load;
+	if (l->whole) {
+		s->table = *l;
+		return;
+	}
+	if (l->version == s->table.version)
+		return;
+	s->table.fence = l->fence;
+	pull = msg_create(MSG_LOAD_PULL, m->from.addr);
+	memcpy(pull->u.load.cell, l->cell, sizeof(l->cell));
+	TAILQ_INSERT_TAIL(&out->msgs, pull, entry);
+}
+
+static void
+on_load_pull(
+    struct node *n, uint64_t now, const struct msg *m, struct node_out *out)
+{
+	struct seat *s = node_seat(n, m->u.load.cell);
+
+	(void)now;
+	if (s != NULL && cell_held(s->cell))
+		send_load(s, m->from.addr, 1, out);
+}
+
+/* Messages that concern cells. */
+void
+node_cells_message(
+    struct node *n, uint64_t now, const struct msg *m, struct node_out *out)
+{
+	struct cell_out co = node_cell_out(out);
+	struct msg *reply;
+	struct seat *s;
+
+	if (m->kind == MSG_LOAD) {
+		on_load(n, now, m, out);
+		return;
+	}
+	if (m->kind == MSG_LOAD_PULL) {
+		on_load_pull(n, now, m, out);
+		return;
+	}
+	if (m->kind == MSG_SENDER_ASK || m->kind == MSG_SENDER_NONE) {
+		s = node_seat(n, m->u.sender_none.cell);
+		if (s != NULL) {
+			cell_message(s->cell, now, m, &co);
+		} else if (m->kind == MSG_SENDER_ASK) {
+			/* This process never knew the cell. */
+			reply = msg_create(MSG_SENDER_NONE, m->from.addr);
+			reply->u.sender_none = m->u.sender_none;
+			TAILQ_INSERT_TAIL(&out->msgs, reply, entry);
+		}
+		return;
+	}
+	/* From gates: the cell is found by the grant or model. */
+	TAILQ_FOREACH (s, &n->seats, entry) {
+		if (cell_held(s->cell))
+			cell_message(s->cell, now, m, &co);
+	}
+}
--- /dev/null
+++ b/core/node_gate.c
@@ -0,0 +1,239 @@
+/* What gates are told: cells, declared models, services, readiness. */
+#include <stdio.h>
+#include <string.h>
+
+#include "hash.h"
+#include "node_int.h"
+
+#define GATE_TIMEOUT_NS (5 * NSEC_PER_SEC)
+
+static struct listener *listener_find(struct node *, uint64_t, const char *);
+static void send_models(struct node *, const char *, struct node_out *);
+static void send_services(struct node *, const char *, struct node_out *);
+static void send_gone(struct node *, const char *, struct node_out *);
+static void send_cell(
+    struct node *, const struct seat *, const char *, struct node_out *);
+static uint64_t cells_version(const struct node *);
+static uint64_t model_version(const struct conf_model *);
+static uint64_t service_version(const struct conf_service *);
+static uint64_t seat_version(const struct seat *);
+
+static struct listener *
+listener_find(struct node *n, uint64_t now, const char *addr)
+{
+	struct listener *oldest = &n->gates[0];
+	struct listener *l;
+	uint32_t i;
+
+	for (i = 0; i < n->ngates; i++) {
+		l = &n->gates[i];
+		if (strcmp(l->addr, addr) == 0) {
+			l->heard = now;
+			return l;
+		}
+		if (l->heard < oldest->heard)
+			oldest = l;
+	}
+	l = n->ngates < NODE_GATES_MAX ? &n->gates[n->ngates++] : oldest;
+	snprintf(l->addr, sizeof(l->addr), "%s", addr);
+	l->heard = now;
+	return l;
+}
+
+static uint64_t
+model_version(const struct conf_model *m)
+{
+	uint64_t v = m->ticket;
+	size_t i;
+
+	for (i = 0; i < m->nadapters; i++)
+		v ^= hash_version(m->adapters[i].name, i + 1);
+	return v | 1;
+}
+
+static uint64_t
+service_version(const struct conf_service *s)
+{
+	return hash_bytes(s, sizeof(*s)) | 1;
+}
+
+static uint64_t
+seat_version(const struct seat *s)
+{
+	return (s->table.version ^
+		   hash_version(s->owner.addr, s->owner.incarnation)) |
+	    1;
+}
+
+/* Hashes as gate_versions() computes them from what a gate holds. */
+void
+node_gate_versions(struct node *n)
+{
+	size_t i;
+
+	n->conf_version = n->service_version = 0;
+	for (i = 0; i < n->conf->nmodels; i++)
+		n->conf_version ^= hash_version(n->conf->models[i].name,
+		    model_version(&n->conf->models[i]));
+	for (i = 0; i < n->conf->nservices; i++)
+		n->service_version ^= hash_version(n->conf->services[i].name,
+		    service_version(&n->conf->services[i]));
+}
+
+static uint64_t
+cells_version(const struct node *n)
+{
+	const struct seat *s;
+	uint64_t v = 0;
+
+	TAILQ_FOREACH (s, &n->seats, entry)
+		v ^= hash_version(s->table.cell, seat_version(s));
+	return v;
+}
+
+static void
+send_models(struct node *n, const char *to, struct node_out *out)
+{
+	const struct conf_model *cm;
+	struct msg_model *mm;
+	struct msg *m;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < n->conf->nmodels; i++) {
+		cm = &n->conf->models[i];
+		m = msg_create(MSG_MODEL, to);
+		mm = &m->u.model;
+		memcpy(mm->name, cm->name, sizeof(mm->name));
+		mm->version = model_version(cm);
+		mm->priority = (uint32_t)cm->priority;
+		for (k = 0; k < cm->nadapters; k++)
+			memcpy(mm->adapters[mm->nadapters++],
+			    cm->adapters[k].name, NAME_SIZE);
+		TAILQ_INSERT_TAIL(&out->msgs, m, entry);
+	}
+}
+
+static void
+send_services(struct node *n, const char *to, struct node_out *out)
+{
+	const struct conf_service *cs;
+	struct msg_service *ms;
+	struct msg *m;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < n->conf->nservices; i++) {
+		cs = &n->conf->services[i];
+		m = msg_create(MSG_SERVICE, to);
+		ms = &m->u.service;
+		memcpy(ms->name, cs->name, sizeof(ms->name));
+		memcpy(ms->prefix, cs->prefix, sizeof(ms->prefix));
+		ms->version = service_version(cs);
+		ms->repeatable = cs->repeatable;
+		ms->nbackends = (uint32_t)cs->ninstances;
+		for (k = 0; k < cs->ninstances; k++) {
+			memcpy(ms->backends[k].name, cs->instances[k].name,
+			    NAME_SIZE);
+			memcpy(ms->backends[k].addr, cs->instances[k].address,
+			    ADDR_SIZE);
+			ms->backends[k].leaving =
+			    (uint32_t)cs->instances[k].leaving;
+		}
+		TAILQ_INSERT_TAIL(&out->msgs, m, entry);
+	}
+}
+
+/* Names what was removed, so that a gate forgets it. */
+static void
+send_gone(struct node *n, const char *to, struct node_out *out)
+{
+	const char *key;
+	json_t *object;
+	struct msg *m;
+
+	json_object_foreach (n->conf->objects, key, object) {
+		if (!json_is_null(json_object_get(object, "body")))
+			continue;
+		if (strncmp(key, "model/", 6) == 0) {
+			m = msg_create(MSG_MODEL, to);
+			snprintf(m->u.model.name, NAME_SIZE, "%s", key + 6);
+			m->u.model.gone = 1;
+		} else if (strncmp(key, "service/", 8) == 0) {
+			m = msg_create(MSG_SERVICE, to);
+			snprintf(m->u.service.name, NAME_SIZE, "%s", key + 8);
+			m->u.service.gone = 1;
+		} else {
+			continue;
+		}
+		TAILQ_INSERT_TAIL(&out->msgs, m, entry);
+	}
+}
+
+static void
+send_cell(
+    struct node *n, const struct seat *s, const char *to, struct node_out *out)
+{
+	struct msg_cell *c;
+	struct msg *m;
+
+	(void)n;
+	m = msg_create(MSG_CELL, to);
+	c = &m->u.cell;
+	memcpy(c->cell, s->table.cell, sizeof(c->cell));
+	c->version = seat_version(s);
+	memcpy(c->owner, s->owner.addr, sizeof(c->owner));
+	c->owner_incarnation = s->owner.incarnation;
+	c->fence = s->table.fence;
+	c->load = s->load;
+	c->nreplicas = s->table.nreplicas;
+	memcpy(c->replicas, s->table.replicas,
+	    s->table.nreplicas * sizeof(c->replicas[0]));
+	TAILQ_INSERT_TAIL(&out->msgs, m, entry);
+}
+
+void
+node_gate_hello(
+    struct node *n, uint64_t now, const struct msg *m, struct node_out *out)
+{
+	const struct msg_hello *h = &m->u.hello;
+	const char *to = m->from.addr;
+	struct seat *s;
+	struct msg *reply;
+
+	listener_find(n, now, to);
+	if (h->models != n->conf_version || h->services != n->service_version)
+		send_gone(n, to, out);
+	if (h->models != n->conf_version)
+		send_models(n, to, out);
+	if (h->services != n->service_version)
+		send_services(n, to, out);
+	if (h->cells != cells_version(n)) {
+		TAILQ_FOREACH (s, &n->seats, entry)
+			send_cell(n, s, to, out);
+	}
+	reply = msg_create(MSG_READY, to);
+	reply->u.ready.revision = n->conf->revision;
+	reply->u.ready.ready = (uint32_t)node_ready(n, now);
+	TAILQ_INSERT_TAIL(&out->msgs, reply, entry);
+}
+
+/* Tells live gates at once what changed in a cell. */
+void
+node_gate_cells(struct node *n, uint64_t now, struct node_out *out)
+{
+	struct seat *s;
+	uint64_t told;
+	uint32_t i;
+
+	TAILQ_FOREACH (s, &n->seats, entry) {
+		told = seat_version(s) ^ hash_version("load", s->load / 10);
+		if (told == s->told)
+			continue;
+		s->told = told;
+		for (i = 0; i < n->ngates; i++) {
+			if (now < n->gates[i].heard + GATE_TIMEOUT_NS)
+				send_cell(n, s, n->gates[i].addr, out);
+		}
+	}
+}
--- /dev/null
+++ b/core/node_int.h
@@ -0,0 +1,158 @@
+/* Data structures shared by the files of a node. */
+#ifndef NODE_INT_H
+#define NODE_INT_H
+
+#include <uthash.h>
+
+#include "node.h"
+
+#define NODE_GATES_MAX 8
+#define NODE_ENDED_MAX 64
+
+/* What is known of one cell, owned here or not. */
+struct seat {
+	TAILQ_ENTRY(seat) entry;
+	struct cell_core *cell;
+	struct msg_load table; /* latest whole table */
+	struct node_id owner;  /* who told it, addr "" for nobody */
+	uint64_t heard;	       /* from the owner */
+	uint64_t announce_at;
+	uint64_t told; /* hash of what gates were told last */
+	uint32_t load; /* latest load number */
+	int wanted;
+};
+
+/* A gate that says HELLO. */
+struct listener {
+	char addr[ADDR_SIZE];
+	uint64_t heard;
+};
+
+/* One chunk of the configuration in force or being fetched. */
+struct chunk {
+	uint64_t hash; /* 0: empty */
+	char *text;
+};
+
+enum head_step {
+	HEAD_IDLE,
+	HEAD_READING, /* GET config/head under way */
+	HEAD_FETCHING /* chunks under way */
+};
+
+enum ticket_step {
+	TICKET_IDLE,
+	TICKET_READ,   /* waiting for a fresh head */
+	TICKET_CHUNKS, /* writing chunks */
+	TICKET_HEAD,   /* writing the head */
+	TICKET_SPREAD  /* waiting for a peer to hold it */
+};
+
+/* A configuration being put together from chunks. */
+struct fetching {
+	uint64_t revision; /* 0: none */
+	uint64_t nonce;
+	uint64_t hashes[CONF_CHUNKS];
+	char *texts[CONF_CHUNKS];
+	uint64_t since;
+	uint64_t asked_at;
+	char peer[ADDR_SIZE]; /* "" : from the service */
+};
+
+struct ticket {
+	TAILQ_ENTRY(ticket) entry;
+	json_t *doc;
+	uint64_t cookie;
+	uint64_t deadline;
+};
+
+struct node {
+	struct node_config config;
+	unsigned short seed[3];
+	struct kv_ids ids;
+	struct member *member;
+	TAILQ_HEAD(, seat) seats;
+	struct listener gates[NODE_GATES_MAX];
+	uint32_t ngates;
+
+	/* configuration in force */
+	struct conf *conf;
+	struct chunk chunks[CONF_CHUNKS];
+	uint64_t nonce;
+	uint64_t conf_version; /* hash over models */
+	uint64_t service_version;
+
+	/* the head in the service */
+	uint64_t head_revision; /* of the key, for compare-and-swap */
+	uint64_t head_seen;	/* configuration revision it names */
+	uint64_t head_op;
+	uint64_t watch_op;
+	uint64_t poll_at;
+	int head_known; /* the service has told the head, or its absence */
+	struct fetching fetch;
+	uint64_t fetch_ops[CONF_CHUNKS];
+
+	/* tickets */
+	TAILQ_HEAD(, ticket) tickets;
+	enum ticket_step step;
+	uint64_t ticket_op;
+	uint64_t chunk_ops[CONF_CHUNKS];
+	struct conf *next; /* the ticket's result */
+	struct chunk next_chunks[CONF_CHUNKS];
+	uint64_t next_nonce;
+	uint64_t ticket_number;
+	uint64_t retry_at;
+
+	/* what was heard */
+	uint64_t kv_heard;
+	uint64_t started;
+	struct {
+		struct node_id id;
+		uint64_t since;
+	} ended[NODE_ENDED_MAX];
+	uint32_t nended;
+	char (*vms)[ADDR_SIZE];
+	size_t nvms;
+	char (*vms_seen)[ADDR_SIZE];
+	size_t nvms_seen;
+	uint64_t now; /* time of the event in hand, for callbacks */
+};
+
+/* node_conf.c */
+void node_conf_tick(struct node *, uint64_t, struct node_out *);
+int node_conf_kv(
+    struct node *, uint64_t, const struct kv_result *, struct node_out *);
+void node_conf_message(
+    struct node *, uint64_t, const struct msg *, struct node_out *);
+void node_conf_heard(struct node *, uint64_t, const struct node_id *, uint64_t,
+    struct node_out *);
+/* Reads the head now; a ticket waits for it. */
+void node_head_read(struct node *, struct node_out *);
+void node_conf_use(struct node *, uint64_t, struct conf *, struct chunk *,
+    uint64_t, struct node_out *);
+void node_conf_clear(struct node *);
+int node_head_parse(const char *, uint64_t *, uint64_t *, uint64_t *);
+
+/* node_ticket.c */
+void node_ticket_tick(struct node *, uint64_t, struct node_out *);
+int node_ticket_kv(
+    struct node *, uint64_t, const struct kv_result *, struct node_out *);
+/* The head is fresh and its configuration in force. */
+void node_ticket_ready(struct node *, uint64_t, struct node_out *);
+void node_ticket_clear(struct node *);
+
+/* node_gate.c */
+void node_gate_hello(
+    struct node *, uint64_t, const struct msg *, struct node_out *);
+void node_gate_cells(struct node *, uint64_t, struct node_out *);
+void node_gate_versions(struct node *);
+
+/* node_cell.c */
+void node_cells_configure(struct node *, uint64_t, struct node_out *);
+void node_cells_tick(struct node *, uint64_t, struct node_out *);
+void node_cells_message(
+    struct node *, uint64_t, const struct msg *, struct node_out *);
+struct seat *node_seat(struct node *, const char *);
+struct cell_out node_cell_out(struct node_out *);
+
+#endif
--- /dev/null
+++ b/core/place.c
@@ -0,0 +1,335 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "place.h"
+
+#define GAIN_LEAST 0.5 /* slots of demand relieved, to be worth a move */
+
+struct scene {
+	const struct place_config *config;
+	uint64_t now;
+	const struct place_model *models;
+	uint32_t nmodels;
+	const struct place_backend *backends;
+	uint32_t nbackends;
+	double use[PLACE_BACKENDS_MAX]; /* utilization by backend server */
+};
+
+static uint32_t serving(const struct scene *, const struct place_model *);
+static uint32_t counted(const struct scene *, const struct place_model *);
+static int has_copy(const struct place_model *, uint32_t);
+static void fill_use(struct scene *);
+static double pressure(const struct scene *, const struct place_model *);
+static int in_datacentre(
+    const struct scene *, const struct place_model *, const char *);
+static struct place_move load_best(const struct scene *, uint32_t, double, int);
+static struct place_move make_room(const struct scene *, uint32_t);
+static int may_unload(
+    const struct scene *, const struct place_model *, uint32_t);
+static struct place_move need_copies(const struct scene *, int);
+static struct place_move unload_unwanted(const struct scene *);
+static struct place_move add_by_gain(const struct scene *);
+
+static const struct place_move place_nothing = { PLACE_NOTHING, 0, 0, 0, 0,
+	0.0 };
+
+void
+place_config_default(struct place_config *c)
+{
+	c->high = 0.75;
+	c->low = 0.55;
+	c->hold_ns = 10 * NSEC_PER_SEC;
+}
+
+/* Confirmed copies on backend servers that stay. */
+static uint32_t
+serving(const struct scene *s, const struct place_model *m)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < m->ncopies; i++)
+		n += m->copies[i].resident &&
+		    !s->backends[m->copies[i].backend].leaving;
+	return n;
+}
+
+/* Copies resident or loading on backend servers that stay. */
+static uint32_t
+counted(const struct scene *s, const struct place_model *m)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < m->ncopies; i++)
+		n += !s->backends[m->copies[i].backend].leaving;
+	return n;
+}
+
+static int
+has_copy(const struct place_model *m, uint32_t backend)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->ncopies; i++) {
+		if (m->copies[i].backend == backend)
+			return 1;
+	}
+	return 0;
+}
+
+/* Spreads each model's demand evenly over its copies. */
+static void
+fill_use(struct scene *s)
+{
+	const struct place_model *m;
+	uint32_t backend;
+	uint32_t i;
+	uint32_t k;
+
+	memset(s->use, 0, sizeof(s->use));
+	for (i = 0; i < s->nmodels; i++) {
+		m = &s->models[i];
+		for (k = 0; k < m->ncopies; k++) {
+			backend = m->copies[k].backend;
+			if (s->backends[backend].slots != 0)
+				s->use[backend] += m->demand / m->ncopies /
+				    s->backends[backend].slots;
+		}
+	}
+}
+
+/* Utilization of the model's least used copy, which takes its next work. */
+static double
+pressure(const struct scene *s, const struct place_model *m)
+{
+	double least = -1.0;
+	double use;
+	uint32_t i;
+
+	for (i = 0; i < m->ncopies; i++) {
+		use = s->use[m->copies[i].backend];
+		if (least < 0.0 || use < least)
+			least = use;
+	}
+	return least < 0.0 ? 1.0 : least;
+}
+
+static int
+in_datacentre(
+    const struct scene *s, const struct place_model *m, const char *datacentre)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->ncopies; i++) {
+		if (strcmp(s->backends[m->copies[i].backend].datacentre,
+			datacentre) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * The best place for one more copy: another data centre first, then the
+ * least used backend server, then the most memory left.
+ */
+static struct place_move
+load_best(const struct scene *s, uint32_t model, double use_limit, int urgent)
+{
+	const struct place_model *m = &s->models[model];
+	const struct place_backend *b;
+	struct place_move best = place_nothing;
+	double best_score = 0.0;
+	double score;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->nbackends; i++) {
+		b = &s->backends[i];
+		if (b->leaving || !b->usable || !m->allowed[i] ||
+		    (b->busy && !urgent) || has_copy(m, i) ||
+		    s->use[i] > use_limit)
+			continue;
+		for (k = 0; k < b->naccelerators; k++) {
+			if (b->left_mb[k] < m->memory_mb)
+				continue;
+			score = 10.0 - s->use[i] + (double)b->left_mb[k] / 1e7;
+			if (!in_datacentre(s, m, b->datacentre))
+				score += 0.3;
+			if (best.kind != PLACE_NOTHING && score <= best_score)
+				continue;
+			best_score = score;
+			best.kind = PLACE_LOAD;
+			best.model = model;
+			best.backend = i;
+			best.accelerator = k;
+			best.urgent = urgent;
+		}
+	}
+	return best;
+}
+
+/* Whether the model's copy on a backend server may go. */
+static int
+may_unload(const struct scene *s, const struct place_model *m, uint32_t copy)
+{
+	const struct place_copy *c = &m->copies[copy];
+	const struct place_backend *b = &s->backends[c->backend];
+	uint32_t others = serving(s, m) - (c->resident && !b->leaving);
+
+	if (!c->resident || b->busy || !b->usable)
+		return 0;
+	if (m->least == 0)
+		return m->elsewhere;
+	return others != 0 && others >= m->least;
+}
+
+/* Unloads the cheapest spare copy where the model would then fit. */
+static struct place_move
+make_room(const struct scene *s, uint32_t model)
+{
+	const struct place_model *want = &s->models[model];
+	const struct place_model *m;
+	const struct place_copy *c;
+	struct place_move best = place_nothing;
+	double best_cost = 0.0;
+	double cost;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->nmodels; i++) {
+		m = &s->models[i];
+		if (i == model || s->now < m->moved + s->config->hold_ns)
+			continue;
+		for (k = 0; k < m->ncopies; k++) {
+			c = &m->copies[k];
+			if (!may_unload(s, m, k) ||
+			    !want->allowed[c->backend] ||
+			    has_copy(want, c->backend))
+				continue;
+			if (s->backends[c->backend].left_mb[c->accelerator] +
+				m->memory_mb <
+			    want->memory_mb)
+				continue;
+			cost = m->demand / m->ncopies;
+			if (best.kind != PLACE_NOTHING && cost >= best_cost)
+				continue;
+			best_cost = cost;
+			best.kind = PLACE_UNLOAD;
+			best.model = i;
+			best.backend = c->backend;
+			best.accelerator = c->accelerator;
+			best.gain = -cost;
+		}
+	}
+	return best;
+}
+
+/* Models below their least copies; first those that nobody serves. */
+static struct place_move
+need_copies(const struct scene *s, int urgent)
+{
+	const struct place_model *m;
+	struct place_move move;
+	uint32_t i;
+
+	for (i = 0; i < s->nmodels; i++) {
+		m = &s->models[i];
+		if (m->least == 0 || counted(s, m) >= m->least)
+			continue;
+		if (urgent && counted(s, m) != 0)
+			continue;
+		move = load_best(s, i, 1e9, urgent);
+		if (move.kind != PLACE_NOTHING)
+			return move;
+		move = make_room(s, i);
+		if (move.kind != PLACE_NOTHING)
+			return move;
+	}
+	return place_nothing;
+}
+
+/* Copies of models not wanted here, and copies on leaving servers. */
+static struct place_move
+unload_unwanted(const struct scene *s)
+{
+	const struct place_model *m;
+	struct place_move move = place_nothing;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->nmodels; i++) {
+		m = &s->models[i];
+		for (k = 0; k < m->ncopies; k++) {
+			if (m->least != 0 &&
+			    !s->backends[m->copies[k].backend].leaving)
+				continue;
+			if (!may_unload(s, m, k))
+				continue;
+			move.kind = PLACE_UNLOAD;
+			move.model = i;
+			move.backend = m->copies[k].backend;
+			move.accelerator = m->copies[k].accelerator;
+			return move;
+		}
+	}
+	return move;
+}
+
+/* One more copy where it relieves the most demand for its cost. */
+static struct place_move
+add_by_gain(const struct scene *s)
+{
+	const struct place_model *m;
+	struct place_move best = place_nothing;
+	struct place_move move;
+	double over;
+	double gain;
+	uint32_t i;
+
+	for (i = 0; i < s->nmodels; i++) {
+		m = &s->models[i];
+		over = pressure(s, m) - s->config->high;
+		if (m->least == 0 || over <= 0.0 ||
+		    s->now < m->moved + s->config->hold_ns)
+			continue;
+		gain = m->demand * over * (1.0 + (double)m->priority / 10.0);
+		if (gain < GAIN_LEAST || gain <= best.gain)
+			continue;
+		move = load_best(s, i, s->config->low, 0);
+		if (move.kind == PLACE_NOTHING)
+			move = make_room(s, i);
+		/* Making room must cost less than it gains. */
+		if (move.kind == PLACE_NOTHING ||
+		    (move.kind == PLACE_UNLOAD && gain + move.gain <= 0.0))
+			continue;
+		move.gain = gain;
+		best = move;
+	}
+	return best;
+}
+
+struct place_move
+place_next(const struct place_config *config, uint64_t now,
+    const struct place_model *models, uint32_t nmodels,
+    const struct place_backend *backends, uint32_t nbackends)
+{
+	struct scene s;
+	struct place_move move;
+
+	s.config = config;
+	s.now = now;
+	s.models = models;
+	s.nmodels = nmodels;
+	s.backends = backends;
+	s.nbackends = nbackends;
+	fill_use(&s);
+	move = need_copies(&s, 1);
+	if (move.kind == PLACE_NOTHING)
+		move = need_copies(&s, 0);
+	if (move.kind == PLACE_NOTHING)
+		move = unload_unwanted(&s);
+	if (move.kind == PLACE_NOTHING)
+		move = add_by_gain(&s);
+	return move;
+}
--- /dev/null
+++ b/core/place.h
@@ -0,0 +1,69 @@
+/*
+ * Placement within one cell: given demand, copies and memory, the next copy
+ * to load or unload.  Pure: no state of its own.
+ */
+#ifndef PLACE_H
+#define PLACE_H
+
+#include "base.h"
+#include "conf.h"
+
+#define PLACE_BACKENDS_MAX CELL_REPLICAS_MAX
+
+struct place_copy {
+	uint32_t backend;
+	uint32_t accelerator;
+	int resident; /* confirmed; otherwise loading */
+	uint64_t since;
+};
+
+struct place_model {
+	const char *name;
+	uint64_t memory_mb;
+	uint64_t priority;
+	uint32_t least; /* copies wanted at least; 0: not wanted here */
+	double demand;	/* slots wanted, the larger of fast and slow */
+	int elsewhere;	/* served by other copies, or not declared */
+	uint32_t ncopies;
+	struct place_copy copies[PLACE_BACKENDS_MAX];
+	uint64_t moved; /* time of the last load or unload */
+	char allowed[PLACE_BACKENDS_MAX];
+};
+
+struct place_backend {
+	const char *datacentre;
+	int leaving;
+	int usable; /* its ledger is ready and the engine answers */
+	int busy;   /* a load or unload is under way */
+	uint32_t slots;
+	uint32_t naccelerators;
+	uint64_t left_mb[CONF_ACCELERATORS_MAX];
+};
+
+enum place_kind {
+	PLACE_NOTHING,
+	PLACE_LOAD,
+	PLACE_UNLOAD
+};
+
+struct place_move {
+	enum place_kind kind;
+	uint32_t model;
+	uint32_t backend;
+	uint32_t accelerator;
+	int urgent; /* the model has no copy that serves */
+	double gain;
+};
+
+struct place_config {
+	double high;	  /* utilization above which a copy is added */
+	double low;	  /* utilization kept after a copy is removed */
+	uint64_t hold_ns; /* least time between moves of one model */
+};
+
+void place_config_default(struct place_config *);
+struct place_move place_next(const struct place_config *, uint64_t,
+    const struct place_model *, uint32_t, const struct place_backend *,
+    uint32_t);
+
+#endif
--- /dev/null
+++ b/core/sched_pick.c
@@ -0,0 +1,131 @@
+/* Chooses the replica for a job and the job for a replica. */
+#include <stdlib.h>
+
+#include "sched_int.h"
+
+#define SHORT_MEMORY_NS (60 * NSEC_PER_SEC)
+#define AFFINITY_LOAD 1.25 /* bound on load against the least loaded */
+
+static int replica_open(
+    const struct sched *, const struct replica *, const struct job *, uint64_t);
+static double replica_score(const struct sched *, const struct replica *);
+static struct replica *replica_warm(const struct sched *, const struct job *);
+
+/* Whether one more long job may start on the replica. */
+int
+sched_long_allowed(const struct sched *s, const struct replica *r, uint64_t now)
+{
+	uint32_t most;
+	uint32_t i;
+
+	for (i = 0; i < r->nmodels; i++) {
+		if (r->models[i]->short_seen != 0 &&
+		    now < r->models[i]->short_seen + SHORT_MEMORY_NS)
+			break;
+	}
+	if (i == r->nmodels)
+		return 1;
+	most = sched_slots(r) * s->config.long_share_pct / 100;
+	if (most == 0)
+		most = 1;
+	return r->long_outstanding < most;
+}
+
+static int
+replica_open(const struct sched *s, const struct replica *r,
+    const struct job *job, uint64_t now)
+{
+	if (r->leaving || r == job->exclude)
+		return 0;
+	if (r->outstanding >= sched_slots(r))
+		return 0;
+	return !job->is_long || sched_long_allowed(s, r, now);
+}
+
+/* Lower is better: load after one more job, weighted by slowness. */
+static double
+replica_score(const struct sched *s, const struct replica *r)
+{
+	uint64_t median = sched_peer_token_ns(s);
+	double load;
+
+	load = (double)(r->outstanding + 1) / (double)sched_slots(r);
+	if (r->slow && median != 0)
+		load *= (double)r->token_ns / (double)median;
+	return load;
+}
+
+static struct replica *
+replica_warm(const struct sched *s, const struct job *job)
+{
+	const struct prefix_slot *p;
+
+	if (job->prefix == 0)
+		return NULL;
+	p = &s->prefixes[job->prefix % PREFIX_SLOTS];
+	return p->prefix == job->prefix ? p->replica : NULL;
+}
+
+struct replica *
+sched_pick_replica(struct sched *s, uint64_t now, const struct job *job)
+{
+	struct model *m = job->model;
+	struct replica *best = NULL;
+	struct replica *warm;
+	struct replica *r;
+	double best_score = 0.0;
+	double score;
+	uint32_t i;
+	int warm_open = 0;
+
+	warm = replica_warm(s, job);
+	for (i = 0; i < m->nreplicas; i++) {
+		r = m->replicas[i];
+		if (!replica_open(s, r, job, now))
+			continue;
+		if (r == warm)
+			warm_open = 1;
+		score = replica_score(s, r);
+		if (best == NULL || score < best_score) {
+			best = r;
+			best_score = score;
+		}
+	}
+	if (warm_open && !warm->slow &&
+	    warm->outstanding <=
+		(uint32_t)(AFFINITY_LOAD * best->outstanding) + 1)
+		return warm;
+	return best;
+}
+
+/* Grants waiting jobs, best rank first, until the replica is full. */
+void
+sched_fill(
+    struct sched *s, uint64_t now, struct replica *r, struct msg_list *out)
+{
+	struct job *best;
+	struct job *job;
+	uint32_t i;
+	int allow_long;
+
+	while (!r->leaving && r->outstanding < sched_slots(r)) {
+		best = NULL;
+		allow_long = sched_long_allowed(s, r, now);
+		for (i = 0; i < r->nmodels; i++) {
+			job = sched_first(r->models[i], r, allow_long);
+			if (job == NULL)
+				continue;
+			if (best == NULL || job->rank < best->rank)
+				best = job;
+		}
+		if (best == NULL)
+			return;
+		if (best->deadline < now) {
+			sched_refuse_job(s, best, REFUSE_DEADLINE, out);
+			continue;
+		}
+		sched_send_grant(s, now, best, r, out);
+	}
+	if (r->outstanding >= sched_slots(r))
+		r->full = 1;
+}
--- /dev/null
+++ b/core/sched_queue.c
@@ -0,0 +1,174 @@
+/*
+ * Lanes of one model.  Within a lane every job has the same offset from its
+ * arrival, so first-in first-out order is rank order and both insertion and
+ * removal take constant time.  Waiting jobs age because later arrivals get
+ * later ranks.  Overnight work is ranked by its latest start instead.
+ */
+#include <stdlib.h>
+
+#include "sched_int.h"
+
+#define TOKEN_RATIO_MIN 0.05
+#define OVERNIGHT_MARGIN_NS (30 * NSEC_PER_SEC)
+
+static const uint64_t bucket_limits_ns[COST_BUCKETS] = {
+	1500 * NSEC_PER_MSEC,
+	LONG_NS,
+	24 * NSEC_PER_SEC,
+	TIME_NEVER,
+};
+
+static const uint64_t lane_offsets_ns[LANES] = {
+	/* interactive */
+	0,
+	1 * NSEC_PER_SEC,
+	6 * NSEC_PER_SEC,
+	12 * NSEC_PER_SEC,
+	/* standard */
+	2 * NSEC_PER_SEC,
+	4 * NSEC_PER_SEC,
+	12 * NSEC_PER_SEC,
+	24 * NSEC_PER_SEC,
+	/* overnight, ranked otherwise */
+	0,
+};
+
+static uint32_t lane_of(uint32_t, uint64_t);
+static void lane_insert_sorted(struct job_list *, struct job *);
+
+static uint32_t
+lane_of(uint32_t job_class, uint64_t cost_ns)
+{
+	uint32_t bucket;
+
+	if (job_class == CLASS_OVERNIGHT)
+		return LANE_OVERNIGHT;
+	for (bucket = 0; cost_ns >= bucket_limits_ns[bucket]; bucket++) {
+		if (bucket == COST_BUCKETS - 1)
+			break;
+	}
+	return job_class * COST_BUCKETS + bucket;
+}
+
+static void
+lane_insert_sorted(struct job_list *lane, struct job *job)
+{
+	struct job *at;
+
+	TAILQ_FOREACH_REVERSE(at, lane, job_list, entry)
+	{
+		if (at->rank <= job->rank) {
+			TAILQ_INSERT_AFTER(lane, at, job, entry);
+			return;
+		}
+	}
+	TAILQ_INSERT_HEAD(lane, job, entry);
+}
+
+/* Predicts how long the job will hold a slot, from its model's history. */
+void
+sched_estimate(struct job *job, uint32_t job_class)
+{
+	const struct model *m = job->model;
+	double ratio = m->token_ratio;
+
+	if (ratio < TOKEN_RATIO_MIN)
+		ratio = TOKEN_RATIO_MIN;
+	job->cost_ns = m->first_ns +
+	    (uint64_t)((double)job->tokens * ratio * (double)m->token_ns);
+	job->is_long = job->cost_ns >= LONG_NS;
+	job->is_short_kind = !job->is_long && job_class != CLASS_OVERNIGHT;
+}
+
+void
+sched_enqueue(struct job *job, uint32_t job_class, uint64_t now)
+{
+	uint64_t margin;
+
+	job->state = JOB_WAITING;
+	job->lane = (uint8_t)lane_of(job_class, job->cost_ns);
+	job->model->waiting++;
+	if (job->lane != LANE_OVERNIGHT) {
+		job->rank = now + lane_offsets_ns[job->lane];
+		TAILQ_INSERT_TAIL(&job->model->lanes[job->lane], job, entry);
+		return;
+	}
+	margin = 2 * job->cost_ns + OVERNIGHT_MARGIN_NS;
+	job->rank = job->deadline > margin ? job->deadline - margin : 0;
+	if (job->rank < now)
+		job->rank = now;
+	lane_insert_sorted(&job->model->lanes[LANE_OVERNIGHT], job);
+}
+
+void
+sched_unqueue(struct job *job)
+{
+	TAILQ_REMOVE(&job->model->lanes[job->lane], job, entry);
+	job->model->waiting--;
+}
+
+struct job *
+sched_first(struct model *m, const struct replica *r, int allow_long)
+{
+	struct job *best = NULL;
+	struct job *job;
+	int lane;
+
+	if (m->waiting == 0)
+		return NULL;
+	for (lane = 0; lane < LANES; lane++) {
+		TAILQ_FOREACH (job, &m->lanes[lane], entry) {
+			if (job->exclude == r)
+				continue;
+			if (job->is_long && !allow_long)
+				continue;
+			if (best == NULL || job->rank < best->rank)
+				best = job;
+			break;
+		}
+	}
+	return best;
+}
+
+/*
+ * Walks the waiting jobs in rank order and refuses those that cannot begin
+ * before their deadline even if every slot of the model's replicas served
+ * only this model.
+ */
+void
+sched_shed(struct sched *s, struct model *m, uint64_t now, struct msg_list *out)
+{
+	struct job *heads[LANES];
+	struct job *job;
+	uint64_t slots = 0;
+	uint64_t ahead = 0;
+	uint32_t i;
+	int lane;
+	int best;
+
+	for (i = 0; i < m->nreplicas; i++) {
+		if (!m->replicas[i]->leaving)
+			slots += sched_slots(m->replicas[i]);
+	}
+	if (slots == 0)
+		slots = 1;
+	for (lane = 0; lane < LANES; lane++)
+		heads[lane] = TAILQ_FIRST(&m->lanes[lane]);
+	for (;;) {
+		best = -1;
+		for (lane = 0; lane < LANES; lane++) {
+			if (heads[lane] == NULL)
+				continue;
+			if (best == -1 || heads[lane]->rank < heads[best]->rank)
+				best = lane;
+		}
+		if (best == -1)
+			return;
+		job = heads[best];
+		heads[best] = TAILQ_NEXT(job, entry);
+		if (now + ahead * m->service_ns / slots > job->deadline)
+			sched_refuse_job(s, job, REFUSE_DEADLINE, out);
+		else
+			ahead++;
+	}
+}
--- /dev/null
+++ b/gate/exchange.c
@@ -0,0 +1,204 @@
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "exchange.h"
+#include "mem.h"
+
+#define EXCHANGE_BYTES_MAX (40U << 20) /* unread parts of one caller */
+
+TAILQ_HEAD(part_list, part);
+
+struct exchange {
+	struct exchange_info info;
+	UT_hash_handle hh;
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	struct part_list parts;
+	size_t bytes;
+	int refs;
+	int done;
+	enum gate_outcome outcome;
+	char *text; /* decider only */
+	size_t text_len;
+	size_t text_size;
+};
+
+static void exchange_append(struct exchange *, const char *);
+static void exchange_free(struct exchange *);
+
+static pthread_mutex_t exchanges_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct exchange *exchanges;
+
+struct part *
+part_create(int status, const char *type, const char *bytes, size_t len)
+{
+	struct part *p;
+
+	p = mem_alloc(sizeof(*p));
+	p->status = status;
+	snprintf(p->type, sizeof(p->type), "%s", type);
+	p->bytes = mem_alloc(len + 1);
+	if (len != 0)
+		memcpy(p->bytes, bytes, len);
+	p->len = len;
+	return p;
+}
+
+void
+part_destroy(struct part *p)
+{
+	if (p == NULL)
+		return;
+	free(p->bytes);
+	free(p->text);
+	free(p);
+}
+
+/* Takes over what info points to. */
+struct exchange *
+exchange_create(struct exchange_info *info)
+{
+	struct exchange *x;
+
+	x = mem_alloc(sizeof(*x));
+	x->info = *info;
+	x->refs = 1;
+	TAILQ_INIT(&x->parts);
+	pthread_mutex_init(&x->lock, NULL);
+	pthread_cond_init(&x->cond, NULL);
+	pthread_mutex_lock(&exchanges_lock);
+	HASH_ADD(hh, exchanges, info.req.rid, sizeof(uint64_t), x);
+	pthread_mutex_unlock(&exchanges_lock);
+	return x;
+}
+
+struct exchange *
+exchange_find(uint64_t rid)
+{
+	struct exchange *x;
+
+	pthread_mutex_lock(&exchanges_lock);
+	HASH_FIND(hh, exchanges, &rid, sizeof(rid), x);
+	if (x != NULL)
+		exchange_ref(x);
+	pthread_mutex_unlock(&exchanges_lock);
+	return x;
+}
+
+void
+exchange_ref(struct exchange *x)
+{
+	__atomic_fetch_add(&x->refs, 1, __ATOMIC_RELAXED);
+}
+
+static void
+exchange_free(struct exchange *x)
+{
+	struct part *p;
+
+	while ((p = TAILQ_FIRST(&x->parts)) != NULL) {
+		TAILQ_REMOVE(&x->parts, p, entry);
+		part_destroy(p);
+	}
+	pthread_mutex_destroy(&x->lock);
+	pthread_cond_destroy(&x->cond);
+	free(x->info.target);
+	free(x->info.headers);
+	free(x->info.body);
+	json_decref(x->info.doc);
+	free(x->text);
+	free(x);
+}
+
+void
+exchange_unref(struct exchange *x)
+{
+	if (__atomic_sub_fetch(&x->refs, 1, __ATOMIC_ACQ_REL) == 0)
+		exchange_free(x);
+}
+
+void
+exchange_remove(struct exchange *x)
+{
+	pthread_mutex_lock(&exchanges_lock);
+	HASH_DEL(exchanges, x);
+	pthread_mutex_unlock(&exchanges_lock);
+}
+
+const struct exchange_info *
+exchange_info(const struct exchange *x)
+{
+	return &x->info;
+}
+
+static void
+exchange_append(struct exchange *x, const char *text)
+{
+	size_t len = strlen(text);
+
+	if (x->text_len + len + 1 > x->text_size) {
+		x->text_size = 2 * (x->text_len + len + 1);
+		x->text = mem_grow(x->text, x->text_size, 1);
+	}
+	memcpy(x->text + x->text_len, text, len + 1);
+	x->text_len += len;
+}
+
+int
+exchange_push(struct exchange *x, struct part *p)
+{
+	int rv = 0;
+
+	if (p->text != NULL)
+		exchange_append(x, p->text);
+	pthread_mutex_lock(&x->lock);
+	x->bytes += p->len;
+	if (x->bytes > EXCHANGE_BYTES_MAX)
+		rv = -1;
+	TAILQ_INSERT_TAIL(&x->parts, p, entry);
+	pthread_cond_signal(&x->cond);
+	pthread_mutex_unlock(&x->lock);
+	return rv;
+}
+
+void
+exchange_finish(struct exchange *x, enum gate_outcome outcome)
+{
+	pthread_mutex_lock(&x->lock);
+	x->done = 1;
+	x->outcome = outcome;
+	pthread_cond_signal(&x->cond);
+	pthread_mutex_unlock(&x->lock);
+}
+
+enum exchange_next
+exchange_wait(
+    struct exchange *x, struct part **part, enum gate_outcome *outcome)
+{
+	enum exchange_next next = EXCHANGE_PART;
+
+	pthread_mutex_lock(&x->lock);
+	while (TAILQ_EMPTY(&x->parts) && !x->done)
+		pthread_cond_wait(&x->cond, &x->lock);
+	*part = TAILQ_FIRST(&x->parts);
+	*outcome = x->outcome;
+	if (*part != NULL) {
+		TAILQ_REMOVE(&x->parts, *part, entry);
+		x->bytes -= (*part)->len;
+	} else if (x->outcome == OUTCOME_ANSWERED) {
+		next = EXCHANGE_END;
+	} else {
+		next = EXCHANGE_FAILED;
+	}
+	pthread_mutex_unlock(&x->lock);
+	return next;
+}
+
+const char *
+exchange_text(const struct exchange *x)
+{
+	return x->text == NULL ? "" : x->text;
+}
--- /dev/null
+++ b/gate/main.c
@@ -0,0 +1,149 @@
+/* spindle-gate: callers' requests in, backend servers' answers out. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+#include <time.h>
+
+#include "catalogue.h"
+#include "check.h"
+#include "cli.h"
+#include "clock.h"
+#include "decide.h"
+#include "front.h"
+#include "log.h"
+#include "settings.h"
+
+#define NAME "spindle-gate"
+#define POLL_MSEC 20
+
+struct settings {
+	char vm[NAME_SIZE];
+	char datacentre[NAME_SIZE];
+	char listen[ADDR_SIZE];
+	char bus[ADDR_SIZE];
+	char control[ADDR_SIZE];
+	char log_level[16];
+	uint64_t threads;
+	uint64_t body_max_kb;
+	uint64_t drain_grace_ms;
+};
+
+#define FIELD(name, type, required, min, max, remedy)                          \
+	{                                                                      \
+#name, type, required, offsetof(struct settings, name),        \
+		    sizeof(((struct settings *)0)->name), min, max, remedy     \
+	}
+
+static const struct check_field fields[] = {
+	FIELD(vm, CHECK_NAME, 1, 1, 0, "name this VM"),
+	FIELD(datacentre, CHECK_NAME, 1, 1, 0, "name the VM's data centre"),
+	FIELD(listen, CHECK_ADDR, 1, 1, 0,
+	    "give the callers' address as \"IP:port\""),
+	FIELD(bus, CHECK_ADDR, 1, 1, 0, "give the bus address as \"IP:port\""),
+	FIELD(control, CHECK_ADDR, 1, 1, 0,
+	    "give the bus address of spindle-control on this VM as "
+	    "\"IP:port\""),
+	FIELD(log_level, CHECK_NAME, 0, 1, 0,
+	    "use error, warning, notice, info or debug"),
+	FIELD(threads, CHECK_UINT, 0, 4, 4096,
+	    "give 4 to 4096 threads, one for each caller at a time"),
+	FIELD(body_max_kb, CHECK_UINT, 0, 1, 65536, "give 1 to 65536 KB"),
+	FIELD(drain_grace_ms, CHECK_UINT, 0, 0, 600000,
+	    "give 0 to 600000 ms for the balancer to notice"),
+};
+
+static int load(const char *, struct settings *, struct err *);
+static int serve(const struct settings *, struct err *);
+static void pause_ms(uint64_t);
+
+static int
+load(const char *path, struct settings *s, struct err *e)
+{
+	memset(s, 0, sizeof(*s));
+	snprintf(s->log_level, sizeof(s->log_level), "notice");
+	s->threads = 256;
+	s->body_max_kb = 4096;
+	s->drain_grace_ms = 2000;
+	if (settings_load(path, fields, nitems(fields), s, e) == -1)
+		return -1;
+	return settings_level(s->log_level, e) == -1 ? -1 : 0;
+}
+
+static void
+pause_ms(uint64_t ms)
+{
+	struct timespec ts;
+
+	ts.tv_sec = (time_t)(ms / 1000);
+	ts.tv_nsec = (long)(ms % 1000 * NSEC_PER_MSEC);
+	nanosleep(&ts, NULL);
+}
+
+static int
+serve(const struct settings *s, struct err *e)
+{
+	struct decide_config dc;
+	struct front_config fc;
+	struct decide *decide;
+	struct front *front;
+
+	memset(&dc, 0, sizeof(dc));
+	memcpy(dc.self.addr, s->bus, sizeof(dc.self.addr));
+	dc.self.incarnation = clock_incarnation();
+	memcpy(dc.vm, s->vm, sizeof(dc.vm));
+	memcpy(dc.control, s->control, sizeof(dc.control));
+	gate_config_default(&dc.gate);
+	log_open(NAME, dc.self.incarnation,
+	    (enum log_level)settings_level(s->log_level, e));
+	decide = decide_create(&dc, e);
+	if (decide == NULL)
+		return -1;
+	memset(&fc, 0, sizeof(fc));
+	memcpy(fc.listen, s->listen, sizeof(fc.listen));
+	memcpy(fc.bus, s->bus, sizeof(fc.bus));
+	fc.threads = (int)s->threads;
+	fc.body_max = s->body_max_kb * 1024;
+	fc.incarnation = dc.self.incarnation;
+	front = front_create(&fc, decide, e);
+	if (front == NULL) {
+		decide_destroy(decide);
+		return -1;
+	}
+	log_event(LOG_STARTED, NULL, "vm=%s listen=%s bus=%s", s->vm, s->listen,
+	    s->bus);
+	cli_wait_signal();
+	log_event(LOG_STOPPING, NULL, "active=%u", front_active(front));
+	front_unready(front);
+	pause_ms(s->drain_grace_ms);
+	front_close(front);
+	while (front_active(front) != 0)
+		pause_ms(POLL_MSEC);
+	front_destroy(front);
+	decide_destroy(decide);
+	catalogue_clear();
+	log_event(LOG_STOPPED, NULL, "%s", "");
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct cli_daemon cli;
+	struct settings s;
+	struct err e;
+
+	cli_daemon(argc, argv, NAME, "serves callers", &cli);
+	if (load(cli.settings, &s, &e) == -1) {
+		fprintf(stderr, "%s: %s\n", NAME, e.text);
+		return EX_CONFIG;
+	}
+	if (cli.check_only)
+		return EX_OK;
+	cli_block_signals();
+	if (serve(&s, &e) == -1) {
+		log_event(LOG_LISTEN_FAILED, NULL, "%s", e.text);
+		return EX_UNAVAILABLE;
+	}
+	return EX_OK;
+}
--- /dev/null
+++ b/shell/bus.c
@@ -0,0 +1,273 @@
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <zmq.h>
+
+#include "bus.h"
+#include "clock.h"
+#include "log.h"
+#include "mem.h"
+#include "ring.h"
+#include "wire.h"
+
+#define BUS_RING_SIZE 16384
+#define BUS_PEER_HWM 4096
+#define BUS_RECEIVE_HWM 16384
+#define BUS_MESSAGE_MAX (256 * 1024)
+#define BUS_BATCH 256 /* messages handled before looking at the other side */
+#define BUS_POLL_MSEC 200
+#define BUS_PEER_IDLE_NS (60 * NSEC_PER_SEC)
+
+struct peer {
+	char addr[ADDR_SIZE];
+	void *socket;
+	uint64_t used;
+	UT_hash_handle hh;
+};
+
+struct bus {
+	struct node_id self;
+	void *zmq;
+	void *pull;
+	struct ring *out;
+	pthread_t thread;
+	int stop;
+	void (*receive)(void *, struct msg *);
+	void *ctx;
+	struct peer *peers;
+	uint64_t seq;
+	uint64_t swept;
+	struct bus_counts counts;
+};
+
+static void *bus_run(void *);
+static void bus_receive_all(struct bus *);
+static void bus_send_all(struct bus *);
+static void bus_send_one(struct bus *, struct msg *);
+static struct peer *bus_peer(struct bus *, const char *);
+static void bus_sweep(struct bus *);
+static void count(uint64_t *, uint64_t);
+
+static void
+count(uint64_t *counter, uint64_t n)
+{
+	__atomic_fetch_add(counter, n, __ATOMIC_RELAXED);
+}
+
+struct bus *
+bus_create(const struct node_id *self, void (*receive)(void *, struct msg *),
+    void *ctx, struct err *e)
+{
+	struct bus *b;
+	char url[ADDR_SIZE + 8];
+	int64_t most = BUS_MESSAGE_MAX;
+	int hwm = BUS_RECEIVE_HWM;
+	int linger = 0;
+
+	b = mem_alloc(sizeof(*b));
+	b->self = *self;
+	b->receive = receive;
+	b->ctx = ctx;
+	b->zmq = zmq_ctx_new();
+	b->pull = zmq_socket(b->zmq, ZMQ_PULL);
+	zmq_setsockopt(b->pull, ZMQ_RCVHWM, &hwm, sizeof(hwm));
+	zmq_setsockopt(b->pull, ZMQ_LINGER, &linger, sizeof(linger));
+	zmq_setsockopt(b->pull, ZMQ_MAXMSGSIZE, &most, sizeof(most));
+	snprintf(url, sizeof(url), "tcp://%s", self->addr);
+	if (zmq_bind(b->pull, url) == -1) {
+		err_set(e, ERR_SYSTEM, "bus address %s: %s; free or change it",
+		    self->addr, zmq_strerror(zmq_errno()));
+		zmq_close(b->pull);
+		zmq_ctx_term(b->zmq);
+		free(b);
+		return NULL;
+	}
+	b->out = ring_create(BUS_RING_SIZE);
+	pthread_create(&b->thread, NULL, bus_run, b);
+	return b;
+}
+
+void
+bus_destroy(struct bus *b)
+{
+	struct peer *p, *next;
+	struct msg *m;
+
+	if (b == NULL)
+		return;
+	__atomic_store_n(&b->stop, 1, __ATOMIC_RELEASE);
+	ring_close(b->out);
+	pthread_join(b->thread, NULL);
+	while ((m = ring_pop(b->out, 0)) != NULL)
+		msg_destroy(m);
+	HASH_ITER (hh, b->peers, p, next) {
+		HASH_DEL(b->peers, p);
+		zmq_close(p->socket);
+		free(p);
+	}
+	zmq_close(b->pull);
+	zmq_ctx_term(b->zmq);
+	ring_destroy(b->out);
+	free(b);
+}
+
+void
+bus_send(struct bus *b, struct msg *m)
+{
+	if (ring_push(b->out, m) == -1) {
+		count(&b->counts.dropped, 1);
+		msg_destroy(m);
+	}
+}
+
+void
+bus_counts(const struct bus *b, struct bus_counts *out)
+{
+	out->received = __atomic_load_n(&b->counts.received, __ATOMIC_RELAXED);
+	out->received_bytes =
+	    __atomic_load_n(&b->counts.received_bytes, __ATOMIC_RELAXED);
+	out->sent = __atomic_load_n(&b->counts.sent, __ATOMIC_RELAXED);
+	out->sent_bytes =
+	    __atomic_load_n(&b->counts.sent_bytes, __ATOMIC_RELAXED);
+	out->malformed =
+	    __atomic_load_n(&b->counts.malformed, __ATOMIC_RELAXED);
+	out->dropped = __atomic_load_n(&b->counts.dropped, __ATOMIC_RELAXED);
+}
+
+static struct peer *
+bus_peer(struct bus *b, const char *addr)
+{
+	struct peer *p;
+	char url[ADDR_SIZE + 8];
+	int hwm = BUS_PEER_HWM;
+	int linger = 0;
+	int on = 1;
+
+	HASH_FIND_STR(b->peers, addr, p);
+	if (p != NULL)
+		return p;
+	p = mem_alloc(sizeof(*p));
+	snprintf(p->addr, sizeof(p->addr), "%s", addr);
+	p->socket = zmq_socket(b->zmq, ZMQ_PUSH);
+	zmq_setsockopt(p->socket, ZMQ_SNDHWM, &hwm, sizeof(hwm));
+	zmq_setsockopt(p->socket, ZMQ_LINGER, &linger, sizeof(linger));
+	zmq_setsockopt(p->socket, ZMQ_TCP_KEEPALIVE, &on, sizeof(on));
+	snprintf(url, sizeof(url), "tcp://%s", addr);
+	if (zmq_connect(p->socket, url) == -1) {
+		zmq_close(p->socket);
+		free(p);
+		return NULL;
+	}
+	HASH_ADD_STR(b->peers, addr, p);
+	return p;
+}
+
+/* Closes sockets to peers that have not been written to for a while. */
+static void
+bus_sweep(struct bus *b)
+{
+	struct peer *p, *next;
+	uint64_t now = clock_mono();
+
+	if (now < b->swept + BUS_PEER_IDLE_NS)
+		return;
+	b->swept = now;
+	HASH_ITER (hh, b->peers, p, next) {
+		if (now < p->used + BUS_PEER_IDLE_NS)
+			continue;
+		HASH_DEL(b->peers, p);
+		zmq_close(p->socket);
+		free(p);
+	}
+}
+
+static void
+bus_send_one(struct bus *b, struct msg *m)
+{
+	struct peer *p;
+	char *buf;
+	size_t len;
+
+	m->from = b->self;
+	m->seq = ++b->seq;
+	p = bus_peer(b, m->to);
+	if (p == NULL) {
+		count(&b->counts.dropped, 1);
+		return;
+	}
+	p->used = clock_mono();
+	wire_encode(m, &buf, &len);
+	if (zmq_send(p->socket, buf, len, ZMQ_DONTWAIT) == -1) {
+		count(&b->counts.dropped, 1);
+		log_event(LOG_BUS_DROPPED, NULL, "to %s", m->to);
+	} else {
+		count(&b->counts.sent, 1);
+		count(&b->counts.sent_bytes, len);
+	}
+	free(buf);
+}
+
+static void
+bus_send_all(struct bus *b)
+{
+	struct msg *m;
+	int i;
+
+	for (i = 0; i < BUS_BATCH; i++) {
+		m = ring_pop(b->out, 0);
+		if (m == NULL)
+			return;
+		bus_send_one(b, m);
+		msg_destroy(m);
+	}
+}
+
+static void
+bus_receive_all(struct bus *b)
+{
+	struct err e;
+	struct msg *m;
+	zmq_msg_t frame;
+	int i;
+
+	for (i = 0; i < BUS_BATCH; i++) {
+		zmq_msg_init(&frame);
+		if (zmq_msg_recv(&frame, b->pull, ZMQ_DONTWAIT) == -1) {
+			zmq_msg_close(&frame);
+			return;
+		}
+		count(&b->counts.received, 1);
+		count(&b->counts.received_bytes, zmq_msg_size(&frame));
+		m = wire_decode(zmq_msg_data(&frame), zmq_msg_size(&frame), &e);
+		zmq_msg_close(&frame);
+		if (m == NULL) {
+			count(&b->counts.malformed, 1);
+			log_event(LOG_BUS_BAD, NULL, "%s", e.text);
+			continue;
+		}
+		b->receive(b->ctx, m);
+	}
+}
+
+static void *
+bus_run(void *arg)
+{
+	struct bus *b = arg;
+	zmq_pollitem_t items[2];
+
+	memset(items, 0, sizeof(items));
+	items[0].socket = b->pull;
+	items[0].events = ZMQ_POLLIN;
+	items[1].fd = ring_fd(b->out);
+	items[1].events = ZMQ_POLLIN;
+	while (!__atomic_load_n(&b->stop, __ATOMIC_ACQUIRE)) {
+		zmq_poll(items, 2, BUS_POLL_MSEC);
+		bus_receive_all(b);
+		bus_send_all(b);
+		bus_sweep(b);
+	}
+	bus_send_all(b);
+	return NULL;
+}
--- /dev/null
+++ b/shell/fetch.c
@@ -0,0 +1,330 @@
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "fetch.h"
+#include "mem.h"
+
+#define FETCH_POLL_MSEC 1000
+#define FETCH_CONNECTIONS 512L /* kept for reuse */
+#define FETCH_TYPE_SIZE 128
+
+struct transfer {
+	TAILQ_ENTRY(transfer) entry;
+	UT_hash_handle hh;
+	uint64_t id;
+	struct fetch *fetch;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body;
+	void *cookie;
+	void (*release)(void *);
+	int writing;
+	int head_sent;
+	int status;
+	char type[FETCH_TYPE_SIZE];
+};
+
+struct stop {
+	TAILQ_ENTRY(stop) entry;
+	uint64_t id;
+};
+
+TAILQ_HEAD(transfer_list, transfer);
+TAILQ_HEAD(stop_list, stop);
+
+struct fetch {
+	CURLM *multi;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	struct transfer_list starting;
+	struct stop_list stopping;
+	int done;
+	struct transfer *transfers;
+	void (*event)(void *, const struct fetch_event *);
+	void *ctx;
+};
+
+static void *fetch_run(void *);
+static void fetch_take(struct fetch *);
+static void fetch_finish(struct fetch *, CURLMsg *);
+static void transfer_free(struct transfer *);
+static void transfer_options(struct transfer *, const struct fetch_spec *);
+static int on_prereq(void *, char *, char *, int, int);
+static size_t on_header(char *, size_t, size_t, void *);
+static size_t on_body(char *, size_t, size_t, void *);
+static void deliver(struct transfer *, enum fetch_news, const char *, size_t);
+
+struct fetch *
+fetch_create(void (*event)(void *, const struct fetch_event *), void *ctx)
+{
+	struct fetch *f;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	f = mem_alloc(sizeof(*f));
+	f->event = event;
+	f->ctx = ctx;
+	f->multi = curl_multi_init();
+	curl_multi_setopt(f->multi, CURLMOPT_MAXCONNECTS, FETCH_CONNECTIONS);
+	pthread_mutex_init(&f->lock, NULL);
+	TAILQ_INIT(&f->starting);
+	TAILQ_INIT(&f->stopping);
+	pthread_create(&f->thread, NULL, fetch_run, f);
+	return f;
+}
+
+void
+fetch_destroy(struct fetch *f)
+{
+	struct transfer *t, *next;
+
+	if (f == NULL)
+		return;
+	pthread_mutex_lock(&f->lock);
+	f->done = 1;
+	pthread_mutex_unlock(&f->lock);
+	curl_multi_wakeup(f->multi);
+	pthread_join(f->thread, NULL);
+	fetch_take(f);
+	HASH_ITER (hh, f->transfers, t, next)
+		transfer_free(t);
+	curl_multi_cleanup(f->multi);
+	pthread_mutex_destroy(&f->lock);
+	free(f);
+}
+
+static void
+transfer_free(struct transfer *t)
+{
+	struct fetch *f = t->fetch;
+
+	HASH_DEL(f->transfers, t);
+	curl_multi_remove_handle(f->multi, t->easy);
+	curl_easy_cleanup(t->easy);
+	curl_slist_free_all(t->headers);
+	if (t->release != NULL)
+		t->release(t->cookie);
+	free(t->body);
+	free(t);
+}
+
+static void
+deliver(struct transfer *t, enum fetch_news news, const char *bytes, size_t len)
+{
+	struct fetch_event ev;
+
+	memset(&ev, 0, sizeof(ev));
+	ev.id = t->id;
+	ev.cookie = t->cookie;
+	ev.news = news;
+	ev.status = t->status;
+	ev.type = t->type;
+	ev.bytes = bytes;
+	ev.len = len;
+	ev.text = "";
+	t->fetch->event(t->fetch->ctx, &ev);
+}
+
+/* Called by libcurl once connected, before the request is written. */
+static int
+on_prereq(void *arg, char *remote, char *local, int rport, int lport)
+{
+	struct transfer *t = arg;
+
+	(void)remote;
+	(void)local;
+	(void)rport;
+	(void)lport;
+	t->writing = 1;
+	deliver(t, FETCH_NEWS_WRITING, NULL, 0);
+	return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+on_header(char *line, size_t size, size_t n, void *arg)
+{
+	static const char name[] = "content-type:";
+	struct transfer *t = arg;
+	size_t len = size * n;
+	size_t skip = sizeof(name) - 1;
+	long status = 0;
+
+	if (len > skip && strncasecmp(line, name, skip) == 0) {
+		while (skip < len && line[skip] == ' ')
+			skip++;
+		snprintf(t->type, sizeof(t->type), "%.*s",
+		    (int)strcspn(line + skip, "\r\n"), line + skip);
+	}
+	if (len > 2 || t->head_sent)
+		return len;
+	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status >= 200) {
+		t->status = (int)status;
+		t->head_sent = 1;
+		deliver(t, FETCH_NEWS_HEAD, NULL, 0);
+	}
+	return len;
+}
+
+static size_t
+on_body(char *bytes, size_t size, size_t n, void *arg)
+{
+	struct transfer *t = arg;
+
+	deliver(t, FETCH_NEWS_DATA, bytes, size * n);
+	return size * n;
+}
+
+static void
+transfer_options(struct transfer *t, const struct fetch_spec *spec)
+{
+	CURL *e = t->easy;
+	size_t i;
+
+	curl_easy_setopt(e, CURLOPT_URL, spec->url);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, t);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, t);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, t);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, t);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)spec->connect_ms);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)spec->total_ms);
+	if (spec->once) {
+		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+	}
+	/* No "Expect: 100-continue": it costs a round trip. */
+	t->headers = curl_slist_append(t->headers, "Expect:");
+	for (i = 0; spec->headers != NULL && spec->headers[i] != NULL; i++)
+		t->headers = curl_slist_append(t->headers, spec->headers[i]);
+	curl_easy_setopt(e, CURLOPT_HTTPHEADER, t->headers);
+	if (spec->len != 0 || strcmp(spec->method, "POST") == 0) {
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS, t->body);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE, (long)spec->len);
+	}
+	if (strcmp(spec->method, "HEAD") == 0)
+		curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, spec->method);
+}
+
+void
+fetch_start(struct fetch *f, const struct fetch_spec *spec)
+{
+	struct transfer *t;
+
+	t = mem_alloc(sizeof(*t));
+	t->id = spec->id;
+	t->fetch = f;
+	t->cookie = spec->cookie;
+	t->release = spec->release;
+	t->easy = curl_easy_init();
+	t->body = mem_alloc(spec->len + 1);
+	if (spec->len != 0)
+		memcpy(t->body, spec->body, spec->len);
+	transfer_options(t, spec);
+	pthread_mutex_lock(&f->lock);
+	TAILQ_INSERT_TAIL(&f->starting, t, entry);
+	pthread_mutex_unlock(&f->lock);
+	curl_multi_wakeup(f->multi);
+}
+
+void
+fetch_stop(struct fetch *f, uint64_t id)
+{
+	struct stop *s;
+
+	s = mem_alloc(sizeof(*s));
+	s->id = id;
+	pthread_mutex_lock(&f->lock);
+	TAILQ_INSERT_TAIL(&f->stopping, s, entry);
+	pthread_mutex_unlock(&f->lock);
+	curl_multi_wakeup(f->multi);
+}
+
+/* Takes over what other threads asked for. */
+static void
+fetch_take(struct fetch *f)
+{
+	struct transfer_list starting = TAILQ_HEAD_INITIALIZER(starting);
+	struct stop_list stopping = TAILQ_HEAD_INITIALIZER(stopping);
+	struct transfer *t;
+	struct stop *s;
+
+	pthread_mutex_lock(&f->lock);
+	TAILQ_CONCAT(&starting, &f->starting, entry);
+	TAILQ_CONCAT(&stopping, &f->stopping, entry);
+	pthread_mutex_unlock(&f->lock);
+	while ((t = TAILQ_FIRST(&starting)) != NULL) {
+		TAILQ_REMOVE(&starting, t, entry);
+		HASH_ADD(hh, f->transfers, id, sizeof(t->id), t);
+		curl_multi_add_handle(f->multi, t->easy);
+	}
+	while ((s = TAILQ_FIRST(&stopping)) != NULL) {
+		TAILQ_REMOVE(&stopping, s, entry);
+		HASH_FIND(hh, f->transfers, &s->id, sizeof(s->id), t);
+		if (t != NULL)
+			transfer_free(t);
+		free(s);
+	}
+}
+
+static void
+fetch_finish(struct fetch *f, CURLMsg *msg)
+{
+	struct fetch_event ev;
+	struct transfer *t;
+	curl_off_t connect_us = 0;
+
+	curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &t);
+	if (msg->data.result == CURLE_OK) {
+		deliver(t, FETCH_NEWS_END, NULL, 0);
+		transfer_free(t);
+		return;
+	}
+	curl_easy_getinfo(t->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+	memset(&ev, 0, sizeof(ev));
+	ev.id = t->id;
+	ev.cookie = t->cookie;
+	ev.news = FETCH_NEWS_FAIL;
+	ev.type = t->type;
+	ev.status = t->status;
+	ev.connected = connect_us > 0 || t->writing;
+	ev.written = t->writing;
+	ev.text = curl_easy_strerror(msg->data.result);
+	f->event(f->ctx, &ev);
+	transfer_free(t);
+}
+
+static void *
+fetch_run(void *arg)
+{
+	struct fetch *f = arg;
+	CURLMsg *msg;
+	int running;
+	int left;
+	int done = 0;
+
+	while (!done) {
+		curl_multi_poll(f->multi, NULL, 0, FETCH_POLL_MSEC, NULL);
+		fetch_take(f);
+		curl_multi_perform(f->multi, &running);
+		while ((msg = curl_multi_info_read(f->multi, &left)) != NULL) {
+			if (msg->msg == CURLMSG_DONE)
+				fetch_finish(f, msg);
+		}
+		pthread_mutex_lock(&f->lock);
+		done = f->done;
+		pthread_mutex_unlock(&f->lock);
+	}
+	return NULL;
+}
--- /dev/null
+++ b/shell/fetch.h
@@ -0,0 +1,60 @@
+/*
+ * HTTP out: one thread that drives many requests with libcurl and reuses
+ * connections.  Events are delivered by callback in that thread.  The number
+ * of requests is bounded by its users, who start one per piece of work.
+ */
+#ifndef FETCH_H
+#define FETCH_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct fetch;
+
+enum fetch_news {
+	FETCH_NEWS_WRITING, /* connected, about to write the request */
+	FETCH_NEWS_HEAD,    /* status and content type are known */
+	FETCH_NEWS_DATA,
+	FETCH_NEWS_END,
+	FETCH_NEWS_FAIL
+};
+
+struct fetch_event {
+	uint64_t id;
+	void *cookie;
+	enum fetch_news news;
+	int connected;	  /* FAIL: a connection stood */
+	int written;	  /* FAIL: some of the request may have been written */
+	int status;	  /* HEAD, END */
+	const char *type; /* HEAD: content type, "" when not told */
+	const char *bytes;
+	size_t len;
+	const char *text; /* FAIL: what went wrong */
+};
+
+struct fetch_spec {
+	uint64_t id; /* unique among requests in progress */
+	void *cookie;
+	void (*release)(void *); /* frees the cookie, or NULL */
+	const char *url;
+	const char *method;
+	const char *const *headers; /* NULL-terminated, or NULL */
+	const char *body;	    /* copied */
+	size_t len;
+	/*
+	 * The request must not be written twice: uses a fresh connection,
+	 * since libcurl repeats a request when a reused one breaks.
+	 */
+	int once;
+	uint64_t connect_ms;
+	uint64_t total_ms; /* 0: no limit */
+};
+
+struct fetch *fetch_create(
+    void (*)(void *, const struct fetch_event *), void *);
+void fetch_destroy(struct fetch *);
+void fetch_start(struct fetch *, const struct fetch_spec *);
+/* Closes a request; no event follows once this has taken effect. */
+void fetch_stop(struct fetch *, uint64_t);
+
+#endif
--- /dev/null
+++ b/shell/httpd.c
@@ -0,0 +1,279 @@
+#include <arpa/inet.h>
+#include <civetweb.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include "httpd.h"
+#include "mem.h"
+
+#define HTTPD_HEAD_SIZE 2048
+#define HTTPD_FD_MAX 65536
+#define HTTPD_READ_SIZE 16384
+#define FIRST_FD 3
+
+struct httpd {
+	struct httpd_config config;
+	struct mg_context *mg;
+	int closing;
+};
+
+static int httpd_handle(struct mg_connection *, void *);
+static int httpd_read_body(struct httpd *, struct httpd_request *);
+static void httpd_head(
+    struct httpd_request *, int, const char *, const char *, const char *);
+static int httpd_closing_now(const struct httpd_request *);
+static struct httpd *httpd_of(const struct httpd_request *);
+
+static struct httpd *
+httpd_of(const struct httpd_request *req)
+{
+	return mg_get_user_data(mg_get_context(req->conn));
+}
+
+struct httpd *
+httpd_create(const struct httpd_config *config, struct err *e)
+{
+	struct mg_callbacks callbacks;
+	struct httpd *h;
+	char threads[16];
+
+	h = mem_alloc(sizeof(*h));
+	h->config = *config;
+	snprintf(threads, sizeof(threads), "%d", config->threads);
+	const char *options[] = { "listening_ports", config->addr,
+		"num_threads", threads, "enable_keep_alive", "yes",
+		"keep_alive_timeout_ms", "5000", "request_timeout_ms", "30000",
+		"tcp_nodelay", "1", "connection_queue", "512", "listen_backlog",
+		"512", NULL };
+	memset(&callbacks, 0, sizeof(callbacks));
+	h->mg = mg_start(&callbacks, h, options);
+	if (h->mg == NULL) {
+		err_set(e, ERR_SYSTEM,
+		    "HTTP address %s cannot be listened on; free or change it",
+		    config->addr);
+		free(h);
+		return NULL;
+	}
+	mg_set_request_handler(h->mg, "**", httpd_handle, h);
+	return h;
+}
+
+void
+httpd_destroy(struct httpd *h)
+{
+	if (h == NULL)
+		return;
+	mg_stop(h->mg);
+	free(h);
+}
+
+void
+httpd_closing(struct httpd *h)
+{
+	__atomic_store_n(&h->closing, 1, __ATOMIC_RELEASE);
+}
+
+static int
+httpd_closing_now(const struct httpd_request *req)
+{
+	return __atomic_load_n(&httpd_of(req)->closing, __ATOMIC_ACQUIRE);
+}
+
+/* Reads the whole body.  Returns -1 after refusing one that is too large. */
+static int
+httpd_read_body(struct httpd *h, struct httpd_request *req)
+{
+	const struct mg_request_info *info = mg_get_request_info(req->conn);
+	size_t size = HTTPD_READ_SIZE;
+	int n;
+
+	if (info->content_length > (long long)h->config.body_max)
+		return -1;
+	if (info->content_length > 0)
+		size = (size_t)info->content_length + 1;
+	req->body = mem_alloc(size);
+	for (;;) {
+		if (req->len + 1 == size) {
+			if (info->content_length > 0)
+				break;
+			size *= 2;
+			if (size > 2 * h->config.body_max)
+				return -1;
+			req->body = mem_grow(req->body, size, 1);
+		}
+		n = mg_read(
+		    req->conn, req->body + req->len, size - req->len - 1);
+		if (n <= 0)
+			break;
+		req->len += (size_t)n;
+	}
+	req->body[req->len] = '\0';
+	return req->len > h->config.body_max ? -1 : 0;
+}
+
+static int
+httpd_handle(struct mg_connection *conn, void *arg)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	struct httpd_request req;
+	struct httpd *h = arg;
+
+	memset(&req, 0, sizeof(req));
+	req.conn = conn;
+	req.method = info->request_method;
+	req.path = info->local_uri == NULL ? "" : info->local_uri;
+	req.query = info->query_string == NULL ? "" : info->query_string;
+	if (httpd_read_body(h, &req) == -1) {
+		if (h->config.bad != NULL)
+			h->config.bad(h->config.ctx, "body too large");
+		httpd_reply_error(&req, 413, "not-run-too-large",
+		    "the body is larger than this process takes; send less",
+		    "");
+		mg_disable_connection_keep_alive(conn);
+	} else {
+		h->config.handle(h->config.ctx, &req);
+	}
+	free(req.body);
+	return 200;
+}
+
+const char *
+httpd_header(const struct httpd_request *req, const char *name)
+{
+	return mg_get_header(req->conn, name);
+}
+
+static void
+httpd_head(struct httpd_request *req, int status, const char *type,
+    const char *extra, const char *length)
+{
+	char head[HTTPD_HEAD_SIZE];
+	int n;
+
+	if (httpd_closing_now(req))
+		mg_disable_connection_keep_alive(req->conn);
+	n = snprintf(head, sizeof(head),
+	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n%s%s%s\r\n", status,
+	    mg_get_response_code_text(req->conn, status), type, extra, length,
+	    httpd_closing_now(req) ? "Connection: close\r\n" : "");
+	if (n > 0 && (size_t)n < sizeof(head))
+		mg_write(req->conn, head, (size_t)n);
+}
+
+void
+httpd_reply(struct httpd_request *req, int status, const char *type,
+    const char *extra, const char *body, size_t len)
+{
+	char length[48];
+
+	snprintf(length, sizeof(length), "Content-Length: %zu\r\n", len);
+	httpd_head(req, status, type, extra, length);
+	if (len != 0)
+		mg_write(req->conn, body, len);
+}
+
+void
+httpd_reply_text(struct httpd_request *req, int status, const char *text)
+{
+	httpd_reply(
+	    req, status, "text/plain; charset=utf-8", "", text, strlen(text));
+}
+
+void
+httpd_reply_error(struct httpd_request *req, int status, const char *type,
+    const char *message, const char *extra)
+{
+	char body[1024];
+	int n;
+
+	n = snprintf(body, sizeof(body),
+	    "{\"error\":{\"type\":\"%s\",\"message\":\"%s\",\"code\":%d}}\n",
+	    type, message, status);
+	if (n < 0 || (size_t)n >= sizeof(body))
+		n = 0;
+	httpd_reply(req, status, "application/json", extra, body, (size_t)n);
+}
+
+int
+httpd_begin(
+    struct httpd_request *req, int status, const char *type, const char *extra)
+{
+	httpd_head(req, status, type, extra, "Transfer-Encoding: chunked\r\n");
+	return 0;
+}
+
+/* One write a part, so that each leaves as one segment. */
+int
+httpd_part(struct httpd_request *req, const char *buf, size_t len)
+{
+	char *frame;
+	int head;
+	int n;
+
+	if (len == 0)
+		return 0;
+	frame = mem_alloc(len + 24);
+	head = snprintf(frame, 24, "%zx\r\n", len);
+	memcpy(frame + head, buf, len);
+	memcpy(frame + head + len, "\r\n", 2);
+	n = mg_write(req->conn, frame, (size_t)head + len + 2);
+	free(frame);
+	return n <= 0 ? -1 : 0;
+}
+
+int
+httpd_end(struct httpd_request *req)
+{
+	return mg_write(req->conn, "0\r\n\r\n", 5) <= 0 ? -1 : 0;
+}
+
+void
+httpd_abort(struct httpd_request *req)
+{
+	int fd;
+
+	mg_disable_connection_keep_alive(req->conn);
+	fd = httpd_fd(req);
+	if (fd != -1)
+		shutdown(fd, SHUT_RDWR);
+}
+
+/*
+ * CivetWeb does not tell the descriptor, so it is found by comparing the
+ * peer's address and port over the descriptors of this process.
+ */
+int
+httpd_fd(const struct httpd_request *req)
+{
+	const struct mg_request_info *info = mg_get_request_info(req->conn);
+	struct sockaddr_in sin;
+	struct in_addr want;
+	struct rlimit rl;
+	socklen_t len;
+	int most = HTTPD_FD_MAX;
+	int fd;
+
+	if (inet_pton(AF_INET, info->remote_addr, &want) != 1)
+		return -1;
+	if (getrlimit(RLIMIT_NOFILE, &rl) == 0 && rl.rlim_cur < HTTPD_FD_MAX)
+		most = (int)rl.rlim_cur;
+	for (fd = FIRST_FD; fd < most; fd++) {
+		len = sizeof(sin);
+		if (getpeername(fd, (struct sockaddr *)&sin, &len) == -1 ||
+		    sin.sin_family != AF_INET)
+			continue;
+		if (sin.sin_addr.s_addr != want.s_addr ||
+		    ntohs(sin.sin_port) != info->remote_port)
+			continue;
+		/* Our own outgoing connections may share peer addresses. */
+		len = sizeof(sin);
+		if (getsockname(fd, (struct sockaddr *)&sin, &len) == 0 &&
+		    ntohs(sin.sin_port) == info->server_port)
+			return fd;
+	}
+	return -1;
+}
--- /dev/null
+++ b/shell/log.h
@@ -0,0 +1,94 @@
+/*
+ * Numbered events.  Each goes to standard error as a syslog-style line when
+ * its level is high enough, and into a bounded ring that /events serves and
+ * spindle-timeline collects.  docs/EVENTS.md explains every number.
+ */
+#ifndef LOG_H
+#define LOG_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base.h"
+
+enum log_level {
+	LOGLEVEL_ERROR = 3,
+	LOGLEVEL_WARNING = 4,
+	LOGLEVEL_NOTICE = 5,
+	LOGLEVEL_INFO = 6,
+	LOGLEVEL_DEBUG = 7
+};
+
+enum log_id {
+	LOG_STARTED,
+	LOG_STOPPING,
+	LOG_STOPPED,
+	LOG_SETTINGS_BAD,
+	LOG_LISTEN_FAILED,
+	LOG_BUS_BAD,
+	LOG_BUS_DROPPED,
+	LOG_HTTP_BAD,
+	LOG_REQUEST_ARRIVED,
+	LOG_REQUEST_STARTED,
+	LOG_REQUEST_RETRIED,
+	LOG_REQUEST_ANSWERED,
+	LOG_REQUEST_CANCELLED,
+	LOG_REQUEST_FAILED,
+	LOG_REQUEST_SHED,
+	LOG_GRANT_SENT,
+	LOG_GRANT_RELEASED,
+	LOG_WORK_REFUSED,
+	LOG_KV_DOWN,
+	LOG_KV_UP,
+	LOG_KV_BAD,
+	LOG_TICKET_RECEIVED,
+	LOG_TICKET_ACCEPTED,
+	LOG_TICKET_REFUSED,
+	LOG_CONF_IN_FORCE,
+	LOG_MEMBER_ALIVE,
+	LOG_MEMBER_SUSPECT,
+	LOG_MEMBER_DEAD,
+	LOG_MEMBER_LEAVING,
+	LOG_CELL_TAKEN,
+	LOG_CELL_LOST,
+	LOG_LEDGER_WRITTEN,
+	LOG_LEDGER_CONFLICT,
+	LOG_ORDER_SENT,
+	LOG_ORDER_DONE,
+	LOG_ORDER_FAILED,
+	LOG_ORDER_WITHHELD,
+	LOG_ENGINE_RESTARTED,
+	LOG_NOT_READY,
+	LOG_READY,
+	LOG__MAX
+};
+
+/* What an event is about; zero or "" where it does not apply. */
+struct log_about {
+	uint64_t request;
+	uint64_t ticket;
+	uint64_t order;
+	const char *model;
+	const char *backend;
+};
+
+struct log_info {
+	uint32_t number;
+	enum log_level level;
+	const char *name;
+	const char *text;
+};
+
+/* Names the process; called once before any event. */
+void log_open(const char *, uint64_t, enum log_level);
+void log_event(enum log_id, const struct log_about *, const char *, ...)
+    __attribute__((format(printf, 3, 4)));
+const struct log_info *log_info(enum log_id);
+/*
+ * Events from a sequence number on as JSON lines, preceded by one line that
+ * names the process and the oldest sequence number still held.  The caller
+ * frees the text.
+ */
+char *log_json(uint64_t, size_t *);
+
+#endif
--- /dev/null
+++ b/shell/ring.c
@@ -0,0 +1,145 @@
+#include <pthread.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "base.h"
+#include "mem.h"
+#include "ring.h"
+
+struct ring {
+	pthread_mutex_t lock;
+	pthread_cond_t filled;
+	pthread_cond_t drained;
+	size_t size;
+	size_t head;
+	size_t count;
+	int closed;
+	int fd;
+	void **items;
+};
+
+static void ring_put(struct ring *, void *);
+
+struct ring *
+ring_create(size_t size)
+{
+	pthread_condattr_t attr;
+	struct ring *r;
+
+	r = mem_alloc(sizeof(*r));
+	r->items = mem_alloc(size * sizeof(*r->items));
+	r->size = size;
+	r->fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_mutex_init(&r->lock, NULL);
+	pthread_cond_init(&r->filled, &attr);
+	pthread_cond_init(&r->drained, &attr);
+	pthread_condattr_destroy(&attr);
+	return r;
+}
+
+void
+ring_destroy(struct ring *r)
+{
+	if (r == NULL)
+		return;
+	close(r->fd);
+	pthread_cond_destroy(&r->filled);
+	pthread_cond_destroy(&r->drained);
+	pthread_mutex_destroy(&r->lock);
+	free(r->items);
+	free(r);
+}
+
+/* Called with the lock held and room left. */
+static void
+ring_put(struct ring *r, void *item)
+{
+	r->items[(r->head + r->count) % r->size] = item;
+	if (r->count++ == 0)
+		eventfd_write(r->fd, 1);
+	pthread_cond_signal(&r->filled);
+}
+
+int
+ring_push(struct ring *r, void *item)
+{
+	int rv = -1;
+
+	pthread_mutex_lock(&r->lock);
+	if (r->count < r->size && !r->closed) {
+		ring_put(r, item);
+		rv = 0;
+	}
+	pthread_mutex_unlock(&r->lock);
+	return rv;
+}
+
+int
+ring_push_wait(struct ring *r, void *item)
+{
+	int rv = -1;
+
+	pthread_mutex_lock(&r->lock);
+	while (r->count == r->size && !r->closed)
+		pthread_cond_wait(&r->drained, &r->lock);
+	if (!r->closed) {
+		ring_put(r, item);
+		rv = 0;
+	}
+	pthread_mutex_unlock(&r->lock);
+	return rv;
+}
+
+void *
+ring_pop(struct ring *r, uint64_t deadline)
+{
+	struct timespec ts;
+	eventfd_t value;
+	void *item = NULL;
+	int timed_out = 0;
+
+	ts.tv_sec = (time_t)(deadline / NSEC_PER_SEC);
+	ts.tv_nsec = (long)(deadline % NSEC_PER_SEC);
+	pthread_mutex_lock(&r->lock);
+	while (r->count == 0 && !r->closed && !timed_out && deadline != 0)
+		timed_out = pthread_cond_timedwait(&r->filled, &r->lock, &ts);
+	if (r->count != 0) {
+		item = r->items[r->head];
+		r->head = (r->head + 1) % r->size;
+		if (--r->count == 0)
+			eventfd_read(r->fd, &value);
+		pthread_cond_signal(&r->drained);
+	}
+	pthread_mutex_unlock(&r->lock);
+	return item;
+}
+
+void
+ring_close(struct ring *r)
+{
+	pthread_mutex_lock(&r->lock);
+	r->closed = 1;
+	pthread_cond_broadcast(&r->filled);
+	pthread_cond_broadcast(&r->drained);
+	pthread_mutex_unlock(&r->lock);
+}
+
+int
+ring_fd(const struct ring *r)
+{
+	return r->fd;
+}
+
+size_t
+ring_count(struct ring *r)
+{
+	size_t n;
+
+	pthread_mutex_lock(&r->lock);
+	n = r->count;
+	pthread_mutex_unlock(&r->lock);
+	return n;
+}
--- /dev/null
+++ b/standin/fake_engine.c
@@ -0,0 +1,350 @@
+/*
+ * fake-engine: stand-in for one backend server.  As a model engine it speaks
+ * the OpenAI HTTP API with server-sent events and takes model and adapter
+ * orders; as a plain service (-s) it counts how often each order was run.
+ * Faults are switched over HTTP.
+ */
+#include <argtable2.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "cli.h"
+#include "clock.h"
+#include "fake_int.h"
+#include "hash.h"
+#include "mem.h"
+
+#define NAME "fake-engine"
+#define THREADS 400
+#define BODY_MAX (4U << 20)
+#define TOKENS_DEFAULT 64
+
+struct engine engine;
+
+static void handle(void *, struct httpd_request *);
+static void handle_generate(struct httpd_request *, const json_t *, int);
+static void handle_fault(struct httpd_request *, const json_t *);
+static void handle_stats(struct httpd_request *);
+static void stream_answer(
+    struct httpd_request *, struct sequence *, const struct prompt *, int);
+static void whole_answer(
+    struct httpd_request *, struct sequence *, const struct prompt *, int);
+static int prompt_parse(const json_t *, int, struct prompt *);
+static void caller_gone(void *, uint64_t);
+static int break_now(void);
+
+void
+pause_ms(uint64_t ms)
+{
+	struct timespec ts;
+
+	ts.tv_sec = (time_t)(ms / 1000);
+	ts.tv_nsec = (long)(ms % 1000 * NSEC_PER_MSEC);
+	nanosleep(&ts, NULL);
+}
+
+void
+reply_json(struct httpd_request *req, int status, json_t *doc)
+{
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	httpd_reply(req, status, "application/json", "", text, strlen(text));
+	free(text);
+}
+
+static void
+caller_gone(void *arg, uint64_t id)
+{
+	(void)arg;
+	batch_cancel(engine.batch, id);
+}
+
+/*
+ * The prompt's first line decides every token, so that a caller can check
+ * the whole answer.  "len=N" in it is the answer's length.  What follows the
+ * line is an earlier part of the answer, one space after each token.
+ */
+static int
+prompt_parse(const json_t *doc, int chat, struct prompt *p)
+{
+	const json_t *messages = json_object_get(doc, "messages");
+	const char *text;
+	const char *more = "";
+	const char *len;
+	json_int_t most;
+	size_t line;
+
+	text = json_string_value(json_object_get(doc, "prompt"));
+	if (chat)
+		text = json_string_value(
+		    json_object_get(json_array_get(messages, 0), "content"));
+	if (text == NULL)
+		return -1;
+	line = strcspn(text, "\n");
+	p->seed = hash_bytes(text, line) % 1000000;
+	p->size = strlen(text);
+	p->prefix = hash_bytes(text, line < 24 ? line : 24);
+	if (chat && json_array_size(messages) > 1 &&
+	    json_is_true(json_object_get(doc, "continue_final_message")))
+		more = json_string_value(json_object_get(
+		    json_array_get(messages, json_array_size(messages) - 1),
+		    "content"));
+	else if (!chat && text[line] == '\n')
+		more = text + line + 1;
+	for (p->first = 0; more != NULL && *more != '\0'; more++)
+		p->first += *more == ' ';
+	most = json_integer_value(json_object_get(doc, "max_tokens"));
+	if (most <= 0)
+		most = TOKENS_DEFAULT;
+	p->last = p->first + (uint32_t)most;
+	len = strstr(text, "len=");
+	if (len != NULL && (uint32_t)atoi(len + 4) < p->last)
+		p->last = (uint32_t)atoi(len + 4);
+	if (p->last < p->first)
+		p->last = p->first;
+	return 0;
+}
+
+/* One in so many streams is cut, when that fault is on. */
+static int
+break_now(void)
+{
+	int every = __atomic_load_n(&engine.break_every, __ATOMIC_RELAXED);
+
+	if (every == 0)
+		return 0;
+	return __atomic_add_fetch(&engine.breaks, 1, __ATOMIC_RELAXED) %
+	    (uint32_t)every ==
+	    0;
+}
+
+static void
+stream_answer(struct httpd_request *req, struct sequence *s,
+    const struct prompt *p, int chat)
+{
+	enum sequence_news news;
+	char event[256];
+	uint32_t index;
+	int cut = break_now();
+	int n;
+
+	httpd_begin(req, 200, "text/event-stream", "");
+	while ((news = batch_wait(engine.batch, s, &index)) == SEQUENCE_TOKEN) {
+		n = snprintf(event, sizeof(event),
+		    chat ? "data: {\"id\":\"x\",\"object\":"
+			   "\"chat.completion.chunk\",\"choices\":[{"
+			   "\"index\":0,\"delta\":{\"content\":"
+			   "\"w%" PRIu64 ".%u \"}}]}\n\n"
+			 : "data: {\"id\":\"x\",\"object\":"
+			   "\"text_completion\",\"choices\":[{"
+			   "\"index\":0,\"text\":\"w%" PRIu64 ".%u \"}]}\n\n",
+		    p->seed, index);
+		if (httpd_part(req, event, (size_t)n) == -1 ||
+		    (cut && index >= (p->first + p->last) / 2)) {
+			httpd_abort(req);
+			batch_remove(
+			    engine.batch, s, cut ? "broken" : "cancelled");
+			return;
+		}
+	}
+	if (news == SEQUENCE_END) {
+		httpd_part(req, "data: [DONE]\n\n", 14);
+		httpd_end(req);
+	}
+	batch_remove(
+	    engine.batch, s, news == SEQUENCE_END ? "done" : "cancelled");
+}
+
+static void
+whole_answer(struct httpd_request *req, struct sequence *s,
+    const struct prompt *p, int chat)
+{
+	enum sequence_news news;
+	char *text = NULL;
+	json_t *choice;
+	uint32_t index;
+	size_t len;
+	FILE *f;
+
+	f = open_memstream(&text, &len);
+	while ((news = batch_wait(engine.batch, s, &index)) == SEQUENCE_TOKEN)
+		fprintf(f, "w%" PRIu64 ".%u ", p->seed, index);
+	fclose(f);
+	batch_remove(
+	    engine.batch, s, news == SEQUENCE_END ? "done" : "cancelled");
+	if (news == SEQUENCE_END) {
+		choice = chat ? json_pack("{s:i,s:{s:s,s:s},s:s}", "index", 0,
+				    "message", "role", "assistant", "content",
+				    text, "finish_reason", "stop")
+			      : json_pack("{s:i,s:s,s:s}", "index", 0, "text",
+				    text, "finish_reason", "stop");
+		reply_json(req, 200,
+		    json_pack("{s:s,s:s,s:[o]}", "id", "x", "object",
+			chat ? "chat.completion" : "text_completion", "choices",
+			choice));
+	}
+	free(text);
+}
+
+static void
+handle_generate(struct httpd_request *req, const json_t *doc, int chat)
+{
+	const char *model = json_string_value(json_object_get(doc, "model"));
+	const char *rid = httpd_header(req, "X-Request-Id");
+	const char *name = json_string_value(json_object_get(doc, "user"));
+	struct sequence *s;
+	struct prompt p;
+	int fd;
+
+	if (model == NULL || prompt_parse(doc, chat, &p) == -1) {
+		httpd_reply_error(req, 400, "bad-request", "malformed", "");
+		return;
+	}
+	if (!orders_have(model)) {
+		__atomic_fetch_add(&engine.not_loaded, 1, __ATOMIC_RELAXED);
+		httpd_reply_error(req, 404, "not-found", "not loaded", "");
+		return;
+	}
+	s = batch_add(engine.batch, name == NULL ? "" : name,
+	    rid == NULL ? "" : rid, p.prefix, p.size,
+	    (int)json_integer_value(json_object_get(doc, "priority")), p.first,
+	    p.last);
+	fd = httpd_fd(req);
+	if (fd == -1 || watch_add(engine.watch, fd, batch_id(s)) == -1)
+		batch_cancel(engine.batch, batch_id(s));
+	if (json_is_true(json_object_get(doc, "stream")))
+		stream_answer(req, s, &p, chat);
+	else
+		whole_answer(req, s, &p, chat);
+	if (fd != -1)
+		watch_remove(engine.watch, fd);
+}
+
+static void
+handle_fault(struct httpd_request *req, const json_t *doc)
+{
+	const json_t *slow = json_object_get(doc, "slow");
+
+	batch_slow(
+	    engine.batch, json_is_number(slow) ? json_number_value(slow) : 1.0);
+	engine.break_every =
+	    (int)json_integer_value(json_object_get(doc, "break_every"));
+	engine.order_delay_ms = (uint64_t)json_integer_value(
+	    json_object_get(doc, "order_delay_ms"));
+	engine.order_lose_every =
+	    (int)json_integer_value(json_object_get(doc, "order_lose_every"));
+	httpd_reply_text(req, 200, "ok\n");
+}
+
+static void
+handle_stats(struct httpd_request *req)
+{
+	json_t *doc = batch_stats(engine.batch);
+
+	orders_stats(doc);
+	json_object_set_new(doc, "not_loaded", json_integer(engine.not_loaded));
+	reply_json(req, 200, doc);
+}
+
+static void
+handle(void *arg, struct httpd_request *req)
+{
+	json_t *doc;
+
+	(void)arg;
+	if (engine.service) {
+		service_handle(req);
+		return;
+	}
+	doc = json_loadb(req->body, req->len, 0, NULL);
+	if (strcmp(req->path, "/v1/chat/completions") == 0)
+		handle_generate(req, doc, 1);
+	else if (strcmp(req->path, "/v1/completions") == 0)
+		handle_generate(req, doc, 0);
+	else if (strcmp(req->path, "/fault") == 0)
+		handle_fault(req, doc);
+	else if (strcmp(req->path, "/stats") == 0)
+		handle_stats(req);
+	else if (strcmp(req->path, "/runs") == 0)
+		reply_json(req, 200, batch_records(engine.batch));
+	else
+		orders_handle(req, doc);
+	json_decref(doc);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_str *listen = arg_str1("l", "listen", "IP:PORT", "address");
+	struct arg_lit *service =
+	    arg_lit0("s", "service", "be a plain service");
+	struct arg_lit *fencing =
+	    arg_lit0("f", "fencing", "refuse old fencing numbers");
+	struct arg_str *store =
+	    arg_str0("w", "store", "IP:PORT", "weight store");
+	struct arg_int *load =
+	    arg_int0("L", "load-ms", "N", "time of one model load (500)");
+	struct arg_int *memory =
+	    arg_int0("m", "memory-mb", "N", "memory of the accelerator");
+	struct arg_dbl *step =
+	    arg_dbl0("t", "step-ms", "N", "time of one step alone (10)");
+	struct arg_dbl *per =
+	    arg_dbl0("k", "per-seq", "N", "share added by a sequence (0.04)");
+	struct arg_dbl *prefill =
+	    arg_dbl0("p", "prefill-ms", "N", "prefill for 1000 bytes (60)");
+	struct arg_int *most =
+	    arg_int0("b", "batch", "N", "sequences in a batch (48)");
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { listen, service, fencing, store, load, memory, step,
+		per, prefill, most, help, end };
+	struct batch_config bc;
+	struct httpd_config hc;
+	struct err e;
+
+	load->ival[0] = 500;
+	memory->ival[0] = 80000;
+	step->dval[0] = 10.0;
+	per->dval[0] = 0.04;
+	prefill->dval[0] = 60.0;
+	most->ival[0] = 48;
+	store->sval[0] = "";
+	if (arg_parse(argc, argv, table) != 0 || help->count != 0) {
+		printf("usage: %s", NAME);
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		return help->count != 0 ? EX_OK : EX_USAGE;
+	}
+	cli_block_signals();
+	engine.service = service->count != 0;
+	engine.fencing = fencing->count != 0;
+	engine.load_ms = (uint64_t)load->ival[0];
+	engine.memory_mb = (uint64_t)memory->ival[0];
+	engine.incarnation = clock_incarnation();
+	snprintf(engine.store, sizeof(engine.store), "%s", store->sval[0]);
+	bc.step_ms = step->dval[0];
+	bc.step_per_seq = per->dval[0];
+	bc.prefill_ms = prefill->dval[0];
+	bc.most = (uint32_t)most->ival[0];
+	engine.batch = batch_create(&bc);
+	engine.watch = watch_create(caller_gone, NULL);
+	orders_open();
+	memset(&hc, 0, sizeof(hc));
+	snprintf(hc.addr, sizeof(hc.addr), "%s", listen->sval[0]);
+	hc.threads = THREADS;
+	hc.body_max = BODY_MAX;
+	hc.handle = handle;
+	if (httpd_create(&hc, &e) == NULL) {
+		fprintf(stderr, "%s: %s\n", NAME, e.text);
+		return EX_UNAVAILABLE;
+	}
+	cli_wait_signal();
+	_exit(0);
+}
--- /dev/null
+++ b/standin/load.h
@@ -0,0 +1,114 @@
+/* Shared by the files of spindle-load. */
+#ifndef LOAD_H
+#define LOAD_H
+
+#include <jansson.h>
+
+#include "base.h"
+#include "err.h"
+
+#define LOAD_TARGETS_MAX 64
+#define LOAD_MODELS_MAX 256
+
+enum shot_kind {
+	SHOT_STREAM,
+	SHOT_WHOLE,
+	SHOT_ORDER, /* to a plain service, must not run twice */
+	SHOT__MAX
+};
+
+enum shot_end {
+	END_NONE, /* still open when the run was over */
+	END_ANSWERED,
+	END_CANCELLED,
+	END_NOT_RUN,
+	END_UNKNOWN, /* told that the outcome is unknown */
+	END_FAILED,  /* told that every attempt broke */
+	END_LOST,    /* wrong, incomplete, or no answer at all */
+	END__MAX
+};
+
+/* One request of the trace, and what became of it. */
+struct shot {
+	/* the trace */
+	uint64_t at; /* after the start */
+	enum shot_kind kind;
+	uint32_t model;
+	int is_long;
+	uint32_t tokens;
+	uint64_t cancel_after; /* 0: not cancelled */
+	uint64_t deadline_ms;
+	/* the run; times are monotonic */
+	uint32_t gate;
+	uint32_t target; /* where it was sent */
+	uint64_t sent;
+	uint64_t first;
+	uint64_t cancelled;
+	uint64_t ended;
+	uint32_t tries;
+	int status;
+	enum shot_end end;
+	uint32_t good; /* tokens received in order */
+	int bad;       /* a token was not the expected one */
+	int saw_done;
+	char *buf;
+	size_t len;
+	size_t size;
+	uint64_t seed; /* of its expected tokens */
+};
+
+enum load_policy {
+	POLICY_GATES,	    /* through the product */
+	POLICY_ROUND_ROBIN, /* baseline: each gate alone, in turn */
+	POLICY_LEAST	    /* baseline: least outstanding of each gate */
+};
+
+struct load_config {
+	uint64_t seed;
+	double seconds;
+	double rate;  /* requests a second */
+	double swing; /* factor on the rate in the middle third */
+	double long_share;
+	double cancel_share;
+	double order_share;
+	double whole_share;
+	double zipf; /* exponent of the models' popularity */
+	uint32_t short_tokens;
+	uint32_t long_tokens;
+	uint64_t deadline_ms;
+	uint32_t nmodels;
+	char models[LOAD_MODELS_MAX][NAME_SIZE];
+	char service_path[PATH_SIZE];
+	enum load_policy policy;
+	uint32_t ngates; /* for the baselines */
+	uint32_t ntargets;
+	char targets[LOAD_TARGETS_MAX][ADDR_SIZE];
+	uint32_t nengines;
+	char engines[LOAD_TARGETS_MAX][ADDR_SIZE];
+	uint32_t nservices;
+	char services[LOAD_TARGETS_MAX][ADDR_SIZE];
+};
+
+struct load_totals {
+	uint32_t requests;
+	uint32_t ends[END__MAX];
+	uint32_t doubled; /* orders run twice, or run though told not */
+	uint32_t in_time; /* answered with the first token before deadline */
+	uint32_t wanted;  /* not cancelled by the caller */
+	double engine_s;
+	double wasted_s; /* on requests after they were cancelled */
+	double cancel_p99_ms;
+};
+
+/* load_trace.c: the same seed gives the same trace */
+struct shot *load_trace(const struct load_config *, size_t *);
+/* load_run.c: fires the trace and waits for the ends */
+void load_run(const struct load_config *, struct shot *, size_t);
+json_t *load_get(const char *, const char *);
+/* load_report.c */
+void load_report(const struct load_config *, struct shot *, size_t,
+    struct load_totals *, json_t *);
+/* Text of a shot's prompt line. */
+void load_prompt(const struct shot *, size_t, char *, size_t);
+
+#endif
--- /dev/null
+++ b/standin/load_run.c
@@ -0,0 +1,475 @@
+/* Fires a trace at gates, or at engines by a baseline policy. */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "ask.h"
+#include "clock.h"
+#include "fetch.h"
+#include "hash.h"
+#include "load.h"
+#include "mem.h"
+
+#define DRAIN_SECONDS 90 /* longest wait after the last arrival */
+#define TRIES_MAX 3	 /* a balancer tries other gates */
+#define HEADERS_MAX 4
+#define INDEX_PERIOD_NS (500 * NSEC_PER_MSEC)
+
+struct run {
+	const struct load_config *config;
+	struct shot *shots;
+	size_t nshots;
+	struct fetch *fetch;
+	pthread_mutex_t lock;
+	pthread_cond_t done;
+	size_t open;
+	uint64_t start;
+	uint32_t next_target;
+	uint32_t outstanding[LOAD_TARGETS_MAX][LOAD_TARGETS_MAX];
+	/* which engine holds which model, for the baselines */
+	char holds[LOAD_TARGETS_MAX][LOAD_MODELS_MAX];
+	uint64_t index_at;
+};
+
+struct answer {
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	json_t *doc;
+	int done;
+};
+
+static void run_event(void *, const struct fetch_event *);
+static void run_send(struct run *, size_t);
+static void run_finish(struct run *, struct shot *, enum shot_end);
+static int run_pick(struct run *, struct shot *);
+static void run_index(struct run *);
+static void run_cancels(struct run *, uint64_t);
+static void shot_data(struct run *, struct shot *, const char *, size_t);
+static void shot_event(struct shot *, const char *, size_t);
+static void shot_text(struct shot *, const char *);
+static enum shot_end shot_judge(struct shot *);
+static enum shot_end judge_error(const struct shot *);
+static void sleep_until(uint64_t);
+static void answer_done(void *, const struct ask_answer *);
+
+static struct run *the_run;
+
+static void
+sleep_until(uint64_t when)
+{
+	struct timespec ts;
+
+	ts.tv_sec = (time_t)(when / NSEC_PER_SEC);
+	ts.tv_nsec = (long)(when % NSEC_PER_SEC);
+	clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &ts, NULL);
+}
+
+static void
+answer_done(void *arg, const struct ask_answer *a)
+{
+	struct answer *w = arg;
+
+	pthread_mutex_lock(&w->lock);
+	if (a->status == 200)
+		w->doc = json_loads(a->body, 0, NULL);
+	w->done = 1;
+	pthread_cond_signal(&w->cond);
+	pthread_mutex_unlock(&w->lock);
+}
+
+/* Gets a JSON document; NULL when there is none. */
+json_t *
+load_get(const char *addr, const char *path)
+{
+	struct answer w = { PTHREAD_MUTEX_INITIALIZER, PTHREAD_COND_INITIALIZER,
+		NULL, 0 };
+	struct ask_spec spec;
+	struct fetch *f;
+	char url[256];
+
+	f = fetch_create(ask_event, NULL);
+	snprintf(url, sizeof(url), "http://%s%s", addr, path);
+	memset(&spec, 0, sizeof(spec));
+	spec.url = url;
+	spec.method = "GET";
+	spec.connect_ms = 1000;
+	spec.total_ms = 10000;
+	spec.done = answer_done;
+	spec.ctx = &w;
+	ask_start(f, &spec);
+	pthread_mutex_lock(&w.lock);
+	while (!w.done)
+		pthread_cond_wait(&w.cond, &w.lock);
+	pthread_mutex_unlock(&w.lock);
+	fetch_destroy(f);
+	return w.doc;
+}
+
+/* Learns which engine holds which model. */
+static void
+run_index(struct run *r)
+{
+	const struct load_config *c = r->config;
+	const char *name;
+	json_t *doc;
+	json_t *item;
+	uint32_t i;
+	uint32_t m;
+	size_t k;
+
+	if (c->policy == POLICY_GATES || clock_mono() < r->index_at)
+		return;
+	r->index_at = clock_mono() + INDEX_PERIOD_NS;
+	for (i = 0; i < c->nengines; i++) {
+		doc = load_get(c->engines[i], "/v2/repository/index");
+		memset(r->holds[i], 0, sizeof(r->holds[i]));
+		json_array_foreach (json_object_get(doc, "models"), k, item) {
+			name = json_string_value(json_object_get(item,
+			    json_string_length(
+				json_object_get(item, "adapter")) != 0
+				? "adapter"
+				: "name"));
+			for (m = 0; name != NULL && m < c->nmodels; m++) {
+				if (strcmp(c->models[m], name) == 0)
+					r->holds[i][m] = 1;
+			}
+		}
+		json_decref(doc);
+	}
+}
+
+/* Chooses the target.  Returns -1 when there is none. */
+static int
+run_pick(struct run *r, struct shot *s)
+{
+	const struct load_config *c = r->config;
+	uint32_t best = LOAD_TARGETS_MAX;
+	uint32_t t;
+	uint32_t i;
+
+	s->gate = r->next_target++ % c->ngates;
+	if (c->policy == POLICY_GATES) {
+		s->target = s->gate % c->ntargets;
+		return 0;
+	}
+	for (i = 0; i < c->nengines; i++) {
+		t = (r->next_target + i) % c->nengines;
+		if (!r->holds[t][s->model])
+			continue;
+		if (best == LOAD_TARGETS_MAX ||
+		    (c->policy == POLICY_LEAST &&
+			r->outstanding[s->gate][t] <
+			    r->outstanding[s->gate][best]))
+			best = t;
+	}
+	if (best == LOAD_TARGETS_MAX)
+		return -1;
+	s->target = best;
+	return 0;
+}
+
+static void
+run_send(struct run *r, size_t index)
+{
+	const struct load_config *c = r->config;
+	struct shot *s = &r->shots[index];
+	struct fetch_spec spec;
+	const char *headers[HEADERS_MAX + 1];
+	char deadline[64];
+	char prompt[256];
+	char url[512];
+	char body[1024];
+	int order = s->kind == SHOT_ORDER;
+
+	load_prompt(s, index, prompt, sizeof(prompt));
+	s->seed = hash_text(prompt) % 1000000;
+	snprintf(deadline, sizeof(deadline), "X-Spindle-Deadline-Ms: %llu",
+	    (unsigned long long)s->deadline_ms);
+	headers[0] = "Content-Type: application/json";
+	headers[1] = deadline;
+	headers[2] = s->is_long ? "X-Spindle-Class: standard"
+				: "X-Spindle-Class: interactive";
+	headers[order ? 1 : 3] = NULL;
+	snprintf(url, sizeof(url), "http://%s%s",
+	    c->policy == POLICY_GATES ? c->targets[s->target]
+		: order		      ? c->services[0]
+				      : c->engines[s->target],
+	    order ? c->service_path : "/v1/chat/completions");
+	if (order)
+		snprintf(body, sizeof(body), "{\"order\":\"o%zu\"}", index);
+	else
+		snprintf(body, sizeof(body),
+		    "{\"model\":\"%s\",\"user\":\"s%zu\",\"stream\":%s,"
+		    "\"max_tokens\":%u,\"messages\":[{\"role\":\"user\","
+		    "\"content\":\"%s\"}]}",
+		    c->models[s->model], index,
+		    s->kind == SHOT_STREAM ? "true" : "false",
+		    s->is_long ? c->long_tokens * 2 : c->short_tokens * 2,
+		    prompt);
+	memset(&spec, 0, sizeof(spec));
+	spec.id = index + 1;
+	spec.cookie = s;
+	spec.url = url;
+	spec.method = "POST";
+	spec.headers = headers;
+	spec.body = body;
+	spec.len = strlen(body);
+	spec.once = order;
+	spec.connect_ms = 1000;
+	fetch_start(r->fetch, &spec);
+}
+
+/* Called with the lock held. */
+static void
+run_finish(struct run *r, struct shot *s, enum shot_end end)
+{
+	if (s->end != END_NONE)
+		return;
+	s->end = end;
+	s->ended = clock_mono();
+	free(s->buf);
+	s->buf = NULL;
+	if (r->config->policy != POLICY_GATES)
+		r->outstanding[s->gate][s->target]--;
+	r->open--;
+	pthread_cond_signal(&r->done);
+}
+
+/* Checks generated text against the expected tokens. */
+static void
+shot_text(struct shot *s, const char *text)
+{
+	char expect[64];
+	size_t len;
+
+	while (*text != '\0') {
+		snprintf(expect, sizeof(expect), "w%llu.%u ",
+		    (unsigned long long)s->seed, s->good);
+		len = strlen(expect);
+		if (strncmp(text, expect, len) != 0) {
+			s->bad = 1;
+			return;
+		}
+		s->good++;
+		text += len;
+	}
+}
+
+static void
+shot_event(struct shot *s, const char *event, size_t len)
+{
+	const json_t *delta;
+	const char *text;
+	json_t *doc;
+
+	if (len < 6 || memcmp(event, "data: ", 6) != 0)
+		return;
+	if (len >= 12 && memcmp(event + 6, "[DONE]", 6) == 0) {
+		s->saw_done = 1;
+		return;
+	}
+	doc = json_loadb(event + 6, len - 6, 0, NULL);
+	delta = json_object_get(
+	    json_array_get(json_object_get(doc, "choices"), 0), "delta");
+	text = json_string_value(json_object_get(delta, "content"));
+	if (text != NULL) {
+		if (s->first == 0)
+			s->first = clock_mono();
+		shot_text(s, text);
+	}
+	json_decref(doc);
+}
+
+static void
+shot_data(struct run *r, struct shot *s, const char *bytes, size_t len)
+{
+	char *end;
+	size_t used;
+
+	(void)r;
+	if (s->len + len + 1 > s->size) {
+		s->size = 2 * (s->len + len + 1);
+		s->buf = mem_grow(s->buf, s->size, 1);
+	}
+	memcpy(s->buf + s->len, bytes, len);
+	s->len += len;
+	s->buf[s->len] = '\0';
+	if (s->kind != SHOT_STREAM || s->status != 200)
+		return;
+	while ((end = strstr(s->buf, "\n\n")) != NULL) {
+		used = (size_t)(end - s->buf) + 2;
+		shot_event(s, s->buf, used);
+		memmove(s->buf, s->buf + used, s->len - used + 1);
+		s->len -= used;
+	}
+}
+
+/* What an error answer says became of the request. */
+static enum shot_end
+judge_error(const struct shot *s)
+{
+	const char *type;
+	json_t *doc;
+	enum shot_end end = END_LOST;
+
+	doc = json_loads(s->buf == NULL ? "" : s->buf, 0, NULL);
+	type = json_string_value(
+	    json_object_get(json_object_get(doc, "error"), "type"));
+	if (type == NULL)
+		end = END_LOST;
+	else if (strncmp(type, "not-run", 7) == 0)
+		end = END_NOT_RUN;
+	else if (strcmp(type, "unknown") == 0)
+		end = END_UNKNOWN;
+	else if (strcmp(type, "failed") == 0)
+		end = END_FAILED;
+	json_decref(doc);
+	return end;
+}
+
+/* Judges a request whose answer has ended. */
+static enum shot_end
+shot_judge(struct shot *s)
+{
+	const json_t *message;
+	const char *text;
+	json_t *doc;
+
+	if (s->status != 200)
+		return judge_error(s);
+	if (s->kind == SHOT_ORDER)
+		return END_ANSWERED;
+	if (s->kind == SHOT_WHOLE) {
+		doc = json_loads(s->buf == NULL ? "" : s->buf, 0, NULL);
+		message = json_object_get(
+		    json_array_get(json_object_get(doc, "choices"), 0),
+		    "message");
+		text = json_string_value(json_object_get(message, "content"));
+		if (text != NULL)
+			shot_text(s, text);
+		json_decref(doc);
+		s->first = clock_mono();
+		s->saw_done = 1;
+	}
+	if (s->bad || !s->saw_done || s->good != s->tokens)
+		return END_LOST;
+	return END_ANSWERED;
+}
+
+static void
+run_event(void *arg, const struct fetch_event *ev)
+{
+	struct shot *s = ev->cookie;
+	struct run *r = the_run;
+	int again = 0;
+
+	(void)arg;
+	pthread_mutex_lock(&r->lock);
+	if (s->end != END_NONE) {
+		pthread_mutex_unlock(&r->lock);
+		return;
+	}
+	switch (ev->news) {
+	case FETCH_NEWS_WRITING:
+		break;
+	case FETCH_NEWS_HEAD:
+		s->status = ev->status;
+		break;
+	case FETCH_NEWS_DATA:
+		shot_data(r, s, ev->bytes, ev->len);
+		break;
+	case FETCH_NEWS_END:
+		run_finish(r, s, shot_judge(s));
+		break;
+	case FETCH_NEWS_FAIL:
+		again = !ev->written && s->tries < TRIES_MAX &&
+		    r->config->policy == POLICY_GATES;
+		if (again) {
+			s->tries++;
+			s->target = (s->target + 1) % r->config->ntargets;
+		} else {
+			run_finish(r, s, END_LOST);
+		}
+		break;
+	}
+	pthread_mutex_unlock(&r->lock);
+	if (again)
+		run_send(r, (size_t)(s - r->shots));
+}
+
+/* Callers that go away. */
+static void
+run_cancels(struct run *r, uint64_t now)
+{
+	struct shot *s;
+	size_t i;
+
+	pthread_mutex_lock(&r->lock);
+	for (i = 0; i < r->nshots; i++) {
+		s = &r->shots[i];
+		if (s->cancel_after == 0 || s->sent == 0 ||
+		    s->end != END_NONE || now < s->sent + s->cancel_after)
+			continue;
+		fetch_stop(r->fetch, i + 1);
+		s->cancelled = clock_mono();
+		run_finish(r, s, END_CANCELLED);
+	}
+	pthread_mutex_unlock(&r->lock);
+}
+
+void
+load_run(const struct load_config *c, struct shot *shots, size_t n)
+{
+	struct run *r;
+	struct shot *s;
+	uint64_t now;
+	size_t i;
+
+	r = mem_alloc(sizeof(*r));
+	the_run = r;
+	r->config = c;
+	r->shots = shots;
+	r->nshots = n;
+	pthread_mutex_init(&r->lock, NULL);
+	pthread_cond_init(&r->done, NULL);
+	r->fetch = fetch_create(run_event, NULL);
+	run_index(r);
+	r->start = clock_mono() + 50 * NSEC_PER_MSEC;
+	for (i = 0; i < n;) {
+		now = clock_mono();
+		run_cancels(r, now);
+		s = &shots[i];
+		if (now < r->start + s->at) {
+			uint64_t next = now + 4 * NSEC_PER_MSEC;
+
+			if (r->start + s->at < next)
+				next = r->start + s->at;
+			sleep_until(next);
+			continue;
+		}
+		pthread_mutex_lock(&r->lock);
+		r->open++;
+		s->sent = now;
+		if (run_pick(r, s) == -1) {
+			s->end = END_NOT_RUN;
+			s->ended = now;
+			r->open--;
+		} else if (c->policy != POLICY_GATES) {
+			r->outstanding[s->gate][s->target]++;
+		}
+		pthread_mutex_unlock(&r->lock);
+		if (s->end == END_NONE)
+			run_send(r, i);
+		i++;
+	}
+	now = clock_mono();
+	while (
+	    r->open != 0 && clock_mono() < now + DRAIN_SECONDS * NSEC_PER_SEC) {
+		run_cancels(r, clock_mono());
+		sleep_until(clock_mono() + 4 * NSEC_PER_MSEC);
+	}
+	fetch_destroy(r->fetch);
+	free(r);
+}
--- /dev/null
+++ b/standin/load_trace.c
@@ -0,0 +1,94 @@
+/* Arrival traces for spindle-load. */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "hash.h"
+#include "load.h"
+#include "mem.h"
+
+static double rate_at(const struct load_config *, double);
+static uint32_t pick_model(
+    const struct load_config *, unsigned short *, const double *);
+static void fill_shot(
+    const struct load_config *, unsigned short *, struct shot *);
+
+/* The rate rises by the swing in the middle third. */
+static double
+rate_at(const struct load_config *c, double t)
+{
+	if (t >= c->seconds / 3.0 && t < 2.0 * c->seconds / 3.0)
+		return c->rate * c->swing;
+	return c->rate;
+}
+
+static uint32_t
+pick_model(
+    const struct load_config *c, unsigned short *seed, const double *weights)
+{
+	double x = erand48(seed) * weights[c->nmodels - 1];
+	uint32_t i;
+
+	for (i = 0; i + 1 < c->nmodels && weights[i] < x; i++)
+		;
+	return i;
+}
+
+static void
+fill_shot(const struct load_config *c, unsigned short *seed, struct shot *s)
+{
+	double kind = erand48(seed);
+	double spread;
+
+	s->kind = SHOT_STREAM;
+	if (kind < c->order_share)
+		s->kind = SHOT_ORDER;
+	else if (kind < c->order_share + c->whole_share)
+		s->kind = SHOT_WHOLE;
+	s->is_long = erand48(seed) < c->long_share;
+	spread = 0.5 + erand48(seed);
+	s->tokens = (uint32_t)(spread *
+	    (s->is_long ? c->long_tokens : c->short_tokens));
+	s->deadline_ms = s->is_long ? 60000 : c->deadline_ms;
+	spread = erand48(seed);
+	if (erand48(seed) < c->cancel_share && s->kind != SHOT_ORDER)
+		s->cancel_after =
+		    (uint64_t)(spread * spread * 2.0 * (double)NSEC_PER_SEC) +
+		    20 * NSEC_PER_MSEC;
+}
+
+struct shot *
+load_trace(const struct load_config *c, size_t *n)
+{
+	unsigned short seed[3] = { (unsigned short)c->seed,
+		(unsigned short)(c->seed >> 16), 17 };
+	double weights[LOAD_MODELS_MAX];
+	struct shot *shots = NULL;
+	double sum = 0.0;
+	double t = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < c->nmodels; i++) {
+		sum += 1.0 / pow(i + 1.0, c->zipf);
+		weights[i] = sum;
+	}
+	for (*n = 0;; (*n)++) {
+		t += -log(1.0 - erand48(seed)) / rate_at(c, t);
+		if (t >= c->seconds)
+			return shots;
+		if (*n % 1024 == 0)
+			shots = mem_grow(shots, *n + 1024, sizeof(*shots));
+		shots[*n] = (struct shot){ 0 };
+		shots[*n].at = (uint64_t)(t * (double)NSEC_PER_SEC);
+		shots[*n].model = pick_model(c, seed, weights);
+		fill_shot(c, seed, &shots[*n]);
+	}
+}
+
+void
+load_prompt(const struct shot *s, size_t index, char *out, size_t size)
+{
+	snprintf(out, size,
+	    "Model %u, prefix %zu. Describe plate %zu in full; len=%u",
+	    s->model, index % 16, index, s->tokens);
+}
--- /dev/null
+++ b/timeline/main.c
@@ -0,0 +1,5 @@
+int
+main(void)
+{
+	return 0;
+}
