Ticket swaps the head it was applied to; placement counts writes under way

Cause: a fuzzer over control nodes, a fake key-value service and fake engines (tests/fuzz_state.cc) found that a ticket applied to revision N could swap a head read later (race of two operators, shrunk to 3 commands), and that placement loaded one model on every backend server while the first ledger write was under way (10 loads for 8 models in make demo). Change: the swap expects the head the ticket was applied to; placement counts the ledger being written; a smaller model is copied away, and headroom given up, when a declared model has no room.

--- a/Makefile
+++ b/Makefile
@@ -71,3 +71,18 @@
 -include $(wildcard $(BUILD)/*/*.d)
 
 .PHONY: all deps demo format clean
+
+lint:
+	@clang-format --dry-run -Werror $(FORMATTED)
+	@printf '%s\n' $(LINTED) | xargs -P 8 -n 4 scripts/tidy.sh
+.PHONY: lint
+
+FUZZERS = $(BUILD)/fuzz_serving $(BUILD)/fuzz_state
+
+$(BUILD)/tests/%.oo: tests/%.cc
+	@mkdir -p $(dir $@)
+	$(CXX) $(CXXFLAGS) $(IQUOTE) -MMD -MP -c $< -o $@
+
+$(BUILD)/fuzz_%: $(BUILD)/tests/fuzz_%.oo $(BUILD)/libcore.a
+	$(CXX) $(CXXFLAGS) -o $@ $< $(BUILD)/libcore.a -lrapidcheck -ljansson \
+	    -lxxhash -lmsgpackc -lm
--- a/control/observe.c
+++ b/control/observe.c
@@ -179,8 +179,10 @@
 	};
 	struct observe *o = arg;
 	struct seen_member *m;
+	enum log_id id;
 
-	if (info->id.incarnation == 0)
+	if (info->id.incarnation == 0 ||
+	    (unsigned)info->state >= MEMBER__MAX)
 		return; /* listed, never heard */
 	HASH_FIND_STR(o->members, info->id.addr, m);
 	if (m == NULL) {
@@ -193,8 +195,9 @@
 		return;
 	m->state = info->state;
 	m->incarnation = info->id.incarnation;
-	log_event(ids[info->state], NULL, "peer=%s incarnation=%" PRIu64,
-	    info->id.addr, info->id.incarnation);
+	id = ids[info->state];
+	log_event(id, NULL, "peer=%s incarnation=%" PRIu64, info->id.addr,
+	    info->id.incarnation);
 }
 
 static void
--- a/core/cell.c
+++ b/core/cell.c
@@ -240,8 +240,10 @@
 		if (strcmp(r->models[i], name) == 0)
 			return;
 	}
-	if (r->nmodels < REPLICA_MODELS_MAX)
-		snprintf(r->models[r->nmodels++], NAME_SIZE, "%s", name);
+	if (r->nmodels == REPLICA_MODELS_MAX)
+		return;
+	memset(r->models[r->nmodels], 0, NAME_SIZE);
+	snprintf(r->models[r->nmodels++], NAME_SIZE, "%s", name);
 }
 
 /* What the scheduler and the gates are told of a backend server. */
@@ -252,7 +254,7 @@
 	const struct conf_model *m;
 	uint32_t i;
 
-	memset(r, 0, sizeof(*r));
+	memset(r, 0, MSG_REPLICA_HEAD);
 	memcpy(r->name, u->conf.name, sizeof(r->name));
 	memcpy(r->addr, u->conf.address, sizeof(r->addr));
 	r->leaving = u->conf.leaving || !u->declared;
@@ -284,7 +286,7 @@
 
 	unit_table(c, u, &r);
 	r.leaving |= !unit_fresh(c, u, now);
-	hash = hash_bytes(&r, sizeof(r));
+	hash = msg_replica_hash(&r);
 	if (hash == u->table)
 		return;
 	u->table = hash;
@@ -457,16 +459,17 @@
 	struct sched_totals t;
 	uint32_t i;
 
-	memset(l, 0, sizeof(*l));
+	memset(l, 0, offsetof(struct msg_load, replicas));
 	memcpy(l->cell, c->name, sizeof(l->cell));
 	l->fence = own_fence(c->own);
 	l->whole = 1;
 	l->nreplicas = c->nunits;
-	for (i = 0; i < c->nunits; i++)
+	l->version = hash_version(c->self.addr, l->fence);
+	for (i = 0; i < c->nunits; i++) {
 		unit_table(c, c->units[i], &l->replicas[i]);
-	l->version =
-	    hash_bytes(l->replicas, c->nunits * sizeof(l->replicas[0]));
-	l->version ^= hash_version(c->self.addr, l->fence);
+		l->version = hash_version(l->replicas[i].name, l->version) ^
+		    msg_replica_hash(&l->replicas[i]);
+	}
 	sched_totals(c->sched, &t);
 	if (t.slots != 0)
 		l->load = (t.granted + t.waiting) * 100 / t.slots;
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -22,6 +22,7 @@
 };
 
 static void demand_report(void *, const struct sched_demand *);
+static const struct ledger *planned(const struct unit *);
 static const char *base_name(const struct cell_core *, const char *);
 static void board_build(struct cell_core *, uint64_t, struct board *);
 static void board_backends(struct cell_core *, uint64_t, struct board *);
@@ -39,6 +40,8 @@
 static void use_spare(struct cell_core *, uint64_t, struct cell_out *);
 static void spare_load(struct cell_core *, uint64_t, struct unit *,
     const struct conf_model *, struct cell_out *);
+static int drop_headroom(
+    struct cell_core *, uint64_t, uint32_t, uint64_t, struct cell_out *);
 static int set_headroom(struct cell_core *, uint64_t, struct cell_out *);
 static uint64_t largest_model(const struct cell_core *);
 
@@ -61,6 +64,13 @@
 	return d;
 }
 
+/* The ledger as it will be once the write under way is done. */
+static const struct ledger *
+planned(const struct unit *u)
+{
+	return u->next != NULL ? u->next : &u->ledger;
+}
+
 /* The model an adapter belongs to, or the name itself. */
 static const char *
 base_name(const struct cell_core *c, const char *name)
@@ -182,13 +192,15 @@
     struct place_model *pm)
 {
 	const struct ledger_entry *en;
+	const struct ledger *l;
 	struct place_copy *copy;
 	uint32_t i;
 	uint32_t k;
 
 	for (i = 0; i < c->nunits; i++) {
-		for (k = 0; k < c->units[i]->ledger.n; k++) {
-			en = &c->units[i]->ledger.entries[k];
+		l = planned(c->units[i]);
+		for (k = 0; k < l->n; k++) {
+			en = &l->entries[k];
 			if (en->state == ENTRY_UNLOADING ||
 			    strcmp(en->model, model) != 0 ||
 			    strcmp(en->version, version) != 0 ||
@@ -303,15 +315,15 @@
 static int
 loads_waiting(const struct cell_core *c)
 {
+	const struct ledger *l;
 	uint32_t i;
 	uint32_t k;
 	int n = 0;
 
 	for (i = 0; i < c->nunits; i++) {
-		for (k = 0; k < c->units[i]->ledger.n; k++)
-			n += c->units[i]->ledger.entries[k].state ==
-			    ENTRY_LOADING;
-		n += c->units[i]->step == UNIT_WRITING;
+		l = planned(c->units[i]);
+		for (k = 0; k < l->n; k++)
+			n += l->entries[k].state == ENTRY_LOADING;
 	}
 	return n;
 }
@@ -364,6 +376,38 @@
 	return most;
 }
 
+/*
+ * Gives up headroom in one ledger other than the one to be kept (nunits for
+ * none), where that lets so much memory be used.  Returns 1 when a write was
+ * begun.
+ */
+static int
+drop_headroom(struct cell_core *c, uint64_t now, uint32_t keep, uint64_t need,
+    struct cell_out *out)
+{
+	const struct ledger_delegation *d;
+	struct ledger *l;
+	struct unit *u;
+	uint32_t i;
+
+	for (i = 0; i < c->nunits; i++) {
+		u = c->units[i];
+		d = &u->ledger.delegation;
+		if (i == keep || !cell_delegated(c, u) || d->memory_mb == 0 ||
+		    u->spare_used ||
+		    ledger_left(&u->ledger, d->accelerator) + d->memory_mb <
+			need)
+			continue;
+		l = cell_ledger_edit(c, now, u);
+		if (l == NULL)
+			continue;
+		l->delegation.memory_mb = 0;
+		cell_ledger_write(c, u, l, out);
+		return 1;
+	}
+	return 0;
+}
+
 /*
  * Sets memory aside in one ledger for the largest model, to be used without
  * the key-value service.  Returns 1 when a write was begun.
@@ -383,7 +427,7 @@
 		u = c->units[i];
 		if (cell_delegated(c, u) && !u->conf.leaving &&
 		    u->ledger.delegation.memory_mb >= want)
-			return 0;
+			return drop_headroom(c, now, i, 0, out);
 	}
 	for (i = 0; i < c->nunits; i++) {
 		u = c->units[i];
@@ -488,7 +532,10 @@
 		board_build(c, now, &b);
 		move = place_next(&c->config.place, now, b.models, b.n,
 		    b.backends, c->nunits);
-		if (move.kind == PLACE_NOTHING ||
+		if (move.kind == PLACE_STUCK)
+			drop_headroom(c, now, c->nunits,
+			    b.models[move.model].memory_mb, out);
+		if (move.kind == PLACE_NOTHING || move.kind == PLACE_STUCK ||
 		    (move.kind == PLACE_LOAD &&
 			loads_waiting(c) >= (int)c->conf->store.concurrent) ||
 		    do_move(c, now, &b, &move, out) == -1) {
--- a/core/check.c
+++ b/core/check.c
@@ -145,7 +145,7 @@
 	if ((double)json_array_size(value) < site->field->min ||
 	    (double)json_array_size(value) > site->field->max)
 		return check_fail(site, "has too few or too many items");
-	memcpy(out, &value, sizeof(value));
+	*(const json_t **)(void *)out = value;
 	return 0;
 }
 
@@ -154,7 +154,7 @@
 {
 	if (!json_is_object(value))
 		return check_fail(site, "is not an object");
-	memcpy(out, &value, sizeof(value));
+	*(const json_t **)(void *)out = value;
 	return 0;
 }
 
--- a/core/conf_fit.c
+++ b/core/conf_fit.c
@@ -179,7 +179,7 @@
 	}
 	for (i = 0; i < c->nmodels; i++)
 		order[i] = &c->models[i];
-	qsort(order, c->nmodels, sizeof(*order), compare_size);
+	qsort(order, c->nmodels, sizeof(void *), compare_size);
 	rv = fit_all(&f, order, e);
 	free(order);
 	free(f.used);
--- a/core/msg.c
+++ b/core/msg.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "msg.h"
+#include "hash.h"
 #include "mem.h"
 
 #define BODY(member)                                                           \
@@ -40,24 +41,49 @@
 	[MSG_SENDER_NONE] = { "sender-none", BODY(sender_none) },
 };
 
-struct msg *
-msg_create(enum msg_kind kind, const char *to)
+static struct msg *msg_sized(enum msg_kind, const char *, size_t);
+
+static struct msg *
+msg_sized(enum msg_kind kind, const char *to, size_t size)
 {
 	struct msg *m;
 
-	m = mem_alloc(msg_infos[kind].size);
+	m = mem_alloc(size);
+	m->size = size;
 	m->kind = kind;
 	snprintf(m->to, sizeof(m->to), "%s", to);
 	return m;
 }
 
+struct msg *
+msg_create(enum msg_kind kind, const char *to)
+{
+	return msg_sized(kind, to, msg_infos[kind].size);
+}
+
+struct msg *
+msg_create_table(enum msg_kind kind, const char *to, uint32_t nreplicas)
+{
+	size_t head = kind == MSG_CELL ? offsetof(struct msg, u.cell.replicas)
+				       : offsetof(struct msg, u.load.replicas);
+
+	return msg_sized(
+	    kind, to, head + nreplicas * sizeof(struct msg_replica));
+}
+
+uint64_t
+msg_replica_hash(const struct msg_replica *r)
+{
+	return hash_bytes(r, MSG_REPLICA_HEAD + r->nmodels * NAME_SIZE);
+}
+
 struct msg *
 msg_copy(const struct msg *src)
 {
 	struct msg *m;
 
-	m = mem_alloc(msg_infos[src->kind].size);
-	memcpy(m, src, msg_infos[src->kind].size);
+	m = mem_alloc(src->size);
+	memcpy(m, src, src->size);
 	if (src->kind == MSG_CONF_CHUNK && src->u.conf.bytes != NULL) {
 		m->u.conf.bytes = mem_alloc(src->u.conf.len + 1U);
 		memcpy(m->u.conf.bytes, src->u.conf.bytes, src->u.conf.len);
--- a/core/msg.h
+++ b/core/msg.h
@@ -234,6 +234,7 @@
 	enum msg_kind kind;
 	struct node_id from;
 	uint64_t seq;
+	size_t size; /* bytes allocated */
 	char to[ADDR_SIZE];
 	union {
 		struct msg_acquire acquire;
@@ -257,6 +258,10 @@
 
 TAILQ_HEAD(msg_list, msg);
 
+/* Bytes of a replica up to its last model, and a hash of them. */
+#define MSG_REPLICA_HEAD offsetof(struct msg_replica, models)
+uint64_t msg_replica_hash(const struct msg_replica *);
+
 #define METHOD_GET 1U
 #define METHOD_PUT 2U
 #define METHOD_DELETE 4U
@@ -266,6 +271,8 @@
 
 /* Allocates a zeroed message; only the part its kind uses is allocated. */
 struct msg *msg_create(enum msg_kind, const char *);
+/* A LOAD, LOAD_PULL or CELL with room for so many replicas. */
+struct msg *msg_create_table(enum msg_kind, const char *, uint32_t);
 struct msg *msg_copy(const struct msg *);
 void msg_destroy(struct msg *);
 const char *msg_name(enum msg_kind);
--- a/core/node_cell.c
+++ b/core/node_cell.c
@@ -174,7 +174,7 @@
 {
 	struct msg *m;
 
-	m = msg_create(MSG_LOAD, to);
+	m = msg_create_table(MSG_LOAD, to, whole ? s->table.nreplicas : 0);
 	memcpy(&m->u.load, &s->table, offsetof(struct msg_load, replicas));
 	m->u.load.whole = (uint32_t)whole;
 	if (whole)
@@ -294,13 +294,15 @@
 	s->owner = m->from;
 	s->load = l->load;
 	if (l->whole) {
-		s->table = *l;
+		memcpy(&s->table, l, offsetof(struct msg_load, replicas));
+		memcpy(s->table.replicas, l->replicas,
+		    l->nreplicas * sizeof(l->replicas[0]));
 		return;
 	}
 	if (l->version == s->table.version)
 		return;
 	s->table.fence = l->fence;
-	pull = msg_create(MSG_LOAD_PULL, m->from.addr);
+	pull = msg_create_table(MSG_LOAD_PULL, m->from.addr, 0);
 	memcpy(pull->u.load.cell, l->cell, sizeof(l->cell));
 	TAILQ_INSERT_TAIL(&out->msgs, pull, entry);
 }
--- a/core/node_gate.c
+++ b/core/node_gate.c
@@ -178,7 +178,7 @@
 	struct msg *m;
 
 	(void)n;
-	m = msg_create(MSG_CELL, to);
+	m = msg_create_table(MSG_CELL, to, s->table.nreplicas);
 	c = &m->u.cell;
 	memcpy(c->cell, s->table.cell, sizeof(c->cell));
 	c->version = seat_version(s);
--- a/core/node_int.h
+++ b/core/node_int.h
@@ -100,6 +100,7 @@
 	struct conf *next; /* the ticket's result */
 	struct chunk next_chunks[CONF_CHUNKS];
 	uint64_t next_nonce;
+	uint64_t ticket_expect; /* revision of the head it was applied to */
 	uint64_t ticket_number;
 	uint64_t retry_at;
 
--- a/core/node_ticket.c
+++ b/core/node_ticket.c
@@ -166,7 +166,7 @@
 	    (json_int_t)n->next->revision, "nonce", hex, "chunks", list);
 	n->ticket_op = ++n->ids.next;
 	op = kv_op_create(&out->kv, n->ticket_op, KV_CAS, "config/head");
-	op->expect = n->head_revision;
+	op->expect = n->ticket_expect;
 	op->value = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 }
@@ -185,6 +185,7 @@
 	if (n->conf->revision != n->head_seen)
 		return; /* peers know a later one; the head will follow */
 	drop_next(n);
+	n->ticket_expect = n->head_revision;
 	result = conf_apply(n->conf, t->doc, &n->next, &n->ticket_number, &e);
 	if (result != CONF_CHANGED) {
 		ticket_reply(n,
--- a/core/place.c
+++ b/core/place.c
@@ -3,6 +3,7 @@
 
 #include "place.h"
 
+#define USE_ANY 1e9    /* any utilization */
 #define GAIN_LEAST 0.5 /* slots of demand relieved, to be worth a move */
 
 struct scene {
@@ -23,7 +24,9 @@
 static int in_datacentre(
     const struct scene *, const struct place_model *, const char *);
 static struct place_move load_best(const struct scene *, uint32_t, double, int);
-static struct place_move make_room(const struct scene *, uint32_t);
+static struct place_move make_room(const struct scene *, uint32_t, int);
+static struct place_move migrate(const struct scene *, uint32_t);
+static struct place_move stuck(const struct scene *);
 static int may_unload(
     const struct scene *, const struct place_model *, uint32_t);
 static struct place_move need_copies(const struct scene *, int);
@@ -186,7 +189,7 @@
 
 /* Unloads the cheapest spare copy where the model would then fit. */
 static struct place_move
-make_room(const struct scene *s, uint32_t model)
+make_room(const struct scene *s, uint32_t model, int urgent)
 {
 	const struct place_model *want = &s->models[model];
 	const struct place_model *m;
@@ -199,7 +202,8 @@
 
 	for (i = 0; i < s->nmodels; i++) {
 		m = &s->models[i];
-		if (i == model || s->now < m->moved + s->config->hold_ns)
+		if (i == model ||
+		    (!urgent && s->now < m->moved + s->config->hold_ns))
 			continue;
 		for (k = 0; k < m->ncopies; k++) {
 			c = &m->copies[k];
@@ -225,6 +229,63 @@
 	return best;
 }
 
+/*
+ * Copies a smaller model to another backend server, so that its first copy
+ * can go later and the model at hand then fits.
+ */
+static struct place_move
+migrate(const struct scene *s, uint32_t model)
+{
+	const struct place_model *want = &s->models[model];
+	const struct place_model *m;
+	const struct place_copy *c;
+	struct place_move best = place_nothing;
+	struct place_move move;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->nmodels; i++) {
+		m = &s->models[i];
+		if (i == model || m->least == 0 ||
+		    (best.kind != PLACE_NOTHING &&
+			m->memory_mb >= s->models[best.model].memory_mb))
+			continue;
+		for (k = 0; k < m->ncopies; k++) {
+			c = &m->copies[k];
+			if (!c->resident || !want->allowed[c->backend] ||
+			    has_copy(want, c->backend) ||
+			    s->backends[c->backend].leaving)
+				continue;
+			if (s->backends[c->backend].left_mb[c->accelerator] +
+				m->memory_mb <
+			    want->memory_mb)
+				continue;
+			move = load_best(s, i, USE_ANY, 0);
+			if (move.kind != PLACE_NOTHING)
+				best = move;
+		}
+	}
+	return best;
+}
+
+/* A model that lacks a copy, though nothing can be done here. */
+static struct place_move
+stuck(const struct scene *s)
+{
+	struct place_move move = place_nothing;
+	uint32_t i;
+
+	for (i = 0; i < s->nmodels; i++) {
+		if (counted(s, &s->models[i]) >= s->models[i].least)
+			continue;
+		move.kind = PLACE_STUCK;
+		move.model = i;
+		if (counted(s, &s->models[i]) == 0)
+			break;
+	}
+	return move;
+}
+
 /* Models below their least copies; first those that nobody serves. */
 static struct place_move
 need_copies(const struct scene *s, int urgent)
@@ -239,10 +300,12 @@
 			continue;
 		if (urgent && counted(s, m) != 0)
 			continue;
-		move = load_best(s, i, 1e9, urgent);
+		move = load_best(s, i, USE_ANY, urgent);
 		if (move.kind != PLACE_NOTHING)
 			return move;
-		move = make_room(s, i);
+		move = make_room(s, i, urgent);
+		if (move.kind == PLACE_NOTHING)
+			move = migrate(s, i);
 		if (move.kind != PLACE_NOTHING)
 			return move;
 	}
@@ -298,7 +361,7 @@
 			continue;
 		move = load_best(s, i, s->config->low, 0);
 		if (move.kind == PLACE_NOTHING)
-			move = make_room(s, i);
+			move = make_room(s, i, 0);
 		/* Making room must cost less than it gains. */
 		if (move.kind == PLACE_NOTHING ||
 		    (move.kind == PLACE_UNLOAD && gain + move.gain <= 0.0))
@@ -329,6 +392,8 @@
 		move = need_copies(&s, 0);
 	if (move.kind == PLACE_NOTHING)
 		move = unload_unwanted(&s);
+	if (move.kind == PLACE_NOTHING)
+		move = stuck(&s);
 	if (move.kind == PLACE_NOTHING)
 		move = add_by_gain(&s);
 	return move;
--- a/core/place.h
+++ b/core/place.h
@@ -43,7 +43,8 @@
 enum place_kind {
 	PLACE_NOTHING,
 	PLACE_LOAD,
-	PLACE_UNLOAD
+	PLACE_UNLOAD,
+	PLACE_STUCK /* the model lacks a copy and nothing makes room */
 };
 
 struct place_move {
--- a/core/sched.c
+++ b/core/sched.c
@@ -347,7 +347,7 @@
 		s->totals.granted--;
 	}
 	job->gate->refs--;
-	HASH_DEL(s->jobs, job);
+	HASH_DEL(s->jobs, job); /* NOLINT(clang-analyzer-core.*) */
 	free(job);
 }
 
--- a/gate/front_parse.c
+++ b/gate/front_parse.c
@@ -13,7 +13,7 @@
 #define TOKENS_MAX 1000000
 #define PREFIX_BYTES 256
 #define RID_SEQ_BITS 36
-#define DEADLINE_MAX_MSEC (48ULL * 3600 * 1000)
+#define DEADLINE_MAX_MSEC (48ULL * 3600ULL * 1000ULL)
 #define SERVICE_DEADLINE_NS (5 * NSEC_PER_SEC)
 
 static const char *const class_names[CLASS__MAX] = {
@@ -25,7 +25,7 @@
 static const uint64_t class_deadlines_ns[CLASS__MAX] = {
 	[CLASS_INTERACTIVE] = 10 * NSEC_PER_SEC,
 	[CLASS_STANDARD] = 60 * NSEC_PER_SEC,
-	[CLASS_OVERNIGHT] = 8 * 3600 * NSEC_PER_SEC,
+	[CLASS_OVERNIGHT] = 8 * 3600ULL * NSEC_PER_SEC,
 };
 
 /* Request headers handed on to plain services. */
--- /dev/null
+++ b/scripts/tidy.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Lints the given files with the project's settings.
+exec clang-tidy --quiet "$@" -- -std=gnu11 -D_GNU_SOURCE -iquote core \
+    -iquote shell -iquote gate -iquote control -iquote ctl -iquote timeline \
+    -iquote standin -iquote tests 2>/dev/null
--- a/shell/bus.c
+++ b/shell/bus.c
@@ -15,7 +15,7 @@
 #define BUS_RING_SIZE 16384
 #define BUS_PEER_HWM 4096
 #define BUS_RECEIVE_HWM 16384
-#define BUS_MESSAGE_MAX (256 * 1024)
+#define BUS_MESSAGE_MAX 262144 /* bytes */
 #define BUS_BATCH 256 /* messages handled before looking at the other side */
 #define BUS_POLL_MSEC 200
 #define BUS_PEER_IDLE_NS (60 * NSEC_PER_SEC)
--- a/shell/call.c
+++ b/shell/call.c
@@ -68,7 +68,7 @@
 call_json(const char *addr, const char *path, struct err *e)
 {
 	json_t *doc = NULL;
-	char *text;
+	char *text = NULL;
 	int status;
 
 	status = call_http(addr, "GET", path, NULL, CALL_TOTAL_MSEC, &text, e);
--- a/shell/httpd.c
+++ b/shell/httpd.c
@@ -219,7 +219,8 @@
 	frame = mem_alloc(len + 24);
 	head = snprintf(frame, 24, "%zx\r\n", len);
 	memcpy(frame + head, buf, len);
-	memcpy(frame + head + len, "\r\n", 2);
+	frame[(size_t)head + len] = '\r';
+	frame[(size_t)head + len + 1] = '\n';
 	n = mg_write(req->conn, frame, (size_t)head + len + 2);
 	free(frame);
 	return n <= 0 ? -1 : 0;
@@ -250,7 +251,7 @@
 httpd_fd(const struct httpd_request *req)
 {
 	const struct mg_request_info *info = mg_get_request_info(req->conn);
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = { 0 };
 	struct in_addr want;
 	struct rlimit rl;
 	socklen_t len;
--- a/standin/fake_engine.c
+++ b/standin/fake_engine.c
@@ -38,6 +38,7 @@
 static int prompt_parse(const json_t *, int, struct prompt *);
 static void caller_gone(void *, uint64_t);
 static int break_now(void);
+static int serve(const char *, const struct batch_config *);
 
 void
 pause_ms(uint64_t ms)
@@ -306,8 +307,6 @@
 	void *table[] = { listen, service, fencing, store, load, memory, step,
 		per, prefill, most, help, end };
 	struct batch_config bc;
-	struct httpd_config hc;
-	struct err e;
 
 	load->ival[0] = 500;
 	memory->ival[0] = 80000;
@@ -322,7 +321,6 @@
 		arg_print_glossary(stdout, table, "  %-24s %s\n");
 		return help->count != 0 ? EX_OK : EX_USAGE;
 	}
-	cli_block_signals();
 	engine.service = service->count != 0;
 	engine.fencing = fencing->count != 0;
 	engine.load_ms = (uint64_t)load->ival[0];
@@ -333,11 +331,21 @@
 	bc.step_per_seq = per->dval[0];
 	bc.prefill_ms = prefill->dval[0];
 	bc.most = (uint32_t)most->ival[0];
-	engine.batch = batch_create(&bc);
+	return serve(listen->sval[0], &bc);
+}
+
+static int
+serve(const char *addr, const struct batch_config *bc)
+{
+	struct httpd_config hc;
+	struct err e;
+
+	cli_block_signals();
+	engine.batch = batch_create(bc);
 	engine.watch = watch_create(caller_gone, NULL);
 	orders_open();
 	memset(&hc, 0, sizeof(hc));
-	snprintf(hc.addr, sizeof(hc.addr), "%s", listen->sval[0]);
+	snprintf(hc.addr, sizeof(hc.addr), "%s", addr);
 	hc.threads = THREADS;
 	hc.body_max = BODY_MAX;
 	hc.handle = handle;
--- a/standin/load_trace.c
+++ b/standin/load_trace.c
@@ -62,7 +62,7 @@
 {
 	unsigned short seed[3] = { (unsigned short)c->seed,
 		(unsigned short)(c->seed >> 16), 17 };
-	double weights[LOAD_MODELS_MAX];
+	double weights[LOAD_MODELS_MAX] = { 0.0 };
 	struct shot *shots = NULL;
 	double sum = 0.0;
 	double t = 0.0;
--- a/standin/spindle_load.c
+++ b/standin/spindle_load.c
@@ -13,6 +13,7 @@
 
 #define NAME "spindle-load"
 #define GATES_DEFAULT 3
+#define ZIPF 0.9 /* exponent of the popularity of models */
 
 static uint32_t copy_list(struct arg_str *, char (*)[ADDR_SIZE], uint32_t);
 static void copy_models(struct arg_str *, struct load_config *);
@@ -67,106 +68,142 @@
 	return -1;
 }
 
-int
-main(int argc, char **argv)
+struct options {
+	struct arg_str *gate, *engine, *service, *model, *policy, *path;
+	struct arg_int *seed, *short_tokens, *long_tokens, *deadline;
+	struct arg_dbl *seconds, *rate, *swing, *lng, *cancel, *order, *whole;
+	struct arg_lit *demo, *help;
+	struct arg_end *end;
+};
+
+static void options_lists(struct options *);
+static void options_numbers(struct options *);
+static void options_fill(const struct options *, struct load_config *);
+static int run(const struct load_config *, int);
+
+static void
+options_lists(struct options *o)
 {
-	struct arg_str *gate =
+	o->gate =
 	    arg_strn("g", "gate", "IP:PORT", 0, LOAD_TARGETS_MAX, "gates");
-	struct arg_str *eng =
+	o->engine =
 	    arg_strn("e", "engine", "IP:PORT", 0, LOAD_TARGETS_MAX, "engines");
-	struct arg_str *svc = arg_strn("s", "service", "IP:PORT", 0,
-	    LOAD_TARGETS_MAX, "instances of the plain service");
-	struct arg_str *model = arg_strn("m", "model", "NAME", 1, 64,
+	o->service = arg_strn("s", "service", "IP:PORT", 0, LOAD_TARGETS_MAX,
+	    "instances of the plain service");
+	o->model = arg_strn("m", "model", "NAME", 1, 64,
 	    "models, or PREFIX:N for N numbered ones");
-	struct arg_str *policy = arg_str0(
+	o->policy = arg_str0(
 	    "p", "policy", "NAME", "gates, round-robin or least (gates)");
-	struct arg_int *seed = arg_int0("S", "seed", "N", "seed (1)");
-	struct arg_dbl *secs = arg_dbl0("d", "seconds", "N", "length (10)");
-	struct arg_dbl *rate = arg_dbl0("r", "rate", "N", "a second (20)");
-	struct arg_dbl *swing =
-	    arg_dbl0("w", "swing", "N", "rate factor in the middle (1)");
-	struct arg_dbl *lng = arg_dbl0("L", "long", "N", "share (0)");
-	struct arg_dbl *cancel = arg_dbl0("c", "cancel", "N", "share (0)");
-	struct arg_dbl *order = arg_dbl0("o", "orders", "N", "share (0)");
-	struct arg_dbl *whole = arg_dbl0("W", "whole", "N", "share (0)");
-	struct arg_int *st =
+	o->path = arg_str0(NULL, "path", "PATH", "of orders (/shop/orders)");
+	o->policy->sval[0] = "gates";
+	o->path->sval[0] = "/shop/orders";
+}
+
+static void
+options_numbers(struct options *o)
+{
+	o->seed = arg_int0("S", "seed", "N", "seed (1)");
+	o->seconds = arg_dbl0("d", "seconds", "N", "length (10)");
+	o->rate = arg_dbl0("r", "rate", "N", "a second (20)");
+	o->swing = arg_dbl0("w", "swing", "N", "rate factor in the middle (1)");
+	o->lng = arg_dbl0("L", "long", "N", "share (0)");
+	o->cancel = arg_dbl0("c", "cancel", "N", "share (0)");
+	o->order = arg_dbl0("o", "orders", "N", "share (0)");
+	o->whole = arg_dbl0("W", "whole", "N", "share (0)");
+	o->short_tokens =
 	    arg_int0(NULL, "short-tokens", "N", "mean length (40)");
-	struct arg_int *lt =
+	o->long_tokens =
 	    arg_int0(NULL, "long-tokens", "N", "mean length (600)");
-	struct arg_int *dl =
-	    arg_int0("D", "deadline-ms", "N", "of short work (4000)");
-	struct arg_str *path =
-	    arg_str0(NULL, "path", "PATH", "of orders (/shop/orders)");
-	struct arg_lit *demo =
-	    arg_lit0(NULL, "demo", "end with the demo's line");
-	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { gate, eng, svc, model, policy, seed, secs, rate,
-		swing, lng, cancel, order, whole, st, lt, dl, path, demo, help,
-		end };
-	static struct load_config c;
+	o->deadline = arg_int0("D", "deadline-ms", "N", "of short work (4000)");
+	o->demo = arg_lit0(NULL, "demo", "end with the demo's line");
+	o->help = arg_lit0("h", "help", "print this help");
+	o->end = arg_end(8);
+	o->seed->ival[0] = 1;
+	o->seconds->dval[0] = 10.0;
+	o->rate->dval[0] = 20.0;
+	o->swing->dval[0] = 1.0;
+	o->lng->dval[0] = o->cancel->dval[0] = 0.0;
+	o->order->dval[0] = o->whole->dval[0] = 0.0;
+	o->short_tokens->ival[0] = 40;
+	o->long_tokens->ival[0] = 600;
+	o->deadline->ival[0] = 4000;
+}
+
+static void
+options_fill(const struct options *o, struct load_config *c)
+{
+	c->seed = (uint64_t)o->seed->ival[0];
+	c->seconds = o->seconds->dval[0];
+	c->rate = o->rate->dval[0];
+	c->swing = o->swing->dval[0];
+	c->long_share = o->lng->dval[0];
+	c->cancel_share = o->cancel->dval[0];
+	c->order_share = o->order->dval[0];
+	c->whole_share = o->whole->dval[0];
+	c->zipf = ZIPF;
+	c->short_tokens = (uint32_t)o->short_tokens->ival[0];
+	c->long_tokens = (uint32_t)o->long_tokens->ival[0];
+	c->deadline_ms = (uint64_t)o->deadline->ival[0];
+	snprintf(
+	    c->service_path, sizeof(c->service_path), "%s", o->path->sval[0]);
+	copy_models(o->model, c);
+	c->ntargets = copy_list(o->gate, c->targets, LOAD_TARGETS_MAX);
+	c->nengines = copy_list(o->engine, c->engines, LOAD_TARGETS_MAX);
+	c->nservices = copy_list(o->service, c->services, LOAD_TARGETS_MAX);
+	c->ngates = c->policy == POLICY_GATES ? c->ntargets : GATES_DEFAULT;
+}
+
+static int
+run(const struct load_config *c, int demo)
+{
 	struct load_totals t;
 	struct shot *shots;
 	json_t *doc = json_object();
+	uint32_t lost;
 	size_t n;
 	char *text;
 
-	seed->ival[0] = 1;
-	secs->dval[0] = 10.0;
-	rate->dval[0] = 20.0;
-	swing->dval[0] = 1.0;
-	lng->dval[0] = cancel->dval[0] = order->dval[0] = 0.0;
-	whole->dval[0] = 0.0;
-	st->ival[0] = 40;
-	lt->ival[0] = 600;
-	dl->ival[0] = 4000;
-	policy->sval[0] = "gates";
-	path->sval[0] = "/shop/orders";
-	if (arg_parse(argc, argv, table) != 0 || help->count != 0 ||
-	    parse_policy(policy->sval[0], &c.policy) == -1) {
+	shots = load_trace(c, &n);
+	load_run(c, shots, n);
+	load_report(c, shots, n, &t, doc);
+	lost = t.ends[END_LOST] + t.ends[END_FAILED] + t.ends[END_UNKNOWN];
+	text = json_dumps(doc, JSON_INDENT(1) | JSON_SORT_KEYS);
+	printf("%s\n", text);
+	if (demo)
+		printf("demo: %u requests, %u answered, %u cancelled, "
+		       "%u not run, %u lost, %u doubled\n",
+		    t.requests, t.ends[END_ANSWERED], t.ends[END_CANCELLED],
+		    t.ends[END_NOT_RUN], lost, t.doubled);
+	free(text);
+	free(shots);
+	json_decref(doc);
+	return lost + t.doubled == 0 ? EX_OK : EX_SOFTWARE;
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct load_config c;
+	struct options o;
+
+	options_lists(&o);
+	options_numbers(&o);
+	void *table[] = { o.gate, o.engine, o.service, o.model, o.policy,
+		o.path, o.seed, o.seconds, o.rate, o.swing, o.lng, o.cancel,
+		o.order, o.whole, o.short_tokens, o.long_tokens, o.deadline,
+		o.demo, o.help, o.end };
+	if (arg_parse(argc, argv, table) != 0 || o.help->count != 0 ||
+	    parse_policy(o.policy->sval[0], &c.policy) == -1) {
 		printf("usage: %s", NAME);
 		arg_print_syntax(stdout, table, "\n");
 		arg_print_glossary(stdout, table, "  %-24s %s\n");
-		return help->count != 0 ? EX_OK : EX_USAGE;
+		return o.help->count != 0 ? EX_OK : EX_USAGE;
 	}
 	cli_block_signals();
-	c.seed = (uint64_t)seed->ival[0];
-	c.seconds = secs->dval[0];
-	c.rate = rate->dval[0];
-	c.swing = swing->dval[0];
-	c.long_share = lng->dval[0];
-	c.cancel_share = cancel->dval[0];
-	c.order_share = order->dval[0];
-	c.whole_share = whole->dval[0];
-	c.zipf = 0.9;
-	c.short_tokens = (uint32_t)st->ival[0];
-	c.long_tokens = (uint32_t)lt->ival[0];
-	c.deadline_ms = (uint64_t)dl->ival[0];
-	snprintf(c.service_path, sizeof(c.service_path), "%s", path->sval[0]);
-	copy_models(model, &c);
-	c.ntargets = copy_list(gate, c.targets, LOAD_TARGETS_MAX);
-	c.nengines = copy_list(eng, c.engines, LOAD_TARGETS_MAX);
-	c.nservices = copy_list(svc, c.services, LOAD_TARGETS_MAX);
-	c.ngates = c.policy == POLICY_GATES ? c.ntargets : GATES_DEFAULT;
+	options_fill(&o, &c);
 	if (c.ngates == 0) {
 		fprintf(stderr, "%s: no gates given; use -g\n", NAME);
 		return EX_USAGE;
 	}
-	shots = load_trace(&c, &n);
-	load_run(&c, shots, n);
-	load_report(&c, shots, n, &t, doc);
-	text = json_dumps(doc, JSON_INDENT(1) | JSON_SORT_KEYS);
-	printf("%s\n", text);
-	if (demo->count != 0)
-		printf("demo: %u requests, %u answered, %u cancelled, "
-		       "%u not run, %u lost, %u doubled\n",
-		    t.requests, t.ends[END_ANSWERED], t.ends[END_CANCELLED],
-		    t.ends[END_NOT_RUN], t.ends[END_LOST] + t.ends[END_FAILED],
-		    t.doubled);
-	free(text);
-	free(shots);
-	json_decref(doc);
-	return t.ends[END_LOST] + t.ends[END_FAILED] + t.doubled == 0
-	    ? EX_OK
-	    : EX_SOFTWARE;
+	return run(&c, o.demo->count != 0);
 }
--- /dev/null
+++ b/tests/lossy.h
@@ -0,0 +1,85 @@
+/*
+ * A queue that drops, delays, duplicates and reorders, in virtual time; the
+ * only model of a network that the fuzzers have.
+ */
+#ifndef LOSSY_H
+#define LOSSY_H
+
+#include <cstdint>
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <utility>
+
+template <typename T> class Lossy
+{
+public:
+	struct Faults {
+		double drop = 0.0;
+		double duplicate = 0.0;
+		uint64_t delay = 0; /* longest, nanoseconds */
+	};
+
+	Faults faults;
+
+	Lossy(uint64_t seed, T (*copy)(T), void (*destroy)(T)) :
+	    copy_(copy), destroy_(destroy)
+	{
+		seed_[0] = (unsigned short)seed;
+		seed_[1] = (unsigned short)(seed >> 16);
+		seed_[2] = 7;
+	}
+
+	~Lossy()
+	{
+		for (auto &p : items_)
+			destroy_(p.second.second);
+	}
+
+	double
+	random()
+	{
+		return erand48(seed_);
+	}
+
+	void
+	send(uint64_t now, const std::string &to, T item)
+	{
+		if (random() < faults.duplicate)
+			put(now, to, copy_(item));
+		if (random() < faults.drop)
+			destroy_(item);
+		else
+			put(now, to, item);
+	}
+
+	/* Takes the next item that is due; false when there is none. */
+	bool
+	next(uint64_t now, std::string *to, T *item)
+	{
+		auto it = items_.begin();
+
+		if (it == items_.end() || it->first > now)
+			return false;
+		*to = it->second.first;
+		*item = it->second.second;
+		items_.erase(it);
+		return true;
+	}
+
+private:
+	void
+	put(uint64_t now, const std::string &to, T item)
+	{
+		uint64_t at = now + (uint64_t)(random() * (double)faults.delay);
+
+		items_.emplace(at, std::make_pair(to, item));
+	}
+
+	unsigned short seed_[3];
+	T (*copy_)(T);
+	void (*destroy_)(T);
+	std::multimap<uint64_t, std::pair<std::string, T>> items_;
+};
+
+#endif
