--- a/core/member.c
+++ b/core/member.c
@@ -549,8 +549,11 @@
 uint64_t
 member_incarnation(const struct member *m, const char *addr)
 {
-	const struct peer *p = peer_find(m, addr);
+	const struct peer *p;
 
+	if (strcmp(addr, m->self.addr) == 0)
+		return m->self.incarnation;
+	p = peer_find(m, addr);
 	return p == NULL ? 0 : p->info.id.incarnation;
 }
 
