--- a/Makefile
+++ b/Makefile
@@ -92,3 +92,26 @@
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(BUILD)/tests/unit.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lcunit
+
+check: deps
+	@python3 scripts/check.py
+
+SEED = 1
+CASES = 20000
+fuzz: deps $(BUILD)/fuzz_serving $(BUILD)/fuzz_state
+	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_serving
+	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_state
+
+mutate: deps
+	@python3 tests/mutate.py
+
+bench: deps all
+	@python3 bench/bench.py
+
+slopes: deps $(BUILD)/slopes
+	@$(BUILD)/slopes
+
+$(BUILD)/slopes: $(BUILD)/bench/slopes.o $(LIBS)
+	$(link)
+
+.PHONY: check fuzz mutate bench slopes
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -34,6 +34,7 @@
     struct board *, const char *, const char *, uint64_t);
 static void add_copies(
     const struct cell_core *, const char *, const char *, struct place_model *);
+static int may_hold(const struct unit *, const struct conf_model *);
 static int in_board(const struct board *, const char *, const char *);
 static int do_move(struct cell_core *, uint64_t, const struct board *,
     const struct place_move *, struct cell_out *);
@@ -227,6 +228,17 @@
 	}
 }
 
+/* A copy that is being unloaded must be gone before another may come. */
+static int
+may_hold(const struct unit *u, const struct conf_model *m)
+{
+	const struct ledger_entry *en;
+
+	en = ledger_model(planned(u), m->name, m->version);
+	return u->declared && conf_allows(m, &u->conf) &&
+	    (en == NULL || en->state != ENTRY_UNLOADING);
+}
+
 static void
 board_declared(struct cell_core *c, uint64_t now, struct board *b)
 {
@@ -251,9 +263,7 @@
 			pm->elsewhere =
 			    c->env.elsewhere(c->env.ctx, m->name, c->name);
 		for (k = 0; k < c->nunits; k++)
-			pm->allowed[k] =
-			    (char)conf_allows(m, &c->units[k]->conf) &&
-			    c->units[k]->declared;
+			pm->allowed[k] = (char)may_hold(c->units[k], m);
 		add_copies(c, m->name, m->version, pm);
 	}
 }
@@ -516,6 +526,8 @@
 			u = c->units[k];
 			if (u->spare_used || !cell_delegated(c, u) ||
 			    !conf_allows(m, &u->conf) ||
+			    ledger_model(&u->ledger, m->name, m->version) !=
+				NULL ||
 			    !unit_fresh(c, u, now) || u->engine == 0 ||
 			    u->ledger.delegation.memory_mb < m->memory_mb)
 				continue;
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -210,7 +210,9 @@
 {
 	struct ledger_entry *en;
 
+	/* Orders name the model: a second entry would share its fate. */
 	if (l->n == LEDGER_ENTRIES_MAX ||
+	    ledger_model(l, m->name, m->version) != NULL ||
 	    ledger_left(l, accelerator) < m->memory_mb)
 		return NULL;
 	en = &l->entries[l->n++];
@@ -238,14 +240,14 @@
 }
 
 struct ledger_entry *
-ledger_model(struct ledger *l, const char *model, const char *version)
+ledger_model(const struct ledger *l, const char *model, const char *version)
 {
 	uint32_t i;
 
 	for (i = 0; i < l->n; i++) {
 		if (strcmp(l->entries[i].model, model) == 0 &&
 		    strcmp(l->entries[i].version, version) == 0)
-			return &l->entries[i];
+			return (struct ledger_entry *)&l->entries[i];
 	}
 	return NULL;
 }
--- a/core/ledger.h
+++ b/core/ledger.h
@@ -69,11 +69,15 @@
 int ledger_parse(struct ledger *, const char *, struct err *);
 /* Memory not promised on an accelerator. */
 uint64_t ledger_left(const struct ledger *, uint32_t);
-/* Promises memory to a model; NULL when it does not fit. */
+/*
+ * Promises memory to a model; NULL when it has an entry
+ * or does not fit.
+ */
 struct ledger_entry *ledger_add(struct ledger *, const struct conf_model *,
     uint32_t, const struct node_id *);
 struct ledger_entry *ledger_find(struct ledger *, uint64_t);
-struct ledger_entry *ledger_model(struct ledger *, const char *, const char *);
+struct ledger_entry *ledger_model(
+    const struct ledger *, const char *, const char *);
 void ledger_remove(struct ledger *, uint64_t);
 /* Notes that a process may send orders for the entry. */
 int ledger_sender(struct ledger_entry *, const struct node_id *);
--- a/core/own.c
+++ b/core/own.c
@@ -220,6 +220,7 @@
 		return;
 	}
 	o->lease = r->lease;
+	o->claim = 0;
 	o->lease_deadline = o->sent_at + o->config.ttl_s * NSEC_PER_SEC;
 	op = own_send(o, now, OWN_LOCK, KV_CAS, "lease", out);
 	op->expect = 0;
--- /dev/null
+++ b/scripts/check.py
@@ -0,0 +1,103 @@
+"""All checks; prints "N passed, N failed" last.
+
+Builds, formatter and linter, unit tests, fuzzers with fixed seeds, process
+tests, documents; then unit tests and fuzzers once more under AddressSanitizer
+and UBSan, and the threaded modules under ThreadSanitizer.
+"""
+import os
+import re
+import subprocess
+import sys
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+JOBS = str(os.cpu_count() or 4)
+THREADED = ["ring", "fetch", "shell"]
+SERVING_CASES, STATE_CASES = 3000, 400
+COUNT = re.compile(r"(?:result: )?(\d+) passed, (\d+) failed$")
+
+counts = {"passed": 0, "failed": 0}
+
+
+def run(args, env=None, timeout=1500):
+    proc = subprocess.run(
+        args, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+        text=True, errors="replace", timeout=timeout, check=False,
+        env=dict(os.environ, **(env or {})))
+    return proc.returncode, proc.stdout
+
+
+def step(name, args, env=None):
+    """One check, or a program that ends with its own counts."""
+    start = time.monotonic()
+    status, text = run(args, env)
+    found = None
+    for line in text.splitlines():
+        found = COUNT.search(line.strip()) or found
+    passed, failed = (int(n) for n in found.groups()) if found else (
+        int(status == 0), int(status != 0))
+    if status != 0 and failed == 0:
+        failed = 1
+    counts["passed"] += passed
+    counts["failed"] += failed
+    print("%-28s %6.1f s  %d passed, %d failed" % (
+        name, time.monotonic() - start, passed, failed), flush=True)
+    if failed or "known red" in text:
+        print("\n".join(text.splitlines()[-60:]), flush=True)
+    return failed == 0
+
+
+def make(build, san, targets):
+    return ["make", "-s", "-j" + JOBS, "BUILD=" + build,
+            "SAN=" + san] + targets
+
+
+def units():
+    names = sorted(f[5:-2] for f in os.listdir(os.path.join(ROOT, "tests"))
+                   if re.fullmatch(r"test_\w+\.c", f))
+    return names
+
+
+def fuzz(build, serving, state, what=""):
+    env = {"ASAN_OPTIONS": "detect_leaks=0"}
+    step("fuzz serving" + what, [build + "/fuzz_serving"], dict(
+        env, RC_PARAMS="seed=1 max_success=%d" % serving))
+    step("fuzz state" + what, [build + "/fuzz_state"], dict(
+        env, RC_PARAMS="seed=1 max_success=%d" % state))
+
+
+def sanitized():
+    build = "build/asan"
+    san = "-fsanitize=address,undefined -fno-sanitize-recover=undefined"
+    targets = [build + "/test_" + n for n in units()] + [
+        build + "/fuzz_serving", build + "/fuzz_state"]
+    if step("build, asan ubsan", make(build, san, targets)):
+        for name in units():
+            step("asan " + name, [build + "/test_" + name])
+        fuzz(build, SERVING_CASES // 10, STATE_CASES // 10, ", asan")
+    build = "build/tsan"
+    names = [n for n in THREADED if n in units()]
+    targets = [build + "/test_" + n for n in names]
+    if step("build, tsan", make(build, "-fsanitize=thread", targets)):
+        for name in names:
+            step("tsan " + name, [build + "/test_" + name], {
+                "TSAN_OPTIONS": "suppressions=%s/tests/tsan.supp "
+                "halt_on_error=1" % ROOT})
+
+
+def main():
+    targets = ["all"] + ["build/test_" + n for n in units()] + [
+        "build/fuzz_serving", "build/fuzz_state"]
+    if step("build", make("build", "", targets)):
+        step("formatter and linter", ["make", "-s", "lint"])
+        for name in units():
+            step("unit " + name, ["build/test_" + name])
+        step("documents", [sys.executable, "tests/documents.py"])
+        fuzz("build", SERVING_CASES, STATE_CASES)
+        step("processes", [sys.executable, "tests/process.py"])
+        sanitized()
+    print("%(passed)d passed, %(failed)d failed" % counts)
+    return counts["failed"] != 0
+
+
+sys.exit(main())
--- a/shell/httpd.c
+++ b/shell/httpd.c
@@ -12,6 +12,7 @@
 
 #define HTTPD_HEAD_SIZE 2048
 #define HTTPD_FD_MAX 65536
+#define HTTPD_DISCARD_MAX (64U << 20) /* bytes */
 #define HTTPD_READ_SIZE 16384
 #define FIRST_FD 3
 
@@ -22,6 +23,7 @@
 };
 
 static int httpd_handle(struct mg_connection *, void *);
+static void httpd_discard(struct mg_connection *);
 static int httpd_read_body(struct httpd *, struct httpd_request *);
 static void httpd_head(
     struct httpd_request *, int, const char *, const char *, const char *);
@@ -115,6 +117,18 @@
 	return req->len > h->config.body_max ? -1 : 0;
 }
 
+/* Reads on so that the peer gets the answer before the connection ends. */
+static void
+httpd_discard(struct mg_connection *conn)
+{
+	char buf[HTTPD_READ_SIZE];
+	size_t left = HTTPD_DISCARD_MAX;
+	int n;
+
+	while (left >= sizeof(buf) && (n = mg_read(conn, buf, sizeof(buf))) > 0)
+		left -= (size_t)n;
+}
+
 static int
 httpd_handle(struct mg_connection *conn, void *arg)
 {
@@ -130,6 +144,7 @@
 	if (httpd_read_body(h, &req) == -1) {
 		if (h->config.bad != NULL)
 			h->config.bad(h->config.ctx, "body too large");
+		httpd_discard(conn);
 		httpd_reply_error(&req, 413, "not-run-too-large",
 		    "the body is larger than this process takes; send less",
 		    "");
--- /dev/null
+++ b/tests/test_fetch.c
@@ -0,0 +1,258 @@
+/*
+ * HTTP out against a raw peer: how far a broken request got, and that a
+ * request that must not be written twice is not.
+ */
+#include <arpa/inet.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base.h"
+#include "fetch.h"
+#include "unit.h"
+
+#define WAIT_MSEC 3000
+
+struct peer {
+	int listener;
+	int port;
+	int requests; /* request heads read */
+	int answer;   /* requests answered before connections are cut */
+	int stop;
+	pthread_t thread;
+};
+
+struct news {
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	int ended;
+	struct fetch_event last;
+	char body[64];
+	size_t len;
+};
+
+static void peer_open(struct peer *, int);
+static void peer_close(struct peer *);
+static void *peer_run(void *);
+static void peer_serve(struct peer *, int);
+static void on_event(void *, const struct fetch_event *);
+static void get(struct fetch *, struct news *, int, int);
+static void test_answer(void);
+static void test_refused(void);
+static void test_written(void);
+static void test_once(void);
+static void test_reuse_repeats(void);
+
+static struct news news = { PTHREAD_MUTEX_INITIALIZER, PTHREAD_COND_INITIALIZER,
+	0, { 0 }, "", 0 };
+
+/* Reads requests on one connection; answers while it may, then cuts. */
+static void
+peer_serve(struct peer *p, int fd)
+{
+	static const char reply[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	char buf[4096];
+	ssize_t n;
+
+	while ((n = read(fd, buf, sizeof(buf) - 1)) > 0) {
+		buf[n] = '\0';
+		if (strstr(buf, "\r\n\r\n") == NULL)
+			continue;
+		if (__atomic_add_fetch(&p->requests, 1, __ATOMIC_RELAXED) >
+		    p->answer)
+			break;
+		if (write(fd, reply, sizeof(reply) - 1) <= 0)
+			break;
+	}
+	close(fd);
+}
+
+static void *
+peer_run(void *arg)
+{
+	struct peer *p = arg;
+	struct pollfd pfd = { p->listener, POLLIN, 0 };
+	int fd;
+
+	while (!__atomic_load_n(&p->stop, __ATOMIC_ACQUIRE)) {
+		if (poll(&pfd, 1, 50) <= 0)
+			continue;
+		fd = accept(p->listener, NULL, NULL);
+		if (fd != -1)
+			peer_serve(p, fd);
+	}
+	return NULL;
+}
+
+static void
+peer_open(struct peer *p, int answer)
+{
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+
+	memset(p, 0, sizeof(*p));
+	memset(&sin, 0, sizeof(sin));
+	p->answer = answer;
+	sin.sin_family = AF_INET;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	p->listener = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(
+	    bind(p->listener, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	getsockname(p->listener, (struct sockaddr *)&sin, &len);
+	p->port = ntohs(sin.sin_port);
+	listen(p->listener, 8);
+	pthread_create(&p->thread, NULL, peer_run, p);
+}
+
+static void
+peer_close(struct peer *p)
+{
+	__atomic_store_n(&p->stop, 1, __ATOMIC_RELEASE);
+	pthread_join(p->thread, NULL);
+	close(p->listener);
+}
+
+static void
+on_event(void *arg, const struct fetch_event *ev)
+{
+	(void)arg;
+	pthread_mutex_lock(&news.lock);
+	if (ev->news == FETCH_NEWS_DATA &&
+	    news.len + ev->len < sizeof(news.body)) {
+		memcpy(news.body + news.len, ev->bytes, ev->len);
+		news.len += ev->len;
+		news.body[news.len] = '\0';
+	}
+	if (ev->news == FETCH_NEWS_END || ev->news == FETCH_NEWS_FAIL) {
+		news.last = *ev;
+		news.ended = 1;
+		pthread_cond_signal(&news.cond);
+	}
+	pthread_mutex_unlock(&news.lock);
+}
+
+/* POSTs once and waits for the end. */
+static void
+get(struct fetch *f, struct news *n, int port, int once)
+{
+	static uint64_t id;
+	struct fetch_spec spec;
+	char url[64];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/", port);
+	memset(&spec, 0, sizeof(spec));
+	spec.id = ++id;
+	spec.url = url;
+	spec.method = "POST";
+	spec.body = "x";
+	spec.len = 1;
+	spec.once = once;
+	spec.connect_ms = WAIT_MSEC;
+	spec.total_ms = WAIT_MSEC;
+	n->ended = 0;
+	n->len = 0;
+	fetch_start(f, &spec);
+	pthread_mutex_lock(&n->lock);
+	while (!n->ended)
+		pthread_cond_wait(&n->cond, &n->lock);
+	pthread_mutex_unlock(&n->lock);
+}
+
+static void
+test_answer(void)
+{
+	struct fetch *f = fetch_create(on_event, NULL);
+	struct peer p;
+
+	peer_open(&p, 9);
+	get(f, &news, p.port, 0);
+	CU_ASSERT_EQUAL(news.last.news, FETCH_NEWS_END);
+	CU_ASSERT_EQUAL(news.last.status, 200);
+	CU_ASSERT_STRING_EQUAL(news.body, "ok");
+	fetch_destroy(f);
+	peer_close(&p);
+}
+
+static void
+test_refused(void)
+{
+	struct fetch *f = fetch_create(on_event, NULL);
+	struct peer p;
+
+	peer_open(&p, 0);
+	peer_close(&p);
+	get(f, &news, p.port, 1);
+	CU_ASSERT_EQUAL(news.last.news, FETCH_NEWS_FAIL);
+	CU_ASSERT(!news.last.connected);
+	CU_ASSERT(!news.last.written);
+	fetch_destroy(f);
+}
+
+static void
+test_written(void)
+{
+	struct fetch *f = fetch_create(on_event, NULL);
+	struct peer p;
+
+	peer_open(&p, 0);
+	get(f, &news, p.port, 1);
+	CU_ASSERT_EQUAL(news.last.news, FETCH_NEWS_FAIL);
+	CU_ASSERT(news.last.written);
+	CU_ASSERT_EQUAL(p.requests, 1);
+	fetch_destroy(f);
+	peer_close(&p);
+}
+
+/* After an answered request its connection could be reused; it must not. */
+static void
+test_once(void)
+{
+	struct fetch *f = fetch_create(on_event, NULL);
+	struct peer p;
+
+	peer_open(&p, 1);
+	get(f, &news, p.port, 0);
+	CU_ASSERT_EQUAL(news.last.news, FETCH_NEWS_END);
+	/*
+	 * The peer serves one connection at a time, so the second request
+	 * reaches it only if the first connection was given up or reused.
+	 */
+	get(f, &news, p.port, 1);
+	CU_ASSERT_EQUAL(news.last.news, FETCH_NEWS_FAIL);
+	CU_ASSERT(p.requests <= 2);
+	fetch_destroy(f);
+	peer_close(&p);
+}
+
+/*
+ * The reason for the rule: on a reused connection that breaks, libcurl
+ * writes the request a second time.
+ */
+static void
+test_reuse_repeats(void)
+{
+	struct fetch *f = fetch_create(on_event, NULL);
+	struct peer p;
+
+	peer_open(&p, 1);
+	get(f, &news, p.port, 0);
+	get(f, &news, p.port, 0);
+	CU_ASSERT_EQUAL(p.requests, 3);
+	fetch_destroy(f);
+	peer_close(&p);
+}
+
+static const struct unit_case cases[] = {
+	{ "answer", test_answer },
+	{ "connection refused", test_refused },
+	{ "cut after writing", test_written },
+	{ "written at most once", test_once },
+	{ "reuse would write twice", test_reuse_repeats },
+};
+
+UNIT_MAIN("fetch", cases)
--- /dev/null
+++ b/tests/test_ledger.c
@@ -0,0 +1,273 @@
+/* Memory ledgers, and placement on them. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "ledger.h"
+#include "place.h"
+#include "unit.h"
+
+static const struct node_id self = { "10.0.0.1:1", 1 };
+static const struct node_id other = { "10.0.0.2:1", 2 };
+
+static void setup(struct ledger *);
+static struct conf_model model(const char *, uint64_t);
+static int gone(void *, const struct node_id *);
+static struct place_backend backend(uint64_t);
+static struct place_model wanted(const char *, uint64_t);
+static void copy(struct place_model *, uint32_t);
+static void test_counts(void);
+static void test_one_entry(void);
+static void test_round_trip(void);
+static void test_malformed(void);
+static void test_senders(void);
+static void test_place_first(void);
+static void test_place_last_copy(void);
+static void test_place_gain(void);
+static void test_place_hysteresis(void);
+
+static void
+setup(struct ledger *l)
+{
+	struct conf_backend b;
+
+	memset(&b, 0, sizeof(b));
+	strcpy(b.name, "e1");
+	b.naccelerators = 1;
+	b.memory_mb[0] = 100;
+	b.adapter_pool_mb = 10;
+	memset(l, 0, sizeof(*l));
+	ledger_capacity(l, &b);
+}
+
+static struct conf_model
+model(const char *name, uint64_t mb)
+{
+	struct conf_model m;
+
+	memset(&m, 0, sizeof(m));
+	strcpy(m.name, name);
+	strcpy(m.version, "1");
+	m.memory_mb = mb;
+	return m;
+}
+
+/* Every state and the delegation count in full. */
+static void
+test_counts(void)
+{
+	struct conf_model a = model("a", 40);
+	struct conf_model b = model("b", 40);
+	struct ledger l;
+
+	setup(&l);
+	CU_ASSERT_EQUAL(ledger_left(&l, 0), 90);
+	CU_ASSERT_PTR_NOT_NULL(ledger_add(&l, &a, 0, &self));
+	CU_ASSERT_EQUAL(ledger_left(&l, 0), 50);
+	ledger_model(&l, "a", "1")->state = ENTRY_UNLOADING;
+	CU_ASSERT_EQUAL(ledger_left(&l, 0), 50);
+	l.delegation.owner = self;
+	l.delegation.memory_mb = 20;
+	CU_ASSERT_EQUAL(ledger_left(&l, 0), 30);
+	CU_ASSERT_PTR_NULL(ledger_add(&l, &b, 0, &self));
+	CU_ASSERT_PTR_NULL(ledger_add(&l, &b, 1, &self));
+}
+
+static void
+test_one_entry(void)
+{
+	struct conf_model a = model("a", 10);
+	struct ledger l;
+
+	setup(&l);
+	CU_ASSERT_PTR_NOT_NULL(ledger_add(&l, &a, 0, &self));
+	CU_ASSERT_PTR_NULL(ledger_add(&l, &a, 0, &self));
+	strcpy(a.version, "2");
+	CU_ASSERT_PTR_NOT_NULL(ledger_add(&l, &a, 0, &self));
+}
+
+static void
+test_round_trip(void)
+{
+	struct conf_model a = model("a", 40);
+	struct ledger l;
+	struct ledger copy;
+	struct err e;
+	char *text;
+
+	setup(&l);
+	ledger_add(&l, &a, 0, &self);
+	l.fence = 7;
+	l.engine = 123456789012345;
+	l.delegation.owner = other;
+	l.delegation.memory_mb = 5;
+	text = ledger_dump(&l);
+	setup(&copy);
+	CU_ASSERT_EQUAL(ledger_parse(&copy, text, &e), 0);
+	CU_ASSERT_EQUAL(copy.n, 1);
+	CU_ASSERT_EQUAL(copy.fence, 7);
+	CU_ASSERT_EQUAL(copy.engine, 123456789012345);
+	CU_ASSERT_EQUAL(copy.entries[0].id, l.entries[0].id);
+	CU_ASSERT_EQUAL(copy.entries[0].nsenders, 1);
+	CU_ASSERT_STRING_EQUAL(copy.delegation.owner.addr, other.addr);
+	CU_ASSERT_EQUAL(ledger_left(&copy, 0), ledger_left(&l, 0));
+	free(text);
+}
+
+static void
+test_malformed(void)
+{
+	struct ledger l;
+	struct err e;
+
+	setup(&l);
+	CU_ASSERT_EQUAL(ledger_parse(&l, "{\"entries\":[{\"id\":1}]}", &e), -1);
+	CU_ASSERT_EQUAL(e.kind, ERR_FORMAT);
+	CU_ASSERT_PTR_NOT_NULL(strstr(e.text, "e1"));
+}
+
+static int
+gone(void *arg, const struct node_id *id)
+{
+	(void)arg;
+	return id->incarnation == other.incarnation;
+}
+
+/* An entry is this process's alone once the others are known gone. */
+static void
+test_senders(void)
+{
+	struct conf_model a = model("a", 40);
+	struct ledger_entry *en;
+	struct ledger l;
+
+	setup(&l);
+	en = ledger_add(&l, &a, 0, &other);
+	ledger_sender(en, &self);
+	ledger_sender(en, &self);
+	CU_ASSERT_EQUAL(en->nsenders, 2);
+	CU_ASSERT(!ledger_only(en, &self));
+	ledger_clear_senders(&l, gone, NULL);
+	CU_ASSERT(ledger_only(en, &self));
+}
+
+static struct place_backend
+backend(uint64_t left)
+{
+	struct place_backend b;
+
+	memset(&b, 0, sizeof(b));
+	b.datacentre = "d";
+	b.usable = 1;
+	b.slots = 10;
+	b.naccelerators = 1;
+	b.left_mb[0] = left;
+	return b;
+}
+
+static struct place_model
+wanted(const char *name, uint64_t mb)
+{
+	struct place_model m;
+
+	memset(&m, 0, sizeof(m));
+	m.name = name;
+	m.memory_mb = mb;
+	m.least = 1;
+	m.priority = 5;
+	memset(m.allowed, 1, sizeof(m.allowed));
+	return m;
+}
+
+static void
+copy(struct place_model *m, uint32_t on)
+{
+	m->copies[m->ncopies].backend = on;
+	m->copies[m->ncopies++].resident = 1;
+}
+
+/* What nobody serves is loaded first, wherever it fits. */
+static void
+test_place_first(void)
+{
+	struct place_backend b[2] = { backend(10), backend(50) };
+	struct place_model m[2] = { wanted("a", 40), wanted("b", 40) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	m[0].demand = 100.0;
+	copy(&m[0], 0);
+	move = place_next(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+	CU_ASSERT_EQUAL(move.model, 1);
+	CU_ASSERT_EQUAL(move.backend, 1);
+	CU_ASSERT(move.urgent);
+}
+
+/* A last copy stays, even where another model needs its memory. */
+static void
+test_place_last_copy(void)
+{
+	struct place_backend b[1] = { backend(10) };
+	struct place_model m[2] = { wanted("a", 40), wanted("b", 40) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	copy(&m[0], 0);
+	move = place_next(&c, 0, m, 2, b, 1);
+	CU_ASSERT_EQUAL(move.kind, PLACE_STUCK);
+	CU_ASSERT_EQUAL(move.model, 1);
+}
+
+/* A pressed model gets one more copy on the idle server. */
+static void
+test_place_gain(void)
+{
+	struct place_backend b[2] = { backend(0), backend(50) };
+	struct place_model m[2] = { wanted("a", 40), wanted("b", 40) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	copy(&m[0], 0);
+	copy(&m[1], 1);
+	m[0].demand = 20.0;
+	move = place_next(&c, NSEC_PER_SEC * 60, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+	CU_ASSERT_EQUAL(move.model, 0);
+	CU_ASSERT_EQUAL(move.backend, 1);
+	CU_ASSERT(!move.urgent);
+}
+
+static void
+test_place_hysteresis(void)
+{
+	struct place_backend b[2] = { backend(0), backend(50) };
+	struct place_model m[1] = { wanted("a", 40) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	copy(&m[0], 0);
+	m[0].demand = 20.0;
+	m[0].moved = 55 * NSEC_PER_SEC;
+	move = place_next(&c, 60 * NSEC_PER_SEC, m, 1, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_NOTHING);
+	move = place_next(&c, 66 * NSEC_PER_SEC, m, 1, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+}
+
+static const struct unit_case cases[] = {
+	{ "every state counts", test_counts },
+	{ "one entry a model and version", test_one_entry },
+	{ "round trip", test_round_trip },
+	{ "malformed", test_malformed },
+	{ "senders", test_senders },
+	{ "placement: first copy", test_place_first },
+	{ "placement: last copy", test_place_last_copy },
+	{ "placement: gain", test_place_gain },
+	{ "placement: hysteresis", test_place_hysteresis },
+};
+
+UNIT_MAIN("ledger", cases)
--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,231 @@
+/* Membership: incarnations, suspicion, relays, leaving, restarts. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "member.h"
+#include "unit.h"
+
+#define NODES 4
+#define STEP (50 * NSEC_PER_MSEC)
+
+static struct member *nodes[NODES];
+static struct node_id ids[NODES];
+static int cut[NODES][NODES];
+static uint64_t now;
+
+static void start(int, uint64_t);
+static void setup(void);
+static void teardown(void);
+static void run(uint64_t);
+static enum member_state seen(int, int);
+static void test_all_alive(void);
+static void test_death(void);
+static void test_relay(void);
+static void test_restart(void);
+static void test_leaving(void);
+static void test_heals(void);
+
+static void
+start(int i, uint64_t incarnation)
+{
+	struct member_config c;
+	int k;
+
+	member_config_default(&c);
+	snprintf(ids[i].addr, sizeof(ids[i].addr), "10.0.0.%d:1", i + 1);
+	ids[i].incarnation = incarnation;
+	member_destroy(nodes[i]);
+	nodes[i] = member_create(&c, &ids[i], (uint64_t)i + 1);
+	for (k = 0; k < NODES; k++) {
+		if (ids[k].addr[0] != '\0')
+			member_seed(nodes[i], now, ids[k].addr);
+	}
+}
+
+static void
+setup(void)
+{
+	int i;
+
+	now = NSEC_PER_SEC;
+	memset(nodes, 0, sizeof(nodes));
+	memset(cut, 0, sizeof(cut));
+	for (i = 0; i < NODES; i++)
+		snprintf(
+		    ids[i].addr, sizeof(ids[i].addr), "10.0.0.%d:1", i + 1);
+	for (i = 0; i < NODES; i++)
+		start(i, 1);
+}
+
+static void
+teardown(void)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++) {
+		member_destroy(nodes[i]);
+		nodes[i] = NULL;
+	}
+}
+
+/* Runs all nodes; messages arrive at once unless the pair is cut. */
+static void
+run(uint64_t ns)
+{
+	struct msg_list out;
+	struct msg *m;
+	uint64_t until = now + ns;
+	int i;
+	int k;
+
+	for (; now < until; now += STEP) {
+		for (i = 0; i < NODES; i++) {
+			if (nodes[i] == NULL)
+				continue;
+			TAILQ_INIT(&out);
+			member_tick(nodes[i], now, &out);
+			while ((m = TAILQ_FIRST(&out)) != NULL) {
+				TAILQ_REMOVE(&out, m, entry);
+				if (m->from.addr[0] == '\0')
+					m->from = ids[i];
+				for (k = 0; k < NODES; k++) {
+					struct msg_list more;
+					struct msg *r;
+					int from;
+
+					if (strcmp(m->to, ids[k].addr) != 0 ||
+					    nodes[k] == NULL)
+						continue;
+					from = m->from.addr[7] - '1';
+					if (cut[from][k])
+						continue;
+					TAILQ_INIT(&more);
+					member_message(nodes[k], now, m, &more);
+					TAILQ_FOREACH (r, &more, entry)
+						r->from = ids[k];
+					TAILQ_CONCAT(&out, &more, entry);
+				}
+				msg_destroy(m);
+			}
+		}
+	}
+}
+
+static enum member_state
+seen(int by, int of)
+{
+	return member_state(nodes[by], ids[of].addr, ids[of].incarnation);
+}
+
+static void
+test_all_alive(void)
+{
+	int i;
+	int k;
+
+	setup();
+	run(10 * NSEC_PER_SEC);
+	for (i = 0; i < NODES; i++) {
+		CU_ASSERT_EQUAL(member_live(nodes[i]), NODES - 1);
+		for (k = 0; k < NODES; k++)
+			CU_ASSERT_EQUAL(seen(i, k), MEMBER_ALIVE);
+	}
+	teardown();
+}
+
+static void
+test_death(void)
+{
+	setup();
+	run(5 * NSEC_PER_SEC);
+	member_destroy(nodes[3]);
+	nodes[3] = NULL;
+	run(8 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(seen(0, 3), MEMBER_DEAD);
+	CU_ASSERT_EQUAL(seen(1, 3), MEMBER_DEAD);
+	CU_ASSERT_EQUAL(seen(0, 2), MEMBER_ALIVE);
+	teardown();
+}
+
+/* One cut link does not make a member suspect: others vouch for it. */
+static void
+test_relay(void)
+{
+	setup();
+	run(5 * NSEC_PER_SEC);
+	cut[0][1] = cut[1][0] = 1;
+	run(10 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(seen(0, 1), MEMBER_ALIVE);
+	CU_ASSERT_EQUAL(seen(1, 0), MEMBER_ALIVE);
+	teardown();
+}
+
+static void
+test_restart(void)
+{
+	setup();
+	run(5 * NSEC_PER_SEC);
+	start(2, 2);
+	run(5 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(member_state(nodes[0], ids[2].addr, 1), MEMBER_DEAD);
+	CU_ASSERT_EQUAL(member_state(nodes[0], ids[2].addr, 2), MEMBER_ALIVE);
+	CU_ASSERT_EQUAL(member_incarnation(nodes[0], ids[2].addr), 2);
+	/* A process knows of its own earlier incarnation. */
+	CU_ASSERT_EQUAL(member_incarnation(nodes[2], ids[2].addr), 2);
+	teardown();
+}
+
+/* Leaving does not revert within an incarnation, but ends with it. */
+static void
+test_leaving(void)
+{
+	setup();
+	run(5 * NSEC_PER_SEC);
+	member_leaving(nodes[0], now, ids[1].addr);
+	run(5 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(seen(0, 1), MEMBER_LEAVING);
+	CU_ASSERT_EQUAL(seen(2, 1), MEMBER_LEAVING);
+	member_seed(nodes[0], now, ids[1].addr);
+	run(5 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(seen(0, 1), MEMBER_LEAVING);
+	start(1, 2);
+	run(5 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(seen(0, 1), MEMBER_ALIVE);
+	CU_ASSERT_EQUAL(seen(2, 1), MEMBER_ALIVE);
+	teardown();
+}
+
+/* Halves that were cut apart find each other again. */
+static void
+test_heals(void)
+{
+	int i;
+	int k;
+
+	setup();
+	run(5 * NSEC_PER_SEC);
+	for (i = 0; i < 2; i++)
+		for (k = 2; k < NODES; k++)
+			cut[i][k] = cut[k][i] = 1;
+	run(15 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(seen(0, 3), MEMBER_DEAD);
+	CU_ASSERT_EQUAL(seen(0, 1), MEMBER_ALIVE);
+	memset(cut, 0, sizeof(cut));
+	run(40 * NSEC_PER_SEC);
+	for (i = 0; i < NODES; i++)
+		for (k = 0; k < NODES; k++)
+			CU_ASSERT_EQUAL(seen(i, k), MEMBER_ALIVE);
+	teardown();
+}
+
+static const struct unit_case cases[] = {
+	{ "all alive", test_all_alive },
+	{ "death", test_death },
+	{ "one cut link", test_relay },
+	{ "restart", test_restart },
+	{ "leaving", test_leaving },
+	{ "cut and healed", test_heals },
+};
+
+UNIT_MAIN("member", cases)
--- /dev/null
+++ b/tests/test_shell.c
@@ -0,0 +1,253 @@
+/* The threaded shell together: HTTP in, the peer watch, the bus, events. */
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+#include <arpa/inet.h>
+
+#include "base.h"
+#include "bus.h"
+#include "call.h"
+#include "clock.h"
+#include "httpd.h"
+#include "log.h"
+#include "unit.h"
+#include "watch.h"
+
+#define HTTP_ADDR "127.0.0.1:18471"
+#define HTTP_PORT 18471
+#define BUS_A "127.0.0.1:18472"
+#define BUS_B "127.0.0.1:18473"
+#define EVENTS 500
+
+static struct watch *watch;
+static uint64_t gone_id;
+static uint64_t gone_at;
+static uint32_t received;
+
+static void handle(void *, struct httpd_request *);
+static void gone(void *, uint64_t);
+static void receive(void *, struct msg *);
+static void *log_many(void *);
+static void pause_ms(long);
+static struct httpd *serve(void);
+static void test_http(void);
+static void test_watch(void);
+static void test_bus(void);
+static void test_events(void);
+
+static void
+pause_ms(long ms)
+{
+	struct timespec ts = { ms / 1000, ms % 1000 * 1000000L };
+
+	nanosleep(&ts, NULL);
+}
+
+static void
+gone(void *arg, uint64_t id)
+{
+	(void)arg;
+	__atomic_store_n(&gone_at, clock_mono(), __ATOMIC_RELEASE);
+	__atomic_store_n(&gone_id, id, __ATOMIC_RELEASE);
+}
+
+/* Answers at once, or waits until the watch sees the peer leave. */
+static void
+handle(void *arg, struct httpd_request *req)
+{
+	int fd;
+	int i;
+
+	(void)arg;
+	if (strcmp(req->path, "/wait") != 0) {
+		httpd_reply(req, 200, "text/plain", "", req->body, req->len);
+		return;
+	}
+	fd = httpd_fd(req);
+	CU_ASSERT_NOT_EQUAL(fd, -1);
+	watch_add(watch, fd, 77);
+	for (i = 0; i < 300; i++) {
+		if (__atomic_load_n(&gone_id, __ATOMIC_ACQUIRE) != 0)
+			break;
+		pause_ms(10);
+	}
+	watch_remove(watch, fd);
+}
+
+static struct httpd *
+serve(void)
+{
+	struct httpd_config c;
+	struct err e;
+
+	memset(&c, 0, sizeof(c));
+	strcpy(c.addr, HTTP_ADDR);
+	c.threads = 4;
+	c.body_max = 1000;
+	c.handle = handle;
+	return httpd_create(&c, &e);
+}
+
+static void
+test_http(void)
+{
+	struct httpd *h = serve();
+	struct httpd_config twice;
+	struct err e;
+	char big[2001];
+	char *text;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(h);
+	CU_ASSERT_EQUAL(
+	    call_http(HTTP_ADDR, "POST", "/x", "hello", 3000, &text, &e), 200);
+	CU_ASSERT_STRING_EQUAL(text, "hello");
+	free(text);
+	memset(big, 'x', sizeof(big) - 1);
+	big[sizeof(big) - 1] = '\0';
+	CU_ASSERT_EQUAL(
+	    call_http(HTTP_ADDR, "POST", "/x", big, 3000, &text, &e), 413);
+	free(text);
+	memset(&twice, 0, sizeof(twice));
+	strcpy(twice.addr, HTTP_ADDR);
+	twice.threads = 1;
+	CU_ASSERT_PTR_NULL(httpd_create(&twice, &e));
+	CU_ASSERT_PTR_NOT_NULL(strstr(e.text, HTTP_ADDR));
+	httpd_destroy(h);
+}
+
+/* A peer that closes is seen at once while its handler waits. */
+static void
+test_watch(void)
+{
+	static const char request[] = "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct sockaddr_in sin;
+	struct httpd *h;
+	uint64_t closed;
+	int fd;
+	int i;
+
+	gone_id = 0;
+	watch = watch_create(gone, NULL);
+	h = serve();
+	CU_ASSERT_PTR_NOT_NULL_FATAL(h);
+	memset(&sin, 0, sizeof(sin));
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons(HTTP_PORT);
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	CU_ASSERT(write(fd, request, sizeof(request) - 1) > 0);
+	pause_ms(100);
+	CU_ASSERT_EQUAL(__atomic_load_n(&gone_id, __ATOMIC_ACQUIRE), 0);
+	closed = clock_mono();
+	close(fd);
+	for (i = 0; i < 300; i++) {
+		if (__atomic_load_n(&gone_id, __ATOMIC_ACQUIRE) != 0)
+			break;
+		pause_ms(5);
+	}
+	CU_ASSERT_EQUAL(__atomic_load_n(&gone_id, __ATOMIC_ACQUIRE), 77);
+	CU_ASSERT(__atomic_load_n(&gone_at, __ATOMIC_ACQUIRE) >= closed);
+	httpd_destroy(h);
+	watch_destroy(watch);
+}
+
+static void
+receive(void *arg, struct msg *m)
+{
+	(void)arg;
+	if (m->kind == MSG_CANCEL && m->from.incarnation == 5)
+		__atomic_fetch_add(&received, 1, __ATOMIC_RELAXED);
+	msg_destroy(m);
+}
+
+static void
+test_bus(void)
+{
+	struct node_id a = { BUS_A, 5 };
+	struct node_id b = { BUS_B, 6 };
+	struct bus_counts counts;
+	struct bus *from;
+	struct bus *to;
+	struct err e;
+	int i;
+
+	from = bus_create(&a, receive, NULL, &e);
+	to = bus_create(&b, receive, NULL, &e);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(from);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(to);
+	CU_ASSERT_PTR_NULL(bus_create(&a, receive, NULL, &e));
+	for (i = 0; i < 100; i++)
+		bus_send(from, msg_create(MSG_CANCEL, BUS_B));
+	for (i = 0; i < 300; i++) {
+		if (__atomic_load_n(&received, __ATOMIC_RELAXED) == 100)
+			break;
+		pause_ms(10);
+	}
+	CU_ASSERT_EQUAL(__atomic_load_n(&received, __ATOMIC_RELAXED), 100);
+	bus_counts(from, &counts);
+	CU_ASSERT_EQUAL(counts.sent, 100);
+	CU_ASSERT_EQUAL(counts.dropped, 0);
+	bus_destroy(from);
+	bus_destroy(to);
+}
+
+static void *
+log_many(void *arg)
+{
+	struct log_about about = { 0 };
+	int i;
+
+	(void)arg;
+	about.request = 1;
+	for (i = 0; i < EVENTS; i++)
+		log_event(LOG_REQUEST_ARRIVED, &about, "%d", i);
+	return NULL;
+}
+
+/* Events of many threads come out numbered, whole, and none is lost. */
+static void
+test_events(void)
+{
+	pthread_t threads[4];
+	json_t *doc;
+	char *line;
+	char *save = NULL;
+	char *text;
+	size_t len;
+	int n = -1;
+	int i;
+
+	log_open("test", 1, LOGLEVEL_ERROR);
+	for (i = 0; i < 4; i++)
+		pthread_create(&threads[i], NULL, log_many, NULL);
+	for (i = 0; i < 4; i++)
+		pthread_join(threads[i], NULL);
+	text = log_json(0, &len);
+	for (line = strtok_r(text, "\n", &save); line != NULL;
+	     line = strtok_r(NULL, "\n", &save)) {
+		doc = json_loads(line, 0, NULL);
+		CU_ASSERT_PTR_NOT_NULL(doc);
+		if (n >= 0)
+			CU_ASSERT_EQUAL(
+			    json_integer_value(json_object_get(doc, "seq")), n);
+		n++;
+		json_decref(doc);
+	}
+	CU_ASSERT(n >= 4 * EVENTS);
+	free(text);
+}
+
+static const struct unit_case cases[] = {
+	{ "http", test_http },
+	{ "peer watch", test_watch },
+	{ "bus", test_bus },
+	{ "events", test_events },
+};
+
+UNIT_MAIN("shell", cases)
--- /dev/null
+++ b/timeline/collect.c
@@ -0,0 +1,183 @@
+/* Gets every process's events and aligns their clocks. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "call.h"
+#include "clock.h"
+#include "mem.h"
+#include "timeline.h"
+
+#define PROBES 5
+#define COLLECT_MSEC 5000
+#define SINCE_NONE "18446744073709551000" /* only the head line */
+
+static char *get_events(const struct source *, const char *);
+static int probe(struct source *);
+static void collect_one(struct timeline *, size_t);
+static size_t take_lines(struct timeline *, size_t, char *, uint64_t *);
+static int compare_ticks(const void *, const void *);
+
+static char *
+get_events(const struct source *s, const char *since)
+{
+	struct err e;
+	char path[64];
+	char *text = NULL;
+	int status;
+
+	snprintf(path, sizeof(path), "/events?since=%s", since);
+	status = call_http(s->addr, "GET", path, NULL, COLLECT_MSEC, &text, &e);
+	if (status == 200)
+		return text;
+	if (status != -1)
+		free(text);
+	return NULL;
+}
+
+/* Estimates the clock's offset from the probe with the shortest round trip. */
+static int
+probe(struct source *s)
+{
+	json_t *head;
+	uint64_t before;
+	uint64_t after;
+	char *text;
+	int i;
+
+	s->rtt = UINT64_MAX;
+	for (i = 0; i < PROBES; i++) {
+		before = clock_mono();
+		text = get_events(s, SINCE_NONE);
+		after = clock_mono();
+		if (text == NULL)
+			return -1;
+		head = json_loadb(text, strcspn(text, "\n"), 0, NULL);
+		free(text);
+		if (head != NULL && after - before < s->rtt) {
+			s->rtt = after - before;
+			s->offset = (int64_t)json_integer_value(
+					json_object_get(head, "mono")) -
+			    (int64_t)(before + s->rtt / 2);
+			s->incarnation = (uint64_t)json_integer_value(
+			    json_object_get(head, "incarnation"));
+			snprintf(s->process, sizeof(s->process), "%s",
+			    json_string_value(
+				json_object_get(head, "process")));
+		}
+		json_decref(head);
+	}
+	return s->rtt == UINT64_MAX ? -1 : 0;
+}
+
+/* Takes the events of one answer; returns how many there were. */
+static size_t
+take_lines(struct timeline *t, size_t source, char *text, uint64_t *next)
+{
+	struct source *s = &t->sources[source];
+	struct tick *k;
+	json_t *doc;
+	char *line;
+	char *save = NULL;
+	uint64_t oldest;
+	size_t n = 0;
+
+	for (line = strtok_r(text, "\n", &save); line != NULL;
+	     line = strtok_r(NULL, "\n", &save)) {
+		doc = json_loads(line, 0, NULL);
+		if (json_object_get(doc, "oldest") != NULL) {
+			oldest = (uint64_t)json_integer_value(
+			    json_object_get(doc, "oldest"));
+			if (oldest > *next)
+				s->lost += oldest - *next;
+			if (oldest > *next)
+				*next = oldest;
+			json_decref(doc);
+			continue;
+		}
+		if (doc == NULL)
+			continue;
+		*next =
+		    (uint64_t)json_integer_value(json_object_get(doc, "seq")) +
+		    1;
+		t->ticks = mem_grow(t->ticks, t->nticks + 1, sizeof(*t->ticks));
+		k = &t->ticks[t->nticks++];
+		k->event = doc;
+		k->source = source;
+		k->at = (uint64_t)((int64_t)json_integer_value(
+				       json_object_get(doc, "mono")) -
+		    s->offset);
+		n++;
+	}
+	return n;
+}
+
+static void
+collect_one(struct timeline *t, size_t source)
+{
+	struct source *s = &t->sources[source];
+	uint64_t next = 0;
+	char since[24];
+	char *text;
+	size_t n;
+
+	if (probe(s) == -1) {
+		s->missing = 1;
+		return;
+	}
+	do {
+		snprintf(since, sizeof(since), "%" PRIu64, next);
+		text = get_events(s, since);
+		if (text == NULL) {
+			s->missing = 1;
+			return;
+		}
+		n = take_lines(t, source, text, &next);
+		free(text);
+	} while (n != 0);
+}
+
+static int
+compare_ticks(const void *a, const void *b)
+{
+	const struct tick *x = a;
+	const struct tick *y = b;
+	json_int_t sx;
+	json_int_t sy;
+
+	if (x->at != y->at)
+		return x->at < y->at ? -1 : 1;
+	if (x->source != y->source)
+		return x->source < y->source ? -1 : 1;
+	sx = json_integer_value(json_object_get(x->event, "seq"));
+	sy = json_integer_value(json_object_get(y->event, "seq"));
+	return (sx > sy) - (sx < sy);
+}
+
+void
+timeline_collect(struct timeline *t, const char *const *addrs, size_t n)
+{
+	size_t i;
+
+	memset(t, 0, sizeof(*t));
+	t->sources = mem_alloc(n * sizeof(*t->sources));
+	t->nsources = n;
+	for (i = 0; i < n; i++) {
+		snprintf(t->sources[i].addr, ADDR_SIZE, "%s", addrs[i]);
+		collect_one(t, i);
+	}
+	if (t->nticks != 0)
+		qsort(t->ticks, t->nticks, sizeof(*t->ticks), compare_ticks);
+}
+
+void
+timeline_clear(struct timeline *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->nticks; i++)
+		json_decref(t->ticks[i].event);
+	free(t->ticks);
+	free(t->sources);
+}
--- /dev/null
+++ b/timeline/timeline.h
@@ -0,0 +1,57 @@
+/* Shared by the files of spindle-timeline. */
+#ifndef TIMELINE_H
+#define TIMELINE_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "base.h"
+#include "err.h"
+
+#define TIMELINE_NAME "spindle-timeline"
+
+/* One event of one process, its time moved to the collector's clock. */
+struct tick {
+	uint64_t at;
+	size_t source;
+	json_t *event;
+};
+
+struct source {
+	char addr[ADDR_SIZE];
+	char process[NAME_SIZE];
+	uint64_t incarnation;
+	int64_t offset; /* of its clock, nanoseconds */
+	uint64_t rtt;	/* of the best probe */
+	int missing;
+	uint64_t lost; /* events that its ring no longer holds */
+};
+
+struct timeline {
+	size_t nsources;
+	struct source *sources;
+	size_t nticks;
+	struct tick *ticks;
+};
+
+/* What to keep; "" or 0 keeps all. */
+struct filter {
+	const char *request;
+	uint64_t ticket;
+	const char *model;
+	const char *backend;
+	const char *event;
+};
+
+/* collect.c */
+void timeline_collect(struct timeline *, const char *const *, size_t);
+void timeline_clear(struct timeline *);
+/* print.c */
+void timeline_filter(struct timeline *, const struct filter *);
+void timeline_text(const struct timeline *);
+void timeline_json(const struct timeline *);
+void timeline_chrome(const struct timeline *);
+/* Names missing processes and overrun rings on standard error. */
+size_t timeline_complain(const struct timeline *);
+
+#endif
