--- a/control/engine.c
+++ b/control/engine.c
@@ -7,6 +7,7 @@
 #include "ask.h"
 #include "clock.h"
 #include "engine.h"
+#include "log.h"
 #include "mem.h"
 
 #define ENGINE_CONNECT_MSEC 500
@@ -172,7 +173,9 @@
 	char *body;
 
 	if (o->kind != ORDER_INDEX && now > o->send_until) {
-		/* Not sent: the lease may have lapsed meanwhile. */
+		/* The lease may have lapsed meanwhile. */
+		log_event(LOG_ORDER_WITHHELD, NULL, "backend=%s model=%s",
+		    o->backend, o->model);
 		memset(&late, 0, sizeof(late));
 		late.id = o->id;
 		late.outcome = ORDER_REFUSED;
--- a/control/observe.c
+++ b/control/observe.c
@@ -8,6 +8,7 @@
 #include "mem.h"
 #include "observe.h"
 
+#define LEDGER_OPS 64
 #define OBSERVE_NS (100 * NSEC_PER_MSEC)
 
 struct seen_member {
@@ -24,7 +25,16 @@
 	uint64_t fence;
 };
 
+struct seen_engine {
+	char name[NAME_SIZE];
+	UT_hash_handle hh;
+	uint64_t incarnation;
+};
+
 struct observe {
+	struct seen_engine *engines;
+	uint64_t ledger_ops[LEDGER_OPS]; /* latest ledger writes */
+	uint32_t next_ledger_op;
 	struct seen_member *members;
 	struct seen_cell *cells;
 	uint64_t looked;
@@ -36,6 +46,9 @@
 
 static void look_member(void *, const struct member_info *);
 static void look_cell(void *, const struct cell_core *);
+static void look_engine(struct observe *, const char *, uint64_t);
+static void look_value(const struct kv_result *);
+static int is_ledger_op(const struct observe *, uint64_t);
 static const char *order_name(enum order_kind);
 
 #define KV_DOWN_AFTER 3 /* failures in a row */
@@ -51,6 +64,7 @@
 {
 	struct seen_member *m, *m_next;
 	struct seen_cell *c, *c_next;
+	struct seen_engine *e, *e_next;
 
 	HASH_ITER (hh, o->members, m, m_next) {
 		HASH_DEL(o->members, m);
@@ -60,9 +74,27 @@
 		HASH_DEL(o->cells, c);
 		free(c);
 	}
+	HASH_ITER (hh, o->engines, e, e_next) {
+		HASH_DEL(o->engines, e);
+		free(e);
+	}
 	free(o);
 }
 
+void
+observe_received(struct observe *o, const struct msg *m)
+{
+	struct log_about about = { 0 };
+
+	(void)o;
+	if (m->kind != MSG_RELEASE)
+		return;
+	about.request = m->u.release.key.rid;
+	about.order = m->u.release.grant;
+	log_event(LOG_GRANT_RELEASED, &about, "outcome=%u tokens=%u",
+	    m->u.release.outcome, m->u.release.tokens);
+}
+
 void
 observe_message(struct observe *o, const struct msg *m)
 {
@@ -87,16 +119,44 @@
 {
 	struct log_about about = { 0 };
 
-	(void)o;
 	if (op->kind != KV_CAS || strncmp(op->key, "ledger/", 7) != 0)
 		return;
+	o->ledger_ops[o->next_ledger_op++ % LEDGER_OPS] = op->id;
 	about.backend = op->key + 7;
 	log_event(LOG_LEDGER_WRITTEN, &about, "expect=%" PRIu64, op->expect);
 }
 
+static int
+is_ledger_op(const struct observe *o, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < LEDGER_OPS; i++) {
+		if (o->ledger_ops[i] == id)
+			return 1;
+	}
+	return 0;
+}
+
+/* Every value of this system is a JSON object. */
+static void
+look_value(const struct kv_result *r)
+{
+	json_error_t je;
+	json_t *doc = json_loads(r->value, 0, &je);
+
+	if (!json_is_object(doc))
+		log_event(LOG_KV_BAD, NULL, "%s: %.60s", je.text, r->value);
+	json_decref(doc);
+}
+
 void
 observe_kv_result(struct observe *o, const struct kv_result *r)
 {
+	if (r->kind == KV_GET && r->status == KV_OK && r->value != NULL)
+		look_value(r);
+	if (r->status == KV_CONFLICT && is_ledger_op(o, r->id))
+		log_event(LOG_LEDGER_CONFLICT, NULL, "%s", "");
 	if (r->status != KV_UNKNOWN) {
 		o->kv_failures = 0;
 		if (o->kv_down)
@@ -144,9 +204,11 @@
 		"unknown" };
 	struct log_about about = { 0 };
 
-	(void)ob;
-	if (kind == ORDER_INDEX)
+	if (kind == ORDER_INDEX) {
+		if (r->outcome == ORDER_DONE)
+			look_engine(ob, backend, r->engine);
 		return;
+	}
 	about.order = r->id;
 	about.model = model;
 	about.backend = backend;
@@ -154,6 +216,26 @@
 	    &about, "%s outcome=%s", order_name(kind), names[r->outcome]);
 }
 
+/* Notices that an engine came back with another incarnation. */
+static void
+look_engine(struct observe *o, const char *name, uint64_t incarnation)
+{
+	struct log_about about = { 0 };
+	struct seen_engine *e;
+
+	HASH_FIND_STR(o->engines, name, e);
+	if (e == NULL) {
+		e = mem_alloc(sizeof(*e));
+		snprintf(e->name, sizeof(e->name), "%s", name);
+		HASH_ADD_STR(o->engines, name, e);
+	}
+	about.backend = name;
+	if (e->incarnation != 0 && e->incarnation != incarnation)
+		log_event(LOG_ENGINE_RESTARTED, &about, "incarnation=%" PRIu64,
+		    incarnation);
+	e->incarnation = incarnation;
+}
+
 void
 observe_ticket(struct observe *o, const struct ticket_reply *r)
 {
@@ -181,8 +263,7 @@
 	struct seen_member *m;
 	enum log_id id;
 
-	if (info->id.incarnation == 0 ||
-	    (unsigned)info->state >= MEMBER__MAX)
+	if (info->id.incarnation == 0 || (unsigned)info->state >= MEMBER__MAX)
 		return; /* listed, never heard */
 	HASH_FIND_STR(o->members, info->id.addr, m);
 	if (m == NULL) {
--- a/control/observe.h
+++ b/control/observe.h
@@ -12,6 +12,7 @@
 struct observe *observe_create(void);
 void observe_destroy(struct observe *);
 void observe_message(struct observe *, const struct msg *);
+void observe_received(struct observe *, const struct msg *);
 void observe_kv_op(struct observe *, const struct kv_op *);
 void observe_kv_result(struct observe *, const struct kv_result *);
 void observe_order(struct observe *, const struct order *);
--- a/control/steer.c
+++ b/control/steer.c
@@ -373,6 +373,7 @@
 
 	switch (it->kind) {
 	case ITEM_MESSAGE:
+		observe_received(s->observe, it->msg);
 		node_message(s->node, now, it->msg, out);
 		break;
 	case ITEM_KV:
--- a/gate/main.c
+++ b/gate/main.c
@@ -135,7 +135,8 @@
 
 	cli_daemon(argc, argv, NAME, "serves callers", &cli);
 	if (load(cli.settings, &s, &e) == -1) {
-		fprintf(stderr, "%s: %s\n", NAME, e.text);
+		log_open(NAME, 0, LOGLEVEL_NOTICE);
+		log_event(LOG_SETTINGS_BAD, NULL, "%s", e.text);
 		return EX_CONFIG;
 	}
 	if (cli.check_only)
--- a/shell/log.c
+++ b/shell/log.c
@@ -11,7 +11,7 @@
 #include "mem.h"
 
 #define LOG_RING_EVENTS 8192
-#define LOG_DETAIL_SIZE 160
+#define LOG_DETAIL_SIZE 256
 #define LOG_FACILITY_DAEMON 24 /* syslog facility 3, shifted */
 #define LOG_JSON_MAX 4096      /* events in one answer */
 
--- /dev/null
+++ b/tests/mutate.py
@@ -0,0 +1,152 @@
+"""Shows that every line of the fuzzers' oracles can fail.
+
+Breaks one line of the code at a time in a scratch copy, runs the fuzzer that
+must notice, and prints what it caught with the length of the shrunk case.
+"""
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+# (what the oracle holds, fuzzer, file, line, broken line)
+MUTATIONS = [
+    ("ends once, with its whole answer: head sent again on resume",
+     "serving", "core/gate_call.c",
+     "if (call->begun || a->head != NULL)", "if (a->head != NULL)"),
+    ("whole answer in order: resumed from the start",
+     "serving", "core/gate_attempt.c",
+     "act->resume = a->call->delivered;", "act->resume = 0;"),
+    ("its own answer: handed to another request",
+     "serving", "core/gate_call.c",
+     "gate_act(out, GATE_DATA, call->req.rid)->payload = f->payload;",
+     "gate_act(out, GATE_DATA, call->req.rid ^ 1)->payload = f->payload;"),
+    ("written at most once: retried after writing",
+     "serving", "core/gate_retry.c",
+     "[PHASE_WRITTEN] = RETRY_UNKNOWN,",
+     "[PHASE_WRITTEN] = RETRY_ELSEWHERE,"),
+    ("told \"not run\" means never written",
+     "serving", "core/gate_call.c",
+     "if (call->written && gate_outcome_not_run(outcome))",
+     "if (0 && gate_outcome_not_run(outcome))"),
+    ("no grant outlives its gate",
+     "serving", "core/sched.c",
+     "if (now > job->refreshed + limit ||", "if (0 &&"),
+    ("slots return to 0: releases ignored",
+     "serving", "core/sched.c",
+     "\tif (job->state == JOB_GRANTED)\n\t\tjob_history(",
+     "\tif (job->state == JOB_GRANTED)\n\t\treturn;\n\tif (job->state == "
+     "JOB_GRANTED)\n\t\tjob_history("),
+    ("no new work to a leaving backend server",
+     "serving", "core/sched_pick.c",
+     "if (r->leaving || r == job->exclude)",
+     "if (r == job->exclude)"),
+    ("a cancelled request gets nothing more",
+     "serving", "core/gate_call.c",
+     "if (!call->detached) {", "if (1) {"),
+    ("memory never above capacity: unloading memory counted as free",
+     "state", "core/ledger.c",
+     "if (l->entries[i].accelerator == accelerator)",
+     "if (l->entries[i].accelerator == accelerator &&\n\t\t    "
+     "l->entries[i].state != ENTRY_UNLOADING)"),
+    ("memory never above capacity: delegated memory counted as free",
+     "state", "core/ledger.c",
+     "used += l->delegation.memory_mb;", "used += 0;"),
+    ("memory never above capacity: freed while an order may be late",
+     "state", "core/cell_order.c",
+     "int quiet = en->order == 0 && now >= en->late_until;",
+     "int quiet = en->order == 0;"),
+    ("a last copy stays",
+     "state", "core/place.c",
+     "return others != 0 && others >= m->least;", "return 1;"),
+    ("an accepted ticket is in force in time: no gossip, no watch",
+     "state", "core/node_conf.c",
+     "if (revision <= n->conf->revision || revision <= n->fetch.revision)\n"
+     "\t\treturn;\n\tm = msg_create(MSG_CONF_PULL",
+     "if (revision != 0)\n\t\treturn;\n\tm = msg_create(MSG_CONF_PULL"),
+    ("never reverts: an older fetch is put in force",
+     "state", "core/node_conf.c",
+     "if (n->fetch.revision <= n->conf->revision) {", "if (0) {"),
+    ("never reverts: swaps a head it did not read",
+     "state", "core/node_ticket.c",
+     "op->expect = n->ticket_expect;", "op->expect = n->head_revision;"),
+    ("a refused ticket has no effect: refusal after writing",
+     "state", "core/conf.c",
+     "if (have > number)", "if (0)"),
+    ("only the lease's holder gives orders",
+     "state", "core/own.c",
+     "now + o->config.margin_ns < o->lease_deadline;", "1;"),
+    ("every declared model is resident in the end",
+     "state", "core/place.c",
+     "move = need_copies(&s, 1);", "move = place_nothing;"),
+    ("one owner in the end: a later fencing number is ignored",
+     "state", "core/own.c",
+     "if (fence <= o->fence || !o->held)", "if (1)"),
+]
+CASES = {"serving": 6000, "state": 1500}
+
+
+def one(job):
+    number, (what, fuzzer, path, line, broken) = job
+    with tempfile.TemporaryDirectory(prefix="mutate.") as scratch:
+        for name in ("core", "tests", "Makefile"):
+            src = os.path.join(ROOT, name)
+            dst = os.path.join(scratch, name)
+            if os.path.isdir(src):
+                shutil.copytree(src, dst)
+            else:
+                shutil.copy(src, dst)
+        full = os.path.join(scratch, path)
+        with open(full) as f:
+            text = f.read()
+        if line not in text:
+            return number, what, fuzzer, "line not found: " + line, False
+        with open(full, "w") as f:
+            f.write(text.replace(line, broken, 1))
+        target = "build/fuzz_" + fuzzer
+        build = subprocess.run(
+            ["make", "-s", "-j2", target, "CFLAGS=-std=gnu11 -D_GNU_SOURCE "
+             "-O1 -w", "CXXFLAGS=-std=gnu++17 -D_GNU_SOURCE -O1 -w"],
+            cwd=scratch, capture_output=True, text=True, check=False)
+        if build.returncode != 0:
+            return number, what, fuzzer, build.stderr[-300:], False
+        try:
+            proc = subprocess.run(
+                [os.path.join(scratch, target)], capture_output=True,
+                text=True, errors="replace", timeout=400, check=False,
+                env=dict(os.environ, RC_PARAMS="seed=%d max_success=%d" % (
+                    number + 1, CASES[fuzzer])))
+        except subprocess.TimeoutExpired:
+            return number, what, fuzzer, "no verdict in 400 s", False
+        text = proc.stdout + proc.stderr
+    caught = re.search(r"after (\d+) tests and (\d+) shrinks", text)
+    caught = caught or re.search(r"after (\d+) tests?()", text)
+    if not caught:
+        crashed = proc.returncode not in (0, 1)
+        return (number, what, fuzzer, "crashed" if crashed else
+                "NOT CAUGHT in %d cases" % CASES[fuzzer], crashed)
+    commands = len(re.findall(r"^[a-z-]+\(\d+,\d+\)$", text, re.M))
+    line = re.search(r"RC_ASSERT\(.*\)", text)
+    return (number, what, fuzzer, "case %s, shrunk to %d commands: %s" % (
+        caught.group(1), commands, line.group(0) if line else "exception"),
+        True)
+
+
+def main():
+    ok = 0
+    jobs = [j for j in enumerate(MUTATIONS)
+            if len(sys.argv) < 2 or str(j[0]) in sys.argv[1:]]
+    with ThreadPoolExecutor(int(os.environ.get("MUTATE_JOBS", "4"))) as pool:
+        for number, what, fuzzer, result, caught in pool.map(one, jobs):
+            ok += caught
+            print("| %d | %s | %s | %s |" % (number, what, fuzzer, result),
+                  flush=True)
+    print("%d passed, %d failed" % (ok, len(jobs) - ok))
+    return ok != len(jobs)
+
+
+sys.exit(main())
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -39,6 +39,7 @@
 static void peer_close(struct peer *);
 static void *peer_run(void *);
 static void peer_serve(struct peer *, int);
+static int requests(const struct peer *);
 static void on_event(void *, const struct fetch_event *);
 static void get(struct fetch *, struct news *, int, int);
 static void test_answer(void);
@@ -117,6 +118,12 @@
 	close(p->listener);
 }
 
+static int
+requests(const struct peer *p)
+{
+	return __atomic_load_n(&p->requests, __ATOMIC_RELAXED);
+}
+
 static void
 on_event(void *arg, const struct fetch_event *ev)
 {
@@ -203,7 +210,7 @@
 	get(f, &news, p.port, 1);
 	CU_ASSERT_EQUAL(news.last.news, FETCH_NEWS_FAIL);
 	CU_ASSERT(news.last.written);
-	CU_ASSERT_EQUAL(p.requests, 1);
+	CU_ASSERT_EQUAL(requests(&p), 1);
 	fetch_destroy(f);
 	peer_close(&p);
 }
@@ -224,7 +231,7 @@
 	 */
 	get(f, &news, p.port, 1);
 	CU_ASSERT_EQUAL(news.last.news, FETCH_NEWS_FAIL);
-	CU_ASSERT(p.requests <= 2);
+	CU_ASSERT(requests(&p) <= 2);
 	fetch_destroy(f);
 	peer_close(&p);
 }
@@ -242,7 +249,7 @@
 	peer_open(&p, 1);
 	get(f, &news, p.port, 0);
 	get(f, &news, p.port, 0);
-	CU_ASSERT_EQUAL(p.requests, 3);
+	CU_ASSERT_EQUAL(requests(&p), 3);
 	fetch_destroy(f);
 	peer_close(&p);
 }
