Home cells worked out once; a new revision is told to four peers at once; owners alone keep ledgers

Change: each model's home cells are worked out once a configuration; a node that puts a new revision in force tells four live peers, who do the same; nodes poll the head at random times; a node keeps units only for cells it owns.

--- a/core/cell.c
+++ b/core/cell.c
@@ -146,10 +146,11 @@
 		if (strcmp(b->cell, c->name) != 0)
 			continue;
 		u = unit_find(c, b->name);
-		if (u == NULL) {
+		/* Only an owner needs them. */
+		if (u == NULL && c->was_held)
 			unit_add(c, now, b);
+		if (u == NULL)
 			continue;
-		}
 		u->conf = *b;
 		u->declared = 1;
 		ledger_capacity(&u->ledger, b);
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -255,8 +255,7 @@
 		pm = board_add(b, m->name, m->version, m->memory_mb);
 		d = cell_demand(c, m->name);
 		pm->priority = m->priority;
-		pm->least =
-		    conf_home(c->conf, m, c->name) ? (uint32_t)m->copies : 0;
+		pm->least = conf_home(m, c->name) ? (uint32_t)m->copies : 0;
 		pm->demand = d->fast > d->slow ? d->fast : d->slow;
 		pm->moved = d->moved;
 		if (pm->least == 0)
@@ -391,7 +390,7 @@
 	size_t i;
 
 	for (i = 0; i < c->conf->nmodels; i++) {
-		if (conf_home(c->conf, &c->conf->models[i], c->name) &&
+		if (conf_home(&c->conf->models[i], c->name) &&
 		    c->conf->models[i].memory_mb > most)
 			most = c->conf->models[i].memory_mb;
 	}
@@ -512,7 +511,7 @@
 
 	for (i = 0; i < c->conf->nmodels; i++) {
 		m = &c->conf->models[i];
-		if (!conf_home(c->conf, m, c->name))
+		if (!conf_home(m, c->name))
 			continue;
 		waiting = 0;
 		for (k = 0; k < c->nunits; k++) {
--- a/core/conf.c
+++ b/core/conf.c
@@ -83,6 +83,7 @@
 	free(c->models);
 	free(c->backends);
 	free(c->services);
+	free(c->cells);
 	free(c);
 }
 
@@ -179,7 +180,9 @@
 				return -1;
 		}
 	}
-	return conf_view_drains(c, e);
+	if (conf_view_drains(c, e) == -1)
+		return -1;
+	return conf_find_homes(c, e);
 }
 
 static int
--- a/core/conf.h
+++ b/core/conf.h
@@ -17,6 +17,7 @@
 #define CONF_ADAPTERS_MAX 32
 #define CONF_ACCELERATORS_MAX 16
 #define CONF_INSTANCES_MAX 32
+#define CONF_REGIONS_MAX 8
 
 struct conf_adapter {
 	char name[NAME_SIZE];
@@ -35,6 +36,8 @@
 	size_t nadapters;
 	struct conf_adapter adapters[CONF_ADAPTERS_MAX];
 	uint64_t ticket;
+	size_t nhomes; /* cells that keep copies, one in each region */
+	char homes[CONF_REGIONS_MAX][NAME_SIZE];
 };
 
 struct conf_backend {
@@ -78,6 +81,8 @@
 	struct conf_backend *backends;
 	size_t nservices;
 	struct conf_service *services;
+	size_t ncells; /* distinct cells of the backend servers */
+	char (*cells)[NAME_SIZE];
 	struct conf_store store;
 };
 
@@ -113,6 +118,6 @@
  * name up to a slash) one cell does, chosen by rendezvous hashing among those
  * with a backend server that the model may use.
  */
-int conf_home(const struct conf *, const struct conf_model *, const char *);
+int conf_home(const struct conf_model *, const char *);
 
 #endif
--- a/core/conf_fit.c
+++ b/core/conf_fit.c
@@ -18,6 +18,11 @@
 };
 
 static size_t region_length(const char *);
+static int same_region(const char *, const char *);
+static void find_cells(struct conf *);
+static int cell_allows(
+    const struct conf *, const struct conf_model *, const char *);
+static int find_homes(const struct conf *, struct conf_model *, struct err *);
 static int compare_size(const void *, const void *);
 static int fit_copy(struct fit *, const struct conf_model *, const char *);
 static int fit_model(struct fit *, const struct conf_model *, struct err *);
@@ -91,28 +96,17 @@
 static int
 fit_model(struct fit *f, const struct conf_model *m, struct err *e)
 {
-	const char *cell;
 	uint64_t copy;
 	size_t i;
-	size_t k;
-	int homes = 0;
 
 	memset(f->used, 0, f->conf->nbackends + 1);
-	for (i = 0; i < f->conf->nbackends; i++) {
-		cell = f->conf->backends[i].cell;
-		for (k = 0; k < i; k++) {
-			if (strcmp(f->conf->backends[k].cell, cell) == 0)
-				break;
-		}
-		if (k < i || !conf_home(f->conf, m, cell))
-			continue;
-		homes++;
+	for (i = 0; i < m->nhomes; i++) {
 		for (copy = 1; copy <= m->copies; copy++) {
-			if (fit_copy(f, m, cell) == -1)
+			if (fit_copy(f, m, m->homes[i]) == -1)
 				return fit_nothing(f, m, copy, e);
 		}
 	}
-	return homes == 0 ? fit_nothing(f, m, 1, e) : 0;
+	return m->nhomes == 0 ? fit_nothing(f, m, 1, e) : 0;
 }
 
 static int
@@ -135,28 +129,103 @@
 	return slash == NULL ? 0 : (size_t)(slash - cell);
 }
 
-int
-conf_home(const struct conf *c, const struct conf_model *m, const char *cell)
+static int
+same_region(const char *a, const char *b)
 {
-	const struct conf_backend *b;
-	const char *best = NULL;
-	size_t region = region_length(cell);
-	uint64_t best_rank = 0;
-	uint64_t rank;
+	size_t len = region_length(a);
+
+	return len == region_length(b) && strncmp(a, b, len) == 0;
+}
+
+/* Lists the distinct cells. */
+static void
+find_cells(struct conf *c)
+{
+	const char *cell;
 	size_t i;
+	size_t k;
 
+	c->cells = mem_alloc((c->nbackends + 1) * sizeof(*c->cells));
 	for (i = 0; i < c->nbackends; i++) {
-		b = &c->backends[i];
-		if (region_length(b->cell) != region ||
-		    strncmp(b->cell, cell, region) != 0 || !conf_allows(m, b))
-			continue;
-		rank = hash_version(b->cell, hash_text(m->name));
-		if (best == NULL || rank > best_rank) {
-			best = b->cell;
-			best_rank = rank;
+		cell = c->backends[i].cell;
+		for (k = 0; k < c->ncells; k++) {
+			if (strcmp(c->cells[k], cell) == 0)
+				break;
 		}
+		if (k == c->ncells)
+			memcpy(c->cells[c->ncells++], cell, NAME_SIZE);
+	}
+}
+
+/* Whether the model may use a backend server of the cell. */
+static int
+cell_allows(const struct conf *c, const struct conf_model *m, const char *cell)
+{
+	size_t i;
+
+	for (i = 0; i < c->nbackends; i++) {
+		if (conf_allows(m, &c->backends[i]) &&
+		    strcmp(c->backends[i].cell, cell) == 0)
+			return 1;
 	}
-	return best != NULL && strcmp(best, cell) == 0;
+	return 0;
+}
+
+/* The cell of the region with the highest rank keeps the model's copies. */
+static int
+find_homes(const struct conf *c, struct conf_model *m, struct err *e)
+{
+	uint64_t ranks[CONF_REGIONS_MAX];
+	uint64_t seed = hash_text(m->name);
+	uint64_t rank;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < c->ncells; i++) {
+		rank = hash_version(c->cells[i], seed);
+		for (k = 0; k < m->nhomes; k++) {
+			if (same_region(m->homes[k], c->cells[i]))
+				break;
+		}
+		if ((k < m->nhomes && rank <= ranks[k]) ||
+		    !cell_allows(c, m, c->cells[i]))
+			continue;
+		if (k == CONF_REGIONS_MAX)
+			return err_set(e, ERR_TICKET,
+			    "backend cells name more than %d regions; use "
+			    "fewer prefixes before the slash",
+			    CONF_REGIONS_MAX);
+		if (k == m->nhomes)
+			m->nhomes++;
+		ranks[k] = rank;
+		memcpy(m->homes[k], c->cells[i], NAME_SIZE);
+	}
+	return 0;
+}
+
+int
+conf_find_homes(struct conf *c, struct err *e)
+{
+	size_t i;
+
+	find_cells(c);
+	for (i = 0; i < c->nmodels; i++) {
+		if (find_homes(c, &c->models[i], e) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+int
+conf_home(const struct conf_model *m, const char *cell)
+{
+	size_t i;
+
+	for (i = 0; i < m->nhomes; i++) {
+		if (strcmp(m->homes[i], cell) == 0)
+			return 1;
+	}
+	return 0;
 }
 
 int
--- a/core/conf_int.h
+++ b/core/conf_int.h
@@ -15,4 +15,7 @@
     const json_t *, const char *, struct conf_store *, struct err *);
 int conf_parse_drain(const json_t *, const char *, char *, int *, struct err *);
 
+/* conf_fit.c: fills in the cells, and the home cells of every model */
+int conf_find_homes(struct conf *, struct err *);
+
 #endif
--- a/core/member.c
+++ b/core/member.c
@@ -546,6 +546,27 @@
 	return p->info.state;
 }
 
+uint32_t
+member_draw(struct member *m, uint32_t n, char (*addrs)[ADDR_SIZE])
+{
+	struct peer *p, *next;
+	uint32_t live = member_live(m);
+	uint32_t drawn = 0;
+
+	/* Each of the live ones left is taken with the chance it needs. */
+	HASH_ITER (hh, m->peers, p, next) {
+		if (p->info.state != MEMBER_ALIVE || p->info.heard == 0)
+			continue;
+		if ((uint32_t)nrand48(m->seed) % live < n - drawn) {
+			memcpy(addrs[drawn], p->info.id.addr, ADDR_SIZE);
+			if (++drawn == n)
+				break;
+		}
+		live--;
+	}
+	return drawn;
+}
+
 uint64_t
 member_incarnation(const struct member *m, const char *addr)
 {
--- a/core/member.h
+++ b/core/member.h
@@ -52,6 +52,8 @@
 enum member_state member_state(const struct member *, const char *, uint64_t);
 /* Latest incarnation seen at an address, 0 when none was. */
 uint64_t member_incarnation(const struct member *, const char *);
+/* Up to n live peers drawn at random; returns how many. */
+uint32_t member_draw(struct member *, uint32_t, char (*)[ADDR_SIZE]);
 /* Live peers, without this process. */
 uint32_t member_live(const struct member *);
 /* Peers heard directly at or after the time. */
--- a/core/node_conf.c
+++ b/core/node_conf.c
@@ -14,6 +14,7 @@
 
 #define FETCH_RETRY_NS (300 * NSEC_PER_MSEC)
 #define FETCH_GIVE_UP_NS (5 * NSEC_PER_SEC)
+#define SPREAD_PEERS 4 /* told of a new revision at once */
 #define HEAD_RETRY_NS (1 * NSEC_PER_SEC)
 #define WATCH_RETRY_NS (500 * NSEC_PER_MSEC)
 
@@ -30,6 +31,7 @@
     struct node *, uint64_t, const struct kv_result *, struct node_out *);
 static void rank_before(void *, const struct member_info *);
 static int is_watcher(struct node *);
+static void spread_head(struct node *, struct node_out *);
 static void send_head(struct node *, const char *, struct node_out *);
 static void send_chunk(
     struct node *, const char *, uint64_t, struct node_out *);
@@ -80,6 +82,19 @@
 	n->conf = NULL;
 }
 
+/* Tells a few peers at once; each does the same when it is new to them. */
+static void
+spread_head(struct node *n, struct node_out *out)
+{
+	char addrs[SPREAD_PEERS][ADDR_SIZE];
+	uint32_t count;
+	uint32_t i;
+
+	count = member_draw(n->member, SPREAD_PEERS, addrs);
+	for (i = 0; i < count; i++)
+		send_head(n, addrs[i], out);
+}
+
 /* Puts a configuration in force; takes over it and its chunks. */
 void
 node_conf_use(struct node *n, uint64_t now, struct conf *conf,
@@ -98,6 +113,7 @@
 	node_gate_versions(n);
 	node_cells_configure(n, now, out);
 	conf_destroy(old);
+	spread_head(n, out);
 }
 
 static void
@@ -305,7 +321,7 @@
 		if (r->status == KV_OK)
 			on_head(n, now, r, out);
 		else if (r->status == KV_UNKNOWN)
-			n->poll_at = now + WATCH_RETRY_NS;
+			n->watch_at = now + WATCH_RETRY_NS;
 		return 1;
 	}
 	return on_chunk(n, now, r, out);
@@ -337,12 +353,13 @@
 	struct kv_op *op;
 
 	if (now >= n->poll_at) {
-		n->poll_at = now + n->config.poll_ns;
+		/* Spread out, so that nodes do not ask in step. */
+		n->poll_at = now + n->config.poll_ns / 2 +
+		    (uint64_t)nrand48(n->seed) % n->config.poll_ns;
 		node_head_read(n, out);
 	}
 	if (n->watch_op == 0 && n->head_known && n->fetch.revision == 0 &&
-	    now + n->config.poll_ns >= n->poll_at + WATCH_RETRY_NS &&
-	    is_watcher(n)) {
+	    now >= n->watch_at && is_watcher(n)) {
 		n->watch_op = ++n->ids.next;
 		op = kv_op_create(
 		    &out->kv, n->watch_op, KV_WATCH, "config/head");
--- a/core/node_int.h
+++ b/core/node_int.h
@@ -88,7 +88,8 @@
 	uint64_t head_op;
 	uint64_t watch_op;
 	uint64_t poll_at;
-	int head_known; /* the service has told the head, or its absence */
+	uint64_t watch_at; /* earliest next watch */
+	int head_known;	   /* the service has told the head, or its absence */
 	struct fetching fetch;
 	uint64_t fetch_ops[CONF_CHUNKS];
 
--- a/tests/mutate.py
+++ b/tests/mutate.py
@@ -42,9 +42,13 @@
      "\tif (job->state == JOB_GRANTED)\n\t\treturn;\n\tif (job->state == "
      "JOB_GRANTED)\n\t\tjob_history("),
     ("no new work to a leaving backend server",
-     "serving", "core/sched_pick.c",
-     "if (r->leaving || r == job->exclude)",
-     "if (r == job->exclude)"),
+     "serving", [
+         ("core/sched_pick.c", "if (r->leaving || r == job->exclude)",
+          "if (r == job->exclude)"),
+         ("core/sched_pick.c", "while (!r->leaving && r->outstanding",
+          "while (r->outstanding"),
+         ("core/gate.c", "t == NULL || t->gone ||\n\t    t->leaving) {",
+          "t == NULL || t->gone) {")]),
     ("a cancelled request gets nothing more",
      "serving", "core/gate_call.c",
      "if (!call->detached) {", "if (1) {"),
@@ -91,7 +95,8 @@
 
 
 def one(job):
-    number, (what, fuzzer, path, line, broken) = job
+    number, (what, fuzzer, *edits) = job
+    edits = edits[0] if len(edits) == 1 else [edits]
     with tempfile.TemporaryDirectory(prefix="mutate.") as scratch:
         for name in ("core", "tests", "Makefile"):
             src = os.path.join(ROOT, name)
@@ -100,13 +105,14 @@
                 shutil.copytree(src, dst)
             else:
                 shutil.copy(src, dst)
-        full = os.path.join(scratch, path)
-        with open(full) as f:
-            text = f.read()
-        if line not in text:
-            return number, what, fuzzer, "line not found: " + line, False
-        with open(full, "w") as f:
-            f.write(text.replace(line, broken, 1))
+        for path, line, broken in edits:
+            full = os.path.join(scratch, path)
+            with open(full) as f:
+                text = f.read()
+            if line not in text:
+                return number, what, fuzzer, "not found: " + line, False
+            with open(full, "w") as f:
+                f.write(text.replace(line, broken, 1))
         target = "build/fuzz_" + fuzzer
         build = subprocess.run(
             ["make", "-s", "-j2", target, "CFLAGS=-std=gnu11 -D_GNU_SOURCE "
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -250,10 +250,10 @@
 		"\"models\":[{\"name\":\"icon\",\"memory_mb\":40}]}",
 		&e),
 	    CONF_CHANGED);
-	CU_ASSERT_EQUAL(conf_home(c, &c->models[0], "r1/x") +
-		conf_home(c, &c->models[0], "r1/y"),
+	CU_ASSERT_EQUAL(
+	    conf_home(&c->models[0], "r1/x") + conf_home(&c->models[0], "r1/y"),
 	    1);
-	CU_ASSERT(conf_home(c, &c->models[0], "r2/x"));
+	CU_ASSERT(conf_home(&c->models[0], "r2/x"));
 	conf_destroy(c);
 }
 
