--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,9 @@
 	    ctl/*.[ch] timeline/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch])
 LINTED = $(filter %.c,$(FORMATTED))
 
+CONTROL = $(filter-out $(BUILD)/control/main.o, \
+	  $(patsubst %.c,$(BUILD)/%.o,$(wildcard control/*.c)))
+
 all: $(BINARIES)
 
 $(BUILD)/%.o: %.c
@@ -105,12 +108,17 @@
 mutate: deps
 	@python3 tests/mutate.py
 
-bench: deps all
+bench: deps all $(BUILD)/control-even $(BUILD)/control-minute
 	@python3 bench/bench.py
 
 slopes: deps $(BUILD)/slopes
 	@$(BUILD)/slopes
 
+$(BUILD)/control-even: $(BUILD)/bench/control_even.o $(CONTROL) $(LIBS)
+	$(link)
+$(BUILD)/control-minute: $(BUILD)/bench/control_minute.o $(CONTROL) $(LIBS)
+	$(link)
+
 $(BUILD)/slopes: $(BUILD)/bench/slopes.o $(LIBS)
 	$(link)
 
--- a/bench/bench.py
+++ b/bench/bench.py
@@ -5,11 +5,12 @@
 of each gate.  Prints a table; judges nothing.
 """
 import os
+import re
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))), "scripts"))
-from cluster import Cluster  # noqa: E402
+from cluster import Cluster, get_json, request  # noqa: E402
 
 POLICIES = ("gates", "round-robin", "least")
 ENGINE = ["-t", "8", "-k", "0.06", "-p", "60", "-b", "24"]
@@ -111,7 +112,86 @@
             p, 100 * out[p]["wasted_s"] / max(0.1, out[p]["engine_s"])))
 
 
-PARTS = {"long": long_work, "swing": swing, "slow": slow,
+CONTROLS = {"product": "spindle-control", "static even": "control-even",
+            "last minute": "control-minute"}
+
+
+def placement():
+    """Popularity moves on; attainment at the same accelerators."""
+    keys = ("requests", "answered", "not_run", "in_time", "wanted",
+            "short_first_p99_ms")
+    for name, concurrent in (("Messingblatt", 3), ("Slibroute", 16)):
+        table("Placement, %s: 12 replicas, 25 models, 3 copies fit a "
+              "server, %d loads at once; popularity moves on every 20 s" % (
+                  name, concurrent), *keys)
+        for policy, binary in CONTROLS.items():
+            c = Cluster(vms=3, engines=12, services=0, models=25,
+                        adapters=0, copies=1, load_ms=300, rate=1.5,
+                        concurrent=concurrent, memory_mb=28000,
+                        model_mb=8000, base_port=24000,
+                        engine_args=ENGINE, control=binary)
+            try:
+                c.up()
+                c.declare()
+                c.wait_resident(90)
+                c.wait_ready()
+                before = moves(c)
+                report, _, _ = c.load(
+                    "-d", 2 * SECONDS, "-r", 110, "-D", 2000, "--rotate",
+                    20, "-L", 0.05, "--short-tokens", 60, "-S", 35,
+                    "--long-tokens", 300)
+                row(name, policy, report, *keys)
+                print("%s, %s: attainment %.1f%%, %d moves" % (
+                    name, policy, 100 * report["in_time"] /
+                    report["wanted"], moves(c) - before), flush=True)
+            finally:
+                c.down()
+
+
+def moves(c):
+    return sum(cell["loads"] + cell["unloads"] for i in range(c.nvms)
+               for cell in get_json(c.control(i), "/v1/status")["cells"])
+
+
+def metrics(c, addr):
+    text = request(addr, "GET", "/metrics")[2].decode()
+    return {k: float(v) for k, v in re.findall(
+        r"^(\w+) ([\d.e+-]+)$", text, re.M)}
+
+
+def processes():
+    """Processor time, memory and bus traffic of the daemons by rate."""
+    print("\nDaemons by rate (3 VMs, 40 tokens a request)\n\n"
+          "| rate | gates: ms of CPU a request | us a token | gate RSS MB | "
+          "owner: ms a request | control RSS MB | bus bytes a request | "
+          "owner idle share |\n|---|---|---|---|---|---|---|---|")
+    for rate in (0.05, 30, 90, 180):
+        c = fresh(26000)
+        try:
+            addrs = [c.gate(i) for i in range(3)] + [
+                c.control(i) for i in range(3)]
+            before = [metrics(c, a) for a in addrs]
+            report, _, _ = c.load("-d", 20, "-r", rate, "-S", 36,
+                                  "--short-tokens", 40)
+            after = [metrics(c, a) for a in addrs]
+            cpu = [b["process_cpu_seconds_total"] -
+                   a["process_cpu_seconds_total"]
+                   for a, b in zip(before, after)]
+            sent = sum(b["spindle_bus_sent_bytes_total"] -
+                       a["spindle_bus_sent_bytes_total"]
+                       for a, b in zip(before, after))
+            rss = [b["process_max_resident_bytes"] / 2 ** 20 for b in after]
+            n = max(1, report["requests"])
+            print("| %g | %.3f | %.1f | %.0f | %.3f | %.0f | %.0f | %.2f%% |"
+                  % (rate, 1e3 * sum(cpu[:3]) / n,
+                     1e6 * sum(cpu[:3]) / n / 40, max(rss[:3]),
+                     1e3 * max(cpu[3:]) / n, max(rss[3:]), sent / n,
+                     100 * max(cpu[3:]) / 21), flush=True)
+        finally:
+            c.down()
+
+
+PARTS = {"processes": processes, "placement": placement, "long": long_work, "swing": swing, "slow": slow,
          "cancels": cancels}
 
 
--- /dev/null
+++ b/bench/control_minute.c
@@ -0,0 +1,124 @@
+/*
+ * Baseline for the bench: one copy a move by the last minute's demand.  Once a
+ * period the model with the most demand for each copy gets one more, and the
+ * one with the least loses one where there is no room.
+ */
+#include "control.h"
+
+#define PERIOD_NS (6 * NSEC_PER_SEC) /* a minute of compressed time */
+
+static struct place_move place_minute(const void *, uint64_t,
+    const struct place_model *, uint32_t, const struct place_backend *,
+    uint32_t);
+static int holds(const struct place_model *, uint32_t);
+static struct place_move load(const struct place_model *, uint32_t,
+    const struct place_backend *, uint32_t);
+static struct place_move unload_least(const struct place_model *, uint32_t,
+    const struct place_backend *, uint32_t);
+
+static const struct place_move nothing = { PLACE_NOTHING, 0, 0, 0, 0, 0.0 };
+
+static int
+holds(const struct place_model *m, uint32_t backend)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->ncopies; i++) {
+		if (m->copies[i].backend == backend)
+			return 1;
+	}
+	return 0;
+}
+
+static struct place_move
+load(const struct place_model *models, uint32_t model,
+    const struct place_backend *backends, uint32_t nbackends)
+{
+	struct place_move move = nothing;
+	uint64_t most = 0;
+	uint32_t k;
+
+	for (k = 0; k < nbackends; k++) {
+		if (!backends[k].usable || holds(&models[model], k) ||
+		    backends[k].left_mb[0] < models[model].memory_mb ||
+		    backends[k].left_mb[0] <= most)
+			continue;
+		most = backends[k].left_mb[0];
+		move.kind = PLACE_LOAD;
+		move.model = model;
+		move.backend = k;
+	}
+	return move;
+}
+
+static struct place_move
+unload_least(const struct place_model *models, uint32_t nmodels,
+    const struct place_backend *backends, uint32_t want)
+{
+	struct place_move move = nothing;
+	double least = 0.0;
+	double each;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < nmodels; i++) {
+		if (i == want || models[i].ncopies < 2)
+			continue;
+		each = models[i].demand / models[i].ncopies;
+		for (k = 0; k < models[i].ncopies; k++) {
+			if (!models[i].copies[k].resident ||
+			    !backends[models[i].copies[k].backend].usable ||
+			    holds(&models[want], models[i].copies[k].backend) ||
+			    (move.kind != PLACE_NOTHING && each >= least))
+				continue;
+			least = each;
+			move.kind = PLACE_UNLOAD;
+			move.model = i;
+			move.backend = models[i].copies[k].backend;
+		}
+	}
+	return move;
+}
+
+static struct place_move
+place_minute(const void *ctx, uint64_t now, const struct place_model *models,
+    uint32_t nmodels, const struct place_backend *backends, uint32_t nbackends)
+{
+	static uint64_t next;
+	struct place_move move;
+	double most = -1.0;
+	double each;
+	uint32_t want = 0;
+	uint32_t i;
+
+	(void)ctx;
+	for (i = 0; i < nmodels; i++) {
+		if (models[i].least != 0 && models[i].ncopies == 0)
+			return load(models, i, backends, nbackends);
+	}
+	if (now < next)
+		return nothing;
+	for (i = 0; i < nmodels; i++) {
+		if (models[i].ncopies == 0)
+			continue;
+		each = models[i].demand / models[i].ncopies;
+		if (each > most) {
+			most = each;
+			want = i;
+		}
+	}
+	if (most <= 0.0)
+		return nothing;
+	move = load(models, want, backends, nbackends);
+	if (move.kind == PLACE_LOAD) {
+		next = now + PERIOD_NS;
+		return move;
+	}
+	return unload_least(models, nmodels, backends, want);
+}
+
+int
+main(int argc, char **argv)
+{
+	return control_main(argc, argv, place_minute);
+}
--- a/core/cell.c
+++ b/core/cell.c
@@ -36,6 +36,7 @@
 	own_config_default(&c->own);
 	sched_config_default(&c->sched);
 	place_config_default(&c->place);
+	c->policy = place_next;
 	c->order_ns = 20 * NSEC_PER_SEC;
 	c->late_ns = 30 * NSEC_PER_SEC;
 	c->poll_ns = 700 * NSEC_PER_MSEC;
--- a/core/cell.h
+++ b/core/cell.h
@@ -72,11 +72,13 @@
 	struct own_config own;
 	struct sched_config sched;
 	struct place_config place;
-	uint64_t order_ns; /* an order's longest time to an answer */
-	uint64_t late_ns;  /* an unanswered order may arrive this late */
-	uint64_t poll_ns;  /* between questions to one engine */
-	uint64_t place_ns; /* between placement steps */
-	uint64_t load_ns;  /* between announcements of the load number */
+	place_policy policy;	/* place_next() unless set otherwise */
+	const void *policy_ctx; /* NULL: the place member */
+	uint64_t order_ns;	/* an order's longest time to an answer */
+	uint64_t late_ns;	/* an unanswered order may arrive this late */
+	uint64_t poll_ns;	/* between questions to one engine */
+	uint64_t place_ns;	/* between placement steps */
+	uint64_t load_ns;	/* between announcements of the load number */
 };
 
 /* What the cell needs to know of the other processes. */
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -553,8 +553,10 @@
 	}
 	for (i = 0; i < MOVES_PER_STEP; i++) {
 		board_build(c, now, &b);
-		move = place_next(&c->config.place, now, b.models, b.n,
-		    b.backends, c->nunits);
+		move = c->config.policy(c->config.policy_ctx == NULL
+			? &c->config.place
+			: c->config.policy_ctx,
+		    now, b.models, b.n, b.backends, c->nunits);
 		if (move.kind == PLACE_STUCK)
 			drop_headroom(c, now, c->nunits,
 			    b.models[move.model].memory_mb, out);
--- a/core/place.c
+++ b/core/place.c
@@ -373,9 +373,8 @@
 }
 
 struct place_move
-place_next(const struct place_config *config, uint64_t now,
-    const struct place_model *models, uint32_t nmodels,
-    const struct place_backend *backends, uint32_t nbackends)
+place_next(const void *config, uint64_t now, const struct place_model *models,
+    uint32_t nmodels, const struct place_backend *backends, uint32_t nbackends)
 {
 	struct scene s;
 	struct place_move move;
--- a/core/place.h
+++ b/core/place.h
@@ -62,9 +62,16 @@
 	uint64_t hold_ns; /* least time between moves of one model */
 };
 
-void place_config_default(struct place_config *);
-struct place_move place_next(const struct place_config *, uint64_t,
+/*
+ * The next move at a time, for models and backend servers.  The context is a
+ * struct place_config for place_next().
+ */
+typedef struct place_move (*place_policy)(const void *, uint64_t,
     const struct place_model *, uint32_t, const struct place_backend *,
     uint32_t);
 
+void place_config_default(struct place_config *);
+struct place_move place_next(const void *, uint64_t, const struct place_model *,
+    uint32_t, const struct place_backend *, uint32_t);
+
 #endif
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -52,7 +52,7 @@
                  base_port=7000, build=None, fencing=None, memory_mb=80000,
                  model_mb=9000, rate=1.5, concurrent=3, load_ms=300,
                  engine_args=(), copies=1, log_level="notice",
-                 max_order="POST", datacentres=2, grace_ms=500):
+                 datacentres=2, grace_ms=500, control="spindle-control"):
         self.build = build or os.environ.get(
             "SPINDLE_BUILD", os.path.join(ROOT, "build"))
         self.dir = tempfile.mkdtemp(prefix="spindle.")
@@ -66,7 +66,7 @@
         self.fencing = fencing or (lambda i: i % 2 == 0)
         self.engine_args, self.copies = list(engine_args), copies
         self.log_level, self.datacentres = log_level, datacentres
-        self.grace_ms = grace_ms
+        self.grace_ms, self.control_binary = grace_ms, control
 
     # addresses
     def gate(self, i):
@@ -122,7 +122,7 @@
             "listen": self.control(i), "bus": self.control_bus(i),
             "service": self.platform, "vm_list": self.platform,
             "log_level": self.log_level})
-        self.start("control%d" % i, "spindle-control", "-c", path)
+        self.start("control%d" % i, self.control_binary, "-c", path)
 
     def start_gate(self, i):
         path = self.settings("gate%d" % i, {
--- a/standin/load.h
+++ b/standin/load.h
@@ -72,7 +72,8 @@
 	double cancel_share;
 	double order_share;
 	double whole_share;
-	double zipf; /* exponent of the models' popularity */
+	double rotate_s; /* popularity moves on after so long, 0: never */
+	double zipf;	 /* exponent of the models' popularity */
 	uint32_t short_tokens;
 	uint32_t long_tokens;
 	uint64_t deadline_ms;
--- a/standin/load_trace.c
+++ b/standin/load_trace.c
@@ -7,6 +7,8 @@
 #include "load.h"
 #include "mem.h"
 
+#define ROTATE_STEP 7 /* models */
+
 static double rate_at(const struct load_config *, double);
 static uint32_t pick_model(
     const struct load_config *, unsigned short *, const double *);
@@ -81,6 +83,11 @@
 		shots[*n] = (struct shot){ 0 };
 		shots[*n].at = (uint64_t)(t * (double)NSEC_PER_SEC);
 		shots[*n].model = pick_model(c, seed, weights);
+		if (c->rotate_s > 0.0)
+			shots[*n].model =
+			    (shots[*n].model +
+				(uint32_t)(t / c->rotate_s) * ROTATE_STEP) %
+			    c->nmodels;
 		fill_shot(c, seed, &shots[*n]);
 	}
 }
--- a/standin/spindle_load.c
+++ b/standin/spindle_load.c
@@ -72,6 +72,7 @@
 	struct arg_str *gate, *engine, *service, *model, *policy, *path;
 	struct arg_int *seed, *short_tokens, *long_tokens, *deadline;
 	struct arg_dbl *seconds, *rate, *swing, *lng, *cancel, *order, *whole;
+	struct arg_dbl *rotate;
 	struct arg_lit *demo, *help;
 	struct arg_end *end;
 };
@@ -110,6 +111,9 @@
 	o->cancel = arg_dbl0("c", "cancel", "N", "share (0)");
 	o->order = arg_dbl0("o", "orders", "N", "share (0)");
 	o->whole = arg_dbl0("W", "whole", "N", "share (0)");
+	o->rotate = arg_dbl0(NULL, "rotate", "N",
+	    "seconds until the popularity of models moves on (0: never)");
+	o->rotate->dval[0] = 0.0;
 	o->short_tokens =
 	    arg_int0(NULL, "short-tokens", "N", "mean length (40)");
 	o->long_tokens =
@@ -140,6 +144,7 @@
 	c->cancel_share = o->cancel->dval[0];
 	c->order_share = o->order->dval[0];
 	c->whole_share = o->whole->dval[0];
+	c->rotate_s = o->rotate->dval[0];
 	c->zipf = ZIPF;
 	c->short_tokens = (uint32_t)o->short_tokens->ival[0];
 	c->long_tokens = (uint32_t)o->long_tokens->ival[0];
@@ -190,8 +195,8 @@
 	options_numbers(&o);
 	void *table[] = { o.gate, o.engine, o.service, o.model, o.policy,
 		o.path, o.seed, o.seconds, o.rate, o.swing, o.lng, o.cancel,
-		o.order, o.whole, o.short_tokens, o.long_tokens, o.deadline,
-		o.demo, o.help, o.end };
+		o.order, o.whole, o.rotate, o.short_tokens, o.long_tokens,
+		o.deadline, o.demo, o.help, o.end };
 	if (arg_parse(argc, argv, table) != 0 || o.help->count != 0 ||
 	    parse_policy(o.policy->sval[0], &c.policy) == -1) {
 		printf("usage: %s", NAME);
--- a/tests/documents.py
+++ b/tests/documents.py
@@ -63,7 +63,7 @@
 def settings():
     """Each settings key stands in the settings page."""
     page = read("man/spindle-settings.5")
-    for path in ("gate/main.c", "control/main.c"):
+    for path in ("gate/main.c", "control/control.c"):
         for name in re.findall(r"FIELD\(\s*(\w+), CHECK", read(path)):
             check("settings: %s in the page" % name, re.search(
                 r"(Va|,) %s\b" % name, page))
