Large files split: scheduler messages, member queries, the fuzzers' worlds

Change: sched_msg.c, member_query.c, serving_world and state_world with one file a part; commands dispatch by table. The slow command of the serving fuzzer had no effect and has one now. Tests for the choice of a cell and for a declared model without a copy; apply prints progress.

--- a/Makefile
+++ b/Makefile
@@ -86,8 +86,13 @@
 	@mkdir -p $(dir $@)
 	$(CXX) $(CXXFLAGS) $(IQUOTE) -MMD -MP -c $< -o $@
 
-$(BUILD)/fuzz_%: $(BUILD)/tests/fuzz_%.oo $(BUILD)/libcore.a
-	$(CXX) $(CXXFLAGS) -o $@ $< $(BUILD)/libcore.a -lrapidcheck -ljansson \
+WORLD_serving = serving_world
+WORLD_state = state_world state_kv state_engine state_oracle
+
+.SECONDEXPANSION:
+$(BUILD)/fuzz_%: $(BUILD)/tests/fuzz_%.oo \
+    $$(foreach w,$$(WORLD_$$*),$(BUILD)/tests/$$(w).oo) $(BUILD)/libcore.a
+	$(CXX) $(CXXFLAGS) -o $@ $(filter %.oo,$^) $(BUILD)/libcore.a -lrapidcheck -ljansson \
 	    -lxxhash -lmsgpackc -lm
 
 TESTS = $(patsubst tests/test_%.c,$(BUILD)/test_%,$(wildcard tests/test_*.c))
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -33,8 +33,8 @@
 static void slope_conf(uint32_t);
 static void slope_nodes(uint32_t);
 static json_t *big_ticket(uint32_t);
-static void perform(
-    struct gate_core *, struct gate_actions *, uint64_t, uint64_t *);
+static void perform(struct gate_actions *, uint64_t *);
+static void fill_gate(struct gate_core *, uint64_t, uint32_t);
 
 static double
 cpu_s(void)
@@ -194,42 +194,28 @@
 	sched_destroy(s);
 }
 
+/* Throws actions away but for the number of the latest fetch. */
 static void
-perform(struct gate_core *g, struct gate_actions *out, uint64_t now,
-    uint64_t *fetches)
+perform(struct gate_actions *out, uint64_t *fetch)
 {
 	struct gate_action *act;
 
-	(void)g;
-	(void)now;
 	while ((act = TAILQ_FIRST(out)) != NULL) {
 		TAILQ_REMOVE(out, act, entry);
 		if (act->kind == GATE_START)
-			*fetches = act->fetch;
+			*fetch = act->fetch;
 		gate_action_destroy(act);
 	}
 }
 
-/* One gate that knows the whole system: its table and a request's cost. */
+/* Tells a gate of so many replicas, in full cells, and of every model. */
 static void
-slope_gate(uint32_t replicas)
+fill_gate(struct gate_core *g, uint64_t now, uint32_t replicas)
 {
 	struct gate_actions out = TAILQ_HEAD_INITIALIZER(out);
-	struct node_id self = { "10.0.0.1:7001", 1 };
-	struct gate_request req;
-	struct gate_config c;
-	struct gate_fetch f;
-	struct gate_core *g;
 	struct msg *m = msg_create(MSG_CELL, "");
-	uint64_t fetch = 0;
-	uint64_t now = NSEC_PER_SEC;
-	double memory = heap_mb();
-	double start;
 	uint32_t i;
-	int n = 2000;
 
-	gate_config_default(&c);
-	g = gate_create(&c, &self, 1);
 	for (i = 0; i < replicas; i++) {
 		name_replica(&m->u.cell.replicas[i % CELL_REPLICAS_MAX], i, 3,
 		    i * 3 % MODELS);
@@ -250,26 +236,48 @@
 		gate_message(g, now, m, &out);
 	}
 	msg_destroy(m);
+}
+
+/* One gate that knows the whole system: its table and a request's cost. */
+static void
+slope_gate(uint32_t replicas)
+{
+	struct gate_actions out = TAILQ_HEAD_INITIALIZER(out);
+	struct node_id self = { "10.0.0.1:7001", 1 };
+	struct gate_request req;
+	struct gate_config c;
+	struct gate_fetch f;
+	struct gate_core *g;
+	uint64_t fetch;
+	uint64_t now = NSEC_PER_SEC;
+	double memory = heap_mb();
+	double start;
+	int i;
+	int n = 2000;
+
+	gate_config_default(&c);
+	g = gate_create(&c, &self, 1);
+	fill_gate(g, now, replicas);
 	memory = heap_mb() - memory;
 	memset(&req, 0, sizeof(req));
 	memset(&f, 0, sizeof(f));
 	req.repeatable = 1;
 	req.stream = 1;
+	f.kind = FETCH_END;
 	start = cpu_s();
-	for (i = 1; i <= (uint32_t)n; i++) {
+	for (i = 1; i <= n; i++) {
 		now += NSEC_PER_MSEC;
-		req.rid = i;
+		req.rid = (uint64_t)i;
 		req.deadline = now + NSEC_PER_SEC;
 		snprintf(req.model, NAME_SIZE, "model%u",
-		    i * 7 % (replicas < MODELS ? replicas : MODELS));
+		    (uint32_t)i * 7 % (replicas < MODELS ? replicas : MODELS));
 		fetch = 0;
 		gate_arrive(g, now, &req, &out);
-		perform(g, &out, now, &fetch);
+		perform(&out, &fetch);
 		f.fetch = fetch;
-		f.kind = FETCH_END;
 		if (fetch != 0)
 			gate_fetched(g, now, &f, &out);
-		perform(g, &out, now, &fetch);
+		perform(&out, &fetch);
 	}
 	start = cpu_s() - start;
 	printf("| gate | %u replicas known | %.1f us a request, table %.2f MB "
--- a/core/member.c
+++ b/core/member.c
@@ -1,52 +1,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
-#include "member.h"
+#include "member_int.h"
 #include "mem.h"
 
 #define SPREAD_FACTOR 3 /* times log2 of the members */
 #define SPREAD_LEAST 4
 
-struct peer {
-	struct member_info info;
-	UT_hash_handle hh; /* by address */
-	uint64_t since;	   /* of the state */
-	uint32_t spread;   /* times still to be told */
-	int listed;
-};
-
-struct relay {
-	uint64_t probe; /* of the one who asked */
-	uint64_t ours;
-	char asker[ADDR_SIZE];
-	uint64_t until;
-};
-
-#define RELAYS_MAX 32
-
-struct member {
-	struct member_config config;
-	struct node_id self;
-	unsigned short seed[3];
-	struct peer *peers;
-	struct peer self_peer; /* told like a peer */
-	uint64_t revision;
-	uint64_t probe; /* number of the probe in progress */
-	char target[ADDR_SIZE];
-	uint64_t probe_at;
-	uint64_t ack_due;  /* then relays are asked */
-	uint64_t fail_due; /* then the target is suspected */
-	int asked_relays;
-	struct relay relays[RELAYS_MAX];
-	uint32_t next_relay;
-	struct peer **order; /* shuffled round of probes */
-	uint32_t norder;
-	uint32_t next;
-};
-
-static struct peer *peer_find(const struct member *, const char *);
 static struct peer *peer_create(struct member *, uint64_t, const char *);
 static void peer_state(
     struct member *, uint64_t, struct peer *, enum member_state);
@@ -115,8 +76,8 @@
 	free(m);
 }
 
-static struct peer *
-peer_find(const struct member *m, const char *addr)
+struct peer *
+member_peer(const struct member *m, const char *addr)
 {
 	struct peer *p;
 
@@ -164,14 +125,14 @@
 {
 	if (strcmp(addr, m->self.addr) == 0)
 		return;
-	if (peer_find(m, addr) == NULL)
+	if (member_peer(m, addr) == NULL)
 		peer_create(m, now, addr);
 }
 
 void
 member_leaving(struct member *m, uint64_t now, const char *addr)
 {
-	struct peer *p = peer_find(m, addr);
+	struct peer *p = member_peer(m, addr);
 
 	if (p == NULL || p->info.state == MEMBER_LEAVING ||
 	    p->info.state == MEMBER_DEAD)
@@ -182,7 +143,7 @@
 void
 member_listed(struct member *m, const char *addr, int listed)
 {
-	struct peer *p = peer_find(m, addr);
+	struct peer *p = member_peer(m, addr);
 
 	if (p != NULL)
 		p->listed = listed;
@@ -203,7 +164,7 @@
 
 	if (strcmp(id->addr, m->self.addr) == 0)
 		return;
-	p = peer_find(m, id->addr);
+	p = member_peer(m, id->addr);
 	if (p == NULL)
 		p = peer_create(m, now, id->addr);
 	if (id->incarnation < p->info.id.incarnation)
@@ -250,7 +211,7 @@
 		learn_self(m, news);
 		return;
 	}
-	p = peer_find(m, news->addr);
+	p = member_peer(m, news->addr);
 	if (p == NULL) {
 		if (news->state == MEMBER_DEAD)
 			return;
@@ -416,7 +377,7 @@
 		ask_relays(m, out);
 	if (now >= m->fail_due) {
 		m->fail_due = TIME_NEVER;
-		p = peer_find(m, m->target);
+		p = member_peer(m, m->target);
 		if (p != NULL && (p->info.state == MEMBER_ALIVE))
 			peer_state(m, now, p, MEMBER_SUSPECT);
 		if (p != NULL && p->info.state == MEMBER_LEAVING)
@@ -518,84 +479,3 @@
 		told++;
 	}
 }
-
-void
-member_each(const struct member *m,
-    void (*report)(void *, const struct member_info *), void *ctx)
-{
-	struct member_info self = m->self_peer.info;
-	struct peer *p, *next;
-
-	self.revision = m->revision;
-	report(ctx, &self);
-	HASH_ITER (hh, m->peers, p, next)
-		report(ctx, &p->info);
-}
-
-enum member_state
-member_state(const struct member *m, const char *addr, uint64_t incarnation)
-{
-	const struct peer *p;
-
-	if (strcmp(addr, m->self.addr) == 0)
-		return incarnation == m->self.incarnation ? MEMBER_ALIVE
-							  : MEMBER_DEAD;
-	p = peer_find(m, addr);
-	if (p == NULL || p->info.id.incarnation > incarnation)
-		return MEMBER_DEAD;
-	return p->info.state;
-}
-
-uint32_t
-member_draw(struct member *m, uint32_t n, char (*addrs)[ADDR_SIZE])
-{
-	struct peer *p, *next;
-	uint32_t live = member_live(m);
-	uint32_t drawn = 0;
-
-	/* Each of the live ones left is taken with the chance it needs. */
-	HASH_ITER (hh, m->peers, p, next) {
-		if (p->info.state != MEMBER_ALIVE || p->info.heard == 0)
-			continue;
-		if ((uint32_t)nrand48(m->seed) % live < n - drawn) {
-			memcpy(addrs[drawn], p->info.id.addr, ADDR_SIZE);
-			if (++drawn == n)
-				break;
-		}
-		live--;
-	}
-	return drawn;
-}
-
-uint64_t
-member_incarnation(const struct member *m, const char *addr)
-{
-	const struct peer *p;
-
-	if (strcmp(addr, m->self.addr) == 0)
-		return m->self.incarnation;
-	p = peer_find(m, addr);
-	return p == NULL ? 0 : p->info.id.incarnation;
-}
-
-uint32_t
-member_live(const struct member *m)
-{
-	struct peer *p, *next;
-	uint32_t n = 0;
-
-	HASH_ITER (hh, m->peers, p, next)
-		n += p->info.state == MEMBER_ALIVE && p->info.heard != 0;
-	return n;
-}
-
-uint32_t
-member_heard(const struct member *m, uint64_t since)
-{
-	struct peer *p, *next;
-	uint32_t n = 0;
-
-	HASH_ITER (hh, m->peers, p, next)
-		n += p->info.heard != 0 && p->info.heard >= since;
-	return n;
-}
--- /dev/null
+++ b/core/member_int.h
@@ -0,0 +1,48 @@
+/* Data structures shared by the files of membership. */
+#ifndef MEMBER_INT_H
+#define MEMBER_INT_H
+
+#include <uthash.h>
+
+#include "member.h"
+
+struct peer {
+	struct member_info info;
+	UT_hash_handle hh; /* by address */
+	uint64_t since;	   /* of the state */
+	uint32_t spread;   /* times still to be told */
+	int listed;
+};
+
+struct relay {
+	uint64_t probe; /* of the one who asked */
+	uint64_t ours;
+	char asker[ADDR_SIZE];
+	uint64_t until;
+};
+
+#define RELAYS_MAX 32
+
+struct member {
+	struct member_config config;
+	struct node_id self;
+	unsigned short seed[3];
+	struct peer *peers;
+	struct peer self_peer; /* told like a peer */
+	uint64_t revision;
+	uint64_t probe; /* number of the probe in progress */
+	char target[ADDR_SIZE];
+	uint64_t probe_at;
+	uint64_t ack_due;  /* then relays are asked */
+	uint64_t fail_due; /* then the target is suspected */
+	int asked_relays;
+	struct relay relays[RELAYS_MAX];
+	uint32_t next_relay;
+	struct peer **order; /* shuffled round of probes */
+	uint32_t norder;
+	uint32_t next;
+};
+
+struct peer *member_peer(const struct member *, const char *);
+
+#endif
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -110,11 +110,20 @@
 };
 
 /* sched.c */
+/*
+ * Finds the record of a gate's incarnation and notes that it was heard.
+ * Returns NULL for an incarnation older than one already heard.
+ */
+struct gate *sched_gate(struct sched *, uint64_t, const struct node_id *);
+struct model *sched_model(struct sched *, const char *, int);
+struct replica *sched_find(const struct sched *, const char *);
+void sched_drop_job(struct sched *, struct job *);
+
+/* sched_msg.c */
 void sched_send_grant(struct sched *, uint64_t, struct job *, struct replica *,
     struct msg_list *);
 void sched_refuse_job(
     struct sched *, struct job *, enum refuse_reason, struct msg_list *);
-void sched_drop_job(struct sched *, struct job *);
 
 /* sched_queue.c: lanes and their order */
 void sched_estimate(struct job *, uint32_t);
--- a/ctl/ticket.c
+++ b/ctl/ticket.c
@@ -149,6 +149,7 @@
 	json_t *status;
 	struct err e;
 	size_t behind = 1;
+	size_t before = SIZE_MAX;
 	size_t live;
 
 	for (;;) {
@@ -160,6 +161,10 @@
 		behind = count_behind(
 		    status, revision, clock_mono() >= until, &live);
 		json_decref(status);
+		if (behind != 0 && behind != before)
+			fprintf(stderr, "%s: in force on %zu of %zu nodes\n",
+			    CTL_NAME, live - behind, live);
+		before = behind;
 		if (behind == 0 || clock_mono() >= until)
 			break;
 		nanosleep(&ts, NULL);
--- /dev/null
+++ b/tests/serving_world.cc
@@ -0,0 +1,600 @@
+/* The commands of the serving fuzzer and what they do to its world. */
+#include "serving_world.h"
+
+const char *const op_names[OP__MAX] = { "stream", "whole", "long", "order",
+	"cancel", "progress", "break", "advance", "takeover", "pause",
+	"resume", "kill-gate", "drain", "undrain", "faults", "slow" };
+
+void
+World::start_gate(int i)
+{
+	gate_config config;
+	node_id self = {};
+
+	gate_config_default(&config);
+	snprintf(self.addr, sizeof(self.addr), "%s", gate_addr(i).c_str());
+	self.incarnation = gates[i].incarnation;
+	gates[i].core = gate_create(&config, &self, (uint64_t)i + 1);
+}
+
+void
+World::start_owner(int i)
+{
+	sched_config config;
+	msg_list out;
+
+	TAILQ_INIT(&out);
+	sched_config_default(&config);
+	config.slots_first = 2;
+	owners[i].core = sched_create(&config, fence << 32);
+	owners[i].paused = false;
+	owners[i].superseded_at = TIME_NEVER;
+	sched_declare(owners[i].core, "m0");
+	sched_declare(owners[i].core, "m1");
+	for (int k = 0; k < kReplicas; k++) {
+		msg_replica r;
+
+		fill_replica(k, &r);
+		sched_replica(owners[i].core, now, &r, &out);
+	}
+	owner = i;
+	version++;
+	send_all(owner_addr(i), fence, &out);
+}
+
+void
+World::drop_owner(Owner &o)
+{
+	sched_destroy(o.core);
+	o.core = nullptr;
+	for (auto *m : o.inbox)
+		msg_destroy(m);
+	o.inbox.clear();
+}
+
+void
+World::fill_replica(int i, msg_replica *r)
+{
+	memset(r, 0, sizeof(*r));
+	snprintf(
+	    r->name, sizeof(r->name), "%s", replicas[i].name.c_str());
+	snprintf(r->addr, sizeof(r->addr), "10.1.0.%d:1", i + 1);
+	r->leaving = replicas[i].leaving;
+	snprintf(r->models[r->nmodels++], NAME_SIZE, "m%d", i % 2);
+	if (i == 0)
+		snprintf(r->models[r->nmodels++], NAME_SIZE, "m1");
+}
+
+/* What each gate's own control process tells it, again and again. */
+void
+World::push_tables(bool sure)
+{
+	tables_at = now + kTablePeriod;
+	for (int i = 0; i < kGates; i++) {
+		msg *cell = msg_create(MSG_CELL, gate_addr(i).c_str());
+		msg *service = msg_create(MSG_SERVICE, gate_addr(i).c_str());
+
+		snprintf(cell->u.cell.cell, NAME_SIZE, "main");
+		cell->u.cell.version = version;
+		snprintf(cell->u.cell.owner, ADDR_SIZE, "%s",
+		    owner_addr(owner).c_str());
+		cell->u.cell.owner_incarnation = fence;
+		cell->u.cell.fence = fence;
+		cell->u.cell.nreplicas = kReplicas;
+		for (int k = 0; k < kReplicas; k++)
+			fill_replica(k, &cell->u.cell.replicas[k]);
+		snprintf(service->u.service.name, NAME_SIZE, "shop");
+		snprintf(service->u.service.prefix, PATH_SIZE, "/shop/");
+		service->u.service.version = version;
+		service->u.service.nbackends = kInstances;
+		for (int k = 0; k < kInstances; k++) {
+			snprintf(service->u.service.backends[k].name,
+			    NAME_SIZE, "%s", instances[k].name.c_str());
+			snprintf(service->u.service.backends[k].addr,
+			    ADDR_SIZE, "10.2.0.%d:1", k + 1);
+			service->u.service.backends[k].leaving =
+			    instances[k].leaving;
+		}
+		for (int k = 0; k < 2; k++) {
+			msg *model =
+			    msg_create(MSG_MODEL, gate_addr(i).c_str());
+
+			snprintf(model->u.model.name, NAME_SIZE, "m%d", k);
+			model->u.model.version = 1;
+			if (sure)
+				deliver(gate_addr(i), model);
+			else
+				queue.send(now, gate_addr(i), model);
+		}
+		if (sure) {
+			deliver(gate_addr(i), cell);
+			deliver(gate_addr(i), service);
+		} else {
+			queue.send(now, gate_addr(i), cell);
+			queue.send(now, gate_addr(i), service);
+		}
+	}
+}
+
+void
+World::send_all(const std::string &from, uint64_t inc, msg_list *out)
+{
+	msg *m;
+
+	while ((m = TAILQ_FIRST(out)) != nullptr) {
+		TAILQ_REMOVE(out, m, entry);
+		snprintf(m->from.addr, sizeof(m->from.addr), "%s",
+		    from.c_str());
+		m->from.incarnation = inc;
+		queue.send(now, m->to, m);
+	}
+}
+
+void
+World::deliver(const std::string &to, msg *m)
+{
+	for (int i = 0; i < kGates; i++) {
+		if (to != gate_addr(i))
+			continue;
+		gate_actions out = TAILQ_HEAD_INITIALIZER(out);
+
+		gate_message(gates[i].core, now, m, &out);
+		perform(i, &out);
+	}
+	for (int i = 0; i < kOwners; i++) {
+		if (to != owner_addr(i) || owners[i].core == nullptr)
+			continue;
+		if (owners[i].paused) {
+			owners[i].inbox.push_back(m);
+			return;
+		}
+		msg_list out;
+
+		TAILQ_INIT(&out);
+		sched_message(owners[i].core, now, m, &out);
+		send_all(owner_addr(i), fence, &out);
+	}
+	msg_destroy(m);
+}
+
+void
+World::on_start(int gate, const gate_action *act)
+{
+	Fetch f;
+
+	f.gate = gate;
+	f.id = act->fetch;
+	f.rid = act->rid;
+	f.target = act->target;
+	f.next = act->resume;
+	f.service = f.target.compare(0, 4, "shop") == 0;
+	for (auto &r : replicas)
+		if (r.name == f.target && r.leaving)
+			RC_ASSERT(now <= r.since + kLeaveBound);
+	for (auto &r : instances)
+		if (r.name == f.target && r.leaving)
+			RC_ASSERT(now <= r.since + kLeaveBound);
+	fetches.push_back(f);
+}
+
+void
+World::on_data(const gate_action *act)
+{
+	std::unique_ptr<Part> part((Part *)act->payload);
+	Request &r = requests.at(act->rid);
+
+	RC_ASSERT(part->rid == act->rid); /* its own answer */
+	RC_ASSERT(r.ends == 0);
+	RC_ASSERT(!r.cancelled);
+	if (part->index < 0) {
+		r.head++;
+		return;
+	}
+	RC_ASSERT((uint32_t)part->index == r.tokens); /* whole, in order */
+	r.tokens++;
+}
+
+void
+World::on_end(const gate_action *act)
+{
+	Request &r = requests.at(act->rid);
+
+	r.ends++;
+	RC_ASSERT(r.ends == 1);
+	RC_ASSERT(!r.cancelled);
+	r.outcome = act->kind == GATE_END ? OUTCOME_ANSWERED : act->outcome;
+	if (act->kind == GATE_END) {
+		RC_ASSERT(r.head == 1);
+		RC_ASSERT(r.tokens == kTokens);
+	} else if (gate_outcome_not_run(act->outcome)) {
+		RC_ASSERT(r.writes == 0); /* told "not run": never written */
+	}
+}
+
+void
+World::perform(int gate, gate_actions *out)
+{
+	gate_action *act;
+
+	while ((act = TAILQ_FIRST(out)) != nullptr) {
+		TAILQ_REMOVE(out, act, entry);
+		switch (act->kind) {
+		case GATE_SEND:
+			snprintf(act->msg->from.addr,
+			    sizeof(act->msg->from.addr), "%s",
+			    gate_addr(gate).c_str());
+			act->msg->from.incarnation = gates[gate].incarnation;
+			queue.send(now, act->msg->to, act->msg);
+			act->msg = nullptr;
+			break;
+		case GATE_START:
+			on_start(gate, act);
+			break;
+		case GATE_STOP:
+			for (size_t k = 0; k < fetches.size(); k++)
+				if (fetches[k].gate == gate &&
+				    fetches[k].id == act->fetch)
+					erase_fetch(k);
+			break;
+		case GATE_DATA:
+			on_data(act);
+			break;
+		case GATE_DROP:
+			delete (Part *)act->payload;
+			break;
+		case GATE_END:
+		case GATE_FAIL:
+			on_end(act);
+			break;
+		default:
+			break;
+		}
+		gate_action_destroy(act);
+	}
+}
+
+void
+World::erase_fetch(size_t k)
+{
+	fetches.erase(fetches.begin() + (long)k);
+}
+
+void
+World::feed(const Fetch &f, fetch_kind kind, fetch_phase phase, int index,
+    uint32_t tokens)
+{
+	gate_actions out = TAILQ_HEAD_INITIALIZER(out);
+	gate_fetch ev = {};
+
+	ev.kind = kind;
+	ev.fetch = f.id;
+	ev.phase = phase;
+	ev.status = 200;
+	ev.tokens = tokens;
+	ev.bytes = 10;
+	if (kind == FETCH_HEAD || kind == FETCH_DATA)
+		ev.payload = new Part{ f.rid, index };
+	gate_fetched(gates[f.gate].core, now, &ev, &out);
+	perform(f.gate, &out);
+}
+
+/* Takes one fetch a step further. */
+void
+World::progress(size_t k, bool sure)
+{
+	if (fetches.empty())
+		return;
+	k %= fetches.size();
+	for (auto &r : replicas)
+		if (!sure && r.slow && r.name == fetches[k].target &&
+		    queue.random() < 0.9)
+			return;
+	Fetch &f = fetches[k];
+	Fetch copy = f;
+
+	if (f.phase == PHASE_CONNECTING) {
+		f.phase = PHASE_WRITTEN;
+		Request &r = requests.at(f.rid);
+
+		r.writes++;
+		if (!r.repeatable)
+			RC_ASSERT(r.writes <= 1); /* at most once */
+		feed(copy, FETCH_PHASE, PHASE_WRITTEN, 0, 0);
+	} else if (f.phase == PHASE_WRITTEN) {
+		f.phase = PHASE_BEGUN;
+		feed(copy, FETCH_HEAD, PHASE_BEGUN, -1, 0);
+	} else if (f.next < kTokens) {
+		f.next++;
+		feed(copy, FETCH_DATA, PHASE_BEGUN, (int)copy.next, 1);
+	} else {
+		erase_fetch(k);
+		feed(copy, FETCH_END, PHASE_BEGUN, 0, 0);
+	}
+}
+
+void
+World::fail(size_t k)
+{
+	if (fetches.empty())
+		return;
+	k %= fetches.size();
+	Fetch copy = fetches[k];
+
+	erase_fetch(k);
+	feed(copy, FETCH_FAIL, copy.phase, 0, 0);
+}
+
+void
+World::arrive(OpKind kind, int gate)
+{
+	gate_actions out = TAILQ_HEAD_INITIALIZER(out);
+	gate_request req = {};
+	Request r;
+
+	req.rid = ++next_rid;
+	req.stream = kind == OP_STREAM || kind == OP_LONG;
+	req.repeatable = kind != OP_ORDER;
+	req.job_class = kind == OP_LONG ? CLASS_STANDARD : CLASS_INTERACTIVE;
+	req.tokens = kind == OP_LONG ? 5000 : kTokens;
+	req.deadline = now + 4 * NSEC_PER_SEC;
+	if (kind == OP_ORDER)
+		snprintf(req.service, NAME_SIZE, "shop");
+	else
+		snprintf(req.model, NAME_SIZE, "m%d", (int)(next_rid % 2));
+	r.gate = gate;
+	r.repeatable = req.repeatable;
+	r.stream = req.stream;
+	requests[req.rid] = r;
+	gate_arrive(gates[gate].core, now, &req, &out);
+	perform(gate, &out);
+}
+
+void
+World::advance(uint64_t ns, bool finishing)
+{
+	std::string to;
+	msg *m;
+
+	for (uint64_t until = now + ns; now < until; now += kStep) {
+		while (queue.next(now, &to, &m))
+			deliver(to, m);
+		for (int i = 0; i < kGates; i++) {
+			gate_actions out = TAILQ_HEAD_INITIALIZER(out);
+
+			gate_tick(gates[i].core, now, &out);
+			perform(i, &out);
+		}
+		for (int i = 0; i < kOwners; i++) {
+			if (owners[i].core == nullptr || owners[i].paused)
+				continue;
+			if (now >= owners[i].superseded_at) {
+				drop_owner(owners[i]);
+				continue;
+			}
+			msg_list out;
+
+			TAILQ_INIT(&out);
+			sched_tick(owners[i].core, now, &out);
+			send_all(owner_addr(i), fence, &out);
+		}
+		if (now >= tables_at)
+			push_tables(false);
+		size_t n = fetches.size();
+
+		for (size_t k = 0; k < n; k++) {
+			size_t at = (size_t)(queue.random() * 1000.0);
+
+			if (finishing || queue.random() < 0.3)
+				progress(at, finishing);
+		}
+	}
+}
+
+void
+World::op_arrive(OpKind op, int a, int b)
+{
+	(void)b;
+	arrive(op, a % kGates);
+}
+
+void
+World::op_cancel(OpKind op, int a, int b)
+{
+	gate_actions out = TAILQ_HEAD_INITIALIZER(out);
+
+	(void)op;
+	(void)a;
+	if (next_rid == 0)
+		return;
+	uint64_t rid = (uint64_t)b % next_rid + 1;
+	Request &r = requests.at(rid);
+
+	if (r.ends != 0 || r.gate_died || r.cancelled)
+		return;
+	r.cancelled = true;
+	gate_cancel(gates[r.gate].core, now, rid, &out);
+	perform(r.gate, &out);
+}
+
+void
+World::op_fetch(OpKind op, int a, int b)
+{
+	(void)a;
+	if (op == OP_BREAK)
+		fail((size_t)b);
+	else
+		progress((size_t)b);
+}
+
+void
+World::op_advance(OpKind op, int a, int b)
+{
+	(void)op;
+	(void)a;
+	advance((uint64_t)(b % 500 + 1) * NSEC_PER_MSEC, false);
+}
+
+/* The owner dies, or is found out once it resumes. */
+void
+World::op_takeover(OpKind op, int a, int b)
+{
+	Owner &old = owners[owner];
+	int next = (owner + 1) % kOwners;
+
+	(void)op;
+	(void)a;
+	(void)b;
+	fence++;
+	if (!old.paused)
+		drop_owner(old);
+	if (owners[next].core != nullptr)
+		drop_owner(owners[next]);
+	start_owner(next);
+}
+
+void
+World::op_pause(OpKind op, int a, int b)
+{
+	(void)op;
+	(void)a;
+	(void)b;
+	owners[owner].paused = true;
+}
+
+void
+World::op_resume(OpKind op, int a, int b)
+{
+	(void)op;
+	(void)a;
+	(void)b;
+	for (int i = 0; i < kOwners; i++) {
+		std::vector<msg *> inbox;
+
+		if (!owners[i].paused)
+			continue;
+		owners[i].paused = false;
+		if (i != owner)
+			owners[i].superseded_at = now + 500 * NSEC_PER_MSEC;
+		inbox.swap(owners[i].inbox);
+		for (auto *m : inbox)
+			deliver(owner_addr(i), m);
+	}
+}
+
+void
+World::op_kill_gate(OpKind op, int a, int b)
+{
+	int gate = a % kGates;
+
+	(void)op;
+	(void)b;
+	gate_destroy(gates[gate].core);
+	for (auto &r : requests)
+		if (r.second.gate == gate && r.second.ends == 0)
+			r.second.gate_died = true;
+	for (size_t k = fetches.size(); k > 0; k--)
+		if (fetches[k - 1].gate == gate)
+			erase_fetch(k - 1);
+	gates[gate].incarnation++;
+	start_gate(gate);
+	push_tables(true);
+}
+
+/* Marks a backend server and tells every owner that runs. */
+void
+World::op_drain(OpKind op, int a, int b)
+{
+	Replica &r = b % 3 == 0 ? instances[a % kInstances] :
+				  replicas[a % kReplicas];
+
+	r.leaving = op == OP_DRAIN;
+	r.since = now;
+	version++;
+	for (int i = 0; i < kOwners; i++) {
+		msg_list list;
+
+		if (owners[i].core == nullptr || owners[i].paused)
+			continue;
+		TAILQ_INIT(&list);
+		for (int k = 0; k < kReplicas; k++) {
+			msg_replica mr;
+
+			fill_replica(k, &mr);
+			sched_replica(owners[i].core, now, &mr, &list);
+		}
+		send_all(owner_addr(i), fence, &list);
+	}
+}
+
+void
+World::op_faults(OpKind op, int a, int b)
+{
+	(void)op;
+	queue.faults.drop = a % 4 == 0 ? 0.3 : 0.05 * (a % 4);
+	queue.faults.duplicate = 0.05 * (b % 3);
+	queue.faults.delay = (uint64_t)(b % 200) * NSEC_PER_MSEC;
+}
+
+/* A slow replica takes a step only now and then. */
+void
+World::op_slow(OpKind op, int a, int b)
+{
+	(void)op;
+	replicas[a % kReplicas].slow = b % 2 == 0;
+}
+
+void
+World::apply(OpKind op, int a, int b)
+{
+	static void (World::*const handlers[OP__MAX])(OpKind, int, int) = {
+		&World::op_arrive, &World::op_arrive, &World::op_arrive,
+		&World::op_arrive, &World::op_cancel, &World::op_fetch,
+		&World::op_fetch, &World::op_advance, &World::op_takeover,
+		&World::op_pause, &World::op_resume, &World::op_kill_gate,
+		&World::op_drain, &World::op_drain, &World::op_faults,
+		&World::op_slow
+	};
+
+	(this->*handlers[op])(op, a, b);
+}
+
+/* Heals everything, lets all work end, and checks what must hold then. */
+void
+World::finish()
+{
+	queue.faults = {};
+	for (auto &r : replicas)
+		r.leaving = false;
+	for (auto &r : instances)
+		r.leaving = false;
+	apply(OP_RESUME, 0, 0);
+	apply(OP_DRAIN, 0, 1); /* tells owners the marks */
+	apply(OP_UNDRAIN, 0, 1);
+	advance(9 * NSEC_PER_SEC, true);
+	RC_ASSERT(fetches.empty());
+	for (auto &r : requests) {
+		if (r.second.cancelled || r.second.gate_died)
+			continue;
+		RC_ASSERT(r.second.ends == 1);
+	}
+	for (auto &g : gates) {
+		struct gate_totals t;
+
+		::gate_totals(g.core, &t);
+		RC_ASSERT(t.calls == 0U);
+	}
+	struct sched_totals t;
+
+	::sched_totals(owners[owner].core, &t);
+	RC_ASSERT(t.granted == 0U); /* slots return, no grant outlives */
+	RC_ASSERT(t.waiting == 0U);
+	for (auto &r : replicas) {
+		uint32_t outstanding;
+		uint32_t slots;
+
+		sched_replica_load(owners[owner].core, r.name.c_str(),
+		    &outstanding, &slots);
+		RC_ASSERT(outstanding == 0U);
+		RC_ASSERT(slots >= 1U);
+	}
+}
--- /dev/null
+++ b/tests/serving_world.h
@@ -0,0 +1,199 @@
+/*
+ * The world of the serving fuzzer: gates and cell owners joined by a lossy
+ * queue, fake backend servers, and the oracle, in virtual time.
+ */
+#ifndef SERVING_WORLD_H
+#define SERVING_WORLD_H
+
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <cstdio>
+#include <cstring>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lossy.h"
+
+extern "C" {
+#include "gate.h"
+#include "sched.h"
+}
+
+const int kGates = 2;
+const int kOwners = 2;
+const int kReplicas = 4;
+const int kInstances = 2;
+const uint64_t kStep = 20 * NSEC_PER_MSEC;
+const uint64_t kLeaveBound = 3 * NSEC_PER_SEC;
+const uint64_t kTablePeriod = 200 * NSEC_PER_MSEC;
+const uint32_t kTokens = 6;
+
+enum OpKind {
+	OP_STREAM,
+	OP_WHOLE,
+	OP_LONG,
+	OP_ORDER,
+	OP_CANCEL,
+	OP_PROGRESS,
+	OP_BREAK,
+	OP_ADVANCE,
+	OP_TAKEOVER,
+	OP_PAUSE,
+	OP_RESUME,
+	OP_KILL_GATE,
+	OP_DRAIN,
+	OP_UNDRAIN,
+	OP_FAULTS,
+	OP_SLOW,
+	OP__MAX
+};
+
+extern const char *const op_names[OP__MAX];
+
+/* Part of an answer as the fake engine sent it; index -1 is the head. */
+struct Part {
+	uint64_t rid;
+	int index;
+};
+
+struct Request {
+	int gate;
+	bool repeatable;
+	bool stream;
+	bool cancelled = false;
+	bool gate_died = false;
+	int ends = 0;
+	gate_outcome outcome = OUTCOME_ANSWERED;
+	int writes = 0;
+	int head = 0;
+	uint32_t tokens = 0;
+};
+
+struct Fetch {
+	int gate;
+	uint64_t id;
+	uint64_t rid;
+	std::string target;
+	fetch_phase phase = PHASE_CONNECTING;
+	uint32_t next;
+	bool service;
+};
+
+struct Replica {
+	std::string name;
+	bool leaving = false;
+	uint64_t since = 0;
+	bool slow = false;
+};
+
+struct Gate {
+	gate_core *core = nullptr;
+	uint64_t incarnation = 1;
+};
+
+struct Owner {
+	sched *core = nullptr;
+	bool paused = false;
+	uint64_t superseded_at = TIME_NEVER;
+	std::vector<msg *> inbox; /* while paused */
+};
+
+struct Model {
+	int steps = 0;
+};
+
+class World
+{
+      public:
+	explicit World(uint64_t seed) : queue(seed, copy_msg, msg_destroy)
+	{
+		for (int i = 0; i < kReplicas; i++)
+			replicas[i].name = "replica" + std::to_string(i);
+		for (int i = 0; i < kInstances; i++)
+			instances[i].name = "shop" + std::to_string(i);
+		for (int i = 0; i < kGates; i++)
+			start_gate(i);
+		start_owner(0);
+		push_tables(true);
+	}
+
+	~World()
+	{
+		for (auto &g : gates)
+			gate_destroy(g.core);
+		for (auto &o : owners)
+			drop_owner(o);
+	}
+
+	void apply(OpKind op, int a, int b);
+	void finish();
+
+      private:
+	void op_arrive(OpKind op, int a, int b);
+	void op_cancel(OpKind op, int a, int b);
+	void op_fetch(OpKind op, int a, int b);
+	void op_advance(OpKind op, int a, int b);
+	void op_takeover(OpKind op, int a, int b);
+	void op_pause(OpKind op, int a, int b);
+	void op_resume(OpKind op, int a, int b);
+	void op_kill_gate(OpKind op, int a, int b);
+	void op_drain(OpKind op, int a, int b);
+	void op_faults(OpKind op, int a, int b);
+	void op_slow(OpKind op, int a, int b);
+
+	static msg *
+	copy_msg(msg *m)
+	{
+		return msg_copy(m);
+	}
+
+	std::string
+	gate_addr(int i) const
+	{
+		return "10.0.0." + std::to_string(i + 1) + ":1";
+	}
+
+	std::string
+	owner_addr(int i) const
+	{
+		return "10.0.1." + std::to_string(i + 1) + ":1";
+	}
+
+	void start_gate(int i);
+	void start_owner(int i);
+	void drop_owner(Owner &o);
+	void fill_replica(int i, msg_replica *r);
+	void push_tables(bool sure);
+	void arrive(OpKind kind, int gate);
+	void progress(size_t k, bool sure = false);
+	void fail(size_t k);
+	void erase_fetch(size_t k);
+	void advance(uint64_t ns, bool finishing);
+	void deliver(const std::string &to, msg *m);
+	void send_all(const std::string &from, uint64_t inc, msg_list *out);
+	void perform(int gate, gate_actions *out);
+	void on_start(int gate, const gate_action *act);
+	void on_data(const gate_action *act);
+	void on_end(const gate_action *act);
+	void feed(const Fetch &f, fetch_kind kind, fetch_phase phase, int index,
+	    uint32_t tokens);
+
+	uint64_t now = NSEC_PER_SEC;
+	Lossy<msg *> queue;
+	Gate gates[kGates];
+	Owner owners[kOwners];
+	int owner = 0;
+	uint64_t fence = 1;
+	Replica replicas[kReplicas];
+	Replica instances[kInstances];
+	std::map<uint64_t, Request> requests;
+	std::vector<Fetch> fetches;
+	uint64_t next_rid = 0;
+	uint64_t tables_at = 0;
+	uint64_t version = 1;
+};
+
+#endif
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1,4 +1,5 @@
 /* The gate's decisions one by one: phases, outcomes, fallback, hedges. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -33,6 +34,9 @@
 static void test_cancel_running(void);
 static void test_order_detached(void);
 static void test_engine_refuses(void);
+static void cell(const char *, const char *, uint32_t);
+static void test_cells(void);
+static void test_declared_absent(void);
 
 static int payload;
 
@@ -402,6 +406,66 @@
 	teardown();
 }
 
+static void
+cell(const char *name, const char *owner, uint32_t load)
+{
+	struct msg *m = msg_create(MSG_CELL, "");
+	struct msg_replica *r = &m->u.cell.replicas[0];
+
+	strcpy(m->u.cell.cell, name);
+	strcpy(m->u.cell.owner, owner);
+	m->u.cell.version = 2;
+	m->u.cell.load = load;
+	m->u.cell.nreplicas = 1;
+	snprintf(r->name, sizeof(r->name), "%s-r", name);
+	strcpy(r->models[r->nmodels++], "m");
+	gate_message(gate, now, m, &out);
+	msg_destroy(m);
+}
+
+/* Of the cells that hold the model, the least loaded is asked. */
+static void
+test_cells(void)
+{
+	setup("10.0.0.1:1");
+	cell("main", "10.0.0.1:1", 90);
+	cell("second", "10.0.0.2:1", 20);
+	arrive(1, 0, 1);
+	CU_ASSERT_STRING_EQUAL(find(GATE_SEND)->msg->to, "10.0.0.2:1");
+	clear();
+	cell("second", "10.0.0.2:1", 95);
+	arrive(2, 0, 1);
+	CU_ASSERT_STRING_EQUAL(find(GATE_SEND)->msg->to, "10.0.0.1:1");
+	teardown();
+}
+
+/* A declared model that no cell holds is asked for, and not run in vain. */
+static void
+test_declared_absent(void)
+{
+	struct gate_request req;
+	struct msg *m;
+
+	setup("10.0.0.1:1");
+	m = msg_create(MSG_MODEL, "");
+	strcpy(m->u.model.name, "absent");
+	m->u.model.version = 1;
+	gate_message(gate, now, m, &out);
+	msg_destroy(m);
+	memset(&req, 0, sizeof(req));
+	req.rid = 1;
+	strcpy(req.model, "absent");
+	req.repeatable = 1;
+	req.deadline = now + NSEC_PER_SEC;
+	gate_arrive(gate, now, &req, &out);
+	CU_ASSERT_EQUAL(sent(MSG_ACQUIRE), 1);
+	tick(3 * NSEC_PER_SEC);
+	CU_ASSERT_PTR_NULL(find(GATE_START));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(find(GATE_FAIL));
+	CU_ASSERT_EQUAL(find(GATE_FAIL)->outcome, OUTCOME_DEADLINE);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "order broken after writing", test_order_phases },
 	{ "order never connected", test_order_not_connected },
@@ -415,6 +479,8 @@
 	{ "cancel while generating", test_cancel_running },
 	{ "caller of an order leaves", test_order_detached },
 	{ "engine refuses", test_engine_refuses },
+	{ "least loaded cell", test_cells },
+	{ "declared model without a copy", test_declared_absent },
 };
 
 UNIT_MAIN("gate", cases)
