--- a/control/engine.c
+++ b/control/engine.c
@@ -131,6 +131,7 @@
 
 	r->engine =
 	    (uint64_t)json_integer_value(json_object_get(doc, "incarnation"));
+	r->batch = (uint32_t)json_integer_value(json_object_get(doc, "batch"));
 	if (!json_is_array(list) || r->engine == 0) {
 		r->outcome = ORDER_REFUSED;
 		json_decref(doc);
--- a/core/cell.c
+++ b/core/cell.c
@@ -262,6 +262,7 @@
 	memcpy(r->name, u->conf.name, sizeof(r->name));
 	memcpy(r->addr, u->conf.address, sizeof(r->addr));
 	r->leaving = u->conf.leaving || !u->declared;
+	r->batch = u->batch;
 	for (i = 0; i < u->ledger.n; i++) {
 		m = conf_model(c->conf, u->ledger.entries[i].model);
 		if (m == NULL || !cell_unit_serves(u, m->name))
--- a/core/cell.h
+++ b/core/cell.h
@@ -64,6 +64,7 @@
 	uint64_t id;
 	enum order_outcome outcome;
 	uint64_t engine; /* incarnation, 0 when not told */
+	uint32_t batch;	 /* INDEX: sequences run at once, 0 unknown */
 	uint32_t nloaded;
 	struct order_loaded *loaded; /* INDEX */
 };
--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -38,6 +38,7 @@
 	uint64_t pending;  /* key-value operation awaited */
 	uint64_t revision; /* of the ledger key */
 	uint64_t retry_at;
+	uint32_t batch;	   /* sequences the engine runs at once, 0 unknown */
 	uint64_t engine;   /* incarnation last reported */
 	uint64_t answered; /* time of the last INDEX answer */
 	uint64_t poll_at;
--- a/core/cell_order.c
+++ b/core/cell_order.c
@@ -401,6 +401,7 @@
 			u->spare_used = 0;
 	}
 	u->engine = r->engine;
+	u->batch = r->batch;
 	/* The answer may be older than the last change. */
 	if (u->poll_sent <= u->changed_at)
 		return;
--- a/core/msg.h
+++ b/core/msg.h
@@ -139,6 +139,7 @@
 	char name[NAME_SIZE];
 	char addr[ADDR_SIZE];
 	uint32_t leaving;
+	uint32_t batch; /* sequences run at once, 0 unknown */
 	uint32_t nmodels;
 	char models[REPLICA_MODELS_MAX][NAME_SIZE];
 };
--- a/core/sched.c
+++ b/core/sched.c
@@ -215,6 +215,7 @@
 	for (i = 0; i < r->nmodels; i++)
 		model_unlink(r->models[i], r);
 	r->leaving = info->leaving != 0;
+	r->batch = info->batch;
 	r->nmodels = 0;
 	for (i = 0; i < info->nmodels; i++) {
 		m = sched_model(s, info->models[i], 1);
@@ -266,6 +267,7 @@
 		TAILQ_REMOVE(&r->grants, job, entry);
 		r->outstanding--;
 		r->long_outstanding -= job->is_long;
+		r->short_outstanding -= job->is_short_kind;
 		s->totals.granted--;
 	}
 	job->gate->refs--;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -78,17 +78,21 @@
 	int leaving;
 	int slow;
 	uint32_t index;
+	uint32_t batch; /* sequences the engine runs at once, 0 unknown */
 	double slots;
+	double ceiling; /* slots after the last cut */
 	uint32_t outstanding;
 	uint32_t long_outstanding;
+	uint32_t short_outstanding; /* short work that someone waits for */
 	struct job_list grants;
 	uint32_t nmodels;
 	struct model *models[REPLICA_MODELS_MAX];
-	uint64_t token_ns; /* smoothed time between tokens */
-	uint64_t first_ns; /* smoothed time to the first token */
-	uint64_t sampled;  /* time of the last sample */
-	uint64_t adapted;  /* time of the last decrease */
-	uint32_t full;	   /* the limit was reached since the last step */
+	uint64_t token_ns;     /* smoothed time between tokens */
+	uint64_t first_ns;     /* smoothed time to the first token */
+	uint64_t first_min_ns; /* lowest lately */
+	uint64_t sampled;      /* time of the last sample */
+	uint64_t adapted;      /* time of the last decrease */
+	uint32_t full; /* work waited for the limit since the last step */
 };
 
 struct prefix_slot {
@@ -130,7 +134,13 @@
 void sched_enqueue(struct job *, uint32_t, uint64_t);
 void sched_unqueue(struct job *);
 /* First job of the model in rank order that may run on the replica. */
-struct job *sched_first(struct model *, const struct replica *, int);
+enum sched_allow {
+	ALLOW_SHORT, /* only short work that someone waits for */
+	ALLOW_BRIEF, /* anything but long work */
+	ALLOW_ANY
+};
+struct job *sched_first(
+    struct model *, const struct replica *, enum sched_allow);
 void sched_shed(struct sched *, struct model *, uint64_t, struct msg_list *);
 
 /* sched_pick.c: which replica, which job */
@@ -143,6 +153,11 @@
 void sched_sample(struct replica *, uint64_t, uint64_t, uint64_t);
 void sched_adapt(struct sched *, uint64_t, struct msg_list *);
 uint32_t sched_slots(const struct replica *);
+/*
+ * Whether short work may start: up to the limit and a little beyond, and a
+ * few at any time, since long work cannot be stopped when the limit shrinks.
+ */
+int sched_short_allowed(const struct replica *);
 uint64_t sched_peer_token_ns(const struct sched *);
 
 #endif
--- a/core/sched_msg.c
+++ b/core/sched_msg.c
@@ -6,6 +6,7 @@
 #include "sched_int.h"
 
 #define STANDARD_QUEUE_PCT 75 /* of queue_max, for work nobody waits on */
+#define OVERDUE_NS (100 * NSEC_PER_MSEC)
 #define HISTORY_WEIGHT 0.1
 
 typedef void (*sched_handler)(
@@ -75,6 +76,7 @@
 	job->replica = r;
 	r->outstanding++;
 	r->long_outstanding += job->is_long;
+	r->short_outstanding += job->is_short_kind;
 	TAILQ_INSERT_TAIL(&r->grants, job, entry);
 	if (job->prefix != 0) {
 		s->prefixes[job->prefix % PREFIX_SLOTS].prefix = job->prefix;
@@ -333,8 +335,7 @@
 			continue;
 		/* A first token that is overdue counts as it stands. */
 		first = it->first_ns;
-		if (it->waiting_ns > s->config.first_target_ns &&
-		    it->waiting_ns > first)
+		if (it->waiting_ns > OVERDUE_NS && it->waiting_ns > first)
 			first = it->waiting_ns;
 		sched_sample(r, now, first, it->token_ns);
 	}
--- a/core/sched_pick.c
+++ b/core/sched_pick.c
@@ -9,6 +9,10 @@
 static int replica_open(
     const struct sched *, const struct replica *, const struct job *, uint64_t);
 static double replica_score(const struct sched *, const struct replica *);
+static int waits(const struct replica *);
+static enum sched_allow allowed(
+    const struct sched *, const struct replica *, uint64_t);
+static struct job *best_job(const struct replica *, enum sched_allow);
 static struct replica *replica_warm(const struct sched *, const struct job *);
 
 /* Whether one more long job may start on the replica. */
@@ -37,6 +41,8 @@
 {
 	if (r->leaving || r == job->exclude)
 		return 0;
+	if (job->is_short_kind)
+		return sched_short_allowed(r);
 	if (r->outstanding >= sched_slots(r))
 		return 0;
 	return !job->is_long || sched_long_allowed(s, r, now);
@@ -98,34 +104,62 @@
 	return best;
 }
 
+static int
+waits(const struct replica *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->nmodels; i++) {
+		if (r->models[i]->waiting != 0)
+			return 1;
+	}
+	return 0;
+}
+
+/* What may start on the replica now. */
+static enum sched_allow
+allowed(const struct sched *s, const struct replica *r, uint64_t now)
+{
+	if (r->outstanding >= sched_slots(r))
+		return ALLOW_SHORT;
+	return sched_long_allowed(s, r, now) ? ALLOW_ANY : ALLOW_BRIEF;
+}
+
+/* The best ranked job that may start on the replica now. */
+static struct job *
+best_job(const struct replica *r, enum sched_allow allow)
+{
+	struct job *best = NULL;
+	struct job *job;
+	uint32_t i;
+
+	for (i = 0; i < r->nmodels; i++) {
+		job = sched_first(r->models[i], r, allow);
+		if (job != NULL && (best == NULL || job->rank < best->rank))
+			best = job;
+	}
+	return best;
+}
+
 /* Grants waiting jobs, best rank first, until the replica is full. */
 void
 sched_fill(
     struct sched *s, uint64_t now, struct replica *r, struct msg_list *out)
 {
 	struct job *best;
-	struct job *job;
-	uint32_t i;
-	int allow_long;
-
-	while (!r->leaving && r->outstanding < sched_slots(r)) {
-		best = NULL;
-		allow_long = sched_long_allowed(s, r, now);
-		for (i = 0; i < r->nmodels; i++) {
-			job = sched_first(r->models[i], r, allow_long);
-			if (job == NULL)
-				continue;
-			if (best == NULL || job->rank < best->rank)
-				best = job;
-		}
+
+	while (!r->leaving &&
+	    (r->outstanding < sched_slots(r) || sched_short_allowed(r))) {
+		best = best_job(r, allowed(s, r, now));
 		if (best == NULL)
-			return;
+			break;
 		if (best->deadline < now) {
 			sched_refuse_job(s, best, REFUSE_DEADLINE, out);
 			continue;
 		}
 		sched_send_grant(s, now, best, r, out);
 	}
-	if (r->outstanding >= sched_slots(r))
+	/* More slots help when the limit, or long work's share, is used up. */
+	if (r->outstanding >= sched_slots(r) || waits(r))
 		r->full = 1;
 }
--- a/core/sched_queue.c
+++ b/core/sched_queue.c
@@ -108,7 +108,7 @@
 }
 
 struct job *
-sched_first(struct model *m, const struct replica *r, int allow_long)
+sched_first(struct model *m, const struct replica *r, enum sched_allow allow)
 {
 	struct job *best = NULL;
 	struct job *job;
@@ -120,7 +120,9 @@
 		TAILQ_FOREACH (job, &m->lanes[lane], entry) {
 			if (job->exclude == r)
 				continue;
-			if (job->is_long && !allow_long)
+			if (job->is_long && allow != ALLOW_ANY)
+				continue;
+			if (!job->is_short_kind && allow == ALLOW_SHORT)
 				continue;
 			if (best == NULL || job->rank < best->rank)
 				best = job;
--- a/core/sched_slots.c
+++ b/core/sched_slots.c
@@ -10,16 +10,28 @@
 #define SLOW_RATIO 2.0	     /* against the peers' median: cut */
 #define SLOW_CLEAR_RATIO 1.4 /* below this the replica is normal again */
 #define SLOW_CUT 0.25	     /* factor on the slots of a slow replica */
-#define DECREASE 0.85	     /* factor when latency misses its target */
+#define GROWTH_FIRST 1.5
+#define DECREASE 0.85 /* factor when latency misses its target */
 #define DECREASE_PERIOD_NS (500 * NSEC_PER_MSEC)
 #define STALE_NS (2 * NSEC_PER_SEC)
+#define SHORT_BURST 4 /* short work may use a quarter more */
+#define SHORT_RESERVE 1
 #define SAMPLE_WEIGHT 0.3
+/*
+ * An engine whose batch is full lets new work wait inside it, where it cannot
+ * be reordered; that shows as a first token later than this.
+ */
+#define FIRST_RATIO 3
+#define FIRST_FLOOR_NS (150 * NSEC_PER_MSEC)
+#define PROBE_SLOTS 0.25      /* growth a step above the last limit that held */
+#define FIRST_MIN_DRIFT 1.002 /* factor a sample, so that the minimum ages */
 
 static int compare_u64(const void *, const void *);
 static uint64_t smooth(uint64_t, uint64_t);
 static void adapt_replica(
     struct sched *, struct replica *, uint64_t, uint64_t, struct msg_list *);
 static void cut_slots(struct replica *, double, uint64_t);
+static uint64_t first_limit(const struct sched *, const struct replica *);
 
 static int
 compare_u64(const void *a, const void *b)
@@ -42,7 +54,24 @@
 uint32_t
 sched_slots(const struct replica *r)
 {
-	return r->slots < 1.0 ? 1 : (uint32_t)r->slots;
+	uint32_t slots = r->slots < 1.0 ? 1 : (uint32_t)r->slots;
+
+	return r->batch != 0 && slots > r->batch ? r->batch : slots;
+}
+
+int
+sched_short_allowed(const struct replica *r)
+{
+	uint32_t slots = sched_slots(r);
+	uint32_t extra = slots / SHORT_BURST;
+
+	/* Beyond its batch an engine would only let work wait. */
+	if (r->batch != 0 && r->outstanding >= r->batch)
+		return 0;
+	if (r->slow)
+		return r->outstanding < slots;
+	return r->outstanding < slots + extra ||
+	    r->short_outstanding < extra + SHORT_RESERVE;
 }
 
 /* Takes one latency sample; a zero part is not known. */
@@ -50,8 +79,13 @@
 sched_sample(
     struct replica *r, uint64_t now, uint64_t first_ns, uint64_t token_ns)
 {
-	if (first_ns != 0)
+	if (first_ns != 0) {
 		r->first_ns = smooth(r->first_ns, first_ns);
+		r->first_min_ns =
+		    (uint64_t)((double)r->first_min_ns * FIRST_MIN_DRIFT);
+		if (r->first_min_ns == 0 || first_ns < r->first_min_ns)
+			r->first_min_ns = first_ns;
+	}
 	if (token_ns != 0)
 		r->token_ns = smooth(r->token_ns, token_ns);
 	if (first_ns != 0 || token_ns != 0)
@@ -76,12 +110,26 @@
 	return values[(n - 1) / 2];
 }
 
+/* First tokens later than this mean that work waits inside the engine. */
+static uint64_t
+first_limit(const struct sched *s, const struct replica *r)
+{
+	uint64_t limit = FIRST_RATIO * r->first_min_ns;
+
+	if (limit < FIRST_FLOOR_NS)
+		limit = FIRST_FLOOR_NS;
+	return limit < s->config.first_target_ns ? limit
+						 : s->config.first_target_ns;
+}
+
 static void
 cut_slots(struct replica *r, double factor, uint64_t now)
 {
 	r->slots *= factor;
 	if (r->slots < 1.0)
 		r->slots = 1.0;
+	/* A slow replica comes back to where it was. */
+	r->ceiling = factor == SLOW_CUT ? r->slots / SLOW_CUT : r->slots;
 	r->adapted = now;
 }
 
@@ -93,7 +141,9 @@
 
 	if (median != 0)
 		ratio = (double)r->token_ns / (double)median;
-	if (!r->slow && ratio > SLOW_RATIO) {
+	/* A fuller batch alone is slower too, but stays on target. */
+	if (!r->slow && ratio > SLOW_RATIO &&
+	    r->token_ns > s->config.token_target_ns) {
 		r->slow = 1;
 		cut_slots(r, SLOW_CUT, now);
 		return;
@@ -103,18 +153,27 @@
 	/* With no fresh sample, drift back so that the replica is tried. */
 	if (now > r->sampled + STALE_NS && median != 0) {
 		r->token_ns = smooth(r->token_ns, median);
+		r->first_ns = smooth(r->first_ns, r->first_min_ns);
 		r->sampled = now;
 	}
 	if (r->token_ns > s->config.token_target_ns ||
-	    r->first_ns > s->config.first_target_ns) {
-		if (now >= r->adapted + DECREASE_PERIOD_NS)
+	    r->first_ns > first_limit(s, r)) {
+		/* Each cut needs news from after the one before. */
+		if (now >= r->adapted + DECREASE_PERIOD_NS &&
+		    r->sampled > r->adapted)
 			cut_slots(r, DECREASE, now);
 		r->full = 0;
 		return;
 	}
 	if (!r->full || r->slow || r->slots >= s->config.slots_max)
 		return;
-	r->slots += r->slots < 16.0 ? 1.0 : r->slots / 16.0;
+	/* Doubles within two steps until latency first says stop. */
+	if (r->adapted == 0)
+		r->slots *= GROWTH_FIRST;
+	else
+		r->slots += r->slots < r->ceiling ? 1.0 : PROBE_SLOTS;
+	if (r->slots > s->config.slots_max)
+		r->slots = s->config.slots_max;
 	r->full = 0;
 	sched_fill(s, now, r, out);
 }
--- a/core/wire.c
+++ b/core/wire.c
@@ -285,6 +285,7 @@
 	wire_str(w, r->name, sizeof(r->name));
 	wire_str(w, r->addr, sizeof(r->addr));
 	wire_u32(w, &r->leaving);
+	wire_u32(w, &r->batch);
 	wire_count(w, &r->nmodels, REPLICA_MODELS_MAX + 1);
 	for (i = 0; i < r->nmodels && !w->bad; i++)
 		wire_str(w, r->models[i], sizeof(r->models[i]));
--- a/standin/fake_engine.c
+++ b/standin/fake_engine.c
@@ -330,7 +330,7 @@
 	bc.step_ms = step->dval[0];
 	bc.step_per_seq = per->dval[0];
 	bc.prefill_ms = prefill->dval[0];
-	bc.most = (uint32_t)most->ival[0];
+	bc.most = engine.most = (uint32_t)most->ival[0];
 	return serve(listen->sval[0], &bc);
 }
 
--- a/standin/fake_int.h
+++ b/standin/fake_int.h
@@ -15,6 +15,7 @@
 	uint64_t load_ms;
 	uint64_t memory_mb;
 	uint64_t incarnation;
+	uint32_t most; /* sequences in a batch */
 	char store[ADDR_SIZE];
 	struct batch *batch;
 	struct watch *watch;
--- a/standin/fake_orders.c
+++ b/standin/fake_orders.c
@@ -272,8 +272,9 @@
 	}
 	pthread_mutex_unlock(&lock);
 	reply_json(req, 200,
-	    json_pack("{s:I,s:o}", "incarnation",
-		(json_int_t)engine.incarnation, "models", list));
+	    json_pack("{s:I,s:i,s:o}", "incarnation",
+		(json_int_t)engine.incarnation, "batch", (int)engine.most,
+		"models", list));
 }
 
 void
--- a/standin/load.h
+++ b/standin/load.h
@@ -109,6 +109,8 @@
 /* load_report.c */
 void load_report(const struct load_config *, struct shot *, size_t,
     struct load_totals *, json_t *);
+/* Writes one row a request, as comma-separated values. */
+int load_rows(const struct shot *, size_t, const char *);
 /* Text of a shot's prompt line. */
 void load_prompt(const struct shot *, size_t, char *, size_t);
 
--- a/standin/load_report.c
+++ b/standin/load_report.c
@@ -154,6 +154,28 @@
 	free(values);
 }
 
+int
+load_rows(const struct shot *shots, size_t n, const char *path)
+{
+	const struct shot *s;
+	FILE *f = fopen(path, "w");
+	size_t i;
+
+	if (f == NULL)
+		return -1;
+	fputs("index,kind,long,model,tokens,at_ms,first_ms,end_ms,end\n", f);
+	for (i = 0; i < n; i++) {
+		s = &shots[i];
+		fprintf(f, "%zu,%d,%d,%u,%u,%.1f,%.1f,%.1f,%d\n", i,
+		    (int)s->kind, s->is_long, s->model, s->tokens,
+		    (double)s->at / 1e6,
+		    s->first == 0 ? 0.0 : (double)(s->first - s->sent) / 1e6,
+		    s->ended == 0 ? 0.0 : (double)(s->ended - s->sent) / 1e6,
+		    (int)s->end);
+	}
+	return fclose(f);
+}
+
 void
 load_report(const struct load_config *c, struct shot *shots, size_t n,
     struct load_totals *t, json_t *doc)
