--- a/core/cell.c
+++ b/core/cell.c
@@ -428,6 +428,13 @@
 	sched_tick(c->sched, now, out->msgs);
 }
 
+void
+cell_pace(struct cell_core *c, uint64_t pace_ns)
+{
+	if (c->sched != NULL)
+		sched_pace(c->sched, pace_ns);
+}
+
 void
 cell_superseded(struct cell_core *c, uint64_t fence)
 {
--- a/core/cell.h
+++ b/core/cell.h
@@ -124,6 +124,8 @@
 int cell_order(struct cell_core *, uint64_t, const struct order_result *,
     struct cell_out *);
 void cell_tick(struct cell_core *, uint64_t, struct cell_out *);
+/* How often gates sync, when they are many. */
+void cell_pace(struct cell_core *, uint64_t);
 void cell_superseded(struct cell_core *, uint64_t);
 void cell_release(struct cell_core *, struct cell_out *);
 
--- a/core/conf.c
+++ b/core/conf.c
@@ -41,6 +41,7 @@
     struct conf *, const json_t *, const char *, uint64_t, struct err *);
 static int conf_view(struct conf *, struct err *);
 static int conf_view_drains(struct conf *, struct err *);
+static int check_prefixes(const struct conf *, struct err *);
 static int conf_crosscheck(const struct conf *, struct err *);
 static int ticket_number(const json_t *, uint64_t *, struct err *);
 static int ticket_members(const json_t *, struct err *);
@@ -202,6 +203,34 @@
 	return 0;
 }
 
+/* Paths that gates serve themselves. */
+static int
+check_prefixes(const struct conf *c, struct err *e)
+{
+	static const char *const reserved[] = { "/v1/", "/healthz", "/readyz",
+		"/metrics", "/events" };
+	const char *prefix;
+	size_t len;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < c->nservices; i++) {
+		prefix = c->services[i].prefix;
+		for (k = 0; k < nitems(reserved); k++) {
+			len = strlen(reserved[k]);
+			if (strlen(prefix) < len)
+				len = strlen(prefix);
+			if (strncmp(prefix, reserved[k], len) != 0)
+				continue;
+			return err_set(e, ERR_TICKET,
+			    "service/%s.prefix: %s takes paths of the gate "
+			    "such as %s; choose another prefix",
+			    c->services[i].name, prefix, reserved[k]);
+		}
+	}
+	return 0;
+}
+
 /* Rules that concern several objects. */
 static int
 conf_crosscheck(const struct conf *c, struct err *e)
@@ -400,7 +429,7 @@
 		return CONF_SAME;
 	}
 	if (conf_view(c, e) == -1 || conf_crosscheck(c, e) == -1 ||
-	    conf_feasible(c, e) == -1)
+	    check_prefixes(c, e) == -1 || conf_feasible(c, e) == -1)
 		goto refused;
 	*out = c;
 	return CONF_CHANGED;
--- a/core/gate.c
+++ b/core/gate.c
@@ -28,6 +28,7 @@
 static void send_sync(struct gate_core *, struct cell *, struct gate_actions *);
 static void send_report(
     struct gate_core *, uint64_t, struct cell *, struct gate_actions *);
+static uint64_t paced(const struct gate_core *, uint64_t);
 static uint64_t oldest_waiting(
     const struct gate_core *, const struct target *, uint64_t);
 
@@ -273,6 +274,7 @@
 	if (c != NULL)
 		before = c->owner;
 	gate_table_cell(g, &m->u.cell);
+	g->pace_ns = m->u.cell.pace_ns;
 	c = gate_find_cell(g, m->u.cell.cell);
 	if (strcmp(before.addr, c->owner.addr) == 0 &&
 	    before.incarnation == c->owner.incarnation)
@@ -424,6 +426,12 @@
 		msg_destroy(m);
 }
 
+static uint64_t
+paced(const struct gate_core *g, uint64_t period)
+{
+	return period > g->pace_ns ? period : g->pace_ns;
+}
+
 void
 gate_tick(struct gate_core *g, uint64_t now, struct gate_actions *out)
 {
@@ -433,12 +441,12 @@
 	HASH_ITER (hh, g->calls, call, next)
 		gate_call_tick(g, now, call, out);
 	if (now >= g->sync_at) {
-		g->sync_at = now + g->config.sync_ns;
+		g->sync_at = now + paced(g, g->config.sync_ns);
 		HASH_ITER (hh, g->cells, c, c_next)
 			send_sync(g, c, out);
 	}
 	if (now >= g->report_at) {
-		g->report_at = now + g->config.report_ns;
+		g->report_at = now + paced(g, g->config.report_ns);
 		HASH_ITER (hh, g->cells, c, c_next)
 			send_report(g, now, c, out);
 	}
--- a/core/gate_int.h
+++ b/core/gate_int.h
@@ -116,6 +116,7 @@
 	double retry_tokens;
 	double hedge_tokens;
 	uint64_t first_p95_ns;
+	uint64_t pace_ns; /* as its control process last told */
 	uint64_t sync_at;
 	uint64_t report_at;
 	struct gate_totals totals;
--- a/core/msg.h
+++ b/core/msg.h
@@ -150,8 +150,9 @@
 	char owner[ADDR_SIZE]; /* "" when nobody owns it */
 	uint64_t owner_incarnation;
 	uint64_t fence;
-	uint32_t load; /* outstanding work per slot, in percent */
-	uint32_t gone; /* the cell is no longer declared */
+	uint32_t load;	  /* outstanding work per slot, in percent */
+	uint32_t gone;	  /* the cell is no longer declared */
+	uint64_t pace_ns; /* SYNC and REPORT no more often than this */
 	uint32_t nreplicas;
 	struct msg_replica replicas[CELL_REPLICAS_MAX];
 };
--- a/core/node_cell.c
+++ b/core/node_cell.c
@@ -11,6 +11,8 @@
 #define OWNER_FORGET_NS (10 * NSEC_PER_SEC)
 #define RANK_STEP_NS (600 * NSEC_PER_MSEC)
 #define RANKS_TRYING 3
+#define PACE_FREE_PEERS 12		/* so many peers need no pacing */
+#define PACE_NS (80 * NSEC_PER_MSEC)	/* for each one more */
 #define PER_PEER_NS (5 * NSEC_PER_MSEC) /* of an announcement's period */
 
 static int node_gone(void *, const struct node_id *);
@@ -261,6 +263,14 @@
 	cell_want(s->cell, 1, now + ctx.better * RANK_STEP_NS);
 }
 
+uint64_t
+node_pace(const struct node *n)
+{
+	uint32_t live = member_live(n->member);
+
+	return live <= PACE_FREE_PEERS ? 0 : (live - PACE_FREE_PEERS) * PACE_NS;
+}
+
 void
 node_cells_tick(struct node *n, uint64_t now, struct node_out *out)
 {
@@ -268,6 +278,7 @@
 	struct seat *s;
 
 	TAILQ_FOREACH (s, &n->seats, entry) {
+		cell_pace(s->cell, node_pace(n));
 		cell_tick(s->cell, now, &co);
 		if (cell_held(s->cell))
 			seat_own(n, now, s, out);
--- a/core/node_gate.c
+++ b/core/node_gate.c
@@ -177,7 +177,6 @@
 	struct msg_cell *c;
 	struct msg *m;
 
-	(void)n;
 	m = msg_create_table(MSG_CELL, to, s->table.nreplicas);
 	c = &m->u.cell;
 	memcpy(c->cell, s->table.cell, sizeof(c->cell));
@@ -186,6 +185,7 @@
 	c->owner_incarnation = s->owner.incarnation;
 	c->fence = s->table.fence;
 	c->load = s->load;
+	c->pace_ns = node_pace(n);
 	c->nreplicas = s->table.nreplicas;
 	memcpy(c->replicas, s->table.replicas,
 	    s->table.nreplicas * sizeof(c->replicas[0]));
--- a/core/node_int.h
+++ b/core/node_int.h
@@ -156,5 +156,7 @@
     struct node *, uint64_t, const struct msg *, struct node_out *);
 struct seat *node_seat(struct node *, const char *);
 struct cell_out node_cell_out(struct node_out *);
+/* Least time between a gate's SYNCs and REPORTs, from the number of nodes. */
+uint64_t node_pace(const struct node *);
 
 #endif
--- a/core/sched.c
+++ b/core/sched.c
@@ -6,6 +6,7 @@
 #include "mem.h"
 #include "sched_int.h"
 
+#define SYNCS_MISSED 3			    /* until a gate counts as dead */
 #define TOKEN_FIRST_NS (15 * NSEC_PER_MSEC) /* before any sample */
 #define FIRST_FIRST_NS (200 * NSEC_PER_MSEC)
 #define SERVICE_FIRST_NS (1 * NSEC_PER_SEC)
@@ -275,6 +276,15 @@
 	free(job);
 }
 
+void
+sched_pace(struct sched *s, uint64_t pace_ns)
+{
+	struct sched_config c;
+
+	sched_config_default(&c);
+	s->config.gate_timeout_ns = c.gate_timeout_ns + SYNCS_MISSED * pace_ns;
+}
+
 void
 sched_tick(struct sched *s, uint64_t now, struct msg_list *out)
 {
--- a/core/sched.h
+++ b/core/sched.h
@@ -54,6 +54,8 @@
 /* Handles ACQUIRE, CANCEL, RELEASE, SYNC and REPORT; ignores other kinds. */
 void sched_message(
     struct sched *, uint64_t, const struct msg *, struct msg_list *);
+/* Gates sync no more often than this; their timeout follows. */
+void sched_pace(struct sched *, uint64_t);
 /* Expires, sheds and adapts; to be called every tick_ns. */
 void sched_tick(struct sched *, uint64_t, struct msg_list *);
 
--- a/core/wire.c
+++ b/core/wire.c
@@ -304,6 +304,7 @@
 	wire_u64(w, &c->fence);
 	wire_u32(w, &c->load);
 	wire_u32(w, &c->gone);
+	wire_u64(w, &c->pace_ns);
 	wire_count(w, &c->nreplicas, CELL_REPLICAS_MAX + 1);
 	for (i = 0; i < c->nreplicas && !w->bad; i++)
 		wire_replica(w, &c->replicas[i]);
--- a/gate/front.c
+++ b/gate/front.c
@@ -23,7 +23,7 @@
 static void front_serve(
     struct front *, struct httpd_request *, struct exchange *);
 static int front_relay(
-    struct front *, struct httpd_request *, struct exchange *, int);
+    struct front *, struct httpd_request *, struct exchange *);
 static void front_refuse(struct httpd_request *, uint64_t, enum gate_outcome);
 static void front_broken(struct httpd_request *, uint64_t, enum gate_outcome);
 static int write_part(struct httpd_request *, const struct part *, uint64_t);
@@ -176,8 +176,7 @@
 
 /* Writes the answer as it comes.  Returns -1 when the caller is gone. */
 static int
-front_relay(
-    struct front *f, struct httpd_request *req, struct exchange *x, int watched)
+front_relay(struct front *f, struct httpd_request *req, struct exchange *x)
 {
 	uint64_t rid = exchange_info(x)->req.rid;
 	uint64_t start = clock_mono();
@@ -186,7 +185,6 @@
 	struct part *p;
 	int begun = 0;
 
-	(void)watched;
 	for (;;) {
 		next = exchange_wait(x, &p, &outcome);
 		if (next != EXCHANGE_PART)
@@ -228,7 +226,7 @@
 		fd = httpd_fd(req);
 		if (fd == -1 || watch_add(f->watch, fd, rid) == -1)
 			decide_cancel(f->decide, rid);
-		front_relay(f, req, x, fd != -1);
+		front_relay(f, req, x);
 		if (fd != -1)
 			watch_remove(f->watch, fd);
 	}
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -139,6 +139,10 @@
 		"\"/s/\",\"repeatable\":[\"FETCH\"],\"instances\":[{\"name\":"
 		"\"i\",\"address\":\"1.2.3.4:5\"}]}]}",
 	    ERR_TICKET, "repeatable[0]");
+	refused("{\"ticket\":2,\"services\":[{\"name\":\"s\",\"prefix\":"
+		"\"/v1/x\",\"instances\":[{\"name\":\"i\",\"address\":"
+		"\"1.2.3.4:5\"}]}]}",
+	    ERR_TICKET, "service/s.prefix");
 	refused("{\"ticket\":2,\"remove\":[\"model/none\"]}", ERR_TICKET,
 	    "remove[0]");
 }
