--- a/core/wire.c
+++ b/core/wire.c
@@ -143,6 +143,11 @@
 	o = wire_next(w, MSGPACK_OBJECT_STR);
 	if (o == NULL)
 		return;
+	/* An empty string may come without bytes to point to. */
+	if (o->via.str.size == 0) {
+		s[0] = '\0';
+		return;
+	}
 	if (o->via.str.size >= size ||
 	    memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL) {
 		w->bad = 1;
@@ -158,7 +163,8 @@
 	const msgpack_object *o;
 
 	if (w->pk != NULL) {
-		msgpack_pack_bin_with_body(w->pk, *bytes, *len);
+		msgpack_pack_bin_with_body(
+		    w->pk, *bytes == NULL ? "" : *bytes, *len);
 		return;
 	}
 	o = wire_next(w, MSGPACK_OBJECT_BIN);
@@ -170,7 +176,8 @@
 	}
 	*len = o->via.bin.size;
 	*bytes = mem_alloc(*len + 1U);
-	memcpy(*bytes, o->via.bin.ptr, *len);
+	if (*len != 0)
+		memcpy(*bytes, o->via.bin.ptr, *len);
 }
 
 static void
