Controls that know no table leave gates theirs, and ask a peer for the last one

A restarted control knew of no replica and told its gate so, which forgot its table. Change: a cell without a known table is not told to gates; a control asks a peer for the last table it knows (hearsay: it names no owner). Conclusion: gates serve from their last table as designed.

--- a/core/msg.h
+++ b/core/msg.h
@@ -185,12 +185,19 @@
 	uint32_t ready;
 };
 
+enum load_whole {
+	LOAD_NUMBER,  /* only the load number */
+	LOAD_TABLE,   /* the table follows, from the owner */
+	LOAD_HEARSAY, /* the last table that a peer knows */
+	LOAD__MAX
+};
+
 struct msg_load {
 	char cell[NAME_SIZE];
 	uint64_t fence;
 	uint64_t version; /* hash of the table */
 	uint32_t load;
-	uint32_t whole; /* the table follows */
+	uint32_t whole; /* enum load_whole */
 	uint32_t nreplicas;
 	struct msg_replica replicas[CELL_REPLICAS_MAX];
 };
--- a/core/node_cell.c
+++ b/core/node_cell.c
@@ -8,6 +8,7 @@
 #include "node_int.h"
 
 #define OWNER_SILENT_NS (1500 * NSEC_PER_MSEC)
+#define ASK_TABLE_NS (500 * NSEC_PER_MSEC)
 #define OWNER_FORGET_NS (10 * NSEC_PER_SEC)
 #define RANK_STEP_NS (600 * NSEC_PER_MSEC)
 #define RANKS_TRYING 3
@@ -24,19 +25,22 @@
 static void seat_try(struct node *, uint64_t, struct seat *);
 static void announce(struct node *, uint64_t, struct seat *, struct node_out *);
 static void announce_one(void *, const struct member_info *);
+static void take_table(struct seat *, const struct msg_load *);
+static void ask_table(
+    struct node *, uint64_t, struct seat *, struct node_out *);
 static void on_load(
     struct node *, uint64_t, const struct msg *, struct node_out *);
 static void on_load_pull(
     struct node *, uint64_t, const struct msg *, struct node_out *);
 static void rank_one(void *, const struct member_info *);
 static void send_load(
-    const struct seat *, const char *, int, struct node_out *);
+    const struct seat *, const char *, enum load_whole, struct node_out *);
 
 struct announce_ctx {
 	struct seat *seat;
 	const char *self;
 	struct node_out *out;
-	int whole;
+	enum load_whole whole;
 };
 
 struct rank_ctx {
@@ -172,14 +176,16 @@
 }
 
 static void
-send_load(const struct seat *s, const char *to, int whole, struct node_out *out)
+send_load(const struct seat *s, const char *to, enum load_whole whole,
+    struct node_out *out)
 {
 	struct msg *m;
 
-	m = msg_create_table(MSG_LOAD, to, whole ? s->table.nreplicas : 0);
+	m = msg_create_table(
+	    MSG_LOAD, to, whole != LOAD_NUMBER ? s->table.nreplicas : 0);
 	memcpy(&m->u.load, &s->table, offsetof(struct msg_load, replicas));
 	m->u.load.whole = (uint32_t)whole;
-	if (whole)
+	if (whole != LOAD_NUMBER)
 		memcpy(m->u.load.replicas, s->table.replicas,
 		    s->table.nreplicas * sizeof(s->table.replicas[0]));
 	else
@@ -201,7 +207,7 @@
 static void
 announce(struct node *n, uint64_t now, struct seat *s, struct node_out *out)
 {
-	struct announce_ctx ctx = { s, n->config.self.addr, out, 0 };
+	struct announce_ctx ctx = { s, n->config.self.addr, out, LOAD_NUMBER };
 	uint64_t period = n->config.cell.load_ns;
 
 	if (now < s->announce_at)
@@ -284,10 +290,35 @@
 			seat_own(n, now, s, out);
 		else
 			seat_try(n, now, s);
+		ask_table(n, now, s, out);
 	}
 	node_gate_cells(n, now, out);
 }
 
+static void
+take_table(struct seat *s, const struct msg_load *l)
+{
+	memcpy(&s->table, l, offsetof(struct msg_load, replicas));
+	memcpy(s->table.replicas, l->replicas,
+	    l->nreplicas * sizeof(l->replicas[0]));
+}
+
+/* Asks a peer for the last table it knows, as when all owners are gone. */
+static void
+ask_table(struct node *n, uint64_t now, struct seat *s, struct node_out *out)
+{
+	char addr[1][ADDR_SIZE];
+	struct msg *m;
+
+	if (s->table.version != 0 || now < s->ask_at ||
+	    member_draw(n->member, 1, addr) == 0)
+		return;
+	s->ask_at = now + ASK_TABLE_NS;
+	m = msg_create_table(MSG_LOAD_PULL, addr[0], 0);
+	memcpy(m->u.load.cell, s->table.cell, sizeof(s->table.cell));
+	TAILQ_INSERT_TAIL(&out->msgs, m, entry);
+}
+
 static void
 on_load(struct node *n, uint64_t now, const struct msg *m, struct node_out *out)
 {
@@ -297,6 +328,11 @@
 
 	if (s == NULL || l->fence < s->table.fence)
 		return;
+	if (l->whole == LOAD_HEARSAY) {
+		if (s->table.version == 0)
+			take_table(s, l);
+		return;
+	}
 	if (l->fence > cell_fence(s->cell))
 		cell_superseded(s->cell, l->fence);
 	if (cell_held(s->cell) && l->fence <= cell_fence(s->cell))
@@ -304,10 +340,8 @@
 	s->heard = now;
 	s->owner = m->from;
 	s->load = l->load;
-	if (l->whole) {
-		memcpy(&s->table, l, offsetof(struct msg_load, replicas));
-		memcpy(s->table.replicas, l->replicas,
-		    l->nreplicas * sizeof(l->replicas[0]));
+	if (l->whole == LOAD_TABLE) {
+		take_table(s, l);
 		return;
 	}
 	if (l->version == s->table.version)
@@ -325,8 +359,10 @@
 	struct seat *s = node_seat(n, m->u.load.cell);
 
 	(void)now;
-	if (s != NULL && cell_held(s->cell))
-		send_load(s, m->from.addr, 1, out);
+	if (s == NULL || s->table.version == 0)
+		return;
+	send_load(s, m->from.addr,
+	    cell_held(s->cell) ? LOAD_TABLE : LOAD_HEARSAY, out);
 }
 
 /* Messages that concern cells. */
--- a/core/node_gate.c
+++ b/core/node_gate.c
@@ -86,8 +86,10 @@
 	const struct seat *s;
 	uint64_t v = 0;
 
-	TAILQ_FOREACH (s, &n->seats, entry)
-		v ^= hash_version(s->table.cell, seat_version(s));
+	TAILQ_FOREACH (s, &n->seats, entry) {
+		if (s->table.version != 0)
+			v ^= hash_version(s->table.cell, seat_version(s));
+	}
 	return v;
 }
 
@@ -177,6 +179,9 @@
 	struct msg_cell *c;
 	struct msg *m;
 
+	/* A gate's last table is better than none. */
+	if (s->table.version == 0)
+		return;
 	m = msg_create_table(MSG_CELL, to, s->table.nreplicas);
 	c = &m->u.cell;
 	memcpy(c->cell, s->table.cell, sizeof(c->cell));
--- a/core/node_int.h
+++ b/core/node_int.h
@@ -17,8 +17,9 @@
 	struct node_id owner;  /* who told it, addr "" for nobody */
 	uint64_t heard;	       /* from the owner */
 	uint64_t announce_at;
-	uint64_t told; /* hash of what gates were told last */
-	uint32_t load; /* latest load number */
+	uint64_t ask_at; /* a peer for the table, while none is known */
+	uint64_t told;	 /* hash of what gates were told last */
+	uint32_t load;	 /* latest load number */
 	int wanted;
 };
 
--- a/core/wire.c
+++ b/core/wire.c
@@ -368,7 +368,7 @@
 	wire_u64(w, &l->fence);
 	wire_u64(w, &l->version);
 	wire_u32(w, &l->load);
-	wire_u32(w, &l->whole);
+	wire_count(w, &l->whole, LOAD__MAX);
 	wire_count(w, &l->nreplicas, CELL_REPLICAS_MAX + 1);
 	for (i = 0; i < l->nreplicas && !w->bad; i++)
 		wire_replica(w, &l->replicas[i]);
