Linter clean again

Cause: clang-tidy named a widening multiplication in msg.c, slopes.c and a test, a possibly unset rank in conf_fit.c, a division by a number of models of 0 in spindle-load, and copies of literals in tests.

--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -183,7 +183,7 @@
 	before = heap_mb() - before;
 	start = cpu_s();
 	for (i = 1; i <= 10; i++)
-		sched_tick(s, NSEC_PER_SEC + i * 200 * NSEC_PER_MSEC, &out);
+		sched_tick(s, NSEC_PER_SEC + i * 200ULL * NSEC_PER_MSEC, &out);
 	start = cpu_s() - start;
 	printf("| scheduler, queue | %u waiting | %.0f bytes each (%zu in the "
 	       "job), tick %.2f ms |\n",
--- a/core/conf_fit.c
+++ b/core/conf_fit.c
@@ -175,7 +175,7 @@
 static int
 find_homes(const struct conf *c, struct conf_model *m, struct err *e)
 {
-	uint64_t ranks[CONF_REGIONS_MAX];
+	uint64_t ranks[CONF_REGIONS_MAX] = { 0 };
 	uint64_t seed = hash_text(m->name);
 	uint64_t rank;
 	size_t i;
--- a/core/msg.c
+++ b/core/msg.c
@@ -98,7 +98,7 @@
 uint64_t
 msg_replica_hash(const struct msg_replica *r)
 {
-	return hash_bytes(r, MSG_REPLICA_HEAD + r->nmodels * NAME_SIZE);
+	return hash_bytes(r, MSG_REPLICA_HEAD + (size_t)r->nmodels * NAME_SIZE);
 }
 
 struct msg *
--- a/standin/load_trace.c
+++ b/standin/load_trace.c
@@ -70,6 +70,9 @@
 	double t = 0.0;
 	uint32_t i;
 
+	*n = 0;
+	if (c->nmodels == 0)
+		return NULL;
 	for (i = 0; i < c->nmodels; i++) {
 		sum += 1.0 / pow(i + 1.0, c->zipf);
 		weights[i] = sum;
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -254,7 +254,7 @@
 
 	setup(1, 1);
 	acquire(1, CLASS_STANDARD, 10, 100 * NSEC_PER_SEC);
-	acquire(2, CLASS_OVERNIGHT, 10, 8 * 3600 * NSEC_PER_SEC);
+	acquire(2, CLASS_OVERNIGHT, 10, 8 * 3600ULL * NSEC_PER_SEC);
 	acquire(3, CLASS_STANDARD, 10, 100 * NSEC_PER_SEC);
 	clear();
 	release(1, 0, 0);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -78,7 +78,7 @@
 {
 	struct msg *m = msg_create(MSG_CELL, "");
 	struct msg *out;
-	struct err e;
+	struct err e = { ERR_NONE, "" };
 	char *buf;
 	size_t len;
 	size_t i;
