A write without an answer is fenced by the next one; a lapsed owner always tries again

Change: after an unknown answer the ledger is read and written once more before anything relies on it; an owner that holds a cell always tries for its lease. An oracle line: no object is ever set by a lower ticket than before.

--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -35,6 +35,11 @@
 	struct ledger ledger;
 	struct ledger *next; /* being written */
 	enum unit_step step;
+	/*
+	 * A write without an answer may still take effect; one that follows
+	 * it and succeeds rules that out.
+	 */
+	int unsure;
 	uint64_t pending;  /* key-value operation awaited */
 	uint64_t revision; /* of the ledger key */
 	uint64_t retry_at;
--- a/core/cell_ledger.c
+++ b/core/cell_ledger.c
@@ -221,8 +221,9 @@
 	if (l->fence > own_fence(c->own))
 		own_superseded(c->own, l->fence);
 	else
-		u->step =
-		    l->fence == own_fence(c->own) ? UNIT_READY : UNIT_UNSTAMPED;
+		u->step = l->fence == own_fence(c->own) && !u->unsure
+		    ? UNIT_READY
+		    : UNIT_UNSTAMPED;
 	u->ledger = *l;
 	free(l);
 	spare_settled(u);
@@ -240,10 +241,12 @@
 		u->ledger = *l;
 		u->revision = r->revision;
 		u->step = UNIT_READY;
+		u->unsure = 0;
 		spare_settled(u);
 	} else {
 		c->totals.ledger_conflicts += r->status == KV_CONFLICT;
 		u->step = UNIT_UNREAD;
+		u->unsure |= r->status == KV_UNKNOWN;
 		u->retry_at = r->status == KV_UNKNOWN ? now + RETRY_NS : now;
 	}
 	free(l);
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -73,7 +73,7 @@
 static int
 unit_verified(const struct unit *u)
 {
-	return u->engine != 0 && u->engine == u->ledger.engine;
+	return u->engine != 0 && u->engine == u->ledger.engine && !u->unsure;
 }
 
 /* The ledger as it will be once the write under way is done. */
--- a/core/own.c
+++ b/core/own.c
@@ -325,7 +325,7 @@
 	struct kv_op *op;
 
 	if (o->state == OWN_IDLE) {
-		if (o->want && now >= o->try_at && o->pending == 0)
+		if ((o->want || o->held) && now >= o->try_at && o->pending == 0)
 			own_look(o, now, out);
 		return;
 	}
--- a/tests/state_kv.cc
+++ b/tests/state_kv.cc
@@ -66,12 +66,29 @@
 	json_decref(doc);
 }
 
+/* No object is ever set by a lower ticket than before. */
+void
+World::check_numbers(json_t *all)
+{
+	const char *key;
+	json_t *object;
+
+	json_object_foreach (all, key, object) {
+		uint64_t number = (uint64_t)json_integer_value(
+		    json_object_get(object, "ticket"));
+
+		RC_ASSERT(number >= numbers[key]);
+		numbers[key] = number;
+	}
+}
+
 /* Notes since when each model has been declared. */
 void
 World::note_declared()
 {
 	json_t *all = head_objects();
 
+	check_numbers(all);
 	for (int i = 0; i < 6; i++) {
 		std::string name = "m" + std::to_string(i);
 		json_t *body = json_object_get(
--- a/tests/state_world.h
+++ b/tests/state_world.h
@@ -198,6 +198,7 @@
 	    const Engine &e, const std::string &key, const std::string &model);
 	void note_ledger(const std::string &key, const char *v);
 	void note_declared();
+	void check_numbers(json_t *all);
 	void check_revisions();
 	json_t *base_ticket();
 	json_t *change_ticket(int a, int b);
@@ -237,6 +238,7 @@
 	uint64_t next_cookie = 0;
 	uint64_t next_number = 1;
 	uint64_t vms_at = 0;
+	std::map<std::string, uint64_t> numbers; /* by object: its ticket */
 	std::map<std::string, uint64_t> declared_since;
 	/* "engine/model@version": when its unload was decided */
 	std::map<std::string, uint64_t> unloading_since;
