--- a/tests/state_world.cc
+++ b/tests/state_world.cc
@@ -13,10 +13,10 @@
 		engines[i].name = "e" + std::to_string(i);
 		engines[i].fencing = i % 2 == 0;
 	}
-	for (int i = 0; i < kNodes; i++) {
-		listed[i] = true;
+	for (bool &l : listed)
+		l = true;
+	for (int i = 0; i < kNodes; i++)
 		start_node(i);
-	}
 	advance(2 * NSEC_PER_SEC);
 	submit(0, base_ticket());
 	advance(6 * NSEC_PER_SEC);
--- a/tests/state_world.h
+++ b/tests/state_world.h
@@ -220,7 +220,7 @@
 	uint64_t now = 10 * NSEC_PER_SEC;
 	Lossy<msg *> queue;
 	Node nodes[kNodes];
-	bool listed[kNodes];
+	bool listed[kNodes] = {};
 	Engine engines[kEngines];
 	std::map<std::string, KvEntry> kv;
 	std::map<uint64_t, KvLease> leases;
