Placement waits for moves that will make room

Change: while an unload will make room for a model that lacks a copy, or a copy beyond the least is being loaded so that another may go, nothing else is moved.

--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -162,6 +162,7 @@
 static void
 board_backends(struct cell_core *c, uint64_t now, struct board *b)
 {
+	const struct ledger_entry *en;
 	struct place_backend *pb;
 	uint32_t outstanding;
 	struct unit *u;
@@ -181,6 +182,12 @@
 		pb->naccelerators = u->ledger.naccelerators;
 		for (k = 0; k < u->ledger.naccelerators; k++)
 			pb->left_mb[k] = ledger_left(&u->ledger, k);
+		for (k = 0; k < u->ledger.n; k++) {
+			en = &u->ledger.entries[k];
+			if (en->state == ENTRY_UNLOADING)
+				pb->freeing_mb[en->accelerator] +=
+				    en->memory_mb;
+		}
 		for (k = 0; k < u->ledger.n; k++)
 			pb->busy |=
 			    u->ledger.entries[k].state != ENTRY_RESIDENT;
@@ -561,6 +568,7 @@
 			drop_headroom(c, now, c->nunits,
 			    b.models[move.model].memory_mb, out);
 		if (move.kind == PLACE_NOTHING || move.kind == PLACE_STUCK ||
+		    move.kind == PLACE_WAIT ||
 		    (move.kind == PLACE_LOAD &&
 			loads_waiting(c) >= (int)c->conf->store.concurrent) ||
 		    do_move(c, now, &b, &move, out) == -1) {
--- a/core/place.c
+++ b/core/place.c
@@ -26,6 +26,8 @@
 static struct place_move load_best(const struct scene *, uint32_t, double, int);
 static struct place_move make_room(const struct scene *, uint32_t, int);
 static struct place_move migrate(const struct scene *, uint32_t);
+static int room_coming(const struct scene *, uint32_t);
+static int spare_loading(const struct scene *, const struct place_model *);
 static struct place_move stuck(const struct scene *);
 static int may_unload(
     const struct scene *, const struct place_model *, uint32_t);
@@ -230,6 +232,45 @@
 	return best;
 }
 
+/* Whether a copy beyond the least is being loaded, for another to go. */
+static int
+spare_loading(const struct scene *s, const struct place_model *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->ncopies && counted(s, m) > m->least; i++) {
+		if (!m->copies[i].resident)
+			return 1;
+	}
+	return 0;
+}
+
+/* Whether moves under way will let the model fit; then nothing more moves. */
+static int
+room_coming(const struct scene *s, uint32_t model)
+{
+	const struct place_model *want = &s->models[model];
+	const struct place_backend *b;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->nmodels; i++) {
+		if (s->models[i].least != 0 && spare_loading(s, &s->models[i]))
+			return 1;
+	}
+	for (i = 0; i < s->nbackends; i++) {
+		b = &s->backends[i];
+		if (!want->allowed[i] || has_copy(want, i) || b->leaving)
+			continue;
+		for (k = 0; k < b->naccelerators; k++) {
+			if (b->freeing_mb[k] != 0 &&
+			    b->left_mb[k] + b->freeing_mb[k] >= want->memory_mb)
+				return 1;
+		}
+	}
+	return 0;
+}
+
 /*
  * Copies a smaller model to another backend server, so that its first copy
  * can go later and the model at hand then fits.
@@ -304,6 +345,10 @@
 		move = load_best(s, i, USE_ANY, urgent);
 		if (move.kind != PLACE_NOTHING)
 			return move;
+		if (room_coming(s, i)) {
+			move.kind = PLACE_WAIT;
+			return move;
+		}
 		move = make_room(s, i, urgent);
 		if (move.kind == PLACE_NOTHING)
 			move = migrate(s, i);
--- a/core/place.h
+++ b/core/place.h
@@ -38,12 +38,14 @@
 	uint32_t slots;
 	uint32_t naccelerators;
 	uint64_t left_mb[CONF_ACCELERATORS_MAX];
+	uint64_t freeing_mb[CONF_ACCELERATORS_MAX]; /* being unloaded */
 };
 
 enum place_kind {
 	PLACE_NOTHING,
 	PLACE_LOAD,
 	PLACE_UNLOAD,
+	PLACE_WAIT, /* moves under way will make room */
 	PLACE_STUCK /* the model lacks a copy and nothing makes room */
 };
 
