--- a/Makefile
+++ b/Makefile
@@ -6,15 +6,17 @@
 CFLAGS = -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror $(SAN)
 CXXFLAGS = -std=gnu++17 -D_GNU_SOURCE -O1 -g -Wall -Wextra $(SAN)
 IQUOTE = -iquote core -iquote shell -iquote gate -iquote control -iquote ctl \
-	 -iquote timeline -iquote standin -iquote tests
+	 -iquote timeline -iquote standin -iquote tests -iquote net \
+	 -iquote platform -iquote entry
 LDLIBS = -lcivetweb -lcurl -lzmq -lmsgpackc -ljansson -largtable2 -lnettle \
 	 -lxxhash -lurcu-bp -lpthread -lm
 
 CORE = $(patsubst %.c,$(BUILD)/%.o,$(wildcard core/*.c))
 SHELL_O = $(patsubst %.c,$(BUILD)/%.o,$(wildcard shell/*.c))
+NET = $(patsubst %.c,$(BUILD)/%.o,$(wildcard net/*.c platform/*.c))
 LIBS = $(BUILD)/libcore.a $(BUILD)/libshell.a
 
-PROGRAMS = spindle-gate spindle-control spindlectl spindle-timeline
+PROGRAMS = spindle-entry spindle-gate spindle-control spindlectl spindle-timeline
 STANDINS = fake-platform fake-engine spindle-load
 BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS) $(STANDINS))
 
@@ -22,6 +24,7 @@
 LOAD = spindle_load load_trace load_run load_report
 
 FORMATTED = $(wildcard core/*.[ch] shell/*.[ch] gate/*.[ch] control/*.[ch] \
+	    net/*.[ch] platform/*.[ch] entry/*.[ch] \
 	    ctl/*.[ch] timeline/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch])
 LINTED = $(filter %.c,$(FORMATTED))
 
@@ -43,6 +46,11 @@
 link = $(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
        $(BUILD)/libcore.a $(LDLIBS)
 
+$(BUILD)/spindle-entry: LDLIBS = -lev -lhttp_parser -lzmq -lmsgpackc -ljansson -largtable2 \
+    -lnettle -lxxhash -lpthread -lm
+$(BUILD)/spindle-entry: $(patsubst %.c,$(BUILD)/%.o,$(wildcard entry/*.c)) \
+    $(NET) $(LIBS)
+	$(link)
 $(BUILD)/spindle-gate: $(patsubst %.c,$(BUILD)/%.o,$(wildcard gate/*.c)) $(LIBS)
 	$(link)
 $(BUILD)/spindle-control: $(patsubst %.c,$(BUILD)/%.o,$(wildcard control/*.c)) $(LIBS)
--- a/control/control.c
+++ b/control/control.c
@@ -94,6 +94,7 @@
 	api_destroy(api);
 	steer_destroy(steer);
 	log_event(LOG_STOPPED, NULL, "%s", "");
+	log_close();
 	return 0;
 }
 
@@ -108,6 +109,7 @@
 	if (load(cli.settings, &s, &e) == -1) {
 		log_open(NAME, 0, LOGLEVEL_NOTICE);
 		log_event(LOG_SETTINGS_BAD, NULL, "%s", e.text);
+		log_close();
 		return EX_CONFIG;
 	}
 	if (cli.check_only)
@@ -115,6 +117,7 @@
 	cli_block_signals();
 	if (serve(&s, policy, &e) == -1) {
 		log_event(LOG_LISTEN_FAILED, NULL, "%s", e.text);
+		log_close();
 		return EX_UNAVAILABLE;
 	}
 	return EX_OK;
--- a/control/kv.c
+++ b/control/kv.c
@@ -1,11 +1,11 @@
 #include <inttypes.h>
 #include <jansson.h>
-#include <nettle/base64.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "ask.h"
+#include "base64.h"
 #include "kv.h"
 #include "mem.h"
 
@@ -89,13 +89,9 @@
 static json_t *
 encode64(const char *text)
 {
-	size_t len = strlen(text);
-	json_t *value;
-	char *out;
+	char *out = base64_encode(text, strlen(text));
+	json_t *value = json_string(out);
 
-	out = mem_alloc(BASE64_ENCODE_RAW_LENGTH(len) + 1);
-	base64_encode_raw(out, len, (const uint8_t *)text);
-	value = json_string(out);
 	free(out);
 	return value;
 }
@@ -104,24 +100,10 @@
 static char *
 decode64(const json_t *value)
 {
-	struct base64_decode_ctx ctx;
 	const char *text = json_string_value(value);
 	size_t len;
-	char *out;
-
-	if (text == NULL)
-		return NULL;
-	len = BASE64_DECODE_LENGTH(strlen(text));
-	out = mem_alloc(len + 1);
-	base64_decode_init(&ctx);
-	if (base64_decode_update(
-		&ctx, &len, (uint8_t *)out, strlen(text), text) &&
-	    base64_decode_final(&ctx)) {
-		out[len] = '\0';
-		return out;
-	}
-	free(out);
-	return NULL;
+
+	return text == NULL ? NULL : base64_decode(text, &len);
 }
 
 /* 64-bit numbers travel as strings. */
--- /dev/null
+++ b/core/balance.c
@@ -0,0 +1,118 @@
+#include <string.h>
+
+#include "balance.h"
+
+/* Milliseconds of expected delay, the unit of the score. */
+#define PROMPT_TOKENS_PER_MS 20.0
+#define RUNNING_MS 1.0	    /* each request in the batch */
+#define PLAIN_RUNNING_MS 30.0 /* each request at a plain service */
+#define ZONE_MS 8.0	    /* another data centre */
+#define ERRORS_MS 3000.0    /* a replica that fails every request */
+#define DRAW_MS 4.0	    /* spread between equals */
+#define TRIED_MS 1e6	    /* only when nothing else is left */
+/* Share of an engine's memory that is given out. */
+#define MEMORY_SHARE 0.92
+
+static int tried(const struct balance_want *, const char *);
+static int full(const struct balance_want *, const struct member_replica *,
+    const struct work *);
+static double score(const struct balance_want *, const struct member_replica *,
+    const struct work *);
+
+static int
+tried(const struct balance_want *w, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->ntried; i++) {
+		if (strcmp(w->tried[i], id) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+static int
+full(const struct balance_want *w, const struct member_replica *m,
+    const struct work *load)
+{
+	uint32_t slots = m->info.slots;
+
+	if (m->own.running >= w->conns_share)
+		return 1;
+	if (slots != 0 && load->running >= slots)
+		return 1;
+	return w->engine != NULL && load->running != 0 &&
+	    (double)load->tokens + w->tokens >
+	    (double)w->engine->kv_tokens * MEMORY_SHARE;
+}
+
+static double
+score(const struct balance_want *w, const struct member_replica *m,
+    const struct work *load)
+{
+	double ms;
+
+	if (w->engine != NULL)
+		ms = (double)load->unread / PROMPT_TOKENS_PER_MS +
+		    (double)load->running * RUNNING_MS;
+	else
+		ms = (double)load->running * PLAIN_RUNNING_MS;
+	if (strcmp(m->info.zone, w->zone) != 0)
+		ms += ZONE_MS;
+	ms += m->errors * ERRORS_MS;
+	if (tried(w, m->info.id))
+		ms += TRIED_MS;
+	return ms;
+}
+
+enum balance_result
+balance_pick(const struct directory *d, uint64_t now,
+    const struct balance_want *w, double draw, struct member_replica **out)
+{
+	enum balance_result result = BALANCE_NO_REPLICA;
+	struct member_replica *m, *next;
+	struct work load;
+	double best = 0.0;
+	double ms;
+	uint32_t n = 0;
+
+	*out = NULL;
+	HASH_ITER (hh, d->replicas, m, next) {
+		if (strcmp(m->info.service, w->service) != 0 ||
+		    !directory_usable(m, now))
+			continue;
+		if (result == BALANCE_NO_REPLICA)
+			result = BALANCE_NO_MODEL;
+		if (w->model[0] != '\0' && !fleet_has_model(&m->info, w->model))
+			continue;
+		if (result == BALANCE_NO_MODEL)
+			result = BALANCE_NO_ADAPTER;
+		if (w->adapter[0] != '\0' &&
+		    !fleet_has_adapter(&m->info, w->adapter))
+			continue;
+		if (result == BALANCE_NO_ADAPTER)
+			result = BALANCE_FULL;
+		load = directory_load(d, now, m);
+		if (full(w, m, &load))
+			continue;
+		n++;
+		ms = score(w, m, &load) +
+		    DRAW_MS * ((draw * n) - (double)(uint32_t)(draw * n));
+		if (*out != NULL && ms >= best)
+			continue;
+		best = ms;
+		*out = m;
+	}
+	return *out != NULL ? BALANCE_FOUND : result;
+}
+
+uint32_t
+balance_tokens(const struct request_want *w)
+{
+	uint32_t out = w->hint_tokens != 0 ? w->hint_tokens * 2
+					   : w->output_tokens;
+
+	if (out > w->output_tokens)
+		out = w->output_tokens;
+	return w->prompt_tokens + out;
+}
--- /dev/null
+++ b/core/directory.c
@@ -0,0 +1,251 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "directory.h"
+#include "mem.h"
+
+/* A lapsed entry is written again within this time of the service's return. */
+#define LAPSE_NS (2 * NSEC_PER_SEC)
+/* A peer's word on its work counts this long. */
+#define PEER_WORK_NS (1500 * NSEC_PER_MSEC)
+#define AVOID_FIRST_NS (150 * NSEC_PER_MSEC)
+#define AVOID_MOST_NS (2 * NSEC_PER_SEC)
+#define ERRORS_HALF_NS (2 * NSEC_PER_SEC) /* half-life of the failed share */
+#define ERRORS_WEIGHT 0.15
+
+static void put_kept(struct member_replica *, const struct fleet_replica *);
+static double errors_now(const struct member_replica *, uint64_t);
+
+void
+directory_init(struct directory *d)
+{
+	memset(d, 0, sizeof(*d));
+	d->away_since = TIME_NEVER;
+}
+
+void
+directory_clear(struct directory *d)
+{
+	struct member_replica *m, *next;
+
+	HASH_ITER (hh, d->replicas, m, next) {
+		HASH_DEL(d->replicas, m);
+		free(m->peers);
+		free(m);
+	}
+}
+
+struct member_replica *
+directory_find(const struct directory *d, const char *id)
+{
+	struct member_replica *m;
+
+	HASH_FIND_STR(d->replicas, id, m);
+	return m;
+}
+
+/* Entries tell of adapters late; what the holder of orders told is newer. */
+static void
+put_kept(struct member_replica *m, const struct fleet_replica *r)
+{
+	struct fleet_replica old = m->info;
+	uint32_t i;
+
+	m->info = *r;
+	if (old.born_ms != r->born_ms)
+		return;
+	if (old.sequence > r->sequence)
+		m->info.sequence = old.sequence;
+	m->info.nadapters = 0;
+	for (i = 0; i < old.nadapters; i++) {
+		char model[NAME_SIZE];
+		size_t len = strcspn(old.adapters[i], "/");
+
+		if (len >= sizeof(model))
+			continue;
+		memcpy(model, old.adapters[i], len);
+		model[len] = '\0';
+		if (fleet_has_model(r, model))
+			memcpy(m->info.adapters[m->info.nadapters++],
+			    old.adapters[i], FLEET_NAME_SIZE);
+	}
+}
+
+struct member_replica *
+directory_put(
+    struct directory *d, uint64_t now, const struct fleet_replica *r)
+{
+	struct member_replica *m;
+
+	m = directory_find(d, r->id);
+	if (m == NULL) {
+		m = mem_alloc(sizeof(*m));
+		m->info = *r;
+		m->leave_by = TIME_NEVER;
+		HASH_ADD_STR(d->replicas, info.id, m);
+	} else {
+		if (m->info.born_ms != r->born_ms) {
+			m->failures = 0;
+			m->avoid_until = 0;
+			m->errors = 0.0;
+			m->leave_by = TIME_NEVER;
+		}
+		put_kept(m, r);
+	}
+	m->presence = PRESENT;
+	if (r->state == REPLICA_LEAVING && r->leave_ns != 0)
+		m->leave_by = now + r->leave_ns;
+	if (r->state == REPLICA_READY)
+		m->leave_by = TIME_NEVER;
+	return m;
+}
+
+void
+directory_remove(struct directory *d, uint64_t now, const char *id)
+{
+	struct member_replica *m;
+
+	m = directory_find(d, id);
+	if (m == NULL || m->presence != PRESENT)
+		return;
+	if (d->away_since != TIME_NEVER || now < d->back_at + LAPSE_NS) {
+		m->presence = PRESENT_LAPSED;
+		m->lapse_until =
+		    d->away_since != TIME_NEVER ? TIME_NEVER
+						: d->back_at + LAPSE_NS;
+		return;
+	}
+	m->presence = PRESENT_GONE;
+}
+
+void
+directory_service(struct directory *d, uint64_t now, int up)
+{
+	struct member_replica *m, *next;
+
+	if (!up) {
+		if (d->away_since == TIME_NEVER)
+			d->away_since = now;
+		return;
+	}
+	if (d->away_since == TIME_NEVER)
+		return;
+	d->away_since = TIME_NEVER;
+	d->back_at = now;
+	HASH_ITER (hh, d->replicas, m, next) {
+		if (m->presence == PRESENT_LAPSED)
+			m->lapse_until = now + LAPSE_NS;
+	}
+}
+
+void
+directory_tick(struct directory *d, uint64_t now)
+{
+	struct member_replica *m, *next;
+
+	HASH_ITER (hh, d->replicas, m, next) {
+		if (m->presence == PRESENT_LAPSED && now >= m->lapse_until)
+			m->presence = PRESENT_GONE;
+		if (m->presence != PRESENT_GONE || m->own.running != 0 ||
+		    m->conns != 0)
+			continue;
+		HASH_DEL(d->replicas, m);
+		free(m->peers);
+		free(m);
+	}
+}
+
+int
+directory_usable(const struct member_replica *m, uint64_t now)
+{
+	return m->presence != PRESENT_GONE &&
+	    m->info.state == REPLICA_READY && now >= m->avoid_until;
+}
+
+void
+directory_peer_clear(struct directory *d, uint64_t now, uint32_t peer)
+{
+	struct member_replica *m, *next;
+
+	if (peer >= DIRECTORY_PEERS_MAX)
+		return;
+	d->peer_heard[peer] = now;
+	HASH_ITER (hh, d->replicas, m, next) {
+		if (peer < m->npeers)
+			memset(&m->peers[peer], 0, sizeof(m->peers[peer]));
+	}
+}
+
+void
+directory_peer_work(struct directory *d, uint32_t peer, const char *id,
+    const struct work *w)
+{
+	struct member_replica *m;
+
+	m = directory_find(d, id);
+	if (m == NULL || peer >= DIRECTORY_PEERS_MAX)
+		return;
+	if (peer >= m->npeers) {
+		m->peers = mem_grow(m->peers, peer + 1, sizeof(*m->peers));
+		memset(&m->peers[m->npeers], 0,
+		    (peer + 1 - m->npeers) * sizeof(*m->peers));
+		m->npeers = peer + 1;
+	}
+	m->peers[peer] = *w;
+}
+
+struct work
+directory_load(
+    const struct directory *d, uint64_t now, const struct member_replica *m)
+{
+	struct work sum = m->own;
+	uint32_t i;
+
+	for (i = 0; i < m->npeers; i++) {
+		if (now > d->peer_heard[i] + PEER_WORK_NS)
+			continue;
+		sum.running += m->peers[i].running;
+		sum.unread += m->peers[i].unread;
+		sum.tokens += m->peers[i].tokens;
+	}
+	return sum;
+}
+
+static double
+errors_now(const struct member_replica *m, uint64_t now)
+{
+	double errors = m->errors;
+	uint64_t t;
+
+	for (t = m->errors_at; errors > 0.01 && t + ERRORS_HALF_NS <= now;
+	     t += ERRORS_HALF_NS)
+		errors /= 2.0;
+	return errors > 0.01 ? errors : 0.0;
+}
+
+void
+directory_success(struct member_replica *m, uint64_t now)
+{
+	m->failures = 0;
+	m->avoid_until = 0;
+	m->errors = errors_now(m, now) * (1.0 - ERRORS_WEIGHT);
+	m->errors_at = now;
+}
+
+void
+directory_failure(struct member_replica *m, uint64_t now, int unreachable)
+{
+	uint64_t pause = AVOID_FIRST_NS;
+	uint32_t i;
+
+	m->errors =
+	    errors_now(m, now) * (1.0 - ERRORS_WEIGHT) + ERRORS_WEIGHT;
+	m->errors_at = now;
+	if (!unreachable)
+		return;
+	for (i = 0; i < m->failures && pause < AVOID_MOST_NS; i++)
+		pause *= 2;
+	m->failures++;
+	m->avoid_until =
+	    now + (pause < AVOID_MOST_NS ? pause : AVOID_MOST_NS);
+}
--- /dev/null
+++ b/core/directory.h
@@ -0,0 +1,80 @@
+/*
+ * Replicas that may serve, from the platform's list, with what this process
+ * and its peers have under way on each and how each has behaved lately.
+ * Deterministic.
+ */
+#ifndef DIRECTORY_H
+#define DIRECTORY_H
+
+#include <uthash.h>
+
+#include "fleet.h"
+
+#define DIRECTORY_PEERS_MAX 512
+
+/* Work on one replica. */
+struct work {
+	uint32_t running; /* requests */
+	uint32_t unread;  /* prompt tokens of requests without an event yet */
+	uint32_t tokens;  /* prompts and predicted outputs */
+};
+
+enum presence {
+	PRESENT,
+	PRESENT_LAPSED, /* removed while the list's service was away */
+	PRESENT_GONE
+};
+
+/* A replica as this process sees it. */
+struct member_replica {
+	struct fleet_replica info;
+	enum presence presence;
+	uint64_t lapse_until; /* LAPSED: gone unless listed again by then */
+	uint64_t leave_by;    /* leaving with notice: ends then, or NEVER */
+	struct work own;
+	struct work *peers;
+	uint32_t npeers;
+	uint32_t failures;   /* in a row, of reaching it */
+	uint64_t avoid_until;
+	double errors;	     /* recent share of failed attempts */
+	uint64_t errors_at;  /* when errors was last updated */
+	uint32_t conns;	     /* connections that this process holds */
+	uint64_t adapters_at; /* when the list of adapters was told */
+	UT_hash_handle hh;
+};
+
+struct directory {
+	struct member_replica *replicas;
+	uint64_t at;	   /* revision of the list's service */
+	int known;	   /* the whole list was read once */
+	uint64_t away_since; /* the service does not answer, or NEVER */
+	uint64_t back_at;    /* when it last came back */
+	uint64_t peer_heard[DIRECTORY_PEERS_MAX];
+};
+
+void directory_init(struct directory *);
+void directory_clear(struct directory *);
+struct member_replica *directory_find(const struct directory *, const char *);
+/* Takes in an entry; adapters known otherwise are kept within one start. */
+struct member_replica *directory_put(
+    struct directory *, uint64_t, const struct fleet_replica *);
+/* The entry was removed from the list. */
+void directory_remove(struct directory *, uint64_t, const char *);
+/* The list's service stops answering, or answers again. */
+void directory_service(struct directory *, uint64_t, int);
+/* Ends lapsed entries whose time is over, and forgets idle gone ones. */
+void directory_tick(struct directory *, uint64_t);
+/* Whether new work may go to a replica. */
+int directory_usable(const struct member_replica *, uint64_t);
+/* A peer told of its work; replaces what it told before. */
+void directory_peer_clear(struct directory *, uint64_t, uint32_t);
+void directory_peer_work(
+    struct directory *, uint32_t, const char *, const struct work *);
+/* Work of this process and of peers heard lately. */
+struct work directory_load(
+    const struct directory *, uint64_t, const struct member_replica *);
+/* An attempt ended well, or failed; unreachable ones are avoided a while. */
+void directory_success(struct member_replica *, uint64_t);
+void directory_failure(struct member_replica *, uint64_t, int);
+
+#endif
--- /dev/null
+++ b/core/fleet.c
@@ -0,0 +1,144 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "fleet.h"
+#include "mem.h"
+
+static int by_prefix(const void *, const void *);
+static int host_is(const char *, const char *);
+
+struct fleet_conf *
+fleet_conf_create(void)
+{
+	return mem_alloc(sizeof(struct fleet_conf));
+}
+
+void
+fleet_conf_destroy(struct fleet_conf *c)
+{
+	uint32_t i;
+
+	if (c == NULL)
+		return;
+	for (i = 0; i < c->nservices; i++) {
+		if (c->services[i].engine == NULL)
+			continue;
+		free(c->services[i].engine->models);
+		free(c->services[i].engine);
+	}
+	free(c->services);
+	free(c->routes);
+	free(c);
+}
+
+static int
+by_prefix(const void *a, const void *b)
+{
+	const struct fleet_route *x = a;
+	const struct fleet_route *y = b;
+	size_t nx = strlen(x->prefix);
+	size_t ny = strlen(y->prefix);
+
+	if (nx != ny)
+		return nx > ny ? -1 : 1;
+	return strcmp(x->prefix, y->prefix);
+}
+
+void
+fleet_conf_finish(struct fleet_conf *c)
+{
+	if (c->nroutes != 0)
+		qsort(c->routes, c->nroutes, sizeof(*c->routes), by_prefix);
+}
+
+/* Compares without case, and without a port in the caller's form. */
+static int
+host_is(const char *want, const char *host)
+{
+	size_t len = strlen(want);
+
+	if (strncasecmp(want, host, len) != 0)
+		return 0;
+	return host[len] == '\0' || host[len] == ':';
+}
+
+const struct fleet_route *
+fleet_route(const struct fleet_conf *c, const char *host, const char *path)
+{
+	const struct fleet_route *r;
+	uint32_t i;
+
+	for (i = 0; i < c->nroutes; i++) {
+		r = &c->routes[i];
+		if (strncmp(path, r->prefix, strlen(r->prefix)) == 0 &&
+		    host_is(r->host, host))
+			return r;
+	}
+	return NULL;
+}
+
+const struct fleet_service *
+fleet_service(const struct fleet_conf *c, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->nservices; i++) {
+		if (strcmp(c->services[i].name, name) == 0)
+			return &c->services[i];
+	}
+	return NULL;
+}
+
+const struct fleet_model *
+fleet_model(const struct fleet_engine *e, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->nmodels; i++) {
+		if (strcmp(e->models[i].name, name) == 0)
+			return &e->models[i];
+	}
+	return NULL;
+}
+
+const struct fleet_target *
+fleet_target(const struct fleet_route *r, double draw)
+{
+	double total = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < r->ntargets; i++)
+		total += r->targets[i].weight;
+	draw *= total;
+	for (i = 0; i < r->ntargets; i++) {
+		draw -= r->targets[i].weight;
+		if (draw < 0.0 && r->targets[i].weight != 0)
+			return &r->targets[i];
+	}
+	return r->ntargets == 0 ? NULL : &r->targets[0];
+}
+
+int
+fleet_has_model(const struct fleet_replica *r, const char *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->nresident; i++) {
+		if (strcmp(r->resident[i], model) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+int
+fleet_has_adapter(const struct fleet_replica *r, const char *adapter)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->nadapters; i++) {
+		if (strcmp(r->adapters[i], adapter) == 0)
+			return 1;
+	}
+	return 0;
+}
--- a/core/msg.c
+++ b/core/msg.c
@@ -39,9 +39,13 @@
 	[MSG_CONF_HEAD] = { "conf-head", BODY(conf) },
 	[MSG_CONF_CHUNK] = { "conf-chunk", BODY(conf) },
 	[MSG_SENDER_NONE] = { "sender-none", BODY(sender_none) },
+	[MSG_FRONT] = { "front", BODY(front) },
+	[MSG_HELD] = { "held", BODY(held) },
+	[MSG_WANT] = { "want", BODY(want) },
 };
 
 static struct msg *msg_sized(enum msg_kind, const char *, size_t);
+static void *msg_list_copy(const void *, uint32_t, size_t);
 
 static struct msg *
 msg_sized(enum msg_kind kind, const char *to, size_t size)
@@ -101,6 +105,19 @@
 	return hash_bytes(r, MSG_REPLICA_HEAD + (size_t)r->nmodels * NAME_SIZE);
 }
 
+/* A copy of a list that a message owns. */
+static void *
+msg_list_copy(const void *list, uint32_t n, size_t size)
+{
+	void *p;
+
+	if (list == NULL)
+		return NULL;
+	p = mem_alloc((n + 1U) * size);
+	memcpy(p, list, n * size);
+	return p;
+}
+
 struct msg *
 msg_copy(const struct msg *src)
 {
@@ -108,10 +125,18 @@
 
 	m = mem_alloc(src->size);
 	memcpy(m, src, src->size);
-	if (src->kind == MSG_CONF_CHUNK && src->u.conf.bytes != NULL) {
-		m->u.conf.bytes = mem_alloc(src->u.conf.len + 1U);
-		memcpy(m->u.conf.bytes, src->u.conf.bytes, src->u.conf.len);
+	if (src->kind == MSG_CONF_CHUNK)
+		m->u.conf.bytes =
+		    msg_list_copy(src->u.conf.bytes, src->u.conf.len, 1);
+	if (src->kind == MSG_FRONT) {
+		m->u.front.work = msg_list_copy(src->u.front.work,
+		    src->u.front.nwork, sizeof(*src->u.front.work));
+		m->u.front.demand = msg_list_copy(src->u.front.demand,
+		    src->u.front.ndemand, sizeof(*src->u.front.demand));
 	}
+	if (src->kind == MSG_HELD)
+		m->u.held.items = msg_list_copy(src->u.held.items,
+		    src->u.held.n, sizeof(*src->u.held.items));
 	return m;
 }
 
@@ -122,6 +147,12 @@
 		return;
 	if (m->kind == MSG_CONF_CHUNK)
 		free(m->u.conf.bytes);
+	if (m->kind == MSG_FRONT) {
+		free(m->u.front.work);
+		free(m->u.front.demand);
+	}
+	if (m->kind == MSG_HELD)
+		free(m->u.held.items);
 	free(m);
 }
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -15,7 +15,9 @@
 #define MSG_SYNC_MAX 64	    /* grants in one SYNC */
 #define MSG_MEMBERS_MAX 8   /* membership entries on one heartbeat */
 #define MSG_REPORTS_MAX 32  /* replicas in one REPORT */
-#define MSG_BYTES_MAX 65536 /* longest byte string, a configuration chunk */
+#define MSG_BYTES_MAX 1048576 /* longest byte string, a configuration */
+#define MSG_LIST_MAX 2048     /* items of one list in FRONT and HELD */
+#define MSG_WANTED_SIZE 96    /* MODEL or MODEL/ADAPTER */
 #define MSG_ADAPTERS_MAX 64 /* adapters of one model */
 #define MSG_CHUNKS_MAX 64
 
@@ -44,6 +46,9 @@
 	MSG_CONF_CHUNK, /* one chunk */
 	MSG_SENDER_ASK, /* new owner -> earlier one: any unsent order left? */
 	MSG_SENDER_NONE, /* answer: none below a fencing number */
+	MSG_FRONT,	/* entry -> entries: work under way and demand */
+	MSG_HELD,	/* holder of orders -> entries: adapters held */
+	MSG_WANT,	/* entry -> holder: a model or adapter is asked for */
 	MSG__MAX
 };
 
@@ -238,6 +243,41 @@
 	uint64_t fence;
 };
 
+struct msg_front {
+	char vm[NAME_SIZE];
+	uint64_t version; /* of the configuration in force */
+	uint64_t listed;  /* revision of the list of replicas */
+	uint32_t stopping;
+	uint32_t nwork;
+	struct msg_work {
+		char replica[NAME_SIZE];
+		uint32_t running;
+		uint32_t unread;
+		uint32_t tokens;
+	} *work; /* owned by the message */
+	uint32_t ndemand;
+	struct msg_demand {
+		char wanted[MSG_WANTED_SIZE];
+		uint64_t arrivals; /* since the process started */
+		uint32_t running;
+		uint32_t waiting;
+	} *demand; /* owned by the message */
+};
+
+struct msg_held {
+	uint64_t fence;
+	uint32_t n;
+	struct msg_held_item {
+		char replica[NAME_SIZE];
+		char adapter[MSG_WANTED_SIZE];
+		uint64_t born; /* start of the replica that holds it */
+	} *items; /* owned by the message */
+};
+
+struct msg_want {
+	char wanted[MSG_WANTED_SIZE];
+};
+
 struct msg {
 	TAILQ_ENTRY(msg) entry;
 	enum msg_kind kind;
@@ -262,6 +302,9 @@
 		struct msg_ping ping;
 		struct msg_conf conf;
 		struct msg_sender_none sender_none;
+		struct msg_front front;
+		struct msg_held held;
+		struct msg_want want;
 	} u;
 };
 
--- /dev/null
+++ b/core/steward_int.h
@@ -0,0 +1,68 @@
+/* State of the holder of the right to order, shared by its parts. */
+#ifndef STEWARD_INT_H
+#define STEWARD_INT_H
+
+#include "own.h"
+#include "steward.h"
+
+#define STEWARD_COMING_MAX 4 /* adapters on their way to one replica */
+#define STEWARD_LOADS_MAX 256
+
+/* An adapter that a replica is loading. */
+struct coming {
+	char adapter[FLEET_NAME_SIZE];
+	uint64_t ready_at;
+};
+
+/* What is under way at one replica. */
+struct charge {
+	char replica[NAME_SIZE];
+	uint64_t born_ms;
+	uint64_t sequence; /* orders that it accepted, as far as known */
+	int doubtful;	   /* its sequence must be asked for */
+	uint64_t ask_at;   /* not before */
+	uint64_t asked;	   /* id of the question under way, 0 for none */
+	uint64_t order;	   /* id of the order under way, 0 for none */
+	struct steward_order last; /* repeated while it has no answer */
+	int unanswered;
+	uint64_t again_at;
+	char loading[NAME_SIZE]; /* a model, "" for none */
+	char unloading[NAME_SIZE];
+	uint64_t until; /* the change shows in the list by then */
+	uint32_t ncoming;
+	struct coming coming[STEWARD_COMING_MAX];
+	UT_hash_handle hh;
+};
+
+struct steward {
+	struct steward_config config;
+	struct directory *dir;
+	struct own *own;
+	struct demand demand;
+	struct charge *charges;
+	uint64_t next_id;
+	uint64_t order_from; /* no order before */
+	uint64_t fence;	     /* of the ownership that order_from is for */
+	uint64_t place_at;
+	uint64_t changes;
+	uint32_t nloads; /* begun from the weight store lately */
+	uint64_t loads[STEWARD_LOADS_MAX];
+	struct steward_totals totals;
+};
+
+/* steward.c */
+struct charge *charge_find(const struct steward *, const char *);
+/* Whether the replica can be given an order now. */
+int charge_free(const struct steward *, uint64_t, const struct charge *);
+struct steward_order *steward_send(struct steward *, uint64_t,
+    struct charge *, enum steward_kind, const char *, const char *,
+    struct steward_out *);
+/* Memory that nothing on the replica uses or will use, in MB. */
+uint64_t charge_left_mb(const struct charge *, const struct member_replica *,
+    const struct fleet_engine *);
+/* steward_place.c */
+void steward_place(struct steward *, uint64_t, const struct fleet_service *, struct steward_out *);
+/* steward_adapt.c */
+void steward_adapt(struct steward *, uint64_t, const struct fleet_service *, struct steward_out *);
+
+#endif
--- a/core/wire.c
+++ b/core/wire.c
@@ -9,8 +9,8 @@
 #include "mem.h"
 #include "wire.h"
 
-/* Most fields of one message: a cell of full replicas. */
-#define WIRE_FIELDS_MAX 4096
+/* Most fields of one message: the work and demand of an entry process. */
+#define WIRE_FIELDS_MAX 16384
 
 struct walk {
 	msgpack_packer *pk;	      /* packing, or NULL */
@@ -47,6 +47,10 @@
 static void wire_ping(struct walk *, struct msg *);
 static void wire_conf(struct walk *, struct msg *);
 static void wire_sender_none(struct walk *, struct msg *);
+static void *wire_list(struct walk *, uint32_t *, size_t, void *);
+static void wire_front(struct walk *, struct msg *);
+static void wire_held(struct walk *, struct msg *);
+static void wire_want(struct walk *, struct msg *);
 static int wire_split(
     const char *, size_t, msgpack_zone *, msgpack_object *, uint32_t *);
 static struct msg *wire_build(struct walk *);
@@ -76,6 +80,9 @@
 	[MSG_CONF_HEAD] = wire_conf,
 	[MSG_CONF_CHUNK] = wire_conf,
 	[MSG_SENDER_NONE] = wire_sender_none,
+	[MSG_FRONT] = wire_front,
+	[MSG_HELD] = wire_held,
+	[MSG_WANT] = wire_want,
 };
 
 static const msgpack_object *
@@ -433,6 +440,63 @@
 	*out = msgpack_sbuffer_release(&buf);
 }
 
+/* Visits a list's length; unpacking, allocates the list. */
+static void *
+wire_list(struct walk *w, uint32_t *n, size_t size, void *list)
+{
+	wire_count(w, n, MSG_LIST_MAX);
+	if (w->pk != NULL)
+		return list;
+	return mem_alloc((*n + 1U) * size);
+}
+
+static void
+wire_front(struct walk *w, struct msg *m)
+{
+	struct msg_front *f = &m->u.front;
+	uint32_t i;
+
+	wire_str(w, f->vm, sizeof(f->vm));
+	wire_u64(w, &f->version);
+	wire_u64(w, &f->listed);
+	wire_u32(w, &f->stopping);
+	f->work = wire_list(w, &f->nwork, sizeof(*f->work), f->work);
+	for (i = 0; i < f->nwork; i++) {
+		wire_str(w, f->work[i].replica, sizeof(f->work[i].replica));
+		wire_u32(w, &f->work[i].running);
+		wire_u32(w, &f->work[i].unread);
+		wire_u32(w, &f->work[i].tokens);
+	}
+	f->demand = wire_list(w, &f->ndemand, sizeof(*f->demand), f->demand);
+	for (i = 0; i < f->ndemand; i++) {
+		wire_str(w, f->demand[i].wanted, sizeof(f->demand[i].wanted));
+		wire_u64(w, &f->demand[i].arrivals);
+		wire_u32(w, &f->demand[i].running);
+		wire_u32(w, &f->demand[i].waiting);
+	}
+}
+
+static void
+wire_held(struct walk *w, struct msg *m)
+{
+	struct msg_held *h = &m->u.held;
+	uint32_t i;
+
+	wire_u64(w, &h->fence);
+	h->items = wire_list(w, &h->n, sizeof(*h->items), h->items);
+	for (i = 0; i < h->n; i++) {
+		wire_str(w, h->items[i].replica, sizeof(h->items[i].replica));
+		wire_str(w, h->items[i].adapter, sizeof(h->items[i].adapter));
+		wire_u64(w, &h->items[i].born);
+	}
+}
+
+static void
+wire_want(struct walk *w, struct msg *m)
+{
+	wire_str(w, m->u.want.wanted, sizeof(m->u.want.wanted));
+}
+
 static int
 wire_split(const char *buf, size_t len, msgpack_zone *zone,
     msgpack_object *fields, uint32_t *n)
--- /dev/null
+++ b/entry/admin.c
@@ -0,0 +1,286 @@
+/* A small HTTP server for two addresses: readiness and metrics. */
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "admin.h"
+#include "conn.h"
+#include "forward_int.h"
+#include "mem.h"
+#include "metric.h"
+#include "peers.h"
+#include "session.h"
+#include "steer.h"
+
+#define ADMIN_ADDRESSES 2
+#define ADMIN_IDLE_S 30.0
+#define METRICS_TARGET "/metrics"
+
+struct client {
+	TAILQ_ENTRY(client) entry;
+	struct admin *a;
+	struct conn *conn;
+	struct http_reader *reader;
+	ev_timer timer;
+	int whole;
+};
+
+TAILQ_HEAD(client_list, client);
+
+struct admin {
+	struct entry *e;
+	ev_io io[ADMIN_ADDRESSES];
+	struct client_list clients;
+};
+
+static void on_accept(struct ev_loop *, ev_io *, int);
+static void on_data(void *, const char *, size_t);
+static void on_closed(void *, int);
+static void on_timer(struct ev_loop *, ev_timer *, int);
+static void on_head(void *, const struct http_head *);
+static void on_body(void *, const char *, size_t);
+static void on_end(void *);
+static void client_destroy(struct client *);
+static void answer(struct client *);
+static void write_metrics(struct entry *, FILE *);
+static void write_ends(struct entry *, FILE *);
+
+static const struct conn_ops client_conn_ops = {
+	.data = on_data,
+	.closed = on_closed,
+};
+
+static const struct http_reader_ops client_reader_ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+};
+
+struct admin *
+admin_create(struct entry *e, struct err *err)
+{
+	const char *addrs[ADMIN_ADDRESSES] = { e->boot.ready,
+		e->boot.metrics };
+	struct admin *a;
+	int fd;
+	int i;
+
+	a = mem_alloc(sizeof(*a));
+	a->e = e;
+	TAILQ_INIT(&a->clients);
+	for (i = 0; i < ADMIN_ADDRESSES; i++) {
+		fd = conn_listen(addrs[i], err);
+		if (fd == -1) {
+			while (--i >= 0) {
+				ev_io_stop(e->loop, &a->io[i]);
+				close(a->io[i].fd);
+			}
+			free(a);
+			return NULL;
+		}
+		ev_io_init(&a->io[i], on_accept, fd, EV_READ);
+		a->io[i].data = a;
+		ev_io_start(e->loop, &a->io[i]);
+	}
+	return a;
+}
+
+void
+admin_destroy(struct admin *a)
+{
+	int i;
+
+	if (a == NULL)
+		return;
+	while (!TAILQ_EMPTY(&a->clients))
+		client_destroy(TAILQ_FIRST(&a->clients));
+	for (i = 0; i < ADMIN_ADDRESSES; i++) {
+		ev_io_stop(a->e->loop, &a->io[i]);
+		close(a->io[i].fd);
+	}
+	free(a);
+}
+
+static void
+on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct admin *a = w->data;
+	struct client *c;
+	int fd;
+
+	(void)events;
+	fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd == -1)
+		return;
+	c = mem_alloc(sizeof(*c));
+	c->a = a;
+	c->reader =
+	    http_reader_create(HTTP_READ_REQUESTS, &client_reader_ops, c);
+	ev_timer_init(&c->timer, on_timer, ADMIN_IDLE_S, 0.0);
+	c->timer.data = c;
+	ev_timer_start(loop, &c->timer);
+	TAILQ_INSERT_TAIL(&a->clients, c, entry);
+	c->conn = conn_accept(loop, fd, &client_conn_ops, c);
+}
+
+static void
+client_destroy(struct client *c)
+{
+	ev_timer_stop(c->a->e->loop, &c->timer);
+	TAILQ_REMOVE(&c->a->clients, c, entry);
+	conn_destroy(c->conn);
+	http_reader_destroy(c->reader);
+	free(c);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)loop;
+	(void)events;
+	client_destroy(w->data);
+}
+
+static void
+on_closed(void *ctx, int error)
+{
+	(void)error;
+	client_destroy(ctx);
+}
+
+static void
+on_head(void *ctx, const struct http_head *h)
+{
+	(void)ctx;
+	(void)h;
+}
+
+static void
+on_body(void *ctx, const char *p, size_t len)
+{
+	(void)ctx;
+	(void)p;
+	(void)len;
+}
+
+static void
+on_end(void *ctx)
+{
+	struct client *c = ctx;
+
+	c->whole = 1;
+}
+
+static void
+on_data(void *ctx, const char *p, size_t len)
+{
+	struct client *c = ctx;
+	long n;
+
+	entry_now(c->a->e);
+	while (len != 0) {
+		n = http_reader_feed(c->reader, p, len);
+		if (n < 0) {
+			client_destroy(c);
+			return;
+		}
+		p += n;
+		len -= (size_t)n;
+		if (!c->whole)
+			continue;
+		c->whole = 0;
+		answer(c);
+		http_reader_reset(c->reader);
+	}
+	ev_timer_stop(c->a->e->loop, &c->timer);
+	ev_timer_start(c->a->e->loop, &c->timer);
+}
+
+static void
+answer(struct client *c)
+{
+	const char *target = http_target(http_reader_head(c->reader));
+	struct buf out = { 0 };
+	char *text = NULL;
+	size_t len = 0;
+	FILE *f;
+
+	if (strcmp(target, READY_TARGET) == 0) {
+		fields_own(&out, entry_ready(c->a->e) ? 200 : 503, NULL, 0,
+		    entry_ready(c->a->e) ? "ready\n" : "not ready\n", 1);
+	} else if (strcmp(target, METRICS_TARGET) == 0) {
+		f = open_memstream(&text, &len);
+		write_metrics(c->a->e, f);
+		fclose(f);
+		fields_own(&out, 200, NULL, 0, text, 1);
+		free(text);
+	} else {
+		fields_own(&out, 404, NULL, 0, "no such address\n", 1);
+	}
+	conn_write(c->conn, buf_data(&out), buf_len(&out));
+	buf_free(&out);
+}
+
+static void
+write_ends(struct entry *e, FILE *f)
+{
+	int i;
+
+	fprintf(f, "# HELP spindle_entry_attempts_total Attempts by end.\n"
+		   "# TYPE spindle_entry_attempts_total counter\n");
+	for (i = 0; i < ATTEMPT__MAX; i++)
+		fprintf(f, "spindle_entry_attempts_total{end=\"%s\"} %llu\n",
+		    attempt_end_name((enum attempt_end)i),
+		    (unsigned long long)e->counts.ends[i]);
+}
+
+static void
+write_metrics(struct entry *e, FILE *f)
+{
+	struct steward_totals t;
+	struct forward *w;
+	uint64_t waiting = 0;
+
+	TAILQ_FOREACH (w, &e->waiting, entry)
+		waiting++;
+	steer_totals(e, &t);
+	metric_write(f, "spindle_entry_requests_total", "counter",
+	    "Requests that came in.", e->counts.arrived);
+	metric_write(f, "spindle_entry_answered_total", "counter",
+	    "Requests answered with a replica's answer.", e->counts.answered);
+	metric_write(f, "spindle_entry_refused_total", "counter",
+	    "Requests refused as not run.", e->counts.refused);
+	metric_write(f, "spindle_entry_unknown_total", "counter",
+	    "Requests whose outcome is unknown.", e->counts.unknown);
+	metric_write(f, "spindle_entry_cut_total", "counter",
+	    "Answers broken off.", e->counts.cut);
+	metric_write(f, "spindle_entry_left_total", "counter",
+	    "Callers that left first.", e->counts.left);
+	write_ends(e, f);
+	metric_write(f, "spindle_entry_waiting", "gauge",
+	    "Requests that wait for a replica.", waiting);
+	metric_write(f, "spindle_entry_config_version", "gauge",
+	    "Version of the configuration in force.",
+	    e->conf == NULL ? 0 : e->conf->version);
+	metric_write(f, "spindle_entry_list_revision", "gauge",
+	    "Revision of the list of replicas.", e->dir.at);
+	metric_write(f, "spindle_entry_store_up", "gauge",
+	    "Whether the key-value service answers.",
+	    (uint64_t)session_up(e->session));
+	metric_write(f, "spindle_entry_store_calls_total", "counter",
+	    "Calls to the key-value service.", session_calls(e->session));
+	metric_write(f, "spindle_entry_peers", "gauge", "Known peers.",
+	    peers_count(e->peers));
+	metric_write(f, "spindle_entry_connections_total", "counter",
+	    "Connections opened to replicas.", link_pool_opened(e->replicas));
+	metric_write(f, "spindle_entry_holds_orders", "gauge",
+	    "Whether this process orders engines.", (uint64_t)t.holds);
+	metric_write(f, "spindle_entry_fence", "gauge",
+	    "Fencing number of its latest right to order.", t.fence);
+	metric_write(f, "spindle_entry_loads_total", "counter",
+	    "Model loads ordered.", t.loads);
+	metric_write(f, "spindle_entry_adapter_loads_total", "counter",
+	    "Adapter loads ordered.", t.adapter_loads);
+	metric_write_process(f);
+}
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,59 @@
+/* The state that all parts share. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "config.h"
+#include "entry_int.h"
+#include "mem.h"
+
+uint64_t
+entry_now(struct entry *e)
+{
+	e->now = clock_mono();
+	return e->now;
+}
+
+/* A linear congruential generator; draws only spread load. */
+double
+entry_draw(struct entry *e)
+{
+	e->draws = e->draws * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (double)(e->draws >> 11) / 9007199254740992.0;
+}
+
+void
+entry_configure(
+    struct entry *e, const char *text, size_t len, const char *source)
+{
+	struct fleet_conf *conf;
+	struct err err;
+
+	conf = platform_config_decode(text, len, &err);
+	if (conf == NULL) {
+		log_event(LOG_CONF_BAD, NULL, "from=%s %s", source, err.text);
+		return;
+	}
+	if (e->conf != NULL && conf->version <= e->conf->version) {
+		fleet_conf_destroy(conf);
+		return;
+	}
+	fleet_conf_destroy(e->conf);
+	free(e->conf_text);
+	e->conf = conf;
+	e->conf_text = mem_alloc(len + 1);
+	memcpy(e->conf_text, text, len);
+	e->conf_len = len;
+	e->pump = 1;
+	http_head_limit(conf->limits.header_bytes);
+	log_event(LOG_CONF_IN_FORCE, NULL,
+	    "version=%llu from=%s routes=%u services=%u",
+	    (unsigned long long)conf->version, source, conf->nroutes,
+	    conf->nservices);
+}
+
+int
+entry_ready(const struct entry *e)
+{
+	return !e->stopping && e->conf != NULL && e->dir.known;
+}
--- /dev/null
+++ b/entry/main.c
@@ -0,0 +1,222 @@
+/* spindle-entry: serves callers and orders engines on the platform. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+
+#include "admin.h"
+#include "cli.h"
+#include "clock.h"
+#include "entry_int.h"
+#include "mem.h"
+#include "peers.h"
+#include "session.h"
+#include "steer.h"
+
+#define NAME "spindle-entry"
+#define TICK_S 0.02
+/* The balancer notices within two questions, a second apart. */
+#define LISTEN_ON_NS (3 * NSEC_PER_SEC)
+#define GRACE_MARGIN_NS (400 * NSEC_PER_MSEC)
+#define CONNECT_NS (400 * NSEC_PER_MSEC)
+#define IDLE_NS (20 * NSEC_PER_SEC)
+#define IDLE_MAX 6 /* idle connections to one replica */
+
+struct daemon {
+	struct entry e;
+	const char *path;
+	struct listener *listener;
+	ev_timer tick;
+	ev_prepare pump;
+	ev_signal term;
+	ev_signal hup;
+};
+
+static int daemon_start(struct daemon *, struct err *);
+static void daemon_stop(struct daemon *);
+static void on_tick(struct ev_loop *, ev_timer *, int);
+static void on_pump(struct ev_loop *, ev_prepare *, int);
+static void on_term(struct ev_loop *, ev_signal *, int);
+static void on_hup(struct ev_loop *, ev_signal *, int);
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct daemon *d = w->data;
+	struct entry *e = &d->e;
+
+	(void)events;
+	entry_now(e);
+	directory_tick(&e->dir, e->now);
+	steer_tick(e);
+	peers_tick(e->peers);
+	if (!TAILQ_EMPTY(&e->waiting))
+		e->pump = 1;
+	if (!e->stopping)
+		return;
+	if (d->listener != NULL && e->now >= e->stop_at + LISTEN_ON_NS) {
+		listener_destroy(d->listener);
+		d->listener = NULL;
+	}
+	if (d->listener == NULL)
+		callers_close_idle(e);
+	if ((d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
+		TAILQ_EMPTY(&e->running)) ||
+	    e->now + GRACE_MARGIN_NS >= e->stop_at + e->boot.grace_ns)
+		ev_break(loop, EVBREAK_ALL);
+}
+
+static void
+on_pump(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct daemon *d = w->data;
+
+	(void)loop;
+	(void)events;
+	if (!d->e.pump)
+		return;
+	d->e.pump = 0;
+	entry_now(&d->e);
+	forward_pump(&d->e);
+}
+
+static void
+on_term(struct ev_loop *loop, ev_signal *w, int events)
+{
+	struct daemon *d = w->data;
+
+	(void)loop;
+	(void)events;
+	if (d->e.stopping)
+		return;
+	d->e.stopping = 1;
+	d->e.stop_at = entry_now(&d->e);
+	log_event(LOG_STOPPING, NULL, "vm=%s", d->e.boot.vm);
+	steer_leave(&d->e);
+	peers_leave(d->e.peers);
+}
+
+/* Addresses cannot change while the process runs; bounds can. */
+static void
+on_hup(struct ev_loop *loop, ev_signal *w, int events)
+{
+	struct daemon *d = w->data;
+	struct boot boot;
+	struct err err;
+
+	(void)loop;
+	(void)events;
+	if (boot_load(d->path, &boot, &err) == -1) {
+		log_event(LOG_SETTINGS_BAD, NULL, "%s", err.text);
+		return;
+	}
+	d->e.boot.grace_ns = boot.grace_ns;
+	d->e.boot.drain_ns = boot.drain_ns;
+	memcpy(d->e.boot.store, boot.store, sizeof(boot.store));
+	log_event(LOG_RELOADED, NULL, "file=%s", d->path);
+}
+
+static int
+daemon_start(struct daemon *d, struct err *err)
+{
+	struct link_config links = { CONNECT_NS, IDLE_NS, IDLE_MAX };
+	struct budget_config budget;
+	struct entry *e = &d->e;
+
+	e->loop = ev_default_loop(EVFLAG_AUTO);
+	TAILQ_INIT(&e->waiting);
+	TAILQ_INIT(&e->running);
+	TAILQ_INIT(&e->callers);
+	directory_init(&e->dir);
+	e->nprocesses = 1;
+	e->self.incarnation = clock_incarnation();
+	e->draws = e->self.incarnation;
+	memcpy(e->self.addr, e->boot.bus, sizeof(e->self.addr));
+	entry_now(e);
+	budget.ratio = e->boot.retry_ratio;
+	budget.window_ns = e->boot.retry_window_ns;
+	budget.slack = e->boot.retry_slack;
+	budget_init(&e->budget, &budget);
+	e->replicas = link_pool_create(e->loop, &links);
+	e->store = link_pool_create(e->loop, &links);
+	e->peers = peers_create(e, err);
+	if (e->peers == NULL)
+		return -1;
+	e->steer = steer_create(e);
+	e->session = session_create(e);
+	e->admin = admin_create(e, err);
+	if (e->admin == NULL)
+		return -1;
+	d->listener = listener_create(e, err);
+	if (d->listener == NULL)
+		return -1;
+	ev_timer_init(&d->tick, on_tick, TICK_S, TICK_S);
+	ev_prepare_init(&d->pump, on_pump);
+	ev_signal_init(&d->term, on_term, SIGTERM);
+	ev_signal_init(&d->hup, on_hup, SIGHUP);
+	d->tick.data = d;
+	d->pump.data = d;
+	d->term.data = d;
+	d->hup.data = d;
+	ev_timer_start(e->loop, &d->tick);
+	ev_prepare_start(e->loop, &d->pump);
+	ev_signal_start(e->loop, &d->term);
+	ev_signal_start(e->loop, &d->hup);
+	return 0;
+}
+
+static void
+daemon_stop(struct daemon *d)
+{
+	struct entry *e = &d->e;
+
+	listener_destroy(d->listener);
+	forward_stop_all(e);
+	callers_destroy(e);
+	admin_destroy(e->admin);
+	steer_destroy(e->steer);
+	session_destroy(e->session);
+	peers_destroy(e->peers);
+	link_pool_destroy(e->replicas);
+	link_pool_destroy(e->store);
+	directory_clear(&e->dir);
+	fleet_conf_destroy(e->conf);
+	free(e->conf_text);
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct daemon d;
+	struct cli_daemon cli = { 0 };
+	struct err err;
+
+	d.path = getenv(BOOT_ENV);
+	if (argc > 1 || d.path == NULL) {
+		cli_daemon(argc, argv, NAME, "serves callers on the platform",
+		    &cli);
+		d.path = cli.settings;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	log_open(NAME, clock_incarnation(), LOGLEVEL_INFO);
+	if (boot_load(d.path, &d.e.boot, &err) == -1) {
+		log_event(LOG_SETTINGS_BAD, NULL, "%s", err.text);
+		log_close();
+		return EX_CONFIG;
+	}
+	if (cli.check_only)
+		return EX_OK;
+	if (daemon_start(&d, &err) == -1) {
+		log_event(LOG_LISTEN_FAILED, NULL, "%s", err.text);
+		log_close();
+		return EX_UNAVAILABLE;
+	}
+	log_event(LOG_STARTED, NULL, "vm=%s zone=%s listen=%s bus=%s",
+	    d.e.boot.vm, d.e.boot.zone, d.e.boot.listen, d.e.boot.bus);
+	ev_run(d.e.loop, 0);
+	daemon_stop(&d);
+	log_event(LOG_STOPPED, NULL, "vm=%s", d.e.boot.vm);
+	log_close();
+	return EX_OK;
+}
--- /dev/null
+++ b/entry/peers.c
@@ -0,0 +1,444 @@
+/* Peers: who they are, and the messages between them. */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "announce.h"
+#include "bus.h"
+#include "mem.h"
+#include "peers.h"
+#include "ring.h"
+#include "session.h"
+#include "steer.h"
+
+#define PEER_LEASE_S 30
+#define PEER_RETRY_NS (500 * NSEC_PER_MSEC)
+#define PEER_SILENT_NS (1500 * NSEC_PER_MSEC) /* counts as silent after */
+#define PEER_FORGET_NS (15 * NSEC_PER_SEC)    /* unlisted and silent */
+#define TELL_NS (100 * NSEC_PER_MSEC)	      /* between two reports */
+#define TELL_IDLE_NS (500 * NSEC_PER_MSEC)    /* when nothing changed */
+#define TELL_PEERS 9 /* with more peers, reports are rarer */
+#define PULL_AGAIN_NS (300 * NSEC_PER_MSEC)
+#define INBOX_RING 4096
+#define PULL_CONFIG 0 /* msg_conf.nonce: what is asked for */
+#define PULL_LIST 1
+
+struct peer {
+	char vm[NAME_SIZE];
+	char addr[ADDR_SIZE]; /* of its bus */
+	uint32_t index;	      /* in the directory's tables */
+	int listed;
+	int heard;
+	uint64_t heard_at;
+	uint64_t incarnation;
+	uint64_t seq; /* of its newest report */
+	UT_hash_handle hh;
+};
+
+struct peers {
+	struct entry *e;
+	struct bus *bus;
+	struct ring *inbox;
+	ev_io io;
+	struct peer *peers;
+	uint32_t indexes; /* handed out */
+	struct announce *announce;
+	struct kv_ids ids;
+	uint64_t tell_at;
+	uint64_t pull_config_at;
+	uint64_t pull_list_at;
+};
+
+static void on_bus(void *, struct msg *);
+static void on_inbox(struct ev_loop *, ev_io *, int);
+static void on_result(void *, const struct kv_result *);
+static void take(struct peers *, struct msg *);
+static void take_front(struct peers *, struct peer *, const struct msg *);
+static void take_pull(struct peers *, const struct msg *);
+static void take_chunk(struct peers *, const struct msg *);
+static void pull(struct peers *, const struct peer *, uint64_t, uint64_t *);
+static struct peer *peer_find(struct peers *, const char *);
+static struct peer *peer_add(struct peers *, const char *, const char *);
+static void tell(struct peers *);
+static struct msg *compose(struct peers *);
+
+struct peers *
+peers_create(struct entry *e, struct err *err)
+{
+	struct announce_config config = { PEER_LEASE_S, PEER_RETRY_NS };
+	struct peers *p;
+	char key[KV_KEY_SIZE];
+	char value[256];
+
+	p = mem_alloc(sizeof(*p));
+	p->e = e;
+	p->inbox = ring_create(INBOX_RING);
+	p->bus = bus_create(&e->self, on_bus, p, err);
+	if (p->bus == NULL) {
+		ring_destroy(p->inbox);
+		free(p);
+		return NULL;
+	}
+	ev_io_init(&p->io, on_inbox, ring_fd(p->inbox), EV_READ);
+	p->io.data = p;
+	ev_io_start(e->loop, &p->io);
+	snprintf(key, sizeof(key), PEERS_KEY_PREFIX "%s", e->boot.vm);
+	snprintf(value, sizeof(value), "{\"bus\":\"%s\",\"incarnation\":%llu}",
+	    e->self.addr, (unsigned long long)e->self.incarnation);
+	p->announce = announce_create(&config, key, value, &p->ids);
+	return p;
+}
+
+void
+peers_destroy(struct peers *p)
+{
+	struct peer *q, *next;
+	struct msg *m;
+
+	if (p == NULL)
+		return;
+	ev_io_stop(p->e->loop, &p->io);
+	bus_destroy(p->bus);
+	ring_close(p->inbox);
+	while ((m = ring_pop(p->inbox, 0)) != NULL)
+		msg_destroy(m);
+	ring_destroy(p->inbox);
+	HASH_ITER (hh, p->peers, q, next) {
+		HASH_DEL(p->peers, q);
+		free(q);
+	}
+	announce_destroy(p->announce);
+	free(p);
+}
+
+struct kv_ids *
+peers_ids(struct peers *p)
+{
+	return &p->ids;
+}
+
+/* In the bus's thread. */
+static void
+on_bus(void *ctx, struct msg *m)
+{
+	struct peers *p = ctx;
+
+	if (ring_push(p->inbox, m) == -1)
+		msg_destroy(m);
+}
+
+static void
+on_inbox(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct peers *p = w->data;
+	struct msg *m;
+
+	(void)loop;
+	(void)events;
+	entry_now(p->e);
+	while ((m = ring_pop(p->inbox, 0)) != NULL) {
+		take(p, m);
+		msg_destroy(m);
+	}
+}
+
+static struct peer *
+peer_find(struct peers *p, const char *addr)
+{
+	struct peer *q;
+
+	HASH_FIND_STR(p->peers, addr, q);
+	return q;
+}
+
+static struct peer *
+peer_add(struct peers *p, const char *addr, const char *vm)
+{
+	struct peer *q = peer_find(p, addr);
+
+	if (q != NULL)
+		return q;
+	q = mem_alloc(sizeof(*q));
+	snprintf(q->addr, sizeof(q->addr), "%s", addr);
+	snprintf(q->vm, sizeof(q->vm), "%s", vm);
+	q->index = p->indexes++;
+	HASH_ADD_STR(p->peers, addr, q);
+	p->e->nprocesses = peers_count(p) + 1;
+	budget_processes(&p->e->budget, p->e->nprocesses);
+	return q;
+}
+
+void
+peers_listed(struct peers *p, const char *vm, const char *value)
+{
+	json_t *doc = json_loads(value, 0, NULL);
+	const char *addr = json_string_value(json_object_get(doc, "bus"));
+
+	if (addr != NULL && strcmp(addr, p->e->self.addr) != 0)
+		peer_add(p, addr, vm)->listed = 1;
+	json_decref(doc);
+}
+
+void
+peers_unlisted(struct peers *p, const char *vm)
+{
+	struct peer *q;
+
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (strcmp(q->vm, vm) == 0)
+			q->listed = 0;
+	}
+}
+
+uint32_t
+peers_count(const struct peers *p)
+{
+	return HASH_COUNT(p->peers);
+}
+
+uint32_t
+peers_index(const struct peers *p, const char *addr)
+{
+	const struct peer *q;
+
+	HASH_FIND_STR(p->peers, addr, q);
+	return q == NULL ? UINT32_MAX : q->index;
+}
+
+uint32_t
+peers_before(const struct peers *p, const char *addr)
+{
+	const struct peer *q;
+	uint32_t n = 0;
+
+	for (q = p->peers; q != NULL; q = q->hh.next)
+		n += q->heard && strcmp(q->addr, addr) < 0;
+	return n;
+}
+
+static void
+take(struct peers *p, struct msg *m)
+{
+	struct peer *q;
+
+	q = peer_add(p, m->from.addr,
+	    m->kind == MSG_FRONT ? m->u.front.vm : "");
+	if (m->from.incarnation < q->incarnation)
+		return;
+	if (m->from.incarnation > q->incarnation) {
+		q->incarnation = m->from.incarnation;
+		q->seq = 0;
+	}
+	if (!q->heard)
+		log_event(LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm,
+		    q->addr);
+	q->heard = 1;
+	q->heard_at = p->e->now;
+	switch (m->kind) {
+	case MSG_FRONT:
+		take_front(p, q, m);
+		break;
+	case MSG_CONF_PULL:
+		take_pull(p, m);
+		break;
+	case MSG_CONF_CHUNK:
+		take_chunk(p, m);
+		break;
+	default:
+		steer_message(p->e, m);
+		break;
+	}
+}
+
+static void
+take_front(struct peers *p, struct peer *q, const struct msg *m)
+{
+	const struct msg_front *f = &m->u.front;
+	struct entry *e = p->e;
+	struct work w;
+	uint32_t i;
+
+	if (m->seq <= q->seq)
+		return;
+	q->seq = m->seq;
+	snprintf(q->vm, sizeof(q->vm), "%s", f->vm);
+	directory_peer_clear(&e->dir, e->now, q->index);
+	for (i = 0; i < f->nwork; i++) {
+		w.running = f->work[i].running;
+		w.unread = f->work[i].unread;
+		w.tokens = f->work[i].tokens;
+		directory_peer_work(
+		    &e->dir, q->index, f->work[i].replica, &w);
+	}
+	steer_demand(e, m);
+	if (e->conf == NULL || f->version > e->conf->version)
+		pull(p, q, PULL_CONFIG, &p->pull_config_at);
+	if (f->listed > e->dir.at && !session_up(e->session))
+		pull(p, q, PULL_LIST, &p->pull_list_at);
+}
+
+static void
+pull(struct peers *p, const struct peer *q, uint64_t what, uint64_t *at)
+{
+	struct msg *m;
+
+	if (p->e->now < *at)
+		return;
+	*at = p->e->now + PULL_AGAIN_NS;
+	m = msg_create(MSG_CONF_PULL, q->addr);
+	m->u.conf.nonce = what;
+	bus_send(p->bus, m);
+}
+
+static void
+take_pull(struct peers *p, const struct msg *m)
+{
+	struct entry *e = p->e;
+	struct msg *reply;
+	char *text = NULL;
+	size_t len = 0;
+
+	if (m->u.conf.nonce == PULL_LIST) {
+		text = session_list_text(e->session, &len);
+	} else if (e->conf_text != NULL) {
+		len = e->conf_len;
+		text = mem_alloc(len + 1);
+		memcpy(text, e->conf_text, len);
+	}
+	if (text == NULL || len > MSG_BYTES_MAX) {
+		free(text);
+		return;
+	}
+	reply = msg_create(MSG_CONF_CHUNK, m->from.addr);
+	reply->u.conf.nonce = m->u.conf.nonce;
+	reply->u.conf.revision = e->dir.at;
+	reply->u.conf.bytes = text;
+	reply->u.conf.len = (uint32_t)len;
+	bus_send(p->bus, reply);
+}
+
+static void
+take_chunk(struct peers *p, const struct msg *m)
+{
+	const struct msg_conf *c = &m->u.conf;
+
+	if (c->nonce == PULL_CONFIG)
+		entry_configure(p->e, c->bytes, c->len, m->from.addr);
+	else if (!session_up(p->e->session))
+		session_list_take(
+		    p->e->session, c->revision, c->bytes, c->len);
+}
+
+void
+peers_send(struct peers *p, struct msg *m)
+{
+	bus_send(p->bus, m);
+}
+
+void
+peers_broadcast(struct peers *p, struct msg *m)
+{
+	struct peer *q;
+	struct msg *copy;
+
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		copy = msg_copy(m);
+		snprintf(copy->to, sizeof(copy->to), "%s", q->addr);
+		bus_send(p->bus, copy);
+	}
+	msg_destroy(m);
+}
+
+static struct msg *
+compose(struct peers *p)
+{
+	struct entry *e = p->e;
+	struct member_replica *r;
+	struct msg_work *w;
+	struct msg *m;
+
+	m = msg_create(MSG_FRONT, "");
+	snprintf(m->u.front.vm, sizeof(m->u.front.vm), "%s", e->boot.vm);
+	m->u.front.version = e->conf == NULL ? 0 : e->conf->version;
+	m->u.front.listed = e->dir.at;
+	m->u.front.stopping = (uint32_t)e->stopping;
+	m->u.front.work = mem_alloc((HASH_COUNT(e->dir.replicas) + 1) *
+	    sizeof(*m->u.front.work));
+	for (r = e->dir.replicas; r != NULL; r = r->hh.next) {
+		if (r->own.running == 0 || m->u.front.nwork == MSG_LIST_MAX - 1)
+			continue;
+		w = &m->u.front.work[m->u.front.nwork++];
+		snprintf(w->replica, sizeof(w->replica), "%s", r->info.id);
+		w->running = r->own.running;
+		w->unread = r->own.unread;
+		w->tokens = r->own.tokens;
+	}
+	steer_fill_demand(e, &m->u.front);
+	return m;
+}
+
+/* Reports are rarer with many peers, so that their sum stays bounded. */
+static void
+tell(struct peers *p)
+{
+	uint64_t pause = TELL_NS;
+	uint32_t n = peers_count(p);
+
+	if (p->e->now < p->tell_at)
+		return;
+	if (n > TELL_PEERS)
+		pause = pause * n / TELL_PEERS;
+	p->tell_at = p->e->now + (pause < TELL_IDLE_NS ? pause : TELL_IDLE_NS);
+	peers_broadcast(p, compose(p));
+}
+
+static void
+on_result(void *ctx, const struct kv_result *r)
+{
+	struct peers *p = ctx;
+	struct kv_ops ops;
+
+	TAILQ_INIT(&ops);
+	announce_result(p->announce, p->e->now, r, &ops);
+	session_send(p->e->session, &ops, on_result, p);
+}
+
+void
+peers_tick(struct peers *p)
+{
+	struct peer *q, *next;
+	struct kv_ops ops;
+
+	TAILQ_INIT(&ops);
+	announce_tick(p->announce, p->e->now, &ops);
+	session_send(p->e->session, &ops, on_result, p);
+	tell(p);
+	HASH_ITER (hh, p->peers, q, next) {
+		if (q->heard && p->e->now > q->heard_at + PEER_SILENT_NS) {
+			log_event(LOG_PEER_SILENT, NULL, "peer=%s addr=%s",
+			    q->vm, q->addr);
+			q->heard = 0;
+		}
+		if (q->listed || q->heard ||
+		    p->e->now < q->heard_at + PEER_FORGET_NS)
+			continue;
+		HASH_DEL(p->peers, q);
+		free(q);
+		p->e->nprocesses = peers_count(p) + 1;
+		budget_processes(&p->e->budget, p->e->nprocesses);
+	}
+}
+
+void
+peers_leave(struct peers *p)
+{
+	struct kv_ops ops;
+
+	TAILQ_INIT(&ops);
+	announce_release(p->announce, &ops);
+	session_send(p->e->session, &ops, on_result, p);
+	p->tell_at = 0;
+	tell(p);
+}
--- /dev/null
+++ b/entry/peers.h
@@ -0,0 +1,36 @@
+/*
+ * The other entry processes: found through the platform's service, told of
+ * this process's work and demand, asked for what this one has missed.
+ */
+#ifndef PEERS_H
+#define PEERS_H
+
+#include "entry_int.h"
+#include "msg.h"
+
+#define PEERS_KEY_PREFIX "peer/"
+
+struct peers;
+
+struct peers *peers_create(struct entry *, struct err *);
+void peers_destroy(struct peers *);
+/* A peer's key as the platform's service holds it. */
+void peers_listed(struct peers *, const char *, const char *);
+void peers_unlisted(struct peers *, const char *);
+void peers_tick(struct peers *);
+/* This process is going to stop. */
+void peers_leave(struct peers *);
+/* Sends a message to every peer, and takes it over. */
+void peers_broadcast(struct peers *, struct msg *);
+/* Sends to the peer at a bus address. */
+void peers_send(struct peers *, struct msg *);
+/* Peers that are listed or heard, without this process. */
+uint32_t peers_count(const struct peers *);
+/* Place of the peer at a bus address among the sources of reports. */
+uint32_t peers_index(const struct peers *, const char *);
+/* Live peers whose address sorts before the given one. */
+uint32_t peers_before(const struct peers *, const char *);
+/* The operations of this process on the service share one row of ids. */
+struct kv_ids *peers_ids(struct peers *);
+
+#endif
--- /dev/null
+++ b/entry/session.c
@@ -0,0 +1,221 @@
+/* Calls to the platform's key-value service, and whether it answers. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "session.h"
+#include "session_int.h"
+
+#define CALL_TIMEOUT_S 1.5
+#define DOWN_AFTER 2 /* calls without an answer in a row */
+
+static int on_head(void *, const struct http_head *);
+static void on_body(void *, const char *, size_t);
+static void on_end(void *, enum exchange_end);
+static void on_timeout(struct ev_loop *, ev_timer *, int);
+static void call_end(struct call *, int);
+static void note_answer(struct session *, int);
+static void op_answered(void *, int, const char *, size_t);
+
+static const struct exchange_ops call_ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+};
+
+/* An operation under way. */
+struct op_call {
+	struct session *s;
+	struct kv_op *op;
+	void (*result)(void *, const struct kv_result *);
+	void *ctx;
+};
+
+struct call *
+session_call(struct session *s, struct store_call *sc, double timeout_s,
+    call_answer answer, void *ctx)
+{
+	struct buf out = { 0 };
+	struct call *c;
+	size_t len = sc->body == NULL ? 0 : strlen(sc->body);
+
+	c = mem_alloc(sizeof(*c));
+	c->s = s;
+	c->answer = answer;
+	c->ctx = ctx;
+	TAILQ_INSERT_TAIL(&s->calls, c, entry);
+	s->ncalls++;
+	buf_printf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n", sc->method,
+	    sc->path, s->e->boot.store);
+	if (sc->body != NULL)
+		buf_text(&out, "Content-Type: application/json\r\n");
+	if (sc->body != NULL || strcmp(sc->method, "GET") != 0)
+		buf_printf(&out, "Content-Length: %zu\r\n", len);
+	buf_text(&out, "\r\n");
+	if (len != 0)
+		buf_add(&out, sc->body, len);
+	c->x = exchange_start(
+	    s->e->store, s->e->boot.store, TIME_NEVER / 4, &call_ops, c);
+	exchange_send(c->x, buf_data(&out), buf_len(&out));
+	buf_free(&out);
+	store_call_clear(sc);
+	ev_timer_init(&c->timer, on_timeout, timeout_s, 0.0);
+	c->timer.data = c;
+	ev_timer_start(s->e->loop, &c->timer);
+	return c;
+}
+
+static int
+on_head(void *ctx, const struct http_head *h)
+{
+	struct call *c = ctx;
+
+	c->status = h->status;
+	return 0;
+}
+
+static void
+on_body(void *ctx, const char *p, size_t len)
+{
+	struct call *c = ctx;
+
+	buf_add(&c->body, p, len);
+}
+
+static void
+on_end(void *ctx, enum exchange_end end)
+{
+	struct call *c = ctx;
+
+	c->x = NULL;
+	entry_now(c->s->e);
+	call_end(c, end == EXCHANGE_DONE ? c->status : 0);
+}
+
+static void
+on_timeout(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct call *c = w->data;
+
+	(void)loop;
+	(void)events;
+	entry_now(c->s->e);
+	exchange_cancel(c->x);
+	c->x = NULL;
+	call_end(c, 0);
+}
+
+/* Status 0 stands for no answer. */
+static void
+call_end(struct call *c, int status)
+{
+	struct session *s = c->s;
+
+	ev_timer_stop(s->e->loop, &c->timer);
+	TAILQ_REMOVE(&s->calls, c, entry);
+	note_answer(s, status);
+	c->answer(c->ctx, status, buf_data(&c->body), buf_len(&c->body));
+	buf_free(&c->body);
+	free(c);
+}
+
+/* 429 and 503 are answers that did nothing; the service counts as away. */
+static void
+note_answer(struct session *s, int status)
+{
+	int good = status != 0 && status != 429 && status != 503;
+
+	if (good) {
+		s->failures = 0;
+		if (!s->up)
+			log_event(LOG_KV_UP, NULL, "status=%d", status);
+		s->up = 1;
+		directory_service(&s->e->dir, s->e->now, 1);
+		return;
+	}
+	if (++s->failures < DOWN_AFTER || !s->up)
+		return;
+	s->up = 0;
+	log_event(LOG_KV_DOWN, NULL, "status=%d calls_in_row=%u", status,
+	    s->failures);
+	directory_service(&s->e->dir, s->e->now, 0);
+}
+
+static void
+op_answered(void *ctx, int status, const char *body, size_t len)
+{
+	struct op_call *oc = ctx;
+	struct kv_result r;
+	char *value;
+
+	store_op_answer(oc->op, status, body, len, &r, &value);
+	if (r.status == KV_UNKNOWN)
+		log_event(LOG_KV_BAD, NULL, "op=%s key=%s status=%d",
+		    kv_kind_name(oc->op->kind), oc->op->key, status);
+	oc->result(oc->ctx, &r);
+	free(value);
+	kv_op_destroy(oc->op);
+	free(oc);
+}
+
+void
+session_send(struct session *s, struct kv_ops *ops,
+    void (*result)(void *, const struct kv_result *), void *ctx)
+{
+	struct store_call sc;
+	struct op_call *oc;
+	struct kv_op *op;
+
+	while ((op = TAILQ_FIRST(ops)) != NULL) {
+		TAILQ_REMOVE(ops, op, entry);
+		oc = mem_alloc(sizeof(*oc));
+		oc->s = s;
+		oc->op = op;
+		oc->result = result;
+		oc->ctx = ctx;
+		store_op_call(op, &sc);
+		session_call(s, &sc, CALL_TIMEOUT_S, op_answered, oc);
+	}
+}
+
+int
+session_up(const struct session *s)
+{
+	return s->up;
+}
+
+uint64_t
+session_calls(const struct session *s)
+{
+	return s->ncalls;
+}
+
+struct session *
+session_create(struct entry *e)
+{
+	struct session *s;
+
+	s = mem_alloc(sizeof(*s));
+	s->e = e;
+	s->up = 1;
+	TAILQ_INIT(&s->calls);
+	lists_start(s);
+	return s;
+}
+
+void
+session_destroy(struct session *s)
+{
+	struct call *c;
+
+	if (s == NULL)
+		return;
+	s->closing = 1;
+	lists_stop(s);
+	while ((c = TAILQ_FIRST(&s->calls)) != NULL) {
+		exchange_cancel(c->x);
+		c->x = NULL;
+		call_end(c, 0);
+	}
+	free(s);
+}
--- /dev/null
+++ b/entry/session.h
@@ -0,0 +1,24 @@
+/*
+ * This process's use of the platform's key-value service: the lists it
+ * watches, and the operations of its decisions.
+ */
+#ifndef SESSION_H
+#define SESSION_H
+
+#include "entry_int.h"
+#include "kvop.h"
+
+struct session *session_create(struct entry *);
+void session_destroy(struct session *);
+/* Takes over the operations; each is answered through session_answer. */
+void session_send(struct session *, struct kv_ops *,
+    void (*)(void *, const struct kv_result *), void *);
+/* Whether the service answered the last call. */
+int session_up(const struct session *);
+uint64_t session_calls(const struct session *);
+/* The list of replicas as this process holds it, for a peer. */
+char *session_list_text(const struct session *, size_t *);
+/* A peer's list; used where it is newer than ours. */
+void session_list_take(struct session *, uint64_t, const char *, size_t);
+
+#endif
--- /dev/null
+++ b/entry/session_int.h
@@ -0,0 +1,71 @@
+/* Calls and watched lists of one session with the key-value service. */
+#ifndef SESSION_INT_H
+#define SESSION_INT_H
+
+#include "entry_int.h"
+#include "store.h"
+
+typedef void (*call_answer)(void *, int, const char *, size_t);
+
+struct call {
+	TAILQ_ENTRY(call) entry;
+	struct session *s;
+	struct exchange *x;
+	ev_timer timer;
+	int status;
+	struct buf body;
+	call_answer answer;
+	void *ctx;
+};
+
+TAILQ_HEAD(call_list, call);
+
+enum list_id {
+	LIST_CONFIG,
+	LIST_REPLICAS,
+	LIST_PEERS,
+	LIST__MAX
+};
+
+/* A key that a list holds, with its value as the service has it. */
+struct list_key {
+	char key[KV_KEY_SIZE];
+	char *value;
+	size_t len;
+	uint64_t revision;
+	int seen; /* in the reading of the whole list under way */
+	UT_hash_handle hh;
+};
+
+/* Keys below a prefix, read whole once and then watched. */
+struct list {
+	struct session *s;
+	enum list_id id;
+	const char *prefix;
+	ev_timer retry;
+	double pause_s;
+	uint64_t at;	   /* revision up to which it is known */
+	uint64_t begun_at; /* revision when the reading began, 0 none yet */
+	char after[KV_KEY_SIZE];
+	struct list_key *keys;
+};
+
+struct session {
+	struct entry *e;
+	struct call_list calls;
+	struct list lists[LIST__MAX];
+	uint64_t ncalls;
+	uint32_t failures;
+	int up;
+	int closing;
+};
+
+/* Sends a call and clears it; the answer comes later, status 0 for none. */
+struct call *session_call(
+    struct session *, struct store_call *, double, call_answer, void *);
+
+/* lists.c */
+void lists_start(struct session *);
+void lists_stop(struct session *);
+
+#endif
--- /dev/null
+++ b/entry/steer.c
@@ -0,0 +1,524 @@
+/* Orders out, their answers in; the table of adapters to the peers. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "forward_int.h"
+#include "mem.h"
+#include "order.h"
+#include "peers.h"
+#include "replica.h"
+#include "session.h"
+#include "steer.h"
+
+#define HELD_NS (400 * NSEC_PER_MSEC) /* between tables without a change */
+/* No table for so long: the holder may have ended. */
+#define HOLDER_SILENT_NS (1500 * NSEC_PER_MSEC)
+/* Candidates try one after the other. */
+#define CANDIDATE_NS (250 * NSEC_PER_MSEC)
+#define WANT_NS (60 * NSEC_PER_MSEC) /* between two askings for one name */
+#define ORDER_TIMEOUT_S 0.6
+#define SELF_SOURCE 511 /* this process's place among demand's sources */
+
+/* This process's own demand for one name. */
+struct tally {
+	char wanted[FLEET_NAME_SIZE];
+	uint64_t arrivals;
+	uint64_t asked_at;
+	uint32_t running;
+	uint32_t waiting;
+	UT_hash_handle hh;
+};
+
+struct steer {
+	struct entry *e;
+	struct steward *steward;
+	struct tally *tallies;
+	uint64_t told_changes;
+	uint64_t told_at;
+	uint64_t holder_heard; /* when a holder last sent its table */
+	uint64_t holder_fence;
+	char holder[ADDR_SIZE];
+	int held;
+	struct order_call *calls;
+};
+
+struct order_call {
+	struct order_call *prev;
+	struct order_call *next;
+	struct entry *e;
+	struct steward_order o;
+	struct exchange *x;
+	ev_timer timer;
+	int status;
+	struct buf body;
+};
+
+static int on_head(void *, const struct http_head *);
+static void on_body(void *, const char *, size_t);
+static void on_end(void *, enum exchange_end);
+static void on_timeout(struct ev_loop *, ev_timer *, int);
+static void order_end(struct order_call *, int);
+static void order_send(struct entry *, const struct steward_order *);
+static void carry_out(
+    struct entry *, struct kv_ops *, struct steward_orders *);
+static void on_result(void *, const struct kv_result *);
+static void count_work(struct entry *);
+static struct tally *tally(struct steer *, const char *);
+static const char *wanted_name(const struct request_want *);
+static void tell_held(struct entry *);
+static void take_held(struct entry *, const struct msg *);
+static uint32_t candidate_rank(const struct entry *);
+
+static const struct exchange_ops order_ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+};
+
+struct steer *
+steer_create(struct entry *e)
+{
+	struct steward_config config;
+	struct steer *st;
+
+	steward_config_default(&config);
+	config.lease_s = (e->boot.lease_ns + NSEC_PER_SEC - 1) / NSEC_PER_SEC;
+	config.apart_ns = e->boot.lease_ns;
+	config.window_ns = e->boot.load_window_ns;
+	config.burst = e->boot.load_burst;
+	st = mem_alloc(sizeof(*st));
+	st->e = e;
+	st->steward =
+	    steward_create(&config, &e->dir, &e->self, peers_ids(e->peers));
+	return st;
+}
+
+void
+steer_destroy(struct steer *st)
+{
+	struct tally *t, *next;
+
+	if (st == NULL)
+		return;
+	while (st->calls != NULL) {
+		exchange_cancel(st->calls->x);
+		order_end(st->calls, 0);
+	}
+	HASH_ITER (hh, st->tallies, t, next) {
+		HASH_DEL(st->tallies, t);
+		free(t);
+	}
+	steward_destroy(st->steward);
+	free(st);
+}
+
+static struct tally *
+tally(struct steer *st, const char *wanted)
+{
+	struct tally *t;
+
+	HASH_FIND_STR(st->tallies, wanted, t);
+	if (t != NULL)
+		return t;
+	t = mem_alloc(sizeof(*t));
+	snprintf(t->wanted, sizeof(t->wanted), "%s", wanted);
+	HASH_ADD_STR(st->tallies, wanted, t);
+	return t;
+}
+
+static const char *
+wanted_name(const struct request_want *w)
+{
+	return w->adapter[0] != '\0' ? w->adapter : w->model;
+}
+
+void
+steer_arrival(struct entry *e, const struct request_want *w)
+{
+	if (w->model[0] == '\0')
+		return;
+	tally(e->steer, w->model)->arrivals++;
+	if (w->adapter[0] != '\0')
+		tally(e->steer, w->adapter)->arrivals++;
+}
+
+/* Counts what runs and waits here, by model and adapter. */
+static void
+count_work(struct entry *e)
+{
+	struct forward *f;
+	struct tally *t;
+
+	for (t = e->steer->tallies; t != NULL; t = t->hh.next) {
+		t->running = 0;
+		t->waiting = 0;
+	}
+	TAILQ_FOREACH (f, &e->running, entry) {
+		if (f->want.model[0] != '\0')
+			tally(e->steer, f->want.model)->running++;
+		if (f->want.adapter[0] != '\0')
+			tally(e->steer, f->want.adapter)->running++;
+	}
+	TAILQ_FOREACH (f, &e->waiting, entry) {
+		if (f->want.model[0] != '\0')
+			tally(e->steer, f->want.model)->waiting++;
+		if (f->want.adapter[0] != '\0')
+			tally(e->steer, f->want.adapter)->waiting++;
+	}
+}
+
+void
+steer_fill_demand(struct entry *e, struct msg_front *out)
+{
+	struct steer *st = e->steer;
+	struct msg_demand *d;
+	struct tally *t;
+
+	count_work(e);
+	out->demand = mem_alloc(
+	    (HASH_COUNT(st->tallies) + 1) * sizeof(*out->demand));
+	for (t = st->tallies; t != NULL; t = t->hh.next) {
+		if (out->ndemand == MSG_LIST_MAX - 1)
+			break;
+		d = &out->demand[out->ndemand++];
+		snprintf(d->wanted, sizeof(d->wanted), "%s", t->wanted);
+		d->arrivals = t->arrivals;
+		d->running = t->running;
+		d->waiting = t->waiting;
+		demand_tell(steward_demand(st->steward), e->now, SELF_SOURCE,
+		    t->wanted, t->arrivals, t->running, t->waiting);
+	}
+}
+
+void
+steer_demand(struct entry *e, const struct msg *m)
+{
+	const struct msg_front *f = &m->u.front;
+	uint32_t source = peers_index(e->peers, m->from.addr);
+	uint32_t i;
+
+	for (i = 0; i < f->ndemand; i++)
+		demand_tell(steward_demand(e->steer->steward), e->now, source,
+		    f->demand[i].wanted, f->demand[i].arrivals,
+		    f->demand[i].running, f->demand[i].waiting);
+}
+
+void
+steer_want(struct entry *e, const struct request_want *w, int adapter)
+{
+	struct steer *st = e->steer;
+	struct tally *t = tally(st, wanted_name(w));
+	struct msg *m;
+
+	(void)adapter;
+	if (e->now < t->asked_at + WANT_NS)
+		return;
+	t->asked_at = e->now;
+	steward_asked(st->steward, e->now, wanted_name(w));
+	if (steward_holds(st->steward, e->now)) {
+		steer_tick(e);
+		return;
+	}
+	if (st->holder[0] == '\0')
+		return;
+	m = msg_create(MSG_WANT, st->holder);
+	snprintf(m->u.want.wanted, sizeof(m->u.want.wanted), "%s",
+	    wanted_name(w));
+	peers_send(e->peers, m);
+}
+
+void
+steer_ended(struct entry *e, struct member_replica *m,
+    const struct request_want *w, enum attempt_end end, int status)
+{
+	uint32_t i;
+
+	/* It lacks the adapter: not counted on until it is told again. */
+	if (end != ATTEMPT_REFUSED || status != 421 || w->adapter[0] == '\0')
+		return;
+	for (i = 0; i < m->info.nadapters; i++) {
+		if (strcmp(m->info.adapters[i], w->adapter) != 0)
+			continue;
+		m->info.nadapters--;
+		memmove(m->info.adapters[i],
+		    m->info.adapters[m->info.nadapters], FLEET_NAME_SIZE);
+		break;
+	}
+	(void)e;
+}
+
+static int
+on_head(void *ctx, const struct http_head *h)
+{
+	struct order_call *c = ctx;
+
+	c->status = h->status;
+	return 0;
+}
+
+static void
+on_body(void *ctx, const char *p, size_t len)
+{
+	struct order_call *c = ctx;
+
+	buf_add(&c->body, p, len);
+}
+
+static void
+on_end(void *ctx, enum exchange_end end)
+{
+	struct order_call *c = ctx;
+
+	entry_now(c->e);
+	order_end(c, end == EXCHANGE_DONE ? c->status : 0);
+}
+
+static void
+on_timeout(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct order_call *c = w->data;
+
+	(void)loop;
+	(void)events;
+	entry_now(c->e);
+	exchange_cancel(c->x);
+	order_end(c, 0);
+}
+
+/* Status 0 stands for no answer. */
+static void
+order_end(struct order_call *c, int status)
+{
+	struct steward *s = c->e->steer->steward;
+	struct log_about about = { 0 };
+	struct fleet_replica r;
+	struct err err;
+	enum order_answer answer = platform_order_answer(status);
+	int good;
+
+	ev_timer_stop(c->e->loop, &c->timer);
+	DL_DELETE(c->e->steer->calls, c);
+	about.order = c->o.id;
+	about.backend = c->o.replica;
+	about.model = c->o.adapter[0] != '\0' ? c->o.adapter : c->o.model;
+	if (c->o.kind == STEWARD_REPORT) {
+		memset(&r, 0, sizeof(r));
+		good = status == 200 &&
+		    platform_report_decode(buf_data(&c->body),
+			buf_len(&c->body), &r, &err) == 0;
+		log_event(LOG_ORDER_DONE, &about,
+		    "report status=%d sequence=%llu busy=%d", status,
+		    (unsigned long long)r.sequence, r.busy);
+		steward_report(s, c->e->now, &c->o, good ? &r : NULL);
+	} else {
+		log_event(answer <= ANSWER_HOLDS ? LOG_ORDER_DONE
+						 : LOG_ORDER_FAILED,
+		    &about, "%s answer=%s status=%d expected=%llu",
+		    c->o.kind == STEWARD_LOAD ? "load" : "unload",
+		    order_answer_name(answer), status,
+		    (unsigned long long)c->o.expected);
+		steward_answer(s, c->e->now, &c->o, answer);
+	}
+	buf_free(&c->body);
+	free(c);
+}
+
+static void
+order_send(struct entry *e, const struct steward_order *o)
+{
+	struct log_about about = { 0 };
+	struct order_call *c;
+	struct buf out = { 0 };
+	char *body = NULL;
+
+	c = mem_alloc(sizeof(*c));
+	c->e = e;
+	c->o = *o;
+	if (o->kind != STEWARD_REPORT)
+		body = platform_order_body(o, e->boot.vm);
+	fields_direct(&out, body == NULL ? REPORT_TARGET : ORDER_TARGET,
+	    o->addr, o->replica, body);
+	about.order = o->id;
+	about.backend = o->replica;
+	about.model = o->adapter[0] != '\0' ? o->adapter : o->model;
+	if (body != NULL)
+		log_event(LOG_ORDER_SENT, &about, "%s expected=%llu fence=%llu",
+		    o->kind == STEWARD_LOAD ? "load" : "unload",
+		    (unsigned long long)o->expected,
+		    (unsigned long long)o->fence);
+	DL_APPEND(e->steer->calls, c);
+	c->x = exchange_start(
+	    e->replicas, o->addr, TIME_NEVER / 4, &order_ops, c);
+	exchange_send(c->x, buf_data(&out), buf_len(&out));
+	ev_timer_init(&c->timer, on_timeout, ORDER_TIMEOUT_S, 0.0);
+	c->timer.data = c;
+	ev_timer_start(e->loop, &c->timer);
+	buf_free(&out);
+	free(body);
+}
+
+static void
+carry_out(
+    struct entry *e, struct kv_ops *kv, struct steward_orders *orders)
+{
+	struct steward_order *o;
+
+	session_send(e->session, kv, on_result, e);
+	while ((o = TAILQ_FIRST(orders)) != NULL) {
+		TAILQ_REMOVE(orders, o, entry);
+		order_send(e, o);
+		free(o);
+	}
+}
+
+static void
+on_result(void *ctx, const struct kv_result *r)
+{
+	struct entry *e = ctx;
+	struct steward_orders orders;
+	struct kv_ops kv;
+	struct steward_out out = { &kv, &orders };
+
+	TAILQ_INIT(&kv);
+	TAILQ_INIT(&orders);
+	steward_kv(e->steer->steward, e->now, r, &out);
+	carry_out(e, &kv, &orders);
+}
+
+/* Processes with a lower address try first. */
+static uint32_t
+candidate_rank(const struct entry *e)
+{
+	return peers_before(e->peers, e->self.addr);
+}
+
+void
+steer_tick(struct entry *e)
+{
+	struct steer *st = e->steer;
+	struct steward_orders orders;
+	struct kv_ops kv;
+	struct steward_out out = { &kv, &orders };
+	struct steward_totals t;
+	uint64_t from;
+
+	TAILQ_INIT(&kv);
+	TAILQ_INIT(&orders);
+	from = st->holder_heard + HOLDER_SILENT_NS +
+	    candidate_rank(e) * CANDIDATE_NS;
+	steward_candidate(st->steward,
+	    !e->stopping && e->dir.known && e->now >= from, 0);
+	steward_tick(st->steward, e->now, e->conf, &out);
+	carry_out(e, &kv, &orders);
+	steward_totals(st->steward, e->now, &t);
+	if (t.holds != st->held) {
+		st->held = t.holds;
+		log_event(t.holds ? LOG_CELL_TAKEN : LOG_CELL_LOST, NULL,
+		    "orders fence=%llu", (unsigned long long)t.fence);
+	}
+	if (t.holds)
+		tell_held(e);
+}
+
+void
+steer_leave(struct entry *e)
+{
+	struct steward_orders orders;
+	struct kv_ops kv;
+	struct steward_out out = { &kv, &orders };
+
+	TAILQ_INIT(&kv);
+	TAILQ_INIT(&orders);
+	steward_release(e->steer->steward, &out);
+	carry_out(e, &kv, &orders);
+}
+
+/* The table of adapters, at once when it changed. */
+static void
+tell_held(struct entry *e)
+{
+	struct steer *st = e->steer;
+	uint64_t changes = steward_changes(st->steward);
+	struct msg_held_item *item;
+	struct steward_totals t;
+	struct member_replica *m;
+	struct msg *msg;
+	uint32_t i;
+
+	if (changes == st->told_changes && e->now < st->told_at + HELD_NS)
+		return;
+	if (changes != st->told_changes)
+		e->pump = 1;
+	st->told_changes = changes;
+	st->told_at = e->now;
+	st->holder_heard = e->now;
+	steward_totals(st->steward, e->now, &t);
+	msg = msg_create(MSG_HELD, "");
+	msg->u.held.fence = t.fence;
+	msg->u.held.items = mem_alloc(
+	    MSG_LIST_MAX * sizeof(*msg->u.held.items));
+	for (m = e->dir.replicas; m != NULL; m = m->hh.next) {
+		for (i = 0; i < m->info.nadapters; i++) {
+			if (msg->u.held.n == MSG_LIST_MAX - 1)
+				break;
+			item = &msg->u.held.items[msg->u.held.n++];
+			snprintf(item->replica, sizeof(item->replica), "%s",
+			    m->info.id);
+			snprintf(item->adapter, sizeof(item->adapter), "%s",
+			    m->info.adapters[i]);
+			item->born = m->info.born_ms;
+		}
+	}
+	peers_broadcast(e->peers, msg);
+}
+
+static void
+take_held(struct entry *e, const struct msg *msg)
+{
+	const struct msg_held *h = &msg->u.held;
+	struct steer *st = e->steer;
+	struct member_replica *m;
+	struct fleet_replica *r;
+	uint32_t i;
+
+	if (h->fence < st->holder_fence)
+		return;
+	st->holder_fence = h->fence;
+	st->holder_heard = e->now;
+	snprintf(st->holder, sizeof(st->holder), "%s", msg->from.addr);
+	steward_superseded(st->steward, h->fence);
+	for (m = e->dir.replicas; m != NULL; m = m->hh.next)
+		m->info.nadapters = 0;
+	for (i = 0; i < h->n; i++) {
+		m = directory_find(&e->dir, h->items[i].replica);
+		if (m == NULL || m->info.born_ms != h->items[i].born ||
+		    m->info.nadapters == FLEET_ADAPTERS_MAX)
+			continue;
+		r = &m->info;
+		snprintf(r->adapters[r->nadapters++], FLEET_NAME_SIZE, "%s",
+		    h->items[i].adapter);
+	}
+	e->pump = 1;
+}
+
+void
+steer_message(struct entry *e, const struct msg *m)
+{
+	if (m->kind == MSG_HELD) {
+		take_held(e, m);
+		return;
+	}
+	if (m->kind != MSG_WANT)
+		return;
+	steward_asked(e->steer->steward, e->now, m->u.want.wanted);
+	if (steward_holds(e->steer->steward, e->now))
+		steer_tick(e);
+}
+
+void
+steer_totals(struct entry *e, struct steward_totals *t)
+{
+	steward_totals(e->steer->steward, e->now, t);
+}
--- a/gate/main.c
+++ b/gate/main.c
@@ -123,6 +123,7 @@
 	decide_destroy(decide);
 	catalogue_clear();
 	log_event(LOG_STOPPED, NULL, "%s", "");
+	log_close();
 	return 0;
 }
 
@@ -137,6 +138,7 @@
 	if (load(cli.settings, &s, &e) == -1) {
 		log_open(NAME, 0, LOGLEVEL_NOTICE);
 		log_event(LOG_SETTINGS_BAD, NULL, "%s", e.text);
+		log_close();
 		return EX_CONFIG;
 	}
 	if (cli.check_only)
@@ -144,6 +146,7 @@
 	cli_block_signals();
 	if (serve(&s, &e) == -1) {
 		log_event(LOG_LISTEN_FAILED, NULL, "%s", e.text);
+		log_close();
 		return EX_UNAVAILABLE;
 	}
 	return EX_OK;
--- /dev/null
+++ b/net/buf.h
@@ -0,0 +1,25 @@
+/* A growable queue of bytes: appended at the end, consumed at the front. */
+#ifndef BUF_H
+#define BUF_H
+
+#include <stddef.h>
+
+struct buf {
+	char *base;
+	size_t start; /* of the bytes not yet consumed */
+	size_t end;
+	size_t size; /* allocated */
+};
+
+/* A buf that is all zeros is empty and valid. */
+void buf_add(struct buf *, const void *, size_t);
+void buf_text(struct buf *, const char *);
+void buf_printf(struct buf *, const char *, ...)
+    __attribute__((format(printf, 2, 3)));
+const char *buf_data(const struct buf *);
+size_t buf_len(const struct buf *);
+void buf_consume(struct buf *, size_t);
+/* Empties it and frees its memory. */
+void buf_free(struct buf *);
+
+#endif
--- /dev/null
+++ b/net/conn.c
@@ -0,0 +1,364 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "buf.h"
+#include "check.h"
+#include "conn.h"
+#include "mem.h"
+
+#define CONN_READ_SIZE 65536
+#define CONN_BACKLOG 1024
+/* A silent peer is noticed within three seconds. */
+#define CONN_PROBE_IDLE_S 1
+#define CONN_PROBE_GAP_S 1
+#define CONN_PROBES 2
+#define CONN_UNACKED_MSEC 3000 /* sent bytes that nobody acknowledges */
+#define CONN_LINGER_S 1.0      /* wait for the peer's end after ours */
+
+struct conn {
+	struct ev_loop *loop;
+	const struct conn_ops *ops;
+	void *ctx;
+	ev_io reader;
+	ev_io writer;
+	ev_timer linger;
+	int fd;
+	int opening;
+	int finishing;
+	int wrote;
+	struct buf out;
+};
+
+static struct conn *conn_new(
+    struct ev_loop *, int, const struct conn_ops *, void *);
+static void conn_options(int);
+static void conn_on_read(struct ev_loop *, ev_io *, int);
+static void conn_on_write(struct ev_loop *, ev_io *, int);
+static void conn_on_linger(struct ev_loop *, ev_timer *, int);
+static int conn_flush(struct conn *);
+static void conn_opened(struct conn *);
+static void conn_shut(struct conn *);
+static int conn_address(const char *, struct sockaddr_in *, struct err *);
+
+static void
+conn_options(int fd)
+{
+	int on = 1;
+	int idle = CONN_PROBE_IDLE_S;
+	int gap = CONN_PROBE_GAP_S;
+	int probes = CONN_PROBES;
+	unsigned unacked = CONN_UNACKED_MSEC;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &gap, sizeof(gap));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
+}
+
+static struct conn *
+conn_new(struct ev_loop *loop, int fd, const struct conn_ops *ops, void *ctx)
+{
+	struct conn *c;
+
+	c = mem_alloc(sizeof(*c));
+	c->loop = loop;
+	c->ops = ops;
+	c->ctx = ctx;
+	c->fd = fd;
+	ev_io_init(&c->reader, conn_on_read, fd, EV_READ);
+	ev_io_init(&c->writer, conn_on_write, fd, EV_WRITE);
+	ev_timer_init(&c->linger, conn_on_linger, CONN_LINGER_S, 0.0);
+	c->reader.data = c;
+	c->writer.data = c;
+	c->linger.data = c;
+	return c;
+}
+
+struct conn *
+conn_accept(struct ev_loop *loop, int fd, const struct conn_ops *ops, void *ctx)
+{
+	struct conn *c;
+
+	conn_options(fd);
+	c = conn_new(loop, fd, ops, ctx);
+	ev_io_start(loop, &c->reader);
+	return c;
+}
+
+static int
+conn_address(const char *addr, struct sockaddr_in *sa, struct err *e)
+{
+	char ip[ADDR_SIZE];
+	uint16_t port;
+
+	memset(sa, 0, sizeof(*sa));
+	if (check_addr(addr, ip, sizeof(ip), &port) == -1)
+		return err_set(e, ERR_FORMAT,
+		    "address %s is not IP:port; correct it", addr);
+	sa->sin_family = AF_INET;
+	sa->sin_port = htons(port);
+	if (inet_pton(AF_INET, ip, &sa->sin_addr) != 1)
+		return err_set(e, ERR_FORMAT,
+		    "address %s is not IPv4; correct it", addr);
+	return 0;
+}
+
+struct conn *
+conn_open(struct ev_loop *loop, const char *addr, const struct conn_ops *ops,
+    void *ctx, struct err *e)
+{
+	struct sockaddr_in sa;
+	struct conn *c;
+	int fd;
+
+	if (conn_address(addr, &sa, e) == -1)
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd == -1) {
+		err_set(e, ERR_SYSTEM, "socket: %s; raise the descriptor limit",
+		    strerror(errno));
+		return NULL;
+	}
+	conn_options(fd);
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == -1 &&
+	    errno != EINPROGRESS) {
+		err_set(e, ERR_UNAVAILABLE, "connect to %s: %s; is it up?",
+		    addr, strerror(errno));
+		close(fd);
+		return NULL;
+	}
+	c = conn_new(loop, fd, ops, ctx);
+	c->opening = 1;
+	ev_io_start(loop, &c->writer);
+	return c;
+}
+
+void
+conn_destroy(struct conn *c)
+{
+	if (c == NULL)
+		return;
+	ev_io_stop(c->loop, &c->reader);
+	ev_io_stop(c->loop, &c->writer);
+	ev_timer_stop(c->loop, &c->linger);
+	close(c->fd);
+	buf_free(&c->out);
+	free(c);
+}
+
+void
+conn_abort(struct conn *c)
+{
+	struct linger reset = { 1, 0 };
+
+	if (c == NULL)
+		return;
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	conn_destroy(c);
+}
+
+/* Half-closes, so that the peer reads the whole answer before the end. */
+static void
+conn_shut(struct conn *c)
+{
+	shutdown(c->fd, SHUT_WR);
+	ev_io_stop(c->loop, &c->writer);
+	ev_io_start(c->loop, &c->reader);
+}
+
+void
+conn_finish(struct conn *c)
+{
+	c->finishing = 1;
+	ev_timer_start(c->loop, &c->linger);
+	if (buf_len(&c->out) == 0)
+		conn_shut(c);
+}
+
+static void
+conn_on_linger(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct conn *c = w->data;
+
+	(void)loop;
+	(void)events;
+	if (buf_len(&c->out) != 0) {
+		/* A slow reader still gets its answer. */
+		ev_timer_set(&c->linger, CONN_LINGER_S, 0.0);
+		ev_timer_start(c->loop, &c->linger);
+		return;
+	}
+	conn_destroy(c);
+}
+
+/* Returns 0, or an errno when the connection is lost. */
+static int
+conn_flush(struct conn *c)
+{
+	ssize_t n;
+
+	while (buf_len(&c->out) != 0) {
+		n = send(c->fd, buf_data(&c->out), buf_len(&c->out),
+		    MSG_NOSIGNAL);
+		if (n == -1 && errno == EINTR)
+			continue;
+		if (n == -1 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+			ev_io_start(c->loop, &c->writer);
+			return 0;
+		}
+		if (n == -1)
+			return errno;
+		c->wrote = 1;
+		buf_consume(&c->out, (size_t)n);
+	}
+	ev_io_stop(c->loop, &c->writer);
+	return 0;
+}
+
+void
+conn_write(struct conn *c, const void *p, size_t len)
+{
+	size_t before = buf_len(&c->out);
+
+	buf_add(&c->out, p, len);
+	/* A failure shows as the connection's end on the next read. */
+	if (before == 0 && !c->opening)
+		(void)conn_flush(c);
+}
+
+size_t
+conn_pending(const struct conn *c)
+{
+	return buf_len(&c->out);
+}
+
+void
+conn_mark(struct conn *c)
+{
+	c->wrote = 0;
+}
+
+int
+conn_wrote(const struct conn *c)
+{
+	return c->wrote;
+}
+
+void
+conn_read(struct conn *c, int on)
+{
+	if (c->opening || c->finishing)
+		return;
+	if (on)
+		ev_io_start(c->loop, &c->reader);
+	else
+		ev_io_stop(c->loop, &c->reader);
+}
+
+static void
+conn_on_read(struct ev_loop *loop, ev_io *w, int events)
+{
+	static char chunk[CONN_READ_SIZE];
+	struct conn *c = w->data;
+	ssize_t n;
+
+	(void)loop;
+	(void)events;
+	n = recv(c->fd, chunk, sizeof(chunk), 0);
+	if (n == -1 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+		return;
+	if (c->finishing) {
+		if (n <= 0 && buf_len(&c->out) == 0)
+			conn_destroy(c);
+		return;
+	}
+	if (n > 0) {
+		c->ops->data(c->ctx, chunk, (size_t)n);
+		return;
+	}
+	ev_io_stop(c->loop, &c->reader);
+	c->ops->closed(c->ctx, n == 0 ? 0 : errno);
+}
+
+static void
+conn_opened(struct conn *c)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+	if (error != 0) {
+		ev_io_stop(c->loop, &c->writer);
+		c->ops->closed(c->ctx, error);
+		return;
+	}
+	c->opening = 0;
+	ev_io_start(c->loop, &c->reader);
+	(void)conn_flush(c);
+	if (c->ops->opened != NULL)
+		c->ops->opened(c->ctx);
+}
+
+static void
+conn_on_write(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct conn *c = w->data;
+	int error;
+
+	(void)loop;
+	(void)events;
+	if (c->opening) {
+		conn_opened(c);
+		return;
+	}
+	error = conn_flush(c);
+	if (c->finishing) {
+		if (error != 0)
+			conn_destroy(c);
+		else if (buf_len(&c->out) == 0)
+			conn_shut(c);
+		return;
+	}
+	if (error != 0) {
+		ev_io_stop(c->loop, &c->writer);
+		c->ops->closed(c->ctx, error);
+		return;
+	}
+	if (buf_len(&c->out) == 0 && c->ops->drained != NULL)
+		c->ops->drained(c->ctx);
+}
+
+int
+conn_listen(const char *addr, struct err *e)
+{
+	struct sockaddr_in sa;
+	int on = 1;
+	int fd;
+
+	if (conn_address(addr, &sa, e) == -1)
+		return -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd == -1)
+		return err_set(e, ERR_SYSTEM,
+		    "socket: %s; raise the descriptor limit", strerror(errno));
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == -1 ||
+	    listen(fd, CONN_BACKLOG) == -1) {
+		err_set(e, ERR_SYSTEM, "listen on %s: %s; free or change it",
+		    addr, strerror(errno));
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
--- /dev/null
+++ b/net/events.h
@@ -0,0 +1,24 @@
+/*
+ * Splits a stream of server-sent events into whole events, so that an answer
+ * can be broken off, or go on elsewhere, between two of them.
+ */
+#ifndef EVENTS_H
+#define EVENTS_H
+
+#include "buf.h"
+
+struct events {
+	struct buf partial;
+};
+
+/*
+ * Takes bytes in and calls back with the whole events at their start, all in
+ * one piece.
+ */
+void events_feed(struct events *, const char *, size_t,
+    void (*)(void *, const char *, size_t), void *);
+void events_free(struct events *);
+/* Length of the first whole event, 0 when it is not complete. */
+size_t events_first(const char *, size_t);
+
+#endif
--- /dev/null
+++ b/net/http.c
@@ -0,0 +1,383 @@
+#include <ctype.h>
+#include <http_parser.h>
+#include <limits.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base.h"
+#include "http.h"
+#include "mem.h"
+
+struct http_reader {
+	http_parser parser;
+	const struct http_reader_ops *ops;
+	void *ctx;
+	enum http_side side;
+	int begun;
+	int in_value;
+	int head_done;
+	int done;
+	int bad;
+	int bodiless; /* the answer to HEAD */
+	size_t head_bytes;
+	struct http_head head;
+};
+
+static int on_begin(http_parser *);
+static int on_url(http_parser *, const char *, size_t);
+static int on_field(http_parser *, const char *, size_t);
+static int on_value(http_parser *, const char *, size_t);
+static int on_head(http_parser *);
+static int on_body(http_parser *, const char *, size_t);
+static int on_end(http_parser *);
+static void head_new_field(struct http_head *);
+static int head_valid(const struct http_head *);
+static int has_body(const struct http_reader *, const struct http_head *);
+static int list_has(const char *, const char *);
+
+static const http_parser_settings http_callbacks = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_end,
+};
+
+static const char *const http_hop_fields[] = { "connection", "keep-alive",
+	"proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+	"trailer", "transfer-encoding", "upgrade", "expect", "content-length" };
+
+struct http_reader *
+http_reader_create(
+    enum http_side side, const struct http_reader_ops *ops, void *ctx)
+{
+	struct http_reader *r;
+
+	r = mem_alloc(sizeof(*r));
+	r->side = side;
+	r->ops = ops;
+	r->ctx = ctx;
+	http_reader_reset(r);
+	return r;
+}
+
+void
+http_reader_destroy(struct http_reader *r)
+{
+	if (r == NULL)
+		return;
+	buf_free(&r->head.text);
+	free(r->head.fields);
+	free(r);
+}
+
+void
+http_reader_reset(struct http_reader *r)
+{
+	http_parser_init(&r->parser,
+	    r->side == HTTP_READ_REQUESTS ? HTTP_REQUEST
+				    : HTTP_RESPONSE);
+	r->parser.data = r;
+	r->begun = 0;
+	r->in_value = 1;
+	r->head_done = 0;
+	r->done = 0;
+	r->bad = 0;
+	r->bodiless = 0;
+	r->head_bytes = 0;
+	r->head.nfields = 0;
+	r->head.status = 0;
+	r->head.close_framed = 0;
+	r->head.method[0] = '\0';
+	buf_consume(&r->head.text, buf_len(&r->head.text));
+}
+
+static int
+on_begin(http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->begun = 1;
+	r->head.target = 0;
+	return 0;
+}
+
+/* Text is kept as NUL-terminated strings, one after another. */
+static int
+on_url(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	buf_add(&r->head.text, at, len);
+	return 0;
+}
+
+static void
+head_new_field(struct http_head *h)
+{
+	if (h->nfields == h->fields_size) {
+		h->fields_size = h->fields_size == 0 ? 16 : h->fields_size * 2;
+		h->fields = mem_grow(
+		    h->fields, h->fields_size, sizeof(*h->fields));
+	}
+	buf_add(&h->text, "", 1);
+	h->fields[h->nfields].name = buf_len(&h->text);
+	h->fields[h->nfields].value = 0;
+	h->nfields++;
+}
+
+static int
+on_field(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	if (r->head_done)
+		return 0; /* a trailer */
+	if (r->in_value)
+		head_new_field(&r->head);
+	r->in_value = 0;
+	buf_add(&r->head.text, at, len);
+	return 0;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+	struct http_field *f;
+
+	if (r->head_done)
+		return 0;
+	f = &r->head.fields[r->head.nfields - 1];
+	if (!r->in_value) {
+		buf_add(&r->head.text, "", 1);
+		f->value = buf_len(&r->head.text);
+	}
+	r->in_value = 1;
+	buf_add(&r->head.text, at, len);
+	return 0;
+}
+
+/* Field names are tokens; anything else could be read in two ways. */
+static int
+head_valid(const struct http_head *h)
+{
+	const char *s;
+	size_t i;
+
+	for (i = 0; i < h->nfields; i++) {
+		s = http_name(h, i);
+		if (*s == '\0')
+			return 0;
+		for (; *s != '\0'; s++) {
+			if (!isalnum((unsigned char)*s) &&
+			    strchr("!#$%&'*+-.^_`|~", *s) == NULL)
+				return 0;
+		}
+	}
+	return 1;
+}
+
+static int
+has_body(const struct http_reader *r, const struct http_head *h)
+{
+	return !r->bodiless && h->status != 204 && h->status != 304;
+}
+
+static int
+on_head(http_parser *p)
+{
+	struct http_reader *r = p->data;
+	struct http_head *h = &r->head;
+
+	buf_add(&h->text, "", 1);
+	h->minor = p->http_major == 1 ? p->http_minor : 0;
+	h->keep_alive = http_should_keep_alive(p);
+	if (r->side == HTTP_READ_REQUESTS) {
+		snprintf(h->method, sizeof(h->method), "%s",
+		    http_method_str((enum http_method)p->method));
+	} else {
+		h->status = (int)p->status_code;
+		h->close_framed = !(p->flags & F_CHUNKED) &&
+		    p->content_length == ULLONG_MAX && has_body(r, h);
+	}
+	if (!head_valid(h) || p->http_major != 1) {
+		r->bad = 1;
+		return -1;
+	}
+	r->head_done = 1;
+	r->head_bytes = 0;
+	/* Interim answers carry no body and announce another head. */
+	if (r->side == HTTP_READ_RESPONSES && h->status / 100 == 1)
+		return 0;
+	r->ops->head(r->ctx, h);
+	return r->side == HTTP_READ_RESPONSES && !has_body(r, h);
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	r->ops->body(r->ctx, at, len);
+	return 0;
+}
+
+static int
+on_end(http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->done = 1;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+void
+http_reader_bodiless(struct http_reader *r)
+{
+	r->bodiless = 1;
+}
+
+long
+http_reader_feed(struct http_reader *r, const char *p, size_t len)
+{
+	size_t n;
+
+	n = http_parser_execute(&r->parser, &http_callbacks, p, len);
+	if (r->done) {
+		if (r->side == HTTP_READ_RESPONSES &&
+		    r->head.status / 100 == 1) {
+			/* The final answer follows. */
+			http_reader_reset(r);
+			return (long)n;
+		}
+		r->begun = 0;
+		r->ops->end(r->ctx);
+		return (long)n;
+	}
+	if (r->bad || r->parser.upgrade ||
+	    HTTP_PARSER_ERRNO(&r->parser) != HPE_OK)
+		return -1;
+	if (r->begun && !r->head_done)
+		r->head_bytes += n;
+	return (long)n;
+}
+
+int
+http_reader_eof(struct http_reader *r)
+{
+	if (!r->begun || !r->head_done || !r->head.close_framed)
+		return -1;
+	r->begun = 0;
+	r->ops->end(r->ctx);
+	return 0;
+}
+
+size_t
+http_reader_head_bytes(const struct http_reader *r)
+{
+	return r->head_bytes;
+}
+
+int
+http_reader_busy(const struct http_reader *r)
+{
+	return r->begun;
+}
+
+const struct http_head *
+http_reader_head(const struct http_reader *r)
+{
+	return &r->head;
+}
+
+const char *
+http_target(const struct http_head *h)
+{
+	return buf_data(&h->text) + h->target;
+}
+
+const char *
+http_name(const struct http_head *h, size_t i)
+{
+	return buf_data(&h->text) + h->fields[i].name;
+}
+
+const char *
+http_value(const struct http_head *h, size_t i)
+{
+	if (h->fields[i].value == 0)
+		return "";
+	return buf_data(&h->text) + h->fields[i].value;
+}
+
+const char *
+http_find(const struct http_head *h, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < h->nfields; i++) {
+		if (strcasecmp(http_name(h, i), name) == 0)
+			return http_value(h, i);
+	}
+	return NULL;
+}
+
+/* Whether a comma-separated list names the token. */
+static int
+list_has(const char *list, const char *token)
+{
+	size_t len = strlen(token);
+	size_t n;
+
+	while (*list != '\0') {
+		list += strspn(list, " \t,");
+		n = strcspn(list, " \t,");
+		if (n == len && n != 0 && strncasecmp(list, token, n) == 0)
+			return 1;
+		list += n;
+	}
+	return 0;
+}
+
+int
+http_hop_field(const struct http_head *h, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < nitems(http_hop_fields); i++) {
+		if (strcasecmp(http_hop_fields[i], name) == 0)
+			return 1;
+	}
+	for (i = 0; i < h->nfields; i++) {
+		if (strcasecmp(http_name(h, i), "connection") == 0 &&
+		    list_has(http_value(h, i), name))
+			return 1;
+	}
+	return 0;
+}
+
+const char *
+http_reason(int status)
+{
+	switch (status) {
+#define XX(number, name, text)                                                 \
+	case number:                                                           \
+		return #text;
+		HTTP_STATUS_MAP(XX)
+#undef XX
+	default:
+		return "Status";
+	}
+}
+
+void
+http_head_limit(size_t bytes)
+{
+	http_parser_set_max_header_size((uint32_t)bytes);
+}
--- /dev/null
+++ b/net/http.h
@@ -0,0 +1,79 @@
+/*
+ * Reading HTTP/1.1 messages of either direction, a piece at a time: framing
+ * by length, chunks or the connection's end.
+ */
+#ifndef HTTP_H
+#define HTTP_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buf.h"
+
+#define HTTP_METHOD_SIZE 16
+
+struct http_field {
+	size_t name;  /* offsets into the head's text */
+	size_t value;
+};
+
+/* Start line and header fields of one message. */
+struct http_head {
+	char method[HTTP_METHOD_SIZE]; /* requests */
+	int status;		       /* responses */
+	int minor;		       /* HTTP/1.minor */
+	int keep_alive;
+	int close_framed; /* the body ends with the connection */
+	size_t target;	  /* offset of the request target */
+	size_t nfields;
+	size_t fields_size;
+	struct http_field *fields;
+	struct buf text;
+};
+
+enum http_side {
+	HTTP_READ_REQUESTS,
+	HTTP_READ_RESPONSES
+};
+
+struct http_reader;
+
+struct http_reader_ops {
+	void (*head)(void *, const struct http_head *);
+	void (*body)(void *, const char *, size_t);
+	void (*end)(void *);
+};
+
+struct http_reader *http_reader_create(
+    enum http_side, const struct http_reader_ops *, void *);
+void http_reader_destroy(struct http_reader *);
+/* Forgets the message at hand; the next byte begins a new one. */
+void http_reader_reset(struct http_reader *);
+/* The next message answers HEAD and has no body. */
+void http_reader_bodiless(struct http_reader *);
+/*
+ * Takes bytes in up to the end of one message.  Returns how many were used,
+ * or -1 when they are not HTTP.  The reader must not be destroyed by its
+ * callbacks; a callback may call http_reader_stop().
+ */
+long http_reader_feed(struct http_reader *, const char *, size_t);
+/* The connection has ended: 0 when that completes the message, or -1. */
+int http_reader_eof(struct http_reader *);
+/* Bytes of the head of the message so far; 0 between messages. */
+size_t http_reader_head_bytes(const struct http_reader *);
+int http_reader_busy(const struct http_reader *);
+const struct http_head *http_reader_head(const struct http_reader *);
+
+const char *http_target(const struct http_head *);
+const char *http_name(const struct http_head *, size_t);
+const char *http_value(const struct http_head *, size_t);
+/* Value of the first field of that name, or NULL. */
+const char *http_find(const struct http_head *, const char *);
+/* Whether a field concerns one connection only, Connection's list included. */
+int http_hop_field(const struct http_head *, const char *);
+/* Reason phrase of a status. */
+const char *http_reason(int);
+/* Largest head that any reader accepts, bytes. */
+void http_head_limit(size_t);
+
+#endif
--- /dev/null
+++ b/net/link.h
@@ -0,0 +1,71 @@
+/*
+ * HTTP exchanges with servers over kept connections: one exchange at a time
+ * on a connection, and a pool of idle connections for each address.
+ */
+#ifndef LINK_H
+#define LINK_H
+
+#include <ev.h>
+
+#include "http.h"
+
+struct link_pool;
+struct exchange;
+
+/* How far an exchange got when its connection was lost. */
+enum exchange_end {
+	EXCHANGE_DONE,	 /* the whole answer came */
+	EXCHANGE_UNSENT, /* no byte of the request was handed over */
+	EXCHANGE_SILENT, /* sent, in part at least; no answer */
+	EXCHANGE_BROKEN, /* part of the answer came */
+	EXCHANGE__MAX
+};
+
+struct exchange_ops {
+	/*
+	 * The head of an answer.  0 takes it; 1 skips it, since it belongs to
+	 * an earlier request, and waits for the next one.
+	 */
+	int (*head)(void *, const struct http_head *);
+	void (*body)(void *, const char *, size_t);
+	/* The last callback of an exchange. */
+	void (*end)(void *, enum exchange_end);
+};
+
+struct link_config {
+	uint64_t connect_ns; /* for a connection to stand */
+	uint64_t idle_ns;    /* idle connections are closed after this */
+	uint32_t idle_max;   /* idle connections for one address */
+};
+
+struct link_pool *link_pool_create(
+    struct ev_loop *, const struct link_config *);
+void link_pool_destroy(struct link_pool *);
+void link_pool_idle_max(struct link_pool *, uint32_t);
+/*
+ * Begins an exchange; an idle connection is used when it was used within
+ * fresh_ns.  end() is never called before this returns.
+ */
+struct exchange *exchange_start(struct link_pool *, const char *, uint64_t,
+    const struct exchange_ops *, void *);
+void exchange_send(struct exchange *, const void *, size_t);
+/* The answer has no body, whatever its head says. */
+void exchange_bodiless(struct exchange *);
+/* The server keeps the connection this long; 0 when it did not tell. */
+void exchange_idle(struct exchange *, uint64_t);
+/* The connection must not be used again. */
+void exchange_spoil(struct exchange *);
+/* Stops or restarts reading the answer. */
+void exchange_read(struct exchange *, int);
+/* Closes the connection; no callback follows. */
+void exchange_cancel(struct exchange *);
+/* Whether the connection was new for this exchange. */
+int exchange_fresh(const struct exchange *);
+/* Connections opened since the start. */
+uint64_t link_pool_opened(const struct link_pool *);
+/* Connections to an address. */
+uint32_t link_pool_count(const struct link_pool *, const char *);
+/* Closes the idle connections to an address. */
+void link_pool_drop(struct link_pool *, const char *);
+
+#endif
--- a/shell/bus.c
+++ b/shell/bus.c
@@ -15,7 +15,12 @@
 #define BUS_RING_SIZE 16384
 #define BUS_PEER_HWM 4096
 #define BUS_RECEIVE_HWM 16384
-#define BUS_MESSAGE_MAX 262144 /* bytes */
+#define BUS_MESSAGE_MAX 1200000 /* bytes */
+#define BUS_HEARTBEAT_MSEC 1000
+#define BUS_HEARTBEAT_TIMEOUT_MSEC 2000 /* a silent connection is remade */
+#define BUS_RECONNECT_MSEC 100
+#define BUS_RECONNECT_MAX_MSEC 1000
+#define BUS_CONNECT_MSEC 1000
 #define BUS_BATCH 256 /* messages handled before looking at the other side */
 #define BUS_POLL_MSEC 200
 #define BUS_PEER_IDLE_NS (60 * NSEC_PER_SEC)
@@ -47,6 +52,7 @@
 static void bus_send_all(struct bus *);
 static void bus_send_one(struct bus *, struct msg *);
 static struct peer *bus_peer(struct bus *, const char *);
+static void bus_liveness(void *);
 static void bus_sweep(struct bus *);
 static void count(uint64_t *, uint64_t);
 
@@ -136,6 +142,26 @@
 	out->dropped = __atomic_load_n(&b->counts.dropped, __ATOMIC_RELAXED);
 }
 
+/* A connection may fall silent for good without a reset. */
+static void
+bus_liveness(void *socket)
+{
+	int every = BUS_HEARTBEAT_MSEC;
+	int timeout = BUS_HEARTBEAT_TIMEOUT_MSEC;
+	int again = BUS_RECONNECT_MSEC;
+	int again_max = BUS_RECONNECT_MAX_MSEC;
+	int connect = BUS_CONNECT_MSEC;
+
+	zmq_setsockopt(socket, ZMQ_HEARTBEAT_IVL, &every, sizeof(every));
+	zmq_setsockopt(
+	    socket, ZMQ_HEARTBEAT_TIMEOUT, &timeout, sizeof(timeout));
+	zmq_setsockopt(socket, ZMQ_RECONNECT_IVL, &again, sizeof(again));
+	zmq_setsockopt(
+	    socket, ZMQ_RECONNECT_IVL_MAX, &again_max, sizeof(again_max));
+	zmq_setsockopt(
+	    socket, ZMQ_CONNECT_TIMEOUT, &connect, sizeof(connect));
+}
+
 static struct peer *
 bus_peer(struct bus *b, const char *addr)
 {
@@ -154,6 +180,7 @@
 	zmq_setsockopt(p->socket, ZMQ_SNDHWM, &hwm, sizeof(hwm));
 	zmq_setsockopt(p->socket, ZMQ_LINGER, &linger, sizeof(linger));
 	zmq_setsockopt(p->socket, ZMQ_TCP_KEEPALIVE, &on, sizeof(on));
+	bus_liveness(p->socket);
 	snprintf(url, sizeof(url), "tcp://%s", addr);
 	if (zmq_connect(p->socket, url) == -1) {
 		zmq_close(p->socket);
--- a/shell/clock.c
+++ b/shell/clock.c
@@ -17,7 +17,7 @@
 uint64_t
 clock_mono(void)
 {
-	return clock_read(CLOCK_MONOTONIC);
+	return clock_read(CLOCK_BOOTTIME);
 }
 
 uint64_t
--- a/shell/clock.h
+++ b/shell/clock.h
@@ -4,7 +4,8 @@
 
 #include <stdint.h>
 
-uint64_t clock_mono(void); /* nanoseconds, never goes back */
+/* Nanoseconds; never goes back, and counts the time a VM is suspended. */
+uint64_t clock_mono(void);
 uint64_t clock_wall(void); /* nanoseconds since 1970 */
 /* An incarnation: larger for each later start on one VM. */
 uint64_t clock_incarnation(void);
--- a/shell/log.c
+++ b/shell/log.c
@@ -4,15 +4,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "clock.h"
 #include "log.h"
 #include "mem.h"
 
-#define LOG_RING_EVENTS 8192
+#define LOG_RING_EVENTS 2048
+#define LOG_BATCH 64	    /* lines written at once */
+#define LOG_RATE 200	    /* lines of one event in a second */
 #define LOG_DETAIL_SIZE 256
-#define LOG_FACILITY_DAEMON 24 /* syslog facility 3, shifted */
+#define LOG_CALL_SIZE 48
 #define LOG_JSON_MAX 4096      /* events in one answer */
 
 struct log_entry {
@@ -20,11 +21,13 @@
 	uint64_t mono;
 	uint64_t wall;
 	enum log_id id;
+	int quiet; /* not on standard output */
 	uint64_t request;
 	uint64_t ticket;
 	uint64_t order;
 	char model[NAME_SIZE];
 	char backend[NAME_SIZE];
+	char call[LOG_CALL_SIZE];
 	char detail[LOG_DETAIL_SIZE];
 };
 
@@ -34,14 +37,26 @@
 	uint64_t incarnation;
 	enum log_level level;
 	uint64_t next;
+	uint64_t written; /* first entry that is not on standard output */
+	int running;
+	int stop;
+	pthread_t writer;
+	pthread_cond_t filled;
+	uint64_t second[LOG__MAX]; /* that rate counts */
+	uint32_t rate[LOG__MAX];
 	struct log_entry ring[LOG_RING_EVENTS];
 };
 
-static void log_line(const struct log_entry *);
+static int log_within_rate(enum log_id, uint64_t, uint32_t *);
+static void log_put(struct log_entry *);
+static void *log_run(void *);
+static size_t log_take(struct log_entry *, size_t, uint64_t *);
+static void log_write(const struct log_entry *, size_t, uint64_t);
 static json_t *log_entry_json(const struct log_entry *);
 
 static struct log_state log_state = {
 	.lock = PTHREAD_MUTEX_INITIALIZER,
+	.filled = PTHREAD_COND_INITIALIZER,
 	.process = "unnamed",
 	.level = LOGLEVEL_NOTICE,
 };
@@ -57,6 +72,10 @@
 	    "the settings file is refused; correct the named key" },
 	[LOG_LISTEN_FAILED] = { 1004, LOGLEVEL_ERROR, "listen-failed",
 	    "an address cannot be listened on; free it or change it" },
+	[LOG_RELOADED] = { 1005, LOGLEVEL_NOTICE, "reloaded",
+	    "the settings file was read again" },
+	[LOG_LEFT_OUT] = { 1006, LOGLEVEL_NOTICE, "left-out",
+	    "lines of an event were left out to bound the volume" },
 	[LOG_BUS_BAD] = { 1100, LOGLEVEL_WARNING, "bus-bad",
 	    "a bus message could not be decoded and is dropped" },
 	[LOG_BUS_DROPPED] = { 1101, LOGLEVEL_INFO, "bus-dropped",
@@ -77,6 +96,12 @@
 	    "the caller was told that there is no answer" },
 	[LOG_REQUEST_SHED] = { 1206, LOGLEVEL_WARNING, "request-shed",
 	    "a ring is full; the request was refused and not run" },
+	[LOG_REQUEST_ATTEMPT] = { 1207, LOGLEVEL_INFO, "request-attempt",
+	    "an attempt at a replica has ended" },
+	[LOG_REQUEST_REFUSED] = { 1208, LOGLEVEL_INFO, "request-refused",
+	    "the caller was told that its request was not run" },
+	[LOG_REQUEST_WAITS] = { 1209, LOGLEVEL_INFO, "request-waits",
+	    "no replica can take the request now; it waits" },
 	[LOG_GRANT_SENT] = { 1300, LOGLEVEL_DEBUG, "grant-sent",
 	    "a slot on a replica was granted" },
 	[LOG_GRANT_RELEASED] = { 1301, LOGLEVEL_DEBUG, "grant-released",
@@ -97,6 +122,8 @@
 	    "the ticket is refused whole" },
 	[LOG_CONF_IN_FORCE] = { 1503, LOGLEVEL_NOTICE, "conf-in-force",
 	    "a configuration revision is in force on this VM" },
+	[LOG_CONF_BAD] = { 1504, LOGLEVEL_ERROR, "conf-bad",
+	    "a configuration cannot be decoded; the last one stays in force" },
 	[LOG_MEMBER_ALIVE] = { 1600, LOGLEVEL_NOTICE, "member-alive",
 	    "a peer is alive" },
 	[LOG_MEMBER_SUSPECT] = { 1601, LOGLEVEL_INFO, "member-suspect",
@@ -105,6 +132,20 @@
 	    "a peer is held to be dead" },
 	[LOG_MEMBER_LEAVING] = { 1603, LOGLEVEL_NOTICE, "member-leaving",
 	    "a peer is leaving" },
+	[LOG_REPLICA_LISTED] = { 1610, LOGLEVEL_INFO, "replica-listed",
+	    "the platform lists a replica, or lists it anew" },
+	[LOG_REPLICA_LEAVING] = { 1611, LOGLEVEL_INFO, "replica-leaving",
+	    "a replica is leaving and gets no new work" },
+	[LOG_REPLICA_GONE] = { 1612, LOGLEVEL_INFO, "replica-gone",
+	    "a replica is no longer listed" },
+	[LOG_REPLICA_BAD] = { 1613, LOGLEVEL_INFO, "replica-bad",
+	    "an entry of the platform's list is malformed and left out" },
+	[LOG_REPLICA_AVOIDED] = { 1614, LOGLEVEL_INFO, "replica-avoided",
+	    "a replica could not be reached and is avoided for a while" },
+	[LOG_PEER_HEARD] = { 1615, LOGLEVEL_INFO, "peer-heard",
+	    "a peer is heard, for the first time or again" },
+	[LOG_PEER_SILENT] = { 1616, LOGLEVEL_INFO, "peer-silent",
+	    "a peer is not heard any more" },
 	[LOG_CELL_TAKEN] = { 1700, LOGLEVEL_NOTICE, "cell-taken",
 	    "this process owns the cell" },
 	[LOG_CELL_LOST] = { 1701, LOGLEVEL_WARNING, "cell-lost",
@@ -136,49 +177,35 @@
 	snprintf(log_state.process, sizeof(log_state.process), "%s", process);
 	log_state.incarnation = incarnation;
 	log_state.level = level;
+	if (!log_state.running)
+		log_state.running = pthread_create(
+		    &log_state.writer, NULL, log_run, NULL) == 0;
 	pthread_mutex_unlock(&log_state.lock);
 }
 
-const struct log_info *
-log_info(enum log_id id)
+void
+log_close(void)
 {
-	return &log_infos[id];
+	pthread_mutex_lock(&log_state.lock);
+	log_state.stop = 1;
+	pthread_cond_signal(&log_state.filled);
+	pthread_mutex_unlock(&log_state.lock);
+	if (log_state.running)
+		pthread_join(log_state.writer, NULL);
+	log_state.running = 0;
 }
 
-/* Called with the lock held, so that lines do not mix. */
-static void
-log_line(const struct log_entry *e)
+const struct log_info *
+log_info(enum log_id id)
 {
-	const struct log_info *info = &log_infos[e->id];
-	struct tm tm;
-	char when[32];
-	time_t sec = (time_t)(e->wall / NSEC_PER_SEC);
-
-	gmtime_r(&sec, &tm);
-	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
-	fprintf(stderr, "<%d>%s.%03uZ %s[%llu]: %u %s: %s",
-	    LOG_FACILITY_DAEMON + (int)info->level, when,
-	    (unsigned)(e->wall % NSEC_PER_SEC / NSEC_PER_MSEC),
-	    log_state.process, (unsigned long long)log_state.incarnation,
-	    info->number, info->name, info->text);
-	if (e->request != 0)
-		fprintf(
-		    stderr, " request=%016llx", (unsigned long long)e->request);
-	if (e->ticket != 0)
-		fprintf(stderr, " ticket=%llu", (unsigned long long)e->ticket);
-	if (e->order != 0)
-		fprintf(stderr, " order=%llu", (unsigned long long)e->order);
-	if (e->model[0] != '\0')
-		fprintf(stderr, " model=%s", e->model);
-	if (e->backend[0] != '\0')
-		fprintf(stderr, " backend=%s", e->backend);
-	fprintf(stderr, "%s%s\n", e->detail[0] != '\0' ? ": " : "", e->detail);
+	return &log_infos[id];
 }
 
 void
 log_event(enum log_id id, const struct log_about *about, const char *fmt, ...)
 {
 	struct log_entry e;
+	uint32_t left_out = 0;
 	va_list ap;
 
 	memset(&e, 0, sizeof(e));
@@ -189,6 +216,8 @@
 		e.request = about->request;
 		e.ticket = about->ticket;
 		e.order = about->order;
+		snprintf(e.call, sizeof(e.call), "%s",
+		    about->call == NULL ? "" : about->call);
 		snprintf(e.model, sizeof(e.model), "%s",
 		    about->model == NULL ? "" : about->model);
 		snprintf(e.backend, sizeof(e.backend), "%s",
@@ -198,27 +227,128 @@
 	vsnprintf(e.detail, sizeof(e.detail), fmt, ap);
 	va_end(ap);
 	pthread_mutex_lock(&log_state.lock);
-	e.seq = log_state.next++;
-	log_state.ring[e.seq % LOG_RING_EVENTS] = e;
-	if (log_infos[id].level <= log_state.level)
-		log_line(&e);
+	e.quiet = log_infos[id].level > log_state.level ||
+	    !log_within_rate(id, e.mono / NSEC_PER_SEC, &left_out);
+	log_put(&e);
+	pthread_mutex_unlock(&log_state.lock);
+	if (left_out != 0)
+		log_event(LOG_LEFT_OUT, NULL, "event=%s lines=%u",
+		    log_infos[id].name, left_out);
+}
+
+/* Called with the lock held. */
+static void
+log_put(struct log_entry *e)
+{
+	e->seq = log_state.next++;
+	log_state.ring[e->seq % LOG_RING_EVENTS] = *e;
+	if (log_state.running && !e->quiet)
+		pthread_cond_signal(&log_state.filled);
+}
+
+/*
+ * Whether one more of an event fits into its second; a new second tells how
+ * many the last one left out.  Called with the lock held.
+ */
+static int
+log_within_rate(enum log_id id, uint64_t second, uint32_t *left_out)
+{
+	if (log_state.second[id] != second) {
+		if (log_state.rate[id] > LOG_RATE)
+			*left_out = log_state.rate[id] - LOG_RATE;
+		log_state.second[id] = second;
+		log_state.rate[id] = 0;
+	}
+	return ++log_state.rate[id] <= LOG_RATE;
+}
+
+/* Waits for entries that belong on standard output; 0 at the end. */
+static size_t
+log_take(struct log_entry *out, size_t max, uint64_t *lost)
+{
+	const struct log_entry *e;
+	size_t n = 0;
+
+	pthread_mutex_lock(&log_state.lock);
+	while (log_state.written == log_state.next && !log_state.stop)
+		pthread_cond_wait(&log_state.filled, &log_state.lock);
+	*lost = 0;
+	if (log_state.next - log_state.written > LOG_RING_EVENTS) {
+		*lost = log_state.next - log_state.written - LOG_RING_EVENTS;
+		log_state.written += *lost;
+	}
+	while (n < max && log_state.written < log_state.next) {
+		e = &log_state.ring[log_state.written++ % LOG_RING_EVENTS];
+		if (!e->quiet)
+			out[n++] = *e;
+	}
 	pthread_mutex_unlock(&log_state.lock);
+	return n;
+}
+
+static void
+log_write(const struct log_entry *entries, size_t n, uint64_t lost)
+{
+	json_t *obj;
+	char *line;
+	size_t i;
+
+	if (lost != 0)
+		printf("{\"process\":\"%s\",\"event\":\"overwritten\","
+		       "\"lines\":%llu}\n",
+		    log_state.process, (unsigned long long)lost);
+	for (i = 0; i < n; i++) {
+		obj = log_entry_json(&entries[i]);
+		line = json_dumps(obj, JSON_COMPACT);
+		if (line != NULL)
+			puts(line);
+		free(line);
+		json_decref(obj);
+	}
+	fflush(stdout);
+}
+
+static void *
+log_run(void *arg)
+{
+	struct log_entry *batch;
+	uint64_t lost;
+	size_t n;
+	int stop;
+
+	(void)arg;
+	batch = mem_alloc(LOG_BATCH * sizeof(*batch));
+	do {
+		n = log_take(batch, LOG_BATCH, &lost);
+		log_write(batch, n, lost);
+		pthread_mutex_lock(&log_state.lock);
+		stop = log_state.stop &&
+		    log_state.written == log_state.next;
+		pthread_mutex_unlock(&log_state.lock);
+	} while (!stop);
+	free(batch);
+	return NULL;
 }
 
 static json_t *
 log_entry_json(const struct log_entry *e)
 {
 	const struct log_info *info = &log_infos[e->id];
-	char request[17];
+	char request[LOG_CALL_SIZE];
 
 	snprintf(request, sizeof(request), "%016llx",
 	    (unsigned long long)e->request);
-	return json_pack("{s:I,s:I,s:I,s:i,s:s,s:s,s:I,s:I,s:s,s:s,s:s}", "seq",
-	    (json_int_t)e->seq, "mono", (json_int_t)e->mono, "wall",
-	    (json_int_t)e->wall, "number", (int)info->number, "event",
-	    info->name, "request", e->request == 0 ? "" : request, "ticket",
-	    (json_int_t)e->ticket, "order", (json_int_t)e->order, "model",
-	    e->model, "backend", e->backend, "detail", e->detail);
+	if (e->request == 0)
+		memcpy(request, e->call, sizeof(request));
+	return json_pack("{s:I,s:I,s:I,s:s,s:I,s:i,s:i,s:s,s:s,s:I,s:I,s:s,"
+			 "s:s,s:s}",
+	    "seq", (json_int_t)e->seq, "mono", (json_int_t)e->mono, "wall",
+	    (json_int_t)e->wall, "process", log_state.process, "incarnation",
+	    (json_int_t)log_state.incarnation, "level", (int)info->level,
+	    "number", (int)info->number, "event", info->name, "request",
+	    request, "ticket", (json_int_t)e->ticket, "order",
+	    (json_int_t)e->order, "model", e->model, "backend", e->backend,
+	    "detail", e->detail);
 }
 
 char *
--- a/shell/log.h
+++ b/shell/log.h
@@ -1,7 +1,8 @@
 /*
- * Numbered events.  Each goes to standard error as a syslog-style line when
- * its level is high enough, and into a bounded ring that /events serves and
- * spindle-timeline collects.  docs/EVENTS.md explains every number.
+ * Numbered events.  Each goes into a bounded ring that /events serves and
+ * spindle-timeline collects, and, when its level is high enough, to standard
+ * output as one JSON line, written by a thread of its own.  A rate for each
+ * event bounds the volume.  docs/EVENTS.md explains every number.
  */
 #ifndef LOG_H
 #define LOG_H
@@ -25,6 +26,8 @@
 	LOG_STOPPED,
 	LOG_SETTINGS_BAD,
 	LOG_LISTEN_FAILED,
+	LOG_RELOADED,
+	LOG_LEFT_OUT,
 	LOG_BUS_BAD,
 	LOG_BUS_DROPPED,
 	LOG_HTTP_BAD,
@@ -35,6 +38,9 @@
 	LOG_REQUEST_CANCELLED,
 	LOG_REQUEST_FAILED,
 	LOG_REQUEST_SHED,
+	LOG_REQUEST_ATTEMPT,
+	LOG_REQUEST_REFUSED,
+	LOG_REQUEST_WAITS,
 	LOG_GRANT_SENT,
 	LOG_GRANT_RELEASED,
 	LOG_WORK_REFUSED,
@@ -45,10 +51,18 @@
 	LOG_TICKET_ACCEPTED,
 	LOG_TICKET_REFUSED,
 	LOG_CONF_IN_FORCE,
+	LOG_CONF_BAD,
 	LOG_MEMBER_ALIVE,
 	LOG_MEMBER_SUSPECT,
 	LOG_MEMBER_DEAD,
 	LOG_MEMBER_LEAVING,
+	LOG_REPLICA_LISTED,
+	LOG_REPLICA_LEAVING,
+	LOG_REPLICA_GONE,
+	LOG_REPLICA_BAD,
+	LOG_REPLICA_AVOIDED,
+	LOG_PEER_HEARD,
+	LOG_PEER_SILENT,
 	LOG_CELL_TAKEN,
 	LOG_CELL_LOST,
 	LOG_LEDGER_WRITTEN,
@@ -65,7 +79,8 @@
 
 /* What an event is about; zero or "" where it does not apply. */
 struct log_about {
-	uint64_t request;
+	uint64_t request; /* id in this system's form */
+	const char *call; /* or the caller's own id, as it sent it */
 	uint64_t ticket;
 	uint64_t order;
 	const char *model;
@@ -79,8 +94,10 @@
 	const char *text;
 };
 
-/* Names the process; called once before any event. */
+/* Names the process and starts the writing thread; called once. */
 void log_open(const char *, uint64_t, enum log_level);
+/* Writes what is left and ends the thread. */
+void log_close(void);
 void log_event(enum log_id, const struct log_about *, const char *, ...)
     __attribute__((format(printf, 3, 4)));
 const struct log_info *log_info(enum log_id);
--- a/shell/ring.c
+++ b/shell/ring.c
@@ -1,12 +1,17 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <sys/eventfd.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "base.h"
+#include "clock.h"
 #include "mem.h"
 #include "ring.h"
 
+/* Longest single wait, so that a deadline may be "never". */
+#define RING_WAIT_MAX (3600 * NSEC_PER_SEC)
+
 struct ring {
 	pthread_mutex_t lock;
 	pthread_cond_t filled;
@@ -20,6 +25,7 @@
 };
 
 static void ring_put(struct ring *, void *);
+static void ring_deadline(uint64_t, struct timespec *);
 
 struct ring *
 ring_create(size_t size)
@@ -93,19 +99,33 @@
 	return rv;
 }
 
+/* Condition variables wait on a clock that stops with a suspended VM. */
+static void
+ring_deadline(uint64_t deadline, struct timespec *ts)
+{
+	uint64_t now = clock_mono();
+	uint64_t left = deadline > now ? deadline - now : 0;
+
+	if (left > RING_WAIT_MAX)
+		left = RING_WAIT_MAX;
+	clock_gettime(CLOCK_MONOTONIC, ts);
+	left += (uint64_t)ts->tv_nsec;
+	ts->tv_sec += (time_t)(left / NSEC_PER_SEC);
+	ts->tv_nsec = (long)(left % NSEC_PER_SEC);
+}
+
 void *
 ring_pop(struct ring *r, uint64_t deadline)
 {
 	struct timespec ts;
 	eventfd_t value;
 	void *item = NULL;
-	int timed_out = 0;
 
-	ts.tv_sec = (time_t)(deadline / NSEC_PER_SEC);
-	ts.tv_nsec = (long)(deadline % NSEC_PER_SEC);
 	pthread_mutex_lock(&r->lock);
-	while (r->count == 0 && !r->closed && !timed_out && deadline != 0)
-		timed_out = pthread_cond_timedwait(&r->filled, &r->lock, &ts);
+	while (r->count == 0 && !r->closed && clock_mono() < deadline) {
+		ring_deadline(deadline, &ts);
+		pthread_cond_timedwait(&r->filled, &r->lock, &ts);
+	}
 	if (r->count != 0) {
 		item = r->items[r->head];
 		r->head = (r->head + 1) % r->size;
--- a/standin/load_run.c
+++ b/standin/load_run.c
@@ -63,7 +63,7 @@
 
 	ts.tv_sec = (time_t)(when / NSEC_PER_SEC);
 	ts.tv_nsec = (long)(when % NSEC_PER_SEC);
-	clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &ts, NULL);
+	clock_nanosleep(CLOCK_BOOTTIME, TIMER_ABSTIME, &ts, NULL);
 }
 
 static void
