Orders are counted by the replica's own report, not by its list entry

Cause: the entry's counter counts heartbeats; the report's counts orders. Change: the adapter decodes the two apart; a new holder asks a replica once before it orders it; only services with an engine are asked.

--- a/core/directory.c
+++ b/core/directory.c
@@ -54,8 +54,7 @@
 	m->info = *r;
 	if (old.born_ms != r->born_ms)
 		return;
-	if (old.sequence > r->sequence)
-		m->info.sequence = old.sequence;
+	m->info.orders = old.orders;
 	m->info.nadapters = 0;
 	for (i = 0; i < old.nadapters; i++) {
 		char model[NAME_SIZE];
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -102,7 +102,7 @@
 	uint32_t slots;
 	uint64_t leave_ns;  /* LEAVING: time left, 0 when not told */
 	uint64_t born_ms;   /* start of this incarnation, Unix time */
-	uint64_t sequence;  /* orders accepted */
+	uint64_t orders;    /* accepted since its start; reports tell it */
 	uint64_t cold_ns;   /* how much longer it is slow after its start */
 	int busy;	    /* an order is under way */
 	uint32_t nresident;
--- a/core/steward.c
+++ b/core/steward.c
@@ -12,7 +12,8 @@
 #define CHANGE_SHOWN_NS (20 * NSEC_PER_SEC)
 
 static struct charge *charge_get(struct steward *, const struct member_replica *);
-static void charges_step(struct steward *, uint64_t);
+static void charges_step(
+    struct steward *, uint64_t, const struct fleet_conf *);
 static void charge_step(
     struct steward *, uint64_t, struct charge *, struct member_replica *);
 static void charges_repeat(struct steward *, uint64_t, struct steward_out *);
@@ -154,7 +155,8 @@
 	c = mem_alloc(sizeof(*c));
 	snprintf(c->replica, sizeof(c->replica), "%s", m->info.id);
 	c->born_ms = m->info.born_ms;
-	c->sequence = m->info.sequence;
+	/* An earlier holder may have given orders. */
+	c->doubtful = 1;
 	HASH_ADD_STR(s->charges, replica, c);
 	return c;
 }
@@ -270,7 +272,7 @@
 
 	if (m->info.born_ms != c->born_ms) {
 		c->born_ms = m->info.born_ms;
-		c->sequence = m->info.sequence;
+		c->sequence = 0;
 		c->unanswered = 0;
 		c->doubtful = 0;
 		c->loading[0] = '\0';
@@ -278,8 +280,6 @@
 		c->ncoming = 0;
 		s->changes++;
 	}
-	if (m->info.sequence > c->sequence)
-		c->sequence = m->info.sequence;
 	if (fleet_has_model(&m->info, c->loading))
 		c->loading[0] = '\0';
 	if (!fleet_has_model(&m->info, c->unloading))
@@ -300,13 +300,17 @@
 }
 
 static void
-charges_step(struct steward *s, uint64_t now)
+charges_step(struct steward *s, uint64_t now, const struct fleet_conf *conf)
 {
+	const struct fleet_service *service;
 	struct member_replica *m;
 	struct charge *c, *next;
 
-	for (m = s->dir->replicas; m != NULL; m = m->hh.next)
-		charge_step(s, now, charge_get(s, m), m);
+	for (m = s->dir->replicas; m != NULL; m = m->hh.next) {
+		service = fleet_service(conf, m->info.service);
+		if (service != NULL && service->engine != NULL)
+			charge_step(s, now, charge_get(s, m), m);
+	}
 	HASH_ITER (hh, s->charges, c, next) {
 		if (directory_find(s->dir, c->replica) != NULL)
 			continue;
@@ -358,7 +362,7 @@
 		return;
 	if (s->fence != own_fence(s->own))
 		steward_take_over(s, now);
-	charges_step(s, now);
+	charges_step(s, now, conf);
 	if (!steward_holds(s, now))
 		return;
 	charges_repeat(s, now, out);
@@ -458,10 +462,10 @@
 	if (r == NULL || o->born_ms != c->born_ms)
 		return;
 	/* Its word is some hundred ms old; an order of ours may be newer. */
-	if (r->sequence < c->sequence && now < c->again_at + ASK_AGAIN_NS)
+	if (r->orders < c->sequence && now < c->again_at + ASK_AGAIN_NS)
 		return;
 	c->doubtful = 0;
-	c->sequence = r->sequence;
+	c->sequence = r->orders;
 	m->info.nresident = r->nresident;
 	memcpy(m->info.resident, r->resident, sizeof(r->resident));
 	m->info.nadapters = r->nadapters;
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -271,9 +271,8 @@
 	log_event(r.state == REPLICA_LEAVING ? LOG_REPLICA_LEAVING
 					     : LOG_REPLICA_LISTED,
 	    &about,
-	    "revision=%llu service=%s addr=%s models=%u sequence=%llu "
-	    "left_ms=%llu", (unsigned long long)k->revision, r.service,
-	    r.addr, r.nresident, (unsigned long long)r.sequence,
+	    "revision=%llu service=%s addr=%s models=%u left_ms=%llu",
+	    (unsigned long long)k->revision, r.service, r.addr, r.nresident,
 	    (unsigned long long)(r.leave_ns / NSEC_PER_MSEC));
 }
 
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -309,8 +309,8 @@
 		    platform_report_decode(buf_data(&c->body),
 			buf_len(&c->body), &r, &err) == 0;
 		log_event(LOG_ORDER_DONE, &about,
-		    "report status=%d sequence=%llu busy=%d", status,
-		    (unsigned long long)r.sequence, r.busy);
+		    "report status=%d orders=%llu busy=%d", status,
+		    (unsigned long long)r.orders, r.busy);
 		steward_report(s, c->e->now, &c->o, good ? &r : NULL);
 	} else {
 		log_event(answer <= ANSWER_HOLDS ? LOG_ORDER_DONE
--- a/shell/log.c
+++ b/shell/log.c
@@ -299,6 +299,8 @@
 		    log_state.process, (unsigned long long)lost);
 	for (i = 0; i < n; i++) {
 		obj = log_entry_json(&entries[i]);
+		json_object_set_new(
+		    obj, "process", json_string(log_state.process));
 		line = json_dumps(obj, JSON_COMPACT);
 		if (line != NULL)
 			puts(line);
@@ -330,25 +332,35 @@
 	return NULL;
 }
 
+/* Members that do not apply are left out. */
 static json_t *
 log_entry_json(const struct log_entry *e)
 {
 	const struct log_info *info = &log_infos[e->id];
 	char request[LOG_CALL_SIZE];
+	json_t *doc;
 
 	snprintf(request, sizeof(request), "%016llx",
 	    (unsigned long long)e->request);
 	if (e->request == 0)
 		memcpy(request, e->call, sizeof(request));
-	return json_pack("{s:I,s:I,s:I,s:s,s:I,s:i,s:i,s:s,s:s,s:I,s:I,s:s,"
-			 "s:s,s:s}",
-	    "seq", (json_int_t)e->seq, "mono", (json_int_t)e->mono, "wall",
-	    (json_int_t)e->wall, "process", log_state.process, "incarnation",
-	    (json_int_t)log_state.incarnation, "level", (int)info->level,
-	    "number", (int)info->number, "event", info->name, "request",
-	    request, "ticket", (json_int_t)e->ticket, "order",
-	    (json_int_t)e->order, "model", e->model, "backend", e->backend,
-	    "detail", e->detail);
+	doc = json_pack("{s:I,s:I,s:I,s:i,s:i,s:s,s:s}", "seq",
+	    (json_int_t)e->seq, "mono", (json_int_t)e->mono, "wall",
+	    (json_int_t)e->wall, "level", (int)info->level, "number",
+	    (int)info->number, "event", info->name, "detail", e->detail);
+	if (request[0] != '\0')
+		json_object_set_new(doc, "request", json_string(request));
+	if (e->ticket != 0)
+		json_object_set_new(
+		    doc, "ticket", json_integer((json_int_t)e->ticket));
+	if (e->order != 0)
+		json_object_set_new(
+		    doc, "order", json_integer((json_int_t)e->order));
+	if (e->model[0] != '\0')
+		json_object_set_new(doc, "model", json_string(e->model));
+	if (e->backend[0] != '\0')
+		json_object_set_new(doc, "backend", json_string(e->backend));
+	return doc;
 }
 
 char *
