A list is read whole after any cut of its watch

Ruled out: a stale read (the range is linearizable and named the version), a late decision. Change: any failure of a watch reads the list whole before it is watched again.

--- a/entry/lists.c
+++ b/entry/lists.c
@@ -168,6 +168,8 @@
 			k->seen = 0;
 	}
 	l->at = l->begun_at;
+	log_event(LOG_LIST_READ, NULL, "list=%s keys=%u at=%llu", l->prefix,
+	    HASH_COUNT(l->keys), (unsigned long long)l->at);
 	l->begun_at = 0;
 	l->after[0] = '\0';
 	l->pause_s = PAUSE_FIRST_S;
@@ -188,9 +190,13 @@
 	size_t i;
 
 	if (status != 200 || store_watch_answer(body, len, &page, &err) == -1) {
-		/* Without its history the list is read whole again. */
-		if (store_compacted(status))
-			l->at = 0;
+		/*
+		 * A watch taken up after a cut may wait on a history that the
+		 * service has dropped, so the list is read whole again.
+		 */
+		log_event(LOG_WATCH_LOST, NULL, "list=%s status=%d at=%llu",
+		    l->prefix, status, (unsigned long long)l->at);
+		l->at = 0;
 		list_pause(l);
 		return;
 	}
