Copies follow demand every 0.3 s; the right to order is taken up again within a second

Change: place_config.add_ns apart from hold_ns; placement every 0.1 s; leases of 2 s; no pause between holders where engines check fencing numbers (the boot settings say so).

--- a/core/steward.c
+++ b/core/steward.c
@@ -5,7 +5,9 @@
 #include "mem.h"
 #include "steward_int.h"
 
-#define PLACE_NS (200 * NSEC_PER_MSEC)
+#define PLACE_NS (100 * NSEC_PER_MSEC)
+/* A free right to order is taken up soon after it lapsed. */
+#define OWN_RETRY_NS (300 * NSEC_PER_MSEC)
 #define ASK_AGAIN_NS (400 * NSEC_PER_MSEC)
 #define REPEAT_NS (300 * NSEC_PER_MSEC)
 /* A change shows in the list a few times its usual duration later at most. */
@@ -43,7 +45,8 @@
 {
 	place_config_default(&c->place);
 	c->place.hold_ns = 3 * NSEC_PER_SEC;
-	c->lease_s = 3;
+	c->place.add_ns = 300 * NSEC_PER_MSEC;
+	c->lease_s = 2;
 	c->apart_ns = 3 * NSEC_PER_SEC;
 	c->window_ns = 5 * NSEC_PER_SEC;
 	c->burst = 1.0;
@@ -64,6 +67,7 @@
 	s->dir = dir;
 	own_config_default(&oc);
 	oc.ttl_s = config->lease_s;
+	oc.retry_ns = OWN_RETRY_NS;
 	s->own = own_create(&oc, "orders", self, ids);
 	return s;
 }
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -12,11 +12,11 @@
 #include "session.h"
 #include "steer.h"
 
-#define HELD_NS (400 * NSEC_PER_MSEC) /* between tables without a change */
+#define HELD_NS (250 * NSEC_PER_MSEC) /* between tables without a change */
 /* No table for so long: the holder may have ended. */
-#define HOLDER_SILENT_NS (1500 * NSEC_PER_MSEC)
+#define HOLDER_SILENT_NS (800 * NSEC_PER_MSEC)
 /* Candidates try one after the other. */
-#define CANDIDATE_NS (250 * NSEC_PER_MSEC)
+#define CANDIDATE_NS (150 * NSEC_PER_MSEC)
 #define WANT_NS (60 * NSEC_PER_MSEC) /* between two askings for one name */
 #define ORDER_TIMEOUT_S 0.6
 #define SELF_SOURCE 511 /* this process's place among demand's sources */
@@ -84,8 +84,8 @@
 	struct steer *st;
 
 	steward_config_default(&config);
-	config.lease_s = (e->boot.lease_ns + NSEC_PER_SEC - 1) / NSEC_PER_SEC;
-	config.apart_ns = e->boot.lease_ns;
+	/* Engines that check fencing numbers need no pause between holders. */
+	config.apart_ns = e->boot.fencing ? 0 : e->boot.lease_ns;
 	config.window_ns = e->boot.load_window_ns;
 	config.burst = e->boot.load_burst;
 	st = mem_alloc(sizeof(*st));
