A model that leaves a replica, or was refused there, gets no work for a while

Change: the holder tells leaving models beside the adapters, before the order is answered; a gate that is refused shuns that model there for 120 ms and the request waits; an idle connection whose server told its time is also used for requests that must run once. Attempts log the time to the first event, the longest pause and the last event.

--- a/core/balance.c
+++ b/core/balance.c
@@ -93,7 +93,9 @@
 		if (result == BALANCE_NO_ADAPTER)
 			result = BALANCE_FULL;
 		load = directory_load(d, now, m);
-		if (full(w, m, &load))
+		if (directory_shunned(m, now, w->model) ||
+		    directory_shunned(m, now, w->adapter) ||
+		    full(w, m, &load))
 			continue;
 		n++;
 		ms = score(w, m, &load) +
--- a/core/directory.c
+++ b/core/directory.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -161,6 +162,41 @@
 	    m->info.state == REPLICA_READY && now >= m->avoid_until;
 }
 
+/* Takes the place of the same name, or of the one that ends first. */
+void
+directory_shun(struct member_replica *m, const char *wanted, uint64_t until)
+{
+	struct shun *place = &m->shuns[0];
+	uint32_t i;
+
+	for (i = 0; i < DIRECTORY_SHUNS_MAX; i++) {
+		if (strcmp(m->shuns[i].wanted, wanted) == 0) {
+			place = &m->shuns[i];
+			break;
+		}
+		if (m->shuns[i].until < place->until)
+			place = &m->shuns[i];
+	}
+	snprintf(place->wanted, sizeof(place->wanted), "%s", wanted);
+	place->until = until;
+}
+
+int
+directory_shunned(
+    const struct member_replica *m, uint64_t now, const char *wanted)
+{
+	uint32_t i;
+
+	if (*wanted == '\0')
+		return 0;
+	for (i = 0; i < DIRECTORY_SHUNS_MAX; i++) {
+		if (now < m->shuns[i].until &&
+		    strcmp(m->shuns[i].wanted, wanted) == 0)
+			return 1;
+	}
+	return 0;
+}
+
 void
 directory_peer_clear(struct directory *d, uint64_t now, uint32_t peer)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -11,6 +11,7 @@
 #include "fleet.h"
 
 #define DIRECTORY_PEERS_MAX 512
+#define DIRECTORY_SHUNS_MAX 8
 
 /* Work on one replica. */
 struct work {
@@ -25,6 +26,12 @@
 	PRESENT_GONE
 };
 
+/* A model or adapter that a replica lists but does not serve for now. */
+struct shun {
+	char wanted[FLEET_NAME_SIZE];
+	uint64_t until;
+};
+
 /* A replica as this process sees it. */
 struct member_replica {
 	struct fleet_replica info;
@@ -39,7 +46,7 @@
 	double errors;	     /* recent share of failed attempts */
 	uint64_t errors_at;  /* when errors was last updated */
 	uint32_t conns;	     /* connections that this process holds */
-	uint64_t adapters_at; /* when the list of adapters was told */
+	struct shun shuns[DIRECTORY_SHUNS_MAX];
 	UT_hash_handle hh;
 };
 
@@ -66,6 +73,9 @@
 void directory_tick(struct directory *, uint64_t);
 /* Whether new work may go to a replica. */
 int directory_usable(const struct member_replica *, uint64_t);
+/* No work for a model or adapter goes to the replica for a while. */
+void directory_shun(struct member_replica *, const char *, uint64_t);
+int directory_shunned(const struct member_replica *, uint64_t, const char *);
 /* A peer told of its work; replaces what it told before. */
 void directory_peer_clear(struct directory *, uint64_t, uint32_t);
 void directory_peer_work(
--- a/core/msg.h
+++ b/core/msg.h
@@ -47,7 +47,8 @@
 	MSG_SENDER_ASK, /* new owner -> earlier one: any unsent order left? */
 	MSG_SENDER_NONE, /* answer: none below a fencing number */
 	MSG_FRONT,	/* entry -> entries: work under way and demand */
-	MSG_HELD,	/* holder of orders -> entries: adapters held */
+	MSG_HELD,	/* holder of orders -> entries: adapters held, models
+			 * that leave */
 	MSG_WANT,	/* entry -> holder: a model or adapter is asked for */
 	MSG__MAX
 };
@@ -269,7 +270,7 @@
 	uint32_t n;
 	struct msg_held_item {
 		char replica[NAME_SIZE];
-		char adapter[MSG_WANTED_SIZE];
+		char name[MSG_WANTED_SIZE]; /* adapter, or a leaving model */
 		uint64_t born; /* start of the replica that holds it */
 	} *items; /* owned by the message */
 };
--- a/core/steward.c
+++ b/core/steward.c
@@ -113,6 +113,21 @@
 	    s->fence == own_fence(s->own);
 }
 
+const char *
+steward_leaving(const struct steward *s, const char *replica)
+{
+	const struct charge *c = charge_find(s, replica);
+
+	if (c == NULL)
+		return "";
+	if (c->unloading[0] != '\0')
+		return c->unloading;
+	return (c->order != 0 || c->unanswered) &&
+		c->last.kind == STEWARD_UNLOAD && c->last.adapter[0] == '\0'
+	    ? c->last.model
+	    : "";
+}
+
 uint64_t
 steward_changes(const struct steward *s)
 {
@@ -223,6 +238,7 @@
 	} else {
 		c->order = o->id;
 		c->last = *o;
+		s->changes += kind == STEWARD_UNLOAD;
 	}
 	TAILQ_INSERT_TAIL(out->orders, o, entry);
 	return o;
--- a/core/steward.h
+++ b/core/steward.h
@@ -98,7 +98,9 @@
 void steward_release(struct steward *, struct steward_out *);
 /* Whether this process may order now. */
 int steward_holds(const struct steward *, uint64_t);
-/* Changes whenever the table of adapters does. */
+/* The model that a replica is about to drop, or "". */
+const char *steward_leaving(const struct steward *, const char *);
+/* Changes whenever the table of adapters or leaving models does. */
 uint64_t steward_changes(const struct steward *);
 void steward_totals(const struct steward *, uint64_t, struct steward_totals *);
 const char *order_answer_name(enum order_answer);
--- a/core/wire.c
+++ b/core/wire.c
@@ -486,7 +486,7 @@
 	h->items = wire_list(w, &h->n, sizeof(*h->items), h->items);
 	for (i = 0; i < h->n; i++) {
 		wire_str(w, h->items[i].replica, sizeof(h->items[i].replica));
-		wire_str(w, h->items[i].adapter, sizeof(h->items[i].adapter));
+		wire_str(w, h->items[i].name, sizeof(h->items[i].name));
 		wire_u64(w, &h->items[i].born);
 	}
 }
--- a/entry/answer.c
+++ b/entry/answer.c
@@ -80,7 +80,10 @@
 	if (!f->begun) {
 		write_head(f, -1);
 		f->first_event = f->e->now;
+	} else if (f->e->now - f->last_piece > f->gap_ns) {
+		f->gap_ns = f->e->now - f->last_piece;
 	}
+	f->last_piece = f->e->now;
 	write_piece(f, p + skip, len - skip);
 }
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -255,7 +255,7 @@
 forward_ended(struct forward *f, enum attempt_end end)
 {
 	struct member_replica *m = f->replica;
-	char detail[128];
+	char detail[160];
 
 	f->x = NULL;
 	f->e->counts.ends[end]++;
@@ -266,9 +266,15 @@
 	else
 		directory_failure(m, f->e->now,
 		    end == ATTEMPT_UNSENT || (end == ATTEMPT_SILENT && f->fresh));
-	snprintf(detail, sizeof(detail), "end=%s status=%d took_ms=%llu",
+	snprintf(detail, sizeof(detail),
+	    "end=%s status=%d took_ms=%llu first_ms=%llu gap_ms=%llu event=%llu",
 	    attempt_end_name(end), f->status,
-	    (unsigned long long)((f->e->now - f->sent_at) / NSEC_PER_MSEC));
+	    (unsigned long long)((f->e->now - f->sent_at) / NSEC_PER_MSEC),
+	    (unsigned long long)(f->first_event == 0
+		    ? 0
+		    : (f->first_event - f->arrived) / NSEC_PER_MSEC),
+	    (unsigned long long)(f->gap_ns / NSEC_PER_MSEC),
+	    (unsigned long long)f->last_event);
 	forward_log(f, LOG_REQUEST_ATTEMPT, m->info.id, detail);
 	steer_ended(f->e, f->replica, &f->want, end, f->status);
 	forward_release(f);
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -22,6 +22,8 @@
 	uint32_t ntried;
 	char tried[BALANCE_TRIED_MAX][NAME_SIZE];
 	uint64_t first_event; /* when the caller got its first event */
+	uint64_t last_piece;  /* and its latest one */
+	uint64_t gap_ns;      /* longest pause between two */
 	/* the attempt under way */
 	struct exchange *x;
 	struct member_replica *replica;
--- a/entry/send.c
+++ b/entry/send.c
@@ -6,7 +6,10 @@
 #include "forward_int.h"
 #include "mem.h"
 
-/* A request that must run once uses a connection only while it is warm. */
+/*
+ * A request that must run once uses an idle connection no longer than this,
+ * unless the replica told how long it keeps it.
+ */
 #define ONCE_IDLE_NS (600 * NSEC_PER_MSEC)
 #define HELD_MAX 4194304 /* bytes of an answer kept whole */
 #define PAUSE_BYTES 131072 /* a caller this far behind stops its replica */
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -18,6 +18,10 @@
 /* Candidates try one after the other. */
 #define CANDIDATE_NS (150 * NSEC_PER_MSEC)
 #define WANT_NS (60 * NSEC_PER_MSEC) /* between two askings for one name */
+/* A leaving model is told again well within this time. */
+#define LEAVING_NS (600 * NSEC_PER_MSEC)
+/* A replica that refused a model or adapter is asked again after. */
+#define REFUSED_NS (120 * NSEC_PER_MSEC)
 #define ORDER_TIMEOUT_S 0.6
 #define SELF_SOURCE 511 /* this process's place among demand's sources */
 
@@ -67,6 +71,8 @@
 static void count_work(struct entry *);
 static struct tally *tally(struct steer *, const char *);
 static const char *wanted_name(const struct request_want *);
+static void held_add(
+    struct msg_held *, const struct member_replica *, const char *);
 static void tell_held(struct entry *);
 static void take_held(struct entry *, const struct msg *);
 static uint32_t candidate_rank(const struct entry *);
@@ -235,8 +241,11 @@
 {
 	uint32_t i;
 
+	if (end != ATTEMPT_REFUSED || w->model[0] == '\0')
+		return;
+	directory_shun(m, wanted_name(w), e->now + REFUSED_NS);
 	/* It lacks the adapter: not counted on until it is told again. */
-	if (end != ATTEMPT_REFUSED || status != 421 || w->adapter[0] == '\0')
+	if (status != 421 || w->adapter[0] == '\0')
 		return;
 	for (i = 0; i < m->info.nadapters; i++) {
 		if (strcmp(m->info.adapters[i], w->adapter) != 0)
@@ -246,7 +255,6 @@
 		    m->info.adapters[m->info.nadapters], FLEET_NAME_SIZE);
 		break;
 	}
-	(void)e;
 }
 
 static int
@@ -435,15 +443,28 @@
 	carry_out(e, &kv, &orders);
 }
 
+static void
+held_add(struct msg_held *h, const struct member_replica *m, const char *name)
+{
+	struct msg_held_item *item;
+
+	if (h->n == MSG_LIST_MAX - 1)
+		return;
+	item = &h->items[h->n++];
+	snprintf(item->replica, sizeof(item->replica), "%s", m->info.id);
+	snprintf(item->name, sizeof(item->name), "%s", name);
+	item->born = m->info.born_ms;
+}
+
 /* The table of adapters, at once when it changed. */
 static void
 tell_held(struct entry *e)
 {
 	struct steer *st = e->steer;
 	uint64_t changes = steward_changes(st->steward);
-	struct msg_held_item *item;
 	struct steward_totals t;
 	struct member_replica *m;
+	const char *leaving;
 	struct msg *msg;
 	uint32_t i;
 
@@ -460,16 +481,13 @@
 	msg->u.held.items = mem_alloc(
 	    MSG_LIST_MAX * sizeof(*msg->u.held.items));
 	for (m = e->dir.replicas; m != NULL; m = m->hh.next) {
-		for (i = 0; i < m->info.nadapters; i++) {
-			if (msg->u.held.n == MSG_LIST_MAX - 1)
-				break;
-			item = &msg->u.held.items[msg->u.held.n++];
-			snprintf(item->replica, sizeof(item->replica), "%s",
-			    m->info.id);
-			snprintf(item->adapter, sizeof(item->adapter), "%s",
-			    m->info.adapters[i]);
-			item->born = m->info.born_ms;
-		}
+		for (i = 0; i < m->info.nadapters; i++)
+			held_add(&msg->u.held, m, m->info.adapters[i]);
+		leaving = steward_leaving(st->steward, m->info.id);
+		if (*leaving == '\0')
+			continue;
+		held_add(&msg->u.held, m, leaving);
+		directory_shun(m, leaving, e->now + LEAVING_NS);
 	}
 	peers_broadcast(e->peers, msg);
 }
@@ -496,9 +514,14 @@
 		if (m == NULL || m->info.born_ms != h->items[i].born ||
 		    m->info.nadapters == FLEET_ADAPTERS_MAX)
 			continue;
+		if (strchr(h->items[i].name, '/') == NULL) {
+			directory_shun(
+			    m, h->items[i].name, e->now + LEAVING_NS);
+			continue;
+		}
 		r = &m->info;
 		snprintf(r->adapters[r->nadapters++], FLEET_NAME_SIZE, "%s",
-		    h->items[i].adapter);
+		    h->items[i].name);
 	}
 	e->pump = 1;
 }
--- a/net/link.c
+++ b/net/link.c
@@ -201,7 +201,8 @@
 	struct exchange *x = TAILQ_FIRST(&a->idle);
 	uint64_t now = clock_mono();
 
-	if (x != NULL && now < x->used + fresh_ns && now < x->keep_until) {
+	if (x != NULL && now < x->keep_until &&
+	    (x->told_ns != 0 || now < x->used + fresh_ns)) {
 		TAILQ_REMOVE(&a->idle, x, entry);
 		a->nidle--;
 		x->used = 0;
--- a/net/link.h
+++ b/net/link.h
@@ -43,8 +43,9 @@
 void link_pool_destroy(struct link_pool *);
 void link_pool_idle_max(struct link_pool *, uint32_t);
 /*
- * Begins an exchange; an idle connection is used when it was used within
- * fresh_ns.  end() is never called before this returns.
+ * Begins an exchange; an idle connection is used when its server told how
+ * long it keeps it, or it was used within fresh_ns.  end() is never called
+ * before this returns.
  */
 struct exchange *exchange_start(struct link_pool *, const char *, uint64_t,
     const struct exchange_ops *, void *);
