Placement names every move that can begin now; one process keeps the queue for engines

A new holder repeated one order at a replica that was busy with its predecessor's. Prompts from several gates met at one replica and paused its streams.

--- a/core/balance.c
+++ b/core/balance.c
@@ -3,19 +3,24 @@
 #include "balance.h"
 
 /* Milliseconds of expected delay, the unit of the score. */
-#define PROMPT_TOKENS_PER_MS 20.0
 #define RUNNING_MS 1.0	    /* each request in the batch */
 #define PLAIN_RUNNING_MS 30.0 /* each request at a plain service */
 #define ZONE_MS 8.0	    /* another data centre */
 #define ERRORS_MS 3000.0    /* a replica that fails every request */
 #define DRAW_MS 4.0	    /* spread between equals */
 #define TRIED_MS 1e6	    /* only when nothing else is left */
+/*
+ * Steps of other work between two prompts, so that streams do not pause; the
+ * longer a request has waited, the more of the prompts before it may be unread.
+ */
+#define READ_SPACE_NS (20 * NSEC_PER_MSEC)
+#define READ_AHEAD_WAITED 2 /* one such part of the time waited */
 /* Share of an engine's memory that is given out. */
 #define MEMORY_SHARE 0.92
 
 static int tried(const struct balance_want *, const char *);
-static int full(const struct balance_want *, const struct member_replica *,
-    const struct work *);
+static int full(uint64_t, const struct balance_want *,
+    const struct member_replica *, const struct work *);
 static double score(const struct balance_want *, const struct member_replica *,
     const struct work *);
 
@@ -32,8 +37,8 @@
 }
 
 static int
-full(const struct balance_want *w, const struct member_replica *m,
-    const struct work *load)
+full(uint64_t now, const struct balance_want *w,
+    const struct member_replica *m, const struct work *load)
 {
 	uint32_t slots = m->info.slots;
 
@@ -41,7 +46,12 @@
 		return 1;
 	if (slots != 0 && load->running >= slots)
 		return 1;
-	return w->engine != NULL && load->running != 0 &&
+	if (w->engine == NULL)
+		return 0;
+	if (m->read_until + READ_SPACE_NS >
+	    now + w->waited_ns / READ_AHEAD_WAITED)
+		return 1;
+	return load->running != 0 &&
 	    (double)load->tokens + w->tokens >
 	    (double)w->engine->kv_tokens * MEMORY_SHARE;
 }
@@ -53,8 +63,7 @@
 	double ms;
 
 	if (w->engine != NULL)
-		ms = (double)load->unread / PROMPT_TOKENS_PER_MS +
-		    (double)load->running * RUNNING_MS;
+		ms = (double)load->running * RUNNING_MS;
 	else
 		ms = (double)load->running * PLAIN_RUNNING_MS;
 	if (strcmp(m->info.zone, w->zone) != 0)
@@ -95,7 +104,7 @@
 		load = directory_load(d, now, m);
 		if (directory_shunned(m, now, w->model) ||
 		    directory_shunned(m, now, w->adapter) ||
-		    full(w, m, &load))
+		    full(now, w, m, &load))
 			continue;
 		n++;
 		ms = score(w, m, &load) +
--- a/core/directory.c
+++ b/core/directory.c
@@ -236,6 +236,9 @@
 	struct work sum = m->own;
 	uint32_t i;
 
+	sum.running += m->granted.running;
+	sum.unread += m->granted.unread;
+	sum.tokens += m->granted.tokens;
 	for (i = 0; i < m->npeers; i++) {
 		if (now > d->peer_heard[i] + PEER_WORK_NS)
 			continue;
@@ -246,6 +249,13 @@
 	return sum;
 }
 
+void
+directory_reads(struct member_replica *m, uint64_t now, uint64_t read_ns)
+{
+	m->read_until =
+	    (m->read_until > now ? m->read_until : now) + read_ns;
+}
+
 static double
 errors_now(const struct member_replica *m, uint64_t now)
 {
--- /dev/null
+++ b/core/pace.c
@@ -0,0 +1,64 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "mem.h"
+#include "pace.h"
+
+#define TOKENS_PER_MS 20.0 /* that the slowest models read */
+#define FIRST_MS 25.0	   /* of the first event that no prompt explains */
+#define FACTOR_FIRST 0.8
+#define FACTOR_LEAST 0.08
+#define FACTOR_MOST 1.5
+/* Waits make single times long, so the factor rises slowly. */
+#define FACTOR_RISE 0.03
+
+void
+pace_clear(struct pace *p)
+{
+	struct pace_model *m, *next;
+
+	HASH_ITER (hh, p->models, m, next) {
+		HASH_DEL(p->models, m);
+		free(m);
+	}
+}
+
+void
+pace_learn(struct pace *p, const char *name, uint32_t tokens, uint64_t first_ns)
+{
+	struct pace_model *m;
+	double factor;
+
+	if (tokens == 0)
+		return;
+	factor = ((double)first_ns / (double)NSEC_PER_MSEC - FIRST_MS) /
+	    (tokens / TOKENS_PER_MS);
+	if (factor < FACTOR_LEAST)
+		factor = FACTOR_LEAST;
+	if (factor > FACTOR_MOST)
+		factor = FACTOR_MOST;
+	HASH_FIND_STR(p->models, name, m);
+	if (m == NULL) {
+		m = mem_alloc(sizeof(*m));
+		snprintf(m->name, sizeof(m->name), "%s", name);
+		m->factor = factor < FACTOR_FIRST ? factor : FACTOR_FIRST;
+		HASH_ADD_STR(p->models, name, m);
+	} else if (factor < m->factor) {
+		m->factor = factor;
+	} else {
+		m->factor += (factor - m->factor) * FACTOR_RISE;
+	}
+}
+
+uint64_t
+pace_read_ns(const struct pace *p, const char *name, uint32_t tokens)
+{
+	const struct pace_model *m;
+	double factor = FACTOR_FIRST;
+
+	HASH_FIND_STR(p->models, name, m);
+	if (m != NULL)
+		factor = m->factor;
+	return (uint64_t)(tokens / TOKENS_PER_MS * factor *
+	    (double)NSEC_PER_MSEC);
+}
--- a/core/place.c
+++ b/core/place.c
@@ -45,7 +45,6 @@
 	c->spare = 0.35;
 	c->low = 0.55;
 	c->hold_ns = 10 * NSEC_PER_SEC;
-	c->add_ns = 10 * NSEC_PER_SEC;
 }
 
 /* Confirmed copies on backend servers that stay. */
@@ -403,7 +402,7 @@
 		press = pressure(s, m);
 		over = press - s->config->spare;
 		if (m->least == 0 || over <= 0.0 ||
-		    s->now < m->moved + s->config->add_ns)
+		    s->now < m->moved + s->config->hold_ns)
 			continue;
 		gain = m->demand * over * (1.0 + (double)m->priority / 10.0);
 		if (gain < GAIN_LEAST || gain <= best.gain)
--- a/core/place.h
+++ b/core/place.h
@@ -62,8 +62,7 @@
 	double high;  /* utilization above which a copy takes another's place */
 	double spare; /* utilization above which spare memory gets a copy */
 	double low;   /* utilization kept after a copy is removed */
-	uint64_t hold_ns; /* a copy stays at least so long after a move */
-	uint64_t add_ns;  /* between two copies added to one model */
+	uint64_t hold_ns; /* least time between moves of one model */
 };
 
 /*
--- a/core/steward.c
+++ b/core/steward.c
@@ -9,6 +9,7 @@
 /* A free right to order is taken up soon after it lapsed. */
 #define OWN_RETRY_NS (300 * NSEC_PER_MSEC)
 #define ASK_AGAIN_NS (400 * NSEC_PER_MSEC)
+#define BUSY_ASK_NS (700 * NSEC_PER_MSEC)
 #define REPEAT_NS (300 * NSEC_PER_MSEC)
 /* A change shows in the list a few times its usual duration later at most. */
 #define CHANGE_SHOWN_NS (20 * NSEC_PER_SEC)
@@ -43,16 +44,13 @@
 void
 steward_config_default(struct steward_config *c)
 {
-	place_config_default(&c->place);
-	c->place.hold_ns = 3 * NSEC_PER_SEC;
-	c->place.add_ns = 300 * NSEC_PER_MSEC;
+	swift_config_default(&c->place);
 	c->lease_s = 2;
 	c->apart_ns = 3 * NSEC_PER_SEC;
 	c->window_ns = 5 * NSEC_PER_SEC;
 	c->burst = 1.0;
 	c->adapter_ns = 40 * NSEC_PER_MSEC;
 	c->order_ns = 600 * NSEC_PER_MSEC;
-	c->slots = 24.0;
 }
 
 struct steward *
@@ -490,8 +488,10 @@
 	memcpy(m->info.resident, r->resident, sizeof(r->resident));
 	m->info.nadapters = r->nadapters;
 	memcpy(m->info.adapters, r->adapters, sizeof(r->adapters));
-	m->info.busy = r->busy;
-	if (r->busy)
-		c->again_at = now + ASK_AGAIN_NS;
+	/* An order of an earlier holder is under way. */
+	if (r->busy) {
+		c->doubtful = 1;
+		c->ask_at = now + BUSY_ASK_NS;
+	}
 	s->changes++;
 }
--- a/core/steward.h
+++ b/core/steward.h
@@ -12,19 +12,18 @@
 #include "demand.h"
 #include "directory.h"
 #include "own.h"
-#include "place.h"
+#include "place_swift.h"
 
 struct steward;
 
 struct steward_config {
-	struct place_config place;
+	struct swift_config place;
 	uint64_t lease_s;     /* of the right to order */
 	uint64_t apart_ns;    /* a new holder waits so long after the last */
 	uint64_t window_ns;   /* weight loads are counted over */
 	double burst;	      /* times the declared rate in a window */
 	uint64_t adapter_ns;  /* an adapter is taken to be loaded after */
 	uint64_t order_ns;    /* an order without an answer is lost after */
-	double slots;	      /* requests that a replica serves well */
 };
 
 enum steward_kind {
--- a/core/steward_place.c
+++ b/core/steward_place.c
@@ -8,6 +8,7 @@
 
 /* Loads at once beyond what the store carries only slow each other down. */
 #define LOADS_LEAST 2.0
+#define PLACE_MOVES_MAX 8
 
 struct plan {
 	const struct fleet_engine *engine;
@@ -26,7 +27,7 @@
 static int store_allows(
     struct steward *, uint64_t, const struct fleet_engine *, uint32_t);
 static int at_hand(const struct member_replica *, const char *);
-static int plan_carry_out(struct plan *, struct steward *, uint64_t,
+static void plan_carry_out(struct plan *, struct steward *, uint64_t,
     const struct place_move *, struct steward_out *);
 
 static void
@@ -49,8 +50,7 @@
 		b->usable = directory_usable(m, now) &&
 		    m->presence == PRESENT;
 		b->busy = c->loading[0] != '\0' || c->unloading[0] != '\0' ||
-		    m->info.busy || !charge_free(s, now, c);
-		b->slots = (uint32_t)s->config.slots;
+		    !charge_free(s, now, c) || c->ncoming != 0;
 		b->naccelerators = 1;
 		b->left_mb[0] = charge_left_mb(c, m, p->engine);
 		p->loading += c->loading[0] != '\0';
@@ -139,7 +139,7 @@
 	    s->nloads < STEWARD_LOADS_MAX;
 }
 
-static int
+static void
 plan_carry_out(struct plan *p, struct steward *s, uint64_t now,
     const struct place_move *move, struct steward_out *out)
 {
@@ -147,29 +147,28 @@
 	struct charge *c = p->charges[move->backend];
 	struct member_replica *m = p->members[move->backend];
 
-	if (!charge_free(s, now, c) || c->loading[0] != '\0' ||
-	    c->unloading[0] != '\0' || c->ncoming != 0)
-		return 0;
 	if (move->kind == PLACE_UNLOAD) {
 		steward_send(s, now, c, STEWARD_UNLOAD, model, "", out);
 	} else {
 		if (!at_hand(m, model)) {
 			if (!store_allows(s, now, p->engine, p->loading))
-				return 0;
+				return;
 			s->loads[s->nloads++] = now;
 		}
 		steward_send(s, now, c, STEWARD_LOAD, model, "", out);
 	}
+	p->loading += move->kind == PLACE_LOAD;
 	demand_get(&s->demand, model)->moved_at = now;
-	return 1;
 }
 
 void
 steward_place(struct steward *s, uint64_t now,
     const struct fleet_service *service, struct steward_out *out)
 {
-	struct place_move move;
+	struct place_move moves[PLACE_MOVES_MAX];
 	struct plan *p;
+	uint32_t n;
+	uint32_t i;
 
 	p = mem_alloc(sizeof(*p));
 	p->engine = service->engine;
@@ -177,10 +176,10 @@
 	    (p->engine->nmodels + 1) * sizeof(*p->models));
 	plan_backends(p, s, now, service);
 	plan_models(p, s, now);
-	move = place_next(&s->config.place, now, p->models,
-	    p->engine->nmodels, p->backends, p->nbackends);
-	if (move.kind == PLACE_LOAD || move.kind == PLACE_UNLOAD)
-		plan_carry_out(p, s, now, &move, out);
+	n = place_swift(&s->config.place, now, p->models, p->engine->nmodels,
+	    p->backends, p->nbackends, moves, PLACE_MOVES_MAX);
+	for (i = 0; i < n; i++)
+		plan_carry_out(p, s, now, &moves[i], out);
 	free(p->models);
 	free(p);
 }
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -194,6 +194,7 @@
 		http_reader_reset(c->reader);
 	}
 	ev_timer_stop(c->a->e->loop, &c->timer);
+	ev_timer_set(&c->timer, ADMIN_IDLE_S, 0.0);
 	ev_timer_start(c->a->e->loop, &c->timer);
 }
 
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -20,6 +20,7 @@
 struct peers;
 struct steer;
 struct admin;
+struct grant_desk;
 
 TAILQ_HEAD(forward_list, forward);
 TAILQ_HEAD(caller_list, caller);
@@ -54,6 +55,7 @@
 	struct peers *peers;
 	struct steer *steer;
 	struct admin *admin;
+	struct grant_desk *grants;
 	uint32_t nprocesses; /* entry processes that share limits */
 	uint64_t draws;	     /* state of the generator of draws */
 	int pump; /* what waits may find a replica now */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "forward_int.h"
+#include "grant.h"
 #include "mem.h"
 #include "steer.h"
 
@@ -20,6 +20,8 @@
 #define PATIENCE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
 static int forward_admit(struct forward *, struct err *);
+static enum balance_result forward_pick(struct forward *,
+    const struct fleet_service *, struct member_replica **);
 static void forward_try(struct forward *);
 static void forward_park(struct forward *, enum balance_result);
 static void forward_free(struct forward *);
@@ -133,6 +135,7 @@
 {
 	struct entry *e = f->e;
 
+	grant_drop(f);
 	ev_timer_stop(e->loop, &f->timer);
 	if (f->waiting)
 		TAILQ_REMOVE(&e->waiting, f, entry);
@@ -165,42 +168,64 @@
 	return share == 0 ? 1 : share;
 }
 
+/* The best replica as far as this process knows. */
+static enum balance_result
+forward_pick(struct forward *f, const struct fleet_service *s,
+    struct member_replica **m)
+{
+	struct balance_want w;
+
+	*m = NULL;
+	if (s == NULL)
+		return BALANCE_NO_REPLICA;
+	memset(&w, 0, sizeof(w));
+	w.service = f->service;
+	w.engine = s->engine;
+	w.model = f->want.model;
+	w.adapter = f->want.adapter;
+	w.zone = f->e->boot.zone;
+	w.prompt_tokens = f->want.prompt_tokens;
+	w.tokens = balance_tokens(&f->want);
+	w.read_ns = s->engine == NULL ? 0 : grant_read_ns(f->e, &f->want);
+	w.waited_ns = f->e->now - f->arrived;
+	w.conns_share = conns_share(f->e, s);
+	w.ntried = f->ntried;
+	memcpy(w.tried, f->tried, sizeof(w.tried));
+	return balance_pick(&f->e->dir, f->e->now, &w, entry_draw(f->e), m);
+}
+
 /* Sends the request to the best replica, or lets it wait. */
 static void
 forward_try(struct forward *f)
 {
 	const struct fleet_service *s = NULL;
-	struct balance_want w;
-	enum balance_result result = BALANCE_NO_REPLICA;
-	struct member_replica *m = NULL;
+	struct member_replica *m;
+	enum balance_result result;
 
 	if (f->e->conf != NULL)
 		s = fleet_service(f->e->conf, f->service);
-	if (s != NULL) {
-		memset(&w, 0, sizeof(w));
-		w.service = f->service;
-		w.engine = s->engine;
-		w.model = f->want.model;
-		w.adapter = f->want.adapter;
-		w.zone = f->e->boot.zone;
-		w.prompt_tokens = f->want.prompt_tokens;
-		w.tokens = balance_tokens(&f->want);
-		w.conns_share = conns_share(f->e, s);
-		w.ntried = f->ntried;
-		memcpy(w.tried, f->tried, sizeof(w.tried));
-		result = balance_pick(
-		    &f->e->dir, f->e->now, &w, entry_draw(f->e), &m);
-	}
-	if (result != BALANCE_FOUND) {
+	result = forward_pick(f, s, &m);
+	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
+		steer_want(f->e, &f->want);
+	if (s != NULL && s->engine != NULL && grant_ask(f))
 		forward_park(f, result);
-		return;
-	}
+	else if (result != BALANCE_FOUND)
+		forward_park(f, result);
+	else
+		forward_granted(f, m);
+}
+
+void
+forward_granted(struct forward *f, struct member_replica *m)
+{
 	if (f->waiting) {
 		TAILQ_REMOVE(&f->e->waiting, f, entry);
 		TAILQ_INSERT_TAIL(&f->e->running, f, entry);
 		f->waiting = 0;
 		forward_timer(f, f->deadline);
 	}
+	f->key.rid = 0;
+	f->alone = 0;
 	forward_send(f, m);
 }
 
@@ -210,11 +235,10 @@
 {
 	struct forward *other;
 
-	if (why == BALANCE_NO_ADAPTER || why == BALANCE_NO_MODEL)
-		steer_want(f->e, &f->want, why == BALANCE_NO_ADAPTER);
 	if (f->waiting)
 		return;
-	forward_log(f, LOG_REQUEST_WAITS, "", wait_reasons[why]);
+	if (why != BALANCE_FOUND)
+		forward_log(f, LOG_REQUEST_WAITS, "", wait_reasons[why]);
 	TAILQ_REMOVE(&f->e->running, f, entry);
 	f->waiting = 1;
 	TAILQ_FOREACH (other, &f->e->waiting, entry) {
@@ -239,6 +263,7 @@
 		next = TAILQ_NEXT(f, entry);
 		forward_try(f);
 	}
+	grant_run(e);
 }
 
 /* Nothing of it ran. */
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -29,6 +29,8 @@
 static void list_put(struct list *, const struct store_item *);
 static void list_drop(struct list *, struct list_key *);
 static void list_whole(struct list *);
+static const char *models_text(
+    const struct fleet_replica *, char *, size_t);
 static void put_config(struct list *, const struct list_key *);
 static void put_replica(struct list *, const struct list_key *);
 static void put_peer(struct list *, const struct list_key *);
@@ -258,6 +260,20 @@
 		entry_configure(l->s->e, k->value, k->len, "store");
 }
 
+/* Names of the models that a replica holds, as far as they fit. */
+static const char *
+models_text(const struct fleet_replica *r, char *out, size_t size)
+{
+	size_t len = 0;
+	uint32_t i;
+
+	out[0] = '\0';
+	for (i = 0; i < r->nresident && len + NAME_SIZE < size; i++)
+		len += (size_t)snprintf(out + len, size - len, "%s%s",
+		    i == 0 ? "" : ",", r->resident[i]);
+	return out;
+}
+
 static void
 put_replica(struct list *l, const struct list_key *k)
 {
@@ -266,6 +282,7 @@
 	struct entry *e = l->s->e;
 	struct log_about about = { 0 };
 	struct err err;
+	char models[160];
 
 	about.backend = id;
 	if (platform_replica_decode(id, k->value, k->len, &r, &err) == -1) {
@@ -277,8 +294,9 @@
 	log_event(r.state == REPLICA_LEAVING ? LOG_REPLICA_LEAVING
 					     : LOG_REPLICA_LISTED,
 	    &about,
-	    "revision=%llu service=%s addr=%s models=%u left_ms=%llu",
-	    (unsigned long long)k->revision, r.service, r.addr, r.nresident,
+	    "revision=%llu service=%s addr=%s models=%s left_ms=%llu",
+	    (unsigned long long)k->revision, r.service, r.addr,
+	    models_text(&r, models, sizeof(models)),
 	    (unsigned long long)(r.leave_ns / NSEC_PER_MSEC));
 }
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -9,6 +9,7 @@
 #include "cli.h"
 #include "clock.h"
 #include "entry_int.h"
+#include "grant.h"
 #include "mem.h"
 #include "peers.h"
 #include "session.h"
@@ -16,6 +17,7 @@
 
 #define NAME "spindle-entry"
 #define TICK_S 0.02
+#define SOON_S 0.006
 /* The balancer notices within two questions, a second apart. */
 #define LISTEN_ON_NS (3 * NSEC_PER_SEC)
 #define GRACE_MARGIN_NS (400 * NSEC_PER_MSEC)
@@ -29,6 +31,7 @@
 	struct listener *listener;
 	ev_timer tick;
 	ev_prepare pump;
+	ev_timer soon;
 	ev_signal term;
 	ev_signal hup;
 };
@@ -37,6 +40,7 @@
 static void daemon_stop(struct daemon *);
 static void on_tick(struct ev_loop *, ev_timer *, int);
 static void on_pump(struct ev_loop *, ev_prepare *, int);
+static void on_soon(struct ev_loop *, ev_timer *, int);
 static void on_term(struct ev_loop *, ev_signal *, int);
 static void on_hup(struct ev_loop *, ev_signal *, int);
 
@@ -51,8 +55,6 @@
 	directory_tick(&e->dir, e->now);
 	steer_tick(e);
 	peers_tick(e->peers);
-	if (!TAILQ_EMPTY(&e->waiting))
-		e->pump = 1;
 	if (!e->stopping)
 		return;
 	if (d->listener != NULL && e->now >= e->stop_at + LISTEN_ON_NS) {
@@ -72,13 +74,28 @@
 {
 	struct daemon *d = w->data;
 
-	(void)loop;
 	(void)events;
 	if (!d->e.pump)
 		return;
 	d->e.pump = 0;
 	entry_now(&d->e);
 	forward_pump(&d->e);
+	if (ev_is_active(&d->soon) ||
+	    (TAILQ_EMPTY(&d->e.waiting) && grant_waiting(&d->e) == 0))
+		return;
+	ev_timer_set(&d->soon, SOON_S, 0.0);
+	ev_timer_start(loop, &d->soon);
+}
+
+/* What waits is tried again at the pace at which engines read prompts. */
+static void
+on_soon(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct daemon *d = w->data;
+
+	(void)loop;
+	(void)events;
+	d->e.pump = 1;
 }
 
 static void
@@ -144,6 +161,7 @@
 	if (e->peers == NULL)
 		return -1;
 	e->steer = steer_create(e);
+	e->grants = grant_create(e);
 	e->session = session_create(e);
 	e->admin = admin_create(e, err);
 	if (e->admin == NULL)
@@ -153,10 +171,12 @@
 		return -1;
 	ev_timer_init(&d->tick, on_tick, TICK_S, TICK_S);
 	ev_prepare_init(&d->pump, on_pump);
+	ev_timer_init(&d->soon, on_soon, SOON_S, 0.0);
 	ev_signal_init(&d->term, on_term, SIGTERM);
 	ev_signal_init(&d->hup, on_hup, SIGHUP);
 	d->tick.data = d;
 	d->pump.data = d;
+	d->soon.data = d;
 	d->term.data = d;
 	d->hup.data = d;
 	ev_timer_start(e->loop, &d->tick);
@@ -176,6 +196,7 @@
 	callers_destroy(e);
 	admin_destroy(e->admin);
 	steer_destroy(e->steer);
+	grant_destroy(e->grants);
 	session_destroy(e->session);
 	peers_destroy(e->peers);
 	link_pool_destroy(e->replicas);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -7,6 +7,7 @@
 
 #include "announce.h"
 #include "bus.h"
+#include "grant.h"
 #include "mem.h"
 #include "peers.h"
 #include "ring.h"
@@ -18,8 +19,9 @@
 #define PEER_SILENT_NS (1500 * NSEC_PER_MSEC) /* counts as silent after */
 #define PEER_FORGET_NS (15 * NSEC_PER_SEC)    /* unlisted and silent */
 #define TELL_NS (100 * NSEC_PER_MSEC)	      /* between two reports */
-#define TELL_IDLE_NS (500 * NSEC_PER_MSEC)    /* when nothing changed */
+#define TELL_MOST_NS (500 * NSEC_PER_MSEC)
 #define TELL_PEERS 9 /* with more peers, reports are rarer */
+#define SCHEDULER_MISSES 4 /* reports missed by a scheduler that is gone */
 #define PULL_AGAIN_NS (300 * NSEC_PER_MSEC)
 #define INBOX_RING 4096
 #define PULL_CONFIG 0 /* msg_conf.nonce: what is asked for */
@@ -31,6 +33,7 @@
 	uint32_t index;	      /* in the directory's tables */
 	int listed;
 	int heard;
+	int stopping;
 	uint64_t heard_at;
 	uint64_t incarnation;
 	uint64_t seq; /* of its newest report */
@@ -61,6 +64,7 @@
 static void pull(struct peers *, const struct peer *, uint64_t, uint64_t *);
 static struct peer *peer_find(struct peers *, const char *);
 static struct peer *peer_add(struct peers *, const char *, const char *);
+static uint64_t tell_pause(const struct peers *);
 static void tell(struct peers *);
 static struct msg *compose(struct peers *);
 
@@ -218,6 +222,34 @@
 	return n;
 }
 
+/* Time between two reports; their sum over all peers stays bounded. */
+static uint64_t
+tell_pause(const struct peers *p)
+{
+	uint32_t n = peers_count(p);
+	uint64_t pause = TELL_NS;
+
+	if (n > TELL_PEERS)
+		pause = pause * n / TELL_PEERS;
+	return pause < TELL_MOST_NS ? pause : TELL_MOST_NS;
+}
+
+const char *
+peers_scheduler(const struct peers *p)
+{
+	uint64_t fresh = tell_pause(p) * SCHEDULER_MISSES;
+	const char *best = p->e->stopping ? NULL : p->e->self.addr;
+	const struct peer *q;
+
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (q->heard && !q->stopping &&
+		    p->e->now < q->heard_at + fresh &&
+		    (best == NULL || strcmp(q->addr, best) < 0))
+			best = q->addr;
+	}
+	return best == p->e->self.addr ? "" : best;
+}
+
 static void
 take(struct peers *p, struct msg *m)
 {
@@ -246,6 +278,12 @@
 	case MSG_CONF_CHUNK:
 		take_chunk(p, m);
 		break;
+	case MSG_ASK:
+	case MSG_QUEUED:
+	case MSG_GRANT:
+	case MSG_CANCEL:
+		grant_message(p->e, m);
+		break;
 	default:
 		steer_message(p->e, m);
 		break;
@@ -272,6 +310,8 @@
 		directory_peer_work(
 		    &e->dir, q->index, f->work[i].replica, &w);
 	}
+	q->stopping = f->stopping != 0;
+	grant_told(e, q->addr);
 	steer_demand(e, m);
 	if (e->conf == NULL || f->version > e->conf->version)
 		pull(p, q, PULL_CONFIG, &p->pull_config_at);
@@ -379,18 +419,12 @@
 	return m;
 }
 
-/* Reports are rarer with many peers, so that their sum stays bounded. */
 static void
 tell(struct peers *p)
 {
-	uint64_t pause = TELL_NS;
-	uint32_t n = peers_count(p);
-
 	if (p->e->now < p->tell_at)
 		return;
-	if (n > TELL_PEERS)
-		pause = pause * n / TELL_PEERS;
-	p->tell_at = p->e->now + (pause < TELL_IDLE_NS ? pause : TELL_IDLE_NS);
+	p->tell_at = p->e->now + tell_pause(p);
 	peers_broadcast(p, compose(p));
 }
 
--- a/entry/send.c
+++ b/entry/send.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "forward_int.h"
+#include "grant.h"
 #include "mem.h"
 
 /*
@@ -50,6 +50,8 @@
 	m->own.running += f->share.running;
 	m->own.unread += f->share.unread;
 	m->own.tokens += f->share.tokens;
+	if (f->want.model[0] != '\0')
+		directory_reads(m, f->e->now, grant_read_ns(f->e, &f->want));
 	if (f->sends++ != 0)
 		budget_repeat(&f->e->budget, f->e->now, f->service);
 	f->e->counts.attempts++;
@@ -152,6 +154,7 @@
 	if (f->share.unread != 0) {
 		f->replica->own.unread -= f->share.unread;
 		f->share.unread = 0;
+		grant_first(f);
 	}
 	if (f->caller == NULL)
 		return;
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -212,13 +212,12 @@
 }
 
 void
-steer_want(struct entry *e, const struct request_want *w, int adapter)
+steer_want(struct entry *e, const struct request_want *w)
 {
 	struct steer *st = e->steer;
 	struct tally *t = tally(st, wanted_name(w));
 	struct msg *m;
 
-	(void)adapter;
 	if (e->now < t->asked_at + WANT_NS)
 		return;
 	t->asked_at = e->now;
--- a/entry/steer.h
+++ b/entry/steer.h
@@ -19,7 +19,7 @@
 /* A request for a model or adapter has come in. */
 void steer_arrival(struct entry *, const struct request_want *);
 /* A request waits because nothing that it needs is loaded. */
-void steer_want(struct entry *, const struct request_want *, int);
+void steer_want(struct entry *, const struct request_want *);
 /* An attempt has ended; a replica may lack what it was thought to hold. */
 void steer_ended(struct entry *, struct member_replica *,
     const struct request_want *, enum attempt_end, int);
