The shared queue for engines goes; lists settle before absent models are loaded; weights at hand are preferred

Prompts that meet at one replica are not what binds: copies of busy models are. Cause of needless moves: before traffic, replicas come into the list one by one, and models seemed absent that were not yet listed; one load made all copies of its model unmovable for 3 s. Change: dispatch and its messages are removed; only loads hold copies; unasked loads wait until the list has settled for 2.5 s.

--- a/core/balance.c
+++ b/core/balance.c
@@ -13,7 +13,7 @@
  * Steps of other work between two prompts, so that streams do not pause; the
  * longer a request has waited, the more of the prompts before it may be unread.
  */
-#define READ_SPACE_NS (20 * NSEC_PER_MSEC)
+#define READ_AHEAD_NS (120 * NSEC_PER_MSEC)
 #define READ_AHEAD_WAITED 2 /* one such part of the time waited */
 /* Share of an engine's memory that is given out. */
 #define MEMORY_SHARE 0.92
@@ -21,8 +21,8 @@
 static int tried(const struct balance_want *, const char *);
 static int full(uint64_t, const struct balance_want *,
     const struct member_replica *, const struct work *);
-static double score(const struct balance_want *, const struct member_replica *,
-    const struct work *);
+static double score(uint64_t, const struct balance_want *,
+    const struct member_replica *, const struct work *);
 
 static int
 tried(const struct balance_want *w, const char *id)
@@ -48,8 +48,8 @@
 		return 1;
 	if (w->engine == NULL)
 		return 0;
-	if (m->read_until + READ_SPACE_NS >
-	    now + w->waited_ns / READ_AHEAD_WAITED)
+	if (m->read_until >
+	    now + READ_AHEAD_NS + w->waited_ns / READ_AHEAD_WAITED)
 		return 1;
 	return load->running != 0 &&
 	    (double)load->tokens + w->tokens >
@@ -57,8 +57,8 @@
 }
 
 static double
-score(const struct balance_want *w, const struct member_replica *m,
-    const struct work *load)
+score(uint64_t now, const struct balance_want *w,
+    const struct member_replica *m, const struct work *load)
 {
 	double ms;
 
@@ -66,6 +66,8 @@
 		ms = (double)load->running * RUNNING_MS;
 	else
 		ms = (double)load->running * PLAIN_RUNNING_MS;
+	if (w->engine != NULL && m->read_until > now)
+		ms += (double)(m->read_until - now) / (double)NSEC_PER_MSEC;
 	if (strcmp(m->info.zone, w->zone) != 0)
 		ms += ZONE_MS;
 	ms += m->errors * ERRORS_MS;
@@ -107,7 +109,7 @@
 		    full(now, w, m, &load))
 			continue;
 		n++;
-		ms = score(w, m, &load) +
+		ms = score(now, w, m, &load) +
 		    DRAW_MS * ((draw * n) - (double)(uint32_t)(draw * n));
 		if (*out != NULL && ms >= best)
 			continue;
--- a/core/directory.c
+++ b/core/directory.c
@@ -236,9 +236,6 @@
 	struct work sum = m->own;
 	uint32_t i;
 
-	sum.running += m->granted.running;
-	sum.unread += m->granted.unread;
-	sum.tokens += m->granted.tokens;
 	for (i = 0; i < m->npeers; i++) {
 		if (now > d->peer_heard[i] + PEER_WORK_NS)
 			continue;
--- a/core/directory.h
+++ b/core/directory.h
@@ -39,10 +39,9 @@
 	uint64_t lapse_until; /* LAPSED: gone unless listed again by then */
 	uint64_t leave_by;    /* leaving with notice: ends then, or NEVER */
 	struct work own;
-	struct work granted; /* by this process, not yet told by peers */
 	struct work *peers;
 	uint32_t npeers;
-	uint64_t read_until; /* prompts granted or sent are read by then */
+	uint64_t read_until; /* prompts sent from here are read by then */
 	uint32_t failures;   /* in a row, of reaching it */
 	uint64_t avoid_until;
 	double errors;	     /* recent share of failed attempts */
@@ -85,7 +84,7 @@
 /* Work of this process and of peers heard lately. */
 struct work directory_load(
     const struct directory *, uint64_t, const struct member_replica *);
-/* A prompt was granted or sent that takes so long to read. */
+/* A prompt was sent that takes so long to read. */
 void directory_reads(struct member_replica *, uint64_t, uint64_t);
 /* An attempt ended well, or failed; unreachable ones are avoided a while. */
 void directory_success(struct member_replica *, uint64_t);
--- a/core/msg.c
+++ b/core/msg.c
@@ -41,7 +41,6 @@
 	[MSG_SENDER_NONE] = { "sender-none", BODY(sender_none) },
 	[MSG_FRONT] = { "front", BODY(front) },
 	[MSG_HELD] = { "held", BODY(held) },
-	[MSG_ASK] = { "ask", BODY(ask) },
 	[MSG_WANT] = { "want", BODY(want) },
 };
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -49,7 +49,6 @@
 	MSG_FRONT,	/* entry -> entries: work under way and demand */
 	MSG_HELD,	/* holder of orders -> entries: adapters held, models
 			 * that leave */
-	MSG_ASK,	/* entry -> scheduler: wants an engine's replica */
 	MSG_WANT,	/* entry -> holder: a model or adapter is asked for */
 	MSG__MAX
 };
@@ -276,21 +275,6 @@
 	} *items; /* owned by the message */
 };
 
-/* Answered by QUEUED and GRANT; the same key again renews it. */
-struct msg_ask {
-	struct job_key key;
-	char service[NAME_SIZE];
-	char model[NAME_SIZE];
-	char adapter[MSG_WANTED_SIZE];
-	char zone[NAME_SIZE];
-	char exclude[NAME_SIZE];
-	uint32_t prompt_tokens;
-	uint32_t tokens;
-	uint32_t priority;
-	uint64_t target_ns; /* until an answer is late, 0 when it is */
-	uint64_t left_ns;   /* until the request ends */
-};
-
 struct msg_want {
 	char wanted[MSG_WANTED_SIZE];
 };
@@ -322,7 +306,6 @@
 		struct msg_front front;
 		struct msg_held held;
 		struct msg_want want;
-		struct msg_ask ask;
 	} u;
 };
 
--- a/core/place.h
+++ b/core/place.h
@@ -9,6 +9,7 @@
 #include "conf.h"
 
 #define PLACE_BACKENDS_MAX CELL_REPLICAS_MAX
+#define PLACE_AT_HAND 2 /* allowed, and the weights are on its disk */
 
 struct place_copy {
 	uint32_t backend;
@@ -27,7 +28,7 @@
 	uint32_t ncopies;
 	struct place_copy copies[PLACE_BACKENDS_MAX];
 	uint64_t moved; /* time of the last load or unload */
-	char allowed[PLACE_BACKENDS_MAX];
+	char allowed[PLACE_BACKENDS_MAX]; /* 0, 1 or PLACE_AT_HAND */
 };
 
 struct place_backend {
--- a/core/place_swift.c
+++ b/core/place_swift.c
@@ -32,8 +32,10 @@
 {
 	c->work = 10.0;
 	c->better = 4.0;
+	c->at_hand = 6.0;
 	c->hold_ns = 3 * NSEC_PER_SEC;
 	c->moves = 6;
+	c->unasked = 1;
 }
 
 /* Copies on backend servers that stay; resident ones only, or all. */
@@ -57,11 +59,12 @@
 
 	if (m->least == 0)
 		return 0.0;
+	if (n == 0 && m->demand > 0.0)
+		return NEED_UNSERVED + m->demand;
+	if (n < m->least && s->config->unasked)
+		return n == 0 ? NEED_ABSENT : NEED_ABSENT / 2.0;
 	if (n == 0)
-		return m->demand > 0.0 ? NEED_UNSERVED + m->demand
-				       : NEED_ABSENT;
-	if (n < m->least)
-		return NEED_ABSENT / 2.0;
+		return 0.0;
 	if (m->demand <= n * s->config->work)
 		return 0.0;
 	return m->demand / n;
@@ -101,6 +104,8 @@
 	struct place_model *m = &s->models[model];
 	struct place_backend *b;
 	uint32_t best = s->nbackends;
+	double least = 0.0;
+	double use;
 	uint32_t i;
 
 	for (i = 0; i < s->nbackends; i++) {
@@ -108,8 +113,13 @@
 		if (b->leaving || !b->usable || b->busy || !m->allowed[i] ||
 		    held_by(m, i) || b->left_mb[0] < m->memory_mb)
 			continue;
-		if (best == s->nbackends || s->use[i] < s->use[best])
-			best = i;
+		use = s->use[i];
+		if (m->allowed[i] == PLACE_AT_HAND)
+			use -= s->config->at_hand;
+		if (best != s->nbackends && use >= least)
+			continue;
+		best = i;
+		least = use;
 	}
 	if (best == s->nbackends)
 		return 0;
@@ -191,7 +201,6 @@
 	move->kind = PLACE_UNLOAD;
 	m = &s->models[move->model];
 	m->copies[at] = m->copies[--m->ncopies];
-	m->moved = s->now;
 	b = &s->backends[move->backend];
 	b->busy = 1;
 	b->freeing_mb[0] += m->memory_mb;
--- a/core/place_swift.h
+++ b/core/place_swift.h
@@ -10,8 +10,10 @@
 struct swift_config {
 	double work;	   /* requests that one copy serves well */
 	double better;	   /* work that a copy must gain to replace another */
-	uint64_t hold_ns;  /* a copy stays at least so long after a move */
+	double at_hand;	   /* work that weights at hand are worth */
+	uint64_t hold_ns;  /* copies stay at least so long after a load */
 	uint32_t moves;	   /* at most in one step */
+	int unasked;	   /* absent models are loaded without demand */
 };
 
 void swift_config_default(struct swift_config *);
--- a/core/steward.c
+++ b/core/steward.c
@@ -8,6 +8,7 @@
 #define PLACE_NS (100 * NSEC_PER_MSEC)
 /* A free right to order is taken up soon after it lapsed. */
 #define OWN_RETRY_NS (300 * NSEC_PER_MSEC)
+#define SETTLE_NS (2500 * NSEC_PER_MSEC)
 #define ASK_AGAIN_NS (400 * NSEC_PER_MSEC)
 #define BUSY_ASK_NS (700 * NSEC_PER_MSEC)
 #define REPEAT_NS (300 * NSEC_PER_MSEC)
@@ -24,6 +25,7 @@
     const struct steward_order *);
 static void adapter_add(struct fleet_replica *, const char *);
 static void adapter_remove(struct fleet_replica *, const char *);
+static void steward_settle(struct steward *, uint64_t);
 static void steward_take_over(struct steward *, uint64_t);
 
 static const char *const answer_names[ANSWER__MAX] = {
@@ -368,6 +370,20 @@
 	}
 }
 
+/*
+ * While replicas come into the list, models seem absent that are not; only
+ * those that somebody asks for are placed then.
+ */
+static void
+steward_settle(struct steward *s, uint64_t now)
+{
+	uint32_t n = HASH_COUNT(s->charges);
+
+	if (n > s->nlisted)
+		s->settled_at = now + SETTLE_NS;
+	s->nlisted = n;
+}
+
 void
 steward_tick(struct steward *s, uint64_t now, const struct fleet_conf *conf,
     struct steward_out *out)
@@ -381,6 +397,7 @@
 	if (s->fence != own_fence(s->own))
 		steward_take_over(s, now);
 	charges_step(s, now, conf);
+	steward_settle(s, now);
 	if (!steward_holds(s, now))
 		return;
 	charges_repeat(s, now, out);
--- a/core/steward_int.h
+++ b/core/steward_int.h
@@ -44,6 +44,8 @@
 	uint64_t order_from; /* no order before */
 	uint64_t fence;	     /* of the ownership that order_from is for */
 	uint64_t place_at;
+	uint32_t nlisted;    /* replicas when last looked at */
+	uint64_t settled_at; /* the list is taken to be complete */
 	uint64_t changes;
 	uint32_t nloads; /* begun from the weight store lately */
 	uint64_t loads[STEWARD_LOADS_MAX];
--- a/core/steward_place.c
+++ b/core/steward_place.c
@@ -84,13 +84,15 @@
 		m->name = fm->name;
 		m->memory_mb = fm->memory_mb;
 		m->least = 1;
-		memset(m->allowed, 1, sizeof(m->allowed));
 		d = demand_find(&s->demand, fm->name);
 		if (d != NULL) {
 			m->demand = fmax(d->work, demand_waiting(d, now));
 			m->moved = d->moved_at;
 		}
 		for (k = 0; k < p->nbackends; k++) {
+			m->allowed[k] = 1;
+			if (at_hand(p->members[k], fm->name))
+				m->allowed[k] = PLACE_AT_HAND;
 			if (strcmp(p->charges[k]->unloading, fm->name) == 0) {
 				p->backends[k].freeing_mb[0] = fm->memory_mb;
 				continue;
@@ -156,9 +158,9 @@
 			s->loads[s->nloads++] = now;
 		}
 		steward_send(s, now, c, STEWARD_LOAD, model, "", out);
+		p->loading++;
+		demand_get(&s->demand, model)->moved_at = now;
 	}
-	p->loading += move->kind == PLACE_LOAD;
-	demand_get(&s->demand, model)->moved_at = now;
 }
 
 void
@@ -166,6 +168,7 @@
     const struct fleet_service *service, struct steward_out *out)
 {
 	struct place_move moves[PLACE_MOVES_MAX];
+	struct swift_config config;
 	struct plan *p;
 	uint32_t n;
 	uint32_t i;
@@ -176,7 +179,9 @@
 	    (p->engine->nmodels + 1) * sizeof(*p->models));
 	plan_backends(p, s, now, service);
 	plan_models(p, s, now);
-	n = place_swift(&s->config.place, now, p->models, p->engine->nmodels,
+	config = s->config.place;
+	config.unasked = now >= s->settled_at;
+	n = place_swift(&config, now, p->models, p->engine->nmodels,
 	    p->backends, p->nbackends, moves, PLACE_MOVES_MAX);
 	for (i = 0; i < n; i++)
 		plan_carry_out(p, s, now, &moves[i], out);
--- a/core/wire.c
+++ b/core/wire.c
@@ -50,7 +50,6 @@
 static void *wire_list(struct walk *, uint32_t *, size_t, void *);
 static void wire_front(struct walk *, struct msg *);
 static void wire_held(struct walk *, struct msg *);
-static void wire_ask(struct walk *, struct msg *);
 static void wire_want(struct walk *, struct msg *);
 static int wire_split(
     const char *, size_t, msgpack_zone *, msgpack_object *, uint32_t *);
@@ -83,7 +82,6 @@
 	[MSG_SENDER_NONE] = wire_sender_none,
 	[MSG_FRONT] = wire_front,
 	[MSG_HELD] = wire_held,
-	[MSG_ASK] = wire_ask,
 	[MSG_WANT] = wire_want,
 };
 
@@ -493,24 +491,6 @@
 	}
 }
 
-static void
-wire_ask(struct walk *w, struct msg *m)
-{
-	struct msg_ask *a = &m->u.ask;
-
-	wire_key(w, &a->key);
-	wire_str(w, a->service, sizeof(a->service));
-	wire_str(w, a->model, sizeof(a->model));
-	wire_str(w, a->adapter, sizeof(a->adapter));
-	wire_str(w, a->zone, sizeof(a->zone));
-	wire_str(w, a->exclude, sizeof(a->exclude));
-	wire_u32(w, &a->prompt_tokens);
-	wire_u32(w, &a->tokens);
-	wire_u32(w, &a->priority);
-	wire_u64(w, &a->target_ns);
-	wire_u64(w, &a->left_ns);
-}
-
 static void
 wire_want(struct walk *w, struct msg *m)
 {
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -13,6 +13,7 @@
 #include "fields.h"
 #include "link.h"
 #include "log.h"
+#include "pace.h"
 
 struct caller;
 struct forward;
@@ -20,7 +21,6 @@
 struct peers;
 struct steer;
 struct admin;
-struct grant_desk;
 
 TAILQ_HEAD(forward_list, forward);
 TAILQ_HEAD(caller_list, caller);
@@ -55,7 +55,7 @@
 	struct peers *peers;
 	struct steer *steer;
 	struct admin *admin;
-	struct grant_desk *grants;
+	struct pace pace;
 	uint32_t nprocesses; /* entry processes that share limits */
 	uint64_t draws;	     /* state of the generator of draws */
 	int pump; /* what waits may find a replica now */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "grant.h"
+#include "forward_int.h"
 #include "mem.h"
 #include "steer.h"
 
@@ -135,7 +135,6 @@
 {
 	struct entry *e = f->e;
 
-	grant_drop(f);
 	ev_timer_stop(e->loop, &f->timer);
 	if (f->waiting)
 		TAILQ_REMOVE(&e->waiting, f, entry);
@@ -186,7 +185,8 @@
 	w.zone = f->e->boot.zone;
 	w.prompt_tokens = f->want.prompt_tokens;
 	w.tokens = balance_tokens(&f->want);
-	w.read_ns = s->engine == NULL ? 0 : grant_read_ns(f->e, &f->want);
+	w.read_ns = s->engine == NULL ? 0 : pace_read_ns(&f->e->pace,
+		f->want.model, f->want.prompt_tokens);
 	w.waited_ns = f->e->now - f->arrived;
 	w.conns_share = conns_share(f->e, s);
 	w.ntried = f->ntried;
@@ -207,25 +207,16 @@
 	result = forward_pick(f, s, &m);
 	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
 		steer_want(f->e, &f->want);
-	if (s != NULL && s->engine != NULL && grant_ask(f))
+	if (result != BALANCE_FOUND) {
 		forward_park(f, result);
-	else if (result != BALANCE_FOUND)
-		forward_park(f, result);
-	else
-		forward_granted(f, m);
-}
-
-void
-forward_granted(struct forward *f, struct member_replica *m)
-{
+		return;
+	}
 	if (f->waiting) {
 		TAILQ_REMOVE(&f->e->waiting, f, entry);
 		TAILQ_INSERT_TAIL(&f->e->running, f, entry);
 		f->waiting = 0;
 		forward_timer(f, f->deadline);
 	}
-	f->key.rid = 0;
-	f->alone = 0;
 	forward_send(f, m);
 }
 
@@ -237,8 +228,7 @@
 
 	if (f->waiting)
 		return;
-	if (why != BALANCE_FOUND)
-		forward_log(f, LOG_REQUEST_WAITS, "", wait_reasons[why]);
+	forward_log(f, LOG_REQUEST_WAITS, "", wait_reasons[why]);
 	TAILQ_REMOVE(&f->e->running, f, entry);
 	f->waiting = 1;
 	TAILQ_FOREACH (other, &f->e->waiting, entry) {
@@ -263,7 +253,6 @@
 		next = TAILQ_NEXT(f, entry);
 		forward_try(f);
 	}
-	grant_run(e);
 }
 
 /* Nothing of it ran. */
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -4,7 +4,6 @@
 
 #include "entry_int.h"
 #include "events.h"
-#include "msg.h"
 
 struct forward {
 	TAILQ_ENTRY(forward) entry;
@@ -18,13 +17,6 @@
 	uint64_t wait_until; /* refused when it still waits then */
 	ev_timer timer;
 	int waiting;
-	/* the grant that it waits for */
-	struct job_key key; /* rid 0 while none was asked for */
-	char scheduler[ADDR_SIZE];
-	uint64_t asked_first;
-	uint64_t asked_at;
-	int answered; /* the scheduler has it in its queue */
-	int alone;    /* chooses without a grant */
 	uint32_t sends;
 	uint32_t runs;
 	uint32_t ntried;
@@ -57,8 +49,6 @@
 /* Takes the attempt's share off the replica. */
 void forward_release(struct forward *);
 /* forward.c */
-/* A replica was granted to a waiting request. */
-void forward_granted(struct forward *, struct member_replica *);
 /* The attempt has ended; decides what follows. */
 void forward_ended(struct forward *, enum attempt_end);
 /* answer.c */
--- a/entry/main.c
+++ b/entry/main.c
@@ -9,7 +9,6 @@
 #include "cli.h"
 #include "clock.h"
 #include "entry_int.h"
-#include "grant.h"
 #include "mem.h"
 #include "peers.h"
 #include "session.h"
@@ -80,8 +79,7 @@
 	d->e.pump = 0;
 	entry_now(&d->e);
 	forward_pump(&d->e);
-	if (ev_is_active(&d->soon) ||
-	    (TAILQ_EMPTY(&d->e.waiting) && grant_waiting(&d->e) == 0))
+	if (ev_is_active(&d->soon) || TAILQ_EMPTY(&d->e.waiting))
 		return;
 	ev_timer_set(&d->soon, SOON_S, 0.0);
 	ev_timer_start(loop, &d->soon);
@@ -161,7 +159,6 @@
 	if (e->peers == NULL)
 		return -1;
 	e->steer = steer_create(e);
-	e->grants = grant_create(e);
 	e->session = session_create(e);
 	e->admin = admin_create(e, err);
 	if (e->admin == NULL)
@@ -196,11 +193,11 @@
 	callers_destroy(e);
 	admin_destroy(e->admin);
 	steer_destroy(e->steer);
-	grant_destroy(e->grants);
 	session_destroy(e->session);
 	peers_destroy(e->peers);
 	link_pool_destroy(e->replicas);
 	link_pool_destroy(e->store);
+	pace_clear(&e->pace);
 	directory_clear(&e->dir);
 	fleet_conf_destroy(e->conf);
 	free(e->conf_text);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -7,7 +7,6 @@
 
 #include "announce.h"
 #include "bus.h"
-#include "grant.h"
 #include "mem.h"
 #include "peers.h"
 #include "ring.h"
@@ -21,7 +20,6 @@
 #define TELL_NS (100 * NSEC_PER_MSEC)	      /* between two reports */
 #define TELL_MOST_NS (500 * NSEC_PER_MSEC)
 #define TELL_PEERS 9 /* with more peers, reports are rarer */
-#define SCHEDULER_MISSES 4 /* reports missed by a scheduler that is gone */
 #define PULL_AGAIN_NS (300 * NSEC_PER_MSEC)
 #define INBOX_RING 4096
 #define PULL_CONFIG 0 /* msg_conf.nonce: what is asked for */
@@ -33,7 +31,6 @@
 	uint32_t index;	      /* in the directory's tables */
 	int listed;
 	int heard;
-	int stopping;
 	uint64_t heard_at;
 	uint64_t incarnation;
 	uint64_t seq; /* of its newest report */
@@ -234,22 +231,6 @@
 	return pause < TELL_MOST_NS ? pause : TELL_MOST_NS;
 }
 
-const char *
-peers_scheduler(const struct peers *p)
-{
-	uint64_t fresh = tell_pause(p) * SCHEDULER_MISSES;
-	const char *best = p->e->stopping ? NULL : p->e->self.addr;
-	const struct peer *q;
-
-	for (q = p->peers; q != NULL; q = q->hh.next) {
-		if (q->heard && !q->stopping &&
-		    p->e->now < q->heard_at + fresh &&
-		    (best == NULL || strcmp(q->addr, best) < 0))
-			best = q->addr;
-	}
-	return best == p->e->self.addr ? "" : best;
-}
-
 static void
 take(struct peers *p, struct msg *m)
 {
@@ -278,12 +259,6 @@
 	case MSG_CONF_CHUNK:
 		take_chunk(p, m);
 		break;
-	case MSG_ASK:
-	case MSG_QUEUED:
-	case MSG_GRANT:
-	case MSG_CANCEL:
-		grant_message(p->e, m);
-		break;
 	default:
 		steer_message(p->e, m);
 		break;
@@ -310,8 +285,6 @@
 		directory_peer_work(
 		    &e->dir, q->index, f->work[i].replica, &w);
 	}
-	q->stopping = f->stopping != 0;
-	grant_told(e, q->addr);
 	steer_demand(e, m);
 	if (e->conf == NULL || f->version > e->conf->version)
 		pull(p, q, PULL_CONFIG, &p->pull_config_at);
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -26,11 +26,6 @@
 void peers_send(struct peers *, struct msg *);
 /* Peers that are listed or heard, without this process. */
 uint32_t peers_count(const struct peers *);
-/*
- * The process that keeps the shared queue: "" for this one, NULL for none.
- * A hint only; two at once cost evenness, not safety.
- */
-const char *peers_scheduler(const struct peers *);
 /* Place of the peer at a bus address among the sources of reports. */
 uint32_t peers_index(const struct peers *, const char *);
 /* Live peers whose address sorts before the given one. */
--- a/entry/send.c
+++ b/entry/send.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "grant.h"
+#include "forward_int.h"
 #include "mem.h"
 
 /*
@@ -51,7 +51,8 @@
 	m->own.unread += f->share.unread;
 	m->own.tokens += f->share.tokens;
 	if (f->want.model[0] != '\0')
-		directory_reads(m, f->e->now, grant_read_ns(f->e, &f->want));
+		directory_reads(m, f->e->now, pace_read_ns(&f->e->pace,
+		    f->want.model, f->want.prompt_tokens));
 	if (f->sends++ != 0)
 		budget_repeat(&f->e->budget, f->e->now, f->service);
 	f->e->counts.attempts++;
@@ -154,7 +155,8 @@
 	if (f->share.unread != 0) {
 		f->replica->own.unread -= f->share.unread;
 		f->share.unread = 0;
-		grant_first(f);
+		pace_learn(&f->e->pace, f->want.model, f->want.prompt_tokens,
+		    f->e->now - f->sent_at);
 	}
 	if (f->caller == NULL)
 		return;
