--- a/Makefile
+++ b/Makefile
@@ -105,6 +105,11 @@
 
 TESTS = $(patsubst tests/test_%.c,$(BUILD)/test_%,$(wildcard tests/test_*.c))
 
+$(BUILD)/test_platform: $(BUILD)/tests/test_platform.o $(BUILD)/tests/unit.o \
+    $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(BUILD)/tests/unit.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lcunit
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -10,6 +10,7 @@
 #define FLEET_TARGETS_MAX 8   /* services that one route is split over */
 #define FLEET_RESIDENT_MAX 16 /* models on one replica */
 #define FLEET_ADAPTERS_MAX 32 /* adapters on one replica */
+#define FLEET_COMING_MAX 4    /* adapters on their way to one replica */
 #define FLEET_NAME_SIZE 96    /* MODEL/ADAPTER */
 
 enum route_kind {
@@ -109,6 +110,8 @@
 	char resident[FLEET_RESIDENT_MAX][NAME_SIZE];
 	uint32_t nadapters;
 	char adapters[FLEET_ADAPTERS_MAX][FLEET_NAME_SIZE];
+	uint32_t ncoming; /* reports: adapters on their way */
+	char coming[FLEET_COMING_MAX][FLEET_NAME_SIZE];
 	uint32_t natdisk; /* models whose weights are at hand */
 	char atdisk[FLEET_RESIDENT_MAX][NAME_SIZE];
 };
--- a/core/steward.c
+++ b/core/steward.c
@@ -10,6 +10,8 @@
 #define OWN_RETRY_NS (300 * NSEC_PER_MSEC)
 #define SETTLE_NS (2500 * NSEC_PER_MSEC)
 #define ASK_AGAIN_NS (400 * NSEC_PER_MSEC)
+/* The list shows what a report told within a few heartbeats. */
+#define REPORTED_NS (4 * NSEC_PER_SEC)
 #define BUSY_ASK_NS (700 * NSEC_PER_MSEC)
 #define REPEAT_NS (300 * NSEC_PER_MSEC)
 /* A change shows in the list a few times its usual duration later at most. */
@@ -23,6 +25,9 @@
 static void charges_repeat(struct steward *, uint64_t, struct steward_out *);
 static void charge_started(struct steward *, uint64_t, struct charge *,
     const struct steward_order *);
+static const char *charge_pending(
+    const struct charge *, enum steward_kind);
+static int reports_model(const struct charge *, const char *);
 static void adapter_add(struct fleet_replica *, const char *);
 static void adapter_remove(struct fleet_replica *, const char *);
 static void steward_settle(struct steward *, uint64_t);
@@ -113,19 +118,36 @@
 	    s->fence == own_fence(s->own);
 }
 
+/* The model of an order that may yet be carried out. */
+static const char *
+charge_pending(const struct charge *c, enum steward_kind kind)
+{
+	if ((c->order == 0 && !c->unanswered) || c->last.kind != kind ||
+	    c->last.adapter[0] != '\0')
+		return "";
+	return c->last.model;
+}
+
+const char *
+charge_loading(const struct charge *c)
+{
+	return c->loading[0] != '\0' ? c->loading
+				     : charge_pending(c, STEWARD_LOAD);
+}
+
+const char *
+charge_unloading(const struct charge *c)
+{
+	return c->unloading[0] != '\0' ? c->unloading
+				       : charge_pending(c, STEWARD_UNLOAD);
+}
+
 const char *
 steward_leaving(const struct steward *s, const char *replica)
 {
 	const struct charge *c = charge_find(s, replica);
 
-	if (c == NULL)
-		return "";
-	if (c->unloading[0] != '\0')
-		return c->unloading;
-	return (c->order != 0 || c->unanswered) &&
-		c->last.kind == STEWARD_UNLOAD && c->last.adapter[0] == '\0'
-	    ? c->last.model
-	    : "";
+	return c == NULL ? "" : charge_unloading(c);
 }
 
 uint64_t
@@ -188,6 +210,19 @@
 	    !c->doubtful && now >= c->again_at;
 }
 
+/* Whether its last report named a model that the list may not show yet. */
+static int
+reports_model(const struct charge *c, const char *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->nreported; i++) {
+		if (strcmp(c->reported[i], model) == 0)
+			return 1;
+	}
+	return 0;
+}
+
 uint64_t
 charge_left_mb(const struct charge *c, const struct member_replica *m,
     const struct fleet_engine *g)
@@ -202,7 +237,8 @@
 		if (fm->adapter_mb > adapter_mb && fm->adapters != 0)
 			adapter_mb = fm->adapter_mb;
 		if (fleet_has_model(&m->info, fm->name) ||
-		    strcmp(c->loading, fm->name) == 0)
+		    strcmp(charge_loading(c), fm->name) == 0 ||
+		    reports_model(c, fm->name))
 			used += fm->memory_mb;
 	}
 	/* Models that the configuration does not know use unknown memory. */
@@ -298,8 +334,11 @@
 		c->loading[0] = '\0';
 		c->unloading[0] = '\0';
 		c->ncoming = 0;
+		c->nreported = 0;
 		s->changes++;
 	}
+	if (now >= c->reported_until)
+		c->nreported = 0;
 	if (fleet_has_model(&m->info, c->loading))
 		c->loading[0] = '\0';
 	if (!fleet_has_model(&m->info, c->unloading))
@@ -434,7 +473,7 @@
 		s->changes++;
 	} else if (o->adapter[0] != '\0') {
 		s->totals.adapter_loads++;
-		if (c->ncoming == STEWARD_COMING_MAX)
+		if (c->ncoming == FLEET_COMING_MAX)
 			return;
 		in = &c->coming[c->ncoming++];
 		memcpy(in->adapter, o->adapter, sizeof(in->adapter));
@@ -490,6 +529,7 @@
 {
 	struct charge *c = charge_find(s, o->replica);
 	struct member_replica *m = directory_find(s->dir, o->replica);
+	uint32_t i;
 
 	if (c == NULL || m == NULL || c->asked != o->id)
 		return;
@@ -497,14 +537,21 @@
 	if (r == NULL || o->born_ms != c->born_ms)
 		return;
 	/* Its word is some hundred ms old; an order of ours may be newer. */
-	if (r->orders < c->sequence && now < c->again_at + ASK_AGAIN_NS)
+	if (r->orders < c->sequence ||
+	    (r->born_ms != 0 && r->born_ms != c->born_ms))
 		return;
 	c->doubtful = 0;
 	c->sequence = r->orders;
-	m->info.nresident = r->nresident;
-	memcpy(m->info.resident, r->resident, sizeof(r->resident));
+	c->nreported = r->nresident;
+	memcpy(c->reported, r->resident, sizeof(c->reported));
+	c->reported_until = now + REPORTED_NS;
 	m->info.nadapters = r->nadapters;
 	memcpy(m->info.adapters, r->adapters, sizeof(r->adapters));
+	c->ncoming = r->ncoming;
+	for (i = 0; i < r->ncoming; i++) {
+		memcpy(c->coming[i].adapter, r->coming[i], FLEET_NAME_SIZE);
+		c->coming[i].ready_at = now + s->config.adapter_ns;
+	}
 	/* An order of an earlier holder is under way. */
 	if (r->busy) {
 		c->doubtful = 1;
--- a/core/steward_adapt.c
+++ b/core/steward_adapt.c
@@ -78,9 +78,9 @@
 		if (strcmp(m->info.service, service->name) != 0 ||
 		    !directory_usable(m, now) || c == NULL ||
 		    !charge_free(s, now, c) ||
-		    c->ncoming == STEWARD_COMING_MAX ||
+		    c->ncoming == FLEET_COMING_MAX ||
 		    !fleet_has_model(&m->info, model) ||
-		    strcmp(c->unloading, model) == 0)
+		    strcmp(charge_unloading(c), model) == 0)
 			continue;
 		score = directory_load(s->dir, now, m).running +
 		    4.0 * places_used(c, m);
--- a/core/steward_int.h
+++ b/core/steward_int.h
@@ -5,7 +5,6 @@
 #include "own.h"
 #include "steward.h"
 
-#define STEWARD_COMING_MAX 4 /* adapters on their way to one replica */
 #define STEWARD_LOADS_MAX 256
 
 /* An adapter that a replica is loading. */
@@ -28,9 +27,12 @@
 	uint64_t again_at;
 	char loading[NAME_SIZE]; /* a model, "" for none */
 	char unloading[NAME_SIZE];
+	uint32_t nreported; /* models of its last report */
+	char reported[FLEET_RESIDENT_MAX][NAME_SIZE];
+	uint64_t reported_until; /* the list tells of them by then */
 	uint64_t until; /* the change shows in the list by then */
 	uint32_t ncoming;
-	struct coming coming[STEWARD_COMING_MAX];
+	struct coming coming[FLEET_COMING_MAX];
 	UT_hash_handle hh;
 };
 
@@ -59,6 +61,9 @@
 struct steward_order *steward_send(struct steward *, uint64_t,
     struct charge *, enum steward_kind, const char *, const char *,
     struct steward_out *);
+/* The model that it loads or drops, an unanswered order's too, or "". */
+const char *charge_loading(const struct charge *);
+const char *charge_unloading(const struct charge *);
 /* Memory that nothing on the replica uses or will use, in MB. */
 uint64_t charge_left_mb(const struct charge *, const struct member_replica *,
     const struct fleet_engine *);
--- a/core/steward_place.c
+++ b/core/steward_place.c
@@ -53,7 +53,7 @@
 		    !charge_free(s, now, c) || c->ncoming != 0;
 		b->naccelerators = 1;
 		b->left_mb[0] = charge_left_mb(c, m, p->engine);
-		p->loading += c->loading[0] != '\0';
+		p->loading += *charge_loading(c) != '\0';
 		p->members[p->nbackends] = m;
 		p->charges[p->nbackends++] = c;
 	}
@@ -93,13 +93,15 @@
 			m->allowed[k] = 1;
 			if (at_hand(p->members[k], fm->name))
 				m->allowed[k] = PLACE_AT_HAND;
-			if (strcmp(p->charges[k]->unloading, fm->name) == 0) {
+			if (strcmp(charge_unloading(p->charges[k]), fm->name) ==
+			    0) {
 				p->backends[k].freeing_mb[0] = fm->memory_mb;
 				continue;
 			}
 			if (fleet_has_model(&p->members[k]->info, fm->name))
 				plan_copy(p, i, k, 1);
-			else if (strcmp(p->charges[k]->loading, fm->name) == 0)
+			else if (strcmp(charge_loading(p->charges[k]), fm->name) ==
+			    0)
 				plan_copy(p, i, k, 0);
 		}
 	}
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -17,6 +17,8 @@
 #define WAIT_SHARE_DEN 5
 /* A caller's own deadline ends first; ours only cleans up after it. */
 #define PATIENCE_SLACK_NS (200 * NSEC_PER_MSEC)
+/* A stream that begins so long after SIGTERM may not end in time. */
+#define STOPPING_STREAM_NS (2600 * NSEC_PER_MSEC)
 #define PATIENCE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
 static int forward_admit(struct forward *, struct err *);
@@ -80,6 +82,9 @@
 	if (r == NULL)
 		return 404;
 	f->route = *r;
+	if (f->e->stopping && r->kind == ROUTE_STREAM &&
+	    f->e->now >= f->e->stop_at + STOPPING_STREAM_NS)
+		return 503;
 	t = fleet_target(r, entry_draw(f->e));
 	if (t == NULL)
 		return 503;
@@ -114,7 +119,9 @@
 	e->counts.arrived++;
 	status = forward_admit(f, &err);
 	if (status == 503) {
-		forward_refuse(f, "no configuration is known yet\n");
+		forward_refuse(f, f->e->stopping
+			? "this process is stopping\n"
+			: "no configuration is known yet\n");
 		return;
 	}
 	if (status != 0) {
--- a/entry/main.c
+++ b/entry/main.c
@@ -18,7 +18,7 @@
 #define TICK_S 0.02
 #define SOON_S 0.006
 /* The balancer notices within two questions, a second apart. */
-#define LISTEN_ON_NS (3 * NSEC_PER_SEC)
+#define LISTEN_ON_NS (2500 * NSEC_PER_MSEC)
 #define GRACE_MARGIN_NS (400 * NSEC_PER_MSEC)
 #define CONNECT_NS (400 * NSEC_PER_MSEC)
 #define IDLE_NS (20 * NSEC_PER_SEC)
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -624,6 +624,28 @@
         w.stop()
 
 
+def test_stop_late_stream():
+    """A stream whose request is whole late after SIGTERM is refused."""
+    async def long(call):
+        await call.read()
+        return await call.events(1, 100, gap=0.05)
+    w, a, _ = both(long, config=default_config(
+        header_timeout_ms=5000, idle_timeout_ms=5000))
+    try:
+        s = w.connect()
+        text = request("/go/x", "id-1", "POST", b"p")
+        s.sendall(text[:-1])
+        time.sleep(0.2)
+        w.process.send_signal(signal.SIGTERM)
+        time.sleep(2.65)
+        s.sendall(text[-1:])
+        status, fields, _, _ = read_answer(s)
+        check("refused: %d" % status, status == 503 and not a.seen)
+        check("may come back", "retry-after" in fields)
+    finally:
+        w.stop()
+
+
 def test_reload():
     """SIGHUP reads the settings again and serves on."""
     w, _, _ = both(good)
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,454 @@
+/* Routes, the directory of replicas, the choice among them, the budget. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "attempt.h"
+#include "balance.h"
+#include "budget.h"
+#include "mem.h"
+#include "unit.h"
+
+#define MS NSEC_PER_MSEC
+#define S NSEC_PER_SEC
+
+static struct fleet_replica replica(const char *, const char *);
+static void test_routes(void);
+static void test_split(void);
+static void test_lapse(void);
+static void test_gone(void);
+static void test_restart(void);
+static void test_avoid(void);
+static void test_peers(void);
+static void test_shun(void);
+static void test_choice(void);
+static void test_reasons(void);
+static void test_attempts(void);
+static void test_once_never_again(void);
+static void test_budget_window(void);
+static void test_budget_shared(void);
+
+static struct fleet_replica
+replica(const char *id, const char *model)
+{
+	struct fleet_replica r;
+
+	memset(&r, 0, sizeof(r));
+	snprintf(r.id, sizeof(r.id), "%s", id);
+	snprintf(r.service, sizeof(r.service), "llm");
+	snprintf(r.addr, sizeof(r.addr), "10.0.0.1:80");
+	snprintf(r.zone, sizeof(r.zone), "z1");
+	r.slots = 4;
+	r.born_ms = 1;
+	if (*model != '\0')
+		snprintf(r.resident[r.nresident++], NAME_SIZE, "%s", model);
+	return r;
+}
+
+static void
+test_routes(void)
+{
+	static const char *const prefixes[] = { "/a/", "/a/b/", "/" };
+	struct fleet_conf *c = fleet_conf_create();
+	const struct fleet_route *r;
+	int i;
+
+	c->routes = mem_alloc(4 * sizeof(*c->routes));
+	for (i = 0; i < 3; i++) {
+		strcpy(c->routes[i].host, "shop.example");
+		strcpy(c->routes[i].prefix, prefixes[i]);
+	}
+	strcpy(c->routes[3].host, "other.example");
+	strcpy(c->routes[3].prefix, "/a/b/c/");
+	c->nroutes = 4;
+	fleet_conf_finish(c);
+	r = fleet_route(c, "shop.example", "/a/b/c/d");
+	CU_ASSERT_STRING_EQUAL(r->prefix, "/a/b/");
+	r = fleet_route(c, "SHOP.example:8080", "/a/bc");
+	CU_ASSERT_STRING_EQUAL(r->prefix, "/a/");
+	r = fleet_route(c, "shop.example", "/x");
+	CU_ASSERT_STRING_EQUAL(r->prefix, "/");
+	CU_ASSERT_PTR_NULL(fleet_route(c, "shop.example.org", "/a/"));
+	CU_ASSERT_PTR_NULL(fleet_route(c, "other.example", "/a/b/c"));
+	fleet_conf_destroy(c);
+}
+
+static void
+test_split(void)
+{
+	struct fleet_route r;
+
+	memset(&r, 0, sizeof(r));
+	CU_ASSERT_PTR_NULL(fleet_target(&r, 0.5));
+	r.ntargets = 3;
+	r.targets[0].weight = 90;
+	r.targets[1].weight = 0;
+	r.targets[2].weight = 10;
+	CU_ASSERT_PTR_EQUAL(fleet_target(&r, 0.0), &r.targets[0]);
+	CU_ASSERT_PTR_EQUAL(fleet_target(&r, 0.89), &r.targets[0]);
+	CU_ASSERT_PTR_EQUAL(fleet_target(&r, 0.91), &r.targets[2]);
+	CU_ASSERT_PTR_EQUAL(fleet_target(&r, 0.999), &r.targets[2]);
+}
+
+/* An entry that lapsed while the service was away counts for two seconds. */
+static void
+test_lapse(void)
+{
+	struct directory d;
+	struct fleet_replica r = replica("a", "m");
+	struct member_replica *m;
+
+	directory_init(&d);
+	m = directory_put(&d, S, &r);
+	directory_service(&d, 2 * S, 0);
+	directory_remove(&d, 3 * S, "a");
+	CU_ASSERT(directory_usable(m, 3 * S));
+	directory_tick(&d, 60 * S);
+	CU_ASSERT(directory_usable(m, 60 * S));
+	directory_service(&d, 61 * S, 1);
+	directory_tick(&d, 63 * S - MS);
+	CU_ASSERT(directory_usable(m, 63 * S - MS));
+	/* Listed again in time. */
+	directory_put(&d, 63 * S - MS, &r);
+	directory_tick(&d, 70 * S);
+	CU_ASSERT(directory_usable(m, 70 * S));
+	/* Missing after that time. */
+	directory_service(&d, 71 * S, 0);
+	directory_remove(&d, 72 * S, "a");
+	directory_service(&d, 73 * S, 1);
+	directory_tick(&d, 75 * S);
+	CU_ASSERT_PTR_NULL(directory_find(&d, "a"));
+	/* Removed just after the return: the removal may be from before. */
+	m = directory_put(&d, 75 * S, &r);
+	directory_service(&d, 76 * S, 0);
+	directory_service(&d, 77 * S, 1);
+	directory_remove(&d, 78 * S, "a");
+	CU_ASSERT(directory_usable(m, 78 * S));
+	directory_tick(&d, 79 * S);
+	CU_ASSERT_PTR_NULL(directory_find(&d, "a"));
+	directory_clear(&d);
+}
+
+static void
+test_gone(void)
+{
+	struct directory d;
+	struct fleet_replica r = replica("a", "m");
+	struct member_replica *m;
+
+	directory_init(&d);
+	m = directory_put(&d, S, &r);
+	r.state = REPLICA_LEAVING;
+	directory_put(&d, 2 * S, &r);
+	CU_ASSERT(!directory_usable(m, 2 * S));
+	r.state = REPLICA_READY;
+	directory_put(&d, 3 * S, &r);
+	CU_ASSERT(directory_usable(m, 3 * S));
+	m->own.running = 1;
+	directory_remove(&d, 10 * S, "a");
+	CU_ASSERT(!directory_usable(m, 10 * S));
+	directory_tick(&d, 11 * S);
+	CU_ASSERT_PTR_EQUAL(directory_find(&d, "a"), m); /* work on it */
+	m->own.running = 0;
+	directory_tick(&d, 12 * S);
+	CU_ASSERT_PTR_NULL(directory_find(&d, "a"));
+	directory_clear(&d);
+}
+
+/* What was learned of an earlier start does not outlive it. */
+static void
+test_restart(void)
+{
+	struct directory d;
+	struct fleet_replica r = replica("a", "m");
+	struct member_replica *m;
+
+	directory_init(&d);
+	m = directory_put(&d, S, &r);
+	strcpy(m->info.adapters[m->info.nadapters++], "m/a1");
+	strcpy(m->info.adapters[m->info.nadapters++], "gone/a1");
+	m->info.orders = 7;
+	directory_put(&d, 2 * S, &r);
+	CU_ASSERT(fleet_has_adapter(&m->info, "m/a1"));
+	CU_ASSERT(!fleet_has_adapter(&m->info, "gone/a1"));
+	CU_ASSERT_EQUAL(m->info.orders, 7);
+	directory_failure(m, 2 * S, 1);
+	CU_ASSERT(!directory_usable(m, 2 * S));
+	r.born_ms = 2;
+	r.nresident = 0;
+	directory_put(&d, 2 * S + MS, &r);
+	CU_ASSERT(directory_usable(m, 2 * S + MS));
+	CU_ASSERT_EQUAL(m->info.nadapters, 0);
+	CU_ASSERT_EQUAL(m->info.orders, 0);
+	directory_clear(&d);
+}
+
+/* Pauses grow with failures in a row, up to two seconds. */
+static void
+test_avoid(void)
+{
+	struct directory d;
+	struct fleet_replica r = replica("a", "m");
+	struct member_replica *m;
+	uint64_t last = 0;
+	int i;
+
+	directory_init(&d);
+	m = directory_put(&d, S, &r);
+	directory_failure(m, S, 0);
+	CU_ASSERT(directory_usable(m, S)); /* it answered */
+	for (i = 0; i < 10; i++) {
+		directory_failure(m, S, 1);
+		CU_ASSERT(m->avoid_until - S >= last);
+		last = m->avoid_until - S;
+	}
+	CU_ASSERT_EQUAL(last, 2 * S);
+	directory_success(m, S);
+	CU_ASSERT(directory_usable(m, S));
+	directory_clear(&d);
+}
+
+static void
+test_peers(void)
+{
+	struct directory d;
+	struct fleet_replica r = replica("a", "m");
+	struct work w = { 3, 100, 200 };
+	struct member_replica *m;
+
+	directory_init(&d);
+	m = directory_put(&d, S, &r);
+	m->own.running = 1;
+	directory_peer_clear(&d, S, 5);
+	directory_peer_work(&d, 5, "a", &w);
+	directory_peer_work(&d, 5, "unknown", &w);
+	directory_peer_work(&d, DIRECTORY_PEERS_MAX, "a", &w);
+	CU_ASSERT_EQUAL(directory_load(&d, S, m).running, 4);
+	CU_ASSERT_EQUAL(directory_load(&d, S, m).tokens, 200);
+	/* A silent peer's word ends. */
+	CU_ASSERT_EQUAL(directory_load(&d, 4 * S, m).running, 1);
+	directory_peer_clear(&d, 5 * S, 5);
+	CU_ASSERT_EQUAL(directory_load(&d, 5 * S, m).running, 1);
+	directory_clear(&d);
+}
+
+static void
+test_shun(void)
+{
+	struct directory d;
+	struct fleet_replica r = replica("a", "m");
+	struct member_replica *m;
+	char name[8];
+	int i;
+
+	directory_init(&d);
+	m = directory_put(&d, S, &r);
+	directory_shun(m, "m", 2 * S);
+	CU_ASSERT(directory_shunned(m, S, "m"));
+	CU_ASSERT(!directory_shunned(m, 2 * S, "m"));
+	CU_ASSERT(!directory_shunned(m, S, "n"));
+	CU_ASSERT(!directory_shunned(m, S, ""));
+	/* A full table gives up what ends first. */
+	for (i = 0; i < DIRECTORY_SHUNS_MAX; i++) {
+		snprintf(name, sizeof(name), "x%d", i);
+		directory_shun(m, name, (uint64_t)(3 + i) * S);
+	}
+	CU_ASSERT(!directory_shunned(m, S, "m"));
+	CU_ASSERT(directory_shunned(m, S, "x0"));
+	directory_clear(&d);
+}
+
+static void
+test_choice(void)
+{
+	struct fleet_engine g = { .slots = 4, .kv_tokens = 1000 };
+	struct directory d;
+	struct fleet_replica a = replica("a", "m");
+	struct fleet_replica b = replica("b", "m");
+	struct member_replica *ma, *mb, *m;
+	struct balance_want w;
+
+	memset(&w, 0, sizeof(w));
+	w.service = "llm";
+	w.engine = &g;
+	w.model = "m";
+	w.adapter = "";
+	w.zone = "z1";
+	w.tokens = 300;
+	w.conns_share = 10;
+	strcpy(b.zone, "z2");
+	directory_init(&d);
+	ma = directory_put(&d, S, &a);
+	mb = directory_put(&d, S, &b);
+	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_FOUND);
+	CU_ASSERT_PTR_EQUAL(m, ma); /* the own data centre */
+	ma->own.running = 4;
+	balance_pick(&d, S, &w, 0.0, &m);
+	CU_ASSERT_PTR_EQUAL(m, mb); /* a has no slot */
+	ma->own.running = 1;
+	ma->own.tokens = 700;
+	balance_pick(&d, S, &w, 0.0, &m);
+	CU_ASSERT_PTR_EQUAL(m, mb); /* nor memory here */
+	mb->own.running = 4;
+	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_FULL);
+	mb->own.running = 0;
+	ma->own.tokens = 0;
+	w.ntried = 1;
+	strcpy(w.tried[0], "a");
+	balance_pick(&d, S, &w, 0.0, &m);
+	CU_ASSERT_PTR_EQUAL(m, mb); /* a was tried */
+	mb->presence = PRESENT_GONE;
+	balance_pick(&d, S, &w, 0.0, &m);
+	CU_ASSERT_PTR_EQUAL(m, ma); /* better than none */
+	directory_clear(&d);
+}
+
+static void
+test_reasons(void)
+{
+	struct fleet_engine g = { .slots = 4, .kv_tokens = 1000 };
+	struct directory d;
+	struct fleet_replica a = replica("a", "m");
+	struct member_replica *m;
+	struct balance_want w;
+
+	memset(&w, 0, sizeof(w));
+	w.service = "llm";
+	w.engine = &g;
+	w.model = "m";
+	w.adapter = "m/a1";
+	w.zone = "z1";
+	w.conns_share = 10;
+	directory_init(&d);
+	CU_ASSERT_EQUAL(
+	    balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_REPLICA);
+	directory_put(&d, S, &a);
+	CU_ASSERT_EQUAL(
+	    balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_ADAPTER);
+	w.model = "n";
+	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_MODEL);
+	w.service = "other";
+	CU_ASSERT_EQUAL(
+	    balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_REPLICA);
+	directory_clear(&d);
+}
+
+/* Every case of kind, progress and end has one right step. */
+static void
+test_attempts(void)
+{
+	struct attempt_facts f = { ROUTE_REPEATABLE, 0, 2, 0, 1, 0, 1,
+		10 * S };
+
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_REFUSED, S), STEP_AGAIN);
+	f.sends = ATTEMPTS_MAX;
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_REFUSED, S), STEP_REFUSE);
+	f.sends = 1;
+	f.budget = 0;
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_UNSENT, S), STEP_REFUSE);
+	f.budget = 1;
+	f.runs = 1;
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_SILENT, S), STEP_AGAIN);
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_FAILED, S), STEP_AGAIN);
+	f.runs = 2; /* as many replicas as the route allows */
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_FAILED, S), STEP_HAND_ON);
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_BROKEN, S), STEP_GIVE_UP);
+	f.runs = 1;
+	CU_ASSERT_EQUAL(
+	    attempt_next(&f, ATTEMPT_SILENT, 10 * S), STEP_GIVE_UP);
+	f.kind = ROUTE_STREAM;
+	f.begun = 1;
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_BROKEN, S), STEP_CUT);
+	f.resumable = 1;
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_BROKEN, S), STEP_AGAIN);
+	CU_ASSERT_EQUAL(attempt_next(&f, ATTEMPT_ANSWERED, S), STEP_HAND_ON);
+}
+
+/* What must run once is never sent again after it may have run, and never
+ * called unrun then. */
+static void
+test_once_never_again(void)
+{
+	struct attempt_facts f;
+	enum attempt_step step;
+	int end, sends, runs, begun, budget;
+
+	memset(&f, 0, sizeof(f));
+	f.kind = ROUTE_ONCE;
+	f.attempts_max = 3;
+	f.deadline = 10 * S;
+	for (end = 0; end < ATTEMPT__MAX; end++)
+		for (sends = 1; sends < 6; sends++)
+			for (runs = 1; runs <= sends; runs++)
+				for (begun = 0; begun < 2; begun++)
+					for (budget = 0; budget < 2;
+					     budget++) {
+						f.sends = (uint32_t)sends;
+						f.runs = (uint32_t)runs;
+						f.begun = begun;
+						f.budget = budget;
+						step = attempt_next(&f,
+						    (enum attempt_end)end, S);
+						CU_ASSERT(step != STEP_AGAIN);
+						CU_ASSERT(step != STEP_REFUSE);
+					}
+}
+
+static void
+test_budget_window(void)
+{
+	struct budget_config c = { 0.2, 10 * S, 10 };
+	struct budget *b = mem_alloc(sizeof(*b));
+	uint32_t n = 0;
+	int i;
+
+	budget_init(b, &c);
+	for (i = 0; i < 100; i++)
+		budget_request(b, S, "a");
+	while (budget_allows(b, S, "a")) {
+		budget_repeat(b, S, "a");
+		n++;
+	}
+	CU_ASSERT(n > 10 && n <= 30); /* 0.2 * 100 + 10 at most */
+	CU_ASSERT(budget_allows(b, S, "b")); /* services are apart */
+	CU_ASSERT(!budget_allows(b, 10 * S, "a"));
+	CU_ASSERT(budget_allows(b, 12 * S, "a")); /* the window has passed */
+	free(b);
+}
+
+/* All processes together stay within the constant. */
+static void
+test_budget_shared(void)
+{
+	struct budget_config c = { 0.2, 10 * S, 54 };
+	struct budget *b = mem_alloc(sizeof(*b));
+	uint32_t n = 0;
+
+	budget_init(b, &c);
+	budget_processes(b, 9);
+	while (budget_allows(b, S, "a")) {
+		budget_repeat(b, S, "a");
+		n++;
+	}
+	CU_ASSERT(n >= 3 && 9 * n <= 54);
+	free(b);
+}
+
+static const struct unit_case cases[] = {
+	{ "routes", test_routes },
+	{ "split routes", test_split },
+	{ "lapsed entries", test_lapse },
+	{ "leaving and gone", test_gone },
+	{ "restart", test_restart },
+	{ "avoided replicas", test_avoid },
+	{ "peers' work", test_peers },
+	{ "shunned models", test_shun },
+	{ "choice", test_choice },
+	{ "reasons", test_reasons },
+	{ "attempts", test_attempts },
+	{ "once is once", test_once_never_again },
+	{ "budget's window", test_budget_window },
+	{ "budget shared", test_budget_shared },
+};
+
+UNIT_MAIN("fleet", cases)
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,523 @@
+/* The platform's documents, decoded or refused; header fields; the store. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "boot.h"
+#include "config.h"
+#include "events.h"
+#include "fields.h"
+#include "mem.h"
+#include "order.h"
+#include "replica.h"
+#include "store.h"
+#include "unit.h"
+
+/* A regression pair: a document, and a part of the error or "" for none. */
+struct pair {
+	const char *text;
+	const char *error;
+};
+
+static void test_replicas(void);
+static void test_replica_whole(void);
+static void test_reports(void);
+static void test_configs(void);
+static void test_config_whole(void);
+static void test_boots(void);
+static void test_want(void);
+static void test_send(void);
+static void test_answer(void);
+static void test_store_calls(void);
+static void test_store_pages(void);
+static void test_orders(void);
+static void test_events(void);
+static void ignore_head(void *, const struct http_head *);
+static void ignore_body(void *, const char *, size_t);
+static void ignore_end(void *);
+static void collect(void *, const char *, size_t);
+static const struct http_head *parse(const char *, enum http_side);
+
+#define REPLICA(rest)                                                          \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
+	"\"version\":\"v1\",\"slots\":6,\"cold_left_ms\":0,"                   \
+	"\"sequence\":4" rest "}"
+
+static const struct pair replicas[] = {
+	{ REPLICA(",\"state\":\"ready\""), "" },
+	{ REPLICA(",\"state\":\"draining\",\"remaining_ms\":1500"), "" },
+	{ REPLICA(",\"state\":\"ready\",\"new\":[1,2]"), "" },
+	{ REPLICA(",\"state\":\"odd\""), "state odd" },
+	{ REPLICA(",\"state\":7"), "state" },
+	{ REPLICA(",\"state\":\"ready\",\"born\":-1"), "born" },
+	{ REPLICA(",\"state\":\"ready\",\"born\":1.5"), "born" },
+	{ REPLICA(",\"state\":\"ready\",\"models\":{}"), "models" },
+	{ REPLICA(",\"state\":\"ready\",\"models\":[{\"name\":\"\"}]"),
+	    "name" },
+	{ REPLICA(",\"state\":\"ready\",\"models\":[{\"name\":\"m\","
+		  "\"adapters\":[3]}]"),
+	    "adapter" },
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"state\":\"ready\",\"slots\":6,\"cold_left_ms\":0}",
+	    "sequence" },
+	{ "{\"service\":\"s\",\"address\":\"host:80\",\"zone\":\"z\","
+	  "\"state\":\"ready\",\"slots\":6,\"cold_left_ms\":0,"
+	  "\"sequence\":1}",
+	    "host:80" },
+	{ "[]", "JSON object" },
+	{ "{", "JSON object" },
+	{ "\xff\xfe", "JSON object" },
+	{ "", "JSON object" },
+};
+
+static void
+test_replicas(void)
+{
+	struct fleet_replica r;
+	struct err e;
+	size_t i;
+	int status;
+
+	for (i = 0; i < nitems(replicas); i++) {
+		memset(&e, 0, sizeof(e));
+		status = platform_replica_decode("i-1", replicas[i].text,
+		    strlen(replicas[i].text), &r, &e);
+		CU_ASSERT_EQUAL(status, *replicas[i].error == '\0' ? 0 : -1);
+		CU_ASSERT_PTR_NOT_NULL(strstr(e.text, replicas[i].error));
+	}
+	CU_ASSERT_EQUAL(
+	    platform_replica_decode("", replicas[0].text,
+		strlen(replicas[0].text), &r, &e), -1);
+}
+
+static void
+test_replica_whole(void)
+{
+	static const char text[] = REPLICA(",\"state\":\"draining\","
+	    "\"remaining_ms\":1500,\"born\":1700000000123,\"models\":["
+	    "{\"name\":\"m1\",\"version\":1,\"adapters\":[\"a1\",\"a2\"]},"
+	    "{\"name\":\"m2\",\"version\":2,\"adapters\":[]}],"
+	    "\"at_hand\":{\"in_memory\":[\"m1\"],\"on_disk\":[\"m3\"]}");
+	struct fleet_replica r;
+	struct err e;
+
+	CU_ASSERT_EQUAL(
+	    platform_replica_decode("i-1", text, strlen(text), &r, &e), 0);
+	CU_ASSERT_STRING_EQUAL(r.id, "i-1");
+	CU_ASSERT_EQUAL(r.state, REPLICA_LEAVING);
+	CU_ASSERT_EQUAL(r.leave_ns, 1500 * NSEC_PER_MSEC);
+	CU_ASSERT_EQUAL(r.born_ms, 1700000000123ULL);
+	CU_ASSERT(fleet_has_model(&r, "m2"));
+	CU_ASSERT(fleet_has_adapter(&r, "m1/a2"));
+	CU_ASSERT_EQUAL(r.natdisk, 2);
+	/* The entry's counter counts heartbeats, not orders. */
+	CU_ASSERT_EQUAL(r.orders, 0);
+}
+
+static void
+test_reports(void)
+{
+	static const char text[] =
+	    "{\"stage\":\"colocated\",\"models\":[{\"name\":\"m\","
+	    "\"version\":1,\"adapters\":[\"a1\"]}],\"occupied\":true,"
+	    "\"sequence\":12,\"coming\":[\"m/a7@3\"]}";
+	struct fleet_replica r;
+	struct err e;
+
+	memset(&r, 0, sizeof(r));
+	CU_ASSERT_EQUAL(
+	    platform_report_decode(text, strlen(text), &r, &e), 0);
+	CU_ASSERT_EQUAL(r.orders, 12);
+	CU_ASSERT(r.busy);
+	CU_ASSERT_EQUAL(r.ncoming, 1);
+	CU_ASSERT_STRING_EQUAL(r.coming[0], "m/a7");
+	CU_ASSERT_EQUAL(platform_report_decode("[]", 2, &r, &e), -1);
+}
+
+#define ROUTE(rest)                                                            \
+	"{\"version\":3,\"services\":[],\"routes\":[{\"name\":\"r\","          \
+	"\"host\":\"h\",\"path_prefix\":\"/p/\"" rest "}]}"
+
+static const struct pair configs[] = {
+	{ "{\"version\":3,\"routes\":[],\"services\":[]}", "" },
+	{ ROUTE(",\"kind\":\"idempotent\",\"service\":\"s\""), "" },
+	{ ROUTE(",\"kind\":\"new kind\",\"service\":\"s\""), "" },
+	{ ROUTE(",\"kind\":\"idempotent\""), "service" },
+	{ ROUTE(",\"service\":\"s\""), "kind" },
+	{ ROUTE(",\"kind\":\"idempotent\",\"service\":\"s\","
+		"\"timeout_ms\":\"x\""),
+	    "timeout_ms" },
+	{ ROUTE(",\"kind\":\"idempotent\",\"traffic_split\":[{}]"),
+	    "service" },
+	{ "{\"version\":-1}", "version" },
+	{ "{\"version\":1,\"routes\":{}}", "routes" },
+	{ "{\"version\":1,\"services\":[{}]}", "name" },
+	{ "3", "JSON object" },
+};
+
+static void
+test_configs(void)
+{
+	struct fleet_conf *c;
+	struct err e;
+	size_t i;
+
+	for (i = 0; i < nitems(configs); i++) {
+		memset(&e, 0, sizeof(e));
+		c = platform_config_decode(
+		    configs[i].text, strlen(configs[i].text), &e);
+		CU_ASSERT_EQUAL(c != NULL, *configs[i].error == '\0');
+		CU_ASSERT_PTR_NOT_NULL(strstr(e.text, configs[i].error));
+		fleet_conf_destroy(c);
+	}
+}
+
+static void
+test_config_whole(void)
+{
+	static const char text[] =
+	    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+	    "\"path_prefix\":\"/p/\",\"kind\":\"streaming\","
+	    "\"timeout_ms\":20000,\"target_latency_ms\":600,\"priority\":1,"
+	    "\"traffic_split\":[{\"service\":\"a\",\"weight\":90},"
+	    "{\"service\":\"b\",\"weight\":10}],\"max_attempts\":2,"
+	    "\"resumable\":true,\"target_gap_ms\":300}],\"services\":["
+	    "{\"name\":\"a\",\"health_path\":\"/h\",\"max_conns\":370,"
+	    "\"engine\":{\"slots\":64,\"kv_capacity\":146448,"
+	    "\"weights_mb\":230000.0,\"adapter_slots\":8,"
+	    "\"loads_per_s\":1.5,\"models\":[{\"name\":\"m\","
+	    "\"weights_mb\":65099.99,\"load_s\":2.2,\"adapters\":31,"
+	    "\"adapter_mb\":12.0,\"warm_s\":1.1,\"disk_s\":1.4}]}}],"
+	    "\"limits\":{\"max_header_bytes\":99,\"max_body_bytes\":98,"
+	    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+	const struct fleet_engine *g;
+	struct fleet_conf *c;
+	struct err e;
+
+	c = platform_config_decode(text, strlen(text), &e);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	CU_ASSERT_EQUAL(c->version, 7);
+	CU_ASSERT_EQUAL(c->routes[0].kind, ROUTE_STREAM);
+	CU_ASSERT_EQUAL(c->routes[0].ntargets, 2);
+	CU_ASSERT_EQUAL(c->routes[0].targets[1].weight, 10);
+	CU_ASSERT(c->routes[0].resumable);
+	CU_ASSERT_EQUAL(c->routes[0].timeout_ns, 20 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(c->limits.header_bytes, 99);
+	CU_ASSERT_EQUAL(c->limits.idle_ns, 15 * NSEC_PER_SEC);
+	g = c->services[0].engine;
+	CU_ASSERT_EQUAL(g->kv_tokens, 146448);
+	CU_ASSERT_EQUAL(g->models[0].memory_mb, 65100); /* rounded up */
+	CU_ASSERT_EQUAL(g->models[0].load_ns, 2200 * NSEC_PER_MSEC);
+	fleet_conf_destroy(c);
+}
+
+static const struct pair boots[] = {
+	{ "{\"node_name\":\"n\",\"ip\":\"10.0.0.1\",\"zone\":\"z\","
+	  "\"bind\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\"},"
+	  "\"internal_ports\":[7380,7395],"
+	  "\"platform\":{\"address\":\"10.0.0.9:3\"}}",
+	    "" },
+	{ "{\"node_name\":\"n\",\"ip\":\"10.0.0.1\",\"zone\":\"z\","
+	  "\"bind\":{\"front\":\"10.0.0.1\",\"ready\":\"10.0.0.1:2\"}}",
+	    "front" },
+	{ "{\"node_name\":\"n\",\"ip\":\"10.0.0.1\",\"zone\":\"z\","
+	  "\"bind\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\"},"
+	  "\"platform\":{\"address\":\"10.0.0.9:3\"}}",
+	    "internal_ports" },
+	{ "{}", "node_name" },
+	{ "x", "JSON object" },
+};
+
+static void
+test_boots(void)
+{
+	struct boot b;
+	struct err e;
+	size_t i;
+	int status;
+
+	for (i = 0; i < nitems(boots); i++) {
+		memset(&e, 0, sizeof(e));
+		status = boot_decode(
+		    boots[i].text, strlen(boots[i].text), &b, &e);
+		CU_ASSERT_EQUAL(status, *boots[i].error == '\0' ? 0 : -1);
+		CU_ASSERT_PTR_NOT_NULL(strstr(e.text, boots[i].error));
+	}
+	CU_ASSERT_EQUAL(boot_load("/nonexistent", &b, &e), -1);
+}
+
+static void
+ignore_head(void *ctx, const struct http_head *h)
+{
+	(void)ctx;
+	(void)h;
+}
+
+static void
+ignore_body(void *ctx, const char *p, size_t len)
+{
+	(void)ctx;
+	(void)p;
+	(void)len;
+}
+
+static void
+ignore_end(void *ctx)
+{
+	(void)ctx;
+}
+
+/* Reads one head; it stays valid until the next call. */
+static const struct http_head *
+parse(const char *text, enum http_side side)
+{
+	static const struct http_reader_ops ops = { ignore_head, ignore_body,
+		ignore_end };
+	static struct http_reader *r;
+
+	http_reader_destroy(r);
+	r = http_reader_create(side, &ops, NULL);
+	CU_ASSERT(http_reader_feed(r, text, strlen(text)) > 0);
+	return http_reader_head(r);
+}
+
+static void
+test_want(void)
+{
+	const struct http_head *h;
+	struct request_want w;
+	struct err e;
+
+	h = parse("POST /p/x HTTP/1.1\r\nHost: h\r\n"
+		  "arbutusspindle-attempt-id: 9c41\r\n"
+		  "Arbutusspindle-Model: m/a3\r\n"
+		  "Arbutusspindle-Token-Count: 1460,80\r\n"
+		  "Arbutusspindle-Prompt-Prefix: 5c1e07a2:800, ff:410\r\n"
+		  "Arbutusspindle-Length-Hint: 70\r\n"
+		  "Last-Event-Id: 12\r\n"
+		  "Arbutusspindle-Deadline-Ms: 15000\r\n"
+		  "Content-Length: 0\r\n\r\n",
+	    HTTP_READ_REQUESTS);
+	CU_ASSERT_EQUAL(fields_want(h, &w, &e), 0);
+	CU_ASSERT_STRING_EQUAL(w.id, "9c41");
+	CU_ASSERT_STRING_EQUAL(w.model, "m");
+	CU_ASSERT_STRING_EQUAL(w.adapter, "m/a3");
+	CU_ASSERT_EQUAL(w.prompt_tokens, 1460);
+	CU_ASSERT_EQUAL(w.output_tokens, 80);
+	CU_ASSERT_EQUAL(w.nparts, 2);
+	CU_ASSERT_EQUAL(w.parts[1].id, 0xff);
+	CU_ASSERT_EQUAL(w.parts[1].tokens, 410);
+	CU_ASSERT_EQUAL(w.last_event, 12);
+	CU_ASSERT_EQUAL(w.patience_ns, 15 * NSEC_PER_SEC);
+	h = parse("GET / HTTP/1.1\r\nHost: h\r\n\r\n", HTTP_READ_REQUESTS);
+	CU_ASSERT_EQUAL(fields_want(h, &w, &e), -1);
+	/* Values that are no numbers count as not given. */
+	h = parse("GET / HTTP/1.1\r\nArbutusspindle-Attempt-Id: x\r\n"
+		  "Arbutusspindle-Token-Count: many\r\n"
+		  "Arbutusspindle-Prompt-Prefix: zz:1,:,12\r\n"
+		  "Arbutusspindle-Deadline-Ms: -5\r\n\r\n",
+	    HTTP_READ_REQUESTS);
+	CU_ASSERT_EQUAL(fields_want(h, &w, &e), 0);
+	CU_ASSERT_EQUAL(w.prompt_tokens, 0);
+	CU_ASSERT_EQUAL(w.nparts, 0);
+	CU_ASSERT_EQUAL(w.patience_ns, 0);
+}
+
+static void
+test_send(void)
+{
+	const struct http_head *h;
+	struct send_terms t = { "x", "i-7", 1500 * NSEC_PER_MSEC, 3, 4, 1 };
+	struct buf out = { 0 };
+
+	h = parse("PUT /p?q HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n"
+		  "Connection: close, X-B\r\nX-B: 2\r\nTE: trailers\r\n"
+		  "Transfer-Encoding: chunked\r\nLast-Event-Id: 1\r\n"
+		  "Arbutusspindle-Attempt-Id: x\r\n"
+		  "Arbutusspindle-Pin-Ms: 9\r\nKv-From: 1.1.1.1:1/x\r\n\r\n",
+	    HTTP_READ_REQUESTS);
+	fields_send(&out, h, &t);
+	buf_add(&out, "", 1);
+	CU_ASSERT_STRING_EQUAL(buf_data(&out),
+	    "PUT /p?q HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n"
+	    "Arbutusspindle-Attempt-Id: x\r\nLast-Event-Id: 3\r\n"
+	    "Arbutusspindle-Deadline-Ms: 1500\r\n"
+	    "Arbutusspindle-Expect-Instance: i-7\r\n"
+	    "Content-Length: 4\r\n\r\n");
+	buf_free(&out);
+}
+
+static void
+test_answer(void)
+{
+	const struct http_head *h;
+	struct answer_terms t;
+
+	h = parse("HTTP/1.1 200 OK\r\nArbutusspindle-Attempt-Id: x\r\n"
+		  "Arbutusspindle-Response-Signature: s\r\n"
+		  "Keep-Alive: timeout=4, max=9\r\nContent-Length: 0\r\n\r\n",
+	    HTTP_READ_RESPONSES);
+	fields_answer(h, "x", &t);
+	CU_ASSERT(t.ours && t.signed_ && !t.not_run && !t.encoded);
+	CU_ASSERT_EQUAL(t.idle_ns, 4 * NSEC_PER_SEC);
+	fields_answer(h, "y", &t);
+	CU_ASSERT(t.has_id && !t.ours);
+	h = parse("HTTP/1.1 421 M\r\nContent-Encoding: gzip\r\n"
+		  "Content-Length: 0\r\n\r\n",
+	    HTTP_READ_RESPONSES);
+	fields_answer(h, "x", &t);
+	CU_ASSERT(t.not_run && t.misdirected && t.encoded && !t.has_id);
+	h = parse("HTTP/1.1 503 S\r\nArbutusspindle-Not-Executed: 1\r\n"
+		  "Content-Length: 0\r\n\r\n",
+	    HTTP_READ_RESPONSES);
+	fields_answer(h, "x", &t);
+	CU_ASSERT(t.not_run && !t.misdirected);
+}
+
+static void
+test_store_calls(void)
+{
+	static const char found[] =
+	    "{\"value\":\"bm9kZS0x\",\"revision\":4}";
+	struct store_call c;
+	struct kv_result r;
+	struct kv_ops ops;
+	struct kv_op *op;
+	char *value;
+
+	TAILQ_INIT(&ops);
+	op = kv_op_create(&ops, 1, KV_CAS, "cell/x");
+	op->value = mem_strdup("node-1");
+	op->expect = 5;
+	op->lease = 77;
+	store_op_call(op, &c);
+	CU_ASSERT_STRING_EQUAL(c.path, "/api/kv-txn");
+	CU_ASSERT_STRING_EQUAL(c.body,
+	    "{\"expected\":[{\"key\":\"spindle/cell/x\",\"revision\":5}],"
+	    "\"write\":[{\"key\":\"spindle/cell/x\",\"value\":\"bm9kZS0x\","
+	    "\"lease\":77}],\"remove\":[]}");
+	store_call_clear(&c);
+	store_op_answer(op, 200, "{\"revision\":9}", 14, &r, &value);
+	CU_ASSERT(r.status == KV_OK && r.revision == 9);
+	/* Only an answer that says so means that nothing was written. */
+	store_op_answer(op, 412, "", 0, &r, &value);
+	CU_ASSERT_EQUAL(r.status, KV_CONFLICT);
+	store_op_answer(op, 404, "", 0, &r, &value);
+	CU_ASSERT_EQUAL(r.status, KV_CONFLICT); /* no such lease */
+	store_op_answer(op, 0, "", 0, &r, &value);
+	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
+	store_op_answer(op, 503, "", 0, &r, &value);
+	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
+	op->kind = KV_GET;
+	store_op_answer(op, 200, found, strlen(found), &r, &value);
+	CU_ASSERT_EQUAL(r.status, KV_OK);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r.value);
+	CU_ASSERT_STRING_EQUAL(r.value, "node-1");
+	free(value);
+	store_op_answer(op, 200, "{\"value\":\"***\"}", 15, &r, &value);
+	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
+	store_op_answer(op, 404, "", 0, &r, &value);
+	CU_ASSERT_EQUAL(r.status, KV_ABSENT);
+	TAILQ_REMOVE(&ops, op, entry);
+	kv_op_destroy(op);
+}
+
+static void
+test_store_pages(void)
+{
+	static const char text[] =
+	    "{\"events\":[{\"key\":\"a\",\"value\":\"eA==\",\"revision\":4},"
+	    "{\"key\":\"b\",\"revision\":5,\"deleted\":true},"
+	    "{\"key\":\"c\",\"value\":\"*\",\"revision\":6},{}],\"at\":7}";
+	struct store_page p;
+	struct store_call c;
+	struct err e;
+
+	CU_ASSERT_EQUAL(store_watch_answer(text, strlen(text), &p, &e), 0);
+	CU_ASSERT_EQUAL(p.at, 7);
+	CU_ASSERT_EQUAL_FATAL(p.n, 2); /* unreadable ones are left out */
+	CU_ASSERT_STRING_EQUAL(p.items[0].value, "x");
+	CU_ASSERT_PTR_NULL(p.items[1].value);
+	store_page_clear(&p);
+	CU_ASSERT_EQUAL(store_range_answer("[]", 2, &p, &e), -1);
+	CU_ASSERT_EQUAL(store_range_answer("{\"items\":3}", 11, &p, &e), -1);
+	store_watch_call("op/", 411, 10000, &c);
+	CU_ASSERT_STRING_EQUAL(
+	    c.path, "/api/kv-watch?path_prefix=op/&after=411&wait_ms=10000");
+	store_range_call("op/", "op/x", &c);
+	CU_ASSERT_STRING_EQUAL(
+	    c.path, "/api/kv-range?path_prefix=op/&after=op/x");
+}
+
+static void
+test_orders(void)
+{
+	struct steward_order o = { .kind = STEWARD_LOAD, .model = "m",
+		.adapter = "m/a3", .expected = 2, .fence = 41 };
+	char *body = platform_order_body(&o, "node-7");
+
+	CU_ASSERT_STRING_EQUAL(body,
+	    "{\"operation\":\"load\",\"model\":\"m\",\"expected\":2,"
+	    "\"holder\":\"node-7\",\"fencing_token\":41,"
+	    "\"adapter\":\"a3\"}");
+	free(body);
+	CU_ASSERT_EQUAL(platform_order_answer(202), ANSWER_STARTED);
+	CU_ASSERT_EQUAL(platform_order_answer(200), ANSWER_HOLDS);
+	CU_ASSERT_EQUAL(platform_order_answer(409), ANSWER_CONFLICT);
+	CU_ASSERT_EQUAL(platform_order_answer(412), ANSWER_STALE);
+	CU_ASSERT_EQUAL(platform_order_answer(421), ANSWER_REFUSED);
+	CU_ASSERT_EQUAL(platform_order_answer(0), ANSWER_NONE);
+}
+
+static void
+collect(void *ctx, const char *p, size_t len)
+{
+	buf_add(ctx, p, len);
+}
+
+/* Whole events come out, whatever the pieces that went in. */
+static void
+test_events(void)
+{
+	static const char text[] =
+	    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda";
+	struct events ev = { 0 };
+	struct buf out = { 0 };
+	size_t step;
+	size_t i;
+	size_t n;
+
+	for (step = 1; step < sizeof(text); step++) {
+		for (i = 0; i < sizeof(text) - 1; i += n) {
+			n = sizeof(text) - 1 - i;
+			if (n > step)
+				n = step;
+			events_feed(&ev, text + i, n, collect, &out);
+		}
+		CU_ASSERT_EQUAL(buf_len(&out), sizeof(text) - 1 - 8);
+		CU_ASSERT_EQUAL(buf_len(&ev.partial), 8);
+		buf_free(&out);
+		events_free(&ev);
+	}
+	CU_ASSERT_EQUAL(fields_event_id("id: 12", 6), 12);
+	CU_ASSERT_EQUAL(fields_event_id("id:7", 4), 7);
+	CU_ASSERT_EQUAL(fields_event_id("data: 1", 7), 0);
+}
+
+static const struct unit_case cases[] = {
+	{ "replicas", test_replicas },
+	{ "a whole replica", test_replica_whole },
+	{ "reports", test_reports },
+	{ "configurations", test_configs },
+	{ "a whole configuration", test_config_whole },
+	{ "boot settings", test_boots },
+	{ "request fields", test_want },
+	{ "sent fields", test_send },
+	{ "answer fields", test_answer },
+	{ "store calls", test_store_calls },
+	{ "store pages", test_store_pages },
+	{ "orders", test_orders },
+	{ "events", test_events },
+};
+
+UNIT_MAIN("platform", cases)
