Prompts unread at a replica, all gates' together, decide when a request waits; waits end before the caller gives up

Change: the backlog comes from the gates' reports and the learned pace; a stream waits two thirds of its caller's patience at most.

--- a/core/balance.c
+++ b/core/balance.c
@@ -10,19 +10,20 @@
 #define DRAW_MS 4.0	    /* spread between equals */
 #define TRIED_MS 1e6	    /* only when nothing else is left */
 /*
- * Steps of other work between two prompts, so that streams do not pause; the
- * longer a request has waited, the more of the prompts before it may be unread.
+ * Prompts that wait to be read at a replica when one more is sent: few, so
+ * that a request can still go elsewhere; more the longer it has waited.
  */
-#define READ_AHEAD_NS (120 * NSEC_PER_MSEC)
-#define READ_AHEAD_WAITED 2 /* one such part of the time waited */
+#define BACKLOG_MS 150.0
+#define BACKLOG_WAITED 0.5 /* of the time waited */
 /* Share of an engine's memory that is given out. */
 #define MEMORY_SHARE 0.92
 
 static int tried(const struct balance_want *, const char *);
-static int full(uint64_t, const struct balance_want *,
-    const struct member_replica *, const struct work *);
-static double score(uint64_t, const struct balance_want *,
-    const struct member_replica *, const struct work *);
+static int full(const struct balance_want *, const struct member_replica *,
+    const struct work *);
+static double backlog_ms(const struct balance_want *, const struct work *);
+static double score(const struct balance_want *, const struct member_replica *,
+    const struct work *);
 
 static int
 tried(const struct balance_want *w, const char *id)
@@ -36,9 +37,19 @@
 	return 0;
 }
 
+/* Time to read the prompts that wait at a replica, at this model's pace. */
+static double
+backlog_ms(const struct balance_want *w, const struct work *load)
+{
+	if (w->prompt_tokens == 0)
+		return 0.0;
+	return (double)load->unread * (double)w->read_ns / w->prompt_tokens /
+	    (double)NSEC_PER_MSEC;
+}
+
 static int
-full(uint64_t now, const struct balance_want *w,
-    const struct member_replica *m, const struct work *load)
+full(const struct balance_want *w, const struct member_replica *m,
+    const struct work *load)
 {
 	uint32_t slots = m->info.slots;
 
@@ -48,8 +59,8 @@
 		return 1;
 	if (w->engine == NULL)
 		return 0;
-	if (m->read_until >
-	    now + READ_AHEAD_NS + w->waited_ns / READ_AHEAD_WAITED)
+	if (backlog_ms(w, load) > BACKLOG_MS + BACKLOG_WAITED *
+		(double)w->waited_ns / (double)NSEC_PER_MSEC)
 		return 1;
 	return load->running != 0 &&
 	    (double)load->tokens + w->tokens >
@@ -57,17 +68,16 @@
 }
 
 static double
-score(uint64_t now, const struct balance_want *w,
-    const struct member_replica *m, const struct work *load)
+score(const struct balance_want *w, const struct member_replica *m,
+    const struct work *load)
 {
 	double ms;
 
 	if (w->engine != NULL)
-		ms = (double)load->running * RUNNING_MS;
+		ms = (double)load->running * RUNNING_MS +
+		    backlog_ms(w, load);
 	else
 		ms = (double)load->running * PLAIN_RUNNING_MS;
-	if (w->engine != NULL && m->read_until > now)
-		ms += (double)(m->read_until - now) / (double)NSEC_PER_MSEC;
 	if (strcmp(m->info.zone, w->zone) != 0)
 		ms += ZONE_MS;
 	ms += m->errors * ERRORS_MS;
@@ -106,10 +116,10 @@
 		load = directory_load(d, now, m);
 		if (directory_shunned(m, now, w->model) ||
 		    directory_shunned(m, now, w->adapter) ||
-		    full(now, w, m, &load))
+		    full(w, m, &load))
 			continue;
 		n++;
-		ms = score(now, w, m, &load) +
+		ms = score(w, m, &load) +
 		    DRAW_MS * ((draw * n) - (double)(uint32_t)(draw * n));
 		if (*out != NULL && ms >= best)
 			continue;
--- a/core/directory.c
+++ b/core/directory.c
@@ -246,13 +246,6 @@
 	return sum;
 }
 
-void
-directory_reads(struct member_replica *m, uint64_t now, uint64_t read_ns)
-{
-	m->read_until =
-	    (m->read_until > now ? m->read_until : now) + read_ns;
-}
-
 static double
 errors_now(const struct member_replica *m, uint64_t now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -41,7 +41,6 @@
 	struct work own;
 	struct work *peers;
 	uint32_t npeers;
-	uint64_t read_until; /* prompts sent from here are read by then */
 	uint32_t failures;   /* in a row, of reaching it */
 	uint64_t avoid_until;
 	double errors;	     /* recent share of failed attempts */
@@ -84,8 +83,6 @@
 /* Work of this process and of peers heard lately. */
 struct work directory_load(
     const struct directory *, uint64_t, const struct member_replica *);
-/* A prompt was sent that takes so long to read. */
-void directory_reads(struct member_replica *, uint64_t, uint64_t);
 /* An attempt ended well, or failed; unreachable ones are avoided a while. */
 void directory_success(struct member_replica *, uint64_t);
 void directory_failure(struct member_replica *, uint64_t, int);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -15,12 +15,22 @@
 /* Part of its time that a request waits for a replica. */
 #define WAIT_SHARE_NUM 2
 #define WAIT_SHARE_DEN 5
+/*
+ * A caller abandons a stream without an event after the longest of these;
+ * part of that time is left for the replica.
+ */
+#define FIRST_LEAST_NS (2 * NSEC_PER_SEC)
+#define FIRST_TARGETS 4
+#define FIRST_GAPS 8
+#define FIRST_SHARE_NUM 2
+#define FIRST_SHARE_DEN 3
 /* A caller's own deadline ends first; ours only cleans up after it. */
 #define PATIENCE_SLACK_NS (200 * NSEC_PER_MSEC)
 /* A stream that begins so long after SIGTERM may not end in time. */
 #define STOPPING_STREAM_NS (2600 * NSEC_PER_MSEC)
 #define PATIENCE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
+static uint64_t first_wait(const struct fleet_route *);
 static int forward_admit(struct forward *, struct err *);
 static enum balance_result forward_pick(struct forward *,
     const struct fleet_service *, struct member_replica **);
@@ -64,6 +74,19 @@
 	    detail);
 }
 
+/* How long a request may wait here before its caller gives up on it. */
+static uint64_t
+first_wait(const struct fleet_route *r)
+{
+	uint64_t patience = FIRST_LEAST_NS;
+
+	if (patience < r->target_ns * FIRST_TARGETS)
+		patience = r->target_ns * FIRST_TARGETS;
+	if (patience < r->gap_ns * FIRST_GAPS)
+		patience = r->gap_ns * FIRST_GAPS;
+	return patience * FIRST_SHARE_NUM / FIRST_SHARE_DEN;
+}
+
 /* Finds the route; fills in an own answer's status otherwise. */
 static int
 forward_admit(struct forward *f, struct err *err)
@@ -97,6 +120,9 @@
 	f->last_event = f->want.last_event;
 	f->wait_until = f->arrived +
 	    (f->deadline - f->arrived) * WAIT_SHARE_NUM / WAIT_SHARE_DEN;
+	if (r->kind == ROUTE_STREAM &&
+	    f->wait_until > f->arrived + first_wait(r))
+		f->wait_until = f->arrived + first_wait(r);
 	return 0;
 }
 
--- a/entry/send.c
+++ b/entry/send.c
@@ -50,9 +50,6 @@
 	m->own.running += f->share.running;
 	m->own.unread += f->share.unread;
 	m->own.tokens += f->share.tokens;
-	if (f->want.model[0] != '\0')
-		directory_reads(m, f->e->now, pace_read_ns(&f->e->pace,
-		    f->want.model, f->want.prompt_tokens));
 	if (f->sends++ != 0)
 		budget_repeat(&f->e->budget, f->e->now, f->service);
 	f->e->counts.attempts++;
