An order without an answer keeps its room across a restart of its replica; fuzzer of orders

Ruled out: fencing (the same holder's number), the expected instance (the id is the same). Tests: test_steward 'late after a restart' fails before.

--- a/core/steward.c
+++ b/core/steward.c
@@ -237,7 +237,7 @@
 			adapter_mb = fm->adapter_mb;
 		if (fleet_has_model(&m->info, fm->name) ||
 		    strcmp(charge_loading(c), fm->name) == 0 ||
-		    reports_model(c, fm->name))
+		    reports_model(c, fm->name) || charge_haunted(c, fm->name))
 			used += fm->memory_mb;
 	}
 	/* Models that the configuration does not know use unknown memory. */
@@ -335,6 +335,7 @@
 		c->nreported = 0;
 		s->changes++;
 	}
+	ghosts_step(c, now);
 	if (now >= c->reported_until)
 		c->nreported = 0;
 	if (fleet_has_model(&m->info, c->loading))
@@ -494,6 +495,8 @@
 	if (c == NULL || c->order != o->id)
 		return;
 	c->order = 0;
+	if (answer == ANSWER_NONE)
+		ghost_add(c, now, o);
 	if (o->born_ms != c->born_ms)
 		return;
 	switch (answer) {
--- a/core/steward_adapt.c
+++ b/core/steward_adapt.c
@@ -37,7 +37,7 @@
 static uint32_t
 places_used(const struct charge *c, const struct member_replica *m)
 {
-	return m->info.nadapters + c->ncoming;
+	return m->info.nadapters + c->ncoming + charge_ghost_adapters(c);
 }
 
 /* Whether a usable replica holds it or is about to. */
--- a/core/steward_int.h
+++ b/core/steward_int.h
@@ -6,6 +6,7 @@
 #include "steward.h"
 
 #define STEWARD_LOADS_MAX 256
+#define STEWARD_GHOSTS_MAX 4
 
 /* An adapter that a replica is loading. */
 struct coming {
@@ -13,6 +14,15 @@
 	uint64_t ready_at;
 };
 
+/*
+ * An order that got no answer.  After a restart of its replica nothing that it
+ * names keeps it from being carried out.
+ */
+struct ghost {
+	struct steward_order order;
+	uint64_t until; /* it is not carried out later */
+};
+
 /* What is under way at one replica. */
 struct charge {
 	char replica[NAME_SIZE];
@@ -25,6 +35,7 @@
 	struct steward_order last; /* repeated while it has no answer */
 	int unanswered;
 	uint64_t again_at;
+	struct ghost ghosts[STEWARD_GHOSTS_MAX];
 	char loading[NAME_SIZE]; /* a model, "" for none */
 	char unloading[NAME_SIZE];
 	uint32_t nreported; /* models of its last report */
@@ -66,6 +77,14 @@
 /* Memory that nothing on the replica uses or will use, in MB. */
 uint64_t charge_left_mb(const struct charge *, const struct member_replica *,
     const struct fleet_engine *);
+/* steward_ghost.c */
+/* An order got no answer. */
+void ghost_add(struct charge *, uint64_t, const struct steward_order *);
+/* Forgets those whose time is over. */
+void ghosts_step(struct charge *, uint64_t);
+/* Whether a load of before the last restart may yet come, of an adapter too. */
+int charge_haunted(const struct charge *, const char *);
+uint32_t charge_ghost_adapters(const struct charge *);
 /* steward_place.c */
 void steward_place(struct steward *, uint64_t, const struct fleet_service *,
     struct steward_out *);
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -64,13 +64,16 @@
         env, RC_PARAMS="seed=1 max_success=%d" % serving))
     step("fuzz state" + what, [build + "/fuzz_state"], dict(
         env, RC_PARAMS="seed=1 max_success=%d" % state))
+    step("fuzz orders" + what, [build + "/fuzz_orders"], dict(
+        env, RC_PARAMS="seed=1 max_success=%d" % state))
 
 
 def sanitized():
     build = "build/asan"
     san = "-fsanitize=address,undefined -fno-sanitize-recover=undefined"
     targets = [build + "/test_" + n for n in units()] + [
-        build + "/fuzz_serving", build + "/fuzz_state"]
+        build + "/fuzz_serving", build + "/fuzz_state",
+        build + "/fuzz_orders"]
     if step("build, asan ubsan", make(build, san, targets)):
         for name in units():
             step("asan " + name, [build + "/test_" + name])
@@ -87,7 +90,7 @@
 
 def main():
     targets = ["all"] + ["build/test_" + n for n in units()] + [
-        "build/fuzz_serving", "build/fuzz_state"]
+        "build/fuzz_serving", "build/fuzz_state", "build/fuzz_orders"]
     if step("build", make("build", "", targets)):
         step("formatter and linter", ["make", "-s", "lint"])
         for name in units():
--- /dev/null
+++ b/tests/fuzz_orders.cc
@@ -0,0 +1,37 @@
+/* Stateful fuzzing of orders to engines against the world's oracle. */
+#include "orders_world.h"
+#include "step.h"
+
+namespace
+{
+
+struct Traits {
+	using Kind = OpKind;
+
+	static const int range = 1000;
+
+	static rc::Gen<Kind>
+	kinds()
+	{
+		return rc::gen::weightedElement<Kind>({ { 14, OP_ADVANCE },
+		    { 6, OP_LONG_ADVANCE }, { 8, OP_DEMAND }, { 8, OP_ASK },
+		    { 3, OP_LOSE }, { 3, OP_RESTART }, { 2, OP_KILL },
+		    { 2, OP_FREEZE }, { 2, OP_OUTAGE }, { 1, OP_REVOKE },
+		    { 1, OP_CALM } });
+	}
+
+	static const char *
+	name(Kind kind)
+	{
+		return op_names[kind];
+	}
+};
+
+} // namespace
+
+int
+main()
+{
+	return fuzz_main<World, Model, Traits>(
+	    "engines are never ordered beyond what they hold");
+}
--- a/tests/test_steward.c
+++ b/tests/test_steward.c
@@ -14,6 +14,7 @@
 static void test_unanswered(void);
 static void test_busy(void);
 static void test_restart(void);
+static void test_ghost(void);
 static void test_stale_holder(void);
 static void test_adapters(void);
 static void test_coming_counts(void);
@@ -187,6 +188,8 @@
 	    strcmp(again->replica, o->replica) != 0)
 		free(again);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(again);
+	if (again == NULL)
+		abort();
 	CU_ASSERT_STRING_EQUAL(again->model, o->model);
 	CU_ASSERT_EQUAL(again->expected, 4);
 	free(o);
@@ -249,6 +252,46 @@
 	scene_close(&t);
 }
 
+/*
+ * An order without an answer may reach the replica after its restart, when
+ * its count fits again: the model that it names still needs its room.
+ */
+static void
+test_ghost(void)
+{
+	struct steward_order *lost;
+	struct steward_order *o;
+	struct scene t;
+	int i;
+
+	scene_open(&t, 0);
+	t.conf->services[0].engine->loads_per_s = 5.0;
+	scene_run(&t, 500 * MS);
+	scene_reports(&t, 0);
+	scene_demand(&t, "m3", 3);
+	scene_run(&t, 300 * MS);
+	lost = scene_must_take(&t, STEWARD_LOAD);
+	i = lost->replica[1] - '0';
+	steward_answer(t.s, t.now, lost, ANSWER_NONE);
+	t.replicas[i].born_ms = 2;
+	scene_list(&t, i);
+	scene_demand(&t, "m3", 0);
+	scene_run(&t, S);
+	scene_demand(&t, "m0", 500);
+	scene_demand(&t, "m1", 500);
+	scene_demand(&t, "m2", 500);
+	scene_run(&t, 600 * MS);
+	/* It holds one model, and room for the lost one is kept. */
+	while ((o = scene_take(&t, STEWARD_LOAD)) != NULL) {
+		CU_ASSERT(strcmp(o->replica, lost->replica) != 0 ||
+		    strcmp(o->model, "m3") == 0);
+		steward_answer(t.s, t.now, o, ANSWER_STARTED);
+		free(o);
+	}
+	free(lost);
+	scene_close(&t);
+}
+
 /* A later holder has ordered: this one stops at once. */
 static void
 test_stale_holder(void)
@@ -461,6 +504,7 @@
 	{ "unanswered", test_unanswered },
 	{ "busy replica", test_busy },
 	{ "restart", test_restart },
+	{ "late after a restart", test_ghost },
 	{ "stale holder", test_stale_holder },
 	{ "adapters", test_adapters },
 	{ "adapters on their way", test_coming_counts },
