--- a/entry/peers.c
+++ b/entry/peers.c
@@ -285,6 +285,8 @@
 		directory_peer_work(&e->dir, q->index, f->work[i].replica, &w);
 	}
 	steer_demand(e, m);
+	if (f->stopping)
+		steer_peer_stops(e, q->addr);
 	if (e->conf == NULL || f->version > e->conf->version)
 		pull(p, q, PULL_CONFIG, &p->pull_config_at);
 	if (f->listed > e->dir.at && !session_up(e->session))
--- a/entry/session.c
+++ b/entry/session.c
@@ -113,7 +113,8 @@
 
 	ev_timer_stop(s->e->loop, &c->timer);
 	TAILQ_REMOVE(&s->calls, c, entry);
-	note_answer(s, status);
+	if (!s->closing)
+		note_answer(s, status);
 	c->answer(c->ctx, status, buf_data(&c->body), buf_len(&c->body));
 	buf_free(&c->body);
 	free(c);
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -523,6 +523,14 @@
 	e->pump = 1;
 }
 
+/* A holder that stops has given its right back: others try at once. */
+void
+steer_peer_stops(struct entry *e, const char *addr)
+{
+	if (strcmp(e->steer->holder, addr) == 0)
+		e->steer->holder_heard = 0;
+}
+
 void
 steer_message(struct entry *e, const struct msg *m)
 {
--- a/entry/steer.h
+++ b/entry/steer.h
@@ -27,6 +27,8 @@
 void steer_fill_demand(struct entry *, struct msg_front *);
 /* A peer's report. */
 void steer_demand(struct entry *, const struct msg *);
+/* The process at a bus address is stopping. */
+void steer_peer_stops(struct entry *, const char *);
 /* HELD and WANT. */
 void steer_message(struct entry *, const struct msg *);
 void steer_totals(struct entry *, struct steward_totals *);
