--- a/entry/admin.c
+++ b/entry/admin.c
@@ -208,7 +208,7 @@
 
 	if (strcmp(target, READY_TARGET) == 0) {
 		fields_own(&out, entry_ready(c->a->e) ? 200 : 503, NULL, 0,
-		    entry_ready(c->a->e) ? "ready\n" : "not ready\n", 1);
+		    entry_ready(c->a->e) ? "ready" : "not ready", 1);
 	} else if (strcmp(target, METRICS_TARGET) == 0) {
 		f = open_memstream(&text, &len);
 		write_metrics(c->a->e, f);
@@ -216,7 +216,7 @@
 		fields_own(&out, 200, NULL, 0, text, 1);
 		free(text);
 	} else {
-		fields_own(&out, 404, NULL, 0, "no such address\n", 1);
+		fields_own(&out, 404, NULL, 0, "no such address", 1);
 	}
 	conn_write(c->conn, buf_data(&out), buf_len(&out));
 	buf_free(&out);
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -221,7 +221,7 @@
 		return;
 	}
 	if (http_reader_busy(c->reader)) {
-		caller_reject(c, 408, "the request came too slowly\n");
+		caller_reject(c, 408, "the request came too slowly");
 		return;
 	}
 	caller_close(c);
@@ -305,15 +305,15 @@
 		c->begun = c->e->now;
 	n = http_reader_feed(c->reader, p, len);
 	if (http_reader_head_bytes(c->reader) > limits(c->e).header_bytes) {
-		caller_reject(c, 431, "the header is too large\n");
+		caller_reject(c, 431, "the header is too large");
 		return;
 	}
 	if (n < 0) {
-		caller_reject(c, 400, "the request is not HTTP/1.1\n");
+		caller_reject(c, 400, "the request is not HTTP/1.1");
 		return;
 	}
 	if (c->too_large) {
-		caller_reject(c, 413, "the body is too large\n");
+		caller_reject(c, 413, "the body is too large");
 		return;
 	}
 	if (!c->whole) {
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -147,13 +147,13 @@
 	status = forward_admit(f, &err);
 	if (status == 503) {
 		forward_refuse(f,
-		    f->e->stopping ? "this process is stopping\n"
-				   : "no configuration is known yet\n");
+		    f->e->stopping ? "this process is stopping"
+				   : "no configuration is known yet");
 		return;
 	}
 	if (status != 0) {
 		forward_own_answer(f, status, 0,
-		    status == 404 ? "no route matches\n" : "bad request\n");
+		    status == 404 ? "no route matches" : "bad request");
 		forward_log(f, LOG_REQUEST_FAILED, "", err.text);
 		forward_free(f);
 		return;
@@ -327,6 +327,12 @@
 	    (unsigned long long)(f->gap_ns / NSEC_PER_MSEC),
 	    (unsigned long long)f->last_event);
 	forward_log(f, LOG_REQUEST_ATTEMPT, m->info.id, detail);
+	if (f->e->now < m->avoid_until)
+		log_event(LOG_REPLICA_AVOIDED, NULL,
+		    "replica=%s failures=%u for_ms=%llu", m->info.id,
+		    m->failures,
+		    (unsigned long long)((m->avoid_until - f->e->now) /
+			NSEC_PER_MSEC));
 	steer_ended(f->e, f->replica, &f->want, end, f->status);
 	forward_release(f);
 	if (f->caller == NULL) {
@@ -360,12 +366,12 @@
 		forward_try(f);
 		return;
 	case STEP_REFUSE:
-		forward_refuse(f, "no replica could run the request\n");
+		forward_refuse(f, "no replica could run the request");
 		return;
 	case STEP_GIVE_UP:
 		f->e->counts.unknown++;
 		forward_log(f, LOG_REQUEST_FAILED, "", "outcome unknown");
-		forward_own_answer(f, 502, 0, "the outcome is unknown\n");
+		forward_own_answer(f, 502, 0, "the outcome is unknown");
 		forward_free(f);
 		return;
 	default:
@@ -404,12 +410,12 @@
 		return;
 	}
 	if (f->runs == 0) {
-		forward_refuse(f, "no replica was free in time\n");
+		forward_refuse(f, "no replica was free in time");
 		return;
 	}
 	f->e->counts.unknown++;
 	forward_log(f, LOG_REQUEST_FAILED, "", "deadline");
-	forward_own_answer(f, 504, 0, "no answer in time\n");
+	forward_own_answer(f, 504, 0, "no answer in time");
 	forward_free(f);
 }
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -12,6 +12,7 @@
 static void test_truncated(void);
 static void test_flipped(void);
 static void test_too_long(void);
+static void test_lists(void);
 static void test_unknown_kind(void);
 
 static struct msg *
@@ -142,6 +143,54 @@
 	msg_destroy(m);
 }
 
+/* Lists that a message owns: copied, sent, and refused when cut short. */
+static void
+test_lists(void)
+{
+	struct msg *m = msg_create(MSG_FRONT, "");
+	struct msg *copy;
+	struct msg *out;
+	struct err e;
+	char *buf;
+	size_t len;
+	size_t i;
+
+	m->u.front.version = 7;
+	m->u.front.nwork = 2;
+	m->u.front.work = mem_alloc(2 * sizeof(*m->u.front.work));
+	strcpy(m->u.front.work[1].replica, "i-1");
+	m->u.front.work[1].unread = 9;
+	m->u.front.ndemand = 1;
+	m->u.front.demand = mem_alloc(sizeof(*m->u.front.demand));
+	strcpy(m->u.front.demand[0].wanted, "m/a3");
+	m->u.front.demand[0].arrivals = 5;
+	copy = msg_copy(m);
+	msg_destroy(m);
+	out = round_trip(copy);
+	CU_ASSERT_PTR_NOT_NULL(out);
+	if (out != NULL) {
+		CU_ASSERT_EQUAL(out->u.front.work[1].unread, 9);
+		CU_ASSERT_STRING_EQUAL(out->u.front.demand[0].wanted, "m/a3");
+		CU_ASSERT_EQUAL(out->u.front.demand[0].arrivals, 5);
+	}
+	msg_destroy(out);
+	wire_encode(copy, &buf, &len);
+	for (i = 0; i < len; i++)
+		CU_ASSERT_PTR_NULL(wire_decode(buf, i, &e));
+	free(buf);
+	msg_destroy(copy);
+	m = msg_create(MSG_HELD, "");
+	m->u.held.fence = 4;
+	m->u.held.n = 1;
+	m->u.held.items = mem_alloc(sizeof(*m->u.held.items));
+	strcpy(m->u.held.items[0].name, "m/a1");
+	out = round_trip(m);
+	CU_ASSERT(
+	    out != NULL && strcmp(out->u.held.items[0].name, "m/a1") == 0);
+	msg_destroy(out);
+	msg_destroy(m);
+}
+
 static void
 test_unknown_kind(void)
 {
@@ -160,6 +209,7 @@
 	{ "truncated", test_truncated },
 	{ "one bit changed", test_flipped },
 	{ "longest list", test_too_long },
+	{ "owned lists", test_lists },
 	{ "unknown kind or version", test_unknown_kind },
 };
 
