--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -24,6 +24,7 @@
 
 TAILQ_HEAD(forward_list, forward);
 TAILQ_HEAD(caller_list, caller);
+TAILQ_HEAD(query_list, query);
 
 struct entry_counts {
 	uint64_t arrived;
@@ -51,6 +52,7 @@
 	struct forward_list waiting;
 	struct forward_list running;
 	struct caller_list callers;
+	struct query_list queries;
 	struct session *session;
 	struct peers *peers;
 	struct steer *steer;
--- a/entry/main.c
+++ b/entry/main.c
@@ -11,6 +11,7 @@
 #include "entry_int.h"
 #include "mem.h"
 #include "peers.h"
+#include "query.h"
 #include "session.h"
 #include "steer.h"
 
@@ -143,6 +144,7 @@
 	TAILQ_INIT(&e->waiting);
 	TAILQ_INIT(&e->running);
 	TAILQ_INIT(&e->callers);
+	TAILQ_INIT(&e->queries);
 	directory_init(&e->dir);
 	e->nprocesses = 1;
 	e->self.incarnation = clock_incarnation();
@@ -192,6 +194,8 @@
 	forward_stop_all(e);
 	callers_destroy(e);
 	admin_destroy(e->admin);
+	session_close(e->session);
+	queries_end(e);
 	steer_destroy(e->steer);
 	session_destroy(e->session);
 	peers_destroy(e->peers);
--- /dev/null
+++ b/entry/query.c
@@ -0,0 +1,104 @@
+#include <stdlib.h>
+
+#include "mem.h"
+#include "query.h"
+
+struct query {
+	TAILQ_ENTRY(query) entry;
+	struct entry *e;
+	struct exchange *x;
+	ev_timer timer;
+	int status;
+	struct buf body;
+	query_answer answer;
+	void *ctx;
+};
+
+static int on_head(void *, const struct http_head *);
+static void on_body(void *, const char *, size_t);
+static void on_end(void *, enum exchange_end);
+static void on_timeout(struct ev_loop *, ev_timer *, int);
+static void query_end(struct query *, int);
+
+static const struct exchange_ops query_ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+};
+
+void
+query_send(struct entry *e, struct link_pool *pool, const char *addr,
+    const struct buf *request, double timeout_s, query_answer answer, void *ctx)
+{
+	struct query *q;
+
+	q = mem_alloc(sizeof(*q));
+	q->e = e;
+	q->answer = answer;
+	q->ctx = ctx;
+	TAILQ_INSERT_TAIL(&e->queries, q, entry);
+	q->x = exchange_start(pool, addr, TIME_NEVER / 4, &query_ops, q);
+	exchange_send(q->x, buf_data(request), buf_len(request));
+	ev_timer_init(&q->timer, on_timeout, timeout_s, 0.0);
+	q->timer.data = q;
+	ev_timer_start(e->loop, &q->timer);
+}
+
+static int
+on_head(void *ctx, const struct http_head *h)
+{
+	struct query *q = ctx;
+
+	q->status = h->status;
+	return 0;
+}
+
+static void
+on_body(void *ctx, const char *p, size_t len)
+{
+	struct query *q = ctx;
+
+	buf_add(&q->body, p, len);
+}
+
+static void
+on_end(void *ctx, enum exchange_end end)
+{
+	struct query *q = ctx;
+
+	entry_now(q->e);
+	query_end(q, end == EXCHANGE_DONE ? q->status : 0);
+}
+
+static void
+on_timeout(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct query *q = w->data;
+
+	(void)loop;
+	(void)events;
+	entry_now(q->e);
+	exchange_cancel(q->x);
+	query_end(q, 0);
+}
+
+static void
+query_end(struct query *q, int status)
+{
+	ev_timer_stop(q->e->loop, &q->timer);
+	TAILQ_REMOVE(&q->e->queries, q, entry);
+	q->answer(q->ctx, status, buf_data(&q->body), buf_len(&q->body));
+	buf_free(&q->body);
+	free(q);
+}
+
+void
+queries_end(struct entry *e)
+{
+	struct query *q;
+
+	while ((q = TAILQ_FIRST(&e->queries)) != NULL) {
+		exchange_cancel(q->x);
+		query_end(q, 0);
+	}
+}
--- a/entry/session.c
+++ b/entry/session.c
@@ -9,20 +9,17 @@
 #define CALL_TIMEOUT_S 1.5
 #define DOWN_AFTER 2 /* calls without an answer in a row */
 
-static int on_head(void *, const struct http_head *);
-static void on_body(void *, const char *, size_t);
-static void on_end(void *, enum exchange_end);
-static void on_timeout(struct ev_loop *, ev_timer *, int);
-static void call_end(struct call *, int);
+/* A call under way. */
+struct call {
+	struct session *s;
+	query_answer answer;
+	void *ctx;
+};
+
+static void call_answered(void *, int, const char *, size_t);
 static void note_answer(struct session *, int);
 static void op_answered(void *, int, const char *, size_t);
 
-static const struct exchange_ops call_ops = {
-	.head = on_head,
-	.body = on_body,
-	.end = on_end,
-};
-
 /* An operation under way. */
 struct op_call {
 	struct session *s;
@@ -31,9 +28,9 @@
 	void *ctx;
 };
 
-struct call *
+void
 session_call(struct session *s, struct store_call *sc, double timeout_s,
-    call_answer answer, void *ctx)
+    query_answer answer, void *ctx)
 {
 	struct buf out = { 0 };
 	struct call *c;
@@ -43,7 +40,6 @@
 	c->s = s;
 	c->answer = answer;
 	c->ctx = ctx;
-	TAILQ_INSERT_TAIL(&s->calls, c, entry);
 	s->ncalls++;
 	buf_printf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n", sc->method, sc->path,
 	    s->e->boot.store);
@@ -54,69 +50,20 @@
 	buf_text(&out, "\r\n");
 	if (len != 0)
 		buf_add(&out, sc->body, len);
-	c->x = exchange_start(
-	    s->e->store, s->e->boot.store, TIME_NEVER / 4, &call_ops, c);
-	exchange_send(c->x, buf_data(&out), buf_len(&out));
+	query_send(s->e, s->e->store, s->e->boot.store, &out, timeout_s,
+	    call_answered, c);
 	buf_free(&out);
 	store_call_clear(sc);
-	ev_timer_init(&c->timer, on_timeout, timeout_s, 0.0);
-	c->timer.data = c;
-	ev_timer_start(s->e->loop, &c->timer);
-	return c;
-}
-
-static int
-on_head(void *ctx, const struct http_head *h)
-{
-	struct call *c = ctx;
-
-	c->status = h->status;
-	return 0;
-}
-
-static void
-on_body(void *ctx, const char *p, size_t len)
-{
-	struct call *c = ctx;
-
-	buf_add(&c->body, p, len);
 }
 
 static void
-on_end(void *ctx, enum exchange_end end)
+call_answered(void *ctx, int status, const char *body, size_t len)
 {
 	struct call *c = ctx;
 
-	c->x = NULL;
-	entry_now(c->s->e);
-	call_end(c, end == EXCHANGE_DONE ? c->status : 0);
-}
-
-static void
-on_timeout(struct ev_loop *loop, ev_timer *w, int events)
-{
-	struct call *c = w->data;
-
-	(void)loop;
-	(void)events;
-	entry_now(c->s->e);
-	exchange_cancel(c->x);
-	c->x = NULL;
-	call_end(c, 0);
-}
-
-/* Status 0 stands for no answer. */
-static void
-call_end(struct call *c, int status)
-{
-	struct session *s = c->s;
-
-	ev_timer_stop(s->e->loop, &c->timer);
-	TAILQ_REMOVE(&s->calls, c, entry);
-	if (!s->closing)
-		note_answer(s, status);
-	c->answer(c->ctx, status, buf_data(&c->body), buf_len(&c->body));
-	buf_free(&c->body);
+	if (!c->s->closing)
+		note_answer(c->s, status);
+	c->answer(c->ctx, status, body, len);
 	free(c);
 }
 
@@ -199,24 +146,19 @@
 	s = mem_alloc(sizeof(*s));
 	s->e = e;
 	s->up = 1;
-	TAILQ_INIT(&s->calls);
 	lists_start(s);
 	return s;
 }
 
 void
-session_destroy(struct session *s)
+session_close(struct session *s)
 {
-	struct call *c;
-
-	if (s == NULL)
-		return;
 	s->closing = 1;
 	lists_stop(s);
-	while ((c = TAILQ_FIRST(&s->calls)) != NULL) {
-		exchange_cancel(c->x);
-		c->x = NULL;
-		call_end(c, 0);
-	}
+}
+
+void
+session_destroy(struct session *s)
+{
 	free(s);
 }
--- a/entry/session.h
+++ b/entry/session.h
@@ -9,6 +9,8 @@
 #include "kvop.h"
 
 struct session *session_create(struct entry *);
+/* Begins no more calls; then queries_end() ends those under way. */
+void session_close(struct session *);
 void session_destroy(struct session *);
 /* Takes over the operations; each is answered through session_answer. */
 void session_send(struct session *, struct kv_ops *,
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -2,24 +2,9 @@
 #ifndef SESSION_INT_H
 #define SESSION_INT_H
 
-#include "entry_int.h"
+#include "query.h"
 #include "store.h"
 
-typedef void (*call_answer)(void *, int, const char *, size_t);
-
-struct call {
-	TAILQ_ENTRY(call) entry;
-	struct session *s;
-	struct exchange *x;
-	ev_timer timer;
-	int status;
-	struct buf body;
-	call_answer answer;
-	void *ctx;
-};
-
-TAILQ_HEAD(call_list, call);
-
 enum list_id {
 	LIST_CONFIG,
 	LIST_REPLICAS,
@@ -53,7 +38,6 @@
 
 struct session {
 	struct entry *e;
-	struct call_list calls;
 	struct list lists[LIST__MAX];
 	uint64_t ncalls;
 	uint32_t failures;
@@ -62,8 +46,8 @@
 };
 
 /* Sends a call and clears it; the answer comes later, status 0 for none. */
-struct call *session_call(
-    struct session *, struct store_call *, double, call_answer, void *);
+void session_call(
+    struct session *, struct store_call *, double, query_answer, void *);
 
 /* lists.c */
 void lists_start(struct session *);
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -2,12 +2,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
 
 #include "forward_int.h"
 #include "mem.h"
 #include "order.h"
 #include "peers.h"
+#include "query.h"
 #include "replica.h"
 #include "session.h"
 #include "steer.h"
@@ -45,25 +45,15 @@
 	uint64_t holder_fence;
 	char holder[ADDR_SIZE];
 	int held;
-	struct order_call *calls;
 };
 
+/* An order or question under way. */
 struct order_call {
-	struct order_call *prev;
-	struct order_call *next;
 	struct entry *e;
 	struct steward_order o;
-	struct exchange *x;
-	ev_timer timer;
-	int status;
-	struct buf body;
 };
 
-static int on_head(void *, const struct http_head *);
-static void on_body(void *, const char *, size_t);
-static void on_end(void *, enum exchange_end);
-static void on_timeout(struct ev_loop *, ev_timer *, int);
-static void order_end(struct order_call *, int);
+static void order_answered(void *, int, const char *, size_t);
 static void order_send(struct entry *, const struct steward_order *);
 static void carry_out(struct entry *, struct kv_ops *, struct steward_orders *);
 static void on_result(void *, const struct kv_result *);
@@ -76,12 +66,6 @@
 static void take_held(struct entry *, const struct msg *);
 static uint32_t candidate_rank(const struct entry *);
 
-static const struct exchange_ops order_ops = {
-	.head = on_head,
-	.body = on_body,
-	.end = on_end,
-};
-
 struct steer *
 steer_create(struct entry *e)
 {
@@ -107,10 +91,6 @@
 
 	if (st == NULL)
 		return;
-	while (st->calls != NULL) {
-		exchange_cancel(st->calls->x);
-		order_end(st->calls, 0);
-	}
 	HASH_ITER (hh, st->tallies, t, next) {
 		HASH_DEL(st->tallies, t);
 		free(t);
@@ -255,48 +235,11 @@
 	}
 }
 
-static int
-on_head(void *ctx, const struct http_head *h)
-{
-	struct order_call *c = ctx;
-
-	c->status = h->status;
-	return 0;
-}
-
-static void
-on_body(void *ctx, const char *p, size_t len)
-{
-	struct order_call *c = ctx;
-
-	buf_add(&c->body, p, len);
-}
-
-static void
-on_end(void *ctx, enum exchange_end end)
-{
-	struct order_call *c = ctx;
-
-	entry_now(c->e);
-	order_end(c, end == EXCHANGE_DONE ? c->status : 0);
-}
-
-static void
-on_timeout(struct ev_loop *loop, ev_timer *w, int events)
-{
-	struct order_call *c = w->data;
-
-	(void)loop;
-	(void)events;
-	entry_now(c->e);
-	exchange_cancel(c->x);
-	order_end(c, 0);
-}
-
 /* Status 0 stands for no answer. */
 static void
-order_end(struct order_call *c, int status)
+order_answered(void *ctx, int status, const char *body, size_t len)
 {
+	struct order_call *c = ctx;
 	struct steward *s = c->e->steer->steward;
 	struct log_about about = { 0 };
 	struct fleet_replica r;
@@ -304,16 +247,13 @@
 	enum order_answer answer = platform_order_answer(status);
 	int good;
 
-	ev_timer_stop(c->e->loop, &c->timer);
-	DL_DELETE(c->e->steer->calls, c);
 	about.order = c->o.id;
 	about.backend = c->o.replica;
 	about.model = c->o.adapter[0] != '\0' ? c->o.adapter : c->o.model;
 	if (c->o.kind == STEWARD_REPORT) {
 		memset(&r, 0, sizeof(r));
 		good = status == 200 &&
-		    platform_report_decode(
-			buf_data(&c->body), buf_len(&c->body), &r, &err) == 0;
+		    platform_report_decode(body, len, &r, &err) == 0;
 		log_event(LOG_ORDER_DONE, &about,
 		    "report status=%d orders=%llu busy=%d", status,
 		    (unsigned long long)r.orders, r.busy);
@@ -327,7 +267,6 @@
 		    (unsigned long long)c->o.expected);
 		steward_answer(s, c->e->now, &c->o, answer);
 	}
-	buf_free(&c->body);
 	free(c);
 }
 
@@ -354,13 +293,8 @@
 		    o->kind == STEWARD_LOAD ? "load" : "unload",
 		    (unsigned long long)o->expected,
 		    (unsigned long long)o->fence);
-	DL_APPEND(e->steer->calls, c);
-	c->x =
-	    exchange_start(e->replicas, o->addr, TIME_NEVER / 4, &order_ops, c);
-	exchange_send(c->x, buf_data(&out), buf_len(&out));
-	ev_timer_init(&c->timer, on_timeout, ORDER_TIMEOUT_S, 0.0);
-	c->timer.data = c;
-	ev_timer_start(e->loop, &c->timer);
+	query_send(
+	    e, e->replicas, o->addr, &out, ORDER_TIMEOUT_S, order_answered, c);
 	buf_free(&out);
 	free(body);
 }
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -73,10 +73,12 @@
     san = "-fsanitize=address,undefined -fno-sanitize-recover=undefined"
     targets = [build + "/test_" + n for n in units()] + [
         build + "/fuzz_serving", build + "/fuzz_state",
-        build + "/fuzz_orders"]
+        build + "/fuzz_orders", build + "/spindle-entry"]
     if step("build, asan ubsan", make(build, san, targets)):
         for name in units():
             step("asan " + name, [build + "/test_" + name])
+        step("asan entry", [sys.executable, "tests/entry.py"], {
+            "SPINDLE_ENTRY": os.path.join(ROOT, build, "spindle-entry")})
         fuzz(build, SERVING_CASES // 10, STATE_CASES // 10, ", asan")
     build = "build/tsan"
     names = [n for n in THREADED if n in units()]
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -723,8 +723,12 @@
 
 
 def main(names):
+    # Memory bounds are for the program itself, not for a sanitizer's.
+    skip = ["test_slow_reader", "test_many_callers"] \
+        if "SPINDLE_ENTRY" in os.environ else []
     tests = [t for n, t in sorted(globals().items())
-             if n.startswith("test_") and (not names or n in names)]
+             if n.startswith("test_") and n not in skip and
+             (not names or n in names)]
     results, lock, gate = [], threading.Lock(), threading.Semaphore(6)
     threads = [threading.Thread(target=run_one, args=(t, results, lock, gate))
                for t in tests]
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -17,7 +17,8 @@
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-BINARY = os.path.join(ROOT, "build", "spindle-entry")
+BINARY = os.environ.get(
+    "SPINDLE_ENTRY", os.path.join(ROOT, "build", "spindle-entry"))
 ID = "Arbutusspindle-Attempt-Id"
 SIGNATURE = "Arbutusspindle-Response-Signature"
 NOT_RUN = "Arbutusspindle-Not-Executed"
@@ -379,10 +380,13 @@
                 s.close()
 
     def stop(self):
+        text = ""
         if self.process is not None:
             if self.process.poll() is None:
                 self.process.send_signal(signal.SIGKILL)
             self.process.wait()
+            self.log.seek(0)
+            text = self.log.read()
             self.log.close()
 
         async def close():
@@ -397,6 +401,8 @@
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
         self.dir.cleanup()
+        if "Sanitizer" in text or "runtime error:" in text:
+            raise AssertionError(text[-4000:])
 
 
 def request(path, id, method="GET", body=b"", fields=None, deadline=5000):
