--- a/tests/process.py
+++ b/tests/process.py
@@ -486,8 +486,8 @@
             proc = subprocess.run(
                 [os.path.join(build_dir(), "spindle-gate"), "-n", "-c",
                  f.name], capture_output=True, text=True, check=False)
-        check("%s: %s" % (change, proc.stderr), proc.returncode == 78 and
-              part in proc.stderr)
+        check("%s: %s" % (change, proc.stdout), proc.returncode == 78 and
+              part in json.loads(proc.stdout)["detail"])
     del good["bus"]
     with tempfile.NamedTemporaryFile("w", suffix=".json") as f:
         json.dump(good, f)
@@ -495,7 +495,8 @@
         proc = subprocess.run(
             [os.path.join(build_dir(), "spindle-gate"), "-c", f.name],
             capture_output=True, text=True, check=False)
-    check(proc.stderr, ".bus: is missing" in proc.stderr)
+    check(proc.stdout, ".bus: is missing" in json.loads(
+        proc.stdout)["detail"])
 
 
 def build_dir():
