A broken stream waits a little for another replica, however late it broke

Cause: the time to wait was counted from the request's arrival only, so a stream that broke after 2 s was cut at once when no replica was free. Change: a repeat waits 0.8 s at least; callers wait 2 s for an event. Test: test_stream_waits_to_resume fails before (joined up to 30 of 33).

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -26,6 +26,8 @@
 #define FIRST_SHARE_DEN 3
 /* A caller's own deadline ends first; ours only cleans up after it. */
 #define PATIENCE_SLACK_NS (200 * NSEC_PER_MSEC)
+/* Callers wait at least 2 s for the next event of a stream. */
+#define AGAIN_WAIT_NS (800 * NSEC_PER_MSEC)
 /* A stream that begins so long after SIGTERM may not end in time. */
 #define STOPPING_STREAM_NS (2600 * NSEC_PER_MSEC)
 #define PATIENCE_DEFAULT_NS (60 * NSEC_PER_SEC)
@@ -260,6 +262,7 @@
 forward_park(struct forward *f, enum balance_result why)
 {
 	struct forward *other;
+	uint64_t until;
 
 	if (f->waiting)
 		return;
@@ -274,8 +277,11 @@
 		TAILQ_INSERT_BEFORE(other, f, entry);
 	else
 		TAILQ_INSERT_TAIL(&f->e->waiting, f, entry);
-	forward_timer(
-	    f, f->wait_until < f->deadline ? f->wait_until : f->deadline);
+	/* A repeat waits a little, however late the first attempt broke. */
+	until = f->wait_until;
+	if (f->sends != 0 && until < f->e->now + AGAIN_WAIT_NS)
+		until = f->e->now + AGAIN_WAIT_NS;
+	forward_timer(f, until < f->deadline ? until : f->deadline);
 }
 
 void
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -369,6 +369,38 @@
         w.stop()
 
 
+def test_stream_waits_to_resume():
+    """A stream that broke late waits a little for another replica."""
+    async def breaks(call):
+        await call.read()
+        await call.events(1, 30, end=False, gap=0.1)
+        call.writer.transport.abort()
+        return False
+
+    async def rest(call):
+        await call.read()
+        return await call.events(int(call.fields["last-event-id"]) + 1, 33)
+    w = World()
+    try:
+        w.replica("i-a", "plain", breaks)
+        w.wait_ready()
+        w.wait("i-a listed", lambda: w.events("replica-listed"))
+        s = w.connect()
+        s.sendall(request("/go/x", "id-1", "POST", b"p"))
+        time.sleep(2.8)
+        w.list("i-a", state="draining")
+        w.wait("broken", lambda: w.events("request-attempt"))
+        time.sleep(0.2)
+        w.replica("i-b", "plain", rest)
+        status, _, body, whole = read_answer(s)
+        check("joined %s" % pieces(body)[-5:],
+              pieces(body) == list(range(1, 34)))
+        check("whole", status == 200 and whole)
+        s.close()
+    finally:
+        w.stop()
+
+
 def test_stream_overlap():
     """A replica that repeats events it was told of is corrected."""
     async def breaks(call):
