A copy that a ledger under way gives up no longer serves in another's stead

Found in the trace: e1's m2@1 'unloading' put at 28,150 ms, e2's m2@3 at 28,300 ms. Ruled out: late orders, restarts (none between). Change: a copy counts only if the ledger that is being written keeps it.

--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -136,7 +136,10 @@
 	sched_demand(c->sched, demand_report, &ctx);
 }
 
-/* Whether a copy of the version is confirmed on a server that stays. */
+/*
+ * Whether a copy of the version is confirmed on a server that stays, and no
+ * ledger that is being written gives it up.
+ */
 int
 cell_serves(const struct cell_core *c, const char *model, const char *version)
 {
@@ -147,6 +150,9 @@
 	for (i = 0; i < c->nunits; i++) {
 		if (c->units[i]->conf.leaving)
 			continue;
+		en = ledger_model(planned(c->units[i]), model, version);
+		if (en == NULL || en->state != ENTRY_RESIDENT)
+			continue;
 		for (k = 0; k < c->units[i]->ledger.n; k++) {
 			en = &c->units[i]->ledger.entries[k];
 			if (en->state == ENTRY_RESIDENT && !en->missing &&
