What nothing uses any more goes

Found on reading the whole change once more: four functions of the links' pool, the mark of a spoilt connection, a count of connections by address, a replica's count of connections (never raised) and time of leaving (never read), and the steward's unused order time; directory_put() needs no time then.

--- a/core/directory.c
+++ b/core/directory.c
@@ -72,7 +72,7 @@
 }
 
 struct member_replica *
-directory_put(struct directory *d, uint64_t now, const struct fleet_replica *r)
+directory_put(struct directory *d, const struct fleet_replica *r)
 {
 	struct member_replica *m;
 
@@ -80,22 +80,16 @@
 	if (m == NULL) {
 		m = mem_alloc(sizeof(*m));
 		m->info = *r;
-		m->leave_by = TIME_NEVER;
 		HASH_ADD_STR(d->replicas, info.id, m);
 	} else {
 		if (m->info.born_ms != r->born_ms) {
 			m->failures = 0;
 			m->avoid_until = 0;
 			m->errors = 0.0;
-			m->leave_by = TIME_NEVER;
 		}
 		put_kept(m, r);
 	}
 	m->presence = PRESENT;
-	if (r->state == REPLICA_LEAVING && r->leave_ns != 0)
-		m->leave_by = now + r->leave_ns;
-	if (r->state == REPLICA_READY)
-		m->leave_by = TIME_NEVER;
 	return m;
 }
 
@@ -145,8 +139,7 @@
 	HASH_ITER (hh, d->replicas, m, next) {
 		if (m->presence == PRESENT_LAPSED && now >= m->lapse_until)
 			m->presence = PRESENT_GONE;
-		if (m->presence != PRESENT_GONE || m->own.running != 0 ||
-		    m->conns != 0)
+		if (m->presence != PRESENT_GONE || m->own.running != 0)
 			continue;
 		HASH_DEL(d->replicas, m);
 		free(m->peers);
--- a/core/directory.h
+++ b/core/directory.h
@@ -37,7 +37,6 @@
 	struct fleet_replica info;
 	enum presence presence;
 	uint64_t lapse_until; /* LAPSED: gone unless listed again by then */
-	uint64_t leave_by;    /* leaving with notice: ends then, or NEVER */
 	struct work own;
 	struct work *peers;
 	uint32_t npeers;
@@ -45,7 +44,6 @@
 	uint64_t avoid_until;
 	double errors;	    /* recent share of failed attempts */
 	uint64_t errors_at; /* when errors was last updated */
-	uint32_t conns;	    /* connections that this process holds */
 	struct shun shuns[DIRECTORY_SHUNS_MAX];
 	UT_hash_handle hh;
 };
@@ -64,7 +62,7 @@
 struct member_replica *directory_find(const struct directory *, const char *);
 /* Takes in an entry; adapters known otherwise are kept within one start. */
 struct member_replica *directory_put(
-    struct directory *, uint64_t, const struct fleet_replica *);
+    struct directory *, const struct fleet_replica *);
 /* The entry was removed from the list. */
 void directory_remove(struct directory *, uint64_t, const char *);
 /* The list's service stops answering, or answers again. */
--- a/core/steward.c
+++ b/core/steward.c
@@ -56,7 +56,6 @@
 	c->window_ns = 5 * NSEC_PER_SEC;
 	c->burst = 1.0;
 	c->adapter_ns = 40 * NSEC_PER_MSEC;
-	c->order_ns = 600 * NSEC_PER_MSEC;
 }
 
 struct steward *
--- a/core/steward.h
+++ b/core/steward.h
@@ -23,7 +23,6 @@
 	uint64_t window_ns;  /* weight loads are counted over */
 	double burst;	     /* times the declared rate in a window */
 	uint64_t adapter_ns; /* an adapter is taken to be loaded after */
-	uint64_t order_ns;   /* an order without an answer is lost after */
 };
 
 enum steward_kind {
--- a/net/link.c
+++ b/net/link.c
@@ -25,7 +25,6 @@
 	uint64_t told_ns;    /* how long the server keeps it */
 	int opened;
 	int fresh;
-	int spoilt;
 	int skipping; /* the answer at hand belongs to an earlier request */
 	int begun;    /* an answer's head was taken */
 	int feeding;  /* inside the reader */
@@ -39,7 +38,6 @@
 	char addr[ADDR_SIZE];
 	struct exchange_list idle;
 	uint32_t nidle;
-	uint32_t count;
 	UT_hash_handle hh;
 };
 
@@ -103,37 +101,12 @@
 	free(p);
 }
 
-void
-link_pool_idle_max(struct link_pool *p, uint32_t n)
-{
-	p->config.idle_max = n;
-}
-
 uint64_t
 link_pool_opened(const struct link_pool *p)
 {
 	return p->opened;
 }
 
-uint32_t
-link_pool_count(const struct link_pool *p, const char *addr)
-{
-	struct address *a;
-
-	HASH_FIND_STR(p->addresses, addr, a);
-	return a == NULL ? 0 : a->count;
-}
-
-void
-link_pool_drop(struct link_pool *p, const char *addr)
-{
-	struct address *a;
-
-	HASH_FIND_STR(p->addresses, addr, a);
-	while (a != NULL && !TAILQ_EMPTY(&a->idle))
-		link_close(TAILQ_FIRST(&a->idle));
-}
-
 static struct address *
 link_address(struct link_pool *p, const char *addr)
 {
@@ -158,7 +131,6 @@
 	x->pool = p;
 	x->address = a;
 	x->fresh = 1;
-	a->count++;
 	p->opened++;
 	x->reader =
 	    http_reader_create(HTTP_READ_RESPONSES, &link_reader_ops, x);
@@ -185,7 +157,6 @@
 		TAILQ_REMOVE(&a->idle, x, entry);
 		a->nidle--;
 	}
-	a->count--;
 	ev_timer_stop(x->pool->loop, &x->timer);
 	conn_destroy(x->conn);
 	http_reader_destroy(x->reader);
@@ -240,12 +211,6 @@
 	x->told_ns = told_ns;
 }
 
-void
-exchange_spoil(struct exchange *x)
-{
-	x->spoilt = 1;
-}
-
 void
 exchange_read(struct exchange *x, int on)
 {
@@ -292,8 +257,8 @@
 {
 	const struct http_head *h = http_reader_head(x->reader);
 
-	return !x->spoilt && surplus == 0 && h->keep_alive &&
-	    !h->close_framed && conn_pending(x->conn) == 0;
+	return surplus == 0 && h->keep_alive && !h->close_framed &&
+	    conn_pending(x->conn) == 0;
 }
 
 static void
--- a/net/link.h
+++ b/net/link.h
@@ -41,7 +41,6 @@
 struct link_pool *link_pool_create(
     struct ev_loop *, const struct link_config *);
 void link_pool_destroy(struct link_pool *);
-void link_pool_idle_max(struct link_pool *, uint32_t);
 /*
  * Begins an exchange; an idle connection is used when its server told how
  * long it keeps it, or it was used within fresh_ns.  end() is never called
@@ -54,8 +53,6 @@
 void exchange_bodiless(struct exchange *);
 /* The server keeps the connection this long; 0 when it did not tell. */
 void exchange_idle(struct exchange *, uint64_t);
-/* The connection must not be used again. */
-void exchange_spoil(struct exchange *);
 /* Stops or restarts reading the answer. */
 void exchange_read(struct exchange *, int);
 /* Closes the connection; no callback follows. */
@@ -64,9 +61,5 @@
 int exchange_fresh(const struct exchange *);
 /* Connections opened since the start. */
 uint64_t link_pool_opened(const struct link_pool *);
-/* Connections to an address. */
-uint32_t link_pool_count(const struct link_pool *, const char *);
-/* Closes the idle connections to an address. */
-void link_pool_drop(struct link_pool *, const char *);
 
 #endif
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -74,7 +74,7 @@
 	for (auto &e : engines) {
 		fleet_replica r = entry(e, e.now);
 
-		directory_put(&holders[i].dir, now, &r);
+		directory_put(&holders[i].dir, &r);
 	}
 }
 
@@ -169,7 +169,7 @@
 		fleet_replica r = entry(e, h);
 
 		for (auto &holder : holders)
-			directory_put(&holder.dir, now, &r);
+			directory_put(&holder.dir, &r);
 	}
 }
 
--- a/tests/steward_scene.c
+++ b/tests/steward_scene.c
@@ -65,7 +65,7 @@
 void
 scene_list(struct scene *t, int i)
 {
-	directory_put(&t->dir, t->now, &t->replicas[i]);
+	directory_put(&t->dir, &t->replicas[i]);
 }
 
 void
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -99,7 +99,7 @@
 	struct member_replica *m;
 
 	directory_init(&d);
-	m = directory_put(&d, S, &r);
+	m = directory_put(&d, &r);
 	directory_service(&d, 2 * S, 0);
 	directory_remove(&d, 3 * S, "a");
 	CU_ASSERT(directory_usable(m, 3 * S));
@@ -109,7 +109,7 @@
 	directory_tick(&d, 63 * S - MS);
 	CU_ASSERT(directory_usable(m, 63 * S - MS));
 	/* Listed again in time. */
-	directory_put(&d, 63 * S - MS, &r);
+	directory_put(&d, &r);
 	directory_tick(&d, 70 * S);
 	CU_ASSERT(directory_usable(m, 70 * S));
 	/* Missing after that time. */
@@ -119,7 +119,7 @@
 	directory_tick(&d, 75 * S);
 	CU_ASSERT_PTR_NULL(directory_find(&d, "a"));
 	/* Removed just after the return: the removal may be from before. */
-	m = directory_put(&d, 75 * S, &r);
+	m = directory_put(&d, &r);
 	directory_service(&d, 76 * S, 0);
 	directory_service(&d, 77 * S, 1);
 	directory_remove(&d, 78 * S, "a");
@@ -137,12 +137,12 @@
 	struct member_replica *m;
 
 	directory_init(&d);
-	m = directory_put(&d, S, &r);
+	m = directory_put(&d, &r);
 	r.state = REPLICA_LEAVING;
-	directory_put(&d, 2 * S, &r);
+	directory_put(&d, &r);
 	CU_ASSERT(!directory_usable(m, 2 * S));
 	r.state = REPLICA_READY;
-	directory_put(&d, 3 * S, &r);
+	directory_put(&d, &r);
 	CU_ASSERT(directory_usable(m, 3 * S));
 	m->own.running = 1;
 	directory_remove(&d, 10 * S, "a");
@@ -164,11 +164,11 @@
 	struct member_replica *m;
 
 	directory_init(&d);
-	m = directory_put(&d, S, &r);
+	m = directory_put(&d, &r);
 	strcpy(m->info.adapters[m->info.nadapters++], "m/a1");
 	strcpy(m->info.adapters[m->info.nadapters++], "gone/a1");
 	m->info.orders = 7;
-	directory_put(&d, 2 * S, &r);
+	directory_put(&d, &r);
 	CU_ASSERT(fleet_has_adapter(&m->info, "m/a1"));
 	CU_ASSERT(!fleet_has_adapter(&m->info, "gone/a1"));
 	CU_ASSERT_EQUAL(m->info.orders, 7);
@@ -176,7 +176,7 @@
 	CU_ASSERT(!directory_usable(m, 2 * S));
 	r.born_ms = 2;
 	r.nresident = 0;
-	directory_put(&d, 2 * S + MS, &r);
+	directory_put(&d, &r);
 	CU_ASSERT(directory_usable(m, 2 * S + MS));
 	CU_ASSERT_EQUAL(m->info.nadapters, 0);
 	CU_ASSERT_EQUAL(m->info.orders, 0);
@@ -194,7 +194,7 @@
 	int i;
 
 	directory_init(&d);
-	m = directory_put(&d, S, &r);
+	m = directory_put(&d, &r);
 	directory_failure(m, S, 0);
 	CU_ASSERT(directory_usable(m, S)); /* it answered */
 	for (i = 0; i < 10; i++) {
@@ -217,7 +217,7 @@
 	struct member_replica *m;
 
 	directory_init(&d);
-	m = directory_put(&d, S, &r);
+	m = directory_put(&d, &r);
 	m->own.running = 1;
 	directory_peer_clear(&d, S, 5);
 	directory_peer_work(&d, 5, "a", &w);
@@ -242,7 +242,7 @@
 	int i;
 
 	directory_init(&d);
-	m = directory_put(&d, S, &r);
+	m = directory_put(&d, &r);
 	directory_shun(m, "m", 2 * S);
 	CU_ASSERT(directory_shunned(m, S, "m"));
 	CU_ASSERT(!directory_shunned(m, 2 * S, "m"));
@@ -278,8 +278,8 @@
 	w.conns_share = 10;
 	strcpy(b.zone, "z2");
 	directory_init(&d);
-	ma = directory_put(&d, S, &a);
-	mb = directory_put(&d, S, &b);
+	ma = directory_put(&d, &a);
+	mb = directory_put(&d, &b);
 	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_FOUND);
 	CU_ASSERT_PTR_EQUAL(m, ma); /* the own data centre */
 	ma->own.running = 4;
@@ -321,7 +321,7 @@
 	w.conns_share = 10;
 	directory_init(&d);
 	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_REPLICA);
-	directory_put(&d, S, &a);
+	directory_put(&d, &a);
 	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_ADAPTER);
 	w.model = "n";
 	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_MODEL);
