A new owner places nothing before it has read the head of the configuration again

Cause (state fuzzer, seed 55173): a process restarted while the key-value service was away took an older configuration from a peer, became the owner of the cell, and unloaded m5@3, which that configuration did not declare.

Before: seed 55173 fails at case 2,581 of 3,000. After: 3,000 pass; fresh seeds 311 and 312, 4,000 cases each, pass.

--- a/core/cell.c
+++ b/core/cell.c
@@ -188,6 +188,7 @@
 	uint32_t i;
 
 	c->was_held = 1;
+	c->held_since = now;
 	c->sched = sched_create(&c->config.sched, own_fence(c->own) << 32);
 	c->store_tokens = 1.0;
 	c->store_at = now;
--- a/core/cell.h
+++ b/core/cell.h
@@ -88,6 +88,8 @@
 	int (*gone)(void *, const struct node_id *);
 	/* Whether another cell serves the model. */
 	int (*elsewhere)(void *, const char *, const char *);
+	/* Whether what was declared by then is in force here. */
+	int (*current)(void *, uint64_t);
 	void *ctx;
 };
 
--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -94,6 +94,7 @@
 	} cleared[LEDGER_SENDERS_MAX * 2];
 	uint32_t ncleared;
 	int was_held;
+	uint64_t held_since;
 	struct cell_totals totals;
 };
 
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -564,6 +564,9 @@
 		use_spare(c, now, out);
 		return;
 	}
+	/* An older configuration would give up what is declared since. */
+	if (!c->env.current(c->env.ctx, c->held_since))
+		return;
 	for (i = 0; i < MOVES_PER_STEP; i++) {
 		board_build(c, now, &b);
 		move = c->config.policy(c->config.policy_ctx == NULL
--- a/core/node_cell.c
+++ b/core/node_cell.c
@@ -18,6 +18,7 @@
 
 static int node_gone(void *, const struct node_id *);
 static int node_elsewhere(void *, const char *, const char *);
+static int node_current(void *, uint64_t);
 static int ended_since(struct node *, const struct node_id *, uint64_t *);
 static int vm_listed(const struct node *, const char *);
 static struct seat *seat_create(struct node *, const char *);
@@ -72,7 +73,7 @@
 static struct seat *
 seat_create(struct node *n, const char *name)
 {
-	struct cell_env env = { node_gone, node_elsewhere, n };
+	struct cell_env env = { node_gone, node_elsewhere, node_current, n };
 	struct seat *s;
 
 	s = mem_alloc(sizeof(*s));
@@ -175,6 +176,12 @@
 	return 0;
 }
 
+static int
+node_current(void *arg, uint64_t since)
+{
+	return node_conf_current(arg, since);
+}
+
 static void
 send_load(const struct seat *s, const char *to, enum load_whole whole,
     struct node_out *out)
--- a/core/node_conf.c
+++ b/core/node_conf.c
@@ -253,9 +253,20 @@
 	if (n->head_op != 0)
 		return;
 	n->head_op = ++n->ids.next;
+	n->head_asked = n->now;
 	kv_op_create(&out->kv, n->head_op, KV_GET, "config/head");
 }
 
+int
+node_conf_current(struct node *n, uint64_t since)
+{
+	if (n->head_as_of >= since)
+		return n->conf->revision >= n->head_seen;
+	if (n->now >= n->head_asked + HEAD_RETRY_NS)
+		n->poll_at = n->now;
+	return 0;
+}
+
 /* The service told the head, or that there is none. */
 static void
 on_head(struct node *n, uint64_t now, const struct kv_result *r,
@@ -313,6 +324,8 @@
 		/* A node that knows no head asks again soon. */
 		if (r->status == KV_UNKNOWN && !n->head_known)
 			n->poll_at = now + HEAD_RETRY_NS;
+		if (r->status == KV_OK || r->status == KV_ABSENT)
+			n->head_as_of = n->head_asked;
 		on_head(n, now, r, out);
 		return 1;
 	}
--- a/core/node_int.h
+++ b/core/node_int.h
@@ -87,6 +87,8 @@
 	uint64_t head_revision; /* of the key, for compare-and-swap */
 	uint64_t head_seen;	/* configuration revision it names */
 	uint64_t head_op;
+	uint64_t head_asked; /* when the last read was sent */
+	uint64_t head_as_of; /* the head was at least as new as then */
 	uint64_t watch_op;
 	uint64_t poll_at;
 	uint64_t watch_at; /* earliest next watch */
@@ -131,6 +133,11 @@
     struct node_out *);
 /* Reads the head now; a ticket waits for it. */
 void node_head_read(struct node *, struct node_out *);
+/*
+ * Whether the configuration in force is as new as the service's at that time;
+ * reads the head again otherwise.
+ */
+int node_conf_current(struct node *, uint64_t);
 void node_conf_use(struct node *, uint64_t, struct conf *, struct chunk *,
     uint64_t, struct node_out *);
 void node_conf_clear(struct node *);
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -68,6 +68,20 @@
         env, RC_PARAMS="seed=1 max_success=%d" % state))
 
 
+def regressions(build):
+    """Cases of fuzzers that once failed, with their causes."""
+    for name in sorted(os.listdir(os.path.join(ROOT, "tests"))):
+        if not name.endswith(".seeds"):
+            continue
+        program = build + "/" + name[:-len(".seeds")]
+        with open(os.path.join(ROOT, "tests", name)) as f:
+            cases = [line.split("|")[0].strip() for line in f
+                     if line.strip() and not line.startswith("#")]
+        for i, params in enumerate(cases):
+            step("%s, case %d" % (name, i + 1), [program],
+                 {"RC_PARAMS": params})
+
+
 def sanitized():
     build = "build/asan"
     san = "-fsanitize=address,undefined -fno-sanitize-recover=undefined"
@@ -99,6 +113,7 @@
             step("unit " + name, ["build/test_" + name])
         step("documents", [sys.executable, "tests/documents.py"])
         fuzz("build", SERVING_CASES, STATE_CASES)
+        regressions("build")
         step("entry", [sys.executable, "tests/entry.py"])
         step("processes", [sys.executable, "tests/process.py"])
         sanitized()
