A copy found in delegated memory takes the place of that memory in the ledger

Cause: a process loads m0 into the memory delegated to it while the service is away and is then paused. The next owner finds m0 on the engine and adds an entry of its own, and the delegation stays whole: 31+30+33 of 90 MB promised. When the first process owns the cell again it takes its copy to be settled by that entry and uses the delegated 33 MB a second time. Ruled out: late orders, the engine's restart (the cell's other engine).

--- a/core/cell_order.c
+++ b/core/cell_order.c
@@ -327,7 +327,6 @@
 adopt(struct unit *u, struct ledger *l, const struct order_result *r)
 {
 	const struct order_loaded *ld;
-	struct ledger_entry *en;
 	uint32_t i;
 	int changed = 0;
 
@@ -339,14 +338,8 @@
 			continue;
 		if (u->spare_used && strcmp(u->spare.model, ld->model) == 0)
 			continue;
-		en = &l->entries[l->n++];
-		memset(en, 0, sizeof(*en));
-		en->id = ++l->next_id;
-		memcpy(en->model, ld->model, sizeof(en->model));
-		memcpy(en->version, ld->version, sizeof(en->version));
-		en->accelerator = ld->accelerator;
-		en->memory_mb = ld->memory_mb;
-		en->state = ENTRY_RESIDENT;
+		ledger_adopt(
+		    l, ld->model, ld->version, ld->accelerator, ld->memory_mb);
 		changed = 1;
 	}
 	return changed;
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -184,14 +184,12 @@
 	return 0;
 }
 
-uint64_t
-ledger_left(const struct ledger *l, uint32_t accelerator)
+static uint64_t
+ledger_used(const struct ledger *l, uint32_t accelerator)
 {
 	uint64_t used = 0;
 	uint32_t i;
 
-	if (accelerator >= l->naccelerators)
-		return 0;
 	for (i = 0; i < l->n; i++) {
 		if (l->entries[i].accelerator == accelerator)
 			used += l->entries[i].memory_mb;
@@ -199,11 +197,46 @@
 	if (l->delegation.owner.addr[0] != '\0' &&
 	    l->delegation.accelerator == accelerator)
 		used += l->delegation.memory_mb;
+	return used;
+}
+
+uint64_t
+ledger_left(const struct ledger *l, uint32_t accelerator)
+{
+	uint64_t used;
+
+	if (accelerator >= l->naccelerators)
+		return 0;
+	used = ledger_used(l, accelerator);
 	return used < l->capacity_mb[accelerator]
 	    ? l->capacity_mb[accelerator] - used
 	    : 0;
 }
 
+void
+ledger_adopt(struct ledger *l, const char *model, const char *version,
+    uint32_t accelerator, uint64_t memory_mb)
+{
+	struct ledger_delegation *d = &l->delegation;
+	struct ledger_entry *en;
+	uint64_t over;
+
+	en = &l->entries[l->n++];
+	memset(en, 0, sizeof(*en));
+	en->id = ++l->next_id;
+	snprintf(en->model, sizeof(en->model), "%s", model);
+	snprintf(en->version, sizeof(en->version), "%s", version);
+	en->accelerator = accelerator;
+	en->memory_mb = memory_mb;
+	en->state = ENTRY_RESIDENT;
+	over = ledger_used(l, accelerator);
+	if (d->accelerator != accelerator ||
+	    over <= l->capacity_mb[accelerator])
+		return;
+	over -= l->capacity_mb[accelerator];
+	d->memory_mb -= over < d->memory_mb ? over : d->memory_mb;
+}
+
 struct ledger_entry *
 ledger_add(struct ledger *l, const struct conf_model *m, uint32_t accelerator,
     const struct node_id *sender)
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -16,6 +16,7 @@
 static struct place_model wanted(const char *, uint64_t);
 static void copy(struct place_model *, uint32_t);
 static void test_counts(void);
+static void test_adopt(void);
 static void test_one_entry(void);
 static void test_round_trip(void);
 static void test_malformed(void);
@@ -39,6 +40,26 @@
 	ledger_capacity(l, &b);
 }
 
+/* A copy found in delegated memory is not counted beside it. */
+static void
+test_adopt(void)
+{
+	struct conf_model a = model("a", 40);
+	struct ledger l;
+
+	setup(&l);
+	CU_ASSERT_PTR_NOT_NULL(ledger_add(&l, &a, 0, &self));
+	l.delegation.owner = other;
+	l.delegation.memory_mb = 33;
+	ledger_adopt(&l, "b", "1", 0, 10);
+	CU_ASSERT_EQUAL(l.delegation.memory_mb, 33);
+	ledger_adopt(&l, "c", "1", 0, 30);
+	CU_ASSERT_EQUAL(l.delegation.memory_mb, 10);
+	CU_ASSERT_EQUAL(ledger_left(&l, 0), 0);
+	ledger_adopt(&l, "d", "1", 0, 30);
+	CU_ASSERT_EQUAL(l.delegation.memory_mb, 0);
+}
+
 static struct conf_model
 model(const char *name, uint64_t mb)
 {
@@ -260,6 +281,7 @@
 
 static const struct unit_case cases[] = {
 	{ "every state counts", test_counts },
+	{ "a copy found in delegated memory", test_adopt },
 	{ "one entry a model and version", test_one_entry },
 	{ "round trip", test_round_trip },
 	{ "malformed", test_malformed },
