Prompts are sent to a replica no faster than its streams bear

Ruled out: waiting for a replica (58 of 596), adapters (23), broken streams (3). The limit on unread prompts does not help, since the next prompt is sent as soon as one was read; and the pace of reading was taken as the least ever seen, so a prompt that the replica had kept halved the estimate for all.

Change: a replica takes prompts for a learned part of the time between two events; the part is cut when streams pause while prompts are read, and rises slowly. Work is told as time to read, sent lately and unread, and at once up to 9 peers. The pace is a mean of prompts read alone.

--- a/core/balance.c
+++ b/core/balance.c
@@ -19,8 +19,8 @@
 #define MEMORY_SHARE 0.92
 
 static int tried(const struct balance_want *, const char *);
-static int full(const struct balance_want *, const struct member_replica *,
-    const struct work *);
+static int full(const struct balance_want *, uint64_t, double,
+    const struct member_replica *, const struct work *);
 static double backlog_ms(const struct balance_want *, const struct work *);
 static double score(const struct balance_want *, const struct member_replica *,
     const struct work *);
@@ -41,15 +41,13 @@
 static double
 backlog_ms(const struct balance_want *w, const struct work *load)
 {
-	if (w->prompt_tokens == 0)
-		return 0.0;
-	return (double)load->unread * (double)w->read_ns / w->prompt_tokens /
-	    (double)NSEC_PER_MSEC;
+	(void)w;
+	return load->unread_us / 1000.0;
 }
 
 static int
-full(const struct balance_want *w, const struct member_replica *m,
-    const struct work *load)
+full(const struct balance_want *w, uint64_t window_ns, double share,
+    const struct member_replica *m, const struct work *load)
 {
 	uint32_t slots = m->info.slots;
 
@@ -59,6 +57,10 @@
 		return 1;
 	if (w->engine == NULL)
 		return 0;
+	if (load->recent_us != 0 &&
+	    load->recent_us * 1000.0 + (double)w->read_ns >
+		(double)window_ns * share)
+		return 1;
 	if (backlog_ms(w, load) > BACKLOG_MS +
 		BACKLOG_WAITED * (double)w->waited_ns / (double)NSEC_PER_MSEC)
 		return 1;
@@ -114,7 +116,8 @@
 			result = BALANCE_FULL;
 		load = directory_load(d, now, m);
 		if (directory_shunned(m, now, w->model) ||
-		    directory_shunned(m, now, w->adapter) || full(w, m, &load))
+		    directory_shunned(m, now, w->adapter) || 
+		    full(w, d->window_ns, directory_share(m, now), m, &load))
 			continue;
 		n++;
 		ms = score(w, m, &load) +
--- a/core/directory.c
+++ b/core/directory.c
@@ -9,6 +9,15 @@
 #define LAPSE_NS (2 * NSEC_PER_SEC)
 /* A peer's word on its work counts this long. */
 #define PEER_WORK_NS (1500 * NSEC_PER_MSEC)
+/* Until the configuration tells the longest pause between events. */
+#define WINDOW_NS (300 * NSEC_PER_MSEC)
+/* Reading of prompts beside running streams, learned from their pauses. */
+#define SHARE_FIRST 0.9
+#define SHARE_LEAST 0.4
+#define SHARE_MOST 1.5
+#define SHARE_CUT 0.85
+#define SHARE_RISE 0.03 /* a second */
+#define SHARE_HOLD_NS (1 * NSEC_PER_SEC)
 #define AVOID_FIRST_NS (150 * NSEC_PER_MSEC)
 #define AVOID_MOST_NS (2 * NSEC_PER_SEC)
 #define ERRORS_HALF_NS (2 * NSEC_PER_SEC) /* half-life of the failed share */
@@ -22,6 +31,7 @@
 {
 	memset(d, 0, sizeof(*d));
 	d->away_since = TIME_NEVER;
+	d->window_ns = WINDOW_NS;
 }
 
 void
@@ -80,6 +90,7 @@
 	if (m == NULL) {
 		m = mem_alloc(sizeof(*m));
 		m->info = *r;
+		m->read_share = SHARE_FIRST;
 		HASH_ADD_STR(d->replicas, info.id, m);
 	} else {
 		if (m->info.born_ms != r->born_ms) {
@@ -221,18 +232,76 @@
 	m->peers[peer] = *w;
 }
 
+void
+directory_sent(struct member_replica *m, uint64_t now, uint32_t read_us)
+{
+	struct sent *s = &m->sent[m->nsent++ % DIRECTORY_SENT_MAX];
+
+	s->at = now;
+	s->read_us = read_us;
+}
+
+uint32_t
+directory_recent(
+    const struct directory *d, uint64_t now, const struct member_replica *m)
+{
+	uint32_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < DIRECTORY_SENT_MAX && i < m->nsent; i++) {
+		if (now < m->sent[i].at + d->window_ns)
+			sum += m->sent[i].read_us;
+	}
+	return sum;
+}
+
+double
+directory_share(const struct member_replica *m, uint64_t now)
+{
+	double share = m->read_share +
+	    SHARE_RISE * (double)(now - m->share_at) / (double)NSEC_PER_SEC;
+
+	return share < SHARE_MOST ? share : SHARE_MOST;
+}
+
+void
+directory_paused(
+    const struct directory *d, uint64_t now, struct member_replica *m)
+{
+	struct work load;
+	double share;
+
+	if (now < m->share_until)
+		return;
+	load = directory_load(d, now, m);
+	if ((load.recent_us + load.unread_us) * (double)NSEC_PER_USEC <
+	    SHARE_LEAST * (double)d->window_ns)
+		return;
+	share = directory_share(m, now) * SHARE_CUT;
+	m->read_share = share > SHARE_LEAST ? share : SHARE_LEAST;
+	m->share_at = now;
+	m->share_until = now + SHARE_HOLD_NS;
+}
+
 struct work
 directory_load(
     const struct directory *d, uint64_t now, const struct member_replica *m)
 {
 	struct work sum = m->own;
+	uint64_t age;
 	uint32_t i;
 
+	sum.recent_us = directory_recent(d, now, m);
 	for (i = 0; i < m->npeers; i++) {
-		if (now > d->peer_heard[i] + PEER_WORK_NS)
+		age = now - d->peer_heard[i];
+		if (age > PEER_WORK_NS)
 			continue;
+		/* What a peer sent leaves the window bit by bit. */
+		if (age < d->window_ns)
+			sum.recent_us += (uint32_t)(m->peers[i].recent_us *
+			    (d->window_ns - age) / d->window_ns);
 		sum.running += m->peers[i].running;
-		sum.unread += m->peers[i].unread;
+		sum.unread_us += m->peers[i].unread_us;
 		sum.tokens += m->peers[i].tokens;
 	}
 	return sum;
--- a/core/directory.h
+++ b/core/directory.h
@@ -12,14 +12,22 @@
 
 #define DIRECTORY_PEERS_MAX 512
 #define DIRECTORY_SHUNS_MAX 8
+#define DIRECTORY_SENT_MAX 32
 
 /* Work on one replica. */
 struct work {
 	uint32_t running; /* requests */
-	uint32_t unread;  /* prompt tokens of requests without an event yet */
+	uint32_t unread_us; /* to read prompts of requests without an event */
+	uint32_t recent_us; /* to read prompts sent within the window */
 	uint32_t tokens;  /* prompts and predicted outputs */
 };
 
+/* A prompt that this process sent lately. */
+struct sent {
+	uint64_t at;
+	uint32_t read_us;
+};
+
 enum presence {
 	PRESENT,
 	PRESENT_LAPSED, /* removed while the list's service was away */
@@ -38,6 +46,11 @@
 	enum presence presence;
 	uint64_t lapse_until; /* LAPSED: gone unless listed again by then */
 	struct work own;
+	struct sent sent[DIRECTORY_SENT_MAX]; /* a ring */
+	uint32_t nsent;
+	double read_share;    /* of its time that it may read prompts in */
+	uint64_t share_at;    /* when read_share was last updated */
+	uint64_t share_until; /* not lowered again before */
 	struct work *peers;
 	uint32_t npeers;
 	uint32_t failures; /* in a row, of reaching it */
@@ -54,6 +67,7 @@
 	int known;	     /* the whole list was read once */
 	uint64_t away_since; /* the service does not answer, or NEVER */
 	uint64_t back_at;    /* when it last came back */
+	uint64_t window_ns; /* that recent work is counted over */
 	uint64_t peer_heard[DIRECTORY_PEERS_MAX];
 };
 
@@ -81,6 +95,16 @@
 /* Work of this process and of peers heard lately. */
 struct work directory_load(
     const struct directory *, uint64_t, const struct member_replica *);
+/* This process sent a prompt that takes so long to read. */
+void directory_sent(struct member_replica *, uint64_t, uint32_t);
+/* Time to read what this process sent within the window. */
+uint32_t directory_recent(
+    const struct directory *, uint64_t, const struct member_replica *);
+/* Part of the window in which a replica may read prompts, above 1 for any. */
+double directory_share(const struct member_replica *, uint64_t);
+/* Events of a stream came too far apart while prompts were read. */
+void directory_paused(
+    const struct directory *, uint64_t, struct member_replica *);
 /* An attempt ended well, or failed; unreachable ones are avoided a while. */
 void directory_success(struct member_replica *, uint64_t);
 void directory_failure(struct member_replica *, uint64_t, int);
--- a/core/msg.h
+++ b/core/msg.h
@@ -253,7 +253,8 @@
 	struct msg_work {
 		char replica[NAME_SIZE];
 		uint32_t running;
-		uint32_t unread;
+		uint32_t unread_us;
+		uint32_t recent_us;
 		uint32_t tokens;
 	} * work; /* owned by the message */
 	uint32_t ndemand;
--- a/core/pace.c
+++ b/core/pace.c
@@ -9,8 +9,7 @@
 #define FACTOR_FIRST 0.8
 #define FACTOR_LEAST 0.08
 #define FACTOR_MOST 1.5
-/* Waits make single times long, so the factor rises slowly. */
-#define FACTOR_RISE 0.03
+#define FACTOR_WEIGHT 0.15 /* of a new sample */
 
 void
 pace_clear(struct pace *p)
@@ -41,13 +40,10 @@
 	if (m == NULL) {
 		m = mem_alloc(sizeof(*m));
 		snprintf(m->name, sizeof(m->name), "%s", name);
-		m->factor = factor < FACTOR_FIRST ? factor : FACTOR_FIRST;
-		HASH_ADD_STR(p->models, name, m);
-	} else if (factor < m->factor) {
 		m->factor = factor;
-	} else {
-		m->factor += (factor - m->factor) * FACTOR_RISE;
+		HASH_ADD_STR(p->models, name, m);
 	}
+	m->factor += (factor - m->factor) * FACTOR_WEIGHT;
 }
 
 uint64_t
--- a/core/pace.h
+++ b/core/pace.h
@@ -20,7 +20,7 @@
 };
 
 void pace_clear(struct pace *);
-/* A prompt of so many tokens had its first event after so long. */
+/* A prompt that was read alone had its first event after so long. */
 void pace_learn(struct pace *, const char *, uint32_t, uint64_t);
 /* Time in which a replica reads a prompt. */
 uint64_t pace_read_ns(const struct pace *, const char *, uint32_t);
--- a/core/wire.c
+++ b/core/wire.c
@@ -464,7 +464,8 @@
 	for (i = 0; i < f->nwork; i++) {
 		wire_str(w, f->work[i].replica, sizeof(f->work[i].replica));
 		wire_u32(w, &f->work[i].running);
-		wire_u32(w, &f->work[i].unread);
+		wire_u32(w, &f->work[i].unread_us);
+		wire_u32(w, &f->work[i].recent_us);
 		wire_u32(w, &f->work[i].tokens);
 	}
 	f->demand = wire_list(w, &f->ndemand, sizeof(*f->demand), f->demand);
--- a/entry/answer.c
+++ b/entry/answer.c
@@ -4,6 +4,10 @@
 
 #include "forward_int.h"
 
+/* Part of the longest pause allowed from which a replica reads too much. */
+#define PAUSE_SHARE_NUM 9
+#define PAUSE_SHARE_DEN 10
+
 static void write_head(struct forward *, long);
 static void write_piece(struct forward *, const char *, size_t);
 static uint64_t event_number(const char *, size_t);
@@ -82,6 +86,10 @@
 	} else if (f->e->now - f->last_piece > f->gap_ns) {
 		f->gap_ns = f->e->now - f->last_piece;
 	}
+	if (f->begun && f->replica != NULL && f->last_piece != 0 &&
+	    f->last_piece > f->sent_at &&
+	    f->e->now - f->last_piece > f->route.gap_ns * PAUSE_SHARE_NUM / PAUSE_SHARE_DEN)
+		directory_paused(&f->e->dir, f->e->now, f->replica);
 	f->last_piece = f->e->now;
 	write_piece(f, p + skip, len - skip);
 }
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -30,6 +30,7 @@
 	struct work share; /* counted on the replica */
 	uint64_t sent_at;
 	int fresh; /* on a new connection */
+	int alone; /* no other prompt is read there, as far as known */
 	int status;
 	int refused;	       /* the replica says that it did not run it */
 	int streaming;	       /* a success, handed on event by event */
--- a/entry/main.c
+++ b/entry/main.c
@@ -55,6 +55,9 @@
 	directory_tick(&e->dir, e->now);
 	steer_tick(e);
 	peers_tick(e->peers);
+	/* Room comes back with time, too. */
+	if (!TAILQ_EMPTY(&e->waiting))
+		e->pump = 1;
 	if (!e->stopping)
 		return;
 	if (d->listener != NULL && e->now >= e->stop_at + LISTEN_ON_NS) {
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -18,6 +18,7 @@
 #define PEER_SILENT_NS (1500 * NSEC_PER_MSEC) /* counts as silent after */
 #define PEER_FORGET_NS (15 * NSEC_PER_SEC)    /* unlisted and silent */
 #define TELL_NS (100 * NSEC_PER_MSEC)	      /* between two reports */
+#define TELL_SOON_NS (10 * NSEC_PER_MSEC)     /* after a change */
 #define TELL_MOST_NS (500 * NSEC_PER_MSEC)
 #define TELL_PEERS 9 /* with more peers, reports are rarer */
 #define PULL_AGAIN_NS (300 * NSEC_PER_MSEC)
@@ -280,7 +281,8 @@
 	directory_peer_clear(&e->dir, e->now, q->index);
 	for (i = 0; i < f->nwork; i++) {
 		w.running = f->work[i].running;
-		w.unread = f->work[i].unread;
+		w.unread_us = f->work[i].unread_us;
+		w.recent_us = f->work[i].recent_us;
 		w.tokens = f->work[i].tokens;
 		directory_peer_work(&e->dir, q->index, f->work[i].replica, &w);
 	}
@@ -371,6 +373,7 @@
 	struct member_replica *r;
 	struct msg_work *w;
 	struct msg *m;
+	uint32_t recent;
 
 	m = msg_create(MSG_FRONT, "");
 	snprintf(m->u.front.vm, sizeof(m->u.front.vm), "%s", e->boot.vm);
@@ -380,18 +383,28 @@
 	m->u.front.work = mem_alloc(
 	    (HASH_COUNT(e->dir.replicas) + 1) * sizeof(*m->u.front.work));
 	for (r = e->dir.replicas; r != NULL; r = r->hh.next) {
-		if (r->own.running == 0 || m->u.front.nwork == MSG_LIST_MAX - 1)
+		recent = directory_recent(&e->dir, e->now, r);
+		if ((r->own.running == 0 && recent == 0) ||
+		    m->u.front.nwork == MSG_LIST_MAX - 1)
 			continue;
 		w = &m->u.front.work[m->u.front.nwork++];
 		snprintf(w->replica, sizeof(w->replica), "%s", r->info.id);
 		w->running = r->own.running;
-		w->unread = r->own.unread;
+		w->unread_us = r->own.unread_us;
+		w->recent_us = recent;
 		w->tokens = r->own.tokens;
 	}
 	steer_fill_demand(e, &m->u.front);
 	return m;
 }
 
+void
+peers_tell_soon(struct peers *p)
+{
+	if (peers_count(p) <= TELL_PEERS && p->tell_at > p->e->now + TELL_SOON_NS)
+		p->tell_at = p->e->now + TELL_SOON_NS;
+}
+
 static void
 tell(struct peers *p)
 {
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -25,6 +25,8 @@
 /* Sends to the peer at a bus address. */
 void peers_send(struct peers *, struct msg *);
 /* Peers that are listed or heard, without this process. */
+/* What peers count on has changed: a report leaves shortly. */
+void peers_tell_soon(struct peers *);
 uint32_t peers_count(const struct peers *);
 /* Place of the peer at a bus address among the sources of reports. */
 uint32_t peers_index(const struct peers *, const char *);
--- a/entry/send.c
+++ b/entry/send.c
@@ -5,6 +5,7 @@
 
 #include "forward_int.h"
 #include "mem.h"
+#include "peers.h"
 
 /*
  * A request that must run once uses an idle connection no longer than this,
@@ -44,11 +45,16 @@
 	f->spoilt = 0;
 	buf_free(&f->held);
 	events_free(&f->events);
+	f->alone = directory_load(&f->e->dir, f->e->now, m).unread_us == 0;
 	f->share.running = 1;
-	f->share.unread = f->want.prompt_tokens;
+	f->share.unread_us = (uint32_t)(pace_read_ns(&f->e->pace, f->want.model,
+					    f->want.prompt_tokens) /
+	    NSEC_PER_USEC);
 	f->share.tokens = balance_tokens(&f->want);
 	m->own.running += f->share.running;
-	m->own.unread += f->share.unread;
+	m->own.unread_us += f->share.unread_us;
+	directory_sent(m, f->e->now, f->share.unread_us);
+	peers_tell_soon(f->e->peers);
 	m->own.tokens += f->share.tokens;
 	if (f->sends++ != 0)
 		budget_repeat(&f->e->budget, f->e->now, f->service);
@@ -77,8 +83,8 @@
 	about.backend = m->info.id;
 	about.model = f->want.model;
 	log_event(LOG_REQUEST_STARTED, &about,
-	    "running=%u unread=%u list_at=%llu fresh=%d", m->own.running,
-	    m->own.unread, (unsigned long long)f->e->dir.at, f->fresh);
+	    "running=%u unread_us=%u list_at=%llu fresh=%d", m->own.running,
+	    m->own.unread_us, (unsigned long long)f->e->dir.at, f->fresh);
 }
 
 void
@@ -87,7 +93,7 @@
 	struct member_replica *m = f->replica;
 
 	m->own.running -= f->share.running;
-	m->own.unread -= f->share.unread;
+	m->own.unread_us -= f->share.unread_us;
 	m->own.tokens -= f->share.tokens;
 	memset(&f->share, 0, sizeof(f->share));
 	f->replica = NULL;
@@ -148,11 +154,13 @@
 			f->spoilt = 1;
 		return;
 	}
-	if (f->share.unread != 0) {
-		f->replica->own.unread -= f->share.unread;
-		f->share.unread = 0;
-		pace_learn(&f->e->pace, f->want.model, f->want.prompt_tokens,
-		    f->e->now - f->sent_at);
+	if (f->share.unread_us != 0) {
+		f->replica->own.unread_us -= f->share.unread_us;
+		f->share.unread_us = 0;
+		peers_tell_soon(f->e->peers);
+		if (f->alone)
+			pace_learn(&f->e->pace, f->want.model,
+			    f->want.prompt_tokens, f->e->now - f->sent_at);
 	}
 	if (f->caller == NULL)
 		return;
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -159,7 +159,7 @@
 	m->u.front.nwork = 2;
 	m->u.front.work = mem_alloc(2 * sizeof(*m->u.front.work));
 	strcpy(m->u.front.work[1].replica, "i-1");
-	m->u.front.work[1].unread = 9;
+	m->u.front.work[1].unread_us = 9;
 	m->u.front.ndemand = 1;
 	m->u.front.demand = mem_alloc(sizeof(*m->u.front.demand));
 	strcpy(m->u.front.demand[0].wanted, "m/a3");
@@ -169,7 +169,7 @@
 	out = round_trip(copy);
 	CU_ASSERT_PTR_NOT_NULL(out);
 	if (out != NULL) {
-		CU_ASSERT_EQUAL(out->u.front.work[1].unread, 9);
+		CU_ASSERT_EQUAL(out->u.front.work[1].unread_us, 9);
 		CU_ASSERT_STRING_EQUAL(out->u.front.demand[0].wanted, "m/a3");
 		CU_ASSERT_EQUAL(out->u.front.demand[0].arrivals, 5);
 	}
