Reading leaves room for running streams; what is late already comes last

Requests that had waited past their target took room from fresh ones.

Change: the time for reading shrinks with the share of places in use; requests that can still be in time go first, late ones get 0.6 of the room; the choice of each attempt is logged with its inputs.

--- a/core/balance.c
+++ b/core/balance.c
@@ -15,6 +15,10 @@
  */
 #define BACKLOG_MS 150.0
 #define BACKLOG_WAITED 0.5 /* of the time waited */
+#define SHARE_IDLE 1.15
+#define SHARE_BUSY 0.65
+/* Part of that room for requests that are late already. */
+#define LATE_SHARE 0.6
 /* Share of an engine's memory that is given out. */
 #define MEMORY_SHARE 0.92
 
@@ -57,9 +61,11 @@
 		return 1;
 	if (w->engine == NULL)
 		return 0;
+	share *= SHARE_IDLE -
+	    SHARE_BUSY * (slots == 0 ? 0.0 : (double)load->running / slots);
 	if (load->recent_us != 0 &&
 	    load->recent_us * 1000.0 + (double)w->read_ns >
-		(double)window_ns * share)
+		(double)window_ns * share * (w->late ? LATE_SHARE : 1.0))
 		return 1;
 	if (backlog_ms(w, load) > BACKLOG_MS +
 		BACKLOG_WAITED * (double)w->waited_ns / (double)NSEC_PER_MSEC)
@@ -116,7 +122,7 @@
 			result = BALANCE_FULL;
 		load = directory_load(d, now, m);
 		if (directory_shunned(m, now, w->model) ||
-		    directory_shunned(m, now, w->adapter) || 
+		    directory_shunned(m, now, w->adapter) ||
 		    full(w, d->window_ns, directory_share(m, now), m, &load))
 			continue;
 		n++;
--- a/core/balance.h
+++ b/core/balance.h
@@ -17,9 +17,10 @@
 	const char *adapter;		   /* "" for none */
 	const char *zone;		   /* of this process */
 	uint32_t prompt_tokens;
-	uint32_t tokens;      /* prompt and predicted output */
-	uint64_t read_ns;     /* in which an engine reads the prompt */
-	uint64_t waited_ns;   /* already */
+	uint32_t tokens;    /* prompt and predicted output */
+	uint64_t read_ns;   /* in which an engine reads the prompt */
+	uint64_t waited_ns; /* already */
+	int late;
 	uint32_t conns_share; /* connections that this process may hold */
 	uint32_t ntried;
 	char tried[BALANCE_TRIED_MAX][NAME_SIZE];
--- a/core/directory.c
+++ b/core/directory.c
@@ -12,7 +12,7 @@
 /* Until the configuration tells the longest pause between events. */
 #define WINDOW_NS (300 * NSEC_PER_MSEC)
 /* Reading of prompts beside running streams, learned from their pauses. */
-#define SHARE_FIRST 0.9
+#define SHARE_FIRST 1.3
 #define SHARE_LEAST 0.4
 #define SHARE_MOST 1.5
 #define SHARE_CUT 0.85
@@ -258,9 +258,11 @@
 double
 directory_share(const struct member_replica *m, uint64_t now)
 {
-	double share = m->read_share +
-	    SHARE_RISE * (double)(now - m->share_at) / (double)NSEC_PER_SEC;
+	double share = m->read_share;
 
+	if (m->share_at != 0)
+		share += SHARE_RISE * (double)(now - m->share_at) /
+		    (double)NSEC_PER_SEC;
 	return share < SHARE_MOST ? share : SHARE_MOST;
 }
 
--- a/core/directory.h
+++ b/core/directory.h
@@ -16,10 +16,10 @@
 
 /* Work on one replica. */
 struct work {
-	uint32_t running; /* requests */
+	uint32_t running;   /* requests */
 	uint32_t unread_us; /* to read prompts of requests without an event */
 	uint32_t recent_us; /* to read prompts sent within the window */
-	uint32_t tokens;  /* prompts and predicted outputs */
+	uint32_t tokens;    /* prompts and predicted outputs */
 };
 
 /* A prompt that this process sent lately. */
@@ -67,7 +67,7 @@
 	int known;	     /* the whole list was read once */
 	uint64_t away_since; /* the service does not answer, or NEVER */
 	uint64_t back_at;    /* when it last came back */
-	uint64_t window_ns; /* that recent work is counted over */
+	uint64_t window_ns;  /* that recent work is counted over */
 	uint64_t peer_heard[DIRECTORY_PEERS_MAX];
 };
 
--- a/core/ledger.h
+++ b/core/ledger.h
@@ -73,8 +73,8 @@
  * Adds an entry for a copy that was found.  Where memory would be promised
  * twice, the copy lies in the delegated memory, which shrinks.
  */
-void ledger_adopt(struct ledger *, const char *, const char *, uint32_t,
-    uint64_t);
+void ledger_adopt(
+    struct ledger *, const char *, const char *, uint32_t, uint64_t);
 /*
  * Promises memory to a model; NULL when it has an entry
  * or does not fit.
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -37,6 +37,7 @@
 static enum balance_result forward_pick(
     struct forward *, const struct fleet_service *, struct member_replica **);
 static void forward_try(struct forward *);
+static int forward_late(const struct forward *);
 static void forward_park(struct forward *, enum balance_result);
 static void forward_free(struct forward *);
 static void forward_refuse(struct forward *, const char *);
@@ -225,6 +226,7 @@
 	    ? 0
 	    : pace_read_ns(&f->e->pace, f->want.model, f->want.prompt_tokens);
 	w.waited_ns = f->e->now - f->arrived;
+	w.late = forward_late(f);
 	w.conns_share = conns_share(f->e, s);
 	w.ntried = f->ntried;
 	memcpy(w.tried, f->tried, sizeof(w.tried));
@@ -284,15 +286,27 @@
 	forward_timer(f, until < f->deadline ? until : f->deadline);
 }
 
+/* Whether its first event can no longer be in time. */
+static int
+forward_late(const struct forward *f)
+{
+	return f->e->now > caller_begun(f->caller) + f->route.target_ns;
+}
+
 void
 forward_pump(struct entry *e)
 {
 	struct forward *f;
 	struct forward *next;
-
-	for (f = TAILQ_FIRST(&e->waiting); f != NULL; f = next) {
-		next = TAILQ_NEXT(f, entry);
-		forward_try(f);
+	int late;
+
+	/* What can still be in time goes before what is late. */
+	for (late = 0; late <= 1; late++) {
+		for (f = TAILQ_FIRST(&e->waiting); f != NULL; f = next) {
+			next = TAILQ_NEXT(f, entry);
+			if (forward_late(f) == late)
+				forward_try(f);
+		}
 	}
 }
 
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -401,7 +401,8 @@
 void
 peers_tell_soon(struct peers *p)
 {
-	if (peers_count(p) <= TELL_PEERS && p->tell_at > p->e->now + TELL_SOON_NS)
+	if (peers_count(p) <= TELL_PEERS &&
+	    p->tell_at > p->e->now + TELL_SOON_NS)
 		p->tell_at = p->e->now + TELL_SOON_NS;
 }
 
--- a/entry/send.c
+++ b/entry/send.c
@@ -33,6 +33,7 @@
 	const struct http_head *h = caller_head(f->caller);
 	const struct buf *body = caller_body(f->caller);
 	struct send_terms t;
+	struct work load;
 	struct buf out = { 0 };
 	struct log_about about = { 0 };
 
@@ -82,9 +83,13 @@
 	about.call = f->want.id;
 	about.backend = m->info.id;
 	about.model = f->want.model;
+	load = directory_load(&f->e->dir, f->e->now, m);
 	log_event(LOG_REQUEST_STARTED, &about,
-	    "running=%u unread_us=%u list_at=%llu fresh=%d", m->own.running,
-	    m->own.unread_us, (unsigned long long)f->e->dir.at, f->fresh);
+	    "running=%u unread_us=%u recent_us=%u share=%.2f read_us=%u "
+	    "list_at=%llu fresh=%d",
+	    load.running, load.unread_us, load.recent_us,
+	    directory_share(m, f->e->now), f->share.unread_us,
+	    (unsigned long long)f->e->dir.at, f->fresh);
 }
 
 void
--- a/shell/log.c
+++ b/shell/log.c
@@ -84,7 +84,7 @@
 	    "an HTTP request is malformed or too large and is refused" },
 	[LOG_REQUEST_ARRIVED] = { 1200, LOGLEVEL_DEBUG, "request-arrived",
 	    "a caller's request was accepted" },
-	[LOG_REQUEST_STARTED] = { 1201, LOGLEVEL_DEBUG, "request-started",
+	[LOG_REQUEST_STARTED] = { 1201, LOGLEVEL_INFO, "request-started",
 	    "an attempt was sent to a backend server" },
 	[LOG_REQUEST_RETRIED] = { 1202, LOGLEVEL_INFO, "request-retried",
 	    "an attempt broke and another one follows" },
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -21,6 +21,7 @@
 static void test_avoid(void);
 static void test_peers(void);
 static void test_shun(void);
+static void test_reading(void);
 static void test_choice(void);
 static void test_reasons(void);
 static void test_attempts(void);
@@ -213,7 +214,7 @@
 {
 	struct directory d;
 	struct fleet_replica r = replica("a", "m");
-	struct work w = { 3, 100, 200 };
+	struct work w = { 3, 100, 0, 200 };
 	struct member_replica *m;
 
 	directory_init(&d);
@@ -258,6 +259,62 @@
 	directory_clear(&d);
 }
 
+/* Prompts sent lately leave no room for more until the window is over. */
+static void
+test_reading(void)
+{
+	struct fleet_engine g = { .slots = 4, .kv_tokens = 100000 };
+	struct directory d;
+	struct fleet_replica a = replica("a", "m");
+	struct member_replica *ma, *m;
+	struct balance_want w;
+	struct work peer = { 1, 0, 200000, 100 };
+	uint64_t now = 10 * S;
+	double before;
+
+	memset(&w, 0, sizeof(w));
+	w.service = "llm";
+	w.engine = &g;
+	w.model = "m";
+	w.adapter = "";
+	w.zone = "z1";
+	w.prompt_tokens = 1000;
+	w.read_ns = 100 * NSEC_PER_MSEC;
+	w.conns_share = 10;
+	directory_init(&d);
+	ma = directory_put(&d, &a);
+	ma->read_share = 1.0;
+	directory_sent(ma, now, 250000);
+	CU_ASSERT_EQUAL(directory_recent(&d, now, ma), 250000);
+	CU_ASSERT_EQUAL(balance_pick(&d, now, &w, 0.0, &m), BALANCE_FULL);
+	now += d.window_ns;
+	CU_ASSERT_EQUAL(directory_recent(&d, now, ma), 0);
+	CU_ASSERT_EQUAL(balance_pick(&d, now, &w, 0.0, &m), BALANCE_FOUND);
+	/* What a peer sent counts less as time passes. */
+	directory_peer_clear(&d, now, 0);
+	directory_peer_work(&d, 0, "a", &peer);
+	CU_ASSERT_EQUAL(directory_load(&d, now, ma).recent_us, 200000);
+	CU_ASSERT_EQUAL(
+	    directory_load(&d, now + d.window_ns / 2, ma).recent_us, 100000);
+	/* The part given to reading falls with pauses and comes back. */
+	before = directory_share(ma, now);
+	directory_paused(&d, now, ma);
+	CU_ASSERT_TRUE(directory_share(ma, now) < before);
+	before = directory_share(ma, now);
+	directory_paused(&d, now, ma); /* not twice in a second */
+	CU_ASSERT_EQUAL(directory_share(ma, now), before);
+	CU_ASSERT_TRUE(directory_share(ma, now + 60 * S) > before);
+	/* Late requests get less of the room. */
+	ma->read_share = 1.0;
+	ma->share_at = now;
+	peer.recent_us = 130000;
+	directory_peer_work(&d, 0, "a", &peer);
+	CU_ASSERT_EQUAL(balance_pick(&d, now, &w, 0.0, &m), BALANCE_FOUND);
+	w.late = 1;
+	CU_ASSERT_EQUAL(balance_pick(&d, now, &w, 0.0, &m), BALANCE_FULL);
+	directory_clear(&d);
+}
+
 static void
 test_choice(void)
 {
@@ -438,6 +495,7 @@
 	{ "peers' work", test_peers },
 	{ "shunned models", test_shun },
 	{ "choice", test_choice },
+	{ "room for reading prompts", test_reading },
 	{ "reasons", test_reasons },
 	{ "attempts", test_attempts },
 	{ "once is once", test_once_never_again },
