--- a/core/directory.c
+++ b/core/directory.c
@@ -142,6 +142,23 @@
 	}
 }
 
+uint64_t
+directory_lapse_left(const struct directory *d, uint64_t now)
+{
+	if (d->away_since != TIME_NEVER)
+		return LAPSE_NS;
+	if (d->back_at == 0 || now >= d->back_at + LAPSE_NS)
+		return 0;
+	return d->back_at + LAPSE_NS - now;
+}
+
+void
+directory_lapsing(struct directory *d, uint64_t now, uint64_t left)
+{
+	if (left != 0 && left <= LAPSE_NS && now + left > d->back_at + LAPSE_NS)
+		d->back_at = now + left - LAPSE_NS;
+}
+
 void
 directory_tick(struct directory *d, uint64_t now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -63,7 +63,7 @@
 
 struct directory {
 	struct member_replica *replicas;
-	uint64_t at;	     /* revision of the list's service */
+	uint64_t at;	     /* revision of the newest entry */
 	int known;	     /* the whole list was read once */
 	uint64_t away_since; /* the service does not answer, or NEVER */
 	uint64_t back_at;    /* when it last came back */
@@ -81,6 +81,9 @@
 void directory_remove(struct directory *, uint64_t, const char *);
 /* The list's service stops answering, or answers again. */
 void directory_service(struct directory *, uint64_t, int);
+/* How much longer removals may be lapses, and the same told by a peer. */
+uint64_t directory_lapse_left(const struct directory *, uint64_t);
+void directory_lapsing(struct directory *, uint64_t, uint64_t);
 /* Ends lapsed entries whose time is over, and forgets idle gone ones. */
 void directory_tick(struct directory *, uint64_t);
 /* Whether new work may go to a replica. */
--- /dev/null
+++ b/core/hubs.c
@@ -0,0 +1,68 @@
+#include <string.h>
+
+#include "hash.h"
+#include "hubs.h"
+
+static int before(const struct hub *, const struct hub *);
+static void note_silence(struct hub *, uint64_t, uint64_t);
+
+static int
+before(const struct hub *a, const struct hub *b)
+{
+	if (a->weight != b->weight)
+		return a->weight > b->weight;
+	return strcmp(a->addr, b->addr) < 0;
+}
+
+/* Only hubs owe a sign of life; others may have nothing to tell. */
+static void
+note_silence(struct hub *h, uint64_t now, uint64_t silence_ns)
+{
+	uint64_t last = h->heard_at > h->since ? h->heard_at : h->since;
+
+	if (h->self)
+		return;
+	if (h->since != 0 && now > last + silence_ns)
+		h->silent = 1;
+	else if (h->silent && now <= h->heard_at + silence_ns)
+		h->silent = 0;
+}
+
+uint32_t
+hubs_choose(struct hub **all, uint32_t n, uint64_t now, uint64_t silence_ns,
+    struct hub *out[HUBS_MAX])
+{
+	uint32_t found = 0;
+	uint32_t at;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		note_silence(all[i], now, silence_ns);
+		if (all[i]->silent)
+			continue;
+		for (at = found; at > 0 && before(all[i], out[at - 1]); at--) {
+			if (at < HUBS_MAX)
+				out[at] = out[at - 1];
+		}
+		if (at == HUBS_MAX)
+			continue;
+		out[at] = all[i];
+		if (found < HUBS_MAX)
+			found++;
+	}
+	for (i = 0; i < n; i++) {
+		for (at = 0; at < found && out[at] != all[i]; at++)
+			continue;
+		if (at == found)
+			all[i]->since = 0;
+		else if (all[i]->since == 0)
+			all[i]->since = now;
+	}
+	return found;
+}
+
+uint32_t
+hubs_share(const char *addr, uint32_t nhubs)
+{
+	return (uint32_t)(hash_text(addr) % nhubs);
+}
--- a/core/msg.h
+++ b/core/msg.h
@@ -249,6 +249,7 @@
 	uint64_t version; /* of the configuration in force */
 	uint64_t listed;  /* revision of the list of replicas */
 	uint32_t stopping;
+	uint32_t weight; /* see hubs.h */
 	uint32_t nwork;
 	struct msg_work {
 		char replica[NAME_SIZE];
--- a/core/wire.c
+++ b/core/wire.c
@@ -460,6 +460,7 @@
 	wire_u64(w, &f->version);
 	wire_u64(w, &f->listed);
 	wire_u32(w, &f->stopping);
+	wire_u32(w, &f->weight);
 	f->work = wire_list(w, &f->nwork, sizeof(*f->work), f->work);
 	for (i = 0; i < f->nwork; i++) {
 		wire_str(w, f->work[i].replica, sizeof(f->work[i].replica));
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -1,8 +1,10 @@
 /*
  * The lists that a process keeps up to date: the configuration, the replicas
- * and its peers.  Each is read whole, then watched from that revision on.
+ * and its peers.  Each is read whole first.  The configuration is watched from
+ * that revision on; so are the replicas, by the hubs, who pass changes on to
+ * the others.  Peers come rarely and are heard anyway: their list is read
+ * again now and then.
  */
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,6 +21,10 @@
 #define READ_TIMEOUT_S 1.5
 #define PAUSE_FIRST_S 0.05
 #define PAUSE_MOST_S 0.8
+#define PEERS_FIRST_S 0.3 /* between readings of the peers, then doubled */
+#define PEERS_MOST_S 5.0
+/* Without a watch, entries that hubs did not pass on are found after. */
+#define BACKSTOP_S 2.0
 
 static void list_read(struct list *);
 static void list_watch(struct list *);
@@ -27,7 +33,9 @@
 static void on_events(void *, int, const char *, size_t);
 static void on_retry(struct ev_loop *, ev_timer *, int);
 static void list_put(struct list *, const struct store_item *);
-static void list_drop(struct list *, struct list_key *);
+static void list_next(struct list *);
+static void list_rest(struct list *, double);
+static void list_at(struct list *, int);
 static void list_whole(struct list *);
 static const char *models_text(const struct fleet_replica *, char *, size_t);
 static void put_config(struct list *, const struct list_key *);
@@ -60,6 +68,7 @@
 		l->id = (enum list_id)i;
 		l->prefix = list_kinds[i].prefix;
 		l->pause_s = PAUSE_FIRST_S;
+		l->rest_s = PEERS_FIRST_S;
 		ev_timer_init(&l->retry, on_retry, 0.0, 0.0);
 		l->retry.data = l;
 		list_read(l);
@@ -108,12 +117,56 @@
 		list_read(l);
 }
 
+/* Looks at the list again later, without a watch. */
+static void
+list_rest(struct list *l, double after_s)
+{
+	if (l->s->closing)
+		return;
+	l->at = 0;
+	l->resting = 1;
+	ev_timer_set(&l->retry, after_s, 0.0);
+	ev_timer_start(l->s->e->loop, &l->retry);
+}
+
+/* The list is known: keeps it so. */
+static void
+list_next(struct list *l)
+{
+	if (l->id == LIST_PEERS) {
+		list_rest(l, l->rest_s);
+		l->rest_s *= 2.0;
+		if (l->rest_s > PEERS_MOST_S)
+			l->rest_s = PEERS_MOST_S;
+	} else if (l->id == LIST_REPLICAS && !peers_follows(l->s->e->peers)) {
+		list_rest(l, BACKSTOP_S);
+	} else {
+		list_watch(l);
+	}
+}
+
+void
+session_tick(struct session *s)
+{
+	struct list *l = &s->lists[LIST_REPLICAS];
+
+	if (!l->resting || !peers_follows(s->e->peers))
+		return;
+	ev_timer_stop(s->e->loop, &l->retry);
+	list_read(l);
+}
+
 static void
 list_read(struct list *l)
 {
 	struct store_call sc;
 
-	store_range_call(l->prefix, l->after, &sc);
+	if (l->after[0] == '\0') {
+		l->stale = l->resting &&
+		    (l->id == LIST_PEERS || !peers_follows(l->s->e->peers));
+		l->resting = 0;
+	}
+	store_range_call(l->prefix, l->after, l->stale, &sc);
 	session_call(l->s, &sc, READ_TIMEOUT_S, on_page, l);
 }
 
@@ -155,29 +208,52 @@
 	}
 	store_page_clear(&page);
 	list_whole(l);
-	list_watch(l);
+	list_next(l);
 }
 
-/* The whole list was read: what it did not name is gone. */
+/* Notes the revision of the newest entry, as peers compare it. */
+static void
+list_at(struct list *l, int dropped)
+{
+	struct directory *d = &l->s->e->dir;
+	const struct list_key *k;
+
+	if (l->id != LIST_REPLICAS || l->stale)
+		return;
+	d->known = 1;
+	if (dropped && l->at > d->at)
+		d->at = l->at;
+	for (k = l->keys; k != NULL; k = k->hh.next) {
+		if (k->revision > d->at)
+			d->at = k->revision;
+	}
+}
+
+/*
+ * The whole list was read: what it did not name is gone, unless the answer may
+ * have been old.
+ */
 static void
 list_whole(struct list *l)
 {
 	struct list_key *k, *next;
+	int dropped = 0;
 
 	HASH_ITER (hh, l->keys, k, next) {
-		if (k->reading != l->reading && k->revision <= l->begun_at)
-			list_drop(l, k);
+		if (k->reading == l->reading || k->revision > l->begun_at ||
+		    (l->stale && l->id == LIST_REPLICAS))
+			continue;
+		list_drop(l, k);
+		dropped = 1;
 	}
 	l->at = l->begun_at;
-	log_event(LOG_LIST_READ, NULL, "list=%s keys=%u at=%llu", l->prefix,
-	    HASH_COUNT(l->keys), (unsigned long long)l->at);
+	if (!l->stale)
+		log_event(LOG_LIST_READ, NULL, "list=%s keys=%u at=%llu",
+		    l->prefix, HASH_COUNT(l->keys), (unsigned long long)l->at);
 	l->begun_at = 0;
 	l->after[0] = '\0';
 	l->pause_s = PAUSE_FIRST_S;
-	if (l->id == LIST_REPLICAS) {
-		l->s->e->dir.known = 1;
-		l->s->e->dir.at = l->at;
-	}
+	list_at(l, dropped);
 	l->s->e->pump = 1;
 }
 
@@ -185,9 +261,10 @@
 on_events(void *ctx, int status, const char *body, size_t len)
 {
 	struct list *l = ctx;
-	struct list_key *k;
 	struct store_page page;
 	struct err err;
+	uint64_t from = l->s->e->dir.at;
+	char *text;
 	size_t i;
 
 	if (status != 200 || store_watch_answer(body, len, &page, &err) == -1) {
@@ -201,23 +278,38 @@
 		list_pause(l);
 		return;
 	}
-	for (i = 0; i < page.n; i++) {
-		if (page.items[i].value != NULL) {
-			list_put(l, &page.items[i]);
-			continue;
-		}
-		HASH_FIND_STR(l->keys, page.items[i].key, k);
-		if (k != NULL && k->revision < page.items[i].revision)
-			list_drop(l, k);
-	}
+	l->stale = 0;
+	for (i = 0; i < page.n; i++)
+		list_item(l, &page.items[i]);
 	if (page.at > l->at)
 		l->at = page.at;
-	if (l->id == LIST_REPLICAS)
-		l->s->e->dir.at = l->at;
+	if (l->id == LIST_REPLICAS && page.n != 0) {
+		for (i = 0; i < page.n; i++) {
+			if (page.items[i].revision > l->s->e->dir.at)
+				l->s->e->dir.at = page.items[i].revision;
+		}
+		text = session_news_text(l->s, from, &page);
+		peers_news(l->s->e->peers, text, strlen(text));
+		free(text);
+	}
 	store_page_clear(&page);
 	l->pause_s = PAUSE_FIRST_S;
 	l->s->e->pump = 1;
-	list_watch(l);
+	list_next(l);
+}
+
+void
+list_item(struct list *l, const struct store_item *item)
+{
+	struct list_key *k;
+
+	if (item->value != NULL) {
+		list_put(l, item);
+		return;
+	}
+	HASH_FIND_STR(l->keys, item->key, k);
+	if (k != NULL && k->revision < item->revision)
+		list_drop(l, k);
 }
 
 static void
@@ -242,7 +334,7 @@
 	list_kinds[l->id].put(l, k);
 }
 
-static void
+void
 list_drop(struct list *l, struct list_key *k)
 {
 	if (list_kinds[l->id].drop != NULL)
@@ -324,56 +416,3 @@
 	peers_unlisted(
 	    l->s->e->peers, k->key + strlen(STORE_OWN_PREFIX PEERS_KEY_PREFIX));
 }
-
-char *
-session_list_text(const struct session *s, size_t *len)
-{
-	const struct list_key *k;
-	json_t *doc = json_object();
-	char *text;
-
-	for (k = s->lists[LIST_REPLICAS].keys; k != NULL; k = k->hh.next)
-		json_object_set_new(doc, k->key,
-		    json_pack("{s:s%,s:I}", "value", k->value, k->len,
-			"revision", (json_int_t)k->revision));
-	text = json_dumps(doc, JSON_COMPACT);
-	json_decref(doc);
-	*len = text == NULL ? 0 : strlen(text);
-	return text;
-}
-
-void
-session_list_take(struct session *s, uint64_t at, const char *text, size_t len)
-{
-	struct list *l = &s->lists[LIST_REPLICAS];
-	struct list_key *k, *next;
-	struct store_item item;
-	const char *key;
-	json_t *value;
-	json_t *doc;
-
-	if (at <= l->s->e->dir.at || l->begun_at != 0)
-		return;
-	doc = json_loadb(text, len, 0, NULL);
-	l->reading++;
-	json_object_foreach (doc, key, value) {
-		memset(&item, 0, sizeof(item));
-		snprintf(item.key, sizeof(item.key), "%s", key);
-		item.value =
-		    (char *)json_string_value(json_object_get(value, "value"));
-		item.len = item.value == NULL ? 0 : strlen(item.value);
-		item.revision = (uint64_t)json_integer_value(
-		    json_object_get(value, "revision"));
-		if (item.value != NULL)
-			list_put(l, &item);
-	}
-	HASH_ITER (hh, l->keys, k, next) {
-		if (doc != NULL && k->reading != l->reading &&
-		    k->revision <= at)
-			list_drop(l, k);
-	}
-	json_decref(doc);
-	s->e->dir.known = 1;
-	s->e->dir.at = at;
-	s->e->pump = 1;
-}
--- a/entry/main.c
+++ b/entry/main.c
@@ -55,6 +55,7 @@
 	directory_tick(&e->dir, e->now);
 	steer_tick(e);
 	peers_tick(e->peers);
+	session_tick(e->session);
 	/* Room comes back with time, too. */
 	if (!TAILQ_EMPTY(&e->waiting))
 		e->pump = 1;
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -7,6 +7,7 @@
 
 #include "announce.h"
 #include "bus.h"
+#include "hubs.h"
 #include "mem.h"
 #include "peers.h"
 #include "ring.h"
@@ -25,14 +26,20 @@
 #define INBOX_RING 4096
 #define PULL_CONFIG 0 /* msg_conf.nonce: what is asked for */
 #define PULL_LIST 1
+#define PUSH_LIST 2 /* changes of the list of replicas */
+/* A hub passes changes on within this time. */
+#define BEHIND_NS (150 * NSEC_PER_MSEC)
+#define HUB_SILENT_NS (800 * NSEC_PER_MSEC) /* several reports */
+/* Time in which the peers of a process that starts become known. */
+#define HUB_FIRST_NS (700 * NSEC_PER_MSEC)
+#define HUB_CENTS 100.0 /* of a core, in a hub's weight */
 
 struct peer {
 	char vm[NAME_SIZE];
-	char addr[ADDR_SIZE]; /* of its bus */
-	uint32_t index;	      /* in the directory's tables */
+	struct hub hub;	/* its bus address, and when it was heard */
+	uint32_t index; /* in the directory's tables */
 	int listed;
 	int heard;
-	uint64_t heard_at;
 	uint64_t incarnation;
 	uint64_t seq; /* of its newest report */
 	UT_hash_handle hh;
@@ -50,6 +57,12 @@
 	uint64_t tell_at;
 	uint64_t pull_config_at;
 	uint64_t pull_list_at;
+	uint64_t behind; /* a revision of the list that a peer has */
+	uint64_t behind_at;
+	uint64_t started_at;
+	struct hub self;
+	uint32_t nhubs;
+	struct hub *hubs[HUBS_MAX];
 };
 
 static void on_bus(void *, struct msg *);
@@ -59,7 +72,9 @@
 static void take_front(struct peers *, struct peer *, const struct msg *);
 static void take_pull(struct peers *, const struct msg *);
 static void take_chunk(struct peers *, const struct msg *);
-static void pull(struct peers *, const struct peer *, uint64_t, uint64_t *);
+static int is_behind(struct peers *, uint64_t);
+static void pull(struct peers *, const char *, uint64_t, uint64_t *);
+static void choose_hubs(struct peers *);
 static struct peer *peer_find(struct peers *, const char *);
 static struct peer *peer_add(struct peers *, const char *, const char *);
 static uint64_t tell_pause(const struct peers *);
@@ -87,8 +102,14 @@
 	p->io.data = p;
 	ev_io_start(e->loop, &p->io);
 	snprintf(key, sizeof(key), PEERS_KEY_PREFIX "%s", e->boot.vm);
-	snprintf(value, sizeof(value), "{\"bus\":\"%s\",\"incarnation\":%llu}",
-	    e->self.addr, (unsigned long long)e->self.incarnation);
+	memcpy(p->self.addr, e->self.addr, sizeof(p->self.addr));
+	p->self.weight = (uint32_t)(e->boot.cpu_share * HUB_CENTS);
+	p->self.self = 1;
+	p->started_at = entry_now(e);
+	snprintf(value, sizeof(value),
+	    "{\"bus\":\"%s\",\"incarnation\":%llu,\"weight\":%u}",
+	    e->self.addr, (unsigned long long)e->self.incarnation,
+	    p->self.weight);
 	p->announce = announce_create(&config, key, value, &p->ids);
 	return p;
 }
@@ -163,10 +184,10 @@
 	if (q != NULL)
 		return q;
 	q = mem_alloc(sizeof(*q));
-	snprintf(q->addr, sizeof(q->addr), "%s", addr);
+	snprintf(q->hub.addr, sizeof(q->hub.addr), "%s", addr);
 	snprintf(q->vm, sizeof(q->vm), "%s", vm);
 	q->index = p->indexes++;
-	HASH_ADD_STR(p->peers, addr, q);
+	HASH_ADD_STR(p->peers, hub.addr, q);
 	p->e->nprocesses = peers_count(p) + 1;
 	budget_processes(&p->e->budget, p->e->nprocesses);
 	return q;
@@ -177,9 +198,15 @@
 {
 	json_t *doc = json_loads(value, 0, NULL);
 	const char *addr = json_string_value(json_object_get(doc, "bus"));
+	struct peer *q;
 
-	if (addr != NULL && strcmp(addr, p->e->self.addr) != 0)
-		peer_add(p, addr, vm)->listed = 1;
+	if (addr != NULL && strcmp(addr, p->e->self.addr) != 0) {
+		q = peer_add(p, addr, vm);
+		q->listed = 1;
+		q->hub.weight = (uint32_t)json_integer_value(
+		    json_object_get(doc, "weight"));
+		snprintf(q->vm, sizeof(q->vm), "%s", vm);
+	}
 	json_decref(doc);
 }
 
@@ -216,7 +243,7 @@
 	uint32_t n = 0;
 
 	for (q = p->peers; q != NULL; q = q->hh.next)
-		n += q->heard && strcmp(q->addr, addr) < 0;
+		n += q->heard && strcmp(q->hub.addr, addr) < 0;
 	return n;
 }
 
@@ -247,9 +274,9 @@
 	}
 	if (!q->heard)
 		log_event(
-		    LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm, q->addr);
+		    LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm, q->hub.addr);
 	q->heard = 1;
-	q->heard_at = p->e->now;
+	q->hub.heard_at = p->e->now;
 	switch (m->kind) {
 	case MSG_FRONT:
 		take_front(p, q, m);
@@ -278,6 +305,7 @@
 		return;
 	q->seq = m->seq;
 	snprintf(q->vm, sizeof(q->vm), "%s", f->vm);
+	q->hub.weight = f->weight;
 	directory_peer_clear(&e->dir, e->now, q->index);
 	for (i = 0; i < f->nwork; i++) {
 		w.running = f->work[i].running;
@@ -288,22 +316,35 @@
 	}
 	steer_demand(e, m);
 	if (f->stopping)
-		steer_peer_stops(e, q->addr);
+		steer_peer_stops(e, q->hub.addr);
 	if (e->conf == NULL || f->version > e->conf->version)
-		pull(p, q, PULL_CONFIG, &p->pull_config_at);
-	if (f->listed > e->dir.at && !session_up(e->session))
-		pull(p, q, PULL_LIST, &p->pull_list_at);
+		pull(p, q->hub.addr, PULL_CONFIG, &p->pull_config_at);
+	if (is_behind(p, f->listed))
+		pull(p, q->hub.addr, PULL_LIST, &p->pull_list_at);
+}
+
+/* Changes of the list that a peer has do not come by themselves. */
+static int
+is_behind(struct peers *p, uint64_t listed)
+{
+	if (listed <= p->e->dir.at)
+		return 0;
+	if (p->behind <= p->e->dir.at) {
+		p->behind = listed;
+		p->behind_at = p->e->now;
+	}
+	return p->e->now >= p->behind_at + BEHIND_NS;
 }
 
 static void
-pull(struct peers *p, const struct peer *q, uint64_t what, uint64_t *at)
+pull(struct peers *p, const char *addr, uint64_t what, uint64_t *at)
 {
 	struct msg *m;
 
 	if (p->e->now < *at)
 		return;
 	*at = p->e->now + PULL_AGAIN_NS;
-	m = msg_create(MSG_CONF_PULL, q->addr);
+	m = msg_create(MSG_CONF_PULL, addr);
 	m->u.conf.nonce = what;
 	bus_send(p->bus, m);
 }
@@ -317,7 +358,8 @@
 	size_t len = 0;
 
 	if (m->u.conf.nonce == PULL_LIST) {
-		text = session_list_text(e->session, &len);
+		text = session_list_text(e->session);
+		len = strlen(text);
 	} else if (e->conf_text != NULL) {
 		len = e->conf_len;
 		text = mem_alloc(len + 1);
@@ -329,7 +371,6 @@
 	}
 	reply = msg_create(MSG_CONF_CHUNK, m->from.addr);
 	reply->u.conf.nonce = m->u.conf.nonce;
-	reply->u.conf.revision = e->dir.at;
 	reply->u.conf.bytes = text;
 	reply->u.conf.len = (uint32_t)len;
 	bus_send(p->bus, reply);
@@ -342,8 +383,59 @@
 
 	if (c->nonce == PULL_CONFIG)
 		entry_configure(p->e, c->bytes, c->len, m->from.addr);
-	else if (!session_up(p->e->session))
-		session_list_take(p->e->session, c->revision, c->bytes, c->len);
+	else if (session_news_take(p->e->session, c->bytes, c->len) == -1)
+		pull(p, m->from.addr, PULL_LIST, &p->pull_list_at);
+}
+
+/* Works out anew who the hubs are. */
+static void
+choose_hubs(struct peers *p)
+{
+	struct hub **all;
+	struct peer *q;
+	uint32_t n = 0;
+	int was = p->self.since != 0;
+
+	all = mem_alloc((peers_count(p) + 1) * sizeof(*all));
+	if (!p->e->stopping)
+		all[n++] = &p->self;
+	for (q = p->peers; q != NULL; q = q->hh.next)
+		all[n++] = &q->hub;
+	p->nhubs = hubs_choose(all, n, p->e->now, HUB_SILENT_NS, p->hubs);
+	free(all);
+	if (was != (p->self.since != 0))
+		log_event(LOG_HUB, NULL, "hub=%d hubs=%u peers=%u", !was,
+		    p->nhubs, peers_count(p));
+}
+
+int
+peers_follows(const struct peers *p)
+{
+	return p->self.since != 0 &&
+	    p->e->now >= p->started_at + HUB_FIRST_NS;
+}
+
+void
+peers_news(struct peers *p, const char *text, size_t len)
+{
+	struct peer *q;
+	struct msg *m;
+	uint32_t rank;
+
+	for (rank = 0; rank < p->nhubs && p->hubs[rank] != &p->self; rank++)
+		continue;
+	if (rank == p->nhubs || len > MSG_BYTES_MAX)
+		return;
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (hubs_share(q->hub.addr, p->nhubs) != rank)
+			continue;
+		m = msg_create(MSG_CONF_CHUNK, q->hub.addr);
+		m->u.conf.nonce = PUSH_LIST;
+		m->u.conf.bytes = mem_alloc(len + 1);
+		memcpy(m->u.conf.bytes, text, len);
+		m->u.conf.len = (uint32_t)len;
+		bus_send(p->bus, m);
+	}
 }
 
 void
@@ -360,7 +452,7 @@
 
 	for (q = p->peers; q != NULL; q = q->hh.next) {
 		copy = msg_copy(m);
-		snprintf(copy->to, sizeof(copy->to), "%s", q->addr);
+		snprintf(copy->to, sizeof(copy->to), "%s", q->hub.addr);
 		bus_send(p->bus, copy);
 	}
 	msg_destroy(m);
@@ -380,6 +472,7 @@
 	m->u.front.version = e->conf == NULL ? 0 : e->conf->version;
 	m->u.front.listed = e->dir.at;
 	m->u.front.stopping = (uint32_t)e->stopping;
+	m->u.front.weight = p->self.weight;
 	m->u.front.work = mem_alloc(
 	    (HASH_COUNT(e->dir.replicas) + 1) * sizeof(*m->u.front.work));
 	for (r = e->dir.replicas; r != NULL; r = r->hh.next) {
@@ -435,15 +528,16 @@
 	TAILQ_INIT(&ops);
 	announce_tick(p->announce, p->e->now, &ops);
 	session_send(p->e->session, &ops, on_result, p);
+	choose_hubs(p);
 	tell(p);
 	HASH_ITER (hh, p->peers, q, next) {
-		if (q->heard && p->e->now > q->heard_at + PEER_SILENT_NS) {
+		if (q->heard && p->e->now > q->hub.heard_at + PEER_SILENT_NS) {
 			log_event(LOG_PEER_SILENT, NULL, "peer=%s addr=%s",
-			    q->vm, q->addr);
+			    q->vm, q->hub.addr);
 			q->heard = 0;
 		}
 		if (q->listed || q->heard ||
-		    p->e->now < q->heard_at + PEER_FORGET_NS)
+		    p->e->now < q->hub.heard_at + PEER_FORGET_NS)
 			continue;
 		/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
 		HASH_DEL(p->peers, q);
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -24,9 +24,13 @@
 void peers_broadcast(struct peers *, struct msg *);
 /* Sends to the peer at a bus address. */
 void peers_send(struct peers *, struct msg *);
-/* Peers that are listed or heard, without this process. */
 /* What peers count on has changed: a report leaves shortly. */
 void peers_tell_soon(struct peers *);
+/* Whether this process follows the list of replicas for others. */
+int peers_follows(const struct peers *);
+/* Passes changes of the list on to the peers that are this process's share. */
+void peers_news(struct peers *, const char *, size_t);
+/* Peers that are listed or heard, without this process. */
 uint32_t peers_count(const struct peers *);
 /* Place of the peer at a bus address among the sources of reports. */
 uint32_t peers_index(const struct peers *, const char *);
--- a/entry/session.h
+++ b/entry/session.h
@@ -19,8 +19,13 @@
 int session_up(const struct session *);
 uint64_t session_calls(const struct session *);
 /* The list of replicas as this process holds it, for a peer. */
-char *session_list_text(const struct session *, size_t *);
-/* A peer's list; used where it is newer than ours. */
-void session_list_take(struct session *, uint64_t, const char *, size_t);
+char *session_list_text(const struct session *);
+/*
+ * A peer's list, or its changes; -1 when one before them is missing, so that
+ * the whole list is needed.
+ */
+int session_news_take(struct session *, const char *, size_t);
+/* Begins or ends following the list of replicas. */
+void session_tick(struct session *);
 
 #endif
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -29,6 +29,9 @@
 	const char *prefix;
 	ev_timer retry;
 	double pause_s;
+	double rest_s; /* until it is looked at again without a watch */
+	int resting;   /* neither read nor watched for now */
+	int stale;     /* the answer under way may be old */
 	uint64_t at;	   /* revision up to which it is known */
 	uint64_t begun_at; /* revision when the reading began, 0 for none */
 	uint32_t reading;  /* number of the latest reading */
@@ -52,5 +55,12 @@
 /* lists.c */
 void lists_start(struct session *);
 void lists_stop(struct session *);
+/* Takes in one entry, or its removal. */
+void list_item(struct list *, const struct store_item *);
+void list_drop(struct list *, struct list_key *);
+/* news.c */
+/* What a watch told of the replicas since a revision, for peers. */
+char *session_news_text(
+    const struct session *, uint64_t, const struct store_page *);
 
 #endif
--- a/shell/log.c
+++ b/shell/log.c
@@ -148,6 +148,8 @@
 	    "a replica could not be reached and is avoided for a while" },
 	[LOG_PEER_HEARD] = { 1615, LOGLEVEL_INFO, "peer-heard",
 	    "a peer is heard, for the first time or again" },
+	[LOG_HUB] = { 1617, LOGLEVEL_INFO, "hub",
+	    "a process follows the lists for others, or no longer" },
 	[LOG_PEER_SILENT] = { 1616, LOGLEVEL_INFO, "peer-silent",
 	    "a peer is not heard any more" },
 	[LOG_CELL_TAKEN] = { 1700, LOGLEVEL_NOTICE, "cell-taken",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -443,7 +443,7 @@
 	store_watch_call("op/", 411, 10000, &c);
 	CU_ASSERT_STRING_EQUAL(
 	    c.path, "/api/kv-watch?path_prefix=op/&after=411&wait_ms=10000");
-	store_range_call("op/", "op/x", &c);
+	store_range_call("op/", "op/x", 0, &c);
 	CU_ASSERT_STRING_EQUAL(
 	    c.path, "/api/kv-range?path_prefix=op/&after=op/x");
 }
