In a large fleet reports go through the hubs; tables of adapters are told as changes

Change: beyond 15 peers a report goes to the hubs and the holder of orders every 150 ms; each hub sums up its share of the peers and tells every process, without that process's own part. Hubs are the first candidates for the right to order, since demand is told to them. The table of adapters is told where it changed, and whole every 2 s. Placement looks at 256 replicas of a service.

--- a/core/directory.h
+++ b/core/directory.h
@@ -53,6 +53,7 @@
 	uint64_t share_until; /* not lowered again before */
 	struct work *peers;
 	uint32_t npeers;
+	uint64_t told;	   /* hash of its adapters as peers were told */
 	uint32_t failures; /* in a row, of reaching it */
 	uint64_t avoid_until;
 	double errors;	    /* recent share of failed attempts */
--- a/core/msg.h
+++ b/core/msg.h
@@ -267,12 +267,14 @@
 	} * demand; /* owned by the message */
 };
 
+/* The table of adapters: whole, or the replicas where it changed. */
 struct msg_held {
 	uint64_t fence;
+	uint32_t whole;
 	uint32_t n;
 	struct msg_held_item {
 		char replica[NAME_SIZE];
-		char name[MSG_WANTED_SIZE]; /* adapter, or a leaving model */
+		char name[MSG_WANTED_SIZE]; /* adapter, leaving model, or "" */
 		uint64_t born; /* start of the replica that holds it */
 	} * items;	       /* owned by the message */
 };
--- a/core/place.h
+++ b/core/place.h
@@ -8,8 +8,8 @@
 #include "base.h"
 #include "conf.h"
 
-#define PLACE_BACKENDS_MAX CELL_REPLICAS_MAX
-#define PLACE_AT_HAND 2 /* allowed, and the weights are on its disk */
+#define PLACE_BACKENDS_MAX 256 /* of one service, or of a cell */
+#define PLACE_AT_HAND 2	       /* allowed, and the weights are on its disk */
 
 struct place_copy {
 	uint32_t backend;
--- a/core/wire.c
+++ b/core/wire.c
@@ -485,6 +485,7 @@
 	uint32_t i;
 
 	wire_u64(w, &h->fence);
+	wire_u32(w, &h->whole);
 	h->items = wire_list(w, &h->n, sizeof(*h->items), h->items);
 	for (i = 0; i < h->n; i++) {
 		wire_str(w, h->items[i].replica, sizeof(h->items[i].replica));
--- a/entry/news.c
+++ b/entry/news.c
@@ -79,8 +79,8 @@
 		return;
 	memset(&item, 0, sizeof(item));
 	snprintf(item.key, sizeof(item.key), "%s", key);
-	item.revision = (uint64_t)json_integer_value(
-	    json_object_get(doc, "revision"));
+	item.revision =
+	    (uint64_t)json_integer_value(json_object_get(doc, "revision"));
 	item.value = (char *)json_string_value(value);
 	item.len = json_string_length(value);
 	list_item(l, &item);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -20,8 +20,9 @@
 #define PEER_FORGET_NS (15 * NSEC_PER_SEC)    /* unlisted and silent */
 #define TELL_NS (100 * NSEC_PER_MSEC)	      /* between two reports */
 #define TELL_SOON_NS (10 * NSEC_PER_MSEC)     /* after a change */
-#define TELL_MOST_NS (500 * NSEC_PER_MSEC)
-#define TELL_PEERS 9 /* with more peers, reports are rarer */
+/* With more peers, reports go to the hubs, which sum them up for the others. */
+#define TELL_PEERS 15
+#define TELL_HUBS_NS (150 * NSEC_PER_MSEC)
 #define PULL_AGAIN_NS (300 * NSEC_PER_MSEC)
 #define INBOX_RING 4096
 #define PULL_CONFIG 0 /* msg_conf.nonce: what is asked for */
@@ -36,7 +37,8 @@
 
 struct peer {
 	char vm[NAME_SIZE];
-	struct hub hub;	/* its bus address, and when it was heard */
+	struct hub hub; /* its bus address, and when it was heard */
+	uint32_t share; /* rank of the hub that passes changes on to it */
 	uint32_t index; /* in the directory's tables */
 	int listed;
 	int heard;
@@ -77,9 +79,15 @@
 static void choose_hubs(struct peers *);
 static struct peer *peer_find(struct peers *, const char *);
 static struct peer *peer_add(struct peers *, const char *, const char *);
-static uint64_t tell_pause(const struct peers *);
 static void tell(struct peers *);
 static struct msg *compose(struct peers *);
+static uint32_t own_rank(const struct peers *);
+static int is_told(
+    const struct peer *, uint32_t, const struct member_replica *);
+static struct work *share_work(const struct peers *, uint32_t);
+static void add_share(const struct peers *, uint32_t, const struct work *,
+    const struct peer *, struct msg_front *);
+static void tell_by_hubs(struct peers *, struct msg *);
 
 struct peers *
 peers_create(struct entry *e, struct err *err)
@@ -107,9 +115,8 @@
 	p->self.self = 1;
 	p->started_at = entry_now(e);
 	snprintf(value, sizeof(value),
-	    "{\"bus\":\"%s\",\"incarnation\":%llu,\"weight\":%u}",
-	    e->self.addr, (unsigned long long)e->self.incarnation,
-	    p->self.weight);
+	    "{\"bus\":\"%s\",\"incarnation\":%llu,\"weight\":%u}", e->self.addr,
+	    (unsigned long long)e->self.incarnation, p->self.weight);
 	p->announce = announce_create(&config, key, value, &p->ids);
 	return p;
 }
@@ -236,29 +243,6 @@
 	return q == NULL ? UINT32_MAX : q->index;
 }
 
-uint32_t
-peers_before(const struct peers *p, const char *addr)
-{
-	const struct peer *q;
-	uint32_t n = 0;
-
-	for (q = p->peers; q != NULL; q = q->hh.next)
-		n += q->heard && strcmp(q->hub.addr, addr) < 0;
-	return n;
-}
-
-/* Time between two reports; their sum over all peers stays bounded. */
-static uint64_t
-tell_pause(const struct peers *p)
-{
-	uint32_t n = peers_count(p);
-	uint64_t pause = TELL_NS;
-
-	if (n > TELL_PEERS)
-		pause = pause * n / TELL_PEERS;
-	return pause < TELL_MOST_NS ? pause : TELL_MOST_NS;
-}
-
 static void
 take(struct peers *p, struct msg *m)
 {
@@ -273,8 +257,8 @@
 		q->seq = 0;
 	}
 	if (!q->heard)
-		log_event(
-		    LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm, q->hub.addr);
+		log_event(LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm,
+		    q->hub.addr);
 	q->heard = 1;
 	q->hub.heard_at = p->e->now;
 	switch (m->kind) {
@@ -403,6 +387,8 @@
 		all[n++] = &q->hub;
 	p->nhubs = hubs_choose(all, n, p->e->now, HUB_SILENT_NS, p->hubs);
 	free(all);
+	for (q = p->peers; q != NULL && p->nhubs != 0; q = q->hh.next)
+		q->share = hubs_share(q->hub.addr, p->nhubs);
 	if (was != (p->self.since != 0))
 		log_event(LOG_HUB, NULL, "hub=%d hubs=%u peers=%u", !was,
 		    p->nhubs, peers_count(p));
@@ -411,8 +397,7 @@
 int
 peers_follows(const struct peers *p)
 {
-	return p->self.since != 0 &&
-	    p->e->now >= p->started_at + HUB_FIRST_NS;
+	return p->self.since != 0 && p->e->now >= p->started_at + HUB_FIRST_NS;
 }
 
 void
@@ -420,14 +405,12 @@
 {
 	struct peer *q;
 	struct msg *m;
-	uint32_t rank;
+	uint32_t rank = own_rank(p);
 
-	for (rank = 0; rank < p->nhubs && p->hubs[rank] != &p->self; rank++)
-		continue;
 	if (rank == p->nhubs || len > MSG_BYTES_MAX)
 		return;
 	for (q = p->peers; q != NULL; q = q->hh.next) {
-		if (hubs_share(q->hub.addr, p->nhubs) != rank)
+		if (q->share != rank)
 			continue;
 		m = msg_create(MSG_CONF_CHUNK, q->hub.addr);
 		m->u.conf.nonce = PUSH_LIST;
@@ -491,6 +474,117 @@
 	return m;
 }
 
+/* Whether a hub tells others of the peer's work. */
+static int
+is_told(const struct peer *q, uint32_t rank, const struct member_replica *r)
+{
+	return q->heard && q->hub.since == 0 && q->share == rank &&
+	    q->index < r->npeers;
+}
+
+/* Work by replica, in the directory's order, of the peers in a hub's share. */
+static struct work *
+share_work(const struct peers *p, uint32_t rank)
+{
+	const struct member_replica *r = p->e->dir.replicas;
+	const struct peer *q;
+	struct work *all;
+	struct work *w;
+
+	all = mem_alloc((HASH_COUNT(r) + 1) * sizeof(*all));
+	for (w = all; r != NULL; r = r->hh.next, w++) {
+		for (q = p->peers; q != NULL; q = q->hh.next) {
+			if (!is_told(q, rank, r))
+				continue;
+			w->running += r->peers[q->index].running;
+			w->unread_us += r->peers[q->index].unread_us;
+			w->recent_us += r->peers[q->index].recent_us;
+			w->tokens += r->peers[q->index].tokens;
+		}
+	}
+	return all;
+}
+
+/* Adds a share's work to this hub's report, without the receiver's own. */
+static void
+add_share(const struct peers *p, uint32_t rank, const struct work *all,
+    const struct peer *to, struct msg_front *f)
+{
+	const struct member_replica *r = p->e->dir.replicas;
+	const struct work none = { 0, 0, 0, 0 };
+	const struct work *own;
+	const struct msg_work *here;
+	struct msg_work *list;
+	uint32_t at = 0;
+	uint32_t n = 0;
+
+	list = mem_alloc((HASH_COUNT(r) + 1) * sizeof(*list));
+	for (; r != NULL && n < MSG_LIST_MAX - 1; r = r->hh.next, all++) {
+		own = is_told(to, rank, r) ? &r->peers[to->index] : &none;
+		/* The report lists replicas in the same order. */
+		here = at < f->nwork &&
+			strcmp(f->work[at].replica, r->info.id) == 0
+		    ? &f->work[at++]
+		    : NULL;
+		if (here != NULL)
+			list[n] = *here;
+		list[n].running += all->running - own->running;
+		list[n].unread_us += all->unread_us - own->unread_us;
+		list[n].recent_us += all->recent_us - own->recent_us;
+		list[n].tokens += all->tokens - own->tokens;
+		if (list[n].running == 0 && list[n].recent_us == 0)
+			continue;
+		memcpy(list[n++].replica, r->info.id, NAME_SIZE);
+	}
+	free(f->work);
+	f->work = list;
+	f->nwork = n;
+}
+
+/* This process's place among the hubs; their number when it is none. */
+static uint32_t
+own_rank(const struct peers *p)
+{
+	uint32_t rank;
+
+	for (rank = 0; rank < p->nhubs && p->hubs[rank] != &p->self; rank++)
+		continue;
+	return rank;
+}
+
+uint32_t
+peers_rank(const struct peers *p)
+{
+	uint32_t rank = own_rank(p);
+
+	return rank < p->nhubs ? rank : HUBS_MAX + 1;
+}
+
+/* In a large fleet: to the hubs, and from them to all. */
+static void
+tell_by_hubs(struct peers *p, struct msg *report)
+{
+	uint32_t rank = own_rank(p);
+	struct work *all = NULL;
+	struct msg *m;
+	struct peer *q;
+
+	if (rank < p->nhubs)
+		all = share_work(p, rank);
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (rank == p->nhubs && q->hub.since == 0 &&
+		    !steer_is_holder(p->e, q->hub.addr))
+			continue;
+		m = msg_copy(report);
+		snprintf(m->to, sizeof(m->to), "%s", q->hub.addr);
+		if (rank < p->nhubs && q->hub.since == 0)
+			add_share(p, rank, all, q, &m->u.front);
+		bus_send(p->bus, m);
+	}
+	free(all);
+	msg_destroy(report);
+}
+
 void
 peers_tell_soon(struct peers *p)
 {
@@ -502,10 +596,15 @@
 static void
 tell(struct peers *p)
 {
+	int few = peers_count(p) <= TELL_PEERS;
+
 	if (p->e->now < p->tell_at)
 		return;
-	p->tell_at = p->e->now + tell_pause(p);
-	peers_broadcast(p, compose(p));
+	p->tell_at = p->e->now + (few ? TELL_NS : TELL_HUBS_NS);
+	if (few || p->e->stopping)
+		peers_broadcast(p, compose(p));
+	else
+		tell_by_hubs(p, compose(p));
 }
 
 static void
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -34,8 +34,8 @@
 uint32_t peers_count(const struct peers *);
 /* Place of the peer at a bus address among the sources of reports. */
 uint32_t peers_index(const struct peers *, const char *);
-/* Live peers whose address sorts before the given one. */
-uint32_t peers_before(const struct peers *, const char *);
+/* This process's place among the hubs; beyond HUBS_MAX when it is none. */
+uint32_t peers_rank(const struct peers *);
 /* The operations of this process on the service share one row of ids. */
 struct kv_ids *peers_ids(struct peers *);
 
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -29,9 +29,9 @@
 	const char *prefix;
 	ev_timer retry;
 	double pause_s;
-	double rest_s; /* until it is looked at again without a watch */
-	int resting;   /* neither read nor watched for now */
-	int stale;     /* the answer under way may be old */
+	double rest_s;	   /* until it is looked at again without a watch */
+	int resting;	   /* neither read nor watched for now */
+	int stale;	   /* the answer under way may be old */
 	uint64_t at;	   /* revision up to which it is known */
 	uint64_t begun_at; /* revision when the reading began, 0 for none */
 	uint32_t reading;  /* number of the latest reading */
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "forward_int.h"
+#include "hash.h"
 #include "mem.h"
 #include "order.h"
 #include "peers.h"
@@ -13,9 +14,11 @@
 #include "steer.h"
 
 #define HELD_NS (250 * NSEC_PER_MSEC) /* between tables without a change */
+/* A peer that missed a change has it after. */
+#define HELD_WHOLE_NS (2 * NSEC_PER_SEC)
 /* No table for so long: the holder may have ended. */
 #define HOLDER_SILENT_NS (800 * NSEC_PER_MSEC)
-/* Candidates try one after the other. */
+/* Hubs try one after the other, since demand is told to them. */
 #define CANDIDATE_NS (150 * NSEC_PER_MSEC)
 #define WANT_NS (60 * NSEC_PER_MSEC) /* between two askings for one name */
 /* A leaving model is told again well within this time. */
@@ -41,6 +44,8 @@
 	struct tally *tallies;
 	uint64_t told_changes;
 	uint64_t told_at;
+	uint64_t told_fence;
+	uint64_t whole_at;     /* the whole table is told again then */
 	uint64_t holder_heard; /* when a holder last sent its table */
 	uint64_t holder_fence;
 	char holder[ADDR_SIZE];
@@ -62,9 +67,11 @@
 static const char *wanted_name(const struct request_want *);
 static void held_add(
     struct msg_held *, const struct member_replica *, const char *);
+static uint64_t held_hash(const struct member_replica *);
+static void held_replica(
+    struct entry *, struct msg_held *, struct member_replica *);
 static void tell_held(struct entry *);
 static void take_held(struct entry *, const struct msg *);
-static uint32_t candidate_rank(const struct entry *);
 
 struct steer *
 steer_create(struct entry *e)
@@ -326,13 +333,6 @@
 	carry_out(e, &kv, &orders);
 }
 
-/* Processes with a lower address try first. */
-static uint32_t
-candidate_rank(const struct entry *e)
-{
-	return peers_before(e->peers, e->self.addr);
-}
-
 void
 steer_tick(struct entry *e)
 {
@@ -346,7 +346,7 @@
 	TAILQ_INIT(&kv);
 	TAILQ_INIT(&orders);
 	from = st->holder_heard + HOLDER_SILENT_NS +
-	    candidate_rank(e) * CANDIDATE_NS;
+	    peers_rank(e->peers) * CANDIDATE_NS;
 	steward_candidate(
 	    st->steward, !e->stopping && e->dir.known && e->now >= from, 0);
 	steward_tick(st->steward, e->now, e->conf, &out);
@@ -387,7 +387,39 @@
 	item->born = m->info.born_ms;
 }
 
-/* The table of adapters, at once when it changed. */
+/* Identifies what a replica holds; never 0. */
+static uint64_t
+held_hash(const struct member_replica *m)
+{
+	uint64_t hash = m->info.born_ms + 1;
+	uint32_t i;
+
+	for (i = 0; i < m->info.nadapters; i++)
+		hash ^= hash_version(m->info.adapters[i], 1);
+	return hash == 0 ? 1 : hash;
+}
+
+/* Adds a replica's line to the table where peers may not have it. */
+static void
+held_replica(struct entry *e, struct msg_held *h, struct member_replica *m)
+{
+	const char *leaving = steward_leaving(e->steer->steward, m->info.id);
+	uint64_t hash = held_hash(m);
+	uint32_t i;
+
+	if (!h->whole && m->told == hash && *leaving == '\0')
+		return;
+	m->told = hash;
+	held_add(h, m, "");
+	for (i = 0; i < m->info.nadapters; i++)
+		held_add(h, m, m->info.adapters[i]);
+	if (*leaving == '\0')
+		return;
+	held_add(h, m, leaving);
+	directory_shun(m, leaving, e->now + LEAVING_NS);
+}
+
+/* The table of adapters: what changed, at once, and now and then all of it. */
 static void
 tell_held(struct entry *e)
 {
@@ -395,9 +427,7 @@
 	uint64_t changes = steward_changes(st->steward);
 	struct steward_totals t;
 	struct member_replica *m;
-	const char *leaving;
 	struct msg *msg;
-	uint32_t i;
 
 	if (changes == st->told_changes && e->now < st->told_at + HELD_NS)
 		return;
@@ -409,17 +439,14 @@
 	steward_totals(st->steward, e->now, &t);
 	msg = msg_create(MSG_HELD, "");
 	msg->u.held.fence = t.fence;
+	msg->u.held.whole = st->told_fence != t.fence || e->now >= st->whole_at;
+	if (msg->u.held.whole)
+		st->whole_at = e->now + HELD_WHOLE_NS;
+	st->told_fence = t.fence;
 	msg->u.held.items =
 	    mem_alloc(MSG_LIST_MAX * sizeof(*msg->u.held.items));
-	for (m = e->dir.replicas; m != NULL; m = m->hh.next) {
-		for (i = 0; i < m->info.nadapters; i++)
-			held_add(&msg->u.held, m, m->info.adapters[i]);
-		leaving = steward_leaving(st->steward, m->info.id);
-		if (*leaving == '\0')
-			continue;
-		held_add(&msg->u.held, m, leaving);
-		directory_shun(m, leaving, e->now + LEAVING_NS);
-	}
+	for (m = e->dir.replicas; m != NULL; m = m->hh.next)
+		held_replica(e, &msg->u.held, m);
 	peers_broadcast(e->peers, msg);
 }
 
@@ -438,12 +465,18 @@
 	st->holder_heard = e->now;
 	snprintf(st->holder, sizeof(st->holder), "%s", msg->from.addr);
 	steward_superseded(st->steward, h->fence);
-	for (m = e->dir.replicas; m != NULL; m = m->hh.next)
+	for (m = e->dir.replicas; m != NULL && h->whole; m = m->hh.next)
 		m->info.nadapters = 0;
 	for (i = 0; i < h->n; i++) {
 		m = directory_find(&e->dir, h->items[i].replica);
-		if (m == NULL || m->info.born_ms != h->items[i].born ||
-		    m->info.nadapters == FLEET_ADAPTERS_MAX)
+		if (m == NULL || m->info.born_ms != h->items[i].born)
+			continue;
+		/* A replica's line begins with an empty name. */
+		if (h->items[i].name[0] == '\0') {
+			m->info.nadapters = 0;
+			continue;
+		}
+		if (m->info.nadapters == FLEET_ADAPTERS_MAX)
 			continue;
 		if (strchr(h->items[i].name, '/') == NULL) {
 			directory_shun(
@@ -457,6 +490,12 @@
 	e->pump = 1;
 }
 
+int
+steer_is_holder(const struct entry *e, const char *addr)
+{
+	return strcmp(e->steer->holder, addr) == 0;
+}
+
 /* A holder that stops has given its right back: others try at once. */
 void
 steer_peer_stops(struct entry *e, const char *addr)
--- a/entry/steer.h
+++ b/entry/steer.h
@@ -12,6 +12,8 @@
 struct steer;
 
 struct steer *steer_create(struct entry *);
+/* Whether the process at a bus address sent the latest table. */
+int steer_is_holder(const struct entry *, const char *);
 void steer_destroy(struct steer *);
 void steer_tick(struct entry *);
 /* This process is going to stop: gives the right to order back. */
