Where streams bear steps that read prompts, reading has no limit; a hub tells its share of the others everything

Cause: the first site's events hold two tokens, so that even steps which all read prompts (112 ms, measured) stay under 300 ms; the limit only made requests wait there. In a large fleet three hubs told every process a third each: 0.22 GB between data centres.

Change: the limit holds where an event's steps may exceed 0.8 of the pause (the configuration's stride); each hub hears all reports and tells a third of the others the whole sum, every 0.2 s; a hub takes changes of the list in groups of 50 ms.

--- a/core/balance.c
+++ b/core/balance.c
@@ -15,6 +15,14 @@
  */
 #define BACKLOG_MS 150.0
 #define BACKLOG_WAITED 0.5 /* of the time waited */
+/*
+ * A step of an engine that reads as much of a prompt as it can, measured: an
+ * event takes one such step for each token.  Below this part of the longest
+ * pause, reading needs no limit.
+ */
+#define READ_STEP_MS 112.0
+#define READ_FREELY 0.8
+/* Part of the time for reading, falling with the places in use. */
 #define SHARE_IDLE 1.15
 #define SHARE_BUSY 0.65
 /* Part of that room for requests that are late already. */
@@ -23,6 +31,7 @@
 #define MEMORY_SHARE 0.92
 
 static int tried(const struct balance_want *, const char *);
+static int reads_freely(const struct fleet_engine *, uint64_t);
 static int full(const struct balance_want *, uint64_t, double,
     const struct member_replica *, const struct work *);
 static double backlog_ms(const struct balance_want *, const struct work *);
@@ -49,6 +58,14 @@
 	return load->unread_us / 1000.0;
 }
 
+/* Whether streams bear steps that all read prompts. */
+static int
+reads_freely(const struct fleet_engine *g, uint64_t window_ns)
+{
+	return g->event_tokens * READ_STEP_MS * (double)NSEC_PER_MSEC <=
+	    (double)window_ns * READ_FREELY;
+}
+
 static int
 full(const struct balance_want *w, uint64_t window_ns, double share,
     const struct member_replica *m, const struct work *load)
@@ -63,7 +80,7 @@
 		return 0;
 	share *= SHARE_IDLE -
 	    SHARE_BUSY * (slots == 0 ? 0.0 : (double)load->running / slots);
-	if (load->recent_us != 0 &&
+	if (load->recent_us != 0 && !reads_freely(w->engine, window_ns) &&
 	    load->recent_us * 1000.0 + (double)w->read_ns >
 		(double)window_ns * share * (w->late ? LATE_SHARE : 1.0))
 		return 1;
--- a/core/directory.c
+++ b/core/directory.c
@@ -303,29 +303,54 @@
 }
 
 struct work
-directory_load(
-    const struct directory *d, uint64_t now, const struct member_replica *m)
+directory_peer(const struct directory *d, uint64_t now,
+    const struct member_replica *m, uint32_t peer)
 {
-	struct work sum = m->own;
+	struct work w = { 0, 0, 0, 0 };
 	uint64_t age;
+
+	if (peer >= m->npeers || now > d->peer_heard[peer] + PEER_WORK_NS)
+		return w;
+	w = m->peers[peer];
+	/* What a peer sent leaves the window bit by bit. */
+	age = now - d->peer_heard[peer];
+	w.recent_us = age >= d->window_ns
+	    ? 0
+	    : (uint32_t)(w.recent_us * (d->window_ns - age) / d->window_ns);
+	return w;
+}
+
+struct work
+directory_peers(
+    const struct directory *d, uint64_t now, const struct member_replica *m)
+{
+	struct work sum = { 0, 0, 0, 0 };
+	struct work w;
 	uint32_t i;
 
-	sum.recent_us = directory_recent(d, now, m);
 	for (i = 0; i < m->npeers; i++) {
-		age = now - d->peer_heard[i];
-		if (age > PEER_WORK_NS)
-			continue;
-		/* What a peer sent leaves the window bit by bit. */
-		if (age < d->window_ns)
-			sum.recent_us += (uint32_t)(m->peers[i].recent_us *
-			    (d->window_ns - age) / d->window_ns);
-		sum.running += m->peers[i].running;
-		sum.unread_us += m->peers[i].unread_us;
-		sum.tokens += m->peers[i].tokens;
+		w = directory_peer(d, now, m, i);
+		sum.running += w.running;
+		sum.unread_us += w.unread_us;
+		sum.recent_us += w.recent_us;
+		sum.tokens += w.tokens;
 	}
 	return sum;
 }
 
+struct work
+directory_load(
+    const struct directory *d, uint64_t now, const struct member_replica *m)
+{
+	struct work sum = directory_peers(d, now, m);
+
+	sum.running += m->own.running;
+	sum.unread_us += m->own.unread_us;
+	sum.recent_us += directory_recent(d, now, m);
+	sum.tokens += m->own.tokens;
+	return sum;
+}
+
 static double
 errors_now(const struct member_replica *m, uint64_t now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -96,6 +96,11 @@
 void directory_peer_clear(struct directory *, uint64_t, uint32_t);
 void directory_peer_work(
     struct directory *, uint32_t, const char *, const struct work *);
+/* Work of one peer, or of all, as far as heard lately. */
+struct work directory_peer(const struct directory *, uint64_t,
+    const struct member_replica *, uint32_t);
+struct work directory_peers(
+    const struct directory *, uint64_t, const struct member_replica *);
 /* Work of this process and of peers heard lately. */
 struct work directory_load(
     const struct directory *, uint64_t, const struct member_replica *);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -53,6 +53,7 @@
 struct fleet_engine {
 	uint32_t slots;
 	uint64_t kv_tokens;
+	uint32_t event_tokens; /* in one event of a stream */
 	uint64_t memory_mb;
 	uint32_t adapter_slots;
 	uint64_t host_mb; /* weights kept in memory */
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -25,6 +25,8 @@
 #define PEERS_MOST_S 5.0
 /* Without a watch, entries that hubs did not pass on are found after. */
 #define BACKSTOP_S 2.0
+/* Changes come in groups: each answer of a watch is one priced call. */
+#define GROUP_S 0.05
 
 static void list_read(struct list *);
 static void list_watch(struct list *);
@@ -112,7 +114,7 @@
 	(void)events;
 	entry_now(l->s->e);
 	if (l->at != 0)
-		list_watch(l);
+		list_next(l);
 	else
 		list_read(l);
 }
@@ -265,6 +267,7 @@
 	struct err err;
 	uint64_t from = l->s->e->dir.at;
 	char *text;
+	size_t page_items;
 	size_t i;
 
 	if (status != 200 || store_watch_answer(body, len, &page, &err) == -1) {
@@ -292,10 +295,18 @@
 		peers_news(l->s->e->peers, text, strlen(text));
 		free(text);
 	}
+	page_items = page.n;
 	store_page_clear(&page);
 	l->pause_s = PAUSE_FIRST_S;
 	l->s->e->pump = 1;
-	list_next(l);
+	if (l->id != LIST_REPLICAS || page_items == 0) {
+		list_next(l);
+		return;
+	}
+	if (l->s->closing)
+		return;
+	ev_timer_set(&l->retry, GROUP_S, 0.0);
+	ev_timer_start(l->s->e->loop, &l->retry);
 }
 
 void
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -22,7 +22,7 @@
 #define TELL_SOON_NS (10 * NSEC_PER_MSEC)     /* after a change */
 /* With more peers, reports go to the hubs, which sum them up for the others. */
 #define TELL_PEERS 15
-#define TELL_HUBS_NS (150 * NSEC_PER_MSEC)
+#define TELL_HUBS_NS (200 * NSEC_PER_MSEC)
 #define PULL_AGAIN_NS (300 * NSEC_PER_MSEC)
 #define INBOX_RING 4096
 #define PULL_CONFIG 0 /* msg_conf.nonce: what is asked for */
@@ -82,10 +82,10 @@
 static void tell(struct peers *);
 static struct msg *compose(struct peers *);
 static uint32_t own_rank(const struct peers *);
-static int is_told(
-    const struct peer *, uint32_t, const struct member_replica *);
-static struct work *share_work(const struct peers *, uint32_t);
-static void add_share(const struct peers *, uint32_t, const struct work *,
+static struct work *sum_peers(const struct peers *);
+static struct work peer_work(
+    const struct peers *, const struct peer *, const struct member_replica *);
+static void add_peers(const struct peers *, const struct work *,
     const struct peer *, struct msg_front *);
 static void tell_by_hubs(struct peers *, struct msg *);
 
@@ -474,45 +474,35 @@
 	return m;
 }
 
-/* Whether a hub tells others of the peer's work. */
-static int
-is_told(const struct peer *q, uint32_t rank, const struct member_replica *r)
-{
-	return q->heard && q->hub.since == 0 && q->share == rank &&
-	    q->index < r->npeers;
-}
-
-/* Work by replica, in the directory's order, of the peers in a hub's share. */
+/* Work by replica, in the directory's order, of all peers. */
 static struct work *
-share_work(const struct peers *p, uint32_t rank)
+sum_peers(const struct peers *p)
 {
 	const struct member_replica *r = p->e->dir.replicas;
-	const struct peer *q;
 	struct work *all;
 	struct work *w;
 
 	all = mem_alloc((HASH_COUNT(r) + 1) * sizeof(*all));
-	for (w = all; r != NULL; r = r->hh.next, w++) {
-		for (q = p->peers; q != NULL; q = q->hh.next) {
-			if (!is_told(q, rank, r))
-				continue;
-			w->running += r->peers[q->index].running;
-			w->unread_us += r->peers[q->index].unread_us;
-			w->recent_us += r->peers[q->index].recent_us;
-			w->tokens += r->peers[q->index].tokens;
-		}
-	}
+	for (w = all; r != NULL; r = r->hh.next, w++)
+		*w = directory_peers(&p->e->dir, p->e->now, r);
 	return all;
 }
 
-/* Adds a share's work to this hub's report, without the receiver's own. */
+/* What a peer last told of a replica. */
+static struct work
+peer_work(
+    const struct peers *p, const struct peer *q, const struct member_replica *r)
+{
+	return directory_peer(&p->e->dir, p->e->now, r, q->index);
+}
+
+/* Adds the peers' work to this hub's report, without the receiver's own. */
 static void
-add_share(const struct peers *p, uint32_t rank, const struct work *all,
-    const struct peer *to, struct msg_front *f)
+add_peers(const struct peers *p, const struct work *all, const struct peer *to,
+    struct msg_front *f)
 {
 	const struct member_replica *r = p->e->dir.replicas;
-	const struct work none = { 0, 0, 0, 0 };
-	const struct work *own;
+	struct work own;
 	const struct msg_work *here;
 	struct msg_work *list;
 	uint32_t at = 0;
@@ -520,7 +510,7 @@
 
 	list = mem_alloc((HASH_COUNT(r) + 1) * sizeof(*list));
 	for (; r != NULL && n < MSG_LIST_MAX - 1; r = r->hh.next, all++) {
-		own = is_told(to, rank, r) ? &r->peers[to->index] : &none;
+		own = peer_work(p, to, r);
 		/* The report lists replicas in the same order. */
 		here = at < f->nwork &&
 			strcmp(f->work[at].replica, r->info.id) == 0
@@ -528,10 +518,10 @@
 		    : NULL;
 		if (here != NULL)
 			list[n] = *here;
-		list[n].running += all->running - own->running;
-		list[n].unread_us += all->unread_us - own->unread_us;
-		list[n].recent_us += all->recent_us - own->recent_us;
-		list[n].tokens += all->tokens - own->tokens;
+		list[n].running += all->running - own.running;
+		list[n].unread_us += all->unread_us - own.unread_us;
+		list[n].recent_us += all->recent_us - own.recent_us;
+		list[n].tokens += all->tokens - own.tokens;
 		if (list[n].running == 0 && list[n].recent_us == 0)
 			continue;
 		memcpy(list[n++].replica, r->info.id, NAME_SIZE);
@@ -570,15 +560,20 @@
 	struct peer *q;
 
 	if (rank < p->nhubs)
-		all = share_work(p, rank);
+		all = sum_peers(p);
 	for (q = p->peers; q != NULL; q = q->hh.next) {
 		if (rank == p->nhubs && q->hub.since == 0 &&
 		    !steer_is_holder(p->e, q->hub.addr))
 			continue;
 		m = msg_copy(report);
 		snprintf(m->to, sizeof(m->to), "%s", q->hub.addr);
-		if (rank < p->nhubs && q->hub.since == 0)
-			add_share(p, rank, all, q, &m->u.front);
+		if (rank < p->nhubs && q->hub.since == 0) {
+			/* Another hub tells it of all work, this one's too. */
+			if (q->share == rank)
+				add_peers(p, all, q, &m->u.front);
+			else
+				m->u.front.nwork = 0;
+		}
 		bus_send(p->bus, m);
 	}
 	free(all);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -263,7 +263,9 @@
 static void
 test_reading(void)
 {
-	struct fleet_engine g = { .slots = 4, .kv_tokens = 100000 };
+	struct fleet_engine g = {
+		.slots = 4, .kv_tokens = 100000, .event_tokens = 4
+	};
 	struct directory d;
 	struct fleet_replica a = replica("a", "m");
 	struct member_replica *ma, *m;
@@ -287,6 +289,9 @@
 	directory_sent(ma, now, 250000);
 	CU_ASSERT_EQUAL(directory_recent(&d, now, ma), 250000);
 	CU_ASSERT_EQUAL(balance_pick(&d, now, &w, 0.0, &m), BALANCE_FULL);
+	g.event_tokens = 2; /* two steps are short enough */
+	CU_ASSERT_EQUAL(balance_pick(&d, now, &w, 0.0, &m), BALANCE_FOUND);
+	g.event_tokens = 4;
 	now += d.window_ns;
 	CU_ASSERT_EQUAL(directory_recent(&d, now, ma), 0);
 	CU_ASSERT_EQUAL(balance_pick(&d, now, &w, 0.0, &m), BALANCE_FOUND);
