Latency histograms and replicas by state on the metrics address; the shell's test listens on addresses of its own

Four histograms (wait, first event, pause, answer) of served requests, replicas ready, leaving and avoided, whether it is a hub. Checked in tests/entry.py.

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -44,6 +44,7 @@
 static void client_destroy(struct client *);
 static void answer(struct client *);
 static void write_metrics(struct entry *, FILE *);
+static void write_replicas(struct entry *, FILE *);
 static void write_ends(struct entry *, FILE *);
 
 static const struct conn_ops client_conn_ops = {
@@ -236,6 +237,29 @@
 		    (unsigned long long)e->counts.ends[i]);
 }
 
+static void
+write_replicas(struct entry *e, FILE *f)
+{
+	uint64_t ready = 0, leaving = 0, avoided = 0;
+	const struct member_replica *m;
+
+	for (m = e->dir.replicas; m != NULL; m = m->hh.next) {
+		leaving += m->info.state == REPLICA_LEAVING;
+		ready += directory_usable(m, e->now);
+		avoided +=
+		    m->info.state == REPLICA_READY && e->now < m->avoid_until;
+	}
+	metric_write(f, "spindle_entry_replicas_ready", "gauge",
+	    "Replicas that take new work.", ready);
+	metric_write(f, "spindle_entry_replicas_leaving", "gauge",
+	    "Replicas that finish their work.", leaving);
+	metric_write(f, "spindle_entry_replicas_avoided", "gauge",
+	    "Replicas that could not be reached lately.", avoided);
+	metric_write(f, "spindle_entry_follows_list", "gauge",
+	    "Whether this process follows the list of replicas for others.",
+	    (uint64_t)peers_follows(e->peers));
+}
+
 static void
 write_metrics(struct entry *e, FILE *f)
 {
@@ -283,5 +307,10 @@
 	    "Model loads ordered.", t.loads);
 	metric_write(f, "spindle_entry_adapter_loads_total", "counter",
 	    "Adapter loads ordered.", t.adapter_loads);
+	metric_write_histogram(f, &e->times.wait);
+	metric_write_histogram(f, &e->times.first);
+	metric_write_histogram(f, &e->times.pause);
+	metric_write_histogram(f, &e->times.whole);
+	write_replicas(e, f);
 	metric_write_process(f);
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -7,6 +7,19 @@
 #include "entry_int.h"
 #include "mem.h"
 
+void
+entry_times_init(struct entry_times *t)
+{
+	t->wait.name = "spindle_entry_wait_seconds";
+	t->wait.help = "Arrival to the last attempt at a replica.";
+	t->first.name = "spindle_entry_first_event_seconds";
+	t->first.help = "Arrival to a stream's first event.";
+	t->pause.name = "spindle_entry_pause_seconds";
+	t->pause.help = "Longest pause between events of a stream.";
+	t->whole.name = "spindle_entry_answer_seconds";
+	t->whole.help = "Arrival to the end of the answer.";
+}
+
 uint64_t
 entry_now(struct entry *e)
 {
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -13,6 +13,7 @@
 #include "fields.h"
 #include "link.h"
 #include "log.h"
+#include "metric.h"
 #include "pace.h"
 
 struct caller;
@@ -37,6 +38,14 @@
 	uint64_t ends[ATTEMPT__MAX];
 };
 
+/* How long callers waited, served requests only. */
+struct entry_times {
+	struct metric_histogram wait;  /* until the last attempt was sent */
+	struct metric_histogram first; /* until a stream's first event */
+	struct metric_histogram pause; /* the longest in each stream */
+	struct metric_histogram whole; /* until the end of the answer */
+};
+
 struct entry {
 	struct ev_loop *loop;
 	struct boot boot;
@@ -64,9 +73,11 @@
 	int stopping;
 	uint64_t stop_at;
 	struct entry_counts counts;
+	struct entry_times times;
 };
 
 /* entry.c */
+void entry_times_init(struct entry_times *);
 double entry_draw(struct entry *);
 uint64_t entry_now(struct entry *);
 /* Puts a configuration in force unless a later one is. */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -43,6 +43,7 @@
 static void forward_refuse(struct forward *, const char *);
 static void forward_on_timer(struct ev_loop *, ev_timer *, int);
 static void forward_timer(struct forward *, uint64_t);
+static void forward_observe(const struct forward *);
 static void forward_step(struct forward *, enum attempt_end, int);
 static void forward_log(
     const struct forward *, enum log_id, const char *, const char *);
@@ -363,6 +364,19 @@
 	    f, end, budget_allows(&f->e->budget, f->e->now, f->service));
 }
 
+static void
+forward_observe(const struct forward *f)
+{
+	struct entry_times *t = &f->e->times;
+
+	metric_observe(&t->wait, f->sent_at - f->arrived);
+	metric_observe(&t->whole, f->e->now - f->arrived);
+	if (f->first_event == 0)
+		return;
+	metric_observe(&t->first, f->first_event - f->arrived);
+	metric_observe(&t->pause, f->gap_ns);
+}
+
 static void
 forward_step(struct forward *f, enum attempt_end end, int budget)
 {
@@ -379,6 +393,7 @@
 	switch (attempt_next(&facts, end, f->e->now)) {
 	case STEP_HAND_ON:
 		f->e->counts.answered++;
+		forward_observe(f);
 		forward_hand_on(f);
 		forward_free(f);
 		return;
--- a/entry/main.c
+++ b/entry/main.c
@@ -150,6 +150,7 @@
 	TAILQ_INIT(&e->callers);
 	TAILQ_INIT(&e->queries);
 	directory_init(&e->dir);
+	entry_times_init(&e->times);
 	e->nprocesses = 1;
 	e->self.incarnation = clock_incarnation();
 	e->draws = e->self.incarnation;
--- a/soak/world.py
+++ b/soak/world.py
@@ -49,7 +49,7 @@
         """Resets every open connection."""
         for w in list(self.writers):
             sock = w.get_extra_info("socket")
-            if sock is not None:
+            if sock is not None and not w.is_closing():
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                 struct.pack("ii", 1, 0))
             w.transport.abort()
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -717,6 +717,9 @@
         check("requests", re.search(
             r"^spindle_entry_requests_total 1$", text, re.M))
         check("attempts", 'end="answered"} 1' in text)
+        check("latency", "spindle_entry_answer_seconds_count 1" in text)
+        check("replicas", re.search(
+            r"^spindle_entry_replicas_ready 2$", text, re.M))
         w.wait("logged", lambda: [e for e in w.events("request-attempt")
                                   if e["request"] == "id-42"])
     finally:
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -18,10 +18,11 @@
 #include "unit.h"
 #include "watch.h"
 
-#define HTTP_ADDR "127.0.0.1:18471"
 #define HTTP_PORT 18471
-#define BUS_A "127.0.0.1:18472"
-#define BUS_B "127.0.0.1:18473"
+#define BUS_A_PORT 18472
+#define BUS_B_PORT 18473
+/* Two runs at once listen on loopback addresses of their own. */
+#define HOST_FORMAT "127.79.%d.%d"
 #define EVENTS 500
 
 static struct watch *watch;
@@ -29,6 +30,7 @@
 static uint64_t gone_at;
 static uint32_t received;
 
+static void address(char *, int);
 static void handle(void *, struct httpd_request *);
 static void gone(void *, uint64_t);
 static void receive(void *, struct msg *);
@@ -40,6 +42,19 @@
 static void test_bus(void);
 static void test_events(void);
 
+/* Without a port when that is 0. */
+static void
+address(char *out, int port)
+{
+	int pid = (int)getpid();
+	int n;
+
+	n = snprintf(
+	    out, ADDR_SIZE, HOST_FORMAT, pid / 250 % 250 + 1, pid % 250 + 1);
+	if (port != 0)
+		snprintf(out + n, ADDR_SIZE - (size_t)n, ":%d", port);
+}
+
 static void
 pause_ms(long ms)
 {
@@ -86,7 +101,7 @@
 	struct err e;
 
 	memset(&c, 0, sizeof(c));
-	strcpy(c.addr, HTTP_ADDR);
+	address(c.addr, HTTP_PORT);
 	c.threads = 4;
 	c.body_max = 1000;
 	c.handle = handle;
@@ -100,23 +115,25 @@
 	struct httpd_config twice;
 	struct err e;
 	char big[2001];
+	char addr[ADDR_SIZE];
 	char *text;
 
+	address(addr, HTTP_PORT);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(h);
 	CU_ASSERT_EQUAL(
-	    call_http(HTTP_ADDR, "POST", "/x", "hello", 3000, &text, &e), 200);
+	    call_http(addr, "POST", "/x", "hello", 3000, &text, &e), 200);
 	CU_ASSERT_STRING_EQUAL(text, "hello");
 	free(text);
 	memset(big, 'x', sizeof(big) - 1);
 	big[sizeof(big) - 1] = '\0';
 	CU_ASSERT_EQUAL(
-	    call_http(HTTP_ADDR, "POST", "/x", big, 3000, &text, &e), 413);
+	    call_http(addr, "POST", "/x", big, 3000, &text, &e), 413);
 	free(text);
 	memset(&twice, 0, sizeof(twice));
-	strcpy(twice.addr, HTTP_ADDR);
+	address(twice.addr, HTTP_PORT);
 	twice.threads = 1;
 	CU_ASSERT_PTR_NULL(httpd_create(&twice, &e));
-	CU_ASSERT_PTR_NOT_NULL(strstr(e.text, HTTP_ADDR));
+	CU_ASSERT_PTR_NOT_NULL(strstr(e.text, addr));
 	httpd_destroy(h);
 }
 
@@ -126,6 +143,7 @@
 {
 	static const char request[] = "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n";
 	struct sockaddr_in sin;
+	char host[ADDR_SIZE];
 	struct httpd *h;
 	uint64_t closed;
 	int fd;
@@ -138,7 +156,8 @@
 	memset(&sin, 0, sizeof(sin));
 	sin.sin_family = AF_INET;
 	sin.sin_port = htons(HTTP_PORT);
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address(host, 0);
+	inet_pton(AF_INET, host, &sin.sin_addr);
 	fd = socket(AF_INET, SOCK_STREAM, 0);
 	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
 	CU_ASSERT(write(fd, request, sizeof(request) - 1) > 0);
@@ -169,21 +188,23 @@
 static void
 test_bus(void)
 {
-	struct node_id a = { BUS_A, 5 };
-	struct node_id b = { BUS_B, 6 };
+	struct node_id a = { "", 5 };
+	struct node_id b = { "", 6 };
 	struct bus_counts counts;
 	struct bus *from;
 	struct bus *to;
 	struct err e;
 	int i;
 
+	address(a.addr, BUS_A_PORT);
+	address(b.addr, BUS_B_PORT);
 	from = bus_create(&a, receive, NULL, &e);
 	to = bus_create(&b, receive, NULL, &e);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(from);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(to);
 	CU_ASSERT_PTR_NULL(bus_create(&a, receive, NULL, &e));
 	for (i = 0; i < 100; i++)
-		bus_send(from, msg_create(MSG_CANCEL, BUS_B));
+		bus_send(from, msg_create(MSG_CANCEL, b.addr));
 	for (i = 0; i < 300; i++) {
 		if (__atomic_load_n(&received, __ATOMIC_RELAXED) == 100)
 			break;
