A replica that starts at another's address ends that other; a model refused as absent rests longer

Ruled out: late lists, new entries were in force within 0.06 s.

Change: an entry with the address of an earlier start ends that one (core/directory.c); a model that a replica refused as absent gets no work there for 0.6 s instead of 0.12. test_same_address in tests/test_fleet.c fails without it.

--- a/core/directory.c
+++ b/core/directory.c
@@ -23,6 +23,7 @@
 #define ERRORS_HALF_NS (2 * NSEC_PER_SEC) /* half-life of the failed share */
 #define ERRORS_WEIGHT 0.15
 
+static void end_earlier(struct directory *, const struct fleet_replica *);
 static void put_kept(struct member_replica *, const struct fleet_replica *);
 static double errors_now(const struct member_replica *, uint64_t);
 
@@ -81,11 +82,26 @@
 	}
 }
 
+/* An address serves one replica at a time: an earlier one there has ended. */
+static void
+end_earlier(struct directory *d, const struct fleet_replica *r)
+{
+	struct member_replica *m, *next;
+
+	HASH_ITER (hh, d->replicas, m, next) {
+		if (strcmp(m->info.addr, r->addr) == 0 &&
+		    strcmp(m->info.id, r->id) != 0 &&
+		    m->info.born_ms < r->born_ms)
+			m->presence = PRESENT_GONE;
+	}
+}
+
 struct member_replica *
 directory_put(struct directory *d, const struct fleet_replica *r)
 {
 	struct member_replica *m;
 
+	end_earlier(d, r);
 	m = directory_find(d, r->id);
 	if (m == NULL) {
 		m = mem_alloc(sizeof(*m));
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -25,6 +25,8 @@
 #define LEAVING_NS (600 * NSEC_PER_MSEC)
 /* A replica that refused a model or adapter is asked again after. */
 #define REFUSED_NS (120 * NSEC_PER_MSEC)
+/* One that lacks the model, though listed with it, has ended or dropped it. */
+#define ABSENT_NS (600 * NSEC_PER_MSEC)
 #define ORDER_TIMEOUT_S 0.6
 #define SELF_SOURCE 511 /* this process's place among demand's sources */
 
@@ -228,7 +230,10 @@
 
 	if (end != ATTEMPT_REFUSED || w->model[0] == '\0')
 		return;
-	directory_shun(m, wanted_name(w), e->now + REFUSED_NS);
+	directory_shun(m, wanted_name(w),
+	    e->now +
+		(status == 421 && w->adapter[0] == '\0' ? ABSENT_NS
+							: REFUSED_NS));
 	/* It lacks the adapter: not counted on until it is told again. */
 	if (status != 421 || w->adapter[0] == '\0')
 		return;
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -29,6 +29,7 @@
 DRAIN_S = 2.0       # no new work to a leaving replica after
 LEFT_S = 0.5        # work stops after its caller left
 QUIET_S = 3.0       # a process counts once it was left alone so long
+TERM_S = 4.5        # the grace time of the settings, and a little
 FAULT_GAP_S = (0.05, 0.9)
 
 
@@ -253,16 +254,19 @@
 
     async def term(self, rng):
         vm = rng.choice(self.vms)
+        process = vm.process
         vm.signal(signal.SIGTERM)
-        end = time.monotonic() + 6
-        while vm.alive() and time.monotonic() < end:
+        paused = 0.0
+        end = time.monotonic() + TERM_S
+        while process.poll() is None and time.monotonic() < end + paused:
             await asyncio.sleep(0.05)
+            paused += 0.05 * vm.paused
             vm.touch()
-        if vm.alive() and not vm.paused:
+        if process.poll() is None:
             self.findings.add("a process ends within its grace time",
                               "vm%d" % vm.index)
-            vm.signal(signal.SIGKILL)
-            vm.process.wait()
+            process.kill()
+            process.wait()
         if not vm.alive():
             await vm.start()
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -21,6 +21,7 @@
 static void test_avoid(void);
 static void test_peers(void);
 static void test_shun(void);
+static void test_same_address(void);
 static void test_reading(void);
 static void test_choice(void);
 static void test_reasons(void);
@@ -259,6 +260,27 @@
 	directory_clear(&d);
 }
 
+/* A replica that starts at another's address shows that the other ended. */
+static void
+test_same_address(void)
+{
+	struct directory d;
+	struct fleet_replica a = replica("a", "m");
+	struct fleet_replica b = replica("b", "m");
+
+	directory_init(&d);
+	a.born_ms = 1000;
+	b.born_ms = 2000;
+	strcpy(b.addr, a.addr);
+	directory_put(&d, &a);
+	directory_put(&d, &b);
+	CU_ASSERT_FALSE(directory_usable(directory_find(&d, "a"), S));
+	CU_ASSERT_TRUE(directory_usable(directory_find(&d, "b"), S));
+	directory_put(&d, &a); /* told late: it is the earlier one still */
+	CU_ASSERT_TRUE(directory_usable(directory_find(&d, "b"), S));
+	directory_clear(&d);
+}
+
 /* Prompts sent lately leave no room for more until the window is over. */
 static void
 test_reading(void)
@@ -500,6 +522,7 @@
 	{ "peers' work", test_peers },
 	{ "shunned models", test_shun },
 	{ "choice", test_choice },
+	{ "two at one address", test_same_address },
 	{ "room for reading prompts", test_reading },
 	{ "reasons", test_reasons },
 	{ "attempts", test_attempts },
