What a hub tells is checked against what it holds; a watch never starts from an old answer; only hubs try for the right to order

Three ways led to a list that lacks a change without anybody noticing: a process that became a hub while a cheap reading was under way watched on from that answer's revision, though its entries may be seconds older; a list read in pages was taken as known up to its newest entry; and a hub that had missed a change passed later ones on as if they followed. Ruled out: lapses (a change, not a removal), the reports' comparison of revisions (equal here).

Change: after a cheap reading a hub reads the list in full; a reading counts up to the revision of its first page; reports carry a digest of the list, and a process whose digest differs from its hub's at the same revision asks for the whole list.

A peer that takes nothing holds 512 messages instead of 4,096 of up to 15 KB here.

--- a/core/directory.h
+++ b/core/directory.h
@@ -65,6 +65,7 @@
 struct directory {
 	struct member_replica *replicas;
 	uint64_t at;	     /* revision of the newest entry */
+	uint64_t digest;     /* of the entries and their revisions */
 	int known;	     /* the whole list was read once */
 	uint64_t away_since; /* the service does not answer, or NEVER */
 	uint64_t back_at;    /* when it last came back */
--- a/core/msg.h
+++ b/core/msg.h
@@ -248,6 +248,7 @@
 	char vm[NAME_SIZE];
 	uint64_t version; /* of the configuration in force */
 	uint64_t listed;  /* revision of the list of replicas */
+	uint64_t digest;  /* of that list */
 	uint32_t stopping;
 	uint32_t weight; /* see hubs.h */
 	uint32_t nwork;
--- a/core/wire.c
+++ b/core/wire.c
@@ -459,6 +459,7 @@
 	wire_str(w, f->vm, sizeof(f->vm));
 	wire_u64(w, &f->version);
 	wire_u64(w, &f->listed);
+	wire_u64(w, &f->digest);
 	wire_u32(w, &f->stopping);
 	wire_u32(w, &f->weight);
 	f->work = wire_list(w, &f->nwork, sizeof(*f->work), f->work);
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "config.h"
+#include "hash.h"
 #include "mem.h"
 #include "peers.h"
 #include "replica.h"
@@ -142,6 +143,9 @@
 			l->rest_s = PEERS_MOST_S;
 	} else if (l->id == LIST_REPLICAS && !peers_follows(l->s->e->peers)) {
 		list_rest(l, BACKSTOP_S);
+	} else if (l->stale) {
+		/* What changed since an old answer would be missed. */
+		list_read(l);
 	} else {
 		list_watch(l);
 	}
@@ -225,8 +229,9 @@
 	d->known = 1;
 	if (dropped && l->at > d->at)
 		d->at = l->at;
+	/* Pages are no snapshot: entries beyond the first one's are partial. */
 	for (k = l->keys; k != NULL; k = k->hh.next) {
-		if (k->revision > d->at)
+		if (k->revision > d->at && k->revision <= l->at)
 			d->at = k->revision;
 	}
 }
@@ -341,6 +346,9 @@
 	k->value = mem_alloc(item->len + 1);
 	memcpy(k->value, item->value, item->len);
 	k->len = item->len;
+	if (l->id == LIST_REPLICAS)
+		l->s->e->dir.digest ^= hash_version(k->key, k->revision) ^
+		    hash_version(k->key, item->revision);
 	k->revision = item->revision;
 	list_kinds[l->id].put(l, k);
 }
@@ -350,6 +358,9 @@
 {
 	if (list_kinds[l->id].drop != NULL)
 		list_kinds[l->id].drop(l, k);
+	if (l->id == LIST_REPLICAS)
+		l->s->e->dir.digest ^=
+		    hash_version(k->key, k->revision) ^ hash_version(k->key, 0);
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): it holds k */
 	HASH_DEL(l->keys, k);
 	free(k->value);
--- a/entry/news.c
+++ b/entry/news.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "peers.h"
 #include "session.h"
 #include "session_int.h"
 
@@ -107,12 +108,15 @@
 	uint64_t at;
 	size_t i;
 	int whole;
+	int busy;
 
 	doc = json_loadb(text, len, 0, NULL);
 	at = (uint64_t)json_integer_value(json_object_get(doc, "at"));
 	whole = json_is_true(json_object_get(doc, "whole"));
-	/* While the list is being read here, what is unnamed is not known. */
-	if (at <= e->dir.at || (whole && l->begun_at != 0)) {
+	/* What is unnamed is not known while the list is being read here. */
+	busy = whole &&
+	    (l->begun_at != 0 || (at == e->dir.at && peers_follows(e->peers)));
+	if (at < e->dir.at || (at == e->dir.at && !whole) || busy) {
 		json_decref(doc);
 		return 0;
 	}
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -63,6 +63,7 @@
 	uint64_t behind_at;
 	uint64_t started_at;
 	struct hub self;
+	uint32_t self_share; /* rank of the hub that tells this process */
 	uint32_t nhubs;
 	struct hub *hubs[HUBS_MAX];
 };
@@ -74,7 +75,8 @@
 static void take_front(struct peers *, struct peer *, const struct msg *);
 static void take_pull(struct peers *, const struct msg *);
 static void take_chunk(struct peers *, const struct msg *);
-static int is_behind(struct peers *, uint64_t);
+static int is_behind(
+    struct peers *, const struct peer *, const struct msg_front *);
 static void pull(struct peers *, const char *, uint64_t, uint64_t *);
 static void choose_hubs(struct peers *);
 static struct peer *peer_find(struct peers *, const char *);
@@ -303,18 +305,29 @@
 		steer_peer_stops(e, q->hub.addr);
 	if (e->conf == NULL || f->version > e->conf->version)
 		pull(p, q->hub.addr, PULL_CONFIG, &p->pull_config_at);
-	if (is_behind(p, f->listed))
+	if (is_behind(p, q, f))
 		pull(p, q->hub.addr, PULL_LIST, &p->pull_list_at);
 }
 
-/* Changes of the list that a peer has do not come by themselves. */
+/*
+ * Whether changes of the list that a peer has do not come by themselves.  A
+ * process that does not follow the list holds what its hub holds.
+ */
 static int
-is_behind(struct peers *p, uint64_t listed)
+is_behind(struct peers *p, const struct peer *q, const struct msg_front *f)
 {
-	if (listed <= p->e->dir.at)
+	const struct directory *d = &p->e->dir;
+	int unlike = f->listed == d->at && f->digest != d->digest &&
+	    p->self.since == 0 && p->self_share < p->nhubs &&
+	    p->hubs[p->self_share] == &q->hub;
+
+	if (f->listed <= d->at && !unlike) {
+		if (p->behind == f->listed)
+			p->behind = 0;
 		return 0;
-	if (p->behind <= p->e->dir.at) {
-		p->behind = listed;
+	}
+	if (p->behind == 0 || (p->behind <= d->at && !unlike)) {
+		p->behind = f->listed;
 		p->behind_at = p->e->now;
 	}
 	return p->e->now >= p->behind_at + BEHIND_NS;
@@ -387,6 +400,8 @@
 		all[n++] = &q->hub;
 	p->nhubs = hubs_choose(all, n, p->e->now, HUB_SILENT_NS, p->hubs);
 	free(all);
+	if (p->nhubs != 0)
+		p->self_share = hubs_share(p->self.addr, p->nhubs);
 	for (q = p->peers; q != NULL && p->nhubs != 0; q = q->hh.next)
 		q->share = hubs_share(q->hub.addr, p->nhubs);
 	if (was != (p->self.since != 0))
@@ -454,6 +469,7 @@
 	snprintf(m->u.front.vm, sizeof(m->u.front.vm), "%s", e->boot.vm);
 	m->u.front.version = e->conf == NULL ? 0 : e->conf->version;
 	m->u.front.listed = e->dir.at;
+	m->u.front.digest = e->dir.digest;
 	m->u.front.stopping = (uint32_t)e->stopping;
 	m->u.front.weight = p->self.weight;
 	m->u.front.work = mem_alloc(
--- a/entry/steer.c
+++ b/entry/steer.c
@@ -5,6 +5,7 @@
 
 #include "forward_int.h"
 #include "hash.h"
+#include "hubs.h"
 #include "mem.h"
 #include "order.h"
 #include "peers.h"
@@ -18,7 +19,7 @@
 #define HELD_WHOLE_NS (2 * NSEC_PER_SEC)
 /* No table for so long: the holder may have ended. */
 #define HOLDER_SILENT_NS (800 * NSEC_PER_MSEC)
-/* Hubs try one after the other, since demand is told to them. */
+/* Only hubs try, one after the other, since demand is told to them. */
 #define CANDIDATE_NS (150 * NSEC_PER_MSEC)
 #define WANT_NS (60 * NSEC_PER_MSEC) /* between two askings for one name */
 /* A leaving model is told again well within this time. */
@@ -352,8 +353,10 @@
 	TAILQ_INIT(&orders);
 	from = st->holder_heard + HOLDER_SILENT_NS +
 	    peers_rank(e->peers) * CANDIDATE_NS;
-	steward_candidate(
-	    st->steward, !e->stopping && e->dir.known && e->now >= from, 0);
+	steward_candidate(st->steward,
+	    !e->stopping && e->dir.known && e->now >= from &&
+		peers_rank(e->peers) < HUBS_MAX,
+	    0);
 	steward_tick(st->steward, e->now, e->conf, &out);
 	carry_out(e, &kv, &orders);
 	steward_totals(st->steward, e->now, &t);
--- a/shell/bus.c
+++ b/shell/bus.c
@@ -13,7 +13,7 @@
 #include "wire.h"
 
 #define BUS_RING_SIZE 16384
-#define BUS_PEER_HWM 4096
+#define BUS_PEER_HWM 512
 #define BUS_RECEIVE_HWM 16384
 #define BUS_MESSAGE_MAX 1200000 /* bytes */
 #define BUS_HEARTBEAT_MSEC 1000
