--- /dev/null
+++ b/entry/report.c
@@ -0,0 +1,195 @@
+/*
+ * Reports of work between the entry processes: each to all in a small fleet,
+ * through the hubs in a large one.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "peers_int.h"
+#include "steer.h"
+
+#define TELL_NS (100 * NSEC_PER_MSEC)	  /* between two reports */
+#define TELL_SOON_NS (10 * NSEC_PER_MSEC) /* after a change */
+/* With more peers, reports go to the hubs, which sum them up for the others. */
+#define TELL_PEERS 15
+#define TELL_HUBS_NS (200 * NSEC_PER_MSEC)
+
+static struct msg *compose(struct peers *);
+static struct work *sum_peers(const struct peers *);
+static struct work peer_work(
+    const struct peers *, const struct peer *, const struct member_replica *);
+static void add_peers(const struct peers *, const struct work *,
+    const struct peer *, struct msg_front *);
+static void tell_by_hubs(struct peers *, struct msg *);
+
+void
+peers_take_report(struct peers *p, struct peer *q, const struct msg *m)
+{
+	const struct msg_front *f = &m->u.front;
+	struct entry *e = p->e;
+	struct work w;
+	uint32_t i;
+
+	if (m->seq <= q->seq)
+		return;
+	q->seq = m->seq;
+	snprintf(q->vm, sizeof(q->vm), "%s", f->vm);
+	q->hub.weight = f->weight;
+	directory_peer_clear(&e->dir, e->now, q->index);
+	for (i = 0; i < f->nwork; i++) {
+		w.running = f->work[i].running;
+		w.unread_us = f->work[i].unread_us;
+		w.recent_us = f->work[i].recent_us;
+		w.tokens = f->work[i].tokens;
+		directory_peer_work(&e->dir, q->index, f->work[i].replica, &w);
+	}
+	steer_demand(e, m);
+	if (f->stopping)
+		steer_peer_stops(e, q->hub.addr);
+	peers_compare(p, q, f);
+}
+
+static struct msg *
+compose(struct peers *p)
+{
+	struct entry *e = p->e;
+	struct member_replica *r;
+	struct msg_work *w;
+	struct msg *m;
+	uint32_t recent;
+
+	m = msg_create(MSG_FRONT, "");
+	snprintf(m->u.front.vm, sizeof(m->u.front.vm), "%s", e->boot.vm);
+	m->u.front.version = e->conf == NULL ? 0 : e->conf->version;
+	m->u.front.listed = e->dir.at;
+	m->u.front.digest = e->dir.digest;
+	m->u.front.stopping = (uint32_t)e->stopping;
+	m->u.front.weight = p->self.weight;
+	m->u.front.work = mem_alloc(
+	    (HASH_COUNT(e->dir.replicas) + 1) * sizeof(*m->u.front.work));
+	for (r = e->dir.replicas; r != NULL; r = r->hh.next) {
+		recent = directory_recent(&e->dir, e->now, r);
+		if ((r->own.running == 0 && recent == 0) ||
+		    m->u.front.nwork == MSG_LIST_MAX - 1)
+			continue;
+		w = &m->u.front.work[m->u.front.nwork++];
+		snprintf(w->replica, sizeof(w->replica), "%s", r->info.id);
+		w->running = r->own.running;
+		w->unread_us = r->own.unread_us;
+		w->recent_us = recent;
+		w->tokens = r->own.tokens;
+	}
+	steer_fill_demand(e, &m->u.front);
+	return m;
+}
+
+/* Work by replica, in the directory's order, of all peers. */
+static struct work *
+sum_peers(const struct peers *p)
+{
+	const struct member_replica *r = p->e->dir.replicas;
+	struct work *all;
+	struct work *w;
+
+	all = mem_alloc((HASH_COUNT(r) + 1) * sizeof(*all));
+	for (w = all; r != NULL; r = r->hh.next, w++)
+		*w = directory_peers(&p->e->dir, p->e->now, r);
+	return all;
+}
+
+/* What a peer last told of a replica. */
+static struct work
+peer_work(
+    const struct peers *p, const struct peer *q, const struct member_replica *r)
+{
+	return directory_peer(&p->e->dir, p->e->now, r, q->index);
+}
+
+/* Adds the peers' work to this hub's report, without the receiver's own. */
+static void
+add_peers(const struct peers *p, const struct work *all, const struct peer *to,
+    struct msg_front *f)
+{
+	const struct member_replica *r = p->e->dir.replicas;
+	struct work own;
+	const struct msg_work *here;
+	struct msg_work *list;
+	uint32_t at = 0;
+	uint32_t n = 0;
+
+	list = mem_alloc((HASH_COUNT(r) + 1) * sizeof(*list));
+	for (; r != NULL && n < MSG_LIST_MAX - 1; r = r->hh.next, all++) {
+		own = peer_work(p, to, r);
+		/* The report lists replicas in the same order. */
+		here = at < f->nwork &&
+			strcmp(f->work[at].replica, r->info.id) == 0
+		    ? &f->work[at++]
+		    : NULL;
+		if (here != NULL)
+			list[n] = *here;
+		list[n].running += all->running - own.running;
+		list[n].unread_us += all->unread_us - own.unread_us;
+		list[n].recent_us += all->recent_us - own.recent_us;
+		list[n].tokens += all->tokens - own.tokens;
+		if (list[n].running == 0 && list[n].recent_us == 0)
+			continue;
+		memcpy(list[n++].replica, r->info.id, NAME_SIZE);
+	}
+	free(f->work);
+	f->work = list;
+	f->nwork = n;
+}
+
+/* In a large fleet: to the hubs, and from them to all. */
+static void
+tell_by_hubs(struct peers *p, struct msg *report)
+{
+	uint32_t rank = peers_own_rank(p);
+	struct work *all = NULL;
+	struct msg *m;
+	struct peer *q;
+
+	if (rank < p->nhubs)
+		all = sum_peers(p);
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (rank == p->nhubs && q->hub.since == 0 &&
+		    !steer_is_holder(p->e, q->hub.addr))
+			continue;
+		m = msg_copy(report);
+		snprintf(m->to, sizeof(m->to), "%s", q->hub.addr);
+		if (rank < p->nhubs && q->hub.since == 0) {
+			/* Another hub tells it of all work, this one's too. */
+			if (q->share == rank)
+				add_peers(p, all, q, &m->u.front);
+			else
+				m->u.front.nwork = 0;
+		}
+		bus_send(p->bus, m);
+	}
+	free(all);
+	msg_destroy(report);
+}
+
+void
+peers_tell_soon(struct peers *p)
+{
+	if (peers_count(p) <= TELL_PEERS &&
+	    p->tell_at > p->e->now + TELL_SOON_NS)
+		p->tell_at = p->e->now + TELL_SOON_NS;
+}
+
+void
+peers_tell(struct peers *p)
+{
+	int few = peers_count(p) <= TELL_PEERS;
+
+	if (p->e->now < p->tell_at)
+		return;
+	p->tell_at = p->e->now + (few ? TELL_NS : TELL_HUBS_NS);
+	if (few || p->e->stopping)
+		peers_broadcast(p, compose(p));
+	else
+		tell_by_hubs(p, compose(p));
+}
