--- a/Makefile
+++ b/Makefile
@@ -126,6 +126,11 @@
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_state
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_orders
 
+SEEDS = 1-50
+SECONDS = 12
+soak: deps $(BUILD)/spindle-entry
+	@python3 soak/soak.py --kept --seeds $(SEEDS) --seconds $(SECONDS)
+
 mutate: deps
 	@python3 tests/mutate.py
 
@@ -143,4 +148,4 @@
 $(BUILD)/slopes: $(BUILD)/bench/slopes.o $(LIBS)
 	$(link)
 
-.PHONY: check fuzz mutate bench slopes
+.PHONY: check fuzz soak mutate bench slopes
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -115,6 +115,8 @@
         fuzz("build", SERVING_CASES, STATE_CASES)
         regressions("build")
         step("entry", [sys.executable, "tests/entry.py"])
+        step("soak", [sys.executable, "soak/soak.py", "--seeds", "1-2",
+                      "--seconds", "5"])
         step("processes", [sys.executable, "tests/process.py"])
         sanitized()
     print("%(passed)d passed, %(failed)d failed" % counts)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -457,6 +457,14 @@
         yield from range(int(first), int(last or first) + 1)
 
 
+def kept_seeds():
+    """Seeds that once failed; a line each, with the cause."""
+    path = os.path.join(os.path.dirname(os.path.abspath(__file__)), "seeds")
+    with open(path) as f:
+        return [int(line.split()[0]) for line in f
+                if line.strip() and not line.startswith("#")]
+
+
 def main():
     p = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     p.add_argument("--seeds", default="1", help="as 1-50 or 3,7")
@@ -465,9 +473,13 @@
     p.add_argument("--replicas", type=int, default=9)
     p.add_argument("--callers", type=int, default=12)
     p.add_argument("--keep", help="logs of failed seeds go below here")
+    p.add_argument("--kept", action="store_true",
+                   help="first the seeds that once failed")
     options = p.parse_args()
     passed = failed = 0
-    for seed in seeds_of(options.seeds):
+    seeds = (kept_seeds() if options.kept else []) + \
+        list(seeds_of(options.seeds))
+    for seed in seeds:
         if one(seed, options):
             passed += 1
         else:
