--- a/core/cell_ledger.c
+++ b/core/cell_ledger.c
@@ -120,6 +120,9 @@
 	    l->delegation.memory_mb < u->spare.memory_mb ||
 	    l->n == LEDGER_ENTRIES_MAX)
 		return;
+	/* An entry planned before the copy was known stands for it. */
+	if (ledger_model(l, u->spare.model, u->spare.version) != NULL)
+		return;
 	l->delegation.memory_mb -= u->spare.memory_mb;
 	en = &l->entries[l->n++];
 	*en = u->spare;
