A stopping process answers the connections that wait when it stops listening

Ruled out: a refusal of late streams (the route is a plain one).

Change: what waits is accepted before the socket closes, and a connection without a request yet stays for 0.5 s. test_stop_new_connection in tests/entry.py fails without it.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -12,6 +12,8 @@
 
 #define INBOX_MAX 65536 /* bytes kept of requests not yet begun */
 #define ACCEPT_BATCH 64 /* connections accepted at one wake-up */
+/* A new connection brings its first request within this time. */
+#define FIRST_NS (500 * NSEC_PER_MSEC)
 #define LIMIT_HEADER_BYTES 16384
 #define LIMIT_BODY_BYTES 4194304
 #define LIMIT_HEADER_NS (3 * NSEC_PER_SEC)
@@ -26,7 +28,9 @@
 	ev_timer timer;
 	struct buf inbox; /* bytes that follow the request under way */
 	struct buf body;
+	uint64_t accepted;
 	uint64_t begun;
+	int served; /* a request of it was answered */
 	int busy;   /* a whole request is under way */
 	int headed; /* its head has come */
 	int whole;
@@ -38,6 +42,7 @@
 	ev_io io;
 };
 
+static int listener_accept(struct listener *);
 static void listener_on_accept(struct ev_loop *, ev_io *, int);
 static void caller_create(struct entry *, int);
 static void caller_destroy(struct caller *);
@@ -95,35 +100,47 @@
 	return l;
 }
 
+/* Connections that wait would be reset; their requests get an answer. */
 void
 listener_destroy(struct listener *l)
 {
 	if (l == NULL)
 		return;
 	ev_io_stop(l->e->loop, &l->io);
+	while (listener_accept(l) == 0)
+		continue;
 	close(l->io.fd);
 	free(l);
 }
 
+/* Takes one connection in; -1 when none waits. */
+static int
+listener_accept(struct listener *l)
+{
+	int fd;
+
+	fd = accept4(l->io.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd == -1) {
+		if (errno != EAGAIN && errno != EWOULDBLOCK)
+			log_event(
+			    LOG_HTTP_BAD, NULL, "accept: %s", strerror(errno));
+		return -1;
+	}
+	caller_create(l->e, fd);
+	return 0;
+}
+
 static void
 listener_on_accept(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct listener *l = w->data;
-	int fd;
 	int i;
 
 	(void)loop;
 	(void)events;
-	for (i = 0; i < ACCEPT_BATCH; i++) {
-		fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd == -1) {
-			if (errno != EAGAIN && errno != EWOULDBLOCK)
-				log_event(LOG_HTTP_BAD, NULL, "accept: %s",
-				    strerror(errno));
-			return;
-		}
-		caller_create(l->e, fd);
-	}
+	entry_now(l->e);
+	for (i = 0; i < ACCEPT_BATCH && listener_accept(l) == 0; i++)
+		continue;
 }
 
 static void
@@ -133,6 +150,7 @@
 
 	c = mem_alloc(sizeof(*c));
 	c->e = e;
+	c->accepted = e->now;
 	c->reader =
 	    http_reader_create(HTTP_READ_REQUESTS, &caller_reader_ops, c);
 	ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
@@ -173,7 +191,8 @@
 
 	for (c = TAILQ_FIRST(&e->callers); c != NULL; c = next) {
 		next = TAILQ_NEXT(c, entry);
-		if (!c->busy && !http_reader_busy(c->reader))
+		if (!c->busy && !http_reader_busy(c->reader) &&
+		    (c->served || e->now >= c->accepted + FIRST_NS))
 			caller_close(c);
 	}
 }
@@ -397,6 +416,7 @@
 		return;
 	}
 	c->busy = 0;
+	c->served = 1;
 	c->headed = 0;
 	c->whole = 0;
 	buf_free(&c->body);
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -656,6 +656,22 @@
         w.stop()
 
 
+def test_stop_new_connection():
+    """A connection made just before the listening ends gets its answer."""
+    w, _, _ = both(good)
+    try:
+        w.process.send_signal(signal.SIGTERM)
+        time.sleep(2.4)
+        s = w.connect()
+        time.sleep(0.25)
+        s.sendall(request("/read/x", "id-1"))
+        status, _, _, whole = read_answer(s)
+        check("answered", status in (200, 503) and whole)
+        s.close()
+    finally:
+        w.stop()
+
+
 def test_stop_late_stream():
     """A stream whose request is whole late after SIGTERM is refused."""
     async def long(call):
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -99,7 +99,7 @@
 
 	snprintf(r.id, sizeof(r.id), "%s", e.id.c_str());
 	snprintf(r.service, sizeof(r.service), "llm");
-	snprintf(r.addr, sizeof(r.addr), "10.1.0.1:80");
+	snprintf(r.addr, sizeof(r.addr), "10.1.0.%.8s:80", e.id.c_str());
 	snprintf(r.zone, sizeof(r.zone), "z");
 	r.slots = 16;
 	r.born_ms = h.born;
--- a/tests/steward_scene.c
+++ b/tests/steward_scene.c
@@ -51,7 +51,8 @@
 	for (i = 0; i < REPLICAS; i++) {
 		snprintf(t->replicas[i].id, NAME_SIZE, "r%d", i);
 		strcpy(t->replicas[i].service, "llm");
-		strcpy(t->replicas[i].addr, "10.0.0.2:80");
+		snprintf(t->replicas[i].addr, ADDR_SIZE, "10.0.0.%u:80",
+		    (unsigned)i + 2);
 		strcpy(t->replicas[i].zone, "z");
 		t->replicas[i].slots = 8;
 		t->replicas[i].born_ms = 1;
