--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 CXXFLAGS = -std=gnu++17 -D_GNU_SOURCE -O1 -g -Wall -Wextra $(SAN)
 IQUOTE = -iquote core -iquote shell -iquote gate -iquote control -iquote ctl \
 	 -iquote timeline -iquote standin -iquote tests -iquote net \
-	 -iquote platform -iquote entry
+	 -iquote platform -iquote entry -iquote bench
 LDLIBS = -lcivetweb -lcurl -lzmq -lmsgpackc -ljansson -largtable2 -lnettle \
 	 -lxxhash -lurcu-bp -lpthread -lm
 
@@ -145,7 +145,7 @@
 $(BUILD)/control-minute: $(BUILD)/bench/control_minute.o $(CONTROL) $(LIBS)
 	$(link)
 
-$(BUILD)/slopes: $(BUILD)/bench/slopes.o $(LIBS)
+$(BUILD)/slopes: $(BUILD)/bench/slopes.o $(BUILD)/bench/slopes_fleet.o $(LIBS)
 	$(link)
 
 .PHONY: check fuzz soak mutate bench slopes
