Reading and choice follow an engine's places and its events' tokens; an outage costs fewer calls

With the service away all processes read the configuration every 0.8 s.

Change: the part shrinks with the tokens beyond three; a request at a replica weighs its share of the places (64 ms for all; unchanged for 64 places); processes that are no hubs try the service every 2.4 s at most.

--- a/core/balance.c
+++ b/core/balance.c
@@ -3,7 +3,7 @@
 #include "balance.h"
 
 /* Milliseconds of expected delay, the unit of the score. */
-#define RUNNING_MS 1.0	      /* each request in the batch */
+#define FULL_MS 64.0	      /* a batch with all its places in use */
 #define PLAIN_RUNNING_MS 30.0 /* each request at a plain service */
 #define ZONE_MS 8.0	      /* another data centre */
 #define ERRORS_MS 3000.0      /* a replica that fails every request */
@@ -22,6 +22,8 @@
  */
 #define READ_STEP_MS 112.0
 #define READ_FREELY 0.8
+/* Tokens of an event for which the learned part of the time holds. */
+#define READ_TOKENS 3.0
 /* Part of the time for reading, falling with the places in use. */
 #define SHARE_IDLE 1.15
 #define SHARE_BUSY 0.65
@@ -78,6 +80,8 @@
 		return 1;
 	if (w->engine == NULL)
 		return 0;
+	if (w->engine->event_tokens > READ_TOKENS)
+		share *= READ_TOKENS / w->engine->event_tokens;
 	share *= SHARE_IDLE -
 	    SHARE_BUSY * (slots == 0 ? 0.0 : (double)load->running / slots);
 	if (load->recent_us != 0 && !reads_freely(w->engine, window_ns) &&
@@ -99,7 +103,9 @@
 	double ms;
 
 	if (w->engine != NULL)
-		ms = (double)load->running * RUNNING_MS + backlog_ms(w, load);
+		ms = (double)load->running * FULL_MS /
+			(m->info.slots == 0 ? FULL_MS : m->info.slots) +
+		    backlog_ms(w, load);
 	else
 		ms = (double)load->running * PLAIN_RUNNING_MS;
 	if (strcmp(m->info.zone, w->zone) != 0)
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -22,7 +22,8 @@
 #define READ_TIMEOUT_S 1.5
 #define PAUSE_FIRST_S 0.05
 #define PAUSE_MOST_S 0.8
-#define PEERS_FIRST_S 0.3 /* between readings of the peers, then doubled */
+#define PAUSE_OTHERS_S 2.4 /* for those who hear from the hubs */
+#define PEERS_FIRST_S 0.3  /* between readings of the peers, then doubled */
 #define PEERS_MOST_S 5.0
 /* Without a watch, entries that hubs did not pass on are found after. */
 #define BACKSTOP_S 2.0
@@ -97,13 +98,14 @@
 static void
 list_pause(struct list *l)
 {
+	double most;
+
 	if (l->s->closing)
 		return;
 	ev_timer_set(&l->retry, l->pause_s, 0.0);
 	ev_timer_start(l->s->e->loop, &l->retry);
-	l->pause_s *= 2.0;
-	if (l->pause_s > PAUSE_MOST_S)
-		l->pause_s = PAUSE_MOST_S;
+	most = peers_follows(l->s->e->peers) ? PAUSE_MOST_S : PAUSE_OTHERS_S;
+	l->pause_s = l->pause_s * 2.0 < most ? l->pause_s * 2.0 : most;
 }
 
 static void
@@ -196,7 +198,10 @@
 	if (status != 200 || store_range_answer(body, len, &page, &err) == -1) {
 		l->after[0] = '\0';
 		l->begun_at = 0;
-		list_pause(l);
+		if (l->stale)
+			list_next(l);
+		else
+			list_pause(l);
 		return;
 	}
 	if (l->begun_at == 0) {
