An old reading brings no removed replica back

Ruled out: lapses (the service was up), lost pushes (all seven processes logged the removal).

Change: an old answer enters nothing that is unknown and not newer than the list; digests are compared with any hub at the same revision. test_old_reading in tests/entry.py fails without it.

--- a/entry/lists.c
+++ b/entry/lists.c
@@ -40,6 +40,7 @@
 static void list_next(struct list *);
 static void list_rest(struct list *, double);
 static void list_at(struct list *, int);
+static int list_removed(const struct list *, const struct store_item *);
 static void list_whole(struct list *);
 static const char *models_text(const struct fleet_replica *, char *, size_t);
 static void put_config(struct list *, const struct list_key *);
@@ -187,6 +188,17 @@
 	session_call(l->s, &sc, WATCH_TIMEOUT_S, on_events, l);
 }
 
+/* An old answer may name what has been removed since. */
+static int
+list_removed(const struct list *l, const struct store_item *item)
+{
+	const struct list_key *k;
+
+	HASH_FIND_STR(l->keys, item->key, k);
+	return l->id == LIST_REPLICAS && k == NULL &&
+	    item->revision <= l->s->e->dir.at;
+}
+
 static void
 on_page(void *ctx, int status, const char *body, size_t len)
 {
@@ -209,7 +221,8 @@
 		l->reading++;
 	}
 	for (i = 0; i < page.n; i++) {
-		list_put(l, &page.items[i]);
+		if (!l->stale || !list_removed(l, &page.items[i]))
+			list_put(l, &page.items[i]);
 		memcpy(l->after, page.items[i].key, sizeof(l->after));
 	}
 	if (page.more && page.n != 0) {
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -231,8 +231,6 @@
 		all[n++] = &q->hub;
 	p->nhubs = hubs_choose(all, n, p->e->now, HUB_SILENT_NS, p->hubs);
 	free(all);
-	if (p->nhubs != 0)
-		p->self_share = hubs_share(p->self.addr, p->nhubs);
 	for (q = p->peers; q != NULL && p->nhubs != 0; q = q->hh.next)
 		q->share = hubs_share(q->hub.addr, p->nhubs);
 	if (was != (p->self.since != 0))
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -40,7 +40,6 @@
 	uint32_t answers;
 	uint64_t started_at;
 	struct hub self;
-	uint32_t self_share; /* rank of the hub that tells this process */
 	uint32_t nhubs;
 	struct hub *hubs[HUBS_MAX];
 };
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -28,15 +28,15 @@
 
 /*
  * Whether changes of the list that a peer has do not come by themselves.  A
- * process that does not follow the list holds what its hub holds.
+ * process that does not follow the list holds what a hub holds at the same
+ * revision.
  */
 static int
 is_behind(struct peers *p, const struct peer *q, const struct msg_front *f)
 {
 	const struct directory *d = &p->e->dir;
 	int unlike = f->listed == d->at && f->digest != d->digest &&
-	    p->self.since == 0 && p->self_share < p->nhubs &&
-	    p->hubs[p->self_share] == &q->hub;
+	    p->self.since == 0 && q->hub.since != 0;
 
 	if (f->listed <= d->at && !unlike) {
 		if (p->behind == f->listed)
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -656,6 +656,43 @@
         w.stop()
 
 
+def test_old_reading():
+    """A cheap reading that is old brings no removed replica back."""
+    w = World()
+    others = [World(start=False) for _ in range(3)]
+    try:
+        a = w.replica("i-a", "plain", good)
+        for o in others:
+            o.store_port = w.store_port
+            o.start()
+        worlds = [w] + others
+        for o in worlds:
+            o.wait_ready()
+            o.wait("listed", lambda o=o: o.events("replica-listed"))
+        w.wait("hubs", lambda: [o for o in worlds if "hub=0" in
+                                o.events("hub")[-1]["detail"]])
+        follower = [o for o in worlds
+                    if "hub=0" in o.events("hub")[-1]["detail"]][0]
+        check("served", follower.call("/read/x", "id-1")[0] == 200)
+        w.store.old = dict(w.store.items)
+        w.run(w.store.remove("servers/i-a"))
+        follower.wait("gone", lambda: follower.events("replica-gone"))
+
+        def reads():
+            return len([c for c in w.store.calls if "servers" in c[1] and
+                        "serializable" in c[1]])
+        before = reads()
+        w.wait("read", lambda: reads() > before)
+        time.sleep(0.2)
+        seen = len(a.seen)
+        check("refused", follower.call("/read/x", "id-2")[0] == 503)
+        check("nothing sent", len(a.seen) == seen)
+    finally:
+        for o in others:
+            o.stop()
+        w.stop()
+
+
 def test_stop_new_connection():
     """A connection made just before the listening ends gets its answer."""
     w, _, _ = both(good)
