--- a/entry/peers.c
+++ b/entry/peers.c
@@ -224,7 +224,7 @@
 	uint32_t n = 0;
 	int was = p->self.since != 0;
 
-	all = mem_alloc((peers_count(p) + 1) * sizeof(*all));
+	all = mem_alloc((peers_count(p) + 1) * sizeof(struct hub *));
 	if (!p->e->stopping)
 		all[n++] = &p->self;
 	for (q = p->peers; q != NULL; q = q->hh.next)
--- a/entry/send.c
+++ b/entry/send.c
@@ -15,6 +15,7 @@
 #define HELD_MAX 4194304   /* bytes of an answer kept whole */
 #define PAUSE_BYTES 131072 /* a caller this far behind stops its replica */
 
+static void forward_charge(struct forward *, struct member_replica *);
 static int on_head(void *, const struct http_head *);
 static void on_body(void *, const char *, size_t);
 static void on_end(void *, enum exchange_end);
@@ -27,6 +28,24 @@
 	.end = on_end,
 };
 
+/* Counts the attempt's share on the replica. */
+static void
+forward_charge(struct forward *f, struct member_replica *m)
+{
+	uint64_t read_ns =
+	    pace_read_ns(&f->e->pace, f->want.model, f->want.prompt_tokens);
+
+	f->alone = directory_load(&f->e->dir, f->e->now, m).unread_us == 0;
+	f->share.running = 1;
+	f->share.unread_us = (uint32_t)(read_ns / NSEC_PER_USEC);
+	f->share.tokens = balance_tokens(&f->want);
+	m->own.running += f->share.running;
+	m->own.unread_us += f->share.unread_us;
+	m->own.tokens += f->share.tokens;
+	directory_sent(m, f->e->now, f->share.unread_us);
+	peers_tell_soon(f->e->peers);
+}
+
 void
 forward_send(struct forward *f, struct member_replica *m)
 {
@@ -46,17 +65,7 @@
 	f->spoilt = 0;
 	buf_free(&f->held);
 	events_free(&f->events);
-	f->alone = directory_load(&f->e->dir, f->e->now, m).unread_us == 0;
-	f->share.running = 1;
-	f->share.unread_us = (uint32_t)(pace_read_ns(&f->e->pace, f->want.model,
-					    f->want.prompt_tokens) /
-	    NSEC_PER_USEC);
-	f->share.tokens = balance_tokens(&f->want);
-	m->own.running += f->share.running;
-	m->own.unread_us += f->share.unread_us;
-	directory_sent(m, f->e->now, f->share.unread_us);
-	peers_tell_soon(f->e->peers);
-	m->own.tokens += f->share.tokens;
+	forward_charge(f, m);
 	if (f->sends++ != 0)
 		budget_repeat(&f->e->budget, f->e->now, f->service);
 	f->e->counts.attempts++;
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -669,10 +669,12 @@
         for o in worlds:
             o.wait_ready()
             o.wait("listed", lambda o=o: o.events("replica-listed"))
-        w.wait("hubs", lambda: [o for o in worlds if "hub=0" in
-                                o.events("hub")[-1]["detail"]])
-        follower = [o for o in worlds
-                    if "hub=0" in o.events("hub")[-1]["detail"]][0]
+
+        def hub(o):
+            told = o.events("hub")
+            return bool(told) and "hub=1" in told[-1]["detail"]
+        w.wait("hubs", lambda: sum(hub(o) for o in worlds) == 3)
+        follower = [o for o in worlds if not hub(o)][0]
         check("served", follower.call("/read/x", "id-1")[0] == 200)
         w.store.old = dict(w.store.items)
         w.run(w.store.remove("servers/i-a"))
