Settings and configuration: amounts may hold fractions

A weight of 0.25 in a traffic split would have been refused with the whole configuration for the same reason. Ruled out: rounding in the budget; it computes with the number as given. Before: no process starts.

--- a/core/budget.c
+++ b/core/budget.c
@@ -83,7 +83,7 @@
 	double most;
 
 	most = b->config.retry_ratio * sum_buckets(s->requests) +
-	    (double)b->config.base_retries / b->processes;
+	    b->config.base_retries / b->processes;
 	return sum_buckets(s->retries) + 1.0 <= most * BUDGET_USABLE_SHARE;
 }
 
--- a/core/budget.h
+++ b/core/budget.h
@@ -14,7 +14,7 @@
 struct budget_config {
 	double retry_ratio; /* retries per request */
 	uint64_t window_ns;
-	uint64_t base_retries; /* beyond the ratio, for all processes */
+	double base_retries; /* beyond the ratio, for all processes */
 };
 
 struct budget_counters {
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -115,7 +115,7 @@
 	draw *= total;
 	for (i = 0; i < r->ntargets; i++) {
 		draw -= r->targets[i].weight;
-		if (draw < 0.0 && r->targets[i].weight != 0)
+		if (draw < 0.0 && r->targets[i].weight > 0.0)
 			return &r->targets[i];
 	}
 	return r->ntargets == 0 ? NULL : &r->targets[0];
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -22,7 +22,7 @@
 
 struct fleet_target {
 	char service[NAME_SIZE];
-	uint32_t weight;
+	double weight; /* share of the traffic, relative to the others */
 };
 
 struct fleet_route {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -25,6 +25,7 @@
 static void test_configs(void);
 static void test_config_whole(void);
 static void test_boots(void);
+static void test_fractions(void);
 static void test_want(void);
 static void test_send(void);
 static void test_answer(void);
@@ -138,6 +139,10 @@
 	"{\"version\":3,\"services\":[],\"routes\":[{\"name\":\"r\","          \
 	"\"host\":\"h\",\"path_prefix\":\"/p/\"" rest "}]}"
 
+#define ENGINE(members)                                                        \
+	"{\"version\":3,\"routes\":[],\"services\":[{\"name\":\"s\","          \
+	"\"health_path\":\"/h\",\"engine\":{" members "}}]}"
+
 static const struct decode_case configs[] = {
 	{ "{\"version\":3,\"routes\":[],\"services\":[]}", "" },
 	{ ROUTE(",\"kind\":\"idempotent\",\"service\":\"s\""), "" },
@@ -148,6 +153,32 @@
 		"\"timeout_ms\":\"x\""),
 	    "timeout_ms" },
 	{ ROUTE(",\"kind\":\"idempotent\",\"traffic_split\":[{}]"), "service" },
+	/* Amounts may hold fractions; versions and counts of tries may not. */
+	{ ROUTE(
+	      ",\"kind\":\"idempotent\",\"traffic_split\":[{\"service\":\"s\","
+	      "\"weight\":0.25}]"),
+	    "" },
+	{ ROUTE(
+	      ",\"kind\":\"idempotent\",\"traffic_split\":[{\"service\":\"s\","
+	      "\"weight\":-0.25}]"),
+	    "weight" },
+	{ ROUTE(",\"kind\":\"idempotent\",\"service\":\"s\","
+		"\"max_attempts\":2.5"),
+	    "max_attempts" },
+	{ ROUTE(",\"kind\":\"idempotent\",\"service\":\"s\","
+		"\"max_attempts\":4294967296"),
+	    "max_attempts" },
+	{ ENGINE("\"slots\":12.6,\"kv_capacity\":44699.5,\"adapter_slots\":8.0,"
+		 "\"loads_per_s\":3.6"),
+	    "" },
+	{ ENGINE("\"slots\":-1"), "slots" },
+	{ ENGINE("\"slots\":1e30"), "slots" },
+	{ ENGINE("\"kv_capacity\":1e30"), "kv_capacity" },
+	{ ENGINE("\"slots\":12,\"unknown\":{}"), "" },
+	{ "{\"version\":3,\"services\":[{\"name\":\"s\",\"health_path\":\"/h\","
+	  "\"max_conns\":97.4}],\"limits\":{\"max_body_bytes\":4194304.0}}",
+	    "" },
+	{ "{\"version\":1.5}", "version" },
 	{ "{\"version\":-1}", "version" },
 	{ "{\"version\":1,\"routes\":{}}", "routes" },
 	{ "{\"version\":1,\"services\":[{}]}", "name" },
@@ -212,6 +243,12 @@
 	fleet_conf_destroy(c);
 }
 
+#define BOOT(bounds)                                                           \
+	"{\"node_name\":\"n\",\"ip\":\"10.0.0.1\",\"zone\":\"z\","             \
+	"\"bind\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\"},"        \
+	"\"internal_ports\":[7380,7395],"                                      \
+	"\"platform\":{\"address\":\"10.0.0.9:3\"},\"bounds\":{" bounds "}}"
+
 static const struct decode_case boots[] = {
 	{ "{\"node_name\":\"n\",\"ip\":\"10.0.0.1\",\"zone\":\"z\","
 	  "\"bind\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\"},"
@@ -227,6 +264,23 @@
 	    "internal_ports" },
 	{ "{}", "node_name" },
 	{ "x", "JSON object" },
+	/* Shares of the fleet and of a VM may be any non-negative number. */
+	{ BOOT("\"budget_slack\":33.2"), "" },
+	{ BOOT("\"budget_slack\":0"), "" },
+	{ BOOT("\"budget_slack\":1e12"), "" },
+	{ BOOT("\"budget_slack\":null"), "" },
+	{ BOOT("\"budget_slack\":-0.5"), "budget_slack" },
+	{ BOOT("\"budget_slack\":\"9\""), "budget_slack" },
+	{ BOOT("\"drain_ms\":1500.5,\"grace_s\":7.5,\"lease_ms\":2999.9"), "" },
+	{ BOOT("\"drain_ms\":1e300"), "drain_ms" },
+	{ BOOT("\"ceiling_window_s\":0"), "ceiling_window_s" },
+	{ BOOT("\"retry_window_s\":0"), "retry_window_s" },
+	{ BOOT("\"unknown_bound\":[1,2]"), "" },
+	{ BOOT("},\"limits\":{\"memory_mb\":160.5,\"max_fds\":4100.0,"
+	       "\"cpu_share\":0.12"),
+	    "" },
+	{ BOOT("},\"limits\":{\"memory_mb\":-1"), "memory_mb" },
+	{ BOOT("},\"limits\":{\"max_fds\":true"), "max_fds" },
 };
 
 static void
@@ -247,6 +301,36 @@
 	CU_ASSERT_EQUAL(boot_load("/nonexistent", &b, &e), -1);
 }
 
+/* Fractions keep their value where the product computes with them. */
+static void
+test_fractions(void)
+{
+	static const char boot[] =
+	    BOOT("\"budget_slack\":33.2,\"drain_ms\":1500.5},"
+		 "\"limits\":{\"memory_mb\":160.9,\"max_fds\":4100.0");
+	static const char conf[] = "{\"version\":3,\"routes\":[{\"name\":\"r\","
+				   "\"host\":\"h\",\"path_prefix\":\"/p/\","
+				   "\"kind\":\"streaming\",\"traffic_split\":["
+				   "{\"service\":\"a\",\"weight\":0.75},"
+				   "{\"service\":\"b\",\"weight\":0.25}]}]}";
+	struct fleet_conf *c;
+	struct boot b;
+	struct err e;
+
+	CU_ASSERT_EQUAL(boot_decode(boot, strlen(boot), &b, &e), 0);
+	CU_ASSERT_DOUBLE_EQUAL(b.retry_budget_slack, 33.2, 1e-9);
+	CU_ASSERT_EQUAL(b.drain_delay_ns, 1500500 * NSEC_PER_USEC);
+	CU_ASSERT_EQUAL(b.memory_mb, 160);
+	CU_ASSERT_EQUAL(b.descriptors, 4100);
+	c = platform_config_decode(conf, strlen(conf), &e);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	CU_ASSERT_STRING_EQUAL(
+	    fleet_pick_target(&c->routes[0], 0.7)->service, "a");
+	CU_ASSERT_STRING_EQUAL(
+	    fleet_pick_target(&c->routes[0], 0.8)->service, "b");
+	fleet_conf_destroy(c);
+}
+
 static void
 ignore_head(void *ctx, const struct http_head *h)
 {
@@ -514,6 +598,7 @@
 	{ "configurations", test_configs },
 	{ "configuration with all members", test_config_whole },
 	{ "boot settings", test_boots },
+	{ "fractions", test_fractions },
 	{ "request fields", test_want },
 	{ "forwarded fields", test_send },
 	{ "response fields", test_answer },
