--- a/core/demand.c
+++ b/core/demand.c
@@ -9,8 +9,9 @@
 #define DEMAND_RISE_S 0.7 /* time constant while demand grows */
 #define DEMAND_FALL_S 4.0 /* while it shrinks */
 #define DEMAND_REPORT_TTL_NS (2 * NSEC_PER_SEC)
-#define DEMAND_SOURCES_MAX 512
+#define DEMAND_BUCKET_NS (250 * NSEC_PER_MSEC)
 
+static void demand_add_recent(struct demand_item *, uint64_t, uint64_t);
 static double smooth_towards(double, double, double);
 
 void
@@ -47,6 +48,35 @@
 	return i;
 }
 
+static void
+demand_add_recent(struct demand_item *i, uint64_t now, uint64_t n)
+{
+	uint64_t bucket = now / DEMAND_BUCKET_NS;
+
+	if (bucket >= i->recent_bucket + DEMAND_RECENT_BUCKETS) {
+		memset(i->recent, 0, sizeof(i->recent));
+		i->recent_bucket = bucket;
+	}
+	while (i->recent_bucket < bucket)
+		i->recent[++i->recent_bucket % DEMAND_RECENT_BUCKETS] = 0;
+	i->recent[bucket % DEMAND_RECENT_BUCKETS] += (uint32_t)n;
+}
+
+double
+demand_recent_rate(const struct demand_item *i, uint64_t now)
+{
+	uint64_t newest = now / DEMAND_BUCKET_NS;
+	uint64_t sum = 0;
+	uint64_t b;
+
+	for (b = i->recent_bucket; b + DEMAND_RECENT_BUCKETS > newest &&
+	     b + DEMAND_RECENT_BUCKETS > i->recent_bucket;
+	     b--)
+		sum += i->recent[b % DEMAND_RECENT_BUCKETS];
+	return (double)sum * (double)NSEC_PER_SEC /
+	    (double)(DEMAND_RECENT_BUCKETS * DEMAND_BUCKET_NS);
+}
+
 void
 demand_update(struct demand *d, uint64_t now, uint32_t source,
     const char *wanted, uint64_t arrivals, uint32_t running, uint32_t waiting)
@@ -54,8 +84,6 @@
 	struct demand_item *i = demand_get_or_create(d, wanted);
 	struct demand_source *s;
 
-	if (source >= DEMAND_SOURCES_MAX)
-		return;
 	if (source >= i->nsources) {
 		i->sources =
 		    mem_grow(i->sources, source + 1, sizeof(*i->sources));
@@ -68,6 +96,9 @@
 	if (arrivals > s->arrivals) {
 		i->new_arrivals += arrivals - s->arrivals;
 		i->last_arrival_at = now;
+		demand_add_recent(i, now, arrivals - s->arrivals);
+		if (d->first_arrival_at == 0)
+			d->first_arrival_at = now;
 	}
 	s->arrivals = arrivals;
 	s->running = running;
--- a/core/demand.h
+++ b/core/demand.h
@@ -19,12 +19,16 @@
 	uint32_t waiting;
 };
 
+#define DEMAND_RECENT_BUCKETS 8 /* of the window of recent arrivals */
+
 struct demand_item {
 	char name[FLEET_NAME_SIZE]; /* MODEL or MODEL/ADAPTER */
 	struct demand_source *sources;
 	uint32_t nsources;
-	uint64_t new_arrivals;	    /* since the last update of the averages */
-	double rate;		    /* arrivals per second, smoothed */
+	uint64_t new_arrivals; /* since the last update of the averages */
+	double rate;	       /* arrivals per second, smoothed */
+	uint32_t recent[DEMAND_RECENT_BUCKETS]; /* arrivals by time */
+	uint64_t recent_bucket;			/* number of the newest one */
 	double load;		    /* running and waiting, smoothed */
 	uint64_t last_arrival_at;   /* last reported arrival */
 	uint64_t last_waiting_at;   /* last request that waited, 0: none */
@@ -35,6 +39,7 @@
 struct demand {
 	struct demand_item *items;
 	uint64_t averaged_at;
+	uint64_t first_arrival_at; /* of any item, 0 if there was none */
 };
 
 void demand_clear(struct demand *);
@@ -48,5 +53,7 @@
 /* Requests running or waiting by the last reports. */
 double demand_current_load(const struct demand_item *, uint64_t);
 uint32_t demand_waiting_count(const struct demand_item *, uint64_t);
+/* Arrivals per second over the latest two seconds. */
+double demand_recent_rate(const struct demand_item *, uint64_t);
 
 #endif
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -24,6 +24,7 @@
 	for (i = 0; i < c->nservices; i++) {
 		if (c->services[i].engine == NULL)
 			continue;
+		HASH_CLEAR(hh, c->services[i].engine->index);
 		free(c->services[i].engine->models);
 		free(c->services[i].engine);
 	}
@@ -92,11 +93,34 @@
 	return NULL;
 }
 
+void
+fleet_engine_index_models(struct fleet_engine *e)
+{
+	struct fleet_model *m;
+	uint32_t i;
+
+	HASH_CLEAR(hh, e->index);
+	e->largest_adapter_mb = 0;
+	for (i = 0; i < e->nmodels; i++) {
+		if (e->models[i].adapter_count != 0 &&
+		    e->models[i].adapter_mb > e->largest_adapter_mb)
+			e->largest_adapter_mb = e->models[i].adapter_mb;
+		HASH_FIND_STR(e->index, e->models[i].name, m);
+		if (m == NULL)
+			HASH_ADD_STR(e->index, name, &e->models[i]);
+	}
+}
+
 const struct fleet_model *
 fleet_find_model(const struct fleet_engine *e, const char *name)
 {
+	const struct fleet_model *m;
 	uint32_t i;
 
+	if (e->index != NULL) {
+		HASH_FIND_STR(e->index, name, m);
+		return m;
+	}
 	for (i = 0; i < e->nmodels; i++) {
 		if (strcmp(e->models[i].name, name) == 0)
 			return &e->models[i];
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -5,6 +5,8 @@
 #ifndef FLEET_H
 #define FLEET_H
 
+#include <uthash.h>
+
 #include "base.h"
 
 #define FLEET_TARGETS_MAX 8   /* services that share one route's traffic */
@@ -48,6 +50,7 @@
 	uint64_t host_load_ns;	/* load time from the replica's host memory */
 	uint32_t adapter_count;
 	uint64_t adapter_mb; /* accelerator memory of each */
+	UT_hash_handle hh;   /* in the engine's index */
 };
 
 struct fleet_engine {
@@ -56,11 +59,13 @@
 	uint32_t tokens_per_event; /* per event of a stream */
 	uint64_t memory_mb;
 	uint32_t adapter_slots;
-	uint64_t host_cache_mb; /* cache of weights in host memory */
-	uint64_t disk_cache_mb; /* cache of weights on disk */
+	uint64_t largest_adapter_mb; /* of any model */
+	uint64_t host_cache_mb;	     /* cache of weights in host memory */
+	uint64_t disk_cache_mb;	     /* cache of weights on disk */
 	double loads_per_s;
 	uint32_t nmodels;
 	struct fleet_model *models;
+	struct fleet_model *index; /* the same by name, NULL: not indexed */
 };
 
 struct fleet_service {
@@ -122,6 +127,11 @@
 void fleet_conf_destroy(struct fleet_conf *);
 /* Sorts routes for fleet_find_route(); called once the routes are filled in. */
 void fleet_conf_sort_routes(struct fleet_conf *);
+/*
+ * Indexes the engine's models by name and finds the largest adapter; called
+ * once they are filled in.
+ */
+void fleet_engine_index_models(struct fleet_engine *);
 /* The host's route with the longest prefix of the path, or NULL. */
 const struct fleet_route *fleet_find_route(
     const struct fleet_conf *, const char *, const char *);
--- a/core/loader.c
+++ b/core/loader.c
@@ -14,6 +14,8 @@
 #define REPORT_VALID_NS (4 * NSEC_PER_SEC)
 #define BUSY_REPORT_RETRY_NS (700 * NSEC_PER_MSEC)
 #define ORDER_RETRY_NS (300 * NSEC_PER_MSEC)
+/* Until the first requests have been answered. */
+#define SERVICE_TIME_DEFAULT_S 2.0
 /* Several times the usual duration of a load. */
 #define CHANGE_LISTED_MAX_NS (20 * NSEC_PER_SEC)
 
@@ -30,6 +32,9 @@
 static const char *engine_state_outstanding_model(
     const struct engine_state *, enum loader_order_kind);
 static int report_names_model(const struct engine_state *, const char *);
+static uint64_t model_memory_mb(const struct fleet_engine *, const char *);
+static uint64_t unlisted_memory_mb(const struct engine_state *,
+    const struct directory_replica *, const struct fleet_engine *);
 static void replica_add_adapter(struct fleet_replica *, const char *);
 static void replica_remove_adapter(struct fleet_replica *, const char *);
 static void loader_update_list_settled(struct loader *, uint64_t);
@@ -53,7 +58,7 @@
 void
 loader_config_default(struct loader_config *c)
 {
-	place_greedy_config_default(&c->place);
+	placement_config_default(&c->place);
 	c->lease_ttl_s = 2;
 	c->takeover_delay_ns = 3 * NSEC_PER_SEC;
 	c->load_window_ns = 5 * NSEC_PER_SEC;
@@ -71,6 +76,7 @@
 	s = mem_alloc(sizeof(*s));
 	s->config = *config;
 	s->directory = dir;
+	s->service_time_s = SERVICE_TIME_DEFAULT_S;
 	ownership_config_default(&oc);
 	oc.ttl_s = config->lease_ttl_s;
 	oc.retry_ns = OWNERSHIP_RETRY_NS;
@@ -91,6 +97,7 @@
 	}
 	demand_clear(&s->demand);
 	ownership_destroy(s->ownership);
+	free(s->store_loads);
 	free(s);
 }
 
@@ -106,6 +113,23 @@
 	ownership_set_candidate(s->ownership, want, not_before);
 }
 
+void
+loader_set_service_time(struct loader *s, uint64_t ns)
+{
+	s->service_time_s = (double)ns / (double)NSEC_PER_SEC;
+}
+
+void
+loader_add_store_load(struct loader *s, uint64_t now)
+{
+	if (s->nstore_loads == s->store_loads_size) {
+		s->store_loads_size = s->store_loads_size * 2 + 16;
+		s->store_loads = mem_grow(s->store_loads, s->store_loads_size,
+		    sizeof(*s->store_loads));
+	}
+	s->store_loads[s->nstore_loads++] = now;
+}
+
 void
 loader_superseded(struct loader *s, uint64_t fence)
 {
@@ -228,31 +252,53 @@
 	return 0;
 }
 
-uint64_t
-engine_state_free_mb(const struct engine_state *e,
+/* Memory of a model; one that is not configured may use all of it. */
+static uint64_t
+model_memory_mb(const struct fleet_engine *g, const char *name)
+{
+	const struct fleet_model *m = fleet_find_model(g, name);
+
+	return m == NULL ? g->memory_mb : m->memory_mb;
+}
+
+/* Memory of models that only reports or orders show, not the list. */
+static uint64_t
+unlisted_memory_mb(const struct engine_state *e,
     const struct directory_replica *m, const struct fleet_engine *g)
 {
-	const struct fleet_model *fm;
-	uint64_t adapter_mb = 0;
+	const char *loading = engine_state_loading_model(e);
+	const struct lost_order *lost;
 	uint64_t used = 0;
 	uint32_t i;
 
-	for (i = 0; i < g->nmodels; i++) {
-		fm = &g->models[i];
-		if (fm->adapter_mb > adapter_mb && fm->adapter_count != 0)
-			adapter_mb = fm->adapter_mb;
-		if (fleet_has_model(&m->info, fm->name) ||
-		    strcmp(engine_state_loading_model(e), fm->name) == 0 ||
-		    report_names_model(e, fm->name) ||
-		    engine_state_has_lost_load(e, fm->name))
-			used += fm->memory_mb;
+	for (i = 0; i < e->nreported; i++) {
+		if (!fleet_has_model(&m->info, e->reported[i]))
+			used += model_memory_mb(g, e->reported[i]);
 	}
-	/* A model that is not configured may use all of the memory. */
-	for (i = 0; i < m->info.nresident; i++) {
-		if (fleet_find_model(g, m->info.resident[i]) == NULL)
-			used += g->memory_mb;
+	if (*loading != '\0' && !fleet_has_model(&m->info, loading) &&
+	    !report_names_model(e, loading))
+		used += model_memory_mb(g, loading);
+	for (i = 0; i < LOADER_LOST_ORDERS_MAX; i++) {
+		lost = &e->lost_orders[i];
+		if (engine_state_has_lost_load(e, lost->order.model) &&
+		    strcmp(lost->order.model, loading) != 0 &&
+		    !fleet_has_model(&m->info, lost->order.model) &&
+		    !report_names_model(e, lost->order.model))
+			used += model_memory_mb(g, lost->order.model);
 	}
-	used += adapter_mb * g->adapter_slots;
+	return used;
+}
+
+uint64_t
+engine_state_free_mb(const struct engine_state *e,
+    const struct directory_replica *m, const struct fleet_engine *g)
+{
+	uint64_t used = g->largest_adapter_mb * g->adapter_slots +
+	    unlisted_memory_mb(e, m, g);
+	uint32_t i;
+
+	for (i = 0; i < m->info.nresident; i++)
+		used += model_memory_mb(g, m->info.resident[i]);
 	return used >= g->memory_mb ? 0 : g->memory_mb - used;
 }
 
--- a/core/loader.h
+++ b/core/loader.h
@@ -12,12 +12,12 @@
 #include "demand.h"
 #include "directory.h"
 #include "ownership.h"
-#include "place_greedy.h"
+#include "placement.h"
 
 struct loader;
 
 struct loader_config {
-	struct place_greedy_config place;
+	struct placement_config place;
 	uint64_t lease_ttl_s;	    /* of the leader's lease */
 	uint64_t takeover_delay_ns; /* pause between two leaders */
 	uint64_t load_window_ns;    /* for the rate of weight store loads */
@@ -81,6 +81,8 @@
 struct demand *loader_demand(struct loader *);
 /* Whether this process tries to become the leader, and the earliest time. */
 void loader_set_candidate(struct loader *, int, uint64_t);
+/* The mean time that a request takes on a replica, in ns. */
+void loader_set_service_time(struct loader *, uint64_t);
 /* Another process sends orders under this fencing token. */
 void loader_superseded(struct loader *, uint64_t);
 void loader_tick(struct loader *, uint64_t, const struct fleet_conf *,
--- a/core/loader_int.h
+++ b/core/loader_int.h
@@ -5,7 +5,6 @@
 #include "ownership.h"
 #include "loader.h"
 
-#define LOADER_STORE_LOADS_MAX 256
 #define LOADER_LOST_ORDERS_MAX 4
 
 /* An adapter that a replica is loading. */
@@ -39,6 +38,8 @@
 	struct lost_order lost_orders[LOADER_LOST_ORDERS_MAX];
 	char loading[NAME_SIZE]; /* a model, "" for none */
 	char unloading[NAME_SIZE];
+	char reserved_for[NAME_SIZE]; /* model that the last unload was for */
+	uint64_t reserved_until;
 	uint32_t nreported; /* models in its last report */
 	char reported[FLEET_RESIDENT_MAX][NAME_SIZE];
 	uint64_t report_valid_until; /* the list shows reported[] by then */
@@ -58,11 +59,14 @@
 	uint64_t leader_from; /* no orders before */
 	uint64_t fence;	      /* fencing token that leader_from is for */
 	uint64_t next_placement_at;
-	uint32_t nengines;	  /* replicas at the last tick */
-	uint64_t list_settled_at; /* the list is taken as complete from then */
+	uint64_t next_keep_all_at; /* copies in use may give way again */
+	uint32_t nengines;	   /* replicas at the last tick */
+	uint64_t list_settled_at;  /* the list is taken as complete from then */
 	uint64_t change_count;
-	uint32_t nstore_loads; /* recent loads from the weight store */
-	uint64_t store_loads[LOADER_STORE_LOADS_MAX];
+	double service_time_s;	   /* time that a request takes on a replica */
+	uint32_t nstore_loads;	   /* recent loads from the weight store */
+	uint32_t store_loads_size; /* allocated */
+	uint64_t *store_loads;	   /* their times */
 	struct loader_stats stats;
 };
 
@@ -74,6 +78,8 @@
 struct loader_order *loader_send_order(struct loader *, uint64_t,
     struct engine_state *, enum loader_order_kind, const char *, const char *,
     struct loader_output *);
+/* Records a load from the weight store. */
+void loader_add_store_load(struct loader *, uint64_t);
 /* The model that is, or may be, loading or unloading, or "". */
 const char *engine_state_loading_model(const struct engine_state *);
 const char *engine_state_unloading_model(const struct engine_state *);
--- a/core/loader_models.c
+++ b/core/loader_models.c
@@ -8,107 +8,158 @@
 
 /* Concurrent loads beyond the weight store's rate slow each other down. */
 #define MIN_CONCURRENT_LOADS 2.0
-#define PLACE_MOVES_MAX 8
+/* Loads that no request waits for leave this share of the rate to others. */
+#define FILL_RATE_SHARE 0.5
+/* Unloads run ahead of the loads that may start within this time. */
+#define UNLOAD_AHEAD_S 1.0
+#define MOVES_MAX 32 /* of one step */
+/*
+ * Part of the rate with which copies in use give way, so that each declared
+ * model has a copy, and the least rate.
+ */
+#define KEEP_ALL_RATE_SHARE 0.1
+#define KEEP_ALL_RATE_MIN 0.01 /* a second */
+/* An unload waits for its requests; then the load that it is for follows. */
+#define RESERVE_NS (10 * NSEC_PER_SEC)
+/* Time with requests before their absence means that a copy is not needed. */
+#define DEMAND_KNOWN_NS (10 * NSEC_PER_SEC)
 
-struct placement_plan {
+struct placement_input {
 	const struct fleet_engine *engine;
-	struct place_model *models;
-	uint32_t nbackends;
-	struct place_backend backends[PLACE_BACKENDS_MAX];
-	struct directory_replica *replicas[PLACE_BACKENDS_MAX];
-	struct engine_state *engines[PLACE_BACKENDS_MAX];
-	uint32_t nloading;
+	struct placement_model *models;
+	uint32_t nreplicas;
+	struct placement_replica *replicas;
+	struct directory_replica **entries;
+	struct engine_state **engines;
+	uint32_t nloading; /* models being loaded on all replicas */
 };
 
-static void plan_add_backends(struct placement_plan *, const struct loader *,
+static void input_add_models(
+    struct placement_input *, const struct loader *, uint64_t);
+static void input_add_replicas(struct placement_input *, const struct loader *,
     uint64_t, const struct fleet_service *);
-static void plan_add_models(
-    struct placement_plan *, const struct loader *, uint64_t);
-static void plan_add_copy(struct placement_plan *, uint32_t, uint32_t, int);
+static void input_add_copies(struct placement_input *, uint32_t);
+static int input_model(const struct placement_input *, const char *);
+static void add_copy(struct placement_replica *, int, int);
+static double store_loads_left(
+    struct loader *, uint64_t, const struct fleet_engine *);
 static int weight_store_allows_load(
-    struct loader *, uint64_t, const struct fleet_engine *, uint32_t);
+    const struct loader *, const struct placement_input *, double, int);
+static void set_evictions(const struct loader *, uint64_t,
+    const struct placement_input *, struct placement_config *);
 static int has_cached_weights(const struct directory_replica *, const char *);
-static void plan_execute_move(struct placement_plan *, struct loader *,
-    uint64_t, const struct place_move *, struct loader_output *);
+static void execute_move(struct placement_input *, struct loader *, uint64_t,
+    const struct placement_move *, struct loader_output *);
 
 static void
-plan_add_backends(struct placement_plan *p, const struct loader *s,
-    uint64_t now, const struct fleet_service *service)
+input_add_models(
+    struct placement_input *p, const struct loader *s, uint64_t now)
 {
-	struct place_backend *b;
-	struct directory_replica *m;
-	struct engine_state *e;
+	const struct demand_item *d;
+	struct placement_model *m;
+	uint32_t i;
 
-	for (m = s->directory->replicas; m != NULL; m = m->hh.next) {
-		e = engine_state_find(s, m->info.id);
-		if (strcmp(m->info.service, service->name) != 0 || e == NULL ||
-		    m->presence == PRESENCE_REMOVED ||
-		    p->nbackends == PLACE_BACKENDS_MAX)
+	p->models = mem_alloc((p->engine->nmodels + 1) * sizeof(*p->models));
+	for (i = 0; i < p->engine->nmodels; i++) {
+		m = &p->models[i];
+		m->memory_mb = p->engine->models[i].memory_mb;
+		d = demand_find(&s->demand, p->engine->models[i].name);
+		if (d == NULL)
 			continue;
-		b = &p->backends[p->nbackends];
-		b->datacentre = m->info.zone;
-		b->leaving = m->info.state != REPLICA_READY;
-		b->usable =
-		    directory_usable(m, now) && m->presence == PRESENCE_LISTED;
-		b->busy = e->loading[0] != '\0' || e->unloading[0] != '\0' ||
-		    !engine_state_accepts_orders(s, now, e) ||
-		    e->nloading_adapters != 0;
-		b->naccelerators = 1;
-		b->free_mb[0] = engine_state_free_mb(e, m, p->engine);
-		p->nloading += *engine_state_loading_model(e) != '\0';
-		p->replicas[p->nbackends] = m;
-		p->engines[p->nbackends++] = e;
+		m->waiting = demand_waiting_count(d, now);
+		/* Only the rate counts requests that were refused. */
+		m->demand = fmax(fmax(d->load, m->waiting),
+		    demand_recent_rate(d, now) * s->service_time_s);
+		m->requested_at = d->last_arrival_at;
+		m->moved_at = d->copies_changed_at;
 	}
 }
 
-static void
-plan_add_copy(
-    struct placement_plan *p, uint32_t model, uint32_t backend, int resident)
+/* Index of a declared model, -1 for another one. */
+static int
+input_model(const struct placement_input *p, const char *name)
 {
-	struct place_model *m = &p->models[model];
+	const struct fleet_model *m;
 
-	m->copies[m->ncopies].backend = backend;
-	m->copies[m->ncopies].resident = resident;
-	m->ncopies++;
+	if (*name == '\0')
+		return -1;
+	m = fleet_find_model(p->engine, name);
+	return m == NULL ? -1 : (int)(m - p->engine->models);
 }
 
 static void
-plan_add_models(struct placement_plan *p, const struct loader *s, uint64_t now)
+add_copy(struct placement_replica *r, int model, int resident)
 {
-	const struct demand_item *d;
-	const struct fleet_model *fm;
-	struct place_model *m;
+	if (model == -1 || r->ncopies == PLACEMENT_COPIES_MAX)
+		return;
+	r->copies[r->ncopies].model = (uint32_t)model;
+	r->copies[r->ncopies++].resident = resident;
+}
+
+/* A model that is being unloaded is no copy any more. */
+static void
+input_add_copies(struct placement_input *p, uint32_t at)
+{
+	const struct fleet_replica *info = &p->entries[at]->info;
+	const struct engine_state *e = p->engines[at];
+	struct placement_replica *r = &p->replicas[at];
+	const char *unloading = engine_state_unloading_model(e);
+	const char *loading = engine_state_loading_model(e);
+	int model;
 	uint32_t i;
-	uint32_t k;
 
-	for (i = 0; i < p->engine->nmodels; i++) {
-		fm = &p->engine->models[i];
-		m = &p->models[i];
-		m->name = fm->name;
-		m->memory_mb = fm->memory_mb;
-		m->min_copies = 1;
-		d = demand_find(&s->demand, fm->name);
-		if (d != NULL) {
-			m->demand_slots =
-			    fmax(d->load, demand_waiting_count(d, now));
-			m->moved_at = d->copies_changed_at;
-		}
-		for (k = 0; k < p->nbackends; k++) {
-			m->allowed[k] = 1;
-			if (has_cached_weights(p->replicas[k], fm->name))
-				m->allowed[k] = PLACE_WEIGHTS_ON_DISK;
-			if (strcmp(engine_state_unloading_model(p->engines[k]),
-				fm->name) == 0) {
-				p->backends[k].freeing_mb[0] = fm->memory_mb;
-				continue;
-			}
-			if (fleet_has_model(&p->replicas[k]->info, fm->name))
-				plan_add_copy(p, i, k, 1);
-			else if (strcmp(
-				     engine_state_loading_model(p->engines[k]),
-				     fm->name) == 0)
-				plan_add_copy(p, i, k, 0);
-		}
+	for (i = 0; i < info->nresident; i++) {
+		model = input_model(p, info->resident[i]);
+		if (strcmp(info->resident[i], unloading) != 0)
+			add_copy(r, model, 1);
+		else if (model != -1)
+			r->freeing_mb = p->models[model].memory_mb;
+	}
+	if (*loading != '\0') {
+		p->nloading++;
+		if (!fleet_has_model(info, loading))
+			add_copy(r, input_model(p, loading), 0);
+	}
+	for (i = 0; i < info->ncached_models; i++) {
+		model = input_model(p, info->cached_models[i]);
+		if (model != -1)
+			r->cached[r->ncached++] = (uint32_t)model;
+	}
+}
+
+static void
+input_add_replicas(struct placement_input *p, const struct loader *s,
+    uint64_t now, const struct fleet_service *service)
+{
+	uint32_t most = HASH_COUNT(s->directory->replicas) + 1;
+	struct placement_replica *r;
+	struct directory_replica *m;
+	struct engine_state *e;
+
+	p->replicas = mem_alloc(most * sizeof(*p->replicas));
+	p->entries = mem_alloc(most * sizeof(struct directory_replica *));
+	p->engines = mem_alloc(most * sizeof(struct engine_state *));
+	for (m = s->directory->replicas; m != NULL; m = m->hh.next) {
+		e = engine_state_find(s, m->info.id);
+		if (strcmp(m->info.service, service->name) != 0 || e == NULL ||
+		    m->presence == PRESENCE_REMOVED)
+			continue;
+		r = &p->replicas[p->nreplicas];
+		r->leaving = m->info.state != REPLICA_READY;
+		r->usable =
+		    directory_usable(m, now) && m->presence == PRESENCE_LISTED;
+		r->busy = e->loading[0] != '\0' || e->unloading[0] != '\0' ||
+		    !engine_state_accepts_orders(s, now, e) ||
+		    e->nloading_adapters != 0;
+		r->slots =
+		    m->info.slots != 0 ? m->info.slots : p->engine->slots;
+		r->free_mb = engine_state_free_mb(e, m, p->engine);
+		p->entries[p->nreplicas] = m;
+		p->engines[p->nreplicas] = e;
+		r->reserved_for = now < e->reserved_until
+		    ? input_model(p, e->reserved_for)
+		    : PLACEMENT_NONE;
+		input_add_copies(p, p->nreplicas++);
 	}
 }
 
@@ -124,14 +175,12 @@
 	return 0;
 }
 
-/* Whether the weight store's rate allows one more load. */
-static int
-weight_store_allows_load(struct loader *s, uint64_t now,
-    const struct fleet_engine *g, uint32_t loading)
+/* Loads from the weight store that its rate still allows in this window. */
+static double
+store_loads_left(struct loader *s, uint64_t now, const struct fleet_engine *g)
 {
 	double most = g->loads_per_s * (double)s->config.load_window_ns /
 	    (double)NSEC_PER_SEC * s->config.load_burst;
-	double at_once = 0.0;
 	uint32_t kept = 0;
 	uint32_t i;
 
@@ -140,59 +189,109 @@
 			s->store_loads[kept++] = s->store_loads[i];
 	}
 	s->nstore_loads = kept;
-	for (i = 0; i < g->nmodels; i++)
+	return most - kept;
+}
+
+static int
+weight_store_allows_load(const struct loader *s,
+    const struct placement_input *p, double left, int filling)
+{
+	double at_once = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < p->engine->nmodels; i++)
 		at_once = fmax(at_once,
-		    (double)g->models[i].store_load_ns / (double)NSEC_PER_SEC);
-	at_once = fmax(at_once * g->loads_per_s, MIN_CONCURRENT_LOADS);
-	return s->nstore_loads + 1.0 <= most && loading + 1.0 <= at_once &&
-	    s->nstore_loads < LOADER_STORE_LOADS_MAX;
+		    (double)p->engine->models[i].store_load_ns /
+			(double)NSEC_PER_SEC);
+	at_once = fmax(at_once * p->engine->loads_per_s, MIN_CONCURRENT_LOADS);
+	if (filling && left <= FILL_RATE_SHARE * (left + s->nstore_loads))
+		return 0;
+	return left >= 1.0 && p->nloading + 1.0 <= at_once;
 }
 
 static void
-plan_execute_move(struct placement_plan *p, struct loader *s, uint64_t now,
-    const struct place_move *move, struct loader_output *out)
+execute_move(struct placement_input *p, struct loader *s, uint64_t now,
+    const struct placement_move *move, struct loader_output *out)
 {
-	const char *model = p->models[move->model].name;
-	struct engine_state *e = p->engines[move->backend];
-	struct directory_replica *m = p->replicas[move->backend];
+	const char *model = p->engine->models[move->model].name;
+	struct engine_state *e = p->engines[move->replica];
+	double left;
 
-	if (move->kind == PLACE_UNLOAD) {
+	if (move->kind == PLACEMENT_UNLOAD) {
+		memcpy(e->reserved_for, p->engine->models[move->for_model].name,
+		    NAME_SIZE);
+		e->reserved_until = now + RESERVE_NS;
+		if (move->filling)
+			s->next_keep_all_at = now +
+			    (uint64_t)((double)NSEC_PER_SEC /
+				fmax(p->engine->loads_per_s *
+					KEEP_ALL_RATE_SHARE,
+				    KEEP_ALL_RATE_MIN));
 		loader_send_order(s, now, e, LOADER_UNLOAD, model, "", out);
-	} else {
-		if (!has_cached_weights(m, model)) {
-			if (!weight_store_allows_load(
-				s, now, p->engine, p->nloading))
-				return;
-			s->store_loads[s->nstore_loads++] = now;
-		}
-		loader_send_order(s, now, e, LOADER_LOAD, model, "", out);
-		p->nloading++;
-		demand_get_or_create(&s->demand, model)->copies_changed_at =
-		    now;
+		return;
+	}
+	if (!has_cached_weights(p->entries[move->replica], model)) {
+		left = store_loads_left(s, now, p->engine);
+		if (!weight_store_allows_load(s, p, left, move->filling))
+			return;
+		loader_add_store_load(s, now);
 	}
+	e->reserved_until = 0;
+	loader_send_order(s, now, e, LOADER_LOAD, model, "", out);
+	p->nloading++;
+	demand_get_or_create(&s->demand, model)->copies_changed_at = now;
+}
+
+/* Decides which copies give way to models that no request asks for. */
+static void
+set_evictions(const struct loader *s, uint64_t now,
+    const struct placement_input *p, struct placement_config *c)
+{
+	uint64_t largest_mb = 1;
+	uint64_t places;
+	uint32_t i;
+
+	for (i = 0; i < p->engine->nmodels; i++) {
+		if (p->models[i].memory_mb > largest_mb)
+			largest_mb = p->models[i].memory_mb;
+	}
+	places = p->nreplicas * (p->engine->memory_mb / largest_mb);
+	c->evict_last = places < p->engine->nmodels;
+	if (s->demand.first_arrival_at == 0 ||
+	    now < s->demand.first_arrival_at + DEMAND_KNOWN_NS)
+		c->evict = PLACEMENT_EVICT_NONE;
+	else if (c->evict_last || now < s->next_keep_all_at)
+		c->evict = PLACEMENT_EVICT_IDLE;
+	else
+		c->evict = PLACEMENT_EVICT_SURPLUS;
 }
 
 void
 loader_place_models(struct loader *s, uint64_t now,
     const struct fleet_service *service, struct loader_output *out)
 {
-	struct place_move moves[PLACE_MOVES_MAX];
-	struct place_greedy_config config;
-	struct placement_plan *p;
+	struct placement_move moves[MOVES_MAX];
+	struct placement_input p = { 0 };
+	struct placement_config config = s->config.place;
+	double left;
 	uint32_t n;
 	uint32_t i;
 
-	p = mem_alloc(sizeof(*p));
-	p->engine = service->engine;
-	p->models = mem_alloc((p->engine->nmodels + 1) * sizeof(*p->models));
-	plan_add_backends(p, s, now, service);
-	plan_add_models(p, s, now);
-	config = s->config.place;
-	config.load_without_demand = now >= s->list_settled_at;
-	n = place_greedy(&config, now, p->models, p->engine->nmodels,
-	    p->backends, p->nbackends, moves, PLACE_MOVES_MAX);
+	p.engine = service->engine;
+	input_add_models(&p, s, now);
+	input_add_replicas(&p, s, now, service);
+	config.fill = now >= s->list_settled_at;
+	config.slots = p.engine->slots;
+	set_evictions(s, now, &p, &config);
+	left = store_loads_left(s, now, p.engine);
+	config.max_unloads = (uint32_t)fmin(
+	    fmax(left, 0.0), ceil(p.engine->loads_per_s * UNLOAD_AHEAD_S));
+	n = placement_plan(&config, now, p.models, p.engine->nmodels,
+	    p.replicas, p.nreplicas, moves, MOVES_MAX);
 	for (i = 0; i < n; i++)
-		plan_execute_move(p, s, now, &moves[i], out);
-	free(p->models);
-	free(p);
+		execute_move(&p, s, now, &moves[i], out);
+	free(p.models);
+	free(p.replicas);
+	free(p.entries);
+	free(p.engines);
 }
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -32,7 +32,9 @@
 /* A replica without a model it is listed with has restarted or unloaded it. */
 #define ABSENT_AVOID_NS (600 * NSEC_PER_MSEC)
 #define ORDER_TIMEOUT_S 0.6
-#define OWN_DEMAND_SOURCE 511 /* source index of this process's demand */
+/* Sources of demand: this process, then the peers by their index. */
+#define DEMAND_SOURCE_SELF 0
+#define DEMAND_SOURCE_PEERS 1
 
 /* This process's own demand for a model or adapter. */
 struct demand_count {
@@ -192,7 +194,7 @@
 		d->running = t->running;
 		d->waiting = t->waiting;
 		demand_update(loader_demand(st->loader), e->now,
-		    OWN_DEMAND_SOURCE, t->wanted, t->arrivals, t->running,
+		    DEMAND_SOURCE_SELF, t->wanted, t->arrivals, t->running,
 		    t->waiting);
 	}
 }
@@ -201,13 +203,16 @@
 loader_io_apply_demand(struct entry *e, const struct msg *m)
 {
 	const struct msg_front *f = &m->u.front;
-	uint32_t source = peers_index(e->peers, m->from.addr);
+	uint32_t peer = peers_index(e->peers, m->from.addr);
 	uint32_t i;
 
+	if (peer == UINT32_MAX)
+		return;
 	for (i = 0; i < f->ndemand; i++)
 		demand_update(loader_demand(e->loader_io->loader), e->now,
-		    source, f->demand[i].wanted, f->demand[i].arrivals,
-		    f->demand[i].running, f->demand[i].waiting);
+		    DEMAND_SOURCE_PEERS + peer, f->demand[i].wanted,
+		    f->demand[i].arrivals, f->demand[i].running,
+		    f->demand[i].waiting);
 }
 
 void
--- a/tests/loader_fixture.c
+++ b/tests/loader_fixture.c
@@ -43,6 +43,7 @@
 		g->models[i].adapter_count = 4;
 		g->models[i].adapter_mb = 5;
 	}
+	fleet_engine_index_models(g);
 	loader_config_default(&config);
 	config.takeover_delay_ns = apart;
 	t->s = loader_create(&config, &t->dir, &self, &t->ids);
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -28,6 +28,7 @@
 		g->models[i].adapter_count = kAdapters;
 		g->models[i].adapter_mb = 10;
 	}
+	fleet_engine_index_models(g);
 	for (int i = 0; i < kReplicas; i++) {
 		engines[i].id = "r" + std::to_string(i);
 		engines[i].current.models.insert("m" + std::to_string(i));
