Waiting requests by what they need; reported load of the peers that use a replica

Every pass over the waiting list, each 6 ms, tried every request against 246 replicas, and each try added up a table of 300 peers a replica: some 74,000 entries a try. Change: core/waitq groups requests by service, model and adapter; a pass costs one failed try a group, so a model without room holds up nobody else.

--- a/core/balance.c
+++ b/core/balance.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "balance.h"
+#include "hash.h"
 
 /* Weights of the estimated delay, in milliseconds. */
 #define FULL_BATCH_MS 64.0    /* an engine with all slots in use */
@@ -124,6 +125,17 @@
 	return ms;
 }
 
+void
+balance_set_names(struct balance_request *w, const char *service,
+    const char *model, const char *adapter)
+{
+	w->service = service;
+	w->service_hash = hash_text(service);
+	w->model = model;
+	w->model_hash = hash_text(model);
+	w->adapter = adapter;
+}
+
 enum balance_result
 balance_pick(const struct directory *d, uint64_t now,
     const struct balance_request *w, double draw,
@@ -138,12 +150,12 @@
 
 	*out = NULL;
 	HASH_ITER (hh, d->replicas, m, next) {
-		if (strcmp(m->info.service, w->service) != 0 ||
+		if (!directory_serves(m, w->service, w->service_hash) ||
 		    !directory_usable(m, now))
 			continue;
 		if (result == BALANCE_NO_REPLICA)
 			result = BALANCE_NO_MODEL;
-		if (w->model[0] != '\0' && !fleet_has_model(&m->info, w->model))
+		if (!directory_holds(m, w->model, w->model_hash))
 			continue;
 		if (result == BALANCE_NO_MODEL)
 			result = BALANCE_NO_ADAPTER;
--- a/core/balance.h
+++ b/core/balance.h
@@ -12,10 +12,12 @@
 
 struct balance_request {
 	const char *service;
+	uint64_t service_hash;
 	const struct fleet_engine *engine; /* NULL for a plain service */
 	const char *model;		   /* "" for a plain service */
-	const char *adapter;		   /* "" for none */
-	const char *zone;		   /* data centre of this process */
+	uint64_t model_hash;
+	const char *adapter; /* "" for none */
+	const char *zone;    /* data centre of this process */
 	uint32_t prompt_tokens;
 	uint32_t tokens;     /* prompt and expected output */
 	uint64_t prefill_ns; /* time to prefill the prompt */
@@ -34,6 +36,9 @@
 	BALANCE_NO_REPLICA  /* the service has no usable replica */
 };
 
+/* Sets the names of a request, and their hashes. */
+void balance_set_names(
+    struct balance_request *, const char *, const char *, const char *);
 enum balance_result balance_pick(const struct directory *, uint64_t,
     const struct balance_request *, double, struct directory_replica **);
 /* Expected tokens of a request's prompt and output. */
--- a/core/directory.c
+++ b/core/directory.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "directory.h"
+#include "hash.h"
 #include "mem.h"
 
 /* Expired list entries are renewed this soon after the service recovered. */
@@ -30,6 +31,10 @@
     struct directory *, const struct fleet_replica *);
 static void update_listed_info(
     struct directory_replica *, const struct fleet_replica *);
+static void hash_names(struct directory_replica *);
+static int peer_is_current(const struct directory *, uint64_t, uint32_t);
+static struct replica_load decayed_load(
+    const struct directory *, uint64_t, const struct peer_load *);
 static double current_error_rate(const struct directory_replica *, uint64_t);
 
 void
@@ -50,6 +55,9 @@
 		free(m->peer_loads);
 		free(m);
 	}
+	free(d->peer_heard_at);
+	d->peer_heard_at = NULL;
+	d->npeers = 0;
 }
 
 struct directory_replica *
@@ -125,9 +133,43 @@
 		update_listed_info(m, r);
 	}
 	m->presence = PRESENCE_LISTED;
+	hash_names(m);
 	return m;
 }
 
+static void
+hash_names(struct directory_replica *m)
+{
+	uint32_t i;
+
+	m->service_hash = hash_text(m->info.service);
+	for (i = 0; i < m->info.nresident; i++)
+		m->resident_hashes[i] = hash_text(m->info.resident[i]);
+}
+
+int
+directory_serves(
+    const struct directory_replica *m, const char *service, uint64_t hash)
+{
+	return m->service_hash == hash && strcmp(m->info.service, service) == 0;
+}
+
+int
+directory_holds(
+    const struct directory_replica *m, const char *model, uint64_t hash)
+{
+	uint32_t i;
+
+	if (*model == '\0')
+		return 1;
+	for (i = 0; i < m->info.nresident; i++) {
+		if (m->resident_hashes[i] == hash &&
+		    strcmp(m->info.resident[i], model) == 0)
+			return 1;
+	}
+	return 0;
+}
+
 void
 directory_remove(struct directory *d, uint64_t now, const char *id)
 {
@@ -249,14 +291,25 @@
 directory_reset_peer_load(struct directory *d, uint64_t now, uint32_t peer)
 {
 	struct directory_replica *m, *next;
+	uint32_t size;
+	uint32_t i;
 
-	if (peer >= DIRECTORY_PEERS_MAX)
-		return;
+	if (peer >= d->npeers) {
+		size = peer + 16;
+		d->peer_heard_at =
+		    mem_grow(d->peer_heard_at, size, sizeof(*d->peer_heard_at));
+		memset(&d->peer_heard_at[d->npeers], 0,
+		    (size - d->npeers) * sizeof(*d->peer_heard_at));
+		d->npeers = size;
+	}
 	d->peer_heard_at[peer] = now;
 	HASH_ITER (hh, d->replicas, m, next) {
-		if (peer < m->npeer_loads)
-			memset(&m->peer_loads[peer], 0,
-			    sizeof(m->peer_loads[peer]));
+		for (i = 0; i < m->npeer_loads; i++) {
+			if (m->peer_loads[i].peer == peer ||
+			    !peer_is_current(d, now, m->peer_loads[i].peer))
+				m->peer_loads[i--] =
+				    m->peer_loads[--m->npeer_loads];
+		}
 	}
 }
 
@@ -265,18 +318,24 @@
     const struct replica_load *w)
 {
 	struct directory_replica *m;
+	uint32_t i;
 
 	m = directory_find(d, id);
-	if (m == NULL || peer >= DIRECTORY_PEERS_MAX)
+	if (m == NULL || peer >= d->npeers)
 		return;
-	if (peer >= m->npeer_loads) {
-		m->peer_loads =
-		    mem_grow(m->peer_loads, peer + 1, sizeof(*m->peer_loads));
-		memset(&m->peer_loads[m->npeer_loads], 0,
-		    (peer + 1 - m->npeer_loads) * sizeof(*m->peer_loads));
-		m->npeer_loads = peer + 1;
+	for (i = 0; i < m->npeer_loads; i++) {
+		if (m->peer_loads[i].peer == peer) {
+			m->peer_loads[i].load = *w;
+			return;
+		}
 	}
-	m->peer_loads[peer] = *w;
+	if (m->npeer_loads == m->peer_loads_size) {
+		m->peer_loads_size = m->peer_loads_size * 2 + 4;
+		m->peer_loads = mem_grow(
+		    m->peer_loads, m->peer_loads_size, sizeof(*m->peer_loads));
+	}
+	m->peer_loads[m->npeer_loads].peer = peer;
+	m->peer_loads[m->npeer_loads++].load = *w;
 }
 
 void
@@ -336,20 +395,19 @@
 	m->prefill_share_hold_until = now + PREFILL_SHARE_HOLD_NS;
 }
 
-/* Its recent prefill time shrinks with the age of the report. */
-struct replica_load
-directory_peer_load(const struct directory *d, uint64_t now,
-    const struct directory_replica *m, uint32_t peer)
+static int
+peer_is_current(const struct directory *d, uint64_t now, uint32_t peer)
 {
-	struct replica_load w = { 0, 0, 0, 0 };
-	uint64_t age;
-
-	if (peer >= m->npeer_loads ||
-	    now > d->peer_heard_at[peer] + PEER_LOAD_VALID_NS)
-		return w;
-	w = m->peer_loads[peer];
-	/* Prompts sent by a peer are taken to leave the window evenly. */
-	age = now - d->peer_heard_at[peer];
+	return now <= d->peer_heard_at[peer] + PEER_LOAD_VALID_NS;
+}
+
+/* Prompts sent by a peer are taken to leave the window evenly. */
+static struct replica_load
+decayed_load(const struct directory *d, uint64_t now, const struct peer_load *p)
+{
+	uint64_t age = now - d->peer_heard_at[p->peer];
+	struct replica_load w = p->load;
+
 	w.recent_us = age >= d->prefill_window_ns
 	    ? 0
 	    : (uint32_t)(w.recent_us * (d->prefill_window_ns - age) /
@@ -357,6 +415,21 @@
 	return w;
 }
 
+struct replica_load
+directory_peer_load(const struct directory *d, uint64_t now,
+    const struct directory_replica *m, uint32_t peer)
+{
+	struct replica_load none = { 0, 0, 0, 0 };
+	uint32_t i;
+
+	for (i = 0; i < m->npeer_loads; i++) {
+		if (m->peer_loads[i].peer == peer &&
+		    peer_is_current(d, now, peer))
+			return decayed_load(d, now, &m->peer_loads[i]);
+	}
+	return none;
+}
+
 struct replica_load
 directory_peers_load(
     const struct directory *d, uint64_t now, const struct directory_replica *m)
@@ -366,7 +439,9 @@
 	uint32_t i;
 
 	for (i = 0; i < m->npeer_loads; i++) {
-		w = directory_peer_load(d, now, m, i);
+		if (!peer_is_current(d, now, m->peer_loads[i].peer))
+			continue;
+		w = decayed_load(d, now, &m->peer_loads[i]);
 		sum.running += w.running;
 		sum.unread_us += w.unread_us;
 		sum.recent_us += w.recent_us;
--- a/core/directory.h
+++ b/core/directory.h
@@ -10,7 +10,6 @@
 
 #include "fleet.h"
 
-#define DIRECTORY_PEERS_MAX 512
 #define DIRECTORY_EXCLUSIONS_MAX 8
 #define DIRECTORY_SENT_PROMPTS_MAX 32
 
@@ -22,6 +21,12 @@
 	uint32_t tokens;    /* prompt tokens and predicted output tokens */
 };
 
+/* Load that one peer reported on a replica. */
+struct peer_load {
+	uint32_t peer; /* its index */
+	struct replica_load load;
+};
+
 /* A prompt recently sent by this process. */
 struct sent_prompt {
 	uint64_t sent_at;
@@ -43,6 +48,8 @@
 
 /* A replica with this process's view of its load and health. */
 struct directory_replica {
+	uint64_t service_hash;			      /* of info.service */
+	uint64_t resident_hashes[FLEET_RESIDENT_MAX]; /* of info.resident */
 	struct fleet_replica info;
 	enum presence presence;
 	uint64_t grace_until; /* GRACE: removed unless listed again by then */
@@ -53,8 +60,9 @@
 	double prefill_share;	   /* of the window that prefill may take */
 	uint64_t prefill_share_at; /* when prefill_share was last set */
 	uint64_t prefill_share_hold_until; /* no further decrease before */
-	struct replica_load *peer_loads;
+	struct peer_load *peer_loads;	   /* of peers that use the replica */
 	uint32_t npeer_loads;
+	uint32_t peer_loads_size;      /* allocated */
 	uint64_t adapters_hash_sent;   /* of those last sent to peers */
 	uint32_t consecutive_failures; /* attempts that could not reach it */
 	uint64_t avoid_until;
@@ -72,7 +80,8 @@
 	uint64_t service_down_since; /* of the list, TIME_NEVER: it is up */
 	uint64_t service_up_at;	     /* when the list service last recovered */
 	uint64_t prefill_window_ns;  /* over which recent prefill is summed */
-	uint64_t peer_heard_at[DIRECTORY_PEERS_MAX];
+	uint64_t *peer_heard_at;     /* by index: time of the latest report */
+	uint32_t npeers;
 };
 
 void directory_init(struct directory *);
@@ -97,6 +106,12 @@
 void directory_extend_removal_grace(struct directory *, uint64_t, uint64_t);
 /* Removes replicas whose grace period is over, and frees idle removed ones. */
 void directory_tick(struct directory *, uint64_t);
+/*
+ * Whether a replica belongs to the service and holds the model, "" for any;
+ * the hashes are those of the names.
+ */
+int directory_serves(const struct directory_replica *, const char *, uint64_t);
+int directory_holds(const struct directory_replica *, const char *, uint64_t);
 /* Whether new requests may be sent to a replica. */
 int directory_usable(const struct directory_replica *, uint64_t);
 /* Sends no requests for a model or adapter to the replica until a time. */
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -267,11 +267,7 @@
 write_metrics(struct entry *e, FILE *f)
 {
 	struct loader_stats t;
-	struct forward *w;
-	uint64_t waiting = 0;
 
-	TAILQ_FOREACH (w, &e->waiting, entry)
-		waiting++;
 	loader_io_totals(e, &t);
 	metric_write(f, "spindle_entry_requests_total", "counter",
 	    "Requests that came in.", e->counts.arrived);
@@ -287,7 +283,7 @@
 	    "Callers that left first.", e->counts.caller_gone);
 	write_attempt_metrics(e, f);
 	metric_write(f, "spindle_entry_waiting", "gauge",
-	    "Requests that wait for a replica.", waiting);
+	    "Requests that wait for a replica.", e->waiting.nitems);
 	metric_write(f, "spindle_entry_config_version", "gauge",
 	    "Version of the configuration in force.",
 	    e->conf == NULL ? 0 : e->conf->version);
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -15,6 +15,7 @@
 #include "log.h"
 #include "metric.h"
 #include "pace.h"
+#include "waitq.h"
 
 struct caller;
 struct forward;
@@ -59,8 +60,8 @@
 	struct budget budget;
 	struct conn_pool *replicas;
 	struct conn_pool *store;
-	struct forward_list waiting; /* queued, by priority */
-	struct forward_list running; /* at a replica or being answered */
+	struct forward_list requests; /* of callers, waiting ones included */
+	struct waitq waiting;	      /* requests without a replica */
 	struct caller_list callers;
 	struct query_list queries;
 	struct session *session;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -37,7 +37,8 @@
 static int forward_admit(struct forward *, struct err *);
 static enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, struct directory_replica **);
-static void forward_dispatch(struct forward *);
+static int forward_dispatch(struct forward *);
+static int try_waiting(void *, struct waitq_item *);
 static int forward_is_late(const struct forward *);
 static void forward_enqueue(struct forward *, enum balance_result);
 static void forward_free(struct forward *);
@@ -152,7 +153,7 @@
 	ev_timer_init(&f->timer, forward_on_timer, 0.0, 0.0);
 	f->timer.data = f;
 	caller_set_forward(c, f);
-	TAILQ_INSERT_TAIL(&e->running, f, entry);
+	TAILQ_INSERT_TAIL(&e->requests, f, entry);
 	e->counts.arrived++;
 	status = forward_admit(f, &err);
 	if (status == 503) {
@@ -180,10 +181,9 @@
 	struct entry *e = f->e;
 
 	ev_timer_stop(e->loop, &f->timer);
-	if (f->waiting)
-		TAILQ_REMOVE(&e->waiting, f, entry);
-	else
-		TAILQ_REMOVE(&e->running, f, entry);
+	if (f->waiting.group != NULL)
+		waitq_remove(&e->waiting, &f->waiting);
+	TAILQ_REMOVE(&e->requests, f, entry);
 	buf_free(&f->body);
 	sse_free(&f->events);
 	free(f->response_head.fields);
@@ -223,10 +223,8 @@
 	if (s == NULL)
 		return BALANCE_NO_REPLICA;
 	memset(&w, 0, sizeof(w));
-	w.service = f->service;
+	balance_set_names(&w, f->service, f->params.model, f->params.adapter);
 	w.engine = s->engine;
-	w.model = f->params.model;
-	w.adapter = f->params.adapter;
 	w.zone = f->e->boot.zone;
 	w.prompt_tokens = f->params.prompt_tokens;
 	w.tokens = balance_expected_tokens(&f->params);
@@ -242,8 +240,11 @@
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
 
-/* Sends the request to the best replica, or queues it if there is none. */
-static void
+/*
+ * Sends the request to the best replica, or queues it if there is none.
+ * Returns whether it was sent.
+ */
+static int
 forward_dispatch(struct forward *f)
 {
 	const struct fleet_service *s = NULL;
@@ -257,37 +258,31 @@
 		loader_io_request_load(f->e, &f->params);
 	if (result != BALANCE_FOUND) {
 		forward_enqueue(f, result);
-		return;
+		return 0;
 	}
-	if (f->waiting) {
-		TAILQ_REMOVE(&f->e->waiting, f, entry);
-		TAILQ_INSERT_TAIL(&f->e->running, f, entry);
-		f->waiting = 0;
+	if (f->waiting.group != NULL) {
+		waitq_remove(&f->e->waiting, &f->waiting);
 		forward_set_timer(f, f->deadline);
 	}
 	forward_start_attempt(f, m);
+	return 1;
 }
 
-/* Queues a request by priority, then by arrival. */
 static void
 forward_enqueue(struct forward *f, enum balance_result why)
 {
-	struct forward *other;
 	uint64_t until;
 
-	if (f->waiting)
+	if (f->waiting.group != NULL)
 		return;
 	forward_log(f, LOG_REQUEST_WAITS, "", wait_reasons[why]);
-	TAILQ_REMOVE(&f->e->running, f, entry);
-	f->waiting = 1;
-	TAILQ_FOREACH (other, &f->e->waiting, entry) {
-		if (other->route.priority > f->route.priority)
-			break;
-	}
-	if (other != NULL)
-		TAILQ_INSERT_BEFORE(other, f, entry);
-	else
-		TAILQ_INSERT_TAIL(&f->e->waiting, f, entry);
+	f->waiting.owner = f;
+	f->waiting.priority = f->route.priority;
+	f->waiting.arrived = f->arrived;
+	f->waiting.target =
+	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
+	waitq_add(&f->e->waiting, &f->waiting, f->service, f->params.model,
+	    f->params.adapter);
 	/* A retry is queued for a minimum time, however late the failure. */
 	until = f->wait_until;
 	if (f->attempts_made != 0 && until < f->e->now + RETRY_QUEUE_NS)
@@ -303,21 +298,17 @@
 	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
 }
 
+static int
+try_waiting(void *ctx, struct waitq_item *i)
+{
+	(void)ctx;
+	return forward_dispatch(i->owner);
+}
+
 void
 forward_retry_waiting(struct entry *e)
 {
-	struct forward *f;
-	struct forward *next;
-	int late;
-
-	/* Requests that can still meet their target go first. */
-	for (late = 0; late <= 1; late++) {
-		for (f = TAILQ_FIRST(&e->waiting); f != NULL; f = next) {
-			next = TAILQ_NEXT(f, entry);
-			if (forward_is_late(f) == late)
-				forward_dispatch(f);
-		}
-	}
+	waitq_dispatch(&e->waiting, e->now, try_waiting, NULL);
 }
 
 /* Ends a request that no replica has run. */
@@ -496,8 +487,7 @@
 {
 	struct forward *f;
 
-	while ((f = TAILQ_FIRST(&e->waiting)) != NULL ||
-	    (f = TAILQ_FIRST(&e->running)) != NULL) {
+	while ((f = TAILQ_FIRST(&e->requests)) != NULL) {
 		if (f->exchange != NULL) {
 			exchange_cancel(f->exchange);
 			f->exchange = NULL;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -16,7 +16,7 @@
 	uint64_t deadline;
 	uint64_t wait_until; /* refused if still queued then */
 	ev_timer timer;
-	int waiting; /* in the queue */
+	struct waitq_item waiting; /* in the queue, or in no group */
 	uint32_t attempts_made;
 	uint32_t runs; /* attempts that the replica may have executed */
 	uint32_t ntried;
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -71,6 +71,7 @@
 static void send_orders(
     struct entry *, struct kv_ops *, struct loader_orders *);
 static void on_result(void *, const struct kv_result *);
+static void count_demand(struct demand_count *, const struct forward *);
 static void update_demand_counts(struct entry *);
 static struct demand_count *demand_count_of(struct loader_io *, const char *);
 static const char *wanted_name(const struct request_params *);
@@ -146,6 +147,15 @@
 		demand_count_of(e->loader_io, w->adapter)->arrivals++;
 }
 
+static void
+count_demand(struct demand_count *t, const struct forward *f)
+{
+	if (f->waiting.group != NULL)
+		t->waiting++;
+	else
+		t->running++;
+}
+
 /* Counts running and queued requests per model and adapter. */
 static void
 update_demand_counts(struct entry *e)
@@ -157,21 +167,14 @@
 		t->running = 0;
 		t->waiting = 0;
 	}
-	TAILQ_FOREACH (f, &e->running, entry) {
-		if (f->params.model[0] != '\0')
-			demand_count_of(e->loader_io, f->params.model)
-			    ->running++;
-		if (f->params.adapter[0] != '\0')
-			demand_count_of(e->loader_io, f->params.adapter)
-			    ->running++;
-	}
-	TAILQ_FOREACH (f, &e->waiting, entry) {
-		if (f->params.model[0] != '\0')
-			demand_count_of(e->loader_io, f->params.model)
-			    ->waiting++;
+	TAILQ_FOREACH (f, &e->requests, entry) {
+		if (f->params.model[0] == '\0')
+			continue;
+		count_demand(demand_count_of(e->loader_io, f->params.model), f);
 		if (f->params.adapter[0] != '\0')
-			demand_count_of(e->loader_io, f->params.adapter)
-			    ->waiting++;
+			count_demand(
+			    demand_count_of(e->loader_io, f->params.adapter),
+			    f);
 	}
 }
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -60,7 +60,7 @@
 	peers_tick(e->peers);
 	session_tick(e->session);
 	/* Capacity also becomes free with time, without an event. */
-	if (!TAILQ_EMPTY(&e->waiting))
+	if (e->waiting.nitems != 0)
 		e->retry_waiting = 1;
 	if (!e->stopping)
 		return;
@@ -72,7 +72,7 @@
 	if (d->listener == NULL)
 		callers_close_idle(e);
 	if ((d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
-		TAILQ_EMPTY(&e->running)) ||
+		TAILQ_EMPTY(&e->requests)) ||
 	    e->now + GRACE_MARGIN_NS >=
 		e->stopping_since + e->boot.stop_grace_ns)
 		ev_break(loop, EVBREAK_ALL);
@@ -89,7 +89,7 @@
 	d->e.retry_waiting = 0;
 	entry_update_now(&d->e);
 	forward_retry_waiting(&d->e);
-	if (ev_is_active(&d->retry_timer) || TAILQ_EMPTY(&d->e.waiting))
+	if (ev_is_active(&d->retry_timer) || d->e.waiting.nitems == 0)
 		return;
 	ev_timer_set(&d->retry_timer, RETRY_WAITING_S, 0.0);
 	ev_timer_start(loop, &d->retry_timer);
@@ -150,8 +150,8 @@
 	struct entry *e = &d->e;
 
 	e->loop = ev_default_loop(EVFLAG_AUTO);
-	TAILQ_INIT(&e->waiting);
-	TAILQ_INIT(&e->running);
+	TAILQ_INIT(&e->requests);
+	waitq_init(&e->waiting);
 	TAILQ_INIT(&e->callers);
 	TAILQ_INIT(&e->queries);
 	directory_init(&e->dir);
@@ -202,6 +202,7 @@
 
 	listener_destroy(d->listener);
 	forward_stop_all(e);
+	waitq_clear(&e->waiting);
 	callers_destroy(e);
 	admin_destroy(e->admin);
 	session_close(e->session);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -20,6 +20,7 @@
 static void test_restart(void);
 static void test_avoided_replicas(void);
 static void test_peers(void);
+static void test_many_peers(void);
 static void test_exclusions(void);
 static void test_address_reused(void);
 static void test_prefill_share(void);
@@ -229,7 +230,7 @@
 	directory_reset_peer_load(&d, S, 5);
 	directory_set_peer_load(&d, 5, "a", &w);
 	directory_set_peer_load(&d, 5, "unknown", &w);
-	directory_set_peer_load(&d, DIRECTORY_PEERS_MAX, "a", &w);
+	directory_set_peer_load(&d, 1000, "a", &w); /* not heard yet */
 	CU_ASSERT_EQUAL(directory_total_load(&d, S, m).running, 4);
 	CU_ASSERT_EQUAL(directory_total_load(&d, S, m).tokens, 200);
 	/* The load of a silent peer expires. */
@@ -239,6 +240,33 @@
 	directory_clear(&d);
 }
 
+/* No table is fitted to a fleet; a replica keeps the peers that use it. */
+static void
+test_many_peers(void)
+{
+	struct directory d;
+	struct fleet_replica r = make_replica("a", "m");
+	struct replica_load w = { 1, 0, 0, 10 };
+	struct directory_replica *m;
+	uint32_t i;
+
+	directory_init(&d);
+	m = directory_put(&d, &r);
+	for (i = 0; i < 1000; i++) {
+		directory_reset_peer_load(&d, S, i);
+		if (i % 100 == 0)
+			directory_set_peer_load(&d, i, "a", &w);
+	}
+	CU_ASSERT_EQUAL(m->npeer_loads, 10);
+	CU_ASSERT_EQUAL(directory_total_load(&d, S, m).running, 10);
+	directory_reset_peer_load(&d, 2 * S, 100);
+	CU_ASSERT_EQUAL(directory_total_load(&d, 2 * S, m).running, 9);
+	/* Loads of silent peers are dropped with the next report. */
+	directory_reset_peer_load(&d, 10 * S, 7);
+	CU_ASSERT_EQUAL(m->npeer_loads, 0);
+	directory_clear(&d);
+}
+
 static void
 test_exclusions(void)
 {
@@ -302,10 +330,8 @@
 	double before;
 
 	memset(&w, 0, sizeof(w));
-	w.service = "llm";
+	balance_set_names(&w, "llm", "m", "");
 	w.engine = &g;
-	w.model = "m";
-	w.adapter = "";
 	w.zone = "z1";
 	w.prompt_tokens = 1000;
 	w.prefill_ns = 100 * NSEC_PER_MSEC;
@@ -360,10 +386,8 @@
 	struct balance_request w;
 
 	memset(&w, 0, sizeof(w));
-	w.service = "llm";
+	balance_set_names(&w, "llm", "m", "");
 	w.engine = &g;
-	w.model = "m";
-	w.adapter = "";
 	w.zone = "z1";
 	w.tokens = 300;
 	w.max_conns = 10;
@@ -404,19 +428,17 @@
 	struct balance_request w;
 
 	memset(&w, 0, sizeof(w));
-	w.service = "llm";
+	balance_set_names(&w, "llm", "m", "m/a1");
 	w.engine = &g;
-	w.model = "m";
-	w.adapter = "m/a1";
 	w.zone = "z1";
 	w.max_conns = 10;
 	directory_init(&d);
 	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_REPLICA);
 	directory_put(&d, &a);
 	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_ADAPTER);
-	w.model = "n";
+	balance_set_names(&w, "llm", "n", "m/a1");
 	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_MODEL);
-	w.service = "other";
+	balance_set_names(&w, "other", "n", "m/a1");
 	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_REPLICA);
 	directory_clear(&d);
 }
@@ -539,6 +561,7 @@
 	{ "restart", test_restart },
 	{ "avoided replicas", test_avoided_replicas },
 	{ "load reported by peers", test_peers },
+	{ "many peers", test_many_peers },
 	{ "excluded models", test_exclusions },
 	{ "balance choice", test_balance_choice },
 	{ "address reused", test_address_reused },
