--- a/core/balance.c
+++ b/core/balance.c
@@ -30,6 +30,8 @@
 #define PREFILL_SHARE_BUSY_DROP 0.65
 /* Part of it for requests already past their latency target. */
 #define PAST_TARGET_SHARE 0.6
+/* Slots that requests past their target leave to those in time. */
+#define IN_TIME_SLOTS_SHARE 0.1
 /* Share of an engine's KV cache that requests may fill. */
 #define KV_CACHE_SHARE 0.92
 
@@ -84,6 +86,9 @@
 		return 1;
 	if (w->engine == NULL)
 		return 0;
+	if (w->past_target && load->running != 0 &&
+	    load->running >= (1.0 - IN_TIME_SLOTS_SHARE) * slots)
+		return 1;
 	if (w->engine->tokens_per_event > PREFILL_SHARE_EVENT_TOKENS)
 		share *=
 		    PREFILL_SHARE_EVENT_TOKENS / w->engine->tokens_per_event;
@@ -181,6 +186,22 @@
 	return *out != NULL ? BALANCE_FOUND : result;
 }
 
+uint32_t
+balance_slots(
+    const struct directory *d, uint64_t now, const struct balance_request *w)
+{
+	const struct directory_replica *m;
+	uint32_t slots = 0;
+
+	for (m = d->replicas; m != NULL; m = m->hh.next) {
+		if (directory_serves(m, w->service, w->service_hash) &&
+		    directory_usable(m, now) &&
+		    directory_holds(m, w->model, w->model_hash))
+			slots += m->info.slots;
+	}
+	return slots;
+}
+
 uint32_t
 balance_expected_tokens(const struct request_params *w)
 {
--- a/core/balance.h
+++ b/core/balance.h
@@ -39,6 +39,9 @@
 /* Sets the names of a request, and their hashes. */
 void balance_set_names(
     struct balance_request *, const char *, const char *, const char *);
+/* Slots of the usable replicas of the service that hold the model. */
+uint32_t balance_slots(
+    const struct directory *, uint64_t, const struct balance_request *);
 enum balance_result balance_pick(const struct directory *, uint64_t,
     const struct balance_request *, double, struct directory_replica **);
 /* Expected tokens of a request's prompt and output. */
--- a/core/demand.c
+++ b/core/demand.c
@@ -83,6 +83,7 @@
 {
 	struct demand_item *i = demand_get_or_create(d, wanted);
 	struct demand_source *s;
+	uint64_t fresh = 0;
 
 	if (source >= i->nsources) {
 		i->sources =
@@ -93,13 +94,21 @@
 	}
 	s = &i->sources[source];
 	/* The counter of a restarted process begins at zero. */
-	if (arrivals > s->arrivals) {
-		i->new_arrivals += arrivals - s->arrivals;
+	if (s->reported_at == 0)
+		fresh =
+		    arrivals < running + waiting ? arrivals : running + waiting;
+	else if (arrivals > s->arrivals)
+		fresh = arrivals - s->arrivals;
+	if (fresh != 0) {
+		i->total += fresh;
+		i->new_arrivals += fresh;
 		i->last_arrival_at = now;
-		demand_add_recent(i, now, arrivals - s->arrivals);
+		demand_add_recent(i, now, fresh);
 		if (d->first_arrival_at == 0)
 			d->first_arrival_at = now;
 	}
+	if (fresh != 0 || running != 0 || waiting != 0)
+		i->last_busy_at = now;
 	s->arrivals = arrivals;
 	s->running = running;
 	s->waiting = waiting;
@@ -134,6 +143,20 @@
 	return sum;
 }
 
+uint32_t
+demand_running_count(const struct demand_item *i, uint64_t now)
+{
+	return (uint32_t)demand_current_load(i, now) -
+	    demand_waiting_count(i, now);
+}
+
+int
+demand_is_current(const struct demand_item *i, uint64_t now)
+{
+	return i->last_busy_at != 0 &&
+	    now < i->last_busy_at + DEMAND_REPORT_TTL_NS;
+}
+
 static double
 smooth_towards(double value, double target, double dt)
 {
--- a/core/demand.h
+++ b/core/demand.h
@@ -25,6 +25,8 @@
 	char name[FLEET_NAME_SIZE]; /* MODEL or MODEL/ADAPTER */
 	struct demand_source *sources;
 	uint32_t nsources;
+	uint64_t total;	       /* arrivals counted from all sources */
+	uint64_t last_busy_at; /* latest arrival, or request in work */
 	uint64_t new_arrivals; /* since the last update of the averages */
 	double rate;	       /* arrivals per second, smoothed */
 	uint32_t recent[DEMAND_RECENT_BUCKETS]; /* arrivals by time */
@@ -45,7 +47,10 @@
 void demand_clear(struct demand *);
 struct demand_item *demand_find(const struct demand *, const char *);
 struct demand_item *demand_get_or_create(struct demand *, const char *);
-/* Records a process's report: arrivals, running, waiting. */
+/*
+ * Records a process's report: arrivals, running, waiting.  Of the arrivals in
+ * its first report only those still in work are taken as new.
+ */
 void demand_update(struct demand *, uint64_t, uint32_t, const char *, uint64_t,
     uint32_t, uint32_t);
 /* Updates the smoothed values; to be called a few times a second. */
@@ -53,6 +58,9 @@
 /* Requests running or waiting by the last reports. */
 double demand_current_load(const struct demand_item *, uint64_t);
 uint32_t demand_waiting_count(const struct demand_item *, uint64_t);
+uint32_t demand_running_count(const struct demand_item *, uint64_t);
+/* Whether there was work within the time that reports are valid. */
+int demand_is_current(const struct demand_item *, uint64_t);
 /* Arrivals per second over the latest two seconds. */
 double demand_recent_rate(const struct demand_item *, uint64_t);
 
--- a/core/directory.c
+++ b/core/directory.c
@@ -35,6 +35,7 @@
 static int peer_is_current(const struct directory *, uint64_t, uint32_t);
 static struct replica_load decayed_load(
     const struct directory *, uint64_t, const struct peer_load *);
+static int select_all(const void *, uint32_t);
 static double current_error_rate(const struct directory_replica *, uint64_t);
 
 void
@@ -189,6 +190,19 @@
 	m->presence = PRESENCE_REMOVED;
 }
 
+void
+directory_remove_reported(
+    struct directory *d, uint64_t now, const char *id, uint64_t grace_ns)
+{
+	struct directory_replica *m;
+
+	m = directory_find(d, id);
+	if (m == NULL || m->presence == PRESENCE_REMOVED)
+		return;
+	m->presence = grace_ns == 0 ? PRESENCE_REMOVED : PRESENCE_GRACE;
+	m->grace_until = now + grace_ns;
+}
+
 void
 directory_set_service_up(struct directory *d, uint64_t now, int up)
 {
@@ -431,15 +445,17 @@
 }
 
 struct replica_load
-directory_peers_load(
-    const struct directory *d, uint64_t now, const struct directory_replica *m)
+directory_selected_load(const struct directory *d, uint64_t now,
+    const struct directory_replica *m, int (*select)(const void *, uint32_t),
+    const void *ctx)
 {
 	struct replica_load sum = { 0, 0, 0, 0 };
 	struct replica_load w;
 	uint32_t i;
 
 	for (i = 0; i < m->npeer_loads; i++) {
-		if (!peer_is_current(d, now, m->peer_loads[i].peer))
+		if (!peer_is_current(d, now, m->peer_loads[i].peer) ||
+		    !select(ctx, m->peer_loads[i].peer))
 			continue;
 		w = decayed_load(d, now, &m->peer_loads[i]);
 		sum.running += w.running;
@@ -450,6 +466,21 @@
 	return sum;
 }
 
+static int
+select_all(const void *ctx, uint32_t peer)
+{
+	(void)ctx;
+	(void)peer;
+	return 1;
+}
+
+struct replica_load
+directory_peers_load(
+    const struct directory *d, uint64_t now, const struct directory_replica *m)
+{
+	return directory_selected_load(d, now, m, select_all, NULL);
+}
+
 struct replica_load
 directory_total_load(
     const struct directory *d, uint64_t now, const struct directory_replica *m)
--- a/core/directory.h
+++ b/core/directory.h
@@ -122,6 +122,16 @@
 void directory_reset_peer_load(struct directory *, uint64_t, uint32_t);
 void directory_set_peer_load(
     struct directory *, uint32_t, const char *, const struct replica_load *);
+/*
+ * Removes an entry that another process reports as gone; it stays usable for a
+ * grace period in ns, 0 for none, whatever this process knows of the service.
+ */
+void directory_remove_reported(
+    struct directory *, uint64_t, const char *, uint64_t);
+/* Load of the peers that a function selects by index. */
+struct replica_load directory_selected_load(const struct directory *, uint64_t,
+    const struct directory_replica *, int (*)(const void *, uint32_t),
+    const void *);
 /* Load of one peer or of all peers, from reports that are still valid. */
 struct replica_load directory_peer_load(const struct directory *, uint64_t,
     const struct directory_replica *, uint32_t);
--- a/core/hubs.h
+++ b/core/hubs.h
@@ -10,14 +10,15 @@
 
 #define HUBS_MAX 3 /* tolerates two failures at once */
 
-/* A process as a candidate for hub. */
+/* A process as a candidate for hub or relay. */
 struct hub {
 	char addr[ADDR_SIZE];
-	uint32_t weight;    /* CPU share in hundredths of a core */
-	int self;	    /* this process, never silent */
-	uint64_t heard_at;  /* time of the latest message */
-	uint64_t hub_since; /* when it became a hub, 0 if it is none */
-	int silent;	    /* timed out as a hub and not heard since */
+	char zone[NAME_SIZE]; /* data centre; relays only */
+	uint32_t weight;      /* CPU share in hundredths of a core */
+	int self;	      /* this process, never silent */
+	uint64_t heard_at;    /* time of the latest message */
+	uint64_t hub_since;   /* when it became a hub, 0 if it is none */
+	int silent;	      /* timed out as a hub and not heard since */
 };
 
 /*
@@ -28,6 +29,12 @@
  */
 uint32_t hubs_choose(
     struct hub **, uint32_t, uint64_t, uint64_t, struct hub *[HUBS_MAX]);
+/*
+ * Selects one relay in each data centre among n candidates by the same rule.
+ * out has room for n; returns the number of relays.
+ */
+uint32_t relays_choose(
+    struct hub **, uint32_t, uint64_t, uint64_t, struct hub **);
 /* Index of the hub, of nhubs, that forwards changes to an address. */
 uint32_t hubs_index_for(const char *, uint32_t);
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -11,7 +11,7 @@
 
 #include "base.h"
 
-#define MSG_VERSION 1
+#define MSG_VERSION 2
 #define MSG_SYNC_MAX 64	      /* grants in a SYNC */
 #define MSG_MEMBERS_MAX 8     /* membership entries in a probe */
 #define MSG_REPORTS_MAX 32    /* replicas in a REPORT */
@@ -248,9 +248,20 @@
 	uint64_t fence; /* the new owner's fencing token */
 };
 
-/* Load of an entry process, and what it knows of the replicas. */
+/* Whose work and demand a FRONT contains. */
+enum front_scope {
+	FRONT_OWN,  /* the sender's */
+	FRONT_ZONE, /* a relay's data centre */
+	FRONT_ALL,  /* all but the receiver's work, from its relay */
+	FRONT_BEAT, /* none */
+	FRONT__MAX
+};
+
+/* Load of entry processes, and what the sender knows of the replicas. */
 struct msg_front {
 	char vm[NAME_SIZE];
+	char zone[NAME_SIZE];	/* the sender's data centre */
+	uint32_t scope;		/* enum front_scope */
 	uint64_t version;	/* of the configuration in effect */
 	uint64_t list_revision; /* revision of the list of replicas */
 	uint64_t list_digest;	/* of that list */
@@ -275,7 +286,8 @@
 
 /* Adapters loaded on replicas: all, or those of the replicas that changed. */
 struct msg_held {
-	uint64_t fence; /* the lease holder's fencing token */
+	char holder[ADDR_SIZE]; /* the lease holder; relays pass it on */
+	uint64_t fence;		/* the lease holder's fencing token */
 	uint32_t is_full;
 	uint32_t n;
 	struct msg_held_item {
--- a/core/pace.c
+++ b/core/pace.c
@@ -10,16 +10,46 @@
 #define FACTOR_MIN 0.08
 #define FACTOR_MAX 1.5
 #define FACTOR_SAMPLE_WEIGHT 0.15 /* in the moving average */
+#define SERVICE_SAMPLE_WEIGHT 0.05
 
 void
 pace_clear(struct pace *p)
 {
 	struct pace_model *m, *next;
+	struct pace_service *s, *after;
 
 	HASH_ITER (hh, p->models, m, next) {
 		HASH_DEL(p->models, m);
 		free(m);
 	}
+	HASH_ITER (hh, p->services, s, after) {
+		HASH_DEL(p->services, s);
+		free(s);
+	}
+}
+
+void
+pace_add_service(struct pace *p, const char *name, uint64_t ns)
+{
+	struct pace_service *s;
+
+	HASH_FIND_STR(p->services, name, s);
+	if (s == NULL) {
+		s = mem_alloc(sizeof(*s));
+		snprintf(s->name, sizeof(s->name), "%s", name);
+		s->mean_ns = (double)ns;
+		HASH_ADD_STR(p->services, name, s);
+	}
+	s->mean_ns += ((double)ns - s->mean_ns) * SERVICE_SAMPLE_WEIGHT;
+}
+
+uint64_t
+pace_service_ns(const struct pace *p, const char *name, uint64_t none)
+{
+	const struct pace_service *s;
+
+	HASH_FIND_STR(p->services, name, s);
+	return s == NULL ? none : (uint64_t)s->mean_ns;
 }
 
 void
--- a/core/wire.c
+++ b/core/wire.c
@@ -459,6 +459,8 @@
 	uint32_t i;
 
 	wire_str(w, f->vm, sizeof(f->vm));
+	wire_str(w, f->zone, sizeof(f->zone));
+	wire_count(w, &f->scope, FRONT__MAX);
 	wire_u64(w, &f->version);
 	wire_u64(w, &f->list_revision);
 	wire_u64(w, &f->list_digest);
@@ -487,6 +489,7 @@
 	struct msg_held *h = &m->u.held;
 	uint32_t i;
 
+	wire_str(w, h->holder, sizeof(h->holder));
 	wire_u64(w, &h->fence);
 	wire_u32(w, &h->is_full);
 	h->items = wire_list(w, &h->n, sizeof(*h->items), h->items);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,6 +6,7 @@
 #include "config.h"
 #include "entry_int.h"
 #include "mem.h"
+#include "peers.h"
 
 void
 entry_times_init(struct entry_times *t)
@@ -64,6 +65,7 @@
 	    "version=%llu from=%s routes=%u services=%u",
 	    (unsigned long long)conf->version, source, conf->nroutes,
 	    conf->nservices);
+	peers_push_config(e->peers);
 }
 
 int
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -10,57 +10,26 @@
 #include "mem.h"
 #include "loader_io.h"
 
-/* Retry-After of responses to requests that were not run. */
+/* Retry-After where nothing is known of a better time. */
 #define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
-/* Share of the time to its deadline that a request may be queued. */
-#define QUEUE_SHARE_NUM 2
-#define QUEUE_SHARE_DEN 5
-/*
- * A caller gives up on a stream without a first event after the longest of
- * these times.  A stream is queued for a share of that, which leaves the rest
- * to the replica.
- */
-#define FIRST_EVENT_MIN_NS (2 * NSEC_PER_SEC)
-#define FIRST_EVENT_TARGETS 4
-#define FIRST_EVENT_GAPS 8
-#define FIRST_EVENT_SHARE_NUM 2
-#define FIRST_EVENT_SHARE_DEN 3
-/* The caller's own deadline passes first; the one here only cleans up. */
-#define DEADLINE_SLACK_NS (200 * NSEC_PER_MSEC)
-/* Minimum queueing time of a retry; callers wait 2 s or more for an event. */
-#define RETRY_QUEUE_NS (800 * NSEC_PER_MSEC)
 /* A stream that starts this long after SIGTERM may not end in time. */
 #define STREAM_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
 #define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
-static uint64_t stream_queue_time(const struct fleet_route *);
 static int forward_admit(struct forward *, struct err *);
 static enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, struct directory_replica **);
 static int forward_dispatch(struct forward *);
 static int try_waiting(void *, struct waitq_item *);
 static int forward_is_late(const struct forward *);
-static void forward_enqueue(struct forward *, enum balance_result);
 static void forward_free(struct forward *);
-static void forward_refuse(struct forward *, const char *);
 static void forward_on_timer(struct ev_loop *, ev_timer *, int);
-static void forward_set_timer(struct forward *, uint64_t);
 static void forward_record_times(const struct forward *);
 static void forward_next_step(struct forward *, enum attempt_outcome, int);
-static void forward_log(
-    const struct forward *, enum log_id, const char *, const char *);
 static uint32_t max_conns_per_replica(
     const struct entry *, const struct fleet_service *);
 
-static const char *const wait_reasons[] = {
-	[BALANCE_FOUND] = "found",
-	[BALANCE_FULL] = "full",
-	[BALANCE_NO_ADAPTER] = "no-adapter",
-	[BALANCE_NO_MODEL] = "no-model",
-	[BALANCE_NO_REPLICA] = "no-replica",
-};
-
-static void
+void
 forward_log(const struct forward *f, enum log_id id, const char *backend,
     const char *detail)
 {
@@ -82,19 +51,6 @@
 	    detail);
 }
 
-/* Longest time that a stream may be queued before its first event. */
-static uint64_t
-stream_queue_time(const struct fleet_route *r)
-{
-	uint64_t limit_ns = FIRST_EVENT_MIN_NS;
-
-	if (limit_ns < r->target_latency_ns * FIRST_EVENT_TARGETS)
-		limit_ns = r->target_latency_ns * FIRST_EVENT_TARGETS;
-	if (limit_ns < r->target_gap_ns * FIRST_EVENT_GAPS)
-		limit_ns = r->target_gap_ns * FIRST_EVENT_GAPS;
-	return limit_ns * FIRST_EVENT_SHARE_NUM / FIRST_EVENT_SHARE_DEN;
-}
-
 /*
  * Finds the route and sets the deadlines.  Returns 0, or the HTTP status to
  * refuse the request with.
@@ -130,11 +86,6 @@
 	if (f->deadline > f->arrived + r->timeout_ns)
 		f->deadline = f->arrived + r->timeout_ns;
 	f->last_event_id = f->params.last_event_id;
-	f->wait_until = f->arrived +
-	    (f->deadline - f->arrived) * QUEUE_SHARE_NUM / QUEUE_SHARE_DEN;
-	if (r->kind == ROUTE_STREAM &&
-	    f->wait_until > f->arrived + stream_queue_time(r))
-		f->wait_until = f->arrived + stream_queue_time(r);
 	return 0;
 }
 
@@ -159,7 +110,8 @@
 	if (status == 503) {
 		forward_refuse(f,
 		    f->e->stopping ? "this process is stopping"
-				   : "no configuration is known yet");
+				   : "no configuration is known yet",
+		    RETRY_AFTER_NS);
 		return;
 	}
 	if (status != 0) {
@@ -191,7 +143,7 @@
 	free(f);
 }
 
-static void
+void
 forward_set_timer(struct forward *f, uint64_t at)
 {
 	double left = at > f->e->now
@@ -256,8 +208,10 @@
 	result = forward_pick_replica(f, s, &m);
 	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
 		loader_io_request_load(f->e, &f->params);
+	loader_io_set_missing(
+	    f->e, f->params.model, result == BALANCE_NO_MODEL);
 	if (result != BALANCE_FOUND) {
-		forward_enqueue(f, result);
+		forward_wait(f, result);
 		return 0;
 	}
 	if (f->waiting.group != NULL) {
@@ -268,28 +222,6 @@
 	return 1;
 }
 
-static void
-forward_enqueue(struct forward *f, enum balance_result why)
-{
-	uint64_t until;
-
-	if (f->waiting.group != NULL)
-		return;
-	forward_log(f, LOG_REQUEST_WAITS, "", wait_reasons[why]);
-	f->waiting.owner = f;
-	f->waiting.priority = f->route.priority;
-	f->waiting.arrived = f->arrived;
-	f->waiting.target =
-	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
-	waitq_add(&f->e->waiting, &f->waiting, f->service, f->params.model,
-	    f->params.adapter);
-	/* A retry is queued for a minimum time, however late the failure. */
-	until = f->wait_until;
-	if (f->attempts_made != 0 && until < f->e->now + RETRY_QUEUE_NS)
-		until = f->e->now + RETRY_QUEUE_NS;
-	forward_set_timer(f, until < f->deadline ? until : f->deadline);
-}
-
 /* Whether the target time of the first event has passed. */
 static int
 forward_is_late(const struct forward *f)
@@ -312,12 +244,12 @@
 }
 
 /* Ends a request that no replica has run. */
-static void
-forward_refuse(struct forward *f, const char *text)
+void
+forward_refuse(struct forward *f, const char *text, uint64_t retry_after_ns)
 {
 	f->e->counts.refused++;
 	forward_log(f, LOG_REQUEST_REFUSED, "", text);
-	forward_send_error(f, 503, RETRY_AFTER_NS, text);
+	forward_send_error(f, 503, retry_after_ns, text);
 	forward_free(f);
 }
 
@@ -393,6 +325,8 @@
 	switch (attempt_next_step(&facts, end, f->e->now)) {
 	case NEXT_FORWARD:
 		f->e->counts.answered++;
+		pace_add_service(
+		    &f->e->pace, f->service, f->e->now - f->sent_at);
 		forward_record_times(f);
 		forward_finish_response(f);
 		forward_free(f);
@@ -401,7 +335,8 @@
 		forward_dispatch(f);
 		return;
 	case NEXT_REFUSE:
-		forward_refuse(f, "no replica could run the request");
+		forward_refuse(
+		    f, "no replica could run the request", RETRY_AFTER_NS);
 		return;
 	case NEXT_REPORT_UNKNOWN:
 		f->e->counts.unknown_outcome++;
@@ -446,7 +381,7 @@
 		return;
 	}
 	if (f->runs == 0) {
-		forward_refuse(f, "no replica was free in time");
+		forward_waited(f);
 		return;
 	}
 	f->e->counts.unknown_outcome++;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -14,7 +14,6 @@
 	char service[NAME_SIZE];
 	uint64_t arrived;
 	uint64_t deadline;
-	uint64_t wait_until; /* refused if still queued then */
 	ev_timer timer;
 	struct waitq_item waiting; /* in the queue, or in no group */
 	uint32_t attempts_made;
@@ -50,7 +49,17 @@
 void forward_start_attempt(struct forward *, struct directory_replica *);
 /* Subtracts the attempt from the replica's load. */
 void forward_remove_work(struct forward *);
+/* forward_wait.c */
+/* Queues a request that no replica can take now, or refuses it. */
+void forward_wait(struct forward *, enum balance_result);
+/* The time that a request may wait has passed. */
+void forward_waited(struct forward *);
 /* forward.c */
+/* Ends a request that no replica has run; the caller may return after ns. */
+void forward_refuse(struct forward *, const char *, uint64_t);
+void forward_set_timer(struct forward *, uint64_t);
+void forward_log(
+    const struct forward *, enum log_id, const char *, const char *);
 /* Records the end of the attempt and decides on the next step. */
 void forward_attempt_ended(struct forward *, enum attempt_outcome);
 /* response.c */
--- /dev/null
+++ b/entry/forward_wait.c
@@ -0,0 +1,127 @@
+/* Requests that find no replica: how long they wait, and their refusal. */
+#include <stdio.h>
+#include <string.h>
+
+#include "admission.h"
+#include "forward_int.h"
+#include "loader_io.h"
+
+/* Minimum queueing time of a retry; callers wait 2 s or more for an event. */
+#define RETRY_QUEUE_NS (800 * NSEC_PER_MSEC)
+/* From the first request for a missing model until its load starts. */
+#define LOAD_START_NS (500 * NSEC_PER_MSEC)
+#define FIRST_EVENT_NS (50 * NSEC_PER_MSEC) /* beside the prefill */
+/* Until the first requests have been answered. */
+#define SERVICE_TIME_NS (500 * NSEC_PER_MSEC)
+
+static const char *const wait_reasons[] = {
+	[BALANCE_FOUND] = "found",
+	[BALANCE_FULL] = "full",
+	[BALANCE_NO_ADAPTER] = "no-adapter",
+	[BALANCE_NO_MODEL] = "no-model",
+	[BALANCE_NO_REPLICA] = "no-replica",
+};
+
+static struct admission_capacity capacity_for(const struct forward *);
+static struct admission_decision decide(const struct forward *);
+static uint64_t model_ready_at(
+    const struct forward *, const struct fleet_service *);
+
+/* When the model that no replica holds is expected to be loaded. */
+static uint64_t
+model_ready_at(const struct forward *f, const struct fleet_service *s)
+{
+	const struct fleet_model *m =
+	    fleet_find_model(s->engine, f->params.model);
+	uint64_t since = loader_io_missing_since(f->e, f->params.model);
+
+	if (m == NULL || since == 0)
+		return f->e->now;
+	return since + LOAD_START_NS + m->store_load_ns;
+}
+
+static struct admission_capacity
+capacity_for(const struct forward *f)
+{
+	const struct fleet_service *s =
+	    fleet_find_service(f->e->conf, f->service);
+	struct admission_capacity c = { 0, 0, f->e->now };
+	struct balance_request w;
+
+	if (s == NULL)
+		return c;
+	memset(&w, 0, sizeof(w));
+	balance_set_names(&w, f->service, f->params.model, "");
+	c.slots = balance_slots(&f->e->dir, f->e->now, &w);
+	if (f->params.model[0] != '\0')
+		c.waiting = loader_io_waiting(f->e, f->params.model);
+	if (c.slots == 0 && s->engine != NULL)
+		c.ready_at = model_ready_at(f, s);
+	return c;
+}
+
+static struct admission_decision
+decide(const struct forward *f)
+{
+	struct admission_capacity c = capacity_for(f);
+	struct admission_request r;
+
+	memset(&r, 0, sizeof(r));
+	r.kind = f->route.kind;
+	r.started = caller_request_started_at(f->caller);
+	r.deadline = f->deadline;
+	r.target_latency_ns = f->route.target_latency_ns;
+	r.target_gap_ns = f->route.target_gap_ns;
+	if (f->params.model[0] != '\0')
+		r.first_event_ns = FIRST_EVENT_NS +
+		    pace_prefill_ns(
+			&f->e->pace, f->params.model, f->params.prompt_tokens);
+	r.service_ns =
+	    pace_service_ns(&f->e->pace, f->service, SERVICE_TIME_NS);
+	return admission_decide(&r, &c, f->e->now, entry_random(f->e));
+}
+
+void
+forward_wait(struct forward *f, enum balance_result why)
+{
+	struct admission_decision d;
+	char detail[96];
+
+	if (f->waiting.group != NULL)
+		return;
+	d = decide(f);
+	/* A retry waits for a minimum time, however late the failure. */
+	if (f->attempts_made != 0 && d.until < f->e->now + RETRY_QUEUE_NS) {
+		d.until = f->e->now + RETRY_QUEUE_NS;
+		d.step = ADMISSION_WAIT;
+	}
+	if (d.step == ADMISSION_REFUSE) {
+		forward_refuse(
+		    f, "no replica can be free in time", d.retry_after_ns);
+		return;
+	}
+	snprintf(detail, sizeof(detail), "%s until_ms=%llu", wait_reasons[why],
+	    (unsigned long long)((d.until - f->e->now) / NSEC_PER_MSEC));
+	forward_log(f, LOG_REQUEST_WAITS, "", detail);
+	f->waiting.owner = f;
+	f->waiting.priority = f->route.priority;
+	f->waiting.arrived = f->arrived;
+	f->waiting.target =
+	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
+	waitq_add(&f->e->waiting, &f->waiting, f->service, f->params.model,
+	    f->params.adapter);
+	forward_set_timer(f, d.until < f->deadline ? d.until : f->deadline);
+}
+
+void
+forward_waited(struct forward *f)
+{
+	struct admission_decision d = decide(f);
+
+	if (d.step == ADMISSION_WAIT && d.until > f->e->now)
+		forward_set_timer(
+		    f, d.until < f->deadline ? d.until : f->deadline);
+	else
+		forward_refuse(
+		    f, "no replica was free in time", d.retry_after_ns);
+}
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -25,6 +25,12 @@
 #define RETRY_MAX_FOLLOWER_S 2.4 /* if changes come from the hubs */
 #define PEERS_POLL_MIN_S 0.3	 /* doubled after each poll */
 #define PEERS_POLL_MAX_S 5.0
+/* In a large fleet hubs and relays hear of a new process by its reports. */
+#define PEERS_POLL_FOLLOWER_S 60.0
+/* When the whole fleet starts, peers get to know each other first. */
+#define FIRST_START_NS (3 * NSEC_PER_SEC)
+/* Peers send the lists to a new process within this time. */
+#define PEERS_SEND_NS (2500 * NSEC_PER_MSEC)
 /* Poll interval without a watch, for changes that the hubs failed to relay. */
 #define REPLICAS_POLL_S 2.0
 /*
@@ -32,6 +38,7 @@
  * charged, so one response should carry several of them.
  */
 #define WATCH_BATCH_S 0.05
+#define WATCH_BATCH_LARGE_S 0.2 /* with changes all the time */
 
 static void list_read(struct list *);
 static void list_watch(struct list *);
@@ -41,6 +48,7 @@
 static void on_retry(struct ev_loop *, ev_timer *, int);
 static void list_put(struct list *, const struct store_item *);
 static void list_refresh(struct list *);
+static int list_is_due(const struct list *);
 static void list_poll_later(struct list *, double);
 static void list_update_revision(struct list *, int);
 static int list_is_removed(const struct list *, const struct store_item *);
@@ -77,10 +85,12 @@
 		l->prefix = list_handlers[i].prefix;
 		l->retry_s = RETRY_MIN_S;
 		l->poll_s = PEERS_POLL_MIN_S;
+		l->idle = l->id != LIST_PEERS;
 		ev_timer_init(&l->retry, on_retry, 0.0, 0.0);
 		l->retry.data = l;
-		list_read(l);
 	}
+	s->started_at = entry_update_now(s->e);
+	list_read(&s->lists[LIST_PEERS]);
 }
 
 void
@@ -91,6 +101,8 @@
 
 	for (i = 0; i < LIST__MAX; i++) {
 		ev_timer_stop(s->e->loop, &s->lists[i].retry);
+		free(s->lists[i].changes);
+		s->lists[i].changes = NULL;
 		HASH_ITER (hh, s->lists[i].keys, k, next) {
 			HASH_DEL(s->lists[i].keys, k);
 			free(k->value);
@@ -144,13 +156,19 @@
 static void
 list_refresh(struct list *l)
 {
+	const struct peers *p = l->s->e->peers;
+
 	if (l->id == LIST_PEERS) {
 		list_poll_later(l, l->poll_s);
 		l->poll_s *= 2.0;
-		if (l->poll_s > PEERS_POLL_MAX_S)
+		if (l->poll_s > PEERS_POLL_MAX_S && !peers_follow_hubs(p))
 			l->poll_s = PEERS_POLL_MAX_S;
-	} else if (l->id == LIST_REPLICAS &&
-	    !peers_is_active_hub(l->s->e->peers)) {
+		if (l->poll_s > PEERS_POLL_FOLLOWER_S)
+			l->poll_s = PEERS_POLL_FOLLOWER_S;
+	} else if (peers_follow_hubs(p)) {
+		l->revision = 0;
+		l->idle = 1;
+	} else if (l->id == LIST_REPLICAS && !peers_is_active_hub(p)) {
 		list_poll_later(l, REPLICAS_POLL_S);
 	} else if (l->stale_read) {
 		/* A watch from here would miss changes since the old data. */
@@ -160,27 +178,61 @@
 	}
 }
 
+/*
+ * Whether a list is still missing that peers should have sent.  When the whole
+ * fleet starts, nobody has them at first.
+ */
+static int
+list_is_due(const struct list *l)
+{
+	const struct entry *e = l->s->e;
+	int missing = l->id == LIST_CONFIG ? e->conf == NULL : !e->dir.synced;
+
+	if (!l->s->peers_known ||
+	    e->now <
+		l->s->started_at + (e->boot.first_start ? FIRST_START_NS : 0))
+		return 0;
+	if (!peers_use_relays(e->peers) || peers_is_active_hub(e->peers))
+		return 1;
+	return missing && e->now >= l->s->started_at + PEERS_SEND_NS;
+}
+
 void
 session_tick(struct session *s)
 {
-	struct list *l = &s->lists[LIST_REPLICAS];
+	struct list *l;
+	int i;
 
+	for (i = 0; i < LIST__MAX; i++) {
+		l = &s->lists[i];
+		if (l->idle && list_is_due(l))
+			list_read(l);
+	}
+	l = &s->lists[LIST_REPLICAS];
 	if (!l->polling || !peers_is_active_hub(s->e->peers))
 		return;
 	ev_timer_stop(s->e->loop, &l->retry);
 	list_read(l);
 }
 
+void
+session_read_config(struct session *s)
+{
+	if (s->lists[LIST_CONFIG].idle)
+		list_read(&s->lists[LIST_CONFIG]);
+}
+
 static void
 list_read(struct list *l)
 {
 	struct store_request sc;
 
 	if (l->page_after[0] == '\0') {
-		l->stale_read = l->polling &&
-		    (l->id == LIST_PEERS ||
-			!peers_is_active_hub(l->s->e->peers));
+		/* Peers that start now are found by a later poll. */
+		l->stale_read = l->id == LIST_PEERS ||
+		    (l->polling && !peers_is_active_hub(l->s->e->peers));
 		l->polling = 0;
+		l->idle = 0;
 	}
 	store_range_request(l->prefix, l->page_after, l->stale_read, &sc);
 	session_call(l->s, &sc, READ_TIMEOUT_S, on_range_response, l);
@@ -218,6 +270,7 @@
 	    store_range_response(body, len, &page, &err) == -1) {
 		l->page_after[0] = '\0';
 		l->read_revision = 0;
+		l->s->peers_known |= l->id == LIST_PEERS;
 		if (l->stale_read)
 			list_refresh(l);
 		else
@@ -280,7 +333,7 @@
 		    k->revision > l->read_revision ||
 		    (l->stale_read && l->id == LIST_REPLICAS))
 			continue;
-		list_remove_key(l, k);
+		list_remove_key(l, k, l->read_revision, GRACE_UNKNOWN);
 		dropped = 1;
 	}
 	l->revision = l->read_revision;
@@ -291,7 +344,12 @@
 	l->read_revision = 0;
 	l->page_after[0] = '\0';
 	l->retry_s = RETRY_MIN_S;
+	l->s->peers_known |= l->id == LIST_PEERS;
 	list_update_revision(l, dropped);
+	if (l->id == LIST_REPLICAS && !l->stale_read)
+		session_push_changes(l->s,
+		    directory_removal_grace_left(&l->s->e->dir, l->s->e->now));
+	l->nchanges = 0;
 	l->s->e->retry_waiting = 1;
 }
 
@@ -301,8 +359,6 @@
 	struct list *l = ctx;
 	struct store_page page;
 	struct err err;
-	uint64_t from = l->s->e->dir.revision;
-	char *text;
 	size_t page_items;
 	size_t i;
 
@@ -316,10 +372,14 @@
 		log_event(LOG_WATCH_LOST, NULL, "list=%s status=%d at=%llu",
 		    l->prefix, status, (unsigned long long)l->revision);
 		l->revision = 0;
-		list_retry_later(l);
+		if (peers_follow_hubs(l->s->e->peers))
+			l->idle = 1;
+		else
+			list_retry_later(l);
 		return;
 	}
 	l->stale_read = 0;
+	l->grace_ns = GRACE_UNKNOWN;
 	for (i = 0; i < page.n; i++)
 		list_apply_item(l, &page.items[i]);
 	if (page.revision > l->revision)
@@ -329,9 +389,8 @@
 			if (page.items[i].revision > l->s->e->dir.revision)
 				l->s->e->dir.revision = page.items[i].revision;
 		}
-		text = session_changes_text(l->s, from, &page);
-		peers_push_changes(l->s->e->peers, text, strlen(text));
-		free(text);
+		session_push_changes(l->s,
+		    directory_removal_grace_left(&l->s->e->dir, l->s->e->now));
 	}
 	page_items = page.n;
 	store_page_clear(&page);
@@ -343,7 +402,10 @@
 	}
 	if (l->s->closing)
 		return;
-	ev_timer_set(&l->retry, WATCH_BATCH_S, 0.0);
+	ev_timer_set(&l->retry,
+	    peers_use_relays(l->s->e->peers) ? WATCH_BATCH_LARGE_S
+					     : WATCH_BATCH_S,
+	    0.0);
 	ev_timer_start(l->s->e->loop, &l->retry);
 }
 
@@ -358,7 +420,7 @@
 	}
 	HASH_FIND_STR(l->keys, item->key, k);
 	if (k != NULL && k->revision < item->revision)
-		list_remove_key(l, k);
+		list_remove_key(l, k, item->revision, l->grace_ns);
 }
 
 static void
@@ -383,12 +445,16 @@
 		l->s->e->dir.digest ^= hash_version(k->key, k->revision) ^
 		    hash_version(k->key, item->revision);
 	k->revision = item->revision;
+	list_add_change(l, k->key, k->revision);
 	list_handlers[l->id].put(l, k);
 }
 
 void
-list_remove_key(struct list *l, struct list_key *k)
+list_remove_key(
+    struct list *l, struct list_key *k, uint64_t revision, uint64_t grace_ns)
 {
+	list_add_change(l, k->key, revision);
+	l->grace_ns = grace_ns;
 	if (list_handlers[l->id].drop != NULL)
 		list_handlers[l->id].drop(l, k);
 	if (l->id == LIST_REPLICAS)
@@ -455,7 +521,11 @@
 	about.backend = id;
 	log_event(LOG_REPLICA_GONE, &about, "revision=%llu service_up=%d",
 	    (unsigned long long)k->revision, l->s->up);
-	directory_remove(&l->s->e->dir, l->s->e->now, id);
+	if (l->grace_ns == GRACE_UNKNOWN)
+		directory_remove(&l->s->e->dir, l->s->e->now, id);
+	else
+		directory_remove_reported(
+		    &l->s->e->dir, l->s->e->now, id, l->grace_ns);
 }
 
 static void
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -17,6 +17,8 @@
 #define TABLE_INTERVAL_NS (250 * NSEC_PER_MSEC) /* without changes */
 /* A peer that lost a message has the current table after this time. */
 #define FULL_TABLE_INTERVAL_NS (2 * NSEC_PER_SEC)
+/* With many replicas changes come all the time: sent together. */
+#define TABLE_CHANGES_NS (50 * NSEC_PER_MSEC)
 /* Without a table for this long, the holder may have ended. */
 #define HOLDER_SILENT_NS (800 * NSEC_PER_MSEC)
 /*
@@ -32,6 +34,11 @@
 /* A replica without a model it is listed with has restarted or unloaded it. */
 #define ABSENT_AVOID_NS (600 * NSEC_PER_MSEC)
 #define ORDER_TIMEOUT_S 0.6
+#define SERVICE_TIME_NS (2 * NSEC_PER_SEC) /* until it has been measured */
+/* After the last waiting request, so that receivers learn that none waits. */
+#define WAITING_REPORTED_NS (1 * NSEC_PER_SEC)
+/* Reported for so long after the last request, should a report be lost. */
+#define DEMAND_REPORTED_NS (2 * NSEC_PER_SEC)
 /* Sources of demand: this process, then the peers by their index. */
 #define DEMAND_SOURCE_SELF 0
 #define DEMAND_SOURCE_PEERS 1
@@ -40,6 +47,8 @@
 struct demand_count {
 	char wanted[FLEET_NAME_SIZE];
 	uint64_t arrivals;
+	uint64_t busy_at;	/* latest arrival, or request in work */
+	uint64_t missing_since; /* no replica holds the model, 0: one does */
 	uint64_t asked_at;
 	uint32_t running;
 	uint32_t waiting;
@@ -50,6 +59,7 @@
 	struct entry *e;
 	struct loader *loader;
 	struct demand_count *demand_counts;
+	struct demand zone_demand; /* a relay's: of its data centre */
 	uint64_t table_changes;
 	uint64_t table_sent_at;
 	uint64_t table_fencing_token;
@@ -71,8 +81,13 @@
 static void send_orders(
     struct entry *, struct kv_ops *, struct loader_orders *);
 static void on_result(void *, const struct kv_result *);
+static uint64_t engine_service_time(const struct entry *);
+static void count_arrival(struct demand_count *, uint64_t);
 static void count_demand(struct demand_count *, const struct forward *);
+static void add_demand(
+    struct msg_front *, const char *, uint64_t, uint32_t, uint32_t);
 static void update_demand_counts(struct entry *);
+static void apply_demand(struct entry *, struct demand *, const struct msg *);
 static struct demand_count *demand_count_of(struct loader_io *, const char *);
 static const char *wanted_name(const struct request_params *);
 static void table_add(
@@ -114,6 +129,7 @@
 		free(t);
 	}
 	loader_destroy(st->loader);
+	demand_clear(&st->zone_demand);
 	free(st);
 }
 
@@ -137,19 +153,28 @@
 	return w->adapter[0] != '\0' ? w->adapter : w->model;
 }
 
+static void
+count_arrival(struct demand_count *t, uint64_t now)
+{
+	t->arrivals++;
+	t->busy_at = now;
+}
+
 void
 loader_io_count_arrival(struct entry *e, const struct request_params *w)
 {
 	if (w->model[0] == '\0')
 		return;
-	demand_count_of(e->loader_io, w->model)->arrivals++;
+	count_arrival(demand_count_of(e->loader_io, w->model), e->now);
 	if (w->adapter[0] != '\0')
-		demand_count_of(e->loader_io, w->adapter)->arrivals++;
+		count_arrival(
+		    demand_count_of(e->loader_io, w->adapter), e->now);
 }
 
 static void
 count_demand(struct demand_count *t, const struct forward *f)
 {
+	t->busy_at = f->e->now;
 	if (f->waiting.group != NULL)
 		t->waiting++;
 	else
@@ -178,32 +203,74 @@
 	}
 }
 
+static void
+add_demand(struct msg_front *out, const char *wanted, uint64_t arrivals,
+    uint32_t running, uint32_t waiting)
+{
+	struct msg_demand *d;
+
+	if (out->ndemand == MSG_LIST_MAX - 1)
+		return;
+	d = &out->demand[out->ndemand++];
+	snprintf(d->wanted, sizeof(d->wanted), "%s", wanted);
+	d->arrivals = arrivals;
+	d->running = running;
+	d->waiting = waiting;
+}
+
+/* What was not asked for lately is left out. */
 void
 loader_io_fill_demand(struct entry *e, struct msg_front *out)
 {
 	struct loader_io *st = e->loader_io;
-	struct msg_demand *d;
 	struct demand_count *t;
 
 	update_demand_counts(e);
 	out->demand = mem_alloc(
 	    (HASH_COUNT(st->demand_counts) + 1) * sizeof(*out->demand));
 	for (t = st->demand_counts; t != NULL; t = t->hh.next) {
-		if (out->ndemand == MSG_LIST_MAX - 1)
-			break;
-		d = &out->demand[out->ndemand++];
-		snprintf(d->wanted, sizeof(d->wanted), "%s", t->wanted);
-		d->arrivals = t->arrivals;
-		d->running = t->running;
-		d->waiting = t->waiting;
-		demand_update(loader_demand(st->loader), e->now,
-		    DEMAND_SOURCE_SELF, t->wanted, t->arrivals, t->running,
-		    t->waiting);
+		if (e->now > t->busy_at + DEMAND_REPORTED_NS)
+			continue;
+		add_demand(out, t->wanted, t->arrivals, t->running, t->waiting);
+		/* A relay reports this process's demand as well. */
+		if (!peers_use_relays(e->peers))
+			demand_update(loader_demand(st->loader), e->now,
+			    DEMAND_SOURCE_SELF, t->wanted, t->arrivals,
+			    t->running, t->waiting);
 	}
 }
 
 void
-loader_io_apply_demand(struct entry *e, const struct msg *m)
+loader_io_fill_zone_demand(struct entry *e, struct msg_front *out)
+{
+	struct loader_io *st = e->loader_io;
+	struct demand *zone = &st->zone_demand;
+	const struct demand_item *i;
+	struct demand_count *t;
+	uint32_t running;
+	uint32_t waiting;
+
+	update_demand_counts(e);
+	for (t = st->demand_counts; t != NULL; t = t->hh.next) {
+		if (e->now <= t->busy_at + DEMAND_REPORTED_NS)
+			demand_update(zone, e->now, DEMAND_SOURCE_SELF,
+			    t->wanted, t->arrivals, t->running, t->waiting);
+	}
+	out->demand =
+	    mem_alloc((HASH_COUNT(zone->items) + 1) * sizeof(*out->demand));
+	for (i = zone->items; i != NULL; i = i->hh.next) {
+		if (!demand_is_current(i, e->now))
+			continue;
+		running = demand_running_count(i, e->now);
+		waiting = demand_waiting_count(i, e->now);
+		add_demand(out, i->name, i->total, running, waiting);
+		demand_update(loader_demand(st->loader), e->now,
+		    DEMAND_SOURCE_SELF, i->name, i->total, running, waiting);
+	}
+}
+
+static void
+apply_demand(struct entry *e, struct demand *d, const struct msg *m)
 {
 	const struct msg_front *f = &m->u.front;
 	uint32_t peer = peers_index(e->peers, m->from.addr);
@@ -212,10 +279,70 @@
 	if (peer == UINT32_MAX)
 		return;
 	for (i = 0; i < f->ndemand; i++)
-		demand_update(loader_demand(e->loader_io->loader), e->now,
-		    DEMAND_SOURCE_PEERS + peer, f->demand[i].wanted,
-		    f->demand[i].arrivals, f->demand[i].running,
-		    f->demand[i].waiting);
+		demand_update(d, e->now, DEMAND_SOURCE_PEERS + peer,
+		    f->demand[i].wanted, f->demand[i].arrivals,
+		    f->demand[i].running, f->demand[i].waiting);
+}
+
+void
+loader_io_apply_zone_demand(struct entry *e, const struct msg *m)
+{
+	apply_demand(e, &e->loader_io->zone_demand, m);
+}
+
+void
+loader_io_apply_demand(struct entry *e, const struct msg *m)
+{
+	apply_demand(e, loader_demand(e->loader_io->loader), m);
+}
+
+void
+loader_io_set_missing(struct entry *e, const char *model, int missing)
+{
+	struct demand_count *t;
+
+	if (*model == '\0')
+		return;
+	t = demand_count_of(e->loader_io, model);
+	if (!missing)
+		t->missing_since = 0;
+	else if (t->missing_since == 0)
+		t->missing_since = e->now;
+}
+
+uint64_t
+loader_io_missing_since(const struct entry *e, const char *model)
+{
+	const struct demand_count *t;
+
+	HASH_FIND_STR(e->loader_io->demand_counts, model, t);
+	return t == NULL ? 0 : t->missing_since;
+}
+
+uint32_t
+loader_io_waiting(const struct entry *e, const char *model)
+{
+	const struct demand_item *i =
+	    demand_find(loader_demand(e->loader_io->loader), model);
+
+	return i == NULL ? 0 : demand_waiting_count(i, e->now);
+}
+
+void
+loader_io_fill_waiting(struct entry *e, struct msg_front *out)
+{
+	const struct demand *d = loader_demand(e->loader_io->loader);
+	const struct demand_item *i;
+
+	out->demand =
+	    mem_alloc((HASH_COUNT(d->items) + 1) * sizeof(*out->demand));
+	for (i = d->items; i != NULL; i = i->hh.next) {
+		if (i->last_waiting_at != 0 && strchr(i->name, '/') == NULL &&
+		    e->now < i->last_waiting_at + WAITING_REPORTED_NS)
+			add_demand(out, i->name, i->total,
+			    demand_running_count(i, e->now),
+			    demand_waiting_count(i, e->now));
+	}
 }
 
 void
@@ -358,6 +485,20 @@
 	send_orders(e, &kv, &orders);
 }
 
+/* Time that a request takes at the first service with engines. */
+static uint64_t
+engine_service_time(const struct entry *e)
+{
+	uint32_t i;
+
+	for (i = 0; e->conf != NULL && i < e->conf->nservices; i++) {
+		if (e->conf->services[i].engine != NULL)
+			return pace_service_ns(&e->pace,
+			    e->conf->services[i].name, SERVICE_TIME_NS);
+	}
+	return SERVICE_TIME_NS;
+}
+
 void
 loader_io_tick(struct entry *e)
 {
@@ -376,6 +517,7 @@
 	    !e->stopping && e->dir.synced && e->now >= from &&
 		peers_candidate_rank(e->peers) < HUBS_MAX,
 	    0);
+	loader_set_service_time(st->loader, engine_service_time(e));
 	loader_tick(st->loader, e->now, e->conf, &out);
 	send_orders(e, &kv, &orders);
 	loader_get_stats(st->loader, e->now, &t);
@@ -457,10 +599,13 @@
 	uint64_t changes = loader_change_count(st->loader);
 	struct loader_stats t;
 	struct directory_replica *m;
+	uint64_t after;
 	struct msg *msg;
 
-	if (changes == st->table_changes &&
-	    e->now < st->table_sent_at + TABLE_INTERVAL_NS)
+	after = TABLE_INTERVAL_NS;
+	if (changes != st->table_changes)
+		after = peers_use_relays(e->peers) ? TABLE_CHANGES_NS : 0;
+	if (e->now < st->table_sent_at + after)
 		return;
 	if (changes != st->table_changes)
 		e->retry_waiting = 1;
@@ -469,6 +614,8 @@
 	st->holder_heard_at = e->now;
 	loader_get_stats(st->loader, e->now, &t);
 	msg = msg_create(MSG_HELD, "");
+	snprintf(
+	    msg->u.held.holder, sizeof(msg->u.held.holder), "%s", e->self.addr);
 	msg->u.held.fence = t.fence;
 	msg->u.held.is_full =
 	    st->table_fencing_token != t.fence || e->now >= st->full_table_at;
@@ -479,7 +626,7 @@
 	    mem_alloc(MSG_LIST_MAX * sizeof(*msg->u.held.items));
 	for (m = e->dir.replicas; m != NULL; m = m->hh.next)
 		table_add_replica(e, &msg->u.held, m);
-	peers_broadcast(e->peers, msg);
+	peers_send_down(e->peers, msg);
 }
 
 static void
@@ -495,7 +642,7 @@
 		return;
 	st->holder_fencing_token = h->fence;
 	st->holder_heard_at = e->now;
-	snprintf(st->holder, sizeof(st->holder), "%s", msg->from.addr);
+	snprintf(st->holder, sizeof(st->holder), "%s", h->holder);
 	loader_superseded(st->loader, h->fence);
 	for (m = e->dir.replicas; m != NULL && h->is_full; m = m->hh.next)
 		m->info.nadapters = 0;
@@ -523,6 +670,12 @@
 	e->retry_waiting = 1;
 }
 
+int
+loader_io_is_leader(const struct entry *e)
+{
+	return e->loader_io != NULL && e->loader_io->is_holder;
+}
+
 int
 loader_io_is_holder(const struct entry *e, const char *addr)
 {
--- a/entry/loader_io.h
+++ b/entry/loader_io.h
@@ -16,12 +16,22 @@
 /* Whether the process at a bus address is the known lease holder. */
 int loader_io_is_holder(const struct entry *, const char *);
 void loader_io_destroy(struct loader_io *);
+/* Whether this process holds the order lease. */
+int loader_io_is_leader(const struct entry *);
 /* Applies for or renews the order lease; the holder also sends orders. */
 void loader_io_tick(struct entry *);
 /* This process is stopping: releases the order lease. */
 void loader_io_leave(struct entry *);
 /* Counts a new request for a model or adapter. */
 void loader_io_count_arrival(struct entry *, const struct request_params *);
+/* Records whether a model has no copy, as a request has found. */
+void loader_io_set_missing(struct entry *, const char *, int);
+/* Since when a model has had no copy, 0 if it has one. */
+uint64_t loader_io_missing_since(const struct entry *, const char *);
+/* Requests for a model that wait, of all processes. */
+uint32_t loader_io_waiting(const struct entry *, const char *);
+/* As a relay, adds the models that requests wait for to a report. */
+void loader_io_fill_waiting(struct entry *, struct msg_front *);
 /* Asks the holder to load the model or adapter that a request waits for. */
 void loader_io_request_load(struct entry *, const struct request_params *);
 /*
@@ -32,8 +42,11 @@
     const struct request_params *, enum attempt_outcome, int);
 /* Adds this process's demand to a report. */
 void loader_io_fill_demand(struct entry *, struct msg_front *);
-/* Applies the demand in a peer's report. */
+/* Applies the demand in a report of a peer or of another data centre. */
 void loader_io_apply_demand(struct entry *, const struct msg *);
+/* The relay's part: demand of a process of its data centre, and their sum. */
+void loader_io_apply_zone_demand(struct entry *, const struct msg *);
+void loader_io_fill_zone_demand(struct entry *, struct msg_front *);
 /* The process at a bus address is stopping. */
 void loader_io_peer_stopping(struct entry *, const char *);
 /* Handles MSG_HELD (adapter table) and MSG_WANT (load request). */
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -1,4 +1,4 @@
-/* Discovery of peers, election of hubs, and sending to peers. */
+/* Discovery of peers, and sending to peers. */
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,16 +14,12 @@
 #define PEER_SILENT_NS (1500 * NSEC_PER_MSEC)
 #define PEER_FORGET_NS (15 * NSEC_PER_SEC) /* if unlisted */
 #define INBOX_SLOTS 4096
-#define HUB_SILENT_NS (800 * NSEC_PER_MSEC) /* several missed reports */
-/* Time for a starting process to discover its peers. */
-#define HUB_STARTUP_NS (700 * NSEC_PER_MSEC)
 #define HUB_WEIGHT_PER_CORE 100.0 /* hub weights are in 1/100 core */
 
 static void on_bus(void *, struct msg *);
 static void on_inbox(struct ev_loop *, ev_io *, int);
 static void on_result(void *, const struct kv_result *);
 static void receive_msg(struct peers *, struct msg *);
-static void choose_hubs(struct peers *);
 static struct peer *peer_find(struct peers *, const char *);
 static struct peer *peer_add(struct peers *, const char *, const char *);
 
@@ -49,12 +45,16 @@
 	ev_io_start(e->loop, &p->io);
 	snprintf(key, sizeof(key), PEERS_KEY_PREFIX "%s", e->boot.vm);
 	memcpy(p->self.addr, e->self.addr, sizeof(p->self.addr));
+	memcpy(p->self.zone, e->boot.zone, sizeof(p->self.zone));
 	p->self.weight = (uint32_t)(e->boot.cpu_share * HUB_WEIGHT_PER_CORE);
 	p->self.self = 1;
+	p->self_relay = p->self;
 	p->started_at = entry_update_now(e);
 	snprintf(value, sizeof(value),
-	    "{\"bus\":\"%s\",\"incarnation\":%llu,\"weight\":%u}", e->self.addr,
-	    (unsigned long long)e->self.incarnation, p->self.weight);
+	    "{\"bus\":\"%s\",\"incarnation\":%llu,\"weight\":%u,"
+	    "\"zone\":\"%s\"}",
+	    e->self.addr, (unsigned long long)e->self.incarnation,
+	    p->self.weight, e->boot.zone);
 	p->announce = announce_create(&config, key, value, &p->ids);
 	return p;
 }
@@ -130,6 +130,7 @@
 		return q;
 	q = mem_alloc(sizeof(*q));
 	snprintf(q->hub.addr, sizeof(q->hub.addr), "%s", addr);
+	snprintf(q->relay.addr, sizeof(q->relay.addr), "%s", addr);
 	snprintf(q->vm, sizeof(q->vm), "%s", vm);
 	q->index = p->next_index++;
 	HASH_ADD_STR(p->peers, hub.addr, q);
@@ -143,13 +144,17 @@
 {
 	json_t *doc = json_loads(value, 0, NULL);
 	const char *addr = json_string_value(json_object_get(doc, "bus"));
+	const char *zone;
 	struct peer *q;
 
 	if (addr != NULL && strcmp(addr, p->e->self.addr) != 0) {
 		q = peer_add(p, addr, vm);
 		q->listed = 1;
-		q->hub.weight = (uint32_t)json_integer_value(
-		    json_object_get(doc, "weight"));
+		zone = json_string_value(json_object_get(doc, "zone"));
+		peer_set_rank(q,
+		    (uint32_t)json_integer_value(
+			json_object_get(doc, "weight")),
+		    zone == NULL ? "" : zone);
 		snprintf(q->vm, sizeof(q->vm), "%s", vm);
 	}
 	json_decref(doc);
@@ -199,6 +204,7 @@
 		    q->hub.addr);
 	q->reachable = 1;
 	q->hub.heard_at = p->e->now;
+	q->relay.heard_at = p->e->now;
 	switch (m->kind) {
 	case MSG_FRONT:
 		peers_apply_report(p, q, m);
@@ -209,60 +215,16 @@
 	case MSG_CONF_CHUNK:
 		peers_apply_text(p, m);
 		break;
+	case MSG_HELD:
+		peers_relay_table(p, m);
+		loader_io_receive(p->e, m);
+		break;
 	default:
 		loader_io_receive(p->e, m);
 		break;
 	}
 }
 
-/* Elects the hubs, and assigns a hub to each peer. */
-static void
-choose_hubs(struct peers *p)
-{
-	struct hub **all;
-	struct peer *q;
-	uint32_t n = 0;
-	int was_hub = p->self.hub_since != 0;
-
-	all = mem_alloc((peers_count(p) + 1) * sizeof(struct hub *));
-	if (!p->e->stopping)
-		all[n++] = &p->self;
-	for (q = p->peers; q != NULL; q = q->hh.next)
-		all[n++] = &q->hub;
-	p->nhubs = hubs_choose(all, n, p->e->now, HUB_SILENT_NS, p->hubs);
-	free(all);
-	for (q = p->peers; q != NULL && p->nhubs != 0; q = q->hh.next)
-		q->relay_rank = hubs_index_for(q->hub.addr, p->nhubs);
-	if (was_hub != (p->self.hub_since != 0))
-		log_event(LOG_HUB, NULL, "hub=%d hubs=%u peers=%u", !was_hub,
-		    p->nhubs, peers_count(p));
-}
-
-uint32_t
-peers_hub_rank(const struct peers *p)
-{
-	uint32_t rank;
-
-	for (rank = 0; rank < p->nhubs && p->hubs[rank] != &p->self; rank++)
-		continue;
-	return rank;
-}
-
-uint32_t
-peers_candidate_rank(const struct peers *p)
-{
-	uint32_t rank = peers_hub_rank(p);
-
-	return rank < p->nhubs ? rank : HUBS_MAX + 1;
-}
-
-int
-peers_is_active_hub(const struct peers *p)
-{
-	return p->self.hub_since != 0 &&
-	    p->e->now >= p->started_at + HUB_STARTUP_NS;
-}
-
 void
 peers_send(struct peers *p, struct msg *m)
 {
@@ -303,7 +265,7 @@
 	TAILQ_INIT(&ops);
 	announce_tick(p->announce, p->e->now, &ops);
 	session_send(p->e->session, &ops, on_result, p);
-	choose_hubs(p);
+	peers_choose(p);
 	peers_report(p);
 	HASH_ITER (hh, p->peers, q, next) {
 		if (q->reachable &&
@@ -331,6 +293,5 @@
 	TAILQ_INIT(&ops);
 	announce_release(p->announce, &ops);
 	session_send(p->e->session, &ops, on_result, p);
-	p->report_at = 0;
-	peers_report(p);
+	peers_report_to_all(p);
 }
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -26,14 +26,25 @@
 void peers_leave(struct peers *);
 /* Sends a message to every peer; takes ownership of it. */
 void peers_broadcast(struct peers *, struct msg *);
+/*
+ * Sends a message to every peer, in a large fleet through the relays, which
+ * pass it on; takes ownership of it.
+ */
+void peers_send_down(struct peers *, struct msg *);
 /* Sends a message to the peer it is addressed to; takes ownership of it. */
 void peers_send(struct peers *, struct msg *);
 /* Brings the next report forward after a change of this process's load. */
 void peers_report_soon(struct peers *);
 /* Whether this process watches the list of replicas on behalf of others. */
 int peers_is_active_hub(const struct peers *);
-/* As a hub, sends changes of the list to the peers assigned to this process. */
+/* Whether reports and lists go through relays, as in a large fleet. */
+int peers_use_relays(const struct peers *);
+/* Whether the lists come from hubs alone, as in a large fleet. */
+int peers_follow_hubs(const struct peers *);
+/* As a hub or relay, passes changes of the list on. */
 void peers_push_changes(struct peers *, const char *, size_t);
+/* As a hub or relay of a large fleet, passes the configuration on. */
+void peers_push_config(struct peers *);
 /* Number of known peers, not counting this process. */
 uint32_t peers_count(const struct peers *);
 /* Index of the peer at a bus address as a report source; UINT32_MAX if none. */
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -1,4 +1,4 @@
-/* State of the peers, shared by peers.c, report.c and pull.c. */
+/* State of the peers, shared by peers.c, relays.c, report.c and pull.c. */
 #ifndef PEERS_INT_H
 #define PEERS_INT_H
 
@@ -12,11 +12,12 @@
 
 struct peer {
 	char vm[NAME_SIZE];
-	struct hub hub;	     /* its bus address and when it was last heard */
-	uint32_t relay_rank; /* rank of the hub that relays changes to it */
-	uint32_t index;	     /* in the directory's per-peer tables */
-	int listed;	     /* has a key in the store */
-	int reachable;	     /* heard within PEER_SILENT_NS */
+	struct hub hub;	   /* its bus address and when it was last heard */
+	struct hub relay;  /* the same, as a candidate for relay */
+	uint32_t hub_rank; /* rank of the hub that sends changes to it */
+	uint32_t index;	   /* in the directory's per-peer tables */
+	int listed;	   /* has a key in the store */
+	int reachable;	   /* heard within PEER_SILENT_NS */
 	uint64_t incarnation;
 	uint64_t seq; /* of its latest report */
 	UT_hash_handle hh;
@@ -34,20 +35,38 @@
 	uint64_t report_at;	 /* time of the next report */
 	uint64_t pull_config_at; /* earliest time of the next pull */
 	uint64_t pull_list_at;
-	uint64_t newer_revision; /* of a peer's list, 0 for none */
-	uint64_t newer_since;	 /* when it was first reported */
-	uint64_t answers_since;	 /* start of the current window */
-	uint32_t answers;	 /* texts sent in the window */
+	uint64_t newer_revision;      /* of a peer's list, 0 for none */
+	uint64_t newer_since;	      /* when it was first reported */
+	uint64_t config_behind_since; /* of a peer's version, 0: it is not */
+	uint64_t answers_since;	      /* start of the current window */
+	uint32_t answers;	      /* texts sent in the window */
 	uint64_t started_at;
 	struct hub self;
+	struct hub self_relay;
+	struct hub *relay; /* of this data centre, NULL before it is known */
+	int knows_fleet;   /* the relays of other data centres are followed */
 	uint32_t nhubs;
 	struct hub *hubs[HUBS_MAX];
 };
 
-/* peers.c */
+/* relays.c */
 /* Rank of this process among the hubs; nhubs if it is not a hub. */
 uint32_t peers_hub_rank(const struct peers *);
+/* Chooses the hubs and relays; called at every tick. */
+void peers_choose(struct peers *);
+/* Sends a message to all processes of this data centre. */
+void peers_send_to_own_zone(struct peers *, struct msg *);
+/* Passes on an adapter table that came from its holder. */
+void peers_relay_table(struct peers *, const struct msg *);
+/* Sets the CPU share and data centre that rank a peer. */
+void peer_set_rank(struct peer *, uint32_t, const char *);
+/* Whether this process is the relay of its data centre. */
+int peers_is_relay(const struct peers *);
+/* Whether a peer is in the data centre of this process. */
+int peers_in_zone(const struct peers *, const struct peer *);
 /* report.c */
+/* Sends this process's own work and demand to every peer. */
+void peers_report_to_all(struct peers *);
 /* Sends a report of this process's work if one is due. */
 void peers_report(struct peers *);
 /* Applies a peer's report; older ones than the latest are ignored. */
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -3,6 +3,7 @@
  * processes: hubs push changes, and a process that is behind pulls the whole
  * text from a peer.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,7 +23,11 @@
 #define PUSH_LIST 2 /* changes of the list of replicas */
 /* Hubs normally push a change within this time; later it is pulled. */
 #define PUSH_DELAY_NS (150 * NSEC_PER_MSEC)
+#define READ_CONFIG_NS (1 * NSEC_PER_SEC)
 
+static void compare_config(struct peers *, const struct peer *, uint64_t);
+static struct msg *compose_text(uint64_t, const char *, size_t);
+static void push_text(struct peers *, struct msg *);
 static int is_behind(
     struct peers *, const struct peer *, const struct msg_front *);
 static void send_pull(struct peers *, const char *, uint64_t, uint64_t *);
@@ -66,14 +71,33 @@
 	bus_send(p->bus, m);
 }
 
-void
-peers_compare_versions(
-    struct peers *p, const struct peer *q, const struct msg_front *f)
+/* A version that is not pushed or pulled in time is read from the store. */
+static void
+compare_config(struct peers *p, const struct peer *q, uint64_t version)
 {
 	const struct fleet_conf *conf = p->e->conf;
 
-	if (conf == NULL || f->version > conf->version)
+	if (conf != NULL && version <= conf->version) {
+		if (version == conf->version)
+			p->config_behind_since = 0;
+		return;
+	}
+	if (p->config_behind_since == 0)
+		p->config_behind_since = p->e->now;
+	if (conf == NULL || p->e->now >= p->config_behind_since + PUSH_DELAY_NS)
 		send_pull(p, q->hub.addr, PULL_CONFIG, &p->pull_config_at);
+	if (p->e->now < p->config_behind_since + READ_CONFIG_NS)
+		return;
+	p->config_behind_since = p->e->now;
+	session_read_config(p->e->session);
+}
+
+void
+peers_compare_versions(
+    struct peers *p, const struct peer *q, const struct msg_front *f)
+{
+	if (f->version != 0)
+		compare_config(p, q, f->version);
 	if (is_behind(p, q, f))
 		send_pull(p, q->hub.addr, PULL_LIST, &p->pull_list_at);
 }
@@ -105,11 +129,10 @@
 		free(text);
 		return;
 	}
-	reply = msg_create(MSG_CONF_CHUNK, m->from.addr);
-	reply->u.conf.nonce = m->u.conf.nonce;
-	reply->u.conf.bytes = text;
-	reply->u.conf.len = (uint32_t)len;
+	reply = compose_text(m->u.conf.nonce, text, len);
+	snprintf(reply->to, sizeof(reply->to), "%s", m->from.addr);
 	bus_send(p->bus, reply);
+	free(text);
 }
 
 void
@@ -123,23 +146,62 @@
 		send_pull(p, m->from.addr, PULL_LIST, &p->pull_list_at);
 }
 
-void
-peers_push_changes(struct peers *p, const char *text, size_t len)
+static struct msg *
+compose_text(uint64_t what, const char *text, size_t len)
+{
+	struct msg *m = msg_create(MSG_CONF_CHUNK, "");
+
+	m->u.conf.nonce = what;
+	m->u.conf.bytes = mem_alloc(len + 1);
+	memcpy(m->u.conf.bytes, text, len);
+	m->u.conf.len = (uint32_t)len;
+	return m;
+}
+
+/*
+ * In a large fleet every hub sends to every relay, so that a hub that hears
+ * nothing delays nobody.
+ */
+static void
+push_text(struct peers *p, struct msg *m)
 {
+	struct msg *copy;
 	struct peer *q;
-	struct msg *m;
 	uint32_t rank = peers_hub_rank(p);
 
-	if (rank == p->nhubs || len > MSG_BYTES_MAX)
+	if (peers_use_relays(p)) {
+		if (rank < p->nhubs)
+			peers_send_down(p, m);
+		else if (peers_is_relay(p))
+			peers_send_to_own_zone(p, m);
+		else
+			msg_destroy(m);
 		return;
+	}
 	for (q = p->peers; q != NULL; q = q->hh.next) {
-		if (q->relay_rank != rank)
+		if (rank == p->nhubs || q->hub_rank != rank)
 			continue;
-		m = msg_create(MSG_CONF_CHUNK, q->hub.addr);
-		m->u.conf.nonce = PUSH_LIST;
-		m->u.conf.bytes = mem_alloc(len + 1);
-		memcpy(m->u.conf.bytes, text, len);
-		m->u.conf.len = (uint32_t)len;
-		bus_send(p->bus, m);
+		copy = msg_copy(m);
+		snprintf(copy->to, sizeof(copy->to), "%s", q->hub.addr);
+		bus_send(p->bus, copy);
 	}
+	msg_destroy(m);
+}
+
+void
+peers_push_changes(struct peers *p, const char *text, size_t len)
+{
+	if (len <= MSG_BYTES_MAX)
+		push_text(p, compose_text(PUSH_LIST, text, len));
+}
+
+void
+peers_push_config(struct peers *p)
+{
+	struct entry *e = p->e;
+
+	/* In a small fleet every process watches the configuration. */
+	if (peers_use_relays(p) && e->conf_len <= MSG_BYTES_MAX)
+		push_text(
+		    p, compose_text(PULL_CONFIG, e->conf_text, e->conf_len));
 }
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -7,12 +7,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "peers.h"
 #include "session.h"
 #include "session_int.h"
 
 static json_t *pack_item(const char *, const char *, size_t, uint64_t);
-static char *pack_list(const struct session *, uint64_t, int, json_t *);
+static char *pack_list(
+    const struct session *, uint64_t, int, uint64_t, json_t *);
 static void apply_item(struct list *, const json_t *);
 static void remove_unlisted(struct list *, uint64_t);
 
@@ -27,7 +29,8 @@
 }
 
 static char *
-pack_list(const struct session *s, uint64_t from, int whole, json_t *items)
+pack_list(const struct session *s, uint64_t from, int whole, uint64_t grace_ns,
+    json_t *items)
 {
 	const struct directory *d = &s->e->dir;
 	json_t *doc;
@@ -35,8 +38,7 @@
 
 	doc = json_pack("{s:I,s:I,s:b,s:I,s:o}", "from", (json_int_t)from, "at",
 	    (json_int_t)d->revision, "whole", whole, "lapse_ns",
-	    (json_int_t)directory_removal_grace_left(d, s->e->now), "items",
-	    items);
+	    (json_int_t)grace_ns, "items", items);
 	text = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	return text;
@@ -51,23 +53,53 @@
 	for (k = s->lists[LIST_REPLICAS].keys; k != NULL; k = k->hh.next)
 		json_array_append_new(
 		    items, pack_item(k->key, k->value, k->len, k->revision));
-	return pack_list(s, 0, 1, items);
+	return pack_list(s, 0, 1,
+	    directory_removal_grace_left(&s->e->dir, s->e->now), items);
 }
 
-char *
-session_changes_text(
-    const struct session *s, uint64_t from, const struct store_page *page)
+void
+list_add_change(struct list *l, const char *key, uint64_t revision)
 {
-	const struct store_item *i;
-	json_t *items = json_array();
-	size_t n;
+	struct list_change *c;
 
-	for (n = 0; n < page->n; n++) {
-		i = &page->items[n];
-		json_array_append_new(
-		    items, pack_item(i->key, i->value, i->len, i->revision));
+	if (l->id != LIST_REPLICAS)
+		return;
+	if (l->nchanges == 0)
+		l->changed_from = l->s->e->dir.revision;
+	if (l->nchanges == l->changes_size) {
+		l->changes_size = l->changes_size * 2 + 16;
+		l->changes =
+		    mem_grow(l->changes, l->changes_size, sizeof(*l->changes));
 	}
-	return pack_list(s, from, 0, items);
+	c = &l->changes[l->nchanges++];
+	snprintf(c->key, sizeof(c->key), "%s", key);
+	c->revision = revision;
+}
+
+void
+session_push_changes(struct session *s, uint64_t grace_ns)
+{
+	struct list *l = &s->lists[LIST_REPLICAS];
+	const struct list_key *k;
+	json_t *items;
+	char *text;
+	uint32_t i;
+
+	if (l->nchanges == 0)
+		return;
+	items = json_array();
+	for (i = 0; i < l->nchanges; i++) {
+		HASH_FIND_STR(l->keys, l->changes[i].key, k);
+		json_array_append_new(items,
+		    k == NULL
+			? pack_item(l->changes[i].key, NULL, 0,
+			      l->changes[i].revision)
+			: pack_item(k->key, k->value, k->len, k->revision));
+	}
+	text = pack_list(s, l->changed_from, 0, grace_ns, items);
+	peers_push_changes(s->e->peers, text, strlen(text));
+	free(text);
+	l->nchanges = 0;
 }
 
 static void
@@ -96,7 +128,7 @@
 
 	HASH_ITER (hh, l->keys, k, next) {
 		if (k->generation != l->generation && k->revision <= at)
-			list_remove_key(l, k);
+			list_remove_key(l, k, at, l->grace_ns);
 	}
 }
 
@@ -108,6 +140,7 @@
 	const json_t *item;
 	json_t *doc;
 	uint64_t at;
+	uint64_t grace_ns;
 	size_t i;
 	int whole;
 	int busy;
@@ -132,8 +165,14 @@
 		json_decref(doc);
 		return -1;
 	}
-	directory_extend_removal_grace(&e->dir, e->now,
-	    (uint64_t)json_integer_value(json_object_get(doc, "lapse_ns")));
+	/*
+	 * Whether removed entries may come back is known to the process that
+	 * learned it from the store; this one may have been turned away.
+	 */
+	grace_ns =
+	    (uint64_t)json_integer_value(json_object_get(doc, "lapse_ns"));
+	directory_extend_removal_grace(&e->dir, e->now, grace_ns);
+	l->grace_ns = grace_ns;
 	l->generation += (uint32_t)whole;
 	json_array_foreach (json_object_get(doc, "items"), i, item)
 		apply_item(l, item);
@@ -142,6 +181,7 @@
 	json_decref(doc);
 	e->dir.synced = 1;
 	e->dir.revision = at;
+	session_push_changes(s, grace_ns);
 	e->retry_waiting = 1;
 	return 0;
 }
--- a/entry/report.c
+++ b/entry/report.c
@@ -1,6 +1,8 @@
 /*
- * Load reports between the entry processes: sent to every peer in a small
- * fleet, aggregated by the hubs in a large one.
+ * Load reports between the entry processes.  In a small fleet each process
+ * reports to all.  In a large one reports go up and down a tree: a process to
+ * the relay of its data centre, relays to each other and to the hubs as sums,
+ * and each relay the rest of the fleet's work to the processes of its own.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,17 +14,40 @@
 
 #define REPORT_NS (100 * NSEC_PER_MSEC)	    /* report interval */
 #define REPORT_SOON_NS (10 * NSEC_PER_MSEC) /* after a change of load */
-/* With more peers, reports go to the hubs, which aggregate them. */
-#define REPORT_DIRECT_MAX_PEERS 15
-#define REPORT_VIA_HUBS_NS (200 * NSEC_PER_MSEC)
-
-static struct msg *compose_report(struct peers *);
-static struct replica_load *sum_peer_work(const struct peers *);
-static struct replica_load peer_work(const struct peers *, const struct peer *,
-    const struct directory_replica *);
-static void add_peer_work(const struct peers *, const struct replica_load *,
-    const struct peer *, struct msg_front *);
-static void report_via_hubs(struct peers *, struct msg *);
+#define REPORT_TREE_NS (200 * NSEC_PER_MSEC)
+
+/* Peers whose work is part of a sum, by index. */
+struct selection {
+	uint32_t n;
+	char *selected;
+};
+
+static struct msg *compose_report(struct peers *, enum front_scope);
+static int is_selected(const void *, uint32_t);
+static int reports_load(
+    const struct peers *, const struct peer *, const struct msg_front *);
+static struct replica_load *sum_work(
+    const struct peers *, int (*)(const void *, uint32_t), const void *);
+static int select_every(const void *, uint32_t);
+static void fill_work(struct peers *, struct msg_front *,
+    const struct replica_load *, const struct peer *);
+static void send_copy(struct peers *, const struct msg *, const char *);
+static void relay_to_fleet(struct peers *);
+static void relay_to_zone(struct peers *);
+static void send_beats(struct peers *);
+
+/* Whether a report's work is not contained in another one that is applied. */
+static int
+reports_load(
+    const struct peers *p, const struct peer *q, const struct msg_front *f)
+{
+	if (!peers_use_relays(p))
+		return f->scope == FRONT_OWN;
+	if (peers_is_relay(p))
+		return f->scope == FRONT_ZONE ||
+		    (f->scope == FRONT_OWN && peers_in_zone(p, q));
+	return f->scope == FRONT_ALL;
+}
 
 void
 peers_apply_report(struct peers *p, struct peer *q, const struct msg *m)
@@ -36,59 +61,68 @@
 		return;
 	q->seq = m->seq;
 	snprintf(q->vm, sizeof(q->vm), "%s", f->vm);
-	q->hub.weight = f->weight;
-	directory_reset_peer_load(&e->dir, e->now, q->index);
-	for (i = 0; i < f->nwork; i++) {
-		w.running = f->work[i].running;
-		w.unread_us = f->work[i].unread_us;
-		w.recent_us = f->work[i].recent_us;
-		w.tokens = f->work[i].tokens;
-		directory_set_peer_load(
-		    &e->dir, q->index, f->work[i].replica, &w);
+	peer_set_rank(q, f->weight, f->zone);
+	if (reports_load(p, q, f)) {
+		directory_reset_peer_load(&e->dir, e->now, q->index);
+		for (i = 0; i < f->nwork; i++) {
+			w.running = f->work[i].running;
+			w.unread_us = f->work[i].unread_us;
+			w.recent_us = f->work[i].recent_us;
+			w.tokens = f->work[i].tokens;
+			directory_set_peer_load(
+			    &e->dir, q->index, f->work[i].replica, &w);
+		}
 	}
-	loader_io_apply_demand(e, m);
+	/* Hubs and relays have the sums of all data centres. */
+	if (!peers_use_relays(p) || f->scope == FRONT_ZONE ||
+	    (f->scope == FRONT_ALL && !p->knows_fleet))
+		loader_io_apply_demand(e, m);
+	else if (f->scope == FRONT_OWN && peers_is_relay(p) &&
+	    peers_in_zone(p, q))
+		loader_io_apply_zone_demand(e, m);
 	if (f->stopping)
 		loader_io_peer_stopping(e, q->hub.addr);
 	peers_compare_versions(p, q, f);
 }
 
 static struct msg *
-compose_report(struct peers *p)
+compose_report(struct peers *p, enum front_scope scope)
 {
 	struct entry *e = p->e;
-	struct directory_replica *r;
-	struct msg_work *w;
 	struct msg *m;
-	uint32_t recent;
 
 	m = msg_create(MSG_FRONT, "");
 	snprintf(m->u.front.vm, sizeof(m->u.front.vm), "%s", e->boot.vm);
+	snprintf(m->u.front.zone, sizeof(m->u.front.zone), "%s", e->boot.zone);
+	m->u.front.scope = scope;
 	m->u.front.version = e->conf == NULL ? 0 : e->conf->version;
 	m->u.front.list_revision = e->dir.revision;
 	m->u.front.list_digest = e->dir.digest;
 	m->u.front.stopping = (uint32_t)e->stopping;
 	m->u.front.weight = p->self.weight;
-	m->u.front.work = mem_alloc(
-	    (HASH_COUNT(e->dir.replicas) + 1) * sizeof(*m->u.front.work));
-	for (r = e->dir.replicas; r != NULL; r = r->hh.next) {
-		recent = directory_recent_prefill_us(&e->dir, e->now, r);
-		if ((r->local_load.running == 0 && recent == 0) ||
-		    m->u.front.nwork == MSG_LIST_MAX - 1)
-			continue;
-		w = &m->u.front.work[m->u.front.nwork++];
-		snprintf(w->replica, sizeof(w->replica), "%s", r->info.id);
-		w->running = r->local_load.running;
-		w->unread_us = r->local_load.unread_us;
-		w->recent_us = recent;
-		w->tokens = r->local_load.tokens;
-	}
-	loader_io_fill_demand(e, &m->u.front);
 	return m;
 }
 
-/* Sums the work of all peers per replica, in the directory's order. */
+static int
+is_selected(const void *ctx, uint32_t peer)
+{
+	const struct selection *s = ctx;
+
+	return peer < s->n && s->selected[peer];
+}
+
+static int
+select_every(const void *ctx, uint32_t peer)
+{
+	(void)ctx;
+	(void)peer;
+	return 1;
+}
+
+/* Sums the work of the selected peers per replica, in the directory's order. */
 static struct replica_load *
-sum_peer_work(const struct peers *p)
+sum_work(const struct peers *p, int (*select)(const void *, uint32_t),
+    const void *ctx)
 {
 	const struct directory_replica *r = p->e->dir.replicas;
 	struct replica_load *all;
@@ -96,104 +130,156 @@
 
 	all = mem_alloc((HASH_COUNT(r) + 1) * sizeof(*all));
 	for (w = all; r != NULL; r = r->hh.next, w++)
-		*w = directory_peers_load(&p->e->dir, p->e->now, r);
+		*w = directory_selected_load(
+		    &p->e->dir, p->e->now, r, select, ctx);
 	return all;
 }
 
-/* The work on a replica in a peer's latest report. */
-static struct replica_load
-peer_work(const struct peers *p, const struct peer *q,
-    const struct directory_replica *r)
+/*
+ * Fills in this process's work, and that of others if given, less the work of
+ * the receiver.
+ */
+static void
+fill_work(struct peers *p, struct msg_front *f,
+    const struct replica_load *others, const struct peer *to)
 {
-	return directory_peer_load(&p->e->dir, p->e->now, r, q->index);
+	struct directory *d = &p->e->dir;
+	const struct directory_replica *r;
+	struct replica_load none = { 0, 0, 0, 0 };
+	struct replica_load less = none;
+	const struct replica_load *add = others == NULL ? &none : others;
+	struct msg_work *w;
+
+	f->work = mem_alloc((HASH_COUNT(d->replicas) + 1) * sizeof(*f->work));
+	for (r = d->replicas; r != NULL && f->nwork < MSG_LIST_MAX - 1;
+	     r = r->hh.next) {
+		if (to != NULL)
+			less = directory_peer_load(d, p->e->now, r, to->index);
+		w = &f->work[f->nwork];
+		w->running =
+		    r->local_load.running + add->running - less.running;
+		w->unread_us =
+		    r->local_load.unread_us + add->unread_us - less.unread_us;
+		w->recent_us = directory_recent_prefill_us(d, p->e->now, r) +
+		    add->recent_us - less.recent_us;
+		w->tokens = r->local_load.tokens + add->tokens - less.tokens;
+		if (others != NULL)
+			add++;
+		if (w->running == 0 && w->recent_us == 0)
+			continue;
+		memcpy(w->replica, r->info.id, NAME_SIZE);
+		f->nwork++;
+	}
 }
 
-/* Adds all peers' work, except the receiver's, to a copy of a hub's report. */
 static void
-add_peer_work(const struct peers *p, const struct replica_load *all,
-    const struct peer *to, struct msg_front *f)
+send_copy(struct peers *p, const struct msg *m, const char *addr)
 {
-	const struct directory_replica *r = p->e->dir.replicas;
-	struct replica_load own;
-	const struct msg_work *here;
-	struct msg_work *list;
-	uint32_t at = 0;
-	uint32_t n = 0;
-
-	list = mem_alloc((HASH_COUNT(r) + 1) * sizeof(*list));
-	for (; r != NULL && n < MSG_LIST_MAX - 1; r = r->hh.next, all++) {
-		own = peer_work(p, to, r);
-		/* The report lists replicas in the same order. */
-		here = at < f->nwork &&
-			strcmp(f->work[at].replica, r->info.id) == 0
-		    ? &f->work[at++]
-		    : NULL;
-		if (here != NULL)
-			list[n] = *here;
-		list[n].running += all->running - own.running;
-		list[n].unread_us += all->unread_us - own.unread_us;
-		list[n].recent_us += all->recent_us - own.recent_us;
-		list[n].tokens += all->tokens - own.tokens;
-		if (list[n].running == 0 && list[n].recent_us == 0)
-			continue;
-		memcpy(list[n++].replica, r->info.id, NAME_SIZE);
+	struct msg *copy = msg_copy(m);
+
+	snprintf(copy->to, sizeof(copy->to), "%s", addr);
+	bus_send(p->bus, copy);
+}
+
+/* Reports the sum of this data centre to the relays, hubs and the holder. */
+static void
+relay_to_fleet(struct peers *p)
+{
+	struct selection s = { p->next_index, NULL };
+	struct replica_load *zone;
+	struct peer *q;
+	struct msg *m = compose_report(p, FRONT_ZONE);
+
+	s.selected = mem_alloc(p->next_index + 1);
+	for (q = p->peers; q != NULL; q = q->hh.next)
+		s.selected[q->index] = (char)peers_in_zone(p, q);
+	zone = sum_work(p, is_selected, &s);
+	fill_work(p, &m->u.front, zone, NULL);
+	loader_io_fill_zone_demand(p->e, &m->u.front);
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (q->relay.hub_since != 0 || q->hub.hub_since != 0 ||
+		    loader_io_is_holder(p->e, q->hub.addr))
+			send_copy(p, m, q->hub.addr);
 	}
-	free(f->work);
-	f->work = list;
-	f->nwork = n;
+	free(zone);
+	free(s.selected);
+	msg_destroy(m);
 }
 
-/*
- * In a large fleet, reports go to the hubs and the lease holder; hubs send the
- * aggregate to the other processes.
- */
+/* Reports the work of all others to each process of this data centre. */
 static void
-report_via_hubs(struct peers *p, struct msg *report)
+relay_to_zone(struct peers *p)
 {
-	uint32_t rank = peers_hub_rank(p);
-	struct replica_load *all = NULL;
-	struct msg *m;
+	struct replica_load *all = sum_work(p, select_every, NULL);
 	struct peer *q;
+	struct msg *m;
 
-	if (rank < p->nhubs)
-		all = sum_peer_work(p);
 	for (q = p->peers; q != NULL; q = q->hh.next) {
-		if (rank == p->nhubs && q->hub.hub_since == 0 &&
-		    !loader_io_is_holder(p->e, q->hub.addr))
+		if (!peers_in_zone(p, q))
 			continue;
-		m = msg_copy(report);
+		m = compose_report(p, FRONT_ALL);
 		snprintf(m->to, sizeof(m->to), "%s", q->hub.addr);
-		if (rank < p->nhubs && q->hub.hub_since == 0) {
-			/* Its own hub reports this hub's work as well. */
-			if (q->relay_rank == rank)
-				add_peer_work(p, all, q, &m->u.front);
-			else
-				m->u.front.nwork = 0;
-		}
+		fill_work(p, &m->u.front, all, q);
+		loader_io_fill_waiting(p->e, &m->u.front);
 		bus_send(p->bus, m);
 	}
 	free(all);
-	msg_destroy(report);
+}
+
+/* A hub tells all that it lives, and which versions it has. */
+static void
+send_beats(struct peers *p)
+{
+	struct msg *m = compose_report(p, FRONT_BEAT);
+	struct peer *q;
+
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (!peers_is_relay(p) || !peers_in_zone(p, q))
+			send_copy(p, m, q->hub.addr);
+	}
+	msg_destroy(m);
 }
 
 void
 peers_report_soon(struct peers *p)
 {
-	if (peers_count(p) <= REPORT_DIRECT_MAX_PEERS &&
-	    p->report_at > p->e->now + REPORT_SOON_NS)
+	if (!peers_use_relays(p) && p->report_at > p->e->now + REPORT_SOON_NS)
 		p->report_at = p->e->now + REPORT_SOON_NS;
 }
 
+void
+peers_report_to_all(struct peers *p)
+{
+	struct msg *m = compose_report(p, FRONT_OWN);
+
+	fill_work(p, &m->u.front, NULL, NULL);
+	loader_io_fill_demand(p->e, &m->u.front);
+	peers_broadcast(p, m);
+}
+
 void
 peers_report(struct peers *p)
 {
-	int direct = peers_count(p) <= REPORT_DIRECT_MAX_PEERS;
+	struct msg *m;
 
 	if (p->e->now < p->report_at)
 		return;
-	p->report_at = p->e->now + (direct ? REPORT_NS : REPORT_VIA_HUBS_NS);
-	if (direct || p->e->stopping)
-		peers_broadcast(p, compose_report(p));
-	else
-		report_via_hubs(p, compose_report(p));
+	if (!peers_use_relays(p)) {
+		p->report_at = p->e->now + REPORT_NS;
+		peers_report_to_all(p);
+		return;
+	}
+	p->report_at = p->e->now + REPORT_TREE_NS;
+	if (peers_is_relay(p)) {
+		relay_to_fleet(p);
+		relay_to_zone(p);
+	} else if (p->relay != NULL) {
+		m = compose_report(p, FRONT_OWN);
+		fill_work(p, &m->u.front, NULL, NULL);
+		loader_io_fill_demand(p->e, &m->u.front);
+		send_copy(p, m, p->relay->addr);
+		msg_destroy(m);
+	}
+	if (p->self.hub_since != 0)
+		send_beats(p);
 }
--- a/entry/session.h
+++ b/entry/session.h
@@ -27,7 +27,12 @@
  * changes are missing here, so that the whole list is needed.
  */
 int session_apply_text(struct session *, const char *, size_t);
-/* Reads the list of replicas at once if this process has become a hub. */
+/*
+ * Starts reading lists whose turn has come: once the peers are known, when this
+ * process becomes a hub, or when no peer has sent them in time.
+ */
 void session_tick(struct session *);
+/* Reads the configuration from the store. */
+void session_read_config(struct session *);
 
 #endif
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -5,6 +5,8 @@
 #include "query.h"
 #include "store.h"
 
+#define GRACE_UNKNOWN TIME_NEVER /* this process's own store tells */
+
 enum list_id {
 	LIST_CONFIG,
 	LIST_REPLICAS,
@@ -22,6 +24,12 @@
 	UT_hash_handle hh;
 };
 
+/* A key that was written or removed, to be passed on to peers. */
+struct list_change {
+	char key[KV_KEY_SIZE];
+	uint64_t revision;
+};
+
 /* Keys below a prefix: read in full, then watched or polled. */
 struct list {
 	struct session *s;
@@ -31,18 +39,26 @@
 	double retry_s;	   /* delay before the next attempt after a failure */
 	double poll_s;	   /* delay before the next poll */
 	int polling;	   /* waiting for the next poll */
+	int idle;	   /* neither read nor watched: peers send it */
+	uint64_t grace_ns; /* for which a removed replica stays usable */
 	int stale_read;	   /* the pending read may return old data */
 	uint64_t revision; /* up to which it is current, 0 if unknown */
 	uint64_t read_revision; /* at the first page of the read, 0 if none */
 	uint32_t generation;	/* number of the latest full read */
 	char page_after[KV_KEY_SIZE]; /* last key of the previous page */
 	struct list_key *keys;
+	uint64_t changed_from; /* revision before the first of the changes */
+	uint32_t nchanges;
+	uint32_t changes_size; /* allocated */
+	struct list_change *changes;
 };
 
 struct session {
 	struct entry *e;
 	struct list lists[LIST__MAX];
 	uint64_t ncalls;
+	uint64_t started_at;
+	int peers_known;   /* the peers have been read, or could not be */
 	uint32_t failures; /* consecutive calls without an answer */
 	int up;
 	int closing;
@@ -62,11 +78,18 @@
 void lists_stop(struct session *);
 /* Applies one entry, or its removal if it has no value. */
 void list_apply_item(struct list *, const struct store_item *);
-/* Removes and frees a key. */
-void list_remove_key(struct list *, struct list_key *);
+/*
+ * Removes and frees a key that is gone as of a revision; its replica stays
+ * usable for a grace period in ns.
+ */
+void list_remove_key(struct list *, struct list_key *, uint64_t, uint64_t);
 /* replica_sync.c */
-/* Changes of the replicas since a revision as JSON, from a watch response. */
-char *session_changes_text(
-    const struct session *, uint64_t, const struct store_page *);
+/* Records a change to be passed on. */
+void list_add_change(struct list *, const char *, uint64_t);
+/*
+ * Passes the recorded changes of the replicas on, with the time for which
+ * removed ones stay usable.
+ */
+void session_push_changes(struct session *, uint64_t);
 
 #endif
--- a/shell/log.c
+++ b/shell/log.c
@@ -154,6 +154,8 @@
 	    "no messages arrive from a peer any more" },
 	[LOG_HUB] = { 1617, LOGLEVEL_INFO, "hub",
 	    "a process started or stopped following the lists for others" },
+	[LOG_RELAY] = { 1618, LOGLEVEL_INFO, "relay",
+	    "a process started or stopped relaying for its data centre" },
 	[LOG_CELL_TAKEN] = { 1700, LOGLEVEL_NOTICE, "cell-taken",
 	    "this process owns the cell" },
 	[LOG_CELL_LOST] = { 1701, LOGLEVEL_WARNING, "cell-lost",
