Bytes without end from replicas and the store are bounded

Ruled out: status lines, fields, chunk sizes, extensions and trailers; the parser's limit on heads holds for them (tests stay). Change: each has a limit; beyond it the connection is closed and the request's true outcome follows (repeated, resumed, or unknown). The search for an end of an event goes on where it stopped.

--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -13,12 +13,16 @@
  */
 #define ONCE_IDLE_NS (600 * NSEC_PER_MSEC)
 #define BODY_MAX_BYTES 4194304 /* of a buffered response */
+#define EVENT_MAX_BYTES 262144 /* of one event of a stream */
+/* Of a response that is not forwarded; with more, its connection is closed. */
+#define UNUSED_MAX_BYTES 65536
 /* A replica is not read while its caller has more than this unsent. */
 #define READ_PAUSE_BYTES 131072
 
 static void forward_add_work(struct forward *, struct directory_replica *);
 static int on_head(void *, const struct http_head *);
-static void on_body(void *, const char *, size_t);
+static int on_body(void *, const char *, size_t);
+static int on_stream_body(struct forward *, const char *, size_t);
 static void on_end(void *, enum exchange_result);
 static void copy_head(struct http_head *, const struct http_head *);
 static enum attempt_outcome attempt_end_of(
@@ -66,6 +70,7 @@
 	f->streaming = 0;
 	f->read_paused = 0;
 	f->invalid = 0;
+	f->unused_bytes = 0;
 	buf_free(&f->body);
 	sse_free(&f->events);
 	forward_add_work(f, m);
@@ -157,20 +162,10 @@
 	return 0;
 }
 
-static void
-on_body(void *ctx, const char *p, size_t len)
+/* Forwards the events that are complete. */
+static int
+on_stream_body(struct forward *f, const char *p, size_t len)
 {
-	struct forward *f = ctx;
-
-	if (f->refused || f->invalid)
-		return;
-	entry_update_now(f->e);
-	if (!f->streaming) {
-		buf_add(&f->body, p, len);
-		if (buf_len(&f->body) > BODY_MAX_BYTES)
-			f->invalid = 1;
-		return;
-	}
 	if (f->work.unread_us != 0) {
 		f->replica->local_load.unread_us -= f->work.unread_us;
 		f->work.unread_us = 0;
@@ -180,13 +175,36 @@
 			    f->params.prompt_tokens, f->e->now - f->sent_at);
 	}
 	if (f->caller == NULL)
-		return;
+		return 0;
 	sse_feed(&f->events, p, len, forward_on_events, f);
+	if (buf_len(&f->events.partial) > EVENT_MAX_BYTES) {
+		f->invalid = 1;
+		return 1;
+	}
 	if (caller_pending_bytes(f->caller) > READ_PAUSE_BYTES &&
 	    !f->read_paused) {
 		f->read_paused = 1;
 		exchange_set_reading(f->exchange, 0);
 	}
+	return 0;
+}
+
+/* Returns whether the rest of the response is of no use. */
+static int
+on_body(void *ctx, const char *p, size_t len)
+{
+	struct forward *f = ctx;
+
+	if (f->refused || f->invalid) {
+		f->unused_bytes += len;
+		return f->unused_bytes > UNUSED_MAX_BYTES;
+	}
+	entry_update_now(f->e);
+	if (f->streaming)
+		return on_stream_body(f, p, len);
+	buf_add(&f->body, p, len);
+	f->invalid = buf_len(&f->body) > BODY_MAX_BYTES;
+	return f->invalid;
 }
 
 static enum attempt_outcome
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -31,10 +31,11 @@
 	int new_connection; /* was opened for this attempt */
 	int only_prefill;   /* no other prefill known on the replica */
 	int status;
-	int refused;	 /* the replica reports that it did not run it */
-	int streaming;	 /* success, forwarded event by event */
-	int read_paused; /* replica not read while the caller is slow */
-	int invalid;	 /* response unsigned, encoded or too large */
+	int refused;	     /* the replica reports that it did not run it */
+	int streaming;	     /* success, forwarded event by event */
+	int read_paused;     /* replica not read while the caller is slow */
+	int invalid;	     /* response unsigned, encoded or too large */
+	size_t unused_bytes; /* of a response that is not forwarded */
 	struct http_head response_head; /* of the current response */
 	struct buf body; /* of the response, unless it is streamed */
 	struct sse_splitter events;
--- a/entry/query.c
+++ b/entry/query.c
@@ -14,8 +14,11 @@
 	void *ctx;
 };
 
+/* Larger responses count as none; a store's values have up to 1 MB. */
+#define QUERY_BODY_MAX_BYTES 4194304
+
 static int on_head(void *, const struct http_head *);
-static void on_body(void *, const char *, size_t);
+static int on_body(void *, const char *, size_t);
 static void on_end(void *, enum exchange_result);
 static void on_timeout(struct ev_loop *, ev_timer *, int);
 static void query_finish(struct query *, int);
@@ -54,12 +57,15 @@
 	return 0;
 }
 
-static void
+static int
 on_body(void *ctx, const char *p, size_t len)
 {
 	struct query *q = ctx;
 
+	if (buf_len(&q->body) + len > QUERY_BODY_MAX_BYTES)
+		return 1;
 	buf_add(&q->body, p, len);
+	return 0;
 }
 
 static void
--- a/net/http.c
+++ b/net/http.c
@@ -22,9 +22,14 @@
 	int invalid;
 	int no_body; /* response to HEAD */
 	size_t head_bytes;
+	uint32_t ninterim; /* before the current response */
 	struct http_head head;
 };
 
+/* Interim responses before a final one; more are taken as no response. */
+#define INTERIM_MAX 16
+
+static void reader_restart(struct http_reader *);
 static int on_begin(http_parser *);
 static int on_url(http_parser *, const char *, size_t);
 static int on_field(http_parser *, const char *, size_t);
@@ -78,6 +83,14 @@
 
 void
 http_reader_reset(struct http_reader *r)
+{
+	reader_restart(r);
+	r->ninterim = 0;
+}
+
+/* Prepares for the next message. */
+static void
+reader_restart(struct http_reader *r)
 {
 	http_parser_init(&r->parser,
 	    r->kind == HTTP_READ_REQUESTS ? HTTP_REQUEST : HTTP_RESPONSE);
@@ -257,8 +270,8 @@
 		if (r->kind == HTTP_READ_RESPONSES &&
 		    r->head.status / 100 == 1) {
 			/* The final response follows. */
-			http_reader_reset(r);
-			return (long)n;
+			reader_restart(r);
+			return ++r->ninterim > INTERIM_MAX ? -1 : (long)n;
 		}
 		r->in_message = 0;
 		r->ops->end(r->ctx);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -10,6 +10,10 @@
 #include "http_client.h"
 #include "mem.h"
 
+/* Of late responses to earlier requests; with more, the connection is closed.
+ */
+#define SKIPPED_MAX_BYTES 1048576
+
 /* A connection with its current exchange; idle while ops is NULL. */
 struct exchange {
 	TAILQ_ENTRY(exchange) entry; /* in the address's idle list */
@@ -26,10 +30,12 @@
 	int connected;
 	int new_conn;
 	int skipping; /* the current response belongs to an earlier request */
-	int head_received;   /* a response's head was accepted */
-	int in_reader;	     /* inside http_reader_feed() or _eof() */
-	int destroy_pending; /* destroy once the reader returns */
-	int complete;	     /* the current response is complete */
+	size_t skipped_bytes; /* of responses to earlier requests */
+	int head_received;    /* a response's head was accepted */
+	int unwanted;	      /* the rest of the response is not read */
+	int in_reader;	      /* inside http_reader_feed() or _eof() */
+	int destroy_pending;  /* destroy once the reader returns */
+	int complete;	      /* the current response is complete */
 };
 
 TAILQ_HEAD(exchange_list, exchange);
@@ -188,6 +194,8 @@
 	x->ctx = ctx;
 	x->head_received = 0;
 	x->skipping = 0;
+	x->skipped_bytes = 0;
+	x->unwanted = 0;
 	x->complete = 0;
 	x->keep_alive_ns = 0;
 	if (x->conn != NULL)
@@ -324,8 +332,8 @@
 {
 	struct exchange *x = ctx;
 
-	if (x->ops != NULL && !x->skipping)
-		x->ops->body(x->ctx, p, len);
+	if (x->ops != NULL && !x->skipping && !x->unwanted)
+		x->unwanted = x->ops->body(x->ctx, p, len);
 }
 
 static void
@@ -356,7 +364,10 @@
 			exchange_destroy(x);
 			return;
 		}
-		if (n < 0) {
+		if (x->skipping)
+			x->skipped_bytes += n < 0 ? 0 : (size_t)n;
+		if (n < 0 || x->unwanted ||
+		    x->skipped_bytes > SKIPPED_MAX_BYTES) {
 			exchange_report_end(x, exchange_failure(x));
 			return;
 		}
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -27,7 +27,11 @@
 	 * response, as it belongs to an earlier request, and wait for the next.
 	 */
 	int (*head)(void *, const struct http_head *);
-	void (*body)(void *, const char *, size_t);
+	/*
+	 * A part of the body.  Return 1 if the rest is of no use: the
+	 * connection is closed and the exchange ends as truncated.
+	 */
+	int (*body)(void *, const char *, size_t);
 	/* The last callback of an exchange. */
 	void (*end)(void *, enum exchange_result);
 };
--- a/net/sse.h
+++ b/net/sse.h
@@ -9,6 +9,7 @@
 
 struct sse_splitter {
 	struct buf partial; /* start of an incomplete event */
+	size_t searched;    /* bytes of it without an end of an event */
 };
 
 /*
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -95,6 +95,11 @@
                 self.calls.append((method, target))
                 if self.mode == "silent":
                     await asyncio.sleep(3600)
+                if self.mode == "endless":
+                    writer.write(b"HTTP/1.1 200 X\r\n\r\n")
+                    while True:
+                        writer.write(b"x" * 65536)
+                        await writer.drain()
                 status, doc = (503, {}) if self.mode == "busy" else \
                     await self.answer(method, target, body)
                 text = json.dumps(doc).encode()
