Gate: a cancelled request releases its handler

Ruled out: the watch of descriptors (it had reported both disconnects) and libcurl (no transfer was left). Change: the gate loop ends the exchange when it handles the cancel. test_gate_sigterm_cancelled: TimeoutExpired after 10 s before, passes now.

--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -175,6 +175,17 @@
 	pthread_mutex_unlock(&x->lock);
 }
 
+void
+exchange_abandon(struct exchange *x)
+{
+	pthread_mutex_lock(&x->lock);
+	if (!x->done)
+		x->outcome = OUTCOME_CLOSING;
+	x->done = 1;
+	pthread_cond_signal(&x->cond);
+	pthread_mutex_unlock(&x->lock);
+}
+
 enum exchange_event
 exchange_next_event(
     struct exchange *x, struct response_part **part, enum gate_outcome *outcome)
--- a/gate/exchange.h
+++ b/gate/exchange.h
@@ -60,6 +60,8 @@
  */
 int exchange_push_part(struct exchange *, struct response_part *);
 void exchange_finish(struct exchange *, enum gate_outcome);
+/* Ends the exchange of a caller that has gone, unless it has ended. */
+void exchange_abandon(struct exchange *);
 /* Waits for the next part or the end; called by the caller's thread. */
 enum exchange_event exchange_next_event(
     struct exchange *, struct response_part **, enum gate_outcome *);
--- a/gate/gate_loop.c
+++ b/gate/gate_loop.c
@@ -60,6 +60,7 @@
 static void on_message(void *, struct msg *);
 static void on_fetch(void *, const struct gate_fetch_event *);
 static void gate_loop_queue_cancel(struct gate_loop *, uint64_t);
+static void gate_loop_abandon(uint64_t);
 static void action_send(struct gate_loop *, struct gate_action *);
 static void action_start_fetch(struct gate_loop *, struct gate_action *);
 static void action_stop_fetch(struct gate_loop *, struct gate_action *);
@@ -313,6 +314,21 @@
 	gate_handle_message(d->gate, now, m, out);
 }
 
+/*
+ * The core reports nothing more of a request whose caller has gone, even if it
+ * runs to its end: its handler must not wait for that.
+ */
+static void
+gate_loop_abandon(uint64_t rid)
+{
+	struct exchange *x = exchange_find(rid);
+
+	if (x == NULL)
+		return;
+	exchange_abandon(x);
+	exchange_unref(x);
+}
+
 static void
 gate_loop_handle_item(struct gate_loop *d, uint64_t now, struct item *it,
     struct gate_actions *out)
@@ -329,6 +345,7 @@
 		about.request = it->rid;
 		log_event(LOG_REQUEST_CANCELLED, &about, "%s", "");
 		gate_cancel_request(d->gate, now, it->rid, out);
+		gate_loop_abandon(it->rid);
 		break;
 	case ITEM_MESSAGE:
 		gate_loop_handle_message(d, now, it->msg, out);
--- a/tests/process.py
+++ b/tests/process.py
@@ -323,6 +323,34 @@
         c.down()
 
 
+def test_gate_sigterm_cancelled():
+    """A gate stops though callers closed streams before their ends."""
+    import json
+    c = Cluster(vms=1, engines=2, models=2, base_port=PORT + 700,
+                grace_ms=300)
+    try:
+        c.up()
+        c.declare()
+        c.wait_resident()
+        c.wait_ready()
+        body = json.dumps({
+            "model": "model0", "stream": True, "max_tokens": 400,
+            "messages": [{"role": "user", "content": "x; len=400"}]})
+        for wait_for_bytes in (True, False):
+            s = socket.create_connection(c.gate(0).split(":"))
+            s.sendall(("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                       "Content-Length: %d\r\n\r\n%s" % (len(body), body))
+                      .encode())
+            if wait_for_bytes:
+                check("begins", s.recv(20) != b"")
+            s.close()
+        wait_for("engines idle", lambda: unfinished_requests(c) == 0, 5)
+        c.signal("gate0", signal.SIGTERM)
+        check("exit status", c.procs.pop("gate0").wait(10) == 0)
+    finally:
+        c.down()
+
+
 def test_owner_killed():
     """No request is lost when the owning control process is killed under load."""
     c = Cluster(vms=3, engines=4, models=6, base_port=PORT + 200)
@@ -511,7 +539,8 @@
     test_orders_once, test_broken_streams, test_tickets, test_drain,
     test_timeline]
 OWN_CLUSTER_TESTS = [
-    test_settings, test_gate_sigterm, test_owner_killed, test_owner_paused,
+    test_settings, test_gate_sigterm, test_gate_sigterm_cancelled,
+    test_owner_killed, test_owner_paused,
     test_service_outage, test_engine_lost, test_racing_operators]
 
 
