--- a/scripts/check.py
+++ b/scripts/check.py
@@ -77,9 +77,30 @@
         with open(os.path.join(ROOT, "tests", name)) as f:
             cases = [line.split("|")[0].strip() for line in f
                      if line.strip() and not line.startswith("#")]
-        for i, params in enumerate(cases):
-            run_check("%s, case %d" % (name, i + 1), [program],
-                 {"RC_PARAMS": params})
+        for params in cases:
+            run_regression(name, params, program)
+
+
+def run_regression(name, params, program):
+    """A case listed in KNOWN-RED.txt is run and printed, but not counted."""
+    seed = params.split()[0]
+    case = "%s:%s" % (name, seed)
+    if case not in known_red():
+        run_check("%s, %s" % (name, seed), [program], {"RC_PARAMS": params})
+        return
+    status, text = run_command([program], {"RC_PARAMS": params})
+    found = [line for line in text.splitlines() if "RC_ASSERT" in line]
+    print("%-28s known red, exit %d: %s" % (
+        case, status, " ".join(found)), flush=True)
+    if status == 0:
+        print("passes now: remove it from KNOWN-RED.txt", flush=True)
+        counts["failed"] += 1
+
+
+def known_red():
+    with open(os.path.join(ROOT, "KNOWN-RED.txt")) as f:
+        return {line.split()[0] for line in f
+                if line.strip() and not line.startswith("#")}
 
 
 def run_sanitizers():
