--- a/tests/test_demand.c
+++ b/tests/test_demand.c
@@ -10,6 +10,8 @@
 #define S NSEC_PER_SEC
 
 static void test_demand(void);
+static void test_first_report(void);
+static void test_recent_rate(void);
 static void test_announce(void);
 
 /* Reports are cumulative: a restart must not count as a burst of arrivals. */
@@ -42,6 +44,46 @@
 	demand_clear(&d);
 }
 
+/* A new hub hears totals since the start: they are no burst of arrivals. */
+static void
+test_first_report(void)
+{
+	struct demand d = { 0 };
+	struct demand_item *i;
+	uint32_t k;
+
+	demand_update_averages(&d, S);
+	for (k = 0; k < 300; k++)
+		demand_update(&d, 2 * S, k, "m", 1000, 1, 1);
+	demand_update_averages(&d, 2 * S + 100 * MS);
+	i = demand_find(&d, "m");
+	CU_ASSERT_EQUAL(i->total, 600); /* those still in work */
+	CU_ASSERT_EQUAL(demand_waiting_count(i, 2 * S), 300);
+	CU_ASSERT_EQUAL(demand_running_count(i, 2 * S), 300);
+	demand_update(&d, 3 * S, 7, "m", 1004, 0, 0);
+	CU_ASSERT_EQUAL(i->total, 604);
+	CU_ASSERT(demand_is_current(i, 4 * S));
+	CU_ASSERT(!demand_is_current(i, 6 * S));
+	demand_clear(&d);
+}
+
+/* Requests count for two seconds, whether they were served or refused. */
+static void
+test_recent_rate(void)
+{
+	struct demand d = { 0 };
+	struct demand_item *i;
+	uint64_t t;
+
+	demand_update(&d, 10 * S, 1, "m", 0, 0, 0);
+	for (t = 1; t <= 40; t++)
+		demand_update(&d, 10 * S + t * 50 * MS, 1, "m", t, 0, 0);
+	i = demand_find(&d, "m");
+	CU_ASSERT_DOUBLE_EQUAL(demand_recent_rate(i, 12 * S), 20.0, 3.0);
+	CU_ASSERT_DOUBLE_EQUAL(demand_recent_rate(i, 15 * S), 0.0, 0.01);
+	demand_clear(&d);
+}
+
 /*
  * The key is written under a lease, and again after an unknown outcome and
  * after the lease is lost.
@@ -91,6 +133,8 @@
 
 static const struct unit_case cases[] = {
 	{ "demand", test_demand },
+	{ "first report", test_first_report },
+	{ "recent rate", test_recent_rate },
 	{ "announce", test_announce },
 };
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -16,6 +16,7 @@
 static void test_routes(void);
 static void test_split(void);
 static void test_removal_grace(void);
+static void test_reported_removal(void);
 static void test_removed(void);
 static void test_restart(void);
 static void test_avoided_replicas(void);
@@ -136,6 +137,30 @@
 	directory_clear(&d);
 }
 
+/*
+ * A process that the list service turns away hears of a removal from a peer:
+ * the peer's word counts, without its own doubt.
+ */
+static void
+test_reported_removal(void)
+{
+	struct directory d;
+	struct fleet_replica r = make_replica("a", "m");
+	struct directory_replica *m;
+
+	directory_init(&d);
+	m = directory_put(&d, &r);
+	directory_set_service_up(&d, 2 * S, 0);
+	directory_remove_reported(&d, 3 * S, "a", 0);
+	CU_ASSERT(!directory_usable(m, 3 * S));
+	directory_put(&d, &r);
+	directory_remove_reported(&d, 4 * S, "a", S);
+	CU_ASSERT(directory_usable(m, 5 * S - MS));
+	directory_tick(&d, 5 * S);
+	CU_ASSERT_PTR_NULL(directory_find(&d, "a"));
+	directory_clear(&d);
+}
+
 static void
 test_removed(void)
 {
@@ -557,6 +582,7 @@
 	{ "routes", test_routes },
 	{ "split routes", test_split },
 	{ "removal grace period", test_removal_grace },
+	{ "reported removal", test_reported_removal },
 	{ "leaving and removed", test_removed },
 	{ "restart", test_restart },
 	{ "avoided replicas", test_avoided_replicas },
--- a/tests/test_hubs.c
+++ b/tests/test_hubs.c
@@ -16,6 +16,8 @@
 static void test_silent(void);
 static void test_all_silent(void);
 static void test_index(void);
+static void test_relays(void);
+static void test_relay_lost(void);
 
 static void
 setup(void)
@@ -106,11 +108,71 @@
 		CU_ASSERT_TRUE(n[i] > 60 && n[i] < 140);
 }
 
+/* One relay a data centre, by the rank of hubs. */
+static void
+test_relays(void)
+{
+	struct hub *out[CANDIDATES];
+	uint32_t i;
+
+	setup();
+	for (i = 0; i < CANDIDATES; i++)
+		snprintf(hubs[i].zone, NAME_SIZE, "z%u", i % 3);
+	hubs[4].weight = 50;
+	CU_ASSERT_EQUAL(relays_choose(all, CANDIDATES, 1, SILENCE_NS, out), 3);
+	for (i = 0; i < 3; i++)
+		CU_ASSERT(out[i] == &hubs[0] || out[i] == &hubs[4] ||
+		    out[i] == &hubs[2]);
+	CU_ASSERT(hubs[4].hub_since != 0);
+	CU_ASSERT(hubs[1].hub_since == 0);
+}
+
+/*
+ * 300 processes in six data centres lose every relay at once: each has another
+ * one as soon as the time-out allows, and the first ones return to their place.
+ */
+static void
+test_relay_lost(void)
+{
+	static struct hub fleet[300];
+	static struct hub *candidates[300];
+	struct hub *out[300];
+	struct hub *first[300];
+	uint64_t now = 10 * NSEC_PER_SEC;
+	uint32_t i;
+	uint32_t k;
+
+	memset(fleet, 0, sizeof(fleet));
+	for (i = 0; i < 300; i++) {
+		snprintf(fleet[i].addr, ADDR_SIZE, "10.%u.0.%u:1", i % 6, i);
+		snprintf(fleet[i].zone, NAME_SIZE, "z%u", i % 6);
+		fleet[i].weight = 12 + i % 7;
+		candidates[i] = &fleet[i];
+	}
+	CU_ASSERT_EQUAL(
+	    relays_choose(candidates, 300, now, SILENCE_NS, first), 6);
+	now += SILENCE_NS + 1;
+	CU_ASSERT_EQUAL(
+	    relays_choose(candidates, 300, now, SILENCE_NS, out), 6);
+	for (i = 0; i < 6; i++) {
+		for (k = 0; k < 6; k++)
+			CU_ASSERT(out[i] != first[k]);
+		CU_ASSERT_EQUAL(out[i]->weight, first[i]->weight);
+	}
+	for (i = 0; i < 6; i++)
+		first[i]->heard_at = now;
+	relays_choose(candidates, 300, now, SILENCE_NS, out);
+	for (i = 0; i < 6; i++)
+		CU_ASSERT_PTR_EQUAL(out[i], first[i]);
+}
+
 static const struct unit_case cases[] = {
 	{ "rank by weight, then by address", test_rank },
 	{ "silent hub skipped", test_silent },
 	{ "all other processes silent", test_all_silent },
 	{ "even distribution", test_index },
+	{ "relays", test_relays },
+	{ "relays lost", test_relay_lost },
 };
 
 UNIT_MAIN("hubs", cases)
