An order is not sent once its lease has ended while the process was paused

Cause: an order to an engine without an idle connection is written when the connection is established. A process that was paused or suspended meanwhile sent it after its lease had ended; the time-out runs on a clock that does not count a suspended VM. Ruled out: the check of the lease itself (CLOCK_BOOTTIME) and reused connections, which are written in the same step. Change: an exchange has a time after which its request is not sent, checked when the connection is established, before the first byte. tests/test_net: the order was sent before (1 of 2 failed), not any more.

--- a/Makefile
+++ b/Makefile
@@ -111,6 +111,10 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_net: $(BUILD)/tests/test_net.o $(BUILD)/tests/unit.o $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_loader: $(BUILD)/tests/loader_fixture.o
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(BUILD)/tests/unit.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/core/loader.c
+++ b/core/loader.c
@@ -320,6 +320,7 @@
 	snprintf(o->adapter, sizeof(o->adapter), "%s", adapter);
 	o->expected_sequence = e->sequence;
 	o->fence = ownership_fencing_token(s->ownership);
+	o->send_by = ownership_valid_until(s->ownership);
 	o->started_ms = e->started_ms;
 	if (kind == LOADER_REPORT) {
 		e->report_id = o->id;
--- a/core/loader.h
+++ b/core/loader.h
@@ -42,6 +42,7 @@
 	char adapter[FLEET_NAME_SIZE]; /* MODEL/ADAPTER, or "" */
 	uint64_t expected_sequence;    /* orders accepted before this one */
 	uint64_t fence;		       /* the leader's fencing token */
+	uint64_t send_by;	       /* not sent later: the lease ends */
 	uint64_t started_ms;	       /* start of the incarnation addressed */
 };
 
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -397,6 +397,15 @@
 	    now + o->config.margin_ns < o->lease_deadline;
 }
 
+uint64_t
+ownership_valid_until(const struct ownership *o)
+{
+	if (!o->held || o->state != OWNERSHIP_HELD ||
+	    o->lease_deadline < o->config.margin_ns)
+		return 0;
+	return o->lease_deadline - o->config.margin_ns;
+}
+
 uint64_t
 ownership_fencing_token(const struct ownership *o)
 {
--- a/core/ownership.h
+++ b/core/ownership.h
@@ -41,6 +41,8 @@
 int ownership_held(const struct ownership *);
 /* Whether the lease is certain not to have expired: orders may be sent. */
 int ownership_valid(const struct ownership *, uint64_t);
+/* Time from which orders must not be sent, as far as known; 0 if not held. */
+uint64_t ownership_valid_until(const struct ownership *);
 /* Fencing token of the latest ownership, 0 when there was none. */
 uint64_t ownership_fencing_token(const struct ownership *);
 
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -452,8 +452,8 @@
 		    o->kind == LOADER_LOAD ? "load" : "unload",
 		    (unsigned long long)o->expected_sequence,
 		    (unsigned long long)o->fence);
-	query_send(
-	    e, e->replicas, o->addr, &out, ORDER_TIMEOUT_S, on_order_answer, c);
+	query_send(e, e->replicas, o->addr, &out, o->send_by, ORDER_TIMEOUT_S,
+	    on_order_answer, c);
 	buf_free(&out);
 	free(body);
 }
--- a/entry/query.c
+++ b/entry/query.c
@@ -31,8 +31,8 @@
 
 void
 query_send(struct entry *e, struct conn_pool *pool, const char *addr,
-    const struct buf *request, double timeout_s, query_callback answer,
-    void *ctx)
+    const struct buf *request, uint64_t send_by, double timeout_s,
+    query_callback answer, void *ctx)
 {
 	struct query *q;
 
@@ -42,6 +42,7 @@
 	q->ctx = ctx;
 	TAILQ_INSERT_TAIL(&e->queries, q, entry);
 	q->exchange = exchange_start(pool, addr, TIME_NEVER / 4, &query_ops, q);
+	exchange_set_send_by(q->exchange, send_by);
 	exchange_send(q->exchange, buf_data(request), buf_len(request));
 	ev_timer_init(&q->timer, on_timeout, timeout_s, 0.0);
 	q->timer.data = q;
--- a/entry/query.h
+++ b/entry/query.h
@@ -8,11 +8,12 @@
 typedef void (*query_callback)(void *, int, const char *, size_t);
 
 /*
- * Sends a serialised request to an address; the time-out is in seconds.  The
- * callback is called exactly once, never from within this function.
+ * Sends a serialised request to an address, not after a time in monotonic ns;
+ * the time-out is in seconds.  The callback is called exactly once, never from
+ * within this function.
  */
 void query_send(struct entry *, struct conn_pool *, const char *,
-    const struct buf *, double, query_callback, void *);
+    const struct buf *, uint64_t, double, query_callback, void *);
 /* Cancels all pending requests; their callbacks get status 0. */
 void queries_cancel(struct entry *);
 
--- a/entry/session.c
+++ b/entry/session.c
@@ -50,8 +50,8 @@
 	buf_add_string(&out, "\r\n");
 	if (len != 0)
 		buf_add(&out, sc->body, len);
-	query_send(s->e, s->e->store, s->e->boot.store, &out, timeout_s,
-	    on_call_answer, c);
+	query_send(s->e, s->e->store, s->e->boot.store, &out, TIME_NEVER,
+	    timeout_s, on_call_answer, c);
 	buf_free(&out);
 	store_request_clear(sc);
 }
--- a/net/conn.c
+++ b/net/conn.c
@@ -307,9 +307,9 @@
 	}
 	c->connecting = 0;
 	ev_io_start(c->loop, &c->read_watcher);
+	if (c->ops->connected != NULL && c->ops->connected(c->ctx))
+		return;
 	(void)conn_flush(c);
-	if (c->ops->connected != NULL)
-		c->ops->connected(c->ctx);
 }
 
 static void
--- a/net/conn.h
+++ b/net/conn.h
@@ -15,8 +15,11 @@
 struct conn;
 
 struct conn_ops {
-	/* An outgoing connection is established; may be NULL. */
-	void (*connected)(void *);
+	/*
+	 * An outgoing connection is established, and nothing has been sent yet;
+	 * may be NULL.  Returns 1 if it destroyed the connection.
+	 */
+	int (*connected)(void *);
 	void (*data)(void *, const char *, size_t);
 	/* The peer closed its side (0) or the connection failed (errno). */
 	void (*closed)(void *, int);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -27,6 +27,7 @@
 	uint64_t idle_since_ns;
 	uint64_t reuse_until_ns; /* idle: not reused after this */
 	uint64_t keep_alive_ns;	 /* announced by the server, 0: none */
+	uint64_t send_by;	 /* the request is not sent later */
 	int connected;
 	int new_conn;
 	int skipping; /* the current response belongs to an earlier request */
@@ -60,7 +61,7 @@
 static void exchange_destroy(struct exchange *);
 static void exchange_report_end(struct exchange *, enum exchange_result);
 static void exchange_return_to_pool(struct exchange *);
-static void exchange_on_connected(void *);
+static int exchange_on_connected(void *);
 static void exchange_on_data(void *, const char *, size_t);
 static void exchange_on_closed(void *, int);
 static void exchange_on_timer(struct ev_loop *, ev_timer *, int);
@@ -196,6 +197,7 @@
 	x->skipping = 0;
 	x->skipped_bytes = 0;
 	x->unwanted = 0;
+	x->send_by = TIME_NEVER;
 	x->complete = 0;
 	x->keep_alive_ns = 0;
 	if (x->conn != NULL)
@@ -210,6 +212,12 @@
 		conn_write(x->conn, p, len);
 }
 
+void
+exchange_set_send_by(struct exchange *x, uint64_t at)
+{
+	x->send_by = at;
+}
+
 void
 exchange_expect_no_body(struct exchange *x)
 {
@@ -296,13 +304,18 @@
 	ev_timer_start(p->loop, &x->timer);
 }
 
-static void
+/* The process may have been paused since the request was written. */
+static int
 exchange_on_connected(void *ctx)
 {
 	struct exchange *x = ctx;
 
 	x->connected = 1;
 	ev_timer_stop(x->pool->loop, &x->timer);
+	if (clock_mono() <= x->send_by)
+		return 0;
+	exchange_report_end(x, EXCHANGE_NOT_SENT);
+	return 1;
 }
 
 static void
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -53,6 +53,11 @@
 struct exchange *exchange_start(struct conn_pool *, const char *, uint64_t,
     const struct exchange_ops *, void *);
 void exchange_send(struct exchange *, const void *, size_t);
+/*
+ * The request is not sent after a time, monotonic ns, even if the connection is
+ * established only then; the exchange ends as not sent.
+ */
+void exchange_set_send_by(struct exchange *, uint64_t);
 /* The response has no body, whatever its head says. */
 void exchange_expect_no_body(struct exchange *);
 /* Sets the server's keep-alive time, ns; 0 when it announced none. */
--- /dev/null
+++ b/tests/test_net.c
@@ -0,0 +1,184 @@
+/* Outgoing requests on real sockets: what is sent, and when. */
+#include <arpa/inet.h>
+#include <ev.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base.h"
+#include "clock.h"
+#include "http_client.h"
+#include "unit.h"
+
+#define PAUSE_NS (20 * NSEC_PER_MSEC)
+
+/* One request to a listening socket that answers nothing. */
+struct attempt {
+	struct ev_loop *loop;
+	int listener;
+	char addr[ADDR_SIZE];
+	struct conn_pool *pool;
+	int ended;
+	enum exchange_result result;
+};
+
+static int on_head(void *, const struct http_head *);
+static int on_body(void *, const char *, size_t);
+static void on_end(void *, enum exchange_result);
+static void on_timer(struct ev_loop *, ev_timer *, int);
+static void attempt_open(struct attempt *);
+static void attempt_close(struct attempt *);
+static void attempt_run(struct attempt *);
+static ssize_t attempt_received(struct attempt *);
+static void pause_process(void);
+static void test_paused(void);
+static void test_in_time(void);
+
+static const struct exchange_ops ops = { on_head, on_body, on_end };
+
+static int
+on_head(void *ctx, const struct http_head *h)
+{
+	(void)ctx;
+	(void)h;
+	return 0;
+}
+
+static int
+on_body(void *ctx, const char *p, size_t len)
+{
+	(void)ctx;
+	(void)p;
+	(void)len;
+	return 0;
+}
+
+static void
+on_end(void *ctx, enum exchange_result result)
+{
+	struct attempt *t = ctx;
+
+	t->ended = 1;
+	t->result = result;
+	ev_break(t->loop, EVBREAK_ALL);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	(void)w;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void
+attempt_open(struct attempt *t)
+{
+	struct conn_pool_config config = { NSEC_PER_SEC, NSEC_PER_SEC, 1 };
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+
+	memset(t, 0, sizeof(*t));
+	t->loop = ev_loop_new(EVFLAG_AUTO);
+	memset(&sa, 0, sizeof(sa));
+	sa.sin_family = AF_INET;
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	t->listener = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL_FATAL(
+	    bind(t->listener, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	CU_ASSERT_EQUAL_FATAL(listen(t->listener, 4), 0);
+	getsockname(t->listener, (struct sockaddr *)&sa, &len);
+	snprintf(t->addr, sizeof(t->addr), "127.0.0.1:%u",
+	    (unsigned)ntohs(sa.sin_port));
+	t->pool = conn_pool_create(t->loop, &config);
+}
+
+static void
+attempt_close(struct attempt *t)
+{
+	conn_pool_destroy(t->pool);
+	close(t->listener);
+	ev_loop_destroy(t->loop);
+}
+
+/* Runs the loop until the exchange has ended, or for a while. */
+static void
+attempt_run(struct attempt *t)
+{
+	ev_timer timer;
+
+	ev_timer_init(&timer, on_timer, 0.3, 0.0);
+	ev_timer_start(t->loop, &timer);
+	ev_run(t->loop, 0);
+	ev_timer_stop(t->loop, &timer);
+}
+
+/* Bytes that the server got, -1 for none so far. */
+static ssize_t
+attempt_received(struct attempt *t)
+{
+	char text[256];
+	ssize_t n;
+	int fd = accept(t->listener, NULL, NULL);
+
+	n = recv(fd, text, sizeof(text), MSG_DONTWAIT);
+	close(fd);
+	return n;
+}
+
+static void
+pause_process(void)
+{
+	struct timespec ts = { 0, (long)PAUSE_NS };
+
+	nanosleep(&ts, NULL);
+}
+
+/*
+ * A process is paused while it connects to an engine, and its lease ends
+ * meanwhile: the order is not sent when it goes on.
+ */
+static void
+test_paused(void)
+{
+	struct attempt t;
+	struct exchange *x;
+
+	attempt_open(&t);
+	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	exchange_set_send_by(x, clock_mono() + PAUSE_NS / 2);
+	exchange_send(x, "POST /order HTTP/1.1\r\n\r\n", 24);
+	pause_process();
+	attempt_run(&t);
+	CU_ASSERT(t.ended);
+	CU_ASSERT_EQUAL(t.result, EXCHANGE_NOT_SENT);
+	CU_ASSERT(attempt_received(&t) <= 0);
+	attempt_close(&t);
+}
+
+static void
+test_in_time(void)
+{
+	struct attempt t;
+	struct exchange *x;
+
+	attempt_open(&t);
+	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	exchange_set_send_by(x, clock_mono() + NSEC_PER_SEC);
+	exchange_send(x, "POST /order HTTP/1.1\r\n\r\n", 24);
+	pause_process();
+	attempt_run(&t);
+	CU_ASSERT(!t.ended);
+	CU_ASSERT_EQUAL(attempt_received(&t), 24);
+	exchange_cancel(x);
+	attempt_close(&t);
+}
+
+static const struct unit_case cases[] = {
+	{ "paused while connecting", test_paused },
+	{ "sent in time", test_in_time },
+};
+
+UNIT_MAIN("net", cases)
