Test: a response that breaks off after any of its bytes

Three framings, reset and orderly close, every seventh byte: never taken for complete, 502 each time.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -265,6 +265,53 @@
         w.stop()
 
 
+def test_broken_at_each_byte():
+    """A response that breaks off after any of its bytes, in each framing, by a
+    reset or an orderly close, is never taken for complete."""
+    plan = {}
+
+    async def broken(call):
+        await call.read()
+        text = call.head(200, plan["fields"]) + plan["body"]
+        plan["size"] = len(text)
+        call.writer.write(text[:plan["cut"]])
+        await call.writer.drain()
+        if plan["reset"]:
+            await asyncio.sleep(0.002)
+            call.reset()
+        return False
+    framings = [({"Content-Length": 5}, b"whole"),
+                ({"Transfer-Encoding": "chunked"},
+                 b"2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n"),
+                ({}, b"whole")]
+    w, a, _ = two_replicas(broken)
+    w.run(w.store.remove("servers/i-b"))
+    w.wait("one replica", lambda: w.events("replica-gone"))
+    try:
+        for fields, body in framings:
+            for reset in (False, True):
+                cut = 0
+                plan.update(fields=fields, body=body, reset=reset,
+                            size=1 << 30)
+                while cut < plan["size"]:
+                    plan["cut"] = cut
+                    # An answer that ends with an orderly close is whole.
+                    if not fields and not reset and \
+                            cut >= plan["size"] - len(body):
+                        break
+                    # A restart ends the time for which it is avoided.
+                    n = len(w.events("replica-listed"))
+                    w.register("i-a", born=1700000000001 + n)
+                    w.wait("listed", lambda: len(
+                        w.events("replica-listed")) > n)
+                    status = w.call("/once/x", "id-%d" % cut, "POST", b"o")[0]
+                    check("%s reset=%d cut at %d: %d" % (
+                        fields, reset, cut, status), status == 502)
+                    cut += 7
+    finally:
+        w.stop()
+
+
 def test_early_response():
     """A response before the request body was sent: the rest of the body does
     not become part of the next request."""
