--- a/core/loader_int.h
+++ b/core/loader_int.h
@@ -83,6 +83,7 @@
 /* The model that is, or may be, loading or unloading, or "". */
 const char *engine_state_loading_model(const struct engine_state *);
 const char *engine_state_unloading_model(const struct engine_state *);
+/* loader_memory.c */
 /* Memory in MB not used on the replica now nor by a load that may follow. */
 uint64_t engine_state_free_mb(const struct engine_state *,
     const struct directory_replica *, const struct fleet_engine *);
--- /dev/null
+++ b/core/loader_memory.c
@@ -0,0 +1,72 @@
+/* Memory of an engine that is in use, or that an order may use. */
+#include <string.h>
+
+#include "loader_int.h"
+
+static int report_names_model(const struct engine_state *, const char *);
+static uint64_t model_memory_mb(const struct fleet_engine *, const char *);
+static uint64_t unlisted_memory_mb(const struct engine_state *,
+    const struct directory_replica *, const struct fleet_engine *);
+
+/* Whether its last report named the model; the list may lag behind it. */
+static int
+report_names_model(const struct engine_state *e, const char *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->nreported; i++) {
+		if (strcmp(e->reported[i], model) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+/* Memory of a model; one that is not configured may use all of it. */
+static uint64_t
+model_memory_mb(const struct fleet_engine *g, const char *name)
+{
+	const struct fleet_model *m = fleet_find_model(g, name);
+
+	return m == NULL ? g->memory_mb : m->memory_mb;
+}
+
+/* Memory of models that only reports or orders show, not the list. */
+static uint64_t
+unlisted_memory_mb(const struct engine_state *e,
+    const struct directory_replica *m, const struct fleet_engine *g)
+{
+	const char *loading = engine_state_loading_model(e);
+	const struct lost_order *lost;
+	uint64_t used = 0;
+	uint32_t i;
+
+	for (i = 0; i < e->nreported; i++) {
+		if (!fleet_has_model(&m->info, e->reported[i]))
+			used += model_memory_mb(g, e->reported[i]);
+	}
+	if (*loading != '\0' && !fleet_has_model(&m->info, loading) &&
+	    !report_names_model(e, loading))
+		used += model_memory_mb(g, loading);
+	for (i = 0; i < LOADER_LOST_ORDERS_MAX; i++) {
+		lost = &e->lost_orders[i];
+		if (engine_state_has_lost_load(e, lost->order.model) &&
+		    strcmp(lost->order.model, loading) != 0 &&
+		    !fleet_has_model(&m->info, lost->order.model) &&
+		    !report_names_model(e, lost->order.model))
+			used += model_memory_mb(g, lost->order.model);
+	}
+	return used;
+}
+
+uint64_t
+engine_state_free_mb(const struct engine_state *e,
+    const struct directory_replica *m, const struct fleet_engine *g)
+{
+	uint64_t used = g->largest_adapter_mb * g->adapter_slots +
+	    unlisted_memory_mb(e, m, g);
+	uint32_t i;
+
+	for (i = 0; i < m->info.nresident; i++)
+		used += model_memory_mb(g, m->info.resident[i]);
+	return used >= g->memory_mb ? 0 : g->memory_mb - used;
+}
--- /dev/null
+++ b/entry/adapter_table.c
@@ -0,0 +1,152 @@
+/*
+ * The adapter table: which adapters replicas hold and which models are being
+ * unloaded.  The holder of the order lease sends it to all processes.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "hash.h"
+#include "loader_io_int.h"
+#include "mem.h"
+#include "peers.h"
+
+#define TABLE_INTERVAL_NS (250 * NSEC_PER_MSEC) /* without changes */
+/* A peer that lost a message has the current table after this time. */
+#define FULL_TABLE_INTERVAL_NS (2 * NSEC_PER_SEC)
+/* With many replicas changes come all the time: sent together. */
+#define TABLE_CHANGES_NS (50 * NSEC_PER_MSEC)
+/* A model being unloaded is announced again well within this time. */
+#define UNLOADING_AVOID_NS (600 * NSEC_PER_MSEC)
+
+static void table_add(
+    struct msg_held *, const struct directory_replica *, const char *);
+static uint64_t adapters_hash(const struct directory_replica *);
+static void table_add_replica(
+    struct entry *, struct msg_held *, struct directory_replica *);
+
+static void
+table_add(
+    struct msg_held *h, const struct directory_replica *m, const char *name)
+{
+	struct msg_held_item *item;
+
+	if (h->n == MSG_LIST_MAX - 1)
+		return;
+	item = &h->items[h->n++];
+	snprintf(item->replica, sizeof(item->replica), "%s", m->info.id);
+	snprintf(item->name, sizeof(item->name), "%s", name);
+	item->replica_start = m->info.started_ms;
+}
+
+/* Hash of a replica's start time and adapters; never 0. */
+static uint64_t
+adapters_hash(const struct directory_replica *m)
+{
+	uint64_t hash = m->info.started_ms + 1;
+	uint32_t i;
+
+	for (i = 0; i < m->info.nadapters; i++)
+		hash ^= hash_version(m->info.adapters[i], 1);
+	return hash == 0 ? 1 : hash;
+}
+
+/* Adds a replica to the table if it has changed since it was last sent. */
+static void
+table_add_replica(
+    struct entry *e, struct msg_held *h, struct directory_replica *m)
+{
+	const char *leaving =
+	    loader_unloading_model(e->loader_io->loader, m->info.id);
+	uint64_t hash = adapters_hash(m);
+	uint32_t i;
+
+	if (!h->is_full && m->adapters_hash_sent == hash && *leaving == '\0')
+		return;
+	m->adapters_hash_sent = hash;
+	table_add(h, m, "");
+	for (i = 0; i < m->info.nadapters; i++)
+		table_add(h, m, m->info.adapters[i]);
+	if (*leaving == '\0')
+		return;
+	table_add(h, m, leaving);
+	directory_exclude(m, leaving, e->now + UNLOADING_AVOID_NS);
+}
+
+/* Broadcasts changes of the adapter table, and at intervals all of it. */
+void
+adapter_table_send(struct entry *e)
+{
+	struct loader_io *st = e->loader_io;
+	uint64_t changes = loader_change_count(st->loader);
+	struct loader_stats t;
+	struct directory_replica *m;
+	uint64_t after;
+	struct msg *msg;
+
+	after = TABLE_INTERVAL_NS;
+	if (changes != st->table_changes)
+		after = peers_use_relays(e->peers) ? TABLE_CHANGES_NS : 0;
+	if (e->now < st->table_sent_at + after)
+		return;
+	if (changes != st->table_changes)
+		e->retry_waiting = 1;
+	st->table_changes = changes;
+	st->table_sent_at = e->now;
+	st->holder_heard_at = e->now;
+	loader_get_stats(st->loader, e->now, &t);
+	msg = msg_create(MSG_HELD, "");
+	snprintf(
+	    msg->u.held.holder, sizeof(msg->u.held.holder), "%s", e->self.addr);
+	msg->u.held.fence = t.fence;
+	msg->u.held.is_full =
+	    st->table_fencing_token != t.fence || e->now >= st->full_table_at;
+	if (msg->u.held.is_full)
+		st->full_table_at = e->now + FULL_TABLE_INTERVAL_NS;
+	st->table_fencing_token = t.fence;
+	msg->u.held.items =
+	    mem_alloc(MSG_LIST_MAX * sizeof(*msg->u.held.items));
+	for (m = e->dir.replicas; m != NULL; m = m->hh.next)
+		table_add_replica(e, &msg->u.held, m);
+	peers_send_down(e->peers, msg);
+}
+
+void
+adapter_table_apply(struct entry *e, const struct msg *msg)
+{
+	const struct msg_held *h = &msg->u.held;
+	struct loader_io *st = e->loader_io;
+	struct directory_replica *m;
+	struct fleet_replica *r;
+	uint32_t i;
+
+	if (h->fence < st->holder_fencing_token)
+		return;
+	st->holder_fencing_token = h->fence;
+	st->holder_heard_at = e->now;
+	snprintf(st->holder, sizeof(st->holder), "%s", h->holder);
+	loader_superseded(st->loader, h->fence);
+	for (m = e->dir.replicas; m != NULL && h->is_full; m = m->hh.next)
+		m->info.nadapters = 0;
+	for (i = 0; i < h->n; i++) {
+		m = directory_find(&e->dir, h->items[i].replica);
+		if (m == NULL ||
+		    m->info.started_ms != h->items[i].replica_start)
+			continue;
+		/* The items of each replica start with an empty name. */
+		if (h->items[i].name[0] == '\0') {
+			m->info.nadapters = 0;
+			continue;
+		}
+		if (m->info.nadapters == FLEET_ADAPTERS_MAX)
+			continue;
+		if (strchr(h->items[i].name, '/') == NULL) {
+			directory_exclude(
+			    m, h->items[i].name, e->now + UNLOADING_AVOID_NS);
+			continue;
+		}
+		r = &m->info;
+		snprintf(r->adapters[r->nadapters++], FLEET_NAME_SIZE, "%s",
+		    h->items[i].name);
+	}
+	e->retry_waiting = 1;
+}
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -1,4 +1,4 @@
-/* Outgoing requests on real sockets: what is sent, and when. */
+/* Outgoing requests on real sockets: what is sent, and when; events. */
 #include <arpa/inet.h>
 #include <ev.h>
 #include <stdio.h>
@@ -10,6 +10,7 @@
 #include "base.h"
 #include "clock.h"
 #include "http_client.h"
+#include "sse.h"
 #include "unit.h"
 
 #define PAUSE_NS (20 * NSEC_PER_MSEC)
@@ -36,6 +37,9 @@
 static void test_paused(void);
 static void test_in_time(void);
 
+static void collect(void *, const char *, size_t);
+static void test_events(void);
+
 static const struct exchange_ops ops = { on_head, on_body, on_end };
 
 static int
@@ -176,7 +180,43 @@
 	attempt_close(&t);
 }
 
+static void
+collect(void *ctx, const char *p, size_t len)
+{
+	buf_add(ctx, p, len);
+}
+
+/* Only complete events are passed on, for any split of the input. */
+static void
+test_events(void)
+{
+	static const char text[] =
+	    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda";
+	struct sse_splitter ev = { 0 };
+	struct buf out = { 0 };
+	size_t step;
+	size_t i;
+	size_t n;
+
+	for (step = 1; step < sizeof(text); step++) {
+		for (i = 0; i < sizeof(text) - 1; i += n) {
+			n = sizeof(text) - 1 - i;
+			if (n > step)
+				n = step;
+			sse_feed(&ev, text + i, n, collect, &out);
+		}
+		CU_ASSERT_EQUAL(buf_len(&out), sizeof(text) - 1 - 8);
+		CU_ASSERT_EQUAL(buf_len(&ev.partial), 8);
+		buf_free(&out);
+		sse_free(&ev);
+	}
+	CU_ASSERT_EQUAL(fields_parse_event_id("id: 12", 6), 12);
+	CU_ASSERT_EQUAL(fields_parse_event_id("id:7", 4), 7);
+	CU_ASSERT_EQUAL(fields_parse_event_id("data: 1", 7), 0);
+}
+
 static const struct unit_case cases[] = {
+	{ "events", test_events },
 	{ "paused while connecting", test_paused },
 	{ "sent in time", test_in_time },
 };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -5,7 +5,6 @@
 
 #include "boot.h"
 #include "config.h"
-#include "sse.h"
 #include "fields.h"
 #include "mem.h"
 #include "order.h"
@@ -32,11 +31,9 @@
 static void test_store_calls(void);
 static void test_store_pages(void);
 static void test_orders(void);
-static void test_events(void);
 static void ignore_head(void *, const struct http_head *);
 static void ignore_body(void *, const char *, size_t);
 static void ignore_end(void *);
-static void collect(void *, const char *, size_t);
 static const struct http_head *parse(const char *, enum http_message_kind);
 
 #define REPLICA(rest)                                                          \
@@ -556,41 +553,6 @@
 	CU_ASSERT_EQUAL(platform_order_result(0), ANSWER_NONE);
 }
 
-static void
-collect(void *ctx, const char *p, size_t len)
-{
-	buf_add(ctx, p, len);
-}
-
-/* Only complete events are passed on, for any split of the input. */
-static void
-test_events(void)
-{
-	static const char text[] =
-	    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda";
-	struct sse_splitter ev = { 0 };
-	struct buf out = { 0 };
-	size_t step;
-	size_t i;
-	size_t n;
-
-	for (step = 1; step < sizeof(text); step++) {
-		for (i = 0; i < sizeof(text) - 1; i += n) {
-			n = sizeof(text) - 1 - i;
-			if (n > step)
-				n = step;
-			sse_feed(&ev, text + i, n, collect, &out);
-		}
-		CU_ASSERT_EQUAL(buf_len(&out), sizeof(text) - 1 - 8);
-		CU_ASSERT_EQUAL(buf_len(&ev.partial), 8);
-		buf_free(&out);
-		sse_free(&ev);
-	}
-	CU_ASSERT_EQUAL(fields_parse_event_id("id: 12", 6), 12);
-	CU_ASSERT_EQUAL(fields_parse_event_id("id:7", 4), 7);
-	CU_ASSERT_EQUAL(fields_parse_event_id("data: 1", 7), 0);
-}
-
 static const struct unit_case cases[] = {
 	{ "replicas", test_replicas },
 	{ "replica with all members", test_replica_whole },
@@ -605,7 +567,6 @@
 	{ "store calls", test_store_calls },
 	{ "store pages", test_store_pages },
 	{ "orders", test_orders },
-	{ "events", test_events },
 };
 
 UNIT_MAIN("platform", cases)
