--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -9,6 +9,7 @@
 
 #include "base.h"
 #include "clock.h"
+#include "fields.h"
 #include "http_client.h"
 #include "sse.h"
 #include "unit.h"
