Hubs are chosen among the relays, and among those that the store serves

Change: relays, which hear each other anyway, are the candidates for hubs, so that no beats are needed; processes without duties tick every 50 ms and retry every 30 ms. A process that the store turns away ranks last, as hub and relay; a hub without an answer for 1 s probes at a tenth of a call.

--- a/core/msg.h
+++ b/core/msg.h
@@ -253,7 +253,6 @@
 	FRONT_OWN,  /* the sender's */
 	FRONT_ZONE, /* a relay's data centre */
 	FRONT_ALL,  /* all but the receiver's work, from its relay */
-	FRONT_BEAT, /* none */
 	FRONT__MAX
 };
 
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -208,6 +208,8 @@
 		if (l->idle && list_is_due(l))
 			list_read(l);
 	}
+	if (peers_is_active_hub(s->e->peers))
+		session_probe(s);
 	l = &s->lists[LIST_REPLICAS];
 	if (!l->polling || !peers_is_active_hub(s->e->peers))
 		return;
--- a/entry/main.c
+++ b/entry/main.c
@@ -21,6 +21,9 @@
 #define NAME "spindle-entry"
 #define TICK_S 0.02
 #define RETRY_WAITING_S 0.006
+/* In a large fleet, for processes without duties: reports come every 0.2 s. */
+#define TICK_LARGE_S 0.05
+#define RETRY_WAITING_LARGE_S 0.03
 /* The load balancer notices within two readiness checks, 1 s apart. */
 #define LISTEN_AFTER_STOP_NS (2500 * NSEC_PER_MSEC)
 #define GRACE_MARGIN_NS (400 * NSEC_PER_MSEC)
@@ -59,6 +62,8 @@
 	loader_io_tick(e);
 	peers_tick(e->peers);
 	session_tick(e->session);
+	w->repeat = peers_has_duty(e->peers) ? TICK_S : TICK_LARGE_S;
+	ev_timer_again(loop, w);
 	/* Capacity also becomes free with time, without an event. */
 	if (e->waiting.nitems != 0)
 		e->retry_waiting = 1;
@@ -91,7 +96,10 @@
 	forward_retry_waiting(&d->e);
 	if (ev_is_active(&d->retry_timer) || d->e.waiting.nitems == 0)
 		return;
-	ev_timer_set(&d->retry_timer, RETRY_WAITING_S, 0.0);
+	ev_timer_set(&d->retry_timer,
+	    peers_use_relays(d->e.peers) ? RETRY_WAITING_LARGE_S
+					 : RETRY_WAITING_S,
+	    0.0);
 	ev_timer_start(loop, &d->retry_timer);
 }
 
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -46,7 +46,8 @@
 	snprintf(key, sizeof(key), PEERS_KEY_PREFIX "%s", e->boot.vm);
 	memcpy(p->self.addr, e->self.addr, sizeof(p->self.addr));
 	memcpy(p->self.zone, e->boot.zone, sizeof(p->self.zone));
-	p->self.weight = (uint32_t)(e->boot.cpu_share * HUB_WEIGHT_PER_CORE);
+	p->weight = (uint32_t)(e->boot.cpu_share * HUB_WEIGHT_PER_CORE);
+	p->self.weight = p->weight;
 	p->self.self = 1;
 	p->self_relay = p->self;
 	p->started_at = entry_update_now(e);
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -39,6 +39,8 @@
 int peers_is_active_hub(const struct peers *);
 /* Whether reports and lists go through relays, as in a large fleet. */
 int peers_use_relays(const struct peers *);
+/* Whether others wait for this process: always so in a small fleet. */
+int peers_has_duty(const struct peers *);
 /* Whether the lists come from hubs alone, as in a large fleet. */
 int peers_follow_hubs(const struct peers *);
 /* As a hub or relay, passes changes of the list on. */
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -41,6 +41,7 @@
 	uint64_t answers_since;	      /* start of the current window */
 	uint32_t answers;	      /* texts sent in the window */
 	uint64_t started_at;
+	uint32_t weight; /* this process's, while the store serves it */
 	struct hub self;
 	struct hub self_relay;
 	struct hub *relay; /* of this data centre, NULL before it is known */
--- a/entry/relays.c
+++ b/entry/relays.c
@@ -1,6 +1,6 @@
 /*
- * Roles of this process and its peers: the hubs, which watch the lists for all,
- * and in a large fleet a relay in each data centre.
+ * Roles of this process and its peers: in a large fleet a relay in each data
+ * centre, and the hubs, which watch the lists for all.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +9,7 @@
 #include "loader_io.h"
 #include "mem.h"
 #include "peers_int.h"
+#include "session.h"
 
 #define HUB_SILENT_NS (800 * NSEC_PER_MSEC) /* several missed reports */
 /* Time for a starting process to discover its peers. */
@@ -42,26 +43,44 @@
 	return peers_use_relays(p) && p->self_relay.hub_since != 0;
 }
 
+int
+peers_has_duty(const struct peers *p)
+{
+	return !peers_use_relays(p) || peers_is_relay(p) ||
+	    loader_io_is_leader(p->e);
+}
+
 int
 peers_in_zone(const struct peers *p, const struct peer *q)
 {
 	return strcmp(q->relay.zone, p->self.zone) == 0;
 }
 
-/* Chooses the hubs, and assigns a hub to each peer. */
+/*
+ * Chooses the hubs, and assigns a hub to each peer.  In a large fleet relays
+ * alone are candidates: they report to each other, so that each knows which
+ * of them live.
+ */
 static void
 choose_hubs(struct peers *p)
 {
+	int large = peers_use_relays(p);
 	struct hub **all;
 	struct peer *q;
 	uint32_t n = 0;
 	int was_hub = p->self.hub_since != 0;
 
 	all = mem_alloc((peers_count(p) + 1) * sizeof(struct hub *));
-	if (!p->e->stopping)
+	p->self.hub_since =
+	    large && p->self_relay.hub_since == 0 ? 0 : p->self.hub_since;
+	if (!p->e->stopping && (!large || p->self_relay.hub_since != 0))
 		all[n++] = &p->self;
-	for (q = p->peers; q != NULL; q = q->hh.next)
-		all[n++] = &q->hub;
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (!large || q->relay.hub_since != 0)
+			all[n++] = &q->hub;
+		else
+			q->hub.hub_since = 0;
+	}
 	p->nhubs = hubs_choose(all, n, p->e->now, HUB_SILENT_NS, p->hubs);
 	free(all);
 	for (q = p->peers; q != NULL && p->nhubs != 0; q = q->hh.next)
@@ -86,8 +105,8 @@
 }
 
 /*
- * Chooses the relay of this data centre and, for a hub, relay or lease holder,
- * those of the others: only these hear them.
+ * Chooses the relay of this data centre and, for a relay or lease holder, those
+ * of the others: only these hear them.
  */
 static void
 choose_relays(struct peers *p)
@@ -97,8 +116,7 @@
 	struct peer *q;
 	uint32_t n = 0;
 	uint32_t i;
-	int fleet = p->self_relay.hub_since != 0 || p->self.hub_since != 0 ||
-	    loader_io_is_leader(p->e);
+	int fleet = p->self_relay.hub_since != 0 || loader_io_is_leader(p->e);
 	int was_relay = p->self_relay.hub_since != 0;
 
 	if (fleet && !p->knows_fleet)
@@ -127,11 +145,19 @@
 		    !was_relay, p->self.zone, peers_count(p));
 }
 
+/*
+ * A process that the store turns away ranks last: it could not follow the lists
+ * for others.
+ */
 void
 peers_choose(struct peers *p)
 {
-	choose_hubs(p);
+	int up = p->e->session == NULL || session_is_up(p->e->session);
+
+	p->self.weight = up ? p->weight : 0;
+	p->self_relay.weight = p->self.weight;
 	choose_relays(p);
+	choose_hubs(p);
 }
 
 uint32_t
--- a/entry/report.c
+++ b/entry/report.c
@@ -1,8 +1,8 @@
 /*
  * Load reports between the entry processes.  In a small fleet each process
  * reports to all.  In a large one reports go up and down a tree: a process to
- * the relay of its data centre, relays to each other and to the hubs as sums,
- * and each relay the rest of the fleet's work to the processes of its own.
+ * the relay of its data centre, relays to each other as sums, and each relay
+ * the rest of the fleet's work to the processes of its own.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -34,7 +34,6 @@
 static void send_copy(struct peers *, const struct msg *, const char *);
 static void relay_to_fleet(struct peers *);
 static void relay_to_zone(struct peers *);
-static void send_beats(struct peers *);
 
 /* Whether a report's work is not contained in another one that is applied. */
 static int
@@ -73,7 +72,7 @@
 			    &e->dir, q->index, f->work[i].replica, &w);
 		}
 	}
-	/* Hubs and relays have the sums of all data centres. */
+	/* Relays and the lease holder have the sums of all data centres. */
 	if (!peers_use_relays(p) || f->scope == FRONT_ZONE ||
 	    (f->scope == FRONT_ALL && !p->knows_fleet))
 		loader_io_apply_demand(e, m);
@@ -181,7 +180,7 @@
 	bus_send(p->bus, copy);
 }
 
-/* Reports the sum of this data centre to the relays, hubs and the holder. */
+/* Reports the sum of this data centre to the relays and the lease holder. */
 static void
 relay_to_fleet(struct peers *p)
 {
@@ -197,7 +196,7 @@
 	fill_work(p, &m->u.front, zone, NULL);
 	loader_io_fill_zone_demand(p->e, &m->u.front);
 	for (q = p->peers; q != NULL; q = q->hh.next) {
-		if (q->relay.hub_since != 0 || q->hub.hub_since != 0 ||
+		if (q->relay.hub_since != 0 ||
 		    loader_io_is_holder(p->e, q->hub.addr))
 			send_copy(p, m, q->hub.addr);
 	}
@@ -226,20 +225,6 @@
 	free(all);
 }
 
-/* A hub tells all that it lives, and which versions it has. */
-static void
-send_beats(struct peers *p)
-{
-	struct msg *m = compose_report(p, FRONT_BEAT);
-	struct peer *q;
-
-	for (q = p->peers; q != NULL; q = q->hh.next) {
-		if (!peers_is_relay(p) || !peers_in_zone(p, q))
-			send_copy(p, m, q->hub.addr);
-	}
-	msg_destroy(m);
-}
-
 void
 peers_report_soon(struct peers *p)
 {
@@ -280,6 +265,4 @@
 		send_copy(p, m, p->relay->addr);
 		msg_destroy(m);
 	}
-	if (p->self.hub_since != 0)
-		send_beats(p);
 }
--- a/entry/session.c
+++ b/entry/session.c
@@ -8,6 +8,10 @@
 
 #define CALL_TIMEOUT_S 1.5
 #define DOWN_AFTER_FAILURES 2 /* consecutive ones */
+/* A watch may hang; a cheap call shows whether the store answers. */
+#define PROBE_NS (1 * NSEC_PER_SEC) /* without an answer */
+#define PROBE_TIMEOUT_S 0.6
+#define PROBE_KEY STORE_KEY_PREFIX "probe/"
 
 /* A pending call. */
 struct call {
@@ -16,6 +20,7 @@
 	void *ctx;
 };
 
+static void on_probe_answer(void *, int, const char *, size_t);
 static void on_call_answer(void *, int, const char *, size_t);
 static void record_answer(struct session *, int);
 static void on_op_answer(void *, int, const char *, size_t);
@@ -78,6 +83,7 @@
 
 	if (available) {
 		s->failures = 0;
+		s->answered_at = s->e->now;
 		if (!s->up)
 			log_event(LOG_KV_UP, NULL, "status=%d", status);
 		s->up = 1;
@@ -129,6 +135,29 @@
 	}
 }
 
+static void
+on_probe_answer(void *ctx, int status, const char *body, size_t len)
+{
+	struct session *s = ctx;
+
+	(void)status;
+	(void)body;
+	(void)len;
+	s->probing = 0;
+}
+
+void
+session_probe(struct session *s)
+{
+	struct store_request sc;
+
+	if (s->closing || s->probing || s->e->now < s->answered_at + PROBE_NS)
+		return;
+	s->probing = 1;
+	store_range_request(PROBE_KEY, "", 1, &sc);
+	session_call(s, &sc, PROBE_TIMEOUT_S, on_probe_answer, s);
+}
+
 int
 session_is_up(const struct session *s)
 {
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -58,8 +58,10 @@
 	struct list lists[LIST__MAX];
 	uint64_t ncalls;
 	uint64_t started_at;
-	int peers_known;   /* the peers have been read, or could not be */
-	uint32_t failures; /* consecutive calls without an answer */
+	uint64_t answered_at; /* latest answer of the store */
+	int probing;	      /* a probe is under way */
+	int peers_known;      /* the peers have been read, or could not be */
+	uint32_t failures;    /* consecutive calls without an answer */
 	int up;
 	int closing;
 };
@@ -71,6 +73,9 @@
 void session_call(
     struct session *, struct store_request *, double, query_callback, void *);
 
+/* Asks the store whether it answers, unless it has done so lately. */
+void session_probe(struct session *);
+
 /* lists.c */
 /* Starts reading all lists. */
 void lists_start(struct session *);
--- a/tests/test_hubs.c
+++ b/tests/test_hubs.c
@@ -17,6 +17,7 @@
 static void test_all_silent(void);
 static void test_index(void);
 static void test_relays(void);
+static void test_turned_away(void);
 static void test_relay_lost(void);
 
 static void
@@ -127,6 +128,26 @@
 	CU_ASSERT(hubs[1].hub_since == 0);
 }
 
+/* A process that the store turns away, of weight 0, is a hub only at need. */
+static void
+test_turned_away(void)
+{
+	struct hub *out[HUBS_MAX];
+	uint32_t i;
+
+	setup();
+	hubs[0].weight = 0;
+	hubs[1].weight = 0;
+	hubs_choose(all, CANDIDATES, 1, SILENCE_NS, out);
+	CU_ASSERT_PTR_EQUAL(out[0], &hubs[2]);
+	CU_ASSERT_PTR_EQUAL(out[2], &hubs[4]);
+	CU_ASSERT_EQUAL(hubs[0].hub_since, 0);
+	for (i = 0; i < CANDIDATES; i++)
+		hubs[i].weight = 0;
+	CU_ASSERT_EQUAL(
+	    hubs_choose(all, CANDIDATES, 2, SILENCE_NS, out), HUBS_MAX);
+}
+
 /*
  * 300 processes in six data centres lose every relay at once: each has another
  * one as soon as the time-out allows, and the first ones return to their place.
@@ -172,6 +193,7 @@
 	{ "all other processes silent", test_all_silent },
 	{ "even distribution", test_index },
 	{ "relays", test_relays },
+	{ "turned away by the store", test_turned_away },
 	{ "relays lost", test_relay_lost },
 };
 
