--- a/core/balance.c
+++ b/core/balance.c
@@ -9,6 +9,7 @@
 #define REMOTE_ZONE_MS 8.0    /* replica in another data centre */
 #define ERROR_RATE_MS 3000.0  /* at an error rate of 1 */
 #define JITTER_MS 4.0	      /* random spread between equal replicas */
+#define BLIND_JITTER_MS 30.0  /* the same, without the load of peers */
 #define ALREADY_TRIED_MS 1e6  /* last resort */
 /*
  * Prefill backlog up to which a replica accepts another prompt.  It is low, so
@@ -39,6 +40,7 @@
 static int prefill_is_unlimited(const struct fleet_engine *, uint64_t);
 static int replica_is_full(const struct balance_request *, uint64_t, double,
     const struct directory_replica *, const struct replica_load *);
+static double replica_draw(double, uint32_t);
 static double prefill_backlog_ms(
     const struct balance_request *, const struct replica_load *);
 static double replica_delay_ms(const struct balance_request *,
@@ -130,6 +132,15 @@
 	return ms;
 }
 
+/* A number in [0, 1) for the nth replica, from the request's. */
+static double
+replica_draw(double draw, uint32_t n)
+{
+	double x = draw * 7919.0 * n;
+
+	return x - (double)(uint32_t)x;
+}
+
 void
 balance_set_names(struct balance_request *w, const char *service,
     const char *model, const char *adapter)
@@ -169,7 +180,8 @@
 			continue;
 		if (result == BALANCE_NO_ADAPTER)
 			result = BALANCE_FULL;
-		load = directory_total_load(d, now, m);
+		load = w->ignore_peers ? m->local_load
+				       : directory_total_load(d, now, m);
 		if (directory_excluded(m, now, w->model) ||
 		    directory_excluded(m, now, w->adapter) ||
 		    replica_is_full(w, d->prefill_window_ns,
@@ -177,7 +189,8 @@
 			continue;
 		n++;
 		ms = replica_delay_ms(w, m, &load) +
-		    JITTER_MS * ((draw * n) - (double)(uint32_t)(draw * n));
+		    (w->ignore_peers ? BLIND_JITTER_MS : JITTER_MS) *
+			replica_draw(draw, n);
 		if (*out != NULL && ms >= best)
 			continue;
 		best = ms;
--- a/core/balance.h
+++ b/core/balance.h
@@ -23,6 +23,11 @@
 	uint64_t prefill_ns; /* time to prefill the prompt */
 	uint64_t queued_ns;  /* since arrival */
 	int past_target;
+	/*
+	 * Reports of peers are older than a request takes: every process would
+	 * send to the same replica until the next report.
+	 */
+	int ignore_peers;
 	uint32_t max_conns; /* per replica, of this process */
 	uint32_t ntried;
 	char tried[BALANCE_TRIED_MAX][NAME_SIZE];
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -9,6 +9,7 @@
 #include "forward_int.h"
 #include "mem.h"
 #include "loader_io.h"
+#include "peers.h"
 
 /* Retry-After where nothing is known of a better time. */
 #define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
@@ -186,6 +187,7 @@
 		  &f->e->pace, f->params.model, f->params.prompt_tokens);
 	w.queued_ns = f->e->now - f->arrived;
 	w.past_target = forward_is_late(f);
+	w.ignore_peers = s->engine == NULL && peers_use_relays(f->e->peers);
 	w.max_conns = max_conns_per_replica(f->e, s);
 	w.ntried = f->ntried;
 	memcpy(w.tried, f->tried, sizeof(w.tried));
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -25,6 +25,8 @@
 static void test_prefill_share(void);
 static void test_balance_choice(void);
 static void test_balance_failures(void);
+static uint32_t replay_herd(int);
+static void test_late_reports(void);
 
 static struct fleet_replica
 make_replica(const char *id, const char *model)
@@ -462,6 +464,86 @@
 	directory_clear(&d);
 }
 
+/*
+ * 76 processes send 180 requests a second of 60 ms to three replicas of six
+ * slots and report their load every 200 ms.  Returns how many of 3,600 find
+ * their replica full.
+ */
+static uint32_t
+replay_herd(int ignore_peers)
+{
+	static uint64_t ends[3][3600];
+	struct directory d;
+	struct balance_request w;
+	struct directory_replica *m;
+	struct replica_load load = { 0, 0, 0, 0 };
+	struct fleet_replica r;
+	uint32_t nends[3] = { 0, 0, 0 };
+	uint32_t rejected = 0;
+	uint64_t seed = 1;
+	uint64_t now;
+	uint32_t running;
+	uint32_t i;
+	uint32_t k;
+	uint32_t at;
+	char id[2] = "a";
+
+	directory_init(&d);
+	memset(&w, 0, sizeof(w));
+	balance_set_names(&w, "llm", "", "");
+	w.zone = "z1";
+	w.max_conns = 10;
+	w.ignore_peers = ignore_peers;
+	for (at = 0; at < 3; at++) {
+		id[0] = (char)('a' + at);
+		r = make_replica(id, "");
+		r.slots = 6;
+		snprintf(r.addr, sizeof(r.addr), "10.0.0.%u:80", at);
+		directory_put(&d, &r);
+	}
+	for (i = 0; i < 3600; i++) {
+		now = 10 * S + i * S / 180;
+		seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
+		if (i % 36 == 0)
+			directory_reset_peer_load(&d, now, 0);
+		for (at = 0; at < 3 && i % 36 == 0; at++) {
+			for (running = 0, k = 0; k < nends[at]; k++)
+				running += ends[at][k] > now;
+			load.running = running;
+			id[0] = (char)('a' + at);
+			directory_set_peer_load(&d, 0, id, &load);
+		}
+		if (balance_pick(&d, now, &w,
+			(double)(seed >> 11) / 9007199254740992.0,
+			&m) != BALANCE_FOUND) {
+			rejected++;
+			continue;
+		}
+		at = (uint32_t)(m->info.id[0] - 'a');
+		for (running = 0, k = 0; k < nends[at]; k++)
+			running += ends[at][k] > now;
+		if (running >= 6)
+			rejected++;
+		else
+			ends[at][nends[at]++] = now + 60 * MS;
+	}
+	directory_clear(&d);
+	return rejected;
+}
+
+/* Reports older than a request: a choice by them sends all to one replica. */
+static void
+test_late_reports(void)
+{
+	uint32_t before = replay_herd(0);
+	uint32_t after = replay_herd(1);
+
+	printf("late reports: %u of 3600 rejected, by reports %u\n", after,
+	    before);
+	CU_ASSERT(after < 3600 / 5);
+	CU_ASSERT(after < before / 2);
+}
+
 static const struct unit_case cases[] = {
 	{ "routes", test_routes },
 	{ "split routes", test_split },
@@ -477,6 +559,7 @@
 	{ "address reused", test_address_reused },
 	{ "prefill share", test_prefill_share },
 	{ "balance failures", test_balance_failures },
+	{ "late reports", test_late_reports },
 };
 
 UNIT_MAIN("fleet", cases)
