--- a/core/hubs.h
+++ b/core/hubs.h
@@ -1,7 +1,8 @@
 /*
- * Selection of hubs: the few processes that watch the key-value service's
- * lists and forward changes to all others.  Every process computes the same
- * hubs from what it knows of its peers.  Deterministic.
+ * Selection of hubs, the few processes that watch the key-value service's lists
+ * and forward changes to all others, and of relays, one in each data centre of
+ * a large fleet.  Answers the loss of any of them.  Every process computes the
+ * same ones from what it knows of its peers.  Deterministic.
  */
 #ifndef HUBS_H
 #define HUBS_H
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -1,9 +1,10 @@
 /*
  * Local copies of three lists in the key-value store: configuration, replicas
- * and peers.  Each is read in full first.  The configuration is then watched
- * from that revision on.  The replicas are watched by the hubs, which relay
- * changes to the other processes.  The peers are polled, since they seldom
- * change and also announce themselves by their reports.
+ * and peers.  The peers are read first and then polled, since they seldom
+ * change and also announce themselves by their reports.  In a small fleet every
+ * process reads the other two and watches the configuration, and hubs watch the
+ * replicas for all.  In a large fleet only hubs read and watch them; the other
+ * processes are sent them, and read a list that does not arrive.
  */
 #include <stdio.h>
 #include <stdlib.h>
--- a/entry/loader_demand.c
+++ b/entry/loader_demand.c
@@ -107,7 +107,7 @@
 	d->waiting = waiting;
 }
 
-/* What was not asked for lately is left out. */
+/* Names without requests within DEMAND_REPORTED_NS are left out. */
 void
 loader_io_fill_demand(struct entry *e, struct msg_front *out)
 {
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -73,7 +73,7 @@
 void session_call(
     struct session *, struct store_request *, double, query_callback, void *);
 
-/* Asks the store whether it answers, unless it has done so lately. */
+/* Sends a cheap call if the store has not answered within PROBE_NS. */
 void session_probe(struct session *);
 
 /* lists.c */
