Failing tests: timers run before input that has already arrived

What callers saw: beside a configuration, a whole request on a kept connection got neither an answer nor a refusal. Ruled out: the check whether the caller has left (left_total stayed at 0), an aborted response (cut_total, no request-failed line), failing recv() (none).

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -711,6 +711,85 @@
         w.stop()
 
 
+# --- input that arrives while the process does not run ---------------------
+
+def pause(w, seconds, during=None):
+    """Stops the process, calls `during`, and continues it after a time."""
+    w.process.send_signal(signal.SIGSTOP)
+    if during is not None:
+        during()
+    time.sleep(seconds)
+    w.process.send_signal(signal.SIGCONT)
+
+
+def test_request_lost_at_idle_timeout():
+    """A request that arrives before the idle timeout is answered, although
+    the process reads it later."""
+    w, _, _ = two_replicas(answer_ok, config=default_config(
+        idle_timeout_ms=1000))
+    try:
+        s = w.connect()
+        check("first", w.call(sock=s)[0] == 200)
+        time.sleep(0.5)
+        pause(w, 2.5, lambda: s.sendall(request("/read/x", "id-2")))
+        status, _, _, whole = read_answer(s)
+        check("answered", (status, whole) == (200, True))
+    finally:
+        w.stop()
+
+
+def test_header_during_pause():
+    """A header that is complete before its timeout is not rejected."""
+    w, _, _ = two_replicas(answer_ok, config=default_config(
+        header_timeout_ms=1000))
+    try:
+        s = w.connect()
+        text = request("/read/x", "id-1")
+        s.sendall(text[:-2])
+        time.sleep(0.4)
+        pause(w, 1.2, lambda: s.sendall(text[-2:]))
+        status, _, _, whole = read_answer(s)
+        check("answered: %d" % status, (status, whole) == (200, True))
+    finally:
+        w.stop()
+
+
+def test_answer_during_pause():
+    """An answer that arrives before the deadline is forwarded, not replaced
+    by an error."""
+    async def slow(call):
+        await call.read()
+        await asyncio.sleep(0.4)
+        return await call.answer()
+    w, a, _ = two_replicas(slow)
+    try:
+        s = w.connect()
+        s.sendall(request("/once/x", "id-1", "POST", b"o", deadline=1000))
+        w.wait("sent", lambda: a.requests)
+        pause(w, 1.4)
+        status, _, body, whole = read_answer(s)
+        check("answered: %d" % status,
+              (status, body, whole) == (200, b"whole", True))
+    finally:
+        w.stop()
+
+
+def test_sigterm_request_during_pause():
+    """During a stop, a request that has arrived on a kept connection is
+    answered, although the process reads it late."""
+    w, _, _ = two_replicas(answer_ok)
+    try:
+        s = w.connect()
+        check("first", w.call(sock=s)[0] == 200)
+        w.process.send_signal(signal.SIGTERM)
+        time.sleep(2.2)
+        pause(w, 0.6, lambda: s.sendall(request("/read/x", "id-2")))
+        status, _, _, whole = read_answer(s)
+        check("answered: %d" % status, status in (200, 503) and whole)
+    finally:
+        w.stop()
+
+
 # --- shutdown, reload, resources, metrics --------------------------------
 
 def test_sigterm():
