Log connections closed unread, the delay of the event loop, decode times

Logs and metrics could not tell why a caller's connection was closed, nor how long the event loop stood still. New: http-unread, idle_closed and unread_closed, a histogram of the loop's delay, and size and time of decoding in conf-in-force. No change of behaviour.

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -281,6 +281,12 @@
 	    "Answers broken off.", e->counts.truncated);
 	metric_write(f, "spindle_entry_left_total", "counter",
 	    "Callers that left first.", e->counts.caller_gone);
+	metric_write(f, "spindle_entry_idle_closed_total", "counter",
+	    "Callers' connections closed for being idle.",
+	    e->counts.idle_closed);
+	metric_write(f, "spindle_entry_unread_closed_total", "counter",
+	    "Callers' connections closed although input had arrived.",
+	    e->counts.unread_closed);
 	write_attempt_metrics(e, f);
 	metric_write(f, "spindle_entry_waiting", "gauge",
 	    "Requests that wait for a replica.", e->waiting.nitems);
@@ -311,6 +317,7 @@
 	metric_write_histogram(f, &e->times.first_event);
 	metric_write_histogram(f, &e->times.max_gap);
 	metric_write_histogram(f, &e->times.total);
+	metric_write_histogram(f, &e->times.loop_delay);
 	write_replica_metrics(e, f);
 	metric_write_process(f);
 }
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -29,6 +29,7 @@
 	struct buf pipelined; /* bytes received after the current request */
 	struct buf body;
 	uint64_t accepted_at;
+	uint64_t idle_since; /* end of the latest response, or accepted_at */
 	uint64_t request_started_at;
 	int response_sent; /* has had a response */
 	int in_request;	   /* a complete request is being handled */
@@ -52,6 +53,7 @@
 static void caller_set_read_timeout(struct caller *);
 static void caller_feed_pipelined(struct caller *);
 static void caller_close(struct caller *);
+static void caller_close_idle(struct caller *);
 static void on_data(void *, const char *, size_t);
 static void on_closed(void *, int);
 static void on_drained(void *);
@@ -154,6 +156,7 @@
 	c = mem_alloc(sizeof(*c));
 	c->e = e;
 	c->accepted_at = e->now;
+	c->idle_since = e->now;
 	c->reader =
 	    http_reader_create(HTTP_READ_REQUESTS, &caller_reader_ops, c);
 	ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
@@ -197,10 +200,25 @@
 		if (!c->in_request && !http_reader_in_message(c->reader) &&
 		    (c->response_sent ||
 			e->now >= c->accepted_at + FIRST_REQUEST_NS))
-			caller_close(c);
+			caller_close_idle(c);
 	}
 }
 
+/* Closes a connection without a request in progress. */
+static void
+caller_close_idle(struct caller *c)
+{
+	c->e->counts.idle_closed++;
+	if (conn_has_input(c->conn)) {
+		c->e->counts.unread_closed++;
+		log_event(LOG_HTTP_UNREAD, NULL, "idle_ms=%llu stopping=%d",
+		    (unsigned long long)((c->e->now - c->idle_since) /
+			NSEC_PER_MSEC),
+		    c->e->stopping);
+	}
+	caller_close(c);
+}
+
 /* Closes the connection once the buffered bytes have been sent. */
 static void
 caller_close(struct caller *c)
@@ -247,7 +265,7 @@
 		caller_reject(c, 408, "the request came too slowly");
 		return;
 	}
-	caller_close(c);
+	caller_close_idle(c);
 }
 
 static void
@@ -428,6 +446,7 @@
 		return;
 	}
 	c->in_request = 0;
+	c->idle_since = c->e->now;
 	c->response_sent = 1;
 	c->head_received = 0;
 	c->request_complete = 0;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -19,6 +19,8 @@
 	t->max_gap.help = "Longest pause between events of a stream.";
 	t->total.name = "spindle_entry_answer_seconds";
 	t->total.help = "Arrival to the end of the answer.";
+	t->loop_delay.name = "spindle_entry_loop_delay_seconds";
+	t->loop_delay.help = "Time by which the event loop's tick came late.";
 }
 
 uint64_t
@@ -43,6 +45,7 @@
 {
 	struct fleet_conf *conf;
 	struct err err;
+	uint64_t started_at = clock_mono();
 
 	conf = platform_config_decode(text, len, &err);
 	if (conf == NULL) {
@@ -62,9 +65,11 @@
 	e->retry_waiting = 1;
 	http_set_max_head_size(conf->limits.max_header_bytes);
 	log_event(LOG_CONF_IN_FORCE, NULL,
-	    "version=%llu from=%s routes=%u services=%u",
+	    "version=%llu from=%s routes=%u services=%u bytes=%zu "
+	    "decode_ms=%llu",
 	    (unsigned long long)conf->version, source, conf->nroutes,
-	    conf->nservices);
+	    conf->nservices, len,
+	    (unsigned long long)((clock_mono() - started_at) / NSEC_PER_MSEC));
 	peers_push_config(e->peers);
 }
 
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -36,6 +36,8 @@
 	uint64_t unknown_outcome; /* callers told that the outcome is unknown */
 	uint64_t truncated;	  /* responses cut off before their end */
 	uint64_t caller_gone;	  /* callers that disconnected before the end */
+	uint64_t idle_closed;	  /* connections closed for being idle */
+	uint64_t unread_closed;	  /* closed although input had arrived */
 	uint64_t attempts;
 	uint64_t attempt_ends[ATTEMPT__MAX];
 };
@@ -46,6 +48,7 @@
 	struct metric_histogram first_event; /* arrival to that of a stream */
 	struct metric_histogram max_gap;     /* between events of a stream */
 	struct metric_histogram total; /* arrival to the end of the response */
+	struct metric_histogram loop_delay; /* of the tick, beyond its time */
 };
 
 struct entry {
--- a/entry/main.c
+++ b/entry/main.c
@@ -36,6 +36,7 @@
 	const char *settings_path;
 	struct listener *listener;
 	ev_timer tick;
+	uint64_t tick_at; /* when it is due */
 	ev_prepare prepare;
 	ev_timer retry_timer;
 	ev_signal term;
@@ -58,12 +59,16 @@
 
 	(void)events;
 	entry_update_now(e);
+	if (d->tick_at != 0)
+		metric_observe(&e->times.loop_delay,
+		    e->now > d->tick_at ? e->now - d->tick_at : 0);
 	directory_tick(&e->dir, e->now);
 	loader_io_tick(e);
 	peers_tick(e->peers);
 	session_tick(e->session);
 	w->repeat = peers_has_duty(e->peers) ? TICK_S : TICK_LARGE_S;
 	ev_timer_again(loop, w);
+	d->tick_at = e->now + (uint64_t)(w->repeat * NSEC_PER_SEC);
 	/* Capacity also becomes free with time, without an event. */
 	if (e->waiting.nitems != 0)
 		e->retry_waiting = 1;
--- a/net/conn.c
+++ b/net/conn.c
@@ -248,6 +248,14 @@
 	    (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+int
+conn_has_input(const struct conn *c)
+{
+	struct pollfd p = { c->fd, c->connecting ? POLLOUT : POLLIN, 0 };
+
+	return poll(&p, 1, 0) == 1;
+}
+
 size_t
 conn_unsent_bytes(const struct conn *c)
 {
--- a/net/conn.h
+++ b/net/conn.h
@@ -42,6 +42,11 @@
 void conn_write(struct conn *, const void *, size_t);
 /* Whether the peer has closed its side, even if bytes are still unread. */
 int conn_peer_closed(const struct conn *);
+/*
+ * Whether the loop has yet to handle received bytes, the peer's end, or the
+ * result of connecting.
+ */
+int conn_has_input(const struct conn *);
 /* Output bytes not yet accepted by the kernel. */
 size_t conn_unsent_bytes(const struct conn *);
 void conn_clear_sent(struct conn *);
--- a/shell/log.c
+++ b/shell/log.c
@@ -80,6 +80,8 @@
 	    "a bus message could not be decoded and is dropped" },
 	[LOG_BUS_DROPPED] = { 1101, LOGLEVEL_INFO, "bus-dropped",
 	    "a bus message was dropped because the send queue is full" },
+	[LOG_HTTP_UNREAD] = { 1103, LOGLEVEL_WARNING, "http-unread",
+	    "a connection was closed although input had arrived" },
 	[LOG_HTTP_BAD] = { 1102, LOGLEVEL_INFO, "http-bad",
 	    "a malformed or oversized HTTP request was rejected" },
 	[LOG_REQUEST_ARRIVED] = { 1200, LOGLEVEL_DEBUG, "request-arrived",
