Input that has arrived is handled before a deadline is found to have passed

What callers saw: a whole request on a kept connection was closed without an answer beside a configuration (LOST); the same order of events turned a complete header into 408, an answer that was there into 504, and closed a request during a stop. Cause: the event loop stood still (0.36 to 0.41 s, decoding a configuration of 4,249 routes on a VM of 0.12 cores), and libev then calls timers before the descriptors that became ready meanwhile, 64 of which a turn handles at first. Change: net/expiry, one kind of deadline for callers, forwarded requests, connections, calls to the store and the admin port. Its timer has the lowest priority, and while input is unread it waits up to 8 turns of the loop, so a peer that sends without end does not defer its own deadline. The tick goes after input as well, and takes in what peers sent before it calls them silent. A stop closes no connection with unread input.

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include "admin.h"
+#include "clock.h"
 #include "conn.h"
+#include "expiry.h"
 #include "forward_int.h"
 #include "mem.h"
 #include "metric.h"
@@ -14,7 +16,7 @@
 #include "loader_io.h"
 
 #define ADMIN_ADDRESSES 2
-#define ADMIN_IDLE_S 30.0
+#define ADMIN_IDLE_NS (30 * NSEC_PER_SEC)
 #define METRICS_TARGET "/metrics"
 
 struct client {
@@ -22,7 +24,7 @@
 	struct admin *a;
 	struct conn *conn;
 	struct http_reader *reader;
-	ev_timer timer;
+	struct expiry *expiry; /* of waiting for a request */
 	int request_complete;
 };
 
@@ -37,7 +39,8 @@
 static void on_accept(struct ev_loop *, ev_io *, int);
 static void on_data(void *, const char *, size_t);
 static void on_closed(void *, int);
-static void on_timer(struct ev_loop *, ev_timer *, int);
+static int has_input(void *);
+static void on_expired(void *);
 static void on_head(void *, const struct http_head *);
 static void on_body(void *, const char *, size_t);
 static void on_end(void *);
@@ -52,6 +55,11 @@
 	.closed = on_closed,
 };
 
+static const struct expiry_ops client_expiry_ops = {
+	.has_input = has_input,
+	.expired = on_expired,
+};
+
 static const struct http_reader_ops client_reader_ops = {
 	.head = on_head,
 	.body = on_body,
@@ -118,9 +126,8 @@
 	c->a = a;
 	c->reader =
 	    http_reader_create(HTTP_READ_REQUESTS, &client_reader_ops, c);
-	ev_timer_init(&c->timer, on_timer, ADMIN_IDLE_S, 0.0);
-	c->timer.data = c;
-	ev_timer_start(loop, &c->timer);
+	c->expiry = expiry_create(loop, &client_expiry_ops, c);
+	expiry_set(c->expiry, clock_mono() + ADMIN_IDLE_NS);
 	TAILQ_INSERT_TAIL(&a->clients, c, entry);
 	c->conn = conn_accept(loop, fd, &client_conn_ops, c);
 }
@@ -128,19 +135,25 @@
 static void
 client_destroy(struct client *c)
 {
-	ev_timer_stop(c->a->e->loop, &c->timer);
+	expiry_destroy(c->expiry);
 	TAILQ_REMOVE(&c->a->clients, c, entry);
 	conn_destroy(c->conn);
 	http_reader_destroy(c->reader);
 	free(c);
 }
 
+static int
+has_input(void *ctx)
+{
+	const struct client *c = ctx;
+
+	return conn_has_input(c->conn);
+}
+
 static void
-on_timer(struct ev_loop *loop, ev_timer *w, int events)
+on_expired(void *ctx)
 {
-	(void)loop;
-	(void)events;
-	client_destroy(w->data);
+	client_destroy(ctx);
 }
 
 static void
@@ -194,9 +207,7 @@
 		respond(c);
 		http_reader_reset(c->reader);
 	}
-	ev_timer_stop(c->a->e->loop, &c->timer);
-	ev_timer_set(&c->timer, ADMIN_IDLE_S, 0.0);
-	ev_timer_start(c->a->e->loop, &c->timer);
+	expiry_set(c->expiry, c->a->e->now + ADMIN_IDLE_NS);
 }
 
 static void
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -8,6 +8,7 @@
 
 #include "conn.h"
 #include "entry_int.h"
+#include "expiry.h"
 #include "mem.h"
 
 #define PIPELINED_MAX_BYTES 65536 /* received after the current request */
@@ -25,8 +26,8 @@
 	struct conn *conn;
 	struct http_reader *reader;
 	struct forward *forward; /* the current request */
-	ev_timer timer;
-	struct buf pipelined; /* bytes received after the current request */
+	struct expiry *expiry;	 /* of waiting for input */
+	struct buf pipelined;	 /* bytes received after the current request */
 	struct buf body;
 	uint64_t accepted_at;
 	uint64_t idle_since; /* end of the latest response, or accepted_at */
@@ -60,7 +61,8 @@
 static void on_head(void *, const struct http_head *);
 static void on_body(void *, const char *, size_t);
 static void on_end(void *);
-static void on_timer(struct ev_loop *, ev_timer *, int);
+static int has_input(void *);
+static void on_expired(void *);
 static struct fleet_limits limits_in_force(const struct entry *);
 
 static const struct conn_ops caller_conn_ops = {
@@ -69,6 +71,11 @@
 	.drained = on_drained,
 };
 
+static const struct expiry_ops caller_expiry_ops = {
+	.has_input = has_input,
+	.expired = on_expired,
+};
+
 static const struct http_reader_ops caller_reader_ops = {
 	.head = on_head,
 	.body = on_body,
@@ -159,8 +166,7 @@
 	c->idle_since = e->now;
 	c->reader =
 	    http_reader_create(HTTP_READ_REQUESTS, &caller_reader_ops, c);
-	ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
-	c->timer.data = c;
+	c->expiry = expiry_create(e->loop, &caller_expiry_ops, c);
 	TAILQ_INSERT_TAIL(&e->callers, c, entry);
 	c->conn = conn_accept(e->loop, fd, &caller_conn_ops, c);
 	caller_set_timer(c, limits_in_force(e).idle_timeout_ns);
@@ -170,7 +176,7 @@
 static void
 caller_destroy(struct caller *c)
 {
-	ev_timer_stop(c->e->loop, &c->timer);
+	expiry_destroy(c->expiry);
 	TAILQ_REMOVE(&c->e->callers, c, entry);
 	http_reader_destroy(c->reader);
 	buf_free(&c->pipelined);
@@ -198,6 +204,7 @@
 	for (c = TAILQ_FIRST(&e->callers); c != NULL; c = next) {
 		next = TAILQ_NEXT(c, entry);
 		if (!c->in_request && !http_reader_in_message(c->reader) &&
+		    !conn_has_input(c->conn) &&
 		    (c->response_sent ||
 			e->now >= c->accepted_at + FIRST_REQUEST_NS))
 			caller_close_idle(c);
@@ -230,9 +237,7 @@
 static void
 caller_set_timer(struct caller *c, uint64_t ns)
 {
-	ev_timer_stop(c->e->loop, &c->timer);
-	ev_timer_set(&c->timer, (double)ns / NSEC_PER_SEC, 0.0);
-	ev_timer_start(c->e->loop, &c->timer);
+	expiry_set(c->expiry, c->e->now + ns);
 }
 
 /* Sets the time-out for the next bytes, by the state of the request. */
@@ -245,17 +250,24 @@
 		caller_set_timer(c, l.idle_timeout_ns);
 	else if (c->head_received)
 		caller_set_timer(c, l.idle_timeout_ns);
-	else if (!ev_is_active(&c->timer) || c->request_started_at == c->e->now)
+	else if (!expiry_is_set(c->expiry) ||
+	    c->request_started_at == c->e->now)
 		caller_set_timer(c, l.header_timeout_ns);
 }
 
+static int
+has_input(void *ctx)
+{
+	const struct caller *c = ctx;
+
+	return conn_has_input(c->conn);
+}
+
 static void
-on_timer(struct ev_loop *loop, ev_timer *w, int events)
+on_expired(void *ctx)
 {
-	struct caller *c = w->data;
+	struct caller *c = ctx;
 
-	(void)loop;
-	(void)events;
 	entry_update_now(c->e);
 	if (buf_len(&c->pipelined) != 0) {
 		caller_feed_pipelined(c);
@@ -362,7 +374,7 @@
 		caller_set_read_timeout(c);
 		return;
 	}
-	ev_timer_stop(c->e->loop, &c->timer);
+	expiry_stop(c->expiry);
 	/* After a pause of this process its callers may have given up. */
 	if (conn_peer_closed(c->conn)) {
 		c->e->counts.caller_gone++;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -24,12 +24,18 @@
 static int try_waiting(void *, struct waitq_item *);
 static int forward_is_late(const struct forward *);
 static void forward_free(struct forward *);
-static void forward_on_timer(struct ev_loop *, ev_timer *, int);
+static int forward_has_input(void *);
+static void forward_expired(void *);
 static void forward_record_times(const struct forward *);
 static void forward_next_step(struct forward *, enum attempt_outcome, int);
 static uint32_t max_conns_per_replica(
     const struct entry *, const struct fleet_service *);
 
+static const struct expiry_ops forward_expiry_ops = {
+	.has_input = forward_has_input,
+	.expired = forward_expired,
+};
+
 void
 forward_log(const struct forward *f, enum log_id id, const char *backend,
     const char *detail)
@@ -102,8 +108,7 @@
 	f->caller = c;
 	f->arrived = e->now;
 	f->deadline = e->now;
-	ev_timer_init(&f->timer, forward_on_timer, 0.0, 0.0);
-	f->timer.data = f;
+	f->expiry = expiry_create(e->loop, &forward_expiry_ops, f);
 	caller_set_forward(c, f);
 	TAILQ_INSERT_TAIL(&e->requests, f, entry);
 	e->counts.arrived++;
@@ -124,7 +129,7 @@
 	}
 	budget_add_request(&e->budget, e->now, f->service);
 	loader_io_count_arrival(e, &f->params);
-	forward_set_timer(f, f->deadline);
+	expiry_set(f->expiry, f->deadline);
 	forward_dispatch(f);
 }
 
@@ -133,7 +138,7 @@
 {
 	struct entry *e = f->e;
 
-	ev_timer_stop(e->loop, &f->timer);
+	expiry_destroy(f->expiry);
 	if (f->waiting.group != NULL)
 		waitq_remove(&e->waiting, &f->waiting);
 	TAILQ_REMOVE(&e->requests, f, entry);
@@ -144,18 +149,6 @@
 	free(f);
 }
 
-void
-forward_set_timer(struct forward *f, uint64_t at)
-{
-	double left = at > f->e->now
-	    ? (double)(at - f->e->now) / (double)NSEC_PER_SEC
-	    : 0.0;
-
-	ev_timer_stop(f->e->loop, &f->timer);
-	ev_timer_set(&f->timer, left, 0.0);
-	ev_timer_start(f->e->loop, &f->timer);
-}
-
 /* This process's share of the connections that one replica accepts. */
 static uint32_t
 max_conns_per_replica(const struct entry *e, const struct fleet_service *s)
@@ -218,7 +211,7 @@
 	}
 	if (f->waiting.group != NULL) {
 		waitq_remove(&f->e->waiting, &f->waiting);
-		forward_set_timer(f, f->deadline);
+		expiry_set(f->expiry, f->deadline);
 	}
 	forward_start_attempt(f, m);
 	return 1;
@@ -355,14 +348,21 @@
 	}
 }
 
+/* Whether a part of the replica's response is unread. */
+static int
+forward_has_input(void *ctx)
+{
+	const struct forward *f = ctx;
+
+	return f->exchange != NULL && exchange_has_input(f->exchange);
+}
+
 /* The queueing time or the deadline has passed. */
 static void
-forward_on_timer(struct ev_loop *loop, ev_timer *w, int events)
+forward_expired(void *ctx)
 {
-	struct forward *f = w->data;
+	struct forward *f = ctx;
 
-	(void)loop;
-	(void)events;
 	entry_update_now(f->e);
 	if (f->exchange != NULL) {
 		exchange_cancel(f->exchange);
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -3,6 +3,7 @@
 #define FORWARD_INT_H
 
 #include "entry_int.h"
+#include "expiry.h"
 #include "sse.h"
 
 struct forward {
@@ -14,7 +15,7 @@
 	char service[NAME_SIZE];
 	uint64_t arrived;
 	uint64_t deadline;
-	ev_timer timer;
+	struct expiry *expiry;	   /* of queueing, or of the request */
 	struct waitq_item waiting; /* in the queue, or in no group */
 	uint32_t attempts_made;
 	uint32_t runs; /* attempts that the replica may have executed */
@@ -58,7 +59,6 @@
 /* forward.c */
 /* Ends a request that no replica has run; the caller may return after ns. */
 void forward_refuse(struct forward *, const char *, uint64_t);
-void forward_set_timer(struct forward *, uint64_t);
 void forward_log(
     const struct forward *, enum log_id, const char *, const char *);
 /* Records the end of the attempt and decides on the next step. */
--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -110,7 +110,7 @@
 	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
 	waitq_add(&f->e->waiting, &f->waiting, f->service, f->params.model,
 	    f->params.adapter);
-	forward_set_timer(f, d.until < f->deadline ? d.until : f->deadline);
+	expiry_set(f->expiry, d.until < f->deadline ? d.until : f->deadline);
 }
 
 void
@@ -119,8 +119,8 @@
 	struct admission_decision d = decide(f);
 
 	if (d.step == ADMISSION_WAIT && d.until > f->e->now)
-		forward_set_timer(
-		    f, d.until < f->deadline ? d.until : f->deadline);
+		expiry_set(
+		    f->expiry, d.until < f->deadline ? d.until : f->deadline);
 	else
 		forward_refuse(
 		    f, "no replica was free in time", d.retry_after_ns);
--- a/entry/main.c
+++ b/entry/main.c
@@ -192,6 +192,8 @@
 	if (d->listener == NULL)
 		return -1;
 	ev_timer_init(&d->tick, on_tick, TICK_S, TICK_S);
+	/* Input that arrived during a delay of the loop goes first. */
+	ev_set_priority(&d->tick, EV_MINPRI);
 	ev_prepare_init(&d->prepare, on_prepare);
 	ev_timer_init(&d->retry_timer, on_retry_timer, RETRY_WAITING_S, 0.0);
 	ev_signal_init(&d->term, on_term, SIGTERM);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -19,6 +19,7 @@
 static void on_bus(void *, struct msg *);
 static void on_inbox(struct ev_loop *, ev_io *, int);
 static void on_result(void *, const struct kv_result *);
+static void receive_all(struct peers *);
 static void receive_msg(struct peers *, struct msg *);
 static struct peer *peer_find(struct peers *, const char *);
 static struct peer *peer_add(struct peers *, const char *, const char *);
@@ -103,11 +104,18 @@
 on_inbox(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct peers *p = w->data;
-	struct msg *m;
 
 	(void)loop;
 	(void)events;
 	entry_update_now(p->e);
+	receive_all(p);
+}
+
+static void
+receive_all(struct peers *p)
+{
+	struct msg *m;
+
 	while ((m = ring_pop(p->inbox, 0)) != NULL) {
 		receive_msg(p, m);
 		msg_destroy(m);
@@ -264,6 +272,8 @@
 	struct peer *q, *next;
 	struct kv_ops ops;
 
+	/* A peer is silent only if nothing of it has arrived. */
+	receive_all(p);
 	TAILQ_INIT(&ops);
 	announce_tick(p->announce, p->e->now, &ops);
 	session_send(p->e->session, &ops, on_result, p);
--- a/entry/query.c
+++ b/entry/query.c
@@ -1,5 +1,7 @@
 #include <stdlib.h>
 
+#include "clock.h"
+#include "expiry.h"
 #include "mem.h"
 #include "query.h"
 
@@ -7,7 +9,7 @@
 	TAILQ_ENTRY(query) entry;
 	struct entry *e;
 	struct exchange *exchange;
-	ev_timer timer;
+	struct expiry *expiry;
 	int status;
 	struct buf body;
 	query_callback callback;
@@ -20,7 +22,8 @@
 static int on_head(void *, const struct http_head *);
 static int on_body(void *, const char *, size_t);
 static void on_end(void *, enum exchange_result);
-static void on_timeout(struct ev_loop *, ev_timer *, int);
+static int has_input(void *);
+static void on_expired(void *);
 static void query_finish(struct query *, int);
 
 static const struct exchange_ops query_ops = {
@@ -29,6 +32,11 @@
 	.end = on_end,
 };
 
+static const struct expiry_ops query_expiry_ops = {
+	.has_input = has_input,
+	.expired = on_expired,
+};
+
 void
 query_send(struct entry *e, struct conn_pool *pool, const char *addr,
     const struct buf *request, uint64_t send_by, double timeout_s,
@@ -44,9 +52,9 @@
 	q->exchange = exchange_start(pool, addr, TIME_NEVER / 4, &query_ops, q);
 	exchange_set_send_by(q->exchange, send_by);
 	exchange_send(q->exchange, buf_data(request), buf_len(request));
-	ev_timer_init(&q->timer, on_timeout, timeout_s, 0.0);
-	q->timer.data = q;
-	ev_timer_start(e->loop, &q->timer);
+	q->expiry = expiry_create(e->loop, &query_expiry_ops, q);
+	expiry_set(
+	    q->expiry, clock_mono() + (uint64_t)(timeout_s * NSEC_PER_SEC));
 }
 
 static int
@@ -78,13 +86,19 @@
 	query_finish(q, end == EXCHANGE_COMPLETE ? q->status : 0);
 }
 
+static int
+has_input(void *ctx)
+{
+	const struct query *q = ctx;
+
+	return exchange_has_input(q->exchange);
+}
+
 static void
-on_timeout(struct ev_loop *loop, ev_timer *w, int events)
+on_expired(void *ctx)
 {
-	struct query *q = w->data;
+	struct query *q = ctx;
 
-	(void)loop;
-	(void)events;
 	entry_update_now(q->e);
 	exchange_cancel(q->exchange);
 	query_finish(q, 0);
@@ -93,7 +107,7 @@
 static void
 query_finish(struct query *q, int status)
 {
-	ev_timer_stop(q->e->loop, &q->timer);
+	expiry_destroy(q->expiry);
 	TAILQ_REMOVE(&q->e->queries, q, entry);
 	q->callback(q->ctx, status, buf_data(&q->body), buf_len(&q->body));
 	buf_free(&q->body);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -7,6 +7,7 @@
 #include "base.h"
 #include "clock.h"
 #include "conn.h"
+#include "expiry.h"
 #include "http_client.h"
 #include "mem.h"
 
@@ -23,7 +24,7 @@
 	struct http_reader *reader;
 	const struct exchange_ops *ops;
 	void *ctx;
-	ev_timer timer; /* connect or idle timeout */
+	struct expiry *expiry; /* connect or idle timeout */
 	uint64_t idle_since_ns;
 	uint64_t reuse_until_ns; /* idle: not reused after this */
 	uint64_t keep_alive_ns;	 /* announced by the server, 0: none */
@@ -64,7 +65,8 @@
 static int exchange_on_connected(void *);
 static void exchange_on_data(void *, const char *, size_t);
 static void exchange_on_closed(void *, int);
-static void exchange_on_timer(struct ev_loop *, ev_timer *, int);
+static int exchange_input_waits(void *);
+static void exchange_expired(void *);
 static void exchange_on_head(void *, const struct http_head *);
 static void exchange_on_body(void *, const char *, size_t);
 static void exchange_on_end(void *);
@@ -77,6 +79,11 @@
 	.closed = exchange_on_closed,
 };
 
+static const struct expiry_ops exchange_expiry_ops = {
+	.has_input = exchange_input_waits,
+	.expired = exchange_expired,
+};
+
 static const struct http_reader_ops exchange_reader_ops = {
 	.head = exchange_on_head,
 	.body = exchange_on_body,
@@ -143,13 +150,10 @@
 	x->reader =
 	    http_reader_create(HTTP_READ_RESPONSES, &exchange_reader_ops, x);
 	x->conn = conn_connect(p->loop, a->addr, &exchange_conn_ops, x, NULL);
-	ev_timer_init(&x->timer, exchange_on_timer,
-	    x->conn == NULL
-		? 0.0
-		: (double)p->config.connect_timeout_ns / NSEC_PER_SEC,
-	    0.0);
-	x->timer.data = x;
-	ev_timer_start(p->loop, &x->timer);
+	x->expiry = expiry_create(p->loop, &exchange_expiry_ops, x);
+	expiry_set(x->expiry,
+	    clock_mono() +
+		(x->conn == NULL ? 0 : p->config.connect_timeout_ns));
 	return x;
 }
 
@@ -167,7 +171,7 @@
 		TAILQ_REMOVE(&a->idle, x, entry);
 		a->nidle--;
 	}
-	ev_timer_stop(x->pool->loop, &x->timer);
+	expiry_destroy(x->expiry);
 	conn_destroy(x->conn);
 	http_reader_destroy(x->reader);
 	free(x);
@@ -187,7 +191,7 @@
 		a->nidle--;
 		x->idle_since_ns = 0;
 		x->new_conn = 0;
-		ev_timer_stop(p->loop, &x->timer);
+		expiry_stop(x->expiry);
 	} else {
 		x = exchange_connect(p, a);
 	}
@@ -243,6 +247,12 @@
 	exchange_destroy(x);
 }
 
+int
+exchange_has_input(const struct exchange *x)
+{
+	return x->conn != NULL && conn_has_input(x->conn);
+}
+
 int
 exchange_has_new_conn(const struct exchange *x)
 {
@@ -300,8 +310,7 @@
 	conn_set_reading(x->conn, 1);
 	TAILQ_INSERT_HEAD(&a->idle, x, entry);
 	a->nidle++;
-	ev_timer_set(&x->timer, (double)idle_limit / NSEC_PER_SEC, 0.0);
-	ev_timer_start(p->loop, &x->timer);
+	expiry_set(x->expiry, x->reuse_until_ns);
 }
 
 /* The process may have been paused since the request was written. */
@@ -311,20 +320,24 @@
 	struct exchange *x = ctx;
 
 	x->connected = 1;
-	ev_timer_stop(x->pool->loop, &x->timer);
+	expiry_stop(x->expiry);
 	if (clock_mono() <= x->send_by)
 		return 0;
 	exchange_report_end(x, EXCHANGE_NOT_SENT);
 	return 1;
 }
 
+static int
+exchange_input_waits(void *ctx)
+{
+	return exchange_has_input(ctx);
+}
+
 static void
-exchange_on_timer(struct ev_loop *loop, ev_timer *w, int events)
+exchange_expired(void *ctx)
 {
-	struct exchange *x = w->data;
+	struct exchange *x = ctx;
 
-	(void)loop;
-	(void)events;
 	exchange_report_end(x, EXCHANGE_NOT_SENT);
 }
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -66,6 +66,8 @@
 void exchange_set_reading(struct exchange *, int);
 /* Closes the connection; no callback follows. */
 void exchange_cancel(struct exchange *);
+/* Whether a part of the response is unread. */
+int exchange_has_input(const struct exchange *);
 /* Whether the exchange opened a new connection. */
 int exchange_has_new_conn(const struct exchange *);
 /* Number of connections opened so far. */
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -35,6 +35,7 @@
 static void attempt_run(struct attempt *);
 static ssize_t attempt_received(struct attempt *);
 static void pause_process(void);
+static void test_connected_late(void);
 static void test_paused(void);
 static void test_in_time(void);
 
@@ -163,6 +164,28 @@
 	attempt_close(&t);
 }
 
+/* A connection that was established in time is used, however late. */
+static void
+test_connected_late(void)
+{
+	struct conn_pool_config config = { PAUSE_NS / 2, NSEC_PER_SEC, 1 };
+	struct attempt t;
+	struct exchange *x;
+
+	attempt_open(&t);
+	conn_pool_destroy(t.pool);
+	t.pool = conn_pool_create(t.loop, &config);
+	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	exchange_send(x, "GET / HTTP/1.1\r\n\r\n", 18);
+	pause_process();
+	attempt_run(&t);
+	CU_ASSERT(!t.ended);
+	CU_ASSERT_EQUAL(attempt_received(&t), 18);
+	if (!t.ended)
+		exchange_cancel(x);
+	attempt_close(&t);
+}
+
 static void
 test_in_time(void)
 {
@@ -218,6 +241,7 @@
 
 static const struct unit_case cases[] = {
 	{ "events", test_events },
+	{ "connected while paused", test_connected_late },
 	{ "paused while connecting", test_paused },
 	{ "sent in time", test_in_time },
 };
