Failing test: requests of one kind crash replicas, one after the other

What callers saw, or would: each request with a certain part in its prompt ends the replica that begins to answer it, and the one of its repeat; sound requests find no replica with their model.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -808,6 +808,90 @@
         w.stop()
 
 
+# --- requests that crash replicas ------------------------------------------
+
+CRASHING_PART = "dead01"
+
+
+async def crashes_on_part(call):
+    """Crashes when it begins to write an answer on the part."""
+    await call.read()
+    prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+    await asyncio.sleep(0.05)
+    if CRASHING_PART in prefix:
+        call.writer.write(call.head(extra={
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked"}))
+        await call.writer.drain()
+        await asyncio.sleep(0.02)
+        asyncio.ensure_future(call.replica.crash(1.0))
+        return False
+    return await call.events(1, 5, gap=0.02)
+
+
+def prompt_request(w, parts, id, statuses):
+    prefix = ",".join("%s:100" % p for p in parts + [id[-8:]])
+    try:
+        status, _, _, whole = w.call(
+            "/go/x", id, "POST", b"p",
+            {"Arbutusspindle-Prompt-Prefix": prefix})
+        statuses.append(status if whole else 0)
+    except OSError:
+        statuses.append(0)
+
+
+def test_requests_keep_crashing_replicas():
+    """At most three requests with a part that crashes replicas reach them
+    later than 3 s after the fifth crash, from all processes; half or more of
+    the sound ones with the same first part are served 6 s after it."""
+    w = World()
+    other = World(start=False)
+    worlds = [w, other]
+    try:
+        replicas = [w.replica("i-%d" % i, "plain", crashes_on_part)
+                    for i in range(8)]
+        other.store_port = w.store_port
+        other.start()
+        for o in worlds:
+            o.wait_ready()
+            o.wait("listed", lambda o=o: len(
+                o.events("replica-listed")) >= len(replicas))
+        sound, deadly, threads = [], [], []
+        start = time.monotonic()
+        step = 0
+
+        def fifth_crash():
+            """The time of the fifth crash, or of the last if there are
+            fewer; and all."""
+            times = sorted(t for r in replicas for t in r.crashed_at)
+            return (times[:5] or [time.monotonic()])[-1], times
+        while time.monotonic() < start + 15:
+            after = sound if time.monotonic() > fifth_crash()[0] + 6 else []
+            if step % 3 == 0:
+                parts, seen = ["aa01", CRASHING_PART], deadly
+            else:
+                parts, seen = ["aa01", "bb%02d" % (step % 5)], after
+            threads.append(threading.Thread(target=prompt_request, args=(
+                worlds[step // 3 % 2], parts, "%016x" % (0xe0000 + step),
+                seen)))
+            threads[-1].start()
+            step += 1
+            time.sleep(0.1)
+        for t in threads:
+            t.join()
+        fifth, times = fifth_crash()
+        late = [t for t in times if t > fifth + 3]
+        check("%d of %d crashes late" % (len(late), len(times)),
+              len(late) <= 3)
+        served = sound.count(200)
+        check("%d of %d sound ones served" % (served, len(sound)),
+              served >= 0.5 * len(sound) > 0)
+        check("told to return later", set(deadly[-5:]) == {503})
+    finally:
+        other.stop()
+        w.stop()
+
+
 # --- shutdown, reload, resources, metrics --------------------------------
 
 def test_sigterm():
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -190,9 +190,29 @@
         self.closed_at = []  # when a connection broke during a request
         self.connections = 0
         self.port = 0
+        self.server = None
+        self.writers = set()
+        self.crashed_at = []
+        self.started = None  # called with the time of a restart, ms
+
+    async def crash(self, down_s):
+        """Breaks all connections, refuses new ones for a time, then starts
+        again as a new incarnation."""
+        self.crashed_at.append(time.monotonic())
+        self.server.close()
+        for w in list(self.writers):
+            w.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER,
+                struct.pack("ii", 1, 0))
+            w.transport.abort()
+        await asyncio.sleep(down_s)
+        self.server = await asyncio.start_server(
+            self.serve, "127.0.0.1", self.port)
+        await self.started(int(time.time() * 1000))
 
     async def serve(self, reader, writer):
         self.connections += 1
+        self.writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -206,6 +226,7 @@
                 asyncio.CancelledError):
             self.closed_at.append(time.monotonic())
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
@@ -306,19 +327,29 @@
         async def listen():
             server = await asyncio.start_server(r.serve, "127.0.0.1", 0)
             self.servers.append(server)
+            r.server = server
             r.port = server.sockets[0].getsockname()[1]
+
+        async def started(born):
+            await self.store.put("servers/" + name, self.entry_of(
+                name, **dict(entry, born=born)))
+        r.started = started
         self.run(listen())
         self.replicas[name] = r
         self.register(name, **entry)
         return r
 
     def register(self, name, **entry):
+        self.run(self.store.put("servers/" + name,
+                                self.entry_of(name, **entry)))
+
+    def entry_of(self, name, **entry):
         r = self.replicas[name]
         doc = {"service": r.service, "address": "127.0.0.1:%d" % r.port,
                "zone": "z1", "version": "v1", "slots": 6, "state": "ready",
                "cold_left_ms": 0, "sequence": 1, "born": 1700000000000}
         doc.update(entry)
-        self.run(self.store.put("servers/" + name, doc))
+        return doc
 
     def start(self):
         settings = {
