Idle connections follow a raised limit

What callers saw, or would: a connection that was idle when a configuration raised the idle limit is closed by the old limit, though callers reuse it by the new one; a request that crosses the close gets no answer. Change: the deadline is calculated from the start of the idle time and the limit in force when it passes. Ruled out: a lowered limit, where the connection is kept longer than needed.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -56,7 +56,7 @@
 static void caller_feed(struct caller *, const char *, size_t);
 static void caller_reject(struct caller *, int, const char *);
 static void caller_set_timer(struct caller *, uint64_t);
-static void caller_set_idle_timeout(struct caller *);
+static uint64_t caller_idle_deadline(const struct caller *);
 static void caller_set_read_timeout(struct caller *);
 static void caller_feed_pipelined(struct caller *);
 static void caller_close(struct caller *);
@@ -175,7 +175,7 @@
 	c->expiry = expiry_create(e->loop, &caller_expiry_ops, c);
 	TAILQ_INSERT_TAIL(&e->callers, c, entry);
 	c->conn = conn_accept(e->loop, fd, &caller_conn_ops, c);
-	caller_set_idle_timeout(c);
+	expiry_set(c->expiry, caller_idle_deadline(c));
 }
 
 /* Frees the caller; its connection must be closed separately. */
@@ -246,12 +246,12 @@
 	expiry_set(c->expiry, c->e->now + ns);
 }
 
-/* Sets the time-out of a connection without a request. */
-static void
-caller_set_idle_timeout(struct caller *c)
+/* When a connection without a request is closed, by the limit in force. */
+static uint64_t
+caller_idle_deadline(const struct caller *c)
 {
-	caller_set_timer(
-	    c, limits_in_force(c->e).idle_timeout_ns + IDLE_MARGIN_NS);
+	return c->idle_since + limits_in_force(c->e).idle_timeout_ns +
+	    IDLE_MARGIN_NS;
 }
 
 /* Sets the time-out for the next bytes, by the state of the request. */
@@ -261,7 +261,7 @@
 	struct fleet_limits l = limits_in_force(c->e);
 
 	if (!http_reader_in_message(c->reader))
-		caller_set_idle_timeout(c);
+		expiry_set(c->expiry, caller_idle_deadline(c));
 	else if (c->head_received)
 		caller_set_timer(c, l.idle_timeout_ns);
 	else if (!expiry_is_set(c->expiry) ||
@@ -291,6 +291,11 @@
 		caller_reject(c, 408, "the request came too slowly");
 		return;
 	}
+	/* The limit may have been raised. */
+	if (c->e->now < caller_idle_deadline(c)) {
+		expiry_set(c->expiry, caller_idle_deadline(c));
+		return;
+	}
 	caller_close_idle(c);
 }
 
@@ -483,7 +488,7 @@
 	if (buf_len(&c->pipelined) != 0)
 		caller_set_timer(c, 0);
 	else
-		caller_set_idle_timeout(c);
+		expiry_set(c->expiry, caller_idle_deadline(c));
 }
 
 static void
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -755,6 +755,24 @@
         w.stop()
 
 
+def test_idle_limit_raised():
+    """A connection that was idle before the limit was raised is kept until
+    the limit in force; later it is closed."""
+    w, _, _ = two_replicas(answer_ok, config=default_config(
+        idle_timeout_ms=300))
+    try:
+        s = w.connect()
+        check("first", w.call(sock=s)[0] == 200)
+        w.run(w.store.put("op/config", default_config(
+            4, idle_timeout_ms=3000)))
+        w.wait("in force", lambda: len(w.events("conf-in-force")) == 2)
+        time.sleep(2.9)
+        check("answered", w.call(id="id-2", sock=s)[0] == 200)
+        check("closed", s.recv(1) == b"")
+    finally:
+        w.stop()
+
+
 def test_header_during_pause():
     """A header that is complete before its timeout is not rejected."""
     w, _, _ = two_replicas(answer_ok, config=default_config(
