--- a/tests/entry.py
+++ b/tests/entry.py
@@ -426,6 +426,38 @@
         w.stop()
 
 
+def test_stream_until_close():
+    """A stream without chunks ends with its connection; one that ends inside
+    an event has broken off: it is resumed, or is not complete."""
+    async def ends(call):
+        await call.read()
+        first = int(call.fields.get("last-event-id", 0)) + 1
+        call.writer.write(call.head(extra={
+            "Content-Type": "text/event-stream"}))
+        for i in range(first, 5):
+            call.writer.write(b"id: %d\ndata: piece-%d\n\n" % (i, i))
+        if call.replica.name == "i-a" and call.id != "id-1":
+            call.writer.write(b"id: 5\ndata: pi")
+        elif call.replica.name == "i-b":
+            call.writer.write(b"id: 5\ndata: piece-5\n\n")
+        await call.writer.drain()
+        return False
+    for id, path, numbers, complete in (
+            ("id-1", "/tell/x", [1, 2, 3, 4], True),
+            ("id-2", "/go/x", [1, 2, 3, 4, 5], True),
+            ("id-3", "/tell/x", [1, 2, 3, 4], False)):
+        w, _, b = two_replicas(ends, ends)
+        try:
+            status, _, body, whole = w.call(path, id, "POST", b"p")
+            check("%s: %s" % (id, (status, event_numbers(body), whole)),
+                  (status, event_numbers(body), whole) ==
+                  (200, numbers, complete))
+            if id == "id-2":
+                check("resumed", b.requests[0][1]["last-event-id"] == "4")
+        finally:
+            w.stop()
+
+
 def test_stream_waits_to_resume():
     """A stream that broke after its queueing time is still queued for a
     short time until another replica is listed."""
