Requests with a part that crashes replicas are refused

Cause: an attempt that broke off counted against the replica and never against the request; what one process saw stayed there. Change: a replica that refuses connections right after an attempt broke off at the begin of its answer has crashed, which is evidence against the shared parts of the prompts about to be answered there (entry/poison_io). Requests with a suspected part are not repeated after such a break.

--- a/core/msg.c
+++ b/core/msg.c
@@ -135,6 +135,8 @@
 		    src->u.front.nwork, sizeof(*src->u.front.work));
 		m->u.front.demand = msg_copy_list(src->u.front.demand,
 		    src->u.front.ndemand, sizeof(*src->u.front.demand));
+		m->u.front.poison = msg_copy_list(src->u.front.poison,
+		    src->u.front.npoison, sizeof(*src->u.front.poison));
 	}
 	if (src->kind == MSG_HELD)
 		m->u.held.items = msg_copy_list(src->u.held.items,
@@ -152,6 +154,7 @@
 	if (m->kind == MSG_FRONT) {
 		free(m->u.front.work);
 		free(m->u.front.demand);
+		free(m->u.front.poison);
 	}
 	if (m->kind == MSG_HELD)
 		free(m->u.held.items);
--- a/core/msg.h
+++ b/core/msg.h
@@ -10,8 +10,9 @@
 #include <sys/queue.h>
 
 #include "base.h"
+#include "poison.h"
 
-#define MSG_VERSION 2
+#define MSG_VERSION 3
 #define MSG_SYNC_MAX 64	      /* grants in a SYNC */
 #define MSG_MEMBERS_MAX 8     /* membership entries in a probe */
 #define MSG_REPORTS_MAX 32    /* replicas in a REPORT */
@@ -281,6 +282,8 @@
 		uint32_t running;
 		uint32_t waiting;
 	} * demand; /* owned by the message */
+	uint32_t npoison;
+	struct poison_evidence *poison; /* owned by the message */
 };
 
 /* Adapters loaded on replicas: all, or those of the replicas that changed. */
--- a/core/wire.c
+++ b/core/wire.c
@@ -51,6 +51,7 @@
 static void wire_sender_none(struct wire_cursor *, struct msg *);
 static void *wire_list(struct wire_cursor *, uint32_t *, size_t, void *);
 static void wire_front(struct wire_cursor *, struct msg *);
+static void wire_evidence(struct wire_cursor *, struct poison_evidence *);
 static void wire_held(struct wire_cursor *, struct msg *);
 static void wire_want(struct wire_cursor *, struct msg *);
 static int wire_unpack_fields(
@@ -481,6 +482,23 @@
 		wire_u32(w, &f->demand[i].running);
 		wire_u32(w, &f->demand[i].waiting);
 	}
+	f->poison = wire_list(w, &f->npoison, sizeof(*f->poison), f->poison);
+	for (i = 0; i < f->npoison; i++)
+		wire_evidence(w, &f->poison[i]);
+}
+
+static void
+wire_evidence(struct wire_cursor *w, struct poison_evidence *e)
+{
+	uint32_t i;
+
+	wire_u64(w, &e->part);
+	wire_u64(w, &e->answered_ago_ms);
+	wire_count(w, &e->ncrashes, POISON_CRASHES_MAX + 1);
+	for (i = 0; i < e->ncrashes && !w->malformed; i++) {
+		wire_u64(w, &e->crashes[i].replica);
+		wire_u64(w, &e->crashes[i].ago_ms);
+	}
 }
 
 static void
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -12,6 +12,7 @@
 #include "mem.h"
 #include "metric.h"
 #include "peers.h"
+#include "poison_io.h"
 #include "session.h"
 #include "loader_io.h"
 
@@ -275,17 +276,23 @@
 }
 
 static void
-write_metrics(struct entry *e, FILE *f)
+write_request_metrics(const struct entry *e, FILE *f)
 {
-	struct loader_stats t;
-
-	loader_io_totals(e, &t);
 	metric_write(f, "spindle_entry_requests_total", "counter",
 	    "Requests that came in.", e->counts.arrived);
 	metric_write(f, "spindle_entry_answered_total", "counter",
 	    "Requests answered with a replica's answer.", e->counts.answered);
 	metric_write(f, "spindle_entry_refused_total", "counter",
 	    "Requests refused as not run.", e->counts.refused);
+	metric_write(f, "spindle_entry_blocked_total", "counter",
+	    "Requests refused since they would crash a replica.",
+	    e->counts.blocked);
+	metric_write(f, "spindle_entry_blocked_parts", "gauge",
+	    "Parts of prompts that are blocked.",
+	    poison_io_blocked(e->poison_io));
+	metric_write(f, "spindle_entry_crashes_total", "counter",
+	    "Replicas found crashed as an answer began.",
+	    poison_io_crashes(e->poison_io));
 	metric_write(f, "spindle_entry_unknown_total", "counter",
 	    "Requests whose outcome is unknown.", e->counts.unknown_outcome);
 	metric_write(f, "spindle_entry_cut_total", "counter",
@@ -298,6 +305,15 @@
 	metric_write(f, "spindle_entry_unread_closed_total", "counter",
 	    "Callers' connections closed although input had arrived.",
 	    e->counts.unread_closed);
+}
+
+static void
+write_metrics(struct entry *e, FILE *f)
+{
+	struct loader_stats t;
+
+	loader_io_totals(e, &t);
+	write_request_metrics(e, f);
 	write_attempt_metrics(e, f);
 	metric_write(f, "spindle_entry_waiting", "gauge",
 	    "Requests that wait for a replica.", e->waiting.nitems);
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -65,6 +65,7 @@
 
 	f->replica = m;
 	f->sent_at = f->e->now;
+	f->begun_at = 0;
 	f->status = 0;
 	f->refused = 0;
 	f->streaming = 0;
@@ -200,6 +201,8 @@
 		return f->unused_bytes > UNUSED_MAX_BYTES;
 	}
 	entry_update_now(f->e);
+	if (f->begun_at == 0)
+		f->begun_at = f->e->now;
 	if (f->streaming)
 		return on_stream_body(f, p, len);
 	buf_add(&f->body, p, len);
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -22,6 +22,7 @@
 struct session;
 struct peers;
 struct loader_io;
+struct poison_io;
 struct admin;
 
 TAILQ_HEAD(forward_list, forward);
@@ -33,6 +34,7 @@
 	uint64_t arrived;
 	uint64_t answered;
 	uint64_t refused;
+	uint64_t blocked;	  /* refused since they would crash a replica */
 	uint64_t unknown_outcome; /* callers told that the outcome is unknown */
 	uint64_t truncated;	  /* responses cut off before their end */
 	uint64_t caller_gone;	  /* callers that disconnected before the end */
@@ -70,6 +72,7 @@
 	struct session *session;
 	struct peers *peers;
 	struct loader_io *loader_io;
+	struct poison_io *poison_io;
 	struct admin *admin;
 	struct pace pace;
 	uint32_t nprocesses;   /* entry processes, which divide limits */
@@ -133,6 +136,8 @@
 void forward_caller_drained(struct forward *);
 /* Tries to dispatch the queued requests again. */
 void forward_retry_waiting(struct entry *);
+/* Ends requests that are blocked and have no answer yet. */
+void forward_end_blocked(struct entry *);
 /* Ends all requests at the end of the process. */
 void forward_stop_all(struct entry *);
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -10,11 +10,14 @@
 #include "mem.h"
 #include "loader_io.h"
 #include "peers.h"
+#include "poison_io.h"
 
 /* Retry-After where nothing is known of a better time. */
 #define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
 /* A stream that starts this long after SIGTERM may not end in time. */
 #define STREAM_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
+/* A crash this long after the first event is not due to the answer's begin. */
+#define BEGIN_NS (100 * NSEC_PER_MSEC)
 #define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
 static int forward_admit(struct forward *, struct err *);
@@ -22,6 +25,11 @@
     const struct fleet_service *, struct directory_replica **);
 static int forward_dispatch(struct forward *);
 static int try_waiting(void *, struct waitq_item *);
+static int forward_broke_at_begin(const struct forward *, enum attempt_outcome);
+static void forward_note_crash(struct forward *, enum attempt_outcome);
+static void forward_report_unknown(
+    struct forward *, int, const char *, const char *);
+static int forward_end_if_blocked(struct forward *);
 static int forward_is_late(const struct forward *);
 static void forward_free(struct forward *);
 static int forward_has_input(void *);
@@ -127,6 +135,8 @@
 		forward_free(f);
 		return;
 	}
+	if (forward_end_if_blocked(f))
+		return;
 	budget_add_request(&e->budget, e->now, f->service);
 	loader_io_count_arrival(e, &f->params);
 	expiry_set(f->expiry, f->deadline);
@@ -189,7 +199,7 @@
 
 /*
  * Sends the request to the best replica, or queues it if there is none.
- * Returns whether it was sent.
+ * Returns whether it was sent, or has ended since it is blocked.
  */
 static int
 forward_dispatch(struct forward *f)
@@ -198,6 +208,8 @@
 	struct directory_replica *m;
 	enum balance_result result;
 
+	if (forward_end_if_blocked(f))
+		return 1;
 	if (f->e->conf != NULL)
 		s = fleet_find_service(f->e->conf, f->service);
 	result = forward_pick_replica(f, s, &m);
@@ -248,6 +260,79 @@
 	forward_free(f);
 }
 
+/* Ends a request that a replica may have run; details are for the log. */
+static void
+forward_report_unknown(
+    struct forward *f, int status, const char *detail, const char *text)
+{
+	f->e->counts.unknown_outcome++;
+	forward_log(f, LOG_REQUEST_FAILED, "", detail);
+	forward_send_error(f, status, 0, text);
+	forward_free(f);
+}
+
+/* Whether the replica may have crashed from this request. */
+static int
+forward_broke_at_begin(const struct forward *f, enum attempt_outcome end)
+{
+	return (end == ATTEMPT_NO_RESPONSE || end == ATTEMPT_TRUNCATED) &&
+	    (f->begun_at == 0 || f->e->now < f->begun_at + BEGIN_NS);
+}
+
+/* Evidence for or against the parts of the request's prompt. */
+static void
+forward_note_crash(struct forward *f, enum attempt_outcome end)
+{
+	/* An answer that ends with its connection may have been broken off. */
+	if (end == ATTEMPT_ANSWERED && f->status / 100 == 2 &&
+	    !f->response_head.close_delimited)
+		poison_io_answered(f->e->poison_io, &f->params);
+	else if (forward_broke_at_begin(f, end))
+		poison_io_broken(f->e->poison_io, f->replica, &f->params);
+}
+
+/*
+ * Ends a request with a part that crashes replicas, unless its answer has
+ * begun.  Returns whether it has ended.
+ */
+static int
+forward_end_if_blocked(struct forward *f)
+{
+	uint64_t until;
+
+	if (f->caller == NULL || f->response_started)
+		return 0;
+	until = poison_io_blocked_until(f->e->poison_io, &f->params);
+	if (until == 0)
+		return 0;
+	f->e->counts.blocked++;
+	forward_log(f, LOG_REQUEST_BLOCKED, "", "");
+	if (f->exchange != NULL) {
+		exchange_cancel(f->exchange);
+		f->exchange = NULL;
+		f->runs++;
+		forward_remove_work(f);
+	}
+	if (f->runs == 0)
+		forward_refuse(
+		    f, "its prompt crashes replicas", until - f->e->now);
+	else
+		forward_report_unknown(
+		    f, 502, "outcome unknown", "its prompt crashes replicas");
+	return 1;
+}
+
+void
+forward_end_blocked(struct entry *e)
+{
+	struct forward *f, *next;
+
+	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
+		next = TAILQ_NEXT(f, entry);
+		(void)forward_end_if_blocked(f);
+	}
+}
+
 void
 forward_attempt_ended(struct forward *f, enum attempt_outcome end)
 {
@@ -281,6 +366,7 @@
 		    m->consecutive_failures,
 		    (unsigned long long)((m->avoid_until - f->e->now) /
 			NSEC_PER_MSEC));
+	forward_note_crash(f, end);
 	loader_io_attempt_ended(f->e, f->replica, &f->params, end, f->status);
 	forward_remove_work(f);
 	if (f->caller == NULL) {
@@ -315,7 +401,9 @@
 	facts.runs = f->runs;
 	facts.attempts_made = f->attempts_made;
 	facts.response_started = f->response_started;
-	facts.retry_allowed = budget;
+	facts.retry_allowed = budget &&
+	    !(forward_broke_at_begin(f, end) &&
+		poison_io_is_suspect(f->e->poison_io, &f->params));
 	facts.deadline = f->deadline;
 	switch (attempt_next_step(&facts, end, f->e->now)) {
 	case NEXT_FORWARD:
@@ -334,10 +422,8 @@
 		    f, "no replica could run the request", RETRY_AFTER_NS);
 		return;
 	case NEXT_REPORT_UNKNOWN:
-		f->e->counts.unknown_outcome++;
-		forward_log(f, LOG_REQUEST_FAILED, "", "outcome unknown");
-		forward_send_error(f, 502, 0, "the outcome is unknown");
-		forward_free(f);
+		forward_report_unknown(
+		    f, 502, "outcome unknown", "the outcome is unknown");
 		return;
 	default:
 		f->e->counts.truncated++;
@@ -386,10 +472,8 @@
 		forward_waited(f);
 		return;
 	}
-	f->e->counts.unknown_outcome++;
-	forward_log(f, LOG_REQUEST_FAILED, "", "deadline exceeded");
-	forward_send_error(f, 504, 0, "no answer in time");
-	forward_free(f);
+	forward_report_unknown(
+	    f, 504, "deadline exceeded", "no answer in time");
 }
 
 /* A non-idempotent request that was sent is not cancelled: it may have run. */
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -29,6 +29,7 @@
 	struct directory_replica *replica;
 	struct replica_load work; /* counted as load of the replica */
 	uint64_t sent_at;
+	uint64_t begun_at;  /* first bytes of the response's body, 0: none */
 	int new_connection; /* was opened for this attempt */
 	int only_prefill;   /* no other prefill known on the replica */
 	int status;
--- /dev/null
+++ b/entry/poison_io.c
@@ -0,0 +1,328 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conn.h"
+#include "expiry.h"
+#include "hash.h"
+#include "mem.h"
+#include "peers.h"
+#include "poison_io.h"
+
+/* A process that has crashed refuses connections at once. */
+#define CHECK_NS (400 * NSEC_PER_MSEC)
+/* Reports carry evidence while it is new, and later one in four of them. */
+#define CHANGED_NS (2 * NSEC_PER_SEC)
+#define REPEAT_NS (250 * NSEC_PER_MSEC)
+#define REPEAT_EVERY 4
+#define CHECKS_MAX 64	   /* at a time */
+#define CHECK_PARTS_MAX 64 /* of the requests that broke off */
+
+/* A connection to a replica, to see whether its process is there. */
+struct check {
+	TAILQ_ENTRY(check) entry;
+	struct poison_io *p;
+	char replica[NAME_SIZE];
+	uint64_t incarnation; /* hash */
+	struct conn *conn;
+	struct expiry *expiry;
+	uint32_t nparts;
+	uint64_t parts[CHECK_PARTS_MAX];
+};
+
+TAILQ_HEAD(check_list, check);
+
+struct poison_io {
+	struct entry *e;
+	struct poison *poison;
+	struct check_list checks;
+	uint32_t nchecks;
+	uint64_t crashes;
+	uint64_t changed_at; /* the latest new crash */
+	int newly_blocked;   /* parts, by the current update */
+};
+
+static uint32_t shared_parts(const struct request_params *, uint64_t *);
+static uint64_t incarnation_hash(const struct directory_replica *);
+static struct check *check_find(struct poison_io *, const char *);
+static void check_add_parts(struct check *, const uint64_t *, uint32_t);
+static void check_start(struct check *, const char *);
+static void check_destroy(struct check *);
+static void check_crashed(struct check *);
+static int check_on_connected(void *);
+static void check_on_data(void *, const char *, size_t);
+static void check_on_closed(void *, int);
+static int check_has_input(void *);
+static void check_on_expired(void *);
+static void on_changed(void *, uint64_t, int);
+
+static const struct conn_ops check_conn_ops = {
+	.connected = check_on_connected,
+	.data = check_on_data,
+	.closed = check_on_closed,
+};
+
+static const struct expiry_ops check_expiry_ops = {
+	.has_input = check_has_input,
+	.expired = check_on_expired,
+};
+
+struct poison_io *
+poison_io_create(struct entry *e)
+{
+	struct poison_io *p;
+
+	p = mem_alloc(sizeof(*p));
+	p->e = e;
+	p->poison = poison_create();
+	TAILQ_INIT(&p->checks);
+	return p;
+}
+
+void
+poison_io_destroy(struct poison_io *p)
+{
+	if (p == NULL)
+		return;
+	while (!TAILQ_EMPTY(&p->checks))
+		check_destroy(TAILQ_FIRST(&p->checks));
+	poison_destroy(p->poison);
+	free(p);
+}
+
+/* Ids of the parts that other requests may have, too: all but the last. */
+static uint32_t
+shared_parts(const struct request_params *r, uint64_t *ids)
+{
+	uint32_t i;
+
+	for (i = 0; i + 1 < r->nparts; i++)
+		ids[i] = r->parts[i].id;
+	return i;
+}
+
+static uint64_t
+incarnation_hash(const struct directory_replica *m)
+{
+	return hash_version(m->info.id, m->info.started_ms);
+}
+
+static struct check *
+check_find(struct poison_io *p, const char *replica)
+{
+	struct check *c;
+
+	TAILQ_FOREACH (c, &p->checks, entry) {
+		if (strcmp(c->replica, replica) == 0)
+			return c;
+	}
+	return NULL;
+}
+
+static void
+check_add_parts(struct check *c, const uint64_t *ids, uint32_t n)
+{
+	uint32_t i, j;
+
+	for (i = 0; i < n; i++) {
+		for (j = 0; j < c->nparts && c->parts[j] != ids[i]; j++)
+			continue;
+		if (j == c->nparts && j < CHECK_PARTS_MAX)
+			c->parts[c->nparts++] = ids[i];
+	}
+}
+
+void
+poison_io_broken(struct poison_io *p, const struct directory_replica *m,
+    const struct request_params *r)
+{
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t n = shared_parts(r, ids);
+	struct check *c;
+
+	if (n == 0)
+		return;
+	c = check_find(p, m->info.id);
+	if (c != NULL) {
+		check_add_parts(c, ids, n);
+		return;
+	}
+	if (p->nchecks == CHECKS_MAX)
+		return;
+	c = mem_alloc(sizeof(*c));
+	c->p = p;
+	snprintf(c->replica, sizeof(c->replica), "%s", m->info.id);
+	c->incarnation = incarnation_hash(m);
+	check_add_parts(c, ids, n);
+	TAILQ_INSERT_TAIL(&p->checks, c, entry);
+	p->nchecks++;
+	check_start(c, m->info.addr);
+}
+
+static void
+check_start(struct check *c, const char *addr)
+{
+	struct err err = { 0 };
+
+	c->expiry = expiry_create(c->p->e->loop, &check_expiry_ops, c);
+	c->conn = conn_connect(c->p->e->loop, addr, &check_conn_ops, c, &err);
+	if (c->conn != NULL)
+		expiry_set(c->expiry, c->p->e->now + CHECK_NS);
+	else if (err.kind == ERR_UNAVAILABLE)
+		check_crashed(c);
+	else
+		check_destroy(c);
+}
+
+static void
+check_destroy(struct check *c)
+{
+	TAILQ_REMOVE(&c->p->checks, c, entry);
+	c->p->nchecks--;
+	conn_destroy(c->conn);
+	expiry_destroy(c->expiry);
+	free(c);
+}
+
+static void
+check_crashed(struct check *c)
+{
+	struct poison_io *p = c->p;
+	struct log_subject about = { 0 };
+
+	p->crashes++;
+	p->changed_at = p->e->now;
+	poison_crashed(
+	    p->poison, p->e->now, c->incarnation, c->parts, c->nparts);
+	about.backend = c->replica;
+	log_event(LOG_POISON_SUSPECT, &about, "parts=%u first=%llx", c->nparts,
+	    (unsigned long long)c->parts[0]);
+	peers_report_soon(p->e->peers);
+	check_destroy(c);
+}
+
+static int
+check_on_connected(void *ctx)
+{
+	check_destroy(ctx);
+	return 1;
+}
+
+static void
+check_on_data(void *ctx, const char *data, size_t len)
+{
+	(void)data;
+	(void)len;
+	check_destroy(ctx);
+}
+
+static void
+check_on_closed(void *ctx, int error)
+{
+	struct check *c = ctx;
+
+	entry_update_now(c->p->e);
+	if (error != 0)
+		check_crashed(c);
+	else
+		check_destroy(c);
+}
+
+static int
+check_has_input(void *ctx)
+{
+	const struct check *c = ctx;
+
+	return conn_has_input(c->conn);
+}
+
+/* Nobody answers: the replica may be cut off. */
+static void
+check_on_expired(void *ctx)
+{
+	check_destroy(ctx);
+}
+
+void
+poison_io_answered(struct poison_io *p, const struct request_params *r)
+{
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t n = shared_parts(r, ids);
+
+	poison_answered(p->poison, p->e->now, ids, n);
+}
+
+uint64_t
+poison_io_blocked_until(
+    const struct poison_io *p, const struct request_params *r)
+{
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t n = shared_parts(r, ids);
+
+	return poison_blocked_until(p->poison, p->e->now, ids, n);
+}
+
+int
+poison_io_is_suspect(const struct poison_io *p, const struct request_params *r)
+{
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t n = shared_parts(r, ids);
+
+	return poison_is_suspect(p->poison, p->e->now, ids, n);
+}
+
+static void
+on_changed(void *ctx, uint64_t part, int blocked)
+{
+	struct poison_io *p = ctx;
+
+	log_event(blocked ? LOG_POISON_BLOCKED : LOG_POISON_CLEARED, NULL,
+	    "part=%llx", (unsigned long long)part);
+	p->newly_blocked += blocked;
+}
+
+void
+poison_io_tick(struct poison_io *p)
+{
+	p->newly_blocked = 0;
+	poison_update(p->poison, p->e->now, on_changed, p);
+	if (p->newly_blocked != 0)
+		forward_end_blocked(p->e);
+}
+
+void
+poison_io_fill(const struct poison_io *p, struct msg_front *f)
+{
+	struct poison_evidence found[POISON_REPORT_MAX];
+
+	if (p->e->now >= p->changed_at + CHANGED_NS &&
+	    p->e->now / REPEAT_NS % REPEAT_EVERY != 0)
+		return;
+	f->npoison = poison_report(p->poison, p->e->now, found);
+	if (f->npoison == 0)
+		return;
+	f->poison = mem_alloc(f->npoison * sizeof(*f->poison));
+	memcpy(f->poison, found, f->npoison * sizeof(*f->poison));
+}
+
+void
+poison_io_apply(struct poison_io *p, const struct msg_front *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->npoison; i++)
+		if (poison_merge(p->poison, p->e->now, &f->poison[i]))
+			p->changed_at = p->e->now;
+}
+
+uint32_t
+poison_io_blocked(const struct poison_io *p)
+{
+	return poison_count_blocked(p->poison);
+}
+
+uint64_t
+poison_io_crashes(const struct poison_io *p)
+{
+	return p->crashes;
+}
--- /dev/null
+++ b/entry/poison_io.h
@@ -0,0 +1,37 @@
+/*
+ * Requests that crash replicas: an attempt that breaks off as its answer begins
+ * leads to a check whether the replica has crashed, which is evidence against
+ * the parts of the prompt (see poison.h).
+ */
+#ifndef POISON_IO_H
+#define POISON_IO_H
+
+#include "entry_int.h"
+#include "msg.h"
+#include "poison.h"
+
+struct poison_io;
+
+struct poison_io *poison_io_create(struct entry *);
+void poison_io_destroy(struct poison_io *);
+/* Logs parts that are blocked from now on and ends requests with them. */
+void poison_io_tick(struct poison_io *);
+/* A request was answered in full. */
+void poison_io_answered(struct poison_io *, const struct request_params *);
+/* An attempt broke off before its answer, or soon after its first event. */
+void poison_io_broken(struct poison_io *, const struct directory_replica *,
+    const struct request_params *);
+/* Until when such requests are refused, 0 if they are not. */
+uint64_t poison_io_blocked_until(
+    const struct poison_io *, const struct request_params *);
+/* Whether a replica may have crashed from such a request. */
+int poison_io_is_suspect(
+    const struct poison_io *, const struct request_params *);
+/* Adds the evidence of this process to a report, or a peer's to it. */
+void poison_io_fill(const struct poison_io *, struct msg_front *);
+void poison_io_apply(struct poison_io *, const struct msg_front *);
+/* Number of parts that are blocked, and of crashes that were confirmed. */
+uint32_t poison_io_blocked(const struct poison_io *);
+uint64_t poison_io_crashes(const struct poison_io *);
+
+#endif
--- a/entry/report.c
+++ b/entry/report.c
@@ -11,6 +11,7 @@
 #include "mem.h"
 #include "peers_int.h"
 #include "loader_io.h"
+#include "poison_io.h"
 
 #define REPORT_NS (100 * NSEC_PER_MSEC)	    /* report interval */
 #define REPORT_SOON_NS (10 * NSEC_PER_MSEC) /* after a change of load */
@@ -79,6 +80,7 @@
 	else if (f->scope == FRONT_OWN && peers_is_relay(p) &&
 	    peers_in_zone(p, q))
 		loader_io_apply_zone_demand(e, m);
+	poison_io_apply(e->poison_io, f);
 	if (f->stopping)
 		loader_io_peer_stopping(e, q->hub.addr);
 	peers_compare_versions(p, q, f);
@@ -99,6 +101,7 @@
 	m->u.front.list_digest = e->dir.digest;
 	m->u.front.stopping = (uint32_t)e->stopping;
 	m->u.front.weight = p->self.weight;
+	poison_io_fill(e->poison_io, &m->u.front);
 	return m;
 }
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -164,6 +164,11 @@
 	m->u.front.demand = mem_alloc(sizeof(*m->u.front.demand));
 	strcpy(m->u.front.demand[0].wanted, "m/a3");
 	m->u.front.demand[0].arrivals = 5;
+	m->u.front.npoison = 1;
+	m->u.front.poison = mem_alloc(sizeof(*m->u.front.poison));
+	m->u.front.poison[0].answered_ago_ms = POISON_NEVER;
+	m->u.front.poison[0].ncrashes = POISON_CRASHES_MAX;
+	m->u.front.poison[0].crashes[POISON_CRASHES_MAX - 1].replica = 11;
 	copy = msg_copy(m);
 	msg_destroy(m);
 	out = round_trip(copy);
@@ -172,6 +177,12 @@
 		CU_ASSERT_EQUAL(out->u.front.work[1].unread_us, 9);
 		CU_ASSERT_STRING_EQUAL(out->u.front.demand[0].wanted, "m/a3");
 		CU_ASSERT_EQUAL(out->u.front.demand[0].arrivals, 5);
+		CU_ASSERT_EQUAL(
+		    out->u.front.poison[0].answered_ago_ms, POISON_NEVER);
+		CU_ASSERT_EQUAL(out->u.front.poison[0]
+				    .crashes[POISON_CRASHES_MAX - 1]
+				    .replica,
+		    11);
 	}
 	msg_destroy(out);
 	wire_encode(copy, &buf, &len);
