A deadly part explains all crashes of its time once its list is full

What callers saw, or would: sound parts stayed blocked, since crashes that the list of the deadly part no longer names (it holds 24) were held against parts that were about to be answered on the same replicas. Change: a full list explains every crash between its first and its last. Ruled out: longer lists; reports would grow with them, and a fleet can always crash more replicas than any list holds.

--- a/core/poison.c
+++ b/core/poison.c
@@ -62,7 +62,8 @@
 static void part_remove(struct poison *, struct part *);
 static int part_add_crash(struct part *, uint64_t, uint64_t);
 static void part_set_answered(struct part *, uint64_t);
-static int part_explains(const struct part *, uint64_t);
+static int part_has_crash(const struct part *, uint64_t);
+static int part_explains(const struct part *, const struct crash *);
 static uint32_t part_count_crashes(
     const struct part *, struct part *const *, uint32_t);
 static int part_precedes(const struct part *, const struct part *);
@@ -157,7 +158,7 @@
 	uint32_t n = t->ncrashes;
 	uint32_t i;
 
-	if (at <= t->answered_at || part_explains(t, replica))
+	if (at <= t->answered_at || part_has_crash(t, replica))
 		return 0;
 	/* The first ones tell when it began, the last one when it was seen. */
 	if (n == POISON_CRASHES_MAX && at < t->crashes[n - 1].at)
@@ -172,9 +173,8 @@
 	return 1;
 }
 
-/* Whether the replica's crash may be due to the part. */
 static int
-part_explains(const struct part *t, uint64_t replica)
+part_has_crash(const struct part *t, uint64_t replica)
 {
 	uint32_t i;
 
@@ -185,6 +185,19 @@
 	return 0;
 }
 
+/*
+ * Whether the crash may be due to the part.  A full list does not name each
+ * crash; it explains all of its time.
+ */
+static int
+part_explains(const struct part *t, const struct crash *c)
+{
+	if (part_has_crash(t, c->replica))
+		return 1;
+	return t->ncrashes == POISON_CRASHES_MAX && c->at >= t->crashes[0].at &&
+	    c->at <= t->crashes[t->ncrashes - 1].at + CRASH_GAP_NS;
+}
+
 /*
  * Crashes that none of the given parts explains; those within CRASH_GAP_NS
  * count once.
@@ -199,7 +212,7 @@
 
 	for (i = 0; i < t->ncrashes; i++) {
 		for (j = 0; j < nothers; j++) {
-			if (part_explains(others[j], t->crashes[i].replica))
+			if (part_explains(others[j], &t->crashes[i]))
 				break;
 		}
 		if (j < nothers ||
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -29,6 +29,7 @@
 static void test_tried_again(void);
 static void test_companion_part(void);
 static void test_companion_answered_before(void);
+static void test_many_crashes(void);
 static void test_bounds(void);
 
 static void
@@ -351,6 +352,27 @@
 	poison_destroy(p);
 }
 
+/*
+ * A deadly part crashes more replicas than its list holds; a sound part was
+ * about to be answered on some of them.
+ */
+static void
+test_many_crashes(void)
+{
+	struct poison *p = poison_create();
+	uint64_t both[2] = { RARE, DEADLY };
+	uint64_t i;
+
+	for (i = 0; i < 50; i++)
+		poison_crashed(p, 10 * S + i * 50 * MS, i,
+		    i % 8 == 0 ? both : both + 1, i % 8 == 0 ? 2 : 1);
+	for (i = 0; i < 60; i++) {
+		CU_ASSERT(blocked(p, 13 * S + i * S, DEADLY) != 0);
+		CU_ASSERT_EQUAL(blocked(p, 13 * S + i * S, RARE), 0);
+	}
+	poison_destroy(p);
+}
+
 /* A flood of suspects, and malformed evidence, leave what is blocked. */
 static void
 test_bounds(void)
@@ -386,6 +408,7 @@
 	{ "tried again", test_tried_again },
 	{ "companion part", test_companion_part },
 	{ "companion answered before", test_companion_answered_before },
+	{ "more crashes than the list holds", test_many_crashes },
 	{ "bounds", test_bounds },
 };
 
