Reports carry refutations before weak suspicions

Cause: a report has room for 16 parts, the strongest evidence first, and a refuted part has none. With hundreds of suspected parts, peers never heard that the common part had been answered, and kept it blocked (one of 89 VMs for 30 s). Change: parts rank by the crashes held against them or refuted, refuted ones first among equals and in half of the room; 32 parts a report.

--- a/core/poison.c
+++ b/core/poison.c
@@ -29,8 +29,9 @@
  * later by less than this may be one that is known.
  */
 #define PASSING_NS (1 * NSEC_PER_SEC)
-#define PARTS_MAX 512	    /* with evidence */
-#define ANSWERED_SLOTS 4096 /* parts whose latest answer is known */
+#define RANKS (2 * CRASHES_MIN + 2) /* of parts in reports */
+#define PARTS_MAX 512		    /* with evidence */
+#define ANSWERED_SLOTS 4096	    /* parts whose latest answer is known */
 
 struct crash {
 	uint64_t replica;
@@ -40,6 +41,7 @@
 struct part {
 	uint64_t id;
 	uint64_t answered_at; /* by any process, 0: never */
+	uint32_t nrefuted;    /* most crashes before an answer */
 	uint32_t ncrashes;    /* after answered_at, oldest first */
 	struct crash crashes[POISON_CRASHES_MAX];
 	int blocked; /* by the latest update */
@@ -75,6 +77,7 @@
 static struct answered *answered_slot(struct poison *, uint64_t);
 static uint64_t age_ms(uint64_t, uint64_t);
 static uint64_t time_of(uint64_t, uint64_t);
+static uint32_t part_rank(const struct part *);
 static void evidence_of(
     const struct part *, uint64_t, struct poison_evidence *);
 
@@ -147,6 +150,8 @@
 	t->answered_at = at;
 	for (n = 0; n < t->ncrashes && t->crashes[n].at <= at; n++)
 		continue;
+	if (n > t->nrefuted)
+		t->nrefuted = n;
 	t->ncrashes -= n;
 	memmove(t->crashes, t->crashes + n, t->ncrashes * sizeof(*t->crashes));
 }
@@ -409,29 +414,48 @@
 	}
 }
 
+/*
+ * Rank in a report, by the crashes held against the part or refuted.  Peers
+ * block a part on evidence that they do not know to be refuted, so refuted
+ * parts go first among equals.
+ */
+static uint32_t
+part_rank(const struct part *t)
+{
+	uint32_t n =
+	    t->ncrashes == 0 ? t->nrefuted : part_count_crashes(t, NULL, 0);
+
+	if (n > CRASHES_MIN)
+		n = CRASHES_MIN;
+	return 2 * n + (t->ncrashes == 0);
+}
+
 uint32_t
 poison_report(const struct poison *p, uint64_t now, struct poison_evidence *out)
 {
 	const struct part *found[PARTS_MAX];
-	uint32_t crashes[PARTS_MAX];
+	uint32_t ranks[PARTS_MAX];
 	const struct part *t;
 	uint32_t nfound = 0;
+	uint32_t nrefuted = 0;
 	uint32_t n = 0;
-	uint32_t i;
-	int least;
+	uint32_t i, rank;
 
 	for (t = p->parts; t != NULL && nfound < PARTS_MAX; t = t->hh.next) {
 		if (part_is_old(t, now))
 			continue;
 		found[nfound] = t;
-		crashes[nfound++] = part_count_crashes(t, NULL, 0);
+		ranks[nfound++] = part_rank(t);
 	}
-	for (least = CRASHES_MIN; least >= 0; least--) {
+	for (rank = RANKS; rank-- > 0;) {
 		/* New parts are at the end. */
 		for (i = nfound; i-- > 0 && n < POISON_REPORT_MAX;) {
-			if (crashes[i] == (uint32_t)least ||
-			    (least == CRASHES_MIN && crashes[i] > CRASHES_MIN))
-				evidence_of(found[i], now, &out[n++]);
+			if (ranks[i] != rank ||
+			    (found[i]->ncrashes == 0 &&
+				nrefuted == POISON_REPORT_MAX / 2))
+				continue;
+			nrefuted += found[i]->ncrashes == 0;
+			evidence_of(found[i], now, &out[n++]);
 		}
 	}
 	return n;
--- a/core/poison.h
+++ b/core/poison.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 #define POISON_CRASHES_MAX 24	/* kept for each part */
-#define POISON_REPORT_MAX 16	/* parts in a report to peers */
+#define POISON_REPORT_MAX 32	/* parts in a report to peers */
 #define POISON_NEVER UINT64_MAX /* not answered */
 
 struct poison;
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -30,6 +30,7 @@
 static void test_companion_part(void);
 static void test_companion_answered_before(void);
 static void test_many_crashes(void);
+static void test_refutation_reported(void);
 static void test_bounds(void);
 
 static void
@@ -373,6 +374,28 @@
 	poison_destroy(p);
 }
 
+/* Peers hear that a part was answered, however many are suspect. */
+static void
+test_refutation_reported(void)
+{
+	struct poison *a = poison_create();
+	struct poison *b = poison_create();
+	uint64_t part = COMMON;
+	uint64_t i;
+
+	for (i = 0; i < 200; i++)
+		crash(a, 10 * S + i * MS, i, 0x1000 + i % 50);
+	for (i = 0; i < 3; i++)
+		crash(a, 10 * S + i * 400 * MS, 300 + i, COMMON);
+	pass_on(a, b, 11 * S);
+	poison_answered(a, 11 * S, &part, 1);
+	pass_on(a, b, 11 * S + 100 * MS);
+	CU_ASSERT_EQUAL(blocked(b, 12 * S, COMMON), 0);
+	CU_ASSERT(!poison_is_suspect(b, 12 * S, &part, 1));
+	poison_destroy(a);
+	poison_destroy(b);
+}
+
 /* A flood of suspects, and malformed evidence, leave what is blocked. */
 static void
 test_bounds(void)
@@ -409,6 +432,7 @@
 	{ "companion part", test_companion_part },
 	{ "companion answered before", test_companion_answered_before },
 	{ "more crashes than the list holds", test_many_crashes },
+	{ "refutation is reported first", test_refutation_reported },
 	{ "bounds", test_bounds },
 };
 
