A request that may have run is not refused for lack of a replica

What callers saw: a stream that broke off on the only replica with its model got a whole 503 response between its events (MIXED), and an idempotent request in the same place was told that it had not run though it had. Cause: on a retry the admission may predict a start after the latest useful one; the refusal did not ask whether the request had run or its response had begun. Ruled out: the block of parts that crash replicas (no such line in the logs); the fault is older.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -491,6 +491,61 @@
         w.stop()
 
 
+def model_world(script):
+    """A world in which one replica holds a model that takes long to load, and
+    another one of its service refuses to load it."""
+    async def no_model(call):
+        await call.read()
+        return await call.answer(b"{}", 409, signed=False)
+    config = default_config()
+    config["services"][0]["engine"] = {
+        "slots": 6, "kv_capacity": 100000, "adapter_slots": 0,
+        "weights_mb": 1000, "loads_per_s": 10, "stride": 1,
+        "host_mb": 500, "disk_mb": 500,
+        "models": [{"name": "m", "weights_mb": 10, "load_s": 60,
+                    "warm_s": 60, "disk_s": 60, "adapters": 0,
+                    "adapter_mb": 0}]}
+    w = World(config)
+    w.replica("i-a", "plain", script,
+              models=[{"name": "m", "version": 1, "adapters": []}])
+    w.replica("i-b", "plain", no_model, models=[])
+    w.wait_ready()
+    w.wait("listed", lambda: len(w.events("replica-listed")) >= 2)
+    return w
+
+
+def test_broken_while_model_is_lost():
+    """A request that broke off on the only replica with its model is not
+    refused as not run, nor with a second response inside a stream."""
+    async def breaks(call):
+        await call.read()
+        if "/api/" in call.line:
+            return await call.answer(b"{}", signed=False)
+        if call.id == "id-1":
+            await call.events(1, 3, end=False)
+        await w.store.remove("servers/i-a")
+        while not w.events("replica-gone"):
+            await asyncio.sleep(0.05)
+        call.reset()
+        return False
+    for id, path in (("id-1", "/go/x"), ("id-2", "/read/x")):
+        w = model_world(breaks)
+        try:
+            status, _, body, whole = w.call(path, id, "POST", b"p", {
+                "Arbutusspindle-Model": "m",
+                "Arbutusspindle-Token-Count": "10,10",
+                "Arbutusspindle-Prompt-Prefix": "aa:10"})
+            if id == "id-1":
+                check("cut: %s" % [status, body, whole],
+                      (status, event_numbers(body), whole) ==
+                      (200, [1, 2, 3], False))
+                check("one response", b"HTTP" not in body)
+            else:
+                check("unknown, got %d" % status, status in (502, 504))
+        finally:
+            w.stop()
+
+
 def test_stream_overlap():
     """Events that a replica repeats on resumption are not forwarded twice."""
     async def breaks(call):
