Failing test: a request is sent on a connection that the replica has closed

Seen: test_net "idle connection closed by the server" fails: the end of file of an idle connection has arrived, the pool hands the connection out all the same, since the loop has not read it yet (a delay of the loop, or the caller's read event comes first in the turn). The request's outcome is then unknown, though it never ran: 502 for what may not be repeated.

--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -38,6 +38,7 @@
 static void test_connected_late(void);
 static void test_paused(void);
 static void test_in_time(void);
+static void test_idle_closed_by_server(void);
 
 static void collect(void *, const char *, size_t);
 static void test_events(void);
@@ -239,11 +240,43 @@
 	CU_ASSERT_EQUAL(fields_parse_event_id("data: 1", 7), 0);
 }
 
+/*
+ * The server has closed an idle connection while the process did not run.  The
+ * next request opens a new one: sent on the closed one, its outcome would be
+ * unknown.
+ */
+static void
+test_idle_closed_by_server(void)
+{
+	static const char text[] =
+	    "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n";
+	struct attempt t;
+	struct exchange *x;
+	int fd;
+
+	attempt_open(&t);
+	x = exchange_start(t.pool, t.addr, NSEC_PER_SEC, &ops, &t);
+	exchange_send(x, "GET / HTTP/1.1\r\n\r\n", 18);
+	fd = accept(t.listener, NULL, NULL);
+	CU_ASSERT_EQUAL(
+	    send(fd, text, sizeof(text) - 1, 0), (ssize_t)sizeof(text) - 1);
+	attempt_run(&t);
+	CU_ASSERT(t.ended);
+	CU_ASSERT_EQUAL(t.result, EXCHANGE_COMPLETE);
+	close(fd);
+	pause_process();
+	x = exchange_start(t.pool, t.addr, NSEC_PER_SEC, &ops, &t);
+	CU_ASSERT(exchange_has_new_conn(x));
+	exchange_cancel(x);
+	attempt_close(&t);
+}
+
 static const struct unit_case cases[] = {
 	{ "events", test_events },
 	{ "connected while paused", test_connected_late },
 	{ "paused while connecting", test_paused },
 	{ "sent in time", test_in_time },
+	{ "idle connection closed by the server", test_idle_closed_by_server },
 };
 
 UNIT_MAIN("net", cases)
