Failing test: a stop ends while an answer is being sent

Seen: test_sigterm_slow_reader fails, 2,809,856 of 3,000,000 bytes: the process ends once no caller is left in its list, 2.5 s after SIGTERM, although a connection that is closed after its last bytes still has unsent ones; 1.1 s of the grace are left.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -6,6 +6,7 @@
 import os
 import re
 import signal
+import socket
 import sys
 import threading
 import time
@@ -1012,6 +1013,30 @@
         w.stop()
 
 
+def test_sigterm_slow_reader():
+    """SIGTERM: an answer that the caller reads within the grace is whole."""
+    whole_body = b"x" * 3000000
+
+    async def large(call):
+        await call.read()
+        return await call.answer(whole_body)
+    w, a, _ = two_replicas(large)
+    try:
+        s = socket.socket()
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        s.settimeout(10)
+        s.connect((w.ip, w.ports["front"]))
+        s.sendall(request("/read/x", "id-1"))
+        w.wait("sent", lambda: a.requests)
+        w.process.send_signal(signal.SIGTERM)
+        time.sleep(2.7)
+        status, _, body, whole = read_answer(s)
+        check("%d: %d bytes" % (status, len(body)),
+              (status, whole) == (200, True))
+    finally:
+        w.stop()
+
+
 def test_sigterm_new_connection():
     """A connection made just before the listening socket closes is served."""
     w, _, _ = two_replicas(answer_ok)
