Failing test: a refusal is written into a stream that has begun

Seen: test_stream_refused_midway fails: a resumable stream breaks off after its third event, no replica holds the model and its load ends too late; the caller gets "HTTP/1.1 503" with Retry-After between the chunks of its stream, and the connection is kept. A request that has run is refused as not run.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -492,6 +492,59 @@
         w.stop()
 
 
+def test_stream_refused_midway():
+    """A stream that has begun breaks off, and its model is loaded too late:
+    it ends as broken off, without bytes that are no part of it."""
+    async def breaks(call):
+        await call.read()
+        if "/long/" not in call.line:
+            return await call.answer(b"", 404)
+        await call.events(1, 3, end=False)
+        await w.store.remove("servers/i-a")
+        await asyncio.sleep(0.3)
+        await call.replica.crash(60)
+        return False
+    config = default_config()
+    config["routes"].append(route(
+        "long", "/long/", "streaming", "gen", resumable=True,
+        timeout_ms=15000, target_latency_ms=600, target_gap_ms=300))
+    config["services"].append({
+        "name": "gen", "health_path": "/health", "max_conns": 100,
+        "engine": {
+            "slots": 4, "kv_capacity": 100000, "stride": 2,
+            "weights_mb": 1000, "host_mb": 0, "disk_mb": 0,
+            "adapter_slots": 8, "loads_per_s": 1,
+            "models": [{"name": "m1", "weights_mb": 100, "load_s": 20,
+                        "disk_s": 20, "warm_s": 20, "adapters": 0,
+                        "adapter_mb": 0}]}})
+    w = World(config)
+    try:
+        w.replica("i-a", "gen", breaks, models=[
+            {"name": "m1", "version": 1, "adapters": []}])
+        w.wait_ready()
+        w.replica("i-b", "gen", models=[])
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 2)
+        s = w.connect()
+        s.sendall(request("/long/x", "id-1", "POST", b"p", {
+            "Arbutusspindle-Model": "m1",
+            "Arbutusspindle-Token-Count": "100,20"}, 15000))
+        s.settimeout(4)
+        text = b""
+        try:
+            while True:
+                piece = s.recv(65536)
+                if not piece:
+                    break
+                text += piece
+        except socket.timeout:
+            pass
+        check("first events: %r" % text, b"piece-3" in text)
+        check("bytes after them: %r" % text[-300:],
+              text.count(b"HTTP/1.1") == 1)
+    finally:
+        w.stop()
+
+
 def test_stream_overlap():
     """Events that a replica repeats on resumption are not forwarded twice."""
     async def breaks(call):
