A request that has run is not refused while it waits to be repeated

What callers saw: a 503 between the chunks of a stream that had begun, where no replica held its model and the load ended too late. Cause: the decision to wait or refuse did not know whether the request had run. Now such a retry waits for the minimum time, and ends as one that has run. test_stream_refused_midway failed before, passes now.

--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -90,8 +90,12 @@
 	if (f->waiting.group != NULL)
 		return;
 	d = decide(f);
-	/* A retry waits for a minimum time, however late the failure. */
-	if (f->attempts_made != 0 && d.until < f->e->now + RETRY_QUEUE_NS) {
+	/*
+	 * A retry waits for a minimum time, however late the failure; one that
+	 * has run cannot be refused.
+	 */
+	if ((f->attempts_made != 0 && d.until < f->e->now + RETRY_QUEUE_NS) ||
+	    (f->runs != 0 && d.step == ADMISSION_REFUSE)) {
 		d.until = f->e->now + RETRY_QUEUE_NS;
 		d.step = ADMISSION_WAIT;
 	}
