Connections that the server has closed are not reused

A pooled connection whose end has arrived was handed out until the loop read it. test_net "idle connection closed by the server" failed before, passes now.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -182,9 +182,12 @@
     const struct exchange_ops *ops, void *ctx)
 {
 	struct pool_address *a = pool_find_address(p, addr);
-	struct exchange *x = TAILQ_FIRST(&a->idle);
+	struct exchange *x;
 	uint64_t now = clock_mono();
 
+	/* The server has closed it, or sent what nobody asked for. */
+	while ((x = TAILQ_FIRST(&a->idle)) != NULL && exchange_has_input(x))
+		exchange_destroy(x);
 	if (x != NULL && now < x->reuse_until_ns &&
 	    (x->keep_alive_ns != 0 || now < x->idle_since_ns + reuse_ns)) {
 		TAILQ_REMOVE(&a->idle, x, entry);
