--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1044,7 +1044,7 @@
             asyncio.run_coroutine_threadsafe(r.crash(3600), w.loop)
         for t in threads:
             t.join()
-        w.replica("i-3")
+        w.replica("i-3", "plain", crashes_on_part)
         w.wait("listed", lambda: len(w.events("replica-listed")) == 4)
         time.sleep(2)
         status = w.call("/tell/x", "id-9", "POST", b"p", {
