Replicas that leave are no evidence against parts of prompts

What callers saw: 503 for a minute for a sound part, after three replicas that had said that they leave were gone while they worked on its requests. test_leaving_replicas_block_no_part failed before, passes now.

--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -140,7 +140,9 @@
 	uint32_t n = shared_parts(r, ids);
 	struct check *c;
 
-	if (n == 0)
+	/* A replica that leaves ends without having crashed. */
+	if (n == 0 || m->info.state != REPLICA_READY ||
+	    m->presence == PRESENCE_REMOVED)
 		return;
 	c = check_find(p, m->info.id);
 	if (c != NULL) {
