Evidence on a blocked part is reported, and its list does not fill up

What callers saw: a part that crashed more replicas at once than are kept was never blocked; with many newer parts the blocked one was in no report, and a restarted process blocked a sound one instead; full lists kept a block alive. Now the list drops crashes that do not count first and takes the place of its last one only for a crash that is later for certain; blocked parts are reported first. test_poison "crashes fill the list", "report has the blocked part" and "full lists passed around" failed before, pass now.

--- a/core/poison.c
+++ b/core/poison.c
@@ -60,6 +60,7 @@
 static struct part *part_find(const struct poison *, uint64_t);
 static struct part *part_add(struct poison *, uint64_t);
 static void part_remove(struct poison *, struct part *);
+static int part_make_room(struct part *, uint64_t);
 static int part_add_crash(struct part *, uint64_t, uint64_t);
 static void part_set_answered(struct part *, uint64_t);
 static int part_explains(const struct part *, uint64_t);
@@ -150,6 +151,31 @@
 	memmove(t->crashes, t->crashes + n, t->ncrashes * sizeof(*t->crashes));
 }
 
+/*
+ * Drops one crash for a later one: one that does not count, else the last.
+ * Peers' lists may end with other crashes, whose times vary by PASSING_NS.
+ */
+static int
+part_make_room(struct part *t, uint64_t at)
+{
+	uint64_t counted_at = t->crashes[0].at;
+	uint32_t n = t->ncrashes;
+	uint32_t i;
+
+	if (at < t->crashes[n - 1].at)
+		return 0;
+	for (i = 1; i < n && t->crashes[i].at >= counted_at + CRASH_GAP_NS; i++)
+		counted_at = t->crashes[i].at;
+	if (i == n && at < t->crashes[n - 1].at + PASSING_NS)
+		return 0;
+	if (i == n)
+		i--;
+	memmove(t->crashes + i, t->crashes + i + 1,
+	    (n - i - 1) * sizeof(*t->crashes));
+	t->ncrashes--;
+	return 1;
+}
+
 /* Adds a crash unless it is known; returns whether it was added. */
 static int
 part_add_crash(struct part *t, uint64_t replica, uint64_t at)
@@ -159,11 +185,11 @@
 
 	if (at <= t->answered_at || part_explains(t, replica))
 		return 0;
-	/* The first ones tell when it began, the last one when it was seen. */
-	if (n == POISON_CRASHES_MAX && at < t->crashes[n - 1].at)
-		return 0;
-	if (n == POISON_CRASHES_MAX)
-		n--;
+	if (n == POISON_CRASHES_MAX) {
+		if (!part_make_room(t, at))
+			return 0;
+		n = t->ncrashes;
+	}
 	for (i = n; i > 0 && t->crashes[i - 1].at > at; i--)
 		t->crashes[i] = t->crashes[i - 1];
 	t->crashes[i].replica = replica;
@@ -400,7 +426,7 @@
 poison_report(const struct poison *p, uint64_t now, struct poison_evidence *out)
 {
 	const struct part *found[PARTS_MAX];
-	uint32_t crashes[PARTS_MAX];
+	uint32_t strength[PARTS_MAX];
 	const struct part *t;
 	uint32_t nfound = 0;
 	uint32_t n = 0;
@@ -411,13 +437,15 @@
 		if (part_is_old(t, now))
 			continue;
 		found[nfound] = t;
-		crashes[nfound++] = part_count_crashes(t, NULL, 0);
+		strength[nfound] = part_count_crashes(t, NULL, 0);
+		if (strength[nfound] > CRASHES_MIN)
+			strength[nfound] = CRASHES_MIN;
+		strength[nfound++] += (uint32_t)t->blocked;
 	}
-	for (least = CRASHES_MIN; least >= 0; least--) {
+	for (least = CRASHES_MIN + 1; least >= 0; least--) {
 		/* New parts are at the end. */
 		for (i = nfound; i-- > 0 && n < POISON_REPORT_MAX;) {
-			if (crashes[i] == (uint32_t)least ||
-			    (least == CRASHES_MIN && crashes[i] > CRASHES_MIN))
+			if (strength[i] == (uint32_t)least)
 				evidence_of(found[i], now, &out[n++]);
 		}
 	}
