Failing test: sound requests of a crashed replica end with 502

The crash is confirmed after the first one breaks; from then on all parts of it are suspected until their next answer, the common first part too, so the others that broke off with the same replica are not repeated.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1018,6 +1018,45 @@
     keep_crashing_replicas(script)
 
 
+def test_sound_requests_of_crashed_replica_repeated():
+    """A replica crashes, by itself, while it works on streams with sound
+    parts that were answered before: they are served by another one, although
+    their connections break some ms apart."""
+    async def first(call):
+        if call.id < "id-1":
+            return await crashes_on_part(call)
+        await call.read()
+        broken.append(call)
+        await asyncio.sleep(0.3)
+        if call is broken[0]:
+            call.replica.server.close()
+            for c in broken:
+                c.reset()
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(3600)
+    broken = []
+    w, a, b = two_replicas(first, crashes_on_part)
+    try:
+        statuses = []
+
+        def call(id):
+            statuses.append(w.call("/go/x", id, "POST", b"p", {
+                "Arbutusspindle-Prompt-Prefix":
+                "aa01:100,5a01:100,%s:9" % id[-2:]})[0])
+        call("id-00")
+        check("answered before", statuses == [200])
+        threads = [threading.Thread(target=call, args=("id-1%d" % i,))
+                   for i in range(4)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        check("sent to it: %d" % len(a.requests), len(a.requests) > 1)
+        check("served: %s" % statuses, statuses == [200] * 5)
+    finally:
+        w.stop()
+
+
 def test_leaving_replicas_block_no_part():
     """Replicas that have said that they leave are gone while they work on
     requests with a sound part; the part is not blocked."""
