A crash is no reason against repeating the requests that it broke off

What callers saw: 502 for sound streams of a replica that crashed, once the crash was confirmed after the first of them.

--- a/core/poison.c
+++ b/core/poison.c
@@ -322,15 +322,16 @@
 }
 
 int
-poison_is_suspect(
-    const struct poison *p, uint64_t now, const uint64_t *ids, uint32_t n)
+poison_is_suspect(const struct poison *p, uint64_t now, uint64_t replica,
+    const uint64_t *ids, uint32_t n)
 {
 	const struct part *t;
 	uint32_t i;
 
 	for (i = 0; i < n && p->parts != NULL; i++) {
 		t = part_find(p, ids[i]);
-		if (t != NULL && t->ncrashes != 0 && !part_is_old(t, now))
+		if (t != NULL && !part_is_old(t, now) &&
+		    t->ncrashes > (uint32_t)part_explains(t, replica))
 			return 1;
 	}
 	return 0;
--- a/core/poison.h
+++ b/core/poison.h
@@ -44,9 +44,12 @@
  */
 uint64_t poison_blocked_until(
     const struct poison *, uint64_t, const uint64_t *, uint32_t);
-/* Whether a replica has crashed with one of these n parts, unrefuted. */
+/*
+ * Whether a replica, other than the given incarnation (0: any), has crashed
+ * with one of these n parts, unrefuted.
+ */
 int poison_is_suspect(
-    const struct poison *, uint64_t, const uint64_t *, uint32_t);
+    const struct poison *, uint64_t, uint64_t, const uint64_t *, uint32_t);
 /*
  * Decides which parts are blocked, calls back for each that is blocked from now
  * on (1) or no longer (0), and drops old evidence.  A crash is held against one
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -340,6 +340,7 @@
 {
 	struct directory_replica *m = f->replica;
 	char detail[160];
+	int suspect;
 
 	f->exchange = NULL;
 	f->e->counts.attempt_ends[end]++;
@@ -368,6 +369,8 @@
 		    m->consecutive_failures,
 		    (unsigned long long)((m->avoid_until - f->e->now) /
 			NSEC_PER_MSEC));
+	suspect = forward_broke_at_begin(f, end) &&
+	    poison_io_is_suspect(f->e->poison_io, m, &f->params);
 	forward_note_crash(f, end);
 	loader_io_attempt_ended(f->e, f->replica, &f->params, end, f->status);
 	forward_remove_work(f);
@@ -375,8 +378,9 @@
 		forward_free(f);
 		return;
 	}
-	forward_next_step(
-	    f, end, budget_allows_retry(&f->e->budget, f->e->now, f->service));
+	forward_next_step(f, end,
+	    !suspect &&
+		budget_allows_retry(&f->e->budget, f->e->now, f->service));
 }
 
 static void
@@ -393,7 +397,7 @@
 }
 
 static void
-forward_next_step(struct forward *f, enum attempt_outcome end, int budget)
+forward_next_step(struct forward *f, enum attempt_outcome end, int allowed)
 {
 	struct attempt_context facts;
 
@@ -403,9 +407,7 @@
 	facts.runs = f->runs;
 	facts.attempts_made = f->attempts_made;
 	facts.response_started = f->response_started;
-	facts.retry_allowed = budget &&
-	    !(forward_broke_at_begin(f, end) &&
-		poison_io_is_suspect(f->e->poison_io, &f->params));
+	facts.retry_allowed = allowed;
 	facts.deadline = f->deadline;
 	switch (attempt_next_step(&facts, end, f->e->now)) {
 	case NEXT_FORWARD:
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -265,12 +265,14 @@
 }
 
 int
-poison_io_is_suspect(const struct poison_io *p, const struct request_params *r)
+poison_io_is_suspect(const struct poison_io *p,
+    const struct directory_replica *m, const struct request_params *r)
 {
 	uint64_t ids[PROMPT_PARTS_MAX];
 	uint32_t n = shared_parts(r, ids);
 
-	return poison_is_suspect(p->poison, p->e->now, ids, n);
+	return poison_is_suspect(
+	    p->poison, p->e->now, incarnation_hash(m), ids, n);
 }
 
 static void
--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -24,9 +24,10 @@
 /* Until when such requests are refused, 0 if they are not. */
 uint64_t poison_io_blocked_until(
     const struct poison_io *, const struct request_params *);
-/* Whether a replica may have crashed from such a request. */
-int poison_io_is_suspect(
-    const struct poison_io *, const struct request_params *);
+/* Whether a replica other than this one may have crashed from such a request.
+ */
+int poison_io_is_suspect(const struct poison_io *,
+    const struct directory_replica *, const struct request_params *);
 /* Adds the evidence of this process to a report, or a peer's to it. */
 void poison_io_fill(const struct poison_io *, struct msg_front *);
 void poison_io_apply(struct poison_io *, const struct msg_front *);
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -76,7 +76,7 @@
 	uint64_t part = DEADLY;
 
 	crash(p, 10 * S, 1, DEADLY);
-	CU_ASSERT(poison_is_suspect(p, 10 * S, &part, 1));
+	CU_ASSERT(poison_is_suspect(p, 10 * S, 0, &part, 1));
 	crash(p, 10 * S + 500 * MS, 2, DEADLY);
 	CU_ASSERT_EQUAL(blocked(p, 20 * S, DEADLY), 0);
 	crash(p, 11 * S, 3, DEADLY);
@@ -100,7 +100,7 @@
 		poison_answered(p, now + 100 * MS, &part, 1);
 		CU_ASSERT_EQUAL(blocked(p, now + 200 * MS, COMMON), 0);
 	}
-	CU_ASSERT(!poison_is_suspect(p, now, &part, 1));
+	CU_ASSERT(!poison_is_suspect(p, now, 0, &part, 1));
 	poison_destroy(p);
 }
 
@@ -273,7 +273,7 @@
 	crash(p, 10 * S, 1, DEADLY);
 	crash(p, 11 * S, 2, DEADLY);
 	CU_ASSERT_EQUAL(blocked(p, 60 * S, DEADLY), 0);
-	CU_ASSERT(!poison_is_suspect(p, 60 * S, &part, 1));
+	CU_ASSERT(!poison_is_suspect(p, 60 * S, 0, &part, 1));
 	crash(p, 60 * S, 3, DEADLY);
 	CU_ASSERT_EQUAL(blocked(p, 70 * S, DEADLY), 0);
 	for (i = 0; i < 3; i++)
@@ -282,7 +282,7 @@
 	CU_ASSERT(until > 70 * S);
 	CU_ASSERT_EQUAL(blocked(p, until, DEADLY), 0);
 	CU_ASSERT_EQUAL(poison_count_blocked(p), 0);
-	CU_ASSERT(!poison_is_suspect(p, until, &part, 1));
+	CU_ASSERT(!poison_is_suspect(p, until, 0, &part, 1));
 	poison_destroy(p);
 }
 
@@ -299,7 +299,7 @@
 	until = blocked(p, 20 * S, DEADLY);
 	CU_ASSERT(until > 60 * S && until < 100 * S);
 	CU_ASSERT_EQUAL(blocked(p, until, DEADLY), 0);
-	CU_ASSERT(poison_is_suspect(p, until, &part, 1));
+	CU_ASSERT(poison_is_suspect(p, until, 0, &part, 1));
 	crash(p, until + S, 4, DEADLY);
 	CU_ASSERT(blocked(p, until + S, DEADLY) > until + 300 * S);
 	poison_answered(p, until + 2 * S, &part, 1);
