--- a/core/poison.c
+++ b/core/poison.c
@@ -29,7 +29,7 @@
  * later by less than this may be one that is known.
  */
 #define PASSING_NS (1 * NSEC_PER_SEC)
-#define RANKS (2 * CRASHES_MIN + 2) /* of parts in reports */
+#define RANKS (2 * CRASHES_MIN + 4) /* of parts in reports */
 #define PARTS_MAX 512		    /* with evidence */
 #define ANSWERED_SLOTS 4096	    /* parts whose latest answer is known */
 
@@ -62,6 +62,7 @@
 static struct part *part_find(const struct poison *, uint64_t);
 static struct part *part_add(struct poison *, uint64_t);
 static void part_remove(struct poison *, struct part *);
+static int part_make_room(struct part *, uint64_t);
 static int part_add_crash(struct part *, uint64_t, uint64_t);
 static void part_set_answered(struct part *, uint64_t);
 static int part_has_crash(const struct part *, uint64_t);
@@ -156,6 +157,31 @@
 	memmove(t->crashes, t->crashes + n, t->ncrashes * sizeof(*t->crashes));
 }
 
+/*
+ * Drops one crash for a later one: one that does not count, else the last.
+ * Peers' lists may end with other crashes, whose times vary by PASSING_NS.
+ */
+static int
+part_make_room(struct part *t, uint64_t at)
+{
+	uint64_t counted_at = t->crashes[0].at;
+	uint32_t n = t->ncrashes;
+	uint32_t i;
+
+	if (at < t->crashes[n - 1].at)
+		return 0;
+	for (i = 1; i < n && t->crashes[i].at >= counted_at + CRASH_GAP_NS; i++)
+		counted_at = t->crashes[i].at;
+	if (i == n && at < t->crashes[n - 1].at + PASSING_NS)
+		return 0;
+	if (i == n)
+		i--;
+	memmove(t->crashes + i, t->crashes + i + 1,
+	    (n - i - 1) * sizeof(*t->crashes));
+	t->ncrashes--;
+	return 1;
+}
+
 /* Adds a crash unless it is known; returns whether it was added. */
 static int
 part_add_crash(struct part *t, uint64_t replica, uint64_t at)
@@ -165,11 +191,11 @@
 
 	if (at <= t->answered_at || part_has_crash(t, replica))
 		return 0;
-	/* The first ones tell when it began, the last one when it was seen. */
-	if (n == POISON_CRASHES_MAX && at < t->crashes[n - 1].at)
-		return 0;
-	if (n == POISON_CRASHES_MAX)
-		n--;
+	if (n == POISON_CRASHES_MAX) {
+		if (!part_make_room(t, at))
+			return 0;
+		n = t->ncrashes;
+	}
 	for (i = n; i > 0 && t->crashes[i - 1].at > at; i--)
 		t->crashes[i] = t->crashes[i - 1];
 	t->crashes[i].replica = replica;
@@ -314,15 +340,16 @@
 }
 
 int
-poison_is_suspect(
-    const struct poison *p, uint64_t now, const uint64_t *ids, uint32_t n)
+poison_is_suspect(const struct poison *p, uint64_t now, uint64_t replica,
+    const uint64_t *ids, uint32_t n)
 {
 	const struct part *t;
 	uint32_t i;
 
 	for (i = 0; i < n && p->parts != NULL; i++) {
 		t = part_find(p, ids[i]);
-		if (t != NULL && t->ncrashes != 0 && !part_is_old(t, now))
+		if (t != NULL && !part_is_old(t, now) &&
+		    t->ncrashes > (uint32_t)part_has_crash(t, replica))
 			return 1;
 	}
 	return 0;
@@ -415,9 +442,9 @@
 }
 
 /*
- * Rank in a report, by the crashes held against the part or refuted.  Peers
- * block a part on evidence that they do not know to be refuted, so refuted
- * parts go first among equals.
+ * Rank in a report: blocked parts, then those with the most crashes held
+ * against them or refuted.  Peers block a part on evidence that they do not
+ * know to be refuted, so refuted parts go first among equals.
  */
 static uint32_t
 part_rank(const struct part *t)
@@ -427,6 +454,8 @@
 
 	if (n > CRASHES_MIN)
 		n = CRASHES_MIN;
+	if (t->blocked)
+		n = CRASHES_MIN + 1;
 	return 2 * n + (t->ncrashes == 0);
 }
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -271,11 +271,15 @@
 	forward_free(f);
 }
 
-/* Whether the replica may have crashed from this request. */
+/*
+ * Whether the replica may have crashed from this request.  An answer that ends
+ * with its connection may have been broken off.
+ */
 static int
 forward_broke_at_begin(const struct forward *f, enum attempt_outcome end)
 {
-	return (end == ATTEMPT_NO_RESPONSE || end == ATTEMPT_TRUNCATED) &&
+	return (end == ATTEMPT_NO_RESPONSE || end == ATTEMPT_TRUNCATED ||
+		   (end == ATTEMPT_ANSWERED && f->until_close)) &&
 	    (f->begun_at == 0 || f->e->now < f->begun_at + BEGIN_NS);
 }
 
@@ -283,9 +287,7 @@
 static void
 forward_note_crash(struct forward *f, enum attempt_outcome end)
 {
-	/* An answer that ends with its connection may have been broken off. */
-	if (end == ATTEMPT_ANSWERED && f->status / 100 == 2 &&
-	    !f->response_head.close_delimited)
+	if (end == ATTEMPT_ANSWERED && f->status / 100 == 2 && !f->until_close)
 		poison_io_answered(f->e->poison_io, &f->params);
 	else if (forward_broke_at_begin(f, end))
 		poison_io_broken(f->e->poison_io, f->replica, &f->params);
@@ -338,6 +340,7 @@
 {
 	struct directory_replica *m = f->replica;
 	char detail[160];
+	int suspect;
 
 	f->exchange = NULL;
 	f->e->counts.attempt_ends[end]++;
@@ -366,6 +369,8 @@
 		    m->consecutive_failures,
 		    (unsigned long long)((m->avoid_until - f->e->now) /
 			NSEC_PER_MSEC));
+	suspect = forward_broke_at_begin(f, end) &&
+	    poison_io_is_suspect(f->e->poison_io, m, &f->params);
 	forward_note_crash(f, end);
 	loader_io_attempt_ended(f->e, f->replica, &f->params, end, f->status);
 	forward_remove_work(f);
@@ -373,8 +378,9 @@
 		forward_free(f);
 		return;
 	}
-	forward_next_step(
-	    f, end, budget_allows_retry(&f->e->budget, f->e->now, f->service));
+	forward_next_step(f, end,
+	    !suspect &&
+		budget_allows_retry(&f->e->budget, f->e->now, f->service));
 }
 
 static void
@@ -391,7 +397,7 @@
 }
 
 static void
-forward_next_step(struct forward *f, enum attempt_outcome end, int budget)
+forward_next_step(struct forward *f, enum attempt_outcome end, int allowed)
 {
 	struct attempt_context facts;
 
@@ -401,9 +407,7 @@
 	facts.runs = f->runs;
 	facts.attempts_made = f->attempts_made;
 	facts.response_started = f->response_started;
-	facts.retry_allowed = budget &&
-	    !(forward_broke_at_begin(f, end) &&
-		poison_io_is_suspect(f->e->poison_io, &f->params));
+	facts.retry_allowed = allowed;
 	facts.deadline = f->deadline;
 	switch (attempt_next_step(&facts, end, f->e->now)) {
 	case NEXT_FORWARD:
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -6,6 +6,7 @@
 import os
 import re
 import signal
+import socket
 import sys
 import threading
 import time
@@ -546,6 +547,59 @@
             w.stop()
 
 
+def test_stream_refused_midway():
+    """A stream that has begun breaks off, and its model is loaded too late:
+    it ends as broken off, without bytes that are no part of it."""
+    async def breaks(call):
+        await call.read()
+        if "/long/" not in call.line:
+            return await call.answer(b"", 404)
+        await call.events(1, 3, end=False)
+        await w.store.remove("servers/i-a")
+        await asyncio.sleep(0.3)
+        await call.replica.crash(60)
+        return False
+    config = default_config()
+    config["routes"].append(route(
+        "long", "/long/", "streaming", "gen", resumable=True,
+        timeout_ms=15000, target_latency_ms=600, target_gap_ms=300))
+    config["services"].append({
+        "name": "gen", "health_path": "/health", "max_conns": 100,
+        "engine": {
+            "slots": 4, "kv_capacity": 100000, "stride": 2,
+            "weights_mb": 1000, "host_mb": 0, "disk_mb": 0,
+            "adapter_slots": 8, "loads_per_s": 1,
+            "models": [{"name": "m1", "weights_mb": 100, "load_s": 20,
+                        "disk_s": 20, "warm_s": 20, "adapters": 0,
+                        "adapter_mb": 0}]}})
+    w = World(config)
+    try:
+        w.replica("i-a", "gen", breaks, models=[
+            {"name": "m1", "version": 1, "adapters": []}])
+        w.wait_ready()
+        w.replica("i-b", "gen", models=[])
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 2)
+        s = w.connect()
+        s.sendall(request("/long/x", "id-1", "POST", b"p", {
+            "Arbutusspindle-Model": "m1",
+            "Arbutusspindle-Token-Count": "100,20"}, 15000))
+        s.settimeout(4)
+        text = b""
+        try:
+            while True:
+                piece = s.recv(65536)
+                if not piece:
+                    break
+                text += piece
+        except socket.timeout:
+            pass
+        check("first events: %r" % text, b"piece-3" in text)
+        check("bytes after them: %r" % text[-300:],
+              text.count(b"HTTP/1.1") == 1)
+    finally:
+        w.stop()
+
+
 def test_stream_overlap():
     """Events that a replica repeats on resumption are not forwarded twice."""
     async def breaks(call):
@@ -945,7 +999,7 @@
         statuses.append(0)
 
 
-def test_requests_keep_crashing_replicas():
+def keep_crashing_replicas(script):
     """At most three requests with a part that crashes replicas reach them
     later than 3 s after the fifth crash, from all processes; half or more of
     the sound ones with the same first part are served 6 s after it."""
@@ -953,7 +1007,7 @@
     other = World(start=False)
     worlds = [w, other]
     try:
-        replicas = [w.replica("i-%d" % i, "plain", crashes_on_part)
+        replicas = [w.replica("i-%d" % i, "plain", script)
                     for i in range(8)]
         other.store_port = w.store_port
         other.start()
@@ -997,6 +1051,103 @@
         w.stop()
 
 
+def test_requests_keep_crashing_replicas():
+    keep_crashing_replicas(crashes_on_part)
+
+
+def test_answers_without_length_crash_replicas():
+    """The same, with answers that end with their connection: it is closed,
+    not reset, as the replica crashes."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        await asyncio.sleep(0.05)
+        call.writer.write(call.head(extra={
+            "Content-Type": "text/event-stream"}))
+        await call.writer.drain()
+        call.writer.close()
+        asyncio.ensure_future(call.replica.crash(1.0))
+        return False
+    keep_crashing_replicas(script)
+
+
+def test_sound_requests_of_crashed_replica_repeated():
+    """A replica crashes, by itself, while it works on streams with sound
+    parts that were answered before: they are served by another one, although
+    their connections break some ms apart."""
+    async def first(call):
+        if call.id < "id-1":
+            return await crashes_on_part(call)
+        await call.read()
+        broken.append(call)
+        await asyncio.sleep(0.3)
+        if call is broken[0]:
+            call.replica.server.close()
+            for c in broken:
+                c.reset()
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(3600)
+    broken = []
+    w, a, b = two_replicas(first, crashes_on_part)
+    try:
+        statuses = []
+
+        def call(id):
+            statuses.append(w.call("/go/x", id, "POST", b"p", {
+                "Arbutusspindle-Prompt-Prefix":
+                "aa01:100,5a01:100,%s:9" % id[-2:]})[0])
+        call("id-00")
+        check("answered before", statuses == [200])
+        threads = [threading.Thread(target=call, args=("id-1%d" % i,))
+                   for i in range(4)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        check("sent to it: %d" % len(a.requests), len(a.requests) > 1)
+        check("served: %s" % statuses, statuses == [200] * 5)
+    finally:
+        w.stop()
+
+
+def test_leaving_replicas_block_no_part():
+    """Replicas that have said that they leave are gone while they work on
+    requests with a sound part; the part is not blocked."""
+    async def never(call):
+        await call.read()
+        await asyncio.sleep(3600)
+    w = World()
+    try:
+        threads = []
+        for i in range(3):
+            r = w.replica("i-%d" % i, "plain", never)
+            w.wait_ready()
+            w.wait("listed", lambda: len(
+                w.events("replica-listed")) == i + 1)
+            threads.append(threading.Thread(target=w.call, args=(
+                "/tell/x", "id-%d" % i, "POST", b"p",
+                {"Arbutusspindle-Prompt-Prefix": "5a01:100,e%d:9" % i})))
+            threads[-1].start()
+            w.wait("sent", lambda: r.requests)
+            w.register(r.name, state="draining", remaining_ms=400)
+            w.wait("leaving", lambda: len(
+                w.events("replica-leaving")) == i + 1)
+            time.sleep(0.4)
+            asyncio.run_coroutine_threadsafe(r.crash(3600), w.loop)
+        for t in threads:
+            t.join()
+        w.replica("i-3", "plain", crashes_on_part)
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 4)
+        time.sleep(2)
+        status = w.call("/tell/x", "id-9", "POST", b"p", {
+            "Arbutusspindle-Prompt-Prefix": "5a01:100,e9:9"})[0]
+        check("served: %d" % status, status == 200)
+    finally:
+        w.stop()
+
+
 # --- shutdown, reload, resources, metrics --------------------------------
 
 def test_sigterm():
@@ -1067,6 +1218,30 @@
         w.stop()
 
 
+def test_sigterm_slow_reader():
+    """SIGTERM: an answer that the caller reads within the grace is whole."""
+    whole_body = b"x" * 3000000
+
+    async def large(call):
+        await call.read()
+        return await call.answer(whole_body)
+    w, a, _ = two_replicas(large)
+    try:
+        s = socket.socket()
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        s.settimeout(10)
+        s.connect((w.ip, w.ports["front"]))
+        s.sendall(request("/read/x", "id-1"))
+        w.wait("sent", lambda: a.requests)
+        w.process.send_signal(signal.SIGTERM)
+        time.sleep(2.7)
+        status, _, body, whole = read_answer(s)
+        check("%d: %d bytes" % (status, len(body)),
+              (status, whole) == (200, True))
+    finally:
+        w.stop()
+
+
 def test_sigterm_new_connection():
     """A connection made just before the listening socket closes is served."""
     w, _, _ = two_replicas(answer_ok)
