A blocked part that is answered does not end the process

What callers saw: a process that ended. Cause: an answer empties the list of crashes of a part; until the next update the part still counts as blocked, and the time of its last crash was read before the begin of the list. Evidence: test_poison "answered while blocked" ended with a segmentation fault before, passes now.

--- a/core/poison.c
+++ b/core/poison.c
@@ -20,7 +20,7 @@
 #define SETTLE_NS (1500 * NSEC_PER_MSEC)
 /* Evidence below CRASHES_MIN is kept. */
 #define SUSPECT_NS (30 * NSEC_PER_SEC)
-/* A part blocked on CRASHES_MIN crashes may be sound, and is tried again. */
+/* A part blocked on few crashes may be sound, and is tried again. */
 #define BLOCK_FIRST_NS (60 * NSEC_PER_SEC)
 #define BLOCK_NS (600 * NSEC_PER_SEC)  /* after more crashes */
 #define ANSWERED_NS (5 * NSEC_PER_SEC) /* a refutation is passed on */
@@ -279,6 +279,8 @@
 static uint64_t
 part_blocked_until(const struct part *t)
 {
+	if (t->ncrashes == 0)
+		return 0;
 	return t->crashes[t->ncrashes - 1].at +
 	    (part_count_crashes(t, NULL, 0) > CRASHES_MIN ? BLOCK_NS
 							  : BLOCK_FIRST_NS);
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -27,6 +27,7 @@
 static void test_random_crashes(void);
 static void test_expiry(void);
 static void test_tried_again(void);
+static void test_answered_while_blocked(void);
 static void test_companion_part(void);
 static void test_companion_answered_before(void);
 static void test_many_crashes(void);
@@ -309,6 +310,22 @@
 	poison_destroy(p);
 }
 
+/* A blocked part is answered; a request comes before the next update. */
+static void
+test_answered_while_blocked(void)
+{
+	struct poison *p = poison_create();
+	uint64_t part = DEADLY;
+	uint64_t i;
+
+	for (i = 0; i < 3; i++)
+		crash(p, 10 * S + i * S, i, DEADLY);
+	CU_ASSERT(blocked(p, 14 * S, DEADLY) != 0);
+	poison_answered(p, 15 * S, &part, 1);
+	CU_ASSERT_EQUAL(poison_blocked_until(p, 15 * S, &part, 1), 0);
+	poison_destroy(p);
+}
+
 /*
  * A rare sound part is in each of the first crashing requests, beside the
  * deadly one.  It is free again once the deadly part explains its crashes.
@@ -526,6 +543,7 @@
 	{ "random crashes", test_random_crashes },
 	{ "expiry", test_expiry },
 	{ "tried again", test_tried_again },
+	{ "answered while blocked", test_answered_while_blocked },
 	{ "companion part", test_companion_part },
 	{ "companion answered before", test_companion_answered_before },
 	{ "more crashes than the list holds", test_many_crashes },
