Crashes in pairs block a part for long

A part that crashes a replica with each request and another with its repeat, within 0.3 s, counted three crashes for six replicas, and was tried again by all processes after a minute. Five replicas or more leave no doubt. test_poison "crashes in pairs" failed before, passes now.

--- a/core/poison.c
+++ b/core/poison.c
@@ -18,6 +18,8 @@
  * of reports, so that a process that had an answer has been heard.
  */
 #define SETTLE_NS (1500 * NSEC_PER_MSEC)
+/* Replicas that, crashed with a part, leave no doubt. */
+#define REPLICAS_SURE 5
 /* Evidence below CRASHES_MIN is kept. */
 #define SUSPECT_NS (30 * NSEC_PER_SEC)
 /* A part blocked on few crashes may be sound, and is tried again. */
@@ -279,11 +281,13 @@
 static uint64_t
 part_blocked_until(const struct part *t)
 {
+	int sure = t->ncrashes >= REPLICAS_SURE ||
+	    part_count_crashes(t, NULL, 0) > CRASHES_MIN;
+
 	if (t->ncrashes == 0)
 		return 0;
 	return t->crashes[t->ncrashes - 1].at +
-	    (part_count_crashes(t, NULL, 0) > CRASHES_MIN ? BLOCK_NS
-							  : BLOCK_FIRST_NS);
+	    (sure ? BLOCK_NS : BLOCK_FIRST_NS);
 }
 
 static struct answered *
