A stop waits for answers that callers still read

What callers saw: an answer cut off during a planned stop, though its caller reads it and a second of the grace time is left. Cause: a caller whose response was complete left the list of callers while its connection still had unsent bytes, and the process ended when the list was empty. Change: connections that are being closed with unsent output are in a list, for which the stop waits until the end of the grace time. Ruled out: waiting for the peer's end of each connection, which idle peers delay.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -236,7 +236,7 @@
 static void
 caller_close(struct caller *c)
 {
-	conn_close_after_flush(c->conn);
+	conn_close_after_flush(c->conn, &c->e->flushing);
 	caller_destroy(c);
 }
 
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -9,6 +9,7 @@
 #include "balance.h"
 #include "boot.h"
 #include "budget.h"
+#include "conn.h"
 #include "directory.h"
 #include "fields.h"
 #include "http_client.h"
@@ -68,6 +69,7 @@
 	struct forward_list requests; /* of callers, waiting ones included */
 	struct waitq waiting;	      /* requests without a replica */
 	struct caller_list callers;
+	struct conn_list flushing; /* closed callers with unsent output */
 	struct query_list queries;
 	struct session *session;
 	struct peers *peers;
--- a/entry/main.c
+++ b/entry/main.c
@@ -84,7 +84,7 @@
 	if (d->listener == NULL)
 		callers_close_idle(e);
 	if ((d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
-		TAILQ_EMPTY(&e->requests)) ||
+		TAILQ_EMPTY(&e->requests) && TAILQ_EMPTY(&e->flushing)) ||
 	    e->now + GRACE_MARGIN_NS >=
 		e->stopping_since + e->boot.stop_grace_ns)
 		ev_break(loop, EVBREAK_ALL);
@@ -168,6 +168,7 @@
 	TAILQ_INIT(&e->requests);
 	waitq_init(&e->waiting);
 	TAILQ_INIT(&e->callers);
+	TAILQ_INIT(&e->flushing);
 	TAILQ_INIT(&e->queries);
 	directory_init(&e->dir);
 	entry_times_init(&e->times);
--- a/net/conn.c
+++ b/net/conn.c
@@ -24,6 +24,8 @@
 #define CONN_LINGER_S 1.0	    /* wait for the peer's FIN after ours */
 
 struct conn {
+	TAILQ_ENTRY(conn) entry;
+	struct conn_list *flushing; /* which it is in, or NULL */
 	struct ev_loop *loop;
 	const struct conn_ops *ops;
 	void *ctx;
@@ -45,6 +47,7 @@
 static void conn_on_linger(struct ev_loop *, ev_timer *, int);
 static int conn_flush(struct conn *);
 static void conn_on_connect(struct conn *);
+static void conn_end_flush(struct conn *);
 static void conn_shutdown_write(struct conn *);
 static int conn_parse_address(const char *, struct sockaddr_in *, struct err *);
 
@@ -154,6 +157,7 @@
 	ev_io_stop(c->loop, &c->read_watcher);
 	ev_io_stop(c->loop, &c->write_watcher);
 	ev_timer_stop(c->loop, &c->linger_timer);
+	conn_end_flush(c);
 	close(c->fd);
 	buf_free(&c->out);
 	free(c);
@@ -170,22 +174,36 @@
 	conn_destroy(c);
 }
 
+static void
+conn_end_flush(struct conn *c)
+{
+	if (c->flushing == NULL)
+		return;
+	TAILQ_REMOVE(c->flushing, c, entry);
+	c->flushing = NULL;
+}
+
 /* Half-closes, so that the peer can read all data before the end. */
 static void
 conn_shutdown_write(struct conn *c)
 {
+	conn_end_flush(c);
 	shutdown(c->fd, SHUT_WR);
 	ev_io_stop(c->loop, &c->write_watcher);
 	ev_io_start(c->loop, &c->read_watcher);
 }
 
 void
-conn_close_after_flush(struct conn *c)
+conn_close_after_flush(struct conn *c, struct conn_list *flushing)
 {
 	c->closing = 1;
 	ev_timer_start(c->loop, &c->linger_timer);
-	if (buf_len(&c->out) == 0)
+	if (buf_len(&c->out) == 0) {
 		conn_shutdown_write(c);
+		return;
+	}
+	c->flushing = flushing;
+	TAILQ_INSERT_TAIL(flushing, c, entry);
 }
 
 static void
--- a/net/conn.h
+++ b/net/conn.h
@@ -9,11 +9,15 @@
 #include <ev.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 #include "err.h"
 
 struct conn;
 
+/* Connections that are being closed and have unsent output. */
+TAILQ_HEAD(conn_list, conn);
+
 struct conn_ops {
 	/*
 	 * An outgoing connection is established, and nothing has been sent yet;
@@ -37,8 +41,11 @@
 void conn_destroy(struct conn *);
 /* Sends RST, so that the peer does not take a partial message as complete. */
 void conn_abort(struct conn *);
-/* Flushes the output buffer, sends FIN, then closes; no callback follows. */
-void conn_close_after_flush(struct conn *);
+/*
+ * Flushes the output buffer, sends FIN, then closes; no callback follows.  It
+ * is in the list until the buffer is empty.
+ */
+void conn_close_after_flush(struct conn *, struct conn_list *);
 void conn_write(struct conn *, const void *, size_t);
 /* Whether the peer has closed its side, even if bytes are still unread. */
 int conn_peer_closed(const struct conn *);
