Only a refused connection shows that a replica has crashed

A replica with too many connections resets new ones, and a local error of connect() says nothing of the replica; both counted as crashes.

--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -170,7 +171,7 @@
 	c->conn = conn_connect(c->p->e->loop, addr, &check_conn_ops, c, &err);
 	if (c->conn != NULL)
 		expiry_set(c->expiry, c->p->e->now + CHECK_NS);
-	else if (err.kind == ERR_UNAVAILABLE)
+	else if (err.kind == ERR_REFUSED)
 		check_crashed(c);
 	else
 		check_destroy(c);
@@ -224,7 +225,8 @@
 	struct check *c = ctx;
 
 	entry_update_now(c->p->e);
-	if (error != 0)
+	/* A replica with too many connections resets them. */
+	if (error == ECONNREFUSED)
 		check_crashed(c);
 	else
 		check_destroy(c);
--- a/net/conn.c
+++ b/net/conn.c
@@ -137,7 +137,8 @@
 	conn_set_options(fd);
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == -1 &&
 	    errno != EINPROGRESS) {
-		err_set(e, ERR_UNAVAILABLE,
+		err_set(e,
+		    errno == ECONNREFUSED ? ERR_REFUSED : ERR_UNAVAILABLE,
 		    "cannot connect to %s: %s; check that it is running", addr,
 		    strerror(errno));
 		close(fd);
