Refutations outlive the evidence that they refute, and take turns in reports

What callers saw: sound parts blocked on all VMs 10 s after the crashes, for 5 to 8 s. Cause: a refuted part was forgotten after 5 s, by all but those that had answered it themselves; a peer that had never heard of the answer then brought the old evidence back. It had not heard since equals in a report never took turns: with hundreds of refuted parts the newest 16 were sent each time. Change: the latest answer to a part is kept apart from its evidence, from peers too; evidence that it refutes makes the part a refuted one again, for 5 s; parts of the same rank take turns. Evidence: test_poison "refuted evidence returns" and "many refutations" failed before, pass now.

--- a/core/poison.c
+++ b/core/poison.c
@@ -32,8 +32,9 @@
  */
 #define PASSING_NS (1 * NSEC_PER_SEC)
 #define RANKS (2 * CRASHES_MIN + 4) /* of parts in reports */
-#define PARTS_MAX 512		    /* with evidence */
-#define ANSWERED_SLOTS 4096	    /* parts whose latest answer is known */
+#define TURN_NS (100 * NSEC_PER_MSEC)
+#define PARTS_MAX 512	     /* with evidence */
+#define ANSWERED_SLOTS 16384 /* parts whose latest answer is known */
 
 struct crash {
 	uint64_t replica;
@@ -43,6 +44,7 @@
 struct part {
 	uint64_t id;
 	uint64_t answered_at; /* by any process, 0: never */
+	uint64_t refuted_at;  /* crashes were found to be before an answer */
 	uint32_t nrefuted;    /* most crashes before an answer */
 	uint32_t ncrashes;    /* after answered_at, oldest first */
 	struct crash crashes[POISON_CRASHES_MAX];
@@ -66,7 +68,9 @@
 static void part_remove(struct poison *, struct part *);
 static int part_make_room(struct part *, uint64_t);
 static int part_add_crash(struct part *, uint64_t, uint64_t);
-static void part_set_answered(struct part *, uint64_t);
+static void part_note_refuted(struct part *, uint64_t, uint32_t);
+static void set_answered(struct poison *, uint64_t, uint64_t, uint64_t);
+static uint64_t last_answered(struct poison *, uint64_t);
 static int part_has_crash(const struct part *, uint64_t);
 static int part_explains(const struct part *, const struct crash *);
 static uint32_t part_count_crashes(
@@ -130,8 +134,7 @@
 	t = mem_alloc(sizeof(*t));
 	t->id = id;
 	HASH_ADD(hh, p->parts, id, sizeof(t->id), t);
-	if (answered_slot(p, id)->id == id)
-		t->answered_at = answered_slot(p, id)->at;
+	t->answered_at = last_answered(p, id);
 	return t;
 }
 
@@ -142,19 +145,32 @@
 	free(t);
 }
 
+static void
+part_note_refuted(struct part *t, uint64_t now, uint32_t n)
+{
+	if (n == 0)
+		return;
+	t->refuted_at = now;
+	if (n > t->nrefuted)
+		t->nrefuted = n;
+}
+
 /* An answer after a crash shows that the part did not cause it. */
 static void
-part_set_answered(struct part *t, uint64_t at)
+set_answered(struct poison *p, uint64_t now, uint64_t id, uint64_t at)
 {
+	struct answered *a = answered_slot(p, id);
+	struct part *t = part_find(p, id);
 	uint32_t n;
 
-	if (at <= t->answered_at)
+	a->id = id;
+	a->at = at;
+	if (t == NULL || at <= t->answered_at)
 		return;
 	t->answered_at = at;
 	for (n = 0; n < t->ncrashes && t->crashes[n].at <= at; n++)
 		continue;
-	if (n > t->nrefuted)
-		t->nrefuted = n;
+	part_note_refuted(t, now, n);
 	t->ncrashes -= n;
 	memmove(t->crashes, t->crashes + n, t->ncrashes * sizeof(*t->crashes));
 }
@@ -272,7 +288,7 @@
 part_is_old(const struct part *t, uint64_t now)
 {
 	if (t->ncrashes == 0)
-		return now >= t->answered_at + ANSWERED_NS;
+		return now >= t->refuted_at + ANSWERED_NS;
 	return now >= t->crashes[t->ncrashes - 1].at +
 	    (part_count_crashes(t, NULL, 0) < CRASHES_MIN ? SUSPECT_NS
 							  : BLOCK_NS);
@@ -298,21 +314,21 @@
 	    ANSWERED_SLOTS];
 }
 
+static uint64_t
+last_answered(struct poison *p, uint64_t id)
+{
+	const struct answered *a = answered_slot(p, id);
+
+	return a->id == id ? a->at : 0;
+}
+
 void
 poison_answered(struct poison *p, uint64_t now, const uint64_t *ids, uint32_t n)
 {
-	struct answered *a;
-	struct part *t;
 	uint32_t i;
 
-	for (i = 0; i < n; i++) {
-		a = answered_slot(p, ids[i]);
-		a->id = ids[i];
-		a->at = now;
-		t = part_find(p, ids[i]);
-		if (t != NULL)
-			part_set_answered(t, now);
-	}
+	for (i = 0; i < n; i++)
+		set_answered(p, now, ids[i], now);
 }
 
 void
@@ -474,7 +490,7 @@
 	uint32_t nfound = 0;
 	uint32_t nrefuted = 0;
 	uint32_t n = 0;
-	uint32_t i, rank;
+	uint32_t i, j, rank, turn;
 
 	for (t = p->parts; t != NULL && nfound < PARTS_MAX; t = t->hh.next) {
 		if (part_is_old(t, now))
@@ -482,15 +498,17 @@
 		found[nfound] = t;
 		ranks[nfound++] = part_rank(t);
 	}
+	/* Parts of the same rank take turns. */
+	turn = (uint32_t)(now / TURN_NS * (POISON_REPORT_MAX / 2) % PARTS_MAX);
 	for (rank = RANKS; rank-- > 0;) {
-		/* New parts are at the end. */
-		for (i = nfound; i-- > 0 && n < POISON_REPORT_MAX;) {
-			if (ranks[i] != rank ||
-			    (found[i]->ncrashes == 0 &&
+		for (i = 0; i < nfound && n < POISON_REPORT_MAX; i++) {
+			j = (turn + i) % nfound;
+			if (ranks[j] != rank ||
+			    (found[j]->ncrashes == 0 &&
 				nrefuted == POISON_REPORT_MAX / 2))
 				continue;
-			nrefuted += found[i]->ncrashes == 0;
-			evidence_of(found[i], now, &out[n++]);
+			nrefuted += found[j]->ncrashes == 0;
+			evidence_of(found[j], now, &out[n++]);
 		}
 	}
 	return n;
@@ -499,23 +517,28 @@
 int
 poison_merge(struct poison *p, uint64_t now, const struct poison_evidence *e)
 {
-	struct part *t = part_find(p, e->part);
-	uint64_t at;
+	struct part *t;
+	uint64_t at = 0;
+	uint32_t nrefuted = 0;
 	uint32_t i;
 	int added = 0;
 
+	if (e->answered_ago_ms != POISON_NEVER)
+		at = time_of(now, e->answered_ago_ms);
+	if (at >= last_answered(p, e->part) + PASSING_NS)
+		set_answered(p, now, e->part, at);
+	t = part_find(p, e->part);
 	if (t == NULL && e->ncrashes != 0)
 		t = part_add(p, e->part);
-	if (t == NULL)
-		return 0;
-	if (e->answered_ago_ms != POISON_NEVER) {
-		at = time_of(now, e->answered_ago_ms);
-		if (at >= t->answered_at + PASSING_NS)
-			part_set_answered(t, at);
+	for (i = 0; t != NULL && i < e->ncrashes && i < POISON_CRASHES_MAX;
+	     i++) {
+		at = time_of(now, e->crashes[i].ago_ms);
+		nrefuted += at <= t->answered_at;
+		added |= part_add_crash(t, e->crashes[i].replica, at);
 	}
-	for (i = 0; i < e->ncrashes && i < POISON_CRASHES_MAX; i++)
-		added |= part_add_crash(t, e->crashes[i].replica,
-		    time_of(now, e->crashes[i].ago_ms));
+	/* The peer has not heard of the answer. */
+	if (t != NULL)
+		part_note_refuted(t, now, nrefuted);
 	return added;
 }
 
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -32,6 +32,8 @@
 static void test_companion_answered_before(void);
 static void test_many_crashes(void);
 static void test_refutation_reported(void);
+static void test_refuted_evidence_returns(void);
+static void test_many_refutations(void);
 static void test_bounds(void);
 static void test_crashes_fill_list(void);
 static void test_report_has_blocked_part(void);
@@ -417,6 +419,52 @@
 	poison_destroy(b);
 }
 
+/* Old evidence of a peer does not return after it has been refuted. */
+static void
+test_refuted_evidence_returns(void)
+{
+	struct poison *p[3];
+	uint64_t part = COMMON;
+	uint64_t i, now;
+
+	for (i = 0; i < 3; i++)
+		p[i] = poison_create();
+	for (i = 0; i < 3; i++)
+		crash(p[0], 10 * S + i * 400 * MS, i, COMMON);
+	pass_on(p[0], p[1], 11 * S);
+	pass_on(p[0], p[2], 11 * S);
+	poison_answered(p[0], 11 * S + 100 * MS, &part, 1);
+	pass_on(p[0], p[1], 11 * S + 200 * MS);
+	for (now = 12 * S; now < 40 * S; now += S) {
+		pass_on(p[2], p[1], now);
+		CU_ASSERT_EQUAL(blocked(p[1], now, COMMON), 0);
+	}
+	for (i = 0; i < 3; i++)
+		poison_destroy(p[i]);
+}
+
+/* Many refuted parts take turns in the reports. */
+static void
+test_many_refutations(void)
+{
+	struct poison *a = poison_create();
+	struct poison *b = poison_create();
+	uint64_t i, part, now;
+
+	for (i = 0; i < 300; i++)
+		crash(a, 10 * S + i / 100 * 400 * MS, i, 0x1000 + i % 100);
+	for (now = 11 * S; now < 13 * S; now += 100 * MS)
+		pass_on(a, b, now);
+	for (part = 0x1000; part < 0x1000 + 100; part++)
+		poison_answered(a, 13 * S, &part, 1);
+	for (now = 13 * S; now < 15 * S; now += 100 * MS)
+		pass_on(a, b, now);
+	for (part = 0x1000; part < 0x1000 + 100; part++)
+		CU_ASSERT_EQUAL(blocked(b, now, part), 0);
+	poison_destroy(a);
+	poison_destroy(b);
+}
+
 /* A flood of suspects, and malformed evidence, leave what is blocked. */
 static void
 test_bounds(void)
@@ -548,6 +596,8 @@
 	{ "companion answered before", test_companion_answered_before },
 	{ "more crashes than the list holds", test_many_crashes },
 	{ "refutation is reported first", test_refutation_reported },
+	{ "refuted evidence returns", test_refuted_evidence_returns },
+	{ "many refutations", test_many_refutations },
 	{ "bounds", test_bounds },
 	{ "crashes fill the list", test_crashes_fill_list },
 	{ "report has the blocked part", test_report_has_blocked_part },
