Failing test: a copy lost in a restart counts for the removal of another

An engine restarts between the answers to the loads of two versions of one model. The owner unloads the old version, which is the only one that is there.

--- /dev/null
+++ b/tests/test_cell.c
@@ -0,0 +1,344 @@
+/* A cell's owner, with a key-value service and one engine in virtual time. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cell.h"
+#include "unit.h"
+
+#define STEP_NS (50 * NSEC_PER_MSEC)
+#define VERSIONS 2
+#define KEYS_MAX 8
+
+/* Versions of the one model; the later one is declared. */
+enum {
+	VERSION_OLD,
+	VERSION_NEW
+};
+
+static const char *const versions[VERSIONS] = { "1", "2" };
+
+/* An engine that refuses no order; it may restart after a load. */
+static struct {
+	uint64_t incarnation;
+	int loaded[VERSIONS];
+	int loads_until_restart; /* 0: none */
+	int unloads;
+} engine;
+
+static struct {
+	char key[KV_KEY_SIZE];
+	char *value; /* NULL: absent */
+	uint64_t revision;
+} keys[KEYS_MAX];
+
+static struct cell_core *cell;
+static struct conf conf;
+static struct conf_model model;
+static struct conf_backend backend;
+static struct kv_ids ids;
+static struct msg_list msgs;
+static struct kv_ops ops;
+static struct orders orders;
+static struct cell_out out = { &msgs, &ops, &orders };
+static uint64_t now;
+static uint64_t kv_revision;
+
+static int process_ended(void *, const struct node_id *);
+static int served_elsewhere(void *, const char *, const char *);
+static int config_applied(void *, uint64_t);
+static void setup(const char *);
+static void teardown(void);
+static void drop_messages(void);
+static size_t kv_find(const char *);
+static void kv_put(size_t, const char *);
+static void kv_answer(const struct kv_op *);
+static int version_index(const char *);
+static void engine_restart(void);
+static void engine_index(struct order_result *, struct order_loaded *);
+static void engine_carry_out(const struct order *);
+static void step(void);
+static void advance(uint64_t);
+static void test_restart_between_loads(void);
+static void test_old_version_is_unloaded(void);
+
+static int
+process_ended(void *ctx, const struct node_id *id)
+{
+	(void)ctx;
+	(void)id;
+	return 1;
+}
+
+static int
+served_elsewhere(void *ctx, const char *name, const char *except)
+{
+	(void)ctx;
+	(void)name;
+	(void)except;
+	return 0;
+}
+
+static int
+config_applied(void *ctx, uint64_t since)
+{
+	(void)ctx;
+	(void)since;
+	return 1;
+}
+
+/* A process that takes the cell over, with the stored ledger. */
+static void
+setup(const char *ledger)
+{
+	static const struct cell_env env = { process_ended, served_elsewhere,
+		config_applied, NULL };
+	static const struct node_id self = { "10.0.0.1:1", 5 };
+	struct cell_config config;
+
+	now = 10 * NSEC_PER_SEC;
+	TAILQ_INIT(&msgs);
+	TAILQ_INIT(&ops);
+	TAILQ_INIT(&orders);
+	memset(&engine, 0, sizeof(engine));
+	engine.incarnation = 101;
+	memset(&model, 0, sizeof(model));
+	strcpy(model.name, "m");
+	strcpy(model.version, versions[VERSION_NEW]);
+	model.memory_mb = 30;
+	model.copies = 1;
+	model.nhome_cells = 1;
+	strcpy(model.home_cells[0], "main");
+	memset(&backend, 0, sizeof(backend));
+	strcpy(backend.name, "e1");
+	strcpy(backend.cell, "main");
+	backend.naccelerators = 1;
+	backend.memory_mb[0] = 100;
+	conf.models = &model;
+	conf.nmodels = 1;
+	conf.backends = &backend;
+	conf.nbackends = 1;
+	conf.store.loads_per_second = 10.0;
+	conf.store.concurrent = 4;
+	kv_put(kv_find("ledger/e1"), ledger);
+	cell_config_default(&config);
+	cell = cell_create(&config, "main", &self, &ids, &env);
+	cell_configure(cell, now, &conf, &out);
+	cell_set_candidate(cell, 1, 0);
+}
+
+static void
+teardown(void)
+{
+	struct order *o;
+	struct kv_op *op;
+	size_t i;
+
+	drop_messages();
+	while ((op = TAILQ_FIRST(&ops)) != NULL) {
+		TAILQ_REMOVE(&ops, op, entry);
+		kv_op_destroy(op);
+	}
+	while ((o = TAILQ_FIRST(&orders)) != NULL) {
+		TAILQ_REMOVE(&orders, o, entry);
+		order_destroy(o);
+	}
+	cell_destroy(cell);
+	for (i = 0; i < KEYS_MAX; i++)
+		free(keys[i].value);
+	memset(keys, 0, sizeof(keys));
+}
+
+static void
+drop_messages(void)
+{
+	struct msg *m;
+
+	while ((m = TAILQ_FIRST(&msgs)) != NULL) {
+		TAILQ_REMOVE(&msgs, m, entry);
+		msg_destroy(m);
+	}
+}
+
+/* The key's record, or an unused one. */
+static size_t
+kv_find(const char *key)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < KEYS_MAX; i++) {
+		if (keys[i].key[0] == '\0')
+			strcpy(keys[i].key, key);
+		if (strcmp(keys[i].key, key) == 0)
+			break;
+	}
+	return i;
+}
+
+static void
+kv_put(size_t i, const char *value)
+{
+	free(keys[i].value);
+	keys[i].value = strdup(value);
+	keys[i].revision = ++kv_revision;
+}
+
+static void
+kv_answer(const struct kv_op *op)
+{
+	struct kv_result r = { 0 };
+	size_t i = kv_find(op->key);
+
+	r.id = op->id;
+	r.kind = op->kind;
+	r.status = KV_OK;
+	if (op->kind == KV_GRANT)
+		r.lease_id = 1;
+	if (op->kind == KV_GET && keys[i].value == NULL)
+		r.status = KV_ABSENT;
+	if (op->kind == KV_CAS && keys[i].revision != op->expected_revision)
+		r.status = KV_CONFLICT;
+	else if (op->kind == KV_CAS)
+		kv_put(i, op->value);
+	r.value = keys[i].value;
+	r.revision = keys[i].revision;
+	cell_handle_kv_result(cell, now, &r, &out);
+}
+
+static int
+version_index(const char *version)
+{
+	return strcmp(version, versions[VERSION_NEW]) == 0 ? VERSION_NEW
+							   : VERSION_OLD;
+}
+
+static void
+engine_restart(void)
+{
+	engine.incarnation++;
+	memset(engine.loaded, 0, sizeof(engine.loaded));
+}
+
+static void
+engine_index(struct order_result *r, struct order_loaded *list)
+{
+	int i;
+
+	r->engine_incarnation = engine.incarnation;
+	r->loaded = list;
+	memset(list, 0, VERSIONS * sizeof(*list));
+	for (i = 0; i < VERSIONS; i++) {
+		if (!engine.loaded[i])
+			continue;
+		strcpy(list[r->nloaded].model, model.name);
+		strcpy(list[r->nloaded].version, versions[i]);
+		list[r->nloaded++].memory_mb = model.memory_mb;
+	}
+}
+
+/* Only the answer to INDEX tells the engine's incarnation. */
+static void
+engine_carry_out(const struct order *o)
+{
+	struct order_loaded list[VERSIONS];
+	struct order_result r = { 0 };
+
+	r.id = o->id;
+	r.outcome = ORDER_DONE;
+	switch (o->kind) {
+	case ORDER_INDEX:
+		engine_index(&r, list);
+		break;
+	case ORDER_LOAD:
+		engine.loaded[version_index(o->version)] = 1;
+		if (engine.loads_until_restart > 0 &&
+		    --engine.loads_until_restart == 0)
+			engine_restart();
+		break;
+	case ORDER_UNLOAD:
+		engine.unloads++;
+		engine.loaded[version_index(o->version)] = 0;
+		/* The model keeps a copy. */
+		CU_ASSERT(
+		    engine.loaded[VERSION_OLD] || engine.loaded[VERSION_NEW]);
+		break;
+	default:
+		break;
+	}
+	cell_handle_order_result(cell, now, &r, &out);
+}
+
+/* Orders take one step, operations of the key-value service no time. */
+static void
+step(void)
+{
+	struct orders sent = TAILQ_HEAD_INITIALIZER(sent);
+	struct order *o;
+	struct kv_op *op;
+
+	TAILQ_CONCAT(&sent, &orders, entry);
+	now += STEP_NS;
+	while ((o = TAILQ_FIRST(&sent)) != NULL) {
+		TAILQ_REMOVE(&sent, o, entry);
+		engine_carry_out(o);
+		order_destroy(o);
+	}
+	cell_tick(cell, now, &out);
+	while ((op = TAILQ_FIRST(&ops)) != NULL) {
+		TAILQ_REMOVE(&ops, op, entry);
+		kv_answer(op);
+		kv_op_destroy(op);
+	}
+	drop_messages();
+}
+
+static void
+advance(uint64_t ns)
+{
+	uint64_t until;
+
+	for (until = now + ns; now < until;)
+		step();
+}
+
+/*
+ * The engine restarts between the answers to two loads, so that only the
+ * second copy is there.  The first one must not count for its removal.
+ */
+static void
+test_restart_between_loads(void)
+{
+	setup("{\"fence\":0,\"engine\":100,\"next\":2,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"2\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]},"
+	      "{\"id\":2,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loads_until_restart = 1;
+	advance(10 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(engine.incarnation, 102);
+	CU_ASSERT_EQUAL(engine.unloads, 1);
+	CU_ASSERT_FALSE(engine.loaded[VERSION_OLD]);
+	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
+	teardown();
+}
+
+/* Without a restart the old version goes once the new one serves. */
+static void
+test_old_version_is_unloaded(void)
+{
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_OLD] = 1;
+	advance(5 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(engine.unloads, 1);
+	CU_ASSERT_FALSE(engine.loaded[VERSION_OLD]);
+	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
+	teardown();
+}
+
+static const struct unit_case cases[] = {
+	{ "restart between loads", test_restart_between_loads },
+	{ "old version is unloaded", test_old_version_is_unloaded },
+};
+
+UNIT_MAIN("cell", cases)
