A copy counts for another's removal only once its engine has listed it

What callers saw, or would: after two restarts of an engine in short order the last copy of a declared model was unloaded, and requests for it found no replica until it was loaded again. Cause: fuzz_state, seed 81077, case 191. Versions 1 and 2 of a model were being loaded on one engine. It restarted after the load of version 2 and before that of version 1; the answers to both loads made both copies resident, and version 1, the only one there, was unloaded 0.2 s later, before the next INDEX. An answer to a load does not tell the engine's incarnation, so a copy that it confirms may be gone when the answer is handled. Ruled out: a write in flight (both copies were in the stored ledger), an old configuration, a new owner (it held the cell for 4 s), a late order. Change: an entry is listed once an INDEX answer, sent after the last answer to an order, has it; only listed copies allow the removal of others. Requests are sent to a copy as before, from the answer to its load on. An unload may wait for the next INDEX, 0.7 s. Evidence: test_cell, restart between loads, failed before and passes; the seed failed after 191 cases and passes its 600; the other four seeds of tests/fuzz_state.seeds pass. Fresh seeds 910001 to 910005, 1,500 cases each: three pass; 910002 and 910003 fail in the tree before this change too, at the same cases with the same assertions, and are not this fault.

--- a/core/cell_ledger.c
+++ b/core/cell_ledger.c
@@ -110,6 +110,7 @@
 		en->retry_at = from->entries[i].retry_at;
 		en->in_doubt_until = from->entries[i].in_doubt_until;
 		en->missing = from->entries[i].missing;
+		en->listed = from->entries[i].listed;
 		if (en->state == from->entries[i].state)
 			en->confirmed = from->entries[i].confirmed;
 	}
--- a/core/cell_order.c
+++ b/core/cell_order.c
@@ -237,6 +237,8 @@
     struct ledger_entry *en, const struct order_result *r)
 {
 	en->order_id = 0;
+	/* The answer does not tell the engine's incarnation. */
+	en->listed = 0;
 	b->changed_at = now;
 	switch (r->outcome) {
 	case ORDER_DONE:
@@ -295,6 +297,7 @@
 		en = &b->ledger.entries[i];
 		there = find_in_index(r, en) != NULL;
 		en->missing = !there;
+		en->listed = there;
 		if (en->order_id != 0)
 			continue;
 		/* The answer was lost, or the order took effect late. */
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -25,7 +25,8 @@
 };
 
 static void record_demand(void *, const struct sched_model_demand *);
-static int backend_verified(const struct cell_backend *);
+static int copy_verified(
+    const struct cell_backend *, const struct ledger_entry *);
 static const struct ledger *planned_ledger(const struct cell_backend *);
 static const char *demand_model_name(const struct cell_core *, const char *);
 static void input_build(struct cell_core *, uint64_t, struct place_input *);
@@ -75,15 +76,16 @@
 }
 
 /*
- * Whether the engine has reported to this owner the incarnation that is in the
- * ledger.  Only then do its copies allow the unloading of others.
+ * Whether a copy may count for the removal of another: the engine has listed it
+ * since its load was answered, and reported to this owner the incarnation that
+ * is in the ledger.
  */
 static int
-backend_verified(const struct cell_backend *b)
+copy_verified(const struct cell_backend *b, const struct ledger_entry *en)
 {
 	return b->engine_incarnation != 0 &&
 	    b->engine_incarnation == b->ledger.engine_incarnation &&
-	    !b->write_in_doubt;
+	    !b->write_in_doubt && en->state == ENTRY_RESIDENT && en->listed;
 }
 
 /* The ledger after the write in flight, if there is one. */
@@ -147,7 +149,7 @@
 }
 
 /*
- * Whether a copy of the version is confirmed on a backend server that is not
+ * Whether a copy of the version is verified on a backend server that is not
  * leaving, and the ledger write in flight, if any, keeps it resident.
  */
 int
@@ -166,8 +168,7 @@
 			continue;
 		for (k = 0; k < c->backends[i]->ledger.nentries; k++) {
 			en = &c->backends[i]->ledger.entries[k];
-			if (en->state == ENTRY_RESIDENT && !en->missing &&
-			    backend_verified(c->backends[i]) &&
+			if (copy_verified(c->backends[i], en) &&
 			    strcmp(en->model, model) == 0 &&
 			    strcmp(en->version, version) == 0)
 				return 1;
@@ -249,8 +250,7 @@
 			copy = &pm->copies[pm->ncopies++];
 			copy->backend = i;
 			copy->accelerator = en->accelerator;
-			copy->resident = backend_verified(c->backends[i]) &&
-			    en->state == ENTRY_RESIDENT && !en->missing;
+			copy->resident = copy_verified(c->backends[i], en);
 		}
 	}
 }
--- a/core/place.h
+++ b/core/place.h
@@ -14,7 +14,7 @@
 struct place_copy {
 	uint32_t backend;
 	uint32_t accelerator;
-	int resident; /* load confirmed by the engine; else loading */
+	int resident; /* may count for another's removal; else loading */
 	uint64_t since;
 };
 
