Tests: the ports of a process differ, and logs of failed tests are kept

What was seen: test_stream failed once, built with ASan, with 'the process was not ready within 10 s'; its log was not kept. Cause of that message, found by reading: a world took its four ports one after the other and gave each up at once, so two of them could be equal. Then the process ends at its start with listen-failed and status 69, and the test waits 10 s for it. Set up by hand, equal ports gave just that message. Worlds of two runs whose pids are equal modulo 250 also shared addresses, and with them the fixed port of the metrics, and the number of a world was counted without a lock. Not shown: that this was the cause in that run.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -21,7 +21,8 @@
 
 from world import (EVENTS, Engine, Violations, LeaseStore, Link,
                    MODEL_MB, REPLICA_MB, rng_for)
-from platform_world import (BINARY, ID, default_config, free_port, request)
+from platform_world import (BINARY, ID, default_config, free_ports,
+                            request)
 
 MODELS = ["m%d" % i for i in range(6)]
 RECOVERY_S = 12.0   # until full service after the last fault
@@ -39,8 +40,8 @@
     def __init__(self, world, index):
         self.world, self.index = world, index
         self.ip = "127.78.%d.%d" % (os.getpid() % 250 + 1, index + 1)
-        self.ports = {n: free_port(self.ip)
-                      for n in ("front", "ready", "control", "bus")}
+        names = ("front", "ready", "control", "bus")
+        self.ports = dict(zip(names, free_ports(self.ip, len(names))))
         self.process = None
         self.store_link = None
         self.last_disturbance = time.monotonic()
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -11,8 +11,8 @@
 import time
 import traceback
 
-from platform_world import (World, answer_ok, default_config, read_answer,
-                            request, route)
+from platform_world import (World, answer_ok, default_config, forget_worlds,
+                            keep_logs, read_answer, request, route)
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
@@ -1129,11 +1129,13 @@
 def run_one(test, results, lock, limit):
     """A test named in KNOWN-RED.txt is reported, but not counted."""
     with limit:
+        forget_worlds()
         try:
             test()
             text, ok = "ok", True
         except Exception:  # reported with its traceback
             text, ok = traceback.format_exc(limit=-2), False
+            text += "logs: %s" % " ".join(keep_logs(test.__name__))
     with lock:
         if test.__name__ in known_red():
             text = "known red: " + text
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import itertools
 import json
 import os
 import signal
@@ -19,6 +20,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BINARY = os.environ.get(
     "SPINDLE_ENTRY", os.path.join(ROOT, "build", "spindle-entry"))
+FAILED = os.path.join(ROOT, "build", "failed")
 ID = "Arbutusspindle-Attempt-Id"
 SIGNATURE = "Arbutusspindle-Response-Signature"
 NOT_RUN = "Arbutusspindle-Not-Executed"
@@ -287,7 +289,8 @@
 
 class World:
     """A key-value store, replicas and one entry process."""
-    count = 0
+    numbers = itertools.count(1)
+    of_thread = threading.local()
 
     def __init__(self, config=None, start=True):
         self.loop = asyncio.new_event_loop()
@@ -298,12 +301,20 @@
         self.servers = []
         self.process = None
         self.dir = tempfile.TemporaryDirectory()
-        # Each world has its own address, since the metrics port is fixed.
-        World.count += 1
-        self.ip = "127.77.%d.%d" % (os.getpid() % 250 + 1, World.count)
-        self.vm = "front-z1-%d" % World.count
-        self.ports = {n: free_port(self.ip) for n in (
-            "front", "ready", "control", "bus")}
+        self.output = ""  # of the process, once it is stopped
+        self.stopped = False
+        if not hasattr(World.of_thread, "worlds"):
+            World.of_thread.worlds = []
+        World.of_thread.worlds.append(self)
+        # Each world has its own address, since the metrics port is fixed,
+        # also beside the worlds of another run.
+        number = next(World.numbers)
+        run = os.getpid()
+        self.ip = "127.%d.%d.%d" % (
+            128 + run // 250 % 100, run % 250 + 1, number)
+        self.vm = "front-z1-%d" % number
+        names = ("front", "ready", "control", "bus")
+        self.ports = dict(zip(names, free_ports(self.ip, len(names))))
         self.store = self.run(self._store())
         self.config = config or default_config()
         if start:
@@ -380,6 +391,10 @@
         raise AssertionError("%s: not within %s s" % (what, timeout))
 
     def ready(self):
+        status = self.process.poll()
+        if status is not None:
+            raise AssertionError("the process ended with status %d before "
+                                 "it was ready" % status)
         try:
             return self.get("ready", "/api/readiness")[0] == 200
         except OSError:
@@ -420,13 +435,15 @@
                 s.close()
 
     def stop(self):
-        text = ""
+        if self.stopped:
+            return
+        self.stopped = True
         if self.process is not None:
             if self.process.poll() is None:
                 self.process.send_signal(signal.SIGKILL)
             self.process.wait()
             self.log.seek(0)
-            text = self.log.read()
+            self.output = self.log.read()
             self.log.close()
 
         async def close():
@@ -441,8 +458,30 @@
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
         self.dir.cleanup()
-        if "Sanitizer" in text or "runtime error:" in text:
-            raise AssertionError(text[-4000:])
+        if "Sanitizer" in self.output or "runtime error:" in self.output:
+            raise AssertionError(self.output[-4000:])
+
+
+def forget_worlds():
+    """Called before each test of a thread."""
+    World.of_thread.worlds = []
+
+
+def keep_logs(name):
+    """Stops the worlds that the thread's test has left and keeps the logs of
+    their processes in build/failed; returns the files."""
+    kept = []
+    os.makedirs(FAILED, exist_ok=True)
+    for w in World.of_thread.worlds:
+        try:
+            w.stop()
+        except AssertionError:  # a sanitizer's report, which the log has
+            pass
+        kept.append(os.path.join(FAILED, "%s.%s.%d.log" % (
+            name, w.vm, os.getpid())))
+        with open(kept[-1], "w") as f:
+            f.write(w.output)
+    return kept
 
 
 def request(path, id, method="GET", body=b"", fields=None, deadline=5000):
@@ -495,10 +534,16 @@
         body += piece
 
 
-def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+def free_ports(ip, n):
+    """Different ports: all are bound at once before any is given up."""
+    sockets = [socket.socket() for _ in range(n)]
+    try:
+        for s in sockets:
+            s.bind((ip, 0))
+        return [s.getsockname()[1] for s in sockets]
+    finally:
+        for s in sockets:
+            s.close()
 
 
 def route(name, prefix, kind, service="plain", **more):
