Test: a stream that waits to resume has a far deadline; an end during a pause

All 33 events came and the response had no end. Cause: the deadline of 5 s passed between event 33 and the end. Only the deadline and a second broken attempt end a response that has begun without its end; both attempts at the replica were scripted to be whole.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -460,7 +460,10 @@
 
 def test_stream_waits_to_resume():
     """A stream that broke after its queueing time is still queued for a
-    short time until another replica is listed."""
+    short time until another replica is listed.  The deadline is far, so that
+    a slow test does not reach it."""
+    deadline = 15000
+
     async def breaks(call):
         await call.read()
         await call.events(1, 30, end=False, gap=0.1)
@@ -470,13 +473,15 @@
     async def rest(call):
         await call.read()
         return await call.events(int(call.fields["last-event-id"]) + 1, 33)
-    w = World()
+    w = World(dict(default_config(), routes=[
+        route("go", "/go/", "streaming", resumable=True, target_gap_ms=300,
+              timeout_ms=deadline)]))
     try:
         w.replica("i-a", "plain", breaks)
         w.wait_ready()
         w.wait("i-a listed", lambda: w.events("replica-listed"))
         s = w.connect()
-        s.sendall(request("/go/x", "id-1", "POST", b"p"))
+        s.sendall(request("/go/x", "id-1", "POST", b"p", deadline=deadline))
         time.sleep(2.8)
         w.register("i-a", state="draining")
         w.wait("broken", lambda: w.events("request-attempt"))
@@ -754,6 +759,36 @@
     w.process.send_signal(signal.SIGCONT)
 
 
+def test_stream_end_during_pause():
+    """The end of a stream that arrives before the deadline is forwarded,
+    although the process reads it after the deadline."""
+    released = asyncio.Event()
+
+    async def holds(call):
+        await call.read()
+        await call.events(1, 3, end=False)
+        await released.wait()
+        call.writer.write(b"0\r\n\r\n")
+        await call.writer.drain()
+        return True
+    w, _, _ = two_replicas(holds)
+    try:
+        s = w.connect()
+        s.sendall(request("/go/x", "id-1", "POST", b"p", deadline=1500))
+        raw = b""
+        while b"piece-3" not in raw:
+            raw += s.recv(4096)
+        pause(w, 1.8, lambda: w.loop.call_soon_threadsafe(released.set))
+        while not raw.endswith(b"\r\n0\r\n\r\n"):
+            piece = s.recv(4096)
+            check("no end", piece)
+            raw += piece
+        check("events", event_numbers(raw) == [1, 2, 3])
+        s.close()
+    finally:
+        w.stop()
+
+
 def test_request_lost_at_idle_timeout():
     """A request that arrives before the idle timeout is answered, although
     the process reads it later."""
