Failing test: a former owner's delegated copy stops all orders to its engine

A copy that was loaded into delegated memory, and that ended under another owner, makes the former owner rewrite the engine's ledger without end once it takes the cell again; no order is sent. Found by fuzz_state.

--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -42,6 +42,7 @@
 static struct cell_out out = { &msgs, &ops, &orders };
 static uint64_t now;
 static uint64_t kv_revision;
+static int kv_down;
 
 static int process_ended(void *, const struct node_id *);
 static int served_elsewhere(void *, const char *, const char *);
@@ -51,6 +52,7 @@
 static void drop_messages(void);
 static size_t kv_find(const char *);
 static void kv_put(size_t, const char *);
+static void kv_remove(size_t);
 static void kv_answer(const struct kv_op *);
 static int version_index(const char *);
 static void engine_restart(void);
@@ -60,6 +62,7 @@
 static void advance(uint64_t);
 static void test_restart_between_loads(void);
 static void test_old_version_is_unloaded(void);
+static void test_delegated_copy_of_former_owner(void);
 
 static int
 process_ended(void *ctx, const struct node_id *id)
@@ -96,6 +99,7 @@
 	struct cell_config config;
 
 	now = 10 * NSEC_PER_SEC;
+	kv_down = 0;
 	TAILQ_INIT(&msgs);
 	TAILQ_INIT(&ops);
 	TAILQ_INIT(&orders);
@@ -182,6 +186,14 @@
 	keys[i].revision = ++kv_revision;
 }
 
+static void
+kv_remove(size_t i)
+{
+	free(keys[i].value);
+	keys[i].value = NULL;
+	keys[i].revision = 0;
+}
+
 static void
 kv_answer(const struct kv_op *op)
 {
@@ -191,6 +203,11 @@
 	r.id = op->id;
 	r.kind = op->kind;
 	r.status = KV_OK;
+	if (kv_down) {
+		r.status = KV_UNKNOWN;
+		cell_handle_kv_result(cell, now, &r, &out);
+		return;
+	}
 	if (op->kind == KV_GRANT)
 		r.lease_id = 1;
 	if (op->kind == KV_GET && keys[i].value == NULL)
@@ -336,9 +353,60 @@
 	teardown();
 }
 
+/*
+ * While the service is down, a copy is loaded into the delegated memory.
+ * Another owner follows, under which the copy ends.  When the former owner
+ * takes the cell again, it must not wait for an entry for that copy.
+ */
+static void
+test_delegated_copy_of_former_owner(void)
+{
+	struct cell_totals before;
+	struct cell_totals after;
+
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_OLD] = 1;
+	strcpy(model.version, versions[VERSION_OLD]);
+	advance(3 * NSEC_PER_SEC);
+	kv_down = 1;
+	advance(5 * NSEC_PER_SEC);
+	strcpy(model.version, versions[VERSION_NEW]);
+	engine_restart();
+	advance(3 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
+
+	engine_restart();
+	kv_put(kv_find("lease/main"),
+	    "{\"owner\":\"10.0.0.2:1\",\"incarnation\":7,\"lease\":9}");
+	kv_put(kv_find("cell/main"),
+	    "{\"owner\":\"10.0.0.2:1\",\"incarnation\":7,\"lease\":9,"
+	    "\"fence\":9}");
+	kv_put(kv_find("ledger/e1"),
+	    "{\"fence\":9,\"engine\":103,\"next\":5,\"entries\":[],"
+	    "\"delegation\":{\"addr\":\"10.0.0.2:1\",\"incarnation\":7,"
+	    "\"accelerator\":0,\"memory_mb\":0}}");
+	strcpy(model.version, versions[VERSION_OLD]);
+	kv_down = 0;
+	cell_handle_superseded(cell, 9);
+	advance(2 * NSEC_PER_SEC);
+	CU_ASSERT_FALSE(cell_is_owner(cell));
+	kv_remove(kv_find("lease/main"));
+	advance(5 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[VERSION_OLD]);
+	cell_totals(cell, &before);
+	advance(5 * NSEC_PER_SEC);
+	cell_totals(cell, &after);
+	CU_ASSERT_EQUAL(after.ledger_writes, before.ledger_writes);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "restart between loads", test_restart_between_loads },
 	{ "old version is unloaded", test_old_version_is_unloaded },
+	{ "delegated copy of a former owner",
+	    test_delegated_copy_of_former_owner },
 };
 
 UNIT_MAIN("cell", cases)
