A former owner forgets its copy in memory that another holds by now

What callers saw, or would: requests for a declared model found no replica for good, though an engine had room for it: the owner sent no order to that engine and wrote its ledger ten times a second. While the service was down the owner loaded a copy into its delegated memory. Another process took the cell and the delegation, adopted the copy and later unloaded it. The first one took the cell again and still held the copy as one without an entry. It could not become an entry, since the memory was not its own, but each step counted it as a change and wrote the ledger, and no order is sent beside a write. Change: when the stored ledger delegates the memory to another, the copy is forgotten; the owner adopts what the engine reports. Only a copy that has an entry in the edited ledger counts as a change.

--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -115,6 +115,9 @@
 /* Starts the write and takes ownership of the edited ledger. */
 void cell_ledger_write(struct cell_core *, struct cell_backend *,
     struct ledger *, struct cell_out *);
+/* Whether an edited ledger has an entry for the delegated copy. */
+int cell_delegated_copy_merged(
+    const struct cell_backend *, const struct ledger *);
 /* Whether the ledger delegates memory to this process. */
 int cell_holds_delegation(
     const struct cell_core *, const struct cell_backend *);
--- a/core/cell_ledger.c
+++ b/core/cell_ledger.c
@@ -22,8 +22,10 @@
     struct cell_backend *, const struct kv_result *);
 static void merge_delegated_copy(
     struct cell_core *, struct cell_backend *, struct ledger *);
-static void settle_delegated_copy(struct cell_backend *);
+static void settle_delegated_copy(
+    const struct cell_core *, struct cell_backend *);
 static int engine_sender_cleared(void *, const struct node_id *);
+static int delegated_to_self(const struct cell_core *, const struct ledger *);
 
 struct clear_ctx {
 	struct cell_core *cell;
@@ -72,16 +74,21 @@
 	return cell_sender_cleared(c, id);
 }
 
-int
-cell_holds_delegation(const struct cell_core *c, const struct cell_backend *b)
+static int
+delegated_to_self(const struct cell_core *c, const struct ledger *l)
 {
-	const struct node_id *owner = &b->ledger.delegation.owner;
+	const struct node_id *owner = &l->delegation.owner;
 
-	return ownership_held(c->ownership) &&
-	    strcmp(owner->addr, c->self.addr) == 0 &&
+	return strcmp(owner->addr, c->self.addr) == 0 &&
 	    owner->incarnation == c->self.incarnation;
 }
 
+int
+cell_holds_delegation(const struct cell_core *c, const struct cell_backend *b)
+{
+	return ownership_held(c->ownership) && delegated_to_self(c, &b->ledger);
+}
+
 static void
 start_ledger_read(
     struct cell_core *c, struct cell_backend *b, struct cell_out *out)
@@ -123,9 +130,7 @@
 {
 	struct ledger_entry *en;
 
-	if (!b->has_delegated_copy ||
-	    strcmp(l->delegation.owner.addr, c->self.addr) != 0 ||
-	    l->delegation.owner.incarnation != c->self.incarnation ||
+	if (!b->has_delegated_copy || !delegated_to_self(c, l) ||
 	    l->delegation.memory_mb < b->delegated_copy.memory_mb ||
 	    l->nentries == LEDGER_ENTRIES_MAX)
 		return;
@@ -140,16 +145,30 @@
 	ledger_add_sender(en, &c->self);
 }
 
-/* Clears the delegated copy once the stored ledger has an entry for it. */
+/*
+ * Clears the delegated copy once the stored ledger has an entry for it, or
+ * delegates the memory to another process, which adopts the copy if it is
+ * still loaded.
+ */
 static void
-settle_delegated_copy(struct cell_backend *b)
+settle_delegated_copy(const struct cell_core *c, struct cell_backend *b)
 {
-	if (b->has_delegated_copy && b->delegated_copy.order_id == 0 &&
+	if (!b->has_delegated_copy || b->delegated_copy.order_id != 0)
+		return;
+	if (!delegated_to_self(c, &b->ledger) ||
 	    ledger_find_model(&b->ledger, b->delegated_copy.model,
 		b->delegated_copy.version) != NULL)
 		b->has_delegated_copy = 0;
 }
 
+int
+cell_delegated_copy_merged(const struct cell_backend *b, const struct ledger *l)
+{
+	return b->has_delegated_copy && b->delegated_copy.order_id == 0 &&
+	    ledger_find_model(
+		l, b->delegated_copy.model, b->delegated_copy.version) != NULL;
+}
+
 struct ledger *
 cell_ledger_edit(struct cell_core *c, uint64_t now, struct cell_backend *b)
 {
@@ -243,7 +262,7 @@
 		    : LEDGER_OLD_FENCING_TOKEN;
 	b->ledger = *l;
 	free(l);
-	settle_delegated_copy(b);
+	settle_delegated_copy(c, b);
 }
 
 static void
@@ -259,7 +278,7 @@
 		b->revision = r->revision;
 		b->ledger_step = LEDGER_READY;
 		b->write_in_doubt = 0;
-		settle_delegated_copy(b);
+		settle_delegated_copy(c, b);
 	} else {
 		c->totals.ledger_conflicts += r->status == KV_CONFLICT;
 		b->ledger_step = LEDGER_UNREAD;
--- a/core/cell_order.c
+++ b/core/cell_order.c
@@ -159,7 +159,7 @@
     struct cell_core *c, uint64_t now, struct cell_backend *b, struct ledger *l)
 {
 	uint32_t i;
-	int changed = b->has_delegated_copy && b->delegated_copy.order_id == 0;
+	int changed = cell_delegated_copy_merged(b, l);
 
 	for (i = l->nentries; i > 0; i--)
 		changed |= settle_entry(c, now, l, &l->entries[i - 1]);
@@ -429,7 +429,7 @@
 	if (l == NULL)
 		return;
 	changed = reload_after_restart(c, now, b, l, r->engine_incarnation);
-	changed |= b->has_delegated_copy && b->delegated_copy.order_id == 0;
+	changed |= cell_delegated_copy_merged(b, l);
 	changed |= adopt_loaded_models(b, l, r);
 	changed |= reload_missing(c, l);
 	changed |= take_over_delegation(c, b, l);
