Failing test: an error response inside a stream that lost its model

A stream that broke off, whose model no replica has now and takes long to load, gets a whole 503 response between its events.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -496,6 +496,53 @@
         w.stop()
 
 
+def test_stream_lost_with_its_model():
+    """A stream whose only replica with the model broke off, and whose model
+    takes long to load, ends without an error response inside it."""
+    left = asyncio.Event()
+
+    async def breaks(call):
+        await call.read()
+        await call.events(1, 3, end=False)
+        await left.wait()
+        call.writer.transport.abort()
+        return False
+    config = default_config()
+    config["services"][0]["engine"] = {
+        "slots": 4, "kv_capacity": 1000, "stride": 1, "weights_mb": 100,
+        "host_mb": 100, "disk_mb": 100, "adapter_slots": 1, "loads_per_s": 1,
+        "models": [{"name": "m", "weights_mb": 10, "load_s": 60, "disk_s": 60,
+                    "warm_s": 60, "adapters": 0, "adapter_mb": 0}]}
+    w = World(config)
+    try:
+        w.replica("i-a", "plain", breaks, models=[{"name": "m"}])
+        w.replica("i-b", "plain", models=[])
+        w.wait_ready()
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 2)
+        s = w.connect()
+        s.sendall(request("/go/x", "id-1", "POST", b"p",
+                          {"Arbutusspindle-Model": "m"}))
+        raw = b""
+        while b"piece-1" not in raw:
+            piece = s.recv(4096)
+            check("no events: %r" % raw, piece)
+            raw += piece
+        w.register("i-a", state="draining", models=[])
+        w.wait("i-a leaves", lambda: w.events("replica-leaving"))
+        w.loop.call_soon_threadsafe(left.set)
+        while True:
+            piece = s.recv(4096)
+            if not piece or raw.endswith(b"\r\n0\r\n\r\n"):
+                break
+            raw += piece
+        check("one response: %r" % raw[-300:], raw.count(b"HTTP/1.1") == 1)
+        check("events", event_numbers(raw) == [1, 2, 3])
+        check("no end", not raw.endswith(b"0\r\n\r\n"))
+        s.close()
+    finally:
+        w.stop()
+
+
 def test_stream_overlap():
     """Events that a replica repeats on resumption are not forwarded twice."""
     async def breaks(call):
