A request that a replica has run is not refused when it waits again

What callers saw, or would: a stream that broke off got a whole 503 response between its events, and a request that had run could be told to come back as though it had not. Cause: a retry without a replica waits at least 0.8 s, unless the time for which a refusal would be put off is longer than that. That is so where the start predicted is far: a model that no replica holds now and that takes long to load, or many waiting for it. Then forward_wait() refused it, whatever had been sent to the caller. Change: a request that has run always waits for that minimum time, and ends as at its deadline: a stream without its end, another with the outcome unknown. One that no replica has run is refused at once as before.

--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -84,15 +84,20 @@
 void
 forward_wait(struct forward *f, enum balance_result why)
 {
+	uint64_t least = f->e->now + RETRY_QUEUE_NS;
 	struct admission_decision d;
 	char detail[96];
 
 	if (f->waiting.group != NULL)
 		return;
 	d = decide(f);
-	/* A retry waits for a minimum time, however late the failure. */
-	if (f->attempts_made != 0 && d.until < f->e->now + RETRY_QUEUE_NS) {
-		d.until = f->e->now + RETRY_QUEUE_NS;
+	/*
+	 * A retry waits for a minimum time, however late the failure.  A
+	 * request that a replica has run is not refused.
+	 */
+	if (f->attempts_made != 0 &&
+	    (d.until < least || (d.step == ADMISSION_REFUSE && f->runs != 0))) {
+		d.until = least;
 		d.step = ADMISSION_WAIT;
 	}
 	if (d.step == ADMISSION_REFUSE) {
