--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -84,6 +84,7 @@
 void
 forward_wait(struct forward *f, enum balance_result why)
 {
+	uint64_t least = f->e->now + RETRY_QUEUE_NS;
 	struct admission_decision d;
 	char detail[96];
 
@@ -91,13 +92,12 @@
 		return;
 	d = decide(f);
 	/*
-	 * A retry waits for a minimum time, however late the failure.  What may
-	 * have run is never refused.
+	 * A retry waits for a minimum time, however late the failure.  A
+	 * request that a replica has run is not refused.
 	 */
 	if (f->attempts_made != 0 &&
-	    (d.until < f->e->now + RETRY_QUEUE_NS ||
-		(f->runs != 0 && d.step == ADMISSION_REFUSE))) {
-		d.until = f->e->now + RETRY_QUEUE_NS;
+	    (d.until < least || (d.step == ADMISSION_REFUSE && f->runs != 0))) {
+		d.until = least;
 		d.step = ADMISSION_WAIT;
 	}
 	if (d.step == ADMISSION_REFUSE) {
