A process follows the newest version that peers report, until it has it

Two causes met: - the three hubs had put it in force in the 10 to 50 ms in which they had no duty, since both of their watches had been cut, so that nobody was sent it; - a report of its own version told a process that it was not behind any more. A relay hears such reports from its data centre every 9 ms, so the time before a pull and a read of the store never passed.

Ruled out: a stale read (no read of the configuration there), lost messages (none were sent).

Decisions are in core/follow.c now: behind until the newest reported version is in force; pulls and reads repeat without further reports, reads ever more seldom; a source that falls silent is replaced. A relay sends its version once to a process of its data centre that reports an older one. Its age, source and the newest reported version are metrics.

--- /dev/null
+++ b/core/follow.c
@@ -0,0 +1,93 @@
+#include <stdio.h>
+
+#include "follow.h"
+
+/* A push normally arrives within this time; later the version is pulled. */
+#define PUSH_NS (150 * NSEC_PER_MSEC)
+#define PULL_RETRY_NS (300 * NSEC_PER_MSEC)
+/* A source that reported nothing for this time is replaced. */
+#define SOURCE_NS (1 * NSEC_PER_SEC)
+/* A version that no peer sends in this time is read from the store. */
+#define READ_NS (1 * NSEC_PER_SEC)
+#define READ_MAX_NS (8 * NSEC_PER_SEC) /* doubled after each read */
+
+static void follow_expect(struct follow *, uint64_t, uint64_t);
+
+/* Schedules the pulls and reads of a version that was reported at a time. */
+static void
+follow_expect(struct follow *f, uint64_t since, uint64_t push_ns)
+{
+	if (f->pull_at < since + push_ns)
+		f->pull_at = since + push_ns;
+	f->read_at = since + READ_NS;
+	f->read_wait_ns = READ_NS;
+}
+
+void
+follow_set_version(struct follow *f, uint64_t now, uint64_t version)
+{
+	(void)now;
+	if (version <= f->version)
+		return;
+	f->version = version;
+	if (follow_is_behind(f))
+		follow_expect(f, f->newest_at, PUSH_NS);
+}
+
+void
+follow_report(
+    struct follow *f, uint64_t now, uint64_t version, const char *addr)
+{
+	int was_behind = follow_is_behind(f);
+
+	if (version <= f->version)
+		return;
+	if (version >= f->newest || now > f->source_at + SOURCE_NS) {
+		snprintf(f->source, sizeof(f->source), "%s", addr);
+		f->source_at = now;
+	}
+	if (version <= f->newest)
+		return;
+	f->newest = version;
+	f->newest_at = now;
+	if (!was_behind) {
+		follow_expect(f, now, f->version == 0 ? 0 : PUSH_NS);
+		return;
+	}
+	f->read_wait_ns = READ_NS;
+	if (f->read_at > now + READ_NS)
+		f->read_at = now + READ_NS;
+}
+
+unsigned
+follow_next(struct follow *f, uint64_t now)
+{
+	unsigned todo = 0;
+
+	if (!follow_is_behind(f))
+		return 0;
+	if (now >= f->pull_at) {
+		f->pull_at = now + PULL_RETRY_NS;
+		todo |= FOLLOW_PULL;
+	}
+	if (now >= f->read_at) {
+		f->read_at = now + f->read_wait_ns;
+		f->read_wait_ns = f->read_wait_ns < READ_MAX_NS / 2
+		    ? f->read_wait_ns * 2
+		    : READ_MAX_NS;
+		todo |= FOLLOW_READ;
+	}
+	return todo;
+}
+
+int
+follow_is_behind(const struct follow *f)
+{
+	return f->newest > f->version;
+}
+
+int
+follow_is_to_send(const struct follow *f, uint64_t theirs, uint64_t sent)
+{
+	return theirs != 0 && theirs < f->version && sent < f->version;
+}
--- /dev/null
+++ b/core/follow.h
@@ -0,0 +1,42 @@
+/*
+ * Keeping up with a version that others have: when a process that is behind
+ * asks a peer, when it reads the version from the store, and when a relay
+ * sends it again.  Answers pushes that are lost, and peers that are behind
+ * themselves.  Deterministic; all times in ns.
+ */
+#ifndef FOLLOW_H
+#define FOLLOW_H
+
+#include "base.h"
+
+/* What to do now; bits. */
+#define FOLLOW_PULL 1U /* ask the peer at source */
+#define FOLLOW_READ 2U /* read the store */
+
+struct follow {
+	uint64_t version;	/* of the local copy, 0 for none */
+	uint64_t newest;	/* that any peer reported */
+	uint64_t newest_at;	/* when it was first reported */
+	char source[ADDR_SIZE]; /* peer to ask */
+	uint64_t source_at;	/* when it last reported */
+	uint64_t pull_at;	/* earliest time of the next pull */
+	uint64_t read_at;	/* time of the next read of the store */
+	uint64_t read_wait_ns;	/* from that one to the one after */
+};
+
+/* Sets the version of the local copy, at a time. */
+void follow_set_version(struct follow *, uint64_t, uint64_t);
+/* A peer at an address reported a version, at a time. */
+void follow_report(struct follow *, uint64_t, uint64_t, const char *);
+/* Returns what to do at a time; the caller does it. */
+unsigned follow_next(struct follow *, uint64_t);
+/* Whether a peer has a newer version than the local copy. */
+int follow_is_behind(const struct follow *);
+/*
+ * Whether the local copy is to be sent to a peer that reported a version, given
+ * the version that was last sent to it: once, a peer that still lacks it pulls.
+ * One that has none pulls at once.
+ */
+int follow_is_to_send(const struct follow *, uint64_t, uint64_t);
+
+#endif
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -49,6 +49,7 @@
 static void respond(struct client *);
 static void write_metrics(struct entry *, FILE *);
 static void write_replica_metrics(struct entry *, FILE *);
+static void write_config_metrics(struct entry *, FILE *);
 static void write_attempt_metrics(struct entry *, FILE *);
 
 static const struct conn_ops client_conn_ops = {
@@ -307,6 +308,28 @@
 	    e->counts.unread_closed);
 }
 
+static void
+write_config_metrics(struct entry *e, FILE *f)
+{
+	uint64_t age = 0;
+
+	if (e->conf != NULL)
+		age = (e->now - e->conf_at) / NSEC_PER_SEC;
+	metric_write(f, "spindle_entry_config_version", "gauge",
+	    "Version of the configuration in force.",
+	    e->conf == NULL ? 0 : e->conf->version);
+	metric_write(f, "spindle_entry_config_newest_version", "gauge",
+	    "Newest version that this process or a peer has.",
+	    peers_newest_config(e->peers));
+	metric_write(f, "spindle_entry_config_age_seconds", "gauge",
+	    "Time since the configuration was put in force here.", age);
+	fprintf(f,
+	    "# HELP spindle_entry_config_source Where it came from.\n"
+	    "# TYPE spindle_entry_config_source gauge\n"
+	    "spindle_entry_config_source{from=\"%s\"} 1\n",
+	    e->conf == NULL ? "" : e->conf_source);
+}
+
 static void
 write_metrics(struct entry *e, FILE *f)
 {
@@ -317,9 +340,7 @@
 	write_attempt_metrics(e, f);
 	metric_write(f, "spindle_entry_waiting", "gauge",
 	    "Requests that wait for a replica.", e->waiting.nitems);
-	metric_write(f, "spindle_entry_config_version", "gauge",
-	    "Version of the configuration in force.",
-	    e->conf == NULL ? 0 : e->conf->version);
+	write_config_metrics(e, f);
 	metric_write(f, "spindle_entry_list_revision", "gauge",
 	    "Revision of the list of replicas.", e->dir.revision);
 	metric_write(f, "spindle_entry_store_up", "gauge",
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -1,4 +1,5 @@
 /* State shared by all parts of spindle-entry. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -62,6 +63,8 @@
 	e->conf_text = mem_alloc(len + 1);
 	memcpy(e->conf_text, text, len);
 	e->conf_len = len;
+	e->conf_at = e->now;
+	snprintf(e->conf_source, sizeof(e->conf_source), "%s", source);
 	e->retry_waiting = 1;
 	http_set_max_head_size(conf->limits.max_header_bytes);
 	log_event(LOG_CONF_IN_FORCE, NULL,
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -61,6 +61,8 @@
 	struct fleet_conf *conf; /* NULL until one has been received */
 	char *conf_text;	 /* as stored by the platform, for peers */
 	size_t conf_len;
+	uint64_t conf_at;	     /* when it was put in force */
+	char conf_source[ADDR_SIZE]; /* "store" or a peer's address */
 	struct directory dir;
 	struct budget budget;
 	struct conn_pool *replicas;
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -208,6 +208,7 @@
 	if (m->from.incarnation > q->incarnation) {
 		q->incarnation = m->from.incarnation;
 		q->seq = 0;
+		q->sent_version = 0;
 	}
 	if (!q->reachable)
 		log_event(LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm,
@@ -279,6 +280,7 @@
 	session_send(p->e->session, &ops, on_result, p);
 	peers_choose(p);
 	peers_report(p);
+	peers_follow_config(p);
 	HASH_ITER (hh, p->peers, q, next) {
 		if (q->reachable &&
 		    p->e->now > q->hub.heard_at + PEER_SILENT_NS) {
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -47,6 +47,8 @@
 void peers_push_changes(struct peers *, const char *, size_t);
 /* As a hub or relay of a large fleet, passes the configuration on. */
 void peers_push_config(struct peers *);
+/* Newest version of the configuration that this process or a peer has. */
+uint64_t peers_newest_config(const struct peers *);
 /* Number of known peers, not counting this process. */
 uint32_t peers_count(const struct peers *);
 /* Index of the peer at a bus address as a report source; UINT32_MAX if none. */
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -6,6 +6,7 @@
 
 #include "announce.h"
 #include "bus.h"
+#include "follow.h"
 #include "hubs.h"
 #include "peers.h"
 #include "ring.h"
@@ -19,7 +20,8 @@
 	int listed;	   /* has a key in the store */
 	int reachable;	   /* heard within PEER_SILENT_NS */
 	uint64_t incarnation;
-	uint64_t seq; /* of its latest report */
+	uint64_t seq;	       /* of its latest report */
+	uint64_t sent_version; /* of the configuration, last sent to it */
 	UT_hash_handle hh;
 };
 
@@ -33,13 +35,12 @@
 	struct announce *announce;
 	struct kv_ids ids;
 	uint64_t report_at;	 /* time of the next report */
-	uint64_t pull_config_at; /* earliest time of the next pull */
-	uint64_t pull_list_at;
-	uint64_t newer_revision;      /* of a peer's list, 0 for none */
-	uint64_t newer_since;	      /* when it was first reported */
-	uint64_t config_behind_since; /* of a peer's version, 0: it is not */
-	char *list_text;	      /* encoded for pulls, NULL: not yet */
-	uint64_t list_text_at;	      /* when it was encoded */
+	uint64_t pull_list_at;	 /* earliest time of the next pull */
+	uint64_t newer_revision; /* of a peer's list, 0 for none */
+	uint64_t newer_since;	 /* when it was first reported */
+	struct follow config;
+	char *list_text;       /* encoded for pulls, NULL: not yet */
+	uint64_t list_text_at; /* when it was encoded */
 	uint64_t list_text_digest;
 	uint64_t answers_since; /* start of the current window */
 	uint32_t answers;	/* texts sent in the window */
@@ -78,7 +79,9 @@
 /* pull.c */
 /* Pulls what a peer's report shows to be newer than the local copy. */
 void peers_compare_versions(
-    struct peers *, const struct peer *, const struct msg_front *);
+    struct peers *, struct peer *, const struct msg_front *);
+/* Pulls or reads a configuration that peers have; called at every tick. */
+void peers_follow_config(struct peers *);
 /* Sends the configuration or list that a peer asked for. */
 void peers_answer_pull(struct peers *, const struct msg *);
 /* Applies a configuration or list received from a peer. */
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -25,9 +25,9 @@
 #define PUSH_DELAY_NS (150 * NSEC_PER_MSEC)
 /* An encoded list tells a grace period, which ends. */
 #define LIST_TEXT_NS (300 * NSEC_PER_MSEC)
-#define READ_CONFIG_NS (1 * NSEC_PER_SEC)
 
-static void compare_config(struct peers *, const struct peer *, uint64_t);
+static void send_config_again(struct peers *, struct peer *, uint64_t);
+static void send_request(struct peers *, const char *, uint64_t);
 static const char *encoded_list(struct peers *);
 static struct msg *compose_text(uint64_t, const char *, size_t);
 static void push_text(struct peers *, struct msg *);
@@ -64,47 +64,76 @@
 static void
 send_pull(struct peers *p, const char *addr, uint64_t what, uint64_t *at)
 {
-	struct msg *m;
-
 	if (p->e->now < *at)
 		return;
 	*at = p->e->now + PULL_RETRY_NS;
-	m = msg_create(MSG_CONF_PULL, addr);
+	send_request(p, addr, what);
+}
+
+static void
+send_request(struct peers *p, const char *addr, uint64_t what)
+{
+	struct msg *m = msg_create(MSG_CONF_PULL, addr);
+
 	m->u.conf.nonce = what;
 	bus_send(p->bus, m);
 }
 
-/* A version that is not pushed or pulled in time is read from the store. */
+/*
+ * A relay sends its configuration to a process of its data centre that reports
+ * an older one: it may have got it when it was no relay, and pushed nothing.
+ */
 static void
-compare_config(struct peers *p, const struct peer *q, uint64_t version)
+send_config_again(struct peers *p, struct peer *q, uint64_t version)
 {
-	const struct fleet_conf *conf = p->e->conf;
+	const struct entry *e = p->e;
+	struct msg *m;
 
-	if (conf != NULL && version <= conf->version) {
-		if (version == conf->version)
-			p->config_behind_since = 0;
+	if (!peers_is_relay(p) || !peers_in_zone(p, q) ||
+	    !follow_is_to_send(&p->config, version, q->sent_version) ||
+	    e->conf_len > MSG_BYTES_MAX)
 		return;
-	}
-	if (p->config_behind_since == 0)
-		p->config_behind_since = p->e->now;
-	if (conf == NULL || p->e->now >= p->config_behind_since + PUSH_DELAY_NS)
-		send_pull(p, q->hub.addr, PULL_CONFIG, &p->pull_config_at);
-	if (p->e->now < p->config_behind_since + READ_CONFIG_NS)
-		return;
-	p->config_behind_since = p->e->now;
-	session_read_config(p->e->session);
+	q->sent_version = p->config.version;
+	m = compose_text(PULL_CONFIG, e->conf_text, e->conf_len);
+	snprintf(m->to, sizeof(m->to), "%s", q->hub.addr);
+	bus_send(p->bus, m);
 }
 
 void
 peers_compare_versions(
-    struct peers *p, const struct peer *q, const struct msg_front *f)
+    struct peers *p, struct peer *q, const struct msg_front *f)
 {
-	if (f->version != 0)
-		compare_config(p, q, f->version);
+	follow_report(&p->config, p->e->now, f->version, q->hub.addr);
+	send_config_again(p, q, f->version);
 	if (is_behind(p, q, f))
 		send_pull(p, q->hub.addr, PULL_LIST, &p->pull_list_at);
 }
 
+void
+peers_follow_config(struct peers *p)
+{
+	const struct follow *f = &p->config;
+	unsigned todo = follow_next(&p->config, p->e->now);
+
+	if (todo == 0)
+		return;
+	log_event(LOG_CONF_BEHIND, NULL,
+	    "version=%llu newest=%llu peer=%s read_store=%d",
+	    (unsigned long long)f->version, (unsigned long long)f->newest,
+	    f->source, (todo & FOLLOW_READ) != 0);
+	if (todo & FOLLOW_PULL)
+		send_request(p, f->source, PULL_CONFIG);
+	if (todo & FOLLOW_READ)
+		session_read_config(p->e->session);
+}
+
+uint64_t
+peers_newest_config(const struct peers *p)
+{
+	return follow_is_behind(&p->config) ? p->config.newest
+					    : p->config.version;
+}
+
 /* When a whole fleet starts, all pull the same list from their relay. */
 static const char *
 encoded_list(struct peers *p)
@@ -214,9 +243,15 @@
 peers_push_config(struct peers *p)
 {
 	struct entry *e = p->e;
+	struct peer *q;
 
+	follow_set_version(&p->config, e->now, e->conf->version);
 	/* In a small fleet every process watches the configuration. */
-	if (peers_use_relays(p) && e->conf_len <= MSG_BYTES_MAX)
-		push_text(
-		    p, compose_text(PULL_CONFIG, e->conf_text, e->conf_len));
+	if (!peers_use_relays(p) || e->conf_len > MSG_BYTES_MAX)
+		return;
+	push_text(p, compose_text(PULL_CONFIG, e->conf_text, e->conf_len));
+	for (q = p->peers; q != NULL && peers_is_relay(p); q = q->hh.next) {
+		if (peers_in_zone(p, q))
+			q->sent_version = e->conf->version;
+	}
 }
--- a/shell/log.c
+++ b/shell/log.c
@@ -134,6 +134,8 @@
 	[LOG_CONF_BAD] = { 1504, LOGLEVEL_ERROR, "conf-bad",
 	    "a configuration cannot be decoded; the previous one stays in "
 	    "use" },
+	[LOG_CONF_BEHIND] = { 1505, LOGLEVEL_INFO, "conf-behind",
+	    "a peer has a newer configuration, which is asked for" },
 	[LOG_MEMBER_ALIVE] = { 1600, LOGLEVEL_NOTICE, "member-alive",
 	    "a peer is alive" },
 	[LOG_MEMBER_SUSPECT] = { 1601, LOGLEVEL_INFO, "member-suspect",
