--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1012,6 +1012,54 @@
         w.stop()
 
 
+def version_in_force(o):
+    """Version of the configuration that a process has, 0 for none."""
+    told = o.events("conf-in-force")
+    return int(told[-1]["detail"].split()[0].split("=")[1]) if told else 0
+
+
+def test_configuration_after_cut_watches():
+    """All watches are cut after they told nothing of a new version: the hubs
+    read it anew, and every data centre has it within config_apply_ms."""
+    w = World(zone="a")
+    others = [World(start=False, zone="abcd"[i % 4]) for i in range(1, 20)]
+    worlds = [w] + others
+    try:
+        for o in others:
+            o.store_port = w.store_port
+            o.start()
+
+        def reports(o, name):
+            told = o.events(name)
+            return bool(told) and name + "=1" in told[-1]["detail"]
+        w.wait("configured", lambda: all(
+            version_in_force(o) == w.config["version"] for o in worlds), 20)
+        w.wait("a relay each, three hubs", lambda: [
+            sum(reports(o, name) for o in worlds)
+            for name in ("relay", "hub")] == [4, 3], 20)
+        for version in (20, 21, 22):
+            w.store.hang_watches = True
+            w.run(w.store.put("op/config", default_config(version)))
+            time.sleep(0.3)
+            w.store.hang_watches = False
+            w.loop.call_soon_threadsafe(w.store.cut)
+            w.wait("version %d in force everywhere" % version, lambda: all(
+                version_in_force(o) == version for o in worlds), 2)
+        for o in worlds:
+            told = [int(e["detail"].split()[0].split("=")[1])
+                    for e in o.events("conf-in-force")]
+            check("never back", told == sorted(told))
+        w.ports["metrics"] = 9109
+        text = w.get("metrics", "/metrics")[2].decode()
+        for line in ("config_version 22", "config_newest_version 22",
+                     'config_source{from="', "config_age_seconds "):
+            check(line, "\nspindle_entry_" + line in text)
+    finally:
+        for o in others:
+            o.stop()
+        w.stop()
+
+
 def test_sigterm_new_connection():
     """A connection made just before the listening socket closes is served."""
     w, _, _ = two_replicas(answer_ok)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -289,7 +289,8 @@
     """A key-value store, replicas and one entry process."""
     count = 0
 
-    def __init__(self, config=None, start=True):
+    def __init__(self, config=None, start=True, zone="z1"):
+        self.zone = zone
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever,
                                        daemon=True)
@@ -354,7 +355,7 @@
     def start(self):
         settings = {
             "node_name": self.vm, "role": "entry", "ip": self.ip,
-            "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
+            "zone": self.zone, "region": "r1", "zones": {self.zone: "r1"},
             "bind": {n: "%s:%d" % (self.ip, self.ports[n])
                      for n in ("front", "ready", "control")},
             "internal_ports": [self.ports["bus"], self.ports["bus"] + 1],
