Pulls of the configuration have a limit of their own

A peer answered three pulls in 0.1 s, of whatever kind.

Before, with the shared limit in core/follow.c: test_follow "a configuration beside pulls of lists" failed (configs >= 1), 12 passed. After: 13 passed.

--- a/core/follow.c
+++ b/core/follow.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "follow.h"
 
@@ -10,9 +11,22 @@
 /* A version that no peer sends in this time is read from the store. */
 #define READ_NS (1 * NSEC_PER_SEC)
 #define READ_MAX_NS (8 * NSEC_PER_SEC) /* doubled after each read */
+/*
+ * Limits on texts, of about 40 KB each, sent in response to pulls, so that they
+ * do not pile up in memory on the slowest links (10 Mbit/s).  Each kind has its
+ * own: all pull the list when many replicas change.
+ */
+#define ANSWERS_WINDOW_NS (100 * NSEC_PER_MSEC)
+#define CONFIG_ANSWERS_MAX 2
+#define LIST_ANSWERS_MAX 3
 
 static void follow_expect(struct follow *, uint64_t, uint64_t);
 
+static const uint32_t answers_max[FOLLOW_TEXT__MAX] = {
+	[FOLLOW_CONFIG] = CONFIG_ANSWERS_MAX,
+	[FOLLOW_LIST] = LIST_ANSWERS_MAX,
+};
+
 /* Schedules the pulls and reads of a version that was reported at a time. */
 static void
 follow_expect(struct follow *f, uint64_t since, uint64_t push_ns)
@@ -91,3 +105,14 @@
 {
 	return theirs != 0 && theirs < f->version && sent < f->version;
 }
+
+int
+follow_answers_pull(
+    struct follow_answers *a, uint64_t now, enum follow_text text)
+{
+	if (now >= a->since + ANSWERS_WINDOW_NS) {
+		memset(a, 0, sizeof(*a));
+		a->since = now;
+	}
+	return a->n[text]++ < answers_max[text];
+}
--- a/core/follow.h
+++ b/core/follow.h
@@ -24,6 +24,24 @@
 	uint64_t read_wait_ns;	/* from that one to the one after */
 };
 
+/* What peers pull. */
+enum follow_text {
+	FOLLOW_CONFIG,
+	FOLLOW_LIST,
+	FOLLOW_TEXT__MAX
+};
+
+/* Texts sent in response to pulls, in the current window. */
+struct follow_answers {
+	uint64_t since;
+	uint32_t n[FOLLOW_TEXT__MAX];
+};
+
+/*
+ * Whether a pull that arrives at a time is answered; counts it.  Others are
+ * dropped, and the peer repeats them.
+ */
+int follow_answers_pull(struct follow_answers *, uint64_t, enum follow_text);
 /* Sets the version of the local copy, at a time. */
 void follow_set_version(struct follow *, uint64_t, uint64_t);
 /* A peer at an address reported a version, at a time. */
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -42,8 +42,7 @@
 	char *list_text;       /* encoded for pulls, NULL: not yet */
 	uint64_t list_text_at; /* when it was encoded */
 	uint64_t list_text_digest;
-	uint64_t answers_since; /* start of the current window */
-	uint32_t answers;	/* texts sent in the window */
+	struct follow_answers answers;
 	uint64_t started_at;
 	uint32_t weight; /* this process's, while the store serves it */
 	struct hub self;
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -12,12 +12,6 @@
 #include "session.h"
 
 #define PULL_RETRY_NS (300 * NSEC_PER_MSEC)
-/*
- * Limit on texts, of about 40 KB each, sent in response to pulls.  It is what
- * the slowest links (10 Mbit/s) carry, so that texts do not pile up in memory.
- */
-#define ANSWERS_WINDOW_NS (100 * NSEC_PER_MSEC)
-#define ANSWERS_MAX 3
 #define PULL_CONFIG 0 /* msg_conf.nonce: which text */
 #define PULL_LIST 1
 #define PUSH_LIST 2 /* changes of the list of replicas */
@@ -158,12 +152,8 @@
 	const char *text = NULL;
 	size_t len = 0;
 
-	/* Above the limit, pulls are dropped; the peer repeats them. */
-	if (e->now >= p->answers_since + ANSWERS_WINDOW_NS) {
-		p->answers_since = e->now;
-		p->answers = 0;
-	}
-	if (p->answers++ >= ANSWERS_MAX)
+	if (!follow_answers_pull(&p->answers, e->now,
+		m->u.conf.nonce == PULL_LIST ? FOLLOW_LIST : FOLLOW_CONFIG))
 		return;
 	if (m->u.conf.nonce == PULL_LIST) {
 		text = encoded_list(p);
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -13,10 +13,8 @@
 #define APPLY_NS (2 * NSEC_PER_SEC)
 #define TICK_NS (10 * NSEC_PER_MSEC)
 #define REPORT_NS (200 * NSEC_PER_MSEC)
-#define ANSWERS_WINDOW_NS (100 * NSEC_PER_MSEC)
-#define ANSWERS_MAX 3
-#define ZONES 5
-#define ZONE_SIZE 60
+#define ZONES 5U
+#define ZONE_SIZE 60U
 #define PROCESSES (ZONES * ZONE_SIZE)
 #define HUBS 3 /* the relays of the first zones */
 
@@ -24,8 +22,7 @@
 	struct follow follow;
 	uint64_t report_at;
 	uint64_t sent[ZONE_SIZE];
-	uint64_t answers_since;
-	uint32_t answers;
+	struct follow_answers answers;
 	int cut;      /* neither sends nor receives */
 	int no_store; /* turned away by the store */
 	uint32_t reads;
@@ -51,6 +48,7 @@
 static void test_source_silent(void);
 static void test_never_back(void);
 static void test_send_once(void);
+static void test_pulls_of_lists(void);
 static void test_relay_misses_push(void);
 static void test_zone_misses_push(void);
 static void test_one_misses_push(void);
@@ -68,7 +66,7 @@
 	stored = version;
 	for (i = 0; i < PROCESSES; i++) {
 		follow_set_version(&fleet[i].follow, now, version);
-		fleet[i].report_at = now + REPORT_NS * i / PROCESSES;
+		fleet[i].report_at = now + i * (REPORT_NS / PROCESSES);
 	}
 }
 
@@ -131,11 +129,7 @@
 
 	if (q->cut || fleet[i].cut)
 		return;
-	if (now >= q->answers_since + ANSWERS_WINDOW_NS) {
-		q->answers_since = now;
-		q->answers = 0;
-	}
-	if (q->answers++ < ANSWERS_MAX)
+	if (follow_answers_pull(&q->answers, now, FOLLOW_CONFIG))
 		apply(i, q->follow.version, 1);
 }
 
@@ -314,6 +308,28 @@
 	CU_ASSERT(!follow_is_to_send(&f, 0, 0));
 }
 
+/* However many lists are pulled, a configuration still is; both are limited. */
+static void
+test_pulls_of_lists(void)
+{
+	struct follow_answers a = { 0 };
+	uint64_t t = START_NS;
+	uint32_t lists = 0;
+	uint32_t configs = 0;
+	int i;
+
+	for (i = 0; i < 100; i++)
+		lists += follow_answers_pull(&a, t, FOLLOW_LIST) != 0;
+	for (i = 0; i < 100; i++)
+		configs += follow_answers_pull(&a, t, FOLLOW_CONFIG) != 0;
+	CU_ASSERT(lists >= 1);
+	CU_ASSERT(lists <= 3);
+	CU_ASSERT(configs >= 1);
+	CU_ASSERT(configs <= 3);
+	t += NSEC_PER_SEC;
+	CU_ASSERT(follow_answers_pull(&a, t, FOLLOW_LIST));
+}
+
 /* Every zone gets the push but the last, whose relay misses it. */
 static void
 test_relay_misses_push(void)
@@ -406,6 +422,7 @@
 	{ "the newest peer is silent", test_source_silent },
 	{ "never back", test_never_back },
 	{ "sent once", test_send_once },
+	{ "a configuration beside pulls of lists", test_pulls_of_lists },
 	{ "a relay misses a push", test_relay_misses_push },
 	{ "a data centre misses a push", test_zone_misses_push },
 	{ "a process misses a push", test_one_misses_push },
