A list that differs from a hub's is pulled, whatever others report

A relay that holds another list than a hub at the same revision pulls it after 0.15 s; a report of that revision by any other peer cleared the time, and a relay hears its whole data centre, so it never did. The decision is in core/follow.c now, and being behind and differing have a time of their own.

Before, with the old rule in core/follow.c: test_follow "a list differs" failed, 15 passed; after, 16 passed.

--- a/core/follow.c
+++ b/core/follow.c
@@ -116,3 +116,30 @@
 	}
 	return a->n[text]++ < answers_max[text];
 }
+
+int
+follow_list_report(struct follow_lists *l, uint64_t now,
+    const struct follow_list *mine, const struct follow_list *theirs,
+    int decides)
+{
+	if (l->newer <= mine->revision)
+		l->newer = 0;
+	if (theirs->revision > mine->revision) {
+		if (l->newer == 0) {
+			l->newer = theirs->revision;
+			l->newer_since = now;
+		}
+		return now >= l->newer_since + PUSH_NS;
+	}
+	if (!decides || theirs->revision < mine->revision)
+		return 0;
+	if (theirs->digest == mine->digest) {
+		l->differs_at = 0;
+		return 0;
+	}
+	if (l->differs_at != mine->revision) {
+		l->differs_at = mine->revision;
+		l->differs_since = now;
+	}
+	return now >= l->differs_since + PUSH_NS;
+}
--- a/core/follow.h
+++ b/core/follow.h
@@ -24,6 +24,28 @@
 	uint64_t read_wait_ns;	/* from that one to the one after */
 };
 
+/* A list: revision of its newest entry, digest of all. */
+struct follow_list {
+	uint64_t revision;
+	uint64_t digest;
+};
+
+/* When the local list was first seen to be behind a peer's, or to differ. */
+struct follow_lists {
+	uint64_t newer; /* revision of the peer's, 0 for none */
+	uint64_t newer_since;
+	uint64_t differs_at; /* revision of both, 0: it does not differ */
+	uint64_t differs_since;
+};
+
+/*
+ * Whether the local list, the first, has stayed behind a peer's, reported at a
+ * time, for longer than a push takes, or has differed from it at the same
+ * revision.  The latter counts only if the peer's list decides.
+ */
+int follow_list_report(struct follow_lists *, uint64_t,
+    const struct follow_list *, const struct follow_list *, int);
+
 /* What peers pull. */
 enum follow_text {
 	FOLLOW_CONFIG,
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -34,10 +34,9 @@
 	uint32_t next_index; /* assigned to the next new peer */
 	struct announce *announce;
 	struct kv_ids ids;
-	uint64_t report_at;	 /* time of the next report */
-	uint64_t pull_list_at;	 /* earliest time of the next pull */
-	uint64_t newer_revision; /* of a peer's list, 0 for none */
-	uint64_t newer_since;	 /* when it was first reported */
+	uint64_t report_at;    /* time of the next report */
+	uint64_t pull_list_at; /* earliest time of the next pull */
+	struct follow_lists list;
 	struct follow config;
 	char *list_text;       /* encoded for pulls, NULL: not yet */
 	uint64_t list_text_at; /* when it was encoded */
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -15,8 +15,6 @@
 #define PULL_CONFIG 0 /* msg_conf.nonce: which text */
 #define PULL_LIST 1
 #define PUSH_LIST 2 /* changes of the list of replicas */
-/* Hubs normally push a change within this time; later it is pulled. */
-#define PUSH_DELAY_NS (150 * NSEC_PER_MSEC)
 /* An encoded list tells a grace period, which ends. */
 #define LIST_TEXT_NS (300 * NSEC_PER_MSEC)
 
@@ -30,29 +28,18 @@
 static void send_pull(struct peers *, const char *, uint64_t, uint64_t *);
 
 /*
- * Whether the local list has stayed behind a peer's for longer than a push
- * takes.  A process that is not a hub is also behind if its list differs from
- * a hub's at the same revision.
+ * Whether the local list is to be pulled from a peer.  Where lists differ at
+ * the same revision, a hub's decides; to a process its relay is the only hub.
  */
 static int
 is_behind(struct peers *p, const struct peer *q, const struct msg_front *f)
 {
-	const struct directory *d = &p->e->dir;
-	int differs = f->list_revision == d->revision &&
-	    f->list_digest != d->digest && p->self.hub_since == 0 &&
-	    q->hub.hub_since != 0;
-
-	if (f->list_revision <= d->revision && !differs) {
-		if (p->newer_revision == f->list_revision)
-			p->newer_revision = 0;
-		return 0;
-	}
-	if (p->newer_revision == 0 ||
-	    (p->newer_revision <= d->revision && !differs)) {
-		p->newer_revision = f->list_revision;
-		p->newer_since = p->e->now;
-	}
-	return p->e->now >= p->newer_since + PUSH_DELAY_NS;
+	const struct follow_list mine = { p->e->dir.revision,
+		p->e->dir.digest };
+	const struct follow_list theirs = { f->list_revision, f->list_digest };
+	int decides = p->self.hub_since == 0 && q->hub.hub_since != 0;
+
+	return follow_list_report(&p->list, p->e->now, &mine, &theirs, decides);
 }
 
 static void
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -49,6 +49,9 @@
 static void test_never_back(void);
 static void test_send_once(void);
 static void test_pulls_of_lists(void);
+static void test_list_differs(void);
+static void test_list_differs_shortly(void);
+static void test_list_behind(void);
 static void test_relay_misses_push(void);
 static void test_zone_misses_push(void);
 static void test_one_misses_push(void);
@@ -330,6 +333,65 @@
 	CU_ASSERT(follow_answers_pull(&a, t, FOLLOW_LIST));
 }
 
+/*
+ * Processes of the data centre, at the same revision, say nothing about a
+ * relay's list that differs from a hub's.
+ */
+static void
+test_list_differs(void)
+{
+	const struct follow_list mine = { 9, 1 };
+	const struct follow_list hub = { 9, 2 };
+	struct follow_lists l = { 0 };
+	uint64_t t;
+	int pull = 0;
+
+	for (t = START_NS; t < START_NS + NSEC_PER_SEC; t += TICK_NS) {
+		if ((t - START_NS) % REPORT_NS == 0)
+			pull |= follow_list_report(&l, t, &mine, &hub, 1);
+		CU_ASSERT(!follow_list_report(&l, t, &mine, &mine, 0));
+		CU_ASSERT(!follow_list_report(&l, t, &mine, &hub, 0));
+	}
+	CU_ASSERT(pull);
+}
+
+/* A difference that ends before a push would arrive is not pulled. */
+static void
+test_list_differs_shortly(void)
+{
+	struct follow_list mine = { 9, 1 };
+	const struct follow_list hub = { 9, 2 };
+	struct follow_lists l = { 0 };
+
+	CU_ASSERT(!follow_list_report(&l, START_NS, &mine, &hub, 1));
+	mine.digest = 2;
+	CU_ASSERT(!follow_list_report(&l, START_NS + 1, &mine, &hub, 1));
+	mine.digest = 1;
+	CU_ASSERT(
+	    !follow_list_report(&l, START_NS + NSEC_PER_SEC, &mine, &hub, 1));
+}
+
+/* Behind since the first newer report, until that revision is here. */
+static void
+test_list_behind(void)
+{
+	struct follow_list mine = { 9, 1 };
+	const struct follow_list older = { 9, 1 };
+	const struct follow_list newer = { 12, 3 };
+	struct follow_lists l = { 0 };
+	uint64_t t = START_NS;
+
+	CU_ASSERT(!follow_list_report(&l, t, &mine, &newer, 0));
+	t += REPORT_NS;
+	CU_ASSERT(!follow_list_report(&l, t, &mine, &older, 0));
+	CU_ASSERT(follow_list_report(&l, t, &mine, &newer, 0));
+	mine = newer;
+	CU_ASSERT(!follow_list_report(&l, t, &mine, &newer, 0));
+	mine.revision = 11;
+	CU_ASSERT(!follow_list_report(&l, t, &mine, &newer, 0));
+	CU_ASSERT(follow_list_report(&l, t + REPORT_NS, &mine, &newer, 0));
+}
+
 /* Every zone gets the push but the last, whose relay misses it. */
 static void
 test_relay_misses_push(void)
@@ -423,6 +485,9 @@
 	{ "never back", test_never_back },
 	{ "sent once", test_send_once },
 	{ "a configuration beside pulls of lists", test_pulls_of_lists },
+	{ "a list differs", test_list_differs },
+	{ "a list differs shortly", test_list_differs_shortly },
+	{ "a list is behind", test_list_behind },
 	{ "a relay misses a push", test_relay_misses_push },
 	{ "a data centre misses a push", test_zone_misses_push },
 	{ "a process misses a push", test_one_misses_push },
