A relay sends the configuration again to who still reports an older version

Pushed or sent once, a version that was lost on the way to many processes of a data centre had to be pulled: they ask at the same moments, and two are answered in 0.1 s.

The relay repeats after 1 s, then 2 and 4 s, since the version may still be on its way on a slow link.

--- a/core/follow.c
+++ b/core/follow.c
@@ -11,6 +11,11 @@
 /* A version that no peer sends in this time is read from the store. */
 #define READ_NS (1 * NSEC_PER_SEC)
 #define READ_MAX_NS (8 * NSEC_PER_SEC) /* doubled after each read */
+/*
+ * A version that did not arrive is sent again after this time, doubled each
+ * time, since it may still be on its way on a slow link.
+ */
+#define SEND_AGAIN_NS (1 * NSEC_PER_SEC)
 /*
  * Limits on texts, of about 40 KB each, sent in response to pulls, so that they
  * do not pile up in memory on the slowest links (10 Mbit/s).  Each kind has its
@@ -100,10 +105,24 @@
 	return f->newest > f->version;
 }
 
+void
+follow_set_sent(const struct follow *f, struct follow_sent *s, uint64_t now)
+{
+	if (s->version == f->version)
+		s->wait_ns *= 2;
+	else
+		s->wait_ns = SEND_AGAIN_NS;
+	s->version = f->version;
+	s->again_at = now + s->wait_ns;
+}
+
 int
-follow_is_to_send(const struct follow *f, uint64_t theirs, uint64_t sent)
+follow_is_to_send(const struct follow *f, const struct follow_sent *s,
+    uint64_t theirs, uint64_t now)
 {
-	return theirs != 0 && theirs < f->version && sent < f->version;
+	if (theirs == 0 || theirs >= f->version)
+		return 0;
+	return s->version < f->version || now >= s->again_at;
 }
 
 int
--- a/core/follow.h
+++ b/core/follow.h
@@ -72,11 +72,20 @@
 unsigned follow_next(struct follow *, uint64_t);
 /* Whether a peer has a newer version than the local copy. */
 int follow_is_behind(const struct follow *);
+/* The version that was last sent to a peer. */
+struct follow_sent {
+	uint64_t version;
+	uint64_t again_at; /* when it may be sent again */
+	uint64_t wait_ns;  /* after that time */
+};
+
+/* Records that the local copy was sent to a peer, at a time. */
+void follow_set_sent(const struct follow *, struct follow_sent *, uint64_t);
 /*
- * Whether the local copy is to be sent to a peer that reported a version, given
- * the version that was last sent to it: once, a peer that still lacks it pulls.
- * One that has none pulls at once.
+ * Whether the local copy is to be sent to a peer that reported a version, at a
+ * time.  One that has none pulls at once.
  */
-int follow_is_to_send(const struct follow *, uint64_t, uint64_t);
+int follow_is_to_send(
+    const struct follow *, const struct follow_sent *, uint64_t, uint64_t);
 
 #endif
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -208,7 +208,7 @@
 	if (m->from.incarnation > q->incarnation) {
 		q->incarnation = m->from.incarnation;
 		q->seq = 0;
-		q->sent_version = 0;
+		memset(&q->sent, 0, sizeof(q->sent));
 	}
 	if (!q->reachable)
 		log_event(LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm,
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -20,8 +20,8 @@
 	int listed;	   /* has a key in the store */
 	int reachable;	   /* heard within PEER_SILENT_NS */
 	uint64_t incarnation;
-	uint64_t seq;	       /* of its latest report */
-	uint64_t sent_version; /* of the configuration, last sent to it */
+	uint64_t seq;		 /* of its latest report */
+	struct follow_sent sent; /* of the configuration */
 	UT_hash_handle hh;
 };
 
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -62,7 +62,7 @@
 
 /*
  * A relay sends its configuration to a process of its data centre that reports
- * an older one: it may have got it when it was no relay, and pushed nothing.
+ * an older one: a push was lost, or not sent while it was no relay.
  */
 static void
 send_config_again(struct peers *p, struct peer *q, uint64_t version)
@@ -71,10 +71,10 @@
 	struct msg *m;
 
 	if (!peers_is_relay(p) || !peers_in_zone(p, q) ||
-	    !follow_is_to_send(&p->config, version, q->sent_version) ||
+	    !follow_is_to_send(&p->config, &q->sent, version, e->now) ||
 	    e->conf_len > MSG_BYTES_MAX)
 		return;
-	q->sent_version = p->config.version;
+	follow_set_sent(&p->config, &q->sent, e->now);
 	m = compose_text(PULL_CONFIG, e->conf_text, e->conf_len);
 	snprintf(m->to, sizeof(m->to), "%s", q->hub.addr);
 	bus_send(p->bus, m);
@@ -229,6 +229,6 @@
 	push_text(p, compose_text(PULL_CONFIG, e->conf_text, e->conf_len));
 	for (q = p->peers; q != NULL && peers_is_relay(p); q = q->hh.next) {
 		if (peers_in_zone(p, q))
-			q->sent_version = e->conf->version;
+			follow_set_sent(&p->config, &q->sent, e->now);
 	}
 }
