--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -292,7 +292,8 @@
     numbers = itertools.count(1)
     of_thread = threading.local()
 
-    def __init__(self, config=None, start=True):
+    def __init__(self, config=None, start=True, zone="z1"):
+        self.zone = zone
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever,
                                        daemon=True)
@@ -365,7 +366,7 @@
     def start(self):
         settings = {
             "node_name": self.vm, "role": "entry", "ip": self.ip,
-            "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
+            "zone": self.zone, "region": "r1", "zones": {self.zone: "r1"},
             "bind": {n: "%s:%d" % (self.ip, self.ports[n])
                      for n in ("front", "ready", "control")},
             "internal_ports": [self.ports["bus"], self.ports["bus"] + 1],
