What a replica says of itself is taken from its answer's head

What callers saw: a replica that leaves said so in its answers and went on getting requests until the list told of it, 3 s late or not at all where the machine was cut off (DRAIN). A replica that said 503 with Retry-After got the next requests at once, and callers waited for tries that could not succeed (BUDGET). Cause: neither field was read; a refusal counted as a sound answer. A leaving replica gets nothing new until it starts anew; a closed one nothing, not even a probe, until its time ends, an hour at most. Requests whose connection is still being made are withdrawn and go elsewhere. Where all suitable replicas are closed, admission waits for the earliest time, with room for those who wait, or refuses at once with it. Four events, two counters, a gauge. Ruled out: passing the word on to other processes (docs/DESIGN.md): each hears it with its first answer. Reading a date by this machine's clock: clocks step.

--- a/Makefile
+++ b/Makefile
@@ -111,6 +111,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_fields: $(BUILD)/tests/test_fields.o $(BUILD)/tests/unit.o \
+    $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_expiry: $(BUILD)/tests/test_expiry.o $(BUILD)/tests/unit.o \
     $(BUILD)/net/expiry.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/core/admission.c
+++ b/core/admission.c
@@ -53,9 +53,13 @@
 admission_predicted_start(const struct admission_request *r,
     const struct admission_capacity *c, uint64_t now)
 {
-	if (c->slots == 0)
-		return c->ready_at > now ? c->ready_at : now;
-	return now + r->service_ns * c->waiting / c->slots;
+	uint64_t ready_at = c->ready_at > now ? c->ready_at : now;
+
+	if (c->slots != 0)
+		return now + r->service_ns * c->waiting / c->slots;
+	if (c->closed_slots != 0)
+		return ready_at + r->service_ns * c->waiting / c->closed_slots;
+	return ready_at;
 }
 
 /* Time after which a caller refused now comes back at the latest. */
@@ -102,6 +106,8 @@
 	d.retry_after_ns = return_after(r, start, now, draw);
 	if (now >= latest)
 		return d;
+	if (c->slots == 0 && c->closed_slots != 0 && start > latest)
+		return d;
 	if (start <= latest) {
 		d.step = ADMISSION_WAIT;
 		d.until = latest;
--- a/core/admission.h
+++ b/core/admission.h
@@ -26,6 +26,8 @@
 	uint32_t slots;	   /* of usable replicas that hold the model */
 	uint32_t waiting;  /* requests of all processes for the same */
 	uint64_t ready_at; /* without slots: when a copy is expected */
+	/* Of replicas that by their own word take requests from ready_at on. */
+	uint32_t closed_slots;
 };
 
 enum admission_step {
--- a/core/balance.c
+++ b/core/balance.c
@@ -167,7 +167,7 @@
 	*out = NULL;
 	HASH_ITER (hh, d->replicas, m, next) {
 		if (!directory_serves(m, w->service, w->service_hash) ||
-		    !directory_usable(m, now))
+		    !directory_in_service(m, now))
 			continue;
 		if (result == BALANCE_NO_REPLICA)
 			result = BALANCE_NO_MODEL;
@@ -182,7 +182,8 @@
 			result = BALANCE_FULL;
 		load = w->ignore_peers ? m->local_load
 				       : directory_total_load(d, now, m);
-		if (directory_excluded(m, now, w->model) ||
+		if (!directory_usable(m, now) ||
+		    directory_excluded(m, now, w->model) ||
 		    directory_excluded(m, now, w->adapter) ||
 		    replica_is_full(w, d->prefill_window_ns,
 			directory_prefill_share(m, now), m, &load))
@@ -215,6 +216,30 @@
 	return slots;
 }
 
+uint32_t
+balance_closed_slots(const struct directory *d, uint64_t now,
+    const struct balance_request *w, uint64_t *reopens_at)
+{
+	const struct directory_replica *m;
+	uint64_t until;
+	uint32_t slots = 0;
+
+	*reopens_at = TIME_NEVER;
+	for (m = d->replicas; m != NULL; m = m->hh.next) {
+		if (!directory_serves(m, w->service, w->service_hash) ||
+		    !directory_in_service(m, now) ||
+		    !directory_holds(m, w->model, w->model_hash))
+			continue;
+		until = directory_closed_until(m, now);
+		if (until == 0)
+			return 0;
+		if (until < *reopens_at)
+			*reopens_at = until;
+		slots += m->info.slots == 0 ? 1 : m->info.slots;
+	}
+	return slots;
+}
+
 uint32_t
 balance_expected_tokens(const struct request_params *w)
 {
--- a/core/balance.h
+++ b/core/balance.h
@@ -47,6 +47,12 @@
 /* Slots of the usable replicas of the service that hold the model. */
 uint32_t balance_slots(
     const struct directory *, uint64_t, const struct balance_request *);
+/*
+ * Slots of the suitable replicas where all say that they take no requests now,
+ * and when the first takes them again; 0 where there are others, or none.
+ */
+uint32_t balance_closed_slots(const struct directory *, uint64_t,
+    const struct balance_request *, uint64_t *);
 enum balance_result balance_pick(const struct directory *, uint64_t,
     const struct balance_request *, double, struct directory_replica **);
 /* Expected tokens of a request's prompt and output. */
--- a/core/directory.c
+++ b/core/directory.c
@@ -250,7 +250,8 @@
 		if (m->presence == PRESENCE_GRACE && now >= m->grace_until)
 			m->presence = PRESENCE_REMOVED;
 		if (m->presence != PRESENCE_REMOVED ||
-		    m->local_load.running != 0)
+		    m->local_load.running != 0 ||
+		    notice_is_kept(&m->notice, now))
 			continue;
 		HASH_DEL(d->replicas, m);
 		free(m->peer_loads);
@@ -258,11 +259,33 @@
 	}
 }
 
+int
+directory_is_leaving(const struct directory_replica *m)
+{
+	return m->info.state != REPLICA_READY ||
+	    notice_is_leaving(&m->notice, m->info.started_ms);
+}
+
+uint64_t
+directory_closed_until(const struct directory_replica *m, uint64_t now)
+{
+	return notice_closed_until(&m->notice, m->info.started_ms, now);
+}
+
+int
+directory_in_service(const struct directory_replica *m, uint64_t now)
+{
+	return m->presence != PRESENCE_REMOVED && !directory_is_leaving(m) &&
+	    now >= m->avoid_until;
+}
+
 int
 directory_usable(const struct directory_replica *m, uint64_t now)
 {
-	return m->presence != PRESENCE_REMOVED &&
-	    m->info.state == REPLICA_READY && now >= m->avoid_until;
+	return directory_in_service(m, now) &&
+	    directory_closed_until(m, now) == 0 &&
+	    (m->local_load.running == 0 ||
+		!notice_is_probed(&m->notice, m->info.started_ms));
 }
 
 /* Replaces the exclusion of the same name or the one that ends first. */
--- a/core/directory.h
+++ b/core/directory.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #include "fleet.h"
+#include "notice.h"
 
 #define DIRECTORY_EXCLUSIONS_MAX 8
 #define DIRECTORY_SENT_PROMPTS_MAX 32
@@ -53,6 +54,8 @@
 	struct fleet_replica info;
 	enum presence presence;
 	uint64_t grace_until; /* GRACE: removed unless listed again by then */
+	uint64_t listed_at;   /* when its entry was last received */
+	struct notice notice; /* what it says of itself */
 	struct replica_load local_load;
 	/* A ring buffer; nsent_prompts counts all that were added. */
 	struct sent_prompt sent_prompts[DIRECTORY_SENT_PROMPTS_MAX];
@@ -112,6 +115,12 @@
  */
 int directory_serves(const struct directory_replica *, const char *, uint64_t);
 int directory_holds(const struct directory_replica *, const char *, uint64_t);
+/* Whether a replica runs what it has and takes nothing new any more. */
+int directory_is_leaving(const struct directory_replica *);
+/* Until when a replica takes no requests, by its own word; 0: it takes them. */
+uint64_t directory_closed_until(const struct directory_replica *, uint64_t);
+/* Whether a replica is in service, apart from when it takes requests. */
+int directory_in_service(const struct directory_replica *, uint64_t);
 /* Whether new requests may be sent to a replica. */
 int directory_usable(const struct directory_replica *, uint64_t);
 /* Sends no requests for a model or adapter to the replica until a time. */
--- a/core/loader_models.c
+++ b/core/loader_models.c
@@ -13,6 +13,8 @@
 /* Unloads run ahead of the loads that may start within this time. */
 #define UNLOAD_AHEAD_S 1.0
 #define MOVES_MAX 32 /* of one step */
+/* A replica closed for longer is missed more than a load costs. */
+#define CLOSED_LONG_NS (10 * NSEC_PER_SEC)
 /*
  * Part of the rate with which copies in use give way, so that each declared
  * model has a copy, and the least rate.
@@ -145,7 +147,8 @@
 		    m->presence == PRESENCE_REMOVED)
 			continue;
 		r = &p->replicas[p->nreplicas];
-		r->leaving = m->info.state != REPLICA_READY;
+		r->leaving = directory_is_leaving(m) ||
+		    directory_closed_until(m, now) > now + CLOSED_LONG_NS;
 		r->usable =
 		    directory_usable(m, now) && m->presence == PRESENCE_LISTED;
 		r->busy = e->loading[0] != '\0' || e->unloading[0] != '\0' ||
--- /dev/null
+++ b/core/notice.c
@@ -0,0 +1,86 @@
+#include <string.h>
+
+#include "notice.h"
+
+static int begin(struct notice *, uint64_t);
+
+/* Returns whether the word is the latest incarnation's. */
+static int
+begin(struct notice *n, uint64_t started_ms)
+{
+	if (started_ms < n->started_ms)
+		return 0;
+	if (started_ms > n->started_ms) {
+		memset(n, 0, sizeof(*n));
+		n->started_ms = started_ms;
+	}
+	return 1;
+}
+
+int
+notice_leaving(struct notice *n, uint64_t started_ms, uint64_t now)
+{
+	if (!begin(n, started_ms) || n->leaving_at != 0)
+		return 0;
+	n->leaving_at = now;
+	return 1;
+}
+
+int
+notice_closed(
+    struct notice *n, uint64_t started_ms, uint64_t now, uint64_t for_ns)
+{
+	int capped = for_ns > NOTICE_CLOSED_MAX_NS;
+	uint64_t until = now + (capped ? NOTICE_CLOSED_MAX_NS : for_ns);
+
+	if (for_ns == 0 || !begin(n, started_ms) || until <= n->closed_until)
+		return 0;
+	n->closed_until = until;
+	n->probe |= capped;
+	n->reopening = 1;
+	return 1;
+}
+
+void
+notice_answered(struct notice *n, uint64_t started_ms, uint64_t sent_at)
+{
+	if (started_ms == n->started_ms && sent_at >= n->closed_until)
+		n->probe = 0;
+}
+
+int
+notice_is_leaving(const struct notice *n, uint64_t started_ms)
+{
+	return n->leaving_at != 0 && started_ms <= n->started_ms;
+}
+
+uint64_t
+notice_closed_until(const struct notice *n, uint64_t started_ms, uint64_t now)
+{
+	return started_ms <= n->started_ms && now < n->closed_until
+	    ? n->closed_until
+	    : 0;
+}
+
+int
+notice_is_probed(const struct notice *n, uint64_t started_ms)
+{
+	return n->probe && started_ms <= n->started_ms;
+}
+
+int
+notice_reopened(struct notice *n, uint64_t now)
+{
+	if (!n->reopening || now < n->closed_until)
+		return 0;
+	n->reopening = 0;
+	return 1;
+}
+
+int
+notice_is_kept(const struct notice *n, uint64_t now)
+{
+	return now < n->closed_until ||
+	    (n->leaving_at != 0 &&
+		now < n->leaving_at + NOTICE_LEAVING_KEPT_NS);
+}
--- /dev/null
+++ b/core/notice.h
@@ -0,0 +1,48 @@
+/*
+ * What a replica says of itself in its answers: that it leaves, or that it
+ * takes no requests until a time.  It holds for the incarnation that said it
+ * and for earlier ones, whatever other sources say.  Deterministic: times are
+ * passed in, in ns.
+ */
+#ifndef NOTICE_H
+#define NOTICE_H
+
+#include "base.h"
+
+/*
+ * A replica is closed for this long at most, so that a mistaken value does not
+ * take it away for good; it is longer than any outage that passes by itself.
+ */
+#define NOTICE_CLOSED_MAX_NS (3600 * NSEC_PER_SEC)
+/* A removed replica's notice is kept, as its entry may come back this late. */
+#define NOTICE_LEAVING_KEPT_NS (60 * NSEC_PER_SEC)
+
+/* One replica's notices; zeroed: it has said nothing. */
+struct notice {
+	uint64_t started_ms;   /* incarnation that said it */
+	uint64_t leaving_at;   /* first said that it leaves, 0: it did not */
+	uint64_t closed_until; /* takes no requests before, 0: any time */
+	int probe; /* it was closed for less than it said: one request first */
+	int reopening; /* the end of closed_until has not been reported */
+};
+
+/*
+ * Records at a time that an incarnation leaves, or takes no requests for ns.
+ * Return whether that is new; a word of an earlier incarnation never is.
+ */
+int notice_leaving(struct notice *, uint64_t, uint64_t);
+int notice_closed(struct notice *, uint64_t, uint64_t, uint64_t);
+/* A request that was sent after the closed time was answered. */
+void notice_answered(struct notice *, uint64_t, uint64_t);
+/* Whether an incarnation has said that it leaves. */
+int notice_is_leaving(const struct notice *, uint64_t);
+/* Until when an incarnation takes no requests; 0: it takes them. */
+uint64_t notice_closed_until(const struct notice *, uint64_t, uint64_t);
+/* Whether an incarnation takes only one request at a time. */
+int notice_is_probed(const struct notice *, uint64_t);
+/* Whether a closed time has ended since the last call. */
+int notice_reopened(struct notice *, uint64_t);
+/* Whether the notice of a removed replica has to be kept. */
+int notice_is_kept(const struct notice *, uint64_t);
+
+#endif
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -255,11 +255,13 @@
 static void
 write_replica_metrics(struct entry *e, FILE *f)
 {
-	uint64_t ready = 0, leaving = 0, avoided = 0;
+	uint64_t ready = 0, leaving = 0, avoided = 0, closed = 0;
 	const struct directory_replica *m;
 
 	for (m = e->dir.replicas; m != NULL; m = m->hh.next) {
-		leaving += m->info.state == REPLICA_LEAVING;
+		leaving += directory_is_leaving(m);
+		closed += m->presence != PRESENCE_REMOVED &&
+		    directory_closed_until(m, e->now) != 0;
 		ready += directory_usable(m, e->now);
 		avoided +=
 		    m->info.state == REPLICA_READY && e->now < m->avoid_until;
@@ -270,6 +272,14 @@
 	    "Replicas that finish their work.", leaving);
 	metric_write(f, "spindle_entry_replicas_avoided", "gauge",
 	    "Replicas that could not be reached lately.", avoided);
+	metric_write(f, "spindle_entry_replicas_closed", "gauge",
+	    "Replicas that say that they take no requests now.", closed);
+	metric_write(f, "spindle_entry_leaving_notices_total", "counter",
+	    "Replicas that said in an answer that they leave.",
+	    e->counts.leaving_notices);
+	metric_write(f, "spindle_entry_closed_notices_total", "counter",
+	    "Answers by which a replica takes no requests for a time.",
+	    e->counts.closed_notices);
 	metric_write(f, "spindle_entry_follows_list", "gauge",
 	    "Whether this process follows the list of replicas for others.",
 	    (uint64_t)peers_is_active_hub(e->peers));
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -64,6 +64,7 @@
 	struct log_subject about = { 0 };
 
 	f->replica = m;
+	f->replica_started_ms = m->info.started_ms;
 	f->sent_at = f->e->now;
 	f->begun_at = 0;
 	f->status = 0;
@@ -146,6 +147,7 @@
 
 	entry_update_now(f->e);
 	fields_decode_response(h, f->params.id, &t);
+	forward_apply_notice(f, &t);
 	if (t.has_id && !t.id_matches)
 		return 1;
 	f->status = h->status;
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -40,6 +40,8 @@
 	uint64_t caller_gone;	  /* callers that disconnected before the end */
 	uint64_t idle_closed;	  /* connections closed for being idle */
 	uint64_t unread_closed;	  /* closed although input had arrived */
+	uint64_t leaving_notices; /* replicas that said that they leave */
+	uint64_t closed_notices;  /* that said to take no requests now */
 	uint64_t attempts;
 	uint64_t attempt_ends[ATTEMPT__MAX];
 };
@@ -127,6 +129,10 @@
 /* Closes the connection because the response cannot be completed. */
 void caller_abort_response(struct caller *);
 
+/* replica_notice.c */
+/* Reports replicas that take requests again. */
+void replica_notice_tick(struct entry *);
+
 /* forward.c */
 /* Starts forwarding the caller's request, which has been received in full. */
 void forward_start(struct entry *, struct caller *);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -23,7 +23,6 @@
 static int forward_admit(struct forward *, struct err *);
 static enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, struct directory_replica **);
-static int forward_dispatch(struct forward *);
 static int try_waiting(void *, struct waitq_item *);
 static int forward_broke_at_begin(const struct forward *, enum attempt_outcome);
 static void forward_note_crash(struct forward *, enum attempt_outcome);
@@ -197,11 +196,7 @@
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
 
-/*
- * Sends the request to the best replica, or queues it if there is none.
- * Returns whether it was sent, or has ended since it is blocked.
- */
-static int
+int
 forward_dispatch(struct forward *f)
 {
 	const struct fleet_service *s = NULL;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -27,7 +27,8 @@
 	/* the current attempt */
 	struct exchange *exchange;
 	struct directory_replica *replica;
-	struct replica_load work; /* counted as load of the replica */
+	uint64_t replica_started_ms; /* its incarnation */
+	struct replica_load work;    /* counted as load of the replica */
 	uint64_t sent_at;
 	uint64_t begun_at;  /* first bytes of the response's body, 0: none */
 	int new_connection; /* was opened for this attempt */
@@ -52,12 +53,20 @@
 void forward_start_attempt(struct forward *, struct directory_replica *);
 /* Subtracts the attempt from the replica's load. */
 void forward_remove_work(struct forward *);
+/* replica_notice.c */
+/* Takes what a replica says of itself in the head of its answer. */
+void forward_apply_notice(struct forward *, const struct response_info *);
 /* forward_wait.c */
 /* Queues a request that no replica can take now, or refuses it. */
 void forward_wait(struct forward *, enum balance_result);
 /* The time that a request may wait has passed. */
 void forward_waited(struct forward *);
 /* forward.c */
+/*
+ * Sends the request to the best replica, or queues it if there is none.
+ * Returns whether it was sent, or has ended since it is blocked.
+ */
+int forward_dispatch(struct forward *);
 /* Ends a request that no replica has run; the caller may return after ns. */
 void forward_refuse(struct forward *, const char *, uint64_t);
 void forward_log(
--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -23,7 +23,8 @@
 };
 
 static struct admission_capacity capacity_for(const struct forward *);
-static struct admission_decision decide(const struct forward *);
+static struct admission_decision decide(
+    const struct forward *, struct admission_capacity *);
 static uint64_t model_ready_at(
     const struct forward *, const struct fleet_service *);
 
@@ -45,27 +46,33 @@
 {
 	const struct fleet_service *s =
 	    fleet_find_service(f->e->conf, f->service);
-	struct admission_capacity c = { 0, 0, f->e->now };
+	struct admission_capacity c = { 0, 0, f->e->now, 0 };
 	struct balance_request w;
+	uint64_t reopens_at;
 
 	if (s == NULL)
 		return c;
 	memset(&w, 0, sizeof(w));
 	balance_set_names(&w, f->service, f->params.model, "");
 	c.slots = balance_slots(&f->e->dir, f->e->now, &w);
+	if (c.slots == 0)
+		c.closed_slots = balance_closed_slots(
+		    &f->e->dir, f->e->now, &w, &reopens_at);
 	if (f->params.model[0] != '\0')
 		c.waiting = loader_io_waiting(f->e, f->params.model);
-	if (c.slots == 0 && s->engine != NULL)
+	if (c.closed_slots != 0)
+		c.ready_at = reopens_at;
+	else if (c.slots == 0 && s->engine != NULL)
 		c.ready_at = model_ready_at(f, s);
 	return c;
 }
 
 static struct admission_decision
-decide(const struct forward *f)
+decide(const struct forward *f, struct admission_capacity *c)
 {
-	struct admission_capacity c = capacity_for(f);
 	struct admission_request r;
 
+	*c = capacity_for(f);
 	memset(&r, 0, sizeof(r));
 	r.kind = f->route.kind;
 	r.started = caller_request_started_at(f->caller);
@@ -78,20 +85,25 @@
 			&f->e->pace, f->params.model, f->params.prompt_tokens);
 	r.service_ns =
 	    pace_service_ns(&f->e->pace, f->service, SERVICE_TIME_NS);
-	return admission_decide(&r, &c, f->e->now, entry_random(f->e));
+	return admission_decide(&r, c, f->e->now, entry_random(f->e));
 }
 
 void
 forward_wait(struct forward *f, enum balance_result why)
 {
 	struct admission_decision d;
+	struct admission_capacity c;
 	char detail[96];
 
 	if (f->waiting.group != NULL)
 		return;
-	d = decide(f);
-	/* A retry waits for a minimum time, however late the failure. */
-	if (f->attempts_made != 0 && d.until < f->e->now + RETRY_QUEUE_NS) {
+	d = decide(f, &c);
+	/*
+	 * A retry waits for a minimum time, however late the failure, unless
+	 * it has not run and all replicas say that they take no requests.
+	 */
+	if (f->attempts_made != 0 && (f->runs != 0 || c.closed_slots == 0) &&
+	    d.until < f->e->now + RETRY_QUEUE_NS) {
 		d.until = f->e->now + RETRY_QUEUE_NS;
 		d.step = ADMISSION_WAIT;
 	}
@@ -116,7 +128,8 @@
 void
 forward_waited(struct forward *f)
 {
-	struct admission_decision d = decide(f);
+	struct admission_capacity c;
+	struct admission_decision d = decide(f, &c);
 
 	if (d.step == ADMISSION_WAIT && d.until > f->e->now)
 		expiry_set(
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -506,7 +506,7 @@
 		drop_replica(l, k);
 		return;
 	}
-	directory_put(&e->dir, &r);
+	directory_put(&e->dir, &r)->listed_at = e->now;
 	log_event(r.state == REPLICA_LEAVING ? LOG_REPLICA_LEAVING
 					     : LOG_REPLICA_LISTED,
 	    &about, "revision=%llu service=%s addr=%s models=%s left_ms=%llu",
--- a/entry/main.c
+++ b/entry/main.c
@@ -63,6 +63,7 @@
 	if (d->tick_at != 0)
 		metric_observe(&e->times.loop_delay,
 		    e->now > d->tick_at ? e->now - d->tick_at : 0);
+	replica_notice_tick(e);
 	directory_tick(&e->dir, e->now);
 	loader_io_tick(e);
 	peers_tick(e->peers);
--- /dev/null
+++ b/entry/replica_notice.c
@@ -0,0 +1,96 @@
+/* What replicas say of themselves in their answers: leaving, or closed. */
+#include <stdio.h>
+
+#include "forward_int.h"
+
+static void withdraw_unsent(struct forward *);
+static void log_notice(
+    const struct directory_replica *, enum log_id, uint64_t, uint64_t);
+
+/* The age of the replica's entry in the list shows what the list knew. */
+static void
+log_notice(const struct directory_replica *m, enum log_id id, uint64_t now,
+    uint64_t until)
+{
+	struct log_subject about = { 0 };
+
+	about.backend = m->info.id;
+	log_event(id, &about,
+	    "born=%llu for_ms=%llu running=%u list_age_ms=%llu",
+	    (unsigned long long)m->notice.started_ms,
+	    (unsigned long long)(until > now ? (until - now) / NSEC_PER_MSEC
+					     : 0),
+	    m->local_load.running,
+	    (unsigned long long)((now - m->listed_at) / NSEC_PER_MSEC));
+}
+
+/*
+ * Requests of which no byte has been sent, as their connections are not
+ * established yet, go to other replicas.
+ */
+static void
+withdraw_unsent(struct forward *by)
+{
+	struct directory_replica *m = by->replica;
+	struct entry *e = by->e;
+	struct forward *f, *next;
+
+	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
+		next = TAILQ_NEXT(f, entry);
+		if (f == by || f->replica != m || f->exchange == NULL ||
+		    f->caller == NULL || exchange_has_sent(f->exchange))
+			continue;
+		exchange_cancel(f->exchange);
+		f->exchange = NULL;
+		f->attempts_made--;
+		e->counts.attempts--;
+		forward_remove_work(f);
+		forward_dispatch(f);
+	}
+}
+
+void
+forward_apply_notice(struct forward *f, const struct response_info *t)
+{
+	struct directory_replica *m = f->replica;
+	struct log_subject about = { 0 };
+	uint64_t now = f->e->now;
+	int news = 0;
+
+	about.backend = m->info.id;
+	about.call = f->params.id;
+	if (t->unknown != NULL)
+		log_event(LOG_REPLICA_NOTICE_BAD, &about, "field=%s status=%d",
+		    t->unknown, f->status);
+	if (t->leaving &&
+	    notice_leaving(&m->notice, f->replica_started_ms, now)) {
+		f->e->counts.leaving_notices++;
+		log_notice(m, LOG_REPLICA_SAYS_LEAVING, now, now);
+		news = 1;
+	}
+	if (t->closed_ns != 0 &&
+	    notice_closed(
+		&m->notice, f->replica_started_ms, now, t->closed_ns)) {
+		f->e->counts.closed_notices++;
+		log_notice(
+		    m, LOG_REPLICA_REFUSING, now, m->notice.closed_until);
+		news = 1;
+	}
+	if (t->closed_ns == 0 && !t->not_executed)
+		notice_answered(&m->notice, f->replica_started_ms, f->sent_at);
+	if (news)
+		withdraw_unsent(f);
+}
+
+void
+replica_notice_tick(struct entry *e)
+{
+	struct directory_replica *m;
+
+	for (m = e->dir.replicas; m != NULL; m = m->hh.next) {
+		if (!notice_reopened(&m->notice, e->now))
+			continue;
+		log_notice(m, LOG_REPLICA_REOPENED, e->now, e->now);
+		e->retry_waiting = 1;
+	}
+}
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -253,6 +253,12 @@
 	return x->conn != NULL && conn_has_input(x->conn);
 }
 
+int
+exchange_has_sent(const struct exchange *x)
+{
+	return x->conn != NULL && conn_has_sent(x->conn);
+}
+
 int
 exchange_has_new_conn(const struct exchange *x)
 {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -68,6 +68,8 @@
 void exchange_cancel(struct exchange *);
 /* Whether a part of the response is unread. */
 int exchange_has_input(const struct exchange *);
+/* Whether a byte of the request has been sent. */
+int exchange_has_sent(const struct exchange *);
 /* Whether the exchange opened a new connection. */
 int exchange_has_new_conn(const struct exchange *);
 /* Number of connections opened so far. */
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -10,9 +10,10 @@
 import threading
 import time
 import traceback
+from email.utils import formatdate
 
-from platform_world import (World, answer_ok, default_config, read_answer,
-                            request, route)
+from platform_world import (ID, NOT_RUN, World, answer_ok, default_config,
+                            read_answer, request, route)
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
@@ -944,6 +945,205 @@
 
 # --- shutdown, reload, resources, metrics --------------------------------
 
+# --- What a replica says of itself ---------------------------------------
+
+LEAVING = {"Server-Leaving": "1"}
+
+
+def refuse(value, **extra):
+    """A script that turns each request away with a Retry-After."""
+    async def script(call):
+        await call.read()
+        return await call.answer(b"", 503, dict(
+            {NOT_RUN: "1", "Retry-After": value}, **extra), signed=False)
+    return script
+
+
+def only_b(w, a, b, n=5):
+    """Whether the next requests are all served by b and none reaches a."""
+    seen, served = len(a.requests), len(b.requests)
+    for i in range(n):
+        check("served", w.call("/read/x", "only-%d" % i)[0] == 200)
+    return (len(a.requests), len(b.requests)) == (seen, served + n)
+
+
+def test_leaving_replica_gets_requests():
+    """A replica that says in an answer that it leaves gets no new request,
+    whatever older news the list brings, until it starts anew."""
+    async def leaving(call):
+        await call.read()
+        return await call.answer(extra=LEAVING)
+    w, a, b = two_replicas(leaving)
+    try:
+        check("first", w.call("/read/x", "id-1")[0] == 200 and a.requests)
+        check("not sent to a", only_b(w, a, b))
+        w.register("i-a", sequence=2)
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 3)
+        check("listed as ready again", only_b(w, a, b))
+        reads = len(w.events("list-read"))
+        w.loop.call_soon_threadsafe(w.store.cut)
+        w.wait("list read", lambda: len(w.events("list-read")) > reads, 8)
+        check("whole list", only_b(w, a, b))
+        w.run(w.store.remove("servers/i-a"))
+        w.wait("gone", lambda: w.events("replica-gone"))
+        time.sleep(2.5)
+        w.register("i-a", sequence=3)
+        w.wait("listed", lambda: len(w.events("replica-listed")) >= 4)
+        check("removed and listed again", only_b(w, a, b))
+        a.script = answer_ok
+        w.register("i-a", born=1700000000001)
+        w.wait("new start", lambda: len(w.events("replica-listed")) >= 5)
+        n = len(a.requests)
+        check("served", w.call("/read/x", "id-2")[0] == 200)
+        check("new incarnation", len(a.requests) == n + 1)
+        check("one line", len(w.events("replica-says-leaving")) == 1)
+    finally:
+        w.stop()
+
+
+def test_leaving_said_in_refusal():
+    """The word counts also in an answer that the request was not run."""
+    w, a, b = two_replicas(refuse("0", **LEAVING))
+    try:
+        check("served by b", w.call("/once/x", "id-1", "POST", b"x")[0] == 200)
+        check("a refused", len(a.requests) == 1)
+        check("not sent to a", only_b(w, a, b))
+    finally:
+        w.stop()
+
+
+def test_leaving_said_in_stream():
+    """The word counts from a stream's head on; the stream itself is not
+    cut."""
+    async def stream(call):
+        await call.read()
+        head = call.head
+        call.head = lambda *p, **k: head(*p, **dict(
+            k, extra=dict(k["extra"], **LEAVING)))
+        return await call.events(1, 40, gap=0.03)
+    w, a, b = two_replicas(stream)
+    try:
+        s = w.connect()
+        s.sendall(request("/go/x", "id-1"))
+        w.wait("head", lambda: w.events("replica-says-leaving"))
+        check("not sent to a", only_b(w, a, b))
+        status, _, body, whole = read_answer(s)
+        check("whole stream", status == 200 and whole and
+              body.count(b"piece") == 40)
+        check("not resumed", len(a.requests) == 1)
+    finally:
+        w.stop()
+
+
+def test_leaving_malformed():
+    """Other values than 1 cost a log line only."""
+    values = ["0", "2", "yes", "", "11", "1 1", "-1", "true", "1.0"]
+    left = list(values)
+
+    async def script(call):
+        await call.read()
+        return await call.answer(extra={"Server-Leaving": left.pop(0)})
+    w, a, b = two_replicas(script)
+    try:
+        for i in range(len(values)):
+            check("served", w.call("/read/x", "id-%d" % i)[0] == 200)
+        check("all at a", len(a.requests) == len(values))
+        w.wait("logged", lambda: len(w.events("replica-notice-bad")) ==
+               len(values))
+    finally:
+        w.stop()
+
+
+def test_refusing_replica_gets_requests():
+    """A replica that says 503 with Retry-After gets nothing until that
+    time, then again."""
+    w, a, b = two_replicas(refuse("1.5"))
+    try:
+        start = time.monotonic()
+        check("served by b", w.call("/read/x", "id-1")[0] == 200)
+        while time.monotonic() < start + 1.3:
+            check("not sent to a", only_b(w, a, b, 1))
+            time.sleep(0.01)
+        a.script = answer_ok
+        time.sleep(0.5)
+        n = len(a.requests)
+        check("served", w.call("/read/x", "id-2")[0] == 200)
+        check("sent to a after the time", len(a.requests) == n + 1)
+        w.wait("end logged", lambda: w.events("replica-reopened"))
+        check("one line", len(w.events("replica-refusing")) == 1)
+    finally:
+        w.stop()
+
+
+def refused_by_a(values):
+    """Says each value on a new start of i-a: those after which it gets no
+    further request, and how many were logged as malformed."""
+    w, a, b = two_replicas(answer_ok)
+    born, closed = 1700000000000, []
+    try:
+        for value in values:
+            a.script = refuse(value)
+            born += 1
+            listed = len(w.events("replica-listed"))
+            w.register("i-a", born=born)
+            w.wait("new start",
+                   lambda: len(w.events("replica-listed")) > listed)
+            n = len(a.requests)
+            check("served", w.call("/read/x", "first")[0] == 200)
+            check("%r: refused by a" % value, len(a.requests) == n + 1)
+            if only_b(w, a, b, 1):
+                closed.append(value)
+        return closed, len(w.events("replica-notice-bad"))
+    finally:
+        w.stop()
+
+
+def test_retry_after_values():
+    """Retry-After as a fraction, a date, twice, huge, zero, malformed."""
+    now = int(time.time())
+    date = formatdate(now + 3, usegmt=True)
+    closing = [
+        "0.9", "2", " 3 ", "2.", "99999999999999999999999", "9" * 400,
+        "0.1\r\nRetry-After: 2", "x\r\nRetry-After: 2",
+        date + "\r\nDate: " + formatdate(now, usegmt=True)]
+    closed, logged = refused_by_a(closing)
+    check("closed after %s" % closed, closed == closing and logged == 1)
+    harmless = ["0", "0.0"]
+    malformed = ["-1", "abc", "1e3", "nan", "inf", "0x10", "1.2.3", "", ".",
+                 "1 2", "1,2", date, "Fri, 99 Foo 2026 00:00:00 GMT"]
+    closed, logged = refused_by_a(harmless + malformed)
+    # Each malformed one is said twice, as i-a is asked again.
+    check("closed after %s" % closed, not closed)
+    check("logged %d" % logged, logged == 2 * len(malformed))
+
+
+def test_all_replicas_refuse():
+    """Where no replica takes requests, the caller hears 503 at once, with the
+    earliest of the replicas' times, or waits where that comes in time."""
+    w, a, b = two_replicas(refuse("30"), refuse("20"))
+    try:
+        start = time.monotonic()
+        for i in range(4):
+            status, fields, _, _ = w.call("/read/x", "id-%d" % i)
+            check("503, got %d" % status, status == 503)
+            after = float(fields["retry-after"])
+            check("after %.2f" % after, 1.0 < after <= 5.0 / 3 + 0.001)
+        check("at once", time.monotonic() < start + 0.5)
+        check("asked once", (len(a.requests), len(b.requests)) == (1, 1))
+        a.script, b.script = refuse("30"), refuse("0.8")
+        for r in ("i-a", "i-b"):
+            w.register(r, born=1700000000001)
+        w.wait("new start", lambda: len(w.events("replica-listed")) == 4)
+        check("refused", w.call("/read/x", "id-5", deadline=400)[0] == 503)
+        b.script = answer_ok
+        start = time.monotonic()
+        check("waits", w.call("/read/x", "id-6")[0] == 200)
+        check("not before the time", 0.2 < time.monotonic() - start < 1.5)
+        check("served by b", b.requests[-1][1][ID.lower()] == "id-6")
+    finally:
+        w.stop()
+
+
 def test_sigterm():
     """SIGTERM: running requests are finished, idle connections closed."""
     async def slow(call):
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -59,6 +59,7 @@
 static void test_latest_start(void);
 static void test_hopeless(void);
 static void test_return_time(void);
+static void test_closed(void);
 static void test_burst(void);
 static void test_load(void);
 
@@ -89,7 +90,7 @@
 {
 	struct admission_request r = make_request(c->at, c->deadline);
 	struct admission_capacity k = { now < p->ready_at ? 0 : p->slots,
-		waiting, p->ready_at };
+		waiting, p->ready_at, 0 };
 	struct admission_decision d;
 	uint64_t fifths = (c->deadline - c->at) * 2 / 5;
 
@@ -219,7 +220,7 @@
 test_hopeless(void)
 {
 	struct admission_request r = make_request(10 * S, 18 * S);
-	struct admission_capacity c = { 0, 5, 60 * S };
+	struct admission_capacity c = { 0, 5, 60 * S, 0 };
 	struct admission_decision d;
 
 	d = admission_decide(&r, &c, 10 * S, 0.5);
@@ -241,7 +242,7 @@
 test_return_time(void)
 {
 	struct admission_request r = make_request(10 * S, 25 * S);
-	struct admission_capacity c = { 100, 200, 0 };
+	struct admission_capacity c = { 100, 200, 0, 0 };
 	struct admission_decision first, last;
 
 	first = admission_decide(&r, &c, 14 * S, 0.0);
@@ -256,6 +257,31 @@
 	CU_ASSERT_EQUAL(first.retry_after_ns, 300 * MS);
 }
 
+/* All replicas say that they take no requests: nobody waits in vain. */
+static void
+test_closed(void)
+{
+	struct admission_request r = make_request(10 * S, 25 * S);
+	struct admission_capacity c = { 0, 0, 11 * S, 4 };
+	struct admission_decision d;
+
+	d = admission_decide(&r, &c, 10 * S, 0.5);
+	CU_ASSERT_EQUAL(d.step, ADMISSION_WAIT);
+	/* A kept place for each of those who wait comes on top. */
+	c.waiting = 4;
+	CU_ASSERT_EQUAL(
+	    admission_predicted_start(&r, &c, 10 * S), 11 * S + r.service_ns);
+	c.waiting = 0;
+	c.ready_at = 24 * S;
+	d = admission_decide(&r, &c, 10 * S, 0.5);
+	CU_ASSERT_EQUAL(d.step, ADMISSION_REFUSE);
+	CU_ASSERT_EQUAL(d.retry_after_ns, 5 * S);
+	c.ready_at = 1000 * S;
+	d = admission_decide(&r, &c, 10 * S, 0.5);
+	CU_ASSERT_EQUAL(d.step, ADMISSION_REFUSE);
+	CU_ASSERT_EQUAL(d.retry_after_ns, 5 * S);
+}
+
 static void
 test_burst(void)
 {
@@ -288,6 +314,7 @@
 	{ "latest start", test_latest_start },
 	{ "cannot be served", test_hopeless },
 	{ "time to return", test_return_time },
+	{ "all replicas closed", test_closed },
 	{ "burst", test_burst },
 	{ "model being loaded", test_load },
 };
