Soak: replicas that say that they leave or take no requests

Replicas of the soak say in all their answers that they leave while the list shows them as ready, or turn requests away with 503 and Retry-After, beside the other faults, with links that are cut one way. The stand-in in tests/platform_world.py says fields in all of a replica's answers.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,8 +4,8 @@
 
 Several entry processes serve callers while external faults overlap: signals;
 links that are slow, cut in one direction, silent or reset; a key-value service
-that is unavailable or loses writes; replicas that crash, drain or stop
-responding; new configurations.  What callers and replicas receive is checked
+that is unavailable or loses writes; replicas that crash, drain, stop
+responding, or say that they leave or take no requests; new configurations.  What callers and replicas receive is checked
 all the time.  The logs of a failed seed are copied to DIR/SEED.
 """
 import argparse
@@ -19,6 +19,7 @@
 import tempfile
 import time
 
+from notices import Notices
 from world import (EVENTS, Engine, Violations, LeaseStore, Link,
                    MODEL_MB, REPLICA_MB, rng_for)
 from platform_world import (BINARY, ID, default_config, free_port, request)
@@ -43,7 +44,7 @@
                       for n in ("front", "ready", "control", "bus")}
         self.process = None
         self.store_link = None
-        self.last_disturbance = time.monotonic()
+        self.last_disturbance = self.signaled_at = time.monotonic()
         self.paused = False
 
     async def start(self):
@@ -91,6 +92,7 @@
         if self.alive():
             self.process.send_signal(number)
         self.mark_disturbed()
+        self.signaled_at = self.last_disturbance
 
 
 class Run:
@@ -100,6 +102,7 @@
         self.seed, self.options, self.dir = seed, options, directory
         self.rng = rng_for(seed, "replicas")
         self.violations = Violations()
+        self.notices = Notices(self)
         self.store = LeaseStore(rng_for(seed, "store"))
         self.store_port = 0
         self.order_loss_ratio = 0.0
@@ -166,6 +169,7 @@
                       "Arbutusspindle-Token-Count": "200,36",
                       "Arbutusspindle-Prompt-Prefix": "a1:200"}
         self.sent_requests[id] = (kind, body)
+        self.notices.sent_at[id] = time.monotonic()
         raw = request("/%s/x" % kind, id, "GET" if kind == "read" else "POST",
                       body, fields, deadline=4000)
         try:
@@ -177,9 +181,12 @@
                 self.violations.add("no response in time", id)
         except (ConnectionError, asyncio.IncompleteReadError, OSError):
             word = "broken"
-        self.counts[word] = self.counts.get(word, 0) + 1
+        self.count(word)
         return word
 
+    def count(self, word):
+        self.counts[word] = self.counts.get(word, 0) + 1
+
     async def exchange(self, vm, raw, id, kind, leave, rng):
         reader, writer = await asyncio.open_connection(
             vm.ip, vm.ports["front"])
@@ -194,6 +201,7 @@
             status = int(head.split(" ")[1])
             names = dict(line.lower().split(": ", 1)
                          for line in head.split("\r\n")[1:] if ": " in line)
+            self.notices.passed_on(vm, id, names)
             if names.get("transfer-encoding") == "chunked":
                 body = await self.read_chunks(reader)
             else:
@@ -415,7 +423,8 @@
         await asyncio.sleep(2.0)
         callers = [asyncio.ensure_future(self.caller(i))
                    for i in range(self.options.callers)]
-        await self.faults(time.monotonic() + self.options.seconds)
+        until = time.monotonic() + self.options.seconds
+        await asyncio.gather(self.faults(until), self.notices.play(until))
         await self.check_recovery()
         self.done = True
         await asyncio.gather(*callers)
--- a/soak/world.py
+++ b/soak/world.py
@@ -43,6 +43,7 @@
         self.writers = set()
         self.server = None
         self.port = 0
+        self.reset_at = 0.0
 
     async def start(self, ip="127.0.0.1", port=0):
         self.server = await asyncio.start_server(self.serve, ip, port)
@@ -51,6 +52,7 @@
 
     def reset(self):
         """Resets every open connection."""
+        self.reset_at = time.monotonic()
         for w in list(self.writers):
             sock = w.get_extra_info("socket")
             if sock is not None and not w.is_closing():
@@ -152,13 +154,15 @@
         self.link = None
         self.server = None
         self.unresponsive = False  # accepts but never responds
+        self.says = {}             # fields of all its answers
+        self.refusing_until = 0.0  # turns requests away before
         self.tasks = set()
 
     async def start(self, models=()):
         self.models, self.loading = list(models), None
         self.sequence, self.fence, self.state = 0, 0, "ready"
         self.born = int(time.time() * 1000)
-        self.unresponsive = False
+        self.unresponsive, self.says, self.refusing_until = False, {}, 0.0
         if self.server is None:
             self.server = await asyncio.start_server(
                 self.serve, "127.0.0.1", 0)
@@ -215,6 +219,8 @@
             return await self.report(call)
         if "/api/order" in call.line:
             return await self.order(call)
+        if await self.world.notices.arrived(self, call):
+            return True
         model = call.fields.get("arbutusspindle-model", "")
         if self.service == "llm" and model not in self.models:
             return await call.answer(b"", 421, {NOT_RUN: "1"}, signed=False)
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -970,10 +970,8 @@
 def test_leaving_replica_gets_requests():
     """A replica that says in an answer that it leaves gets no new request,
     whatever older news the list brings, until it starts anew."""
-    async def leaving(call):
-        await call.read()
-        return await call.answer(extra=LEAVING)
-    w, a, b = two_replicas(leaving)
+    w, a, b = two_replicas(answer_ok)
+    a.says = LEAVING
     try:
         check("first", w.call("/read/x", "id-1")[0] == 200 and a.requests)
         check("not sent to a", only_b(w, a, b))
@@ -990,7 +988,7 @@
         w.register("i-a", sequence=3)
         w.wait("listed", lambda: len(w.events("replica-listed")) >= 4)
         check("removed and listed again", only_b(w, a, b))
-        a.script = answer_ok
+        a.says = {}
         w.register("i-a", born=1700000000001)
         w.wait("new start", lambda: len(w.events("replica-listed")) >= 5)
         n = len(a.requests)
@@ -1017,11 +1015,9 @@
     cut."""
     async def stream(call):
         await call.read()
-        head = call.head
-        call.head = lambda *p, **k: head(*p, **dict(
-            k, extra=dict(k["extra"], **LEAVING)))
         return await call.events(1, 40, gap=0.03)
     w, a, b = two_replicas(stream)
+    a.says = LEAVING
     try:
         s = w.connect()
         s.sendall(request("/go/x", "id-1"))
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -193,6 +193,7 @@
         self.server = None
         self.writers = set()
         self.crashed_at = []
+        self.says = {}       # fields of all its answers
         self.started = None  # called with the time of a restart, ms
 
     async def crash(self, down_s):
@@ -255,6 +256,7 @@
         fields = {ID: id or self.id}
         if signed:
             fields[SIGNATURE] = "sig." + self.replica.name
+        fields.update(self.replica.says)
         fields.update(extra or {})
         return ("HTTP/1.1 %d X\r\n" % status + "".join(
             "%s: %s\r\n" % f for f in fields.items()) + "\r\n").encode()
