--- a/tests/entry.py
+++ b/tests/entry.py
@@ -6,6 +6,7 @@
 import os
 import re
 import signal
+import socket
 import sys
 import threading
 import time
@@ -1031,6 +1032,54 @@
         w.stop()
 
 
+def test_request_connecting_as_replica_leaves():
+    """A request whose connection is still being made when the replica says
+    that it leaves goes to another one at once."""
+    told = asyncio.Event()
+
+    async def slow(call):
+        await call.read()
+        await told.wait()
+        return await call.answer(extra=LEAVING)
+    w = World()
+    try:
+        a = w.replica("i-a", script=slow)
+        w.wait_ready()
+        w.wait("listed", lambda: w.events("replica-listed"))
+        first = w.connect()
+        first.sendall(request("/read/x", "id-1", deadline=4000))
+        w.wait("at a", lambda: a.requests)
+        b = w.replica("i-b", zone="z2", state="draining")
+        w.wait("b listed", lambda: w.events("replica-leaving"))
+        # No further connection is completed: the queue of the socket is full.
+        sock = a.server.sockets[0]
+        w.loop.call_soon_threadsafe(
+            lambda: w.loop.remove_reader(sock.fileno()))
+        with socket.socket(fileno=os.dup(sock.fileno())) as same:
+            same.listen(0)
+        full = [socket.socket() for _ in range(4)]
+        for s in full:
+            s.setblocking(False)
+            s.connect_ex(("127.0.0.1", a.port))
+        time.sleep(0.1)
+        second = w.connect()
+        second.sendall(request("/read/x", "id-2", deadline=4000))
+        time.sleep(0.05)
+        w.register("i-b", zone="z2", sequence=2)
+        time.sleep(0.1)
+        start = time.monotonic()
+        w.loop.call_soon_threadsafe(told.set)
+        check("second served", read_answer(second)[0] == 200)
+        check("at once", time.monotonic() - start < 0.15)
+        check("by b", len(b.requests) == 1)
+        check("first served", read_answer(first)[0] == 200)
+        check("no failure counted", not w.events("replica-avoided"))
+        for s in full + [first, second]:
+            s.close()
+    finally:
+        w.stop()
+
+
 def test_leaving_malformed():
     """Other values than 1 cost a log line only."""
     values = ["0", "2", "yes", "", "11", "1 1", "-1", "true", "1.0"]
