Notices of removed replicas are kept apart from the directory

A removed replica that had said that it leaves stayed in the directory for a minute, and so did the loader's state of its engine. Its notice is now kept in a table of its own for ten minutes, and given back if its entry returns under the same start.

--- a/core/directory.c
+++ b/core/directory.c
@@ -56,6 +56,7 @@
 		free(m->peer_loads);
 		free(m);
 	}
+	kept_notice_clear(&d->kept_notices);
 	free(d->peer_heard_at);
 	d->peer_heard_at = NULL;
 	d->npeers = 0;
@@ -124,6 +125,7 @@
 		m = mem_alloc(sizeof(*m));
 		m->info = *r;
 		m->prefill_share = PREFILL_SHARE_INITIAL;
+		kept_notice_take(&d->kept_notices, r->id, &m->notice);
 		HASH_ADD_STR(d->replicas, info.id, m);
 	} else {
 		if (m->info.started_ms != r->started_ms) {
@@ -246,13 +248,14 @@
 {
 	struct directory_replica *m, *next;
 
+	kept_notice_tick(&d->kept_notices, now);
 	HASH_ITER (hh, d->replicas, m, next) {
 		if (m->presence == PRESENCE_GRACE && now >= m->grace_until)
 			m->presence = PRESENCE_REMOVED;
 		if (m->presence != PRESENCE_REMOVED ||
-		    m->local_load.running != 0 ||
-		    notice_is_kept(&m->notice, now))
+		    m->local_load.running != 0)
 			continue;
+		kept_notice_put(&d->kept_notices, now, m->info.id, &m->notice);
 		HASH_DEL(d->replicas, m);
 		free(m->peer_loads);
 		free(m);
--- a/core/directory.h
+++ b/core/directory.h
@@ -77,9 +77,10 @@
 
 struct directory {
 	struct directory_replica *replicas;
-	uint64_t revision; /* of the newest entry */
-	uint64_t digest;   /* hash of the entries and their revisions */
-	int synced;	   /* the whole list has been read */
+	struct kept_notice *kept_notices; /* of replicas that were removed */
+	uint64_t revision;		  /* of the newest entry */
+	uint64_t digest; /* hash of the entries and their revisions */
+	int synced;	 /* the whole list has been read */
 	uint64_t service_down_since; /* of the list, TIME_NEVER: it is up */
 	uint64_t service_up_at;	     /* when the list service last recovered */
 	uint64_t prefill_window_ns;  /* over which recent prefill is summed */
--- a/core/notice.c
+++ b/core/notice.c
@@ -1,8 +1,12 @@
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "notice.h"
 
 static int begin(struct notice *, uint64_t);
+static int is_kept(const struct notice *, uint64_t);
 
 /* Returns whether the word is the latest incarnation's. */
 static int
@@ -77,10 +81,59 @@
 	return 1;
 }
 
-int
-notice_is_kept(const struct notice *n, uint64_t now)
+static int
+is_kept(const struct notice *n, uint64_t now)
 {
 	return now < n->closed_until ||
 	    (n->leaving_at != 0 &&
 		now < n->leaving_at + NOTICE_LEAVING_KEPT_NS);
 }
+
+void
+kept_notice_put(struct kept_notice **table, uint64_t now, const char *id,
+    const struct notice *n)
+{
+	struct kept_notice *k;
+
+	if (!is_kept(n, now))
+		return;
+	HASH_FIND_STR(*table, id, k);
+	if (k == NULL) {
+		k = mem_alloc(sizeof(*k));
+		snprintf(k->id, sizeof(k->id), "%s", id);
+		HASH_ADD_STR(*table, id, k);
+	}
+	k->notice = *n;
+}
+
+void
+kept_notice_take(struct kept_notice **table, const char *id, struct notice *n)
+{
+	struct kept_notice *k;
+
+	HASH_FIND_STR(*table, id, k);
+	if (k == NULL)
+		return;
+	*n = k->notice;
+	HASH_DEL(*table, k);
+	free(k);
+}
+
+void
+kept_notice_tick(struct kept_notice **table, uint64_t now)
+{
+	struct kept_notice *k, *next;
+
+	HASH_ITER (hh, *table, k, next) {
+		if (is_kept(&k->notice, now))
+			continue;
+		HASH_DEL(*table, k);
+		free(k);
+	}
+}
+
+void
+kept_notice_clear(struct kept_notice **table)
+{
+	kept_notice_tick(table, TIME_NEVER);
+}
--- a/core/notice.h
+++ b/core/notice.h
@@ -7,6 +7,8 @@
 #ifndef NOTICE_H
 #define NOTICE_H
 
+#include <uthash.h>
+
 #include "base.h"
 
 /*
@@ -15,7 +17,7 @@
  */
 #define NOTICE_CLOSED_MAX_NS (3600 * NSEC_PER_SEC)
 /* A removed replica's notice is kept, as its entry may come back this late. */
-#define NOTICE_LEAVING_KEPT_NS (60 * NSEC_PER_SEC)
+#define NOTICE_LEAVING_KEPT_NS (600 * NSEC_PER_SEC)
 
 /* One replica's notices; zeroed: it has said nothing. */
 struct notice {
@@ -26,6 +28,13 @@
 	int reopening; /* the end of closed_until has not been reported */
 };
 
+/* The notice of a replica that is not known any more. */
+struct kept_notice {
+	char id[NAME_SIZE]; /* of the replica */
+	struct notice notice;
+	UT_hash_handle hh;
+};
+
 /*
  * Records at a time that an incarnation leaves, or takes no requests for ns.
  * Return whether that is new; a word of an earlier incarnation never is.
@@ -42,7 +51,15 @@
 int notice_is_probed(const struct notice *, uint64_t);
 /* Whether a closed time has ended since the last call. */
 int notice_reopened(struct notice *, uint64_t);
-/* Whether the notice of a removed replica has to be kept. */
-int notice_is_kept(const struct notice *, uint64_t);
+/*
+ * A table of kept notices, NULL when empty: keeps a removed replica's if its
+ * time has not passed, gives it back to a replica that returns, forgets those
+ * whose time has passed, or all.
+ */
+void kept_notice_put(
+    struct kept_notice **, uint64_t, const char *, const struct notice *);
+void kept_notice_take(struct kept_notice **, const char *, struct notice *);
+void kept_notice_tick(struct kept_notice **, uint64_t);
+void kept_notice_clear(struct kept_notice **);
 
 #endif
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -130,8 +130,21 @@
 	put_replica(&d, 0, 7);
 	CU_ASSERT_EQUAL(pick(&d, 13 * S, &found), BALANCE_NO_REPLICA);
 	directory_remove(&d, 14 * S, "0");
-	directory_tick(&d, 10 * S + NOTICE_LEAVING_KEPT_NS);
+	directory_tick(&d, 14 * S);
 	CU_ASSERT_PTR_NULL(directory_find(&d, "0"));
+	directory_tick(&d, 10 * S + NOTICE_LEAVING_KEPT_NS - MS);
+	CU_ASSERT_PTR_NOT_NULL(d.kept_notices);
+	directory_tick(&d, 10 * S + NOTICE_LEAVING_KEPT_NS);
+	CU_ASSERT_PTR_NULL(d.kept_notices);
+	/* A closed time holds as well; a new incarnation is free of it. */
+	m = put_replica(&d, 0, 7);
+	notice_closed(&m->notice, 7, 20 * S, 5 * S);
+	directory_remove(&d, 21 * S, "0");
+	directory_tick(&d, 21 * S);
+	put_replica(&d, 0, 7);
+	CU_ASSERT_EQUAL(pick(&d, 22 * S, &found), BALANCE_FULL);
+	put_replica(&d, 0, 8);
+	CU_ASSERT_EQUAL(pick(&d, 22 * S, &found), BALANCE_FOUND);
 	directory_clear(&d);
 }
 
