Tests: orders and copies of replicas that are closed or leave

What docs/DESIGN.md says of orders is now held by test_loader: a closed replica gets no orders until its time ends, its copies are made up for when that is more than 10 s away, and so are those of a replica that says that it leaves.

--- a/tests/loader_fixture.c
+++ b/tests/loader_fixture.c
@@ -166,3 +166,16 @@
 		abort();
 	return o;
 }
+
+void
+fixture_require_other_copy(struct loader_fixture *t)
+{
+	struct loader_order *o;
+
+	fixture_set_running(t, "m0", 3);
+	fixture_run(t, 400 * MS);
+	o = fixture_require_order(t, LOADER_LOAD);
+	CU_ASSERT_STRING_EQUAL(o->model, "m0");
+	CU_ASSERT_STRING_NOT_EQUAL(o->replica, "r0");
+	free(o);
+}
--- a/tests/loader_fixture.h
+++ b/tests/loader_fixture.h
@@ -33,6 +33,8 @@
 /* The same, but ends the test when there is none. */
 struct loader_order *fixture_require_order(
     struct loader_fixture *, enum loader_order_kind);
+/* Demands m0, which r0 holds: it must be loaded on another replica. */
+void fixture_require_other_copy(struct loader_fixture *);
 /* Publishes a replica, by index, in the list as it is in the fixture. */
 void fixture_list_replica(struct loader_fixture *, int);
 /* Sets the running requests for a model or adapter. */
--- a/tests/test_loader.c
+++ b/tests/test_loader.c
@@ -8,6 +8,10 @@
 
 static void test_report_before_order(void);
 static void test_load_on_demand(void);
+static void close_replica(struct loader_fixture *, int, uint64_t);
+static void test_closed_replicas(void);
+static void test_closed_for_long(void);
+static void test_leaving_by_answer(void);
 static void test_memory(void);
 static void test_stale_report(void);
 static void test_list_lags_report(void);
@@ -44,6 +48,66 @@
 	fixture_close(&t);
 }
 
+static void
+close_replica(struct loader_fixture *t, int i, uint64_t for_ns)
+{
+	notice_closed(&directory_find(&t->dir, t->replicas[i].id)->notice, 1,
+	    t->now, for_ns);
+}
+
+/* Replicas that take no requests get no orders until their time ends. */
+static void
+test_closed_replicas(void)
+{
+	struct loader_fixture t;
+	int i;
+
+	fixture_open(&t, 0);
+	fixture_run(&t, 500 * MS);
+	fixture_answer_reports(&t, 0);
+	for (i = 0; i < REPLICAS; i++)
+		close_replica(&t, i, S);
+	fixture_set_running(&t, "m3", 3);
+	fixture_run(&t, 900 * MS);
+	CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
+	fixture_set_running(&t, "m3", 3);
+	fixture_run(&t, 400 * MS);
+	free(fixture_require_order(&t, LOADER_LOAD));
+	fixture_close(&t);
+}
+
+/* A copy that serves nothing for long is made up for; a short time is not. */
+static void
+test_closed_for_long(void)
+{
+	struct loader_fixture t;
+
+	fixture_open(&t, 0);
+	fixture_run(&t, 500 * MS);
+	fixture_answer_reports(&t, 0);
+	close_replica(&t, 0, 3 * S);
+	fixture_set_running(&t, "m0", 3);
+	fixture_run(&t, 400 * MS);
+	CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
+	close_replica(&t, 0, 600 * S);
+	fixture_require_other_copy(&t);
+	fixture_close(&t);
+}
+
+/* The copy of a replica that says that it leaves is made up for. */
+static void
+test_leaving_by_answer(void)
+{
+	struct loader_fixture t;
+
+	fixture_open(&t, 0);
+	fixture_run(&t, 500 * MS);
+	fixture_answer_reports(&t, 0);
+	notice_leaving(&directory_find(&t.dir, "r0")->notice, 1, t.now);
+	fixture_require_other_copy(&t);
+	fixture_close(&t);
+}
+
 static void
 test_load_on_demand(void)
 {
@@ -502,6 +566,9 @@
 static const struct unit_case cases[] = {
 	{ "report before the first order", test_report_before_order },
 	{ "load on demand", test_load_on_demand },
+	{ "replicas closed for a time", test_closed_replicas },
+	{ "replica closed for long", test_closed_for_long },
+	{ "replica that says that it leaves", test_leaving_by_answer },
 	{ "memory", test_memory },
 	{ "stale report", test_stale_report },
 	{ "list lags report", test_list_lags_report },
