--- a/core/directory.h
+++ b/core/directory.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #include "fleet.h"
+#include "notice.h"
 
 #define DIRECTORY_EXCLUSIONS_MAX 8
 #define DIRECTORY_SENT_PROMPTS_MAX 32
@@ -53,6 +54,8 @@
 	struct fleet_replica info;
 	enum presence presence;
 	uint64_t grace_until; /* GRACE: removed unless listed again by then */
+	uint64_t listed_at;   /* when its entry was last received */
+	struct notice notice; /* what it says of itself */
 	struct replica_load local_load;
 	/* A ring buffer; nsent_prompts counts all that were added. */
 	struct sent_prompt sent_prompts[DIRECTORY_SENT_PROMPTS_MAX];
@@ -74,9 +77,10 @@
 
 struct directory {
 	struct directory_replica *replicas;
-	uint64_t revision; /* of the newest entry */
-	uint64_t digest;   /* hash of the entries and their revisions */
-	int synced;	   /* the whole list has been read */
+	struct kept_notice *kept_notices; /* of replicas that were removed */
+	uint64_t revision;		  /* of the newest entry */
+	uint64_t digest; /* hash of the entries and their revisions */
+	int synced;	 /* the whole list has been read */
 	uint64_t service_down_since; /* of the list, TIME_NEVER: it is up */
 	uint64_t service_up_at;	     /* when the list service last recovered */
 	uint64_t prefill_window_ns;  /* over which recent prefill is summed */
@@ -112,6 +116,12 @@
  */
 int directory_serves(const struct directory_replica *, const char *, uint64_t);
 int directory_holds(const struct directory_replica *, const char *, uint64_t);
+/* Whether a replica runs what it has and takes nothing new any more. */
+int directory_is_leaving(const struct directory_replica *);
+/* Until when a replica takes no requests, by its own word; 0: it takes them. */
+uint64_t directory_closed_until(const struct directory_replica *, uint64_t);
+/* Whether a replica is in service, apart from when it takes requests. */
+int directory_in_service(const struct directory_replica *, uint64_t);
 /* Whether new requests may be sent to a replica. */
 int directory_usable(const struct directory_replica *, uint64_t);
 /* Sends no requests for a model or adapter to the replica until a time. */
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -142,7 +142,7 @@
 	struct check *c;
 
 	/* A replica that leaves ends without having crashed. */
-	if (n == 0 || m->info.state != REPLICA_READY ||
+	if (n == 0 || directory_is_leaving(m) ||
 	    m->presence == PRESENCE_REMOVED)
 		return;
 	c = check_find(p, m->info.id);
