Watches that an outage may have lost are renewed at the store's return

What callers saw: requests sent to replicas up to 2.7 s after they had said that they leave (DRAIN), 4 s after an outage of the store. Cause: a watch that was sent during a silent outage is never answered; the hub waited for it for 12 s, and all others rely on hubs. Change: once the store answers again, lists whose watch was sent before an answer was lost are read anew. Lost calls that are older than the latest answer do not count as failures, so that an abandoned watch does not look like an outage. Ruled out: a loss of hubs (three were in touch), the lists of peers.

--- a/entry/lists.c
+++ b/entry/lists.c
@@ -41,8 +41,15 @@
 #define WATCH_BATCH_S 0.05
 #define WATCH_BATCH_LARGE_S 0.2 /* with changes all the time */
 
+/* A pending watch. */
+struct watch {
+	struct list *list;
+	uint64_t number;
+};
+
 static void list_read(struct list *);
 static void list_watch(struct list *);
+static void list_renew_watch(struct list *);
 static void list_watch_again(struct list *, size_t);
 static void list_retry_later(struct list *);
 static void on_range_response(void *, int, const char *, size_t);
@@ -209,6 +216,7 @@
 		l = &s->lists[i];
 		if (l->idle && list_is_due(l))
 			list_read(l);
+		list_renew_watch(l);
 	}
 	if (peers_is_active_hub(s->e->peers))
 		session_probe(s);
@@ -246,9 +254,32 @@
 list_watch(struct list *l)
 {
 	struct store_request sc;
+	struct watch *w;
 
+	w = mem_alloc(sizeof(*w));
+	w->list = l;
+	w->number = ++l->watch_number;
+	l->watching = 1;
+	l->watched_at = l->s->e->now;
 	store_watch_request(l->prefix, l->revision, WATCH_WAIT_MSEC, &sc);
-	session_call(l->s, &sc, WATCH_TIMEOUT_S, on_watch_response, l);
+	session_call(l->s, &sc, WATCH_TIMEOUT_S, on_watch_response, w);
+}
+
+/*
+ * A watch that was sent before the store lost an answer may never be answered
+ * itself, so once the store answers again, the list is read anew.
+ */
+static void
+list_renew_watch(struct list *l)
+{
+	const struct session *s = l->s;
+
+	if (!l->watching || l->watched_at > s->unanswered_at ||
+	    s->answered_at <= s->unanswered_at)
+		return;
+	l->watching = 0;
+	l->watch_number++;
+	list_read(l);
 }
 
 /* Whether an item of a stale read has been removed since. */
@@ -360,12 +391,18 @@
 static void
 on_watch_response(void *ctx, int status, const char *body, size_t len)
 {
-	struct list *l = ctx;
+	struct watch *w = ctx;
+	struct list *l = w->list;
+	int renewed = w->number != l->watch_number;
 	struct store_page page;
 	struct err err;
 	size_t page_items;
 	size_t i;
 
+	free(w);
+	if (renewed)
+		return;
+	l->watching = 0;
 	if (status != 200 ||
 	    store_watch_response(body, len, &page, &err) == -1) {
 		/*
--- a/entry/session.c
+++ b/entry/session.c
@@ -16,13 +16,14 @@
 /* A pending call. */
 struct call {
 	struct session *s;
+	uint64_t sent_at;
 	query_callback answer;
 	void *ctx;
 };
 
 static void on_probe_answer(void *, int, const char *, size_t);
 static void on_call_answer(void *, int, const char *, size_t);
-static void record_answer(struct session *, int);
+static void record_answer(struct session *, uint64_t, int);
 static void on_op_answer(void *, int, const char *, size_t);
 
 /* A pending operation. */
@@ -43,6 +44,7 @@
 
 	c = mem_alloc(sizeof(*c));
 	c->s = s;
+	c->sent_at = s->e->now;
 	c->answer = answer;
 	c->ctx = ctx;
 	s->ncalls++;
@@ -67,20 +69,25 @@
 	struct call *c = ctx;
 
 	if (!c->s->closing)
-		record_answer(c->s, status);
+		record_answer(c->s, c->sent_at, status);
 	c->answer(c->ctx, status, body, len);
 	free(c);
 }
 
 /*
  * Updates the availability of the store.  429 and 503 count as failures, since
- * the store did nothing.
+ * the store did nothing.  A call that was lost although the store has answered
+ * since it was sent, such as an old watch, says nothing of the store.
  */
 static void
-record_answer(struct session *s, int status)
+record_answer(struct session *s, uint64_t sent_at, int status)
 {
 	int available = status != 0 && status != 429 && status != 503;
 
+	if (status == 0 && sent_at < s->answered_at)
+		return;
+	if (status == 0)
+		s->unanswered_at = s->e->now;
 	if (available) {
 		s->failures = 0;
 		s->answered_at = s->e->now;
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -36,13 +36,16 @@
 	enum list_id id;
 	const char *prefix;
 	ev_timer retry;
-	double retry_s;	   /* delay before the next attempt after a failure */
-	double poll_s;	   /* delay before the next poll */
-	int polling;	   /* waiting for the next poll */
-	int idle;	   /* neither read nor watched: peers send it */
-	uint64_t grace_ns; /* for which a removed replica stays usable */
-	int stale_read;	   /* the pending read may return old data */
-	uint64_t revision; /* up to which it is current, 0 if unknown */
+	double retry_s; /* delay before the next attempt after a failure */
+	double poll_s;	/* delay before the next poll */
+	int polling;	/* waiting for the next poll */
+	int idle;	/* neither read nor watched: peers send it */
+	int watching;	/* the latest watch has not been answered */
+	uint64_t watch_number;	/* of that watch */
+	uint64_t watched_at;	/* when it was sent */
+	uint64_t grace_ns;	/* for which a removed replica stays usable */
+	int stale_read;		/* the pending read may return old data */
+	uint64_t revision;	/* up to which it is current, 0 if unknown */
 	uint64_t read_revision; /* at the first page of the read, 0 if none */
 	uint32_t generation;	/* number of the latest full read */
 	char page_after[KV_KEY_SIZE]; /* last key of the previous page */
@@ -58,10 +61,11 @@
 	struct list lists[LIST__MAX];
 	uint64_t ncalls;
 	uint64_t started_at;
-	uint64_t answered_at; /* latest answer of the store */
-	int probing;	      /* a probe is under way */
-	int peers_known;      /* the peers have been read, or could not be */
-	uint32_t failures;    /* consecutive calls without an answer */
+	uint64_t answered_at;	/* latest answer of the store */
+	uint64_t unanswered_at; /* when a call last ended without an answer */
+	int probing;		/* a probe is under way */
+	int peers_known;	/* the peers have been read, or could not be */
+	uint32_t failures;	/* consecutive calls without an answer */
 	int up;
 	int closing;
 };
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -906,6 +906,25 @@
         w.stop()
 
 
+def test_watch_lost_in_outage():
+    """A watch that began before an outage of the store may never be answered:
+    a removal after the store's return is seen within drain_ms."""
+    w, _, _ = two_replicas(answer_ok)
+    try:
+        w.wait("watched", lambda: [
+            t for _, t in w.store.calls
+            if t.startswith("/api/kv-watch?path_prefix=servers")])
+        time.sleep(0.3)
+        w.store.mode = "silent"
+        time.sleep(4)
+        w.store.mode = "up"
+        time.sleep(2)
+        w.run(w.store.remove("servers/i-a"))
+        w.wait("removal seen", lambda: w.events("replica-gone"), 2)
+    finally:
+        w.stop()
+
+
 # --- input that arrives while the process does not run ---------------------
 
 def pause(w, seconds, during=None):
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -166,6 +166,8 @@
         after = int(query["after"])
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
+            if self.mode == "silent":
+                await asyncio.sleep(3600)
             found = [h for h in self.history if h[0] > after and
                      h[1].startswith(query["path_prefix"])]
             # Compaction is reported only with the next change.
