--- a/shell/log.c
+++ b/shell/log.c
@@ -176,7 +176,7 @@
 	[LOG_REPLICA_REOPENED] = { 1624, LOGLEVEL_INFO, "replica-reopened",
 	    "the time for which a replica takes no requests has ended" },
 	[LOG_REPLICA_NOTICE_BAD] = { 1625, LOGLEVEL_INFO, "replica-notice-bad",
-	    "a field in which a replica tells of itself was ignored" },
+	    "a malformed notice in a replica's answer was ignored" },
 	[LOG_CELL_TAKEN] = { 1700, LOGLEVEL_NOTICE, "cell-taken",
 	    "this process owns the cell" },
 	[LOG_CELL_LOST] = { 1701, LOGLEVEL_WARNING, "cell-lost",
--- a/tests/test_fields.c
+++ b/tests/test_fields.c
@@ -1,4 +1,4 @@
-/* Fields in which a replica tells of itself. */
+/* Fields of answers with a replica's notices: leaving, and closed. */
 #include <stdio.h>
 #include <string.h>
 
