--- a/core/poison.c
+++ b/core/poison.c
@@ -18,7 +18,7 @@
  * of reports, so that a process that had an answer has been heard.
  */
 #define SETTLE_NS (1500 * NSEC_PER_MSEC)
-/* Replicas that, crashed with a part, leave no doubt. */
+/* With as many crashed replicas a part is blocked for long. */
 #define REPLICAS_SURE 5
 /* Evidence below CRASHES_MIN is kept. */
 #define SUSPECT_NS (30 * NSEC_PER_SEC)
@@ -31,10 +31,10 @@
  * later by less than this may be one that is known.
  */
 #define PASSING_NS (1 * NSEC_PER_SEC)
-#define RANKS (2 * CRASHES_MIN + 4) /* of parts in reports */
-#define TURN_NS (100 * NSEC_PER_MSEC)
-#define PARTS_MAX 512	     /* with evidence */
-#define ANSWERED_SLOTS 16384 /* parts whose latest answer is known */
+#define RANKS (2 * CRASHES_MIN + 4)   /* of parts in reports */
+#define TURN_NS (100 * NSEC_PER_MSEC) /* then others go first */
+#define PARTS_MAX 512		      /* with evidence */
+#define ANSWERED_SLOTS 16384	      /* parts whose latest answer is known */
 
 struct crash {
 	uint64_t replica;
