Failing test: no request is answered while a configuration is decoded

Input waits meanwhile, deadlines fall due, and streams pause for longer than the 300 ms that they may.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1655,6 +1655,41 @@
         w.stop()
 
 
+def test_requests_wait_while_configuration_is_decoded():
+    """Requests are answered while a large configuration is decoded."""
+    w, _, _ = two_replicas(answer_ok)
+    stop = threading.Event()
+    answered = []
+
+    def call_again_and_again():
+        s = w.connect()
+        while not stop.is_set():
+            answered.append(w.call(id="id-%d" % len(answered), sock=s)[0])
+            time.sleep(0.005)
+        s.close()
+    caller = threading.Thread(target=call_again_and_again)
+    try:
+        caller.start()
+        large = default_config(4)
+        large["routes"] += [route("more-%d" % i, "/more/%d/" % i, "idempotent")
+                            for i in range(12000)]
+        w.run(w.store.put("op/config", large))
+        w.wait("in force", lambda: version_in_force(w) == 4, 30)
+        stop.set()
+        caller.join()
+        told = w.events("conf-in-force")[-1]
+        decode_ns = 1000000 * int(
+            re.search(r"decode_ms=(\d+)", told["detail"]).group(1))
+        during = [e for e in w.events("request-attempt") if told["mono"] -
+                  decode_ns < e["mono"] < told["mono"]]
+        check("answered meanwhile: %d in %d ms" % (
+            len(during), decode_ns // 1000000), len(during) >= 3)
+        check("all answered", set(answered) == {200})
+    finally:
+        stop.set()
+        w.stop()
+
+
 def test_sigterm_new_connection():
     """A connection made just before the listening socket closes is served."""
     w, _, _ = two_replicas(answer_ok)
