A new part that crashes replicas does not reach all copies of its model

Cause: until a part is blocked, its requests went to the best replica each, and those under way when the first replica crashed were left to end the others. Evidence was used for blocking only, which has to wait for the answers that other processes may have had.

Ruled out: parts that were never answered on some replicas only, before any crash: most prompts have a new part, so load would be spread by hash.

Change: after one crash, requests with a part that was never answered go to one replica, the same for all processes (a hash of part and replica); after another, to none until 1.5 s after the first. They wait in a group of their own, so that others for the model do not wait behind them. Those that a replica has not begun to answer are taken back from it if they may run again (request-withdrawn). Sound parts are free with their first answer.

The stand-in's crash() of a replica that is down still counts, and starts it once.

--- a/core/balance.c
+++ b/core/balance.c
@@ -163,6 +163,8 @@
 	double best = 0.0;
 	double ms;
 	uint32_t n = 0;
+	int full;
+	int best_full = 0;
 
 	*out = NULL;
 	HASH_ITER (hh, d->replicas, m, next) {
@@ -184,19 +186,26 @@
 				       : directory_total_load(d, now, m);
 		if (!directory_usable(m, now) ||
 		    directory_excluded(m, now, w->model) ||
-		    directory_excluded(m, now, w->adapter) ||
-		    replica_is_full(w, d->prefill_window_ns,
-			directory_prefill_share(m, now), m, &load))
+		    directory_excluded(m, now, w->adapter))
+			continue;
+		full = replica_is_full(w, d->prefill_window_ns,
+		    directory_prefill_share(m, now), m, &load);
+		if (full && w->affinity_key == 0)
 			continue;
 		n++;
-		ms = replica_delay_ms(w, m, &load) +
-		    (w->ignore_peers ? BLIND_JITTER_MS : JITTER_MS) *
-			replica_draw(draw, n);
+		ms = w->affinity_key != 0
+		    ? (double)hash_version(m->info.id, w->affinity_key)
+		    : replica_delay_ms(w, m, &load) +
+			(w->ignore_peers ? BLIND_JITTER_MS : JITTER_MS) *
+			    replica_draw(draw, n);
 		if (*out != NULL && ms >= best)
 			continue;
 		best = ms;
+		best_full = full;
 		*out = m;
 	}
+	if (best_full)
+		*out = NULL;
 	return *out != NULL ? BALANCE_FOUND : result;
 }
 
--- a/core/balance.h
+++ b/core/balance.h
@@ -29,6 +29,11 @@
 	 */
 	int ignore_peers;
 	uint32_t max_conns; /* per replica, of this process */
+	/*
+	 * Requests with the same key, unless it is 0, go to the same replica,
+	 * or wait for it.
+	 */
+	uint64_t affinity_key;
 	uint32_t ntried;
 	char tried[BALANCE_TRIED_MAX][NAME_SIZE];
 };
@@ -38,7 +43,8 @@
 	BALANCE_FULL,	    /* every suitable replica is at its limit */
 	BALANCE_NO_ADAPTER, /* some have the model, none has the adapter */
 	BALANCE_NO_MODEL,   /* no usable replica has the model */
-	BALANCE_NO_REPLICA  /* the service has no usable replica */
+	BALANCE_NO_REPLICA, /* the service has no usable replica */
+	BALANCE_SUSPECT	    /* it may crash replicas, and is held back */
 };
 
 /* Sets the names of a request, and their hashes. */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -23,6 +23,10 @@
 static int forward_admit(struct forward *, struct err *);
 static enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, struct directory_replica **);
+static int forward_is_suspect(const struct forward *);
+static int forward_queue(struct forward *, enum balance_result);
+static void forward_withdraw_if_suspect(struct forward *);
+static void forward_describe(const struct forward *, struct attempt_context *);
 static int try_waiting(void *, struct waitq_item *);
 static int forward_broke_at_begin(const struct forward *, enum attempt_outcome);
 static void forward_note_crash(struct forward *, enum attempt_outcome);
@@ -193,9 +197,22 @@
 	w.max_conns = max_conns_per_replica(f->e, s);
 	w.ntried = f->ntried;
 	memcpy(w.tried, f->tried, sizeof(w.tried));
+	if (poison_io_care(f->e->poison_io, &f->params, &w.affinity_key) ==
+	    POISON_WAIT)
+		return BALANCE_SUSPECT;
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
 
+/* Whether the request is treated with care, as it may crash replicas. */
+static int
+forward_is_suspect(const struct forward *f)
+{
+	uint64_t part;
+
+	return poison_io_care(f->e->poison_io, &f->params, &part) !=
+	    POISON_ANY_REPLICA;
+}
+
 int
 forward_dispatch(struct forward *f)
 {
@@ -210,12 +227,11 @@
 	result = forward_pick_replica(f, s, &m);
 	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
 		loader_io_request_load(f->e, &f->params);
-	loader_io_set_missing(
-	    f->e, f->params.model, result == BALANCE_NO_MODEL);
-	if (result != BALANCE_FOUND) {
-		forward_wait(f, result);
-		return 0;
-	}
+	if (result != BALANCE_SUSPECT)
+		loader_io_set_missing(
+		    f->e, f->params.model, result == BALANCE_NO_MODEL);
+	if (result != BALANCE_FOUND)
+		return forward_queue(f, result);
 	if (f->waiting.group != NULL) {
 		waitq_remove(&f->e->waiting, &f->waiting);
 		expiry_set(f->expiry, f->deadline);
@@ -224,6 +240,24 @@
 	return 1;
 }
 
+/*
+ * Queues the request, or moves it if it has become suspect while it waits.
+ * Returns whether others of its group can still find a replica.
+ */
+static int
+forward_queue(struct forward *f, enum balance_result why)
+{
+	int moved = 0;
+
+	if (!f->suspect && forward_is_suspect(f)) {
+		f->suspect = 1;
+		moved = f->waiting.group != NULL;
+		waitq_remove(&f->e->waiting, &f->waiting);
+	}
+	forward_wait(f, why);
+	return moved;
+}
+
 /* Whether the target time of the first event has passed. */
 static int
 forward_is_late(const struct forward *f)
@@ -330,6 +364,45 @@
 	}
 }
 
+/*
+ * Takes a request back from a replica that has not begun to answer it, if it
+ * may crash the replica and may run again elsewhere.
+ */
+static void
+forward_withdraw_if_suspect(struct forward *f)
+{
+	struct directory_replica *m;
+	struct attempt_context facts;
+
+	if (f->caller == NULL || f->exchange == NULL || f->begun_at != 0 ||
+	    f->response_started || !forward_is_suspect(f))
+		return;
+	forward_pick_replica(f, fleet_find_service(f->e->conf, f->service), &m);
+	forward_describe(f, &facts);
+	facts.runs++;
+	if (m == f->replica ||
+	    attempt_next_step(&facts, ATTEMPT_NO_RESPONSE, f->e->now) !=
+		NEXT_RETRY)
+		return;
+	forward_log(f, LOG_REQUEST_WITHDRAWN, f->replica->info.id, "");
+	exchange_cancel(f->exchange);
+	f->exchange = NULL;
+	f->runs++;
+	forward_remove_work(f);
+	forward_dispatch(f);
+}
+
+void
+forward_withdraw_suspects(struct entry *e)
+{
+	struct forward *f, *next;
+
+	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
+		next = TAILQ_NEXT(f, entry);
+		forward_withdraw_if_suspect(f);
+	}
+}
+
 void
 forward_attempt_ended(struct forward *f, enum attempt_outcome end)
 {
@@ -373,9 +446,7 @@
 		forward_free(f);
 		return;
 	}
-	forward_next_step(f, end,
-	    !suspect &&
-		budget_allows_retry(&f->e->budget, f->e->now, f->service));
+	forward_next_step(f, end, !suspect);
 }
 
 static void
@@ -391,19 +462,28 @@
 	metric_observe(&t->max_gap, f->max_gap_ns);
 }
 
+/* Fills in what decides on the next step. */
+static void
+forward_describe(const struct forward *f, struct attempt_context *c)
+{
+	c->kind = f->route.kind;
+	c->resumable = f->route.resumable;
+	c->max_runs = f->route.max_attempts;
+	c->runs = f->runs;
+	c->attempts_made = f->attempts_made;
+	c->response_started = f->response_started;
+	c->retry_allowed =
+	    budget_allows_retry(&f->e->budget, f->e->now, f->service);
+	c->deadline = f->deadline;
+}
+
 static void
 forward_next_step(struct forward *f, enum attempt_outcome end, int allowed)
 {
 	struct attempt_context facts;
 
-	facts.kind = f->route.kind;
-	facts.resumable = f->route.resumable;
-	facts.max_runs = f->route.max_attempts;
-	facts.runs = f->runs;
-	facts.attempts_made = f->attempts_made;
-	facts.response_started = f->response_started;
-	facts.retry_allowed = allowed;
-	facts.deadline = f->deadline;
+	forward_describe(f, &facts);
+	facts.retry_allowed &= allowed;
 	switch (attempt_next_step(&facts, end, f->e->now)) {
 	case NEXT_FORWARD:
 		f->e->counts.answered++;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -17,6 +17,7 @@
 	uint64_t deadline;
 	struct expiry *expiry;	   /* of queueing, or of the request */
 	struct waitq_item waiting; /* in the queue, or in no group */
+	int suspect;		   /* queued apart, as it may crash replicas */
 	uint32_t attempts_made;
 	uint32_t runs; /* attempts that the replica may have executed */
 	uint32_t ntried;
@@ -65,7 +66,7 @@
 /* forward.c */
 /*
  * Sends the request to the best replica, or queues it if there is none.
- * Returns whether it was sent, or has ended since it is blocked.
+ * Returns 0 if others that need the same can find no replica either.
  */
 int forward_dispatch(struct forward *);
 /* Ends a request that no replica has run; the caller may return after ns. */
--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -14,12 +14,15 @@
 /* Until the first requests have been answered. */
 #define SERVICE_TIME_NS (500 * NSEC_PER_MSEC)
 
+#define SUSPECT_GROUP "suspect" /* names of adapters have a slash */
+
 static const char *const wait_reasons[] = {
 	[BALANCE_FOUND] = "found",
 	[BALANCE_FULL] = "full",
 	[BALANCE_NO_ADAPTER] = "no-adapter",
 	[BALANCE_NO_MODEL] = "no-model",
 	[BALANCE_NO_REPLICA] = "no-replica",
+	[BALANCE_SUSPECT] = "suspect",
 };
 
 static struct admission_capacity capacity_for(const struct forward *);
@@ -134,8 +137,9 @@
 	f->waiting.arrived = f->arrived;
 	f->waiting.target =
 	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
+	/* Other requests for the model do not wait behind suspects. */
 	waitq_add(&f->e->waiting, &f->waiting, f->service, f->params.model,
-	    f->params.adapter);
+	    f->suspect ? SUSPECT_GROUP : f->params.adapter);
 	expiry_set(f->expiry, d.until < f->deadline ? d.until : f->deadline);
 }
 
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -41,6 +41,7 @@
 	uint64_t crashes;
 	uint64_t changed_at; /* the latest new crash */
 	int newly_blocked;   /* parts, by the current update */
+	int has_news;	     /* crashes since the latest update */
 };
 
 static uint32_t shared_parts(const struct request_params *, uint64_t *);
@@ -195,6 +196,7 @@
 
 	p->crashes++;
 	p->changed_at = p->e->now;
+	p->has_news = 1;
 	poison_crashed(
 	    p->poison, p->e->now, c->incarnation, c->parts, c->nparts);
 	about.backend = c->replica;
@@ -266,6 +268,16 @@
 	return poison_blocked_until(p->poison, p->e->now, ids, n);
 }
 
+enum poison_care
+poison_io_care(
+    const struct poison_io *p, const struct request_params *r, uint64_t *part)
+{
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t n = shared_parts(r, ids);
+
+	return poison_care(p->poison, p->e->now, ids, n, part);
+}
+
 int
 poison_io_is_suspect(const struct poison_io *p,
     const struct directory_replica *m, const struct request_params *r)
@@ -294,6 +306,9 @@
 	poison_update(p->poison, p->e->now, on_changed, p);
 	if (p->newly_blocked != 0)
 		forward_end_blocked(p->e);
+	if (p->has_news)
+		forward_withdraw_suspects(p->e);
+	p->has_news = 0;
 }
 
 void
@@ -317,8 +332,10 @@
 	uint32_t i;
 
 	for (i = 0; i < f->npoison; i++)
-		if (poison_merge(p->poison, p->e->now, &f->poison[i]))
+		if (poison_merge(p->poison, p->e->now, &f->poison[i])) {
 			p->changed_at = p->e->now;
+			p->has_news = 1;
+		}
 }
 
 uint32_t
--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -24,6 +24,9 @@
 /* Until when such requests are refused, 0 if they are not. */
 uint64_t poison_io_blocked_until(
     const struct poison_io *, const struct request_params *);
+/* How such requests are to be sent; see poison_care(). */
+enum poison_care poison_io_care(
+    const struct poison_io *, const struct request_params *, uint64_t *);
 /* Whether a replica other than this one may have crashed from such a request.
  */
 int poison_io_is_suspect(const struct poison_io *,
--- a/shell/log.c
+++ b/shell/log.c
@@ -106,6 +106,8 @@
 	    "no replica has capacity for the request; it is queued" },
 	[LOG_REQUEST_BLOCKED] = { 1210, LOGLEVEL_INFO, "request-blocked",
 	    "the request has a part that crashes replicas and was rejected" },
+	[LOG_REQUEST_WITHDRAWN] = { 1211, LOGLEVEL_INFO, "request-withdrawn",
+	    "a request that may crash its replica was taken back from it" },
 	[LOG_GRANT_SENT] = { 1300, LOGLEVEL_DEBUG, "grant-sent",
 	    "a slot on a replica was granted" },
 	[LOG_GRANT_RELEASED] = { 1301, LOGLEVEL_DEBUG, "grant-released",
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1176,6 +1176,55 @@
     keep_crashing_replicas(script)
 
 
+def test_new_part_crashes_all_copies():
+    """Many requests with a part that crashes replicas come at once: after
+    the first crash, those that wait for their answers at other replicas are
+    taken back, so that copies are left for sound requests."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        deadly.append(call)
+        await asyncio.sleep(0.2 if call is deadly[0] else 1.0)
+        if call.reader.at_eof() or call.replica.crashed_at:
+            return False
+        call.writer.write(call.head(extra={
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked"}))
+        await call.writer.drain()
+        asyncio.ensure_future(call.replica.crash(3600))
+        return False
+    deadly, sound, statuses = [], [], []
+    w = World()
+    try:
+        replicas = [w.replica("i-%d" % i, "plain", script)
+                    for i in range(6)]
+        w.wait_ready()
+        w.wait("listed", lambda: len(
+            w.events("replica-listed")) >= len(replicas))
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, sound)
+        threads = [threading.Thread(target=prompt_request, args=(
+            w, ["aa01", CRASHING_PART], "%016x" % (0xe1000 + i), statuses))
+            for i in range(12)]
+        for t in threads:
+            t.start()
+        w.wait("at several replicas", lambda: len(
+            {c.replica.name for c in deadly}) >= 4)
+        w.wait("first crash", lambda: any(r.crashed_at for r in replicas))
+        for i in range(30):
+            prompt_request(w, ["aa01", "5a01"], "%016x" % (0xe2000 + i), sound)
+            time.sleep(0.1)
+        for t in threads:
+            t.join()
+        crashed = [r.name for r in replicas if r.crashed_at]
+        check("%d of 6 crashed" % len(crashed), len(crashed) <= 3)
+        check("sound ones served: %s" % sound, set(sound) == {200})
+        check("told so: %s" % statuses, set(statuses) <= {502, 503})
+    finally:
+        w.stop()
+
+
 def test_sound_requests_of_crashed_replica_repeated():
     """A replica crashes, by itself, while it works on streams with sound
     parts that were answered before: they are served by another one, although
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -204,6 +204,8 @@
         """Breaks all connections, refuses new ones for a time, then starts
         again as a new incarnation."""
         self.crashed_at.append(time.monotonic())
+        if not self.server.is_serving():
+            return
         self.server.close()
         for w in list(self.writers):
             w.get_extra_info("socket").setsockopt(
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -24,6 +24,7 @@
 static void test_address_reused(void);
 static void test_prefill_share(void);
 static void test_balance_choice(void);
+static void test_balance_affinity(void);
 static void test_balance_failures(void);
 static uint32_t replay_herd(int);
 static void test_late_reports(void);
@@ -439,6 +440,52 @@
 	directory_clear(&d);
 }
 
+/* Requests with the same key share a replica, whoever sends them. */
+static void
+test_balance_affinity(void)
+{
+	struct fleet_engine g = { .slots = 4, .kv_tokens = 1000 };
+	struct directory d;
+	struct fleet_replica a = make_replica("a", "m");
+	struct fleet_replica b = make_replica("b", "m");
+	struct directory_replica *ma, *mb, *m;
+	struct balance_request w;
+	uint64_t key;
+	uint32_t at_a = 0;
+
+	memset(&w, 0, sizeof(w));
+	balance_set_names(&w, "llm", "m", "");
+	w.engine = &g;
+	w.max_conns = 10;
+	directory_init(&d);
+	ma = directory_put(&d, &a);
+	mb = directory_put(&d, &b);
+	for (key = 1; key <= 100; key++) {
+		w.affinity_key = key;
+		w.zone = "z1";
+		ma->local_load.running = 0;
+		mb->local_load.running = 3;
+		CU_ASSERT_EQUAL(
+		    balance_pick(&d, S, &w, 0.0, &m), BALANCE_FOUND);
+		at_a += m == ma;
+		w.zone = "z2";
+		m->local_load.running = 3;
+		(m == ma ? mb : ma)->local_load.running = 0;
+		ma = m;
+		CU_ASSERT_EQUAL(
+		    balance_pick(&d, S, &w, 0.9, &m), BALANCE_FOUND);
+		CU_ASSERT_PTR_EQUAL(m, ma);
+		/* While it is full they wait, although another is free. */
+		m->local_load.running = 4;
+		CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_FULL);
+		CU_ASSERT_PTR_NULL(m);
+		ma = directory_find(&d, "a");
+		mb = directory_find(&d, "b");
+	}
+	CU_ASSERT(at_a > 25 && at_a < 75);
+	directory_clear(&d);
+}
+
 static void
 test_balance_failures(void)
 {
@@ -556,6 +603,7 @@
 	{ "many peers", test_many_peers },
 	{ "excluded models", test_exclusions },
 	{ "balance choice", test_balance_choice },
+	{ "same replica for a key", test_balance_affinity },
 	{ "address reused", test_address_reused },
 	{ "prefill share", test_prefill_share },
 	{ "balance failures", test_balance_failures },
