Adapter slots are counted by reports and answers alone

Cause: slots were counted in the list that requests are routed by. Three others change that list: the tables of another leader, which may arrive after a new leader has read its reports; a replica's 421 to a request for an adapter still on its way; and a list entry that lags, which drops the adapters of models that it does not name. Each leaves fewer adapters than there are, while the sequence of the report is right, so that the replica accepts the order.

Ruled out: adapters still coming are listed, decoded and counted. An order without an answer cannot overrun the slots while every order names its sequence and what is counted is the state at that sequence, for a new leader neither: either the late order arrives first and the new one gets 409, or the late one does (412 where fences are checked).

Change: core/loader_slots keeps the adapters of each engine, from reports and answered orders; the directory's list is only for routing. An adapter that takes a slot but is not listed is ordered where it is, which lists it again, and may be unloaded.

--- a/Makefile
+++ b/Makefile
@@ -96,7 +96,7 @@
 
 WORLD_serving = serving_world
 WORLD_state = state_world state_kv state_engine state_oracle
-WORLD_orders = orders_world
+WORLD_orders = orders_world orders_tables
 
 .SECONDEXPANSION:
 $(BUILD)/fuzz_%: $(BUILD)/tests/fuzz_%.oo \
@@ -130,7 +130,7 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
-$(BUILD)/test_loader: $(BUILD)/tests/loader_fixture.o
+$(BUILD)/test_loader $(BUILD)/test_loader_adapters: $(BUILD)/tests/loader_fixture.o
 $(BUILD)/test_poison $(BUILD)/test_poison_report: $(BUILD)/tests/poison_fixture.o
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(BUILD)/tests/unit.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/core/loader.c
+++ b/core/loader.c
@@ -31,8 +31,6 @@
     struct engine_state *, const struct loader_order *);
 static const char *engine_state_outstanding_model(
     const struct engine_state *, enum loader_order_kind);
-static void replica_add_adapter(struct fleet_replica *, const char *);
-static void replica_remove_adapter(struct fleet_replica *, const char *);
 static void loader_update_list_settled(struct loader *, uint64_t);
 static void loader_take_over(struct loader *, uint64_t);
 
@@ -284,36 +282,11 @@
 	}
 }
 
-static void
-replica_add_adapter(struct fleet_replica *r, const char *adapter)
-{
-	if (fleet_has_adapter(r, adapter) || r->nadapters == FLEET_ADAPTERS_MAX)
-		return;
-	snprintf(r->adapters[r->nadapters++], FLEET_NAME_SIZE, "%s", adapter);
-}
-
-static void
-replica_remove_adapter(struct fleet_replica *r, const char *adapter)
-{
-	uint32_t i;
-
-	for (i = 0; i < r->nadapters; i++) {
-		if (strcmp(r->adapters[i], adapter) != 0)
-			continue;
-		r->nadapters--;
-		memmove(
-		    r->adapters[i], r->adapters[r->nadapters], FLEET_NAME_SIZE);
-		return;
-	}
-}
-
 /* Handles restarts, changes shown by the list, and adapters loaded by now. */
 static void
 engine_state_update(struct loader *s, uint64_t now, struct engine_state *e,
     struct directory_replica *m)
 {
-	uint32_t i;
-
 	if (m->info.started_ms != e->started_ms) {
 		e->started_ms = m->info.started_ms;
 		e->sequence = 0;
@@ -321,6 +294,7 @@
 		e->sequence_unknown = 0;
 		e->loading[0] = '\0';
 		e->unloading[0] = '\0';
+		e->nadapters = 0;
 		e->nloading_adapters = 0;
 		e->nreported = 0;
 		s->change_count++;
@@ -330,22 +304,18 @@
 		e->nreported = 0;
 	if (fleet_has_model(&m->info, e->loading))
 		e->loading[0] = '\0';
-	if (!fleet_has_model(&m->info, e->unloading))
+	if (e->unloading[0] != '\0' &&
+	    !fleet_has_model(&m->info, e->unloading)) {
+		engine_state_drop_adapters(e, e->unloading);
 		e->unloading[0] = '\0';
+	}
 	if (now >= e->change_listed_by &&
 	    (e->loading[0] != '\0' || e->unloading[0] != '\0')) {
 		e->loading[0] = '\0';
 		e->unloading[0] = '\0';
 		e->sequence_unknown = 1;
 	}
-	for (i = 0; i < e->nloading_adapters; i++) {
-		if (now < e->loading_adapters[i].loaded_at)
-			continue;
-		replica_add_adapter(&m->info, e->loading_adapters[i].adapter);
-		e->loading_adapters[i--] =
-		    e->loading_adapters[--e->nloading_adapters];
-		s->change_count++;
-	}
+	s->change_count += adapters_loaded(e, now, m);
 }
 
 static void
@@ -456,21 +426,16 @@
     struct engine_state *e, const struct loader_order *o)
 {
 	struct directory_replica *m = directory_find(s->directory, e->replica);
-	struct adapter_loading *in;
 
 	e->sequence = o->expected_sequence + 1;
 	e->change_listed_by = now + CHANGE_LISTED_MAX_NS;
 	if (o->adapter[0] != '\0' && o->kind == LOADER_UNLOAD) {
-		if (m != NULL)
-			replica_remove_adapter(&m->info, o->adapter);
+		adapter_unloaded(e, m, o->adapter);
 		s->change_count++;
 	} else if (o->adapter[0] != '\0') {
 		s->stats.adapter_loads++;
-		if (e->nloading_adapters == FLEET_LOADING_ADAPTERS_MAX)
-			return;
-		in = &e->loading_adapters[e->nloading_adapters++];
-		memcpy(in->adapter, o->adapter, sizeof(in->adapter));
-		in->loaded_at = now + s->config.adapter_load_ns;
+		adapter_load_started(
+		    e, o->adapter, now + s->config.adapter_load_ns);
 	} else if (o->kind == LOADER_LOAD) {
 		s->stats.loads++;
 		memcpy(e->loading, o->model, sizeof(e->loading));
@@ -526,7 +491,6 @@
 {
 	struct engine_state *e = engine_state_find(s, o->replica);
 	struct directory_replica *m = directory_find(s->directory, o->replica);
-	uint32_t i;
 
 	if (e == NULL || m == NULL || e->report_id != o->id)
 		return;
@@ -542,15 +506,7 @@
 	e->nreported = r->nresident;
 	memcpy(e->reported, r->resident, sizeof(e->reported));
 	e->report_valid_until = now + REPORT_VALID_NS;
-	m->info.nadapters = r->nadapters;
-	memcpy(m->info.adapters, r->adapters, sizeof(r->adapters));
-	e->nloading_adapters = r->nloading_adapters;
-	for (i = 0; i < r->nloading_adapters; i++) {
-		memcpy(e->loading_adapters[i].adapter, r->loading_adapters[i],
-		    FLEET_NAME_SIZE);
-		e->loading_adapters[i].loaded_at =
-		    now + s->config.adapter_load_ns;
-	}
+	engine_state_take_adapters(e, now + s->config.adapter_load_ns, m, r);
 	/* An order of an earlier leader is being carried out. */
 	if (r->busy) {
 		e->sequence_unknown = 1;
--- a/core/loader_adapters.c
+++ b/core/loader_adapters.c
@@ -9,13 +9,14 @@
 /* An adapter used within this time is not unloaded for another. */
 #define ADAPTER_MIN_KEEP_NS (300 * NSEC_PER_MSEC)
 
-static uint32_t adapter_slots_used(
-    const struct engine_state *, const struct directory_replica *);
 static int adapter_is_loading(const struct engine_state *, const char *);
-static struct directory_replica *choose_adapter_replica(
-    struct loader *, uint64_t, const struct fleet_service *, const char *);
+static int takes_adapter(const struct loader *, uint64_t,
+    const struct fleet_service *, const struct directory_replica *,
+    const struct engine_state *, const char *);
+static struct directory_replica *choose_adapter_replica(struct loader *,
+    uint64_t, const struct fleet_service *, const char *, const char *);
 static const char *least_used_adapter(
-    const struct loader *, uint64_t, const struct directory_replica *);
+    const struct loader *, uint64_t, const struct engine_state *);
 static int adapter_has_copy(const struct loader *, uint64_t,
     const struct fleet_service *, const char *);
 static void load_adapter_if_missing(struct loader *, uint64_t,
@@ -34,14 +35,6 @@
 	    strcmp(e->last_order.adapter, adapter) == 0;
 }
 
-static uint32_t
-adapter_slots_used(
-    const struct engine_state *e, const struct directory_replica *m)
-{
-	return m->info.nadapters + e->nloading_adapters +
-	    engine_state_lost_adapter_loads(e);
-}
-
 /* Whether a usable replica has the adapter or is loading it. */
 static int
 adapter_has_copy(const struct loader *s, uint64_t now,
@@ -65,10 +58,28 @@
 	return 0;
 }
 
-/* The replica with the model and the least load, free slots preferred. */
+/* Whether a replica has the model and takes an order for an adapter of it. */
+static int
+takes_adapter(const struct loader *s, uint64_t now,
+    const struct fleet_service *service, const struct directory_replica *m,
+    const struct engine_state *e, const char *model)
+{
+	return strcmp(m->info.service, service->name) == 0 &&
+	    directory_usable(m, now) && e != NULL &&
+	    engine_state_accepts_orders(s, now, e) &&
+	    e->nloading_adapters < FLEET_LOADING_ADAPTERS_MAX &&
+	    fleet_has_model(&m->info, model) &&
+	    strcmp(engine_state_unloading_model(e), model) != 0;
+}
+
+/*
+ * The replica with the model and the least load: first one whose slot the
+ * adapter already takes, so that its order only lists it again, then one with
+ * free slots.
+ */
 static struct directory_replica *
 choose_adapter_replica(struct loader *s, uint64_t now,
-    const struct fleet_service *service, const char *model)
+    const struct fleet_service *service, const char *model, const char *adapter)
 {
 	struct directory_replica *best = NULL;
 	struct directory_replica *m;
@@ -78,16 +89,14 @@
 
 	for (m = s->directory->replicas; m != NULL; m = m->hh.next) {
 		e = engine_state_find(s, m->info.id);
-		if (strcmp(m->info.service, service->name) != 0 ||
-		    !directory_usable(m, now) || e == NULL ||
-		    !engine_state_accepts_orders(s, now, e) ||
-		    e->nloading_adapters == FLEET_LOADING_ADAPTERS_MAX ||
-		    !fleet_has_model(&m->info, model) ||
-		    strcmp(engine_state_unloading_model(e), model) == 0)
+		if (!takes_adapter(s, now, service, m, e, model))
 			continue;
 		score = directory_total_load(s->directory, now, m).running +
-		    4.0 * adapter_slots_used(e, m);
-		if (adapter_slots_used(e, m) >= service->engine->adapter_slots)
+		    4.0 * engine_state_slots_used(e);
+		if (engine_state_has_adapter(e, adapter))
+			score -= 1000.0;
+		else if (engine_state_slots_used(e) >=
+		    service->engine->adapter_slots)
 			score += 1000.0;
 		if (best != NULL && score >= best_score)
 			continue;
@@ -100,23 +109,23 @@
 /* The adapter on a replica to unload first, or NULL when all are in use. */
 static const char *
 least_used_adapter(
-    const struct loader *s, uint64_t now, const struct directory_replica *m)
+    const struct loader *s, uint64_t now, const struct engine_state *e)
 {
 	const struct demand_item *d;
 	const char *best = NULL;
 	double best_rate = 0.0;
 	uint32_t i;
 
-	for (i = 0; i < m->info.nadapters; i++) {
-		d = demand_find(&s->demand, m->info.adapters[i]);
+	for (i = 0; i < e->nadapters; i++) {
+		d = demand_find(&s->demand, e->adapters[i]);
 		if (d == NULL)
-			return m->info.adapters[i];
+			return e->adapters[i];
 		if (now < d->last_arrival_at + ADAPTER_MIN_KEEP_NS ||
 		    demand_current_load(d, now) > 0.0)
 			continue;
 		if (best != NULL && d->rate >= best_rate)
 			continue;
-		best = m->info.adapters[i];
+		best = e->adapters[i];
 		best_rate = d->rate;
 	}
 	return best;
@@ -137,15 +146,16 @@
 	if (fleet_find_model(service->engine, model) == NULL ||
 	    adapter_has_copy(s, now, service, adapter))
 		return;
-	m = choose_adapter_replica(s, now, service, model);
+	m = choose_adapter_replica(s, now, service, model, adapter);
 	if (m == NULL)
 		return;
 	e = engine_state_find(s, m->info.id);
-	if (adapter_slots_used(e, m) < service->engine->adapter_slots) {
+	if (engine_state_has_adapter(e, adapter) ||
+	    engine_state_slots_used(e) < service->engine->adapter_slots) {
 		loader_send_order(s, now, e, LOADER_LOAD, model, adapter, out);
 		return;
 	}
-	spare = least_used_adapter(s, now, m);
+	spare = least_used_adapter(s, now, e);
 	if (spare == NULL)
 		return;
 	len = strcspn(spare, "/");
--- a/core/loader_int.h
+++ b/core/loader_int.h
@@ -44,6 +44,12 @@
 	char reported[FLEET_RESIDENT_MAX][NAME_SIZE];
 	uint64_t report_valid_until; /* the list shows reported[] by then */
 	uint64_t change_listed_by;   /* else a report is requested */
+	/*
+	 * Adapters that take slots, as reports and answered orders show: the
+	 * directory's list also follows tables and refusals.
+	 */
+	uint32_t nadapters;
+	char adapters[FLEET_ADAPTERS_MAX][FLEET_NAME_SIZE];
 	uint32_t nloading_adapters;
 	struct adapter_loading loading_adapters[FLEET_LOADING_ADAPTERS_MAX];
 	UT_hash_handle hh;
@@ -99,6 +105,22 @@
  */
 int engine_state_has_lost_load(const struct engine_state *, const char *);
 uint32_t engine_state_lost_adapter_loads(const struct engine_state *);
+/* loader_slots.c */
+/* Slots that adapters take, or lost orders may take. */
+uint32_t engine_state_slots_used(const struct engine_state *);
+int engine_state_has_adapter(const struct engine_state *, const char *);
+/* The replica accepted to load an adapter, or has unloaded it. */
+void adapter_load_started(struct engine_state *, const char *, uint64_t);
+void adapter_unloaded(
+    struct engine_state *, struct directory_replica *, const char *);
+/* Lists adapters loaded by now.  Returns how many. */
+uint32_t adapters_loaded(
+    struct engine_state *, uint64_t, struct directory_replica *);
+/* The model and its adapters are unloaded. */
+void engine_state_drop_adapters(struct engine_state *, const char *);
+/* Takes the adapters over from a report; those loading end at a time. */
+void engine_state_take_adapters(struct engine_state *, uint64_t,
+    struct directory_replica *, const struct fleet_replica *);
 /* loader_models.c */
 void loader_place_models(struct loader *, uint64_t,
     const struct fleet_service *, struct loader_output *);
--- a/tests/fuzz_orders.cc
+++ b/tests/fuzz_orders.cc
@@ -17,7 +17,7 @@
 		    { 6, OP_LONG_ADVANCE }, { 8, OP_DEMAND }, { 8, OP_REQUEST_ADAPTER },
 		    { 3, OP_LOSE_ANSWERS }, { 3, OP_RESTART }, { 2, OP_KILL },
 		    { 2, OP_FREEZE }, { 2, OP_OUTAGE }, { 1, OP_REVOKE_LEASES },
-		    { 1, OP_STOP_LOSSES } });
+		    { 1, OP_STOP_LOSSES }, { 3, OP_UNLIST_ADAPTER } });
 	}
 
 	static const char *
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -2,7 +2,7 @@
 
 const char *const op_names[OP__MAX] = { "advance", "long-advance", "demand",
 	"request-adapter", "lose-answers", "restart", "kill", "freeze", "outage", "revoke-leases",
-	"stop-losses" };
+	"stop-losses", "unlist-adapter" };
 
 World::World(uint64_t seed_) : seed(seed_ * 2 + 1)
 {
@@ -449,6 +449,10 @@
 	TAILQ_INIT(&orders);
 	loader_tick(loaders[i].loader, now, conf, &out);
 	collect_output(i, &ops, &orders);
+	if (now >= table_at[i]) {
+		table_at[i] = now + kTableInterval;
+		send_table(i);
+	}
 }
 
 void
@@ -459,6 +463,7 @@
 	publish_list();
 	deliver_kv();
 	deliver_orders();
+	deliver_tables();
 	for (int i = 0; i < kLoaders; i++)
 		tick_loader(i);
 }
@@ -517,6 +522,9 @@
 		leases.clear();
 		revoked_at = now;
 		break;
+	case OP_UNLIST_ADAPTER:
+		unlist_adapter("r" + std::to_string(a % kReplicas), (uint32_t)b);
+		break;
 	default:
 		loss_probability = 0.0;
 		break;
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -32,6 +32,7 @@
 const uint64_t kReportLag = 200 * NSEC_PER_MSEC;
 const uint64_t kListLag = 400 * NSEC_PER_MSEC;
 const uint64_t kHeartbeat = 1200 * NSEC_PER_MSEC;
+const uint64_t kTableInterval = 240 * NSEC_PER_MSEC;
 
 enum OpKind {
 	OP_ADVANCE,
@@ -45,6 +46,7 @@
 	OP_OUTAGE,
 	OP_REVOKE_LEASES,
 	OP_STOP_LOSSES,
+	OP_UNLIST_ADAPTER,
 	OP__MAX
 };
 
@@ -111,6 +113,13 @@
 	bool done;
 };
 
+/* The adapters that a leader lists, on their way to another process. */
+struct AdapterTable {
+	int receiver;
+	uint64_t arrives_at;
+	std::map<std::string, std::vector<std::string>> adapters;
+};
+
 class World
 {
       public:
@@ -136,6 +145,9 @@
 	enum order_answer accept_order(Engine &, const loader_order &);
 	void check_capacity(const Engine &, const loader_order &);
 	void check_sender(int);
+	void send_table(int);
+	void deliver_tables();
+	void unlist_adapter(const std::string &, uint32_t);
 	bool is_frozen(int) const;
 	fleet_replica list_entry(const Engine &, const EngineContents &) const;
 
@@ -153,6 +165,8 @@
 	LoaderProcess loaders[kLoaders];
 	std::vector<OrderRequest> order_requests;
 	std::vector<KvRequest> kv_requests;
+	std::vector<AdapterTable> tables;
+	uint64_t table_at[kLoaders] = {};
 	uint64_t arrivals[kModels] = {};
 	uint32_t running[kModels] = {};
 	struct fleet_conf *conf;
