A leader ignores the adapter tables of former leaders

Callers could be sent to adapters that a replica does not have, and loads were ordered again.

Cause: a table was compared with the fencing tokens of earlier tables only, not with the process's own. A leader that took over while tables of its predecessor waited in its queue applied them over the reports that it had read since.

Change: a table under a lower fencing token than the process's own is ignored.

test_loader_io, new: two tests of tables; the table of a former holder fails before and passes after, that of a later holder passes before and after.

--- a/Makefile
+++ b/Makefile
@@ -126,6 +126,12 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_loader_io: $(BUILD)/tests/test_loader_io.o $(BUILD)/tests/unit.o \
+    $(BUILD)/entry/loader_io.o $(BUILD)/entry/loader_demand.o \
+    $(BUILD)/entry/adapter_table.o $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_net: $(BUILD)/tests/test_net.o $(BUILD)/tests/unit.o $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
--- a/entry/adapter_table.c
+++ b/entry/adapter_table.c
@@ -117,9 +117,12 @@
 	struct loader_io *st = e->loader_io;
 	struct directory_replica *m;
 	struct fleet_replica *r;
+	struct loader_stats t;
 	uint32_t i;
 
-	if (h->fence < st->holder_fencing_token)
+	loader_get_stats(st->loader, e->now, &t);
+	/* Tables of a former holder may arrive after this one took over. */
+	if (h->fence < st->holder_fencing_token || h->fence < t.fence)
 		return;
 	st->holder_fencing_token = h->fence;
 	st->holder_heard_at = e->now;
--- /dev/null
+++ b/tests/test_loader_io.c
@@ -0,0 +1,266 @@
+/* The order lease's holder: adapter tables of its peers. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "loader_io.h"
+#include "mem.h"
+#include "peers.h"
+#include "query.h"
+#include "session.h"
+#include "unit.h"
+
+#define QUERIES_MAX 64
+#define FORMER_FENCE 6 /* of the holder before this process */
+
+/* What the loader has sent to replicas and is not answered yet. */
+static struct {
+	uint32_t n;
+	query_callback callbacks[QUERIES_MAX];
+	void *contexts[QUERIES_MAX];
+	uint32_t orders;
+} sent;
+static struct kv_ids ids;
+
+static void setup(struct entry *);
+static void finish(struct entry *);
+static void answer(int, const char *);
+static void run(struct entry *, uint64_t);
+static void receive_table(struct entry *, uint64_t, const char *);
+static void test_table_of_former_holder(void);
+static void test_table_of_later_holder(void);
+
+uint64_t
+entry_update_now(struct entry *e)
+{
+	return e->now;
+}
+
+uint32_t
+peers_candidate_rank(const struct peers *p)
+{
+	(void)p;
+	return 0;
+}
+
+uint32_t
+peers_index(const struct peers *p, const char *addr)
+{
+	(void)p;
+	(void)addr;
+	return UINT32_MAX;
+}
+
+struct kv_ids *
+peers_kv_ids(struct peers *p)
+{
+	(void)p;
+	return &ids;
+}
+
+void
+peers_send(struct peers *p, struct msg *m)
+{
+	(void)p;
+	msg_destroy(m);
+}
+
+void
+peers_send_down(struct peers *p, struct msg *m)
+{
+	(void)p;
+	msg_destroy(m);
+}
+
+int
+peers_use_relays(const struct peers *p)
+{
+	(void)p;
+	return 0;
+}
+
+/* The store grants all; another process has held the order lease before. */
+void
+session_send(struct session *s, struct kv_ops *ops,
+    void (*result)(void *, const struct kv_result *), void *ctx)
+{
+	struct kv_result r;
+	struct kv_op *op;
+
+	(void)s;
+	while ((op = TAILQ_FIRST(ops)) != NULL) {
+		TAILQ_REMOVE(ops, op, entry);
+		memset(&r, 0, sizeof(r));
+		r.id = op->id;
+		r.kind = op->kind;
+		r.status = KV_OK;
+		r.revision = 1;
+		r.lease_id = 9;
+		if (op->kind == KV_GET && strncmp(op->key, "lease/", 6) == 0)
+			r.status = KV_ABSENT;
+		else if (op->kind == KV_GET)
+			r.value = "{\"owner\":\"x\",\"fence\":6}";
+		kv_op_destroy(op);
+		result(ctx, &r);
+	}
+}
+
+void
+query_send(struct entry *e, struct conn_pool *pool, const char *addr,
+    const struct buf *request, uint64_t send_by, double timeout_s,
+    query_callback callback, void *ctx)
+{
+	(void)e;
+	(void)pool;
+	(void)addr;
+	(void)send_by;
+	(void)timeout_s;
+	CU_ASSERT_FATAL(sent.n < QUERIES_MAX);
+	sent.callbacks[sent.n] = callback;
+	sent.contexts[sent.n++] = ctx;
+	sent.orders += memcmp(buf_data(request), "POST", 4) == 0;
+}
+
+/* Becomes the holder; the replica reports two adapters. */
+static void
+setup(struct entry *e)
+{
+	static const char report[] =
+	    "{\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":"
+	    "[\"a1\",\"a2\"]}],\"occupied\":false,\"sequence\":14,\"born\":1}";
+	struct fleet_replica r = { 0 };
+	struct fleet_engine *g;
+
+	memset(e, 0, sizeof(*e));
+	memset(&sent, 0, sizeof(sent));
+	e->now = 100 * NSEC_PER_SEC;
+	e->boot.require_fencing = 1;
+	e->boot.load_window_ns = 5 * NSEC_PER_SEC;
+	e->boot.load_burst_factor = 1.0;
+	strcpy(e->self.addr, "10.0.0.1:7000");
+	directory_init(&e->dir);
+	e->dir.synced = 1;
+	e->conf = fleet_conf_create();
+	e->conf->nservices = 1;
+	e->conf->services = mem_alloc(sizeof(*e->conf->services));
+	strcpy(e->conf->services[0].name, "llm");
+	g = mem_alloc(sizeof(*g));
+	e->conf->services[0].engine = g;
+	g->slots = 8;
+	g->kv_tokens = 100000;
+	g->memory_mb = 250;
+	g->adapter_slots = 8;
+	g->loads_per_s = 1.0;
+	g->models = mem_alloc(sizeof(*g->models));
+	g->nmodels = 1;
+	strcpy(g->models[0].name, "m0");
+	g->models[0].memory_mb = 100;
+	g->models[0].store_load_ns = NSEC_PER_SEC;
+	g->models[0].adapter_count = 9;
+	g->models[0].adapter_mb = 5;
+	fleet_engine_index_models(g);
+	strcpy(r.id, "r0");
+	strcpy(r.service, "llm");
+	strcpy(r.addr, "10.0.0.2:80");
+	r.slots = 8;
+	r.started_ms = 1;
+	strcpy(r.resident[0], "m0");
+	r.nresident = 1;
+	directory_put(&e->dir, &r);
+	e->loader_io = loader_io_create(e);
+	run(e, 100 * NSEC_PER_MSEC);
+	CU_ASSERT(loader_io_is_leader(e));
+	CU_ASSERT_EQUAL(sent.n, 1);
+	answer(200, report);
+	CU_ASSERT_EQUAL(directory_find(&e->dir, "r0")->info.nadapters, 2);
+}
+
+static void
+finish(struct entry *e)
+{
+	while (sent.n != 0)
+		answer(0, "");
+	loader_io_destroy(e->loader_io);
+	directory_clear(&e->dir);
+	fleet_conf_destroy(e->conf);
+}
+
+/* Answers the latest order or report request. */
+static void
+answer(int status, const char *body)
+{
+	CU_ASSERT_FATAL(sent.n != 0);
+	sent.n--;
+	sent.callbacks[sent.n](
+	    sent.contexts[sent.n], status, body, strlen(body));
+}
+
+static void
+run(struct entry *e, uint64_t for_ns)
+{
+	uint64_t end = e->now + for_ns;
+
+	for (; e->now < end; e->now += 20 * NSEC_PER_MSEC)
+		loader_io_tick(e);
+}
+
+/* A whole table in which the replica has one adapter. */
+static void
+receive_table(struct entry *e, uint64_t fence, const char *adapter)
+{
+	struct msg *m = msg_create(MSG_HELD, "");
+	struct msg_held *h = &m->u.held;
+
+	strcpy(h->holder, "10.0.0.9:7000");
+	h->fence = fence;
+	h->is_full = 1;
+	h->items = mem_alloc(2 * sizeof(*h->items));
+	strcpy(h->items[0].replica, "r0");
+	h->items[0].replica_start = 1;
+	h->items[1] = h->items[0];
+	snprintf(h->items[1].name, sizeof(h->items[1].name), "%s", adapter);
+	h->n = 2;
+	loader_io_receive(e, m);
+	msg_destroy(m);
+}
+
+/* A table that a former holder sent does not replace newer reports. */
+static void
+test_table_of_former_holder(void)
+{
+	const struct fleet_replica *r;
+	struct entry e;
+
+	setup(&e);
+	receive_table(&e, FORMER_FENCE, "m0/a7");
+	r = &directory_find(&e.dir, "r0")->info;
+	CU_ASSERT_EQUAL(r->nadapters, 2);
+	CU_ASSERT(fleet_has_adapter(r, "m0/a1"));
+	CU_ASSERT(fleet_has_adapter(r, "m0/a2"));
+	CU_ASSERT(!loader_io_is_holder(&e, "10.0.0.9:7000"));
+	finish(&e);
+}
+
+static void
+test_table_of_later_holder(void)
+{
+	const struct fleet_replica *r;
+	struct entry e;
+
+	setup(&e);
+	receive_table(&e, FORMER_FENCE + 2, "m0/a7");
+	r = &directory_find(&e.dir, "r0")->info;
+	CU_ASSERT_EQUAL(r->nadapters, 1);
+	CU_ASSERT(fleet_has_adapter(r, "m0/a7"));
+	CU_ASSERT(loader_io_is_holder(&e, "10.0.0.9:7000"));
+	run(&e, 20 * NSEC_PER_MSEC);
+	CU_ASSERT(!loader_io_is_leader(&e));
+	finish(&e);
+}
+
+static const struct unit_case cases[] = {
+	{ "table of a former holder", test_table_of_former_holder },
+	{ "table of a later holder", test_table_of_later_holder },
+};
+
+UNIT_MAIN("loader_io", cases)
