Load requests are handled together, once a turn of the loop

Callers wait for models and adapters longer, as each new leader starts with a report of each replica.

Cause: each request of a peer for a load (MSG_WANT), and each of this process, ran a whole round of orders, over all replicas and all adapters that requests wait for. A leader works off its queue in one go and with one reading of the clock.

Ruled out: lost renewals and a slow store. The leaders sent none while in their queue.

Change: a request is noted, and one round follows when the loop has handled its input, with the time of then. Orders still leave in the same turn of the loop.

test_loader_io, requests of one turn: fails before (an order is sent while messages are read), passes after.

--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -90,7 +90,7 @@
 	t->asked_at = e->now;
 	loader_request_adapter(st->loader, e->now, loader_io_wanted_name(w));
 	if (loader_is_leader(st->loader, e->now)) {
-		loader_io_tick(e);
+		st->load_requested = 1;
 		return;
 	}
 	if (st->holder[0] == '\0')
@@ -306,7 +306,20 @@
 	if (m->kind != MSG_WANT)
 		return;
 	loader_request_adapter(e->loader_io->loader, e->now, m->u.want.wanted);
-	if (loader_is_leader(e->loader_io->loader, e->now))
+	e->loader_io->load_requested = 1;
+}
+
+/*
+ * Once for all requests there are: a round of orders of a large fleet takes
+ * longer than requests for loads are apart.
+ */
+void
+loader_io_place_requested(struct entry *e)
+{
+	if (!e->loader_io->load_requested)
+		return;
+	e->loader_io->load_requested = 0;
+	if (loader_is_leader(e->loader_io->loader, entry_update_now(e)))
 		loader_io_tick(e);
 }
 
--- a/entry/loader_io.h
+++ b/entry/loader_io.h
@@ -49,6 +49,8 @@
 void loader_io_fill_zone_demand(struct entry *, struct msg_front *);
 /* The process at a bus address is stopping. */
 void loader_io_peer_stopping(struct entry *, const char *);
+/* The holder sends the orders for loads requested since the last call. */
+void loader_io_place_requested(struct entry *);
 /* Handles MSG_HELD (adapter table) and MSG_WANT (load request). */
 void loader_io_receive(struct entry *, const struct msg *);
 /* Counters and lease state, for metrics. */
--- a/entry/loader_io_int.h
+++ b/entry/loader_io_int.h
@@ -29,6 +29,7 @@
 	uint64_t holder_fencing_token;
 	char holder[ADDR_SIZE];
 	int is_holder;
+	int load_requested; /* since the last round of orders */
 };
 
 /* loader_demand.c */
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -1,4 +1,4 @@
-/* The order lease's holder: adapter tables of its peers. */
+/* The order lease's holder: load requests and adapter tables of its peers. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -26,7 +26,9 @@
 static void finish(struct entry *);
 static void answer(int, const char *);
 static void run(struct entry *, uint64_t);
+static void receive_want(struct entry *, const char *);
 static void receive_table(struct entry *, uint64_t, const char *);
+static void test_requests_of_one_turn(void);
 static void test_table_of_former_holder(void);
 static void test_table_of_later_holder(void);
 
@@ -204,6 +206,16 @@
 		loader_io_tick(e);
 }
 
+static void
+receive_want(struct entry *e, const char *wanted)
+{
+	struct msg *m = msg_create(MSG_WANT, "");
+
+	snprintf(m->u.want.wanted, sizeof(m->u.want.wanted), "%s", wanted);
+	loader_io_receive(e, m);
+	msg_destroy(m);
+}
+
 /* A whole table in which the replica has one adapter. */
 static void
 receive_table(struct entry *e, uint64_t fence, const char *adapter)
@@ -224,6 +236,31 @@
 	msg_destroy(m);
 }
 
+/*
+ * Requests that arrive together lead to one round of orders, after all of
+ * them: with a round for each, a holder of a large fleet falls behind.
+ */
+static void
+test_requests_of_one_turn(void)
+{
+	struct entry e;
+
+	setup(&e);
+	receive_want(&e, "m0/a3");
+	receive_want(&e, "m0/a4");
+	receive_want(&e, "m0/a5");
+	CU_ASSERT_EQUAL(sent.orders, 0);
+	loader_io_place_requested(&e);
+	CU_ASSERT_EQUAL(sent.orders, 1); /* one at a time for a replica */
+	answer(202, "");
+	loader_io_place_requested(&e);
+	CU_ASSERT_EQUAL(sent.orders, 1);
+	receive_want(&e, "m0/a4");
+	loader_io_place_requested(&e);
+	CU_ASSERT_EQUAL(sent.orders, 2);
+	finish(&e);
+}
+
 /* A table that a former holder sent does not replace newer reports. */
 static void
 test_table_of_former_holder(void)
@@ -259,6 +296,7 @@
 }
 
 static const struct unit_case cases[] = {
+	{ "requests of one turn", test_requests_of_one_turn },
 	{ "table of a former holder", test_table_of_former_holder },
 	{ "table of a later holder", test_table_of_later_holder },
 };
