A round of adapter orders finds the replicas once

Operators see a leader that spends its whole share of a processor on rounds after a mass crash.

Change: the usable replicas of a service are found once a round; models are compared by hash first. Which replica is chosen does not change.

test_loader and test_loader_adapters pass.

--- a/core/loader_adapters.c
+++ b/core/loader_adapters.c
@@ -1,7 +1,10 @@
 /* Placement of adapters on the replicas of one service. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "hash.h"
+#include "mem.h"
 #include "loader_int.h"
 
 /* An adapter counts as waited for until this long after the last request. */
@@ -9,18 +12,57 @@
 /* An adapter used within this time is not unloaded for another. */
 #define ADAPTER_MIN_KEEP_NS (300 * NSEC_PER_MSEC)
 
+/* The usable replicas of a service, found once for all adapters of a round. */
+struct adapter_round {
+	struct loader *s;
+	uint64_t now;
+	const struct fleet_service *service;
+	uint32_t n;
+	struct adapter_place {
+		struct directory_replica *m;
+		struct engine_state *e;
+	} * places;
+};
+
+/* An adapter to be loaded, and its model. */
+struct wanted_adapter {
+	const char *name; /* MODEL/ADAPTER */
+	char model[NAME_SIZE];
+	uint64_t model_hash;
+};
+
+static void adapter_round_find_places(struct adapter_round *);
 static int adapter_is_loading(const struct engine_state *, const char *);
-static int takes_adapter(const struct loader *, uint64_t,
-    const struct fleet_service *, const struct directory_replica *,
-    const struct engine_state *, const char *);
-static struct directory_replica *choose_adapter_replica(struct loader *,
-    uint64_t, const struct fleet_service *, const char *, const char *);
+static int adapter_has_copy(
+    const struct adapter_round *, const struct wanted_adapter *);
+static int takes_adapter(const struct adapter_round *,
+    const struct adapter_place *, const struct wanted_adapter *);
+static const struct adapter_place *choose_adapter_place(
+    const struct adapter_round *, const struct wanted_adapter *);
 static const char *least_used_adapter(
     const struct loader *, uint64_t, const struct engine_state *);
-static int adapter_has_copy(const struct loader *, uint64_t,
-    const struct fleet_service *, const char *);
-static void load_adapter_if_missing(struct loader *, uint64_t,
-    const struct fleet_service *, const char *, struct loader_output *);
+static void load_adapter_if_missing(const struct adapter_round *,
+    const struct wanted_adapter *, struct loader_output *);
+
+static void
+adapter_round_find_places(struct adapter_round *r)
+{
+	struct directory *d = r->s->directory;
+	struct directory_replica *m;
+	struct engine_state *e;
+
+	r->places =
+	    mem_alloc((HASH_COUNT(d->replicas) + 1) * sizeof(*r->places));
+	for (m = d->replicas; m != NULL; m = m->hh.next) {
+		e = engine_state_find(r->s, m->info.id);
+		if (e == NULL ||
+		    strcmp(m->info.service, r->service->name) != 0 ||
+		    !directory_usable(m, r->now))
+			continue;
+		r->places[r->n].m = m;
+		r->places[r->n++].e = e;
+	}
+}
 
 static int
 adapter_is_loading(const struct engine_state *e, const char *adapter)
@@ -37,22 +79,17 @@
 
 /* Whether a usable replica has the adapter or is loading it. */
 static int
-adapter_has_copy(const struct loader *s, uint64_t now,
-    const struct fleet_service *service, const char *adapter)
+adapter_has_copy(const struct adapter_round *r, const struct wanted_adapter *w)
 {
-	const struct directory_replica *m;
-	const struct engine_state *e;
+	const struct adapter_place *p;
 
-	for (m = s->directory->replicas; m != NULL; m = m->hh.next) {
-		if (strcmp(m->info.service, service->name) != 0 ||
-		    !directory_usable(m, now))
+	for (p = r->places; p < r->places + r->n; p++) {
+		if (!directory_holds(p->m, w->model, w->model_hash))
 			continue;
-		e = engine_state_find(s, m->info.id);
-		if (fleet_has_adapter(&m->info, adapter) ||
-		    (e != NULL &&
-			(adapter_is_loading(e, adapter) ||
-			    (e->last_unanswered &&
-				strcmp(e->last_order.adapter, adapter) == 0))))
+		if (fleet_has_adapter(&p->m->info, w->name) ||
+		    adapter_is_loading(p->e, w->name) ||
+		    (p->e->last_unanswered &&
+			strcmp(p->e->last_order.adapter, w->name) == 0))
 			return 1;
 	}
 	return 0;
@@ -60,16 +97,13 @@
 
 /* Whether a replica has the model and takes an order for an adapter of it. */
 static int
-takes_adapter(const struct loader *s, uint64_t now,
-    const struct fleet_service *service, const struct directory_replica *m,
-    const struct engine_state *e, const char *model)
+takes_adapter(const struct adapter_round *r, const struct adapter_place *p,
+    const struct wanted_adapter *w)
 {
-	return strcmp(m->info.service, service->name) == 0 &&
-	    directory_usable(m, now) && e != NULL &&
-	    engine_state_accepts_orders(s, now, e) &&
-	    e->nloading_adapters < FLEET_LOADING_ADAPTERS_MAX &&
-	    fleet_has_model(&m->info, model) &&
-	    strcmp(engine_state_unloading_model(e), model) != 0;
+	return directory_holds(p->m, w->model, w->model_hash) &&
+	    engine_state_accepts_orders(r->s, r->now, p->e) &&
+	    p->e->nloading_adapters < FLEET_LOADING_ADAPTERS_MAX &&
+	    strcmp(engine_state_unloading_model(p->e), w->model) != 0;
 }
 
 /*
@@ -77,30 +111,29 @@
  * adapter already takes, so that its order only lists it again, then one with
  * free slots.
  */
-static struct directory_replica *
-choose_adapter_replica(struct loader *s, uint64_t now,
-    const struct fleet_service *service, const char *model, const char *adapter)
+static const struct adapter_place *
+choose_adapter_place(
+    const struct adapter_round *r, const struct wanted_adapter *w)
 {
-	struct directory_replica *best = NULL;
-	struct directory_replica *m;
-	struct engine_state *e;
+	const struct adapter_place *best = NULL;
+	const struct adapter_place *p;
 	double best_score = 0.0;
 	double score;
 
-	for (m = s->directory->replicas; m != NULL; m = m->hh.next) {
-		e = engine_state_find(s, m->info.id);
-		if (!takes_adapter(s, now, service, m, e, model))
+	for (p = r->places; p < r->places + r->n; p++) {
+		if (!takes_adapter(r, p, w))
 			continue;
-		score = directory_total_load(s->directory, now, m).running +
-		    4.0 * engine_state_slots_used(e);
-		if (engine_state_has_adapter(e, adapter))
+		score = directory_total_load(r->s->directory, r->now, p->m)
+			    .running +
+		    4.0 * engine_state_slots_used(p->e);
+		if (engine_state_has_adapter(p->e, w->name))
 			score -= 1000.0;
-		else if (engine_state_slots_used(e) >=
-		    service->engine->adapter_slots)
+		else if (engine_state_slots_used(p->e) >=
+		    r->service->engine->adapter_slots)
 			score += 1000.0;
 		if (best != NULL && score >= best_score)
 			continue;
-		best = m;
+		best = p;
 		best_score = score;
 	}
 	return best;
@@ -132,47 +165,52 @@
 }
 
 static void
-load_adapter_if_missing(struct loader *s, uint64_t now,
-    const struct fleet_service *service, const char *adapter,
-    struct loader_output *out)
+load_adapter_if_missing(const struct adapter_round *r,
+    const struct wanted_adapter *w, struct loader_output *out)
 {
-	char model[NAME_SIZE];
-	size_t len = strcspn(adapter, "/");
-	struct directory_replica *m;
+	const struct adapter_place *p;
 	const char *spare;
-	struct engine_state *e;
+	char model[NAME_SIZE];
 
-	snprintf(model, sizeof(model), "%.*s", (int)len, adapter);
-	if (fleet_find_model(service->engine, model) == NULL ||
-	    adapter_has_copy(s, now, service, adapter))
+	if (fleet_find_model(r->service->engine, w->model) == NULL ||
+	    adapter_has_copy(r, w))
 		return;
-	m = choose_adapter_replica(s, now, service, model, adapter);
-	if (m == NULL)
+	p = choose_adapter_place(r, w);
+	if (p == NULL)
 		return;
-	e = engine_state_find(s, m->info.id);
-	if (engine_state_has_adapter(e, adapter) ||
-	    engine_state_slots_used(e) < service->engine->adapter_slots) {
-		loader_send_order(s, now, e, LOADER_LOAD, model, adapter, out);
+	if (engine_state_has_adapter(p->e, w->name) ||
+	    engine_state_slots_used(p->e) < r->service->engine->adapter_slots) {
+		loader_send_order(
+		    r->s, r->now, p->e, LOADER_LOAD, w->model, w->name, out);
 		return;
 	}
-	spare = least_used_adapter(s, now, e);
+	spare = least_used_adapter(r->s, r->now, p->e);
 	if (spare == NULL)
 		return;
-	len = strcspn(spare, "/");
-	snprintf(model, sizeof(model), "%.*s", (int)len, spare);
-	loader_send_order(s, now, e, LOADER_UNLOAD, model, spare, out);
+	snprintf(model, sizeof(model), "%.*s", (int)strcspn(spare, "/"), spare);
+	loader_send_order(r->s, r->now, p->e, LOADER_UNLOAD, model, spare, out);
 }
 
 void
 loader_place_adapters(struct loader *s, uint64_t now,
     const struct fleet_service *service, struct loader_output *out)
 {
+	struct adapter_round r = { s, now, service, 0, NULL };
+	struct wanted_adapter w;
 	struct demand_item *d;
 
 	for (d = s->demand.items; d != NULL; d = d->hh.next) {
-		if (strchr(d->name, '/') == NULL || d->last_waiting_at == 0 ||
-		    now >= d->last_waiting_at + ADAPTER_REQUEST_VALID_NS)
+		if (d->last_waiting_at == 0 ||
+		    now >= d->last_waiting_at + ADAPTER_REQUEST_VALID_NS ||
+		    strchr(d->name, '/') == NULL)
 			continue;
-		load_adapter_if_missing(s, now, service, d->name, out);
+		if (r.places == NULL)
+			adapter_round_find_places(&r);
+		w.name = d->name;
+		snprintf(w.model, sizeof(w.model), "%.*s",
+		    (int)strcspn(d->name, "/"), d->name);
+		w.model_hash = hash_text(w.model);
+		load_adapter_if_missing(&r, &w, out);
 	}
+	free(r.places);
 }
