Messages of peers are handled in bounded numbers, beside other input

What callers and replicas saw: requests were sent to replicas 1 to 7 s after their callers had left (GONE), and the leader's own callers got no answer meanwhile.

Cause: the loop handled all messages of peers that there were before anything else.

Ruled out: placement, lists, poison evidence and waiting requests: with each part of the tick timed, no other took 50 ms.

Change: at most 128 messages a turn; the descriptor of their queue stays readable. Peers are judged silent only when none of their messages waits.

test_peers: 2 of 2 fail before, 2 of 2 pass after, also with ASan.

--- a/entry/peers.c
+++ b/entry/peers.c
@@ -14,12 +14,15 @@
 #define PEER_SILENT_NS (1500 * NSEC_PER_MSEC)
 #define PEER_FORGET_NS (15 * NSEC_PER_SEC) /* if unlisted */
 #define INBOX_SLOTS 4096
+/* Handled in a row; more may arrive meanwhile than can be handled. */
+#define RECEIVE_MAX 128
 #define HUB_WEIGHT_PER_CORE 100.0 /* hub weights are in 1/100 core */
 
 static void on_bus(void *, struct msg *);
 static void on_inbox(struct ev_loop *, ev_io *, int);
 static void on_result(void *, const struct kv_result *);
-static void receive_all(struct peers *);
+static void receive_some(struct peers *);
+static void find_silent(struct peers *);
 static void receive_msg(struct peers *, struct msg *);
 static struct peer *peer_find(struct peers *, const char *);
 static struct peer *peer_add(struct peers *, const char *, const char *);
@@ -107,16 +110,20 @@
 
 	(void)loop;
 	(void)events;
-	entry_update_now(p->e);
-	receive_all(p);
+	receive_some(p);
 }
 
 static void
-receive_all(struct peers *p)
+receive_some(struct peers *p)
 {
 	struct msg *m;
+	int i;
 
-	while ((m = ring_pop(p->inbox, 0)) != NULL) {
+	entry_update_now(p->e);
+	for (i = 0; i < RECEIVE_MAX; i++) {
+		m = ring_pop(p->inbox, 0);
+		if (m == NULL)
+			return;
 		receive_msg(p, m);
 		msg_destroy(m);
 	}
@@ -270,17 +277,26 @@
 void
 peers_tick(struct peers *p)
 {
-	struct peer *q, *next;
 	struct kv_ops ops;
 
-	/* A peer is silent only if nothing of it has arrived. */
-	receive_all(p);
+	receive_some(p);
 	TAILQ_INIT(&ops);
 	announce_tick(p->announce, p->e->now, &ops);
 	session_send(p->e->session, &ops, on_result, p);
 	peers_choose(p);
 	peers_report(p);
 	peers_follow_config(p);
+	/* A peer is silent only if nothing of it has arrived. */
+	if (ring_count(p->inbox) == 0)
+		find_silent(p);
+}
+
+/* Marks the peers that are silent, and forgets those that have gone. */
+static void
+find_silent(struct peers *p)
+{
+	struct peer *q, *next;
+
 	HASH_ITER (hh, p->peers, q, next) {
 		if (q->reachable &&
 		    p->e->now > q->hub.heard_at + PEER_SILENT_NS) {
--- /dev/null
+++ b/tests/test_peers.c
@@ -0,0 +1,163 @@
+/* Messages of other entry processes. */
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "conf_decoder.h"
+#include "loader_io.h"
+#include "peers_int.h"
+#include "poison_io.h"
+#include "query.h"
+#include "session.h"
+#include "unit.h"
+
+#define MESSAGES 1000
+#define SENDER "127.0.0.1:9"
+
+/* Other input of the event loop. */
+struct input {
+	ev_io io;
+	int fds[2];
+	struct peers *peers;
+	size_t waiting; /* messages when the input was handled */
+	int handled;
+};
+
+static void setup(struct entry *);
+static void finish(struct entry *);
+static void push_messages(struct entry *, uint32_t);
+static void on_input(struct ev_loop *, ev_io *, int);
+static void test_other_input_beside_messages(void);
+static void test_not_silent_while_messages_wait(void);
+
+static void
+setup(struct entry *e)
+{
+	struct conn_pool_config links = { NSEC_PER_SEC, NSEC_PER_SEC, 1 };
+	struct err err;
+
+	memset(e, 0, sizeof(*e));
+	e->loop = ev_loop_new(EVFLAG_AUTO);
+	TAILQ_INIT(&e->requests);
+	TAILQ_INIT(&e->queries);
+	directory_init(&e->dir);
+	snprintf(e->boot.vm, sizeof(e->boot.vm), "vm-1");
+	snprintf(e->self.addr, sizeof(e->self.addr), "127.0.0.1:%d",
+	    20000 + getpid() % 10000);
+	e->self.incarnation = 1;
+	/* Nobody listens there. */
+	snprintf(e->boot.store, sizeof(e->boot.store), SENDER);
+	entry_update_now(e);
+	e->store = conn_pool_create(e->loop, &links);
+	e->conf_decoder =
+	    conf_decoder_create(e->loop, entry_apply_config, e, &err);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(e->conf_decoder);
+	e->peers = peers_create(e, &err);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(e->peers);
+	e->loader_io = loader_io_create(e);
+	e->poison_io = poison_io_create(e);
+	e->session = session_create(e);
+}
+
+static void
+finish(struct entry *e)
+{
+	session_close(e->session);
+	queries_cancel(e);
+	conf_decoder_destroy(e->conf_decoder);
+	loader_io_destroy(e->loader_io);
+	poison_io_destroy(e->poison_io);
+	session_destroy(e->session);
+	peers_destroy(e->peers);
+	conn_pool_destroy(e->store);
+	directory_clear(&e->dir);
+	ev_loop_destroy(e->loop);
+}
+
+static void
+push_messages(struct entry *e, uint32_t n)
+{
+	struct msg *m;
+
+	while (n-- > 0) {
+		m = msg_create(MSG_WANT, e->self.addr);
+		snprintf(m->from.addr, sizeof(m->from.addr), "%s", SENDER);
+		m->from.incarnation = 1;
+		snprintf(m->u.want.wanted, sizeof(m->u.want.wanted), "m/a1");
+		CU_ASSERT_EQUAL(ring_push(e->peers->inbox, m), 0);
+	}
+}
+
+static void
+on_input(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct input *in = w->data;
+
+	(void)events;
+	in->waiting = ring_count(in->peers->inbox);
+	in->handled = 1;
+	ev_io_stop(loop, w);
+}
+
+/* More messages than can be handled must not keep other input waiting. */
+static void
+test_other_input_beside_messages(void)
+{
+	struct entry e;
+	struct input in;
+	int i;
+
+	setup(&e);
+	memset(&in, 0, sizeof(in));
+	in.peers = e.peers;
+	CU_ASSERT_EQUAL_FATAL(pipe(in.fds), 0);
+	CU_ASSERT_EQUAL(write(in.fds[1], "x", 1), 1);
+	ev_io_init(&in.io, on_input, in.fds[0], EV_READ);
+	in.io.data = &in;
+	push_messages(&e, MESSAGES);
+	/* Only the messages are there at first. */
+	ev_run(e.loop, EVRUN_ONCE);
+	ev_io_start(e.loop, &in.io);
+	for (i = 0; i < MESSAGES && !in.handled; i++)
+		ev_run(e.loop, EVRUN_ONCE);
+	CU_ASSERT(in.handled);
+	CU_ASSERT(in.waiting > 0);
+	for (i = 0; i < MESSAGES && ring_count(e.peers->inbox) != 0; i++)
+		ev_run(e.loop, EVRUN_ONCE);
+	CU_ASSERT_EQUAL(ring_count(e.peers->inbox), 0);
+	close(in.fds[0]);
+	close(in.fds[1]);
+	finish(&e);
+}
+
+/* What a peer has sent may wait for long after a delay of this process. */
+static void
+test_not_silent_while_messages_wait(void)
+{
+	struct entry e;
+	struct peer *q;
+
+	setup(&e);
+	push_messages(&e, 1);
+	ev_run(e.loop, EVRUN_ONCE);
+	q = e.peers->peers;
+	CU_ASSERT_PTR_NOT_NULL_FATAL(q);
+	if (q == NULL)
+		return;
+	CU_ASSERT(q->reachable);
+	q->hub.heard_at = 0;
+	push_messages(&e, MESSAGES);
+	peers_tick(e.peers);
+	CU_ASSERT(ring_count(e.peers->inbox) != 0);
+	CU_ASSERT(q->reachable);
+	finish(&e);
+}
+
+static const struct unit_case cases[] = {
+	{ "other input beside many messages",
+	    test_other_input_beside_messages },
+	{ "not silent while messages wait",
+	    test_not_silent_while_messages_wait },
+};
+
+UNIT_MAIN("peers", cases)
