An unload is sent only while another copy is known to serve

What callers saw, or would: the last copy of a declared model was unloaded 3.1 s after the other one was lost in an engine's restart, and requests found no replica until it was loaded again. The promise is 3 s. Cause: fuzz_state, case 1,483. e0 restarted at 18.35 s, and its INDEX answers then took over 2 s. The age of the last answer counted from its arrival, and only for a copy of the declared version; the unload on e3 was decided at 21.4 s, its ledger write took effect at 21.45 s and the order was sent on the same, by then older, list. Nothing looked at the age again, however long the write took. For an old version's unload no age was looked at at all. Ruled out: a shorter bound by itself. Change: what an engine listed counts for 3 s from the sending of its INDEX, and the order of an unload is sent only if another copy counts then. Since the order follows the write, the copy was there within 3 s before the decision, whatever the write took. An unload that has lost its reason is withdrawn when the engine lists the copy and no order for it can arrive; until then it waits. Evidence: test_cell, copy lost during an unload's write, unload is withdrawn and silence during an unload's write, failed before (3 of 6 cases) and pass; each of three mutants (no withdrawal, no check at the sending, a list that counts for 300 s) fails at least one.

--- a/core/cell.c
+++ b/core/cell.c
@@ -425,6 +425,8 @@
 		end_ownership(c);
 	if (!c->is_owner || c->conf == NULL)
 		return;
+	for (i = 0; i < c->nbackends; i++)
+		cell_listing_expire(c->backends[i], now);
 	for (i = 0; i < c->nbackends; i++) {
 		cell_ledger_tick(c, now, c->backends[i], out);
 		cell_order_tick(c, now, c->backends[i], out);
--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -51,6 +51,7 @@
 	uint64_t poll_at;	     /* next INDEX */
 	uint64_t poll_id;	     /* INDEX in flight, 0 for none */
 	uint64_t poll_sent_at;
+	uint64_t listed_at; /* sending of the INDEX of the entries' listed */
 	/* When the poll was sent, no other process could send orders. */
 	int poll_excludes_others;
 	uint64_t changed_at;		 /* last answer to a load or unload */
@@ -125,6 +126,8 @@
 int cell_sender_cleared(void *, const struct node_id *);
 
 /* cell_order.c */
+/* Disregards the engine's list of copies once it is too old. */
+void cell_listing_expire(struct cell_backend *, uint64_t);
 void cell_order_tick(
     struct cell_core *, uint64_t, struct cell_backend *, struct cell_out *);
 /* Queues an order; the caller fills in the model and the memory. */
--- a/core/cell_order.c
+++ b/core/cell_order.c
@@ -12,11 +12,16 @@
 
 #define ORDER_RETRY_NS (1 * NSEC_PER_SEC)
 #define STORE_BURST_LOADS 2.0
+/* An unload relies on lists of copies that were asked for since. */
+#define LISTING_MAX_AGE_NS (3 * NSEC_PER_SEC)
 
 static int take_store_token(struct cell_core *, uint64_t);
 static uint32_t loads_in_flight(const struct cell_core *);
 static void send_entry_order(struct cell_core *, uint64_t,
     struct cell_backend *, struct ledger_entry *, struct cell_out *);
+static void send_due_orders(
+    struct cell_core *, uint64_t, struct cell_backend *, struct cell_out *);
+static int may_unload(const struct cell_core *, const struct ledger_entry *);
 static int settle_ledger(
     struct cell_core *, uint64_t, struct cell_backend *, struct ledger *);
 static int settlement_due(const struct cell_backend *);
@@ -113,6 +118,20 @@
 	o->memory_mb = en->memory_mb;
 }
 
+/*
+ * Whether another copy serves the model, as far as is known now.  The engine of
+ * the one that the move relied on may have restarted during the ledger's write.
+ */
+static int
+may_unload(const struct cell_core *c, const struct ledger_entry *en)
+{
+	const struct conf_model *m = conf_find_model(c->conf, en->model);
+
+	return m == NULL || cell_serves(c, m->name, m->version) ||
+	    (!conf_is_home_cell(m, c->name) &&
+		c->env.served_elsewhere(c->env.ctx, m->name, c->name));
+}
+
 static int
 settle_entry(struct cell_core *c, uint64_t now, struct ledger *l,
     struct ledger_entry *en)
@@ -130,6 +149,13 @@
 		ledger_remove_entry(l, en->id);
 		return 1;
 	}
+	/* The copy is there and needed, and no unload can arrive. */
+	if (en->state == ENTRY_UNLOADING && en->listed && quiet &&
+	    ledger_is_sole_sender(en, &c->self) && !may_unload(c, en)) {
+		en->state = ENTRY_RESIDENT;
+		en->nsenders = 0;
+		return 1;
+	}
 	/* This process is the last sender and has nothing to send. */
 	if (en->state == ENTRY_RESIDENT && quiet && en->nsenders != 0 &&
 	    ledger_is_sole_sender(en, &c->self)) {
@@ -186,13 +212,44 @@
 }
 
 void
-cell_order_tick(struct cell_core *c, uint64_t now, struct cell_backend *b,
+cell_listing_expire(struct cell_backend *b, uint64_t now)
+{
+	uint32_t i;
+
+	if (now < b->listed_at + LISTING_MAX_AGE_NS)
+		return;
+	for (i = 0; i < b->ledger.nentries; i++)
+		b->ledger.entries[i].listed = 0;
+}
+
+static void
+send_due_orders(struct cell_core *c, uint64_t now, struct cell_backend *b,
     struct cell_out *out)
 {
 	struct ledger_entry *en;
-	struct ledger *l;
 	uint32_t i;
 
+	for (i = 0; i < b->ledger.nentries; i++) {
+		en = &b->ledger.entries[i];
+		if (en->order_id != 0 || now < en->retry_at ||
+		    en->state == ENTRY_RESIDENT || en->confirmed)
+			continue;
+		if (en->state == ENTRY_UNLOADING && !may_unload(c, en))
+			continue;
+		if (en->state == ENTRY_LOADING &&
+		    (loads_in_flight(c) >= c->conf->store.concurrent ||
+			!take_store_token(c, now)))
+			continue;
+		send_entry_order(c, now, b, en, out);
+	}
+}
+
+void
+cell_order_tick(struct cell_core *c, uint64_t now, struct cell_backend *b,
+    struct cell_out *out)
+{
+	struct ledger *l;
+
 	poll_engine(c, now, b, out);
 	if (b->ledger_step != LEDGER_READY ||
 	    !ownership_valid(c->ownership, now) ||
@@ -205,17 +262,7 @@
 		return;
 	}
 	free(l);
-	for (i = 0; i < b->ledger.nentries; i++) {
-		en = &b->ledger.entries[i];
-		if (en->order_id != 0 || now < en->retry_at ||
-		    en->state == ENTRY_RESIDENT || en->confirmed)
-			continue;
-		if (en->state == ENTRY_LOADING &&
-		    (loads_in_flight(c) >= c->conf->store.concurrent ||
-			!take_store_token(c, now)))
-			continue;
-		send_entry_order(c, now, b, en, out);
-	}
+	send_due_orders(c, now, b, out);
 }
 
 static struct ledger_entry *
@@ -293,6 +340,7 @@
 	int there;
 
 	(void)now;
+	b->listed_at = b->poll_sent_at;
 	for (i = 0; i < b->ledger.nentries; i++) {
 		en = &b->ledger.entries[i];
 		there = find_in_index(r, en) != NULL;
--- a/core/ledger.h
+++ b/core/ledger.h
@@ -42,7 +42,7 @@
 	uint64_t in_doubt_until;      /* an unanswered order may take effect */
 	int confirmed;		      /* the engine has reached the state */
 	int missing; /* not in the engine's last INDEX answer */
-	/* In the last INDEX answer, and no order was answered since. */
+	/* In a recent INDEX answer, and no order was answered since. */
 	int listed;
 };
 
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -23,6 +23,8 @@
 	int loaded[VERSIONS];
 	int loads_until_restart; /* 0: none */
 	int unloads;
+	int silent; /* does not answer INDEX */
+	int refuses_load;
 } engine;
 
 static struct {
@@ -43,6 +45,9 @@
 static uint64_t now;
 static uint64_t kv_revision;
 static int kv_down;
+/* The write of an unload, which is answered only when it is released. */
+static int hold_unload;
+static struct kv_op *held_op;
 
 static int process_ended(void *, const struct node_id *);
 static int served_elsewhere(void *, const char *, const char *);
@@ -60,8 +65,14 @@
 static void engine_carry_out(const struct order *);
 static void step(void);
 static void advance(uint64_t);
+static void start_slow_unload(void);
+static void release_write(void);
+static void check_new_version_alone(void);
 static void test_restart_between_loads(void);
 static void test_old_version_is_unloaded(void);
+static void test_copy_lost_during_write(void);
+static void test_unload_is_withdrawn(void);
+static void test_silence_during_write(void);
 static void test_delegated_copy_of_former_owner(void);
 
 static int
@@ -100,6 +111,8 @@
 
 	now = 10 * NSEC_PER_SEC;
 	kv_down = 0;
+	hold_unload = 0;
+	held_op = NULL;
 	TAILQ_INIT(&msgs);
 	TAILQ_INIT(&ops);
 	TAILQ_INIT(&orders);
@@ -263,9 +276,16 @@
 	r.outcome = ORDER_DONE;
 	switch (o->kind) {
 	case ORDER_INDEX:
-		engine_index(&r, list);
+		if (engine.silent)
+			r.outcome = ORDER_UNKNOWN;
+		else
+			engine_index(&r, list);
 		break;
 	case ORDER_LOAD:
+		if (engine.refuses_load) {
+			r.outcome = ORDER_REFUSED;
+			break;
+		}
 		engine.loaded[version_index(o->version)] = 1;
 		if (engine.loads_until_restart > 0 &&
 		    --engine.loads_until_restart == 0)
@@ -302,6 +322,12 @@
 	cell_tick(cell, now, &out);
 	while ((op = TAILQ_FIRST(&ops)) != NULL) {
 		TAILQ_REMOVE(&ops, op, entry);
+		if (hold_unload && op->kind == KV_CAS &&
+		    strstr(op->value, "unloading") != NULL) {
+			held_op = op;
+			hold_unload = 0;
+			continue;
+		}
 		kv_answer(op);
 		kv_op_destroy(op);
 	}
@@ -353,6 +379,86 @@
 	teardown();
 }
 
+/*
+ * The old version's unload is decided, as the new one serves; its write then
+ * takes longer than the list of copies may count, and no other list arrives.
+ */
+static void
+start_slow_unload(void)
+{
+	int i;
+
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_OLD] = 1;
+	hold_unload = 1;
+	for (i = 0; i < 200 && held_op == NULL; i++)
+		step();
+	CU_ASSERT_PTR_NOT_NULL_FATAL(held_op);
+	engine.silent = 1;
+	advance(3500 * NSEC_PER_MSEC);
+}
+
+static void
+release_write(void)
+{
+	kv_answer(held_op);
+	kv_op_destroy(held_op);
+	advance(NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(engine.unloads, 0);
+	engine.silent = 0;
+	advance(10 * NSEC_PER_SEC);
+}
+
+static void
+check_new_version_alone(void)
+{
+	CU_ASSERT_FALSE(engine.loaded[VERSION_OLD]);
+	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
+}
+
+/* The engine restarts meanwhile, so that nothing is left to unload. */
+static void
+test_copy_lost_during_write(void)
+{
+	start_slow_unload();
+	engine_restart();
+	release_write();
+	CU_ASSERT_EQUAL(engine.unloads, 0);
+	check_new_version_alone();
+	teardown();
+}
+
+/* The new version is lost meanwhile, so that the old one must stay. */
+static void
+test_unload_is_withdrawn(void)
+{
+	start_slow_unload();
+	engine.loaded[VERSION_NEW] = 0;
+	engine.refuses_load = 1;
+	release_write();
+	CU_ASSERT_EQUAL(engine.unloads, 0);
+	CU_ASSERT_PTR_NULL(
+	    strstr(keys[kv_find("ledger/e1")].value, "unloading"));
+	engine.refuses_load = 0;
+	advance(10 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(engine.unloads, 1);
+	check_new_version_alone();
+	teardown();
+}
+
+/* Nothing is lost: the old version goes once the engine answers again. */
+static void
+test_silence_during_write(void)
+{
+	start_slow_unload();
+	release_write();
+	CU_ASSERT_EQUAL(engine.unloads, 1);
+	check_new_version_alone();
+	teardown();
+}
+
 /*
  * While the service is down, a copy is loaded into the delegated memory.
  * Another owner follows, under which the copy ends.  When the former owner
@@ -405,6 +511,9 @@
 static const struct unit_case cases[] = {
 	{ "restart between loads", test_restart_between_loads },
 	{ "old version is unloaded", test_old_version_is_unloaded },
+	{ "copy lost during an unload's write", test_copy_lost_during_write },
+	{ "unload is withdrawn", test_unload_is_withdrawn },
+	{ "silence during an unload's write", test_silence_during_write },
 	{ "delegated copy of a former owner",
 	    test_delegated_copy_of_former_owner },
 };
