A process that stood still uses no delegated memory before it owns the cell again

What operators saw, or would: an order to an engine from a former owner, for memory that another process had taken over 10 s before. The engine refused it by its fencing token, so no memory was promised twice, but orders are to come only from the lease's holder or the delegate of the memory. While the service was down, node 0 held e0's delegated memory; it stood still from 55.85 to 84.5 s. The service came back at 72.4 s, another process took the cell at 73.35 s and, since e0 has fencing and accepted its token, the delegation at 74.35 s. In its first step after standing still node 0 took the service to be down, as its lease had lapsed, and ordered a load. A lapsed lease says only that the service was not reached, and nothing asked how long ago that was. Ruled out: taking over only what its delegate has cleared, on engines with fencing too: memory and adapter pool would be lost to the cell as long as the delegate hangs. Change: a delegate may use its memory until its lease expires, and then for a lease lifetime (4 s) from the sending of each attempt to reach the service that was sent while it still might and got no answer. In an outage attempts follow each other within 2 s, so that it goes on; after a longer stand it ends until the process has acquired the cell again. This holds for models and for adapters. An adapter may wait for the first vain attempt after a lapsed lease. Not covered: a process that stood still for less than 4 s while the service came back and another took over may still send; engines without fencing are taken over only when the delegate has cleared them, the others refuse. Evidence: test_cell, stood still during an outage, failed before (1 of 7 cases) and passes; test_ownership, outage, stood still during an outage, lease gone.

--- a/core/cell_adapter.c
+++ b/core/cell_adapter.c
@@ -105,7 +105,7 @@
 	struct backend_adapter *ad;
 	struct order *o;
 
-	if (!cell_holds_delegation(c, b) ||
+	if (!cell_holds_delegation(c, now, b) ||
 	    b->nadapters == BACKEND_ADAPTERS_MAX ||
 	    adapter_pool_used_mb(b) + a->memory_mb > b->conf.adapter_pool_mb ||
 	    adapter_orders_in_flight(c) >= c->conf->store.adapters_in_flight)
@@ -189,7 +189,7 @@
 	}
 	for (i = 0; i < c->nbackends; i++) {
 		if (backend_holds_model(c->backends[i], m->name) &&
-		    cell_holds_delegation(c, c->backends[i]))
+		    cell_holds_delegation(c, now, c->backends[i]))
 			adapter_evict(c, now, c->backends[i], out);
 	}
 }
@@ -203,7 +203,7 @@
 	uint32_t i;
 	size_t k;
 
-	if (!cell_holds_delegation(c, b) || b->conf.leaving ||
+	if (!cell_holds_delegation(c, now, b) || b->conf.leaving ||
 	    !cell_backend_responsive(c, b, now) || b->engine_incarnation == 0)
 		return;
 	for (i = b->nadapters; i > 0; i--) {
--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -119,9 +119,9 @@
 /* Whether an edited ledger has an entry for the delegated copy. */
 int cell_delegated_copy_merged(
     const struct cell_backend *, const struct ledger *);
-/* Whether the ledger delegates memory to this process. */
+/* Whether this process may use memory that the ledger delegates to it. */
 int cell_holds_delegation(
-    const struct cell_core *, const struct cell_backend *);
+    const struct cell_core *, uint64_t, const struct cell_backend *);
 /* Whether a process can send no more orders; the context is the cell. */
 int cell_sender_cleared(void *, const struct node_id *);
 
--- a/core/cell_ledger.c
+++ b/core/cell_ledger.c
@@ -84,9 +84,11 @@
 }
 
 int
-cell_holds_delegation(const struct cell_core *c, const struct cell_backend *b)
+cell_holds_delegation(
+    const struct cell_core *c, uint64_t now, const struct cell_backend *b)
 {
-	return ownership_held(c->ownership) && delegated_to_self(c, &b->ledger);
+	return ownership_uncontested(c->ownership, now) &&
+	    delegated_to_self(c, &b->ledger);
 }
 
 static void
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -446,7 +446,7 @@
 	for (i = 0; i < c->nbackends; i++) {
 		b = c->backends[i];
 		d = &b->ledger.delegation;
-		if (i == keep || !cell_holds_delegation(c, b) ||
+		if (i == keep || !cell_holds_delegation(c, now, b) ||
 		    d->memory_mb == 0 || b->has_delegated_copy ||
 		    ledger_free_mb(&b->ledger, d->accelerator) + d->memory_mb <
 			need)
@@ -479,13 +479,13 @@
 
 	for (i = 0; i < c->nbackends; i++) {
 		b = c->backends[i];
-		if (cell_holds_delegation(c, b) && !b->conf.leaving &&
+		if (cell_holds_delegation(c, now, b) && !b->conf.leaving &&
 		    b->ledger.delegation.memory_mb >= want)
 			return release_delegation(c, now, i, 0, out);
 	}
 	for (i = 0; i < c->nbackends; i++) {
 		b = c->backends[i];
-		if (!cell_holds_delegation(c, b) ||
+		if (!cell_holds_delegation(c, now, b) ||
 		    b->ledger_step != LEDGER_READY || b->conf.leaving ||
 		    b->ledger.delegation.memory_mb != 0)
 			continue;
@@ -558,7 +558,7 @@
 		for (k = 0; k < c->nbackends && !waiting; k++) {
 			b = c->backends[k];
 			if (b->has_delegated_copy ||
-			    !cell_holds_delegation(c, b) ||
+			    !cell_holds_delegation(c, now, b) ||
 			    !conf_may_place(m, &b->conf) ||
 			    ledger_find_model(
 				&b->ledger, m->name, m->version) != NULL ||
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -37,7 +37,8 @@
 	uint64_t keepalive_at;
 	uint64_t lease_id;
 	uint64_t lease_deadline;
-	uint64_t fence; /* fencing token of the latest ownership */
+	uint64_t uncontested_until; /* see ownership_uncontested() */
+	uint64_t fence;		    /* fencing token of the latest ownership */
 	uint64_t proposed_fencing_token; /* being written */
 };
 
@@ -47,6 +48,8 @@
 static void ownership_read_fencing_token(
     struct ownership *, uint64_t, struct kv_ops *);
 static void ownership_retry_later(struct ownership *, uint64_t);
+static void ownership_set_held(struct ownership *, uint64_t);
+static void ownership_note_silence(struct ownership *, uint64_t);
 static void ownership_keepalive_result(
     struct ownership *, uint64_t, const struct kv_result *);
 static int written_by_self(const struct ownership *, const char *, uint64_t *);
@@ -262,9 +265,7 @@
 		if (written_by_self(o, r->value, &lease) &&
 		    lease == o->lease_id &&
 		    fence == o->proposed_fencing_token) {
-			o->fence = fence;
-			o->held = 1;
-			o->state = OWNERSHIP_HELD;
+			ownership_set_held(o, fence);
 			return;
 		}
 	}
@@ -283,10 +284,27 @@
 		ownership_read_fencing_token(o, now, out);
 		return;
 	}
-	o->fence = o->proposed_fencing_token;
+	ownership_set_held(o, o->proposed_fencing_token);
+	o->keepalive_at = now;
+}
+
+static void
+ownership_set_held(struct ownership *o, uint64_t fence)
+{
+	o->fence = fence;
 	o->held = 1;
 	o->state = OWNERSHIP_HELD;
-	o->keepalive_at = now;
+	o->uncontested_until = o->lease_deadline;
+}
+
+/* An attempt to reach the service was in vain. */
+static void
+ownership_note_silence(struct ownership *o, uint64_t sent_at)
+{
+	uint64_t until = sent_at + o->config.ttl_s * NSEC_PER_SEC;
+
+	if (sent_at < o->uncontested_until && o->uncontested_until < until)
+		o->uncontested_until = until;
 }
 
 /* The lease runs from before the renewal was sent, not from its answer. */
@@ -298,8 +316,14 @@
 	if (r->status == KV_OK) {
 		o->lease_deadline =
 		    o->keepalive_sent_at + o->config.ttl_s * NSEC_PER_SEC;
+		if (o->state == OWNERSHIP_HELD)
+			o->uncontested_until = o->lease_deadline;
 		return;
 	}
+	if (r->status == KV_UNKNOWN)
+		ownership_note_silence(o, o->keepalive_sent_at);
+	if (r->status == KV_ABSENT)
+		o->uncontested_until = 0;
 	if (r->status == KV_ABSENT && o->state == OWNERSHIP_HELD) {
 		o->lease_deadline = 0;
 		o->state = OWNERSHIP_IDLE;
@@ -318,6 +342,8 @@
 	if (r->id != o->pending_op || o->pending_op == 0)
 		return 0;
 	o->pending_op = 0;
+	if (r->status == KV_UNKNOWN)
+		ownership_note_silence(o, o->op_sent_at);
 	/* The lease must not expire before the cell is acquired. */
 	if (o->state >= OWNERSHIP_WRITE_LOCK &&
 	    o->state <= OWNERSHIP_WRITE_FENCING_TOKEN &&
@@ -397,6 +423,12 @@
 	    now + o->config.margin_ns < o->lease_deadline;
 }
 
+int
+ownership_uncontested(const struct ownership *o, uint64_t now)
+{
+	return o->held && now < o->uncontested_until;
+}
+
 uint64_t
 ownership_valid_until(const struct ownership *o)
 {
--- a/core/ownership.h
+++ b/core/ownership.h
@@ -41,6 +41,13 @@
 int ownership_held(const struct ownership *);
 /* Whether the lease is certain not to have expired: orders may be sent. */
 int ownership_valid(const struct ownership *, uint64_t);
+/*
+ * Whether no other process has taken the cell, as far as this one can know:
+ * until the lease expires, and for a lease lifetime from the sending of each
+ * attempt to reach the service that was sent by then and got no answer.  A
+ * process that stood still for longer must acquire the cell again first.
+ */
+int ownership_uncontested(const struct ownership *, uint64_t);
 /* Time from which orders must not be sent, as far as known; 0 if not held. */
 uint64_t ownership_valid_until(const struct ownership *);
 /* Fencing token of the latest ownership, 0 when there was none. */
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -74,6 +74,7 @@
 static void test_unload_is_withdrawn(void);
 static void test_silence_during_write(void);
 static void test_delegated_copy_of_former_owner(void);
+static void test_stood_still_during_outage(void);
 
 static int
 process_ended(void *ctx, const struct node_id *id)
@@ -508,6 +509,35 @@
 	teardown();
 }
 
+/*
+ * A process that stood still while the service was down cannot know whether
+ * another has taken its delegated memory, so it orders nothing there until the
+ * service answers.
+ */
+static void
+test_stood_still_during_outage(void)
+{
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_OLD] = 1;
+	strcpy(model.version, versions[VERSION_OLD]);
+	advance(3 * NSEC_PER_SEC);
+	kv_down = 1;
+	advance(5 * NSEC_PER_SEC);
+	strcpy(model.version, versions[VERSION_NEW]);
+	engine_restart();
+	now += 6 * NSEC_PER_SEC;
+	advance(5 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(cell_is_owner(cell));
+	CU_ASSERT_FALSE(engine.loaded[VERSION_NEW]);
+	kv_down = 0;
+	kv_remove(kv_find("lease/main"));
+	advance(5 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "restart between loads", test_restart_between_loads },
 	{ "old version is unloaded", test_old_version_is_unloaded },
@@ -516,6 +546,7 @@
 	{ "silence during an unload's write", test_silence_during_write },
 	{ "delegated copy of a former owner",
 	    test_delegated_copy_of_former_owner },
+	{ "stood still during an outage", test_stood_still_during_outage },
 };
 
 UNIT_MAIN("cell", cases)
--- a/tests/test_ownership.c
+++ b/tests/test_ownership.c
@@ -24,6 +24,10 @@
 static void test_slow_keepalive(void);
 static void test_expired_during_acquisition(void);
 static void test_superseded(void);
+static void stay_in_outage(uint64_t);
+static void test_outage(void);
+static void test_stood_still(void);
+static void test_lease_gone(void);
 
 static void
 setup(void)
@@ -212,6 +216,77 @@
 	teardown();
 }
 
+/* Each operation times out after a second; checks before each step. */
+static void
+stay_in_outage(uint64_t ns)
+{
+	struct kv_op *op = NULL;
+	uint64_t until = now + ns;
+	uint64_t due = 0;
+
+	while (now < until || op != NULL) {
+		CU_ASSERT(ownership_uncontested(owner, now));
+		ownership_tick(owner, now, &ops);
+		if (op == NULL && (op = TAILQ_FIRST(&ops)) != NULL) {
+			TAILQ_REMOVE(&ops, op, entry);
+			due = now + NSEC_PER_SEC;
+		}
+		now += 50 * NSEC_PER_MSEC;
+		if (op == NULL || now < due)
+			continue;
+		answer_op(op, KV_UNKNOWN, NULL);
+		op = NULL;
+	}
+}
+
+/* While the service is silent, no other process can take the cell. */
+static void
+test_outage(void)
+{
+	setup();
+	acquire_cell();
+	stay_in_outage(20 * NSEC_PER_SEC);
+	CU_ASSERT(!ownership_valid(owner, now));
+	CU_ASSERT(ownership_uncontested(owner, now));
+	ownership_superseded(owner, 2);
+	CU_ASSERT(!ownership_uncontested(owner, now));
+	teardown();
+}
+
+/* After standing still, silence proves nothing until the cell is acquired. */
+static void
+test_stood_still(void)
+{
+	int i;
+
+	setup();
+	acquire_cell();
+	stay_in_outage(10 * NSEC_PER_SEC);
+	now += 5 * NSEC_PER_SEC;
+	for (i = 0; i < 5; i++) {
+		CU_ASSERT(!ownership_uncontested(owner, now));
+		ownership_tick(owner, now, &ops);
+		answer_op(take_op(KV_GET), KV_UNKNOWN, NULL);
+		now += NSEC_PER_SEC;
+	}
+	acquire_cell();
+	CU_ASSERT(ownership_uncontested(owner, now));
+	teardown();
+}
+
+/* The service says that the lease is gone, so another may hold the cell. */
+static void
+test_lease_gone(void)
+{
+	setup();
+	acquire_cell();
+	now += 1500 * NSEC_PER_MSEC;
+	ownership_tick(owner, now, &ops);
+	answer_op(take_op(KV_KEEPALIVE), KV_ABSENT, NULL);
+	CU_ASSERT(!ownership_uncontested(owner, now));
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "acquisition", test_acquire },
 	{ "owned by another process", test_owned_by_other },
@@ -220,6 +295,9 @@
 	{ "slow lease renewal", test_slow_keepalive },
 	{ "lease expired during acquisition", test_expired_during_acquisition },
 	{ "superseded by another owner", test_superseded },
+	{ "outage", test_outage },
+	{ "stood still during an outage", test_stood_still },
+	{ "lease gone", test_lease_gone },
 };
 
 UNIT_MAIN("own", cases)
