Test: the longest time to each process while hubs and relays fail

test_follow holds lost pushes with relays that stay the same, and knows no list. The bounds of docs/PLATFORM.md were derived, not measured.

300 processes in five data centres run in virtual time on core/follow and core/hubs, with the store's watches and reads, roles that are chosen anew and messages that take time; entry/ is followed by hand where it holds the rest. One hub, all hubs, a relay, a hub and a relay, all relays or one process are dead, frozen, cut, turned away by the store, slow or deaf, from 2.5 s before a change to 0.06 s after it. Each other process has the configuration and the list, of which an entry was removed, within 2 s, and so has the failed one after the fault.

--- /dev/null
+++ b/tests/follow_world.c
@@ -0,0 +1,598 @@
+/* The processes of the fleet in virtual time, as entry/ runs them. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "follow_world.h"
+#include "hash.h"
+#include "mem.h"
+
+#define START_NS (100 * NSEC_PER_SEC)
+#define TICK_NS (50 * NSEC_PER_MSEC)
+#define TICK_DUTY_NS (20 * NSEC_PER_MSEC)
+#define REPORT_NS (200 * NSEC_PER_MSEC)
+#define PULL_RETRY_NS (300 * NSEC_PER_MSEC)
+#define SILENT_NS (800 * NSEC_PER_MSEC)
+#define HUB_STARTUP_NS (700 * NSEC_PER_MSEC)
+#define SETTLE_NS (1500 * NSEC_PER_MSEC) /* hubs have read and watch */
+#define DECODE_NS (50 * NSEC_PER_MSEC)
+/* Messages: on the way, at a slow process, and 40 KB at 100 Mbit/s. */
+#define LATENCY_NS (10 * NSEC_PER_MSEC)
+#define SLOW_NS (300 * NSEC_PER_MSEC)
+#define TEXT_NS (3200 * NSEC_PER_USEC)
+
+TAILQ_HEAD(message_list, message);
+
+struct process *world;
+uint64_t world_now;
+uint64_t world_calls;
+uint64_t world_texts;
+
+static struct message_list queue;
+static struct replica_list newest[WORLD_PROCESSES]; /* revisions ever known */
+static int went_back;
+static uint64_t random_state;
+
+static uint32_t index_of(const struct process *);
+static void set_digest(struct process *, uint32_t, uint64_t);
+static void add_change(struct process *, uint32_t, uint64_t, int);
+static struct message *create_message(
+    const struct process *, enum message_kind);
+static void send_to(uint32_t, uint32_t, struct message *);
+static void send_down(struct process *, const struct message *);
+static void push_config(struct process *);
+static void send_report(struct process *, uint32_t);
+static void report(struct process *);
+static void send_list(struct process *, uint32_t);
+static void pull(struct process *, uint32_t, enum follow_text);
+static void answer_pull(struct process *, const struct message *);
+static void apply_list(struct process *, const struct message *);
+static void apply_report(struct process *, const struct message *);
+static void deliver(struct message *);
+static void deliver_due(void);
+static void run_process(struct process *);
+static void choose_relays(struct process *);
+static void choose_hubs(struct process *);
+static void tick(struct process *);
+static uint32_t draw(uint32_t);
+static void start_process(uint32_t);
+
+static uint32_t
+index_of(const struct process *p)
+{
+	return (uint32_t)(p - world);
+}
+
+int
+world_is_hub(uint32_t i)
+{
+	return world[i].hub[i].hub_since != 0 &&
+	    world_now >= START_NS + HUB_STARTUP_NS;
+}
+
+int
+world_is_relay(uint32_t i)
+{
+	return world[i].relay[i].hub_since != 0;
+}
+
+int
+world_went_back(void)
+{
+	return went_back;
+}
+
+int
+world_has(uint32_t i, enum follow_text t)
+{
+	if (t == FOLLOW_CONFIG)
+		return world[i].follow.version == store_version();
+	return memcmp(world[i].list.entry, store_list()->entry,
+		   sizeof(world[i].list.entry)) == 0;
+}
+
+static void
+set_digest(struct process *p, uint32_t i, uint64_t revision)
+{
+	char key[16];
+
+	snprintf(key, sizeof(key), "%u", i);
+	p->list.digest ^=
+	    hash_version(key, p->list.entry[i]) ^ hash_version(key, revision);
+	p->list.entry[i] = revision;
+}
+
+/* Records a change to be pushed. */
+static void
+add_change(struct process *p, uint32_t i, uint64_t revision, int removed)
+{
+	struct list_item *c;
+
+	if (p->nchanges == 0)
+		p->changed_from = p->list.revision;
+	if (p->nchanges == WORLD_ENTRIES)
+		return;
+	c = &p->changes[p->nchanges++];
+	c->entry = i;
+	c->revision = revision;
+	c->removed = removed;
+}
+
+void
+process_set_entry(struct process *p, uint32_t i, uint64_t revision)
+{
+	uint64_t *known = &newest[index_of(p)].entry[i];
+
+	if (revision < *known)
+		went_back = 1;
+	*known = revision;
+	add_change(p, i, revision, 0);
+	set_digest(p, i, revision);
+}
+
+void
+process_remove_entry(struct process *p, uint32_t i, uint64_t revision)
+{
+	if (p->list.entry[i] == 0)
+		return;
+	add_change(p, i, revision, 1);
+	set_digest(p, i, 0);
+	newest[index_of(p)].entry[i] = revision;
+}
+
+static struct message *
+create_message(const struct process *p, enum message_kind kind)
+{
+	struct message *m = mem_alloc(sizeof(*m));
+
+	m->kind = kind;
+	m->version = p->follow.version;
+	m->weight = p->hub[index_of(p)].weight;
+	m->list.revision = p->list.revision;
+	m->list.digest = p->list.digest;
+	return m;
+}
+
+/* Takes the message. */
+static void
+send_to(uint32_t from, uint32_t to, struct message *m)
+{
+	struct process *p = &world[from];
+	struct message *q;
+
+	if (p->fault == FAULT_CUT || world[to].fault == FAULT_CUT ||
+	    from == to) {
+		free(m);
+		return;
+	}
+	m->from = from;
+	m->to = to;
+	m->due = world_now;
+	if (m->kind == MESSAGE_TEXT && (m->text == FOLLOW_CONFIG || m->whole)) {
+		world_texts++;
+		if (p->link_free_at < world_now)
+			p->link_free_at = world_now;
+		p->link_free_at += TEXT_NS;
+		m->due = p->link_free_at;
+	}
+	m->due += LATENCY_NS +
+	    (p->fault == FAULT_SLOW || world[to].fault == FAULT_SLOW ? SLOW_NS
+								     : 0);
+	TAILQ_FOREACH_REVERSE(q, &queue, message_list, entry)
+	{
+		if (q->due <= m->due)
+			break;
+	}
+	if (q == NULL)
+		TAILQ_INSERT_HEAD(&queue, m, entry);
+	else
+		TAILQ_INSERT_AFTER(&queue, q, m, entry);
+}
+
+/* A hub sends to all relays, and a relay to its data centre. */
+static void
+send_down(struct process *p, const struct message *m)
+{
+	uint32_t self = index_of(p);
+	struct message *copy;
+	uint32_t i;
+	int down;
+
+	for (i = 0; i < WORLD_PROCESSES; i++) {
+		down = (world_is_hub(self) && p->relay[i].hub_since != 0) ||
+		    (world_is_relay(self) && world[i].zone == p->zone);
+		if (i == self || !down)
+			continue;
+		copy = mem_alloc(sizeof(*copy));
+		*copy = *m;
+		send_to(self, i, copy);
+	}
+}
+
+static void
+push_config(struct process *p)
+{
+	struct message *m = create_message(p, MESSAGE_TEXT);
+	uint32_t i;
+
+	m->text = FOLLOW_CONFIG;
+	send_down(p, m);
+	free(m);
+	for (i = 0; i < WORLD_PROCESSES && world_is_relay(index_of(p)); i++) {
+		if (world[i].zone == p->zone)
+			follow_set_sent(&p->follow, &p->sent[i], world_now);
+	}
+}
+
+void
+process_receive_config(struct process *p, uint64_t version)
+{
+	if (version <= p->follow.version || version <= p->decoding)
+		return;
+	if (p->decoding == 0)
+		p->decoded_at = world_now + DECODE_NS;
+	p->decoding = version;
+}
+
+void
+process_push_changes(struct process *p)
+{
+	struct message *m;
+
+	if (p->nchanges == 0)
+		return;
+	m = create_message(p, MESSAGE_TEXT);
+	m->text = FOLLOW_LIST;
+	m->list_from = p->changed_from;
+	m->nitems = p->nchanges;
+	memcpy(m->items, p->changes, sizeof(m->items));
+	send_down(p, m);
+	free(m);
+	p->nchanges = 0;
+}
+
+static void
+send_report(struct process *p, uint32_t to)
+{
+	send_to(index_of(p), to, create_message(p, MESSAGE_REPORT));
+}
+
+/* To its relay; relays to each other and to their data centre. */
+static void
+report(struct process *p)
+{
+	uint32_t i;
+
+	if (!world_is_relay(index_of(p))) {
+		if (p->my_relay < WORLD_PROCESSES)
+			send_report(p, p->my_relay);
+		return;
+	}
+	for (i = 0; i < WORLD_PROCESSES; i++) {
+		if (p->relay[i].hub_since != 0 || world[i].zone == p->zone)
+			send_report(p, i);
+	}
+}
+
+static void
+pull(struct process *p, uint32_t from, enum follow_text text)
+{
+	struct message *m = create_message(p, MESSAGE_PULL);
+
+	m->text = text;
+	send_to(index_of(p), from, m);
+}
+
+static void
+send_list(struct process *p, uint32_t to)
+{
+	struct message *m = create_message(p, MESSAGE_TEXT);
+	uint32_t i;
+
+	m->text = FOLLOW_LIST;
+	m->whole = 1;
+	for (i = 0; i < WORLD_ENTRIES; i++) {
+		if (p->list.entry[i] == 0)
+			continue;
+		m->items[m->nitems].entry = i;
+		m->items[m->nitems++].revision = p->list.entry[i];
+	}
+	send_to(index_of(p), to, m);
+}
+
+static void
+answer_pull(struct process *p, const struct message *m)
+{
+	struct message *reply;
+
+	if (!follow_answers_pull(&p->answers, world_now, m->text))
+		return;
+	if (m->text == FOLLOW_LIST) {
+		send_list(p, m->from);
+		return;
+	}
+	reply = create_message(p, MESSAGE_TEXT);
+	reply->text = FOLLOW_CONFIG;
+	send_to(index_of(p), m->from, reply);
+}
+
+/* As session_apply_text() of entry/replica_sync.c does. */
+static void
+apply_list(struct process *p, const struct message *m)
+{
+	const struct list_item *c;
+	uint64_t at = m->list.revision;
+	int listed[WORLD_ENTRIES] = { 0 };
+	uint32_t i;
+
+	if (at < p->list.revision ||
+	    (at == p->list.revision &&
+		(!m->whole || world_is_hub(index_of(p)))))
+		return;
+	if (!m->whole && m->list_from > p->list.revision) {
+		if (world_now >= p->pull_list_at) {
+			p->pull_list_at = world_now + PULL_RETRY_NS;
+			pull(p, m->from, FOLLOW_LIST);
+		}
+		return;
+	}
+	for (c = m->items; c < m->items + m->nitems; c++) {
+		listed[c->entry] = 1;
+		if (c->revision <= p->list.entry[c->entry])
+			continue;
+		if (c->removed)
+			process_remove_entry(p, c->entry, c->revision);
+		else
+			process_set_entry(p, c->entry, c->revision);
+	}
+	for (i = 0; m->whole && i < WORLD_ENTRIES; i++) {
+		if (!listed[i] && p->list.entry[i] <= at)
+			process_remove_entry(p, i, at);
+	}
+	p->list.revision = at;
+	process_push_changes(p);
+}
+
+static void
+apply_report(struct process *p, const struct message *m)
+{
+	const struct follow_list mine = { p->list.revision, p->list.digest };
+	uint32_t self = index_of(p);
+	struct message *copy;
+	char addr[ADDR_SIZE];
+
+	p->hub[m->from].weight = m->weight;
+	p->relay[m->from].weight = m->weight;
+	snprintf(addr, sizeof(addr), "%u", m->from);
+	follow_report(&p->follow, world_now, m->version, addr);
+	if (world_is_relay(self) && world[m->from].zone == p->zone &&
+	    follow_is_to_send(
+		&p->follow, &p->sent[m->from], m->version, world_now)) {
+		follow_set_sent(&p->follow, &p->sent[m->from], world_now);
+		copy = create_message(p, MESSAGE_TEXT);
+		copy->text = FOLLOW_CONFIG;
+		send_to(self, m->from, copy);
+	}
+	if (follow_list_report(&p->behind, world_now, &mine, &m->list,
+		!world_is_hub(self) && p->hub[m->from].hub_since != 0) &&
+	    world_now >= p->pull_list_at) {
+		p->pull_list_at = world_now + PULL_RETRY_NS;
+		pull(p, m->from, FOLLOW_LIST);
+	}
+}
+
+static void
+deliver(struct message *m)
+{
+	struct process *p = &world[m->to];
+
+	if (p->fault == FAULT_DEAD || p->fault == FAULT_CUT)
+		return;
+	p->hub[m->from].heard_at = world_now;
+	p->relay[m->from].heard_at = world_now;
+	if (m->kind == MESSAGE_REPORT)
+		apply_report(p, m);
+	else if (m->kind == MESSAGE_PULL)
+		answer_pull(p, m);
+	else if (m->text == FOLLOW_CONFIG)
+		process_receive_config(p, m->version);
+	else
+		apply_list(p, m);
+}
+
+/* As entry/relays.c does. */
+static void
+choose_relays(struct process *p)
+{
+	struct hub *all[WORLD_PROCESSES];
+	struct hub *out[WORLD_PROCESSES];
+	uint32_t self = index_of(p);
+	uint32_t first;
+	uint32_t end;
+	uint32_t n = 0;
+	uint32_t i;
+	int fleet = world_is_relay(self);
+
+	for (i = 0; fleet && !p->knows_fleet && i < WORLD_PROCESSES; i++) {
+		if (world[i].zone == p->zone)
+			continue;
+		p->relay[i].hub_since = 0;
+		p->relay[i].silent = 0;
+	}
+	p->knows_fleet = fleet;
+	p->knew_fleet |= fleet;
+	first = fleet ? 0 : p->zone * WORLD_ZONE_SIZE;
+	end = fleet ? WORLD_PROCESSES : first + WORLD_ZONE_SIZE;
+	for (i = first; i < end; i++)
+		all[n++] = &p->relay[i];
+	n = relays_choose(all, n, world_now, SILENT_NS, out);
+	p->my_relay = WORLD_PROCESSES;
+	for (i = 0; i < n; i++) {
+		if (strcmp(out[i]->zone, p->relay[self].zone) == 0)
+			p->my_relay = (uint32_t)(out[i] - p->relay);
+	}
+}
+
+static void
+choose_hubs(struct process *p)
+{
+	struct hub *all[WORLD_PROCESSES];
+	struct hub *hubs[HUBS_MAX];
+	uint32_t first = p->knew_fleet ? 0 : p->zone * WORLD_ZONE_SIZE;
+	uint32_t end =
+	    p->knew_fleet ? WORLD_PROCESSES : first + WORLD_ZONE_SIZE;
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = first; i < end; i++) {
+		if (p->relay[i].hub_since != 0)
+			all[n++] = &p->hub[i];
+		else
+			p->hub[i].hub_since = 0;
+	}
+	p->nhubs = hubs_choose(all, n, world_now, SILENT_NS, hubs);
+}
+
+static void
+tick(struct process *p)
+{
+	uint32_t self = index_of(p);
+	unsigned todo;
+
+	p->hub[self].weight = p->up ? p->weight : 0;
+	p->relay[self].weight = p->hub[self].weight;
+	choose_relays(p);
+	choose_hubs(p);
+	if (world_now >= p->report_at) {
+		p->report_at = world_now + REPORT_NS;
+		report(p);
+	}
+	if (p->decoding == 0) {
+		todo = follow_next(&p->follow, world_now);
+		if (todo & FOLLOW_PULL)
+			pull(p, (uint32_t)strtoul(p->follow.source, NULL, 10),
+			    FOLLOW_CONFIG);
+		if ((todo & FOLLOW_READ) && p->feeds[FOLLOW_CONFIG].idle)
+			store_read(p, FOLLOW_CONFIG);
+	}
+	store_tick(p);
+	p->tick_at =
+	    world_now + (world_is_relay(self) ? TICK_DUTY_NS : TICK_NS);
+}
+
+/* A number from 0 to n - 1. */
+static uint32_t
+draw(uint32_t n)
+{
+	random_state =
+	    random_state * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (uint32_t)(random_state >> 33) % n;
+}
+
+static void
+start_process(uint32_t i)
+{
+	struct process *p = &world[i];
+	uint32_t k;
+
+	p->zone = i / WORLD_ZONE_SIZE;
+	p->weight = 50 + i % WORLD_ZONE_SIZE % 7;
+	p->up = 1;
+	p->answered_at = world_now;
+	p->tick_at = world_now + draw(5) * WORLD_STEP_NS;
+	p->report_at = world_now + draw(20) * WORLD_STEP_NS;
+	follow_set_version(&p->follow, world_now, store_version());
+	p->list = *store_list();
+	for (k = 0; k < FOLLOW_TEXT__MAX; k++) {
+		p->feeds[k].idle = 1;
+		p->feeds[k].retry_ns = 50 * NSEC_PER_MSEC;
+	}
+	for (k = 0; k < WORLD_PROCESSES; k++) {
+		snprintf(p->hub[k].addr, ADDR_SIZE, "%03u", k);
+		snprintf(p->hub[k].zone, NAME_SIZE, "z%u", k / WORLD_ZONE_SIZE);
+		p->hub[k].weight = 50 + k % WORLD_ZONE_SIZE % 7;
+		p->hub[k].heard_at = world_now;
+		p->hub[k].self = k == i;
+		p->relay[k] = p->hub[k];
+	}
+	newest[i] = p->list;
+}
+
+void
+world_start(uint64_t seed)
+{
+	uint32_t i;
+
+	random_state = seed;
+	world_now = START_NS;
+	world_calls = 0;
+	world_texts = 0;
+	went_back = 0;
+	TAILQ_INIT(&queue);
+	store_start();
+	world = mem_alloc(WORLD_PROCESSES * sizeof(*world));
+	for (i = 0; i < WORLD_PROCESSES; i++)
+		start_process(i);
+	world_run(SETTLE_NS);
+}
+
+void
+world_end(void)
+{
+	struct message *m;
+
+	while ((m = TAILQ_FIRST(&queue)) != NULL) {
+		TAILQ_REMOVE(&queue, m, entry);
+		free(m);
+	}
+	free(world);
+}
+
+/* A frozen process gets what is sent to it afterwards. */
+static void
+deliver_due(void)
+{
+	struct message_list later;
+	struct message *m;
+
+	TAILQ_INIT(&later);
+	while ((m = TAILQ_FIRST(&queue)) != NULL && m->due <= world_now) {
+		TAILQ_REMOVE(&queue, m, entry);
+		if (world[m->to].fault == FAULT_FROZEN) {
+			TAILQ_INSERT_TAIL(&later, m, entry);
+			continue;
+		}
+		deliver(m);
+		free(m);
+	}
+	TAILQ_CONCAT(&later, &queue, entry);
+	TAILQ_CONCAT(&queue, &later, entry);
+}
+
+static void
+run_process(struct process *p)
+{
+	if (p->fault == FAULT_DEAD || p->fault == FAULT_FROZEN)
+		return;
+	store_answers(p);
+	if (p->decoding != 0 && world_now >= p->decoded_at) {
+		follow_set_version(&p->follow, world_now, p->decoding);
+		p->decoding = 0;
+		push_config(p);
+	}
+	if (world_now >= p->tick_at)
+		tick(p);
+}
+
+void
+world_run(uint64_t for_ns)
+{
+	uint64_t end = world_now + for_ns;
+	uint32_t i;
+
+	for (; world_now < end; world_now += WORLD_STEP_NS) {
+		deliver_due();
+		for (i = 0; i < WORLD_PROCESSES; i++)
+			run_process(&world[i]);
+	}
+}
--- /dev/null
+++ b/tests/test_follow_bounds.c
@@ -0,0 +1,288 @@
+/*
+ * The longest time to each process, of 300 in five data centres, for a version
+ * of the configuration and for changes of the list, with removals, while hubs
+ * and relays fail.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "follow_world.h"
+#include "unit.h"
+
+/* Most that any row may take; watches that are deaf end after 10 s. */
+#define APPLY_MS 2000U
+#define DEAF_MS 12000U
+#define LIMIT_NS (20 * NSEC_PER_SEC)
+
+enum target {
+	ONE_HUB,
+	ALL_HUBS,
+	ONE_RELAY, /* that is no hub */
+	HUB_AND_RELAY,
+	ALL_RELAYS,
+	ONE_PROCESS,
+	TARGET__MAX
+};
+
+/* Times in ms from a change, or from the end of a fault. */
+struct times {
+	uint32_t ms[FOLLOW_TEXT__MAX];
+};
+
+struct run {
+	enum world_fault fault;
+	enum target target;
+	int fault_ms; /* before the change; negative: after it */
+	uint64_t seed;
+	int hit[WORLD_PROCESSES];
+};
+
+static const char *const target_names[TARGET__MAX] = {
+	[ONE_HUB] = "one hub",
+	[ALL_HUBS] = "all hubs",
+	[ONE_RELAY] = "one relay",
+	[HUB_AND_RELAY] = "a hub and a relay",
+	[ALL_RELAYS] = "all relays",
+	[ONE_PROCESS] = "one process",
+};
+
+static void choose(struct run *);
+static void set_fault(const struct run *, enum world_fault);
+static struct times measure(const struct run *);
+static void keep_longest(struct times *, const struct times *);
+static void change_all(void);
+static void run_one(struct run *, struct times *, struct times *);
+static void run_fault(const char *, enum world_fault, uint32_t, uint32_t);
+static void test_no_fault(void);
+static void test_dead(void);
+static void test_frozen(void);
+static void test_cut(void);
+static void test_turned_away(void);
+static void test_slow(void);
+static void test_deaf(void);
+
+static void
+choose(struct run *r)
+{
+	uint32_t hubs = 0;
+	uint32_t relays = 0;
+	uint32_t others = 0;
+	uint32_t i;
+	int one;
+
+	for (i = 0; i < WORLD_PROCESSES; i++) {
+		if (world_is_hub(i)) {
+			one =
+			    r->target == ONE_HUB || r->target == HUB_AND_RELAY;
+			r->hit[i] = r->target == ALL_HUBS ||
+			    r->target == ALL_RELAYS || (one && hubs == 0);
+			hubs++;
+		} else if (world_is_relay(i)) {
+			one = r->target == ONE_RELAY ||
+			    r->target == HUB_AND_RELAY;
+			r->hit[i] =
+			    r->target == ALL_RELAYS || (one && relays == 0);
+			relays++;
+		} else {
+			r->hit[i] = r->target == ONE_PROCESS && others == 0;
+			others++;
+		}
+	}
+	CU_ASSERT_EQUAL(hubs, HUBS_MAX);
+	CU_ASSERT_EQUAL(hubs + relays, WORLD_ZONES);
+}
+
+static void
+set_fault(const struct run *r, enum world_fault fault)
+{
+	uint32_t i;
+
+	for (i = 0; i < WORLD_PROCESSES; i++) {
+		if (r->hit[i])
+			world[i].fault = fault;
+	}
+}
+
+/* Runs until every process without a fault has both texts, and stays so. */
+static struct times
+measure(const struct run *r)
+{
+	struct times t = { { 0 } };
+	uint64_t start = world_now;
+	uint32_t behind[FOLLOW_TEXT__MAX];
+	enum follow_text k;
+	uint32_t i;
+
+	do {
+		world_run(WORLD_STEP_NS);
+		memset(behind, 0, sizeof(behind));
+		for (i = 0; i < WORLD_PROCESSES; i++) {
+			if (r->hit[i] && world[i].fault != FAULT_NONE)
+				continue;
+			for (k = 0; k < FOLLOW_TEXT__MAX; k++)
+				behind[k] += !world_has(i, k);
+		}
+		for (k = 0; k < FOLLOW_TEXT__MAX; k++) {
+			if (behind[k] != 0)
+				t.ms[k] = (uint32_t)((world_now - start) /
+				    NSEC_PER_MSEC);
+		}
+	} while (world_now < start + LIMIT_NS &&
+	    (behind[FOLLOW_CONFIG] != 0 || behind[FOLLOW_LIST] != 0));
+	return t;
+}
+
+static void
+keep_longest(struct times *longest, const struct times *t)
+{
+	enum follow_text k;
+
+	for (k = 0; k < FOLLOW_TEXT__MAX; k++) {
+		if (t->ms[k] > longest->ms[k])
+			longest->ms[k] = t->ms[k];
+	}
+}
+
+static void
+change_all(void)
+{
+	world_write_config();
+	world_write_entry(3);
+	world_remove_entry(5);
+	world_write_entry(WORLD_ENTRIES - 1);
+}
+
+static void
+run_one(struct run *r, struct times *others, struct times *healed)
+{
+	struct times t;
+	uint64_t ms;
+
+	world_start(r->seed);
+	choose(r);
+	if (r->fault_ms >= 0) {
+		ms = (uint64_t)r->fault_ms;
+		set_fault(r, r->fault);
+		world_run(ms * NSEC_PER_MSEC);
+		change_all();
+	} else {
+		ms = (uint64_t)-r->fault_ms;
+		change_all();
+		world_run(ms * NSEC_PER_MSEC);
+		set_fault(r, r->fault);
+	}
+	t = measure(r);
+	if (r->fault_ms < 0) {
+		t.ms[FOLLOW_CONFIG] += (uint32_t)ms;
+		t.ms[FOLLOW_LIST] += (uint32_t)ms;
+	}
+	keep_longest(others, &t);
+	if (r->fault != FAULT_DEAD) {
+		set_fault(r, FAULT_NONE);
+		t = measure(r);
+		keep_longest(healed, &t);
+	}
+	CU_ASSERT(!world_went_back());
+	world_end();
+}
+
+/*
+ * A fault that begins before or after a change, at each of the targets, with
+ * bounds in ms for one and for all of the hubs.
+ */
+static void
+run_fault(
+    const char *name, enum world_fault fault, uint32_t one_ms, uint32_t all_ms)
+{
+	static const int fault_ms[] = { 0, 100, 400, 2500, -30, -60 };
+	struct run r = { .fault = fault, .seed = 1 };
+	struct times others;
+	struct times healed;
+	uint32_t bound;
+	uint32_t i;
+
+	for (r.target = 0; r.target < TARGET__MAX; r.target++) {
+		memset(&others, 0, sizeof(others));
+		memset(&healed, 0, sizeof(healed));
+		for (i = 0; i < nitems(fault_ms); i++) {
+			r.fault_ms = fault_ms[i];
+			r.seed++;
+			run_one(&r, &others, &healed);
+		}
+		printf("%s, %s: configuration %u ms, list %u ms; itself "
+		       "afterwards %u ms, %u ms\n",
+		    target_names[r.target], name, others.ms[FOLLOW_CONFIG],
+		    others.ms[FOLLOW_LIST], healed.ms[FOLLOW_CONFIG],
+		    healed.ms[FOLLOW_LIST]);
+		bound = r.target == ALL_HUBS || r.target == ALL_RELAYS ? all_ms
+								       : one_ms;
+		CU_ASSERT(others.ms[FOLLOW_CONFIG] <= bound);
+		CU_ASSERT(others.ms[FOLLOW_LIST] <= bound);
+		CU_ASSERT(healed.ms[FOLLOW_CONFIG] <= APPLY_MS);
+		CU_ASSERT(healed.ms[FOLLOW_LIST] <= APPLY_MS);
+	}
+}
+
+static void
+test_no_fault(void)
+{
+	struct run r = { .fault = FAULT_NONE, .target = ONE_HUB };
+	struct times others = { { 0 } };
+	struct times healed = { { 0 } };
+
+	for (r.seed = 1; r.seed <= 5; r.seed++)
+		run_one(&r, &others, &healed);
+	printf("no fault: configuration %u ms, list %u ms\n",
+	    others.ms[FOLLOW_CONFIG], others.ms[FOLLOW_LIST]);
+	CU_ASSERT(others.ms[FOLLOW_CONFIG] <= APPLY_MS / 2);
+	CU_ASSERT(others.ms[FOLLOW_LIST] <= APPLY_MS / 4);
+}
+
+static void
+test_dead(void)
+{
+	run_fault("dead", FAULT_DEAD, APPLY_MS, APPLY_MS);
+}
+
+static void
+test_frozen(void)
+{
+	run_fault("frozen", FAULT_FROZEN, APPLY_MS, APPLY_MS);
+}
+
+static void
+test_cut(void)
+{
+	run_fault("cut", FAULT_CUT, APPLY_MS, APPLY_MS);
+}
+
+static void
+test_turned_away(void)
+{
+	run_fault("turned away", FAULT_TURNED_AWAY, APPLY_MS, APPLY_MS);
+}
+
+static void
+test_slow(void)
+{
+	run_fault("slow", FAULT_SLOW, APPLY_MS, APPLY_MS);
+}
+
+/* No other process watches, so all hubs take as long as a watch lasts. */
+static void
+test_deaf(void)
+{
+	run_fault("deaf", FAULT_DEAF, APPLY_MS, DEAF_MS);
+}
+
+static const struct unit_case cases[] = {
+	{ "no fault", test_no_fault },
+	{ "dead", test_dead },
+	{ "frozen", test_frozen },
+	{ "cut", test_cut },
+	{ "turned away by the store", test_turned_away },
+	{ "slow", test_slow },
+	{ "deaf watches", test_deaf },
+};
+
+UNIT_MAIN("follow bounds", cases)
