A late read of the list brings back no replica that was removed

A hub whose read of the list is answered a second late listed a replica again that another hub had reported as removed meanwhile, and passed that on, since at the same revision a hub's list decides. Requests would have reached a replica that is gone until the next watch told of its removal.

An entry that the local list lacks was added whatever that list's revision. Ruled out: the same by pushes and whole lists of peers, which are compared by revision, and by polls, which had the check already. Now an entry that the list lacks stays out if the list is newer than what the store told, in reads and in watches that go on from such a read.

--- a/core/follow.c
+++ b/core/follow.c
@@ -136,6 +136,13 @@
 	return a->n[text]++ < answers_max[text];
 }
 
+int
+follow_list_is_removed(
+    const struct follow_list *mine, uint64_t revision, uint64_t listed_at)
+{
+	return revision <= mine->revision && listed_at < mine->revision;
+}
+
 int
 follow_list_report(struct follow_lists *l, uint64_t now,
     const struct follow_list *mine, const struct follow_list *theirs,
--- a/core/follow.h
+++ b/core/follow.h
@@ -46,6 +46,13 @@
 int follow_list_report(struct follow_lists *, uint64_t,
     const struct follow_list *, const struct follow_list *, int);
 
+/*
+ * Whether an entry that the local list, the first, lacks was removed, although
+ * the store listed it with the first revision as of the second: peers told what
+ * is newer.
+ */
+int follow_list_is_removed(const struct follow_list *, uint64_t, uint64_t);
+
 /* What peers pull. */
 enum follow_text {
 	FOLLOW_CONFIG,
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -60,7 +60,6 @@
 static int list_is_due(const struct list *);
 static void list_poll_later(struct list *, double);
 static void list_update_revision(struct list *, int);
-static int list_is_removed(const struct list *, const struct store_item *);
 static void list_read_complete(struct list *);
 static const char *format_models(const struct fleet_replica *, char *, size_t);
 static void put_config(struct list *, const struct list_key *);
@@ -282,17 +281,6 @@
 	list_read(l);
 }
 
-/* Whether an item of a stale read has been removed since. */
-static int
-list_is_removed(const struct list *l, const struct store_item *item)
-{
-	const struct list_key *k;
-
-	HASH_FIND_STR(l->keys, item->key, k);
-	return l->id == LIST_REPLICAS && k == NULL &&
-	    item->revision <= l->s->e->dir.revision;
-}
-
 static void
 on_range_response(void *ctx, int status, const char *body, size_t len)
 {
@@ -317,7 +305,7 @@
 		l->generation++;
 	}
 	for (i = 0; i < page.n; i++) {
-		if (!l->stale_read || !list_is_removed(l, &page.items[i]))
+		if (!list_is_removed(l, &page.items[i], page.revision))
 			list_put(l, &page.items[i]);
 		memcpy(l->page_after, page.items[i].key, sizeof(l->page_after));
 	}
@@ -421,8 +409,10 @@
 	}
 	l->stale_read = 0;
 	l->grace_ns = GRACE_UNKNOWN;
-	for (i = 0; i < page.n; i++)
-		list_apply_item(l, &page.items[i]);
+	for (i = 0; i < page.n; i++) {
+		if (!list_is_removed(l, &page.items[i], l->revision))
+			list_apply_item(l, &page.items[i]);
+	}
 	if (page.revision > l->revision)
 		l->revision = page.revision;
 	if (l->id == LIST_REPLICAS && page.n != 0) {
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "follow.h"
 #include "mem.h"
 #include "peers.h"
 #include "session.h"
@@ -132,6 +133,22 @@
 	}
 }
 
+int
+list_is_removed(
+    const struct list *l, const struct store_item *item, uint64_t told_at)
+{
+	const struct directory *d = &l->s->e->dir;
+	const struct follow_list mine = { d->revision, d->digest };
+	const struct list_key *k;
+
+	if (l->id != LIST_REPLICAS || item->value == NULL)
+		return 0;
+	HASH_FIND_STR(l->keys, item->key, k);
+	return k == NULL &&
+	    follow_list_is_removed(
+		&mine, item->revision, l->stale_read ? 0 : told_at);
+}
+
 int
 session_apply_text(struct session *s, const char *text, size_t len)
 {
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -93,6 +93,8 @@
  */
 void list_remove_key(struct list *, struct list_key *, uint64_t, uint64_t);
 /* replica_sync.c */
+/* Whether an item that the store told as of a revision was removed since. */
+int list_is_removed(const struct list *, const struct store_item *, uint64_t);
 /* Records a change to be passed on. */
 void list_add_change(struct list *, const char *, uint64_t);
 /*
--- a/tests/follow_store.c
+++ b/tests/follow_store.c
@@ -38,6 +38,7 @@
 static void record_answer(struct process *, uint64_t, int);
 static void retry_later(struct feed *);
 static void refresh(struct process *, enum follow_text);
+static int is_removed(const struct process *, uint32_t, uint64_t, uint64_t);
 static void read_answered(struct process *, enum follow_text, int);
 static int watch_tells(const struct process *, enum follow_text);
 static void watch_answered(struct process *, enum follow_text, int);
@@ -191,6 +192,17 @@
 	}
 }
 
+/* As list_is_removed() of entry/lists.c. */
+static int
+is_removed(const struct process *p, uint32_t entry, uint64_t revision,
+    uint64_t told_at)
+{
+	const struct follow_list mine = { p->list.revision, p->list.digest };
+
+	return p->list.entry[entry] == 0 &&
+	    follow_list_is_removed(&mine, revision, told_at);
+}
+
 /* Entries that a read does not return are removed. */
 static void
 read_answered(struct process *p, enum follow_text t, int status)
@@ -214,7 +226,8 @@
 		return;
 	}
 	for (i = 0; i < WORLD_ENTRIES; i++) {
-		if (l.entry[i] > p->list.entry[i])
+		if (l.entry[i] > p->list.entry[i] &&
+		    !is_removed(p, i, l.entry[i], f->revision))
 			process_set_entry(p, i, l.entry[i]);
 		if (l.entry[i] == 0 && p->list.entry[i] != 0 &&
 		    p->list.entry[i] <= f->revision) {
@@ -251,6 +264,7 @@
 	struct feed *f = &p->feeds[t];
 	const struct change *c;
 	int told = watch_tells(p, t);
+	uint64_t newest = 0;
 
 	f->call = CALL_NONE;
 	if (status != 200) {
@@ -265,17 +279,23 @@
 	for (c = changes; told && c < changes + nchanges; c++) {
 		if (c->text != t || c->revision <= f->revision)
 			continue;
+		newest = c->revision;
 		if (t == FOLLOW_CONFIG)
 			process_receive_config(p, c->revision);
+		else if (!c->item.removed &&
+		    is_removed(p, c->item.entry, c->revision, f->revision))
+			continue;
 		else if (!c->item.removed &&
 		    c->revision > p->list.entry[c->item.entry])
 			process_set_entry(p, c->item.entry, c->revision);
-		else if (c->item.removed && c->revision > p->list.revision)
+		else if (c->item.removed &&
+		    c->revision > p->list.entry[c->item.entry])
 			process_remove_entry(p, c->item.entry, c->revision);
-		f->revision = c->revision;
-		if (t == FOLLOW_LIST && c->revision > p->list.revision)
-			p->list.revision = c->revision;
 	}
+	if (newest != 0)
+		f->revision = newest;
+	if (t == FOLLOW_LIST && newest > p->list.revision)
+		p->list.revision = newest;
 	process_push_changes(p);
 	if (told && t == FOLLOW_LIST)
 		f->retry_at = world_now + WATCH_BATCH_NS;
--- a/tests/test_follow_bounds.c
+++ b/tests/test_follow_bounds.c
@@ -12,6 +12,7 @@
 /* Most that any row may take; watches that are deaf end after 10 s. */
 #define APPLY_MS 2000U
 #define DEAF_MS 12000U
+#define LATE_MS 3000U /* two reads of 1 s */
 #define LIMIT_NS (20 * NSEC_PER_SEC)
 
 enum target {
@@ -60,6 +61,8 @@
 static void test_turned_away(void);
 static void test_slow(void);
 static void test_deaf(void);
+static void test_late_reads(void);
+static void test_entry_removed(void);
 
 static void
 choose(struct run *r)
@@ -275,6 +278,28 @@
 	run_fault("deaf", FAULT_DEAF, APPLY_MS, DEAF_MS);
 }
 
+/*
+ * The history is dropped, so watches are cut and the list is read again; the
+ * answers come a second late, while peers tell what is newer.
+ */
+static void
+test_late_reads(void)
+{
+	run_fault("late reads", FAULT_STALE, APPLY_MS, LATE_MS);
+}
+
+/* A list that is newer than a read knows what was removed since. */
+static void
+test_entry_removed(void)
+{
+	const struct follow_list mine = { 9, 1 };
+
+	CU_ASSERT(follow_list_is_removed(&mine, 5, 8));
+	CU_ASSERT(!follow_list_is_removed(&mine, 5, 9));
+	CU_ASSERT(!follow_list_is_removed(&mine, 5, 12));
+	CU_ASSERT(!follow_list_is_removed(&mine, 11, 12));
+}
+
 static const struct unit_case cases[] = {
 	{ "no fault", test_no_fault },
 	{ "dead", test_dead },
@@ -283,6 +308,8 @@
 	{ "turned away by the store", test_turned_away },
 	{ "slow", test_slow },
 	{ "deaf watches", test_deaf },
+	{ "late reads", test_late_reads },
+	{ "an entry removed since a read", test_entry_removed },
 };
 
 UNIT_MAIN("follow bounds", cases)
