A process that lacks changes of the list asks for those alone

If the relay of a data centre got changes of the list while it had no duty, it pushed nothing, and the last of its 59 processes had them 8 s later: requests would go to replicas that leave for that long, over drain_ms.

All ask for the whole list at once, since they hear of it by the same report, and ask again together; a peer answers three whole lists in 0.1 s, so that they do not pile up on slow links. Ruled out: answering more of them, which is 2.4 MB at once. Now a request names the revision that the process has, and the answer is the changes since then: entries that are newer, and removals, of which each process keeps the latest 128. The whole list is sent where those do not reach back, and to who holds another list at the same revision.

--- a/Makefile
+++ b/Makefile
@@ -132,7 +132,7 @@
 
 $(BUILD)/test_loader: $(BUILD)/tests/loader_fixture.o
 $(BUILD)/test_follow_bounds: $(BUILD)/tests/follow_world.o \
-    $(BUILD)/tests/follow_store.o
+    $(BUILD)/tests/follow_list.o $(BUILD)/tests/follow_store.o
 $(BUILD)/test_poison $(BUILD)/test_poison_report: $(BUILD)/tests/poison_fixture.o
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(BUILD)/tests/unit.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/core/follow.c
+++ b/core/follow.c
@@ -24,7 +24,9 @@
 #define ANSWERS_WINDOW_NS (100 * NSEC_PER_MSEC)
 #define CONFIG_ANSWERS_MAX 2
 #define LIST_ANSWERS_MAX 3
+#define CHANGES_BYTES_MAX 80000
 
+static void follow_answers_update(struct follow_answers *, uint64_t);
 static void follow_expect(struct follow *, uint64_t, uint64_t);
 
 static const uint32_t answers_max[FOLLOW_TEXT__MAX] = {
@@ -125,14 +127,31 @@
 	return s->version < f->version || now >= s->again_at;
 }
 
+/* Starts a new window if the current one is over. */
+static void
+follow_answers_update(struct follow_answers *a, uint64_t now)
+{
+	if (now < a->since + ANSWERS_WINDOW_NS)
+		return;
+	memset(a, 0, sizeof(*a));
+	a->since = now;
+}
+
+int
+follow_answers_changes(struct follow_answers *a, uint64_t now, size_t len)
+{
+	follow_answers_update(a, now);
+	if (a->changes_len >= CHANGES_BYTES_MAX)
+		return 0;
+	a->changes_len += (uint32_t)len;
+	return 1;
+}
+
 int
 follow_answers_pull(
     struct follow_answers *a, uint64_t now, enum follow_text text)
 {
-	if (now >= a->since + ANSWERS_WINDOW_NS) {
-		memset(a, 0, sizeof(*a));
-		a->since = now;
-	}
+	follow_answers_update(a, now);
 	return a->n[text]++ < answers_max[text];
 }
 
--- a/core/follow.h
+++ b/core/follow.h
@@ -63,7 +63,8 @@
 /* Texts sent in response to pulls, in the current window. */
 struct follow_answers {
 	uint64_t since;
-	uint32_t n[FOLLOW_TEXT__MAX];
+	uint32_t n[FOLLOW_TEXT__MAX]; /* whole texts */
+	uint32_t changes_len;	      /* bytes of changes of the list */
 };
 
 /*
@@ -71,6 +72,8 @@
  * dropped, and the peer repeats them.
  */
 int follow_answers_pull(struct follow_answers *, uint64_t, enum follow_text);
+/* The same for changes of the list, of a length. */
+int follow_answers_changes(struct follow_answers *, uint64_t, size_t);
 /* Sets the version of the local copy, at a time. */
 void follow_set_version(struct follow *, uint64_t, uint64_t);
 /* A peer at an address reported a version, at a time. */
--- /dev/null
+++ b/core/removals.c
@@ -0,0 +1,33 @@
+#include <stdio.h>
+
+#include "removals.h"
+
+void
+removals_start(struct removals *r, uint64_t revision)
+{
+	if (r->since == 0)
+		r->since = revision;
+}
+
+void
+removals_add(struct removals *r, const char *key, uint64_t revision)
+{
+	struct removal *x = &r->latest[r->n++ % REMOVALS_MAX];
+
+	if (r->since != 0 && x->revision > r->since)
+		r->since = x->revision;
+	snprintf(x->key, sizeof(x->key), "%s", key);
+	x->revision = revision;
+}
+
+int
+removals_known_since(const struct removals *r, uint64_t revision)
+{
+	return r->since != 0 && revision >= r->since;
+}
+
+const struct removal *
+removals_get(const struct removals *r, uint32_t i, uint64_t revision)
+{
+	return r->latest[i].revision > revision ? &r->latest[i] : NULL;
+}
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -339,6 +339,7 @@
 		if (k->revision > d->revision && k->revision <= l->revision)
 			d->revision = k->revision;
 	}
+	removals_start(&l->s->removals, d->revision);
 }
 
 /*
@@ -499,9 +500,11 @@
 	l->grace_ns = grace_ns;
 	if (list_handlers[l->id].drop != NULL)
 		list_handlers[l->id].drop(l, k);
-	if (l->id == LIST_REPLICAS)
+	if (l->id == LIST_REPLICAS) {
 		l->s->e->dir.digest ^=
 		    hash_version(k->key, k->revision) ^ hash_version(k->key, 0);
+		removals_add(&l->s->removals, k->key, revision);
+	}
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): it holds k */
 	HASH_DEL(l->keys, k);
 	free(k->value);
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -20,13 +20,16 @@
 #define LIST_TEXT_NS (300 * NSEC_PER_MSEC)
 
 static void send_config_again(struct peers *, struct peer *, uint64_t);
-static void send_request(struct peers *, const char *, uint64_t);
+static void send_request(struct peers *, const char *, uint64_t, uint64_t);
 static const char *encoded_list(struct peers *);
 static struct msg *compose_text(uint64_t, const char *, size_t);
 static void push_text(struct peers *, struct msg *);
 static int is_behind(
     struct peers *, const struct peer *, const struct msg_front *);
-static void send_pull(struct peers *, const char *, uint64_t, uint64_t *);
+static void pull_list(struct peers *, const char *, uint64_t);
+static void send_text(
+    struct peers *, const char *, uint64_t, const char *, size_t);
+static int answer_changes(struct peers *, const struct msg *);
 
 /*
  * Whether the local list is to be pulled from a peer.  Where lists differ at
@@ -43,21 +46,23 @@
 	return follow_list_report(&p->list, p->e->now, &mine, &theirs, decides);
 }
 
+/* Asks for the changes of the list since a revision, 0 for the whole list. */
 static void
-send_pull(struct peers *p, const char *addr, uint64_t what, uint64_t *at)
+pull_list(struct peers *p, const char *addr, uint64_t since)
 {
-	if (p->e->now < *at)
+	if (p->e->now < p->pull_list_at)
 		return;
-	*at = p->e->now + PULL_RETRY_NS;
-	send_request(p, addr, what);
+	p->pull_list_at = p->e->now + PULL_RETRY_NS;
+	send_request(p, addr, PULL_LIST, since);
 }
 
 static void
-send_request(struct peers *p, const char *addr, uint64_t what)
+send_request(struct peers *p, const char *addr, uint64_t what, uint64_t since)
 {
 	struct msg *m = msg_create(MSG_CONF_PULL, addr);
 
 	m->u.conf.nonce = what;
+	m->u.conf.revision = since;
 	bus_send(p->bus, m);
 }
 
@@ -69,16 +74,13 @@
 send_config_again(struct peers *p, struct peer *q, uint64_t version)
 {
 	const struct entry *e = p->e;
-	struct msg *m;
 
 	if (!peers_is_relay(p) || !peers_in_zone(p, q) ||
 	    !follow_is_to_send(&p->config, &q->sent, version, e->now) ||
 	    e->conf_len > MSG_BYTES_MAX)
 		return;
 	follow_set_sent(&p->config, &q->sent, e->now);
-	m = compose_text(PULL_CONFIG, e->conf_text, e->conf_len);
-	snprintf(m->to, sizeof(m->to), "%s", q->hub.addr);
-	bus_send(p->bus, m);
+	send_text(p, q->hub.addr, PULL_CONFIG, e->conf_text, e->conf_len);
 }
 
 void
@@ -87,8 +89,11 @@
 {
 	follow_report(&p->config, p->e->now, f->version, q->hub.addr);
 	send_config_again(p, q, f->version);
+	/* A list that differs at the same revision lacks older changes. */
 	if (is_behind(p, q, f))
-		send_pull(p, q->hub.addr, PULL_LIST, &p->pull_list_at);
+		pull_list(p, q->hub.addr,
+		    f->list_revision > p->e->dir.revision ? p->e->dir.revision
+							  : 0);
 }
 
 void
@@ -108,7 +113,7 @@
 	    (unsigned long long)f->version, (unsigned long long)f->newest,
 	    f->source, (todo & FOLLOW_READ) != 0);
 	if (todo & FOLLOW_PULL)
-		send_request(p, f->source, PULL_CONFIG);
+		send_request(p, f->source, PULL_CONFIG, 0);
 	if (todo & FOLLOW_READ)
 		session_read_config(p->e->session);
 }
@@ -136,14 +141,36 @@
 	return p->list_text;
 }
 
+/* Returns whether the request was for changes that are known. */
+static int
+answer_changes(struct peers *p, const struct msg *m)
+{
+	uint64_t since = m->u.conf.revision;
+	char *text;
+	size_t len;
+
+	if (since != 0 && since >= p->e->dir.revision)
+		return 1;
+	text = session_changes_text(p->e->session, since);
+	if (text == NULL)
+		return 0;
+	len = strlen(text);
+	if (len <= MSG_BYTES_MAX &&
+	    follow_answers_changes(&p->answers, p->e->now, len))
+		send_text(p, m->from.addr, PUSH_LIST, text, len);
+	free(text);
+	return 1;
+}
+
 void
 peers_answer_pull(struct peers *p, const struct msg *m)
 {
 	struct entry *e = p->e;
-	struct msg *reply;
 	const char *text = NULL;
 	size_t len = 0;
 
+	if (m->u.conf.nonce == PULL_LIST && answer_changes(p, m))
+		return;
 	if (!follow_answers_pull(&p->answers, e->now,
 		m->u.conf.nonce == PULL_LIST ? FOLLOW_LIST : FOLLOW_CONFIG))
 		return;
@@ -156,9 +183,7 @@
 	}
 	if (text == NULL || len > MSG_BYTES_MAX)
 		return;
-	reply = compose_text(m->u.conf.nonce, text, len);
-	snprintf(reply->to, sizeof(reply->to), "%s", m->from.addr);
-	bus_send(p->bus, reply);
+	send_text(p, m->from.addr, m->u.conf.nonce, text, len);
 }
 
 void
@@ -169,7 +194,17 @@
 	if (c->nonce == PULL_CONFIG)
 		entry_receive_config(p->e, c->bytes, c->len, m->from.addr);
 	else if (session_apply_text(p->e->session, c->bytes, c->len) == -1)
-		send_pull(p, m->from.addr, PULL_LIST, &p->pull_list_at);
+		pull_list(p, m->from.addr, p->e->dir.revision);
+}
+
+static void
+send_text(struct peers *p, const char *addr, uint64_t what, const char *text,
+    size_t len)
+{
+	struct msg *m = compose_text(what, text, len);
+
+	snprintf(m->to, sizeof(m->to), "%s", addr);
+	bus_send(p->bus, m);
 }
 
 static struct msg *
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -58,6 +58,33 @@
 	    directory_removal_grace_left(&s->e->dir, s->e->now), items);
 }
 
+char *
+session_changes_text(const struct session *s, uint64_t since)
+{
+	const struct removal *r;
+	const struct list_key *k;
+	json_t *items;
+	uint32_t i;
+
+	if (!removals_known_since(&s->removals, since) ||
+	    since >= s->e->dir.revision)
+		return NULL;
+	items = json_array();
+	for (k = s->lists[LIST_REPLICAS].keys; k != NULL; k = k->hh.next) {
+		if (k->revision > since)
+			json_array_append_new(items,
+			    pack_item(k->key, k->value, k->len, k->revision));
+	}
+	for (i = 0; i < REMOVALS_MAX; i++) {
+		r = removals_get(&s->removals, i, since);
+		if (r != NULL)
+			json_array_append_new(
+			    items, pack_item(r->key, NULL, 0, r->revision));
+	}
+	return pack_list(s, since, 0,
+	    directory_removal_grace_left(&s->e->dir, s->e->now), items);
+}
+
 void
 list_add_change(struct list *l, const char *key, uint64_t revision)
 {
@@ -198,6 +225,7 @@
 	json_decref(doc);
 	e->dir.synced = 1;
 	e->dir.revision = at;
+	removals_start(&s->removals, at);
 	session_push_changes(s, grace_ns);
 	e->retry_waiting = 1;
 	return 0;
--- a/entry/session.h
+++ b/entry/session.h
@@ -22,6 +22,8 @@
 uint64_t session_calls(const struct session *);
 /* The whole local list of replicas as JSON for a peer; freed by the caller. */
 char *session_list_text(const struct session *);
+/* Its changes since a revision; NULL if they are not known. */
+char *session_changes_text(const struct session *, uint64_t);
 /*
  * Applies a peer's list of replicas or changes of it.  Returns -1 if earlier
  * changes are missing here, so that the whole list is needed.
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -3,6 +3,7 @@
 #define SESSION_INT_H
 
 #include "query.h"
+#include "removals.h"
 #include "store.h"
 
 #define GRACE_UNKNOWN TIME_NEVER /* this process's own store tells */
@@ -61,11 +62,12 @@
 	struct list lists[LIST__MAX];
 	uint64_t ncalls;
 	uint64_t started_at;
-	uint64_t answered_at;	/* latest answer of the store */
-	uint64_t unanswered_at; /* when a call last ended without an answer */
-	int probing;		/* a probe is under way */
-	int peers_known;	/* the peers have been read, or could not be */
-	uint32_t failures;	/* consecutive calls without an answer */
+	uint64_t answered_at;	  /* latest answer of the store */
+	uint64_t unanswered_at;	  /* when a call last ended without an answer */
+	int probing;		  /* a probe is under way */
+	struct removals removals; /* of replicas */
+	int peers_known;   /* the peers have been read, or could not be */
+	uint32_t failures; /* consecutive calls without an answer */
 	int up;
 	int closing;
 };
--- a/tests/follow_store.c
+++ b/tests/follow_store.c
@@ -31,7 +31,6 @@
 static struct replica_list latest;
 static uint64_t latest_version;
 
-static uint32_t index_of(const struct process *);
 static void put_change(enum follow_text, uint32_t, int);
 static uint64_t view(uint64_t, uint64_t *, struct replica_list *);
 static void call(struct process *, enum follow_text, enum call_kind);
@@ -44,12 +43,6 @@
 static void watch_answered(struct process *, enum follow_text, int);
 static void answer(struct process *, enum follow_text);
 
-static uint32_t
-index_of(const struct process *p)
-{
-	return (uint32_t)(p - world);
-}
-
 static void
 put_change(enum follow_text text, uint32_t entry, int removed)
 {
@@ -184,7 +177,7 @@
 static void
 refresh(struct process *p, enum follow_text t)
 {
-	if (!world_is_hub(index_of(p))) {
+	if (!world_is_hub(process_index(p))) {
 		p->feeds[t].revision = 0;
 		p->feeds[t].idle = 1;
 	} else {
@@ -269,7 +262,7 @@
 	f->call = CALL_NONE;
 	if (status != 200) {
 		f->revision = 0;
-		if (!world_is_hub(index_of(p)))
+		if (!world_is_hub(process_index(p)))
 			f->idle = 1;
 		else
 			retry_later(f);
@@ -299,7 +292,7 @@
 	process_push_changes(p);
 	if (told && t == FOLLOW_LIST)
 		f->retry_at = world_now + WATCH_BATCH_NS;
-	else if (!told && world_is_hub(index_of(p)))
+	else if (!told && world_is_hub(process_index(p)))
 		store_read(p, t);
 	else
 		refresh(p, t);
@@ -359,7 +352,7 @@
 void
 store_tick(struct process *p)
 {
-	int hub = world_is_hub(index_of(p));
+	int hub = world_is_hub(process_index(p));
 	struct feed *f;
 	enum follow_text t;
 
--- a/tests/follow_world.c
+++ b/tests/follow_world.c
@@ -4,14 +4,12 @@
 #include <string.h>
 
 #include "follow_world.h"
-#include "hash.h"
 #include "mem.h"
 
 #define START_NS (100 * NSEC_PER_SEC)
 #define TICK_NS (50 * NSEC_PER_MSEC)
 #define TICK_DUTY_NS (20 * NSEC_PER_MSEC)
 #define REPORT_NS (200 * NSEC_PER_MSEC)
-#define PULL_RETRY_NS (300 * NSEC_PER_MSEC)
 #define SILENT_NS (800 * NSEC_PER_MSEC)
 #define HUB_STARTUP_NS (700 * NSEC_PER_MSEC)
 #define SETTLE_NS (1500 * NSEC_PER_MSEC) /* hubs have read and watch */
@@ -29,24 +27,12 @@
 uint64_t world_texts;
 
 static struct message_list queue;
-static struct replica_list newest[WORLD_PROCESSES]; /* revisions ever known */
-static int went_back;
 static uint64_t random_state;
 
-static uint32_t index_of(const struct process *);
-static void set_digest(struct process *, uint32_t, uint64_t);
-static void add_change(struct process *, uint32_t, uint64_t, int);
-static struct message *create_message(
-    const struct process *, enum message_kind);
-static void send_to(uint32_t, uint32_t, struct message *);
-static void send_down(struct process *, const struct message *);
 static void push_config(struct process *);
 static void send_report(struct process *, uint32_t);
 static void report(struct process *);
-static void send_list(struct process *, uint32_t);
-static void pull(struct process *, uint32_t, enum follow_text);
 static void answer_pull(struct process *, const struct message *);
-static void apply_list(struct process *, const struct message *);
 static void apply_report(struct process *, const struct message *);
 static void deliver(struct message *);
 static void deliver_due(void);
@@ -57,8 +43,8 @@
 static uint32_t draw(uint32_t);
 static void start_process(uint32_t);
 
-static uint32_t
-index_of(const struct process *p)
+uint32_t
+process_index(const struct process *p)
 {
 	return (uint32_t)(p - world);
 }
@@ -76,12 +62,6 @@
 	return world[i].relay[i].hub_since != 0;
 }
 
-int
-world_went_back(void)
-{
-	return went_back;
-}
-
 int
 world_has(uint32_t i, enum follow_text t)
 {
@@ -91,71 +71,22 @@
 		   sizeof(world[i].list.entry)) == 0;
 }
 
-static void
-set_digest(struct process *p, uint32_t i, uint64_t revision)
-{
-	char key[16];
-
-	snprintf(key, sizeof(key), "%u", i);
-	p->list.digest ^=
-	    hash_version(key, p->list.entry[i]) ^ hash_version(key, revision);
-	p->list.entry[i] = revision;
-}
-
-/* Records a change to be pushed. */
-static void
-add_change(struct process *p, uint32_t i, uint64_t revision, int removed)
-{
-	struct list_item *c;
-
-	if (p->nchanges == 0)
-		p->changed_from = p->list.revision;
-	if (p->nchanges == WORLD_ENTRIES)
-		return;
-	c = &p->changes[p->nchanges++];
-	c->entry = i;
-	c->revision = revision;
-	c->removed = removed;
-}
-
-void
-process_set_entry(struct process *p, uint32_t i, uint64_t revision)
-{
-	uint64_t *known = &newest[index_of(p)].entry[i];
-
-	if (revision < *known)
-		went_back = 1;
-	*known = revision;
-	add_change(p, i, revision, 0);
-	set_digest(p, i, revision);
-}
-
-void
-process_remove_entry(struct process *p, uint32_t i, uint64_t revision)
-{
-	if (p->list.entry[i] == 0)
-		return;
-	add_change(p, i, revision, 1);
-	set_digest(p, i, 0);
-	newest[index_of(p)].entry[i] = revision;
-}
-
-static struct message *
-create_message(const struct process *p, enum message_kind kind)
+struct message *
+message_create(const struct process *p, enum message_kind kind)
 {
 	struct message *m = mem_alloc(sizeof(*m));
 
 	m->kind = kind;
 	m->version = p->follow.version;
-	m->weight = p->hub[index_of(p)].weight;
+	m->weight = p->hub[process_index(p)].weight;
 	m->list.revision = p->list.revision;
 	m->list.digest = p->list.digest;
 	return m;
 }
 
 /* Takes the message. */
-static void
-send_to(uint32_t from, uint32_t to, struct message *m)
+void
+message_send(uint32_t from, uint32_t to, struct message *m)
 {
 	struct process *p = &world[from];
 	struct message *q;
@@ -190,10 +121,10 @@
 }
 
 /* A hub sends to all relays, and a relay to its data centre. */
-static void
-send_down(struct process *p, const struct message *m)
+void
+message_send_down(struct process *p, const struct message *m)
 {
-	uint32_t self = index_of(p);
+	uint32_t self = process_index(p);
 	struct message *copy;
 	uint32_t i;
 	int down;
@@ -205,20 +136,21 @@
 			continue;
 		copy = mem_alloc(sizeof(*copy));
 		*copy = *m;
-		send_to(self, i, copy);
+		message_send(self, i, copy);
 	}
 }
 
 static void
 push_config(struct process *p)
 {
-	struct message *m = create_message(p, MESSAGE_TEXT);
+	struct message *m = message_create(p, MESSAGE_TEXT);
 	uint32_t i;
 
 	m->text = FOLLOW_CONFIG;
-	send_down(p, m);
+	message_send_down(p, m);
 	free(m);
-	for (i = 0; i < WORLD_PROCESSES && world_is_relay(index_of(p)); i++) {
+	for (i = 0; i < WORLD_PROCESSES && world_is_relay(process_index(p));
+	     i++) {
 		if (world[i].zone == p->zone)
 			follow_set_sent(&p->follow, &p->sent[i], world_now);
 	}
@@ -234,27 +166,10 @@
 	p->decoding = version;
 }
 
-void
-process_push_changes(struct process *p)
-{
-	struct message *m;
-
-	if (p->nchanges == 0)
-		return;
-	m = create_message(p, MESSAGE_TEXT);
-	m->text = FOLLOW_LIST;
-	m->list_from = p->changed_from;
-	m->nitems = p->nchanges;
-	memcpy(m->items, p->changes, sizeof(m->items));
-	send_down(p, m);
-	free(m);
-	p->nchanges = 0;
-}
-
 static void
 send_report(struct process *p, uint32_t to)
 {
-	send_to(index_of(p), to, create_message(p, MESSAGE_REPORT));
+	message_send(process_index(p), to, message_create(p, MESSAGE_REPORT));
 }
 
 /* To its relay; relays to each other and to their data centre. */
@@ -263,7 +178,7 @@
 {
 	uint32_t i;
 
-	if (!world_is_relay(index_of(p))) {
+	if (!world_is_relay(process_index(p))) {
 		if (p->my_relay < WORLD_PROCESSES)
 			send_report(p, p->my_relay);
 		return;
@@ -274,30 +189,15 @@
 	}
 }
 
-static void
-pull(struct process *p, uint32_t from, enum follow_text text)
+void
+process_pull(
+    struct process *p, uint32_t from, enum follow_text text, uint64_t since)
 {
-	struct message *m = create_message(p, MESSAGE_PULL);
+	struct message *m = message_create(p, MESSAGE_PULL);
 
 	m->text = text;
-	send_to(index_of(p), from, m);
-}
-
-static void
-send_list(struct process *p, uint32_t to)
-{
-	struct message *m = create_message(p, MESSAGE_TEXT);
-	uint32_t i;
-
-	m->text = FOLLOW_LIST;
-	m->whole = 1;
-	for (i = 0; i < WORLD_ENTRIES; i++) {
-		if (p->list.entry[i] == 0)
-			continue;
-		m->items[m->nitems].entry = i;
-		m->items[m->nitems++].revision = p->list.entry[i];
-	}
-	send_to(index_of(p), to, m);
+	m->list_from = since;
+	message_send(process_index(p), from, m);
 }
 
 static void
@@ -305,59 +205,24 @@
 {
 	struct message *reply;
 
+	if (m->text == FOLLOW_LIST && process_answer_changes(p, m))
+		return;
 	if (!follow_answers_pull(&p->answers, world_now, m->text))
 		return;
 	if (m->text == FOLLOW_LIST) {
-		send_list(p, m->from);
+		process_send_list(p, m->from);
 		return;
 	}
-	reply = create_message(p, MESSAGE_TEXT);
+	reply = message_create(p, MESSAGE_TEXT);
 	reply->text = FOLLOW_CONFIG;
-	send_to(index_of(p), m->from, reply);
-}
-
-/* As session_apply_text() of entry/replica_sync.c does. */
-static void
-apply_list(struct process *p, const struct message *m)
-{
-	const struct list_item *c;
-	uint64_t at = m->list.revision;
-	int listed[WORLD_ENTRIES] = { 0 };
-	uint32_t i;
-
-	if (at < p->list.revision ||
-	    (at == p->list.revision &&
-		(!m->whole || world_is_hub(index_of(p)))))
-		return;
-	if (!m->whole && m->list_from > p->list.revision) {
-		if (world_now >= p->pull_list_at) {
-			p->pull_list_at = world_now + PULL_RETRY_NS;
-			pull(p, m->from, FOLLOW_LIST);
-		}
-		return;
-	}
-	for (c = m->items; c < m->items + m->nitems; c++) {
-		listed[c->entry] = 1;
-		if (c->revision <= p->list.entry[c->entry])
-			continue;
-		if (c->removed)
-			process_remove_entry(p, c->entry, c->revision);
-		else
-			process_set_entry(p, c->entry, c->revision);
-	}
-	for (i = 0; m->whole && i < WORLD_ENTRIES; i++) {
-		if (!listed[i] && p->list.entry[i] <= at)
-			process_remove_entry(p, i, at);
-	}
-	p->list.revision = at;
-	process_push_changes(p);
+	message_send(process_index(p), m->from, reply);
 }
 
 static void
 apply_report(struct process *p, const struct message *m)
 {
 	const struct follow_list mine = { p->list.revision, p->list.digest };
-	uint32_t self = index_of(p);
+	uint32_t self = process_index(p);
 	struct message *copy;
 	char addr[ADDR_SIZE];
 
@@ -369,16 +234,14 @@
 	    follow_is_to_send(
 		&p->follow, &p->sent[m->from], m->version, world_now)) {
 		follow_set_sent(&p->follow, &p->sent[m->from], world_now);
-		copy = create_message(p, MESSAGE_TEXT);
+		copy = message_create(p, MESSAGE_TEXT);
 		copy->text = FOLLOW_CONFIG;
-		send_to(self, m->from, copy);
+		message_send(self, m->from, copy);
 	}
 	if (follow_list_report(&p->behind, world_now, &mine, &m->list,
-		!world_is_hub(self) && p->hub[m->from].hub_since != 0) &&
-	    world_now >= p->pull_list_at) {
-		p->pull_list_at = world_now + PULL_RETRY_NS;
-		pull(p, m->from, FOLLOW_LIST);
-	}
+		!world_is_hub(self) && p->hub[m->from].hub_since != 0))
+		process_pull_list(p, m->from,
+		    m->list.revision > p->list.revision ? p->list.revision : 0);
 }
 
 static void
@@ -397,7 +260,7 @@
 	else if (m->text == FOLLOW_CONFIG)
 		process_receive_config(p, m->version);
 	else
-		apply_list(p, m);
+		process_apply_list(p, m);
 }
 
 /* As entry/relays.c does. */
@@ -406,7 +269,7 @@
 {
 	struct hub *all[WORLD_PROCESSES];
 	struct hub *out[WORLD_PROCESSES];
-	uint32_t self = index_of(p);
+	uint32_t self = process_index(p);
 	uint32_t first;
 	uint32_t end;
 	uint32_t n = 0;
@@ -456,7 +319,7 @@
 static void
 tick(struct process *p)
 {
-	uint32_t self = index_of(p);
+	uint32_t self = process_index(p);
 	unsigned todo;
 
 	p->hub[self].weight = p->up ? p->weight : 0;
@@ -470,8 +333,9 @@
 	if (p->decoding == 0) {
 		todo = follow_next(&p->follow, world_now);
 		if (todo & FOLLOW_PULL)
-			pull(p, (uint32_t)strtoul(p->follow.source, NULL, 10),
-			    FOLLOW_CONFIG);
+			process_pull(p,
+			    (uint32_t)strtoul(p->follow.source, NULL, 10),
+			    FOLLOW_CONFIG, 0);
 		if ((todo & FOLLOW_READ) && p->feeds[FOLLOW_CONFIG].idle)
 			store_read(p, FOLLOW_CONFIG);
 	}
@@ -502,7 +366,7 @@
 	p->tick_at = world_now + draw(5) * WORLD_STEP_NS;
 	p->report_at = world_now + draw(20) * WORLD_STEP_NS;
 	follow_set_version(&p->follow, world_now, store_version());
-	p->list = *store_list();
+	process_start_list(p);
 	for (k = 0; k < FOLLOW_TEXT__MAX; k++) {
 		p->feeds[k].idle = 1;
 		p->feeds[k].retry_ns = 50 * NSEC_PER_MSEC;
@@ -515,7 +379,6 @@
 		p->hub[k].self = k == i;
 		p->relay[k] = p->hub[k];
 	}
-	newest[i] = p->list;
 }
 
 void
@@ -527,7 +390,6 @@
 	world_now = START_NS;
 	world_calls = 0;
 	world_texts = 0;
-	went_back = 0;
 	TAILQ_INIT(&queue);
 	store_start();
 	world = mem_alloc(WORLD_PROCESSES * sizeof(*world));
--- a/tests/follow_world.h
+++ b/tests/follow_world.h
@@ -10,6 +10,7 @@
 
 #include "follow.h"
 #include "hubs.h"
+#include "removals.h"
 
 #define WORLD_PROCESSES 300U
 #define WORLD_ZONES 5U
@@ -80,6 +81,7 @@
 	struct list_item changes[WORLD_ENTRIES]; /* to be pushed */
 	uint32_t nchanges;
 	uint64_t changed_from;
+	struct removals removals;
 	/* The store. */
 	struct feed feeds[FOLLOW_TEXT__MAX];
 	int up;
@@ -115,7 +117,7 @@
 	uint64_t list_from; /* of changes: revision before the first */
 	int whole;
 	uint32_t nitems;
-	struct list_item items[WORLD_ENTRIES];
+	struct list_item items[2 * WORLD_ENTRIES];
 };
 
 extern struct process *world;
@@ -134,6 +136,8 @@
 void world_write_config(void);
 void world_write_entry(uint32_t);
 void world_remove_entry(uint32_t);
+/* A process gets the store's list, and pushes it to nobody. */
+void world_set_list(uint32_t);
 /* Whether a process has the store's text. */
 int world_has(uint32_t, enum follow_text);
 int world_is_hub(uint32_t);
@@ -141,11 +145,27 @@
 /* Whether any process took back an entry that it knew to be removed. */
 int world_went_back(void);
 
-/* follow_world.c, for follow_store.c */
+/* follow_world.c */
+uint32_t process_index(const struct process *);
 void process_receive_config(struct process *, uint64_t);
+/* Asks a peer for a text; for the list, for its changes since a revision. */
+void process_pull(struct process *, uint32_t, enum follow_text, uint64_t);
+struct message *message_create(const struct process *, enum message_kind);
+/* Takes the message. */
+void message_send(uint32_t, uint32_t, struct message *);
+/* Sends copies: a hub to all relays, a relay to its data centre. */
+void message_send_down(struct process *, const struct message *);
+/* follow_list.c */
+void process_start_list(struct process *);
 void process_set_entry(struct process *, uint32_t, uint64_t);
 void process_remove_entry(struct process *, uint32_t, uint64_t);
 void process_push_changes(struct process *);
+void process_send_list(struct process *, uint32_t);
+/* Returns whether a request was for changes that are known. */
+int process_answer_changes(struct process *, const struct message *);
+/* Asks for changes since a revision, 0 for the whole list, now and then. */
+void process_pull_list(struct process *, uint32_t, uint64_t);
+void process_apply_list(struct process *, const struct message *);
 /* follow_store.c */
 void store_start(void);
 void store_tick(struct process *);    /* starts calls that are due */
--- a/tests/test_follow_bounds.c
+++ b/tests/test_follow_bounds.c
@@ -63,6 +63,8 @@
 static void test_deaf(void);
 static void test_late_reads(void);
 static void test_entry_removed(void);
+static void test_not_pushed(void);
+static void test_changes_limit(void);
 
 static void
 choose(struct run *r)
@@ -300,6 +302,52 @@
 	CU_ASSERT(!follow_list_is_removed(&mine, 11, 12));
 }
 
+/*
+ * All relays get changes of the list while they have no duty, and push nothing:
+ * their processes pull at the same time.
+ */
+static void
+test_not_pushed(void)
+{
+	struct run r = { .fault = FAULT_NONE };
+	struct times t;
+	struct times longest = { { 0 } };
+	uint32_t i;
+
+	for (r.seed = 1; r.seed <= 5; r.seed++) {
+		world_start(r.seed);
+		change_all();
+		for (i = 0; i < WORLD_PROCESSES; i++) {
+			if (world_is_relay(i))
+				world_set_list(i);
+		}
+		t = measure(&r);
+		keep_longest(&longest, &t);
+		world_end();
+	}
+	printf("nothing pushed: list %u ms\n", longest.ms[FOLLOW_LIST]);
+	CU_ASSERT(longest.ms[FOLLOW_LIST] <= APPLY_MS / 2);
+}
+
+/* Small answers do not count as whole lists do, but are limited too. */
+static void
+test_changes_limit(void)
+{
+	struct follow_answers a = { 0 };
+	uint64_t t = LIMIT_NS;
+	uint32_t n = 0;
+	int i;
+
+	for (i = 0; i < 100; i++)
+		n += follow_answers_changes(&a, t, 500) != 0;
+	CU_ASSERT_EQUAL(n, 100);
+	for (i = 0, n = 0; i < 100; i++)
+		n += follow_answers_changes(&a, t, 40000) != 0;
+	CU_ASSERT(n <= 2);
+	CU_ASSERT(follow_answers_pull(&a, t, FOLLOW_LIST));
+	CU_ASSERT(follow_answers_changes(&a, t + NSEC_PER_SEC, 500));
+}
+
 static const struct unit_case cases[] = {
 	{ "no fault", test_no_fault },
 	{ "dead", test_dead },
@@ -310,6 +358,8 @@
 	{ "deaf watches", test_deaf },
 	{ "late reads", test_late_reads },
 	{ "an entry removed since a read", test_entry_removed },
+	{ "a list that is not pushed", test_not_pushed },
+	{ "a limit on changes", test_changes_limit },
 };
 
 UNIT_MAIN("follow bounds", cases)
