Metrics: the age and the source of the list of replicas

Operators saw since when and from whom a VM has its configuration, but of the list its revision alone. spindle_entry_list_age_seconds and spindle_entry_list_source{from=...} stand beside those of the configuration.

test_list_after_cut_watches (new): 20 processes in four data centres; three replicas are added and removed while watches tell nothing and are then cut; each process has each change within 2 s.

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -50,6 +50,7 @@
 static void write_metrics(struct entry *, FILE *);
 static void write_replica_metrics(struct entry *, FILE *);
 static void write_config_metrics(struct entry *, FILE *);
+static void write_list_metrics(struct entry *, FILE *);
 static void write_attempt_metrics(struct entry *, FILE *);
 
 static const struct conn_ops client_conn_ops = {
@@ -340,6 +341,24 @@
 	    e->conf == NULL ? "" : e->conf_source);
 }
 
+static void
+write_list_metrics(struct entry *e, FILE *f)
+{
+	uint64_t age = 0;
+
+	if (e->list_at != 0)
+		age = (e->now - e->list_at) / NSEC_PER_SEC;
+	metric_write(f, "spindle_entry_list_revision", "gauge",
+	    "Revision of the list of replicas.", e->dir.revision);
+	metric_write(f, "spindle_entry_list_age_seconds", "gauge",
+	    "Time since the list was last read or changed here.", age);
+	fprintf(f,
+	    "# HELP spindle_entry_list_source Who told it.\n"
+	    "# TYPE spindle_entry_list_source gauge\n"
+	    "spindle_entry_list_source{from=\"%s\"} 1\n",
+	    e->list_source);
+}
+
 static void
 write_metrics(struct entry *e, FILE *f)
 {
@@ -351,8 +370,7 @@
 	metric_write(f, "spindle_entry_waiting", "gauge",
 	    "Requests that wait for a replica.", e->waiting.nitems);
 	write_config_metrics(e, f);
-	metric_write(f, "spindle_entry_list_revision", "gauge",
-	    "Revision of the list of replicas.", e->dir.revision);
+	write_list_metrics(e, f);
 	metric_write(f, "spindle_entry_store_up", "gauge",
 	    "Whether the key-value service answers.",
 	    (uint64_t)session_is_up(e->session));
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -68,6 +68,8 @@
 	size_t conf_len;
 	uint64_t conf_at;	     /* when it was put in force */
 	char conf_source[ADDR_SIZE]; /* "store" or a peer's address */
+	uint64_t list_at;	     /* when it was last read or changed */
+	char list_source[ADDR_SIZE];
 	struct conf_decoder *conf_decoder;
 	struct directory dir;
 	struct budget budget;
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -329,6 +329,7 @@
 	if (l->id != LIST_REPLICAS || l->stale_read)
 		return;
 	d->synced = 1;
+	list_set_source(l->s, "store");
 	if (dropped && l->revision > d->revision)
 		d->revision = l->revision;
 	/*
@@ -416,6 +417,8 @@
 	}
 	if (page.revision > l->revision)
 		l->revision = page.revision;
+	if (l->id == LIST_REPLICAS)
+		list_set_source(l->s, "store");
 	if (l->id == LIST_REPLICAS && page.n != 0) {
 		for (i = 0; i < page.n; i++) {
 			if (page.items[i].revision > l->s->e->dir.revision)
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -193,7 +193,8 @@
 
 	if (c->nonce == PULL_CONFIG)
 		entry_receive_config(p->e, c->bytes, c->len, m->from.addr);
-	else if (session_apply_text(p->e->session, c->bytes, c->len) == -1)
+	else if (session_apply_text(
+		     p->e->session, c->bytes, c->len, m->from.addr) == -1)
 		pull_list(p, m->from.addr, p->e->dir.revision);
 }
 
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -160,6 +160,13 @@
 	}
 }
 
+void
+list_set_source(struct session *s, const char *source)
+{
+	s->e->list_at = s->e->now;
+	snprintf(s->e->list_source, sizeof(s->e->list_source), "%s", source);
+}
+
 int
 list_is_removed(
     const struct list *l, const struct store_item *item, uint64_t told_at)
@@ -177,7 +184,8 @@
 }
 
 int
-session_apply_text(struct session *s, const char *text, size_t len)
+session_apply_text(
+    struct session *s, const char *text, size_t len, const char *source)
 {
 	struct list *l = &s->lists[LIST_REPLICAS];
 	struct entry *e = s->e;
@@ -226,6 +234,7 @@
 	e->dir.synced = 1;
 	e->dir.revision = at;
 	removals_start(&s->removals, at);
+	list_set_source(s, source);
 	session_push_changes(s, grace_ns);
 	e->retry_waiting = 1;
 	return 0;
--- a/entry/session.h
+++ b/entry/session.h
@@ -25,10 +25,11 @@
 /* Its changes since a revision; NULL if they are not known. */
 char *session_changes_text(const struct session *, uint64_t);
 /*
- * Applies a peer's list of replicas or changes of it.  Returns -1 if earlier
- * changes are missing here, so that the whole list is needed.
+ * Applies a list of replicas or changes of it from a peer at an address.
+ * Returns -1 if earlier changes are missing here, so that the whole list is
+ * needed.
  */
-int session_apply_text(struct session *, const char *, size_t);
+int session_apply_text(struct session *, const char *, size_t, const char *);
 /*
  * Starts reading lists whose turn has come: once the peers are known, when this
  * process becomes a hub, or when no peer has sent them in time.
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -95,6 +95,8 @@
  */
 void list_remove_key(struct list *, struct list_key *, uint64_t, uint64_t);
 /* replica_sync.c */
+/* Records who told the list of replicas that is now in use. */
+void list_set_source(struct session *, const char *);
 /* Whether an item that the store told as of a revision was removed since. */
 int list_is_removed(const struct list *, const struct store_item *, uint64_t);
 /* Records a change to be passed on. */
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1636,6 +1636,47 @@
         w.stop()
 
 
+def test_list_after_cut_watches():
+    """The same for the list of replicas, with removals: every process has
+    each change within the drain time."""
+    w = World(zone="a")
+    others = [World(start=False, zone="abcd"[i % 4]) for i in range(1, 20)]
+    worlds = [w] + others
+    try:
+        for o in others:
+            o.store_port = w.store_port
+            o.start()
+
+        def told(event, name):
+            return all(any(e.get("backend") == name for e in o.events(event))
+                       for o in worlds)
+        w.wait("configured", lambda: all(
+            version_in_force(o) == w.config["version"] for o in worlds), 20)
+        entry = {"service": "book", "address": "127.0.0.1:9", "zone": "z1",
+                 "version": "v1", "slots": 6, "state": "ready",
+                 "cold_left_ms": 0, "sequence": 1, "born": 1700000000000}
+        for i in range(3):
+            name = "i-cut%d" % i
+            for event, call in (
+                    ("replica-listed", w.store.put("servers/" + name, entry)),
+                    ("replica-gone", w.store.remove("servers/" + name))):
+                w.store.hang_watches = True
+                w.run(call)
+                time.sleep(0.3)
+                w.store.hang_watches = False
+                w.loop.call_soon_threadsafe(w.store.cut)
+                w.wait("%s %s everywhere" % (event, name),
+                       lambda event=event, name=name: told(event, name), 2)
+        w.ports["metrics"] = 9109
+        text = w.get("metrics", "/metrics")[2].decode()
+        for line in ('list_source{from="', "list_age_seconds "):
+            check(line, "\nspindle_entry_" + line in text)
+    finally:
+        for o in others:
+            o.stop()
+        w.stop()
+
+
 def test_watches_tell_nothing():
     """A hub whose watches are answered but never tell a change reads the
     lists again: a configuration and a removal arrive all the same."""
