A restarted replica that says early that it takes no requests gets one at a time

A replica that starts again under its id and answers 503 with Retry-After before the list tells of its start got a burst of requests as soon as the list did: more than two in the time that it named.

The word was filed under the incarnation that the list had, and a later one is free of it, since it "starts clean". Which of the two answered is not known: answers bear the id alone, and clocks are not compared. Ruled out: holding the word against the new incarnation, which would keep a sound replica closed. Now the new incarnation takes one request at a time within that time, until it has answered one; a new refusal closes it as usual.

--- a/core/directory.c
+++ b/core/directory.c
@@ -288,7 +288,7 @@
 	return directory_in_service(m, now) &&
 	    directory_closed_until(m, now) == 0 &&
 	    (m->local_load.running == 0 ||
-		!notice_is_probed(&m->notice, m->info.started_ms));
+		!notice_is_probed(&m->notice, m->info.started_ms, now));
 }
 
 /* Replaces the exclusion of the same name or the one that ends first. */
--- a/core/notice.c
+++ b/core/notice.c
@@ -48,7 +48,11 @@
 void
 notice_answered(struct notice *n, uint64_t started_ms, uint64_t sent_at)
 {
-	if (started_ms == n->started_ms && sent_at >= n->closed_until)
+	if (n->closed_until == 0 || started_ms < n->started_ms)
+		return;
+	if (started_ms > n->started_ms)
+		(void)begin(n, started_ms);
+	else if (sent_at >= n->closed_until)
 		n->probe = 0;
 }
 
@@ -67,9 +71,9 @@
 }
 
 int
-notice_is_probed(const struct notice *n, uint64_t started_ms)
+notice_is_probed(const struct notice *n, uint64_t started_ms, uint64_t now)
 {
-	return n->probe && started_ms <= n->started_ms;
+	return started_ms > n->started_ms ? now < n->closed_until : n->probe;
 }
 
 int
--- a/core/notice.h
+++ b/core/notice.h
@@ -41,14 +41,17 @@
  */
 int notice_leaving(struct notice *, uint64_t, uint64_t);
 int notice_closed(struct notice *, uint64_t, uint64_t, uint64_t);
-/* A request that was sent after the closed time was answered. */
+/* A request that an incarnation took, sent at a time, was answered. */
 void notice_answered(struct notice *, uint64_t, uint64_t);
 /* Whether an incarnation has said that it leaves. */
 int notice_is_leaving(const struct notice *, uint64_t);
 /* Until when an incarnation takes no requests; 0: it takes them. */
 uint64_t notice_closed_until(const struct notice *, uint64_t, uint64_t);
-/* Whether an incarnation takes only one request at a time. */
-int notice_is_probed(const struct notice *, uint64_t);
+/*
+ * Whether an incarnation takes only one request at a time: also if it may be
+ * the one that closed, as it answered before the list told of its start.
+ */
+int notice_is_probed(const struct notice *, uint64_t, uint64_t);
 /* Whether a closed time has ended since the last call. */
 int notice_reopened(struct notice *, uint64_t);
 /*
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -43,6 +43,7 @@
 static void test_new_address(void);
 static void test_closed(void);
 static void test_incarnations(void);
+static void test_not_listed_yet(void);
 static void test_huge(void);
 static void test_closed_slots(void);
 static uint32_t running_at(const struct sim *, uint64_t);
@@ -210,6 +211,30 @@
 	directory_clear(&d);
 }
 
+/*
+ * A replica that has restarted says it before the list tells of that: one
+ * request at a time shows whether the new incarnation takes requests.
+ */
+static void
+test_not_listed_yet(void)
+{
+	struct directory d;
+	struct directory_replica *m;
+
+	directory_init(&d);
+	m = put_replica(&d, 0, 7);
+	notice_closed(&m->notice, 7, S, 5 * S);
+	put_replica(&d, 0, 8);
+	CU_ASSERT(directory_usable(m, 2 * S));
+	m->local_load.running = 1;
+	CU_ASSERT(!directory_usable(m, 2 * S));
+	notice_answered(&m->notice, 7, S);
+	CU_ASSERT(!directory_usable(m, 2 * S));
+	notice_answered(&m->notice, 8, 2 * S);
+	CU_ASSERT(directory_usable(m, 3 * S));
+	directory_clear(&d);
+}
+
 /* A time without end: one request at a time once the longest is over. */
 static void
 test_huge(void)
@@ -397,6 +422,7 @@
 	{ "address of a closed replica", test_new_address },
 	{ "closed for a time", test_closed },
 	{ "word of an earlier incarnation", test_incarnations },
+	{ "not listed yet", test_not_listed_yet },
 	{ "time without end", test_huge },
 	{ "all closed", test_closed_slots },
 	{ "half of the replicas refuse", test_half_refuse },
