Fuzzing of replicas' notices, with an oracle for each rule

fuzz_notice runs core/notice, directory and balance of one process in virtual time against four replicas that leave, refuse for 0.1 s to two hours, restart under their id and are listed late, unlisted and listed again. It holds the two rules as the users word them, and that a new incarnation takes requests.

--- a/Makefile
+++ b/Makefile
@@ -88,7 +88,8 @@
 	@printf '%s\n' $(LINTED) | xargs -P 8 -n 4 scripts/tidy.sh
 .PHONY: lint
 
-FUZZERS = $(BUILD)/fuzz_serving $(BUILD)/fuzz_state $(BUILD)/fuzz_orders
+FUZZERS = $(BUILD)/fuzz_serving $(BUILD)/fuzz_state $(BUILD)/fuzz_orders \
+	  $(BUILD)/fuzz_notice
 
 $(BUILD)/tests/%.oo: tests/%.cc
 	@mkdir -p $(dir $@)
@@ -97,6 +98,7 @@
 WORLD_serving = serving_world
 WORLD_state = state_world state_kv state_engine state_oracle
 WORLD_orders = orders_world
+WORLD_notice = notice_world
 
 .SECONDEXPANSION:
 $(BUILD)/fuzz_%: $(BUILD)/tests/fuzz_%.oo \
@@ -147,6 +149,7 @@
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_serving
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_state
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_orders
+	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_notice
 
 SEEDS = 1-50
 SECONDS = 12
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -64,6 +64,8 @@
         env, RC_PARAMS="seed=1 max_success=%d" % serving))
     run_check("fuzz state" + what, [build + "/fuzz_state"], dict(
         env, RC_PARAMS="seed=1 max_success=%d" % state))
+    run_check("fuzz notice" + what, [build + "/fuzz_notice"], dict(
+        env, RC_PARAMS="seed=1 max_success=%d" % serving))
     run_check("fuzz orders" + what, [build + "/fuzz_orders"], dict(
         env, RC_PARAMS="seed=1 max_success=%d" % state))
 
@@ -108,7 +110,8 @@
     san = "-fsanitize=address,undefined -fno-sanitize-recover=undefined"
     targets = [build + "/test_" + n for n in unit_tests()] + [
         build + "/fuzz_serving", build + "/fuzz_state",
-        build + "/fuzz_orders", build + "/spindle-entry"]
+        build + "/fuzz_orders", build + "/fuzz_notice",
+        build + "/spindle-entry"]
     if run_check("build, asan ubsan", make_command(build, san, targets)):
         for name in unit_tests():
             run_check("asan " + name, [build + "/test_" + name])
@@ -128,7 +131,8 @@
 
 def main():
     targets = ["all"] + ["build/test_" + n for n in unit_tests()] + [
-        "build/fuzz_serving", "build/fuzz_state", "build/fuzz_orders"]
+        "build/fuzz_serving", "build/fuzz_state", "build/fuzz_orders",
+        "build/fuzz_notice"]
     if run_check("build", make_command("build", "", targets)):
         run_check("formatter and linter", ["make", "-s", "lint"])
         for name in unit_tests():
--- a/tests/mutate.py
+++ b/tests/mutate.py
@@ -103,8 +103,29 @@
     ("a single owner remains: higher fencing token ignored",
      "state", "core/ownership.c",
      "if (fence <= o->fence || !o->held)", "if (1)"),
+    ("no requests to a replica that says that it leaves: the list believed",
+     "notice", "core/notice.c",
+     "return n->leaving_at != 0 && started_ms <= n->started_ms;", "return 0;"),
+    ("no requests to a replica that takes none: time ignored",
+     "notice", "core/notice.c",
+     "return started_ms <= n->started_ms && now < n->closed_until",
+     "return 0 && now < n->closed_until"),
+    ("no requests to a replica that takes none: a shorter time ends a longer",
+     "notice", "core/notice.c",
+     "until <= n->closed_until)", "until == n->closed_until)"),
+    ("no requests to a replica that takes none: said before it was listed",
+     "notice", "core/notice.c",
+     "return started_ms > n->started_ms ? now < n->closed_until : n->probe;",
+     "return started_ms > n->started_ms ? 0 : n->probe;"),
+    ("a replica's word holds while it is not listed: forgotten",
+     "notice", "core/notice.c",
+     "if (!is_kept(n, now))\n\t\treturn;", "if (now != 0)\n\t\treturn;"),
+    ("a new incarnation takes requests: the former's word holds",
+     "notice", "core/notice.c",
+     "return n->leaving_at != 0 && started_ms <= n->started_ms;",
+     "return n->leaving_at != 0;"),
 ]
-CASES = {"serving": 6000, "state": 1500}
+CASES = {"serving": 6000, "state": 1500, "notice": 20000}
 
 
 def run_mutant(job):
