--- a/Makefile
+++ b/Makefile
@@ -88,7 +88,8 @@
 	@printf '%s\n' $(LINTED) | xargs -P 8 -n 4 scripts/tidy.sh
 .PHONY: lint
 
-FUZZERS = $(BUILD)/fuzz_serving $(BUILD)/fuzz_state $(BUILD)/fuzz_orders
+FUZZERS = $(BUILD)/fuzz_serving $(BUILD)/fuzz_state $(BUILD)/fuzz_orders \
+	  $(BUILD)/fuzz_notice
 
 $(BUILD)/tests/%.oo: tests/%.cc
 	@mkdir -p $(dir $@)
@@ -97,6 +98,7 @@
 WORLD_serving = serving_world
 WORLD_state = state_world state_kv state_engine state_oracle
 WORLD_orders = orders_world orders_tables
+WORLD_notice = notice_world
 
 .SECONDEXPANSION:
 $(BUILD)/fuzz_%: $(BUILD)/tests/fuzz_%.oo \
@@ -143,6 +145,8 @@
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
 $(BUILD)/test_loader $(BUILD)/test_loader_adapters: $(BUILD)/tests/loader_fixture.o
+$(BUILD)/test_follow_bounds: $(BUILD)/tests/follow_world.o \
+    $(BUILD)/tests/follow_list.o $(BUILD)/tests/follow_store.o
 $(BUILD)/test_poison $(BUILD)/test_poison_report: $(BUILD)/tests/poison_fixture.o
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(BUILD)/tests/unit.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
@@ -157,6 +161,7 @@
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_serving
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_state
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_orders
+	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_notice
 
 SEEDS = 1-50
 SECONDS = 12
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "follow.h"
 #include "mem.h"
 #include "peers.h"
 #include "session.h"
@@ -57,6 +58,33 @@
 	    directory_removal_grace_left(&s->e->dir, s->e->now), items);
 }
 
+char *
+session_changes_text(const struct session *s, uint64_t since)
+{
+	const struct removal *r;
+	const struct list_key *k;
+	json_t *items;
+	uint32_t i;
+
+	if (!removals_known_since(&s->removals, since) ||
+	    since >= s->e->dir.revision)
+		return NULL;
+	items = json_array();
+	for (k = s->lists[LIST_REPLICAS].keys; k != NULL; k = k->hh.next) {
+		if (k->revision > since)
+			json_array_append_new(items,
+			    pack_item(k->key, k->value, k->len, k->revision));
+	}
+	for (i = 0; i < REMOVALS_MAX; i++) {
+		r = removals_get(&s->removals, i, since);
+		if (r != NULL)
+			json_array_append_new(
+			    items, pack_item(r->key, NULL, 0, r->revision));
+	}
+	return pack_list(s, since, 0,
+	    directory_removal_grace_left(&s->e->dir, s->e->now), items);
+}
+
 void
 list_add_change(struct list *l, const char *key, uint64_t revision)
 {
@@ -132,8 +160,32 @@
 	}
 }
 
+void
+list_set_source(struct session *s, const char *source)
+{
+	s->e->list_at = s->e->now;
+	snprintf(s->e->list_source, sizeof(s->e->list_source), "%s", source);
+}
+
+int
+list_is_removed(
+    const struct list *l, const struct store_item *item, uint64_t told_at)
+{
+	const struct directory *d = &l->s->e->dir;
+	const struct follow_list mine = { d->revision, d->digest };
+	const struct list_key *k;
+
+	if (l->id != LIST_REPLICAS || item->value == NULL)
+		return 0;
+	HASH_FIND_STR(l->keys, item->key, k);
+	return k == NULL &&
+	    follow_list_is_removed(
+		&mine, item->revision, l->stale_read ? 0 : told_at);
+}
+
 int
-session_apply_text(struct session *s, const char *text, size_t len)
+session_apply_text(
+    struct session *s, const char *text, size_t len, const char *source)
 {
 	struct list *l = &s->lists[LIST_REPLICAS];
 	struct entry *e = s->e;
@@ -181,6 +233,8 @@
 	json_decref(doc);
 	e->dir.synced = 1;
 	e->dir.revision = at;
+	removals_start(&s->removals, at);
+	list_set_source(s, source);
 	session_push_changes(s, grace_ns);
 	e->retry_waiting = 1;
 	return 0;
