An answer that came before sending failed is read

What callers see: a replica that refuses a large request by its head and closes has done nothing, and says so, but the caller got 502, outcome unknown, in place of another replica's answer.

Cause: a connection closed on what was known earlier. Where the rest of the request could not be sent any more, the connection was given up by the write event, while the answer stood unread in the same socket. Which event came first in a turn decided.

Change: on an error of the write event, sending ends and the connection is read to its end; only then is the error reported. A connection whose reading is paused is reported at once as before. An answer that ends with its connection counts as incomplete if sending failed, as it did for errors of the write event.

Ruled out: waiting for the answer before the body is sent (100-continue), which costs every request a round trip.

--- a/net/conn.c
+++ b/net/conn.c
@@ -36,6 +36,7 @@
 	int connecting;
 	int closing;
 	int sent;
+	int send_error; /* errno of a failed send, 0 for none */
 	struct buf out;
 };
 
@@ -47,6 +48,7 @@
 static void conn_on_linger(struct ev_loop *, ev_timer *, int);
 static int conn_flush(struct conn *);
 static void conn_on_connect(struct conn *);
+static void conn_end_sending(struct conn *);
 static void conn_end_flush(struct conn *);
 static void conn_shutdown_write(struct conn *);
 static int conn_parse_address(const char *, struct sockaddr_in *, struct err *);
@@ -238,8 +240,10 @@
 			ev_io_start(c->loop, &c->write_watcher);
 			return 0;
 		}
-		if (n == -1)
+		if (n == -1) {
+			c->send_error = errno;
 			return errno;
+		}
 		c->sent = 1;
 		buf_consume(&c->out, (size_t)n);
 	}
@@ -300,7 +304,7 @@
 		return;
 	if (on)
 		ev_io_start(c->loop, &c->read_watcher);
-	else
+	else if (c->send_error == 0)
 		ev_io_stop(c->loop, &c->read_watcher);
 }
 
@@ -327,7 +331,7 @@
 		return;
 	}
 	ev_io_stop(c->loop, &c->read_watcher);
-	c->ops->closed(c->ctx, n == 0 ? 0 : errno);
+	c->ops->closed(c->ctx, n == 0 ? c->send_error : errno);
 }
 
 static void
@@ -349,6 +353,20 @@
 	(void)conn_flush(c);
 }
 
+/*
+ * A peer may answer before it has read everything, and close.  What it sent is
+ * read before the error is reported; the shutdown ends the reading.
+ */
+static void
+conn_end_sending(struct conn *c)
+{
+	ev_io_stop(c->loop, &c->write_watcher);
+	if (ev_is_active(&c->read_watcher))
+		shutdown(c->fd, SHUT_RDWR);
+	else
+		c->ops->closed(c->ctx, c->send_error);
+}
+
 static void
 conn_on_write(struct ev_loop *loop, ev_io *w, int events)
 {
@@ -370,8 +388,7 @@
 		return;
 	}
 	if (error != 0) {
-		ev_io_stop(c->loop, &c->write_watcher);
-		c->ops->closed(c->ctx, error);
+		conn_end_sending(c);
 		return;
 	}
 	if (buf_len(&c->out) == 0 && c->ops->drained != NULL)
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -356,6 +356,24 @@
         w.stop()
 
 
+def test_refused_while_sending():
+    """A replica refuses by the head of a large request and closes, while the
+    body is still being sent: its refusal is read, and another one runs it."""
+    async def shed(call):
+        await call.answer(b"", 503, {
+            NOT_RUN: "1", "Connection": "close"}, signed=False)
+        return False
+    w, a, _ = two_replicas(
+        shed, config=default_config(max_body_bytes=20000000))
+    try:
+        status, _, _, whole = w.call(
+            "/once/x", "id-1", "POST", b"x" * 16000000)
+        check("refused by the first one", a.connections >= 1)
+        check("run by the other: %d" % status, status == 200 and whole)
+    finally:
+        w.stop()
+
+
 def test_misdirected():
     """421 (misdirected) means not run: sent to another replica."""
     async def other(call):
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <ev.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -11,10 +12,13 @@
 #include "clock.h"
 #include "fields.h"
 #include "http_client.h"
+#include "mem.h"
 #include "sse.h"
 #include "unit.h"
 
 #define PAUSE_NS (20 * NSEC_PER_MSEC)
+/* More than the buffers of two sockets hold. */
+#define LARGE_BYTES (32 * 1048576)
 
 /* One request to a listening socket that answers nothing. */
 struct attempt {
@@ -39,6 +43,7 @@
 static void test_paused(void);
 static void test_in_time(void);
 static void test_idle_closed_by_server(void);
+static void test_refused_while_sending(void);
 
 static void collect(void *, const char *, size_t);
 static void test_events(void);
@@ -271,12 +276,46 @@
 	attempt_close(&t);
 }
 
+/*
+ * A server refuses a large request by its head and closes, while the request
+ * is still being sent: the answer has arrived before the sending fails.
+ */
+static void
+test_refused_while_sending(void)
+{
+	static const char head[] = "POST /order HTTP/1.1\r\n\r\n";
+	static const char text[] =
+	    "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+	struct attempt t;
+	struct exchange *x;
+	char *body;
+	int fd;
+
+	attempt_open(&t);
+	body = mem_alloc(LARGE_BYTES);
+	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	exchange_send(x, head, sizeof(head) - 1);
+	exchange_send(x, body, LARGE_BYTES);
+	attempt_run(&t);
+	CU_ASSERT(!t.ended);
+	fd = accept(t.listener, NULL, NULL);
+	CU_ASSERT_EQUAL(
+	    send(fd, text, sizeof(text) - 1, 0), (ssize_t)sizeof(text) - 1);
+	close(fd);
+	attempt_run(&t);
+	CU_ASSERT(t.ended);
+	CU_ASSERT_EQUAL(t.result, EXCHANGE_COMPLETE);
+	free(body);
+	attempt_close(&t);
+}
+
 static const struct unit_case cases[] = {
 	{ "events", test_events },
 	{ "connected while paused", test_connected_late },
 	{ "paused while connecting", test_paused },
 	{ "sent in time", test_in_time },
 	{ "idle connection closed by the server", test_idle_closed_by_server },
+	{ "refused while sending", test_refused_while_sending },
 };
 
 UNIT_MAIN("net", cases)
