--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -18,7 +18,7 @@
 
 #define PAUSE_NS (20 * NSEC_PER_MSEC)
 /* More than the buffers of two sockets hold. */
-#define LARGE_BYTES (32 * 1048576)
+#define LARGE_BYTES ((size_t)32 * 1048576)
 
 /* One request to a listening socket that answers nothing. */
 struct attempt {
