A connection that cannot be written to any more is closed at once

What operators see: a process that uses a whole core from some moment on, and a stop that lasts until the end of its grace time. Callers see slow answers.

Cause: a caller that closes its connection after each request resets it, and the replica's answer is handled first, as after a delay of the loop. Writing the answer fails; it stays in the buffer, and the connection, which is to be closed once the buffer is empty, is never closed: no event writes it, and the read event finds the end of the input in each turn of the loop.

Change: a connection of which a write has failed is closed at once.

Ruled out: ending it in the read event, which comes in the same turn, but only while the connection is being read.

test_net "closed after the caller's reset": fails before (2 checks), 5 of 5 pass after. entry.py test_reset_and_answer_during_pause, where the order of events varies: 4 of 6 fail before (0.42 to 0.93 s of processor time in 1 s), 6 of 6 pass after.

--- a/net/conn.c
+++ b/net/conn.c
@@ -199,6 +199,10 @@
 void
 conn_close_after_flush(struct conn *c, struct conn_list *flushing)
 {
+	if (c->send_error != 0) {
+		conn_destroy(c);
+		return;
+	}
 	c->closing = 1;
 	ev_timer_start(c->loop, &c->linger_timer);
 	if (buf_len(&c->out) == 0) {
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import socket
+import struct
 import sys
 import threading
 import time
@@ -1071,6 +1072,46 @@
         w.stop()
 
 
+def cpu_seconds(w):
+    """Processor time that the process has used."""
+    with open("/proc/%d/stat" % w.process.pid) as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def test_reset_and_answer_during_pause():
+    """Callers reset their connections, then the replica answers, both while
+    the process does not run: later no processor time is used for them."""
+    released = asyncio.Event()
+
+    async def slow(call):
+        await call.read()
+        await released.wait()
+        return await call.answer()
+    w, a, b = two_replicas(slow, slow)
+
+    def during():
+        for s in callers:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                         struct.pack("ii", 1, 0))
+            s.close()
+        w.loop.call_soon_threadsafe(released.set)
+    callers = [w.connect() for _ in range(6)]
+    try:
+        for i, s in enumerate(callers):
+            s.sendall(request("/read/x", "id-%d" % i,
+                              fields={"Connection": "close"}))
+        w.wait("sent", lambda: len(
+            a.requests + b.requests) == len(callers))
+        pause(w, 0.3, during)
+        before = cpu_seconds(w)
+        time.sleep(1)
+        used = cpu_seconds(w) - before
+        check("used %.2f s of 1 s" % used, used < 0.3)
+    finally:
+        w.stop()
+
+
 def test_sigterm_request_during_pause():
     """During a stop, a request that has arrived on a kept connection is
     answered, although the process reads it late."""
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -10,6 +10,7 @@
 
 #include "base.h"
 #include "clock.h"
+#include "conn.h"
 #include "fields.h"
 #include "http_client.h"
 #include "mem.h"
@@ -17,6 +18,8 @@
 #include "unit.h"
 
 #define PAUSE_NS (20 * NSEC_PER_MSEC)
+/* Turns of a loop in which hardly anything happens. */
+#define TURNS_MAX 100
 /* More than the buffers of two sockets hold. */
 #define LARGE_BYTES ((size_t)32 * 1048576)
 
@@ -44,6 +47,10 @@
 static void test_in_time(void);
 static void test_idle_closed_by_server(void);
 static void test_refused_while_sending(void);
+static struct conn *accept_caller(struct attempt *, int *);
+static void on_data(void *, const char *, size_t);
+static void on_closed(void *, int);
+static void test_closed_after_reset(void);
 
 static void collect(void *, const char *, size_t);
 static void test_events(void);
@@ -309,6 +316,65 @@
 	attempt_close(&t);
 }
 
+static void
+on_data(void *ctx, const char *p, size_t len)
+{
+	(void)ctx;
+	(void)p;
+	(void)len;
+}
+
+static void
+on_closed(void *ctx, int error)
+{
+	(void)ctx;
+	(void)error;
+}
+
+/* A connection of a caller, whose own side is returned as a descriptor. */
+static struct conn *
+accept_caller(struct attempt *t, int *caller)
+{
+	static const struct conn_ops caller_ops = {
+		.data = on_data,
+		.closed = on_closed,
+	};
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+
+	getsockname(t->listener, (struct sockaddr *)&sa, &len);
+	*caller = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL_FATAL(
+	    connect(*caller, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	return conn_accept(t->loop,
+	    accept4(t->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC),
+	    &caller_ops, NULL);
+}
+
+/* A caller leaves before the last bytes are written, which close it. */
+static void
+test_closed_after_reset(void)
+{
+	struct linger reset = { 1, 0 };
+	struct conn_list flushing = TAILQ_HEAD_INITIALIZER(flushing);
+	struct attempt t;
+	struct conn *c;
+	int fd;
+
+	attempt_open(&t);
+	c = accept_caller(&t, &fd);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	conn_write(c, "whole", 5);
+	conn_close_after_flush(c, &flushing);
+	attempt_run(&t);
+	CU_ASSERT(TAILQ_EMPTY(&flushing));
+	CU_ASSERT(ev_iteration(t.loop) < TURNS_MAX);
+	if (!TAILQ_EMPTY(&flushing))
+		conn_destroy(c);
+	attempt_close(&t);
+}
+
 static const struct unit_case cases[] = {
 	{ "events", test_events },
 	{ "connected while paused", test_connected_late },
@@ -316,6 +382,7 @@
 	{ "sent in time", test_in_time },
 	{ "idle connection closed by the server", test_idle_closed_by_server },
 	{ "refused while sending", test_refused_while_sending },
+	{ "closed after the caller's reset", test_closed_after_reset },
 };
 
 UNIT_MAIN("net", cases)
