The end of a caller's input is not read again and again

What operators see: a process that uses a whole core while a slow caller that has ended its own side, as some proxies do, reads the rest of a long answer. Other callers get slow answers meanwhile.

Cause: a connection that is being closed still reads, to find the peer's end; the end of the input stays readable, and it counted only once all output had been sent.

After an error of reading the connection is closed at once.

Not shown through a whole process.

--- a/net/conn.c
+++ b/net/conn.c
@@ -326,7 +326,10 @@
 	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
 		return;
 	if (c->closing) {
-		if (n <= 0 && buf_len(&c->out) == 0)
+		/* The end of the input would be read in each turn. */
+		if (n == 0 && buf_len(&c->out) != 0)
+			ev_io_stop(c->loop, &c->read_watcher);
+		else if (n <= 0)
 			conn_destroy(c);
 		return;
 	}
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -1,5 +1,6 @@
 /* Outgoing requests on real sockets: what is sent, and when; events. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <ev.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -51,6 +52,8 @@
 static void on_data(void *, const char *, size_t);
 static void on_closed(void *, int);
 static void test_closed_after_reset(void);
+static size_t read_all(struct attempt *, int);
+static void test_half_closed_by_slow_caller(void);
 
 static void collect(void *, const char *, size_t);
 static void test_events(void);
@@ -375,6 +378,49 @@
 	attempt_close(&t);
 }
 
+/* Reads to the end while the loop runs; returns the number of bytes. */
+static size_t
+read_all(struct attempt *t, int fd)
+{
+	static char text[65536];
+	size_t sum = 0;
+	ssize_t n = -1;
+
+	while (n != 0) {
+		ev_run(t->loop, EVRUN_NOWAIT);
+		n = recv(fd, text, sizeof(text), MSG_DONTWAIT);
+		if (n == -1 && errno != EAGAIN)
+			return sum;
+		sum += n > 0 ? (size_t)n : 0;
+	}
+	return sum;
+}
+
+/* A caller that reads slowly has ended its own side: it gets everything. */
+static void
+test_half_closed_by_slow_caller(void)
+{
+	struct conn_list flushing = TAILQ_HEAD_INITIALIZER(flushing);
+	struct attempt t;
+	struct conn *c;
+	char *body;
+	int fd;
+
+	attempt_open(&t);
+	c = accept_caller(&t, &fd);
+	body = mem_alloc(LARGE_BYTES);
+	conn_write(c, body, LARGE_BYTES);
+	conn_close_after_flush(c, &flushing);
+	shutdown(fd, SHUT_WR);
+	attempt_run(&t);
+	CU_ASSERT(ev_iteration(t.loop) < TURNS_MAX);
+	CU_ASSERT_EQUAL(read_all(&t, fd), LARGE_BYTES);
+	CU_ASSERT(TAILQ_EMPTY(&flushing));
+	free(body);
+	close(fd);
+	attempt_close(&t);
+}
+
 static const struct unit_case cases[] = {
 	{ "events", test_events },
 	{ "connected while paused", test_connected_late },
@@ -383,6 +429,7 @@
 	{ "idle connection closed by the server", test_idle_closed_by_server },
 	{ "refused while sending", test_refused_while_sending },
 	{ "closed after the caller's reset", test_closed_after_reset },
+	{ "half-closed by a slow caller", test_half_closed_by_slow_caller },
 };
 
 UNIT_MAIN("net", cases)
