Without a free descriptor the process waits for one

What operators see: at its limit of descriptors a process uses a whole core and writes 200 lines a second; callers on the connections that it has get slow answers, and the readiness port answers late.

Cause: a connection that cannot be accepted keeps the listening socket readable, so the loop tries again in each turn, on the callers' port and on the two of the admin.

Ruled out: closing idle connections to get descriptors; callers reuse them, and what they have sent would be lost.

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -1,9 +1,8 @@
 /* HTTP server for the readiness and metrics endpoints. */
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
+#include "acceptor.h"
 #include "admin.h"
 #include "clock.h"
 #include "conn.h"
@@ -33,11 +32,11 @@
 
 struct admin {
 	struct entry *e;
-	ev_io io[ADMIN_ADDRESSES];
+	struct acceptor *acceptors[ADMIN_ADDRESSES];
 	struct client_list clients;
 };
 
-static void on_accept(struct ev_loop *, ev_io *, int);
+static void on_accepted(void *, int);
 static void on_data(void *, const char *, size_t);
 static void on_closed(void *, int);
 static int has_input(void *);
@@ -52,6 +51,10 @@
 static void write_config_metrics(struct entry *, FILE *);
 static void write_attempt_metrics(struct entry *, FILE *);
 
+static const struct acceptor_ops admin_ops = {
+	.accepted = on_accepted,
+};
+
 static const struct conn_ops client_conn_ops = {
 	.data = on_data,
 	.closed = on_closed,
@@ -74,25 +77,18 @@
 	const char *addrs[ADMIN_ADDRESSES] = { e->boot.readiness,
 		e->boot.metrics };
 	struct admin *a;
-	int fd;
 	int i;
 
 	a = mem_alloc(sizeof(*a));
 	a->e = e;
 	TAILQ_INIT(&a->clients);
 	for (i = 0; i < ADMIN_ADDRESSES; i++) {
-		fd = conn_listen(addrs[i], err);
-		if (fd == -1) {
-			while (--i >= 0) {
-				ev_io_stop(e->loop, &a->io[i]);
-				close(a->io[i].fd);
-			}
-			free(a);
+		a->acceptors[i] =
+		    acceptor_create(e->loop, addrs[i], &admin_ops, a, err);
+		if (a->acceptors[i] == NULL) {
+			admin_destroy(a);
 			return NULL;
 		}
-		ev_io_init(&a->io[i], on_accept, fd, EV_READ);
-		a->io[i].data = a;
-		ev_io_start(e->loop, &a->io[i]);
 	}
 	return a;
 }
@@ -104,34 +100,27 @@
 
 	if (a == NULL)
 		return;
+	for (i = 0; i < ADMIN_ADDRESSES; i++)
+		acceptor_destroy(a->acceptors[i]);
 	while (!TAILQ_EMPTY(&a->clients))
 		client_destroy(TAILQ_FIRST(&a->clients));
-	for (i = 0; i < ADMIN_ADDRESSES; i++) {
-		ev_io_stop(a->e->loop, &a->io[i]);
-		close(a->io[i].fd);
-	}
 	free(a);
 }
 
 static void
-on_accept(struct ev_loop *loop, ev_io *w, int events)
+on_accepted(void *ctx, int fd)
 {
-	struct admin *a = w->data;
+	struct admin *a = ctx;
 	struct client *c;
-	int fd;
 
-	(void)events;
-	fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-	if (fd == -1)
-		return;
 	c = mem_alloc(sizeof(*c));
 	c->a = a;
 	c->reader =
 	    http_reader_create(HTTP_READ_REQUESTS, &client_reader_ops, c);
-	c->expiry = expiry_create(loop, &client_expiry_ops, c);
+	c->expiry = expiry_create(a->e->loop, &client_expiry_ops, c);
 	expiry_set(c->expiry, clock_mono() + ADMIN_IDLE_NS);
 	TAILQ_INSERT_TAIL(&a->clients, c, entry);
-	c->conn = conn_accept(loop, fd, &client_conn_ops, c);
+	c->conn = conn_accept(a->e->loop, fd, &client_conn_ops, c);
 }
 
 static void
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -1,18 +1,15 @@
 /* Connections of callers: requests are read in full, then forwarded. */
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
+#include "acceptor.h"
 #include "conn.h"
 #include "entry_int.h"
 #include "expiry.h"
 #include "mem.h"
 
 #define PIPELINED_MAX_BYTES 65536 /* received after the current request */
-#define ACCEPT_BATCH 64		  /* connections accepted per event */
 /* While stopping, a new connection may send its first request this long. */
 #define FIRST_REQUEST_NS (500 * NSEC_PER_MSEC)
 /*
@@ -46,11 +43,11 @@
 
 struct listener {
 	struct entry *e;
-	ev_io io;
+	struct acceptor *acceptor;
 };
 
-static int listener_accept(struct listener *);
-static void listener_on_accept(struct ev_loop *, ev_io *, int);
+static void listener_accepted(void *, int);
+static void listener_failed(void *, int);
 static void caller_create(struct entry *, int);
 static void caller_destroy(struct caller *);
 static void caller_feed(struct caller *, const char *, size_t);
@@ -71,6 +68,11 @@
 static void on_expired(void *);
 static struct fleet_limits limits_in_force(const struct entry *);
 
+static const struct acceptor_ops listener_ops = {
+	.accepted = listener_accepted,
+	.failed = listener_failed,
+};
+
 static const struct conn_ops caller_conn_ops = {
 	.data = on_data,
 	.closed = on_closed,
@@ -102,63 +104,41 @@
 listener_create(struct entry *e, struct err *err)
 {
 	struct listener *l;
-	int fd;
 
-	fd = conn_listen(e->boot.listen, err);
-	if (fd == -1)
-		return NULL;
 	l = mem_alloc(sizeof(*l));
 	l->e = e;
-	ev_io_init(&l->io, listener_on_accept, fd, EV_READ);
-	l->io.data = l;
-	ev_io_start(e->loop, &l->io);
+	l->acceptor =
+	    acceptor_create(e->loop, e->boot.listen, &listener_ops, l, err);
+	if (l->acceptor == NULL) {
+		free(l);
+		return NULL;
+	}
 	return l;
 }
 
-/*
- * Accepts the connections in the backlog first, since closing the socket would
- * reset them.
- */
 void
 listener_destroy(struct listener *l)
 {
 	if (l == NULL)
 		return;
-	ev_io_stop(l->e->loop, &l->io);
-	while (listener_accept(l) == 0)
-		continue;
-	close(l->io.fd);
+	acceptor_destroy(l->acceptor);
 	free(l);
 }
 
-/* Accepts one connection; -1 if there is none. */
-static int
-listener_accept(struct listener *l)
+static void
+listener_accepted(void *ctx, int fd)
 {
-	int fd;
+	struct listener *l = ctx;
 
-	fd = accept4(l->io.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-	if (fd == -1) {
-		if (errno != EAGAIN && errno != EWOULDBLOCK)
-			log_event(
-			    LOG_HTTP_BAD, NULL, "accept: %s", strerror(errno));
-		return -1;
-	}
+	entry_update_now(l->e);
 	caller_create(l->e, fd);
-	return 0;
 }
 
 static void
-listener_on_accept(struct ev_loop *loop, ev_io *w, int events)
+listener_failed(void *ctx, int error)
 {
-	struct listener *l = w->data;
-	int i;
-
-	(void)loop;
-	(void)events;
-	entry_update_now(l->e);
-	for (i = 0; i < ACCEPT_BATCH && listener_accept(l) == 0; i++)
-		continue;
+	(void)ctx;
+	log_event(LOG_HTTP_BAD, NULL, "accept: %s", strerror(error));
 }
 
 static void
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import re
+import resource
 import signal
 import socket
 import struct
@@ -1817,6 +1818,27 @@
         w.stop()
 
 
+def test_descriptors_used_up():
+    """Without a free descriptor the process waits for one without using
+    processor time; then it goes on."""
+    w, _, _ = two_replicas(answer_ok)
+    try:
+        resource.prlimit(w.process.pid, resource.RLIMIT_NOFILE, (60, 60))
+        socks = [w.connect() for _ in range(80)]
+        socks += [w.connect("ready") for _ in range(5)]
+        w.wait("used up", lambda: w.events("http-bad"))
+        before = cpu_seconds(w)
+        time.sleep(1)
+        used = cpu_seconds(w) - before
+        check("used %.2f s of 1 s" % used, used < 0.3)
+        for s in socks:
+            s.close()
+        check("goes on", w.call("/read/x", "id-1")[0] == 200)
+        check("ready", w.ready())
+    finally:
+        w.stop()
+
+
 def test_metrics():
     """Counters are in the text exposition format; log events carry the
     request id."""
