A process in a large fleet reads its first configuration once

What operators see: a process of a large fleet that starts reads a large configuration from the store twice to five times, some 1.2 MB each time, over a link of 10 Mbit/s; it is charged as many calls, and its requests share the link.

Cause: while the configuration is being decoded none is in force yet, so the process took the list as missing and read it again at each tick.

Change: a configuration that is being decoded counts as present.

Ruled out: a read that waits for the decoding, which would hold up the watch of a hub.

entry.py test_large_fleet_configuration_read_once: 2, 4 and 5 reads before (3 of 3 fail), 1 read after (5 of 5 pass).

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -82,6 +82,12 @@
 	peers_push_config(e->peers);
 }
 
+int
+entry_has_config(const struct entry *e)
+{
+	return e->conf != NULL || conf_decoder_is_busy(e->conf_decoder);
+}
+
 int
 entry_is_ready(const struct entry *e)
 {
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -107,6 +107,8 @@
  * in force; called with the entry by its decoder.
  */
 void entry_apply_config(void *, struct conf_decoded *);
+/* Whether a configuration is in force, or one is being decoded. */
+int entry_has_config(const struct entry *);
 /* Whether this process can serve: configured, list known, not stopping. */
 int entry_is_ready(const struct entry *);
 
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -195,7 +195,8 @@
 list_is_due(const struct list *l)
 {
 	const struct entry *e = l->s->e;
-	int missing = l->id == LIST_CONFIG ? e->conf == NULL : !e->dir.synced;
+	int missing =
+	    l->id == LIST_CONFIG ? !entry_has_config(e) : !e->dir.synced;
 
 	if (!l->s->peers_known ||
 	    e->now <
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1818,6 +1818,38 @@
         w.stop()
 
 
+def reads_of_configuration(w):
+    return len([t for _, t in w.store.calls
+                if t.startswith("/api/kv-range?path_prefix=op/")])
+
+
+def in_large_fleet():
+    """A world whose process follows 20 listed peers, which are gone."""
+    w = World(start=False)
+    for i in range(20):
+        w.run(w.store.put("spindle/peer/gone-%d" % i, {
+            "bus": "127.1.2.%d:7380" % (i + 1), "incarnation": 5,
+            "weight": 900, "zone": w.zone}))
+    return w
+
+
+def test_large_fleet_configuration_read_once():
+    """In a large fleet a process that decodes its first configuration does
+    not read it again."""
+    w = in_large_fleet()
+    w.config["routes"] += [
+        route("more-%d" % i, "/more/%d/" % i, "idempotent")
+        for i in range(12000)]
+    try:
+        w.run(w.store.put("op/config", w.config))
+        w.start()
+        w.wait_ready()
+        n = reads_of_configuration(w)
+        check("%d reads" % n, n == 1)
+    finally:
+        w.stop()
+
+
 def test_descriptors_used_up():
     """Without a free descriptor the process waits for one without using
     processor time; then it goes on."""
