A list that the store does not have is read every 2.5 s

What operators see: while the store has no configuration, or one that cannot be decoded, each process of a large fleet reads it some 20 times a second, and is charged for it.

Cause: a process that follows hubs reads a list that is missing 2.5 s after its start, and does so again at the tick after each read that did not bring it.

Change: it waits 2.5 s from the end of the read, as from its start; the peers send it meanwhile if they get it.

Ruled out: watching the list, which in a large fleet is left to the hubs.

--- a/entry/lists.c
+++ b/entry/lists.c
@@ -87,6 +87,7 @@
 	struct list *l;
 	int i;
 
+	s->started_at = entry_update_now(s->e);
 	for (i = 0; i < LIST__MAX; i++) {
 		l = &s->lists[i];
 		l->s = s;
@@ -95,10 +96,10 @@
 		l->retry_s = RETRY_MIN_S;
 		l->poll_s = PEERS_POLL_MIN_S;
 		l->idle = l->id != LIST_PEERS;
+		l->due_at = s->started_at + PEERS_SEND_NS;
 		ev_timer_init(&l->retry, on_retry, 0.0, 0.0);
 		l->retry.data = l;
 	}
-	s->started_at = entry_update_now(s->e);
 	list_read(&s->lists[LIST_PEERS]);
 }
 
@@ -177,6 +178,7 @@
 	} else if (peers_follow_hubs(p)) {
 		l->revision = 0;
 		l->idle = 1;
+		l->due_at = l->s->e->now + PEERS_SEND_NS;
 	} else if (l->id == LIST_REPLICAS && !peers_is_active_hub(p)) {
 		list_poll_later(l, REPLICAS_POLL_S);
 	} else if (l->stale_read) {
@@ -204,7 +206,7 @@
 		return 0;
 	if (!peers_use_relays(e->peers) || peers_is_active_hub(e->peers))
 		return 1;
-	return missing && e->now >= l->s->started_at + PEERS_SEND_NS;
+	return missing && e->now >= l->due_at;
 }
 
 void
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -36,11 +36,12 @@
 	enum list_id id;
 	const char *prefix;
 	ev_timer retry;
-	double retry_s; /* delay before the next attempt after a failure */
-	double poll_s;	/* delay before the next poll */
-	int polling;	/* waiting for the next poll */
-	int idle;	/* neither read nor watched: peers send it */
-	int watching;	/* the latest watch has not been answered */
+	double retry_s;	 /* delay before the next attempt after a failure */
+	double poll_s;	 /* delay before the next poll */
+	int polling;	 /* waiting for the next poll */
+	int idle;	 /* neither read nor watched: peers send it */
+	uint64_t due_at; /* when it is read, if they have not sent it */
+	int watching;	 /* the latest watch has not been answered */
 	uint64_t watch_number;	/* of that watch */
 	uint64_t watched_at;	/* when it was sent */
 	uint64_t grace_ns;	/* for which a removed replica stays usable */
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1833,6 +1833,22 @@
     return w
 
 
+def test_large_fleet_without_configuration():
+    """In a large fleet a process without a configuration does not read the
+    store all the time."""
+    w = in_large_fleet()
+    try:
+        w.start()
+        w.wait("read", lambda: reads_of_configuration(w))
+        time.sleep(3)
+        n = reads_of_configuration(w)
+        check("%d reads" % n, n <= 4)
+        w.run(w.store.put("op/config", w.config))
+        w.wait_ready()
+    finally:
+        w.stop()
+
+
 def test_large_fleet_configuration_read_once():
     """In a large fleet a process that decodes its first configuration does
     not read it again."""
