No text of a configuration replaces another that waits to be decoded

What operators see: a version that is written while a process decodes the one before, and is followed at once by an older or malformed one, is not put in force; whether it is depends on the moment. A malformed text that is replaced is not reported either.

Cause: a queued text was replaced by the next one of its source, whose version is not known before it is decoded, or whether it can be decoded.

Change: all texts are decoded in the order in which they came, at most 8 in the queue. The same text is still decoded once.

Ruled out: reading the version from the text before, which needs a parser of our own.

--- a/entry/conf_decoder.c
+++ b/entry/conf_decoder.c
@@ -10,7 +10,7 @@
 #include "mem.h"
 #include "ring.h"
 
-/* Sources with a queued text; the store and peers that follow it. */
+/* Of up to 1 MB each; beyond that the oldest one is dropped. */
 #define QUEUED_MAX 8
 
 struct job {
@@ -36,8 +36,7 @@
 static void *decode_run(void *);
 static void job_destroy(struct job *);
 static int job_has_text(const struct job *, const char *, size_t);
-static struct job *find_queued(
-    const struct conf_decoder *, const char *, size_t, const char *);
+static int is_queued(const struct conf_decoder *, const char *, size_t);
 static void start_next(struct conf_decoder *);
 static void on_done(struct ev_loop *, ev_io *, int);
 
@@ -124,31 +123,34 @@
 	return j->d.len == len && memcmp(j->d.text, text, len) == 0;
 }
 
-/* A queued text that a new one from the source replaces or repeats. */
-static struct job *
-find_queued(const struct conf_decoder *c, const char *text, size_t len,
-    const char *source)
+static int
+is_queued(const struct conf_decoder *c, const char *text, size_t len)
 {
-	struct job *j;
+	const struct job *j;
 
+	if (c->current != NULL && job_has_text(c->current, text, len))
+		return 1;
 	TAILQ_FOREACH (j, &c->queued, entry) {
-		if (strcmp(j->d.source, source) == 0 ||
-		    job_has_text(j, text, len))
-			return j;
+		if (job_has_text(j, text, len))
+			return 1;
 	}
-	return c->nqueued == QUEUED_MAX ? TAILQ_FIRST(&c->queued) : NULL;
+	return 0;
 }
 
+/*
+ * An earlier text of the source stays in the queue: the later one may be
+ * malformed, or of an older version.
+ */
 void
 conf_decoder_add(
     struct conf_decoder *c, const char *text, size_t len, const char *source)
 {
 	struct job *j;
 
-	if (c->current != NULL && job_has_text(c->current, text, len))
+	if (is_queued(c, text, len))
 		return;
-	j = find_queued(c, text, len, source);
-	if (j != NULL) {
+	if (c->nqueued == QUEUED_MAX) {
+		j = TAILQ_FIRST(&c->queued);
 		TAILQ_REMOVE(&c->queued, j, entry);
 		c->nqueued--;
 		job_destroy(j);
--- a/entry/conf_decoder.h
+++ b/entry/conf_decoder.h
@@ -33,8 +33,8 @@
 /* Waits for the text that is being decoded; the queued ones are dropped. */
 void conf_decoder_destroy(struct conf_decoder *);
 /*
- * Queues a copy of a text from a source, in place of a queued one from there.
- * A text that is queued or being decoded already is not queued again.
+ * Queues a copy of a text from a source.  A text that is queued or being
+ * decoded already is not queued again.
  */
 void conf_decoder_add(
     struct conf_decoder *, const char *, size_t, const char *);
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -832,6 +832,7 @@
         for bad in (default_config(5), {"version": 12, "routes": 3},
                     b"\xff\xfe"):
             w.run(w.store.put("op/config", bad))
+        w.wait("logged", lambda: len(w.events("conf-bad")) == 2)
         time.sleep(0.3)
         check("configuration kept",
               w.call("/read/deep/x", "id-4")[0] == 200 and
@@ -1750,6 +1751,21 @@
         w.stop()
 
 
+def test_older_version_written_while_decoding():
+    """A version that is followed by an older one, both written while a large
+    configuration is decoded, is put in force."""
+    w, _, _ = two_replicas(answer_ok)
+    try:
+        large = default_config(4)
+        large["routes"] += [route("more-%d" % i, "/more/%d/" % i, "idempotent")
+                            for i in range(12000)]
+        for config in (large, default_config(6), default_config(5)):
+            w.run(w.store.put("op/config", config))
+        w.wait("version 6 in force", lambda: version_in_force(w) == 6)
+    finally:
+        w.stop()
+
+
 def test_sigterm_new_connection():
     """A connection made just before the listening socket closes is served."""
     w, _, _ = two_replicas(answer_ok)
