--- a/tests/entry.py
+++ b/tests/entry.py
@@ -5,8 +5,10 @@
 import asyncio
 import os
 import re
+import resource
 import signal
 import socket
+import struct
 import sys
 import threading
 import time
@@ -356,6 +358,24 @@
         w.stop()
 
 
+def test_refused_while_sending():
+    """A replica refuses by the head of a large request and closes, while the
+    body is still being sent: its refusal is read, and another one runs it."""
+    async def shed(call):
+        await call.answer(b"", 503, {
+            NOT_RUN: "1", "Connection": "close"}, signed=False)
+        return False
+    w, a, _ = two_replicas(
+        shed, config=default_config(max_body_bytes=20000000))
+    try:
+        status, _, _, whole = w.call(
+            "/once/x", "id-1", "POST", b"x" * 16000000)
+        check("refused by the first one", a.connections >= 1)
+        check("run by the other: %d" % status, status == 200 and whole)
+    finally:
+        w.stop()
+
+
 def test_misdirected():
     """421 (misdirected) means not run: sent to another replica."""
     async def other(call):
@@ -812,6 +832,7 @@
         for bad in (default_config(5), {"version": 12, "routes": 3},
                     b"\xff\xfe"):
             w.run(w.store.put("op/config", bad))
+        w.wait("logged", lambda: len(w.events("conf-bad")) == 2)
         time.sleep(0.3)
         check("configuration kept",
               w.call("/read/deep/x", "id-4")[0] == 200 and
@@ -1053,6 +1074,46 @@
         w.stop()
 
 
+def cpu_seconds(w):
+    """Processor time that the process has used."""
+    with open("/proc/%d/stat" % w.process.pid) as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def test_reset_and_answer_during_pause():
+    """Callers reset their connections, then the replica answers, both while
+    the process does not run: later no processor time is used for them."""
+    released = asyncio.Event()
+
+    async def slow(call):
+        await call.read()
+        await released.wait()
+        return await call.answer()
+    w, a, b = two_replicas(slow, slow)
+
+    def during():
+        for s in callers:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                         struct.pack("ii", 1, 0))
+            s.close()
+        w.loop.call_soon_threadsafe(released.set)
+    callers = [w.connect() for _ in range(6)]
+    try:
+        for i, s in enumerate(callers):
+            s.sendall(request("/read/x", "id-%d" % i,
+                              fields={"Connection": "close"}))
+        w.wait("sent", lambda: len(
+            a.requests + b.requests) == len(callers))
+        pause(w, 0.3, during)
+        before = cpu_seconds(w)
+        time.sleep(1)
+        used = cpu_seconds(w) - before
+        check("used %.2f s of 1 s" % used, used < 0.3)
+    finally:
+        w.stop()
+
+
 def test_sigterm_request_during_pause():
     """During a stop, a request that has arrived on a kept connection is
     answered, although the process reads it late."""
@@ -1780,6 +1841,21 @@
         w.stop()
 
 
+def test_older_version_written_while_decoding():
+    """A version that is followed by an older one, both written while a large
+    configuration is decoded, is put in force."""
+    w, _, _ = two_replicas(answer_ok)
+    try:
+        large = default_config(4)
+        large["routes"] += [route("more-%d" % i, "/more/%d/" % i, "idempotent")
+                            for i in range(12000)]
+        for config in (large, default_config(6), default_config(5)):
+            w.run(w.store.put("op/config", config))
+        w.wait("version 6 in force", lambda: version_in_force(w) == 6)
+    finally:
+        w.stop()
+
+
 def test_sigterm_new_connection():
     """A connection made just before the listening socket closes is served."""
     w, _, _ = two_replicas(answer_ok)
@@ -1848,6 +1924,75 @@
         w.stop()
 
 
+def reads_of_configuration(w):
+    return len([t for _, t in w.store.calls
+                if t.startswith("/api/kv-range?path_prefix=op/")])
+
+
+def in_large_fleet():
+    """A world whose process follows 20 listed peers, which are gone."""
+    w = World(start=False)
+    for i in range(20):
+        w.run(w.store.put("spindle/peer/gone-%d" % i, {
+            "bus": "127.1.2.%d:7380" % (i + 1), "incarnation": 5,
+            "weight": 900, "zone": w.zone}))
+    return w
+
+
+def test_large_fleet_without_configuration():
+    """In a large fleet a process without a configuration does not read the
+    store all the time."""
+    w = in_large_fleet()
+    try:
+        w.start()
+        w.wait("read", lambda: reads_of_configuration(w))
+        time.sleep(3)
+        n = reads_of_configuration(w)
+        check("%d reads" % n, n <= 4)
+        w.run(w.store.put("op/config", w.config))
+        w.wait_ready()
+    finally:
+        w.stop()
+
+
+def test_large_fleet_configuration_read_once():
+    """In a large fleet a process that decodes its first configuration does
+    not read it again."""
+    w = in_large_fleet()
+    w.config["routes"] += [
+        route("more-%d" % i, "/more/%d/" % i, "idempotent")
+        for i in range(12000)]
+    try:
+        w.run(w.store.put("op/config", w.config))
+        w.start()
+        w.wait_ready()
+        n = reads_of_configuration(w)
+        check("%d reads" % n, n == 1)
+    finally:
+        w.stop()
+
+
+def test_descriptors_used_up():
+    """Without a free descriptor the process waits for one without using
+    processor time; then it goes on."""
+    w, _, _ = two_replicas(answer_ok)
+    try:
+        resource.prlimit(w.process.pid, resource.RLIMIT_NOFILE, (60, 60))
+        socks = [w.connect() for _ in range(80)]
+        socks += [w.connect("ready") for _ in range(5)]
+        w.wait("used up", lambda: w.events("http-bad"))
+        before = cpu_seconds(w)
+        time.sleep(1)
+        used = cpu_seconds(w) - before
+        check("used %.2f s of 1 s" % used, used < 0.3)
+        for s in socks:
+            s.close()
+        check("goes on", w.call("/read/x", "id-1")[0] == 200)
+        check("ready", w.ready())
+    finally:
+        w.stop()
+
+
 def test_metrics():
     """Counters are in the text exposition format; log events carry the
     request id."""
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -1,7 +1,9 @@
 /* Outgoing requests on real sockets: what is sent, and when; events. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <ev.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -9,12 +11,18 @@
 
 #include "base.h"
 #include "clock.h"
+#include "conn.h"
 #include "fields.h"
 #include "http_client.h"
+#include "mem.h"
 #include "sse.h"
 #include "unit.h"
 
 #define PAUSE_NS (20 * NSEC_PER_MSEC)
+/* Turns of a loop in which hardly anything happens. */
+#define TURNS_MAX 100
+/* More than the buffers of two sockets hold. */
+#define LARGE_BYTES ((size_t)32 * 1048576)
 
 /* One request to a listening socket that answers nothing. */
 struct attempt {
@@ -39,6 +47,13 @@
 static void test_paused(void);
 static void test_in_time(void);
 static void test_idle_closed_by_server(void);
+static void test_refused_while_sending(void);
+static struct conn *accept_caller(struct attempt *, int *);
+static void on_data(void *, const char *, size_t);
+static void on_closed(void *, int);
+static void test_closed_after_reset(void);
+static size_t read_all(struct attempt *, int);
+static void test_half_closed_by_slow_caller(void);
 
 static void collect(void *, const char *, size_t);
 static void test_events(void);
@@ -271,12 +286,150 @@
 	attempt_close(&t);
 }
 
+/*
+ * A server refuses a large request by its head and closes, while the request
+ * is still being sent: the answer has arrived before the sending fails.
+ */
+static void
+test_refused_while_sending(void)
+{
+	static const char head[] = "POST /order HTTP/1.1\r\n\r\n";
+	static const char text[] =
+	    "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+	struct attempt t;
+	struct exchange *x;
+	char *body;
+	int fd;
+
+	attempt_open(&t);
+	body = mem_alloc(LARGE_BYTES);
+	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	exchange_send(x, head, sizeof(head) - 1);
+	exchange_send(x, body, LARGE_BYTES);
+	attempt_run(&t);
+	CU_ASSERT(!t.ended);
+	fd = accept(t.listener, NULL, NULL);
+	CU_ASSERT_EQUAL(
+	    send(fd, text, sizeof(text) - 1, 0), (ssize_t)sizeof(text) - 1);
+	close(fd);
+	attempt_run(&t);
+	CU_ASSERT(t.ended);
+	CU_ASSERT_EQUAL(t.result, EXCHANGE_COMPLETE);
+	free(body);
+	attempt_close(&t);
+}
+
+static void
+on_data(void *ctx, const char *p, size_t len)
+{
+	(void)ctx;
+	(void)p;
+	(void)len;
+}
+
+static void
+on_closed(void *ctx, int error)
+{
+	(void)ctx;
+	(void)error;
+}
+
+/* A connection of a caller, whose own side is returned as a descriptor. */
+static struct conn *
+accept_caller(struct attempt *t, int *caller)
+{
+	static const struct conn_ops caller_ops = {
+		.data = on_data,
+		.closed = on_closed,
+	};
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+
+	getsockname(t->listener, (struct sockaddr *)&sa, &len);
+	*caller = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL_FATAL(
+	    connect(*caller, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	return conn_accept(t->loop,
+	    accept4(t->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC),
+	    &caller_ops, NULL);
+}
+
+/* A caller leaves before the last bytes are written, which close it. */
+static void
+test_closed_after_reset(void)
+{
+	struct linger reset = { 1, 0 };
+	struct conn_list flushing = TAILQ_HEAD_INITIALIZER(flushing);
+	struct attempt t;
+	struct conn *c;
+	int fd;
+
+	attempt_open(&t);
+	c = accept_caller(&t, &fd);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	conn_write(c, "whole", 5);
+	conn_close_after_flush(c, &flushing);
+	attempt_run(&t);
+	CU_ASSERT(TAILQ_EMPTY(&flushing));
+	CU_ASSERT(ev_iteration(t.loop) < TURNS_MAX);
+	if (!TAILQ_EMPTY(&flushing))
+		conn_destroy(c);
+	attempt_close(&t);
+}
+
+/* Reads to the end while the loop runs; returns the number of bytes. */
+static size_t
+read_all(struct attempt *t, int fd)
+{
+	static char text[65536];
+	size_t sum = 0;
+	ssize_t n = -1;
+
+	while (n != 0) {
+		ev_run(t->loop, EVRUN_NOWAIT);
+		n = recv(fd, text, sizeof(text), MSG_DONTWAIT);
+		if (n == -1 && errno != EAGAIN)
+			return sum;
+		sum += n > 0 ? (size_t)n : 0;
+	}
+	return sum;
+}
+
+/* A caller that reads slowly has ended its own side: it gets everything. */
+static void
+test_half_closed_by_slow_caller(void)
+{
+	struct conn_list flushing = TAILQ_HEAD_INITIALIZER(flushing);
+	struct attempt t;
+	struct conn *c;
+	char *body;
+	int fd;
+
+	attempt_open(&t);
+	c = accept_caller(&t, &fd);
+	body = mem_alloc(LARGE_BYTES);
+	conn_write(c, body, LARGE_BYTES);
+	conn_close_after_flush(c, &flushing);
+	shutdown(fd, SHUT_WR);
+	attempt_run(&t);
+	CU_ASSERT(ev_iteration(t.loop) < TURNS_MAX);
+	CU_ASSERT_EQUAL(read_all(&t, fd), LARGE_BYTES);
+	CU_ASSERT(TAILQ_EMPTY(&flushing));
+	free(body);
+	close(fd);
+	attempt_close(&t);
+}
+
 static const struct unit_case cases[] = {
 	{ "events", test_events },
 	{ "connected while paused", test_connected_late },
 	{ "paused while connecting", test_paused },
 	{ "sent in time", test_in_time },
 	{ "idle connection closed by the server", test_idle_closed_by_server },
+	{ "refused while sending", test_refused_while_sending },
+	{ "closed after the caller's reset", test_closed_after_reset },
+	{ "half-closed by a slow caller", test_half_closed_by_slow_caller },
 };
 
 UNIT_MAIN("net", cases)
