Tests: callers that leave in each state of their requests

Covered: request sent, head of the answer received, stream under way (streams that may be resumed, streams that may not, idempotent requests), stream with the caller's socket full and its replica not read, request queued, connection to the replica being made.

Runs last until their connection closes, so nothing depends on time.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import socket
+import struct
 import sys
 import threading
 import time
@@ -726,6 +727,220 @@
         w.stop()
 
 
+class Lasting:
+    """Script of a replica whose runs last until their connections close."""
+
+    def __init__(self, head=False, piece=b""):
+        self.has_head, self.piece = head or piece != b"", piece
+        self.began, self.ended = [], []
+        self.pieces = 0  # sent, of all runs
+
+    def send(self, call, number):
+        event = b"id: %d\ndata: %s\n\n" % (number, self.piece)
+        call.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        self.pieces += 1
+
+    async def last(self, call):
+        number = 0
+        if self.has_head:
+            call.writer.write(call.head(extra={
+                "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked"}))
+        end = asyncio.ensure_future(call.reader.read(1))
+        while not end.done():
+            if self.piece and \
+                    call.writer.transport.get_write_buffer_size() == 0:
+                number += 1
+                self.send(call, number)
+            await asyncio.wait({end}, timeout=0.02)
+        await end
+
+    async def __call__(self, call):
+        await call.read()
+        self.began.append(call.id)
+        try:
+            await self.last(call)
+        except ConnectionError:
+            pass
+        self.ended.append(call.id)
+        return False
+
+
+def leave(s, way):
+    if way == "reset":
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                     struct.pack("ii", 1, 0))
+    if way == "half close":
+        s.shutdown(socket.SHUT_WR)
+    else:
+        s.close()
+
+
+WAYS = ("close", "half close", "reset")
+FAR = 60000  # a deadline, in ms, that no test reaches
+
+
+def patient_config(**limits):
+    """Requests may last long."""
+    config = default_config(**limits)
+    for r in config["routes"]:
+        r.update(timeout_ms=FAR, target_latency_ms=FAR)
+    return config
+
+
+def patient_world(script, slots=100, **limits):
+    w = World(patient_config(**limits))
+    a = w.replica("i-a", script=script, slots=slots)
+    w.wait_ready()
+    w.wait("listed", lambda: w.events("replica-listed"))
+    return w, a
+
+
+def left_count(w):
+    """Callers that left, by the process's own count."""
+    w.ports["metrics"] = 9109
+    text = w.get("metrics", "/metrics")[2].decode()
+    return int(re.search(r"^spindle_entry_left_total (\d+)$", text,
+                         re.M).group(1))
+
+
+def test_caller_leaves_each_state():
+    """Runs end when their callers leave: before the head of the answer, after
+    it, and during a stream; by a close, a half close or a reset."""
+    for script in (Lasting(), Lasting(head=True), Lasting(piece=b"p")):
+        w, _ = patient_world(script)
+        try:
+            socks = {}
+            for path in ("/go/x", "/tell/x", "/read/x"):
+                for way in WAYS:
+                    id = "id-%s-%s" % (path[1:3], way.replace(" ", "-"))
+                    socks[id] = w.connect(), way
+                    socks[id][0].sendall(
+                        request(path, id, "POST", b"p", deadline=FAR))
+            w.wait("arrive", lambda: len(script.began) == len(socks))
+            if script.piece:
+                w.wait("stream", lambda: script.pieces > 10 * len(socks))
+            check("no run has ended", not script.ended)
+            for s, way in socks.values():
+                leave(s, way)
+            w.wait("all have ended",
+                   lambda: sorted(script.ended) == sorted(socks))
+            check("none came again", len(script.began) == len(socks))
+        finally:
+            w.stop()
+
+
+def test_caller_leaves_unread_stream():
+    """A caller that has stopped reading, so that its replica is not read
+    either, leaves."""
+    script = Lasting(piece=b"x" * 60000)
+    w, _ = patient_world(script)
+    try:
+        socks = {}
+        for way in WAYS:
+            socks["id-" + way[0]] = w.connect(), way
+            socks["id-" + way[0]][0].sendall(request(
+                "/go/x", "id-" + way[0], "POST", b"p", deadline=FAR))
+        w.wait("arrive", lambda: len(script.began) == len(socks))
+        n = -1
+        while script.pieces != n:  # until all sockets are full
+            n = script.pieces
+            time.sleep(1.0)
+        check("streams of %d pieces" % n, n > 10)
+        for s, way in socks.values():
+            leave(s, way)
+        w.wait("all have ended",
+               lambda: sorted(script.ended) == sorted(socks))
+    finally:
+        w.stop()
+
+
+def test_caller_leaves_queue():
+    """A request whose caller left while it was queued reaches no replica."""
+    ends = asyncio.Event()
+
+    async def one_at_a_time(call):
+        await call.read()
+        if call.id == "id-first":
+            await ends.wait()
+        return await call.answer()
+    w, a = patient_world(one_at_a_time, slots=1)
+    try:
+        first = w.connect()
+        first.sendall(request("/read/x", "id-first", deadline=FAR))
+        w.wait("arrives", lambda: a.requests)
+        socks = []
+        for way in WAYS:
+            s = w.connect()
+            s.sendall(request("/read/x", "id-" + way[0], deadline=FAR))
+            socks.append((s, way))
+        w.wait("queued",
+               lambda: len(w.events("request-waits")) == len(socks))
+        for s, way in socks:
+            leave(s, way)
+        w.wait("noticed", lambda: left_count(w) == len(socks))
+        w.loop.call_soon_threadsafe(ends.set)
+        check("first served", read_answer(first)[0] == 200)
+        check("next served", w.call("/read/x", "id-next")[0] == 200)
+        check("others not sent on",
+              [r[1][ID.lower()] for r in a.requests] ==
+              ["id-first", "id-next"])
+    finally:
+        w.stop()
+
+
+def received_until(sock, last):
+    """All bytes of the connections to a listening socket, up to one that has
+    the given bytes."""
+    got = b""
+    sock.settimeout(10)
+    while last not in got:
+        conn, _ = sock.accept()
+        with conn:
+            conn.settimeout(10)
+            while True:
+                data = conn.recv(65536)
+                got += data
+                if not data or last in got:
+                    break
+    return got
+
+
+def test_caller_leaves_connecting():
+    """A request whose caller left while the connection to the replica was
+    being made does not reach it."""
+    w, a = patient_world(answer_ok)
+    full = [socket.socket() for _ in range(4)]
+    try:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            sock.listen(0)
+            for s in full:
+                s.setblocking(False)
+                s.connect_ex(sock.getsockname())
+            # No further connection is completed: the socket's queue is full.
+            time.sleep(0.1)
+            w.register("i-a", sequence=2,
+                       address="127.0.0.1:%d" % sock.getsockname()[1])
+            w.wait("moved", lambda: len(w.events("replica-listed")) == 2)
+            s = w.connect()
+            s.sendall(request("/read/x", "id-1", deadline=FAR))
+            w.wait("tried", lambda: w.events("request-started"))
+            s.close()
+            w.wait("noticed", lambda: left_count(w) == 1)
+            for f in full:
+                f.close()
+            full.clear()
+            with w.connect() as s:
+                s.sendall(request("/read/x", "id-2", deadline=FAR))
+                got = received_until(sock, b"id-2")
+            check("first one not sent", b"id-1" not in got)
+    finally:
+        for f in full:
+            f.close()
+        w.stop()
+
+
 def test_slow_reader():
     """Flow control: a caller that does not read pauses its replica instead of
     filling the memory."""
