Nothing is sent to a replica for a caller that has left

What replicas saw: after a delay of the process, requests whose callers had closed their connections meanwhile reached them from the queue, and were cancelled right after.

Cause: the loop handles a limited number of descriptors a turn, and dispatches queued requests between turns. The ends of connections that it had not come to yet did not count; only requests that had just been read were checked.

Change: the check is made where a request is given to a replica, for new, queued and repeated ones alike, and no longer when a request has been read; the number of system calls for a request that does not queue is the same.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -394,13 +394,6 @@
 		return;
 	}
 	expiry_stop(c->expiry);
-	/* After a pause of this process its callers may have given up. */
-	if (conn_peer_closed(c->conn)) {
-		c->e->counts.caller_gone++;
-		conn_destroy(c->conn);
-		caller_destroy(c);
-		return;
-	}
 	buf_add(&c->pipelined, p + n, len - (size_t)n);
 	c->in_request = 1;
 	forward_start(c->e, c);
@@ -455,6 +448,12 @@
 	return conn_unsent_bytes(c->conn);
 }
 
+int
+caller_has_left(const struct caller *c)
+{
+	return conn_peer_closed(c->conn);
+}
+
 int
 caller_keep_alive(const struct caller *c)
 {
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -220,7 +220,9 @@
 		waitq_remove(&f->e->waiting, &f->waiting);
 		expiry_set(f->expiry, f->deadline);
 	}
-	forward_start_attempt(f, m);
+	/* Nothing is sent for a caller whose end the loop has yet to read. */
+	if (!caller_has_left(f->caller))
+		forward_start_attempt(f, m);
 	return 1;
 }
 
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -941,6 +941,34 @@
         w.stop()
 
 
+def test_caller_leaves_paused():
+    """Callers leave while the process is paused: the runs end once it goes
+    on, and what was queued reaches no replica."""
+    script = Lasting(piece=b"p")
+    w, a = patient_world(script, slots=100)
+    try:
+        socks = {}
+        for i in range(150):
+            id = "id-%d" % i
+            socks[id] = w.connect(), WAYS[i % 3]
+            socks[id][0].sendall(
+                request("/go/x", id, "POST", b"p", deadline=FAR))
+        w.wait("arrive", lambda: len(script.began) == 100)
+        w.wait("queued", lambda: len(w.events("request-waits")) == 50)
+        w.process.send_signal(signal.SIGSTOP)
+        for s, way in socks.values():
+            leave(s, way)
+        time.sleep(0.6)
+        w.process.send_signal(signal.SIGCONT)
+        w.wait("all have ended", lambda: len(script.ended) >= 100 and
+               sorted(script.ended) == sorted(script.began))
+        w.wait("all noticed", lambda: left_count(w) == 150)
+        check("%d queued requests sent on" % (len(script.began) - 100),
+              len(script.began) == 100)
+    finally:
+        w.stop()
+
+
 def test_slow_reader():
     """Flow control: a caller that does not read pauses its replica instead of
     filling the memory."""
