A caller that is not read is checked for having left

What replicas saw: a run went on to its end although its caller had closed or reset its connection, if the caller had sent more than 64 KB of further requests before.

Cause: with so much received the connection is not read until the answer is complete, so the loop is not told of its end.

Change: while the connection is not read during a request, it is checked every 0.1 s. An end behind bytes that do not fit into the socket's buffer has not arrived yet.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -12,7 +12,9 @@
 #include "mem.h"
 
 #define PIPELINED_MAX_BYTES 65536 /* received after the current request */
-#define ACCEPT_BATCH 64		  /* connections accepted per event */
+/* A caller that is not read is checked this often for having left. */
+#define LEFT_CHECK_NS (100 * NSEC_PER_MSEC)
+#define ACCEPT_BATCH 64 /* connections accepted per event */
 /* While stopping, a new connection may send its first request this long. */
 #define FIRST_REQUEST_NS (500 * NSEC_PER_MSEC)
 /*
@@ -31,7 +33,7 @@
 	struct conn *conn;
 	struct http_reader *reader;
 	struct forward *forward; /* the current request */
-	struct expiry *expiry;	 /* of waiting for input */
+	struct expiry *expiry;	 /* of waiting for input, or for its end */
 	struct buf pipelined;	 /* bytes received after the current request */
 	struct buf body;
 	uint64_t accepted_at;
@@ -59,6 +61,7 @@
 static uint64_t caller_idle_deadline(const struct caller *);
 static void caller_set_read_timeout(struct caller *);
 static void caller_feed_pipelined(struct caller *);
+static void caller_check_left(struct caller *);
 static void caller_close(struct caller *);
 static void caller_close_idle(struct caller *);
 static void on_data(void *, const char *, size_t);
@@ -274,7 +277,7 @@
 {
 	const struct caller *c = ctx;
 
-	return conn_has_input(c->conn);
+	return !c->in_request && conn_has_input(c->conn);
 }
 
 static void
@@ -283,6 +286,10 @@
 	struct caller *c = ctx;
 
 	entry_update_now(c->e);
+	if (c->in_request) {
+		caller_check_left(c);
+		return;
+	}
 	if (buf_len(&c->pipelined) != 0) {
 		caller_feed_pipelined(c);
 		return;
@@ -299,6 +306,16 @@
 	caller_close_idle(c);
 }
 
+/* While the connection is not read, the loop does not tell its end. */
+static void
+caller_check_left(struct caller *c)
+{
+	if (caller_has_left(c))
+		on_closed(c, 0);
+	else
+		caller_set_timer(c, LEFT_CHECK_NS);
+}
+
 static void
 on_data(void *ctx, const char *p, size_t len)
 {
@@ -307,8 +324,11 @@
 	entry_update_now(c->e);
 	if (c->in_request || buf_len(&c->pipelined) != 0) {
 		buf_add(&c->pipelined, p, len);
-		if (buf_len(&c->pipelined) > PIPELINED_MAX_BYTES)
-			conn_set_reading(c->conn, 0);
+		if (buf_len(&c->pipelined) <= PIPELINED_MAX_BYTES)
+			return;
+		conn_set_reading(c->conn, 0);
+		if (c->in_request)
+			caller_set_timer(c, LEFT_CHECK_NS);
 		return;
 	}
 	caller_feed(c, p, len);
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -941,6 +941,33 @@
         w.stop()
 
 
+def test_caller_leaves_pipelined():
+    """A caller leaves that has sent more requests: a small one, and more than
+    is read before the first one's answer."""
+    script = Lasting()
+    w, a = patient_world(script, max_body_bytes=1000000)
+    try:
+        socks = {}
+        for size in (10, 110000):
+            for way in WAYS:
+                id = "id-%d-%s" % (size, way[0])
+                socks[id] = w.connect(), way
+                socks[id][0].sendall(request(
+                    "/read/x", id, "POST", b"p", deadline=FAR))
+        w.wait("arrive", lambda: len(script.began) == len(socks))
+        for id, (s, way) in socks.items():
+            s.sendall(request("/read/x", id + "-2", "POST",
+                              b"p" * int(id.split("-")[1]), deadline=FAR))
+        time.sleep(0.2)
+        for s, way in socks.values():
+            leave(s, way)
+        w.wait("all have ended",
+               lambda: sorted(script.ended) == sorted(socks))
+        check("later requests not sent on", len(script.began) == len(socks))
+    finally:
+        w.stop()
+
+
 def test_caller_leaves_paused():
     """Callers leave while the process is paused: the runs end once it goes
     on, and what was queued reaches no replica."""
