A large request sent ahead is read to its end

What callers saw: 408 for a request with a body of more than 64 KB that was sent before the answer to the request in front of it.

Cause: its bytes are kept until that answer is complete, at most 64 KB. Reading went on after the answer, but the kept bytes were parsed some turns of the loop later; more than 64 KB arrived by then, reading stopped again, and nothing resumed it.

Change: reading resumes when the kept bytes are parsed.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -516,6 +516,8 @@
 	struct buf inbox = c->pipelined;
 
 	memset(&c->pipelined, 0, sizeof(c->pipelined));
+	/* More may have arrived than fits before this was parsed. */
+	conn_set_reading(c->conn, 1);
 	caller_feed(c, buf_data(&inbox), buf_len(&inbox));
 	buf_free(&inbox);
 }
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -149,6 +149,32 @@
         w.stop()
 
 
+def test_pipelined_large():
+    """A large request that was sent before the answer to the first one is
+    served too."""
+    w, a, _ = two_replicas(
+        answer_ok, config=default_config(max_body_bytes=1000000))
+    try:
+        s = w.connect()
+        sent = threading.Thread(target=s.sendall, args=(
+            request("/read/a", "id-1") +
+            request("/read/b", "id-2", "POST", b"p" * 900000),))
+        sent.start()
+        text = b""
+        while text.count(b"whole") < 2:
+            piece = s.recv(4096)
+            if not piece:
+                break
+            text += piece
+        status = re.findall(rb"HTTP/1.1 (\d+)", text)
+        check("answers %s" % status, status == [b"200", b"200"])
+        check("whole body", len(a.requests[1][2]) == 900000)
+        sent.join()
+        s.close()
+    finally:
+        w.stop()
+
+
 def test_stale_response():
     """A response to an earlier request on the connection is skipped."""
     async def extra(call):
