The holder of the order lease takes one step a turn, not one a message

What callers saw: the VM that sends orders stood still for up to 12 s: no answers, no events of streams, and the ends of callers' connections were not read, so that replicas went on with runs whose callers had left (GONE). Its lease ran out meanwhile; the next holder stood still in the same way.

Cause: each message by which a peer asks for a model or adapter, and each request that found none, made the holder take a whole step: all missing adapters against all replicas. After many replicas have restarted empty, a step takes some ms, and all VMs ask for each of some hundred names every 60 ms. The messages are read in one turn of the loop until none is left, so that the turn did not end.

Change: a message or request only asks for a step. It is taken once before the loop waits, at most every 5 ms; the holder's timer of 20 ms is unchanged.

--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -27,6 +27,8 @@
 #define REFUSED_AVOID_NS (120 * NSEC_PER_MSEC)
 /* A replica without a model it is listed with has restarted or unloaded it. */
 #define ABSENT_AVOID_NS (600 * NSEC_PER_MSEC)
+/* Between steps that requests or peers ask for: a step is costly. */
+#define ASKED_STEP_NS (5 * NSEC_PER_MSEC)
 #define ORDER_TIMEOUT_S 0.6
 #define SERVICE_TIME_NS (2 * NSEC_PER_SEC) /* until it has been measured */
 
@@ -90,7 +92,7 @@
 	t->asked_at = e->now;
 	loader_request_adapter(st->loader, e->now, loader_io_wanted_name(w));
 	if (loader_is_leader(st->loader, e->now)) {
-		loader_io_tick(e);
+		st->step_asked = 1;
 		return;
 	}
 	if (st->holder[0] == '\0')
@@ -261,6 +263,18 @@
 	}
 	if (t.is_leader)
 		adapter_table_send(e);
+	st->step_asked = 0;
+	st->step_ended_at = entry_update_now(e);
+}
+
+void
+loader_io_tick_if_asked(struct entry *e)
+{
+	struct loader_io *st = e->loader_io;
+
+	if (st->step_asked &&
+	    entry_update_now(e) >= st->step_ended_at + ASKED_STEP_NS)
+		loader_io_tick(e);
 }
 
 void
@@ -307,7 +321,7 @@
 		return;
 	loader_request_adapter(e->loader_io->loader, e->now, m->u.want.wanted);
 	if (loader_is_leader(e->loader_io->loader, e->now))
-		loader_io_tick(e);
+		e->loader_io->step_asked = 1;
 }
 
 void
--- a/entry/loader_io.h
+++ b/entry/loader_io.h
@@ -20,6 +20,8 @@
 int loader_io_is_leader(const struct entry *);
 /* Applies for or renews the order lease; the holder also sends orders. */
 void loader_io_tick(struct entry *);
+/* The same, if a request or a peer has missed a model or adapter since. */
+void loader_io_tick_if_asked(struct entry *);
 /* This process is stopping: releases the order lease. */
 void loader_io_leave(struct entry *);
 /* Counts a new request for a model or adapter. */
--- a/entry/loader_io_int.h
+++ b/entry/loader_io_int.h
@@ -28,6 +28,8 @@
 	uint64_t holder_heard_at; /* when the last table came from a holder */
 	uint64_t holder_fencing_token;
 	char holder[ADDR_SIZE];
+	uint64_t step_ended_at;
+	int step_asked; /* a request or a peer misses a model or adapter */
 	int is_holder;
 };
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -49,6 +49,7 @@
 static void daemon_stop(struct daemon *);
 static void on_tick(struct ev_loop *, ev_timer *, int);
 static void on_prepare(struct ev_loop *, ev_prepare *, int);
+static void retry_waiting(struct daemon *);
 static void on_retry_timer(struct ev_loop *, ev_timer *, int);
 static void on_term(struct ev_loop *, ev_signal *, int);
 static void on_hup(struct ev_loop *, ev_signal *, int);
@@ -93,13 +94,8 @@
 }
 
 static void
-on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
+retry_waiting(struct daemon *d)
 {
-	struct daemon *d = w->data;
-
-	(void)events;
-	if (!d->e.retry_waiting)
-		return;
 	d->e.retry_waiting = 0;
 	entry_update_now(&d->e);
 	forward_retry_waiting(&d->e);
@@ -109,7 +105,19 @@
 	    peers_use_relays(d->e.peers) ? RETRY_WAITING_LARGE_S
 					 : RETRY_WAITING_S,
 	    0.0);
-	ev_timer_start(loop, &d->retry_timer);
+	ev_timer_start(d->e.loop, &d->retry_timer);
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	struct daemon *d = w->data;
+
+	(void)loop;
+	(void)events;
+	if (d->e.retry_waiting)
+		retry_waiting(d);
+	loader_io_tick_if_asked(&d->e);
 }
 
 /* Queued requests are retried at the pace of engines' prefill. */
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -14,7 +14,7 @@
 import traceback
 from email.utils import formatdate
 
-from platform_world import (ID, NOT_RUN, World, answer_ok, default_config,
+from platform_world import (ID, NOT_RUN, Peer, World, answer_ok, default_config,
                             forget_worlds, keep_logs, read_answer, request,
                             route)
 
@@ -526,23 +526,33 @@
         w.stop()
 
 
-def model_world(script):
-    """A world in which one replica holds a model that takes long to load, and
-    another one of its service refuses to load it."""
-    async def no_model(call):
-        await call.read()
-        return await call.answer(b"{}", 409, signed=False)
+ONE_MODEL = [{"name": "m", "version": 1, "adapters": []}]
+
+
+def engine_config(adapters=0):
+    """The service has one model, which takes long to load."""
     config = default_config()
     config["services"][0]["engine"] = {
-        "slots": 6, "kv_capacity": 100000, "adapter_slots": 0,
+        "slots": 6, "kv_capacity": 100000, "adapter_slots": adapters,
         "weights_mb": 1000, "loads_per_s": 10, "stride": 1,
         "host_mb": 500, "disk_mb": 500,
         "models": [{"name": "m", "weights_mb": 10, "load_s": 60,
-                    "warm_s": 60, "disk_s": 60, "adapters": 0,
+                    "warm_s": 60, "disk_s": 60, "adapters": adapters,
                     "adapter_mb": 0}]}
-    w = World(config)
-    w.replica("i-a", "plain", script,
-              models=[{"name": "m", "version": 1, "adapters": []}])
+    return config
+
+
+async def no_model(call):
+    """Refuses all orders."""
+    await call.read()
+    return await call.answer(b"{}", 409, signed=False)
+
+
+def model_world(script):
+    """A world in which one replica holds a model that takes long to load, and
+    another one of its service refuses to load it."""
+    w = World(engine_config())
+    w.replica("i-a", "plain", script, models=ONE_MODEL)
     w.replica("i-b", "plain", no_model, models=[])
     w.wait_ready()
     w.wait("listed", lambda: len(w.events("replica-listed")) >= 2)
@@ -822,12 +832,15 @@
     return w, a
 
 
-def left_count(w):
-    """Callers that left, by the process's own count."""
+def metric(w, name):
     w.ports["metrics"] = 9109
     text = w.get("metrics", "/metrics")[2].decode()
-    return int(re.search(r"^spindle_entry_left_total (\d+)$", text,
-                         re.M).group(1))
+    return int(re.search(r"^%s (\d+)$" % name, text, re.M).group(1))
+
+
+def left_count(w):
+    """Callers that left, by the process's own count."""
+    return metric(w, "spindle_entry_left_total")
 
 
 def test_caller_leaves_each_state():
@@ -1022,6 +1035,30 @@
         w.stop()
 
 
+def test_many_adapters_missing():
+    """Requests are served while peers ask for many adapters that no replica
+    has: 400 adapters, 200 replicas that carry out no orders."""
+    w = World(start=False)
+    try:
+        w.run(w.store.put("op/config", engine_config(adapters=400)))
+        a = w.replica("i-0", script=no_model, models=ONE_MODEL)
+        for i in range(1, 200):
+            w.replicas["i-%d" % i] = a
+            w.register("i-%d" % i, models=ONE_MODEL)
+        w.start()
+        w.wait_ready()
+        w.wait("orders", lambda: w.events("cell-taken"))
+        peer = Peer(w)
+        for i in range(8000):
+            peer.want("m/a%d" % (i % 400 + 1))
+        w.wait("heard", lambda: w.events("peer-heard"))
+        for i in range(20):
+            check("served", w.call("/none/", "id-%d" % i)[0] == 404)
+        peer.close()
+    finally:
+        w.stop()
+
+
 def test_slow_reader():
     """Flow control: a caller that does not read pauses its replica instead of
     filling the memory."""
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 import os
+import re
 import signal
 import socket
 import struct
@@ -467,6 +468,49 @@
             raise AssertionError(self.output[-4000:])
 
 
+class Peer:
+    """Another entry process, as far as it asks for models and adapters: a
+    ZeroMQ PUSH socket (ZMTP 3.0) with messages in MessagePack."""
+
+    def __init__(self, world):
+        self.addr = "%s:1" % world.ip
+        with open(os.path.join(ROOT, "core", "msg.h")) as f:
+            text = f.read()
+        self.version = int(re.search(r"#define MSG_VERSION (\d+)",
+                                     text).group(1))
+        kinds = re.findall(r"^\t(MSG_\w+)", text, re.M)
+        self.want_kind = kinds.index("MSG_WANT")
+        self.sock = world.connect("bus")
+        self.sock.sendall(b"\xff" + bytes(8) + b"\x7f\x03\x00" +
+                          b"NULL".ljust(20, b"\0") + bytes(32))
+        self.receive(64)
+        ready = b"\x05READY\x0bSocket-Type\x00\x00\x00\x04PUSH"
+        self.sock.sendall(bytes([4, len(ready)]) + ready)
+        _, size = self.receive(2)
+        self.receive(size)
+
+    def receive(self, n):
+        data = b""
+        while len(data) < n:
+            piece = self.sock.recv(n - len(data))
+            if not piece:
+                raise ConnectionError("the bus closed the connection")
+            data += piece
+        return data
+
+    @staticmethod
+    def text(s):
+        return bytes([0xd9, len(s)]) + s.encode()
+
+    def want(self, name):
+        body = bytes([self.want_kind, self.version]) + self.text(
+            self.addr) + bytes([1, 1]) + self.text(name)
+        self.sock.sendall(bytes([0, len(body)]) + body)
+
+    def close(self):
+        self.sock.close()
+
+
 def forget_worlds():
     """Called before each test of a thread."""
     World.of_thread.worlds = []
