No more messages of peers are handled in one turn than the inbox holds

The thread of the bus fills the inbox while the loop empties it, so that a VM which gets messages as fast as it handles them did not end its turn: no caller is answered and no deadline seen meanwhile. What is left is handled in the next turn, as the descriptor of the inbox stays readable.

--- a/entry/peers.c
+++ b/entry/peers.c
@@ -111,12 +111,17 @@
 	receive_all(p);
 }
 
+/* No more than the inbox holds: the thread of the bus goes on filling it. */
 static void
 receive_all(struct peers *p)
 {
 	struct msg *m;
+	int i;
 
-	while ((m = ring_pop(p->inbox, 0)) != NULL) {
+	for (i = 0; i < INBOX_SLOTS; i++) {
+		m = ring_pop(p->inbox, 0);
+		if (m == NULL)
+			return;
 		receive_msg(p, m);
 		msg_destroy(m);
 	}
