--- a/entry/caller.c
+++ b/entry/caller.c
@@ -10,6 +10,8 @@
 #include "mem.h"
 
 #define PIPELINED_MAX_BYTES 65536 /* received after the current request */
+/* A caller that is not read is checked this often for having left. */
+#define LEFT_CHECK_NS (100 * NSEC_PER_MSEC)
 /* While stopping, a new connection may send its first request this long. */
 #define FIRST_REQUEST_NS (500 * NSEC_PER_MSEC)
 /*
@@ -28,7 +30,7 @@
 	struct conn *conn;
 	struct http_reader *reader;
 	struct forward *forward; /* the current request */
-	struct expiry *expiry;	 /* of waiting for input */
+	struct expiry *expiry;	 /* of waiting for input, or for its end */
 	struct buf pipelined;	 /* bytes received after the current request */
 	struct buf body;
 	uint64_t accepted_at;
@@ -56,6 +58,7 @@
 static uint64_t caller_idle_deadline(const struct caller *);
 static void caller_set_read_timeout(struct caller *);
 static void caller_feed_pipelined(struct caller *);
+static void caller_check_left(struct caller *);
 static void caller_close(struct caller *);
 static void caller_close_idle(struct caller *);
 static void on_data(void *, const char *, size_t);
@@ -254,7 +257,7 @@
 {
 	const struct caller *c = ctx;
 
-	return conn_has_input(c->conn);
+	return !c->in_request && conn_has_input(c->conn);
 }
 
 static void
@@ -263,6 +266,10 @@
 	struct caller *c = ctx;
 
 	entry_update_now(c->e);
+	if (c->in_request) {
+		caller_check_left(c);
+		return;
+	}
 	if (buf_len(&c->pipelined) != 0) {
 		caller_feed_pipelined(c);
 		return;
@@ -279,6 +286,16 @@
 	caller_close_idle(c);
 }
 
+/* While the connection is not read, the loop does not tell its end. */
+static void
+caller_check_left(struct caller *c)
+{
+	if (caller_has_left(c))
+		on_closed(c, 0);
+	else
+		caller_set_timer(c, LEFT_CHECK_NS);
+}
+
 static void
 on_data(void *ctx, const char *p, size_t len)
 {
@@ -287,8 +304,11 @@
 	entry_update_now(c->e);
 	if (c->in_request || buf_len(&c->pipelined) != 0) {
 		buf_add(&c->pipelined, p, len);
-		if (buf_len(&c->pipelined) > PIPELINED_MAX_BYTES)
-			conn_set_reading(c->conn, 0);
+		if (buf_len(&c->pipelined) <= PIPELINED_MAX_BYTES)
+			return;
+		conn_set_reading(c->conn, 0);
+		if (c->in_request)
+			caller_set_timer(c, LEFT_CHECK_NS);
 		return;
 	}
 	caller_feed(c, p, len);
@@ -374,13 +394,6 @@
 		return;
 	}
 	expiry_stop(c->expiry);
-	/* After a pause of this process its callers may have given up. */
-	if (conn_peer_closed(c->conn)) {
-		c->e->counts.caller_gone++;
-		conn_destroy(c->conn);
-		caller_destroy(c);
-		return;
-	}
 	buf_add(&c->pipelined, p + n, len - (size_t)n);
 	c->in_request = 1;
 	forward_start(c->e, c);
@@ -435,6 +448,12 @@
 	return conn_unsent_bytes(c->conn);
 }
 
+int
+caller_has_left(const struct caller *c)
+{
+	return conn_peer_closed(c->conn);
+}
+
 int
 caller_keep_alive(const struct caller *c)
 {
@@ -477,6 +496,8 @@
 	struct buf inbox = c->pipelined;
 
 	memset(&c->pipelined, 0, sizeof(c->pipelined));
+	/* More may have arrived than fits before this was parsed. */
+	conn_set_reading(c->conn, 1);
 	caller_feed(c, buf_data(&inbox), buf_len(&inbox));
 	buf_free(&inbox);
 }
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -27,6 +27,8 @@
 #define REFUSED_AVOID_NS (120 * NSEC_PER_MSEC)
 /* A replica without a model it is listed with has restarted or unloaded it. */
 #define ABSENT_AVOID_NS (600 * NSEC_PER_MSEC)
+/* Between rounds of orders that requests or peers ask for. */
+#define ROUND_INTERVAL_NS (5 * NSEC_PER_MSEC)
 #define ORDER_TIMEOUT_S 0.6
 #define SERVICE_TIME_NS (2 * NSEC_PER_SEC) /* until it has been measured */
 
@@ -261,6 +263,8 @@
 	}
 	if (t.is_leader)
 		adapter_table_send(e);
+	st->load_requested = 0;
+	st->round_ended_at = entry_update_now(e);
 }
 
 void
@@ -316,10 +320,13 @@
 void
 loader_io_place_requested(struct entry *e)
 {
-	if (!e->loader_io->load_requested)
+	struct loader_io *st = e->loader_io;
+
+	if (!st->load_requested ||
+	    entry_update_now(e) < st->round_ended_at + ROUND_INTERVAL_NS)
 		return;
-	e->loader_io->load_requested = 0;
-	if (loader_is_leader(e->loader_io->loader, entry_update_now(e)))
+	st->load_requested = 0;
+	if (loader_is_leader(st->loader, e->now))
 		loader_io_tick(e);
 }
 
--- a/entry/loader_io_int.h
+++ b/entry/loader_io_int.h
@@ -29,7 +29,8 @@
 	uint64_t holder_fencing_token;
 	char holder[ADDR_SIZE];
 	int is_holder;
-	int load_requested; /* since the last round of orders */
+	int load_requested;	 /* since the last round of orders */
+	uint64_t round_ended_at; /* the last one */
 };
 
 /* loader_demand.c */
--- a/entry/main.c
+++ b/entry/main.c
@@ -96,8 +96,6 @@
 static void
 retry_waiting(struct daemon *d)
 {
-	if (!d->e.retry_waiting)
-		return;
 	d->e.retry_waiting = 0;
 	entry_update_now(&d->e);
 	forward_retry_waiting(&d->e);
@@ -117,7 +115,8 @@
 
 	(void)loop;
 	(void)events;
-	retry_waiting(d);
+	if (d->e.retry_waiting)
+		retry_waiting(d);
 	loader_io_place_requested(&d->e);
 }
 
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -15,7 +15,7 @@
 import traceback
 from email.utils import formatdate
 
-from platform_world import (ID, NOT_RUN, World, answer_ok, default_config,
+from platform_world import (ID, NOT_RUN, Peer, World, answer_ok, default_config,
                             forget_worlds, keep_logs, read_answer, request,
                             route)
 
@@ -150,6 +150,32 @@
         w.stop()
 
 
+def test_pipelined_large():
+    """A large request that was sent before the answer to the first one is
+    served too."""
+    w, a, _ = two_replicas(
+        answer_ok, config=default_config(max_body_bytes=1000000))
+    try:
+        s = w.connect()
+        sent = threading.Thread(target=s.sendall, args=(
+            request("/read/a", "id-1") +
+            request("/read/b", "id-2", "POST", b"p" * 900000),))
+        sent.start()
+        text = b""
+        while text.count(b"whole") < 2:
+            piece = s.recv(4096)
+            if not piece:
+                break
+            text += piece
+        status = re.findall(rb"HTTP/1.1 (\d+)", text)
+        check("answers %s" % status, status == [b"200", b"200"])
+        check("whole body", len(a.requests[1][2]) == 900000)
+        sent.join()
+        s.close()
+    finally:
+        w.stop()
+
+
 def test_stale_response():
     """A response to an earlier request on the connection is skipped."""
     async def extra(call):
@@ -519,23 +545,33 @@
         w.stop()
 
 
-def model_world(script):
-    """A world in which one replica holds a model that takes long to load, and
-    another one of its service refuses to load it."""
-    async def no_model(call):
-        await call.read()
-        return await call.answer(b"{}", 409, signed=False)
+ONE_MODEL = [{"name": "m", "version": 1, "adapters": []}]
+
+
+def engine_config(adapters=0):
+    """The service has one model, which takes long to load."""
     config = default_config()
     config["services"][0]["engine"] = {
-        "slots": 6, "kv_capacity": 100000, "adapter_slots": 0,
+        "slots": 6, "kv_capacity": 100000, "adapter_slots": adapters,
         "weights_mb": 1000, "loads_per_s": 10, "stride": 1,
         "host_mb": 500, "disk_mb": 500,
         "models": [{"name": "m", "weights_mb": 10, "load_s": 60,
-                    "warm_s": 60, "disk_s": 60, "adapters": 0,
+                    "warm_s": 60, "disk_s": 60, "adapters": adapters,
                     "adapter_mb": 0}]}
-    w = World(config)
-    w.replica("i-a", "plain", script,
-              models=[{"name": "m", "version": 1, "adapters": []}])
+    return config
+
+
+async def no_model(call):
+    """Refuses all orders."""
+    await call.read()
+    return await call.answer(b"{}", 409, signed=False)
+
+
+def model_world(script):
+    """A world in which one replica holds a model that takes long to load, and
+    another one of its service refuses to load it."""
+    w = World(engine_config())
+    w.replica("i-a", "plain", script, models=ONE_MODEL)
     w.replica("i-b", "plain", no_model, models=[])
     w.wait_ready()
     w.wait("listed", lambda: len(w.events("replica-listed")) >= 2)
@@ -746,6 +782,302 @@
         w.stop()
 
 
+class Lasting:
+    """Script of a replica whose runs last until their connections close."""
+
+    def __init__(self, head=False, piece=b""):
+        self.has_head, self.piece = head or piece != b"", piece
+        self.began, self.ended = [], []
+        self.pieces = 0  # sent, of all runs
+
+    def send(self, call, number):
+        event = b"id: %d\ndata: %s\n\n" % (number, self.piece)
+        call.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        self.pieces += 1
+
+    async def last(self, call):
+        number = 0
+        if self.has_head:
+            call.writer.write(call.head(extra={
+                "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked"}))
+        end = asyncio.ensure_future(call.reader.read(1))
+        while not end.done():
+            if self.piece and \
+                    call.writer.transport.get_write_buffer_size() == 0:
+                number += 1
+                self.send(call, number)
+            await asyncio.wait({end}, timeout=0.02)
+        await end
+
+    async def __call__(self, call):
+        await call.read()
+        self.began.append(call.id)
+        try:
+            await self.last(call)
+        except ConnectionError:
+            pass
+        self.ended.append(call.id)
+        return False
+
+
+def leave(s, way):
+    if way == "reset":
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                     struct.pack("ii", 1, 0))
+    if way == "half close":
+        s.shutdown(socket.SHUT_WR)
+    else:
+        s.close()
+
+
+WAYS = ("close", "half close", "reset")
+FAR = 60000  # a deadline, in ms, that no test reaches
+
+
+def patient_config(**limits):
+    """Requests may last long."""
+    config = default_config(**limits)
+    for r in config["routes"]:
+        r.update(timeout_ms=FAR, target_latency_ms=FAR)
+    return config
+
+
+def patient_world(script, slots=100, **limits):
+    w = World(patient_config(**limits))
+    a = w.replica("i-a", script=script, slots=slots)
+    w.wait_ready()
+    w.wait("listed", lambda: w.events("replica-listed"))
+    return w, a
+
+
+def metric(w, name):
+    w.ports["metrics"] = 9109
+    text = w.get("metrics", "/metrics")[2].decode()
+    return int(re.search(r"^%s (\d+)$" % name, text, re.M).group(1))
+
+
+def left_count(w):
+    """Callers that left, by the process's own count."""
+    return metric(w, "spindle_entry_left_total")
+
+
+def test_caller_leaves_each_state():
+    """Runs end when their callers leave: before the head of the answer, after
+    it, and during a stream; by a close, a half close or a reset."""
+    for script in (Lasting(), Lasting(head=True), Lasting(piece=b"p")):
+        w, _ = patient_world(script)
+        try:
+            socks = {}
+            for path in ("/go/x", "/tell/x", "/read/x"):
+                for way in WAYS:
+                    id = "id-%s-%s" % (path[1:3], way.replace(" ", "-"))
+                    socks[id] = w.connect(), way
+                    socks[id][0].sendall(
+                        request(path, id, "POST", b"p", deadline=FAR))
+            w.wait("arrive", lambda: len(script.began) == len(socks))
+            if script.piece:
+                w.wait("stream", lambda: script.pieces > 10 * len(socks))
+            check("no run has ended", not script.ended)
+            for s, way in socks.values():
+                leave(s, way)
+            w.wait("all have ended",
+                   lambda: sorted(script.ended) == sorted(socks))
+            check("none came again", len(script.began) == len(socks))
+        finally:
+            w.stop()
+
+
+def test_caller_leaves_unread_stream():
+    """A caller that has stopped reading, so that its replica is not read
+    either, leaves."""
+    script = Lasting(piece=b"x" * 60000)
+    w, _ = patient_world(script)
+    try:
+        socks = {}
+        for way in WAYS:
+            socks["id-" + way[0]] = w.connect(), way
+            socks["id-" + way[0]][0].sendall(request(
+                "/go/x", "id-" + way[0], "POST", b"p", deadline=FAR))
+        w.wait("arrive", lambda: len(script.began) == len(socks))
+        n = -1
+        while script.pieces != n:  # until all sockets are full
+            n = script.pieces
+            time.sleep(1.0)
+        check("streams of %d pieces" % n, n > 10)
+        for s, way in socks.values():
+            leave(s, way)
+        w.wait("all have ended",
+               lambda: sorted(script.ended) == sorted(socks))
+    finally:
+        w.stop()
+
+
+def test_caller_leaves_queue():
+    """A request whose caller left while it was queued reaches no replica."""
+    ends = asyncio.Event()
+
+    async def one_at_a_time(call):
+        await call.read()
+        if call.id == "id-first":
+            await ends.wait()
+        return await call.answer()
+    w, a = patient_world(one_at_a_time, slots=1)
+    try:
+        first = w.connect()
+        first.sendall(request("/read/x", "id-first", deadline=FAR))
+        w.wait("arrives", lambda: a.requests)
+        socks = []
+        for way in WAYS:
+            s = w.connect()
+            s.sendall(request("/read/x", "id-" + way[0], deadline=FAR))
+            socks.append((s, way))
+        w.wait("queued",
+               lambda: len(w.events("request-waits")) == len(socks))
+        for s, way in socks:
+            leave(s, way)
+        w.wait("noticed", lambda: left_count(w) == len(socks))
+        w.loop.call_soon_threadsafe(ends.set)
+        check("first served", read_answer(first)[0] == 200)
+        check("next served", w.call("/read/x", "id-next")[0] == 200)
+        check("others not sent on",
+              [r[1][ID.lower()] for r in a.requests] ==
+              ["id-first", "id-next"])
+    finally:
+        w.stop()
+
+
+def received_until(sock, last):
+    """All bytes of the connections to a listening socket, up to one that has
+    the given bytes."""
+    got = b""
+    sock.settimeout(10)
+    while last not in got:
+        conn, _ = sock.accept()
+        with conn:
+            conn.settimeout(10)
+            while True:
+                data = conn.recv(65536)
+                got += data
+                if not data or last in got:
+                    break
+    return got
+
+
+def test_caller_leaves_connecting():
+    """A request whose caller left while the connection to the replica was
+    being made does not reach it."""
+    w, a = patient_world(answer_ok)
+    full = [socket.socket() for _ in range(4)]
+    try:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            sock.listen(0)
+            for s in full:
+                s.setblocking(False)
+                s.connect_ex(sock.getsockname())
+            # No further connection is completed: the socket's queue is full.
+            time.sleep(0.1)
+            w.register("i-a", sequence=2,
+                       address="127.0.0.1:%d" % sock.getsockname()[1])
+            w.wait("moved", lambda: len(w.events("replica-listed")) == 2)
+            s = w.connect()
+            s.sendall(request("/read/x", "id-1", deadline=FAR))
+            w.wait("tried", lambda: w.events("request-started"))
+            s.close()
+            w.wait("noticed", lambda: left_count(w) == 1)
+            for f in full:
+                f.close()
+            full.clear()
+            with w.connect() as s:
+                s.sendall(request("/read/x", "id-2", deadline=FAR))
+                got = received_until(sock, b"id-2")
+            check("first one not sent", b"id-1" not in got)
+    finally:
+        for f in full:
+            f.close()
+        w.stop()
+
+
+def test_caller_leaves_pipelined():
+    """A caller leaves that has sent more requests: a small one, and more than
+    is read before the first one's answer."""
+    script = Lasting()
+    w, a = patient_world(script, max_body_bytes=1000000)
+    try:
+        socks = {}
+        for size in (10, 110000):
+            for way in WAYS:
+                id = "id-%d-%s" % (size, way[0])
+                socks[id] = w.connect(), way
+                socks[id][0].sendall(request(
+                    "/read/x", id, "POST", b"p", deadline=FAR))
+        w.wait("arrive", lambda: len(script.began) == len(socks))
+        for id, (s, way) in socks.items():
+            s.sendall(request("/read/x", id + "-2", "POST",
+                              b"p" * int(id.split("-")[1]), deadline=FAR))
+        time.sleep(0.2)
+        for s, way in socks.values():
+            leave(s, way)
+        w.wait("all have ended",
+               lambda: sorted(script.ended) == sorted(socks))
+        check("later requests not sent on", len(script.began) == len(socks))
+    finally:
+        w.stop()
+
+
+def test_caller_leaves_paused():
+    """Callers leave while the process is paused: the runs end once it goes
+    on, and what was queued reaches no replica."""
+    script = Lasting(piece=b"p")
+    w, a = patient_world(script, slots=100)
+    try:
+        socks = {}
+        for i in range(150):
+            id = "id-%d" % i
+            socks[id] = w.connect(), WAYS[i % 3]
+            socks[id][0].sendall(
+                request("/go/x", id, "POST", b"p", deadline=FAR))
+        w.wait("arrive", lambda: len(script.began) == 100)
+        w.wait("queued", lambda: len(w.events("request-waits")) == 50)
+        w.process.send_signal(signal.SIGSTOP)
+        for s, way in socks.values():
+            leave(s, way)
+        time.sleep(0.6)
+        w.process.send_signal(signal.SIGCONT)
+        w.wait("all have ended", lambda: len(script.ended) >= 100 and
+               sorted(script.ended) == sorted(script.began))
+        w.wait("all noticed", lambda: left_count(w) == 150)
+        check("%d queued requests sent on" % (len(script.began) - 100),
+              len(script.began) == 100)
+    finally:
+        w.stop()
+
+
+def test_many_adapters_missing():
+    """Requests are served while peers ask for many adapters that no replica
+    has: 400 adapters, 200 replicas that carry out no orders."""
+    w = World(start=False)
+    try:
+        w.run(w.store.put("op/config", engine_config(adapters=400)))
+        a = w.replica("i-0", script=no_model, models=ONE_MODEL)
+        for i in range(1, 200):
+            w.replicas["i-%d" % i] = a
+            w.register("i-%d" % i, models=ONE_MODEL)
+        w.start()
+        w.wait_ready()
+        w.wait("orders", lambda: w.events("cell-taken"))
+        peer = Peer(w)
+        for i in range(8000):
+            peer.want("m/a%d" % (i % 400 + 1))
+        w.wait("heard", lambda: w.events("peer-heard"))
+        for i in range(20):
+            check("served", w.call("/none/", "id-%d" % i)[0] == 404)
+        peer.close()
+    finally:
+        w.stop()
+
+
 def test_slow_reader():
     """Flow control: a caller that does not read pauses its replica instead of
     filling the memory."""
