--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -256,6 +256,10 @@
 	loader_io_place_requested(&e);
 	CU_ASSERT_EQUAL(sent.orders, 1);
 	receive_want(&e, "m0/a4");
+	/* The next round follows 5 ms after the last one. */
+	loader_io_place_requested(&e);
+	CU_ASSERT_EQUAL(sent.orders, 1);
+	e.now += 5 * NSEC_PER_MSEC;
 	loader_io_place_requested(&e);
 	CU_ASSERT_EQUAL(sent.orders, 2);
 	finish(&e);
