Care for new parts asks for another part that was answered

What callers would see: after a start of everything, beside a part that crashes replicas, sound requests were held back for 1.5 s, then sent to the same replica as the others, and their common part was blocked.

Cause: until the first answer no part is proven, so the common part of all requests was treated like a new one: nothing with it was answered, and it had the same crashes as the deadly part.

Change: care is taken only if another part of the request was answered; else requests go to all replicas as before, and the first answers show which parts are sound.

Ruled out: another order of equal parts when one is chosen to be blocked; sound requests would still have been held back.

test_poison "no care after a start" fails before, passes after.

--- a/core/poison.c
+++ b/core/poison.c
@@ -44,7 +44,7 @@
 static void part_set_blocked(
     struct part *, int, void (*)(void *, uint64_t, int), void *);
 static uint64_t part_blocked_until(const struct part *);
-static struct answered *answered_slot(struct poison *, uint64_t);
+static uint32_t answered_slot(uint64_t);
 
 struct poison *
 poison_create(void)
@@ -118,7 +118,7 @@
 poison_part_set_answered(
     struct poison *p, uint64_t now, uint64_t id, uint64_t at)
 {
-	struct answered *a = answered_slot(p, id);
+	struct answered *a = &p->answered[answered_slot(id)];
 	struct part *t = poison_part_find(p, id);
 	uint32_t n;
 
@@ -280,18 +280,17 @@
 	    (sure ? BLOCK_NS : BLOCK_FIRST_NS);
 }
 
-static struct answered *
-answered_slot(struct poison *p, uint64_t id)
+static uint32_t
+answered_slot(uint64_t id)
 {
 	/* Ids may differ in some bits only. */
-	return &p->answered[(id * 0x9e3779b97f4a7c15ULL >> 32) %
-	    ANSWERED_SLOTS];
+	return (uint32_t)((id * 0x9e3779b97f4a7c15ULL >> 32) % ANSWERED_SLOTS);
 }
 
 uint64_t
-poison_part_last_answered(struct poison *p, uint64_t id)
+poison_part_last_answered(const struct poison *p, uint64_t id)
 {
-	const struct answered *a = answered_slot(p, id);
+	const struct answered *a = &p->answered[answered_slot(id)];
 
 	return a->id == id ? a->at : 0;
 }
@@ -364,21 +363,25 @@
 {
 	const struct part *worst = NULL;
 	const struct part *t;
+	int proven = 0;
+	int settling = 0;
 	uint32_t i;
 
 	for (i = 0; i < n && p->parts != NULL; i++) {
 		t = poison_part_find(p, ids[i]);
+		proven |= poison_part_last_answered(p, ids[i]) != 0;
 		if (t == NULL || !part_is_unproven(t, now))
 			continue;
-		if (t->ncrashes > 1 && now < t->crashes[0].at + SETTLE_NS)
-			return POISON_WAIT;
+		settling |=
+		    t->ncrashes > 1 && now < t->crashes[0].at + SETTLE_NS;
 		if (worst == NULL || part_precedes(t, worst))
 			worst = t;
 	}
-	if (worst == NULL)
+	/* After a start of everything common parts are unproven, too. */
+	if (worst == NULL || !proven)
 		return POISON_ANY_REPLICA;
 	*part = worst->id;
-	return POISON_ONE_REPLICA;
+	return settling ? POISON_WAIT : POISON_ONE_REPLICA;
 }
 
 /* Parts that may be blocked, in the order of part_precedes(). */
--- a/core/poison.h
+++ b/core/poison.h
@@ -59,8 +59,8 @@
 
 /*
  * How to send a request with these n parts, some of which may crash replicas
- * and were never answered, so that they cannot end all replicas at a time.
- * Stores the part that binds to POISON_ONE_REPLICA.
+ * and were never answered, while others were, so that they cannot end all
+ * replicas at a time.  Stores the part that binds to POISON_ONE_REPLICA.
  */
 enum poison_care poison_care(
     const struct poison *, uint64_t, const uint64_t *, uint32_t, uint64_t *);
--- a/core/poison_int.h
+++ b/core/poison_int.h
@@ -58,7 +58,7 @@
 /* Records, now, an answer to a part at a time. */
 void poison_part_set_answered(struct poison *, uint64_t, uint64_t, uint64_t);
 /* Time of the latest known answer, 0 if none is known. */
-uint64_t poison_part_last_answered(struct poison *, uint64_t);
+uint64_t poison_part_last_answered(const struct poison *, uint64_t);
 /* Number of groups of replicas that crashed together with a part. */
 uint32_t poison_part_groups(const struct part *);
 /* Whether crashes that none of the given other parts explains block a part. */
