Test: random faults of hubs, relays and processes while both texts change

The fleet of the tests now pushes an entry that was added and removed at once as removed, as session_push_changes() does; the test failed without that.

--- a/tests/follow_list.c
+++ b/tests/follow_list.c
@@ -88,14 +88,20 @@
 process_push_changes(struct process *p)
 {
 	struct message *m;
+	uint64_t now;
+	uint32_t i;
 
 	if (p->nchanges == 0)
 		return;
 	m = message_create(p, MESSAGE_TEXT);
 	m->text = FOLLOW_LIST;
 	m->list_from = p->changed_from;
-	m->nitems = p->nchanges;
-	memcpy(m->items, p->changes, sizeof(p->changes));
+	/* What has been removed since is told as removed. */
+	for (i = 0; i < p->nchanges; i++) {
+		now = p->list.entry[p->changes[i].entry];
+		add_item(m, p->changes[i].entry,
+		    now == 0 ? p->changes[i].revision : now, now == 0);
+	}
 	message_send_down(p, m);
 	free(m);
 	p->nchanges = 0;
--- a/tests/test_follow_bounds.c
+++ b/tests/test_follow_bounds.c
@@ -65,6 +65,9 @@
 static void test_entry_removed(void);
 static void test_not_pushed(void);
 static void test_changes_limit(void);
+static uint32_t draw(uint64_t *, uint32_t);
+static void disturb(uint64_t *);
+static void test_random_faults(void);
 
 static void
 choose(struct run *r)
@@ -348,6 +351,72 @@
 	CU_ASSERT(follow_answers_changes(&a, t + NSEC_PER_SEC, 500));
 }
 
+/* A number from 0 to n - 1. */
+static uint32_t
+draw(uint64_t *state, uint32_t n)
+{
+	*state = *state * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (uint32_t)(*state >> 33) % n;
+}
+
+/* Gives relays and others any fault but death, or ends it, and changes texts.
+ */
+static void
+disturb(uint64_t *state)
+{
+	uint32_t i;
+
+	for (i = 0; i < WORLD_PROCESSES; i++) {
+		if (draw(state, world_is_relay(i) ? 4 : 40) != 0)
+			continue;
+		world[i].fault =
+		    FAULT_FROZEN + draw(state, FAULT__MAX - FAULT_FROZEN);
+		if (draw(state, 3) == 0)
+			world[i].fault = FAULT_NONE;
+	}
+	if (draw(state, 2) == 0)
+		world_write_config();
+	if (draw(state, 2) == 0)
+		world_write_entry(draw(state, WORLD_ENTRIES));
+	else
+		world_remove_entry(draw(state, WORLD_ENTRIES));
+}
+
+/* Once faults end, all have both texts in time. */
+static void
+test_random_faults(void)
+{
+	struct run r = { .fault = FAULT_NONE };
+	struct times t;
+	struct times longest = { { 0 } };
+	uint64_t state;
+	uint32_t i;
+
+	for (r.seed = 1; r.seed <= 20; r.seed++) {
+		state = r.seed;
+		world_start(r.seed);
+		for (i = 0; i < 30; i++) {
+			disturb(&state);
+			world_run(100 * NSEC_PER_MSEC);
+		}
+		for (i = 0; i < WORLD_PROCESSES; i++)
+			world[i].fault = FAULT_NONE;
+		t = measure(&r);
+		if (t.ms[FOLLOW_CONFIG] > APPLY_MS ||
+		    t.ms[FOLLOW_LIST] > APPLY_MS || world_went_back())
+			printf("seed %u: %u ms, %u ms, back %d\n",
+			    (unsigned)r.seed, t.ms[FOLLOW_CONFIG],
+			    t.ms[FOLLOW_LIST], world_went_back());
+		keep_longest(&longest, &t);
+		CU_ASSERT(!world_went_back());
+		world_end();
+	}
+	printf("random faults: configuration %u ms, list %u ms\n",
+	    longest.ms[FOLLOW_CONFIG], longest.ms[FOLLOW_LIST]);
+	CU_ASSERT(longest.ms[FOLLOW_CONFIG] <= APPLY_MS);
+	CU_ASSERT(longest.ms[FOLLOW_LIST] <= APPLY_MS);
+}
+
 static const struct unit_case cases[] = {
 	{ "no fault", test_no_fault },
 	{ "dead", test_dead },
@@ -360,6 +429,7 @@
 	{ "an entry removed since a read", test_entry_removed },
 	{ "a list that is not pushed", test_not_pushed },
 	{ "a limit on changes", test_changes_limit },
+	{ "random faults", test_random_faults },
 };
 
 UNIT_MAIN("follow bounds", cases)
