--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -149,6 +149,26 @@
 void cell_adapter_reconcile(
     struct cell_backend *, uint64_t, const struct order_result *);
 
+/* cell_delegate.c */
+/*
+ * Releases the delegated memory of one ledger where that makes the needed
+ * memory available; index keep is skipped (nbackends: none).  Returns 1 when
+ * it started a write.
+ */
+int cell_delegate_release(
+    struct cell_core *, uint64_t, uint32_t, uint64_t, struct cell_out *);
+/*
+ * Delegates memory for the largest model in one ledger, so that a lost model
+ * can be loaded while the key-value service is unavailable.  Returns 1 when it
+ * started a write.
+ */
+int cell_delegate_reserve(struct cell_core *, uint64_t, struct cell_out *);
+/*
+ * While the key-value service is unavailable: loads models that have no copy
+ * left into the memory that is delegated to this process.
+ */
+void cell_delegate_restore(struct cell_core *, uint64_t, struct cell_out *);
+
 /* cell_place.c */
 void cell_place_tick(struct cell_core *, uint64_t, struct cell_out *);
 void cell_demand_tick(struct cell_core *, uint64_t);
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -1,6 +1,6 @@
 /*
  * Samples demand, runs the placement policy and begins its moves in the
- * ledgers; reserves and uses delegated memory.
+ * ledgers.
  */
 #include <math.h>
 #include <stdio.h>
@@ -47,14 +47,6 @@
 static int begin_move(struct cell_core *, uint64_t, const struct place_input *,
     const struct place_move *, struct cell_out *);
 static int count_planned_loads(const struct cell_core *);
-static void restore_lost_models(
-    struct cell_core *, uint64_t, struct cell_out *);
-static void load_into_delegation(struct cell_core *, uint64_t,
-    struct cell_backend *, const struct conf_model *, struct cell_out *);
-static int release_delegation(
-    struct cell_core *, uint64_t, uint32_t, uint64_t, struct cell_out *);
-static int reserve_delegation(struct cell_core *, uint64_t, struct cell_out *);
-static uint64_t largest_model_mb(const struct cell_core *);
 
 struct demand_ctx {
 	struct cell_core *cell;
@@ -415,163 +407,6 @@
 	return 0;
 }
 
-static uint64_t
-largest_model_mb(const struct cell_core *c)
-{
-	uint64_t most = 0;
-	size_t i;
-
-	for (i = 0; i < c->conf->nmodels; i++) {
-		if (conf_is_home_cell(&c->conf->models[i], c->name) &&
-		    c->conf->models[i].memory_mb > most)
-			most = c->conf->models[i].memory_mb;
-	}
-	return most;
-}
-
-/*
- * Releases the delegated memory of one ledger where that makes the needed
- * memory available; index keep is skipped (nbackends: none).  Returns 1 when
- * it started a write.
- */
-static int
-release_delegation(struct cell_core *c, uint64_t now, uint32_t keep,
-    uint64_t need, struct cell_out *out)
-{
-	const struct ledger_delegation *d;
-	struct ledger *l;
-	struct cell_backend *b;
-	uint32_t i;
-
-	for (i = 0; i < c->nbackends; i++) {
-		b = c->backends[i];
-		d = &b->ledger.delegation;
-		if (i == keep || !cell_holds_delegation(c, now, b) ||
-		    d->memory_mb == 0 || b->has_delegated_copy ||
-		    ledger_free_mb(&b->ledger, d->accelerator) + d->memory_mb <
-			need)
-			continue;
-		l = cell_ledger_edit(c, now, b);
-		if (l == NULL)
-			continue;
-		l->delegation.memory_mb = 0;
-		cell_ledger_write(c, b, l, out);
-		return 1;
-	}
-	return 0;
-}
-
-/*
- * Delegates memory for the largest model in one ledger, so that a lost model
- * can be loaded while the key-value service is unavailable.  Returns 1 when it
- * started a write.
- */
-static int
-reserve_delegation(struct cell_core *c, uint64_t now, struct cell_out *out)
-{
-	uint64_t want = largest_model_mb(c);
-	struct cell_backend *best = NULL;
-	uint32_t best_acc = 0;
-	struct ledger *l;
-	struct cell_backend *b;
-	uint32_t i;
-	uint32_t k;
-
-	for (i = 0; i < c->nbackends; i++) {
-		b = c->backends[i];
-		if (cell_holds_delegation(c, now, b) && !b->conf.leaving &&
-		    b->ledger.delegation.memory_mb >= want)
-			return release_delegation(c, now, i, 0, out);
-	}
-	for (i = 0; i < c->nbackends; i++) {
-		b = c->backends[i];
-		if (!cell_holds_delegation(c, now, b) ||
-		    b->ledger_step != LEDGER_READY || b->conf.leaving ||
-		    b->ledger.delegation.memory_mb != 0)
-			continue;
-		for (k = 0; k < b->ledger.naccelerators; k++) {
-			if (ledger_free_mb(&b->ledger, k) < want)
-				continue;
-			best = b;
-			best_acc = k;
-		}
-	}
-	if (best == NULL || want == 0)
-		return 0;
-	l = cell_ledger_edit(c, now, best);
-	if (l == NULL)
-		return 0;
-	l->delegation.accelerator = best_acc;
-	l->delegation.memory_mb = want;
-	cell_ledger_write(c, best, l, out);
-	return 1;
-}
-
-static void
-load_into_delegation(struct cell_core *c, uint64_t now, struct cell_backend *b,
-    const struct conf_model *m, struct cell_out *out)
-{
-	struct ledger_entry *en = &b->delegated_copy;
-	struct order *o;
-
-	memset(en, 0, sizeof(*en));
-	memcpy(en->model, m->name, sizeof(en->model));
-	memcpy(en->version, m->version, sizeof(en->version));
-	en->accelerator = b->ledger.delegation.accelerator;
-	en->memory_mb = m->memory_mb;
-	en->state = ENTRY_LOADING;
-	en->order_id = ++c->ids->next;
-	en->order_fencing_token = ownership_fencing_token(c->ownership);
-	b->has_delegated_copy = 1;
-	o = cell_order_send(c, now, b, ORDER_LOAD, en->order_id, out);
-	memcpy(o->model, m->name, sizeof(o->model));
-	memcpy(o->version, m->version, sizeof(o->version));
-	o->accelerator = en->accelerator;
-	o->memory_mb = m->memory_mb;
-}
-
-/*
- * While the key-value service is unavailable: loads models that have no copy
- * left into the memory that is delegated to this process.
- */
-static void
-restore_lost_models(struct cell_core *c, uint64_t now, struct cell_out *out)
-{
-	const struct conf_model *m;
-	struct cell_backend *b;
-	size_t i;
-	uint32_t k;
-	int waiting;
-
-	for (i = 0; i < c->conf->nmodels; i++) {
-		m = &c->conf->models[i];
-		if (!conf_is_home_cell(m, c->name))
-			continue;
-		waiting = 0;
-		for (k = 0; k < c->nbackends; k++) {
-			b = c->backends[k];
-			waiting |= b->has_delegated_copy &&
-			    strcmp(b->delegated_copy.model, m->name) == 0;
-			waiting |= cell_backend_responsive(c, b, now) &&
-			    cell_backend_serves(b, m->name);
-		}
-		for (k = 0; k < c->nbackends && !waiting; k++) {
-			b = c->backends[k];
-			if (b->has_delegated_copy ||
-			    !cell_holds_delegation(c, now, b) ||
-			    !conf_may_place(m, &b->conf) ||
-			    ledger_find_model(
-				&b->ledger, m->name, m->version) != NULL ||
-			    !cell_backend_responsive(c, b, now) ||
-			    b->engine_incarnation == 0 ||
-			    b->ledger.delegation.memory_mb < m->memory_mb)
-				continue;
-			load_into_delegation(c, now, b, m, out);
-			break;
-		}
-	}
-}
-
 void
 cell_place_tick(struct cell_core *c, uint64_t now, struct cell_out *out)
 {
@@ -584,7 +419,7 @@
 		return;
 	c->place_at = now + c->config.place_interval_ns;
 	if (!ownership_valid(c->ownership, now)) {
-		restore_lost_models(c, now, out);
+		cell_delegate_restore(c, now, out);
 		return;
 	}
 	/* An outdated configuration would unload models declared since. */
@@ -597,7 +432,7 @@
 			: c->config.policy_ctx,
 		    now, in.models, in.n, in.backends, c->nbackends);
 		if (move.kind == PLACE_NO_ROOM)
-			release_delegation(c, now, c->nbackends,
+			cell_delegate_release(c, now, c->nbackends,
 			    in.models[move.model].memory_mb, out);
 		if (move.kind == PLACE_NOTHING || move.kind == PLACE_NO_ROOM ||
 		    move.kind == PLACE_WAIT ||
@@ -611,5 +446,5 @@
 		input_free(&in);
 	}
 	if (i == 0 && move.kind == PLACE_NOTHING)
-		reserve_delegation(c, now, out);
+		cell_delegate_reserve(c, now, out);
 }
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -262,7 +262,7 @@
 	metric_write(f, "spindle_entry_replicas_leaving", "gauge",
 	    "Replicas that finish their work.", leaving);
 	metric_write(f, "spindle_entry_replicas_avoided", "gauge",
-	    "Replicas that could not be reached lately.", avoided);
+	    "Replicas avoided after failures to reach them.", avoided);
 	metric_write(f, "spindle_entry_replicas_closed", "gauge",
 	    "Replicas that say that they take no requests now.", closed);
 	metric_write(f, "spindle_entry_leaving_notices_total", "counter",
