A suspect request is not taken back from the replica where it belongs

Callers: a request with a new part, on the only slot of the replica where requests with that part go, was taken back from there at the next crash, and sent to the same replica again: a run and a retry for nothing, and its answer began later. A stream whose route allows one more run was then not repeated after a true break.

Cause: to find where a suspect belongs, the replica is picked as for a new request. That replica was full because of the very request, so none was found, and "none" was taken for "elsewhere".

Ruled out: to subtract the request's own load first. Prefill that was sent lately and the load of peers would still count as full.

Change: balance_request.take_full, set where a request may be withdrawn.

--- a/core/balance.c
+++ b/core/balance.c
@@ -188,8 +188,9 @@
 		    directory_excluded(m, now, w->model) ||
 		    directory_excluded(m, now, w->adapter))
 			continue;
-		full = replica_is_full(w, d->prefill_window_ns,
-		    directory_prefill_share(m, now), m, &load);
+		full = !w->take_full &&
+		    replica_is_full(w, d->prefill_window_ns,
+			directory_prefill_share(m, now), m, &load);
 		if (full && w->affinity_key == 0)
 			continue;
 		n++;
--- a/core/balance.h
+++ b/core/balance.h
@@ -34,6 +34,7 @@
 	 * or wait for it.
 	 */
 	uint64_t affinity_key;
+	int take_full; /* replicas at their limit are suitable, too */
 	uint32_t ntried;
 	char tried[BALANCE_TRIED_MAX][NAME_SIZE];
 };
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -22,7 +22,7 @@
 
 static int forward_admit(struct forward *, struct err *);
 static enum balance_result forward_pick_replica(struct forward *,
-    const struct fleet_service *, struct directory_replica **);
+    const struct fleet_service *, int, struct directory_replica **);
 static int forward_is_suspect(const struct forward *);
 static int forward_queue(struct forward *, enum balance_result);
 static void forward_withdraw_if_suspect(struct forward *);
@@ -174,7 +174,7 @@
 /* Picks the best replica by this process's view of their load. */
 static enum balance_result
 forward_pick_replica(struct forward *f, const struct fleet_service *s,
-    struct directory_replica **m)
+    int take_full, struct directory_replica **m)
 {
 	struct balance_request w;
 
@@ -195,6 +195,7 @@
 	w.past_target = forward_is_late(f);
 	w.ignore_peers = s->engine == NULL && peers_use_relays(f->e->peers);
 	w.max_conns = max_conns_per_replica(f->e, s);
+	w.take_full = take_full;
 	w.ntried = f->ntried;
 	memcpy(w.tried, f->tried, sizeof(w.tried));
 	if (poison_io_care(f->e->poison_io, &f->params, &w.affinity_key) ==
@@ -224,7 +225,7 @@
 		return 1;
 	if (f->e->conf != NULL)
 		s = fleet_find_service(f->e->conf, f->service);
-	result = forward_pick_replica(f, s, &m);
+	result = forward_pick_replica(f, s, 0, &m);
 	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
 		loader_io_request_load(f->e, &f->params);
 	if (result != BALANCE_SUSPECT)
@@ -379,7 +380,9 @@
 	if (f->caller == NULL || f->exchange == NULL || f->begun_at != 0 ||
 	    f->response_started || !forward_is_suspect(f))
 		return;
-	forward_pick_replica(f, fleet_find_service(f->e->conf, f->service), &m);
+	/* Its own replica may be full due to this very request. */
+	forward_pick_replica(
+	    f, fleet_find_service(f->e->conf, f->service), 1, &m);
 	forward_describe(f, &facts);
 	facts.runs++;
 	if (m == f->replica ||
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1618,6 +1618,51 @@
         w.stop()
 
 
+def test_suspect_stays_at_its_replica():
+    """A replica crashes, by itself, at work on a request with a new part.
+    Another request with it takes the only slot of the replica where all such
+    requests go from then on: it is not taken back from there."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if "bb01" not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        seen.append(call)
+        if call is seen[0]:
+            while len(seen) < 2:
+                await asyncio.sleep(0.01)
+            asyncio.ensure_future(call.replica.crash(3600))
+            return False
+        while not release:
+            await asyncio.sleep(0.01)
+        return await call.events(1, 5, gap=0.02)
+    seen, release, sound, statuses = [], [], [], []
+    w = World(patient_config())
+    try:
+        for i in range(2):
+            w.replica("i-%d" % i, "plain", script, slots=1)
+        w.wait_ready()
+        w.wait("listed", lambda: len(w.events("replica-listed")) >= 2)
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, sound)
+        threads = [threading.Thread(target=prompt_request, args=(
+            w, ["aa01", "bb01"], "%016x" % (0xe1000 + i), statuses))
+            for i in range(2)]
+        for t in threads:
+            t.start()
+        w.wait("crash", lambda: w.events("poison-suspect"))
+        w.wait("waits", lambda: w.events("request-waits"))
+        time.sleep(0.5)
+        withdrawn = len(w.events("request-withdrawn"))
+        release.append(1)
+        for t in threads:
+            t.join()
+        check("withdrawn: %d" % withdrawn, withdrawn == 0)
+        check("served: %s %s" % (sound, statuses),
+              sound + statuses == [200] * 3)
+    finally:
+        w.stop()
+
+
 def test_sound_requests_of_crashed_replica_repeated():
     """A replica crashes, by itself, while it works on streams with sound
     parts that were answered before: they are served by another one, although
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -479,6 +479,11 @@
 		m->local_load.running = 4;
 		CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_FULL);
 		CU_ASSERT_PTR_NULL(m);
+		w.take_full = 1;
+		CU_ASSERT_EQUAL(
+		    balance_pick(&d, S, &w, 0.0, &m), BALANCE_FOUND);
+		CU_ASSERT_PTR_EQUAL(m, ma); /* where they wait */
+		w.take_full = 0;
 		ma = directory_find(&d, "a");
 		mb = directory_find(&d, "b");
 	}
