Suspect requests are not sent again and again to a replica that is down

Callers: a request with a part that is treated with care was sent to a crashed replica that is still listed, each time that the pause after the last failure had passed, although another replica was there. Each time costs a retry of the budget.

Cause: with an affinity key, replicas are ranked by hash only; the error rate and the replicas already tried do not count.

Ruled out: to put replicas that the request has tried last. One that refuses for its load would spread suspects over all copies.

Change: a replica that could not be reached comes last, until an attempt there succeeds or it starts anew.

A test with processes did not show it reliably and is not part of this commit.

--- a/core/balance.c
+++ b/core/balance.c
@@ -11,6 +11,7 @@
 #define JITTER_MS 4.0	      /* random spread between equal replicas */
 #define BLIND_JITTER_MS 30.0  /* the same, without the load of peers */
 #define ALREADY_TRIED_MS 1e6  /* last resort */
+#define AFFINITY_FAILED 1e20  /* the same; above all hashes */
 /*
  * Prefill backlog up to which a replica accepts another prompt.  It is low, so
  * that a request can still go elsewhere, and grows with the time queued.
@@ -45,6 +46,8 @@
     const struct balance_request *, const struct replica_load *);
 static double replica_delay_ms(const struct balance_request *,
     const struct directory_replica *, const struct replica_load *);
+static double affinity_rank(
+    const struct balance_request *, const struct directory_replica *);
 
 static int
 already_tried(const struct balance_request *w, const char *id)
@@ -132,6 +135,15 @@
 	return ms;
 }
 
+/* A replica that is down, but listed, is not tried again and again. */
+static double
+affinity_rank(
+    const struct balance_request *w, const struct directory_replica *m)
+{
+	return (double)hash_version(m->info.id, w->affinity_key) +
+	    (m->consecutive_failures != 0 ? AFFINITY_FAILED : 0.0);
+}
+
 /* A number in [0, 1) for the nth replica, from the request's. */
 static double
 replica_draw(double draw, uint32_t n)
@@ -194,9 +206,8 @@
 		if (full && w->affinity_key == 0)
 			continue;
 		n++;
-		ms = w->affinity_key != 0
-		    ? (double)hash_version(m->info.id, w->affinity_key)
-		    : replica_delay_ms(w, m, &load) +
+		ms = w->affinity_key != 0 ? affinity_rank(w, m)
+					  : replica_delay_ms(w, m, &load) +
 			(w->ignore_peers ? BLIND_JITTER_MS : JITTER_MS) *
 			    replica_draw(draw, n);
 		if (*out != NULL && ms >= best)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -488,6 +488,22 @@
 		mb = directory_find(&d, "b");
 	}
 	CU_ASSERT(at_a > 25 && at_a < 75);
+	/* One that failed comes last until it has answered again. */
+	memset(&ma->local_load, 0, sizeof(ma->local_load));
+	memset(&mb->local_load, 0, sizeof(mb->local_load));
+	for (key = 1; key <= 20; key++) {
+		w.affinity_key = key;
+		balance_pick(&d, S, &w, 0.0, &m);
+		directory_attempt_failed(m, S, 1);
+		ma = m;
+		CU_ASSERT_EQUAL(
+		    balance_pick(&d, 100 * S, &w, 0.0, &m), BALANCE_FOUND);
+		CU_ASSERT_PTR_NOT_EQUAL(m, ma);
+		directory_attempt_succeeded(ma, 100 * S);
+		CU_ASSERT_EQUAL(
+		    balance_pick(&d, 100 * S, &w, 0.0, &m), BALANCE_FOUND);
+		CU_ASSERT_PTR_EQUAL(m, ma);
+	}
 	directory_clear(&d);
 }
 
