Requests with one suspected part do not wait behind those with another

Callers: a request with a new part waited although the replica where such requests go was free, because one with another suspected part, whose replica was busy, was ahead in the queue.

Cause: all suspects of a model were one group of the queue, and a group ends its turn with the first that finds no room. Suspects go to one replica for each part, so that the first says nothing about the others; the same holds for requests with different adapters.

Ruled out: the refusals and the deadline; with a deadline of 60 s the request began only when the one ahead of it had begun.

Change: a group for each suspected part and adapter; one that waits moves if another part becomes the worst of it.

test_suspects_wait_apart: fails before (1 of 1 run), passes 3 of 3 after; test_new_part_crashes_all_copies passes.

--- a/core/waitq.c
+++ b/core/waitq.c
@@ -5,7 +5,8 @@
 #include "mem.h"
 #include "waitq.h"
 
-#define KEY_SIZE (2 * NAME_SIZE + FLEET_NAME_SIZE)
+/* Instead of an adapter's name a longer one with it may be given. */
+#define KEY_SIZE (2 * NAME_SIZE + FLEET_NAME_SIZE + 32)
 
 struct waitq_group {
 	char key[KEY_SIZE]; /* service, model and adapter */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -23,7 +23,7 @@
 static int forward_admit(struct forward *, struct err *);
 static enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, int, struct directory_replica **);
-static int forward_is_suspect(const struct forward *);
+static uint64_t forward_suspect_part(const struct forward *);
 static int forward_queue(struct forward *, enum balance_result);
 static void forward_withdraw_if_suspect(struct forward *);
 static void forward_describe(const struct forward *, struct attempt_context *);
@@ -204,14 +204,14 @@
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
 
-/* Whether the request is treated with care, as it may crash replicas. */
-static int
-forward_is_suspect(const struct forward *f)
+/* The part for which the request is treated with care, 0: none. */
+static uint64_t
+forward_suspect_part(const struct forward *f)
 {
-	uint64_t part;
+	uint64_t part = 0;
 
-	return poison_io_care(f->e->poison_io, &f->params, &part) !=
-	    POISON_ANY_REPLICA;
+	(void)poison_io_care(f->e->poison_io, &f->params, &part);
+	return part;
 }
 
 int
@@ -250,10 +250,11 @@
 static int
 forward_queue(struct forward *f, enum balance_result why)
 {
+	uint64_t part = forward_suspect_part(f);
 	int moved = 0;
 
-	if (!f->suspect && forward_is_suspect(f)) {
-		f->suspect = 1;
+	if (part != 0 && part != f->suspect) {
+		f->suspect = part;
 		moved = f->waiting.group != NULL;
 		waitq_remove(&f->e->waiting, &f->waiting);
 	}
@@ -378,7 +379,7 @@
 	struct attempt_context facts;
 
 	if (f->caller == NULL || f->exchange == NULL || f->begun_at != 0 ||
-	    f->response_started || !forward_is_suspect(f))
+	    f->response_started || forward_suspect_part(f) == 0)
 		return;
 	/* Its own replica may be full due to this very request. */
 	forward_pick_replica(
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -17,7 +17,7 @@
 	uint64_t deadline;
 	struct expiry *expiry;	   /* of queueing, or of the request */
 	struct waitq_item waiting; /* in the queue, or in no group */
-	int suspect;		   /* queued apart, as it may crash replicas */
+	uint64_t suspect; /* part for which it is queued apart, 0: none */
 	uint32_t attempts_made;
 	uint32_t runs; /* attempts that the replica may have executed */
 	uint32_t ntried;
--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -14,7 +14,8 @@
 /* Until the first requests have been answered. */
 #define SERVICE_TIME_NS (500 * NSEC_PER_MSEC)
 
-#define SUSPECT_GROUP "suspect" /* names of adapters have a slash */
+/* The part that is suspected; names of adapters do not begin so. */
+#define SUSPECT_GROUP "suspect %016llx %s"
 
 static const char *const wait_reasons[] = {
 	[BALANCE_FOUND] = "found",
@@ -116,6 +117,7 @@
 	struct admission_decision d;
 	struct admission_capacity c;
 	char detail[96];
+	char group[FLEET_NAME_SIZE + 32];
 
 	if (f->waiting.group != NULL)
 		return;
@@ -137,9 +139,11 @@
 	f->waiting.arrived = f->arrived;
 	f->waiting.target =
 	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
-	/* Other requests for the model do not wait behind suspects. */
+	/* No others wait behind suspects, which wait for one replica each. */
+	snprintf(group, sizeof(group), SUSPECT_GROUP,
+	    (unsigned long long)f->suspect, f->params.adapter);
 	waitq_add(&f->e->waiting, &f->waiting, f->service, f->params.model,
-	    f->suspect ? SUSPECT_GROUP : f->params.adapter);
+	    f->suspect != 0 ? group : f->params.adapter);
 	expiry_set(f->expiry, d.until < f->deadline ? d.until : f->deadline);
 }
 
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1484,12 +1484,12 @@
     return await call.events(1, 5, gap=0.02)
 
 
-def prompt_request(w, parts, id, statuses):
+def prompt_request(w, parts, id, statuses, deadline=5000):
     prefix = ",".join("%s:100" % p for p in parts + [id[-8:]])
     try:
         status, _, _, whole = w.call(
             "/go/x", id, "POST", b"p",
-            {"Arbutusspindle-Prompt-Prefix": prefix})
+            {"Arbutusspindle-Prompt-Prefix": prefix}, deadline=deadline)
         statuses.append(status if whole else 0)
     except OSError:
         statuses.append(0)
@@ -1663,6 +1663,65 @@
         w.stop()
 
 
+def test_suspects_wait_apart():
+    """Requests with one suspected part wait for their replica; those with
+    another, whose replica becomes free, do not wait behind them."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if call.id == KILLER:
+            await call.read()
+            asyncio.ensure_future(call.replica.crash(3600))
+            return False
+        if "bb" not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        part = prefix.split(",")[1][:4]
+        held.append(part)
+        while part not in released:
+            await asyncio.sleep(0.01)
+        return await call.events(1, 5, gap=0.02)
+
+    def hold(part):
+        """One more request with the part, which is held or waits."""
+        before = len(held) + len(w.events("request-waits"))
+        threads.append(threading.Thread(target=prompt_request, args=(
+            w, ["aa01", part], "%016x" % (0xe1000 + len(threads)), statuses,
+            FAR)))
+        threads[-1].start()
+        w.wait(part, lambda: len(held) + len(
+            w.events("request-waits")) > before)
+    KILLER = "%016x" % 0xe0100
+    parts = ["bb%02d" % i for i in range(6)]
+    held, released, threads, statuses = [], [], [], []
+    w = World(patient_config())
+    try:
+        for i in range(4):
+            w.replica("i-%d" % i, "plain", script, slots=1)
+        w.wait_ready()
+        w.wait("listed", lambda: len(w.events("replica-listed")) >= 4)
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, statuses)
+        w.call("/once/x", KILLER, "POST", b"p", {
+            "Arbutusspindle-Prompt-Prefix": ",".join(
+                "%s:100" % p for p in ["aa01"] + parts + ["e0100"])})
+        w.wait("crash", lambda: w.events("poison-suspect"))
+        hold(parts[0])
+        hold(parts[0])
+        others = iter(parts[1:])
+        while len(held) < 2:
+            hold(next(others))
+        hold(held[1])
+        check("the others wait", len(held) == 2)
+        released.append(held[1])
+        w.wait("sent", lambda: held.count(held[1]) == 2)
+        check("not behind others", held.count(parts[0]) == 1)
+        released.extend(parts)
+        for t in threads:
+            t.join()
+    finally:
+        released.extend(parts)
+        w.stop()
+
+
 def test_sound_requests_of_crashed_replica_repeated():
     """A replica crashes, by itself, while it works on streams with sound
     parts that were answered before: they are served by another one, although
