--- a/entry/forward.c
+++ b/entry/forward.c
@@ -22,8 +22,8 @@
 
 static int forward_admit(struct forward *, struct err *);
 static enum balance_result forward_pick_replica(struct forward *,
-    const struct fleet_service *, struct directory_replica **);
-static int forward_is_suspect(const struct forward *);
+    const struct fleet_service *, int, struct directory_replica **);
+static uint64_t forward_suspect_part(const struct forward *);
 static int forward_queue(struct forward *, enum balance_result);
 static void forward_withdraw_if_suspect(struct forward *);
 static void forward_describe(const struct forward *, struct attempt_context *);
@@ -174,7 +174,7 @@
 /* Picks the best replica by this process's view of their load. */
 static enum balance_result
 forward_pick_replica(struct forward *f, const struct fleet_service *s,
-    struct directory_replica **m)
+    int take_full, struct directory_replica **m)
 {
 	struct balance_request w;
 
@@ -195,6 +195,7 @@
 	w.past_target = forward_is_late(f);
 	w.ignore_peers = s->engine == NULL && peers_use_relays(f->e->peers);
 	w.max_conns = max_conns_per_replica(f->e, s);
+	w.take_full = take_full;
 	w.ntried = f->ntried;
 	memcpy(w.tried, f->tried, sizeof(w.tried));
 	if (poison_io_care(f->e->poison_io, &f->params, &w.affinity_key) ==
@@ -203,14 +204,14 @@
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
 
-/* Whether the request is treated with care, as it may crash replicas. */
-static int
-forward_is_suspect(const struct forward *f)
+/* The part for which the request is treated with care, 0: none. */
+static uint64_t
+forward_suspect_part(const struct forward *f)
 {
-	uint64_t part;
+	uint64_t part = 0;
 
-	return poison_io_care(f->e->poison_io, &f->params, &part) !=
-	    POISON_ANY_REPLICA;
+	(void)poison_io_care(f->e->poison_io, &f->params, &part);
+	return part;
 }
 
 int
@@ -224,7 +225,7 @@
 		return 1;
 	if (f->e->conf != NULL)
 		s = fleet_find_service(f->e->conf, f->service);
-	result = forward_pick_replica(f, s, &m);
+	result = forward_pick_replica(f, s, 0, &m);
 	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
 		loader_io_request_load(f->e, &f->params);
 	if (result != BALANCE_SUSPECT)
@@ -249,10 +250,11 @@
 static int
 forward_queue(struct forward *f, enum balance_result why)
 {
+	uint64_t part = forward_suspect_part(f);
 	int moved = 0;
 
-	if (!f->suspect && forward_is_suspect(f)) {
-		f->suspect = 1;
+	if (part != 0 && part != f->suspect) {
+		f->suspect = part;
 		moved = f->waiting.group != NULL;
 		waitq_remove(&f->e->waiting, &f->waiting);
 	}
@@ -377,9 +379,11 @@
 	struct attempt_context facts;
 
 	if (f->caller == NULL || f->exchange == NULL || f->begun_at != 0 ||
-	    f->response_started || !forward_is_suspect(f))
+	    f->response_started || forward_suspect_part(f) == 0)
 		return;
-	forward_pick_replica(f, fleet_find_service(f->e->conf, f->service), &m);
+	/* Its own replica may be full due to this very request. */
+	forward_pick_replica(
+	    f, fleet_find_service(f->e->conf, f->service), 1, &m);
 	forward_describe(f, &facts);
 	facts.runs++;
 	if (m == f->replica ||
