--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -157,11 +157,13 @@
 void forward_caller_drained(struct forward *);
 /* Tries to dispatch the queued requests again. */
 void forward_retry_waiting(struct entry *);
+/* Ends all requests at the end of the process. */
+void forward_stop_all(struct entry *);
+
+/* forward_suspect.c */
 /* Takes suspect requests back from replicas that have not begun to answer. */
 void forward_withdraw_suspects(struct entry *);
 /* Ends requests that are blocked and have no answer yet. */
 void forward_end_blocked(struct entry *);
-/* Ends all requests at the end of the process. */
-void forward_stop_all(struct entry *);
 
 #endif
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -16,23 +16,11 @@
 #define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
 /* A stream that starts this long after SIGTERM may not end in time. */
 #define STREAM_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
-/* A crash this long after the first event is not due to the answer's begin. */
-#define BEGIN_NS (100 * NSEC_PER_MSEC)
 #define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
 static int forward_admit(struct forward *, struct err *);
-static enum balance_result forward_pick_replica(struct forward *,
-    const struct fleet_service *, int, struct directory_replica **);
-static uint64_t forward_suspect_part(const struct forward *);
 static int forward_queue(struct forward *, enum balance_result);
-static void forward_withdraw_if_suspect(struct forward *);
-static void forward_describe(const struct forward *, struct attempt_context *);
 static int try_waiting(void *, struct waitq_item *);
-static int forward_broke_at_begin(const struct forward *, enum attempt_outcome);
-static void forward_note_crash(struct forward *, enum attempt_outcome);
-static void forward_report_unknown(
-    struct forward *, int, const char *, const char *);
-static int forward_end_if_blocked(struct forward *);
 static int forward_is_late(const struct forward *);
 static void forward_free(struct forward *);
 static int forward_has_input(void *);
@@ -171,8 +159,7 @@
 	return share == 0 ? 1 : share;
 }
 
-/* Picks the best replica by this process's view of their load. */
-static enum balance_result
+enum balance_result
 forward_pick_replica(struct forward *f, const struct fleet_service *s,
     int take_full, struct directory_replica **m)
 {
@@ -204,16 +191,6 @@
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
 
-/* The part for which the request is treated with care, 0: none. */
-static uint64_t
-forward_suspect_part(const struct forward *f)
-{
-	uint64_t part = 0;
-
-	(void)poison_io_care(f->e->poison_io, &f->params, &part);
-	return part;
-}
-
 int
 forward_dispatch(struct forward *f)
 {
@@ -293,8 +270,7 @@
 	forward_free(f);
 }
 
-/* Ends a request that a replica may have run; details are for the log. */
-static void
+void
 forward_report_unknown(
     struct forward *f, int status, const char *detail, const char *text)
 {
@@ -304,111 +280,6 @@
 	forward_free(f);
 }
 
-/*
- * Whether the replica may have crashed from this request.  An answer that ends
- * with its connection may have been broken off.
- */
-static int
-forward_broke_at_begin(const struct forward *f, enum attempt_outcome end)
-{
-	return (end == ATTEMPT_NO_RESPONSE || end == ATTEMPT_TRUNCATED ||
-		   (end == ATTEMPT_ANSWERED && f->until_close)) &&
-	    (f->begun_at == 0 || f->e->now < f->begun_at + BEGIN_NS);
-}
-
-/* Evidence for or against the parts of the request's prompt. */
-static void
-forward_note_crash(struct forward *f, enum attempt_outcome end)
-{
-	if (end == ATTEMPT_ANSWERED && f->status / 100 == 2 && !f->until_close)
-		poison_io_answered(f->e->poison_io, &f->params);
-	else if (forward_broke_at_begin(f, end))
-		poison_io_broken(f->e->poison_io, f->replica, &f->params);
-}
-
-/*
- * Ends a request with a part that crashes replicas, unless its answer has
- * begun.  Returns whether it has ended.
- */
-static int
-forward_end_if_blocked(struct forward *f)
-{
-	uint64_t until;
-
-	if (f->caller == NULL || f->response_started)
-		return 0;
-	until = poison_io_blocked_until(f->e->poison_io, &f->params);
-	if (until == 0)
-		return 0;
-	f->e->counts.blocked++;
-	forward_log(f, LOG_REQUEST_BLOCKED, "", "");
-	if (f->exchange != NULL) {
-		exchange_cancel(f->exchange);
-		f->exchange = NULL;
-		f->runs++;
-		forward_remove_work(f);
-	}
-	if (f->runs == 0)
-		forward_refuse(
-		    f, "its prompt crashes replicas", until - f->e->now);
-	else
-		forward_report_unknown(
-		    f, 502, "outcome unknown", "its prompt crashes replicas");
-	return 1;
-}
-
-void
-forward_end_blocked(struct entry *e)
-{
-	struct forward *f, *next;
-
-	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
-		next = TAILQ_NEXT(f, entry);
-		(void)forward_end_if_blocked(f);
-	}
-}
-
-/*
- * Takes a request back from a replica that has not begun to answer it, if it
- * may crash the replica and may run again elsewhere.
- */
-static void
-forward_withdraw_if_suspect(struct forward *f)
-{
-	struct directory_replica *m;
-	struct attempt_context facts;
-
-	if (f->caller == NULL || f->exchange == NULL || f->begun_at != 0 ||
-	    f->response_started || forward_suspect_part(f) == 0)
-		return;
-	/* Its own replica may be full due to this very request. */
-	forward_pick_replica(
-	    f, fleet_find_service(f->e->conf, f->service), 1, &m);
-	forward_describe(f, &facts);
-	facts.runs++;
-	if (m == f->replica ||
-	    attempt_next_step(&facts, ATTEMPT_NO_RESPONSE, f->e->now) !=
-		NEXT_RETRY)
-		return;
-	forward_log(f, LOG_REQUEST_WITHDRAWN, f->replica->info.id, "");
-	exchange_cancel(f->exchange);
-	f->exchange = NULL;
-	f->runs++;
-	forward_remove_work(f);
-	forward_dispatch(f);
-}
-
-void
-forward_withdraw_suspects(struct entry *e)
-{
-	struct forward *f, *next;
-
-	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
-		next = TAILQ_NEXT(f, entry);
-		forward_withdraw_if_suspect(f);
-	}
-}
-
 void
 forward_attempt_ended(struct forward *f, enum attempt_outcome end)
 {
@@ -468,8 +339,7 @@
 	metric_observe(&t->max_gap, f->max_gap_ns);
 }
 
-/* Fills in what decides on the next step. */
-static void
+void
 forward_describe(const struct forward *f, struct attempt_context *c)
 {
 	c->kind = f->route.kind;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -75,6 +75,31 @@
     const struct forward *, enum log_id, const char *, const char *);
 /* Records the end of the attempt and decides on the next step. */
 void forward_attempt_ended(struct forward *, enum attempt_outcome);
+/*
+ * Picks the best replica by this process's view of their load; also one at its
+ * limit if wanted.
+ */
+enum balance_result forward_pick_replica(struct forward *,
+    const struct fleet_service *, int, struct directory_replica **);
+/* Fills in what decides on the next step. */
+void forward_describe(const struct forward *, struct attempt_context *);
+/* Ends a request that a replica may have run; details are for the log. */
+void forward_report_unknown(struct forward *, int, const char *, const char *);
+/* forward_suspect.c */
+/* The part for which the request is treated with care, 0: none. */
+uint64_t forward_suspect_part(const struct forward *);
+/*
+ * Whether the replica may have crashed from this request.  An answer that ends
+ * with its connection may have been broken off.
+ */
+int forward_broke_at_begin(const struct forward *, enum attempt_outcome);
+/* Evidence for or against the parts of the request's prompt. */
+void forward_note_crash(struct forward *, enum attempt_outcome);
+/*
+ * Ends a request with a part that crashes replicas, unless its answer has
+ * begun.  Returns whether it has ended.
+ */
+int forward_end_if_blocked(struct forward *);
 /* response.c */
 /* Forwards complete events; those the caller already has are skipped. */
 void forward_on_events(void *, const char *, size_t);
--- /dev/null
+++ b/entry/forward_suspect.c
@@ -0,0 +1,113 @@
+/* Requests that may crash replicas: evidence, blocking, taking them back. */
+#include "forward_int.h"
+#include "poison_io.h"
+
+/* A crash this long after the first event is not due to the answer's begin. */
+#define BEGIN_NS (100 * NSEC_PER_MSEC)
+
+static void forward_withdraw_if_suspect(struct forward *);
+
+uint64_t
+forward_suspect_part(const struct forward *f)
+{
+	uint64_t part = 0;
+
+	(void)poison_io_care(f->e->poison_io, &f->params, &part);
+	return part;
+}
+
+int
+forward_broke_at_begin(const struct forward *f, enum attempt_outcome end)
+{
+	return (end == ATTEMPT_NO_RESPONSE || end == ATTEMPT_TRUNCATED ||
+		   (end == ATTEMPT_ANSWERED && f->until_close)) &&
+	    (f->begun_at == 0 || f->e->now < f->begun_at + BEGIN_NS);
+}
+
+void
+forward_note_crash(struct forward *f, enum attempt_outcome end)
+{
+	if (end == ATTEMPT_ANSWERED && f->status / 100 == 2 && !f->until_close)
+		poison_io_answered(f->e->poison_io, &f->params);
+	else if (forward_broke_at_begin(f, end))
+		poison_io_broken(f->e->poison_io, f->replica, &f->params);
+}
+
+int
+forward_end_if_blocked(struct forward *f)
+{
+	uint64_t until;
+
+	if (f->caller == NULL || f->response_started)
+		return 0;
+	until = poison_io_blocked_until(f->e->poison_io, &f->params);
+	if (until == 0)
+		return 0;
+	f->e->counts.blocked++;
+	forward_log(f, LOG_REQUEST_BLOCKED, "", "");
+	if (f->exchange != NULL) {
+		exchange_cancel(f->exchange);
+		f->exchange = NULL;
+		f->runs++;
+		forward_remove_work(f);
+	}
+	if (f->runs == 0)
+		forward_refuse(
+		    f, "its prompt crashes replicas", until - f->e->now);
+	else
+		forward_report_unknown(
+		    f, 502, "outcome unknown", "its prompt crashes replicas");
+	return 1;
+}
+
+void
+forward_end_blocked(struct entry *e)
+{
+	struct forward *f, *next;
+
+	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
+		next = TAILQ_NEXT(f, entry);
+		(void)forward_end_if_blocked(f);
+	}
+}
+
+/*
+ * Takes a request back from a replica that has not begun to answer it, if it
+ * may crash the replica and may run again elsewhere.
+ */
+static void
+forward_withdraw_if_suspect(struct forward *f)
+{
+	struct directory_replica *m;
+	struct attempt_context facts;
+
+	if (f->caller == NULL || f->exchange == NULL || f->begun_at != 0 ||
+	    f->response_started || forward_suspect_part(f) == 0)
+		return;
+	/* Its own replica may be full due to this very request. */
+	forward_pick_replica(
+	    f, fleet_find_service(f->e->conf, f->service), 1, &m);
+	forward_describe(f, &facts);
+	facts.runs++;
+	if (m == f->replica ||
+	    attempt_next_step(&facts, ATTEMPT_NO_RESPONSE, f->e->now) !=
+		NEXT_RETRY)
+		return;
+	forward_log(f, LOG_REQUEST_WITHDRAWN, f->replica->info.id, "");
+	exchange_cancel(f->exchange);
+	f->exchange = NULL;
+	f->runs++;
+	forward_remove_work(f);
+	forward_dispatch(f);
+}
+
+void
+forward_withdraw_suspects(struct entry *e)
+{
+	struct forward *f, *next;
+
+	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
+		next = TAILQ_NEXT(f, entry);
+		forward_withdraw_if_suspect(f);
+	}
+}
