--- a/Makefile
+++ b/Makefile
@@ -145,6 +145,7 @@
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
 $(BUILD)/test_loader $(BUILD)/test_loader_adapters: $(BUILD)/tests/loader_fixture.o
+$(BUILD)/test_fleet $(BUILD)/test_balance: $(BUILD)/tests/fleet_fixture.o
 $(BUILD)/test_follow_bounds: $(BUILD)/tests/follow_world.o \
     $(BUILD)/tests/follow_list.o $(BUILD)/tests/follow_store.o
 $(BUILD)/test_poison $(BUILD)/test_poison_report: $(BUILD)/tests/poison_fixture.o
