Care for new parts outlasts the table of answers

Callers: requests with a new part that crashes replicas were sent to any copy again once their common part's entry in the table of answers had been taken by another part with the same slot, until its next answer.

Cause: poison_care() looked for an answered part in that table only; the evidence on a part that was in flight at a crash has the time, too.

Ruled out: a larger table, which only makes it rarer.

Change: an answer known from the evidence counts as well.

--- a/core/poison.c
+++ b/core/poison.c
@@ -369,7 +369,8 @@
 
 	for (i = 0; i < n && p->parts != NULL; i++) {
 		t = poison_part_find(p, ids[i]);
-		proven |= poison_part_last_answered(p, ids[i]) != 0;
+		proven |= poison_part_last_answered(p, ids[i]) != 0 ||
+		    (t != NULL && t->answered_at != 0);
 		if (t == NULL || !part_is_unproven(t, now))
 			continue;
 		settling |=
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -21,6 +21,7 @@
 static void test_copies_lost_within_a_second(void);
 static void test_rack_and_another_crash(void);
 static void test_care(void);
+static void test_care_outlasts_table(void);
 static void test_care_ends_with_answer(void);
 static void test_no_care_after_start(void);
 
@@ -360,6 +361,26 @@
 	poison_destroy(p);
 }
 
+/* Answers to many other parts displace that of the common one. */
+static void
+test_care_outlasts_table(void)
+{
+	struct poison *p = poison_create();
+	uint64_t both[2] = { COMMON, DEADLY };
+	uint64_t id = 1;
+	uint64_t part, i;
+
+	poison_answered(p, 9 * S, both, 1);
+	poison_crashed(p, 10 * S, 1, both, 2);
+	for (i = 0; i < 300000; i++) {
+		id = id * 6364136223846793005ULL + 1442695040888963407ULL;
+		poison_answered(p, 10 * S, &id, 1);
+	}
+	CU_ASSERT_EQUAL(
+	    poison_care(p, 10 * S, both, 2, &part), POISON_ONE_REPLICA);
+	poison_destroy(p);
+}
+
 /* A rare part was about to be answered as two replicas crashed by chance. */
 static void
 test_care_ends_with_answer(void)
@@ -422,6 +443,7 @@
 	{ "copies lost within a second", test_copies_lost_within_a_second },
 	{ "a rack fails, and another crash", test_rack_and_another_crash },
 	{ "care with parts that were never answered", test_care },
+	{ "care outlasts the table of answers", test_care_outlasts_table },
 	{ "care ends with an answer", test_care_ends_with_answer },
 	{ "no care after a start", test_no_care_after_start },
 };
