--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -14,6 +14,7 @@
 static void test_prefill_share(void);
 static void test_balance_choice(void);
 static void test_balance_affinity(void);
+static void test_affinity_after_failure(void);
 static void test_balance_failures(void);
 static uint32_t replay_herd(int);
 static void test_late_reports(void);
@@ -170,21 +171,36 @@
 		mb = directory_find(&d, "b");
 	}
 	CU_ASSERT(at_a > 25 && at_a < 75);
-	/* One that failed comes last until it has answered again. */
-	memset(&ma->local_load, 0, sizeof(ma->local_load));
-	memset(&mb->local_load, 0, sizeof(mb->local_load));
-	for (key = 1; key <= 20; key++) {
-		w.affinity_key = key;
-		balance_pick(&d, S, &w, 0.0, &m);
-		directory_attempt_failed(m, S, 1);
-		ma = m;
+	directory_clear(&d);
+}
+
+/* One that failed comes last until it has answered again. */
+static void
+test_affinity_after_failure(void)
+{
+	struct directory d;
+	struct fleet_replica a = make_replica("a", "m");
+	struct fleet_replica b = make_replica("b", "m");
+	struct directory_replica *failed, *m;
+	struct balance_request w;
+
+	memset(&w, 0, sizeof(w));
+	balance_set_names(&w, "llm", "m", "");
+	w.zone = "z1";
+	w.max_conns = 10;
+	directory_init(&d);
+	directory_put(&d, &a);
+	directory_put(&d, &b);
+	for (w.affinity_key = 1; w.affinity_key <= 20; w.affinity_key++) {
+		balance_pick(&d, S, &w, 0.0, &failed);
+		directory_attempt_failed(failed, S, 1);
 		CU_ASSERT_EQUAL(
 		    balance_pick(&d, 100 * S, &w, 0.0, &m), BALANCE_FOUND);
-		CU_ASSERT_PTR_NOT_EQUAL(m, ma);
-		directory_attempt_succeeded(ma, 100 * S);
+		CU_ASSERT_PTR_NOT_EQUAL(m, failed);
+		directory_attempt_succeeded(failed, 100 * S);
 		CU_ASSERT_EQUAL(
 		    balance_pick(&d, 100 * S, &w, 0.0, &m), BALANCE_FOUND);
-		CU_ASSERT_PTR_EQUAL(m, ma);
+		CU_ASSERT_PTR_EQUAL(m, failed);
 	}
 	directory_clear(&d);
 }
@@ -298,6 +314,8 @@
 	{ "prefill share", test_prefill_share },
 	{ "balance choice", test_balance_choice },
 	{ "same replica for a key", test_balance_affinity },
+	{ "another replica for a key after a failure",
+	    test_affinity_after_failure },
 	{ "balance failures", test_balance_failures },
 	{ "late reports", test_late_reports },
 };
