Requests that wait during a stop are refused before the process ends

Cause: a stream came 2.3 s after SIGTERM, all replicas with its model were full, and it was queued until its own latest start, 5.8 s later. The process ended before that and closed the connection. Only requests that come later than 2.6 s after SIGTERM were refused.

Ruled out: the care for new parts, and lists: its log has request-waits with "full", then request-failed "process stopping".

Change: 2.6 s after SIGTERM, from when a start may be too late to end in time, queued requests get 503 with a time to come back, to other processes; 502 if they may have run.

--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -157,6 +157,8 @@
 void forward_caller_drained(struct forward *);
 /* Tries to dispatch the queued requests again. */
 void forward_retry_waiting(struct entry *);
+/* While stopping, ends queued requests that would start too late to end. */
+void forward_stop_waiting(struct entry *);
 /* Ends all requests at the end of the process. */
 void forward_stop_all(struct entry *);
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -14,8 +14,8 @@
 
 /* Retry-After where nothing is known of a better time. */
 #define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
-/* A stream that starts this long after SIGTERM may not end in time. */
-#define STREAM_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
+/* What starts this long after SIGTERM may not end in time. */
+#define START_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
 #define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
 static int forward_admit(struct forward *, struct err *);
@@ -80,7 +80,7 @@
 		return 404;
 	f->route = *r;
 	if (f->e->stopping && r->kind == ROUTE_STREAM &&
-	    f->e->now >= f->e->stopping_since + STREAM_AFTER_STOP_NS)
+	    f->e->now >= f->e->stopping_since + START_AFTER_STOP_NS)
 		return 503;
 	t = fleet_pick_target(r, entry_random(f->e));
 	if (t == NULL)
@@ -458,6 +458,27 @@
 	exchange_set_reading(f->exchange, 1);
 }
 
+void
+forward_stop_waiting(struct entry *e)
+{
+	struct forward *f, *next;
+
+	if (e->now < e->stopping_since + START_AFTER_STOP_NS)
+		return;
+	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
+		next = TAILQ_NEXT(f, entry);
+		if (f->waiting.group == NULL || f->caller == NULL ||
+		    f->response_started)
+			continue;
+		if (f->runs == 0)
+			forward_refuse(
+			    f, "this process is stopping", RETRY_AFTER_NS);
+		else
+			forward_report_unknown(f, 502, "process stopping",
+			    "the outcome is unknown");
+	}
+}
+
 void
 forward_stop_all(struct entry *e)
 {
--- a/entry/main.c
+++ b/entry/main.c
@@ -79,6 +79,7 @@
 		e->retry_waiting = 1;
 	if (!e->stopping)
 		return;
+	forward_stop_waiting(e);
 	if (d->listener != NULL &&
 	    e->now >= e->stopping_since + LISTEN_AFTER_STOP_NS) {
 		listener_destroy(d->listener);
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -2308,6 +2308,40 @@
         w.stop()
 
 
+def test_sigterm_waiting_request():
+    """Requests that wait for a replica when the process is stopped, or come
+    after that, are refused while their callers can be told."""
+    script = Lasting()
+    w, _ = patient_world(script, slots=1, idle_timeout_ms=60000)
+    answers = {}
+
+    def call(path, s):
+        s.sendall(request(path, "id" + path[:3].replace("/", "-"), "POST",
+                          b"p", deadline=FAR))
+        answers[path] = read_answer(s)[0]
+    try:
+        first = w.connect()
+        first.sendall(request("/read/x", "id-1", "POST", b"p", deadline=FAR))
+        w.wait("arrives", lambda: script.began)
+        socks = {path: w.connect() for path in (
+            "/go/a", "/tell/a", "/once/a", "/go/b", "/once/b")}
+        threads = [threading.Thread(target=call, args=item)
+                   for item in socks.items()]
+        for t in threads[:3]:
+            t.start()
+        w.wait("queued", lambda: len(w.events("request-waits")) == 3)
+        w.process.send_signal(signal.SIGTERM)
+        w.wait("stopping", lambda: w.events("stopping"))
+        for t in threads[3:]:
+            t.start()
+        for t in threads:
+            t.join()
+        check("refused: %s" % answers, set(answers.values()) == {503})
+        check("none was sent", script.began == ["id-1"])
+    finally:
+        w.stop()
+
+
 def test_sigterm_late_stream():
     """A stream whose request completes too late after SIGTERM is refused."""
     async def long(call):
