--- a/entry/pull.c
+++ b/entry/pull.c
@@ -102,7 +102,7 @@
 	const struct follow *f = &p->config;
 	unsigned todo;
 
-	/* What has been received may be the newest version. */
+	/* The text being decoded may be the newest version. */
 	if (conf_decoder_is_busy(p->e->conf_decoder))
 		return;
 	todo = follow_next(&p->config, p->e->now);
--- a/tests/follow_list.c
+++ b/tests/follow_list.c
@@ -96,7 +96,7 @@
 	m = message_create(p, MESSAGE_TEXT);
 	m->text = FOLLOW_LIST;
 	m->list_from = p->changed_from;
-	/* What has been removed since is told as removed. */
+	/* An entry removed since is sent as removed. */
 	for (i = 0; i < p->nchanges; i++) {
 		now = p->list.entry[p->changes[i].entry];
 		add_item(m, p->changes[i].entry,
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -123,7 +123,7 @@
 	directory_clear(&d);
 }
 
-/* Requests with the same key share a replica, whoever sends them. */
+/* Requests with the same key share a replica, in all processes. */
 static void
 test_balance_affinity(void)
 {
--- a/tests/test_removals.c
+++ b/tests/test_removals.c
@@ -21,7 +21,7 @@
 	return n;
 }
 
-/* What was removed before the list was read is not known. */
+/* Removals from before the list was read are not known. */
 static void
 test_known_since(void)
 {
