Failing test: a blocked stream that waits to be resumed is sent again

What replicas see: a request with a part that crashes replicas reaches one more of them after the part has been blocked, if its answer had begun once and broke off. It waits for a free replica meanwhile.

Evidence: the log of the test. poison-blocked, then request-started of the stream at the replica that has just been listed.

Ruled out: that the queue is not looked at when a part is blocked. forward_end_blocked() goes through all requests, and leaves out those whose response to the caller has begun.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1618,6 +1618,68 @@
         w.stop()
 
 
+def test_blocked_stream_waits_to_resume():
+    """A stream that broke off waits to be resumed; its part is blocked
+    meanwhile.  It reaches no further replica, and is cut at once."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        if call.id == RESUMED:
+            await call.events(1, 2, end=False)
+        while call.replica.name not in crash:
+            await asyncio.sleep(0.01)
+        asyncio.ensure_future(call.replica.crash(3600))
+        await w.store.remove("servers/" + call.replica.name)
+        return False
+
+    def add(name):
+        r = w.replica(name, "plain", script, slots=1)
+        w.wait("listed", lambda: len(
+            w.events("replica-listed")) == len(w.replicas))
+        return r
+
+    def send(id, path):
+        prefix = "aa01:100,%s:100,%s:9" % (CRASHING_PART, id[-4:])
+        s = w.connect()
+        s.sendall(request(path, id, "POST", b"p", {
+            "Arbutusspindle-Prompt-Prefix": prefix}, deadline=FAR))
+        w.wait("sent", lambda: w.replicas[
+            sorted(w.replicas)[-1]].requests)
+        return s
+    RESUMED = "%016x" % 0xe1000
+    crash, sound = [], []
+    w = World(patient_config())
+    try:
+        w.wait_ready()
+        add("i-0")
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, sound)
+        w.replicas["i-0"].requests.clear()
+        callers = [send(RESUMED, "/go/x")]
+        for i in range(1, 4):
+            add("i-%d" % i)
+            callers.append(send("%016x" % (0xe1000 + i), "/tell/x"))
+        crash.append("i-0")
+        w.wait("waits", lambda: w.events("request-waits"))
+        crash.extend(["i-1", "i-2"])
+        w.wait("two crashes", lambda: len(w.events("poison-suspect")) >= 2)
+        time.sleep(0.5)
+        crash.append("i-3")
+        w.wait("blocked", lambda: w.events("poison-blocked"))
+        free = add("i-4")
+        w.wait("sent again or cut", lambda: free.requests or any(
+            e["request"] == RESUMED for e in w.events("request-failed")))
+        check("sent again: %d" % len(free.requests), not free.requests)
+        status, _, body, whole = read_answer(callers[0])
+        check("cut: %d %s" % (status, body), status == 200 and not whole and
+              event_numbers(body) == [1, 2])
+        for s in callers:
+            s.close()
+    finally:
+        w.stop()
+
+
 def test_suspect_stays_at_its_replica():
     """A replica crashes, by itself, at work on a request with a new part.
     Another request with it takes the only slot of the replica where all such
