A blocked stream that waits to be resumed is cut

What replicas saw: after a part had been blocked, a stream with it that had begun once and broken off reached one more replica, and crashed it.

Cause: whether a request may still crash a replica was told from the response to the caller (response_started), not from the attempt at the replica. A stream whose answer has begun once was left out for good, also while it waits.

Ruled out: requests that are refused on arrival, and those that have not begun; both are ended when the part is blocked.

Change: a stream is left alone only while its current attempt is being answered. Otherwise it is cut as the part is blocked. What cuts a response that has begun is a function of its own (forward_cut), used in the two places that had it.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -280,6 +280,15 @@
 	forward_free(f);
 }
 
+void
+forward_cut(struct forward *f, const char *detail)
+{
+	f->e->counts.truncated++;
+	forward_log(f, LOG_REQUEST_FAILED, "", detail);
+	caller_abort_response(f->caller);
+	forward_free(f);
+}
+
 void
 forward_attempt_ended(struct forward *f, enum attempt_outcome end)
 {
@@ -381,10 +390,7 @@
 		    f, 502, "outcome unknown", "the outcome is unknown");
 		return;
 	default:
-		f->e->counts.truncated++;
-		forward_log(f, LOG_REQUEST_FAILED, "", "response truncated");
-		caller_abort_response(f->caller);
-		forward_free(f);
+		forward_cut(f, "response truncated");
 		return;
 	}
 }
@@ -416,11 +422,7 @@
 		return;
 	}
 	if (f->response_started) {
-		f->e->counts.truncated++;
-		forward_log(f, LOG_REQUEST_FAILED, "",
-		    "deadline exceeded during the response");
-		caller_abort_response(f->caller);
-		forward_free(f);
+		forward_cut(f, "deadline exceeded during the response");
 		return;
 	}
 	if (f->runs == 0) {
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -85,6 +85,8 @@
 void forward_describe(const struct forward *, struct attempt_context *);
 /* Ends a request that a replica may have run; details are for the log. */
 void forward_report_unknown(struct forward *, int, const char *, const char *);
+/* Breaks off a response that has begun; the detail is for the log. */
+void forward_cut(struct forward *, const char *);
 /* forward_suspect.c */
 /* The part for which the request is treated with care, 0: none. */
 uint64_t forward_suspect_part(const struct forward *);
@@ -96,8 +98,8 @@
 /* Evidence for or against the parts of the request's prompt. */
 void forward_note_crash(struct forward *, enum attempt_outcome);
 /*
- * Ends a request with a part that crashes replicas, unless its answer has
- * begun.  Returns whether it has ended.
+ * Ends a request with a part that crashes replicas, unless a replica is
+ * streaming its answer.  Returns whether it has ended.
  */
 int forward_end_if_blocked(struct forward *);
 /* response.c */
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -5,6 +5,7 @@
 /* A crash this long after the first event is not due to the answer's begin. */
 #define BEGIN_NS (100 * NSEC_PER_MSEC)
 
+static int forward_is_streaming(const struct forward *);
 static void forward_withdraw_if_suspect(struct forward *);
 
 uint64_t
@@ -33,12 +34,19 @@
 		poison_io_broken(f->e->poison_io, f->replica, &f->params);
 }
 
+/* Whether the current attempt is being answered, and forwarded. */
+static int
+forward_is_streaming(const struct forward *f)
+{
+	return f->response_started && f->exchange != NULL && f->begun_at != 0;
+}
+
 int
 forward_end_if_blocked(struct forward *f)
 {
 	uint64_t until;
 
-	if (f->caller == NULL || f->response_started)
+	if (f->caller == NULL || forward_is_streaming(f))
 		return 0;
 	until = poison_io_blocked_until(f->e->poison_io, &f->params);
 	if (until == 0)
@@ -51,7 +59,9 @@
 		f->runs++;
 		forward_remove_work(f);
 	}
-	if (f->runs == 0)
+	if (f->response_started)
+		forward_cut(f, "its prompt crashes replicas");
+	else if (f->runs == 0)
 		forward_refuse(
 		    f, "its prompt crashes replicas", until - f->e->now);
 	else
