A suspect stream that a replica has not begun to resume is taken back

What replicas saw: a part becomes suspect, requests with it that other replicas have not begun are taken back, but a stream that is being resumed stays, and may crash one more replica.

Ruled out: that a resumed stream may not run again; attempt_next_step() decides that, by route and number of runs, for this case as for others.

Change: only whether the current attempt has begun counts.

--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -92,7 +92,7 @@
 	struct attempt_context facts;
 
 	if (f->caller == NULL || f->exchange == NULL || f->begun_at != 0 ||
-	    f->response_started || forward_suspect_part(f) == 0)
+	    forward_suspect_part(f) == 0)
 		return;
 	/* Its own replica may be full due to this very request. */
 	forward_pick_replica(
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1680,6 +1680,63 @@
         w.stop()
 
 
+def test_resumed_stream_is_taken_back():
+    """A stream is being resumed by a replica when its part becomes suspect:
+    it is taken back, to the replica where all such requests go."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        if call.id == RESUMED and "last-event-id" not in call.fields:
+            await call.events(1, 2, end=False)
+            await asyncio.sleep(0.2)
+            call.reset()
+            return False
+        while call.id != crash:
+            await asyncio.sleep(0.01)
+        asyncio.ensure_future(call.replica.crash(3600))
+        return False
+
+    def send(id, path):
+        prefix = "aa01:100,%s:100,%s:9" % (CRASHING_PART, id[-4:])
+        callers.append(w.connect())
+        callers[-1].sendall(request(path, id, "POST", b"p", {
+            "Arbutusspindle-Prompt-Prefix": prefix}, deadline=FAR))
+
+    def at(id):
+        """The replicas that the request has reached, in order."""
+        return [e["backend"] for e in w.events("request-started")
+                if e["request"] == id]
+    RESUMED, KILLER, LATER = ("%016x" % (0xe1000 + i) for i in range(3))
+    crash, callers = None, []
+    config = patient_config()
+    for r in config["routes"]:
+        r["max_attempts"] = 3
+    w = World(config)
+    try:
+        for i in range(6):
+            w.replica("i-%d" % i, "plain", script, slots=1)
+        w.wait_ready()
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 6)
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, [])
+        send(RESUMED, "/go/x")
+        w.wait("resumed", lambda: len(at(RESUMED)) == 2)
+        send(KILLER, "/tell/x")
+        w.wait("sent", lambda: at(KILLER))
+        crash = KILLER
+        w.wait("crash", lambda: w.events("poison-suspect"))
+        w.wait("taken back", lambda: len(at(RESUMED)) == 3, 3)
+        send(LATER, "/go/x")
+        time.sleep(0.5)
+        check("not at another: %s" % at(LATER),
+              set(at(LATER)) <= {at(RESUMED)[-1]})
+    finally:
+        for s in callers:
+            s.close()
+        w.stop()
+
+
 def test_suspect_stays_at_its_replica():
     """A replica crashes, by itself, at work on a request with a new part.
     Another request with it takes the only slot of the replica where all such
