Adapter tables of large fleets are not cut

What would be seen: in a fleet with more than 2,047 items of adapters (240 replicas with 8 each are 2,160) some replicas are known to have no adapters, on all VMs but the leader's. Requests for these adapters are sent elsewhere, or wait until they are loaded a second time.

Cause: a whole table was one message, items beyond its limit were dropped, and a receiver emptied all replicas that a whole table did not name. The limit and the emptying are each harmless alone.

Ruled out: slots and orders. They are counted by reports and answers since.

Change: a table takes as many messages as it needs, the items of one replica in one of them; a replica that is not named stays as it is. The mark of a whole table is gone from the message (version 4).

--- a/core/msg.h
+++ b/core/msg.h
@@ -12,7 +12,7 @@
 #include "base.h"
 #include "poison.h"
 
-#define MSG_VERSION 3
+#define MSG_VERSION 4
 #define MSG_SYNC_MAX 64	      /* grants in a SYNC */
 #define MSG_MEMBERS_MAX 8     /* membership entries in a probe */
 #define MSG_REPORTS_MAX 32    /* replicas in a REPORT */
@@ -286,11 +286,13 @@
 	struct poison_evidence *poison; /* owned by the message */
 };
 
-/* Adapters loaded on replicas: all, or those of the replicas that changed. */
+/*
+ * Adapters loaded on replicas: all, or those of the replicas that changed.  A
+ * replica that is not named has not changed; a table may take several messages.
+ */
 struct msg_held {
 	char holder[ADDR_SIZE]; /* the lease holder; relays pass it on */
 	uint64_t fence;		/* the lease holder's fencing token */
-	uint32_t is_full;
 	uint32_t n;
 	struct msg_held_item {
 		char replica[NAME_SIZE];
--- a/core/wire.c
+++ b/core/wire.c
@@ -509,7 +509,6 @@
 
 	wire_str(w, h->holder, sizeof(h->holder));
 	wire_u64(w, &h->fence);
-	wire_u32(w, &h->is_full);
 	h->items = wire_list(w, &h->n, sizeof(*h->items), h->items);
 	for (i = 0; i < h->n; i++) {
 		wire_str(w, h->items[i].replica, sizeof(h->items[i].replica));
--- a/entry/adapter_table.c
+++ b/entry/adapter_table.c
@@ -18,21 +18,49 @@
 /* A model being unloaded is announced again well within this time. */
 #define UNLOADING_AVOID_NS (600 * NSEC_PER_MSEC)
 
+/* A table that is being sent, in as many messages as it takes. */
+struct table {
+	struct entry *e;
+	uint64_t fence;
+	int whole; /* of all replicas, not only of those that changed */
+	struct msg *msg;
+};
+
+static void table_begin_message(struct table *);
+static void table_make_room(struct table *, uint32_t);
 static void table_add(
-    struct msg_held *, const struct directory_replica *, const char *);
+    struct table *, const struct directory_replica *, const char *);
 static uint64_t adapters_hash(const struct directory_replica *);
-static void table_add_replica(
-    struct entry *, struct msg_held *, struct directory_replica *);
+static void table_add_replica(struct table *, struct directory_replica *);
 
 static void
-table_add(
-    struct msg_held *h, const struct directory_replica *m, const char *name)
+table_begin_message(struct table *t)
 {
-	struct msg_held_item *item;
+	struct msg_held *h;
+
+	t->msg = msg_create(MSG_HELD, "");
+	h = &t->msg->u.held;
+	snprintf(h->holder, sizeof(h->holder), "%s", t->e->self.addr);
+	h->fence = t->fence;
+	h->items = mem_alloc(MSG_LIST_MAX * sizeof(*h->items));
+}
 
-	if (h->n == MSG_LIST_MAX - 1)
+/* A replica's items are in one message: each may be lost. */
+static void
+table_make_room(struct table *t, uint32_t nitems)
+{
+	if (t->msg->u.held.n + nitems < MSG_LIST_MAX)
 		return;
-	item = &h->items[h->n++];
+	peers_send_down(t->e->peers, t->msg);
+	table_begin_message(t);
+}
+
+static void
+table_add(struct table *t, const struct directory_replica *m, const char *name)
+{
+	struct msg_held *h = &t->msg->u.held;
+	struct msg_held_item *item = &h->items[h->n++];
+
 	snprintf(item->replica, sizeof(item->replica), "%s", m->info.id);
 	snprintf(item->name, sizeof(item->name), "%s", name);
 	item->replica_start = m->info.started_ms;
@@ -52,24 +80,25 @@
 
 /* Adds a replica to the table if it has changed since it was last sent. */
 static void
-table_add_replica(
-    struct entry *e, struct msg_held *h, struct directory_replica *m)
+table_add_replica(struct table *t, struct directory_replica *m)
 {
 	const char *leaving =
-	    loader_unloading_model(e->loader_io->loader, m->info.id);
+	    loader_unloading_model(t->e->loader_io->loader, m->info.id);
 	uint64_t hash = adapters_hash(m);
 	uint32_t i;
 
-	if (!h->is_full && m->adapters_hash_sent == hash && *leaving == '\0')
+	if (!t->whole && m->adapters_hash_sent == hash && *leaving == '\0')
 		return;
 	m->adapters_hash_sent = hash;
-	table_add(h, m, "");
+	/* The replica, its adapters and a model being unloaded. */
+	table_make_room(t, m->info.nadapters + 2);
+	table_add(t, m, "");
 	for (i = 0; i < m->info.nadapters; i++)
-		table_add(h, m, m->info.adapters[i]);
+		table_add(t, m, m->info.adapters[i]);
 	if (*leaving == '\0')
 		return;
-	table_add(h, m, leaving);
-	directory_exclude(m, leaving, e->now + UNLOADING_AVOID_NS);
+	table_add(t, m, leaving);
+	directory_exclude(m, leaving, t->e->now + UNLOADING_AVOID_NS);
 }
 
 /* Broadcasts changes of the adapter table, and at intervals all of it. */
@@ -78,10 +107,10 @@
 {
 	struct loader_io *st = e->loader_io;
 	uint64_t changes = loader_change_count(st->loader);
+	struct table table = { e, 0, 0, NULL };
 	struct loader_stats t;
 	struct directory_replica *m;
 	uint64_t after;
-	struct msg *msg;
 
 	after = TABLE_INTERVAL_NS;
 	if (changes != st->table_changes)
@@ -94,20 +123,16 @@
 	st->table_sent_at = e->now;
 	st->holder_heard_at = e->now;
 	loader_get_stats(st->loader, e->now, &t);
-	msg = msg_create(MSG_HELD, "");
-	snprintf(
-	    msg->u.held.holder, sizeof(msg->u.held.holder), "%s", e->self.addr);
-	msg->u.held.fence = t.fence;
-	msg->u.held.is_full =
+	table.fence = t.fence;
+	table.whole =
 	    st->table_fencing_token != t.fence || e->now >= st->full_table_at;
-	if (msg->u.held.is_full)
+	if (table.whole)
 		st->full_table_at = e->now + FULL_TABLE_INTERVAL_NS;
 	st->table_fencing_token = t.fence;
-	msg->u.held.items =
-	    mem_alloc(MSG_LIST_MAX * sizeof(*msg->u.held.items));
+	table_begin_message(&table);
 	for (m = e->dir.replicas; m != NULL; m = m->hh.next)
-		table_add_replica(e, &msg->u.held, m);
-	peers_send_down(e->peers, msg);
+		table_add_replica(&table, m);
+	peers_send_down(e->peers, table.msg);
 }
 
 void
@@ -128,8 +153,6 @@
 	st->holder_heard_at = e->now;
 	snprintf(st->holder, sizeof(st->holder), "%s", h->holder);
 	loader_superseded(st->loader, h->fence);
-	for (m = e->dir.replicas; m != NULL && h->is_full; m = m->hh.next)
-		m->info.nadapters = 0;
 	for (i = 0; i < h->n; i++) {
 		m = directory_find(&e->dir, h->items[i].replica);
 		if (m == NULL ||
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -12,6 +12,8 @@
 
 #define QUERIES_MAX 64
 #define FORMER_FENCE 6 /* of the holder before this process */
+#define MANY_REPLICAS 730
+#define ADAPTERS 8
 
 /* What the loader has sent to replicas and is not answered yet. */
 static struct {
@@ -22,6 +24,12 @@
 } sent;
 static struct kv_ids ids;
 
+/* The messages to the other processes. */
+static struct {
+	uint32_t n;
+	struct msg *tables[64];
+} told;
+
 static void setup(struct entry *);
 static void finish(struct entry *);
 static void answer(int, const char *);
@@ -31,6 +39,11 @@
 static void test_requests_of_one_turn(void);
 static void test_table_of_former_holder(void);
 static void test_table_of_later_holder(void);
+static void forget_tables(void);
+static void list_replicas(struct entry *, uint32_t);
+static uint32_t count_complete(struct entry *);
+static void test_table_of_many_replicas(void);
+static void test_replica_that_the_holder_does_not_list(void);
 
 uint64_t
 entry_update_now(struct entry *e)
@@ -71,7 +84,10 @@
 peers_send_down(struct peers *p, struct msg *m)
 {
 	(void)p;
-	msg_destroy(m);
+	if (told.n < sizeof(told.tables) / sizeof(told.tables[0]))
+		told.tables[told.n++] = m;
+	else
+		msg_destroy(m);
 }
 
 int
@@ -180,6 +196,7 @@
 static void
 finish(struct entry *e)
 {
+	forget_tables();
 	while (sent.n != 0)
 		answer(0, "");
 	loader_io_destroy(e->loader_io);
@@ -216,7 +233,7 @@
 	msg_destroy(m);
 }
 
-/* A whole table in which the replica has one adapter. */
+/* A table in which the replica has one adapter. */
 static void
 receive_table(struct entry *e, uint64_t fence, const char *adapter)
 {
@@ -225,7 +242,6 @@
 
 	strcpy(h->holder, "10.0.0.9:7000");
 	h->fence = fence;
-	h->is_full = 1;
 	h->items = mem_alloc(2 * sizeof(*h->items));
 	strcpy(h->items[0].replica, "r0");
 	h->items[0].replica_start = 1;
@@ -299,10 +315,101 @@
 	finish(&e);
 }
 
+static void
+forget_tables(void)
+{
+	while (told.n != 0)
+		msg_destroy(told.tables[--told.n]);
+}
+
+/* Replicas with that many adapters each, of a service without orders. */
+static void
+list_replicas(struct entry *e, uint32_t nadapters)
+{
+	struct fleet_replica r = { 0 };
+	struct fleet_replica *info;
+	uint32_t i, k;
+
+	strcpy(r.service, "other");
+	strcpy(r.addr, "10.0.0.3:80");
+	r.started_ms = 1;
+	for (i = 0; i < MANY_REPLICAS; i++) {
+		snprintf(r.id, sizeof(r.id), "other%u", i);
+		directory_put(&e->dir, &r);
+		info = &directory_find(&e->dir, r.id)->info;
+		info->nadapters = nadapters;
+		for (k = 0; k < nadapters; k++)
+			snprintf(info->adapters[k], FLEET_NAME_SIZE, "m0/a%u",
+			    i + k);
+	}
+}
+
+/* Replicas with all adapters that list_replicas() gave them. */
+static uint32_t
+count_complete(struct entry *e)
+{
+	const struct directory_replica *m;
+	char name[FLEET_NAME_SIZE];
+	uint32_t n = 0;
+	uint32_t i, k;
+
+	for (i = 0; i < MANY_REPLICAS; i++) {
+		snprintf(name, sizeof(name), "other%u", i);
+		m = directory_find(&e->dir, name);
+		for (k = 0; m != NULL && k < ADAPTERS; k++) {
+			snprintf(name, sizeof(name), "m0/a%u", i + k);
+			if (!fleet_has_adapter(&m->info, name))
+				break;
+		}
+		n += k == ADAPTERS && m->info.nadapters == ADAPTERS;
+	}
+	return n;
+}
+
+/* A whole table of more adapters than a message holds is not cut. */
+static void
+test_table_of_many_replicas(void)
+{
+	struct entry holder, other;
+	uint32_t i;
+
+	setup(&holder);
+	list_replicas(&holder, ADAPTERS);
+	forget_tables();
+	run(&holder, 3 * NSEC_PER_SEC);
+	memset(&other, 0, sizeof(other));
+	other.now = holder.now;
+	directory_init(&other.dir);
+	list_replicas(&other, 0);
+	other.loader_io = loader_io_create(&other);
+	for (i = 0; i < told.n; i++)
+		loader_io_receive(&other, told.tables[i]);
+	CU_ASSERT_EQUAL(count_complete(&other), MANY_REPLICAS);
+	loader_io_destroy(other.loader_io);
+	directory_clear(&other.dir);
+	finish(&holder);
+}
+
+/* What a list has told of a replica stays, if the table does not name it. */
+static void
+test_replica_that_the_holder_does_not_list(void)
+{
+	struct entry e;
+
+	setup(&e);
+	list_replicas(&e, ADAPTERS);
+	receive_table(&e, FORMER_FENCE + 2, "m0/a7");
+	CU_ASSERT_EQUAL(count_complete(&e), MANY_REPLICAS);
+	finish(&e);
+}
+
 static const struct unit_case cases[] = {
 	{ "requests of one turn", test_requests_of_one_turn },
 	{ "table of a former holder", test_table_of_former_holder },
 	{ "table of a later holder", test_table_of_later_holder },
+	{ "table of many replicas", test_table_of_many_replicas },
+	{ "replica that the holder does not list",
+	    test_replica_that_the_holder_does_not_list },
 };
 
 UNIT_MAIN("loader_io", cases)
