Failing test: a begun answer is replaced as its part is blocked

What callers see: 502, though a replica has begun to answer the request and goes on to answer it in full. Replicas see the connection closed midway.

Evidence: test_begun_answer_while_blocked.

Ruled out: that the request is a danger to its replica. A replica that crashes from a prompt does so before it answers, or as it begins to (BEGIN_NS).

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1737,6 +1737,81 @@
         w.stop()
 
 
+async def crash_when_told(call, names):
+    """The script of a call that lasts until its replica is to crash."""
+    while call.replica.name not in names:
+        await asyncio.sleep(0.01)
+    asyncio.ensure_future(call.replica.crash(3600))
+    return False
+
+
+def send_crashing(w, script, name, id, path):
+    """Sends a request with CRASHING_PART to a new replica with one slot."""
+    r = w.replica(name, "plain", script, slots=1)
+    w.wait("listed", lambda: len(
+        w.events("replica-listed")) == len(w.replicas))
+    s = w.connect()
+    s.sendall(request(path, id, "POST", b"p", {
+        "Arbutusspindle-Prompt-Prefix": "aa01:100,%s:100,%s:9" % (
+            CRASHING_PART, id[-4:])}, deadline=FAR))
+    w.wait("sent", lambda: r.requests)
+    return s
+
+
+def block_while_at_replica(w, script, crash, id, path, then=lambda s: None):
+    """A request is at a replica as its part is blocked; returns its socket."""
+    w.replica("i-z", "plain", script, slots=1)
+    w.wait_ready()
+    w.wait("listed", lambda: w.events("replica-listed"))
+    sound = []
+    prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, sound)
+    check("sound one served", sound == [200])
+    w.register("i-z", state="draining", sequence=2)
+    w.wait("leaves", lambda: w.events("replica-leaving"))
+    first = send_crashing(w, script, "i-0", id, path)
+    then(first)
+    others = [send_crashing(w, script, "i-%d" % i, "%016x" % (0xe2000 + i),
+                            "/tell/x") for i in range(1, 4)]
+    crash.extend(["i-1", "i-2"])
+    w.wait("two crashes", lambda: len(w.events("poison-suspect")) >= 2)
+    time.sleep(0.5)
+    crash.append("i-3")
+    w.wait("blocked", lambda: w.events("poison-blocked"))
+    for s in others:
+        s.close()
+    return first
+
+
+def test_begun_answer_while_blocked():
+    """A replica has begun an answer, of which the caller has nothing yet,
+    when a part of its prompt is blocked: the answer is passed on."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        if call.id != BEGUN:
+            return await crash_when_told(call, crash)
+        call.writer.write(call.head(extra={"Content-Length": 5}) + b"wh")
+        await call.writer.drain()
+        await rest.wait()
+        call.writer.write(b"ole")
+        return True
+    BEGUN = "%016x" % 0xe1000
+    crash, rest = [], asyncio.Event()
+    w = World(patient_config())
+    try:
+        s = block_while_at_replica(w, script, crash, BEGUN, "/read/x")
+        time.sleep(0.2)
+        w.loop.call_soon_threadsafe(rest.set)
+        status, _, body, whole = read_answer(s)
+        check("answer: %d %s" % (status, body),
+              (status, body, whole) == (200, b"whole", True))
+        s.close()
+    finally:
+        w.stop()
+
+
 def test_suspect_stays_at_its_replica():
     """A replica crashes, by itself, at work on a request with a new part.
     Another request with it takes the only slot of the replica where all such
