A begun answer is passed on though its part is blocked

What callers saw: 502 instead of the answer, if a replica had begun it as its part was blocked and nothing of it had been passed on: each answer that is not a stream, and a stream before its first whole event.

Cause: as with the streams that wait to be resumed, the response to the caller (response_started) was consulted in place of the attempt (begun_at).

Change: only whether the body of the current attempt's answer has begun counts, as forward_withdraw_if_suspect() has it.

--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -98,8 +98,8 @@
 /* Evidence for or against the parts of the request's prompt. */
 void forward_note_crash(struct forward *, enum attempt_outcome);
 /*
- * Ends a request with a part that crashes replicas, unless a replica is
- * streaming its answer.  Returns whether it has ended.
+ * Ends a request with a part that crashes replicas, unless a replica has begun
+ * to answer it.  Returns whether it has ended.
  */
 int forward_end_if_blocked(struct forward *);
 /* response.c */
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -5,7 +5,7 @@
 /* A crash this long after the first event is not due to the answer's begin. */
 #define BEGIN_NS (100 * NSEC_PER_MSEC)
 
-static int forward_is_streaming(const struct forward *);
+static int forward_is_answered(const struct forward *);
 static void forward_withdraw_if_suspect(struct forward *);
 
 uint64_t
@@ -34,11 +34,11 @@
 		poison_io_broken(f->e->poison_io, f->replica, &f->params);
 }
 
-/* Whether the current attempt is being answered, and forwarded. */
+/* Whether the body of an answer to the current attempt has begun. */
 static int
-forward_is_streaming(const struct forward *f)
+forward_is_answered(const struct forward *f)
 {
-	return f->response_started && f->exchange != NULL && f->begun_at != 0;
+	return f->exchange != NULL && f->begun_at != 0;
 }
 
 int
@@ -46,7 +46,7 @@
 {
 	uint64_t until;
 
-	if (f->caller == NULL || forward_is_streaming(f))
+	if (f->caller == NULL || forward_is_answered(f))
 		return 0;
 	until = poison_io_blocked_until(f->e->poison_io, &f->params);
 	if (until == 0)
