Failing test: a blocked request stays at its replica once its caller has left

What replicas see: a request that may run once, which they have not begun, stays with them after its part has been blocked, if its caller has left. It can still crash them, and nobody is to get an answer.

Ruled out: that it is kept on purpose. It is kept when its caller leaves since it may have run; the same request is taken back from the replica when its part is blocked while its caller is there.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1812,6 +1812,34 @@
         w.stop()
 
 
+def test_blocked_request_of_caller_that_left():
+    """A request that may run once is at a replica, which has not begun, and
+    its caller has left: it is taken back when its part is blocked."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        if call.id != LEFT:
+            return await crash_when_told(call, crash)
+        await call.reader.read(1)
+        ended.append(bool(w.events("poison-blocked")))
+        return False
+
+    def leave(s):
+        s.close()
+        w.wait("left", lambda: left_count(w) == 1)
+    LEFT = "%016x" % 0xe1000
+    crash, ended = [], []
+    w = World(patient_config())
+    try:
+        block_while_at_replica(w, script, crash, LEFT, "/once/x", leave)
+        w.wait("taken back", lambda: ended, 2)
+        check("not before", ended == [True])
+    finally:
+        w.stop()
+
+
 def test_suspect_stays_at_its_replica():
     """A replica crashes, by itself, at work on a request with a new part.
     Another request with it takes the only slot of the replica where all such
