A blocked request is taken back though its caller has left

What replicas saw: a request that may run once and that they had not begun stayed with them after its part had been blocked, if its caller had left.

Cause: whether there is a caller to be told decided on the attempt, too.

Change: the attempt is cancelled, also one whose connection is still being made; without a caller the request ends there.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -22,7 +22,6 @@
 static int forward_queue(struct forward *, enum balance_result);
 static int try_waiting(void *, struct waitq_item *);
 static int forward_is_late(const struct forward *);
-static void forward_free(struct forward *);
 static int forward_has_input(void *);
 static void forward_expired(void *);
 static void forward_record_times(const struct forward *);
@@ -134,7 +133,7 @@
 	forward_dispatch(f);
 }
 
-static void
+void
 forward_free(struct forward *f)
 {
 	struct entry *e = f->e;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -81,6 +81,8 @@
  */
 enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, int, struct directory_replica **);
+/* Ends the request; it has no exchange, and its caller has been told. */
+void forward_free(struct forward *);
 /* Fills in what decides on the next step. */
 void forward_describe(const struct forward *, struct attempt_context *);
 /* Ends a request that a replica may have run; details are for the log. */
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -46,7 +46,7 @@
 {
 	uint64_t until;
 
-	if (f->caller == NULL || forward_is_answered(f))
+	if (forward_is_answered(f))
 		return 0;
 	until = poison_io_blocked_until(f->e->poison_io, &f->params);
 	if (until == 0)
@@ -59,7 +59,9 @@
 		f->runs++;
 		forward_remove_work(f);
 	}
-	if (f->response_started)
+	if (f->caller == NULL)
+		forward_free(f);
+	else if (f->response_started)
 		forward_cut(f, "its prompt crashes replicas");
 	else if (f->runs == 0)
 		forward_refuse(
