Failing test: a sound stream is cut while evidence is awaited

What callers see: a stream that may be resumed ends incomplete, though replicas are free. Its new part was about to be answered on two replicas that crashed together for another reason, and its own replica crashed just after them.

Ruled out: that no replica is free (two are), that the deadline has come (56 s are left), that the part is blocked (no poison-blocked).

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1840,6 +1840,56 @@
         w.stop()
 
 
+def test_sound_stream_resumed_after_care():
+    """Three replicas crash together, for a reason of their own.  A stream at
+    one of them, which has lasted for longer than a queueing time, is resumed
+    once it is known that its new part was not blocked."""
+    async def script(call):
+        await call.read()
+        if "last-event-id" in call.fields:
+            return await call.events(
+                int(call.fields["last-event-id"]) + 1, 40)
+        if call.replica.name == "i-z":
+            return await call.events(1, 2)
+        if call.id == STREAM:
+            await call.events(1, 30, end=False, gap=0.1)
+            began.append(call)
+        return await crash_when_told(call, crash)
+    STREAM = "%016x" % 0xe1000
+    crash, began, sound = [], [], []
+    config = default_config()
+    for r in config["routes"]:
+        r.update(timeout_ms=FAR)
+    w = World(config)
+    try:
+        w.replica("i-z", "plain", script)
+        w.wait_ready()
+        w.wait("listed", lambda: w.events("replica-listed"))
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, sound)
+        check("sound one served", sound == [200])
+        w.register("i-z", state="draining", sequence=2)
+        w.wait("leaves", lambda: w.events("replica-leaving"))
+        callers = [send_crashing(w, script, "i-0", STREAM, "/go/x")]
+        w.wait("long", lambda: began)
+        callers += [send_crashing(w, script, "i-%d" % i, "%016x" % (
+            0xe2000 + i), "/tell/x") for i in (1, 2)]
+        for i in (3, 4):
+            w.replica("i-%d" % i, "plain", script)
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 6)
+        crash.extend(["i-1", "i-2"])
+        w.wait("two crashes", lambda: len(w.events("poison-suspect")) == 2)
+        crash.append("i-0")
+        status, _, body, whole = read_answer(callers[0])
+        check("not blocked", not w.events("poison-blocked"))
+        check("events: %s" % event_numbers(body)[-3:],
+              status == 200 and whole and
+              event_numbers(body) == list(range(1, 41)))
+        for s in callers:
+            s.close()
+    finally:
+        w.stop()
+
+
 def test_suspect_stays_at_its_replica():
     """A replica crashes, by itself, at work on a request with a new part.
     Another request with it takes the only slot of the replica where all such
