A request that awaits evidence is not ended for waiting

What callers saw: a stream that was to be resumed ended incomplete after 0.8 s while the evidence of all processes was awaited, for up to 1.5 s, and replicas were free. By reading, without a test: a request that had been taken back got 504 in the same way.

Cause: retries are queued for a least time of 0.8 s, whatever they wait for, and care holds them back for longer than that.

Not changed: requests that no replica has run, which are refused, or wait, by the estimate of admission.

Change: as that time ends, a retry that awaits evidence is kept, until at most 0.2 s after the evidence is known, or its deadline.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -16,6 +16,8 @@
 #define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
 /* What starts this long after SIGTERM may not end in time. */
 #define START_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
+/* For a retry that awaited evidence to be tried again. */
+#define EVIDENCE_NS (200 * NSEC_PER_MSEC)
 #define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
 static int forward_admit(struct forward *, struct err *);
@@ -420,6 +422,15 @@
 		forward_free(f);
 		return;
 	}
+	/* Its least queueing time may be shorter. */
+	if (f->waiting.group != NULL && f->runs != 0 &&
+	    f->e->now < f->deadline && forward_awaits_evidence(f)) {
+		expiry_set(f->expiry,
+		    f->e->now + EVIDENCE_NS < f->deadline
+			? f->e->now + EVIDENCE_NS
+			: f->deadline);
+		return;
+	}
 	if (f->response_started) {
 		forward_cut(f, "deadline exceeded during the response");
 		return;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -92,6 +92,9 @@
 /* forward_suspect.c */
 /* The part for which the request is treated with care, 0: none. */
 uint64_t forward_suspect_part(const struct forward *);
+/* Whether it goes to no replica until the evidence of all processes is known.
+ */
+int forward_awaits_evidence(const struct forward *);
 /*
  * Whether the replica may have crashed from this request.  An answer that ends
  * with its connection may have been broken off.
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -17,6 +17,15 @@
 	return part;
 }
 
+int
+forward_awaits_evidence(const struct forward *f)
+{
+	uint64_t part;
+
+	return poison_io_care(f->e->poison_io, &f->params, &part) ==
+	    POISON_WAIT;
+}
+
 int
 forward_broke_at_begin(const struct forward *f, enum attempt_outcome end)
 {
