Failing test: a process that starts sends requests with a blocked part

What replicas see: requests with a part that all other processes refuse, from a process that has just started again; each crashes a replica, and is repeated once, as the part is not suspected there.

In the logs the process has its configuration and list 22 ms after its start, and takes requests from then on; it hears from its peer 175 ms after it and blocks the part 10 ms later, as a new crash of its own makes both tell their evidence. Without one, reports carry evidence in one of four 250 ms.

The bound is that of test_requests_keep_crashing_replicas: at most three later than 3 s after the fifth crash.

Ruled out: that the peer has forgotten the part (it refuses all the while).

Not mended: a process would have to count as not ready until a peer has told it what is blocked, with a limit for one that hears nobody, and a peer that hears of a new incarnation would have to tell its evidence at once.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1890,6 +1890,50 @@
         w.stop()
 
 
+def test_restarted_process_blocks():
+    """A process starts again, three times, after a part has been blocked: at
+    most three requests with the part reach replicas in all, and crash them."""
+    def deadly(at):
+        number[0] += 1
+        prompt_request(at, ["aa01", CRASHING_PART], "%016x" % (
+            0xe1000 + number[0]), [])
+    w = World()
+    other = World(start=False)
+    number = [0]
+    try:
+        replicas = [w.replica("i-%d" % i, "plain", crashes_on_part)
+                    for i in range(8)]
+        other.store_port = w.store_port
+        other.start()
+        for o in (w, other):
+            o.wait_ready()
+            o.wait("listed", lambda o=o: len(
+                o.events("replica-listed")) >= len(replicas))
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, [])
+        while not w.events("poison-blocked") and number[0] < 40:
+            deadly(w)
+            time.sleep(0.1)
+        check("blocked", w.events("poison-blocked"))
+        # Reports carry evidence for 2 s after a crash, then less often.
+        time.sleep(4)
+        before = sum(len(r.crashed_at) for r in replicas)
+        for _ in range(3):
+            other.process.kill()
+            other.process.wait()
+            other.log.close()
+            other.start()
+            other.wait_ready()
+            for _ in range(4):
+                deadly(other)
+                time.sleep(0.05)
+            time.sleep(2.5)
+        late = sum(len(r.crashed_at) for r in replicas) - before
+        check("%d replicas crashed" % late, late <= 3)
+    finally:
+        other.stop()
+        w.stop()
+
+
 def test_suspect_stays_at_its_replica():
     """A replica crashes, by itself, at work on a request with a new part.
     Another request with it takes the only slot of the replica where all such
