--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -81,6 +81,8 @@
  */
 enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, int, struct directory_replica **);
+/* Ends the request; it has no exchange, and its caller has been told. */
+void forward_free(struct forward *);
 /* Fills in what decides on the next step. */
 void forward_describe(const struct forward *, struct attempt_context *);
 /* Ends a request that a replica may have run; details are for the log. */
@@ -90,6 +92,9 @@
 /* forward_suspect.c */
 /* The part for which the request is treated with care, 0: none. */
 uint64_t forward_suspect_part(const struct forward *);
+/* Whether it goes to no replica until the evidence of all processes is known.
+ */
+int forward_awaits_evidence(const struct forward *);
 /*
  * Whether the replica may have crashed from this request.  An answer that ends
  * with its connection may have been broken off.
@@ -98,8 +103,8 @@
 /* Evidence for or against the parts of the request's prompt. */
 void forward_note_crash(struct forward *, enum attempt_outcome);
 /*
- * Ends a request with a part that crashes replicas, unless a replica is
- * streaming its answer.  Returns whether it has ended.
+ * Ends a request with a part that crashes replicas, unless a replica has begun
+ * to answer it.  Returns whether it has ended.
  */
 int forward_end_if_blocked(struct forward *);
 /* response.c */
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -5,7 +5,7 @@
 /* A crash this long after the first event is not due to the answer's begin. */
 #define BEGIN_NS (100 * NSEC_PER_MSEC)
 
-static int forward_is_streaming(const struct forward *);
+static int forward_is_answered(const struct forward *);
 static void forward_withdraw_if_suspect(struct forward *);
 
 uint64_t
@@ -17,6 +17,15 @@
 	return part;
 }
 
+int
+forward_awaits_evidence(const struct forward *f)
+{
+	uint64_t part;
+
+	return poison_io_care(f->e->poison_io, &f->params, &part) ==
+	    POISON_WAIT;
+}
+
 int
 forward_broke_at_begin(const struct forward *f, enum attempt_outcome end)
 {
@@ -34,11 +43,11 @@
 		poison_io_broken(f->e->poison_io, f->replica, &f->params);
 }
 
-/* Whether the current attempt is being answered, and forwarded. */
+/* Whether the body of an answer to the current attempt has begun. */
 static int
-forward_is_streaming(const struct forward *f)
+forward_is_answered(const struct forward *f)
 {
-	return f->response_started && f->exchange != NULL && f->begun_at != 0;
+	return f->exchange != NULL && f->begun_at != 0;
 }
 
 int
@@ -46,7 +55,7 @@
 {
 	uint64_t until;
 
-	if (f->caller == NULL || forward_is_streaming(f))
+	if (forward_is_answered(f))
 		return 0;
 	until = poison_io_blocked_until(f->e->poison_io, &f->params);
 	if (until == 0)
@@ -59,7 +68,9 @@
 		f->runs++;
 		forward_remove_work(f);
 	}
-	if (f->response_started)
+	if (f->caller == NULL)
+		forward_free(f);
+	else if (f->response_started)
 		forward_cut(f, "its prompt crashes replicas");
 	else if (f->runs == 0)
 		forward_refuse(
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1747,6 +1747,203 @@
         w.stop()
 
 
+async def crash_when_told(call, names):
+    """The script of a call that lasts until its replica is to crash."""
+    while call.replica.name not in names:
+        await asyncio.sleep(0.01)
+    asyncio.ensure_future(call.replica.crash(3600))
+    return False
+
+
+def send_crashing(w, script, name, id, path):
+    """Sends a request with CRASHING_PART to a new replica with one slot."""
+    r = w.replica(name, "plain", script, slots=1)
+    w.wait("listed", lambda: len(
+        w.events("replica-listed")) == len(w.replicas))
+    s = w.connect()
+    s.sendall(request(path, id, "POST", b"p", {
+        "Arbutusspindle-Prompt-Prefix": "aa01:100,%s:100,%s:9" % (
+            CRASHING_PART, id[-4:])}, deadline=FAR))
+    w.wait("sent", lambda: r.requests)
+    return s
+
+
+def block_while_at_replica(w, script, crash, id, path, then=lambda s: None):
+    """A request is at a replica as its part is blocked; returns its socket."""
+    w.replica("i-z", "plain", script, slots=1)
+    w.wait_ready()
+    w.wait("listed", lambda: w.events("replica-listed"))
+    sound = []
+    prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, sound)
+    check("sound one served", sound == [200])
+    w.register("i-z", state="draining", sequence=2)
+    w.wait("leaves", lambda: w.events("replica-leaving"))
+    first = send_crashing(w, script, "i-0", id, path)
+    then(first)
+    others = [send_crashing(w, script, "i-%d" % i, "%016x" % (0xe2000 + i),
+                            "/tell/x") for i in range(1, 4)]
+    crash.extend(["i-1", "i-2"])
+    w.wait("two crashes", lambda: len(w.events("poison-suspect")) >= 2)
+    time.sleep(0.5)
+    crash.append("i-3")
+    w.wait("blocked", lambda: w.events("poison-blocked"))
+    for s in others:
+        s.close()
+    return first
+
+
+def test_begun_answer_while_blocked():
+    """A replica has begun an answer, of which the caller has nothing yet,
+    when a part of its prompt is blocked: the answer is passed on."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        if call.id != BEGUN:
+            return await crash_when_told(call, crash)
+        call.writer.write(call.head(extra={"Content-Length": 5}) + b"wh")
+        await call.writer.drain()
+        await rest.wait()
+        call.writer.write(b"ole")
+        return True
+    BEGUN = "%016x" % 0xe1000
+    crash, rest = [], asyncio.Event()
+    w = World(patient_config())
+    try:
+        s = block_while_at_replica(w, script, crash, BEGUN, "/read/x")
+        time.sleep(0.2)
+        w.loop.call_soon_threadsafe(rest.set)
+        status, _, body, whole = read_answer(s)
+        check("answer: %d %s" % (status, body),
+              (status, body, whole) == (200, b"whole", True))
+        s.close()
+    finally:
+        w.stop()
+
+
+def test_blocked_request_of_caller_that_left():
+    """A request that may run once is at a replica, which has not begun, and
+    its caller has left: it is taken back when its part is blocked."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        if call.id != LEFT:
+            return await crash_when_told(call, crash)
+        await call.reader.read(1)
+        ended.append(bool(w.events("poison-blocked")))
+        return False
+
+    def leave(s):
+        s.close()
+        w.wait("left", lambda: left_count(w) == 1)
+    LEFT = "%016x" % 0xe1000
+    crash, ended = [], []
+    w = World(patient_config())
+    try:
+        block_while_at_replica(w, script, crash, LEFT, "/once/x", leave)
+        w.wait("taken back", lambda: ended, 2)
+        check("not before", ended == [True])
+    finally:
+        w.stop()
+
+
+def test_sound_stream_resumed_after_care():
+    """Three replicas crash together, for a reason of their own.  A stream at
+    one of them, which has lasted for longer than a queueing time, is resumed
+    once it is known that its new part was not blocked."""
+    async def script(call):
+        await call.read()
+        if "last-event-id" in call.fields:
+            return await call.events(
+                int(call.fields["last-event-id"]) + 1, 40)
+        if call.replica.name == "i-z":
+            return await call.events(1, 2)
+        if call.id == STREAM:
+            await call.events(1, 30, end=False, gap=0.1)
+            began.append(call)
+        return await crash_when_told(call, crash)
+    STREAM = "%016x" % 0xe1000
+    crash, began, sound = [], [], []
+    config = default_config()
+    for r in config["routes"]:
+        r.update(timeout_ms=FAR)
+    w = World(config)
+    try:
+        w.replica("i-z", "plain", script)
+        w.wait_ready()
+        w.wait("listed", lambda: w.events("replica-listed"))
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, sound)
+        check("sound one served", sound == [200])
+        w.register("i-z", state="draining", sequence=2)
+        w.wait("leaves", lambda: w.events("replica-leaving"))
+        callers = [send_crashing(w, script, "i-0", STREAM, "/go/x")]
+        w.wait("long", lambda: began)
+        callers += [send_crashing(w, script, "i-%d" % i, "%016x" % (
+            0xe2000 + i), "/tell/x") for i in (1, 2)]
+        for i in (3, 4):
+            w.replica("i-%d" % i, "plain", script)
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 6)
+        crash.extend(["i-1", "i-2"])
+        w.wait("two crashes", lambda: len(w.events("poison-suspect")) == 2)
+        crash.append("i-0")
+        status, _, body, whole = read_answer(callers[0])
+        check("not blocked", not w.events("poison-blocked"))
+        check("events: %s" % event_numbers(body)[-3:],
+              status == 200 and whole and
+              event_numbers(body) == list(range(1, 41)))
+        for s in callers:
+            s.close()
+    finally:
+        w.stop()
+
+
+def test_restarted_process_blocks():
+    """A process starts again, three times, after a part has been blocked: at
+    most three requests with the part reach replicas in all, and crash them."""
+    def deadly(at):
+        number[0] += 1
+        prompt_request(at, ["aa01", CRASHING_PART], "%016x" % (
+            0xe1000 + number[0]), [])
+    w = World()
+    other = World(start=False)
+    number = [0]
+    try:
+        replicas = [w.replica("i-%d" % i, "plain", crashes_on_part)
+                    for i in range(8)]
+        other.store_port = w.store_port
+        other.start()
+        for o in (w, other):
+            o.wait_ready()
+            o.wait("listed", lambda o=o: len(
+                o.events("replica-listed")) >= len(replicas))
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, [])
+        while not w.events("poison-blocked") and number[0] < 40:
+            deadly(w)
+            time.sleep(0.1)
+        check("blocked", w.events("poison-blocked"))
+        # Reports carry evidence for 2 s after a crash, then less often.
+        time.sleep(4)
+        before = sum(len(r.crashed_at) for r in replicas)
+        for _ in range(3):
+            other.process.kill()
+            other.process.wait()
+            other.log.close()
+            other.start()
+            other.wait_ready()
+            for _ in range(4):
+                deadly(other)
+                time.sleep(0.05)
+            time.sleep(2.5)
+        late = sum(len(r.crashed_at) for r in replicas) - before
+        check("%d replicas crashed" % late, late <= 3)
+    finally:
+        other.stop()
+        w.stop()
+
+
 def test_suspect_stays_at_its_replica():
     """A replica crashes, by itself, at work on a request with a new part.
     Another request with it takes the only slot of the replica where all such
