A process that has started waits for its peers' evidence on crashes

What replicas saw: a process that had started again sent requests with a part that all others refused, each crashed a replica and was repeated once.

Cause: a process knows nothing of crashes when it starts, and took requests 22 ms after its start; it heard from a peer 175 ms after it, and evidence is in one of four reports only while it is old.

Ruled out: that peers have forgotten the part, and that it is not blocked once they are heard.

Change: reports say whether they carry the evidence, and do so for 2 s after a process has been heard for the first time; one that has started does not say so itself. Until it has heard, and for half a second at most, requests with shared parts wait. Weighed: to be ready only then (all requests would wait, and all processes that start together); a request of its own to a peer (one more message).

test_restarted_process_blocks: 4 of 4 runs failed before (6 to 7 crashes), 4 of 4 pass after. In 5 starts with one peer the first request was sent 6 to 12 ms after the peer was heard, some 0.2 s after the start.

--- a/core/msg.h
+++ b/core/msg.h
@@ -281,7 +281,8 @@
 		uint64_t arrivals; /* since the process started */
 		uint32_t running;
 		uint32_t waiting;
-	} * demand; /* owned by the message */
+	} * demand;	       /* owned by the message */
+	uint32_t has_evidence; /* on all crashes that the sender knows of */
 	uint32_t npoison;
 	struct poison_evidence *poison; /* owned by the message */
 };
--- a/core/wire.c
+++ b/core/wire.c
@@ -482,6 +482,7 @@
 		wire_u32(w, &f->demand[i].running);
 		wire_u32(w, &f->demand[i].waiting);
 	}
+	wire_u32(w, &f->has_evidence);
 	f->poison = wire_list(w, &f->npoison, sizeof(*f->poison), f->poison);
 	for (i = 0; i < f->npoison; i++)
 		wire_evidence(w, &f->poison[i]);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -8,6 +8,7 @@
 #include "peers_int.h"
 #include "session.h"
 #include "loader_io.h"
+#include "poison_io.h"
 
 #define PEER_LEASE_S 30
 #define PEER_RETRY_NS (500 * NSEC_PER_MSEC)
@@ -216,6 +217,7 @@
 		q->incarnation = m->from.incarnation;
 		q->seq = 0;
 		memset(&q->sent, 0, sizeof(q->sent));
+		poison_io_peer_started(p->e->poison_io);
 	}
 	if (!q->reachable)
 		log_event(LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm,
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -16,6 +16,11 @@
 #define CHANGED_NS (2 * NSEC_PER_SEC)
 #define REPEAT_NS (250 * NSEC_PER_MSEC)
 #define REPEAT_EVERY 4
+/*
+ * A process that has started is heard by a peer, and hears its evidence, well
+ * within this time; without peers it waits no longer.
+ */
+#define EVIDENCE_WAIT_NS (500 * NSEC_PER_MSEC)
 #define CHECKS_MAX 64	   /* at a time */
 #define CHECK_PARTS_MAX 64 /* of the requests that broke off */
 
@@ -39,7 +44,10 @@
 	struct check_list checks;
 	uint32_t nchecks;
 	uint64_t crashes;
-	uint64_t changed_at; /* the latest new crash */
+	uint64_t tell_until; /* each report has the evidence */
+	uint64_t wait_until; /* for the evidence of a peer */
+	int heard;	     /* of it */
+	int knows;	     /* requests go by it, or by none */
 	int newly_blocked;   /* parts, by the current update */
 	int has_news;	     /* crashes since the latest update */
 };
@@ -77,6 +85,7 @@
 	p = mem_alloc(sizeof(*p));
 	p->e = e;
 	p->poison = poison_create();
+	p->wait_until = entry_update_now(e) + EVIDENCE_WAIT_NS;
 	TAILQ_INIT(&p->checks);
 	return p;
 }
@@ -195,7 +204,7 @@
 	struct log_subject about = { 0 };
 
 	p->crashes++;
-	p->changed_at = p->e->now;
+	p->tell_until = p->e->now + CHANGED_NS;
 	p->has_news = 1;
 	poison_crashed(
 	    p->poison, p->e->now, c->incarnation, c->parts, c->nparts);
@@ -275,6 +284,8 @@
 	uint64_t ids[PROMPT_PARTS_MAX];
 	uint32_t n = shared_parts(r, ids);
 
+	if (n != 0 && !p->knows)
+		return POISON_WAIT;
 	return poison_care(p->poison, p->e->now, ids, n, part);
 }
 
@@ -309,6 +320,18 @@
 	if (p->has_news)
 		forward_withdraw_suspects(p->e);
 	p->has_news = 0;
+	/* What has been heard takes effect by the update above. */
+	if (!p->knows && (p->heard || p->e->now >= p->wait_until)) {
+		p->knows = 1;
+		p->e->retry_waiting = 1;
+	}
+}
+
+void
+poison_io_peer_started(struct poison_io *p)
+{
+	p->tell_until = p->e->now + CHANGED_NS;
+	peers_report_soon(p->e->peers);
 }
 
 void
@@ -316,9 +339,11 @@
 {
 	struct poison_evidence found[POISON_REPORT_MAX];
 
-	if (p->e->now >= p->changed_at + CHANGED_NS &&
-	    p->e->now / REPEAT_NS % REPEAT_EVERY != 0)
+	if (!p->knows ||
+	    (p->e->now >= p->tell_until &&
+		p->e->now / REPEAT_NS % REPEAT_EVERY != 0))
 		return;
+	f->has_evidence = 1;
 	f->npoison = poison_report(p->poison, p->e->now, found);
 	if (f->npoison == 0)
 		return;
@@ -331,9 +356,10 @@
 {
 	uint32_t i;
 
+	p->heard |= f->has_evidence != 0;
 	for (i = 0; i < f->npoison; i++)
 		if (poison_merge(p->poison, p->e->now, &f->poison[i])) {
-			p->changed_at = p->e->now;
+			p->tell_until = p->e->now + CHANGED_NS;
 			p->has_news = 1;
 		}
 }
--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -24,7 +24,10 @@
 /* Until when such requests are refused, 0 if they are not. */
 uint64_t poison_io_blocked_until(
     const struct poison_io *, const struct request_params *);
-/* How such requests are to be sent; see poison_care(). */
+/*
+ * How such requests are to be sent; see poison_care().  After a start they wait
+ * until a peer has told its evidence, for half a second at most.
+ */
 enum poison_care poison_io_care(
     const struct poison_io *, const struct request_params *, uint64_t *);
 /* Whether a replica other than this one may have crashed from such a request.
@@ -34,6 +37,8 @@
 /* Adds the evidence of this process to a report, or a peer's to it. */
 void poison_io_fill(const struct poison_io *, struct msg_front *);
 void poison_io_apply(struct poison_io *, const struct msg_front *);
+/* A peer has started and knows nothing yet: the next reports have all. */
+void poison_io_peer_started(struct poison_io *);
 /* Number of parts that are blocked, and of crashes that were confirmed. */
 uint32_t poison_io_blocked(const struct poison_io *);
 uint64_t poison_io_crashes(const struct poison_io *);
