Test of a connection made as a stop closes the listening socket: no race

Cause, from the log: the process stopped listening 2.50 s after SIGTERM, as it should; the test connects 2.4 s after it has sent the signal, and was 0.1 s late.

Ruled out: that the process stopped listening early (stopping at 1759.068, ended at 1761.573, idle).

Change: the process stands still from 1.0 to 2.8 s, and the connection is made meanwhile, so it is always made before the socket is closed. The request is sent 0.25 s after the socket is seen to be closed, as before.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -2619,13 +2619,25 @@
 
 
 def test_sigterm_new_connection():
-    """A connection made just before the listening socket closes is served."""
+    """A connection made just before the listening socket closes is served;
+    its request is sent after that.  The process stands still from before the
+    connection is made until the socket is due to be closed."""
+    def closed():
+        try:
+            w.connect().close()
+        except ConnectionRefusedError:
+            return True
+        return False
+    made = []
     w, _, _ = two_replicas(answer_ok)
     try:
         w.process.send_signal(signal.SIGTERM)
-        time.sleep(2.4)
-        s = w.connect()
+        w.wait("stopping", lambda: w.events("stopping"))
+        time.sleep(1.0)
+        pause(w, 1.8, lambda: made.append(w.connect()))
+        w.wait("closed", closed)
         time.sleep(0.25)
+        s = made[0]
         s.sendall(request("/read/x", "id-1"))
         status, _, _, whole = read_answer(s)
         check("answered", status in (200, 503) and whole)
