Failing test: a request read behind a stream is dropped by a stop

What callers see: a connection closed without an answer to a whole request, which had been read 0.2 s before SIGTERM, behind a stream that was being answered. The head of the stream's answer did not say that the connection would be closed.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -2680,6 +2680,36 @@
         w.stop()
 
 
+def test_sigterm_request_behind_stream():
+    """A request that was read while a stream before it on the connection was
+    being answered is answered, too, though the process is being stopped."""
+    async def script(call):
+        await call.read()
+        if call.id == "id-1":
+            return await call.events(1, 10, gap=0.1)
+        return await call.answer()
+    w, _ = patient_world(script, idle_timeout_ms=8000)
+    try:
+        s = w.connect()
+        s.sendall(request("/go/x", "id-1", "POST", b"p", deadline=FAR))
+        w.wait("at the replica", lambda: w.events("request-started"))
+        time.sleep(0.2)
+        s.sendall(request("/read/x", "id-2"))
+        time.sleep(0.2)
+        w.process.send_signal(signal.SIGTERM)
+        text = b""
+        while more := s.recv(65536):
+            text += more
+        stream, end, answer = text.partition(b"\r\n0\r\n\r\n")
+        check("stream", end and stream.count(b"piece") == 10)
+        check("kept", b"connection: close" not in stream.lower())
+        check("answered: %r" % answer,
+              re.match(rb"HTTP/1.1 (200|503) ", answer) and b"id-2" in answer)
+        s.close()
+    finally:
+        w.stop()
+
+
 def test_sighup():
     """SIGHUP reloads the settings without interrupting service."""
     w, _, _ = two_replicas(answer_ok)
