A connection is kept as the head of its last response said

What callers saw: a connection closed without an answer to a whole request that had been read behind a stream, if SIGTERM came during the stream.

Cause: whether a connection is kept was asked twice, as the head of the response was written and at its end; SIGTERM between the two made it be closed although the head had said otherwise, with what had been read meanwhile.

Change: what the head said is kept and applies at the end. During a stop the connection is then closed as other idle ones are, or answers its next request and says that it closes.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -468,10 +468,10 @@
 }
 
 void
-caller_response_done(struct caller *c)
+caller_response_done(struct caller *c, int kept)
 {
 	c->forward = NULL;
-	if (!caller_keep_alive(c)) {
+	if (!kept) {
 		caller_close(c);
 		return;
 	}
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -139,8 +139,11 @@
 int caller_keep_alive(const struct caller *);
 /* Whether the caller understands chunked encoding, as HTTP/1.1 does. */
 int caller_accepts_chunked(const struct caller *);
-/* The response is complete; the connection may serve the next request. */
-void caller_response_done(struct caller *);
+/*
+ * The response is complete; the connection serves the next request if the head
+ * of the response said so, also if the process is being stopped since.
+ */
+void caller_response_done(struct caller *, int);
 /* Closes the connection because the response cannot be completed. */
 void caller_abort_response(struct caller *);
 
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -47,6 +47,7 @@
 	/* the response to the caller */
 	int response_started; /* its head has been sent */
 	int chunked;
+	int kept;		/* its head keeps the connection open */
 	uint64_t last_event_id; /* of the latest event sent */
 };
 
--- a/entry/response.c
+++ b/entry/response.c
@@ -22,8 +22,9 @@
 	struct buf out = { 0 };
 
 	f->chunked = len < 0 && caller_accepts_chunked(f->caller);
-	fields_write_response(&out, &f->response_head, len, f->chunked,
-	    caller_keep_alive(f->caller) && (len >= 0 || f->chunked));
+	f->kept = caller_keep_alive(f->caller) && (len >= 0 || f->chunked);
+	fields_write_response(
+	    &out, &f->response_head, len, f->chunked, f->kept);
 	caller_write(f->caller, buf_data(&out), buf_len(&out));
 	buf_free(&out);
 	f->response_started = 1;
@@ -110,7 +111,7 @@
 		if (f->chunked)
 			caller_write(f->caller, "0\r\n\r\n", 5);
 	}
-	caller_response_done(f->caller);
+	caller_response_done(f->caller, f->kept);
 }
 
 void
@@ -118,10 +119,11 @@
     struct forward *f, int status, uint64_t come_back_ns, const char *text)
 {
 	struct buf out = { 0 };
+	int kept = caller_keep_alive(f->caller);
 
-	fields_write_local_response(&out, status, f->params.id, come_back_ns,
-	    text, caller_keep_alive(f->caller));
+	fields_write_local_response(
+	    &out, status, f->params.id, come_back_ns, text, kept);
 	caller_write(f->caller, buf_data(&out), buf_len(&out));
 	buf_free(&out);
-	caller_response_done(f->caller);
+	caller_response_done(f->caller, kept);
 }
