Requests that break off with a replica wait until it is known whether it crashed

What replicas saw: several requests with a new part are on a replica as it crashes. Each is repeated on another replica at once, and may crash that one, too. test_new_part_crashes_all_copies then counts 4 crashes of 6.

Cause: an attempt that breaks off starts a connection to its replica, which shows whether it has crashed, and the request is repeated before that has an answer. The part is not yet suspect, so any replica is taken. Afterwards the repeat can't be taken back from there, since its runs are used up. On loopback the first break of a crash was always repeated so, later ones if the loop read them in the same turn; on a network, where the answer takes longer, all of them would be.

Ruled out: that the connection is refused within connect(); 20,000 of 20,000 non-blocking ones to closed ports were in progress. That the repeats are sent later than the crash is noted: the log has request-started before poison-suspect, 0.1 ms apart.

Change: while such a connection is being made, requests with a part of those that broke off, which was never answered, wait, if others of their parts were answered (the same condition as for the care after a crash). Whether a request that was sent is taken back is decided by the evidence alone, as before.

Evidence: test_repeats_wait_for_check (four requests on one replica): 3 of 3 runs failed before (repeated at four replicas), 3 of 3 pass after. test_new_part_crashes_all_copies, four side by side: 4 of 40 failed before, 0 of 40 after; 12 more runs after it have three crashes each, the bound of the test. tests/entry.py, all: 83 passed, 0 failed, once.

--- a/core/poison.c
+++ b/core/poison.c
@@ -357,6 +357,15 @@
 	    !poison_part_is_old(t, now);
 }
 
+int
+poison_is_new(const struct poison *p, uint64_t id)
+{
+	const struct part *t = poison_part_find(p, id);
+
+	return poison_part_last_answered(p, id) == 0 &&
+	    (t == NULL || t->answered_at == 0);
+}
+
 enum poison_care
 poison_care(const struct poison *p, uint64_t now, const uint64_t *ids,
     uint32_t n, uint64_t *part)
@@ -369,8 +378,7 @@
 
 	for (i = 0; i < n && p->parts != NULL; i++) {
 		t = poison_part_find(p, ids[i]);
-		proven |= poison_part_last_answered(p, ids[i]) != 0 ||
-		    (t != NULL && t->answered_at != 0);
+		proven |= !poison_is_new(p, ids[i]);
 		if (t == NULL || !part_is_unproven(t, now))
 			continue;
 		settling |=
--- a/core/poison.h
+++ b/core/poison.h
@@ -64,6 +64,8 @@
  */
 enum poison_care poison_care(
     const struct poison *, uint64_t, const uint64_t *, uint32_t, uint64_t *);
+/* Whether no process has answered a request with the part, as far as known. */
+int poison_is_new(const struct poison *, uint64_t);
 /*
  * Decides which parts are blocked, calls back for each that is blocked from now
  * on (1) or no longer (0), and drops old evidence.  A crash is held against one
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -160,10 +160,12 @@
 }
 
 enum balance_result
-forward_pick_replica(struct forward *f, const struct fleet_service *s,
-    int take_full, struct directory_replica **m)
+forward_pick_replica(struct forward *f, const struct fleet_service *s, int sent,
+    struct directory_replica **m)
 {
 	struct balance_request w;
+	enum poison_care (*care)(const struct poison_io *,
+	    const struct request_params *, uint64_t *);
 
 	*m = NULL;
 	if (s == NULL)
@@ -182,11 +184,11 @@
 	w.past_target = forward_is_late(f);
 	w.ignore_peers = s->engine == NULL && peers_use_relays(f->e->peers);
 	w.max_conns = max_conns_per_replica(f->e, s);
-	w.take_full = take_full;
+	w.take_full = sent;
 	w.ntried = f->ntried;
 	memcpy(w.tried, f->tried, sizeof(w.tried));
-	if (poison_io_care(f->e->poison_io, &f->params, &w.affinity_key) ==
-	    POISON_WAIT)
+	care = sent ? poison_io_evidence : poison_io_care;
+	if (care(f->e->poison_io, &f->params, &w.affinity_key) == POISON_WAIT)
 		return BALANCE_SUSPECT;
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
@@ -227,9 +229,10 @@
 static int
 forward_queue(struct forward *f, enum balance_result why)
 {
-	uint64_t part = forward_suspect_part(f);
+	uint64_t part = 0;
 	int moved = 0;
 
+	(void)poison_io_care(f->e->poison_io, &f->params, &part);
 	if (part != 0 && part != f->suspect) {
 		f->suspect = part;
 		moved = f->waiting.group != NULL;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -76,8 +76,9 @@
 /* Records the end of the attempt and decides on the next step. */
 void forward_attempt_ended(struct forward *, enum attempt_outcome);
 /*
- * Picks the best replica by this process's view of their load; also one at its
- * limit if wanted.
+ * Picks the best replica by this process's view of their load.  For a request
+ * that has been sent, also one at its limit, and without regard to checks that
+ * are under way.
  */
 enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, int, struct directory_replica **);
@@ -88,8 +89,6 @@
 /* Breaks off a response that has begun; the detail is for the log. */
 void forward_cut(struct forward *, const char *);
 /* forward_suspect.c */
-/* The part for which the request is treated with care, 0: none. */
-uint64_t forward_suspect_part(const struct forward *);
 /*
  * Whether the replica may have crashed from this request.  An answer that ends
  * with its connection may have been broken off.
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -5,15 +5,17 @@
 /* A crash this long after the first event is not due to the answer's begin. */
 #define BEGIN_NS (100 * NSEC_PER_MSEC)
 
+static uint64_t forward_suspect_part(const struct forward *);
 static int forward_is_streaming(const struct forward *);
 static void forward_withdraw_if_suspect(struct forward *);
 
-uint64_t
+/* The part for which the request is treated with care, 0: none. */
+static uint64_t
 forward_suspect_part(const struct forward *f)
 {
 	uint64_t part = 0;
 
-	(void)poison_io_care(f->e->poison_io, &f->params, &part);
+	(void)poison_io_evidence(f->e->poison_io, &f->params, &part);
 	return part;
 }
 
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -46,6 +46,7 @@
 
 static uint32_t shared_parts(const struct request_params *, uint64_t *);
 static uint64_t incarnation_hash(const struct directory_replica *);
+static int is_checked(const struct poison_io *, uint64_t);
 static struct check *check_find(struct poison_io *, const char *);
 static void check_add_parts(struct check *, const uint64_t *, uint32_t);
 static void check_start(struct check *, const char *);
@@ -183,6 +184,7 @@
 {
 	TAILQ_REMOVE(&c->p->checks, c, entry);
 	c->p->nchecks--;
+	c->p->e->retry_waiting = 1;
 	conn_destroy(c->conn);
 	expiry_destroy(c->expiry);
 	free(c);
@@ -269,7 +271,7 @@
 }
 
 enum poison_care
-poison_io_care(
+poison_io_evidence(
     const struct poison_io *p, const struct request_params *r, uint64_t *part)
 {
 	uint64_t ids[PROMPT_PARTS_MAX];
@@ -278,6 +280,49 @@
 	return poison_care(p->poison, p->e->now, ids, n, part);
 }
 
+enum poison_care
+poison_io_care(
+    const struct poison_io *p, const struct request_params *r, uint64_t *part)
+{
+	enum poison_care care = poison_io_evidence(p, r, part);
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t n = shared_parts(r, ids);
+	uint32_t checked = n;
+	uint32_t nnew = 0;
+	uint32_t i;
+
+	if (care == POISON_WAIT || p->nchecks == 0)
+		return care;
+	for (i = 0; i < n; i++) {
+		if (!poison_is_new(p->poison, ids[i]))
+			continue;
+		nnew++;
+		if (checked == n && is_checked(p, ids[i]))
+			checked = i;
+	}
+	if (checked == n || nnew == n)
+		return care;
+	if (care == POISON_ANY_REPLICA)
+		*part = ids[checked];
+	return POISON_WAIT;
+}
+
+/* Whether a check is under way after a request with the part broke off. */
+static int
+is_checked(const struct poison_io *p, uint64_t part)
+{
+	const struct check *c;
+	uint32_t i;
+
+	TAILQ_FOREACH (c, &p->checks, entry) {
+		for (i = 0; i < c->nparts; i++) {
+			if (c->parts[i] == part)
+				return 1;
+		}
+	}
+	return 0;
+}
+
 int
 poison_io_is_suspect(const struct poison_io *p,
     const struct directory_replica *m, const struct request_params *r)
--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -25,6 +25,12 @@
 uint64_t poison_io_blocked_until(
     const struct poison_io *, const struct request_params *);
 /* How such requests are to be sent; see poison_care(). */
+enum poison_care poison_io_evidence(
+    const struct poison_io *, const struct request_params *, uint64_t *);
+/*
+ * The same, but to no replica while it is not yet known whether one, on which a
+ * request with a new part broke off, has crashed.
+ */
 enum poison_care poison_io_care(
     const struct poison_io *, const struct request_params *, uint64_t *);
 /* Whether a replica other than this one may have crashed from such a request.
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1737,6 +1737,49 @@
         w.stop()
 
 
+def test_repeats_wait_for_check():
+    """The requests with a new part on a replica break off at once, as it
+    crashes: they are not repeated on a replica each before that is known."""
+    async def script(call):
+        prefix = call.fields.get("arbutusspindle-prompt-prefix", "")
+        if CRASHING_PART not in prefix:
+            return await crashes_on_part(call)
+        await call.read()
+        await asyncio.sleep(3600)
+
+    def started(id):
+        return [e["backend"] for e in w.events("request-started")
+                if e["request"] == id]
+    ids = ["%016x" % (0xe1000 + i) for i in range(4)]
+    callers, sound = [], []
+    w = World(patient_config())
+    try:
+        first = w.replica("i-0", "plain", script)
+        w.wait_ready()
+        w.wait("listed", lambda: w.events("replica-listed"))
+        prompt_request(w, ["aa01", "5a01"], "%016x" % 0xe0000, sound)
+        for id in ids:
+            callers.append(w.connect())
+            callers[-1].sendall(request("/go/x", id, "POST", b"p", {
+                "Arbutusspindle-Prompt-Prefix": "aa01:100,%s:100,%s:9" % (
+                    CRASHING_PART, id[-4:])}, deadline=FAR))
+        w.wait("sent", lambda: len(first.requests) == 1 + len(ids))
+        for i in range(1, 6):
+            w.replica("i-%d" % i, "plain", script)
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 6)
+        # All connections have broken when the process goes on.
+        pause(w, 0.2, lambda: asyncio.run_coroutine_threadsafe(
+            first.crash(3600), w.loop))
+        w.wait("repeated", lambda: all(len(started(id)) == 2 for id in ids))
+        at = {started(id)[1] for id in ids}
+        check("repeated at %s" % sorted(at), len(at) == 1)
+        check("served before: %s" % sound, sound == [200])
+    finally:
+        for s in callers:
+            s.close()
+        w.stop()
+
+
 def test_suspect_stays_at_its_replica():
     """A replica crashes, by itself, at work on a request with a new part.
     Another request with it takes the only slot of the replica where all such
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -24,6 +24,7 @@
 static void test_care_outlasts_table(void);
 static void test_care_ends_with_answer(void);
 static void test_no_care_after_start(void);
+static void test_new_until_answered(void);
 
 static void
 test_three_crashes(void)
@@ -425,6 +426,23 @@
 	poison_destroy(p);
 }
 
+/* A part is new until it is answered, also after a crash. */
+static void
+test_new_until_answered(void)
+{
+	struct poison *p = poison_create();
+	uint64_t both[2] = { COMMON, DEADLY };
+
+	CU_ASSERT(poison_is_new(p, COMMON));
+	poison_answered(p, 9 * S, both, 1);
+	poison_crashed(p, 10 * S, 1, both, 2);
+	CU_ASSERT(!poison_is_new(p, COMMON));
+	CU_ASSERT(poison_is_new(p, DEADLY));
+	poison_answered(p, 11 * S, both, 2);
+	CU_ASSERT(!poison_is_new(p, DEADLY));
+	poison_destroy(p);
+}
+
 static const struct unit_case cases[] = {
 	{ "three crashes", test_three_crashes },
 	{ "an answer refutes", test_answer_refutes },
@@ -446,6 +464,7 @@
 	{ "care outlasts the table of answers", test_care_outlasts_table },
 	{ "care ends with an answer", test_care_ends_with_answer },
 	{ "no care after a start", test_no_care_after_start },
+	{ "new until answered", test_new_until_answered },
 };
 
 UNIT_MAIN("poison", cases)
