test_drain asks for ended runs and running ones at one moment

What was seen, once, at a load of 22 on 8 cores: "new requests on it: 1" after 3 s on an engine that leaves.

Cause: in the test. Where steps take 5% longer it ends between the question for ended runs and the one for running ones. It is counted in neither then, and later among the new ones.

Ruled out: that a pause between the questions shows it.

Change: the ended runs are asked for before and after the requests that the engine has, until they are equal. Requests that wait on the engine at that moment, for its next step, are not new either. What arrives later counts as before.

--- a/tests/process.py
+++ b/tests/process.py
@@ -54,6 +54,18 @@
                c.stats(c.engine(i))["waiting"] for i in range(c.nengines))
 
 
+def requests_at(c, engine):
+    """The ended runs of an engine, and how many requests it has not ended, at
+    one moment: no run ended while both were asked for."""
+    for _ in range(50):
+        ended = get_json(engine, "/runs")
+        stats = c.stats(engine)
+        if get_json(engine, "/runs") == ended:
+            return ({r[1] for r in ended},
+                    stats["running"] + stats["waiting"])
+    raise AssertionError("runs end all the time")
+
+
 # --- tests that share one cluster and leave it intact -----------------
 
 def test_answers(c):
@@ -239,8 +251,7 @@
     time.sleep(0.3)
     c.ctl("drain", "-n", "50", name)
     time.sleep(3)
-    before = {r[1] for r in get_json(c.engine(target), "/runs")}
-    busy = c.stats(c.engine(target))["running"]
+    before, busy = requests_at(c, c.engine(target))
     report, _, status = c.load("-d", 4, "-r", 30, "-S", 15)
     thread.join()
     after = {r[1] for r in get_json(c.engine(target), "/runs")}
