test_sigterm_slow_reader reads fast once it reads

What was seen, in 1 of 18 runs of tests/entry.py: "200: 2809856 bytes" of 3,000,000.

Cause: in the test. Its receive buffer of 4 KB makes it read the body in many hundred pieces, and after each it waits for the interpreter lock, which other tests' threads hold for up to 5 ms. Reading takes 0.02 s without such threads, 0.2 to 0.4 s with one or two busy ones. The caller has 0.9 s from its first read until the process must end. In the log the process ends 3.66 s after SIGTERM, with grace_s 4.

Ruled out: the load of the machine by itself: 0.02 s at a load of 32 on 8 cores. That the process gives up early: the same 2,809,856 bytes each time are what the sockets hold, so too little had been read for it to write more.

Change: the receive buffer is small until the caller reads, as before, and large then. The rest of the answer is in the process until that time, as before.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -2298,6 +2298,8 @@
         w.wait("sent", lambda: a.requests)
         w.process.send_signal(signal.SIGTERM)
         time.sleep(2.7)
+        # With small reads the other threads of the tests delay each of them.
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 22)
         status, _, body, whole = read_answer(s)
         check("%d: %d bytes" % (status, len(body)),
               (status, whole) == (200, True))
