spindle-timeline keeps the events of one host in their order

What was seen: test_timeline failed in 1 of 8 runs of tests/process.py, "grant-sent before request-started in [request-arrived, request-started, grant-sent, ...]".

Cause: the clock of each process is estimated by itself, from the middle of the shortest of five round trips. The estimate is wrong by up to half of it, while a request starts less than a millisecond after its grant was sent. Processes on one host have the same clock, but got offsets that differ.

Ruled out: that the event is written after the message has been sent; control_loop_perform logs first.

Change: the estimate is an interval, of the length of the round trip. Sources whose intervals have a common part get the middle of that part, so those on one host get equal offsets. No offset leaves its interval: where hosts' clocks happen to be as close, their events are no worse placed than before.

--- a/tests/process.py
+++ b/tests/process.py
@@ -304,6 +304,68 @@
     check("text", "request-arrived" in timeline("-f", "text").stdout)
 
 
+class SlowAnswers:
+    """Passes connections on to an address; what comes back is delayed."""
+
+    def __init__(self, addr, delay_s):
+        self.addr, self.delay_s = addr, delay_s
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        while True:
+            try:
+                caller, _ = self.sock.accept()
+            except OSError:
+                return
+            target = socket.create_connection(self.addr.split(":"))
+            for args in ((caller, target, 0), (target, caller, self.delay_s)):
+                threading.Thread(
+                    target=self.copy, args=args, daemon=True).start()
+
+    @staticmethod
+    def copy(source, target, delay_s):
+        try:
+            while True:
+                data = source.recv(65536)
+                if not data:
+                    break
+                time.sleep(delay_s)
+                target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def name(self):
+        return "127.0.0.1:%d" % self.sock.getsockname()[1]
+
+
+def test_timeline_slow_answers(c):
+    """Answers of the control processes come late: the events of one host are
+    in their order all the same."""
+    import json
+    import subprocess
+    links = [SlowAnswers(c.control(i), 0.03) for i in range(c.nvms)]
+    try:
+        status, headers, _ = c.post(c.gate(1), "/v1/chat/completions", {
+            "model": "model3", "stream": True, "max_tokens": 4,
+            "messages": [{"role": "user", "content": "x; len=4"}]})
+        check("served", status == 200)
+        proc = subprocess.run(
+            [os.path.join(c.build, "spindle-timeline"), "-f", "json", "-r",
+             headers["X-Request-Id"]] + [c.gate(i) for i in range(c.nvms)] +
+            [link.name() for link in links],
+            capture_output=True, text=True, timeout=30, check=False)
+        names = [json.loads(line).get("event")
+                 for line in proc.stdout.splitlines()]
+        want = ["request-arrived", "grant-sent", "request-started",
+                "request-answered"]
+        check("order %s" % names, [n for n in names if n in want] == want)
+    finally:
+        for link in links:
+            link.sock.close()
+
+
 # --- tests that start a cluster of their own ---------------------------
 
 def test_gate_sigterm():
@@ -548,7 +610,7 @@
     test_answers, test_crossed_answers, test_cancel_generating,
     test_cancel_queued, test_malformed_http, test_malformed_bus,
     test_orders_once, test_broken_streams, test_tickets, test_drain,
-    test_timeline]
+    test_timeline, test_timeline_slow_answers]
 OWN_CLUSTER_TESTS = [
     test_settings, test_gate_sigterm, test_gate_sigterm_cancelled,
     test_owner_killed, test_owner_paused,
--- a/timeline/collect.c
+++ b/timeline/collect.c
@@ -16,6 +16,10 @@
 
 static char *fetch_events(const struct source *, const char *);
 static int measure_clock_offset(struct source *);
+static int compare_offsets(const void *, const void *);
+static int64_t earliest_offset(const struct source *);
+static int64_t latest_offset(const struct source *);
+static void join_clocks(struct timeline *);
 static void collect_source(struct timeline *, size_t);
 static size_t parse_events(struct timeline *, size_t, char *, uint64_t *);
 static int compare_events(const void *, const void *);
@@ -76,6 +80,57 @@
 	return s->rtt == UINT64_MAX ? -1 : 0;
 }
 
+static int64_t
+earliest_offset(const struct source *s)
+{
+	return s->offset - (int64_t)(s->rtt / 2);
+}
+
+static int64_t
+latest_offset(const struct source *s)
+{
+	return s->offset + (int64_t)(s->rtt / 2);
+}
+
+static int
+compare_offsets(const void *a, const void *b)
+{
+	int64_t x = earliest_offset(*(struct source *const *)a);
+	int64_t y = earliest_offset(*(struct source *const *)b);
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * Processes on one host have the same clock, so that their offsets are equal.
+ * Sources whose intervals have a common part get the middle of that part.
+ */
+static void
+join_clocks(struct timeline *t)
+{
+	struct source **list = mem_alloc(t->nsources * sizeof(struct source *));
+	int64_t from, to;
+	size_t n = 0;
+	size_t i, j, first;
+
+	for (i = 0; i < t->nsources; i++) {
+		if (!t->sources[i].unreachable)
+			list[n++] = &t->sources[i];
+	}
+	qsort(list, n, sizeof(*list), compare_offsets);
+	for (first = 0; first < n; first = i) {
+		to = latest_offset(list[first]);
+		for (i = first; i < n && earliest_offset(list[i]) <= to; i++) {
+			from = earliest_offset(list[i]);
+			if (latest_offset(list[i]) < to)
+				to = latest_offset(list[i]);
+		}
+		for (j = first; j < i; j++)
+			list[j]->offset = from + (to - from) / 2;
+	}
+	free(list);
+}
+
 /* Parses the events of one response; returns their number. */
 static size_t
 parse_events(struct timeline *t, size_t source, char *text, uint64_t *next)
@@ -128,10 +183,8 @@
 	char *text;
 	size_t n;
 
-	if (measure_clock_offset(s) == -1) {
-		s->unreachable = 1;
+	if (s->unreachable)
 		return;
-	}
 	do {
 		snprintf(since, sizeof(since), "%" PRIu64, next);
 		text = fetch_events(s, since);
@@ -171,8 +224,12 @@
 	t->nsources = n;
 	for (i = 0; i < n; i++) {
 		snprintf(t->sources[i].addr, ADDR_SIZE, "%s", addrs[i]);
-		collect_source(t, i);
+		t->sources[i].unreachable =
+		    measure_clock_offset(&t->sources[i]) == -1;
 	}
+	join_clocks(t);
+	for (i = 0; i < n; i++)
+		collect_source(t, i);
 	if (t->nevents != 0)
 		qsort(
 		    t->events, t->nevents, sizeof(*t->events), compare_events);
