--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -24,9 +24,13 @@
 /* Until when such requests are refused, 0 if they are not. */
 uint64_t poison_io_blocked_until(
     const struct poison_io *, const struct request_params *);
+/* What evidence says on how such requests are to be sent; see poison_care(). */
+enum poison_care poison_io_evidence(
+    const struct poison_io *, const struct request_params *, uint64_t *);
 /*
- * How such requests are to be sent; see poison_care().  After a start they wait
- * until a peer has told its evidence, for half a second at most.
+ * The same, but to no replica while it is not yet known whether one, on which a
+ * request with a new part broke off, has crashed; nor after a start until a
+ * peer has told its evidence, for half a second at most.
  */
 enum poison_care poison_io_care(
     const struct poison_io *, const struct request_params *, uint64_t *);
