--- a/tests/process.py
+++ b/tests/process.py
@@ -96,7 +96,8 @@
     report, _, status = c.load("-d", 4, "-r", 60, "-W", 0.3, "-S", 11)
     check("lost %(lost)d of %(requests)d" % report,
           report["lost"] == 0 and status == 0)
-    check("answered", report["answered"] >= 0.9 * report["requests"])
+    check("answered: %s" % report,
+          report["answered"] >= 0.9 * report["requests"])
 
 
 def test_cancel_generating(c):
