Failing tests: a peer that reads late or little is reset after 3 s

What callers saw: a caller that read nothing of its stream or body for 4 or 8 s was reset, also when the kernel's buffers held the rest of the body; so was one that read 3,000 bytes every 0.5 s. A replica that did not read a body of 7 MB for 4 s was reset, and the request went to another replica.

Cause: TCP_USER_TIMEOUT is 3 s.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1113,6 +1113,132 @@
         w.stop()
 
 
+def slow_caller(w, path, body=b"", buffer=4096, fields=None, segment=0):
+    """Sends a request on a connection that holds little of its answer."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+    if segment:
+        s.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment)
+    s.settimeout(10)
+    s.connect((w.ip, w.ports["front"]))
+    s.sendall(request(path, "id-1", "POST" if body else "GET", body, fields,
+                      deadline=20000))
+    return s
+
+
+async def large_answer(call):
+    """A stream of 120 events of 50,000 bytes, or a body of 3,900,000 bytes;
+    /read/small: one that the kernel's buffers hold."""
+    await call.read()
+    if not call.line.split()[1].startswith("/go/"):
+        return await call.answer(
+            b"x" * (500000 if "small" in call.line else 3900000))
+    call.writer.write(call.head(extra={"Transfer-Encoding": "chunked"}))
+    for i in range(1, 121):
+        p = b"id: %d\ndata: " % i + b"x" * 50000 + b"\n\n"
+        call.writer.write(b"%x\r\n%s\r\n" % (len(p), p))
+        await call.writer.drain()
+    call.writer.write(b"0\r\n\r\n")
+    return True
+
+
+def long_routes():
+    """A configuration whose routes leave time for pauses."""
+    return dict(default_config(max_body_bytes=8000000), routes=[
+        route("read", "/read/", "idempotent", timeout_ms=20000),
+        route("go", "/go/", "streaming", timeout_ms=20000)])
+
+
+def read_after(s, pause, results):
+    time.sleep(pause)
+    try:
+        results.append((pause, read_answer(s)))
+    except OSError as e:
+        results.append((pause, (0, {}, repr(e).encode(), False)))
+
+
+def check_read_after_pauses(callers):
+    """Each caller reads its whole answer after its pause; callers are (pause,
+    socket, events or 0, bytes)."""
+    results = {}
+    threads = []
+    for pause, s, _, _ in callers:
+        results[s] = []
+        threads.append(threading.Thread(
+            target=read_after, args=(s, pause, results[s])))
+        threads[-1].start()
+    for t in threads:
+        t.join()
+    bad = []
+    for pause, s, events, size in callers:
+        status, _, body, whole = results[s][0][1]
+        if status != 200 or not whole or body.count(b"id: ") != events or (
+                size and len(body) != size):
+            bad.append("%d s: %d, %d bytes, whole=%s" % (
+                pause, status, len(body), whole))
+    check("; ".join(bad), not bad)
+
+
+def test_caller_pauses_in_stream():
+    """A caller that does not read for 4 or 8 s gets its whole stream."""
+    w, _, _ = two_replicas(large_answer, large_answer, config=long_routes())
+    try:
+        check_read_after_pauses([
+            (p, slow_caller(w, "/go/x"), 120, 0) for p in (4, 8)])
+    finally:
+        w.stop()
+
+
+def test_caller_pauses_in_body():
+    """A caller that does not read for 4 or 8 s gets its whole body, also one
+    that is closed behind it, and one that the kernel's buffers hold."""
+    w, _, _ = two_replicas(large_answer, large_answer, config=long_routes())
+    close = {"Connection": "close"}
+    try:
+        check_read_after_pauses([
+            (p, slow_caller(w, path, fields=fields), 0, size)
+            for p in (4, 8) for fields in ({}, close)
+            for path, size in (("/read/x", 3900000), ("/read/small", 500000))])
+    finally:
+        w.stop()
+
+
+def test_caller_reads_a_little():
+    """A caller that reads 3,000 bytes every 0.5 s gets its whole stream: the
+    kernel's limit counts on while the window opens only in part."""
+    w, _, _ = two_replicas(large_answer, large_answer, config=long_routes())
+    try:
+        s = slow_caller(w, "/go/x", buffer=60000, segment=1000)
+        text = b""
+        for _ in range(14):
+            time.sleep(0.5)
+            text += s.recv(3000)
+        while not text.endswith(b"\r\n0\r\n\r\n"):
+            piece = s.recv(65536)
+            check("ended after %d bytes" % len(text), piece)
+            text += piece
+        check("%d events" % text.count(b"id: "), text.count(b"id: ") == 120)
+    finally:
+        w.stop()
+
+
+def test_replica_pauses_in_body():
+    """A replica that does not read a large body for 4 s gets all of it."""
+    async def late(call):
+        await asyncio.sleep(4)
+        await call.read()
+        return await call.answer(b"%d" % len(call.body))
+    w, a, b = two_replicas(late, config=long_routes())
+    try:
+        s = slow_caller(w, "/read/x", b"x" * 7000000)
+        status, _, body, whole = read_answer(s)
+        check("%d %r" % (status, body),
+              (status, body, whole) == (200, b"7000000", True))
+        check("sent again", not b.requests)
+    finally:
+        w.stop()
+
+
 # --- lists, configuration, readiness ------------------------------------
 
 def test_readiness():
