Failing tests: a request that crosses an idle close is read and dropped

What callers saw: an idle connection is closed, at its limit or 2.5 s after SIGTERM, while a request is on its way. The request is read for 1 s more and dropped, so its caller cannot tell whether it was read, and must not send one again that is not idempotent.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -3,9 +3,11 @@
 Prints one line per test, and "result: N passed, N failed" at the end.
 """
 import asyncio
+import errno
 import os
 import re
 import resource
+import select
 import signal
 import socket
 import struct
@@ -1478,6 +1480,60 @@
         w.stop()
 
 
+def check_unread_after_close(s):
+    """The process has closed an idle connection while a request was on its
+    way: the caller is told that the request was not read, so it may send even
+    one again that is not idempotent."""
+    check("closed", s.recv(1) == b"")
+    s.sendall(request("/once/x", "id-2", "POST", b"an order"))
+    start = time.monotonic()
+    poll = select.poll()
+    poll.register(s, 0)
+    poll.poll(2000)
+    error = s.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    took = time.monotonic() - start
+    check("not told: error %d after %.2f s" % (error, took),
+          error in (errno.ECONNRESET, errno.EPIPE) and took < 0.5)
+
+
+def test_request_crosses_idle_close():
+    """A request that crosses the close of an idle connection is not read."""
+    w, a, b = two_replicas(answer_ok, config=default_config(
+        idle_timeout_ms=500))
+    try:
+        s = w.connect()
+        check("first", w.call(sock=s)[0] == 200)
+        check_unread_after_close(s)
+        check("not run", len(a.requests) + len(b.requests) == 1)
+    finally:
+        w.stop()
+
+
+def test_sigterm_request_crosses_close():
+    """The same during a stop, while another request is still running."""
+    async def slow(call):
+        if "/go/" in call.line:
+            await call.read()
+            return await call.events(1, 16, gap=0.2)
+        return await answer_ok(call)
+    w, a, b = two_replicas(slow, slow, config=default_config(
+        idle_timeout_ms=15000))
+    try:
+        s = w.connect()
+        check("first", w.call(sock=s)[0] == 200)
+        other = w.connect()
+        other.sendall(request("/go/x", "id-3", "POST", b"p"))
+        w.wait("running", lambda: len(a.requests) + len(b.requests) == 2)
+        w.process.send_signal(signal.SIGTERM)
+        check_unread_after_close(s)
+        check("not run", len(a.requests) + len(b.requests) == 2)
+        status, _, body, whole = read_answer(other)
+        check("the other one: %d" % body.count(b"id: "),
+              (status, whole, body.count(b"id: ")) == (200, True, 16))
+    finally:
+        w.stop()
+
+
 def test_idle_limit_raised():
     """A connection that was idle before the limit was raised is kept until
     the limit in force; later it is closed."""
