A request that crosses an idle close is not read, and its caller is told

What callers saw: an idle connection is closed, at its limit or 2.5 s after SIGTERM, while a request is on its way. The process read it for 1 s more and dropped it. The caller heard the end of the connection only, and must not send a request again that is not idempotent and may have been read.

Cause: closing ends the sending side first and reads on, so that an answer that is still on its way is not lost by a reset. On an idle connection there is none.

Ruled out, for a stop: keeping idle connections to the end of the grace time (each stop would last that long, and what comes would get 503, so be sent again as well); closing them later (each is still closed once).

Change: an idle connection whose bytes have all been acknowledged is closed at once; what comes after is reset by the kernel, unread. If bytes are still unread by the caller, it is closed as before.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -212,7 +212,8 @@
 			NSEC_PER_MSEC),
 		    c->e->stopping);
 	}
-	caller_close(c);
+	conn_close_idle(c->conn, &c->e->flushing);
+	caller_destroy(c);
 }
 
 /* Closes the connection once the buffered bytes have been sent. */
--- a/net/conn.c
+++ b/net/conn.c
@@ -215,6 +215,15 @@
 	TAILQ_INSERT_TAIL(flushing, c, entry);
 }
 
+void
+conn_close_idle(struct conn *c, struct conn_list *flushing)
+{
+	if (conn_is_flushed(c))
+		conn_destroy(c);
+	else
+		conn_close_after_flush(c, flushing);
+}
+
 static void
 conn_on_linger(struct ev_loop *loop, ev_timer *w, int events)
 {
--- a/net/conn.h
+++ b/net/conn.h
@@ -46,6 +46,11 @@
  * is in the list until the buffer is empty.
  */
 void conn_close_after_flush(struct conn *, struct conn_list *);
+/*
+ * The same, but once everything has been sent, what comes is not read: the peer
+ * is reset, which tells it so.
+ */
+void conn_close_idle(struct conn *, struct conn_list *);
 void conn_write(struct conn *, const void *, size_t);
 /* Whether the peer has closed its side, even if bytes are still unread. */
 int conn_peer_closed(const struct conn *);
