Tests: late answers in parts, an answer lost over a restart, paused retries

What had not been tried (docs/TESTING.md): a late second answer before the head of the next one is whole, a lost answer over a restart of the process, pauses at the steps of a retry.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -17,9 +17,9 @@
 import traceback
 from email.utils import formatdate
 
-from platform_world import (ID, NOT_RUN, Peer, World, answer_ok, default_config,
-                            forget_worlds, keep_logs, read_answer, request,
-                            route)
+from platform_world import (ID, NOT_RUN, SIGNATURE, Peer, World, answer_ok,
+                            default_config, forget_worlds, keep_logs,
+                            read_answer, request, route)
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
@@ -283,6 +283,172 @@
             w.stop()
 
 
+def late_answer_plans(call, n):
+    """Bytes before the next request and, in parts, after it; n is a position
+    in a late answer to id-1 or in the right answer."""
+    late = call.head(200, {"Content-Length": 4}, id="id-1") + b"late"
+    right = call.head(200, {"Content-Length": 5}) + b"right"
+    return [(b"", [late[:n], late[n:], right]),
+            (b"", [late[:n], late[n:] + right[:n], right[n:]]),
+            (late[:n], [late[n:], right]),
+            (b"", [right[:n], late, right[n:]])]
+
+
+def test_late_answer_in_parts():
+    """A late answer comes in parts, before the head of the next answer is
+    whole or inside it: no caller gets it, nor a mixture of both."""
+    plan = {}
+
+    async def script(call):
+        await call.read()
+        if call.id == "id-1":
+            await call.answer(b"first")
+            plan["writer"] = call.writer
+            call.writer.write(
+                late_answer_plans(call, plan["n"])[plan["kind"]][0])
+            return True
+        # Where bytes came too early, the process has closed the connection.
+        if not plan["armed"] or (
+                plan["kind"] == 2 and call.writer is not plan["writer"]):
+            return await call.answer(b"right")
+        plan["armed"] = False
+        for part in late_answer_plans(call, plan["n"])[plan["kind"]][1]:
+            call.writer.write(part)
+            await call.writer.drain()
+            await asyncio.sleep(0.004)
+        return True
+    w, _, _ = two_replicas(script, script)
+    bad = []
+    try:
+        for kind in range(4):
+            for n in range(0, 130, 3):
+                plan.update(n=n, kind=kind, armed=False)
+                w.call("/once/x", "id-1", "POST", b"a")
+                plan["armed"] = True
+                status, fields, body, whole = w.call(
+                    "/once/x", "id-2", "POST", b"b")
+                if status == 502 and whole:
+                    continue
+                if (status, body, whole) != (200, b"right", True) or \
+                        fields[ID.lower()] != "id-2" or \
+                        not fields[SIGNATURE.lower()].startswith("sig.i-"):
+                    bad.append((kind, n, status, fields, body))
+        check("%d: %s" % (len(bad), bad[:3]), not bad)
+    finally:
+        w.stop()
+
+
+def test_answer_lost_over_restart():
+    """The process is killed while a replica runs a request, and starts again:
+    the request is not sent again, and its answer reaches no other caller."""
+    async def slow(call):
+        await call.read()
+        if call.id == "id-1":
+            await asyncio.sleep(1.0)
+        return await call.answer(call.id.encode())
+    w, a, b = two_replicas(slow, slow)
+    try:
+        s = w.connect()
+        s.sendall(request("/once/x", "id-1", "POST", b"an order"))
+        w.wait("sent", lambda: a.requests or b.requests)
+        w.process.send_signal(signal.SIGKILL)
+        w.process.wait()
+        w.log.close()
+        check("no answer", s.recv(1) == b"")
+        w.start()
+        w.wait_ready()
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 2)
+        end = time.monotonic() + 1.5
+        n = 1
+        while time.monotonic() < end:
+            n += 1
+            status, _, body, _ = w.call(
+                "/once/x", "id-%d" % n, "POST", b"an order")
+            check("own answer", (status, body) == (200, b"id-%d" % n))
+        ids = [f[ID.lower()] for _, f, _ in a.requests + b.requests]
+        check("each once", sorted(ids) == sorted(
+            "id-%d" % i for i in range(1, n + 1)))
+    finally:
+        w.stop()
+
+
+def paused_retry(path, how, step, deadline):
+    """Pauses the process at one step of a retry; returns (status, body,
+    arrivals at both replicas, those that ran)."""
+    ran = []
+    second = []
+
+    async def script(call):
+        await call.read()
+        first = not second
+        second.append(call)
+        if (step in ("arrival", "answer")) == first or step == "both":
+            w.process.send_signal(signal.SIGSTOP)
+            w.loop.call_later(0.8, w.process.send_signal, signal.SIGCONT)
+        if step == "answer":
+            await asyncio.sleep(0.1)
+        if not first:
+            ran.append(call)
+            return await call.answer(b"second")
+        if how == "refused":
+            return await call.answer(b"", 503, {NOT_RUN: "1"}, signed=False)
+        ran.append(call)
+        call.reset()
+        return False
+    w, a, b = two_replicas(script, script)
+    try:
+        status, _, body, whole = w.call(
+            path, "id-1", "POST", b"o", deadline=deadline)
+        check("whole", whole)
+        time.sleep(0.3)
+        return status, body, len(a.requests) + len(b.requests), len(ran)
+    finally:
+        w.stop()
+
+
+def check_paused_retries(step):
+    """A request runs once at most where it is not idempotent, and its status
+    is true, within its time and beyond it."""
+    bad = []
+    for path in ("/read/x", "/once/x"):
+        for how in ("refused", "reset"):
+            for deadline in (5000, 500):
+                status, body, sent, ran = got = paused_retry(
+                    path, how, step, deadline)
+                again = how == "refused" or path == "/read/x"
+                if deadline == 5000:
+                    ok = (status, body) == (200, b"second") if again \
+                        else status == 502
+                else:
+                    ok = status in (200, 502, 504) or (
+                        status == 503 and ran == 0)
+                if path == "/once/x":
+                    ok = ok and ran <= 1
+                if not ok or sent > 2:
+                    bad.append((path, how, deadline) + got)
+    check("%d: %s" % (len(bad), bad), not bad)
+
+
+def test_retry_paused_on_arrival():
+    """The process is paused as the request arrives at its first replica."""
+    check_paused_retries("arrival")
+
+
+def test_retry_paused_before_answer():
+    """The same, and the first replica answers later in the pause."""
+    check_paused_retries("answer")
+
+
+def test_retry_paused_on_repetition():
+    """The process is paused as the repetition arrives at a replica."""
+    check_paused_retries("repetition")
+
+
+def test_retry_paused_at_both():
+    """The process is paused at the request and at its repetition."""
+    check_paused_retries("both")
+
+
 def test_body_until_close():
     """A response without a length ends when the replica closes."""
     async def ended(call):
