--- a/tests/entry.py
+++ b/tests/entry.py
@@ -3,9 +3,11 @@
 Prints one line per test, and "result: N passed, N failed" at the end.
 """
 import asyncio
+import errno
 import os
 import re
 import resource
+import select
 import signal
 import socket
 import struct
@@ -15,9 +17,9 @@
 import traceback
 from email.utils import formatdate
 
-from platform_world import (ID, NOT_RUN, Peer, World, answer_ok, default_config,
-                            forget_worlds, keep_logs, read_answer, request,
-                            route)
+from platform_world import (ID, NOT_RUN, SIGNATURE, Peer, World, answer_ok,
+                            default_config, forget_worlds, keep_logs,
+                            read_answer, request, route)
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
@@ -281,6 +283,172 @@
             w.stop()
 
 
+def late_answer_plans(call, n):
+    """Bytes before the next request and, in parts, after it; n is a position
+    in a late answer to id-1 or in the right answer."""
+    late = call.head(200, {"Content-Length": 4}, id="id-1") + b"late"
+    right = call.head(200, {"Content-Length": 5}) + b"right"
+    return [(b"", [late[:n], late[n:], right]),
+            (b"", [late[:n], late[n:] + right[:n], right[n:]]),
+            (late[:n], [late[n:], right]),
+            (b"", [right[:n], late, right[n:]])]
+
+
+def test_late_answer_in_parts():
+    """A late answer comes in parts, before the head of the next answer is
+    whole or inside it: no caller gets it, nor a mixture of both."""
+    plan = {}
+
+    async def script(call):
+        await call.read()
+        if call.id == "id-1":
+            await call.answer(b"first")
+            plan["writer"] = call.writer
+            call.writer.write(
+                late_answer_plans(call, plan["n"])[plan["kind"]][0])
+            return True
+        # Where bytes came too early, the process has closed the connection.
+        if not plan["armed"] or (
+                plan["kind"] == 2 and call.writer is not plan["writer"]):
+            return await call.answer(b"right")
+        plan["armed"] = False
+        for part in late_answer_plans(call, plan["n"])[plan["kind"]][1]:
+            call.writer.write(part)
+            await call.writer.drain()
+            await asyncio.sleep(0.004)
+        return True
+    w, _, _ = two_replicas(script, script)
+    bad = []
+    try:
+        for kind in range(4):
+            for n in range(0, 130, 3):
+                plan.update(n=n, kind=kind, armed=False)
+                w.call("/once/x", "id-1", "POST", b"a")
+                plan["armed"] = True
+                status, fields, body, whole = w.call(
+                    "/once/x", "id-2", "POST", b"b")
+                if status == 502 and whole:
+                    continue
+                if (status, body, whole) != (200, b"right", True) or \
+                        fields[ID.lower()] != "id-2" or \
+                        not fields[SIGNATURE.lower()].startswith("sig.i-"):
+                    bad.append((kind, n, status, fields, body))
+        check("%d: %s" % (len(bad), bad[:3]), not bad)
+    finally:
+        w.stop()
+
+
+def test_answer_lost_over_restart():
+    """The process is killed while a replica runs a request, and starts again:
+    the request is not sent again, and its answer reaches no other caller."""
+    async def slow(call):
+        await call.read()
+        if call.id == "id-1":
+            await asyncio.sleep(1.0)
+        return await call.answer(call.id.encode())
+    w, a, b = two_replicas(slow, slow)
+    try:
+        s = w.connect()
+        s.sendall(request("/once/x", "id-1", "POST", b"an order"))
+        w.wait("sent", lambda: a.requests or b.requests)
+        w.process.send_signal(signal.SIGKILL)
+        w.process.wait()
+        w.log.close()
+        check("no answer", s.recv(1) == b"")
+        w.start()
+        w.wait_ready()
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 2)
+        end = time.monotonic() + 1.5
+        n = 1
+        while time.monotonic() < end:
+            n += 1
+            status, _, body, _ = w.call(
+                "/once/x", "id-%d" % n, "POST", b"an order")
+            check("own answer", (status, body) == (200, b"id-%d" % n))
+        ids = [f[ID.lower()] for _, f, _ in a.requests + b.requests]
+        check("each once", sorted(ids) == sorted(
+            "id-%d" % i for i in range(1, n + 1)))
+    finally:
+        w.stop()
+
+
+def paused_retry(path, how, step, deadline):
+    """Pauses the process at one step of a retry; returns (status, body,
+    arrivals at both replicas, those that ran)."""
+    ran = []
+    second = []
+
+    async def script(call):
+        await call.read()
+        first = not second
+        second.append(call)
+        if (step in ("arrival", "answer")) == first or step == "both":
+            w.process.send_signal(signal.SIGSTOP)
+            w.loop.call_later(0.8, w.process.send_signal, signal.SIGCONT)
+        if step == "answer":
+            await asyncio.sleep(0.1)
+        if not first:
+            ran.append(call)
+            return await call.answer(b"second")
+        if how == "refused":
+            return await call.answer(b"", 503, {NOT_RUN: "1"}, signed=False)
+        ran.append(call)
+        call.reset()
+        return False
+    w, a, b = two_replicas(script, script)
+    try:
+        status, _, body, whole = w.call(
+            path, "id-1", "POST", b"o", deadline=deadline)
+        check("whole", whole)
+        time.sleep(0.3)
+        return status, body, len(a.requests) + len(b.requests), len(ran)
+    finally:
+        w.stop()
+
+
+def check_paused_retries(step):
+    """A request runs once at most where it is not idempotent, and its status
+    is true, within its time and beyond it."""
+    bad = []
+    for path in ("/read/x", "/once/x"):
+        for how in ("refused", "reset"):
+            for deadline in (5000, 500):
+                status, body, sent, ran = got = paused_retry(
+                    path, how, step, deadline)
+                again = how == "refused" or path == "/read/x"
+                if deadline == 5000:
+                    ok = (status, body) == (200, b"second") if again \
+                        else status == 502
+                else:
+                    ok = status in (200, 502, 504) or (
+                        status == 503 and ran == 0)
+                if path == "/once/x":
+                    ok = ok and ran <= 1
+                if not ok or sent > 2:
+                    bad.append((path, how, deadline) + got)
+    check("%d: %s" % (len(bad), bad), not bad)
+
+
+def test_retry_paused_on_arrival():
+    """The process is paused as the request arrives at its first replica."""
+    check_paused_retries("arrival")
+
+
+def test_retry_paused_before_answer():
+    """The same, and the first replica answers later in the pause."""
+    check_paused_retries("answer")
+
+
+def test_retry_paused_on_repetition():
+    """The process is paused as the repetition arrives at a replica."""
+    check_paused_retries("repetition")
+
+
+def test_retry_paused_at_both():
+    """The process is paused at the request and at its repetition."""
+    check_paused_retries("both")
+
+
 def test_body_until_close():
     """A response without a length ends when the replica closes."""
     async def ended(call):
@@ -1113,6 +1281,132 @@
         w.stop()
 
 
+def slow_caller(w, path, body=b"", buffer=4096, fields=None, segment=0):
+    """Sends a request on a connection that holds little of its answer."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+    if segment:
+        s.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment)
+    s.settimeout(10)
+    s.connect((w.ip, w.ports["front"]))
+    s.sendall(request(path, "id-1", "POST" if body else "GET", body, fields,
+                      deadline=20000))
+    return s
+
+
+async def large_answer(call):
+    """A stream of 120 events of 50,000 bytes, or a body of 3,900,000 bytes;
+    /read/small: one that the kernel's buffers hold."""
+    await call.read()
+    if not call.line.split()[1].startswith("/go/"):
+        return await call.answer(
+            b"x" * (500000 if "small" in call.line else 3900000))
+    call.writer.write(call.head(extra={"Transfer-Encoding": "chunked"}))
+    for i in range(1, 121):
+        p = b"id: %d\ndata: " % i + b"x" * 50000 + b"\n\n"
+        call.writer.write(b"%x\r\n%s\r\n" % (len(p), p))
+        await call.writer.drain()
+    call.writer.write(b"0\r\n\r\n")
+    return True
+
+
+def long_routes():
+    """A configuration whose routes leave time for pauses."""
+    return dict(default_config(max_body_bytes=8000000), routes=[
+        route("read", "/read/", "idempotent", timeout_ms=20000),
+        route("go", "/go/", "streaming", timeout_ms=20000)])
+
+
+def read_after(s, pause, results):
+    time.sleep(pause)
+    try:
+        results.append((pause, read_answer(s)))
+    except OSError as e:
+        results.append((pause, (0, {}, repr(e).encode(), False)))
+
+
+def check_read_after_pauses(callers):
+    """Each caller reads its whole answer after its pause; callers are (pause,
+    socket, events or 0, bytes)."""
+    results = {}
+    threads = []
+    for pause, s, _, _ in callers:
+        results[s] = []
+        threads.append(threading.Thread(
+            target=read_after, args=(s, pause, results[s])))
+        threads[-1].start()
+    for t in threads:
+        t.join()
+    bad = []
+    for pause, s, events, size in callers:
+        status, _, body, whole = results[s][0][1]
+        if status != 200 or not whole or body.count(b"id: ") != events or (
+                size and len(body) != size):
+            bad.append("%d s: %d, %d bytes, whole=%s" % (
+                pause, status, len(body), whole))
+    check("; ".join(bad), not bad)
+
+
+def test_caller_pauses_in_stream():
+    """A caller that does not read for 4 or 8 s gets its whole stream."""
+    w, _, _ = two_replicas(large_answer, large_answer, config=long_routes())
+    try:
+        check_read_after_pauses([
+            (p, slow_caller(w, "/go/x"), 120, 0) for p in (4, 8)])
+    finally:
+        w.stop()
+
+
+def test_caller_pauses_in_body():
+    """A caller that does not read for 4 or 8 s gets its whole body, also one
+    that is closed behind it, and one that the kernel's buffers hold."""
+    w, _, _ = two_replicas(large_answer, large_answer, config=long_routes())
+    close = {"Connection": "close"}
+    try:
+        check_read_after_pauses([
+            (p, slow_caller(w, path, fields=fields), 0, size)
+            for p in (4, 8) for fields in ({}, close)
+            for path, size in (("/read/x", 3900000), ("/read/small", 500000))])
+    finally:
+        w.stop()
+
+
+def test_caller_reads_a_little():
+    """A caller that reads 3,000 bytes every 0.5 s gets its whole stream: the
+    kernel's limit counts on while the window opens only in part."""
+    w, _, _ = two_replicas(large_answer, large_answer, config=long_routes())
+    try:
+        s = slow_caller(w, "/go/x", buffer=60000, segment=1000)
+        text = b""
+        for _ in range(14):
+            time.sleep(0.5)
+            text += s.recv(3000)
+        while not text.endswith(b"\r\n0\r\n\r\n"):
+            piece = s.recv(65536)
+            check("ended after %d bytes" % len(text), piece)
+            text += piece
+        check("%d events" % text.count(b"id: "), text.count(b"id: ") == 120)
+    finally:
+        w.stop()
+
+
+def test_replica_pauses_in_body():
+    """A replica that does not read a large body for 4 s gets all of it."""
+    async def late(call):
+        await asyncio.sleep(4)
+        await call.read()
+        return await call.answer(b"%d" % len(call.body))
+    w, a, b = two_replicas(late, config=long_routes())
+    try:
+        s = slow_caller(w, "/read/x", b"x" * 7000000)
+        status, _, body, whole = read_answer(s)
+        check("%d %r" % (status, body),
+              (status, body, whole) == (200, b"7000000", True))
+        check("sent again", not b.requests)
+    finally:
+        w.stop()
+
+
 # --- lists, configuration, readiness ------------------------------------
 
 def test_readiness():
@@ -1352,6 +1646,60 @@
         w.stop()
 
 
+def check_unread_after_close(s):
+    """The process has closed an idle connection while a request was on its
+    way: the caller is told that the request was not read, so it may send even
+    one again that is not idempotent."""
+    check("closed", s.recv(1) == b"")
+    s.sendall(request("/once/x", "id-2", "POST", b"an order"))
+    start = time.monotonic()
+    poll = select.poll()
+    poll.register(s, 0)
+    poll.poll(2000)
+    error = s.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    took = time.monotonic() - start
+    check("not told: error %d after %.2f s" % (error, took),
+          error in (errno.ECONNRESET, errno.EPIPE) and took < 0.5)
+
+
+def test_request_crosses_idle_close():
+    """A request that crosses the close of an idle connection is not read."""
+    w, a, b = two_replicas(answer_ok, config=default_config(
+        idle_timeout_ms=500))
+    try:
+        s = w.connect()
+        check("first", w.call(sock=s)[0] == 200)
+        check_unread_after_close(s)
+        check("not run", len(a.requests) + len(b.requests) == 1)
+    finally:
+        w.stop()
+
+
+def test_sigterm_request_crosses_close():
+    """The same during a stop, while another request is still running."""
+    async def slow(call):
+        if "/go/" in call.line:
+            await call.read()
+            return await call.events(1, 16, gap=0.2)
+        return await answer_ok(call)
+    w, a, b = two_replicas(slow, slow, config=default_config(
+        idle_timeout_ms=15000))
+    try:
+        s = w.connect()
+        check("first", w.call(sock=s)[0] == 200)
+        other = w.connect()
+        other.sendall(request("/go/x", "id-3", "POST", b"p"))
+        w.wait("running", lambda: len(a.requests) + len(b.requests) == 2)
+        w.process.send_signal(signal.SIGTERM)
+        check_unread_after_close(s)
+        check("not run", len(a.requests) + len(b.requests) == 2)
+        status, _, body, whole = read_answer(other)
+        check("the other one: %d" % body.count(b"id: "),
+              (status, whole, body.count(b"id: ")) == (200, True, 16))
+    finally:
+        w.stop()
+
+
 def test_idle_limit_raised():
     """A connection that was idle before the limit was raised is kept until
     the limit in force; later it is closed."""
