An answer whose head has fields of two answers is not passed on

What callers saw: a replica begins an answer, and a late answer to another request follows inside the value of the first one's signature. The caller got the other request's body, with both ids in the head.

Cause: of several Arbutusspindle-Attempt-Id fields only the first was compared.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -447,6 +447,17 @@
 	CU_ASSERT_EQUAL(t.keep_alive_ns, 4 * NSEC_PER_SEC);
 	fields_decode_response(h, "y", &t);
 	CU_ASSERT(t.has_id && !t.id_matches);
+	/* A late answer that begins inside another one. */
+	h = parse("HTTP/1.1 200 OK\r\nArbutusspindle-Attempt-Id: x\r\n"
+		  "Arbutusspindle-Response-Signature: sHTTP/1.1 200 OK\r\n"
+		  "Arbutusspindle-Attempt-Id: y\r\n"
+		  "Arbutusspindle-Response-Signature: t\r\n"
+		  "Content-Length: 0\r\n\r\n",
+	    HTTP_READ_RESPONSES);
+	fields_decode_response(h, "x", &t);
+	CU_ASSERT(t.has_id && !t.id_matches);
+	fields_decode_response(h, "y", &t);
+	CU_ASSERT(t.has_id && !t.id_matches);
 	h = parse("HTTP/1.1 421 M\r\nContent-Encoding: gzip\r\n"
 		  "Content-Length: 0\r\n\r\n",
 	    HTTP_READ_RESPONSES);
