Failing test: headroom is kept although the second model would fit

What callers see: a declared version is never loaded, although the memory that is delegated as headroom would suffice for it.

Cause: a model without a copy is looked for once, by find_unplaceable_model(), and the headroom is released only if it suffices for that one.

Ruled out: the order of the moves before. Nothing is in progress at the end, no copy may be unloaded and none copied away without the headroom.

The test has three models in place of one, of which two are declared later.

--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -6,21 +6,25 @@
 #include "unit.h"
 
 #define STEP_NS (50 * NSEC_PER_MSEC)
-#define VERSIONS 2
+#define MODELS 3
 #define KEYS_MAX 8
 
-/* Versions of the one model; the later one is declared. */
+/* Two versions of the first model; the later one is declared. */
 enum {
 	VERSION_OLD,
-	VERSION_NEW
+	VERSION_NEW,
+	LARGE,
+	SMALL,
+	COPIES
 };
 
-static const char *const versions[VERSIONS] = { "1", "2" };
+static const char *const names[COPIES] = { "m", "m", "large", "small" };
+static const char *const versions[COPIES] = { "1", "2", "1", "1" };
 
 /* An engine that refuses no order; it may restart after a load. */
 static struct {
 	uint64_t incarnation;
-	int loaded[VERSIONS];
+	int loaded[COPIES];
 	int loads_until_restart; /* 0: none */
 	int unloads;
 	int silent; /* does not answer INDEX */
@@ -35,7 +39,8 @@
 
 static struct cell_core *cell;
 static struct conf conf;
-static struct conf_model model;
+/* Only the first is declared at the start. */
+static struct conf_model models[MODELS];
 static struct conf_backend backend;
 static struct kv_ids ids;
 static struct msg_list msgs;
@@ -59,7 +64,8 @@
 static void kv_put(size_t, const char *);
 static void kv_remove(size_t);
 static void kv_answer(const struct kv_op *);
-static int version_index(const char *);
+static void model_init(struct conf_model *, int, uint64_t);
+static int copy_index(const struct order *);
 static void engine_restart(void);
 static void engine_index(struct order_result *, struct order_loaded *);
 static void engine_carry_out(const struct order *);
@@ -75,6 +81,7 @@
 static void test_silence_during_write(void);
 static void test_delegated_copy_of_former_owner(void);
 static void test_stood_still_during_outage(void);
+static void test_headroom_for_second_model(void);
 
 static int
 process_ended(void *ctx, const struct node_id *id)
@@ -101,6 +108,18 @@
 	return 1;
 }
 
+static void
+model_init(struct conf_model *m, int copy, uint64_t mb)
+{
+	memset(m, 0, sizeof(*m));
+	strcpy(m->name, names[copy]);
+	strcpy(m->version, versions[copy]);
+	m->memory_mb = mb;
+	m->copies = 1;
+	m->nhome_cells = 1;
+	strcpy(m->home_cells[0], "main");
+}
+
 /* A process that takes the cell over, with the stored ledger. */
 static void
 setup(const char *ledger)
@@ -119,19 +138,15 @@
 	TAILQ_INIT(&orders);
 	memset(&engine, 0, sizeof(engine));
 	engine.incarnation = 101;
-	memset(&model, 0, sizeof(model));
-	strcpy(model.name, "m");
-	strcpy(model.version, versions[VERSION_NEW]);
-	model.memory_mb = 30;
-	model.copies = 1;
-	model.nhome_cells = 1;
-	strcpy(model.home_cells[0], "main");
+	model_init(&models[0], VERSION_NEW, 30);
+	model_init(&models[1], LARGE, 80);
+	model_init(&models[2], SMALL, 45);
 	memset(&backend, 0, sizeof(backend));
 	strcpy(backend.name, "e1");
 	strcpy(backend.cell, "main");
 	backend.naccelerators = 1;
 	backend.memory_mb[0] = 100;
-	conf.models = &model;
+	conf.models = models;
 	conf.nmodels = 1;
 	conf.backends = &backend;
 	conf.nbackends = 1;
@@ -236,10 +251,16 @@
 }
 
 static int
-version_index(const char *version)
+copy_index(const struct order *o)
 {
-	return strcmp(version, versions[VERSION_NEW]) == 0 ? VERSION_NEW
-							   : VERSION_OLD;
+	int i;
+
+	for (i = 0; i + 1 < COPIES; i++) {
+		if (strcmp(names[i], o->model) == 0 &&
+		    strcmp(versions[i], o->version) == 0)
+			break;
+	}
+	return i;
 }
 
 static void
@@ -256,13 +277,14 @@
 
 	r->engine_incarnation = engine.incarnation;
 	r->loaded = list;
-	memset(list, 0, VERSIONS * sizeof(*list));
-	for (i = 0; i < VERSIONS; i++) {
+	memset(list, 0, COPIES * sizeof(*list));
+	for (i = 0; i < COPIES; i++) {
 		if (!engine.loaded[i])
 			continue;
-		strcpy(list[r->nloaded].model, model.name);
+		strcpy(list[r->nloaded].model, names[i]);
 		strcpy(list[r->nloaded].version, versions[i]);
-		list[r->nloaded++].memory_mb = model.memory_mb;
+		list[r->nloaded++].memory_mb =
+		    models[i < LARGE ? 0 : i - LARGE + 1].memory_mb;
 	}
 }
 
@@ -270,7 +292,7 @@
 static void
 engine_carry_out(const struct order *o)
 {
-	struct order_loaded list[VERSIONS];
+	struct order_loaded list[COPIES];
 	struct order_result r = { 0 };
 
 	r.id = o->id;
@@ -287,14 +309,14 @@
 			r.outcome = ORDER_REFUSED;
 			break;
 		}
-		engine.loaded[version_index(o->version)] = 1;
+		engine.loaded[copy_index(o)] = 1;
 		if (engine.loads_until_restart > 0 &&
 		    --engine.loads_until_restart == 0)
 			engine_restart();
 		break;
 	case ORDER_UNLOAD:
 		engine.unloads++;
-		engine.loaded[version_index(o->version)] = 0;
+		engine.loaded[copy_index(o)] = 0;
 		/* The model keeps a copy. */
 		CU_ASSERT(
 		    engine.loaded[VERSION_OLD] || engine.loaded[VERSION_NEW]);
@@ -475,11 +497,11 @@
 	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
 	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
 	engine.loaded[VERSION_OLD] = 1;
-	strcpy(model.version, versions[VERSION_OLD]);
+	strcpy(models[0].version, versions[VERSION_OLD]);
 	advance(3 * NSEC_PER_SEC);
 	kv_down = 1;
 	advance(5 * NSEC_PER_SEC);
-	strcpy(model.version, versions[VERSION_NEW]);
+	strcpy(models[0].version, versions[VERSION_NEW]);
 	engine_restart();
 	advance(3 * NSEC_PER_SEC);
 	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
@@ -494,7 +516,7 @@
 	    "{\"fence\":9,\"engine\":103,\"next\":5,\"entries\":[],"
 	    "\"delegation\":{\"addr\":\"10.0.0.2:1\",\"incarnation\":7,"
 	    "\"accelerator\":0,\"memory_mb\":0}}");
-	strcpy(model.version, versions[VERSION_OLD]);
+	strcpy(models[0].version, versions[VERSION_OLD]);
 	kv_down = 0;
 	cell_handle_superseded(cell, 9);
 	advance(2 * NSEC_PER_SEC);
@@ -521,11 +543,11 @@
 	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
 	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
 	engine.loaded[VERSION_OLD] = 1;
-	strcpy(model.version, versions[VERSION_OLD]);
+	strcpy(models[0].version, versions[VERSION_OLD]);
 	advance(3 * NSEC_PER_SEC);
 	kv_down = 1;
 	advance(5 * NSEC_PER_SEC);
-	strcpy(model.version, versions[VERSION_NEW]);
+	strcpy(models[0].version, versions[VERSION_NEW]);
 	engine_restart();
 	now += 6 * NSEC_PER_SEC;
 	advance(5 * NSEC_PER_SEC);
@@ -538,6 +560,28 @@
 	teardown();
 }
 
+/*
+ * With the headroom given up, the first model without a copy does not fit, but
+ * the one after it does.
+ */
+static void
+test_headroom_for_second_model(void)
+{
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"2\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_NEW] = 1;
+	advance(3 * NSEC_PER_SEC);
+	CU_ASSERT_PTR_NOT_NULL(strstr(keys[kv_find("ledger/e1")].value,
+	    "\"accelerator\":0,\"memory_mb\":30}}"));
+	conf.nmodels = MODELS;
+	advance(5 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
+	CU_ASSERT_FALSE(engine.loaded[LARGE]);
+	CU_ASSERT_TRUE(engine.loaded[SMALL]);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "restart between loads", test_restart_between_loads },
 	{ "old version is unloaded", test_old_version_is_unloaded },
@@ -547,6 +591,7 @@
 	{ "delegated copy of a former owner",
 	    test_delegated_copy_of_former_owner },
 	{ "stood still during an outage", test_stood_still_during_outage },
+	{ "headroom for the second model", test_headroom_for_second_model },
 };
 
 UNIT_MAIN("cell", cases)
