Headroom is given up for each model that it makes a move possible for

What callers saw, or would: a declared version was never loaded, although the memory that is delegated as headroom would have sufficed for it.

Cause: the policy answered "no room" with one model, the first without a copy, and the cell then released the headroom only if it sufficed for that model. In fuzz_state, m3 version 3 (40 MB) was first and did not fit with the 33 MB of e2; m4 version 3 (29 MB) did.

Ruled out: that the cell goes through all models by size. It knew neither which servers a model may use nor which copies could go there, and released headroom where the model could not be loaded.

Change: the policy is told the headroom, and decides on its release: it looks for a move for each missing model, in its order, as if the headroom of one server were free, and answers with a release of just that headroom. So it also counts for moves that make room. The cell carries the release out.

--- a/core/cell_delegate.c
+++ b/core/cell_delegate.c
@@ -5,6 +5,8 @@
 #include "cell_int.h"
 
 static uint64_t largest_model_mb(const struct cell_core *);
+static int release_others(struct cell_core *, uint64_t,
+    const struct cell_backend *, struct cell_out *);
 static void load_into_delegation(struct cell_core *, uint64_t,
     struct cell_backend *, const struct conf_model *, struct cell_out *);
 
@@ -22,29 +24,42 @@
 	return most;
 }
 
+uint64_t
+cell_headroom_mb(
+    const struct cell_core *c, uint64_t now, const struct cell_backend *b)
+{
+	return cell_holds_delegation(c, now, b) && !b->has_delegated_copy
+	    ? b->ledger.delegation.memory_mb
+	    : 0;
+}
+
 int
-cell_delegate_release(struct cell_core *c, uint64_t now, uint32_t keep,
-    uint64_t need, struct cell_out *out)
+cell_delegate_release(struct cell_core *c, uint64_t now, struct cell_backend *b,
+    struct cell_out *out)
 {
-	const struct ledger_delegation *d;
 	struct ledger *l;
-	struct cell_backend *b;
+
+	if (cell_headroom_mb(c, now, b) == 0)
+		return 0;
+	l = cell_ledger_edit(c, now, b);
+	if (l == NULL)
+		return 0;
+	l->delegation.memory_mb = 0;
+	cell_ledger_write(c, b, l, out);
+	return 1;
+}
+
+/* Releases headroom that another server's makes needless. */
+static int
+release_others(struct cell_core *c, uint64_t now,
+    const struct cell_backend *keep, struct cell_out *out)
+{
 	uint32_t i;
 
 	for (i = 0; i < c->nbackends; i++) {
-		b = c->backends[i];
-		d = &b->ledger.delegation;
-		if (i == keep || !cell_holds_delegation(c, now, b) ||
-		    d->memory_mb == 0 || b->has_delegated_copy ||
-		    ledger_free_mb(&b->ledger, d->accelerator) + d->memory_mb <
-			need)
-			continue;
-		l = cell_ledger_edit(c, now, b);
-		if (l == NULL)
-			continue;
-		l->delegation.memory_mb = 0;
-		cell_ledger_write(c, b, l, out);
-		return 1;
+		if (c->backends[i] != keep &&
+		    cell_delegate_release(c, now, c->backends[i], out))
+			return 1;
 	}
 	return 0;
 }
@@ -64,7 +79,7 @@
 		b = c->backends[i];
 		if (cell_holds_delegation(c, now, b) && !b->conf.leaving &&
 		    b->ledger.delegation.memory_mb >= want)
-			return cell_delegate_release(c, now, i, 0, out);
+			return release_others(c, now, b, out);
 	}
 	for (i = 0; i < c->nbackends; i++) {
 		b = c->backends[i];
--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -150,13 +150,12 @@
     struct cell_backend *, uint64_t, const struct order_result *);
 
 /* cell_delegate.c */
-/*
- * Releases the delegated memory of one ledger where that makes the needed
- * memory available; index keep is skipped (nbackends: none).  Returns 1 when
- * it started a write.
- */
+/* Memory of a ledger that is delegated to this process and not used. */
+uint64_t cell_headroom_mb(
+    const struct cell_core *, uint64_t, const struct cell_backend *);
+/* Makes the headroom of a ledger free.  Returns 1 when it started a write. */
 int cell_delegate_release(
-    struct cell_core *, uint64_t, uint32_t, uint64_t, struct cell_out *);
+    struct cell_core *, uint64_t, struct cell_backend *, struct cell_out *);
 /*
  * Delegates memory for the largest model in one ledger, so that a lost model
  * can be loaded while the key-value service is unavailable.  Returns 1 when it
--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -200,6 +200,9 @@
 				pb->freeing_mb[en->accelerator] +=
 				    en->memory_mb;
 		}
+		k = b->ledger.delegation.accelerator;
+		if (pb->usable && k < pb->naccelerators)
+			pb->headroom_mb[k] = cell_headroom_mb(c, now, b);
 		for (k = 0; k < b->ledger.nentries; k++)
 			pb->busy |=
 			    b->ledger.entries[k].state != ENTRY_RESIDENT;
@@ -431,11 +434,10 @@
 			? &c->config.place
 			: c->config.policy_ctx,
 		    now, in.models, in.n, in.backends, c->nbackends);
-		if (move.kind == PLACE_NO_ROOM)
-			cell_delegate_release(c, now, c->nbackends,
-			    in.models[move.model].memory_mb, out);
-		if (move.kind == PLACE_NOTHING || move.kind == PLACE_NO_ROOM ||
-		    move.kind == PLACE_WAIT ||
+		if (move.kind == PLACE_RELEASE)
+			cell_delegate_release(
+			    c, now, c->backends[move.backend], out);
+		if ((move.kind != PLACE_LOAD && move.kind != PLACE_UNLOAD) ||
 		    (move.kind == PLACE_LOAD &&
 			count_planned_loads(c) >=
 			    (int)c->conf->store.concurrent) ||
--- a/core/place.c
+++ b/core/place.c
@@ -14,8 +14,10 @@
 	const struct place_backend *backends;
 	uint32_t nbackends;
 	double utilization[PLACE_BACKENDS_MAX]; /* by backend server */
+	uint32_t released; /* its headroom counts as free; nbackends: none */
 };
 
+static uint64_t free_mb(const struct place_problem *, uint32_t, uint32_t);
 static uint32_t count_serving_copies(
     const struct place_problem *, const struct place_model *);
 static uint32_t count_planned_copies(
@@ -39,6 +41,7 @@
 static int can_unload(
     const struct place_problem *, const struct place_model *, uint32_t);
 static struct place_move choose_missing_copy(const struct place_problem *, int);
+static struct place_move choose_release(const struct place_problem *, int);
 static struct place_move choose_unwanted_unload(const struct place_problem *);
 static struct place_move choose_extra_copy(const struct place_problem *);
 
@@ -53,6 +56,15 @@
 	c->cooldown_ns = 10 * NSEC_PER_SEC;
 }
 
+static uint64_t
+free_mb(const struct place_problem *s, uint32_t backend, uint32_t accelerator)
+{
+	const struct place_backend *b = &s->backends[backend];
+
+	return b->free_mb[accelerator] +
+	    (backend == s->released ? b->headroom_mb[accelerator] : 0);
+}
+
 /* Confirmed copies on backend servers that are not leaving. */
 static uint32_t
 count_serving_copies(const struct place_problem *s, const struct place_model *m)
@@ -165,10 +177,10 @@
 		    s->utilization[i] > use_limit)
 			continue;
 		for (k = 0; k < b->naccelerators; k++) {
-			if (b->free_mb[k] < m->memory_mb)
+			if (free_mb(s, i, k) < m->memory_mb)
 				continue;
 			score = 10.0 - s->utilization[i] +
-			    (double)b->free_mb[k] / 1e7;
+			    (double)free_mb(s, i, k) / 1e7;
 			if (!has_copy_in_datacentre(s, m, b->datacentre))
 				score += 0.3;
 			if (best.kind != PLACE_NOTHING && score <= best_score)
@@ -225,7 +237,7 @@
 			    !want->allowed[c->backend] ||
 			    has_copy(want, c->backend))
 				continue;
-			if (s->backends[c->backend].free_mb[c->accelerator] +
+			if (free_mb(s, c->backend, c->accelerator) +
 				m->memory_mb <
 			    want->memory_mb)
 				continue;
@@ -278,7 +290,8 @@
 			continue;
 		for (k = 0; k < b->naccelerators; k++) {
 			if (b->freeing_mb[k] != 0 &&
-			    b->free_mb[k] + b->freeing_mb[k] >= want->memory_mb)
+			    free_mb(s, i, k) + b->freeing_mb[k] >=
+				want->memory_mb)
 				return 1;
 		}
 	}
@@ -312,7 +325,7 @@
 			    has_copy(want, c->backend) ||
 			    s->backends[c->backend].leaving)
 				continue;
-			if (s->backends[c->backend].free_mb[c->accelerator] +
+			if (free_mb(s, c->backend, c->accelerator) +
 				m->memory_mb <
 			    want->memory_mb)
 				continue;
@@ -377,6 +390,39 @@
 	return no_move;
 }
 
+/*
+ * The release of headroom with which a model below min_copies can be loaded, or
+ * room be made for it.  One server's headroom is tried at a time, so that none
+ * is released without use.
+ */
+static struct place_move
+choose_release(const struct place_problem *s, int urgent)
+{
+	struct place_problem with = *s;
+	struct place_move move;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->nbackends; i++) {
+		for (k = 0; k < s->backends[i].naccelerators; k++) {
+			if (s->backends[i].headroom_mb[k] != 0)
+				break;
+		}
+		if (k == s->backends[i].naccelerators)
+			continue;
+		with.released = i;
+		move = choose_missing_copy(&with, urgent);
+		if (move.kind == PLACE_NOTHING)
+			continue;
+		if (move.kind != PLACE_WAIT)
+			move.kind = PLACE_RELEASE;
+		move.backend = i;
+		move.accelerator = k;
+		return move;
+	}
+	return no_move;
+}
+
 /* Unloads models not required in this cell, and copies on leaving servers. */
 static struct place_move
 choose_unwanted_unload(const struct place_problem *s)
@@ -455,12 +501,17 @@
 	s.nmodels = nmodels;
 	s.backends = backends;
 	s.nbackends = nbackends;
+	s.released = nbackends;
 	compute_utilization(&s);
 	move = choose_missing_copy(&s, 1);
 	if (move.kind == PLACE_NOTHING)
 		move = choose_missing_copy(&s, 0);
 	if (move.kind == PLACE_NOTHING)
 		move = choose_unwanted_unload(&s);
+	if (move.kind == PLACE_NOTHING)
+		move = choose_release(&s, 1);
+	if (move.kind == PLACE_NOTHING)
+		move = choose_release(&s, 0);
 	if (move.kind == PLACE_NOTHING)
 		move = find_unplaceable_model(&s);
 	if (move.kind == PLACE_NOTHING)
--- a/core/place.h
+++ b/core/place.h
@@ -39,18 +39,20 @@
 	uint32_t slots;
 	uint32_t naccelerators;
 	uint64_t free_mb[CONF_ACCELERATORS_MAX];
-	uint64_t freeing_mb[CONF_ACCELERATORS_MAX]; /* unload in progress */
+	uint64_t freeing_mb[CONF_ACCELERATORS_MAX];  /* unload in progress */
+	uint64_t headroom_mb[CONF_ACCELERATORS_MAX]; /* may be released */
 };
 
 enum place_kind {
 	PLACE_NOTHING,
 	PLACE_LOAD,
 	PLACE_UNLOAD,
-	PLACE_WAIT,   /* moves in progress will free enough memory */
-	PLACE_NO_ROOM /* no move makes room for a missing copy */
+	PLACE_RELEASE, /* the server's headroom makes a move possible */
+	PLACE_WAIT,    /* moves in progress will free enough memory */
+	PLACE_NO_ROOM  /* no move makes room for a missing copy */
 };
 
-/* A load or unload; model and backend are indices into the arguments. */
+/* Model and backend are indices into the arguments. */
 struct place_move {
 	enum place_kind kind;
 	uint32_t model;
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -25,6 +25,8 @@
 static void test_place_last_copy(void);
 static void test_place_gain(void);
 static void test_place_hysteresis(void);
+static void test_place_headroom(void);
+static void test_place_headroom_migration(void);
 
 static void
 setup(struct ledger *l)
@@ -282,6 +284,58 @@
 	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
 }
 
+/* Headroom is released for the first model that it suffices for, if any. */
+static void
+test_place_headroom(void)
+{
+	struct place_backend b[2] = { backend(10), backend(30) };
+	struct place_model m[3] = { required_model("a", 80),
+		required_model("b", 50), required_model("c", 40) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	b[0].headroom_mb[0] = 40;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.model, 1);
+	CU_ASSERT_EQUAL(move.backend, 0);
+	m[1].allowed[0] = 0;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.model, 2);
+	m[2].allowed[0] = 0;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_NO_ROOM);
+	CU_ASSERT_EQUAL(move.model, 0);
+	b[1].headroom_mb[0] = 20;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.model, 1);
+	CU_ASSERT_EQUAL(move.backend, 1);
+}
+
+/* Headroom is released where a copy can go that is in the model's way. */
+static void
+test_place_headroom_migration(void)
+{
+	struct place_backend b[2] = { backend(0), backend(10) };
+	struct place_model m[2] = { required_model("a", 40),
+		required_model("b", 30) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	add_copy(&m[1], 1);
+	b[0].headroom_mb[0] = 29;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_NO_ROOM);
+	b[0].headroom_mb[0] = 30;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.backend, 0);
+}
+
 static const struct unit_case cases[] = {
 	{ "entries reserve memory in every state", test_reserved_memory },
 	{ "adopted copy in delegated memory", test_adopt },
@@ -293,6 +347,9 @@
 	{ "placement: last copy", test_place_last_copy },
 	{ "placement: gain", test_place_gain },
 	{ "placement: hysteresis", test_place_hysteresis },
+	{ "placement: headroom", test_place_headroom },
+	{ "placement: headroom for a copy in the way",
+	    test_place_headroom_migration },
 };
 
 UNIT_MAIN("ledger", cases)
