Failing tests: one model that waits for room keeps others from being loaded

What callers see: a declared version that fits now is not loaded while another, earlier in the order, waits for room. The wait ends with the moves in progress, but these may take long or never end: a load that the engine refuses is tried for ever, an unload waits until no process can hold an order for it.

Cause: choose_missing_copy() stops at the first model whose room is pending. Any extra copy that loads counts as pending room, also where the model would not fit in place of the other copies.

--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -27,6 +27,8 @@
 static void test_place_hysteresis(void);
 static void test_place_headroom(void);
 static void test_place_headroom_migration(void);
+static void test_place_beside_unload(void);
+static void test_place_beside_extra_copy(void);
 
 static void
 setup(struct ledger *l)
@@ -336,6 +338,66 @@
 	CU_ASSERT_EQUAL(move.backend, 0);
 }
 
+/*
+ * The first model waits for an unload.  The second is loaded on another server,
+ * but not into the memory that the first waits for.
+ */
+static void
+test_place_beside_unload(void)
+{
+	struct place_backend b[2] = { backend(30), backend(30) };
+	struct place_model m[2] = { required_model("a", 60),
+		required_model("b", 30) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	b[0].busy = 1;
+	b[0].freeing_mb[0] = 30;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+	CU_ASSERT_EQUAL(move.model, 1);
+	CU_ASSERT_EQUAL(move.backend, 1);
+	b[1].free_mb[0] = 0;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_WAIT);
+	CU_ASSERT_EQUAL(move.model, 0);
+	b[1].headroom_mb[0] = 60;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.model, 1);
+}
+
+/*
+ * An extra copy of one model is loading, perhaps for ever.  Another model that
+ * fits nowhere does not keep a third from being loaded.
+ */
+static void
+test_place_beside_extra_copy(void)
+{
+	struct place_backend b[2] = { backend(0), backend(30) };
+	struct place_model m[3] = { required_model("a", 80),
+		required_model("b", 40), required_model("c", 30) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	add_copy(&m[1], 0);
+	add_copy(&m[1], 1);
+	m[1].copies[1].resident = 0;
+	b[1].busy = 1;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+	CU_ASSERT_EQUAL(move.model, 2);
+	CU_ASSERT_EQUAL(move.backend, 1);
+	/* The first one fits where the other copy is, and waits for that. */
+	m[0].memory_mb = 40;
+	m[2].allowed[1] = 0;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_WAIT);
+	CU_ASSERT_EQUAL(move.model, 0);
+}
+
 static const struct unit_case cases[] = {
 	{ "entries reserve memory in every state", test_reserved_memory },
 	{ "adopted copy in delegated memory", test_adopt },
@@ -350,6 +412,8 @@
 	{ "placement: headroom", test_place_headroom },
 	{ "placement: headroom for a copy in the way",
 	    test_place_headroom_migration },
+	{ "placement: beside an unload", test_place_beside_unload },
+	{ "placement: beside an extra copy", test_place_beside_extra_copy },
 };
 
 UNIT_MAIN("ledger", cases)
