A model that waits for room holds that room, and others are placed beside it

What callers saw, or would: a declared version that fits now was not loaded while another, earlier in the order, waited for room.

Cause: the policy answered "wait" for the first model whose room was pending, and looked at no other. Any extra copy that was loading counted as pending room.

Ruled out: going on without a note of what the model waits for. The next one would be loaded into the memory that is free there already.

Change: a model waits for one accelerator, where an unload in progress, or the unload that follows the load of an extra copy, makes room for it. Nothing there counts as free for the others, which are placed elsewhere. "Wait" is the answer only when there is no other move.

Evidence: test_ledger, beside an unload and beside an extra copy, failed before (8 assertions) and pass.

--- a/core/place.c
+++ b/core/place.c
@@ -15,9 +15,12 @@
 	uint32_t nbackends;
 	double utilization[PLACE_BACKENDS_MAX]; /* by backend server */
 	uint32_t released; /* its headroom counts as free; nbackends: none */
+	/* 1 + the model that waits for room on the accelerator; 0: none. */
+	uint32_t held[PLACE_BACKENDS_MAX][CONF_ACCELERATORS_MAX];
 };
 
 static uint64_t free_mb(const struct place_problem *, uint32_t, uint32_t);
+static int waits(const struct place_problem *, uint32_t);
 static uint32_t count_serving_copies(
     const struct place_problem *, const struct place_model *);
 static uint32_t count_planned_copies(
@@ -34,14 +37,16 @@
     const struct place_problem *, uint32_t, int);
 static struct place_move choose_migration(
     const struct place_problem *, uint32_t);
-static int room_is_pending(const struct place_problem *, uint32_t);
+static int wait_for_unload(struct place_problem *, uint32_t);
+static int wait_for_extra_copy(struct place_problem *, uint32_t);
 static int extra_copy_loading(
     const struct place_problem *, const struct place_model *);
 static struct place_move find_unplaceable_model(const struct place_problem *);
 static int can_unload(
     const struct place_problem *, const struct place_model *, uint32_t);
-static struct place_move choose_missing_copy(const struct place_problem *, int);
-static struct place_move choose_release(const struct place_problem *, int);
+static struct place_move choose_missing_copy(struct place_problem *, int);
+static struct place_move choose_release(const struct place_problem *);
+static struct place_move find_waiting_model(const struct place_problem *);
 static struct place_move choose_unwanted_unload(const struct place_problem *);
 static struct place_move choose_extra_copy(const struct place_problem *);
 
@@ -56,11 +61,14 @@
 	c->cooldown_ns = 10 * NSEC_PER_SEC;
 }
 
+/* Free memory of an accelerator for which no model waits. */
 static uint64_t
 free_mb(const struct place_problem *s, uint32_t backend, uint32_t accelerator)
 {
 	const struct place_backend *b = &s->backends[backend];
 
+	if (s->held[backend][accelerator] != 0)
+		return 0;
 	return b->free_mb[accelerator] +
 	    (backend == s->released ? b->headroom_mb[accelerator] : 0);
 }
@@ -270,29 +278,72 @@
 	return 0;
 }
 
-/* Whether moves in progress will make room, so that the model must wait. */
 static int
-room_is_pending(const struct place_problem *s, uint32_t model)
+waits(const struct place_problem *s, uint32_t model)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->nbackends; i++) {
+		for (k = 0; k < s->backends[i].naccelerators; k++) {
+			if (s->held[i][k] == model + 1)
+				return 1;
+		}
+	}
+	return 0;
+}
+
+/* Whether an unload in progress will make room, for which the model waits. */
+static int
+wait_for_unload(struct place_problem *s, uint32_t model)
 {
 	const struct place_model *want = &s->models[model];
 	const struct place_backend *b;
 	uint32_t i;
 	uint32_t k;
 
-	for (i = 0; i < s->nmodels; i++) {
-		if (s->models[i].min_copies != 0 &&
-		    extra_copy_loading(s, &s->models[i]))
-			return 1;
-	}
 	for (i = 0; i < s->nbackends; i++) {
 		b = &s->backends[i];
 		if (!want->allowed[i] || has_copy(want, i) || b->leaving)
 			continue;
 		for (k = 0; k < b->naccelerators; k++) {
-			if (b->freeing_mb[k] != 0 &&
-			    free_mb(s, i, k) + b->freeing_mb[k] >=
+			if (s->held[i][k] != 0 || b->freeing_mb[k] == 0 ||
+			    free_mb(s, i, k) + b->freeing_mb[k] <
 				want->memory_mb)
-				return 1;
+				continue;
+			s->held[i][k] = model + 1;
+			return 1;
+		}
+	}
+	return 0;
+}
+
+/* The same for the unload that follows the load of an extra copy. */
+static int
+wait_for_extra_copy(struct place_problem *s, uint32_t model)
+{
+	const struct place_model *want = &s->models[model];
+	const struct place_model *m;
+	const struct place_copy *c;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->nmodels; i++) {
+		m = &s->models[i];
+		if (m->min_copies == 0 || !extra_copy_loading(s, m))
+			continue;
+		for (k = 0; k < m->ncopies; k++) {
+			c = &m->copies[k];
+			if (!c->resident || !want->allowed[c->backend] ||
+			    has_copy(want, c->backend) ||
+			    s->backends[c->backend].leaving ||
+			    s->held[c->backend][c->accelerator] != 0 ||
+			    free_mb(s, c->backend, c->accelerator) +
+				    m->memory_mb <
+				want->memory_mb)
+				continue;
+			s->held[c->backend][c->accelerator] = model + 1;
+			return 1;
 		}
 	}
 	return 0;
@@ -358,10 +409,11 @@
 
 /*
  * The next move for a model below min_copies: load, else evict, else migrate.
- * When urgent, only models without any copy are considered.
+ * A model for which moves in progress make room waits for it, and others may
+ * not use that.  When urgent, only models without any copy are considered.
  */
 static struct place_move
-choose_missing_copy(const struct place_problem *s, int urgent)
+choose_missing_copy(struct place_problem *s, int urgent)
 {
 	const struct place_model *m;
 	struct place_move move;
@@ -372,15 +424,13 @@
 		if (m->min_copies == 0 ||
 		    count_planned_copies(s, m) >= m->min_copies)
 			continue;
-		if (urgent && count_planned_copies(s, m) != 0)
+		if ((urgent && count_planned_copies(s, m) != 0) || waits(s, i))
 			continue;
 		move = choose_load(s, i, UTILIZATION_ANY, urgent);
 		if (move.kind != PLACE_NOTHING)
 			return move;
-		if (room_is_pending(s, i)) {
-			move.kind = PLACE_WAIT;
-			return move;
-		}
+		if (wait_for_unload(s, i) || wait_for_extra_copy(s, i))
+			continue;
 		move = choose_eviction(s, i, urgent);
 		if (move.kind == PLACE_NOTHING)
 			move = choose_migration(s, i);
@@ -396,9 +446,9 @@
  * is released without use.
  */
 static struct place_move
-choose_release(const struct place_problem *s, int urgent)
+choose_release(const struct place_problem *s)
 {
-	struct place_problem with = *s;
+	struct place_problem with;
 	struct place_move move;
 	uint32_t i;
 	uint32_t k;
@@ -410,12 +460,14 @@
 		}
 		if (k == s->backends[i].naccelerators)
 			continue;
+		with = *s;
 		with.released = i;
-		move = choose_missing_copy(&with, urgent);
+		move = choose_missing_copy(&with, 1);
+		if (move.kind == PLACE_NOTHING)
+			move = choose_missing_copy(&with, 0);
 		if (move.kind == PLACE_NOTHING)
 			continue;
-		if (move.kind != PLACE_WAIT)
-			move.kind = PLACE_RELEASE;
+		move.kind = PLACE_RELEASE;
 		move.backend = i;
 		move.accelerator = k;
 		return move;
@@ -423,6 +475,22 @@
 	return no_move;
 }
 
+/* PLACE_WAIT for the first model that waits for room. */
+static struct place_move
+find_waiting_model(const struct place_problem *s)
+{
+	struct place_move move = no_move;
+	uint32_t i;
+
+	for (i = 0; i < s->nmodels && move.kind == PLACE_NOTHING; i++) {
+		if (!waits(s, i))
+			continue;
+		move.kind = PLACE_WAIT;
+		move.model = i;
+	}
+	return move;
+}
+
 /* Unloads models not required in this cell, and copies on leaving servers. */
 static struct place_move
 choose_unwanted_unload(const struct place_problem *s)
@@ -495,6 +563,7 @@
 	struct place_problem s;
 	struct place_move move;
 
+	memset(&s, 0, sizeof(s));
 	s.config = config;
 	s.now = now;
 	s.models = models;
@@ -509,9 +578,9 @@
 	if (move.kind == PLACE_NOTHING)
 		move = choose_unwanted_unload(&s);
 	if (move.kind == PLACE_NOTHING)
-		move = choose_release(&s, 1);
+		move = choose_release(&s);
 	if (move.kind == PLACE_NOTHING)
-		move = choose_release(&s, 0);
+		move = find_waiting_model(&s);
 	if (move.kind == PLACE_NOTHING)
 		move = find_unplaceable_model(&s);
 	if (move.kind == PLACE_NOTHING)
