Failing test: a model is loaded into headroom whose release was stored

What callers see, or would: more models are loaded on an engine than it has memory for.

The owner releases 39 MB of headroom on e0 (28.05 s); the write takes effect, its answer does not arrive, and the service is down from 30.2 s. The owner still has the ledger from before the write, and at 34.45 s loads m2 version 1 (32 MB) into the memory delegated by it.

Ruled out: another process as the delegate. One process owned the cell before and after.

--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -53,6 +53,8 @@
 /* The write of an unload, which is answered only when it is released. */
 static int hold_unload;
 static struct kv_op *held_op;
+/* The service goes down with the write that releases the headroom. */
+static int lose_release;
 
 static int process_ended(void *, const struct node_id *);
 static int served_elsewhere(void *, const char *, const char *);
@@ -66,6 +68,8 @@
 static void kv_answer(const struct kv_op *);
 static void model_init(struct conf_model *, int, uint64_t);
 static int copy_index(const struct order *);
+static uint64_t copy_mb(int);
+static uint64_t loaded_mb(void);
 static void engine_restart(void);
 static void engine_index(struct order_result *, struct order_loaded *);
 static void engine_carry_out(const struct order *);
@@ -82,6 +86,7 @@
 static void test_delegated_copy_of_former_owner(void);
 static void test_stood_still_during_outage(void);
 static void test_headroom_for_second_model(void);
+static void test_headroom_release_in_doubt(void);
 
 static int
 process_ended(void *ctx, const struct node_id *id)
@@ -133,6 +138,7 @@
 	kv_down = 0;
 	hold_unload = 0;
 	held_op = NULL;
+	lose_release = 0;
 	TAILQ_INIT(&msgs);
 	TAILQ_INIT(&ops);
 	TAILQ_INIT(&orders);
@@ -245,6 +251,12 @@
 		r.status = KV_CONFLICT;
 	else if (op->kind == KV_CAS)
 		kv_put(i, op->value);
+	if (lose_release && op->kind == KV_CAS &&
+	    strstr(op->value, "\"memory_mb\":0}}") != NULL) {
+		lose_release = 0;
+		kv_down = 1;
+		r.status = KV_UNKNOWN;
+	}
 	r.value = keys[i].value;
 	r.revision = keys[i].revision;
 	cell_handle_kv_result(cell, now, &r, &out);
@@ -263,6 +275,23 @@
 	return i;
 }
 
+static uint64_t
+copy_mb(int copy)
+{
+	return models[copy < LARGE ? 0 : copy - LARGE + 1].memory_mb;
+}
+
+static uint64_t
+loaded_mb(void)
+{
+	uint64_t sum = 0;
+	int i;
+
+	for (i = 0; i < COPIES; i++)
+		sum += engine.loaded[i] ? copy_mb(i) : 0;
+	return sum;
+}
+
 static void
 engine_restart(void)
 {
@@ -283,8 +312,7 @@
 			continue;
 		strcpy(list[r->nloaded].model, names[i]);
 		strcpy(list[r->nloaded].version, versions[i]);
-		list[r->nloaded++].memory_mb =
-		    models[i < LARGE ? 0 : i - LARGE + 1].memory_mb;
+		list[r->nloaded++].memory_mb = copy_mb(i);
 	}
 }
 
@@ -310,6 +338,7 @@
 			break;
 		}
 		engine.loaded[copy_index(o)] = 1;
+		CU_ASSERT(loaded_mb() <= backend.memory_mb[0]);
 		if (engine.loads_until_restart > 0 &&
 		    --engine.loads_until_restart == 0)
 			engine_restart();
@@ -582,6 +611,36 @@
 	teardown();
 }
 
+/*
+ * The headroom's release took effect, but its answer is lost, and the service
+ * is down from then on.  Nothing may be loaded into that memory.
+ */
+static void
+test_headroom_release_in_doubt(void)
+{
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"2\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_NEW] = 1;
+	advance(3 * NSEC_PER_SEC);
+	lose_release = 1;
+	models[1].memory_mb = 45;
+	conf.nmodels = 2;
+	advance(NSEC_PER_SEC);
+	CU_ASSERT_TRUE(kv_down);
+	models[2].memory_mb = 30;
+	conf.nmodels = 3;
+	advance(8 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(cell_is_owner(cell));
+	CU_ASSERT_FALSE(engine.loaded[SMALL]);
+	kv_down = 0;
+	kv_remove(kv_find("lease/main"));
+	advance(10 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[LARGE]);
+	CU_ASSERT_FALSE(engine.loaded[SMALL]);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "restart between loads", test_restart_between_loads },
 	{ "old version is unloaded", test_old_version_is_unloaded },
@@ -592,6 +651,7 @@
 	    test_delegated_copy_of_former_owner },
 	{ "stood still during an outage", test_stood_still_during_outage },
 	{ "headroom for the second model", test_headroom_for_second_model },
+	{ "headroom's release in doubt", test_headroom_release_in_doubt },
 };
 
 UNIT_MAIN("cell", cases)
