Placement test: a model that would not fit holds no room

A mutant in which any loading extra copy makes a model wait passed the 14 cases of test_ledger. It is now to be told from the code: a third model is loaded where the first would not fit, and not where it would.

--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -390,10 +390,16 @@
 	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
 	CU_ASSERT_EQUAL(move.model, 2);
 	CU_ASSERT_EQUAL(move.backend, 1);
-	/* The first one fits where the other copy is, and waits for that. */
-	m[0].memory_mb = 40;
+	/* It would not fit where the other copy is, and does not hold that. */
+	b[0].free_mb[0] = 30;
 	m[2].allowed[1] = 0;
 	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+	CU_ASSERT_EQUAL(move.model, 2);
+	CU_ASSERT_EQUAL(move.backend, 0);
+	/* Now it fits there, and waits for that. */
+	m[0].memory_mb = 70;
+	move = place_next_move(&c, 0, m, 3, b, 2);
 	CU_ASSERT_EQUAL(move.kind, PLACE_WAIT);
 	CU_ASSERT_EQUAL(move.model, 0);
 }
