A delegate counts a release without an answer as done

What callers saw, or would: more models were loaded on an engine than it has memory for.

Cause: the write that releases headroom took effect, but was not answered, and the service went down. The owner went on with its ledger from before the write and loaded a model into memory that was no longer delegated.

Ruled out: not using delegated memory while any write is unanswered. A write is often under way as the service goes down, and then no lost model would come back.

Change: what counts for a load is the least that is delegated by the ledger, by the write in flight and by the writes in doubt, until a write succeeds, which makes earlier ones fail.

--- a/core/cell_delegate.c
+++ b/core/cell_delegate.c
@@ -7,6 +7,7 @@
 static uint64_t largest_model_mb(const struct cell_core *);
 static int release_others(struct cell_core *, uint64_t,
     const struct cell_backend *, struct cell_out *);
+static uint64_t surely_delegated_mb(const struct cell_backend *);
 static void load_into_delegation(struct cell_core *, uint64_t,
     struct cell_backend *, const struct conf_model *, struct cell_out *);
 
@@ -105,6 +106,20 @@
 	return 1;
 }
 
+/* The delegated memory, whether or not unanswered writes have taken effect. */
+static uint64_t
+surely_delegated_mb(const struct cell_backend *b)
+{
+	uint64_t least = b->ledger.delegation.memory_mb;
+
+	if (b->pending_ledger != NULL &&
+	    b->pending_ledger->delegation.memory_mb < least)
+		least = b->pending_ledger->delegation.memory_mb;
+	if (b->write_in_doubt && b->in_doubt_delegation_mb < least)
+		least = b->in_doubt_delegation_mb;
+	return least;
+}
+
 static void
 load_into_delegation(struct cell_core *c, uint64_t now, struct cell_backend *b,
     const struct conf_model *m, struct cell_out *out)
@@ -158,7 +173,7 @@
 				&b->ledger, m->name, m->version) != NULL ||
 			    !cell_backend_responsive(c, b, now) ||
 			    b->engine_incarnation == 0 ||
-			    b->ledger.delegation.memory_mb < m->memory_mb)
+			    surely_delegated_mb(b) < m->memory_mb)
 				continue;
 			load_into_delegation(c, now, b, m, out);
 			break;
--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -42,10 +42,11 @@
 	 * successful write, which makes the earlier one fail.
 	 */
 	int write_in_doubt;
-	uint64_t kv_op_id; /* operation in flight, 0 for none */
-	uint64_t revision; /* of the ledger key */
-	uint64_t retry_at; /* next ledger operation */
-	uint32_t batch;	   /* sequences the engine runs at once, 0 unknown */
+	uint64_t in_doubt_delegation_mb; /* the least in such writes */
+	uint64_t kv_op_id;		 /* operation in flight, 0 for none */
+	uint64_t revision;		 /* of the ledger key */
+	uint64_t retry_at;		 /* next ledger operation */
+	uint32_t batch; /* sequences the engine runs at once, 0 unknown */
 	uint64_t engine_incarnation; /* last reported, 0 unknown */
 	uint64_t answered_at;	     /* last INDEX answer */
 	uint64_t poll_at;	     /* next INDEX */
--- a/core/cell_ledger.c
+++ b/core/cell_ledger.c
@@ -20,6 +20,7 @@
     struct cell_backend *, const struct kv_result *);
 static void handle_ledger_written(struct cell_core *, uint64_t,
     struct cell_backend *, const struct kv_result *);
+static void note_write_in_doubt(struct cell_backend *, const struct ledger *);
 static void merge_delegated_copy(
     struct cell_core *, struct cell_backend *, struct ledger *);
 static void settle_delegated_copy(
@@ -267,6 +268,15 @@
 	settle_delegated_copy(c, b);
 }
 
+static void
+note_write_in_doubt(struct cell_backend *b, const struct ledger *l)
+{
+	if (!b->write_in_doubt ||
+	    l->delegation.memory_mb < b->in_doubt_delegation_mb)
+		b->in_doubt_delegation_mb = l->delegation.memory_mb;
+	b->write_in_doubt = 1;
+}
+
 static void
 handle_ledger_written(struct cell_core *c, uint64_t now, struct cell_backend *b,
     const struct kv_result *r)
@@ -284,7 +294,8 @@
 	} else {
 		c->totals.ledger_conflicts += r->status == KV_CONFLICT;
 		b->ledger_step = LEDGER_UNREAD;
-		b->write_in_doubt |= r->status == KV_UNKNOWN;
+		if (r->status == KV_UNKNOWN)
+			note_write_in_doubt(b, l);
 		b->retry_at =
 		    r->status == KV_UNKNOWN ? now + LEDGER_RETRY_NS : now;
 	}
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -50,9 +50,10 @@
 static uint64_t now;
 static uint64_t kv_revision;
 static int kv_down;
-/* The write of an unload, which is answered only when it is released. */
-static int hold_unload;
+/* The next write with this text is answered only when it is released. */
+static const char *hold_text;
 static struct kv_op *held_op;
+static const char no_headroom[] = "\"memory_mb\":0}}";
 /* The service goes down with the write that releases the headroom. */
 static int lose_release;
 
@@ -86,7 +87,10 @@
 static void test_delegated_copy_of_former_owner(void);
 static void test_stood_still_during_outage(void);
 static void test_headroom_for_second_model(void);
+static void start_release(void);
+static void check_release_without_answer(void);
 static void test_headroom_release_in_doubt(void);
+static void test_headroom_release_in_flight(void);
 
 static int
 process_ended(void *ctx, const struct node_id *id)
@@ -136,7 +140,7 @@
 
 	now = 10 * NSEC_PER_SEC;
 	kv_down = 0;
-	hold_unload = 0;
+	hold_text = NULL;
 	held_op = NULL;
 	lose_release = 0;
 	TAILQ_INIT(&msgs);
@@ -252,7 +256,7 @@
 	else if (op->kind == KV_CAS)
 		kv_put(i, op->value);
 	if (lose_release && op->kind == KV_CAS &&
-	    strstr(op->value, "\"memory_mb\":0}}") != NULL) {
+	    strstr(op->value, no_headroom) != NULL) {
 		lose_release = 0;
 		kv_down = 1;
 		r.status = KV_UNKNOWN;
@@ -374,10 +378,10 @@
 	cell_tick(cell, now, &out);
 	while ((op = TAILQ_FIRST(&ops)) != NULL) {
 		TAILQ_REMOVE(&ops, op, entry);
-		if (hold_unload && op->kind == KV_CAS &&
-		    strstr(op->value, "unloading") != NULL) {
+		if (hold_text != NULL && op->kind == KV_CAS &&
+		    strstr(op->value, hold_text) != NULL) {
 			held_op = op;
-			hold_unload = 0;
+			hold_text = NULL;
 			continue;
 		}
 		kv_answer(op);
@@ -444,7 +448,7 @@
 	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
 	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
 	engine.loaded[VERSION_OLD] = 1;
-	hold_unload = 1;
+	hold_text = "unloading";
 	for (i = 0; i < 200 && held_op == NULL; i++)
 		step();
 	CU_ASSERT_PTR_NOT_NULL_FATAL(held_op);
@@ -611,28 +615,42 @@
 	teardown();
 }
 
-/*
- * The headroom's release took effect, but its answer is lost, and the service
- * is down from then on.  Nothing may be loaded into that memory.
- */
+/* The headroom is to be released for the second model. */
 static void
-test_headroom_release_in_doubt(void)
+start_release(void)
 {
 	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
 	      "{\"id\":1,\"model\":\"m\",\"version\":\"2\",\"accelerator\":0,"
 	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
 	engine.loaded[VERSION_NEW] = 1;
 	advance(3 * NSEC_PER_SEC);
-	lose_release = 1;
 	models[1].memory_mb = 45;
 	conf.nmodels = 2;
-	advance(NSEC_PER_SEC);
+}
+
+/* A third model, which would fit there, is declared during the outage. */
+static void
+check_release_without_answer(void)
+{
 	CU_ASSERT_TRUE(kv_down);
 	models[2].memory_mb = 30;
 	conf.nmodels = 3;
 	advance(8 * NSEC_PER_SEC);
 	CU_ASSERT_TRUE(cell_is_owner(cell));
 	CU_ASSERT_FALSE(engine.loaded[SMALL]);
+}
+
+/*
+ * The release took effect, but its answer is lost, and the service is down from
+ * then on.  Nothing may be loaded into that memory.
+ */
+static void
+test_headroom_release_in_doubt(void)
+{
+	start_release();
+	lose_release = 1;
+	advance(NSEC_PER_SEC);
+	check_release_without_answer();
 	kv_down = 0;
 	kv_remove(kv_find("lease/main"));
 	advance(10 * NSEC_PER_SEC);
@@ -641,6 +659,20 @@
 	teardown();
 }
 
+/* The same while the write of the release is under way. */
+static void
+test_headroom_release_in_flight(void)
+{
+	start_release();
+	hold_text = no_headroom;
+	advance(NSEC_PER_SEC);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(held_op);
+	kv_down = 1;
+	check_release_without_answer();
+	kv_op_destroy(held_op);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "restart between loads", test_restart_between_loads },
 	{ "old version is unloaded", test_old_version_is_unloaded },
@@ -652,6 +684,7 @@
 	{ "stood still during an outage", test_stood_still_during_outage },
 	{ "headroom for the second model", test_headroom_for_second_model },
 	{ "headroom's release in doubt", test_headroom_release_in_doubt },
+	{ "headroom's release in flight", test_headroom_release_in_flight },
 };
 
 UNIT_MAIN("cell", cases)
