--- a/Makefile
+++ b/Makefile
@@ -148,6 +148,7 @@
 $(BUILD)/test_fleet $(BUILD)/test_balance: $(BUILD)/tests/fleet_fixture.o
 $(BUILD)/test_follow_bounds: $(BUILD)/tests/follow_world.o \
     $(BUILD)/tests/follow_list.o $(BUILD)/tests/follow_store.o
+$(BUILD)/test_cell: $(BUILD)/tests/cell_fixture.o
 $(BUILD)/test_poison $(BUILD)/test_poison_report: $(BUILD)/tests/poison_fixture.o
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(BUILD)/tests/unit.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
