Failing test: loads that are refused keep others from being planned

What callers see: as many models as may be loaded at once (store/limits, concurrent) are refused by their engines, for example for damaged weights, and no other model of the cell is loaded from then on.

Cause: count_planned_loads() counts each loading entry, also one that waits to be tried again; a load that is refused is tried for ever. The limit on the orders in flight is kept elsewhere (send_due_orders).

--- a/tests/cell_fixture.c
+++ b/tests/cell_fixture.c
@@ -283,7 +283,7 @@
 			engine_index(&r, list);
 		break;
 	case ORDER_LOAD:
-		if (engine.refuses_load) {
+		if (engine.refuses_load[copy_index(o)]) {
 			r.outcome = ORDER_REFUSED;
 			break;
 		}
--- a/tests/cell_fixture.h
+++ b/tests/cell_fixture.h
@@ -26,7 +26,7 @@
 	int loads_until_restart; /* 0: none */
 	int unloads;
 	int silent; /* does not answer INDEX */
-	int refuses_load;
+	int refuses_load[COPIES];
 };
 
 struct fixture_key {
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -19,6 +19,7 @@
 static void check_release_without_answer(void);
 static void test_headroom_release_in_doubt(void);
 static void test_headroom_release_in_flight(void);
+static void test_load_beside_refused_one(void);
 
 /*
  * The engine restarts between the answers to two loads, so that only the
@@ -113,12 +114,12 @@
 {
 	start_slow_unload();
 	engine.loaded[VERSION_NEW] = 0;
-	engine.refuses_load = 1;
+	engine.refuses_load[VERSION_NEW] = 1;
 	release_write();
 	CU_ASSERT_EQUAL(engine.unloads, 0);
 	CU_ASSERT_PTR_NULL(
 	    strstr(keys[kv_find("ledger/e1")].value, "unloading"));
-	engine.refuses_load = 0;
+	engine.refuses_load[VERSION_NEW] = 0;
 	advance(10 * NSEC_PER_SEC);
 	CU_ASSERT_EQUAL(engine.unloads, 1);
 	check_new_version_alone();
@@ -294,6 +295,31 @@
 	teardown();
 }
 
+/*
+ * One load at a time may be in flight, and the engine refuses one model for
+ * ever.  Another is loaded between the attempts.
+ */
+static void
+test_load_beside_refused_one(void)
+{
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"2\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_NEW] = 1;
+	engine.refuses_load[LARGE] = 1;
+	conf.store.concurrent = 1;
+	models[1].memory_mb = 20;
+	models[2].memory_mb = 20;
+	conf.nmodels = 3;
+	advance(10 * NSEC_PER_SEC);
+	CU_ASSERT_FALSE(engine.loaded[LARGE]);
+	CU_ASSERT_TRUE(engine.loaded[SMALL]);
+	engine.refuses_load[LARGE] = 0;
+	advance(3 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[LARGE]);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "restart between loads", test_restart_between_loads },
 	{ "old version is unloaded", test_old_version_is_unloaded },
@@ -306,6 +332,7 @@
 	{ "headroom for the second model", test_headroom_for_second_model },
 	{ "headroom's release in doubt", test_headroom_release_in_doubt },
 	{ "headroom's release in flight", test_headroom_release_in_flight },
+	{ "load beside a refused one", test_load_beside_refused_one },
 };
 
 UNIT_MAIN("cell", cases)
