Loads that wait to be tried again leave their place to others

What callers saw, or would: once as many models as may be loaded at once were refused by their engines, no other model of the cell was loaded.

Cause: count_planned_loads() counted loading entries that wait to be tried again; a refused load is tried for ever.

Ruled out: more orders in flight than the store allows. send_due_orders() holds them to the same limit at the time of sending.

Change: an entry counts only when no time for its next attempt is ahead.

--- a/core/cell_place.c
+++ b/core/cell_place.c
@@ -46,7 +46,7 @@
     const struct place_input *, const char *, const char *);
 static int begin_move(struct cell_core *, uint64_t, const struct place_input *,
     const struct place_move *, struct cell_out *);
-static int count_planned_loads(const struct cell_core *);
+static int count_planned_loads(const struct cell_core *, uint64_t);
 
 struct demand_ctx {
 	struct cell_core *cell;
@@ -359,9 +359,12 @@
 	free(in->declared);
 }
 
-/* Loading entries of all ledgers, including writes in flight. */
+/*
+ * Loading entries of all ledgers, including writes in flight.  Those that wait
+ * to be tried again leave their place to others meanwhile.
+ */
 static int
-count_planned_loads(const struct cell_core *c)
+count_planned_loads(const struct cell_core *c, uint64_t now)
 {
 	const struct ledger *l;
 	uint32_t i;
@@ -371,7 +374,8 @@
 	for (i = 0; i < c->nbackends; i++) {
 		l = planned_ledger(c->backends[i]);
 		for (k = 0; k < l->nentries; k++)
-			n += l->entries[k].state == ENTRY_LOADING;
+			n += l->entries[k].state == ENTRY_LOADING &&
+			    now >= l->entries[k].retry_at;
 	}
 	return n;
 }
@@ -439,7 +443,7 @@
 			    c, now, c->backends[move.backend], out);
 		if ((move.kind != PLACE_LOAD && move.kind != PLACE_UNLOAD) ||
 		    (move.kind == PLACE_LOAD &&
-			count_planned_loads(c) >=
+			count_planned_loads(c, now) >=
 			    (int)c->conf->store.concurrent) ||
 		    begin_move(c, now, &in, &move, out) == -1) {
 			input_free(&in);
