--- a/core/cell_delegate.c
+++ b/core/cell_delegate.c
@@ -5,6 +5,9 @@
 #include "cell_int.h"
 
 static uint64_t largest_model_mb(const struct cell_core *);
+static int release_others(struct cell_core *, uint64_t,
+    const struct cell_backend *, struct cell_out *);
+static uint64_t surely_delegated_mb(const struct cell_backend *);
 static void load_into_delegation(struct cell_core *, uint64_t,
     struct cell_backend *, const struct conf_model *, struct cell_out *);
 
@@ -22,29 +25,42 @@
 	return most;
 }
 
+uint64_t
+cell_headroom_mb(
+    const struct cell_core *c, uint64_t now, const struct cell_backend *b)
+{
+	return cell_holds_delegation(c, now, b) && !b->has_delegated_copy
+	    ? b->ledger.delegation.memory_mb
+	    : 0;
+}
+
 int
-cell_delegate_release(struct cell_core *c, uint64_t now, uint32_t keep,
-    uint64_t need, struct cell_out *out)
+cell_delegate_release(struct cell_core *c, uint64_t now, struct cell_backend *b,
+    struct cell_out *out)
 {
-	const struct ledger_delegation *d;
 	struct ledger *l;
-	struct cell_backend *b;
+
+	if (cell_headroom_mb(c, now, b) == 0)
+		return 0;
+	l = cell_ledger_edit(c, now, b);
+	if (l == NULL)
+		return 0;
+	l->delegation.memory_mb = 0;
+	cell_ledger_write(c, b, l, out);
+	return 1;
+}
+
+/* Releases headroom that another server's makes needless. */
+static int
+release_others(struct cell_core *c, uint64_t now,
+    const struct cell_backend *keep, struct cell_out *out)
+{
 	uint32_t i;
 
 	for (i = 0; i < c->nbackends; i++) {
-		b = c->backends[i];
-		d = &b->ledger.delegation;
-		if (i == keep || !cell_holds_delegation(c, now, b) ||
-		    d->memory_mb == 0 || b->has_delegated_copy ||
-		    ledger_free_mb(&b->ledger, d->accelerator) + d->memory_mb <
-			need)
-			continue;
-		l = cell_ledger_edit(c, now, b);
-		if (l == NULL)
-			continue;
-		l->delegation.memory_mb = 0;
-		cell_ledger_write(c, b, l, out);
-		return 1;
+		if (c->backends[i] != keep &&
+		    cell_delegate_release(c, now, c->backends[i], out))
+			return 1;
 	}
 	return 0;
 }
@@ -64,7 +80,7 @@
 		b = c->backends[i];
 		if (cell_holds_delegation(c, now, b) && !b->conf.leaving &&
 		    b->ledger.delegation.memory_mb >= want)
-			return cell_delegate_release(c, now, i, 0, out);
+			return release_others(c, now, b, out);
 	}
 	for (i = 0; i < c->nbackends; i++) {
 		b = c->backends[i];
@@ -90,6 +106,20 @@
 	return 1;
 }
 
+/* The delegated memory, whether or not unanswered writes have taken effect. */
+static uint64_t
+surely_delegated_mb(const struct cell_backend *b)
+{
+	uint64_t least = b->ledger.delegation.memory_mb;
+
+	if (b->pending_ledger != NULL &&
+	    b->pending_ledger->delegation.memory_mb < least)
+		least = b->pending_ledger->delegation.memory_mb;
+	if (b->write_in_doubt && b->in_doubt_delegation_mb < least)
+		least = b->in_doubt_delegation_mb;
+	return least;
+}
+
 static void
 load_into_delegation(struct cell_core *c, uint64_t now, struct cell_backend *b,
     const struct conf_model *m, struct cell_out *out)
@@ -143,7 +173,7 @@
 				&b->ledger, m->name, m->version) != NULL ||
 			    !cell_backend_responsive(c, b, now) ||
 			    b->engine_incarnation == 0 ||
-			    b->ledger.delegation.memory_mb < m->memory_mb)
+			    surely_delegated_mb(b) < m->memory_mb)
 				continue;
 			load_into_delegation(c, now, b, m, out);
 			break;
--- a/core/cell_int.h
+++ b/core/cell_int.h
@@ -42,10 +42,11 @@
 	 * successful write, which makes the earlier one fail.
 	 */
 	int write_in_doubt;
-	uint64_t kv_op_id; /* operation in flight, 0 for none */
-	uint64_t revision; /* of the ledger key */
-	uint64_t retry_at; /* next ledger operation */
-	uint32_t batch;	   /* sequences the engine runs at once, 0 unknown */
+	uint64_t in_doubt_delegation_mb; /* the least in such writes */
+	uint64_t kv_op_id;		 /* operation in flight, 0 for none */
+	uint64_t revision;		 /* of the ledger key */
+	uint64_t retry_at;		 /* next ledger operation */
+	uint32_t batch; /* sequences the engine runs at once, 0 unknown */
 	uint64_t engine_incarnation; /* last reported, 0 unknown */
 	uint64_t answered_at;	     /* last INDEX answer */
 	uint64_t poll_at;	     /* next INDEX */
@@ -150,13 +151,12 @@
     struct cell_backend *, uint64_t, const struct order_result *);
 
 /* cell_delegate.c */
-/*
- * Releases the delegated memory of one ledger where that makes the needed
- * memory available; index keep is skipped (nbackends: none).  Returns 1 when
- * it started a write.
- */
+/* Memory of a ledger that is delegated to this process and not used. */
+uint64_t cell_headroom_mb(
+    const struct cell_core *, uint64_t, const struct cell_backend *);
+/* Makes the headroom of a ledger free.  Returns 1 when it started a write. */
 int cell_delegate_release(
-    struct cell_core *, uint64_t, uint32_t, uint64_t, struct cell_out *);
+    struct cell_core *, uint64_t, struct cell_backend *, struct cell_out *);
 /*
  * Delegates memory for the largest model in one ledger, so that a lost model
  * can be loaded while the key-value service is unavailable.  Returns 1 when it
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -1,70 +1,9 @@
-/* A cell's owner, with a key-value service and one engine in virtual time. */
-#include <stdlib.h>
+/* A cell's owner: restarts of engines, outages, delegated memory. */
 #include <string.h>
 
-#include "cell.h"
+#include "cell_fixture.h"
 #include "unit.h"
 
-#define STEP_NS (50 * NSEC_PER_MSEC)
-#define VERSIONS 2
-#define KEYS_MAX 8
-
-/* Versions of the one model; the later one is declared. */
-enum {
-	VERSION_OLD,
-	VERSION_NEW
-};
-
-static const char *const versions[VERSIONS] = { "1", "2" };
-
-/* An engine that refuses no order; it may restart after a load. */
-static struct {
-	uint64_t incarnation;
-	int loaded[VERSIONS];
-	int loads_until_restart; /* 0: none */
-	int unloads;
-	int silent; /* does not answer INDEX */
-	int refuses_load;
-} engine;
-
-static struct {
-	char key[KV_KEY_SIZE];
-	char *value; /* NULL: absent */
-	uint64_t revision;
-} keys[KEYS_MAX];
-
-static struct cell_core *cell;
-static struct conf conf;
-static struct conf_model model;
-static struct conf_backend backend;
-static struct kv_ids ids;
-static struct msg_list msgs;
-static struct kv_ops ops;
-static struct orders orders;
-static struct cell_out out = { &msgs, &ops, &orders };
-static uint64_t now;
-static uint64_t kv_revision;
-static int kv_down;
-/* The write of an unload, which is answered only when it is released. */
-static int hold_unload;
-static struct kv_op *held_op;
-
-static int process_ended(void *, const struct node_id *);
-static int served_elsewhere(void *, const char *, const char *);
-static int config_applied(void *, uint64_t);
-static void setup(const char *);
-static void teardown(void);
-static void drop_messages(void);
-static size_t kv_find(const char *);
-static void kv_put(size_t, const char *);
-static void kv_remove(size_t);
-static void kv_answer(const struct kv_op *);
-static int version_index(const char *);
-static void engine_restart(void);
-static void engine_index(struct order_result *, struct order_loaded *);
-static void engine_carry_out(const struct order *);
-static void step(void);
-static void advance(uint64_t);
 static void start_slow_unload(void);
 static void release_write(void);
 static void check_new_version_alone(void);
@@ -75,274 +14,12 @@
 static void test_silence_during_write(void);
 static void test_delegated_copy_of_former_owner(void);
 static void test_stood_still_during_outage(void);
-
-static int
-process_ended(void *ctx, const struct node_id *id)
-{
-	(void)ctx;
-	(void)id;
-	return 1;
-}
-
-static int
-served_elsewhere(void *ctx, const char *name, const char *except)
-{
-	(void)ctx;
-	(void)name;
-	(void)except;
-	return 0;
-}
-
-static int
-config_applied(void *ctx, uint64_t since)
-{
-	(void)ctx;
-	(void)since;
-	return 1;
-}
-
-/* A process that takes the cell over, with the stored ledger. */
-static void
-setup(const char *ledger)
-{
-	static const struct cell_env env = { process_ended, served_elsewhere,
-		config_applied, NULL };
-	static const struct node_id self = { "10.0.0.1:1", 5 };
-	struct cell_config config;
-
-	now = 10 * NSEC_PER_SEC;
-	kv_down = 0;
-	hold_unload = 0;
-	held_op = NULL;
-	TAILQ_INIT(&msgs);
-	TAILQ_INIT(&ops);
-	TAILQ_INIT(&orders);
-	memset(&engine, 0, sizeof(engine));
-	engine.incarnation = 101;
-	memset(&model, 0, sizeof(model));
-	strcpy(model.name, "m");
-	strcpy(model.version, versions[VERSION_NEW]);
-	model.memory_mb = 30;
-	model.copies = 1;
-	model.nhome_cells = 1;
-	strcpy(model.home_cells[0], "main");
-	memset(&backend, 0, sizeof(backend));
-	strcpy(backend.name, "e1");
-	strcpy(backend.cell, "main");
-	backend.naccelerators = 1;
-	backend.memory_mb[0] = 100;
-	conf.models = &model;
-	conf.nmodels = 1;
-	conf.backends = &backend;
-	conf.nbackends = 1;
-	conf.store.loads_per_second = 10.0;
-	conf.store.concurrent = 4;
-	kv_put(kv_find("ledger/e1"), ledger);
-	cell_config_default(&config);
-	cell = cell_create(&config, "main", &self, &ids, &env);
-	cell_configure(cell, now, &conf, &out);
-	cell_set_candidate(cell, 1, 0);
-}
-
-static void
-teardown(void)
-{
-	struct order *o;
-	struct kv_op *op;
-	size_t i;
-
-	drop_messages();
-	while ((op = TAILQ_FIRST(&ops)) != NULL) {
-		TAILQ_REMOVE(&ops, op, entry);
-		kv_op_destroy(op);
-	}
-	while ((o = TAILQ_FIRST(&orders)) != NULL) {
-		TAILQ_REMOVE(&orders, o, entry);
-		order_destroy(o);
-	}
-	cell_destroy(cell);
-	for (i = 0; i < KEYS_MAX; i++)
-		free(keys[i].value);
-	memset(keys, 0, sizeof(keys));
-}
-
-static void
-drop_messages(void)
-{
-	struct msg *m;
-
-	while ((m = TAILQ_FIRST(&msgs)) != NULL) {
-		TAILQ_REMOVE(&msgs, m, entry);
-		msg_destroy(m);
-	}
-}
-
-/* The key's record, or an unused one. */
-static size_t
-kv_find(const char *key)
-{
-	size_t i;
-
-	for (i = 0; i + 1 < KEYS_MAX; i++) {
-		if (keys[i].key[0] == '\0')
-			strcpy(keys[i].key, key);
-		if (strcmp(keys[i].key, key) == 0)
-			break;
-	}
-	return i;
-}
-
-static void
-kv_put(size_t i, const char *value)
-{
-	free(keys[i].value);
-	keys[i].value = strdup(value);
-	keys[i].revision = ++kv_revision;
-}
-
-static void
-kv_remove(size_t i)
-{
-	free(keys[i].value);
-	keys[i].value = NULL;
-	keys[i].revision = 0;
-}
-
-static void
-kv_answer(const struct kv_op *op)
-{
-	struct kv_result r = { 0 };
-	size_t i = kv_find(op->key);
-
-	r.id = op->id;
-	r.kind = op->kind;
-	r.status = KV_OK;
-	if (kv_down) {
-		r.status = KV_UNKNOWN;
-		cell_handle_kv_result(cell, now, &r, &out);
-		return;
-	}
-	if (op->kind == KV_GRANT)
-		r.lease_id = 1;
-	if (op->kind == KV_GET && keys[i].value == NULL)
-		r.status = KV_ABSENT;
-	if (op->kind == KV_CAS && keys[i].revision != op->expected_revision)
-		r.status = KV_CONFLICT;
-	else if (op->kind == KV_CAS)
-		kv_put(i, op->value);
-	r.value = keys[i].value;
-	r.revision = keys[i].revision;
-	cell_handle_kv_result(cell, now, &r, &out);
-}
-
-static int
-version_index(const char *version)
-{
-	return strcmp(version, versions[VERSION_NEW]) == 0 ? VERSION_NEW
-							   : VERSION_OLD;
-}
-
-static void
-engine_restart(void)
-{
-	engine.incarnation++;
-	memset(engine.loaded, 0, sizeof(engine.loaded));
-}
-
-static void
-engine_index(struct order_result *r, struct order_loaded *list)
-{
-	int i;
-
-	r->engine_incarnation = engine.incarnation;
-	r->loaded = list;
-	memset(list, 0, VERSIONS * sizeof(*list));
-	for (i = 0; i < VERSIONS; i++) {
-		if (!engine.loaded[i])
-			continue;
-		strcpy(list[r->nloaded].model, model.name);
-		strcpy(list[r->nloaded].version, versions[i]);
-		list[r->nloaded++].memory_mb = model.memory_mb;
-	}
-}
-
-/* Only the answer to INDEX tells the engine's incarnation. */
-static void
-engine_carry_out(const struct order *o)
-{
-	struct order_loaded list[VERSIONS];
-	struct order_result r = { 0 };
-
-	r.id = o->id;
-	r.outcome = ORDER_DONE;
-	switch (o->kind) {
-	case ORDER_INDEX:
-		if (engine.silent)
-			r.outcome = ORDER_UNKNOWN;
-		else
-			engine_index(&r, list);
-		break;
-	case ORDER_LOAD:
-		if (engine.refuses_load) {
-			r.outcome = ORDER_REFUSED;
-			break;
-		}
-		engine.loaded[version_index(o->version)] = 1;
-		if (engine.loads_until_restart > 0 &&
-		    --engine.loads_until_restart == 0)
-			engine_restart();
-		break;
-	case ORDER_UNLOAD:
-		engine.unloads++;
-		engine.loaded[version_index(o->version)] = 0;
-		/* The model keeps a copy. */
-		CU_ASSERT(
-		    engine.loaded[VERSION_OLD] || engine.loaded[VERSION_NEW]);
-		break;
-	default:
-		break;
-	}
-	cell_handle_order_result(cell, now, &r, &out);
-}
-
-/* Orders take one step, operations of the key-value service no time. */
-static void
-step(void)
-{
-	struct orders sent = TAILQ_HEAD_INITIALIZER(sent);
-	struct order *o;
-	struct kv_op *op;
-
-	TAILQ_CONCAT(&sent, &orders, entry);
-	now += STEP_NS;
-	while ((o = TAILQ_FIRST(&sent)) != NULL) {
-		TAILQ_REMOVE(&sent, o, entry);
-		engine_carry_out(o);
-		order_destroy(o);
-	}
-	cell_tick(cell, now, &out);
-	while ((op = TAILQ_FIRST(&ops)) != NULL) {
-		TAILQ_REMOVE(&ops, op, entry);
-		if (hold_unload && op->kind == KV_CAS &&
-		    strstr(op->value, "unloading") != NULL) {
-			held_op = op;
-			hold_unload = 0;
-			continue;
-		}
-		kv_answer(op);
-		kv_op_destroy(op);
-	}
-	drop_messages();
-}
-
-static void
-advance(uint64_t ns)
-{
-	uint64_t until;
-
-	for (until = now + ns; now < until;)
-		step();
-}
+static void test_headroom_for_second_model(void);
+static void start_release(void);
+static void check_release_without_answer(void);
+static void test_headroom_release_in_doubt(void);
+static void test_headroom_release_in_flight(void);
+static void test_load_beside_refused_one(void);
 
 /*
  * The engine restarts between the answers to two loads, so that only the
@@ -393,7 +70,7 @@
 	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
 	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
 	engine.loaded[VERSION_OLD] = 1;
-	hold_unload = 1;
+	hold_text = "unloading";
 	for (i = 0; i < 200 && held_op == NULL; i++)
 		step();
 	CU_ASSERT_PTR_NOT_NULL_FATAL(held_op);
@@ -437,12 +114,12 @@
 {
 	start_slow_unload();
 	engine.loaded[VERSION_NEW] = 0;
-	engine.refuses_load = 1;
+	engine.refuses_load[VERSION_NEW] = 1;
 	release_write();
 	CU_ASSERT_EQUAL(engine.unloads, 0);
 	CU_ASSERT_PTR_NULL(
 	    strstr(keys[kv_find("ledger/e1")].value, "unloading"));
-	engine.refuses_load = 0;
+	engine.refuses_load[VERSION_NEW] = 0;
 	advance(10 * NSEC_PER_SEC);
 	CU_ASSERT_EQUAL(engine.unloads, 1);
 	check_new_version_alone();
@@ -475,11 +152,11 @@
 	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
 	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
 	engine.loaded[VERSION_OLD] = 1;
-	strcpy(model.version, versions[VERSION_OLD]);
+	strcpy(models[0].version, versions[VERSION_OLD]);
 	advance(3 * NSEC_PER_SEC);
 	kv_down = 1;
 	advance(5 * NSEC_PER_SEC);
-	strcpy(model.version, versions[VERSION_NEW]);
+	strcpy(models[0].version, versions[VERSION_NEW]);
 	engine_restart();
 	advance(3 * NSEC_PER_SEC);
 	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
@@ -494,7 +171,7 @@
 	    "{\"fence\":9,\"engine\":103,\"next\":5,\"entries\":[],"
 	    "\"delegation\":{\"addr\":\"10.0.0.2:1\",\"incarnation\":7,"
 	    "\"accelerator\":0,\"memory_mb\":0}}");
-	strcpy(model.version, versions[VERSION_OLD]);
+	strcpy(models[0].version, versions[VERSION_OLD]);
 	kv_down = 0;
 	cell_handle_superseded(cell, 9);
 	advance(2 * NSEC_PER_SEC);
@@ -521,11 +198,11 @@
 	      "{\"id\":1,\"model\":\"m\",\"version\":\"1\",\"accelerator\":0,"
 	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
 	engine.loaded[VERSION_OLD] = 1;
-	strcpy(model.version, versions[VERSION_OLD]);
+	strcpy(models[0].version, versions[VERSION_OLD]);
 	advance(3 * NSEC_PER_SEC);
 	kv_down = 1;
 	advance(5 * NSEC_PER_SEC);
-	strcpy(model.version, versions[VERSION_NEW]);
+	strcpy(models[0].version, versions[VERSION_NEW]);
 	engine_restart();
 	now += 6 * NSEC_PER_SEC;
 	advance(5 * NSEC_PER_SEC);
@@ -538,6 +215,111 @@
 	teardown();
 }
 
+/*
+ * With the headroom given up, the first model without a copy does not fit, but
+ * the one after it does.
+ */
+static void
+test_headroom_for_second_model(void)
+{
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"2\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_NEW] = 1;
+	advance(3 * NSEC_PER_SEC);
+	CU_ASSERT_PTR_NOT_NULL(strstr(keys[kv_find("ledger/e1")].value,
+	    "\"accelerator\":0,\"memory_mb\":30}}"));
+	conf.nmodels = MODELS;
+	advance(5 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[VERSION_NEW]);
+	CU_ASSERT_FALSE(engine.loaded[LARGE]);
+	CU_ASSERT_TRUE(engine.loaded[SMALL]);
+	teardown();
+}
+
+/* The headroom is to be released for the second model. */
+static void
+start_release(void)
+{
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"2\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_NEW] = 1;
+	advance(3 * NSEC_PER_SEC);
+	models[1].memory_mb = 45;
+	conf.nmodels = 2;
+}
+
+/* A third model, which would fit there, is declared during the outage. */
+static void
+check_release_without_answer(void)
+{
+	CU_ASSERT_TRUE(kv_down);
+	models[2].memory_mb = 30;
+	conf.nmodels = 3;
+	advance(8 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(cell_is_owner(cell));
+	CU_ASSERT_FALSE(engine.loaded[SMALL]);
+}
+
+/*
+ * The release took effect, but its answer is lost, and the service is down from
+ * then on.  Nothing may be loaded into that memory.
+ */
+static void
+test_headroom_release_in_doubt(void)
+{
+	start_release();
+	lose_release = 1;
+	advance(NSEC_PER_SEC);
+	check_release_without_answer();
+	kv_down = 0;
+	kv_remove(kv_find("lease/main"));
+	advance(10 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[LARGE]);
+	CU_ASSERT_FALSE(engine.loaded[SMALL]);
+	teardown();
+}
+
+/* The same while the write of the release is under way. */
+static void
+test_headroom_release_in_flight(void)
+{
+	start_release();
+	hold_text = no_headroom;
+	advance(NSEC_PER_SEC);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(held_op);
+	kv_down = 1;
+	check_release_without_answer();
+	kv_op_destroy(held_op);
+	teardown();
+}
+
+/*
+ * One load at a time may be in flight, and the engine refuses one model for
+ * ever.  Another is loaded between the attempts.
+ */
+static void
+test_load_beside_refused_one(void)
+{
+	setup("{\"fence\":0,\"engine\":101,\"next\":1,\"entries\":["
+	      "{\"id\":1,\"model\":\"m\",\"version\":\"2\",\"accelerator\":0,"
+	      "\"memory_mb\":30,\"state\":\"resident\",\"senders\":[]}]}");
+	engine.loaded[VERSION_NEW] = 1;
+	engine.refuses_load[LARGE] = 1;
+	conf.store.concurrent = 1;
+	models[1].memory_mb = 20;
+	models[2].memory_mb = 20;
+	conf.nmodels = 3;
+	advance(10 * NSEC_PER_SEC);
+	CU_ASSERT_FALSE(engine.loaded[LARGE]);
+	CU_ASSERT_TRUE(engine.loaded[SMALL]);
+	engine.refuses_load[LARGE] = 0;
+	advance(3 * NSEC_PER_SEC);
+	CU_ASSERT_TRUE(engine.loaded[LARGE]);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "restart between loads", test_restart_between_loads },
 	{ "old version is unloaded", test_old_version_is_unloaded },
@@ -547,6 +329,10 @@
 	{ "delegated copy of a former owner",
 	    test_delegated_copy_of_former_owner },
 	{ "stood still during an outage", test_stood_still_during_outage },
+	{ "headroom for the second model", test_headroom_for_second_model },
+	{ "headroom's release in doubt", test_headroom_release_in_doubt },
+	{ "headroom's release in flight", test_headroom_release_in_flight },
+	{ "load beside a refused one", test_load_beside_refused_one },
 };
 
 UNIT_MAIN("cell", cases)
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -25,6 +25,10 @@
 static void test_place_last_copy(void);
 static void test_place_gain(void);
 static void test_place_hysteresis(void);
+static void test_place_headroom(void);
+static void test_place_headroom_migration(void);
+static void test_place_beside_unload(void);
+static void test_place_beside_extra_copy(void);
 
 static void
 setup(struct ledger *l)
@@ -282,6 +286,124 @@
 	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
 }
 
+/* Headroom is released for the first model that it suffices for, if any. */
+static void
+test_place_headroom(void)
+{
+	struct place_backend b[2] = { backend(10), backend(30) };
+	struct place_model m[3] = { required_model("a", 80),
+		required_model("b", 50), required_model("c", 40) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	b[0].headroom_mb[0] = 40;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.model, 1);
+	CU_ASSERT_EQUAL(move.backend, 0);
+	m[1].allowed[0] = 0;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.model, 2);
+	m[2].allowed[0] = 0;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_NO_ROOM);
+	CU_ASSERT_EQUAL(move.model, 0);
+	b[1].headroom_mb[0] = 20;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.model, 1);
+	CU_ASSERT_EQUAL(move.backend, 1);
+}
+
+/* Headroom is released where a copy can go that is in the model's way. */
+static void
+test_place_headroom_migration(void)
+{
+	struct place_backend b[2] = { backend(0), backend(10) };
+	struct place_model m[2] = { required_model("a", 40),
+		required_model("b", 30) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	add_copy(&m[1], 1);
+	b[0].headroom_mb[0] = 29;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_NO_ROOM);
+	b[0].headroom_mb[0] = 30;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.backend, 0);
+}
+
+/*
+ * The first model waits for an unload.  The second is loaded on another server,
+ * but not into the memory that the first waits for.
+ */
+static void
+test_place_beside_unload(void)
+{
+	struct place_backend b[2] = { backend(30), backend(30) };
+	struct place_model m[2] = { required_model("a", 60),
+		required_model("b", 30) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	b[0].busy = 1;
+	b[0].freeing_mb[0] = 30;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+	CU_ASSERT_EQUAL(move.model, 1);
+	CU_ASSERT_EQUAL(move.backend, 1);
+	b[1].free_mb[0] = 0;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_WAIT);
+	CU_ASSERT_EQUAL(move.model, 0);
+	b[1].headroom_mb[0] = 60;
+	move = place_next_move(&c, 0, m, 2, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_RELEASE);
+	CU_ASSERT_EQUAL(move.model, 1);
+}
+
+/*
+ * An extra copy of one model is loading, perhaps for ever.  Another model that
+ * fits nowhere does not keep a third from being loaded.
+ */
+static void
+test_place_beside_extra_copy(void)
+{
+	struct place_backend b[2] = { backend(0), backend(30) };
+	struct place_model m[3] = { required_model("a", 80),
+		required_model("b", 40), required_model("c", 30) };
+	struct place_config c;
+	struct place_move move;
+
+	place_config_default(&c);
+	add_copy(&m[1], 0);
+	add_copy(&m[1], 1);
+	m[1].copies[1].resident = 0;
+	b[1].busy = 1;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+	CU_ASSERT_EQUAL(move.model, 2);
+	CU_ASSERT_EQUAL(move.backend, 1);
+	/* It would not fit where the other copy is, and does not hold that. */
+	b[0].free_mb[0] = 30;
+	m[2].allowed[1] = 0;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_LOAD);
+	CU_ASSERT_EQUAL(move.model, 2);
+	CU_ASSERT_EQUAL(move.backend, 0);
+	/* Now it fits there, and waits for that. */
+	m[0].memory_mb = 70;
+	move = place_next_move(&c, 0, m, 3, b, 2);
+	CU_ASSERT_EQUAL(move.kind, PLACE_WAIT);
+	CU_ASSERT_EQUAL(move.model, 0);
+}
+
 static const struct unit_case cases[] = {
 	{ "entries reserve memory in every state", test_reserved_memory },
 	{ "adopted copy in delegated memory", test_adopt },
@@ -293,6 +415,11 @@
 	{ "placement: last copy", test_place_last_copy },
 	{ "placement: gain", test_place_gain },
 	{ "placement: hysteresis", test_place_hysteresis },
+	{ "placement: headroom", test_place_headroom },
+	{ "placement: headroom for a copy in the way",
+	    test_place_headroom_migration },
+	{ "placement: beside an unload", test_place_beside_unload },
+	{ "placement: beside an extra copy", test_place_beside_extra_copy },
 };
 
 UNIT_MAIN("ledger", cases)
