The size of the sorted sources is written out, for clang-tidy

bugprone-sizeof-expression takes sizeof(*list) of a list of pointers for a mistake. No change of behaviour.

--- a/timeline/collect.c
+++ b/timeline/collect.c
@@ -117,7 +117,7 @@
 		if (!t->sources[i].unreachable)
 			list[n++] = &t->sources[i];
 	}
-	qsort(list, n, sizeof(*list), compare_offsets);
+	qsort(list, n, sizeof(struct source *), compare_offsets);
 	for (first = 0; first < n; first = i) {
 		to = latest_offset(list[first]);
 		for (i = first; i < n && earliest_offset(list[i]) <= to; i++) {
