Failing test: a connection is idle while its answer is unread

What callers saw: a caller that reads its answer later than the idle limit and 2 s gets all of it, but its connection is closed behind it: its next request is not answered. Since callers that do not read keep their connection, this can happen; before, they were reset.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -1390,6 +1390,22 @@
         w.stop()
 
 
+def test_idle_while_answer_is_unread():
+    """A caller that reads its answer later than the idle limit may send its
+    next request on the connection; later it is closed."""
+    w, _, _ = two_replicas(large_answer, large_answer, config=long_routes())
+    try:
+        s = slow_caller(w, "/read/x")
+        time.sleep(6)
+        check("first", len(read_answer(s)[2]) == 3900000)
+        time.sleep(1.2)
+        s.sendall(request("/read/small", "id-2"))
+        check("second", len(read_answer(s)[2]) == 500000)
+        check("closed", s.recv(1) == b"")
+    finally:
+        w.stop()
+
+
 def test_caller_reads_a_little():
     """A caller that reads 3,000 bytes every 0.5 s gets its whole stream: the
     kernel's limit counts on while the window opens only in part."""
