A connection is not idle while its answer is unread

What callers saw: a caller that reads its answer later than the idle limit and 2 s gets all of it, but its connection is closed behind it, and its next request gets no answer.

Cause: the idle time counts from when the answer was handed to the connection, not from when the caller has read it.

Ruled out: counting from when the output buffer is empty (the kernel may hold some MB).

Change: at the idle limit, a connection whose answer is unread is looked at again every second; the idle time counts from the last look at which it was unread. After the request's deadline it counts as read, as before.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -19,6 +19,8 @@
  * clock; what they sent last may still be on its way.
  */
 #define IDLE_MARGIN_NS (2 * NSEC_PER_SEC)
+/* A caller is idle once it has read its answer; looked at this often. */
+#define UNREAD_CHECK_NS NSEC_PER_SEC
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES 4194304
 #define DEFAULT_HEADER_NS (3 * NSEC_PER_SEC)
@@ -279,6 +281,11 @@
 		caller_reject(c, 408, "the request came too slowly");
 		return;
 	}
+	if (!conn_is_flushed(c->conn)) {
+		c->idle_since = c->e->now;
+		caller_set_timer(c, UNREAD_CHECK_NS);
+		return;
+	}
 	/* The limit may have been raised. */
 	if (c->e->now < caller_idle_deadline(c)) {
 		expiry_set(c->expiry, caller_idle_deadline(c));
--- a/net/conn.c
+++ b/net/conn.c
@@ -48,7 +48,6 @@
 static void conn_on_write(struct ev_loop *, ev_io *, int);
 static void conn_on_linger(struct ev_loop *, ev_timer *, int);
 static void conn_on_gone(void *);
-static int conn_is_flushed(const struct conn *);
 static int conn_flush(struct conn *);
 static void conn_on_connect(struct conn *);
 static void conn_end_sending(struct conn *);
@@ -240,8 +239,7 @@
 	conn_destroy(c);
 }
 
-/* Once the descriptor is closed, the kernel ends the connection by itself. */
-static int
+int
 conn_is_flushed(const struct conn *c)
 {
 	return buf_len(&c->out) == 0 && !stall_is_unread(c->stall);
--- a/net/conn.h
+++ b/net/conn.h
@@ -61,6 +61,8 @@
 int conn_has_input(const struct conn *);
 /* Output bytes not yet accepted by the kernel. */
 size_t conn_unsent_bytes(const struct conn *);
+/* Whether nothing is left that the peer still has time to read. */
+int conn_is_flushed(const struct conn *);
 void conn_clear_sent(struct conn *);
 /* Whether any byte was passed to the kernel since conn_clear_sent(). */
 int conn_has_sent(const struct conn *);
