--- a/core/cell.c
+++ b/core/cell.c
@@ -269,6 +269,7 @@
 	memcpy(r->name, b->conf.name, sizeof(r->name));
 	memcpy(r->addr, b->conf.address, sizeof(r->addr));
 	r->leaving = b->conf.leaving || !b->declared;
+	r->incarnation = b->engine_incarnation;
 	r->batch = b->batch;
 	for (i = 0; i < b->ledger.nentries; i++) {
 		m = conf_find_model(c->conf, b->ledger.entries[i].model);
--- a/core/gate.c
+++ b/core/gate.c
@@ -15,6 +15,8 @@
     const struct gate_core *, const struct job_key *);
 static void on_queued(
     struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
+static void return_grant(
+    struct attempt *, const struct target *, uint64_t, struct gate_actions *);
 static void on_grant(
     struct gate_core *, uint64_t, const struct msg *, struct gate_actions *);
 static void on_refuse(
@@ -224,6 +226,20 @@
 	a->resend_at = now + g->config.resend_interval_ns;
 }
 
+/* Tells the owner, which may not have heard, why a replica is not used. */
+static void
+return_grant(struct attempt *a, const struct target *t, uint64_t now,
+    struct gate_actions *out)
+{
+	if (t == NULL)
+		return;
+	gate_notice_send(t, now, out);
+	/* The owner may go on granting one that is sent no further probe. */
+	if (a != NULL && a->state != ATTEMPT_RUNNING &&
+	    gate_target_open(t, now))
+		memcpy(a->exclude, t->name, sizeof(a->exclude));
+}
+
 static void
 on_grant(struct gate_core *g, uint64_t now, const struct msg *m,
     struct gate_actions *out)
@@ -238,7 +254,8 @@
 		return; /* duplicate GRANT */
 	t = gate_find_target(g, grant->replica);
 	if (a == NULL || a->state == ATTEMPT_RUNNING || t == NULL ||
-	    t->removed || t->leaving) {
+	    !gate_target_usable(t, now)) {
+		return_grant(a, t, now, out);
 		gate_send_release(g, &grant->key, m->from.addr, grant->grant_id,
 		    NULL, RELEASE_UNUSED, out);
 		if (a != NULL && a->state != ATTEMPT_RUNNING)
@@ -257,6 +274,8 @@
 	a = find_attempt(g, &m->u.refuse.key);
 	if (a == NULL || a->state == ATTEMPT_RUNNING)
 		return;
+	if (m->u.refuse.retry_ns != 0)
+		a->call->reopen_at = now + m->u.refuse.retry_ns;
 	gate_call_handle_refusal(
 	    g, now, a, (enum refuse_reason)m->u.refuse.reason, out);
 }
@@ -412,10 +431,11 @@
 	HASH_ITER (hh, g->targets, t, next) {
 		if (t->cell != c || m->u.report.n == MSG_REPORTS_MAX)
 			continue;
-		if (t->ttft_samples == 0 && t->token_samples == 0 &&
-		    t->in_flight == 0)
+		it = &m->u.report.items[m->u.report.n];
+		if (!gate_notice_fill(t, now, it) && t->ttft_samples == 0 &&
+		    t->token_samples == 0 && t->in_flight == 0)
 			continue;
-		it = &m->u.report.items[m->u.report.n++];
+		m->u.report.n++;
 		memcpy(it->replica, t->name, sizeof(it->replica));
 		if (t->ttft_samples != 0)
 			it->first_ns = t->ttft_sum_ns / t->ttft_samples;
@@ -443,6 +463,7 @@
 	struct call *call, *next;
 	struct cell *c, *c_next;
 
+	gate_notice_tick(g, now, out);
 	HASH_ITER (hh, g->calls, call, next)
 		gate_call_tick(g, now, call, out);
 	if (now >= g->sync_at) {
--- a/core/gate.h
+++ b/core/gate.h
@@ -63,22 +63,32 @@
 	uint64_t fetch_id;
 	enum fetch_phase phase; /* PHASE, FAILED */
 	int status;		/* HEAD */
+	int leaving;		/* HEAD: the replica says that it leaves */
+	uint64_t closed_ns;	/* HEAD: it takes no requests for, 0: it does */
 	uint32_t tokens;	/* DATA: tokens in this part */
 	size_t bytes;		/* DATA */
 	void *payload;		/* HEAD, DATA: returned in an action */
 };
 
 enum gate_action_kind {
-	GATE_SEND_MSG,	   /* send msg on the bus */
-	GATE_START_FETCH,  /* start a fetch */
-	GATE_STOP_FETCH,   /* close a fetch; its further events are ignored */
-	GATE_FORWARD_DATA, /* forward payload to the caller of rid */
+	GATE_SEND_MSG,	     /* send msg on the bus */
+	GATE_START_FETCH,    /* start a fetch */
+	GATE_STOP_FETCH,     /* close a fetch; its further events are ignored */
+	GATE_FORWARD_DATA,   /* forward payload to the caller of rid */
+	GATE_WITHDRAW_FETCH, /* fail a fetch unless it was written in part */
+	GATE_REPORT_NOTICE,  /* what target says of itself */
 	GATE_FREE_PAYLOAD,
 	GATE_END_RESPONSE, /* the response to rid is complete */
 	GATE_FAIL_REQUEST, /* report the outcome to the caller of rid */
 	GATE__MAX
 };
 
+enum gate_notice {
+	GATE_SAYS_LEAVING,
+	GATE_SAYS_CLOSED, /* until reopen_at */
+	GATE_REOPENED	  /* that time has passed */
+};
+
 struct gate_action {
 	TAILQ_ENTRY(gate_action) entry;
 	enum gate_action_kind kind;
@@ -91,6 +101,12 @@
 	uint32_t resume_tokens; /* START_FETCH: already delivered */
 	int at_most_once;	/* START_FETCH: must not be sent twice */
 	enum gate_outcome outcome;
+	enum gate_notice notice; /* REPORT_NOTICE */
+	/*
+	 * REPORT_NOTICE: see above; FAIL_REQUEST: when the first suitable
+	 * backend server takes requests, 0: now or unknown.
+	 */
+	uint64_t reopen_at;
 	void *payload;
 };
 
@@ -118,7 +134,9 @@
 	uint64_t resumes;
 	uint64_t hedges;
 	uint64_t local_selections; /* attempts without a grant */
-	uint32_t calls;		   /* in progress */
+	uint64_t leaving_notices;  /* backend servers that said it */
+	uint64_t closed_notices;
+	uint32_t calls; /* in progress */
 };
 
 void gate_config_default(struct gate_config *);
--- a/core/gate_attempt.c
+++ b/core/gate_attempt.c
@@ -106,9 +106,12 @@
 	a->fetch_id = ++g->last_fetch_id;
 	a->phase = PHASE_CONNECTING;
 	a->started_at = now;
+	a->incarnation = t->incarnation;
 	a->reply_deadline = TIME_NEVER;
 	a->resend_at = TIME_NEVER;
 	t->in_flight++;
+	if (notice_is_probed(&t->notice, t->incarnation, now))
+		t->probed_incarnation = t->incarnation;
 	HASH_ADD(hh, g->fetches, fetch_id, sizeof(a->fetch_id), a);
 	act = gate_add_action(out, GATE_START_FETCH, a->key.rid);
 	act->fetch_id = a->fetch_id;
--- a/core/gate_call.c
+++ b/core/gate_call.c
@@ -34,6 +34,8 @@
     const struct gate_fetch_event *, struct gate_actions *);
 static void start_hedge_if_late(
     struct gate_core *, uint64_t, struct call *, struct gate_actions *);
+static int waits_in_vain(
+    const struct gate_core *, uint64_t, const struct call *);
 static void attempt_tick(
     struct gate_core *, uint64_t, struct attempt *, struct gate_actions *);
 
@@ -87,6 +89,8 @@
 gate_call_fail(struct gate_core *g, uint64_t now, struct call *call,
     enum gate_outcome outcome, struct gate_actions *out)
 {
+	struct gate_action *act;
+
 	/* A backend server may have executed part of the request. */
 	if (call->request_written && gate_outcome_not_run(outcome))
 		outcome =
@@ -94,8 +98,11 @@
 	end_attempts(g, now, call, RELEASE_CANCELLED, out);
 	gate_call_drop_buffered(call, out);
 	if (!call->caller_gone) {
-		gate_add_action(out, GATE_FAIL_REQUEST, call->req.rid)
-		    ->outcome = outcome;
+		act = gate_add_action(out, GATE_FAIL_REQUEST, call->req.rid);
+		act->outcome = outcome;
+		act->reopen_at = call->reopen_at != 0
+		    ? call->reopen_at
+		    : gate_reopen_at(g, now, call);
 		g->stats.failed[outcome]++;
 	}
 	gate_call_destroy(g, call);
@@ -155,7 +162,7 @@
 
 	rule = gate_retry_rule(call->req.repeatable, phase);
 	memcpy(exclude, a->target->name, sizeof(exclude));
-	if (phase == PHASE_CONNECTING)
+	if (phase == PHASE_CONNECTING && gate_target_open(a->target, now))
 		a->target->avoid_until = now + UNREACHABLE_AVOID_NS;
 	gate_attempt_end(g, now, a, RELEASE_FAILED, out);
 	if (rule == RETRY_FORBIDDEN) {
@@ -289,6 +296,7 @@
 
 	call->request_written = 1;
 	if (f->kind == FETCH_HEAD) {
+		gate_notice_apply(g, now, a, f, out);
 		on_head(g, now, a, f, out);
 		return;
 	}
@@ -381,6 +389,23 @@
 		gate_attempt_select_local(g, now, a, out);
 }
 
+/*
+ * Whether the gate selects the target, and all suitable ones are closed until
+ * after the deadline.
+ */
+static int
+waits_in_vain(const struct gate_core *g, uint64_t now, const struct call *call)
+{
+	const struct attempt *a;
+
+	TAILQ_FOREACH (a, &call->attempts, entry) {
+		if (a->state != ATTEMPT_SELECTING)
+			return 0;
+	}
+	return !call->response_started &&
+	    gate_reopen_at(g, now, call) > call->req.deadline;
+}
+
 void
 gate_call_tick(struct gate_core *g, uint64_t now, struct call *call,
     struct gate_actions *out)
@@ -400,6 +425,10 @@
 		gate_call_fail(g, now, call, OUTCOME_DEADLINE, out);
 		return;
 	}
+	if (waits_in_vain(g, now, call)) {
+		gate_call_fail(g, now, call, OUTCOME_UNREACHABLE, out);
+		return;
+	}
 	if (now >= call->retry_at)
 		gate_attempt_start(g, now, call, call->exclude, out);
 	start_hedge_if_late(g, now, call, out);
--- a/core/gate_int.h
+++ b/core/gate_int.h
@@ -5,6 +5,7 @@
 #include <uthash.h>
 
 #include "gate.h"
+#include "notice.h"
 
 enum attempt_state {
 	ATTEMPT_ACQUIRING, /* ACQUIRE sent, no reply yet */
@@ -32,6 +33,9 @@
 	uint32_t update_seq; /* update in which it was last listed */
 	uint32_t in_flight;  /* requests of this gate */
 	uint64_t avoid_until;
+	uint64_t incarnation;	     /* latest known, 0: unknown */
+	struct notice notice;	     /* what it said of itself */
+	uint64_t probed_incarnation; /* that was sent one request */
 	uint32_t nmodels;
 	char (*models)[NAME_SIZE];
 	/* latency samples since the last REPORT */
@@ -69,6 +73,7 @@
 	uint64_t reply_deadline; /* ACQUIRING, QUEUED: then select locally */
 	uint64_t resend_at;
 	uint64_t started_at;
+	uint64_t incarnation; /* of the target at the start */
 	uint64_t first_token_at;
 	uint64_t last_token_at;
 	uint32_t tokens_received;
@@ -100,6 +105,7 @@
 	int caller_gone; /* connection closed, request still running */
 	int hedged;
 	uint32_t no_model_refusals; /* by cells without a copy */
+	uint64_t reopen_at;	    /* told by the owner, see gate_action */
 	uint64_t retry_at;	    /* no attempt: start the next one then */
 	char exclude[NAME_SIZE];    /* target that failed last */
 };
@@ -171,6 +177,22 @@
 void gate_call_destroy(struct gate_core *, struct call *);
 void gate_call_drop_buffered(struct call *, struct gate_actions *);
 
+/* gate_notice.c: what backend servers say of themselves */
+/* Whether a target takes requests, one at a time at least. */
+int gate_target_open(const struct target *, uint64_t);
+/* Whether it may take a request that no owner granted. */
+int gate_target_usable(const struct target *, uint64_t);
+/* When the first target suitable for a call is open, 0: now or unknown. */
+uint64_t gate_reopen_at(
+    const struct gate_core *, uint64_t, const struct call *);
+void gate_notice_apply(struct gate_core *, uint64_t, struct attempt *,
+    const struct gate_fetch_event *, struct gate_actions *);
+/* Tells the owner of a target's cell of its notice. */
+void gate_notice_send(const struct target *, uint64_t, struct gate_actions *);
+/* Adds the notice to a report; returns whether there is one. */
+int gate_notice_fill(const struct target *, uint64_t, struct msg_report_item *);
+void gate_notice_tick(struct gate_core *, uint64_t, struct gate_actions *);
+
 /* gate_retry.c: whether a failed attempt is retried */
 enum retry_rule {
 	RETRY_OTHER_TARGET,
--- a/core/gate_table.c
+++ b/core/gate_table.c
@@ -11,6 +11,7 @@
 static void target_set_models(struct target *, const struct msg_replica *);
 static void cell_mark_removed(struct gate_core *, const struct cell *);
 static int target_usable(const struct target *, uint64_t, const char *);
+static void target_list(struct target *, uint64_t, int);
 static struct target *pick_less_loaded(
     struct gate_core *, struct target **, uint32_t);
 
@@ -50,6 +51,16 @@
 	return t;
 }
 
+/* Applies what a table tells of a target; incarnations only increase. */
+static void
+target_list(struct target *t, uint64_t incarnation, int leaving)
+{
+	if (incarnation > t->incarnation)
+		t->incarnation = incarnation;
+	notice_listed(&t->notice, t->incarnation, t->leaving && !leaving);
+	t->leaving = leaving;
+}
+
 static void
 target_set_models(struct target *t, const struct msg_replica *r)
 {
@@ -99,7 +110,7 @@
 		r = &m->replicas[i];
 		t = target_update(g, r->name, r->addr);
 		t->cell = c;
-		t->leaving = r->leaving != 0;
+		target_list(t, r->incarnation, r->leaving != 0);
 		target_set_models(t, r);
 	}
 	cell_mark_removed(g, c);
@@ -149,7 +160,7 @@
 	s->info = *m;
 	for (i = 0; i < m->nbackends; i++) {
 		t = target_update(g, m->backends[i].name, m->backends[i].addr);
-		t->leaving = m->backends[i].leaving != 0;
+		target_list(t, 0, m->backends[i].leaving != 0);
 		s->targets[i] = t;
 	}
 }
@@ -236,7 +247,7 @@
 static int
 target_usable(const struct target *t, uint64_t now, const char *exclude)
 {
-	return !t->leaving && !t->removed && t->avoid_until <= now &&
+	return gate_target_usable(t, now) && t->avoid_until <= now &&
 	    strcmp(t->name, exclude) != 0;
 }
 
@@ -275,8 +286,8 @@
 }
 
 /*
- * Selects an instance of a plain service; if all are to be avoided, any that is
- * not leaving.
+ * Selects an instance of a plain service; if all are to be avoided, any that
+ * takes requests.
  */
 struct target *
 gate_pick_instance(struct gate_core *g, uint64_t now, const struct attempt *a)
@@ -294,7 +305,7 @@
 			list[n++] = s->targets[i];
 	}
 	for (i = 0; i < s->info.nbackends && n == 0; i++) {
-		if (!s->targets[i]->leaving)
+		if (gate_target_usable(s->targets[i], now))
 			list[n++] = s->targets[i];
 	}
 	return pick_less_loaded(g, list, n);
--- a/core/msg.h
+++ b/core/msg.h
@@ -12,7 +12,7 @@
 #include "base.h"
 #include "poison.h"
 
-#define MSG_VERSION 3
+#define MSG_VERSION 4
 #define MSG_SYNC_MAX 64	      /* grants in a SYNC */
 #define MSG_MEMBERS_MAX 8     /* membership entries in a probe */
 #define MSG_REPORTS_MAX 32    /* replicas in a REPORT */
@@ -105,6 +105,7 @@
 struct msg_refuse {
 	struct job_key key;
 	uint32_t reason;
+	uint64_t retry_ns; /* until a replica takes requests, 0: unknown */
 };
 
 struct msg_release {
@@ -134,6 +135,10 @@
 		uint64_t token_ns; /* mean time between tokens, 0: unknown */
 		uint64_t
 		    waiting_ns; /* age of the oldest attempt without a token */
+		/* what the replica said of itself */
+		uint64_t incarnation; /* that said it, 0: unknown */
+		uint64_t closed_ns;   /* takes no requests for, 0: it does */
+		uint32_t leaving;
 	} items[MSG_REPORTS_MAX];
 };
 
@@ -147,6 +152,7 @@
 struct msg_replica {
 	char name[NAME_SIZE];
 	char addr[ADDR_SIZE];
+	uint64_t incarnation; /* of the engine, 0: unknown */
 	uint32_t leaving;
 	uint32_t batch; /* concurrent sequences, 0: unknown */
 	uint32_t nmodels;
--- a/core/notice.c
+++ b/core/notice.c
@@ -56,6 +56,17 @@
 		n->probe = 0;
 }
 
+void
+notice_listed(struct notice *n, uint64_t started_ms, int undrained)
+{
+	if (n->started_ms != 0)
+		return;
+	if (undrained)
+		n->leaving_at = 0;
+	if (n->leaving_at != 0 || n->closed_until != 0)
+		n->started_ms = started_ms;
+}
+
 int
 notice_is_leaving(const struct notice *n, uint64_t started_ms)
 {
--- a/core/notice.h
+++ b/core/notice.h
@@ -43,6 +43,13 @@
 int notice_closed(struct notice *, uint64_t, uint64_t, uint64_t);
 /* A request that an incarnation took, sent at a time, was answered. */
 void notice_answered(struct notice *, uint64_t, uint64_t);
+/*
+ * A listing names the incarnation that runs, 0: unknown, and tells whether the
+ * replica was drained before and is not any more.  A notice of an unknown
+ * incarnation holds for the first one named; an undrained replica whose
+ * incarnation is not known does not leave any more.
+ */
+void notice_listed(struct notice *, uint64_t, int);
 /* Whether an incarnation has said that it leaves. */
 int notice_is_leaving(const struct notice *, uint64_t);
 /* Until when an incarnation takes no requests; 0: it takes them. */
--- a/core/sched.c
+++ b/core/sched.c
@@ -212,6 +212,9 @@
 		return;
 	for (i = 0; i < r->nmodels; i++)
 		model_remove_replica(r->models[i], r);
+	if (info->incarnation != 0)
+		r->incarnation = info->incarnation;
+	notice_listed(&r->notice, r->incarnation, r->leaving && !info->leaving);
 	r->leaving = info->leaving != 0;
 	r->batch = info->batch;
 	r->nmodels = 0;
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 #include <uthash.h>
 
+#include "notice.h"
 #include "sched.h"
 
 /* Jobs expected to hold a slot at least this long are long. */
@@ -47,6 +48,7 @@
 	uint64_t refreshed_at; /* last named in an ACQUIRE or SYNC */
 	uint64_t granted_at;
 	uint64_t grant_id;
+	uint64_t incarnation; /* of the replica when granted */
 	uint64_t prefix_hash;
 	uint64_t expected_slot_ns;
 	struct replica *exclude;
@@ -78,6 +80,8 @@
 	UT_hash_handle hh;
 	int leaving;
 	int is_slow;
+	uint64_t incarnation; /* latest known, 0: unknown */
+	struct notice notice; /* what it said of itself to gates */
 	uint32_t index;
 	uint32_t batch; /* sequences that the engine runs at once, 0: unknown */
 	double slots;
@@ -130,8 +134,8 @@
 /* sched_msg.c */
 void sched_send_grant(struct sched *, uint64_t, struct job *, struct replica *,
     struct msg_list *);
-void sched_refuse_job(
-    struct sched *, struct job *, enum refuse_reason, struct msg_list *);
+void sched_refuse_job(struct sched *, uint64_t, struct job *,
+    enum refuse_reason, struct msg_list *);
 
 /* sched_queue.c: queues of waiting jobs */
 void sched_estimate_cost(struct job *, uint32_t);
@@ -157,6 +161,15 @@
 int sched_long_job_allowed(
     const struct sched *, const struct replica *, uint64_t);
 
+/* sched_notice.c: replicas that take no requests by their own word */
+/* Whether a replica takes another request. */
+int sched_replica_open(const struct replica *, uint64_t);
+/* When the first of a model's replicas takes requests, 0: now or unknown. */
+uint64_t sched_reopen_at(const struct model *, uint64_t);
+/* Records what a gate reports that a replica said of itself. */
+void sched_apply_notice(
+    struct replica *, uint64_t, const struct msg_report_item *);
+
 /* sched_slots.c: adaptive slots */
 void sched_add_sample(struct replica *, uint64_t, uint64_t, uint64_t);
 void sched_adapt_slots(struct sched *, uint64_t, struct msg_list *);
--- a/core/sched_msg.c
+++ b/core/sched_msg.c
@@ -21,7 +21,7 @@
 static void send_job_state(
     const struct job *, enum msg_kind, struct msg_list *);
 static void send_refuse(const struct node_id *, const struct job_key *,
-    enum refuse_reason, struct msg_list *);
+    enum refuse_reason, uint64_t, struct msg_list *);
 static int queue_full(const struct sched *, uint32_t);
 static void on_acquire(
     struct sched *, uint64_t, const struct msg *, struct msg_list *);
@@ -76,6 +76,7 @@
 {
 	job->state = JOB_GRANTED;
 	job->replica = r;
+	job->incarnation = r->incarnation;
 	r->in_flight++;
 	r->long_in_flight += job->is_long;
 	r->short_in_flight += job->is_short;
@@ -105,21 +106,25 @@
 
 static void
 send_refuse(const struct node_id *to, const struct job_key *key,
-    enum refuse_reason reason, struct msg_list *out)
+    enum refuse_reason reason, uint64_t retry_ns, struct msg_list *out)
 {
 	struct msg *m;
 
 	m = msg_create(MSG_REFUSE, to->addr);
 	m->u.refuse.key = *key;
 	m->u.refuse.reason = reason;
+	m->u.refuse.retry_ns = retry_ns;
 	TAILQ_INSERT_TAIL(out, m, entry);
 }
 
 void
-sched_refuse_job(struct sched *s, struct job *job, enum refuse_reason reason,
-    struct msg_list *out)
+sched_refuse_job(struct sched *s, uint64_t now, struct job *job,
+    enum refuse_reason reason, struct msg_list *out)
 {
-	send_refuse(&job->gate->id, &job->key, reason, out);
+	uint64_t reopen_at = sched_reopen_at(job->model, now);
+
+	send_refuse(&job->gate->id, &job->key, reason,
+	    reopen_at != 0 ? reopen_at - now : 0, out);
 	s->stats.refusals++;
 	job->model->demand.refused++;
 	sched_drop_job(s, job);
@@ -181,14 +186,14 @@
 	model = sched_get_model(
 	    s, a->adapter[0] != '\0' ? a->adapter : a->model, 0);
 	if (model == NULL) {
-		send_refuse(&m->from, &a->key, REFUSE_NO_MODEL, out);
+		send_refuse(&m->from, &a->key, REFUSE_NO_MODEL, 0, out);
 		return;
 	}
 	model->demand.arrivals++;
 	if (queue_full(s, a->job_class)) {
 		s->stats.refusals++;
 		model->demand.refused++;
-		send_refuse(&m->from, &a->key, REFUSE_OVERLOAD, out);
+		send_refuse(&m->from, &a->key, REFUSE_OVERLOAD, 0, out);
 		return;
 	}
 	job = job_create(s, now, &a->key, g, model);
@@ -208,7 +213,11 @@
 	if (r != NULL)
 		sched_fill_replica(s, now, r, out);
 	job = find_job(s, &a->key);
-	if (job != NULL && job->state == JOB_WAITING)
+	if (job == NULL || job->state != JOB_WAITING)
+		return;
+	if (sched_reopen_at(model, now) > job->deadline)
+		sched_refuse_job(s, now, job, REFUSE_DEADLINE, out);
+	else
 		send_job_state(job, MSG_QUEUED, out);
 }
 
@@ -241,6 +250,8 @@
 	sched_add_sample(job->replica, now, rel->first_ns, rel->token_ns);
 	if (rel->outcome != RELEASE_DONE)
 		return;
+	notice_answered(
+	    &job->replica->notice, job->incarnation, job->granted_at);
 	m->slot_time_ns =
 	    (uint64_t)((1 - w) * (double)m->slot_time_ns + w * (double)held);
 	if (job->max_tokens != 0 && rel->tokens != 0)
@@ -338,6 +349,7 @@
 		r = sched_find_replica(s, it->replica);
 		if (r == NULL)
 			continue;
+		sched_apply_notice(r, now, it);
 		/* An overdue first token counts with its age so far. */
 		first = it->first_ns;
 		if (it->waiting_ns > FIRST_TOKEN_OVERDUE_NS &&
--- a/core/sched_pick.c
+++ b/core/sched_pick.c
@@ -41,7 +41,7 @@
 replica_accepts_job(const struct sched *s, const struct replica *r,
     const struct job *job, uint64_t now)
 {
-	if (r->leaving || r == job->exclude)
+	if (!sched_replica_open(r, now) || r == job->exclude)
 		return 0;
 	if (job->is_short)
 		return sched_short_job_allowed(r);
@@ -151,14 +151,14 @@
 {
 	struct job *best;
 
-	while (!r->leaving &&
+	while (sched_replica_open(r, now) &&
 	    (r->in_flight < sched_slot_limit(r) ||
 		sched_short_job_allowed(r))) {
 		best = best_job(r, replica_admission(s, r, now));
 		if (best == NULL)
 			break;
 		if (best->deadline < now) {
-			sched_refuse_job(s, best, REFUSE_DEADLINE, out);
+			sched_refuse_job(s, now, best, REFUSE_DEADLINE, out);
 			continue;
 		}
 		sched_send_grant(s, now, best, r, out);
--- a/core/sched_queue.c
+++ b/core/sched_queue.c
@@ -144,6 +144,8 @@
 {
 	struct job *heads[LANE_COUNT];
 	struct job *job;
+	uint64_t reopen_at = sched_reopen_at(m, now);
+	uint64_t start = reopen_at != 0 ? reopen_at : now;
 	uint64_t slots = 0;
 	uint64_t ahead = 0;
 	uint32_t i;
@@ -170,8 +172,8 @@
 			return;
 		job = heads[best];
 		heads[best] = TAILQ_NEXT(job, entry);
-		if (now + ahead * m->slot_time_ns / slots > job->deadline)
-			sched_refuse_job(s, job, REFUSE_DEADLINE, out);
+		if (start + ahead * m->slot_time_ns / slots > job->deadline)
+			sched_refuse_job(s, now, job, REFUSE_DEADLINE, out);
 		else
 			ahead++;
 	}
--- a/core/wire.c
+++ b/core/wire.c
@@ -238,6 +238,7 @@
 {
 	wire_key(w, &m->u.refuse.key);
 	wire_count(w, &m->u.refuse.reason, REFUSE__MAX);
+	wire_u64(w, &m->u.refuse.retry_ns);
 }
 
 static void
@@ -282,6 +283,9 @@
 		wire_u64(w, &it->first_ns);
 		wire_u64(w, &it->token_ns);
 		wire_u64(w, &it->waiting_ns);
+		wire_u64(w, &it->incarnation);
+		wire_u64(w, &it->closed_ns);
+		wire_u32(w, &it->leaving);
 	}
 }
 
@@ -301,6 +305,7 @@
 
 	wire_str(w, r->name, sizeof(r->name));
 	wire_str(w, r->addr, sizeof(r->addr));
+	wire_u64(w, &r->incarnation);
 	wire_u32(w, &r->leaving);
 	wire_u32(w, &r->batch);
 	wire_count(w, &r->nmodels, REPLICA_MODELS_MAX + 1);
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -21,6 +21,7 @@
 	int refs;
 	int done;
 	enum gate_outcome outcome;
+	uint64_t reopen_at;
 	char *text; /* gate loop only */
 	size_t text_len;
 	size_t text_size;
@@ -166,11 +167,13 @@
 }
 
 void
-exchange_finish(struct exchange *x, enum gate_outcome outcome)
+exchange_finish(
+    struct exchange *x, enum gate_outcome outcome, uint64_t reopen_at)
 {
 	pthread_mutex_lock(&x->lock);
 	x->done = 1;
 	x->outcome = outcome;
+	x->reopen_at = reopen_at;
 	pthread_cond_signal(&x->cond);
 	pthread_mutex_unlock(&x->lock);
 }
@@ -209,6 +212,17 @@
 	return next;
 }
 
+uint64_t
+exchange_reopen_at(struct exchange *x)
+{
+	uint64_t reopen_at;
+
+	pthread_mutex_lock(&x->lock);
+	reopen_at = x->reopen_at;
+	pthread_mutex_unlock(&x->lock);
+	return reopen_at;
+}
+
 const char *
 exchange_generated_text(const struct exchange *x)
 {
--- a/gate/exchange.h
+++ b/gate/exchange.h
@@ -19,7 +19,8 @@
 /* Part of a response.  The first part is the head and carries the status. */
 struct response_part {
 	TAILQ_ENTRY(response_part) entry;
-	int status; /* 0 for body parts */
+	int status;		/* 0 for body parts */
+	uint64_t retry_after_s; /* field of the head, 0: none */
 	char type[128];
 	char *bytes;
 	size_t len;
@@ -59,12 +60,15 @@
  * bytes are unread and the request should be cancelled.
  */
 int exchange_push_part(struct exchange *, struct response_part *);
-void exchange_finish(struct exchange *, enum gate_outcome);
+/* The time is when a backend server takes requests, 0: now or unknown. */
+void exchange_finish(struct exchange *, enum gate_outcome, uint64_t);
 /* Ends the exchange of a caller that has gone, unless it has ended. */
 void exchange_abandon(struct exchange *);
 /* Waits for the next part or the end; called by the caller's thread. */
 enum exchange_event exchange_next_event(
     struct exchange *, struct response_part **, enum gate_outcome *);
+/* The time that ended the exchange, to be called after its last event. */
+uint64_t exchange_reopen_at(struct exchange *);
 /* Text delivered so far, to resume a stream; gate loop only. */
 const char *exchange_generated_text(const struct exchange *);
 
--- a/gate/frontend.c
+++ b/gate/frontend.c
@@ -13,7 +13,7 @@
 
 struct outcome_response {
 	int status;
-	const char *extra; /* header lines */
+	unsigned int retry_after_s; /* unless known better, 0: none */
 	const char *text;
 };
 
@@ -25,34 +25,34 @@
 static int frontend_write_response(
     struct frontend *, struct httpd_request *, struct exchange *);
 static void frontend_refuse_request(
-    struct httpd_request *, uint64_t, enum gate_outcome);
+    struct httpd_request *, uint64_t, enum gate_outcome, uint64_t);
 static void frontend_abort_stream(
     struct httpd_request *, uint64_t, enum gate_outcome);
 static int frontend_write_part(
     struct httpd_request *, const struct response_part *, uint64_t);
 
 static const struct outcome_response outcome_responses[OUTCOME__MAX] = {
-	[OUTCOME_ANSWERED] = { 200, "", "" },
-	[OUTCOME_NO_MODEL] = { 404, "",
+	[OUTCOME_ANSWERED] = { 200, 0, "" },
+	[OUTCOME_NO_MODEL] = { 404, 0,
 	    "the model is not declared; see /v1/models. The request was not "
 	    "run" },
-	[OUTCOME_DEADLINE] = { 503, "Retry-After: 1\r\n",
+	[OUTCOME_DEADLINE] = { 503, 1,
 	    "no backend server is free before the deadline; try again or "
 	    "give more time. The request was not run" },
-	[OUTCOME_OVERLOAD] = { 503, "Retry-After: 2\r\n",
+	[OUTCOME_OVERLOAD] = { 503, 2,
 	    "too much work is waiting; try again later. The request was not "
 	    "run" },
-	[OUTCOME_UNREACHABLE] = { 503, "Retry-After: 1\r\n",
+	[OUTCOME_UNREACHABLE] = { 503, 1,
 	    "no backend server could be reached; try again. The request was "
 	    "not run" },
-	[OUTCOME_CLOSING] = { 503, "Retry-After: 1\r\n",
+	[OUTCOME_CLOSING] = { 503, 1,
 	    "this process is shutting down; try again. The request was not "
 	    "run" },
-	[OUTCOME_UNKNOWN] = { 502, "",
+	[OUTCOME_UNKNOWN] = { 502, 0,
 	    "a backend server took the request but did not answer; it may "
 	    "or may not have run. Ask for its state before sending it "
 	    "again" },
-	[OUTCOME_FAILED] = { 502, "Retry-After: 1\r\n",
+	[OUTCOME_FAILED] = { 502, 1,
 	    "every attempt broke; the request may be sent again" },
 };
 
@@ -133,16 +133,26 @@
 	gate_loop_cancel(f->loop, rid);
 }
 
+/* The time is when a backend server takes requests, 0: now or unknown. */
 static void
-frontend_refuse_request(
-    struct httpd_request *req, uint64_t rid, enum gate_outcome outcome)
+frontend_refuse_request(struct httpd_request *req, uint64_t rid,
+    enum gate_outcome outcome, uint64_t reopen_at)
 {
 	const struct outcome_response *a = &outcome_responses[outcome];
+	unsigned long long retry_after_s = a->retry_after_s;
+	uint64_t now = clock_mono();
+	char retry[48] = "";
 	char extra[256];
 
+	if (retry_after_s != 0 && reopen_at > now)
+		retry_after_s =
+		    (reopen_at - now + NSEC_PER_SEC - 1) / NSEC_PER_SEC;
+	if (retry_after_s != 0)
+		snprintf(retry, sizeof(retry), "Retry-After: %llu\r\n",
+		    retry_after_s);
 	snprintf(extra, sizeof(extra),
 	    OUTCOME_HEADER ": %s\r\nX-Request-Id: %016llx\r\n%s",
-	    gate_outcome_name(outcome), (unsigned long long)rid, a->extra);
+	    gate_outcome_name(outcome), (unsigned long long)rid, retry);
 	httpd_reply_error(
 	    req, a->status, gate_outcome_name(outcome), a->text, extra);
 }
@@ -172,13 +182,17 @@
 frontend_write_part(
     struct httpd_request *req, const struct response_part *p, uint64_t rid)
 {
-	char extra[128];
+	char retry[48] = "";
+	char extra[192];
 
 	if (p->status == 0)
 		return httpd_write_chunk(req, p->bytes, p->len);
+	if (p->retry_after_s != 0)
+		snprintf(retry, sizeof(retry), "Retry-After: %llu\r\n",
+		    (unsigned long long)p->retry_after_s);
 	snprintf(extra, sizeof(extra),
-	    OUTCOME_HEADER ": answered\r\nX-Request-Id: %016llx\r\n",
-	    (unsigned long long)rid);
+	    OUTCOME_HEADER ": answered\r\nX-Request-Id: %016llx\r\n%s",
+	    (unsigned long long)rid, retry);
 	return httpd_begin_chunked(req, p->status,
 	    p->type[0] != '\0' ? p->type : "application/octet-stream", extra);
 }
@@ -216,7 +230,8 @@
 	if (begun)
 		frontend_abort_stream(req, rid, outcome);
 	else
-		frontend_refuse_request(req, rid, outcome);
+		frontend_refuse_request(
+		    req, rid, outcome, exchange_reopen_at(x));
 	return 0;
 }
 
@@ -233,7 +248,7 @@
 	log_event(LOG_REQUEST_ARRIVED, &about, "%s", req->path);
 	if (gate_loop_submit(f->loop, x) == -1) {
 		log_event(LOG_REQUEST_SHED, &about, "%s", "");
-		frontend_refuse_request(req, rid, OUTCOME_OVERLOAD);
+		frontend_refuse_request(req, rid, OUTCOME_OVERLOAD, 0);
 	} else {
 		fd = httpd_fd(req);
 		if (fd == -1 || watch_add(f->watch, fd, rid) == -1)
@@ -256,7 +271,7 @@
 	if (frontend_handle_admin(f, req))
 		return;
 	if (__atomic_load_n(&f->refusing, __ATOMIC_ACQUIRE)) {
-		frontend_refuse_request(req, 0, OUTCOME_CLOSING);
+		frontend_refuse_request(req, 0, OUTCOME_CLOSING, 0);
 		return;
 	}
 	__atomic_fetch_add(&f->active_requests, 1, __ATOMIC_ACQ_REL);
--- a/gate/frontend_admin.c
+++ b/gate/frontend_admin.c
@@ -87,6 +87,12 @@
 	    "Second attempts for a late first token.", st.totals.hedges);
 	metric_write(out, "spindle_alone_total", "counter",
 	    "Attempts sent without a grant.", st.totals.local_selections);
+	metric_write(out, "spindle_leaving_notices_total", "counter",
+	    "Times a backend server said that it leaves.",
+	    st.totals.leaving_notices);
+	metric_write(out, "spindle_closed_notices_total", "counter",
+	    "Times a backend server said that it takes no requests.",
+	    st.totals.closed_notices);
 	metric_write(out, "spindle_calls", "gauge", "Requests in progress.",
 	    st.totals.calls);
 	metric_write(out, "spindle_ring_items", "gauge",
--- a/gate/gate_loop.c
+++ b/gate/gate_loop.c
@@ -65,6 +65,8 @@
 static void action_start_fetch(struct gate_loop *, struct gate_action *);
 static void action_stop_fetch(struct gate_loop *, struct gate_action *);
 static void action_deliver_part(struct gate_loop *, struct gate_action *);
+static void action_withdraw_fetch(struct gate_loop *, struct gate_action *);
+static void action_report_notice(struct gate_loop *, struct gate_action *);
 static void action_drop_payload(struct gate_loop *, struct gate_action *);
 static void action_finish_request(struct gate_loop *, struct gate_action *);
 
@@ -73,6 +75,8 @@
 	[GATE_START_FETCH] = action_start_fetch,
 	[GATE_STOP_FETCH] = action_stop_fetch,
 	[GATE_FORWARD_DATA] = action_deliver_part,
+	[GATE_WITHDRAW_FETCH] = action_withdraw_fetch,
+	[GATE_REPORT_NOTICE] = action_report_notice,
 	[GATE_FREE_PAYLOAD] = action_drop_payload,
 	[GATE_END_RESPONSE] = action_finish_request,
 	[GATE_FAIL_REQUEST] = action_finish_request,
@@ -220,6 +224,31 @@
 	fetch_cancel(d->fetch, act->fetch_id);
 }
 
+static void
+action_withdraw_fetch(struct gate_loop *d, struct gate_action *act)
+{
+	fetch_withdraw(d->fetch, act->fetch_id);
+}
+
+static void
+action_report_notice(struct gate_loop *d, struct gate_action *act)
+{
+	static const enum log_id ids[] = {
+		[GATE_SAYS_LEAVING] = LOG_REPLICA_SAYS_LEAVING,
+		[GATE_SAYS_CLOSED] = LOG_REPLICA_REFUSING,
+		[GATE_REOPENED] = LOG_REPLICA_REOPENED,
+	};
+	struct log_subject about = { 0 };
+	uint64_t now = clock_mono();
+
+	(void)d;
+	about.backend = act->target;
+	log_event(ids[act->notice], &about, "for_ms=%llu",
+	    (unsigned long long)(act->reopen_at > now
+		    ? (act->reopen_at - now) / NSEC_PER_MSEC
+		    : 0));
+}
+
 /*
  * Cancels a request from within the loop.  Does not block on a full ring,
  * since the loop itself drains it; the next part of the response retries.
@@ -276,7 +305,8 @@
 	if (x == NULL)
 		return;
 	exchange_finish(x,
-	    act->kind == GATE_END_RESPONSE ? OUTCOME_ANSWERED : act->outcome);
+	    act->kind == GATE_END_RESPONSE ? OUTCOME_ANSWERED : act->outcome,
+	    act->reopen_at);
 	exchange_unref(x);
 }
 
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -2,18 +2,25 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "mem.h"
+#include "notice_fields.h"
 #include "relay.h"
 
 #define RELAY_CONNECT_TIMEOUT_MSEC 1000
 #define RELAY_EVENT_MAX (4U << 20) /* bytes in one server-sent event */
 #define RELAY_HEADERS_MAX 24
 #define HEADER_SIZE 2048
+#define NOTICE_NAME_SIZE 32 /* longer names are other fields */
+#define NOTICE_VALUE_SIZE 256
+#define STATUS_UNAVAILABLE 503
+#define RETRY_AFTER_DEFAULT_S 1
 #define RID_SIZE 48
 
 struct relay {
 	struct exchange *exchange;
 	uint64_t fetch;
+	char target[NAME_SIZE]; /* the backend server */
 	uint32_t resumed_tokens;
 	int stream;
 	int status_ok; /* status 200: the body holds events */
@@ -28,6 +35,8 @@
 static void relay_free(void *);
 static void relay_report(
     struct relay *, enum fetch_event_kind, const struct fetch_event *);
+static void relay_report_head(struct relay *, const struct fetch_event *);
+static void relay_read_notice(const char *, struct notice_fields *);
 static void relay_report_failure(struct relay *, enum fetch_phase);
 static void relay_handle_data(struct relay *, const char *, size_t);
 static void relay_split_events(struct relay *);
@@ -64,9 +73,63 @@
 	f.fetch_id = r->fetch;
 	f.phase = PHASE_REQUEST_WRITTEN;
 	f.status = ev->status;
-	if (kind == FETCH_HEAD)
-		f.payload =
-		    response_part_create(ev->status, ev->content_type, NULL, 0);
+	r->on_event(r->ctx, &f);
+}
+
+/* Reads the fields of a head. */
+static void
+relay_read_notice(const char *line, struct notice_fields *out)
+{
+	char name[NOTICE_NAME_SIZE];
+	char value[NOTICE_VALUE_SIZE];
+	const char *s;
+	size_t len;
+
+	for (; *line != '\0'; line += len + (line[len] == '\n')) {
+		len = strcspn(line, "\n");
+		s = memchr(line, ':', len);
+		if (s == NULL || (size_t)(s - line) >= sizeof(name))
+			continue;
+		snprintf(name, sizeof(name), "%.*s", (int)(s - line), line);
+		s++;
+		s += strspn(s, " \t");
+		snprintf(
+		    value, sizeof(value), "%.*s", (int)strcspn(s, "\r\n"), s);
+		notice_fields_add(out, name, value);
+	}
+}
+
+/* Reports a head, with what the backend server says of itself in it. */
+static void
+relay_report_head(struct relay *r, const struct fetch_event *ev)
+{
+	struct notice_fields notice = { 0 };
+	struct log_subject about = { 0 };
+	struct gate_fetch_event f = { 0 };
+	struct response_part *p;
+
+	relay_read_notice(ev->fields, &notice);
+	notice_fields_finish(&notice, ev->status);
+	if (notice.unknown != NULL) {
+		about.request = exchange_info(r->exchange)->req.rid;
+		about.backend = r->target;
+		log_event(LOG_REPLICA_NOTICE_BAD, &about, "field=%s status=%d",
+		    notice.unknown, ev->status);
+	}
+	p = response_part_create(ev->status, ev->content_type, NULL, 0);
+	if (ev->status == STATUS_UNAVAILABLE) {
+		p->retry_after_s =
+		    (notice.closed_ns + NSEC_PER_SEC - 1) / NSEC_PER_SEC;
+		if (p->retry_after_s == 0)
+			p->retry_after_s = RETRY_AFTER_DEFAULT_S;
+	}
+	f.kind = FETCH_HEAD;
+	f.fetch_id = r->fetch;
+	f.phase = PHASE_REQUEST_WRITTEN;
+	f.status = ev->status;
+	f.leaving = notice.leaving;
+	f.closed_ns = notice.closed_ns;
+	f.payload = p;
 	r->on_event(r->ctx, &f);
 }
 
@@ -236,7 +299,7 @@
 		break;
 	case FETCH_EVENT_HEAD:
 		r->status_ok = ev->status == 200;
-		relay_report(r, FETCH_HEAD, ev);
+		relay_report_head(r, ev);
 		break;
 	case FETCH_EVENT_DATA:
 		relay_handle_data(r, ev->bytes, ev->len);
@@ -374,6 +437,7 @@
 	r->exchange = x;
 	exchange_ref(x);
 	r->fetch = act->fetch_id;
+	memcpy(r->target, act->target, sizeof(r->target));
 	r->resumed_tokens = act->resume_tokens;
 	r->stream = info->req.stream;
 	r->on_event = on_event;
--- a/shell/fetch.c
+++ b/shell/fetch.c
@@ -13,6 +13,7 @@
 #define FETCH_POLL_MSEC 1000
 #define FETCH_CACHED_CONNS_MAX 512L /* idle connections kept for reuse */
 #define FETCH_CONTENT_TYPE_SIZE 128
+#define FETCH_FIELDS_MAX 65536 /* bytes; further fields are left out */
 
 struct transfer {
 	TAILQ_ENTRY(transfer) entry;
@@ -28,11 +29,14 @@
 	int head_reported;
 	int status;
 	char content_type[FETCH_CONTENT_TYPE_SIZE];
+	char *fields; /* of the latest head */
+	size_t fields_len;
 };
 
 struct cancellation {
 	TAILQ_ENTRY(cancellation) entry;
 	uint64_t id;
+	int unsent_only; /* and report that it failed */
 };
 
 TAILQ_HEAD(transfer_list, transfer);
@@ -52,7 +56,11 @@
 
 static void *fetch_run(void *);
 static void fetch_apply_queues(struct fetch *);
-static void fetch_finish(struct fetch *, CURLMsg *);
+static void fetch_finish(CURLMsg *);
+static void queue_cancellation(struct fetch *, uint64_t, int);
+static void apply_cancellation(struct fetch *, const struct cancellation *);
+static void transfer_fail(struct transfer *, int, const char *);
+static void transfer_add_field(struct transfer *, const char *, size_t);
 static void transfer_free(struct transfer *);
 static void transfer_options(struct transfer *, const struct fetch_spec *);
 static int on_prereq(void *, char *, char *, int, int);
@@ -112,6 +120,7 @@
 	if (t->release != NULL)
 		t->release(t->cookie);
 	free(t->body);
+	free(t->fields);
 	free(t);
 }
 
@@ -127,6 +136,7 @@
 	ev.type = news;
 	ev.status = t->status;
 	ev.content_type = t->content_type;
+	ev.fields = t->fields != NULL ? t->fields : "";
 	ev.bytes = bytes;
 	ev.len = len;
 	ev.error = "";
@@ -148,6 +158,22 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/* Keeps a line of the head; a status line begins another head. */
+static void
+transfer_add_field(struct transfer *t, const char *line, size_t len)
+{
+	if (len >= 5 && memcmp(line, "HTTP/", 5) == 0) {
+		t->fields_len = 0;
+		return;
+	}
+	if (t->fields_len + len > FETCH_FIELDS_MAX)
+		return;
+	t->fields = mem_grow(t->fields, t->fields_len + len + 1, 1);
+	memcpy(t->fields + t->fields_len, line, len);
+	t->fields_len += len;
+	t->fields[t->fields_len] = '\0';
+}
+
 static size_t
 on_header(char *line, size_t size, size_t n, void *arg)
 {
@@ -163,6 +189,8 @@
 		snprintf(t->content_type, sizeof(t->content_type), "%.*s",
 		    (int)strcspn(line + skip, "\r\n"), line + skip);
 	}
+	if (!t->head_reported)
+		transfer_add_field(t, line, len);
 	if (len > 2 || t->head_reported)
 		return len;
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
@@ -242,19 +270,45 @@
 	curl_multi_wakeup(f->multi);
 }
 
-void
-fetch_cancel(struct fetch *f, uint64_t id)
+static void
+queue_cancellation(struct fetch *f, uint64_t id, int unsent_only)
 {
 	struct cancellation *s;
 
 	s = mem_alloc(sizeof(*s));
 	s->id = id;
+	s->unsent_only = unsent_only;
 	pthread_mutex_lock(&f->lock);
 	TAILQ_INSERT_TAIL(&f->cancelled, s, entry);
 	pthread_mutex_unlock(&f->lock);
 	curl_multi_wakeup(f->multi);
 }
 
+void
+fetch_cancel(struct fetch *f, uint64_t id)
+{
+	queue_cancellation(f, id, 0);
+}
+
+void
+fetch_withdraw(struct fetch *f, uint64_t id)
+{
+	queue_cancellation(f, id, 1);
+}
+
+static void
+apply_cancellation(struct fetch *f, const struct cancellation *s)
+{
+	struct transfer *t;
+
+	HASH_FIND(hh, f->transfers, &s->id, sizeof(s->id), t);
+	if (t == NULL || (s->unsent_only && t->writing))
+		return;
+	if (s->unsent_only)
+		transfer_fail(t, 0, "withdrawn");
+	transfer_free(t);
+}
+
 /* Applies the starts and cancellations queued by other threads. */
 static void
 fetch_apply_queues(struct fetch *f)
@@ -275,17 +329,31 @@
 	}
 	while ((s = TAILQ_FIRST(&stopping)) != NULL) {
 		TAILQ_REMOVE(&stopping, s, entry);
-		HASH_FIND(hh, f->transfers, &s->id, sizeof(s->id), t);
-		if (t != NULL)
-			transfer_free(t);
+		apply_cancellation(f, s);
 		free(s);
 	}
 }
 
 static void
-fetch_finish(struct fetch *f, CURLMsg *msg)
+transfer_fail(struct transfer *t, int connected, const char *error)
 {
 	struct fetch_event ev;
+
+	memset(&ev, 0, sizeof(ev));
+	ev.id = t->id;
+	ev.cookie = t->cookie;
+	ev.type = FETCH_EVENT_FAIL;
+	ev.content_type = t->content_type;
+	ev.status = t->status;
+	ev.connected = connected;
+	ev.maybe_sent = t->writing;
+	ev.error = error;
+	t->fetch->on_event(t->fetch->ctx, &ev);
+}
+
+static void
+fetch_finish(CURLMsg *msg)
+{
 	struct transfer *t;
 	curl_off_t connect_us = 0;
 
@@ -296,16 +364,8 @@
 		return;
 	}
 	curl_easy_getinfo(t->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-	memset(&ev, 0, sizeof(ev));
-	ev.id = t->id;
-	ev.cookie = t->cookie;
-	ev.type = FETCH_EVENT_FAIL;
-	ev.content_type = t->content_type;
-	ev.status = t->status;
-	ev.connected = connect_us > 0 || t->writing;
-	ev.maybe_sent = t->writing;
-	ev.error = curl_easy_strerror(msg->data.result);
-	f->on_event(f->ctx, &ev);
+	transfer_fail(t, connect_us > 0 || t->writing,
+	    curl_easy_strerror(msg->data.result));
 	transfer_free(t);
 }
 
@@ -324,7 +384,7 @@
 		curl_multi_perform(f->multi, &running);
 		while ((msg = curl_multi_info_read(f->multi, &left)) != NULL) {
 			if (msg->msg == CURLMSG_DONE)
-				fetch_finish(f, msg);
+				fetch_finish(msg);
 		}
 		pthread_mutex_lock(&f->lock);
 		done = f->stop;
--- a/shell/fetch.h
+++ b/shell/fetch.h
@@ -27,6 +27,7 @@
 	int maybe_sent; /* FAIL: the request may have been sent in part */
 	int status;	/* HEAD, END */
 	const char *content_type; /* HEAD: "" when absent */
+	const char *fields;	  /* HEAD: lines "NAME:VALUE\r\n" */
 	const char *bytes;
 	size_t len;
 	const char *error; /* FAIL: reason */
@@ -56,5 +57,7 @@
 void fetch_start(struct fetch *, const struct fetch_spec *);
 /* Cancels a request; no event follows once this has taken effect. */
 void fetch_cancel(struct fetch *, uint64_t);
+/* Fails a request, unless it may have been sent in part already. */
+void fetch_withdraw(struct fetch *, uint64_t);
 
 #endif
--- a/standin/fake_engine.c
+++ b/standin/fake_engine.c
@@ -54,9 +54,11 @@
 reply_json(struct httpd_request *req, int status, json_t *doc)
 {
 	char *text = json_dumps(doc, JSON_COMPACT);
+	char lines[NOTICE_LINES_SIZE];
 
 	json_decref(doc);
-	httpd_reply(req, status, "application/json", "", text, strlen(text));
+	notice_lines(&lines);
+	httpd_reply(req, status, "application/json", lines, text, strlen(text));
 	free(text);
 }
 
@@ -132,12 +134,14 @@
     const struct prompt *p, int chat)
 {
 	enum sequence_event news;
+	char lines[NOTICE_LINES_SIZE];
 	char event[256];
 	uint32_t index;
 	int cut = stream_cut_due();
 	int n;
 
-	httpd_begin_chunked(req, 200, "text/event-stream", "");
+	notice_lines(&lines);
+	httpd_begin_chunked(req, 200, "text/event-stream", lines);
 	while ((news = batch_next_event(engine.batch, s, &index)) ==
 	    SEQUENCE_TOKEN) {
 		n = snprintf(event, sizeof(event),
@@ -207,6 +211,8 @@
 	struct prompt p;
 	int fd;
 
+	if (notice_turn_away(req))
+		return;
 	if (model == NULL || prompt_parse(doc, chat, &p) == -1) {
 		httpd_reply_error(req, 400, "bad-request", "malformed", "");
 		return;
@@ -244,6 +250,7 @@
 	    json_object_get(doc, "order_delay_ms"));
 	engine.order_lose_every =
 	    (int)json_integer_value(json_object_get(doc, "order_lose_every"));
+	notice_set(doc);
 	httpd_reply_text(req, 200, "ok\n");
 }
 
@@ -253,6 +260,7 @@
 	json_t *doc = batch_stats(engine.batch);
 
 	orders_stats(doc);
+	notice_stats(doc);
 	json_object_set_new(doc, "not_loaded", json_integer(engine.not_loaded));
 	reply_json(req, 200, doc);
 }
--- a/standin/fake_int.h
+++ b/standin/fake_int.h
@@ -52,6 +52,17 @@
 /* Adds the counters of orders to a document. */
 void orders_stats(json_t *);
 
+#define NOTICE_LINES_SIZE 512
+
+/* fake_notice.c: what the stand-in says of itself in answers to callers */
+void notice_set(const json_t *);
+/* Writes the header lines of an answer. */
+void notice_lines(char (*)[NOTICE_LINES_SIZE]);
+/* Counts a request; answers 503 if that is set, and returns whether it did. */
+int notice_turn_away(struct httpd_request *);
+/* Adds the counter of requests to a document. */
+void notice_stats(json_t *);
+
 /* fake_service.c: a plain service that counts executions of each order */
 void service_handle(struct httpd_request *);
 
--- a/standin/fake_service.c
+++ b/standin/fake_service.c
@@ -51,6 +51,7 @@
 	json_t *list = json_object();
 	struct service_order *p, *next;
 	int doubled = 0;
+	json_t *doc;
 
 	pthread_mutex_lock(&lock);
 	HASH_ITER (hh, placed, p, next) {
@@ -58,8 +59,9 @@
 		json_object_set_new(list, p->id, json_integer(p->runs));
 	}
 	pthread_mutex_unlock(&lock);
-	reply_json(req, 200,
-	    json_pack("{s:i,s:o}", "doubled", doubled, "orders", list));
+	doc = json_pack("{s:i,s:o}", "doubled", doubled, "orders", list);
+	notice_stats(doc);
+	reply_json(req, 200, doc);
 }
 
 void
@@ -77,14 +79,19 @@
 	if (strcmp(req->path, "/fault") == 0) {
 		cut_every =
 		    (int)json_integer_value(json_object_get(doc, "cut_every"));
+		notice_set(doc);
 		httpd_reply_text(req, 200, "ok\n");
 		json_decref(doc);
 		return;
 	}
+	if (notice_turn_away(req)) {
+		json_decref(doc);
+		return;
+	}
 	id = json_string_value(json_object_get(doc, "order"));
 	pause_ms(SERVICE_MSEC);
 	if (strcmp(req->method, "POST") != 0) {
-		httpd_reply(req, 200, "application/json", "", "{}", 2);
+		reply_json(req, 200, json_object());
 	} else if (id == NULL) {
 		httpd_reply_error(req, 400, "bad-request",
 		    "the request body has no order", "");
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -41,12 +41,15 @@
 static void peer_serve(struct peer *, int);
 static int requests_read(const struct peer *);
 static void on_event(void *, const struct fetch_event *);
+static uint64_t post(struct fetch *, struct result *, int, int);
+static void wait_end(struct result *);
 static void post_and_wait(struct fetch *, struct result *, int, int);
 static void test_answer(void);
 static void test_refused(void);
 static void test_written(void);
 static void test_once(void);
 static void test_reuse_repeats(void);
+static void test_withdrawn(void);
 
 static struct result result = { PTHREAD_MUTEX_INITIALIZER,
 	PTHREAD_COND_INITIALIZER, 0, { 0 }, "", 0 };
@@ -143,9 +146,9 @@
 	pthread_mutex_unlock(&result.lock);
 }
 
-/* Sends one POST and waits for its last event. */
-static void
-post_and_wait(struct fetch *f, struct result *n, int port, int once)
+/* Starts a POST; returns its id. */
+static uint64_t
+post(struct fetch *f, struct result *n, int port, int once)
 {
 	static uint64_t id;
 	struct fetch_spec spec;
@@ -164,12 +167,26 @@
 	n->ended = 0;
 	n->len = 0;
 	fetch_start(f, &spec);
+	return id;
+}
+
+static void
+wait_end(struct result *n)
+{
 	pthread_mutex_lock(&n->lock);
 	while (!n->ended)
 		pthread_cond_wait(&n->cond, &n->lock);
 	pthread_mutex_unlock(&n->lock);
 }
 
+/* Sends one POST and waits for its last event. */
+static void
+post_and_wait(struct fetch *f, struct result *n, int port, int once)
+{
+	post(f, n, port, once);
+	wait_end(n);
+}
+
 static void
 test_answer(void)
 {
@@ -254,12 +271,39 @@
 	peer_close(&p);
 }
 
+/* A withdrawn request fails unsent, or is answered; never both. */
+static void
+test_withdrawn(void)
+{
+	struct fetch *f = fetch_create(on_event, NULL);
+	struct peer p;
+	int unsent = 0;
+	int i;
+
+	peer_open(&p, 1000);
+	for (i = 1; i <= 20; i++) {
+		fetch_withdraw(f, post(f, &result, p.port, 0));
+		wait_end(&result);
+		if (result.last.type == FETCH_EVENT_FAIL) {
+			CU_ASSERT(!result.last.maybe_sent);
+			unsent++;
+		}
+		CU_ASSERT_EQUAL(requests_read(&p), i - unsent);
+	}
+	post(f, &result, p.port, 0);
+	wait_end(&result);
+	CU_ASSERT_EQUAL(result.last.type, FETCH_EVENT_END);
+	fetch_destroy(f);
+	peer_close(&p);
+}
+
 static const struct unit_case cases[] = {
 	{ "answer", test_answer },
 	{ "connection refused", test_refused },
 	{ "closed after sending", test_written },
 	{ "sent at most once", test_once },
 	{ "reuse resends", test_reuse_repeats },
+	{ "withdrawn before sending", test_withdrawn },
 };
 
 UNIT_MAIN("fetch", cases)
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -14,6 +14,7 @@
 
 static void setup(uint32_t, int);
 static void teardown(void);
+static void list_replica(const char *, const char *, int, uint64_t);
 static void update_replica(const char *, const char *, int);
 static void acquire(uint64_t, enum job_class, uint32_t, uint64_t);
 static void release(uint64_t, uint64_t, uint64_t);
@@ -35,6 +36,11 @@
 static void test_dead_gate(void);
 static void test_owner_takeover(void);
 static void test_unknown_model(void);
+static void report_notice(const char *, uint64_t, uint64_t, uint32_t);
+static uint64_t refused_for(uint64_t);
+static void test_closed_replica(void);
+static void test_all_replicas_closed(void);
+static void test_leaving_by_own_word(void);
 
 static void
 setup(uint32_t slots, int replicas)
@@ -62,7 +68,8 @@
 }
 
 static void
-update_replica(const char *name, const char *model, int leaving)
+list_replica(
+    const char *name, const char *model, int leaving, uint64_t incarnation)
 {
 	struct msg_replica r;
 
@@ -70,9 +77,16 @@
 	strcpy(r.name, name);
 	strcpy(r.models[r.nmodels++], model);
 	r.leaving = (uint32_t)leaving;
+	r.incarnation = incarnation;
 	sched_update_replica(sched, now, &r, &out);
 }
 
+static void
+update_replica(const char *name, const char *model, int leaving)
+{
+	list_replica(name, model, leaving, 0);
+}
+
 static struct msg *
 from_gate(enum msg_kind kind)
 {
@@ -445,6 +459,118 @@
 	teardown();
 }
 
+/* A gate reports that a replica of an incarnation is closed, or leaves. */
+static void
+report_notice(const char *name, uint64_t incarnation, uint64_t closed_ns,
+    uint32_t leaving)
+{
+	struct msg *m = from_gate(MSG_REPORT);
+
+	m->u.report.n = 1;
+	strcpy(m->u.report.items[0].replica, name);
+	m->u.report.items[0].incarnation = incarnation;
+	m->u.report.items[0].closed_ns = closed_ns;
+	m->u.report.items[0].leaving = leaving;
+	sched_handle_message(sched, now, m, &out);
+	msg_destroy(m);
+}
+
+/* The time told with the refusal of a request, TIME_NEVER if there is none. */
+static uint64_t
+refused_for(uint64_t rid)
+{
+	struct msg *m;
+
+	TAILQ_FOREACH (m, &out, entry) {
+		if (m->kind == MSG_REFUSE && m->u.refuse.key.rid == rid)
+			return m->u.refuse.retry_ns;
+	}
+	return TIME_NEVER;
+}
+
+/* A closed replica is granted nothing until its time ends. */
+static void
+test_closed_replica(void)
+{
+	uint32_t outstanding, slots;
+	uint64_t rid;
+
+	setup(2, 2);
+	report_notice("r0", 0, 2 * NSEC_PER_SEC, 0);
+	for (rid = 1; rid <= 6; rid++)
+		acquire(rid, CLASS_STANDARD, 1000, 10 * NSEC_PER_SEC);
+	CU_ASSERT(count_messages(MSG_GRANT, 0, NULL) > 0);
+	/* A shorter time does not end it. */
+	report_notice("r0", 0, 1 * NSEC_PER_SEC, 0);
+	now += 1900 * MSEC;
+	sched_tick(sched, now, &out);
+	sched_get_replica_load(sched, "r0", &outstanding, &slots);
+	CU_ASSERT_EQUAL(outstanding, 0);
+	now += 200 * MSEC;
+	sched_tick(sched, now, &out);
+	sched_get_replica_load(sched, "r0", &outstanding, &slots);
+	CU_ASSERT(outstanding > 0);
+	teardown();
+}
+
+/* Without another replica requests wait for the first time that ends. */
+static void
+test_all_replicas_closed(void)
+{
+	char where[NAME_SIZE];
+
+	setup(1, 2);
+	acquire(1, CLASS_INTERACTIVE, 10, 4 * NSEC_PER_SEC);
+	release(1, 0, 0);
+	clear_messages();
+	report_notice("r0", 0, 9 * NSEC_PER_SEC, 0);
+	report_notice("r1", 0, 5 * NSEC_PER_SEC, 0);
+	acquire(2, CLASS_INTERACTIVE, 10, 4 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(refused_for(2), 5 * NSEC_PER_SEC);
+	acquire(3, CLASS_INTERACTIVE, 10, 8 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(count_messages(MSG_QUEUED, 3, NULL), 1);
+	/* A new incarnation is clean, but may be the one that said it. */
+	list_replica("r0", "m", 0, 7);
+	CU_ASSERT_EQUAL(count_messages(MSG_GRANT, 3, NULL), 0);
+	list_replica("r0", "m", 0, 8);
+	CU_ASSERT_EQUAL(count_messages(MSG_GRANT, 3, where), 1);
+	CU_ASSERT_STRING_EQUAL(where, "r0");
+	acquire(4, CLASS_INTERACTIVE, 10, 8 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(count_messages(MSG_QUEUED, 4, NULL), 1);
+	release(3, 0, 0);
+	CU_ASSERT_EQUAL(count_messages(MSG_GRANT, 4, NULL), 1);
+	teardown();
+}
+
+/* What runs on a replica that leaves by its own word is not touched. */
+static void
+test_leaving_by_own_word(void)
+{
+	struct sched_stats t;
+	char where[NAME_SIZE];
+
+	setup(1, 1);
+	list_replica("r0", "m", 0, 5);
+	acquire(1, CLASS_INTERACTIVE, 10, NSEC_PER_SEC);
+	report_notice("r0", 5, 0, 1);
+	update_replica("r1", "m", 0);
+	acquire(2, CLASS_INTERACTIVE, 10, NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(count_messages(MSG_GRANT, 2, where), 1);
+	CU_ASSERT_STRING_EQUAL(where, "r1");
+	sched_get_stats(sched, &t);
+	CU_ASSERT_EQUAL(t.granted, 2);
+	release(1, 0, 0);
+	clear_messages();
+	update_replica("r0", "m", 1);
+	list_replica("r0", "m", 0, 5); /* undrained, but it has not restarted */
+	acquire(3, CLASS_OVERNIGHT, 10, 9 * NSEC_PER_SEC);
+	CU_ASSERT_EQUAL(count_messages(MSG_GRANT, 3, NULL), 0);
+	list_replica("r0", "m", 0, 6);
+	CU_ASSERT_EQUAL(count_messages(MSG_GRANT, 3, where), 1);
+	CU_ASSERT_STRING_EQUAL(where, "r0");
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "grant and queue", test_grant },
 	{ "repeated acquire", test_repeated_acquire },
@@ -460,6 +586,9 @@
 	{ "dead gate", test_dead_gate },
 	{ "new owner takes over grants", test_owner_takeover },
 	{ "unknown and declared models", test_unknown_model },
+	{ "closed replica", test_closed_replica },
+	{ "all replicas closed", test_all_replicas_closed },
+	{ "replica that leaves by its own word", test_leaving_by_own_word },
 };
 
 UNIT_MAIN("sched", cases)
