Test: one request to an incarnation that is listed after a refusal

Evidence: with gate_target_open in place of gate_target_usable in on_grant the new case fails, as it is it passes.

--- a/tests/test_gate_notice.c
+++ b/tests/test_gate_notice.c
@@ -14,6 +14,9 @@
 static void test_closed_engine(void);
 static void test_unsent_withdrawn(void);
 static void test_leaving_instance(void);
+static void list_engine(uint64_t);
+static int granted(uint64_t);
+static void test_later_incarnation(void);
 
 /* The head and end of an answer in which the target tells of itself. */
 static void
@@ -204,12 +207,66 @@
 	teardown();
 }
 
+/* Lists only r0, with an incarnation. */
+static void
+list_engine(uint64_t incarnation)
+{
+	struct msg *m = msg_create(MSG_CELL, "");
+	struct msg_replica *r = &m->u.cell.replicas[0];
+
+	strcpy(m->u.cell.cell, "main");
+	strcpy(m->u.cell.owner, "10.0.0.1:1");
+	m->u.cell.version = 1 + incarnation;
+	m->u.cell.nreplicas = 1;
+	strcpy(r->name, "r0");
+	strcpy(r->models[r->nmodels++], "m");
+	r->incarnation = incarnation;
+	gate_handle_message(gate, now, m, &out);
+	msg_destroy(m);
+}
+
+/* Starts a request that is granted r0; returns whether it is sent there. */
+static int
+granted(uint64_t rid)
+{
+	start_request(rid, 0, 1);
+	clear_actions();
+	send_grant(rid, 1, "r0");
+	return last_action(GATE_START_FETCH) != NULL;
+}
+
+/*
+ * An incarnation that is listed after its predecessor closed may be the one
+ * that did: one request until it answers or the time ends.
+ */
+static void
+test_later_incarnation(void)
+{
+	setup("10.0.0.1:1");
+	list_engine(5);
+	CU_ASSERT(granted(1));
+	head_event(1, 503, 0, 3 * NSEC_PER_SEC);
+	CU_ASSERT(!granted(2));
+	list_engine(6);
+	CU_ASSERT(granted(3));
+	CU_ASSERT(!granted(4));
+	fetch_event(2, FETCH_FAILED, PHASE_REQUEST_WRITTEN, 0);
+	CU_ASSERT(!granted(5));
+	list_engine(7);
+	CU_ASSERT(granted(6));
+	fetch_event(3, FETCH_HEAD, PHASE_RESPONSE_STARTED, 0);
+	CU_ASSERT(granted(7));
+	CU_ASSERT(granted(8));
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "closed instance", test_closed_instance },
 	{ "all instances closed", test_all_instances_closed },
 	{ "closed engine", test_closed_engine },
 	{ "unsent requests are withdrawn", test_unsent_withdrawn },
 	{ "instance that leaves by its own word", test_leaving_instance },
+	{ "incarnation listed later", test_later_incarnation },
 };
 
 UNIT_MAIN("gate_notice", cases)
