A time that an owner told and that has passed is not told to the caller

Cause: an owner's REFUSE with a time may not end the request, if another attempt goes on; when it fails later the time may have passed. The gate then passed on that time, against the interface (0: now or unknown); the frontend read it as unknown, so callers saw the default.

Change: such a time is dropped, and the gate's own knowledge is used.

--- a/core/gate_call.c
+++ b/core/gate_call.c
@@ -100,7 +100,7 @@
 	if (!call->caller_gone) {
 		act = gate_add_action(out, GATE_FAIL_REQUEST, call->req.rid);
 		act->outcome = outcome;
-		act->reopen_at = call->reopen_at != 0
+		act->reopen_at = call->reopen_at > now
 		    ? call->reopen_at
 		    : gate_reopen_at(g, now, call);
 		g->stats.failed[outcome]++;
