--- a/core/wire.c
+++ b/core/wire.c
@@ -482,6 +482,7 @@
 		wire_u32(w, &f->demand[i].running);
 		wire_u32(w, &f->demand[i].waiting);
 	}
+	wire_u32(w, &f->has_evidence);
 	f->poison = wire_list(w, &f->npoison, sizeof(*f->poison), f->poison);
 	for (i = 0; i < f->npoison; i++)
 		wire_evidence(w, &f->poison[i]);
@@ -509,7 +510,6 @@
 
 	wire_str(w, h->holder, sizeof(h->holder));
 	wire_u64(w, &h->fence);
-	wire_u32(w, &h->is_full);
 	h->items = wire_list(w, &h->n, sizeof(*h->items), h->items);
 	for (i = 0; i < h->n; i++) {
 		wire_str(w, h->items[i].replica, sizeof(h->items[i].replica));
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -212,7 +212,8 @@
 			NSEC_PER_MSEC),
 		    c->e->stopping);
 	}
-	caller_close(c);
+	conn_close_idle(c->conn, &c->e->flushing);
+	caller_destroy(c);
 }
 
 /* Closes the connection once the buffered bytes have been sent. */
@@ -448,6 +449,12 @@
 	return conn_unsent_bytes(c->conn);
 }
 
+void
+caller_keep_until(struct caller *c, uint64_t at)
+{
+	conn_keep_until(c->conn, at);
+}
+
 int
 caller_has_left(const struct caller *c)
 {
@@ -468,10 +475,10 @@
 }
 
 void
-caller_response_done(struct caller *c)
+caller_response_done(struct caller *c, int kept)
 {
 	c->forward = NULL;
-	if (!caller_keep_alive(c)) {
+	if (!kept) {
 		caller_close(c);
 		return;
 	}
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -133,14 +133,19 @@
 void caller_write(struct caller *, const void *, size_t);
 /* Bytes queued and not yet written to the socket. */
 size_t caller_pending_bytes(const struct caller *);
+/* A caller that does not read its answer keeps the connection until then. */
+void caller_keep_until(struct caller *, uint64_t);
 /* Whether the caller has closed its side, even if the loop has not read it. */
 int caller_has_left(const struct caller *);
 /* Whether the connection stays open after the current response. */
 int caller_keep_alive(const struct caller *);
 /* Whether the caller understands chunked encoding, as HTTP/1.1 does. */
 int caller_accepts_chunked(const struct caller *);
-/* The response is complete; the connection may serve the next request. */
-void caller_response_done(struct caller *);
+/*
+ * The response is complete; the connection serves the next request if the head
+ * of the response said so, also if the process is being stopped since.
+ */
+void caller_response_done(struct caller *, int);
 /* Closes the connection because the response cannot be completed. */
 void caller_abort_response(struct caller *);
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -16,13 +16,14 @@
 #define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
 /* What starts this long after SIGTERM may not end in time. */
 #define START_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
+/* For a retry that awaited evidence to be tried again. */
+#define EVIDENCE_NS (200 * NSEC_PER_MSEC)
 #define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
 static int forward_admit(struct forward *, struct err *);
 static int forward_queue(struct forward *, enum balance_result);
 static int try_waiting(void *, struct waitq_item *);
 static int forward_is_late(const struct forward *);
-static void forward_free(struct forward *);
 static int forward_has_input(void *);
 static void forward_expired(void *);
 static void forward_record_times(const struct forward *);
@@ -92,6 +93,7 @@
 	if (f->deadline > f->arrived + r->timeout_ns)
 		f->deadline = f->arrived + r->timeout_ns;
 	f->last_event_id = f->params.last_event_id;
+	caller_keep_until(f->caller, f->deadline);
 	return 0;
 }
 
@@ -134,7 +136,7 @@
 	forward_dispatch(f);
 }
 
-static void
+void
 forward_free(struct forward *f)
 {
 	struct entry *e = f->e;
@@ -160,10 +162,12 @@
 }
 
 enum balance_result
-forward_pick_replica(struct forward *f, const struct fleet_service *s,
-    int take_full, struct directory_replica **m)
+forward_pick_replica(struct forward *f, const struct fleet_service *s, int sent,
+    struct directory_replica **m)
 {
 	struct balance_request w;
+	enum poison_care (*care)(const struct poison_io *,
+	    const struct request_params *, uint64_t *);
 
 	*m = NULL;
 	if (s == NULL)
@@ -182,11 +186,11 @@
 	w.past_target = forward_is_late(f);
 	w.ignore_peers = s->engine == NULL && peers_use_relays(f->e->peers);
 	w.max_conns = max_conns_per_replica(f->e, s);
-	w.take_full = take_full;
+	w.take_full = sent;
 	w.ntried = f->ntried;
 	memcpy(w.tried, f->tried, sizeof(w.tried));
-	if (poison_io_care(f->e->poison_io, &f->params, &w.affinity_key) ==
-	    POISON_WAIT)
+	care = sent ? poison_io_evidence : poison_io_care;
+	if (care(f->e->poison_io, &f->params, &w.affinity_key) == POISON_WAIT)
 		return BALANCE_SUSPECT;
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
@@ -227,9 +231,10 @@
 static int
 forward_queue(struct forward *f, enum balance_result why)
 {
-	uint64_t part = forward_suspect_part(f);
+	uint64_t part = 0;
 	int moved = 0;
 
+	(void)poison_io_care(f->e->poison_io, &f->params, &part);
 	if (part != 0 && part != f->suspect) {
 		f->suspect = part;
 		moved = f->waiting.group != NULL;
@@ -421,6 +426,15 @@
 		forward_free(f);
 		return;
 	}
+	/* Its least queueing time may be shorter. */
+	if (f->waiting.group != NULL && f->runs != 0 &&
+	    f->e->now < f->deadline && forward_awaits_evidence(f)) {
+		expiry_set(f->expiry,
+		    f->e->now + EVIDENCE_NS < f->deadline
+			? f->e->now + EVIDENCE_NS
+			: f->deadline);
+		return;
+	}
 	if (f->response_started) {
 		forward_cut(f, "deadline exceeded during the response");
 		return;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -47,6 +47,7 @@
 	/* the response to the caller */
 	int response_started; /* its head has been sent */
 	int chunked;
+	int kept;		/* its head keeps the connection open */
 	uint64_t last_event_id; /* of the latest event sent */
 };
 
@@ -76,11 +77,14 @@
 /* Records the end of the attempt and decides on the next step. */
 void forward_attempt_ended(struct forward *, enum attempt_outcome);
 /*
- * Picks the best replica by this process's view of their load; also one at its
- * limit if wanted.
+ * Picks the best replica by this process's view of their load.  For a request
+ * that has been sent, also one at its limit, and without regard to checks that
+ * are under way.
  */
 enum balance_result forward_pick_replica(struct forward *,
     const struct fleet_service *, int, struct directory_replica **);
+/* Ends the request; it has no exchange, and its caller has been told. */
+void forward_free(struct forward *);
 /* Fills in what decides on the next step. */
 void forward_describe(const struct forward *, struct attempt_context *);
 /* Ends a request that a replica may have run; details are for the log. */
@@ -88,8 +92,9 @@
 /* Breaks off a response that has begun; the detail is for the log. */
 void forward_cut(struct forward *, const char *);
 /* forward_suspect.c */
-/* The part for which the request is treated with care, 0: none. */
-uint64_t forward_suspect_part(const struct forward *);
+/* Whether it goes to no replica until the evidence of all processes is known.
+ */
+int forward_awaits_evidence(const struct forward *);
 /*
  * Whether the replica may have crashed from this request.  An answer that ends
  * with its connection may have been broken off.
@@ -98,8 +103,8 @@
 /* Evidence for or against the parts of the request's prompt. */
 void forward_note_crash(struct forward *, enum attempt_outcome);
 /*
- * Ends a request with a part that crashes replicas, unless a replica is
- * streaming its answer.  Returns whether it has ended.
+ * Ends a request with a part that crashes replicas, unless a replica has begun
+ * to answer it.  Returns whether it has ended.
  */
 int forward_end_if_blocked(struct forward *);
 /* response.c */
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -16,6 +16,11 @@
 #define CHANGED_NS (2 * NSEC_PER_SEC)
 #define REPEAT_NS (250 * NSEC_PER_MSEC)
 #define REPEAT_EVERY 4
+/*
+ * A process that has started is heard by a peer, and hears its evidence, well
+ * within this time; without peers it waits no longer.
+ */
+#define EVIDENCE_WAIT_NS (500 * NSEC_PER_MSEC)
 #define CHECKS_MAX 64	   /* at a time */
 #define CHECK_PARTS_MAX 64 /* of the requests that broke off */
 
@@ -39,13 +44,17 @@
 	struct check_list checks;
 	uint32_t nchecks;
 	uint64_t crashes;
-	uint64_t changed_at; /* the latest new crash */
+	uint64_t tell_until; /* each report has the evidence */
+	uint64_t wait_until; /* for the evidence of a peer */
+	int heard;	     /* of it */
+	int knows;	     /* requests go by it, or by none */
 	int newly_blocked;   /* parts, by the current update */
 	int has_news;	     /* crashes since the latest update */
 };
 
 static uint32_t shared_parts(const struct request_params *, uint64_t *);
 static uint64_t incarnation_hash(const struct directory_replica *);
+static int is_checked(const struct poison_io *, uint64_t);
 static struct check *check_find(struct poison_io *, const char *);
 static void check_add_parts(struct check *, const uint64_t *, uint32_t);
 static void check_start(struct check *, const char *);
@@ -77,6 +86,7 @@
 	p = mem_alloc(sizeof(*p));
 	p->e = e;
 	p->poison = poison_create();
+	p->wait_until = entry_update_now(e) + EVIDENCE_WAIT_NS;
 	TAILQ_INIT(&p->checks);
 	return p;
 }
@@ -183,6 +193,7 @@
 {
 	TAILQ_REMOVE(&c->p->checks, c, entry);
 	c->p->nchecks--;
+	c->p->e->retry_waiting = 1;
 	conn_destroy(c->conn);
 	expiry_destroy(c->expiry);
 	free(c);
@@ -195,7 +206,7 @@
 	struct log_subject about = { 0 };
 
 	p->crashes++;
-	p->changed_at = p->e->now;
+	p->tell_until = p->e->now + CHANGED_NS;
 	p->has_news = 1;
 	poison_crashed(
 	    p->poison, p->e->now, c->incarnation, c->parts, c->nparts);
@@ -269,7 +280,7 @@
 }
 
 enum poison_care
-poison_io_care(
+poison_io_evidence(
     const struct poison_io *p, const struct request_params *r, uint64_t *part)
 {
 	uint64_t ids[PROMPT_PARTS_MAX];
@@ -278,6 +289,51 @@
 	return poison_care(p->poison, p->e->now, ids, n, part);
 }
 
+enum poison_care
+poison_io_care(
+    const struct poison_io *p, const struct request_params *r, uint64_t *part)
+{
+	enum poison_care care = poison_io_evidence(p, r, part);
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t n = shared_parts(r, ids);
+	uint32_t checked = n;
+	uint32_t nnew = 0;
+	uint32_t i;
+
+	if (n != 0 && !p->knows)
+		return POISON_WAIT;
+	if (care == POISON_WAIT || p->nchecks == 0)
+		return care;
+	for (i = 0; i < n; i++) {
+		if (!poison_is_new(p->poison, ids[i]))
+			continue;
+		nnew++;
+		if (checked == n && is_checked(p, ids[i]))
+			checked = i;
+	}
+	if (checked == n || nnew == n)
+		return care;
+	if (care == POISON_ANY_REPLICA)
+		*part = ids[checked];
+	return POISON_WAIT;
+}
+
+/* Whether a check is under way after a request with the part broke off. */
+static int
+is_checked(const struct poison_io *p, uint64_t part)
+{
+	const struct check *c;
+	uint32_t i;
+
+	TAILQ_FOREACH (c, &p->checks, entry) {
+		for (i = 0; i < c->nparts; i++) {
+			if (c->parts[i] == part)
+				return 1;
+		}
+	}
+	return 0;
+}
+
 int
 poison_io_is_suspect(const struct poison_io *p,
     const struct directory_replica *m, const struct request_params *r)
@@ -309,6 +365,18 @@
 	if (p->has_news)
 		forward_withdraw_suspects(p->e);
 	p->has_news = 0;
+	/* What has been heard takes effect by the update above. */
+	if (!p->knows && (p->heard || p->e->now >= p->wait_until)) {
+		p->knows = 1;
+		p->e->retry_waiting = 1;
+	}
+}
+
+void
+poison_io_peer_started(struct poison_io *p)
+{
+	p->tell_until = p->e->now + CHANGED_NS;
+	peers_report_soon(p->e->peers);
 }
 
 void
@@ -316,9 +384,11 @@
 {
 	struct poison_evidence found[POISON_REPORT_MAX];
 
-	if (p->e->now >= p->changed_at + CHANGED_NS &&
-	    p->e->now / REPEAT_NS % REPEAT_EVERY != 0)
+	if (!p->knows ||
+	    (p->e->now >= p->tell_until &&
+		p->e->now / REPEAT_NS % REPEAT_EVERY != 0))
 		return;
+	f->has_evidence = 1;
 	f->npoison = poison_report(p->poison, p->e->now, found);
 	if (f->npoison == 0)
 		return;
@@ -331,9 +401,10 @@
 {
 	uint32_t i;
 
+	p->heard |= f->has_evidence != 0;
 	for (i = 0; i < f->npoison; i++)
 		if (poison_merge(p->poison, p->e->now, &f->poison[i])) {
-			p->changed_at = p->e->now;
+			p->tell_until = p->e->now + CHANGED_NS;
 			p->has_news = 1;
 		}
 }
--- a/net/conn.h
+++ b/net/conn.h
@@ -46,6 +46,11 @@
  * is in the list until the buffer is empty.
  */
 void conn_close_after_flush(struct conn *, struct conn_list *);
+/*
+ * The same, but once everything has been sent, what comes is not read: the peer
+ * is reset, which tells it so.
+ */
+void conn_close_idle(struct conn *, struct conn_list *);
 void conn_write(struct conn *, const void *, size_t);
 /* Whether the peer has closed its side, even if bytes are still unread. */
 int conn_peer_closed(const struct conn *);
@@ -59,6 +64,8 @@
 void conn_clear_sent(struct conn *);
 /* Whether any byte was passed to the kernel since conn_clear_sent(). */
 int conn_has_sent(const struct conn *);
+/* A peer that is alive but does not read is not cut off before this time. */
+void conn_keep_until(struct conn *, uint64_t);
 /* Pauses (0) or resumes (1) reading. */
 void conn_set_reading(struct conn *, int);
 /* Returns a listening socket on "IP:port", or -1 with err set. */
