--- a/core/wire.c
+++ b/core/wire.c
@@ -8,27 +8,15 @@
 
 #include "mem.h"
 #include "wire.h"
+#include "wire_int.h"
 
 /* Limit on fields in a message; FRONT with its two lists is the largest. */
 #define WIRE_FIELDS_MAX 16384
 
-/* Position in the message being encoded or decoded. */
-struct wire_cursor {
-	msgpack_packer *packer;	      /* NULL when decoding */
-	const msgpack_object *fields; /* decoding only */
-	uint32_t nfields;
-	uint32_t next;
-	int malformed;
-};
-
 typedef void (*wire_visit)(struct wire_cursor *, struct msg *);
 
 static const msgpack_object *wire_next_field(
     struct wire_cursor *, msgpack_object_type);
-static void wire_u64(struct wire_cursor *, uint64_t *);
-static void wire_u32(struct wire_cursor *, uint32_t *);
-static void wire_str(struct wire_cursor *, char *, size_t);
-static void wire_count(struct wire_cursor *, uint32_t *, uint32_t);
 static void wire_bytes(struct wire_cursor *, char **, uint32_t *);
 static void wire_key(struct wire_cursor *, struct job_key *);
 static void wire_replica(struct wire_cursor *, struct msg_replica *);
@@ -49,11 +37,6 @@
 static void wire_ping(struct wire_cursor *, struct msg *);
 static void wire_conf(struct wire_cursor *, struct msg *);
 static void wire_sender_none(struct wire_cursor *, struct msg *);
-static void *wire_list(struct wire_cursor *, uint32_t *, size_t, void *);
-static void wire_front(struct wire_cursor *, struct msg *);
-static void wire_evidence(struct wire_cursor *, struct poison_evidence *);
-static void wire_held(struct wire_cursor *, struct msg *);
-static void wire_want(struct wire_cursor *, struct msg *);
 static int wire_unpack_fields(
     const char *, size_t, msgpack_zone *, msgpack_object *, uint32_t *);
 static struct msg *wire_decode_fields(struct wire_cursor *);
@@ -105,7 +88,7 @@
 	return o;
 }
 
-static void
+void
 wire_u64(struct wire_cursor *w, uint64_t *v)
 {
 	const msgpack_object *o;
@@ -119,7 +102,7 @@
 		*v = o->via.u64;
 }
 
-static void
+void
 wire_u32(struct wire_cursor *w, uint32_t *v)
 {
 	uint64_t wide = *v;
@@ -131,7 +114,7 @@
 }
 
 /* A count or enum value; values of limit and above are malformed. */
-static void
+void
 wire_count(struct wire_cursor *w, uint32_t *v, uint32_t limit)
 {
 	wire_u32(w, v);
@@ -141,7 +124,7 @@
 	}
 }
 
-static void
+void
 wire_str(struct wire_cursor *w, char *s, size_t size)
 {
 	const msgpack_object *o;
@@ -449,7 +432,7 @@
 }
 
 /* Visits the length of a list; allocates the list when decoding. */
-static void *
+void *
 wire_list(struct wire_cursor *w, uint32_t *n, size_t size, void *list)
 {
 	wire_count(w, n, MSG_LIST_MAX);
@@ -458,77 +441,6 @@
 	return mem_alloc((*n + 1U) * size);
 }
 
-static void
-wire_front(struct wire_cursor *w, struct msg *m)
-{
-	struct msg_front *f = &m->u.front;
-	uint32_t i;
-
-	wire_str(w, f->vm, sizeof(f->vm));
-	wire_str(w, f->zone, sizeof(f->zone));
-	wire_count(w, &f->scope, FRONT__MAX);
-	wire_u64(w, &f->version);
-	wire_u64(w, &f->list_revision);
-	wire_u64(w, &f->list_digest);
-	wire_u32(w, &f->stopping);
-	wire_u32(w, &f->weight);
-	f->work = wire_list(w, &f->nwork, sizeof(*f->work), f->work);
-	for (i = 0; i < f->nwork; i++) {
-		wire_str(w, f->work[i].replica, sizeof(f->work[i].replica));
-		wire_u32(w, &f->work[i].running);
-		wire_u32(w, &f->work[i].unread_us);
-		wire_u32(w, &f->work[i].recent_us);
-		wire_u32(w, &f->work[i].tokens);
-	}
-	f->demand = wire_list(w, &f->ndemand, sizeof(*f->demand), f->demand);
-	for (i = 0; i < f->ndemand; i++) {
-		wire_str(w, f->demand[i].wanted, sizeof(f->demand[i].wanted));
-		wire_u64(w, &f->demand[i].arrivals);
-		wire_u32(w, &f->demand[i].running);
-		wire_u32(w, &f->demand[i].waiting);
-	}
-	wire_u32(w, &f->has_evidence);
-	f->poison = wire_list(w, &f->npoison, sizeof(*f->poison), f->poison);
-	for (i = 0; i < f->npoison; i++)
-		wire_evidence(w, &f->poison[i]);
-}
-
-static void
-wire_evidence(struct wire_cursor *w, struct poison_evidence *e)
-{
-	uint32_t i;
-
-	wire_u64(w, &e->part);
-	wire_u64(w, &e->answered_ago_ms);
-	wire_count(w, &e->ncrashes, POISON_CRASHES_MAX + 1);
-	for (i = 0; i < e->ncrashes && !w->malformed; i++) {
-		wire_u64(w, &e->crashes[i].replica);
-		wire_u64(w, &e->crashes[i].ago_ms);
-	}
-}
-
-static void
-wire_held(struct wire_cursor *w, struct msg *m)
-{
-	struct msg_held *h = &m->u.held;
-	uint32_t i;
-
-	wire_str(w, h->holder, sizeof(h->holder));
-	wire_u64(w, &h->fence);
-	h->items = wire_list(w, &h->n, sizeof(*h->items), h->items);
-	for (i = 0; i < h->n; i++) {
-		wire_str(w, h->items[i].replica, sizeof(h->items[i].replica));
-		wire_str(w, h->items[i].name, sizeof(h->items[i].name));
-		wire_u64(w, &h->items[i].replica_start);
-	}
-}
-
-static void
-wire_want(struct wire_cursor *w, struct msg *m)
-{
-	wire_str(w, m->u.want.wanted, sizeof(m->u.want.wanted));
-}
-
 static int
 wire_unpack_fields(const char *buf, size_t len, msgpack_zone *zone,
     msgpack_object *fields, uint32_t *n)
--- /dev/null
+++ b/core/wire_entry.c
@@ -0,0 +1,75 @@
+/* Messages between processes of spindle-entry. */
+#include "wire_int.h"
+
+static void wire_evidence(struct wire_cursor *, struct poison_evidence *);
+
+void
+wire_front(struct wire_cursor *w, struct msg *m)
+{
+	struct msg_front *f = &m->u.front;
+	uint32_t i;
+
+	wire_str(w, f->vm, sizeof(f->vm));
+	wire_str(w, f->zone, sizeof(f->zone));
+	wire_count(w, &f->scope, FRONT__MAX);
+	wire_u64(w, &f->version);
+	wire_u64(w, &f->list_revision);
+	wire_u64(w, &f->list_digest);
+	wire_u32(w, &f->stopping);
+	wire_u32(w, &f->weight);
+	f->work = wire_list(w, &f->nwork, sizeof(*f->work), f->work);
+	for (i = 0; i < f->nwork; i++) {
+		wire_str(w, f->work[i].replica, sizeof(f->work[i].replica));
+		wire_u32(w, &f->work[i].running);
+		wire_u32(w, &f->work[i].unread_us);
+		wire_u32(w, &f->work[i].recent_us);
+		wire_u32(w, &f->work[i].tokens);
+	}
+	f->demand = wire_list(w, &f->ndemand, sizeof(*f->demand), f->demand);
+	for (i = 0; i < f->ndemand; i++) {
+		wire_str(w, f->demand[i].wanted, sizeof(f->demand[i].wanted));
+		wire_u64(w, &f->demand[i].arrivals);
+		wire_u32(w, &f->demand[i].running);
+		wire_u32(w, &f->demand[i].waiting);
+	}
+	wire_u32(w, &f->has_evidence);
+	f->poison = wire_list(w, &f->npoison, sizeof(*f->poison), f->poison);
+	for (i = 0; i < f->npoison; i++)
+		wire_evidence(w, &f->poison[i]);
+}
+
+static void
+wire_evidence(struct wire_cursor *w, struct poison_evidence *e)
+{
+	uint32_t i;
+
+	wire_u64(w, &e->part);
+	wire_u64(w, &e->answered_ago_ms);
+	wire_count(w, &e->ncrashes, POISON_CRASHES_MAX + 1);
+	for (i = 0; i < e->ncrashes && !w->malformed; i++) {
+		wire_u64(w, &e->crashes[i].replica);
+		wire_u64(w, &e->crashes[i].ago_ms);
+	}
+}
+
+void
+wire_held(struct wire_cursor *w, struct msg *m)
+{
+	struct msg_held *h = &m->u.held;
+	uint32_t i;
+
+	wire_str(w, h->holder, sizeof(h->holder));
+	wire_u64(w, &h->fence);
+	h->items = wire_list(w, &h->n, sizeof(*h->items), h->items);
+	for (i = 0; i < h->n; i++) {
+		wire_str(w, h->items[i].replica, sizeof(h->items[i].replica));
+		wire_str(w, h->items[i].name, sizeof(h->items[i].name));
+		wire_u64(w, &h->items[i].replica_start);
+	}
+}
+
+void
+wire_want(struct wire_cursor *w, struct msg *m)
+{
+	wire_str(w, m->u.want.wanted, sizeof(m->u.want.wanted));
+}
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -365,7 +365,7 @@
 	if (p->has_news)
 		forward_withdraw_suspects(p->e);
 	p->has_news = 0;
-	/* What has been heard takes effect by the update above. */
+	/* The update above has applied the peers' evidence. */
 	if (!p->knows && (p->heard || p->e->now >= p->wait_until)) {
 		p->knows = 1;
 		p->e->retry_waiting = 1;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -150,7 +150,7 @@
 	x->reader =
 	    http_reader_create(HTTP_READ_RESPONSES, &exchange_reader_ops, x);
 	x->conn = conn_connect(p->loop, a->addr, &exchange_conn_ops, x, NULL);
-	/* Whoever started an exchange cancels it at the request's deadline. */
+	/* The exchange is cancelled at the deadline of its request. */
 	if (x->conn != NULL)
 		conn_keep_until(x->conn, TIME_NEVER);
 	x->expiry = expiry_create(p->loop, &exchange_expiry_ops, x);
--- a/shell/notice_fields.h
+++ b/shell/notice_fields.h
@@ -11,7 +11,7 @@
 #define NOTICE_FIELD_LEAVING "Server-Leaving"
 #define NOTICE_FIELD_RETRY_AFTER "Retry-After"
 
-/* What one answer says; zeroed before its first field. */
+/* The fields of one answer; zeroed before the first one. */
 struct notice_fields {
 	/* valid after notice_fields_finish() */
 	int leaving;	    /* the replica says that it leaves */
--- a/tests/test_gate_notice.c
+++ b/tests/test_gate_notice.c
@@ -18,7 +18,7 @@
 static int granted(uint64_t);
 static void test_later_incarnation(void);
 
-/* The head and end of an answer in which the target tells of itself. */
+/* The head and end of an answer with the target's notices. */
 static void
 head_event(uint64_t id, int status, int leaving, uint64_t closed_ns)
 {
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -390,7 +390,7 @@
 	finish(&holder);
 }
 
-/* What a list has told of a replica stays, if the table does not name it. */
+/* Adapters known from a list stay, if the table does not name the replica. */
 static void
 test_replica_that_the_holder_does_not_list(void)
 {
