--- a/core/sched_pick.c
+++ b/core/sched_pick.c
@@ -91,7 +91,7 @@
 		r = m->replicas[i];
 		if (!replica_accepts_job(s, r, job, now))
 			continue;
-		if (r == warm)
+		if (warm != NULL && r == warm)
 			warm_open = 1;
 		score = replica_score(s, r);
 		if (best == NULL || score < best_score) {
