test_retry_after_values waits for the log before it counts lines

Cause, from the kept log: its last lines are missing; 59 requests were started there and 58 attempts ended. A thread writes the log, the test counted as the answer had come, and then killed the process.

Change: it counts once the log has the end of each attempt, which is written after the notice. The counts are as they were.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -2743,6 +2743,9 @@
             check("%r: refused by a" % value, len(a.requests) == n + 1)
             if only_b(w, a, b, 1):
                 closed.append(value)
+        # Lines are written by a thread, those on a request before its end.
+        w.wait("logged", lambda: len(w.events("request-attempt")) ==
+               len(w.events("request-started")))
         return closed, len(w.events("replica-notice-bad"))
     finally:
         w.stop()
