--- a/core/gate_table.c
+++ b/core/gate_table.c
@@ -51,7 +51,7 @@
 	return t;
 }
 
-/* Applies what a table tells of a target; incarnations only increase. */
+/* Applies a table's entry for a target; incarnations only increase. */
 static void
 target_list(struct target *t, uint64_t incarnation, int leaving)
 {
--- a/core/notice.h
+++ b/core/notice.h
@@ -56,7 +56,7 @@
 uint64_t notice_closed_until(const struct notice *, uint64_t, uint64_t);
 /*
  * Whether an incarnation takes only one request at a time: also if it may be
- * the one that closed, as it answered before the list told of its start.
+ * the one that closed, as it answered before its start was listed.
  */
 int notice_is_probed(const struct notice *, uint64_t, uint64_t);
 /* Whether a closed time has ended since the last call. */
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -212,8 +212,8 @@
 }
 
 /*
- * A replica that has restarted says it before the list tells of that: one
- * request at a time shows whether the new incarnation takes requests.
+ * A replica that has restarted refuses before its new incarnation is listed:
+ * one request at a time shows whether the new incarnation takes requests.
  */
 static void
 test_not_listed_yet(void)
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -442,7 +442,7 @@
 
 /*
  * While memory holds a copy of every model, no overload takes a model's last
- * copy; when it does not, one that has been requested lately stays.
+ * copy; when it does not, one that was requested in the last seconds stays.
  */
 static void
 test_last_copy(void)
