Limits that replicas name are read, logged and counted

Cause looked for: replicas get more requests than the limit that they name, and no log line tells whether a process has heard of a limit.

Change: Server-Limit is decoded for both interfaces (shell/notice_fields) and kept per incarnation with a replica's other notices (core/notice); event replica-limit, the limit in request-started, three metrics. Nothing is decided by it yet.

Tests: test_fields (limits on requests), test_notice (limit).

--- a/core/directory.c
+++ b/core/directory.c
@@ -275,6 +275,12 @@
 	return notice_closed_until(&m->notice, m->info.started_ms, now);
 }
 
+double
+directory_limit(const struct directory_replica *m)
+{
+	return notice_limit_of(&m->notice, m->info.started_ms);
+}
+
 int
 directory_in_service(const struct directory_replica *m, uint64_t now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -120,6 +120,8 @@
 int directory_is_leaving(const struct directory_replica *);
 /* Until when a replica takes no requests, by its own word; 0: it takes them. */
 uint64_t directory_closed_until(const struct directory_replica *, uint64_t);
+/* Requests a second that it takes from all processes, 0: any number. */
+double directory_limit(const struct directory_replica *);
 /* Whether a replica is in service, apart from when it takes requests. */
 int directory_in_service(const struct directory_replica *, uint64_t);
 /* Whether new requests may be sent to a replica. */
--- a/core/gate_notice.c
+++ b/core/gate_notice.c
@@ -174,7 +174,7 @@
 			report_notice(t, GATE_REOPENED, out);
 		/* Without an incarnation a restart cannot be seen. */
 		if (t->notice.leaving_at != 0 && t->notice.started_ms == 0 &&
-		    now >= t->notice.leaving_at + NOTICE_LEAVING_KEPT_NS)
+		    now >= t->notice.leaving_at + NOTICE_KEPT_NS)
 			t->notice.leaving_at = 0;
 	}
 }
--- a/core/notice.c
+++ b/core/notice.c
@@ -45,6 +45,26 @@
 	return 1;
 }
 
+int
+notice_limit(struct notice *n, uint64_t started_ms, uint64_t at, double per_s)
+{
+	int changed;
+
+	if ((per_s == 0.0 && n->limit_at == 0) || !begin(n, started_ms) ||
+	    at < n->limit_at)
+		return 0;
+	changed = per_s != n->limit_per_s;
+	n->limit_at = at;
+	n->limit_per_s = per_s;
+	return changed;
+}
+
+double
+notice_limit_of(const struct notice *n, uint64_t started_ms)
+{
+	return started_ms <= n->started_ms ? n->limit_per_s : 0.0;
+}
+
 void
 notice_answered(struct notice *n, uint64_t started_ms, uint64_t sent_at)
 {
@@ -63,7 +83,7 @@
 		return;
 	if (undrained)
 		n->leaving_at = 0;
-	if (n->leaving_at != 0 || n->closed_until != 0)
+	if (n->leaving_at != 0 || n->closed_until != 0 || n->limit_per_s != 0.0)
 		n->started_ms = started_ms;
 }
 
@@ -100,8 +120,8 @@
 is_kept(const struct notice *n, uint64_t now)
 {
 	return now < n->closed_until ||
-	    (n->leaving_at != 0 &&
-		now < n->leaving_at + NOTICE_LEAVING_KEPT_NS);
+	    (n->leaving_at != 0 && now < n->leaving_at + NOTICE_KEPT_NS) ||
+	    (n->limit_per_s != 0.0 && now < n->limit_at + NOTICE_KEPT_NS);
 }
 
 void
--- a/core/notice.h
+++ b/core/notice.h
@@ -1,6 +1,7 @@
 /*
- * What a replica says of itself in its answers: that it leaves, or that it
- * takes no requests until a time.  It holds for the incarnation that said it
+ * What a replica says of itself in its answers: that it leaves, that it takes
+ * no requests until a time, or that it takes so many requests a second from all
+ * processes together.  It holds for the incarnation that said it
  * and for earlier ones, whatever other sources say.  Deterministic: times are
  * passed in, in ns.
  */
@@ -17,7 +18,7 @@
  */
 #define NOTICE_CLOSED_MAX_NS (3600 * NSEC_PER_SEC)
 /* A removed replica's notice is kept, as its entry may come back this late. */
-#define NOTICE_LEAVING_KEPT_NS (600 * NSEC_PER_SEC)
+#define NOTICE_KEPT_NS (600 * NSEC_PER_SEC)
 
 /* One replica's notices; zeroed: it has said nothing. */
 struct notice {
@@ -25,7 +26,9 @@
 	uint64_t leaving_at;   /* first said that it leaves, 0: it did not */
 	uint64_t closed_until; /* takes no requests before, 0: any time */
 	int probe; /* it was closed for less than it said: one request first */
-	int reopening; /* the end of closed_until has not been reported */
+	int reopening;	    /* the end of closed_until has not been reported */
+	double limit_per_s; /* requests from all processes, 0: any number */
+	uint64_t limit_at;  /* of the latest answer that told, 0: none did */
 };
 
 /* The notice of a replica that is not known any more. */
@@ -41,6 +44,14 @@
  */
 int notice_leaving(struct notice *, uint64_t, uint64_t);
 int notice_closed(struct notice *, uint64_t, uint64_t, uint64_t);
+/*
+ * Records that an answer of an incarnation, received at a time, named a limit
+ * in requests a second, 0 for none.  Returns whether the limit has changed; an
+ * earlier answer than the latest one changes nothing.
+ */
+int notice_limit(struct notice *, uint64_t, uint64_t, double);
+/* The limit that holds for an incarnation, 0: none. */
+double notice_limit_of(const struct notice *, uint64_t);
 /* A request that an incarnation took, sent at a time, was answered. */
 void notice_answered(struct notice *, uint64_t, uint64_t);
 /*
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -246,13 +246,15 @@
 static void
 write_replica_metrics(struct entry *e, FILE *f)
 {
-	uint64_t ready = 0, leaving = 0, avoided = 0, closed = 0;
+	uint64_t ready = 0, leaving = 0, avoided = 0, closed = 0, limited = 0;
 	const struct directory_replica *m;
 
 	for (m = e->dir.replicas; m != NULL; m = m->hh.next) {
 		leaving += directory_is_leaving(m);
 		closed += m->presence != PRESENCE_REMOVED &&
 		    directory_closed_until(m, e->now) != 0;
+		limited += m->presence != PRESENCE_REMOVED &&
+		    directory_limit(m) != 0.0;
 		ready += directory_usable(m, e->now);
 		avoided +=
 		    m->info.state == REPLICA_READY && e->now < m->avoid_until;
@@ -271,6 +273,14 @@
 	metric_write(f, "spindle_entry_closed_notices_total", "counter",
 	    "Answers by which a replica takes no requests for a time.",
 	    e->counts.closed_notices);
+	metric_write(f, "spindle_entry_replicas_limited", "gauge",
+	    "Replicas that limit the requests that they get in a second.",
+	    limited);
+	metric_write(f, "spindle_entry_limit_notices_total", "counter",
+	    "Limits on requests that replicas named, changed or ended.",
+	    e->counts.limit_notices);
+	metric_write(f, "spindle_entry_limited_attempts_total", "counter",
+	    "Attempts at replicas with a limit.", e->counts.limited);
 	metric_write(f, "spindle_entry_follows_list", "gauge",
 	    "Whether this process follows the list of replicas for others.",
 	    (uint64_t)peers_is_active_hub(e->peers));
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -80,6 +80,7 @@
 	if (f->attempts_made++ != 0)
 		budget_add_retry(&f->e->budget, f->e->now, f->service);
 	f->e->counts.attempts++;
+	f->e->counts.limited += directory_limit(m) != 0.0;
 	if (f->ntried < BALANCE_TRIED_MAX)
 		snprintf(f->tried[f->ntried++], NAME_SIZE, "%s", m->info.id);
 
@@ -106,10 +107,11 @@
 	load = directory_total_load(&f->e->dir, f->e->now, m);
 	log_event(LOG_REQUEST_STARTED, &about,
 	    "running=%u unread_us=%u recent_us=%u share=%.2f read_us=%u "
-	    "list_at=%llu fresh=%d",
+	    "list_at=%llu fresh=%d limit=%.2f",
 	    load.running, load.unread_us, load.recent_us,
 	    directory_prefill_share(m, f->e->now), f->work.unread_us,
-	    (unsigned long long)f->e->dir.revision, f->new_connection);
+	    (unsigned long long)f->e->dir.revision, f->new_connection,
+	    directory_limit(m));
 }
 
 void
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -45,6 +45,8 @@
 	uint64_t unread_closed;	  /* closed although input had arrived */
 	uint64_t leaving_notices; /* replicas that said that they leave */
 	uint64_t closed_notices;  /* that said to take no requests now */
+	uint64_t limit_notices;	  /* limits on requests that began or changed */
+	uint64_t limited;	  /* attempts at replicas with a limit */
 	uint64_t attempts;
 	uint64_t attempt_ends[ATTEMPT__MAX];
 };
@@ -152,6 +154,12 @@
 /* replica_notice.c */
 /* Reports replicas that take requests again. */
 void replica_notice_tick(struct entry *);
+/*
+ * An answer of an incarnation, received at a time, named a limit in requests a
+ * second, 0 for none; the source is for the log.
+ */
+void replica_notice_limit(struct entry *, struct directory_replica *, uint64_t,
+    uint64_t, double, const char *);
 
 /* forward.c */
 /* Starts forwarding the caller's request, which has been received in full. */
--- a/entry/replica_notice.c
+++ b/entry/replica_notice.c
@@ -1,9 +1,13 @@
-/* What replicas say of themselves in their answers: leaving, or closed. */
+/*
+ * What replicas say of themselves in their answers: that they leave, are
+ * closed, or take so many requests a second.
+ */
 #include <stdio.h>
 
 #include "forward_int.h"
 
 static void withdraw_unsent(struct forward *);
+static void apply_limit(struct forward *, const struct response_info *);
 static void log_notice(
     const struct directory_replica *, enum log_id, uint64_t, uint64_t);
 
@@ -49,6 +53,39 @@
 	}
 }
 
+/*
+ * An answer that names no limit ends one, if it is this replica's: of another
+ * one, at an address used again, it says nothing.
+ */
+static void
+apply_limit(struct forward *f, const struct response_info *t)
+{
+	if (t->limit_is_bad || t->misdirected ||
+	    (t->limit_per_s == 0.0 && !t->id_matches))
+		return;
+	replica_notice_limit(f->e, f->replica, f->replica_started_ms, f->e->now,
+	    t->limit_per_s, "answer");
+}
+
+void
+replica_notice_limit(struct entry *e, struct directory_replica *m,
+    uint64_t started_ms, uint64_t at, double per_s, const char *source)
+{
+	double was = notice_limit_of(&m->notice, started_ms);
+	struct log_subject about = { 0 };
+
+	if (!notice_limit(&m->notice, started_ms, at, per_s))
+		return;
+	e->counts.limit_notices++;
+	e->retry_waiting = 1;
+	about.backend = m->info.id;
+	log_event(LOG_REPLICA_LIMIT, &about,
+	    "per_s=%.2f was=%.2f born=%llu from=%s age_ms=%llu running=%u",
+	    per_s, was, (unsigned long long)started_ms, source,
+	    (unsigned long long)((e->now - at) / NSEC_PER_MSEC),
+	    m->local_load.running);
+}
+
 void
 forward_apply_notice(struct forward *f, const struct response_info *t)
 {
@@ -76,6 +113,7 @@
 		    m, LOG_REPLICA_REFUSING, now, m->notice.closed_until);
 		news = 1;
 	}
+	apply_limit(f, t);
 	if (t->closed_ns == 0 && !t->not_executed)
 		notice_answered(&m->notice, f->replica_started_ms, f->sent_at);
 	if (news)
--- a/shell/log.c
+++ b/shell/log.c
@@ -179,6 +179,8 @@
 	    "the time for which a replica takes no requests has ended" },
 	[LOG_REPLICA_NOTICE_BAD] = { 1625, LOGLEVEL_INFO, "replica-notice-bad",
 	    "a malformed notice in a replica's answer was ignored" },
+	[LOG_REPLICA_LIMIT] = { 1626, LOGLEVEL_INFO, "replica-limit",
+	    "a replica named another limit on its requests, or none" },
 	[LOG_CELL_TAKEN] = { 1700, LOGLEVEL_NOTICE, "cell-taken",
 	    "this process owns the cell" },
 	[LOG_CELL_LOST] = { 1701, LOGLEVEL_WARNING, "cell-lost",
--- a/shell/notice_fields.c
+++ b/shell/notice_fields.c
@@ -6,13 +6,16 @@
 #include "notice_fields.h"
 
 #define STATUS_UNAVAILABLE 503
-/* Longer times are read as this one, which any use of them bounds. */
-#define RETRY_AFTER_MAX_S 1e8
+/* Larger numbers are read as this one, which any use of them bounds. */
+#define NUMBER_MAX 1e8
+/* With no requests at all, the end of a limit would never be heard. */
+#define LIMIT_MIN_PER_S 0.1
 
 static int is_blank(const char *);
 static int parse_date(const char *, time_t *);
-static int parse_seconds(const char *, uint64_t *);
+static int parse_number(const char *, double *);
 static void add_retry_after(struct notice_fields *, const char *);
+static void add_limit(struct notice_fields *, const char *);
 
 /* Whether nothing follows but white space. */
 static int
@@ -37,11 +40,10 @@
 
 /* Decimal digits with at most one point among or after them. */
 static int
-parse_seconds(const char *s, uint64_t *ns)
+parse_number(const char *s, double *x)
 {
 	size_t whole = strspn(s, "0123456789");
 	size_t len = whole;
-	double x;
 
 	if (s[len] == '.') {
 		len++;
@@ -49,10 +51,9 @@
 	}
 	if (whole == 0 || !is_blank(s + len))
 		return -1;
-	x = strtod(s, NULL);
-	if (x > RETRY_AFTER_MAX_S)
-		x = RETRY_AFTER_MAX_S;
-	*ns = (uint64_t)(x * (double)NSEC_PER_SEC);
+	*x = strtod(s, NULL);
+	if (*x > NUMBER_MAX)
+		*x = NUMBER_MAX;
 	return 0;
 }
 
@@ -61,9 +62,11 @@
 add_retry_after(struct notice_fields *f, const char *value)
 {
 	uint64_t ns;
+	double s;
 	time_t at;
 
-	if (parse_seconds(value, &ns) == 0) {
+	if (parse_number(value, &s) == 0) {
+		ns = (uint64_t)(s * (double)NSEC_PER_SEC);
 		if (ns > f->retry_ns)
 			f->retry_ns = ns;
 	} else if (parse_date(value, &at) == 0) {
@@ -75,6 +78,22 @@
 	}
 }
 
+/* Of several limits the lowest holds. */
+static void
+add_limit(struct notice_fields *f, const char *value)
+{
+	double per_s;
+
+	if (parse_number(value, &per_s) == -1) {
+		f->limit_is_bad = 1;
+		return;
+	}
+	if (per_s < LIMIT_MIN_PER_S)
+		per_s = LIMIT_MIN_PER_S;
+	if (f->limit_per_s == 0.0 || per_s < f->limit_per_s)
+		f->limit_per_s = per_s;
+}
+
 void
 notice_fields_add(struct notice_fields *f, const char *name, const char *value)
 {
@@ -85,6 +104,8 @@
 			f->unknown = NOTICE_FIELD_LEAVING;
 	} else if (strcasecmp(name, NOTICE_FIELD_RETRY_AFTER) == 0) {
 		add_retry_after(f, value);
+	} else if (strcasecmp(name, NOTICE_FIELD_LIMIT) == 0) {
+		add_limit(f, value);
 	} else if (strcasecmp(name, "Date") == 0 && !f->has_date) {
 		f->has_date = 1;
 		if (parse_date(value, &f->sent_at) == -1)
@@ -101,6 +122,8 @@
 {
 	uint64_t ns;
 
+	if (f->limit_is_bad)
+		f->unknown = NOTICE_FIELD_LIMIT;
 	if (status != STATUS_UNAVAILABLE)
 		return;
 	f->closed_ns = f->retry_ns;
--- a/shell/notice_fields.h
+++ b/shell/notice_fields.h
@@ -1,6 +1,7 @@
 /*
- * Header fields with which a replica says of itself that it leaves, or takes
- * no requests for a time.  Shared by both interfaces.
+ * Header fields with which a replica says of itself that it leaves, takes no
+ * requests for a time, or takes so many in a second.  Shared by both
+ * interfaces.
  */
 #ifndef NOTICE_FIELDS_H
 #define NOTICE_FIELDS_H
@@ -10,12 +11,15 @@
 
 #define NOTICE_FIELD_LEAVING "Server-Leaving"
 #define NOTICE_FIELD_RETRY_AFTER "Retry-After"
+#define NOTICE_FIELD_LIMIT "Server-Limit"
 
 /* The fields of one answer; zeroed before the first one. */
 struct notice_fields {
 	/* valid after notice_fields_finish() */
 	int leaving;	    /* the replica says that it leaves */
 	uint64_t closed_ns; /* it takes no requests for this long, 0: it does */
+	double limit_per_s; /* requests that it takes from all, 0: any number */
+	int limit_is_bad;   /* it names a limit that cannot be read */
 	const char *unknown; /* name of a field with a bad value, NULL */
 	/* private */
 	int retry_is_bad;
--- a/tests/test_fields.c
+++ b/tests/test_fields.c
@@ -1,4 +1,4 @@
-/* Fields of answers with a replica's notices: leaving, and closed. */
+/* Fields of answers with a replica's notices: leaving, closed, limited. */
 #include <stdio.h>
 #include <string.h>
 
@@ -11,6 +11,7 @@
 static void decode(const char *, struct response_info *);
 static uint64_t closed_by(const char *, const char **);
 static void test_notices(void);
+static void test_limits(void);
 
 static void
 ignore_head(void *ctx, const struct http_head *h)
@@ -104,8 +105,43 @@
 	CU_ASSERT_PTR_NOT_NULL(unknown);
 }
 
+static void
+test_limits(void)
+{
+	static const struct {
+		const char *fields;
+		double per_s;
+		int is_bad;
+	} rows[] = {
+		{ "Server-Limit: 3", 3.0, 0 },
+		{ "server-limit: 3.25", 3.25, 0 },
+		{ "Server-Limit: 0", 0.1, 0 },
+		{ "Server-Limit: 5\r\nServer-Limit: 2", 2.0, 0 },
+		{ "Server-Limit: 99999999999999999999", 1e8, 0 },
+		{ "Server-Limit: many", 0.0, 1 },
+		{ "Server-Limit:", 0.0, 1 },
+		{ "Server-Limit: -1", 0.0, 1 },
+		{ "Server-Limit: 1e3", 0.0, 1 },
+		{ "X: 1", 0.0, 0 },
+	};
+	struct response_info t;
+	char text[1024];
+	size_t i;
+
+	for (i = 0; i < nitems(rows); i++) {
+		snprintf(text, sizeof(text),
+		    "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 0\r\n\r\n",
+		    rows[i].fields);
+		decode(text, &t);
+		CU_ASSERT_DOUBLE_EQUAL(t.limit_per_s, rows[i].per_s, 1e-9);
+		CU_ASSERT_EQUAL(t.limit_is_bad, rows[i].is_bad);
+		CU_ASSERT_EQUAL(t.unknown != NULL, rows[i].is_bad);
+	}
+}
+
 static const struct unit_case cases[] = {
 	{ "what replicas say of themselves", test_notices },
+	{ "limits on requests", test_limits },
 };
 
 UNIT_MAIN("fields", cases)
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -45,6 +45,7 @@
 static void test_incarnations(void);
 static void test_not_listed_yet(void);
 static void test_huge(void);
+static void test_limit(void);
 static void test_closed_slots(void);
 static uint32_t running_at(const struct sim *, uint64_t);
 static int attempt(struct directory *, struct sim *, struct balance_request *,
@@ -133,9 +134,9 @@
 	directory_remove(&d, 14 * S, "0");
 	directory_tick(&d, 14 * S);
 	CU_ASSERT_PTR_NULL(directory_find(&d, "0"));
-	directory_tick(&d, 10 * S + NOTICE_LEAVING_KEPT_NS - MS);
+	directory_tick(&d, 10 * S + NOTICE_KEPT_NS - MS);
 	CU_ASSERT_PTR_NOT_NULL(d.kept_notices);
-	directory_tick(&d, 10 * S + NOTICE_LEAVING_KEPT_NS);
+	directory_tick(&d, 10 * S + NOTICE_KEPT_NS);
 	CU_ASSERT_PTR_NULL(d.kept_notices);
 	/* A closed time holds as well; a new incarnation is free of it. */
 	m = put_replica(&d, 0, 7);
@@ -384,6 +385,35 @@
 	return out;
 }
 
+/* The latest answer decides; a new incarnation is free of it. */
+static void
+test_limit(void)
+{
+	struct directory d;
+	struct directory_replica *m;
+
+	directory_init(&d);
+	m = put_replica(&d, 0, 7);
+	CU_ASSERT(!notice_limit(&m->notice, 7, S, 0.0));
+	CU_ASSERT(notice_limit(&m->notice, 7, 2 * S, 3.0));
+	CU_ASSERT(!notice_limit(&m->notice, 7, 3 * S, 3.0));
+	CU_ASSERT(!notice_limit(&m->notice, 7, 2 * S, 9.0));
+	CU_ASSERT(!notice_limit(&m->notice, 6, 4 * S, 0.0));
+	CU_ASSERT_EQUAL(directory_limit(m), 3.0);
+	CU_ASSERT(notice_limit(&m->notice, 7, 4 * S, 2.0));
+	CU_ASSERT(notice_limit(&m->notice, 7, 5 * S, 0.0));
+	CU_ASSERT(!notice_limit(&m->notice, 7, 4 * S, 2.0));
+	CU_ASSERT_EQUAL(directory_limit(m), 0.0);
+	CU_ASSERT(notice_limit(&m->notice, 7, 6 * S, 2.0));
+	directory_remove(&d, 7 * S, "0");
+	directory_tick(&d, 8 * S);
+	m = put_replica(&d, 0, 7);
+	CU_ASSERT_EQUAL(directory_limit(m), 2.0);
+	m = put_replica(&d, 0, 8);
+	CU_ASSERT_EQUAL(directory_limit(m), 0.0);
+	directory_clear(&d);
+}
+
 /* Half of the replicas say 503 with Retry-After at once, beside a crest. */
 static void
 test_half_refuse(void)
@@ -424,6 +454,7 @@
 	{ "word of an earlier incarnation", test_incarnations },
 	{ "not listed yet", test_not_listed_yet },
 	{ "time without end", test_huge },
+	{ "limit", test_limit },
 	{ "all closed", test_closed_slots },
 	{ "half of the replicas refuse", test_half_refuse },
 	{ "rolling replacement, late lists", test_rolling },
