--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,7 @@
 .PHONY: lint
 
 FUZZERS = $(BUILD)/fuzz_serving $(BUILD)/fuzz_state $(BUILD)/fuzz_orders \
-	  $(BUILD)/fuzz_notice
+	  $(BUILD)/fuzz_notice $(BUILD)/fuzz_permits
 
 $(BUILD)/tests/%.oo: tests/%.cc
 	@mkdir -p $(dir $@)
@@ -99,6 +99,7 @@
 WORLD_state = state_world state_kv state_engine state_oracle
 WORLD_orders = orders_world orders_tables
 WORLD_notice = notice_world
+WORLD_permits = permits_world
 
 .SECONDEXPANSION:
 $(BUILD)/fuzz_%: $(BUILD)/tests/fuzz_%.oo \
@@ -165,6 +166,7 @@
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_state
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_orders
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_notice
+	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_permits
 
 SEEDS = 1-50
 SECONDS = 12
--- a/core/admission.c
+++ b/core/admission.c
@@ -18,6 +18,7 @@
 static uint64_t patience_ns(const struct admission_request *);
 static uint64_t return_after(
     const struct admission_request *, uint64_t, uint64_t, double);
+static uint64_t limited_start(const struct admission_capacity *, uint64_t);
 static uint64_t last_return(const struct admission_request *, uint64_t);
 static uint64_t next_wait(const struct admission_request *);
 
@@ -49,6 +50,16 @@
 	return latest < r->deadline - whole ? latest : r->deadline - whole;
 }
 
+/* Behind those that wait for the same, or when the pool says. */
+static uint64_t
+limited_start(const struct admission_capacity *c, uint64_t now)
+{
+	uint64_t start = now +
+	    (uint64_t)(c->waiting / c->limited_per_s * (double)NSEC_PER_SEC);
+
+	return start > c->permit_at ? start : c->permit_at;
+}
+
 uint64_t
 admission_predicted_start(const struct admission_request *r,
     const struct admission_capacity *c, uint64_t now)
@@ -57,6 +68,8 @@
 
 	if (c->slots != 0)
 		return now + r->service_ns * c->waiting / c->slots;
+	if (c->limited_per_s > 0.0)
+		return limited_start(c, now);
 	if (c->closed_slots != 0)
 		return ready_at + r->service_ns * c->waiting / c->closed_slots;
 	return ready_at;
@@ -106,7 +119,8 @@
 	d.retry_after_ns = return_after(r, start, now, draw);
 	if (now >= latest)
 		return d;
-	if (c->slots == 0 && c->closed_slots != 0 && start > latest)
+	if (c->slots == 0 && start > latest &&
+	    (c->closed_slots != 0 || c->limited_per_s > 0.0))
 		return d;
 	if (start <= latest) {
 		d.step = ADMISSION_WAIT;
--- a/core/admission.h
+++ b/core/admission.h
@@ -28,6 +28,12 @@
 	uint64_t ready_at; /* without slots: when a copy is expected */
 	/* Of replicas that by their own word take requests from ready_at on. */
 	uint32_t closed_slots;
+	/*
+	 * Requests a second that replicas with a limit take, and when a permit
+	 * for this request is expected, 0: not known.
+	 */
+	double limited_per_s;
+	uint64_t permit_at;
 };
 
 enum admission_step {
--- a/core/balance.c
+++ b/core/balance.c
@@ -11,6 +11,7 @@
 #define JITTER_MS 4.0	      /* random spread between equal replicas */
 #define BLIND_JITTER_MS 30.0  /* the same, without the load of peers */
 #define ALREADY_TRIED_MS 1e6  /* last resort */
+#define LIMITED_MS 16.0	      /* it says that it is short of capacity */
 #define AFFINITY_FAILED 1e20  /* the same; above all hashes */
 /*
  * Prefill backlog up to which a replica accepts another prompt.  It is low, so
@@ -48,6 +49,12 @@
     const struct directory_replica *, const struct replica_load *);
 static double affinity_rank(
     const struct balance_request *, const struct directory_replica *);
+static int replica_suits(uint64_t, const struct balance_request *,
+    const struct directory_replica *, enum balance_result *);
+static struct replica_load load_of(const struct directory *, uint64_t,
+    const struct balance_request *, const struct directory_replica *);
+static uint32_t insert_by_delay(
+    char (*)[NAME_SIZE], double *, uint32_t, uint32_t, const char *, double);
 
 static int
 already_tried(const struct balance_request *w, const char *id)
@@ -130,6 +137,8 @@
 	if (strcmp(m->info.zone, w->zone) != 0)
 		ms += REMOTE_ZONE_MS;
 	ms += m->error_rate * ERROR_RATE_MS;
+	if (directory_limit(m) != 0.0)
+		ms += LIMITED_MS;
 	if (already_tried(w, m->info.id))
 		ms += ALREADY_TRIED_MS;
 	return ms;
@@ -164,6 +173,40 @@
 	w->adapter = adapter;
 }
 
+/*
+ * Whether the replica could run the request, apart from its load; raises the
+ * result to the furthest that any replica came.
+ */
+static int
+replica_suits(uint64_t now, const struct balance_request *w,
+    const struct directory_replica *m, enum balance_result *result)
+{
+	if (!directory_serves(m, w->service, w->service_hash) ||
+	    !directory_in_service(m, now))
+		return 0;
+	if (*result == BALANCE_NO_REPLICA)
+		*result = BALANCE_NO_MODEL;
+	if (!directory_holds(m, w->model, w->model_hash))
+		return 0;
+	if (*result == BALANCE_NO_MODEL)
+		*result = BALANCE_NO_ADAPTER;
+	if (w->adapter[0] != '\0' && !fleet_has_adapter(&m->info, w->adapter))
+		return 0;
+	if (*result == BALANCE_NO_ADAPTER)
+		*result = BALANCE_FULL;
+	return directory_usable(m, now) &&
+	    !directory_excluded(m, now, w->model) &&
+	    !directory_excluded(m, now, w->adapter);
+}
+
+static struct replica_load
+load_of(const struct directory *d, uint64_t now,
+    const struct balance_request *w, const struct directory_replica *m)
+{
+	return w->ignore_peers ? m->local_load
+			       : directory_total_load(d, now, m);
+}
+
 enum balance_result
 balance_pick(const struct directory *d, uint64_t now,
     const struct balance_request *w, double draw,
@@ -177,32 +220,20 @@
 	uint32_t n = 0;
 	int full;
 	int best_full = 0;
+	int limited = 0;
 
 	*out = NULL;
 	HASH_ITER (hh, d->replicas, m, next) {
-		if (!directory_serves(m, w->service, w->service_hash) ||
-		    !directory_in_service(m, now))
-			continue;
-		if (result == BALANCE_NO_REPLICA)
-			result = BALANCE_NO_MODEL;
-		if (!directory_holds(m, w->model, w->model_hash))
-			continue;
-		if (result == BALANCE_NO_MODEL)
-			result = BALANCE_NO_ADAPTER;
-		if (w->adapter[0] != '\0' &&
-		    !fleet_has_adapter(&m->info, w->adapter))
-			continue;
-		if (result == BALANCE_NO_ADAPTER)
-			result = BALANCE_FULL;
-		load = w->ignore_peers ? m->local_load
-				       : directory_total_load(d, now, m);
-		if (!directory_usable(m, now) ||
-		    directory_excluded(m, now, w->model) ||
-		    directory_excluded(m, now, w->adapter))
+		if (!replica_suits(now, w, m, &result))
 			continue;
+		load = load_of(d, now, w, m);
 		full = !w->take_full &&
 		    replica_is_full(w, d->prefill_window_ns,
 			directory_prefill_share(m, now), m, &load);
+		if (!directory_permitted(m, now)) {
+			limited |= !full;
+			full = 1;
+		}
 		if (full && w->affinity_key == 0)
 			continue;
 		n++;
@@ -218,7 +249,93 @@
 	}
 	if (best_full)
 		*out = NULL;
-	return *out != NULL ? BALANCE_FOUND : result;
+	if (*out != NULL)
+		return BALANCE_FOUND;
+	return limited ? BALANCE_LIMITED : result;
+}
+
+/* Inserts a replica by its delay among the first of up to max. */
+static uint32_t
+insert_by_delay(char (*ids)[NAME_SIZE], double *delays, uint32_t n,
+    uint32_t max, const char *id, double ms)
+{
+	uint32_t at = n;
+
+	while (at > 0 && ms < delays[at - 1])
+		at--;
+	if (at == max)
+		return n;
+	if (n == max)
+		n--;
+	memmove(ids[at + 1], ids[at], (size_t)(n - at) * NAME_SIZE);
+	memmove(
+	    &delays[at + 1], &delays[at], (size_t)(n - at) * sizeof(*delays));
+	memcpy(ids[at], id, NAME_SIZE);
+	delays[at] = ms;
+	return n + 1;
+}
+
+uint32_t
+balance_limited(const struct directory *d, uint64_t now,
+    const struct balance_request *w, char (*ids)[NAME_SIZE], uint32_t max)
+{
+	enum balance_result result = BALANCE_NO_REPLICA;
+	double delays[BALANCE_LIMITED_MAX];
+	const struct directory_replica *m;
+	struct replica_load load;
+	uint32_t n = 0;
+
+	if (max > BALANCE_LIMITED_MAX)
+		max = BALANCE_LIMITED_MAX;
+	for (m = d->replicas; m != NULL; m = m->hh.next) {
+		if (directory_permitted(m, now) ||
+		    !replica_suits(now, w, m, &result))
+			continue;
+		load = load_of(d, now, w, m);
+		if (!replica_is_full(w, d->prefill_window_ns,
+			directory_prefill_share(m, now), m, &load))
+			n = insert_by_delay(ids, delays, n, max, m->info.id,
+			    replica_delay_ms(w, m, &load));
+	}
+	return n;
+}
+
+int
+balance_limited_is_better(const struct directory *d, uint64_t now,
+    const struct balance_request *w, const struct directory_replica *than)
+{
+	enum balance_result result = BALANCE_NO_REPLICA;
+	const struct directory_replica *m;
+	struct replica_load load = load_of(d, now, w, than);
+	double most = replica_delay_ms(w, than, &load);
+
+	for (m = d->replicas; m != NULL; m = m->hh.next) {
+		if (directory_permitted(m, now) || now < m->no_permit_until ||
+		    !replica_suits(now, w, m, &result))
+			continue;
+		load = load_of(d, now, w, m);
+		if (!replica_is_full(w, d->prefill_window_ns,
+			directory_prefill_share(m, now), m, &load) &&
+		    replica_delay_ms(w, m, &load) < most)
+			return 1;
+	}
+	return 0;
+}
+
+double
+balance_limited_rate(
+    const struct directory *d, uint64_t now, const struct balance_request *w)
+{
+	const struct directory_replica *m;
+	double per_s = 0.0;
+
+	for (m = d->replicas; m != NULL; m = m->hh.next) {
+		if (directory_serves(m, w->service, w->service_hash) &&
+		    directory_usable(m, now) &&
+		    directory_holds(m, w->model, w->model_hash))
+			per_s += directory_limit(m);
+	}
+	return per_s;
 }
 
 uint32_t
@@ -230,7 +347,7 @@
 
 	for (m = d->replicas; m != NULL; m = m->hh.next) {
 		if (directory_serves(m, w->service, w->service_hash) &&
-		    directory_usable(m, now) &&
+		    directory_usable(m, now) && directory_limit(m) == 0.0 &&
 		    directory_holds(m, w->model, w->model_hash))
 			slots += m->info.slots;
 	}
--- a/core/balance.h
+++ b/core/balance.h
@@ -9,6 +9,7 @@
 #include "directory.h"
 
 #define BALANCE_TRIED_MAX 8
+#define BALANCE_LIMITED_MAX 8 /* candidates for a permit */
 
 struct balance_request {
 	const char *service;
@@ -45,13 +46,14 @@
 	BALANCE_NO_ADAPTER, /* some have the model, none has the adapter */
 	BALANCE_NO_MODEL,   /* no usable replica has the model */
 	BALANCE_NO_REPLICA, /* the service has no usable replica */
+	BALANCE_LIMITED,    /* some have room, but take no more a second */
 	BALANCE_SUSPECT	    /* it may crash replicas, and is held back */
 };
 
 /* Sets the names of a request, and their hashes. */
 void balance_set_names(
     struct balance_request *, const char *, const char *, const char *);
-/* Slots of the usable replicas of the service that hold the model. */
+/* Slots of the usable replicas without a limit that hold the model. */
 uint32_t balance_slots(
     const struct directory *, uint64_t, const struct balance_request *);
 /*
@@ -60,6 +62,24 @@
  */
 uint32_t balance_closed_slots(const struct directory *, uint64_t,
     const struct balance_request *, uint64_t *);
+/*
+ * Requests a second that the usable replicas with a limit take from all
+ * processes together.
+ */
+double balance_limited_rate(
+    const struct directory *, uint64_t, const struct balance_request *);
+/*
+ * Fills in the ids of up to max replicas that have room for the request but no
+ * permit, those of least delay first, and returns their number.
+ */
+uint32_t balance_limited(const struct directory *, uint64_t,
+    const struct balance_request *, char (*)[NAME_SIZE], uint32_t);
+/*
+ * Whether a replica without a permit, which may have one, would have less delay
+ * than the given one.
+ */
+int balance_limited_is_better(const struct directory *, uint64_t,
+    const struct balance_request *, const struct directory_replica *);
 enum balance_result balance_pick(const struct directory *, uint64_t,
     const struct balance_request *, double, struct directory_replica **);
 /* Expected tokens of a request's prompt and output. */
--- a/core/directory.c
+++ b/core/directory.c
@@ -281,6 +281,29 @@
 	return notice_limit_of(&m->notice, m->info.started_ms);
 }
 
+void
+directory_add_permit(struct directory_replica *m, uint64_t now, uint64_t until)
+{
+	if (now >= m->permits_until)
+		m->permits = 0;
+	m->permits++;
+	m->permits_until = until;
+}
+
+void
+directory_take_permit(struct directory_replica *m, uint64_t now)
+{
+	if (now < m->permits_until && m->permits != 0)
+		m->permits--;
+}
+
+int
+directory_permitted(const struct directory_replica *m, uint64_t now)
+{
+	return directory_limit(m) == 0.0 ||
+	    (m->permits != 0 && now < m->permits_until);
+}
+
 int
 directory_in_service(const struct directory_replica *m, uint64_t now)
 {
--- a/core/directory.h
+++ b/core/directory.h
@@ -56,6 +56,9 @@
 	uint64_t grace_until; /* GRACE: removed unless listed again by then */
 	uint64_t listed_at;   /* when its entry was last received */
 	struct notice notice; /* what it says of itself */
+	uint32_t permits;     /* requests that may be sent despite its limit */
+	uint64_t permits_until;
+	uint64_t no_permit_until; /* for requests that have another replica */
 	struct replica_load local_load;
 	/* A ring buffer; nsent_prompts counts all that were added. */
 	struct sent_prompt sent_prompts[DIRECTORY_SENT_PROMPTS_MAX];
@@ -122,6 +125,11 @@
 uint64_t directory_closed_until(const struct directory_replica *, uint64_t);
 /* Requests a second that it takes from all processes, 0: any number. */
 double directory_limit(const struct directory_replica *);
+/* Adds a permit for one request, valid until a time, and takes one. */
+void directory_add_permit(struct directory_replica *, uint64_t, uint64_t);
+void directory_take_permit(struct directory_replica *, uint64_t);
+/* Whether a request may be sent: there is no limit, or a permit. */
+int directory_permitted(const struct directory_replica *, uint64_t);
 /* Whether a replica is in service, apart from when it takes requests. */
 int directory_in_service(const struct directory_replica *, uint64_t);
 /* Whether new requests may be sent to a replica. */
--- a/core/loader_models.c
+++ b/core/loader_models.c
@@ -23,6 +23,8 @@
 #define KEEP_ALL_RATE_MIN 0.01 /* a second */
 /* An unload waits for its requests; then the load that it is for follows. */
 #define RESERVE_NS (10 * NSEC_PER_SEC)
+/* A limit on requests is taken to last for this time at least. */
+#define LIMIT_MIN_NS (5 * NSEC_PER_SEC)
 /* Time with requests before their absence means that a copy is not needed. */
 #define DEMAND_KNOWN_NS (10 * NSEC_PER_SEC)
 
@@ -40,6 +42,8 @@
     struct placement_input *, const struct loader *, uint64_t);
 static void input_add_replicas(struct placement_input *, const struct loader *,
     uint64_t, const struct fleet_service *);
+static int limit_lasts(const struct fleet_engine *, uint64_t);
+static uint32_t limited_slots(double, uint32_t);
 static void input_add_copies(struct placement_input *, uint32_t);
 static int input_model(const struct placement_input *, const char *);
 static void add_copy(struct placement_replica *, int, int);
@@ -129,6 +133,34 @@
 	}
 }
 
+/*
+ * Whether a limit, named for some time, is worth a load.  It is taken to last
+ * for as long again; a load must be over in half of that.
+ */
+static int
+limit_lasts(const struct fleet_engine *g, uint64_t for_ns)
+{
+	uint64_t longest = 0;
+	uint32_t i;
+
+	for (i = 0; i < g->nmodels; i++) {
+		if (g->models[i].store_load_ns > longest)
+			longest = g->models[i].store_load_ns;
+	}
+	if (for_ns < LIMIT_MIN_NS)
+		for_ns = LIMIT_MIN_NS;
+	return longest <= for_ns / 2;
+}
+
+/* Requests at once of a replica that limits how many begin in a second. */
+static uint32_t
+limited_slots(double concurrent, uint32_t slots)
+{
+	if (concurrent < 1.0)
+		return 1;
+	return concurrent < slots ? (uint32_t)concurrent : slots;
+}
+
 static void
 input_add_replicas(struct placement_input *p, const struct loader *s,
     uint64_t now, const struct fleet_service *service)
@@ -156,6 +188,12 @@
 		    e->nloading_adapters != 0;
 		r->slots =
 		    m->info.slots != 0 ? m->info.slots : p->engine->slots;
+		r->limited = directory_limit(m) != 0.0;
+		if (r->limited)
+			r->slots = limited_slots(
+			    directory_limit(m) * s->service_time_s, r->slots);
+		r->limit_lasts = r->limited &&
+		    limit_lasts(p->engine, now - m->notice.limit_since);
 		r->free_mb = engine_state_free_mb(e, m, p->engine);
 		p->entries[p->nreplicas] = m;
 		p->engines[p->nreplicas] = e;
--- a/core/msg.c
+++ b/core/msg.c
@@ -43,6 +43,8 @@
 	[MSG_FRONT] = { "front", MSG_SIZE(front) },
 	[MSG_HELD] = { "held", MSG_SIZE(held) },
 	[MSG_WANT] = { "want", MSG_SIZE(want) },
+	[MSG_PERMIT_REQUEST] = { "permit-request", MSG_SIZE(permit_request) },
+	[MSG_PERMIT_ANSWER] = { "permit-answer", MSG_SIZE(permit_answer) },
 };
 
 static struct msg *msg_create_sized(enum msg_kind, const char *, size_t);
@@ -135,6 +137,8 @@
 		    src->u.front.nwork, sizeof(*src->u.front.work));
 		m->u.front.demand = msg_copy_list(src->u.front.demand,
 		    src->u.front.ndemand, sizeof(*src->u.front.demand));
+		m->u.front.limits = msg_copy_list(src->u.front.limits,
+		    src->u.front.nlimits, sizeof(*src->u.front.limits));
 		m->u.front.poison = msg_copy_list(src->u.front.poison,
 		    src->u.front.npoison, sizeof(*src->u.front.poison));
 	}
@@ -154,6 +158,7 @@
 	if (m->kind == MSG_FRONT) {
 		free(m->u.front.work);
 		free(m->u.front.demand);
+		free(m->u.front.limits);
 		free(m->u.front.poison);
 	}
 	if (m->kind == MSG_HELD)
--- a/core/msg.h
+++ b/core/msg.h
@@ -10,9 +10,10 @@
 #include <sys/queue.h>
 
 #include "base.h"
+#include "permits.h"
 #include "poison.h"
 
-#define MSG_VERSION 4
+#define MSG_VERSION 5
 #define MSG_SYNC_MAX 64	      /* grants in a SYNC */
 #define MSG_MEMBERS_MAX 8     /* membership entries in a probe */
 #define MSG_REPORTS_MAX 32    /* replicas in a REPORT */
@@ -24,34 +25,36 @@
 
 enum msg_kind {
 	MSG_NONE,
-	MSG_ACQUIRE,	 /* gate -> owner: requests a slot */
-	MSG_QUEUED,	 /* owner -> gate: request is queued */
-	MSG_GRANT,	 /* owner -> gate: slot on a replica */
-	MSG_REFUSE,	 /* owner -> gate: request is rejected */
-	MSG_CANCEL,	 /* gate -> owner: request is withdrawn */
-	MSG_RELEASE,	 /* gate -> owner: slot is free */
-	MSG_SYNC,	 /* gate -> owner: all grants in use */
-	MSG_REPORT,	 /* gate -> owner: latencies by replica */
-	MSG_HELLO,	 /* gate -> local control: hashes of its tables */
-	MSG_CELL,	 /* control -> gate: routing table of a cell */
-	MSG_SERVICE,	 /* control -> gate: a service */
-	MSG_MODEL,	 /* control -> gate: a declared model */
-	MSG_READY,	 /* control -> gate: revision and readiness */
-	MSG_LOAD,	 /* control -> control: load, optionally the table */
-	MSG_LOAD_PULL,	 /* control -> control: asks for a cell's table */
-	MSG_PING,	 /* membership probe */
-	MSG_PING_REQ,	 /* asks a peer to probe a third process */
-	MSG_ACK,	 /* response to a probe */
-	MSG_CONF_PULL,	 /* asks for a configuration chunk or the head */
-	MSG_CONF_HEAD,	 /* revision and chunk hashes */
-	MSG_CONF_CHUNK,	 /* a configuration chunk */
-	MSG_SENDER_ASK,	 /* new owner -> earlier one: are orders unsent? */
-	MSG_SENDER_NONE, /* response: none below a fencing token */
-	MSG_FRONT,	 /* entry -> entries: work in progress, demand */
-	MSG_HELD,	 /* lease holder -> entries: loaded adapters, models
-			  * to be unloaded */
-	MSG_WANT,	 /* entry -> lease holder: a model or adapter is
-			  * requested */
+	MSG_ACQUIRE,	    /* gate -> owner: requests a slot */
+	MSG_QUEUED,	    /* owner -> gate: request is queued */
+	MSG_GRANT,	    /* owner -> gate: slot on a replica */
+	MSG_REFUSE,	    /* owner -> gate: request is rejected */
+	MSG_CANCEL,	    /* gate -> owner: request is withdrawn */
+	MSG_RELEASE,	    /* gate -> owner: slot is free */
+	MSG_SYNC,	    /* gate -> owner: all grants in use */
+	MSG_REPORT,	    /* gate -> owner: latencies by replica */
+	MSG_HELLO,	    /* gate -> local control: hashes of its tables */
+	MSG_CELL,	    /* control -> gate: routing table of a cell */
+	MSG_SERVICE,	    /* control -> gate: a service */
+	MSG_MODEL,	    /* control -> gate: a declared model */
+	MSG_READY,	    /* control -> gate: revision and readiness */
+	MSG_LOAD,	    /* control -> control: load, optionally the table */
+	MSG_LOAD_PULL,	    /* control -> control: asks for a cell's table */
+	MSG_PING,	    /* membership probe */
+	MSG_PING_REQ,	    /* asks a peer to probe a third process */
+	MSG_ACK,	    /* response to a probe */
+	MSG_CONF_PULL,	    /* asks for a configuration chunk or the head */
+	MSG_CONF_HEAD,	    /* revision and chunk hashes */
+	MSG_CONF_CHUNK,	    /* a configuration chunk */
+	MSG_SENDER_ASK,	    /* new owner -> earlier one: are orders unsent? */
+	MSG_SENDER_NONE,    /* response: none below a fencing token */
+	MSG_FRONT,	    /* entry -> entries: work in progress, demand */
+	MSG_HELD,	    /* lease holder -> entries: loaded adapters, models
+			     * to be unloaded */
+	MSG_WANT,	    /* entry -> lease holder: a model or adapter is
+			     * requested */
+	MSG_PERMIT_REQUEST, /* entry -> pool: a permit for a replica */
+	MSG_PERMIT_ANSWER,  /* pool -> entry: a permit, or when there is one */
 	MSG__MAX
 };
 
@@ -287,7 +290,16 @@
 		uint64_t arrivals; /* since the process started */
 		uint32_t running;
 		uint32_t waiting;
-	} * demand;	       /* owned by the message */
+	} * demand;	      /* owned by the message */
+	char pool[ADDR_SIZE]; /* to which the sender lends shares of limits */
+	uint32_t shares;      /* that it lends, see permits.h */
+	uint32_t nlimits;
+	struct msg_limit {
+		char replica[NAME_SIZE];
+		uint64_t started_ms; /* its incarnation */
+		uint64_t per_1000_s; /* requests in 1000 s, 0: any number */
+		uint64_t ago_ns;     /* since the answer that told */
+	} * limits;		     /* owned by the message */
 	uint32_t has_evidence; /* on all crashes that the sender knows of */
 	uint32_t npoison;
 	struct poison_evidence *poison; /* owned by the message */
@@ -340,6 +352,8 @@
 		struct msg_front front;
 		struct msg_held held;
 		struct msg_want want;
+		struct permit_request permit_request;
+		struct permit_answer permit_answer;
 	} u;
 };
 
--- a/core/notice.c
+++ b/core/notice.c
@@ -54,6 +54,8 @@
 	    at < n->limit_at)
 		return 0;
 	changed = per_s != n->limit_per_s;
+	if (n->limit_per_s == 0.0)
+		n->limit_since = at;
 	n->limit_at = at;
 	n->limit_per_s = per_s;
 	return changed;
--- a/core/notice.h
+++ b/core/notice.h
@@ -29,6 +29,7 @@
 	int reopening;	    /* the end of closed_until has not been reported */
 	double limit_per_s; /* requests from all processes, 0: any number */
 	uint64_t limit_at;  /* of the latest answer that told, 0: none did */
+	uint64_t limit_since; /* of the first one in a row with a limit */
 };
 
 /* The notice of a replica that is not known any more. */
--- a/core/placement.c
+++ b/core/placement.c
@@ -8,7 +8,6 @@
 #define FILL_RELIEF 1e-3    /* no copy, no requests */
 
 static double model_relief(const struct placement *, uint32_t);
-static double copy_target(const struct placement *);
 static int replica_takes_orders(const struct placement_replica *);
 static int replica_is_open(const struct placement_replica *, uint32_t);
 static int replica_caches(const struct placement_replica *, uint32_t);
@@ -44,9 +43,8 @@
 	return 0;
 }
 
-/* Requests that each copy of a model should serve at most. */
-static double
-copy_target(const struct placement *p)
+double
+placement_copy_target(const struct placement *p)
 {
 	double target = p->config->target_use * p->config->slots;
 
@@ -61,6 +59,7 @@
 {
 	const struct placement_model *m = &p->models[model];
 	const struct placement_state *s = &p->states[model];
+	double worth;
 
 	if (s->ncopies == 0 && (m->waiting > 0.0 || m->demand > 0.0))
 		return UNSERVED_RELIEF + m->waiting + m->demand;
@@ -68,9 +67,11 @@
 		return p->config->fill ? FILL_RELIEF : 0.0;
 	/* Each copy has a share of its replica, which serves other models too.
 	 */
-	if (m->demand <= s->ncopies * copy_target(p))
+	/* Requests for a model go to replicas without a limit first. */
+	worth = s->nlimited == s->ncopies ? s->limited_worth : s->ncopies;
+	if (m->demand <= worth * placement_copy_target(p))
 		return 0.0;
-	return m->demand / s->ncopies;
+	return m->demand / worth;
 }
 
 static int
@@ -117,6 +118,9 @@
 		    placement_has_copy(r, model))
 			continue;
 		load = placement_replica_load(r);
+		/* Only for want of others. */
+		if (r->limited)
+			load += p->config->slots;
 		if (replica_caches(r, model))
 			load -= p->config->cached_bonus;
 		if (best != p->nreplicas && load >= least)
--- a/core/placement.h
+++ b/core/placement.h
@@ -58,10 +58,12 @@
 };
 
 struct placement_replica {
-	int leaving; /* its copies do not count */
-	int usable;  /* may get orders, and serves requests */
-	int busy;    /* an order is in progress */
-	uint32_t slots;
+	int leaving;	/* its copies do not count */
+	int usable;	/* may get orders, and serves requests */
+	int busy;	/* an order is in progress */
+	uint32_t slots; /* concurrent requests, those of its limit if limited */
+	int limited;	/* it names a limit on requests */
+	int limit_lasts; /* long enough to be worth a load */
 	uint64_t free_mb;
 	uint64_t freeing_mb; /* by an unload in progress */
 	int reserved_for;    /* only this model is loaded next, or NONE */
--- a/core/placement_evict.c
+++ b/core/placement_evict.c
@@ -12,12 +12,13 @@
 /* A surplus copy gives way to an unrequested model below this use. */
 #define FILL_USE_MAX 0.25
 
-static double unload_cost(
-    const struct placement *, const struct placement_copy *, int);
+static double unload_cost(const struct placement *,
+    const struct placement_replica *, const struct placement_copy *, int);
+
 /* Requests a copy of the model without this one, and the wait for it. */
 static double
-unload_cost(
-    const struct placement *p, const struct placement_copy *c, int filling)
+unload_cost(const struct placement *p, const struct placement_replica *r,
+    const struct placement_copy *c, int filling)
 {
 	const struct placement_model *m = &p->models[c->model];
 	const struct placement_state *s = &p->states[c->model];
@@ -25,6 +26,9 @@
 	if (!c->resident ||
 	    (m->moved_at != 0 && p->now < m->moved_at + p->config->min_hold_ns))
 		return KEEP;
+	if (!r->limited && s->nlimited != 0 && s->ncopies - s->nlimited == 1 &&
+	    m->demand > s->limited_worth * placement_copy_target(p))
+		return KEEP;
 	if (s->nresident > 1) {
 		if (filling && p->config->evict == PLACEMENT_EVICT_IDLE &&
 		    s->use > FILL_USE_MAX)
@@ -59,12 +63,13 @@
 	for (i = 0; i < p->nreplicas; i++) {
 		r = &p->replicas[i];
 		if (r->leaving || !r->usable || r->busy ||
+		    (r->limited && !unserved) ||
 		    r->reserved_for != PLACEMENT_NONE ||
 		    placement_has_copy(r, model))
 			continue;
 		for (k = 0; k < r->ncopies; k++) {
 			c = &r->copies[k];
-			cost = unload_cost(p, c, move->filling);
+			cost = unload_cost(p, r, c, move->filling);
 			if (cost >= KEEP ||
 			    r->free_mb + p->models[c->model].memory_mb <
 				p->models[model].memory_mb)
--- a/core/placement_int.h
+++ b/core/placement_int.h
@@ -6,12 +6,14 @@
 
 /* What a step knows of a model beside its demand. */
 struct placement_state {
-	uint32_t first;	    /* of its sites */
-	uint32_t ncopies;   /* on replicas that are not leaving */
-	uint32_t nresident; /* of them, loaded */
-	uint32_t capacity;  /* sites reserved for it */
-	double use;	    /* of its least used replica, after assignment */
-	double relief;	    /* requests a copy; 0 once no copy can be planned */
+	uint32_t first;	      /* of its sites */
+	uint32_t ncopies;     /* on replicas that are not leaving */
+	uint32_t nresident;   /* of them, loaded */
+	uint32_t nlimited;    /* copies on replicas with a limit */
+	double limited_worth; /* of these, in copies without a limit */
+	uint32_t capacity;    /* sites reserved for it */
+	double use;	      /* of its least used replica, after assignment */
+	double relief; /* requests a copy; 0 once no copy can be planned */
 };
 
 struct placement {
@@ -27,8 +29,11 @@
 };
 
 /* placement.c */
+/* Requests that a copy without a limit should serve at most. */
+double placement_copy_target(const struct placement *);
 int placement_has_copy(const struct placement_replica *, uint32_t);
 /* placement_spread.c */
+
 /* Lists the replicas of each model; spare sites for the copies of a step. */
 void placement_index_copies(struct placement *);
 /* Assigns each model's demand to its copies, least used replicas first. */
--- a/core/placement_spread.c
+++ b/core/placement_spread.c
@@ -17,6 +17,8 @@
 static void assign_model(struct placement *, uint32_t);
 static void sort_by_use(const struct placement *, uint32_t *, uint32_t);
 static double replica_use(const struct placement_replica *);
+static void count_limited(const struct placement *, struct placement_state *,
+    const struct placement_replica *, int);
 
 double
 placement_replica_load(const struct placement_replica *r)
@@ -45,6 +47,20 @@
 	return &r->copies[i];
 }
 
+/* Counts a copy on a replica with a limit, or one less. */
+static void
+count_limited(const struct placement *p, struct placement_state *s,
+    const struct placement_replica *r, int sign)
+{
+	double worth =
+	    p->config->target_use * r->slots / placement_copy_target(p);
+
+	if (!r->limit_lasts)
+		return;
+	s->nlimited += (uint32_t)sign;
+	s->limited_worth += sign * (worth < 1.0 ? worth : 1.0);
+}
+
 void
 placement_index_copies(struct placement *p)
 {
@@ -73,6 +89,7 @@
 			s = &p->states[r->copies[k].model];
 			p->sites[s->first + s->ncopies++] = i;
 			s->nresident += (uint32_t)(r->copies[k].resident != 0);
+			count_limited(p, s, r, 1);
 		}
 	}
 }
@@ -156,6 +173,7 @@
 	c->model = model;
 	c->resident = 0;
 	c->load = 0.0;
+	count_limited(p, s, r, 1);
 	if (s->ncopies < s->capacity)
 		p->sites[s->first + s->ncopies++] = replica;
 	assign_model(p, model);
@@ -165,6 +183,7 @@
 placement_copy_removed(struct placement *p, uint32_t model, uint32_t replica)
 {
 	struct placement_state *s = &p->states[model];
+
 	uint32_t i;
 
 	for (i = 0; i < s->ncopies; i++) {
@@ -172,6 +191,7 @@
 			continue;
 		p->sites[s->first + i] = p->sites[s->first + --s->ncopies];
 		s->nresident--;
+		count_limited(p, s, &p->replicas[replica], -1);
 		break;
 	}
 	assign_model(p, model);
--- a/core/wire.c
+++ b/core/wire.c
@@ -69,6 +69,8 @@
 	[MSG_FRONT] = wire_front,
 	[MSG_HELD] = wire_held,
 	[MSG_WANT] = wire_want,
+	[MSG_PERMIT_REQUEST] = wire_permit_request,
+	[MSG_PERMIT_ANSWER] = wire_permit_answer,
 };
 
 static const msgpack_object *
--- a/core/wire_entry.c
+++ b/core/wire_entry.c
@@ -32,6 +32,15 @@
 		wire_u32(w, &f->demand[i].running);
 		wire_u32(w, &f->demand[i].waiting);
 	}
+	wire_str(w, f->pool, sizeof(f->pool));
+	wire_u32(w, &f->shares);
+	f->limits = wire_list(w, &f->nlimits, sizeof(*f->limits), f->limits);
+	for (i = 0; i < f->nlimits; i++) {
+		wire_str(w, f->limits[i].replica, sizeof(f->limits[i].replica));
+		wire_u64(w, &f->limits[i].started_ms);
+		wire_u64(w, &f->limits[i].per_1000_s);
+		wire_u64(w, &f->limits[i].ago_ns);
+	}
 	wire_u32(w, &f->has_evidence);
 	f->poison = wire_list(w, &f->npoison, sizeof(*f->poison), f->poison);
 	for (i = 0; i < f->npoison; i++)
@@ -73,3 +82,34 @@
 {
 	wire_str(w, m->u.want.wanted, sizeof(m->u.want.wanted));
 }
+
+void
+wire_permit_request(struct wire_cursor *w, struct msg *m)
+{
+	struct permit_request *r = &m->u.permit_request;
+	uint32_t i;
+
+	wire_str(w, r->origin, sizeof(r->origin));
+	wire_u64(w, &r->id);
+	wire_u64(w, &r->asked_at);
+	wire_u64(w, &r->waited_ns);
+	wire_u64(w, &r->target_ns);
+	wire_u64(w, &r->max_wait_ns);
+	wire_u32(w, &r->priority);
+	wire_u32(w, &r->has_other);
+	wire_count(w, &r->nreplicas, PERMIT_CANDIDATES_MAX + 1);
+	for (i = 0; i < r->nreplicas; i++)
+		wire_str(w, r->replicas[i], sizeof(r->replicas[i]));
+}
+
+void
+wire_permit_answer(struct wire_cursor *w, struct msg *m)
+{
+	struct permit_answer *a = &m->u.permit_answer;
+
+	wire_str(w, a->origin, sizeof(a->origin));
+	wire_u64(w, &a->id);
+	wire_u64(w, &a->asked_at);
+	wire_str(w, a->replica, sizeof(a->replica));
+	wire_u64(w, &a->wait_ns);
+}
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -281,6 +281,12 @@
 	    e->counts.limit_notices);
 	metric_write(f, "spindle_entry_limited_attempts_total", "counter",
 	    "Attempts at replicas with a limit.", e->counts.limited);
+	metric_write(f, "spindle_entry_permit_requests_total", "counter",
+	    "Requests to pools for a permit, repeats included.",
+	    e->counts.permit_requests);
+	metric_write(f, "spindle_entry_permits_total", "counter",
+	    "Permits for requests to replicas with a limit.",
+	    e->counts.permits);
 	metric_write(f, "spindle_entry_follows_list", "gauge",
 	    "Whether this process follows the list of replicas for others.",
 	    (uint64_t)peers_is_active_hub(e->peers));
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -77,6 +77,7 @@
 	buf_free(&f->body);
 	sse_free(&f->events);
 	forward_add_work(f, m);
+	directory_take_permit(m, f->e->now);
 	if (f->attempts_made++ != 0)
 		budget_add_retry(&f->e->budget, f->e->now, f->service);
 	f->e->counts.attempts++;
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -24,6 +24,7 @@
 struct peers;
 struct loader_io;
 struct poison_io;
+struct permit_io;
 struct admin;
 struct conf_decoded;
 struct conf_decoder;
@@ -47,6 +48,8 @@
 	uint64_t closed_notices;  /* that said to take no requests now */
 	uint64_t limit_notices;	  /* limits on requests that began or changed */
 	uint64_t limited;	  /* attempts at replicas with a limit */
+	uint64_t permit_requests; /* for such attempts, repeats included */
+	uint64_t permits;	  /* that this process got */
 	uint64_t attempts;
 	uint64_t attempt_ends[ATTEMPT__MAX];
 };
@@ -86,6 +89,7 @@
 	struct peers *peers;
 	struct loader_io *loader_io;
 	struct poison_io *poison_io;
+	struct permit_io *permit_io;
 	struct admin *admin;
 	struct pace pace;
 	uint32_t nprocesses;   /* entry processes, which divide limits */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -10,6 +10,7 @@
 #include "mem.h"
 #include "loader_io.h"
 #include "peers.h"
+#include "permit_io.h"
 #include "poison_io.h"
 
 /* Retry-After where nothing is known of a better time. */
@@ -142,6 +143,7 @@
 	struct entry *e = f->e;
 
 	expiry_destroy(f->expiry);
+	permit_io_forget(e->permit_io, f);
 	if (f->waiting.group != NULL)
 		waitq_remove(&e->waiting, &f->waiting);
 	TAILQ_REMOVE(&e->requests, f, entry);
@@ -161,34 +163,45 @@
 	return share == 0 ? 1 : share;
 }
 
+int
+forward_fill_balance(const struct forward *f, struct balance_request *w)
+{
+	const struct fleet_service *s = NULL;
+
+	if (f->e->conf != NULL)
+		s = fleet_find_service(f->e->conf, f->service);
+	if (s == NULL)
+		return -1;
+	memset(w, 0, sizeof(*w));
+	balance_set_names(w, f->service, f->params.model, f->params.adapter);
+	w->engine = s->engine;
+	w->zone = f->e->boot.zone;
+	w->prompt_tokens = f->params.prompt_tokens;
+	w->tokens = balance_expected_tokens(&f->params);
+	w->prefill_ns = s->engine == NULL
+	    ? 0
+	    : pace_prefill_ns(
+		  &f->e->pace, f->params.model, f->params.prompt_tokens);
+	w->queued_ns = f->e->now - f->arrived;
+	w->past_target = forward_is_late(f);
+	w->ignore_peers = s->engine == NULL && peers_use_relays(f->e->peers);
+	w->max_conns = max_conns_per_replica(f->e, s);
+	w->ntried = f->ntried;
+	memcpy(w->tried, f->tried, sizeof(w->tried));
+	return 0;
+}
+
 enum balance_result
-forward_pick_replica(struct forward *f, const struct fleet_service *s, int sent,
-    struct directory_replica **m)
+forward_pick_replica(struct forward *f, int sent, struct directory_replica **m)
 {
 	struct balance_request w;
 	enum poison_care (*care)(const struct poison_io *,
 	    const struct request_params *, uint64_t *);
 
 	*m = NULL;
-	if (s == NULL)
+	if (forward_fill_balance(f, &w) == -1)
 		return BALANCE_NO_REPLICA;
-	memset(&w, 0, sizeof(w));
-	balance_set_names(&w, f->service, f->params.model, f->params.adapter);
-	w.engine = s->engine;
-	w.zone = f->e->boot.zone;
-	w.prompt_tokens = f->params.prompt_tokens;
-	w.tokens = balance_expected_tokens(&f->params);
-	w.prefill_ns = s->engine == NULL
-	    ? 0
-	    : pace_prefill_ns(
-		  &f->e->pace, f->params.model, f->params.prompt_tokens);
-	w.queued_ns = f->e->now - f->arrived;
-	w.past_target = forward_is_late(f);
-	w.ignore_peers = s->engine == NULL && peers_use_relays(f->e->peers);
-	w.max_conns = max_conns_per_replica(f->e, s);
 	w.take_full = sent;
-	w.ntried = f->ntried;
-	memcpy(w.tried, f->tried, sizeof(w.tried));
 	care = sent ? poison_io_evidence : poison_io_care;
 	if (care(f->e->poison_io, &f->params, &w.affinity_key) == POISON_WAIT)
 		return BALANCE_SUSPECT;
@@ -198,15 +211,12 @@
 int
 forward_dispatch(struct forward *f)
 {
-	const struct fleet_service *s = NULL;
 	struct directory_replica *m;
 	enum balance_result result;
 
 	if (forward_end_if_blocked(f))
 		return 1;
-	if (f->e->conf != NULL)
-		s = fleet_find_service(f->e->conf, f->service);
-	result = forward_pick_replica(f, s, 0, &m);
+	result = forward_pick_replica(f, 0, &m);
 	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
 		loader_io_request_load(f->e, &f->params);
 	if (result != BALANCE_SUSPECT)
@@ -214,9 +224,12 @@
 		    f->e, f->params.model, result == BALANCE_NO_MODEL);
 	if (result != BALANCE_FOUND)
 		return forward_queue(f, result);
+	if (permit_io_holds(f->e->permit_io, f, m))
+		return 0;
 	if (f->waiting.group != NULL) {
 		waitq_remove(&f->e->waiting, &f->waiting);
 		expiry_set(f->expiry, f->deadline);
+		permit_io_forget(f->e->permit_io, f);
 	}
 	/* Nothing is sent for a caller whose end the loop has yet to read. */
 	if (!caller_has_left(f->caller))
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -17,7 +17,13 @@
 	uint64_t deadline;
 	struct expiry *expiry;	   /* of queueing, or of the request */
 	struct waitq_item waiting; /* in the queue, or in no group */
-	uint64_t suspect; /* part for which it is queued apart, 0: none */
+	uint64_t permit_id;	   /* of requests for a permit, 0: none yet */
+	uint64_t permit_at;	   /* when one is expected, 0: not known */
+	uint64_t permit_ask_at;	   /* no request for one before */
+	int permit_wanted;	   /* the pool has been asked, and gave none */
+	uint64_t hold_until; /* it waits for a permit, or goes elsewhere */
+	uint64_t wait_until; /* it is refused then, unless it has a replica */
+	uint64_t suspect;    /* part for which it is queued apart, 0: none */
 	uint32_t attempts_made;
 	uint32_t runs; /* attempts that the replica may have executed */
 	uint32_t ntried;
@@ -62,6 +68,8 @@
 /* forward_wait.c */
 /* Queues a request that no replica can take now, or refuses it. */
 void forward_wait(struct forward *, enum balance_result);
+/* Queues a request that may get a permit, and has another replica. */
+void forward_hold(struct forward *);
 /* The time that a request may wait has passed. */
 void forward_waited(struct forward *);
 /* forward.c */
@@ -76,13 +84,18 @@
     const struct forward *, enum log_id, const char *, const char *);
 /* Records the end of the attempt and decides on the next step. */
 void forward_attempt_ended(struct forward *, enum attempt_outcome);
+/*
+ * Fills in what the choice of a replica goes by, but for care with suspects; -1
+ * if the service is not in the configuration.
+ */
+int forward_fill_balance(const struct forward *, struct balance_request *);
 /*
  * Picks the best replica by this process's view of their load.  For a request
  * that has been sent, also one at its limit, and without regard to checks that
  * are under way.
  */
-enum balance_result forward_pick_replica(struct forward *,
-    const struct fleet_service *, int, struct directory_replica **);
+enum balance_result forward_pick_replica(
+    struct forward *, int, struct directory_replica **);
 /* Ends the request; it has no exchange, and its caller has been told. */
 void forward_free(struct forward *);
 /* Fills in what decides on the next step. */
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -108,8 +108,7 @@
 	    forward_suspect_part(f) == 0)
 		return;
 	/* Its own replica may be full due to this very request. */
-	forward_pick_replica(
-	    f, fleet_find_service(f->e->conf, f->service), 1, &m);
+	forward_pick_replica(f, 1, &m);
 	forward_describe(f, &facts);
 	facts.runs++;
 	if (m == f->replica ||
--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -5,6 +5,7 @@
 #include "admission.h"
 #include "forward_int.h"
 #include "loader_io.h"
+#include "permit_io.h"
 
 /* Minimum queueing time of a retry; callers wait 2 s or more for an event. */
 #define RETRY_QUEUE_NS (800 * NSEC_PER_MSEC)
@@ -23,6 +24,7 @@
 	[BALANCE_NO_ADAPTER] = "no-adapter",
 	[BALANCE_NO_MODEL] = "no-model",
 	[BALANCE_NO_REPLICA] = "no-replica",
+	[BALANCE_LIMITED] = "limited",
 	[BALANCE_SUSPECT] = "suspect",
 };
 
@@ -32,6 +34,8 @@
 static int retry_waits(const struct forward *,
     const struct admission_capacity *, const struct admission_decision *,
     uint64_t);
+static void wait_until(struct forward *, uint64_t);
+static void enqueue(struct forward *);
 static uint64_t model_ready_at(
     const struct forward *, const struct fleet_service *);
 
@@ -53,7 +57,7 @@
 {
 	const struct fleet_service *s =
 	    fleet_find_service(f->e->conf, f->service);
-	struct admission_capacity c = { 0, 0, f->e->now, 0 };
+	struct admission_capacity c = { .ready_at = f->e->now };
 	struct balance_request w;
 	uint64_t reopens_at;
 
@@ -65,6 +69,9 @@
 	if (c.slots == 0)
 		c.closed_slots = balance_closed_slots(
 		    &f->e->dir, f->e->now, &w, &reopens_at);
+	c.limited_per_s = balance_limited_rate(&f->e->dir, f->e->now, &w) *
+	    permit_io_available(f->e->permit_io);
+	c.permit_at = f->permit_at;
 	if (f->params.model[0] != '\0')
 		c.waiting = loader_io_waiting(f->e, f->params.model);
 	if (c.closed_slots != 0)
@@ -107,7 +114,38 @@
 	if (f->runs != 0)
 		return d->until < least || d->step == ADMISSION_REFUSE;
 	return f->attempts_made != 0 && c->closed_slots == 0 &&
-	    d->until < least;
+	    c->limited_per_s == 0.0 && d->until < least;
+}
+
+static void
+wait_until(struct forward *f, uint64_t until)
+{
+	f->wait_until = until < f->deadline ? until : f->deadline;
+	expiry_set(f->expiry, f->wait_until);
+}
+
+static void
+enqueue(struct forward *f)
+{
+	char group[FLEET_NAME_SIZE + 32];
+
+	f->waiting.owner = f;
+	f->waiting.priority = f->route.priority;
+	f->waiting.arrived = f->arrived;
+	f->waiting.target =
+	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
+	/* No others wait behind suspects, which wait for one replica each. */
+	snprintf(group, sizeof(group), SUSPECT_GROUP,
+	    (unsigned long long)f->suspect, f->params.adapter);
+	waitq_add(&f->e->waiting, &f->waiting, f->service, f->params.model,
+	    f->suspect != 0 ? group : f->params.adapter);
+}
+
+void
+forward_hold(struct forward *f)
+{
+	enqueue(f);
+	wait_until(f, f->deadline);
 }
 
 void
@@ -117,7 +155,6 @@
 	struct admission_decision d;
 	struct admission_capacity c;
 	char detail[96];
-	char group[FLEET_NAME_SIZE + 32];
 
 	if (f->waiting.group != NULL)
 		return;
@@ -134,17 +171,9 @@
 	snprintf(detail, sizeof(detail), "%s until_ms=%llu", wait_reasons[why],
 	    (unsigned long long)((d.until - f->e->now) / NSEC_PER_MSEC));
 	forward_log(f, LOG_REQUEST_WAITS, "", detail);
-	f->waiting.owner = f;
-	f->waiting.priority = f->route.priority;
-	f->waiting.arrived = f->arrived;
-	f->waiting.target =
-	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
-	/* No others wait behind suspects, which wait for one replica each. */
-	snprintf(group, sizeof(group), SUSPECT_GROUP,
-	    (unsigned long long)f->suspect, f->params.adapter);
-	waitq_add(&f->e->waiting, &f->waiting, f->service, f->params.model,
-	    f->suspect != 0 ? group : f->params.adapter);
-	expiry_set(f->expiry, d.until < f->deadline ? d.until : f->deadline);
+	enqueue(f);
+	wait_until(f, d.until);
+	permit_io_ask(f->e->permit_io, f);
 }
 
 void
@@ -154,8 +183,7 @@
 	struct admission_decision d = decide(f, &c);
 
 	if (d.step == ADMISSION_WAIT && d.until > f->e->now)
-		expiry_set(
-		    f->expiry, d.until < f->deadline ? d.until : f->deadline);
+		wait_until(f, d.until);
 	else
 		forward_refuse(
 		    f, "no replica was free in time", d.retry_after_ns);
--- a/entry/main.c
+++ b/entry/main.c
@@ -15,6 +15,7 @@
 #include "entry_int.h"
 #include "mem.h"
 #include "peers.h"
+#include "permit_io.h"
 #include "poison_io.h"
 #include "query.h"
 #include "session.h"
@@ -71,6 +72,7 @@
 	peers_tick(e->peers);
 	session_tick(e->session);
 	poison_io_tick(e->poison_io);
+	permit_io_tick(e->permit_io);
 	w->repeat = peers_has_duty(e->peers) ? TICK_S : TICK_LARGE_S;
 	ev_timer_again(loop, w);
 	d->tick_at = e->now + (uint64_t)(w->repeat * NSEC_PER_SEC);
@@ -203,6 +205,7 @@
 		return -1;
 	e->loader_io = loader_io_create(e);
 	e->poison_io = poison_io_create(e);
+	e->permit_io = permit_io_create(e);
 	e->session = session_create(e);
 	e->admin = admin_create(e, err);
 	if (e->admin == NULL)
@@ -244,6 +247,7 @@
 	conf_decoder_destroy(e->conf_decoder);
 	loader_io_destroy(e->loader_io);
 	poison_io_destroy(e->poison_io);
+	permit_io_destroy(e->permit_io);
 	session_destroy(e->session);
 	peers_destroy(e->peers);
 	conn_pool_destroy(e->replicas);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -8,6 +8,7 @@
 #include "peers_int.h"
 #include "session.h"
 #include "loader_io.h"
+#include "permit_io.h"
 #include "poison_io.h"
 
 #define PEER_LEASE_S 30
@@ -235,6 +236,10 @@
 	case MSG_CONF_CHUNK:
 		peers_apply_text(p, m);
 		break;
+	case MSG_PERMIT_REQUEST:
+	case MSG_PERMIT_ANSWER:
+		permit_io_receive(p->e->permit_io, m);
+		break;
 	case MSG_HELD:
 		peers_relay_table(p, m);
 		loader_io_receive(p->e, m);
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -39,6 +39,11 @@
 int peers_is_active_hub(const struct peers *);
 /* Whether reports and lists go through relays, as in a large fleet. */
 int peers_use_relays(const struct peers *);
+/*
+ * The process that keeps the pool of permits for this one, "" if it does so
+ * itself, and whether that one lends what it has to another.
+ */
+const char *peers_permit_pool(const struct peers *, int *);
 /* Whether others wait for this process: always so in a small fleet. */
 int peers_has_duty(const struct peers *);
 /* Whether the lists come from hubs alone, as in a large fleet. */
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -35,6 +35,7 @@
 	struct announce *announce;
 	struct kv_ids ids;
 	uint64_t report_at;    /* time of the next report */
+	uint64_t limits_at;    /* when reports tell replicas' limits again */
 	uint64_t pull_list_at; /* earliest time of the next pull */
 	struct follow_lists list;
 	struct follow config;
--- a/entry/relays.c
+++ b/entry/relays.c
@@ -50,6 +50,20 @@
 	    loader_io_is_leader(p->e);
 }
 
+/* In a large fleet the relays, which lend to the first hub. */
+const char *
+peers_permit_pool(const struct peers *p, int *lends_on)
+{
+	const struct hub *h = p->nhubs == 0 ? NULL : p->hubs[0];
+
+	*lends_on = 0;
+	if (peers_use_relays(p) && !peers_is_relay(p)) {
+		*lends_on = 1;
+		h = p->relay;
+	}
+	return h == NULL || h->self ? "" : h->addr;
+}
+
 int
 peers_in_zone(const struct peers *p, const struct peer *q)
 {
--- a/entry/report.c
+++ b/entry/report.c
@@ -11,11 +11,13 @@
 #include "mem.h"
 #include "peers_int.h"
 #include "loader_io.h"
+#include "permit_io.h"
 #include "poison_io.h"
 
 #define REPORT_NS (100 * NSEC_PER_MSEC)	    /* report interval */
 #define REPORT_SOON_NS (10 * NSEC_PER_MSEC) /* after a change of load */
 #define REPORT_TREE_NS (200 * NSEC_PER_MSEC)
+#define LIMITS_NS (300 * NSEC_PER_MSEC) /* between reports with limits */
 
 /* Peers whose work is part of a sum, by index. */
 struct selection {
@@ -81,6 +83,7 @@
 	    peers_in_zone(p, q))
 		loader_io_apply_zone_demand(e, m);
 	poison_io_apply(e->poison_io, f);
+	permit_io_apply(e->permit_io, q->hub.addr, f);
 	if (f->stopping)
 		loader_io_peer_stopping(e, q->hub.addr);
 	peers_compare_versions(p, q, f);
@@ -102,6 +105,7 @@
 	m->u.front.stopping = (uint32_t)e->stopping;
 	m->u.front.weight = p->self.weight;
 	poison_io_fill(e->poison_io, &m->u.front);
+	permit_io_fill(e->permit_io, &m->u.front, p->e->now >= p->limits_at);
 	return m;
 }
 
@@ -252,13 +256,11 @@
 
 	if (p->e->now < p->report_at)
 		return;
-	if (!peers_use_relays(p)) {
-		p->report_at = p->e->now + REPORT_NS;
+	p->report_at =
+	    p->e->now + (peers_use_relays(p) ? REPORT_TREE_NS : REPORT_NS);
+	if (!peers_use_relays(p))
 		peers_report_to_all(p);
-		return;
-	}
-	p->report_at = p->e->now + REPORT_TREE_NS;
-	if (peers_is_relay(p)) {
+	else if (peers_is_relay(p)) {
 		relay_to_fleet(p);
 		relay_to_zone(p);
 	} else if (p->relay != NULL) {
@@ -268,4 +270,6 @@
 		send_copy(p, m, p->relay->addr);
 		msg_destroy(m);
 	}
+	if (p->e->now >= p->limits_at)
+		p->limits_at = p->e->now + LIMITS_NS;
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -90,7 +90,7 @@
 {
 	struct admission_request r = make_request(c->at, c->deadline);
 	struct admission_capacity k = { now < p->ready_at ? 0 : p->slots,
-		waiting, p->ready_at, 0 };
+		waiting, p->ready_at, 0, 0.0, 0 };
 	struct admission_decision d;
 	uint64_t fifths = (c->deadline - c->at) * 2 / 5;
 
@@ -220,7 +220,7 @@
 test_hopeless(void)
 {
 	struct admission_request r = make_request(10 * S, 18 * S);
-	struct admission_capacity c = { 0, 5, 60 * S, 0 };
+	struct admission_capacity c = { 0, 5, 60 * S, 0, 0.0, 0 };
 	struct admission_decision d;
 
 	d = admission_decide(&r, &c, 10 * S, 0.5);
@@ -242,7 +242,7 @@
 test_return_time(void)
 {
 	struct admission_request r = make_request(10 * S, 25 * S);
-	struct admission_capacity c = { 100, 200, 0, 0 };
+	struct admission_capacity c = { 100, 200, 0, 0, 0.0, 0 };
 	struct admission_decision first, last;
 
 	first = admission_decide(&r, &c, 14 * S, 0.0);
@@ -262,7 +262,7 @@
 test_closed(void)
 {
 	struct admission_request r = make_request(10 * S, 25 * S);
-	struct admission_capacity c = { 0, 0, 11 * S, 4 };
+	struct admission_capacity c = { 0, 0, 11 * S, 4, 0.0, 0 };
 	struct admission_decision d;
 
 	d = admission_decide(&r, &c, 10 * S, 0.5);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -6,6 +6,7 @@
 #include "conf_decoder.h"
 #include "loader_io.h"
 #include "peers_int.h"
+#include "permit_io.h"
 #include "poison_io.h"
 #include "query.h"
 #include "session.h"
@@ -56,6 +57,7 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(e->peers);
 	e->loader_io = loader_io_create(e);
 	e->poison_io = poison_io_create(e);
+	e->permit_io = permit_io_create(e);
 	e->session = session_create(e);
 }
 
@@ -67,6 +69,7 @@
 	conf_decoder_destroy(e->conf_decoder);
 	loader_io_destroy(e->loader_io);
 	poison_io_destroy(e->poison_io);
+	permit_io_destroy(e->permit_io);
 	session_destroy(e->session);
 	peers_destroy(e->peers);
 	conn_pool_destroy(e->store);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -164,6 +164,9 @@
 	m->u.front.demand = mem_alloc(sizeof(*m->u.front.demand));
 	strcpy(m->u.front.demand[0].wanted, "m/a3");
 	m->u.front.demand[0].arrivals = 5;
+	m->u.front.nlimits = 1;
+	m->u.front.limits = mem_alloc(sizeof(*m->u.front.limits));
+	m->u.front.limits[0].per_1000_s = 3100;
 	m->u.front.npoison = 1;
 	m->u.front.poison = mem_alloc(sizeof(*m->u.front.poison));
 	m->u.front.poison[0].answered_ago_ms = POISON_NEVER;
@@ -177,6 +180,7 @@
 		CU_ASSERT_EQUAL(out->u.front.work[1].unread_us, 9);
 		CU_ASSERT_STRING_EQUAL(out->u.front.demand[0].wanted, "m/a3");
 		CU_ASSERT_EQUAL(out->u.front.demand[0].arrivals, 5);
+		CU_ASSERT_EQUAL(out->u.front.limits[0].per_1000_s, 3100);
 		CU_ASSERT_EQUAL(
 		    out->u.front.poison[0].answered_ago_ms, POISON_NEVER);
 		CU_ASSERT_EQUAL(out->u.front.poison[0]
