Soak: replicas that limit their requests

A service's replicas, or one, name a limit for 8 to 11 s; what reaches them from undisturbed processes is counted in windows of 4 s.

--- a/scripts/check.py
+++ b/scripts/check.py
@@ -148,7 +148,7 @@
         run_check("endless bytes", [sys.executable, "tests/endless.py"])
         run_check("limits", [sys.executable, "tests/limits.py"])
         run_check("soak", [sys.executable, "soak/soak.py", "--seeds", "1-2",
-                           "--seconds", "5"])
+                           "--seconds", "10"])
         run_check("processes", [sys.executable, "tests/process.py"])
         run_sanitizers()
     print("%(passed)d passed, %(failed)d failed" % counts)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -5,7 +5,8 @@
 Several entry processes serve callers while external faults overlap: signals;
 links that are slow, cut in one direction, silent or reset; a key-value service
 that is unavailable or loses writes; replicas that crash, drain, stop
-responding, or say that they leave or take no requests; new configurations.
+responding, say that they leave or take no requests, or limit their requests;
+new configurations.
 What callers and replicas receive is checked all the time.  The logs of a
 failed seed are copied to DIR/SEED.
 """
@@ -20,6 +21,7 @@
 import tempfile
 import time
 
+from limits import Limits
 from notices import Notices
 from world import (EVENTS, Engine, Violations, LeaseStore, Link,
                    MODEL_MB, REPLICA_MB, rng_for)
@@ -105,6 +107,7 @@
         self.rng = rng_for(seed, "replicas")
         self.violations = Violations()
         self.notices = Notices(self)
+        self.limits = Limits(self)
         self.store = LeaseStore(rng_for(seed, "store"))
         self.store_port = 0
         self.order_loss_ratio = 0.0
@@ -430,7 +433,8 @@
         callers = [asyncio.ensure_future(self.caller(i))
                    for i in range(self.options.callers)]
         until = time.monotonic() + self.options.seconds
-        await asyncio.gather(self.faults(until), self.notices.play(until))
+        await asyncio.gather(self.faults(until), self.notices.play(until),
+                             self.limits.play(until))
         await self.check_recovery()
         self.done = True
         await asyncio.gather(*callers)
--- a/soak/world.py
+++ b/soak/world.py
@@ -155,6 +155,7 @@
         self.server = None
         self.unresponsive = False  # accepts but never responds
         self.says = {}             # fields of all its answers
+        self.limit = None          # requests a second that its answers name
         self.refusing_until = 0.0  # turns requests away before
         self.tasks = set()
 
@@ -219,6 +220,7 @@
             return await self.report(call)
         if "/api/order" in call.line:
             return await self.order(call)
+        self.world.limits.arrived(self, call)
         if await self.world.notices.arrived(self, call):
             return True
         model = call.fields.get("arbutusspindle-model", "")
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -202,6 +202,7 @@
         self.writers = set()
         self.crashed_at = []
         self.says = {}       # fields of all its answers
+        self.limit = None    # requests a second that its answers name
         self.started = None  # called with the time of a restart, ms
 
     async def crash(self, down_s):
@@ -267,6 +268,8 @@
         if signed:
             fields[SIGNATURE] = "sig." + self.replica.name
         fields.update(self.replica.says)
+        if self.replica.limit is not None:
+            fields["Server-Limit"] = "%g" % self.replica.limit
         fields.update(extra or {})
         return ("HTTP/1.1 %d X\r\n" % status + "".join(
             "%s: %s\r\n" % f for f in fields.items()) + "\r\n").encode()
