An engine's limit is kept on the own interface

What engines saw: the same as on the platform; spindle-gate passed limits on unread, and the owner of a cell granted slots without regard to them.

Without an owner a gate sends nothing to an engine with a limit. fake-engine names one by /fault.

Open: instances of plain services are chosen by each gate alone; their limits are not kept (docs/DESIGN.md).

--- a/core/gate.h
+++ b/core/gate.h
@@ -65,6 +65,8 @@
 	int status;		/* HEAD */
 	int leaving;		/* HEAD: the replica says that it leaves */
 	uint64_t closed_ns;	/* HEAD: it takes no requests for, 0: it does */
+	double limit_per_s;	/* HEAD: requests it takes from all, 0: any */
+	int limit_is_bad;	/* HEAD: the limit cannot be read */
 	uint32_t tokens;	/* DATA: tokens in this part */
 	size_t bytes;		/* DATA */
 	void *payload;		/* HEAD, DATA: returned in an action */
@@ -86,7 +88,8 @@
 enum gate_notice {
 	GATE_SAYS_LEAVING,
 	GATE_SAYS_CLOSED, /* until reopen_at */
-	GATE_REOPENED	  /* that time has passed */
+	GATE_REOPENED,	  /* that time has passed */
+	GATE_SAYS_LIMIT	  /* another limit, or none any more */
 };
 
 struct gate_action {
@@ -107,6 +110,7 @@
 	 * backend server takes requests, 0: now or unknown.
 	 */
 	uint64_t reopen_at;
+	double limit_per_s; /* REPORT_NOTICE: of GATE_SAYS_LIMIT */
 	void *payload;
 };
 
--- a/core/gate_notice.c
+++ b/core/gate_notice.c
@@ -88,6 +88,7 @@
 	memcpy(act->target, t->name, sizeof(act->target));
 	act->notice = notice;
 	act->reopen_at = t->notice.closed_until;
+	act->limit_per_s = t->notice.limit_per_s;
 }
 
 /* The time is reported for a later incarnation too, which may have said it. */
@@ -100,7 +101,10 @@
 	it->incarnation = n->started_ms;
 	it->leaving = notice_is_leaving(n, t->incarnation);
 	it->closed_ns = n->closed_until > now ? n->closed_until - now : 0;
-	return it->leaving || it->closed_ns != 0;
+	it->limit_per_1000_s =
+	    (uint64_t)(n->limit_per_s * NOTICE_LIMIT_SCALE + 0.5);
+	it->limit_ago_ns = n->limit_at != 0 ? now - n->limit_at : TIME_NEVER;
+	return it->leaving || it->closed_ns != 0 || n->limit_at != 0;
 }
 
 void
@@ -156,6 +160,11 @@
 		report_notice(t, GATE_SAYS_CLOSED, out);
 		news = 1;
 	}
+	if (!f->limit_is_bad &&
+	    notice_limit(&t->notice, by, now, f->limit_per_s)) {
+		report_notice(t, GATE_SAYS_LIMIT, out);
+		gate_notice_send(t, now, out);
+	}
 	if (f->status != HTTP_UNAVAILABLE)
 		notice_answered(&t->notice, by, a->started_at);
 	if (!news)
--- a/core/gate_table.c
+++ b/core/gate_table.c
@@ -247,7 +247,10 @@
 static int
 target_usable(const struct target *t, uint64_t now, const char *exclude)
 {
+	/* Of an engine with a limit, only the owner knows what others send. */
 	return gate_target_usable(t, now) && t->avoid_until <= now &&
+	    (t->cell == NULL ||
+		notice_limit_of(&t->notice, t->incarnation) == 0.0) &&
 	    strcmp(t->name, exclude) != 0;
 }
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -141,6 +141,8 @@
 		/* what the replica said of itself */
 		uint64_t incarnation; /* that said it, 0: unknown */
 		uint64_t closed_ns;   /* takes no requests for, 0: it does */
+		uint64_t limit_per_1000_s; /* requests, 0: any number */
+		uint64_t limit_ago_ns; /* since it said so, TIME_NEVER: never */
 		uint32_t leaving;
 	} items[MSG_REPORTS_MAX];
 };
--- a/core/notice.h
+++ b/core/notice.h
@@ -20,6 +20,9 @@
 /* A removed replica's notice is kept, as its entry may come back this late. */
 #define NOTICE_KEPT_NS (600 * NSEC_PER_SEC)
 
+/* Messages tell limits as requests in 1000 s. */
+#define NOTICE_LIMIT_SCALE 1000.0
+
 /* One replica's notices; zeroed: it has said nothing. */
 struct notice {
 	uint64_t started_ms;   /* incarnation that said it */
--- a/core/sched_int.h
+++ b/core/sched_int.h
@@ -82,6 +82,8 @@
 	int is_slow;
 	uint64_t incarnation; /* latest known, 0: unknown */
 	struct notice notice; /* what it said of itself to gates */
+	double permits;	      /* grants that its limit allowed at permits_at */
+	uint64_t permits_at;
 	uint32_t index;
 	uint32_t batch; /* sequences that the engine runs at once, 0: unknown */
 	double slots;
@@ -164,6 +166,13 @@
 /* sched_notice.c: replicas that take no requests by their own word */
 /* Whether a replica takes another request. */
 int sched_replica_open(const struct replica *, uint64_t);
+/* A grant on a replica uses up a part of its limit. */
+void sched_use_permit(struct replica *, uint64_t);
+/*
+ * Grants a second that the limits of a model's replicas allow; 0 if one has no
+ * limit.
+ */
+double sched_limited_rate(const struct model *);
 /* When the first of a model's replicas takes requests, 0: now or unknown. */
 uint64_t sched_reopen_at(const struct model *, uint64_t);
 /* Records what a gate reports that a replica said of itself. */
--- a/core/sched_msg.c
+++ b/core/sched_msg.c
@@ -15,7 +15,8 @@
 static struct job *find_job(const struct sched *, const struct job_key *);
 static struct job *job_create(struct sched *, uint64_t, const struct job_key *,
     struct gate *, struct model *);
-static void job_assign(struct sched *, struct job *, struct replica *);
+static void job_assign(
+    struct sched *, uint64_t, struct job *, struct replica *);
 static void job_update_model(
     struct job *, uint64_t, const struct msg_release *);
 static void send_job_state(
@@ -72,11 +73,12 @@
 
 /* Marks a job as granted on a replica. */
 static void
-job_assign(struct sched *s, struct job *job, struct replica *r)
+job_assign(struct sched *s, uint64_t now, struct job *job, struct replica *r)
 {
 	job->state = JOB_GRANTED;
 	job->replica = r;
 	job->incarnation = r->incarnation;
+	sched_use_permit(r, now);
 	r->in_flight++;
 	r->long_in_flight += job->is_long;
 	r->short_in_flight += job->is_short;
@@ -141,7 +143,7 @@
 	job->grant_id = ++s->last_grant_id;
 	job->granted_at = now;
 	job->refreshed_at = now;
-	job_assign(s, job, r);
+	job_assign(s, now, job, r);
 	send_job_state(job, MSG_GRANT, out);
 }
 
@@ -314,7 +316,7 @@
 	job->grant_id = it->grant_id;
 	job->is_long = it->is_long != 0;
 	s->stats.granted++;
-	job_assign(s, job, r);
+	job_assign(s, now, job, r);
 }
 
 static void
--- a/core/sched_queue.c
+++ b/core/sched_queue.c
@@ -146,7 +146,9 @@
 	struct job *job;
 	uint64_t reopen_at = sched_reopen_at(m, now);
 	uint64_t start = reopen_at != 0 ? reopen_at : now;
+	double per_s = sched_limited_rate(m);
 	uint64_t slots = 0;
+	uint64_t wait;
 	uint64_t ahead = 0;
 	uint32_t i;
 	int lane;
@@ -172,7 +174,12 @@
 			return;
 		job = heads[best];
 		heads[best] = TAILQ_NEXT(job, entry);
-		if (start + ahead * m->slot_time_ns / slots > job->deadline)
+		wait = ahead * m->slot_time_ns / slots;
+		if (per_s != 0.0 &&
+		    (double)wait < (double)ahead / per_s * (double)NSEC_PER_SEC)
+			wait = (uint64_t)((double)ahead / per_s *
+			    (double)NSEC_PER_SEC);
+		if (start + wait > job->deadline)
 			sched_refuse_job(s, now, job, REFUSE_DEADLINE, out);
 		else
 			ahead++;
--- a/core/wire.c
+++ b/core/wire.c
@@ -270,6 +270,8 @@
 		wire_u64(w, &it->waiting_ns);
 		wire_u64(w, &it->incarnation);
 		wire_u64(w, &it->closed_ns);
+		wire_u64(w, &it->limit_per_1000_s);
+		wire_u64(w, &it->limit_ago_ns);
 		wire_u32(w, &it->leaving);
 	}
 }
--- a/entry/permit_io.c
+++ b/entry/permit_io.c
@@ -15,7 +15,6 @@
 #define END_TOLD_NS (10 * NSEC_PER_SEC)
 /* A request that has another replica waits for a pool's answer this long. */
 #define HOLD_NS (20 * NSEC_PER_MSEC)
-#define LIMIT_SCALE 1000.0 /* of limits in reports */
 
 struct permit_io {
 	struct entry *e;
@@ -295,7 +294,8 @@
 		memcpy(l->replica, r->info.id, NAME_SIZE);
 		l->started_ms = r->notice.started_ms;
 		l->per_1000_s =
-		    (uint64_t)(r->notice.limit_per_s * LIMIT_SCALE + 0.5);
+		    (uint64_t)(r->notice.limit_per_s * NOTICE_LIMIT_SCALE +
+			0.5);
 		l->ago_ns = p->e->now - r->notice.limit_at;
 	}
 }
@@ -317,6 +317,6 @@
 		if (m != NULL && l->ago_ns < e->now)
 			replica_notice_limit(e, m, l->started_ms,
 			    e->now - l->ago_ns,
-			    (double)l->per_1000_s / LIMIT_SCALE, addr);
+			    (double)l->per_1000_s / NOTICE_LIMIT_SCALE, addr);
 	}
 }
--- a/gate/gate_loop.c
+++ b/gate/gate_loop.c
@@ -237,12 +237,18 @@
 		[GATE_SAYS_LEAVING] = LOG_REPLICA_SAYS_LEAVING,
 		[GATE_SAYS_CLOSED] = LOG_REPLICA_REFUSING,
 		[GATE_REOPENED] = LOG_REPLICA_REOPENED,
+		[GATE_SAYS_LIMIT] = LOG_REPLICA_LIMIT,
 	};
 	struct log_subject about = { 0 };
 	uint64_t now = clock_mono();
 
 	(void)d;
 	about.backend = act->target;
+	if (act->notice == GATE_SAYS_LIMIT) {
+		log_event(LOG_REPLICA_LIMIT, &about, "per_s=%.2f from=answer",
+		    act->limit_per_s);
+		return;
+	}
 	log_event(ids[act->notice], &about, "for_ms=%llu",
 	    (unsigned long long)(act->reopen_at > now
 		    ? (act->reopen_at - now) / NSEC_PER_MSEC
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -129,6 +129,8 @@
 	f.status = ev->status;
 	f.leaving = notice.leaving;
 	f.closed_ns = notice.closed_ns;
+	f.limit_per_s = notice.limit_per_s;
+	f.limit_is_bad = notice.limit_is_bad;
 	f.payload = p;
 	r->on_event(r->ctx, &f);
 }
--- a/standin/fake_notice.c
+++ b/standin/fake_notice.c
@@ -1,4 +1,4 @@
-/* Server-Leaving and Retry-After in the answers of fake-engine. */
+/* Server-Leaving, Retry-After and Server-Limit in answers of fake-engine. */
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
@@ -8,7 +8,8 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static char retry_lines[NOTICE_LINES_SIZE - 32]; /* of a 503, "": answer */
 static int leaving;
-static uint32_t requests; /* of callers, also those turned away */
+static double limit_per_s; /* named in answers, 0: none */
+static uint32_t requests;  /* of callers, also those turned away */
 
 static void add_retry_line(const json_t *);
 
@@ -22,7 +23,10 @@
 		    "Retry-After: %s\r\n", json_string_value(value));
 }
 
-/* "leaving": true; "retry_after": a value, or a list for several fields */
+/*
+ * "leaving": true; "retry_after": a value, or a list for several fields;
+ * "limit": requests a second
+ */
 void
 notice_set(const json_t *doc)
 {
@@ -31,6 +35,7 @@
 
 	pthread_mutex_lock(&lock);
 	leaving = json_is_true(json_object_get(doc, "leaving"));
+	limit_per_s = json_number_value(json_object_get(doc, "limit"));
 	retry_lines[0] = '\0';
 	add_retry_line(retry);
 	for (i = 0; i < json_array_size(retry); i++)
@@ -41,9 +46,14 @@
 void
 notice_lines(char (*out)[NOTICE_LINES_SIZE])
 {
+	char limit[48] = "";
+
 	pthread_mutex_lock(&lock);
-	snprintf(*out, sizeof(*out), "%s%s",
-	    leaving ? "Server-Leaving: 1\r\n" : "", retry_lines);
+	if (limit_per_s != 0.0)
+		snprintf(limit, sizeof(limit), "Server-Limit: %.3f\r\n",
+		    limit_per_s);
+	snprintf(*out, sizeof(*out), "%s%s%s",
+	    leaving ? "Server-Leaving: 1\r\n" : "", limit, retry_lines);
 	pthread_mutex_unlock(&lock);
 }
 
--- a/tests/process.py
+++ b/tests/process.py
@@ -598,6 +598,50 @@
         c.down()
 
 
+def test_engine_limit():
+    """An engine's limit is kept by the owner for all gates together."""
+    c = Cluster(vms=2, engines=1, models=1, services=0, copies=1,
+                base_port=PORT + 950, load_ms=200, log_level="info")
+    limit, samples, stop = 4, [], threading.Event()
+
+    def caller(vm):
+        while not stop.is_set():
+            request(c.gate(vm), "POST", "/v1/chat/completions",
+                    '{"model": "model0", "messages": [{"role": "user", '
+                    '"content": "x"}], "max_tokens": 4}',
+                    headers={"X-Spindle-Deadline-Ms": "1000"})
+            time.sleep(0.1)
+
+    try:
+        c.up()
+        c.declare()
+        c.wait_resident()
+        c.wait_ready()
+        c.post(c.engine(0), "/fault", {"limit": limit})
+        threads = [threading.Thread(target=caller, args=(i % 2,))
+                   for i in range(8)]
+        for t in threads:
+            t.start()
+        start = time.monotonic()
+        while time.monotonic() < start + 12.0:
+            samples.append((time.monotonic(),
+                            callers_requests(c, c.engine(0))))
+            time.sleep(0.1)
+        stop.set()
+        for t in threads:
+            t.join()
+        late = [s for s in samples if s[0] > start + 3.0]
+        most = max(n - m for at, m in late for t, n in late
+                   if at < t <= at + 4.0)
+        check("%d in 4 s" % most, most <= 1.5 * limit * 4 + 5)
+        served = late[-1][1] - late[0][1]
+        check("%d served" % served,
+              served >= 0.5 * limit * (late[-1][0] - late[0][0]))
+        check("heard", "replica-limit" in c.log("gate0") + c.log("gate1"))
+    finally:
+        c.down()
+
+
 def test_engine_notices():
     """Engines that take no requests for a time get none, also from another
     gate, since the owner heard of it; one that leaves gets none until it
@@ -766,7 +810,7 @@
     test_settings, test_gate_sigterm, test_gate_sigterm_cancelled,
     test_owner_killed, test_owner_paused,
     test_service_outage, test_engine_lost, test_service_notices,
-    test_engine_notices, test_racing_operators]
+    test_engine_limit, test_engine_notices, test_racing_operators]
 
 
 def known_red():
--- a/tests/test_gate_notice.c
+++ b/tests/test_gate_notice.c
@@ -12,6 +12,7 @@
 static void test_closed_instance(void);
 static void test_all_instances_closed(void);
 static void test_closed_engine(void);
+static void test_limited_engine(void);
 static void test_unsent_withdrawn(void);
 static void test_leaving_instance(void);
 static void list_engine(uint64_t);
@@ -119,6 +120,48 @@
 	teardown();
 }
 
+/* The owner hears of an engine's limit; without it nothing is sent there. */
+static void
+test_limited_engine(void)
+{
+	struct gate_fetch_event f = { 0 };
+	struct msg *m;
+	char limited[NAME_SIZE];
+	uint64_t told = 0;
+	uint64_t rid;
+
+	setup("10.0.0.1:1");
+	start_request(1, 0, 0);
+	send_grant(1, 1, "r0");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(last_action(GATE_START_FETCH));
+	f.kind = FETCH_HEAD;
+	f.fetch_id = last_action(GATE_START_FETCH)->fetch_id;
+	f.status = 200;
+	f.limit_per_s = 2.5;
+	f.payload = &payload;
+	strcpy(limited, last_action(GATE_START_FETCH)->target);
+	gate_handle_fetch(gate, now, &f, &out);
+	CU_ASSERT_EQUAL(
+	    last_action(GATE_REPORT_NOTICE)->notice, GATE_SAYS_LIMIT);
+	m = last_action(GATE_SEND_MSG) == NULL
+	    ? NULL
+	    : last_action(GATE_SEND_MSG)->msg;
+	CU_ASSERT_PTR_NOT_NULL_FATAL(m);
+	if (m != NULL && m->kind == MSG_REPORT)
+		told = m->u.report.items[0].limit_per_1000_s;
+	CU_ASSERT_EQUAL(told, 2500);
+	/* The owner answers nothing any more. */
+	for (rid = 2; rid < 12; rid++) {
+		clear_actions();
+		start_request(rid, 0, 0);
+		tick(100 * MSEC);
+		if (last_action(GATE_START_FETCH) != NULL)
+			CU_ASSERT_STRING_NOT_EQUAL(
+			    last_action(GATE_START_FETCH)->target, limited);
+	}
+	teardown();
+}
+
 /* The owner hears of a closed engine; its grants there are given back. */
 static void
 test_closed_engine(void)
@@ -263,6 +306,7 @@
 static const struct unit_case cases[] = {
 	{ "closed instance", test_closed_instance },
 	{ "all instances closed", test_all_instances_closed },
+	{ "limit of an engine", test_limited_engine },
 	{ "closed engine", test_closed_engine },
 	{ "unsent requests are withdrawn", test_unsent_withdrawn },
 	{ "instance that leaves by its own word", test_leaving_instance },
