Failing tests: the key-value service comes back from an older copy

The stand-in restores from a copy: later keys, leases and revisions never were, and Store-Era rises.

--- a/tests/entry.py
+++ b/tests/entry.py
@@ -2939,6 +2939,64 @@
         w.stop()
 
 
+def test_configuration_after_restoration():
+    """The service comes back from a copy, with lower revisions: each later
+    version is in force within config_apply_ms, a route that was added is
+    served, and replicas listed since are used."""
+    w = World()
+    try:
+        w.replica("i-a", "plain", answer_ok)
+        w.wait_ready()
+        w.wait("listed", lambda: len(w.events("replica-listed")) == 1)
+        for era in (2, 3):
+            copy = w.store.copy()
+            for i in range(8):
+                w.register("i-a", sequence=10 * era + i)
+            w.run(w.store.put("op/config", default_config(10 * era)))
+            w.wait("version %d" % (10 * era),
+                   lambda era=era: version_in_force(w) == 10 * era, 2)
+            w.loop.call_soon_threadsafe(w.store.restore, copy)
+            w.wait("restored", lambda era=era: w.store.era == era)
+            # What the operator and the replicas wrote is written again.
+            w.run(w.store.put("op/config", default_config(10 * era)))
+            w.register("i-a", sequence=99)
+            for version in (10 * era + 1, 10 * era + 2):
+                config = default_config(version)
+                config["routes"].append(
+                    route("new", "/new%d/" % version, "idempotent"))
+                w.run(w.store.put("op/config", config))
+                w.wait("version %d" % version, lambda version=version:
+                       version_in_force(w) == version, 2)
+                check("new route", w.call("/new%d/x" % version)[0] == 200)
+            w.replica("i-%d" % era, "plain", answer_ok)
+            w.wait("replica listed", lambda era=era: any(
+                e["backend"] == "i-%d" % era
+                for e in w.events("replica-listed")), 4)
+    finally:
+        w.stop()
+
+
+def test_fencing_token_after_restoration():
+    """Who takes the right to send orders after a restoration has a higher
+    token than any before, also those that the copy has forgotten."""
+    w = World()
+    try:
+        w.wait_ready()
+
+        def tokens():
+            return [int(e["detail"].split("fence=")[1])
+                    for e in w.events("cell-taken")]
+        copy = w.store.copy()
+        w.wait("first token", lambda: len(tokens()) == 1)
+        for n in (2, 3):
+            w.loop.call_soon_threadsafe(w.store.restore, copy)
+            w.wait("token %d" % n, lambda n=n: len(tokens()) == n)
+        check("tokens %s" % tokens(),
+              tokens() == sorted(set(tokens())))
+    finally:
+        w.stop()
+
+
 def test_list_after_cut_watches():
     """The same for the list of replicas, with removals: every process has
     each change within the drain time."""
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -53,6 +53,7 @@
         self.history = []    # (revision, key, value or None)
         self.revision = 1
         self.dropped = 0     # revisions up to here are compacted
+        self.era = 1         # counts restorations from a copy
         self.leases = {}
         self.next_lease = 100
         self.mode = "up"     # up, silent, busy
@@ -76,6 +77,19 @@
         del self.items[key]
         self.history.append((self.revision, key, None))
 
+    def copy(self):
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Goes on from a copy, as of which later keys, leases and revisions
+        never were."""
+        self.items, self.revision = dict(copy[0]), copy[1]
+        self.items = {k: e for k, e in self.items.items() if e[2] == 0}
+        self.leases = {}
+        self.history = [h for h in self.history if h[0] <= self.revision]
+        self.era += 1
+        self.cut()
+
     def cut(self):
         """Resets every connection."""
         for w in list(self.writers):
@@ -109,8 +123,9 @@
                 status, doc = (503, {}) if self.mode == "busy" else \
                     await self.answer(method, target, body)
                 text = json.dumps(doc).encode()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
-                             % (status, len(text)) + text)
+                writer.write(b"HTTP/1.1 %d X\r\nStore-Era: %d\r\n"
+                             b"Content-Length: %d\r\n\r\n"
+                             % (status, self.era, len(text)) + text)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError):
@@ -167,7 +182,9 @@
         return 404, {}
 
     async def watch(self, query):
-        after = int(query["after"])
+        after, era = int(query["after"]), self.era
+        if after > self.revision:
+            return 410, {}
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             if self.mode == "silent":
