Revisions grow from era to era of the key-value service

What callers saw: 404 for routes that had been added, and old configurations, for seconds after the service had come back from an older copy.

Cause: revisions were compared over the restoration. The service gives them out again, so a version written afterwards had a lower revision than the one that was known, and was dropped as old (list_put); a watch went on from a revision that means something else now. Class: an order that holds within one history, used across two.

Change: answers name an era (Store-Era); platform/store puts it above each revision, and takes it off again in calls. A later era makes lists be read anew and gives what the copy lacks the grace of an outage; answers of a former era count as none.

Ruled out: deaf watches (the lists were read after the return, and dropped what they told); going by versions instead (the list of replicas has none); forgetting all keys at a new era (peers in the former one would bring them back).

--- a/core/kv_op.h
+++ b/core/kv_op.h
@@ -46,6 +46,7 @@
 	uint64_t id;
 	enum kv_op_kind kind;
 	enum kv_status status;
+	uint64_t era;	   /* of the service that answered, 0: unknown */
 	const char *value; /* GET, KV_OK */
 	uint64_t revision; /* GET: current; CAS, KV_OK: new */
 	uint64_t lease_id; /* GRANT */
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -52,8 +52,8 @@
 static void list_renew_watch(struct list *);
 static void list_watch_again(struct list *, size_t);
 static void list_retry_later(struct list *);
-static void on_range_response(void *, int, const char *, size_t);
-static void on_watch_response(void *, int, const char *, size_t);
+static void on_range_response(void *, int, uint64_t, const char *, size_t);
+static void on_watch_response(void *, int, uint64_t, const char *, size_t);
 static void on_retry(struct ev_loop *, ev_timer *, int);
 static void list_put(struct list *, const struct store_item *);
 static void list_refresh(struct list *);
@@ -102,6 +102,24 @@
 	list_read(&s->lists[LIST_PEERS]);
 }
 
+/* A read that is under way finds out by itself. */
+void
+lists_restart(struct session *s)
+{
+	struct list *l;
+	int i;
+
+	for (i = 0; i < LIST__MAX; i++) {
+		l = &s->lists[i];
+		l->revision = 0;
+		if (!l->watching)
+			continue;
+		l->watching = 0;
+		l->watch_number++;
+		list_read(l);
+	}
+}
+
 void
 lists_stop(struct session *s)
 {
@@ -285,7 +303,8 @@
 }
 
 static void
-on_range_response(void *ctx, int status, const char *body, size_t len)
+on_range_response(
+    void *ctx, int status, uint64_t era, const char *body, size_t len)
 {
 	struct list *l = ctx;
 	struct store_page page;
@@ -293,7 +312,7 @@
 	size_t i;
 
 	if (status != 200 ||
-	    store_range_response(body, len, &page, &err) == -1) {
+	    store_range_response(era, body, len, &page, &err) == -1) {
 		l->page_after[0] = '\0';
 		l->read_revision = 0;
 		l->s->peers_known |= l->id == LIST_PEERS;
@@ -303,8 +322,17 @@
 			list_retry_later(l);
 		return;
 	}
+	if (l->read_revision != 0 && page.era != l->read_era) {
+		/* The pages before are of an era that has ended. */
+		store_page_clear(&page);
+		l->page_after[0] = '\0';
+		l->read_revision = 0;
+		list_read(l);
+		return;
+	}
 	if (l->read_revision == 0) {
 		l->read_revision = page.revision;
+		l->read_era = page.era;
 		l->generation++;
 	}
 	for (i = 0; i < page.n; i++) {
@@ -382,7 +410,8 @@
 }
 
 static void
-on_watch_response(void *ctx, int status, const char *body, size_t len)
+on_watch_response(
+    void *ctx, int status, uint64_t era, const char *body, size_t len)
 {
 	struct watch *w = ctx;
 	struct list *l = w->list;
@@ -397,7 +426,7 @@
 		return;
 	l->watching = 0;
 	if (status != 200 ||
-	    store_watch_response(body, len, &page, &err) == -1) {
+	    store_watch_response(era, body, len, &page, &err) == -1) {
 		/*
 		 * The store may have compacted the history since this
 		 * revision, and a new watch would not report that until the
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -188,7 +188,7 @@
 		    (unsigned long long)o->expected_sequence,
 		    (unsigned long long)o->fence);
 	query_send(e, e->replicas, o->addr, &out, o->send_by, ORDER_TIMEOUT_S,
-	    on_order_answer, c);
+	    NULL, on_order_answer, c);
 	buf_free(&out);
 	free(body);
 }
--- a/entry/query.c
+++ b/entry/query.c
@@ -12,6 +12,7 @@
 	struct expiry *expiry;
 	int status;
 	struct buf body;
+	query_head_callback head;
 	query_callback callback;
 	void *ctx;
 };
@@ -40,12 +41,13 @@
 void
 query_send(struct entry *e, struct conn_pool *pool, const char *addr,
     const struct buf *request, uint64_t send_by, double timeout_s,
-    query_callback answer, void *ctx)
+    query_head_callback head, query_callback answer, void *ctx)
 {
 	struct query *q;
 
 	q = mem_alloc(sizeof(*q));
 	q->e = e;
+	q->head = head;
 	q->callback = answer;
 	q->ctx = ctx;
 	TAILQ_INSERT_TAIL(&e->queries, q, entry);
@@ -63,6 +65,8 @@
 	struct query *q = ctx;
 
 	q->status = h->status;
+	if (q->head != NULL)
+		q->head(q->ctx, h);
 	return 0;
 }
 
--- a/entry/query.h
+++ b/entry/query.h
@@ -4,16 +4,19 @@
 
 #include "entry_int.h"
 
+/* Gets the head of a response, before its body. */
+typedef void (*query_head_callback)(void *, const struct http_head *);
 /* Gets the HTTP status and body; status 0 if there was no complete response. */
 typedef void (*query_callback)(void *, int, const char *, size_t);
 
 /*
  * Sends a serialised request to an address, not after a time in monotonic ns;
  * the time-out is in seconds.  The callback is called exactly once, never from
- * within this function.
+ * within this function; that of the head, if there is one, before.
  */
 void query_send(struct entry *, struct conn_pool *, const char *,
-    const struct buf *, uint64_t, double, query_callback, void *);
+    const struct buf *, uint64_t, double, query_head_callback, query_callback,
+    void *);
 /* Cancels all pending requests; their callbacks get status 0. */
 void queries_cancel(struct entry *);
 
--- a/entry/session.c
+++ b/entry/session.c
@@ -17,14 +17,17 @@
 struct call {
 	struct session *s;
 	uint64_t sent_at;
-	query_callback answer;
+	session_callback answer;
 	void *ctx;
+	uint64_t era; /* that the answer names */
 };
 
-static void on_probe_answer(void *, int, const char *, size_t);
+static void on_probe_answer(void *, int, uint64_t, const char *, size_t);
+static void on_call_head(void *, const struct http_head *);
+static void note_era(struct session *, uint64_t);
 static void on_call_answer(void *, int, const char *, size_t);
 static void record_answer(struct session *, uint64_t, int);
-static void on_op_answer(void *, int, const char *, size_t);
+static void on_op_answer(void *, int, uint64_t, const char *, size_t);
 
 /* A pending operation. */
 struct op_call {
@@ -36,7 +39,7 @@
 
 void
 session_call(struct session *s, struct store_request *sc, double timeout_s,
-    query_callback answer, void *ctx)
+    session_callback answer, void *ctx)
 {
 	struct buf out = { 0 };
 	struct call *c;
@@ -58,22 +61,55 @@
 	if (len != 0)
 		buf_add(&out, sc->body, len);
 	query_send(s->e, s->e->store, s->e->boot.store, &out, TIME_NEVER,
-	    timeout_s, on_call_answer, c);
+	    timeout_s, on_call_head, on_call_answer, c);
 	buf_free(&out);
 	store_request_clear(sc);
 }
 
 static void
-on_call_answer(void *ctx, int status, const char *body, size_t len)
+on_call_head(void *ctx, const struct http_head *h)
 {
 	struct call *c = ctx;
 
-	if (!c->s->closing)
-		record_answer(c->s, c->sent_at, status);
-	c->answer(c->ctx, status, body, len);
+	c->era = store_response_era(h);
+}
+
+static void
+on_call_answer(void *ctx, int status, const char *body, size_t len)
+{
+	struct call *c = ctx;
+	struct session *s = c->s;
+
+	if (!s->closing && c->era < s->era && c->era != 0) {
+		status = 0;
+	} else if (!s->closing) {
+		record_answer(s, c->sent_at, status);
+		if (c->era > s->era)
+			note_era(s, c->era);
+	}
+	c->answer(c->ctx, status, c->era, body, len);
 	free(c);
 }
 
+/*
+ * The service has come back from an older copy.  Entries that the copy lacks
+ * are written again, as after an outage.
+ */
+static void
+note_era(struct session *s, uint64_t era)
+{
+	uint64_t was = s->era;
+
+	s->era = era;
+	if (was == 0)
+		return;
+	log_event(LOG_KV_RESTORED, NULL, "era=%llu was=%llu",
+	    (unsigned long long)era, (unsigned long long)was);
+	directory_set_service_up(&s->e->dir, s->e->now, 0);
+	directory_set_service_up(&s->e->dir, s->e->now, 1);
+	lists_restart(s);
+}
+
 /*
  * Updates the availability of the store.  429 and 503 count as failures, since
  * the store did nothing.  A call that was lost although the store has answered
@@ -106,13 +142,13 @@
 }
 
 static void
-on_op_answer(void *ctx, int status, const char *body, size_t len)
+on_op_answer(void *ctx, int status, uint64_t era, const char *body, size_t len)
 {
 	struct op_call *oc = ctx;
 	struct kv_result r;
 	char *value;
 
-	store_op_response(oc->op, status, body, len, &r, &value);
+	store_op_response(oc->op, status, era, body, len, &r, &value);
 	if (r.status == KV_UNKNOWN)
 		log_event(LOG_KV_BAD, NULL, "op=%s key=%s status=%d",
 		    kv_op_kind_name(oc->op->kind), oc->op->key, status);
@@ -143,11 +179,13 @@
 }
 
 static void
-on_probe_answer(void *ctx, int status, const char *body, size_t len)
+on_probe_answer(
+    void *ctx, int status, uint64_t era, const char *body, size_t len)
 {
 	struct session *s = ctx;
 
 	(void)status;
+	(void)era;
 	(void)body;
 	(void)len;
 	s->probing = 0;
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -6,6 +6,12 @@
 #include "removals.h"
 #include "store.h"
 
+/*
+ * Gets the status and body of an answer, and the service's era that it names;
+ * status 0 if there was none, or it came from a former era.
+ */
+typedef void (*session_callback)(void *, int, uint64_t, const char *, size_t);
+
 #define GRACE_UNKNOWN TIME_NEVER /* this process's own store tells */
 
 enum list_id {
@@ -49,6 +55,7 @@
 	int stale_read;		/* the pending read may return old data */
 	uint64_t revision;	/* up to which it is current, 0 if unknown */
 	uint64_t read_revision; /* at the first page of the read, 0 if none */
+	uint64_t read_era;	/* of that page */
 	uint32_t generation;	/* number of the latest full read */
 	char page_after[KV_KEY_SIZE]; /* last key of the previous page */
 	struct list_key *keys;
@@ -61,6 +68,7 @@
 struct session {
 	struct entry *e;
 	struct list lists[LIST__MAX];
+	uint64_t era; /* of the service, 0: not known */
 	uint64_t ncalls;
 	uint64_t started_at;
 	uint64_t answered_at;	  /* latest answer of the store */
@@ -75,10 +83,10 @@
 
 /*
  * Sends a call and clears it; the time-out is in seconds.  The callback gets
- * the response later, with status 0 if there was none.
+ * the response later.
  */
 void session_call(
-    struct session *, struct store_request *, double, query_callback, void *);
+    struct session *, struct store_request *, double, session_callback, void *);
 
 /* Sends a cheap call if the store has not answered within PROBE_NS. */
 void session_probe(struct session *);
@@ -86,6 +94,8 @@
 /* lists.c */
 /* Starts reading all lists. */
 void lists_start(struct session *);
+/* The service went on from an older copy: reads what was watched anew. */
+void lists_restart(struct session *);
 /* Stops the timers and frees all keys. */
 void lists_stop(struct session *);
 /* Applies one entry, or its removal if it has no value. */
--- a/shell/log.c
+++ b/shell/log.c
@@ -121,6 +121,8 @@
 	    "the key-value service responds again" },
 	[LOG_KV_BAD] = { 1402, LOGLEVEL_ERROR, "kv-bad",
 	    "the key-value service returned malformed data" },
+	[LOG_KV_RESTORED] = { 1405, LOGLEVEL_WARNING, "kv-restored",
+	    "the key-value service went on from an older copy" },
 	[LOG_LIST_READ] = { 1403, LOGLEVEL_INFO, "list-read",
 	    "a list was read in full from the key-value service" },
 	[LOG_WATCH_LOST] = { 1404, LOGLEVEL_INFO, "watch-lost",
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -126,13 +126,14 @@
 void
 query_send(struct entry *e, struct conn_pool *pool, const char *addr,
     const struct buf *request, uint64_t send_by, double timeout_s,
-    query_callback callback, void *ctx)
+    query_head_callback head, query_callback callback, void *ctx)
 {
 	(void)e;
 	(void)pool;
 	(void)addr;
 	(void)send_by;
 	(void)timeout_s;
+	(void)head;
 	CU_ASSERT_FATAL(sent.n < QUERIES_MAX);
 	sent.callbacks[sent.n] = callback;
 	sent.contexts[sent.n++] = ctx;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -492,25 +492,25 @@
 	    "\"write\":[{\"key\":\"spindle/cell/x\",\"value\":\"bm9kZS0x\","
 	    "\"lease\":77}],\"remove\":[]}");
 	store_request_clear(&c);
-	store_op_response(op, 200, "{\"revision\":9}", 14, &r, &value);
+	store_op_response(op, 200, 0, "{\"revision\":9}", 14, &r, &value);
 	CU_ASSERT(r.status == KV_OK && r.revision == 9);
 	/* Only these statuses guarantee that nothing was written. */
-	store_op_response(op, 412, "", 0, &r, &value);
+	store_op_response(op, 412, 0, "", 0, &r, &value);
 	CU_ASSERT_EQUAL(r.status, KV_CONFLICT);
-	store_op_response(op, 404, "", 0, &r, &value);
+	store_op_response(op, 404, 0, "", 0, &r, &value);
 	CU_ASSERT_EQUAL(r.status, KV_CONFLICT); /* no such lease */
-	store_op_response(op, 0, "", 0, &r, &value);
+	store_op_response(op, 0, 0, "", 0, &r, &value);
 	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
-	store_op_response(op, 503, "", 0, &r, &value);
+	store_op_response(op, 503, 0, "", 0, &r, &value);
 	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
 	op->kind = KV_GET;
-	store_op_response(op, 200, found, strlen(found), &r, &value);
+	store_op_response(op, 200, 0, found, strlen(found), &r, &value);
 	CU_ASSERT_EQUAL(r.status, KV_OK);
 	CU_ASSERT(r.value != NULL && strcmp(r.value, "node-1") == 0);
 	free(value);
-	store_op_response(op, 200, "{\"value\":\"***\"}", 15, &r, &value);
+	store_op_response(op, 200, 0, "{\"value\":\"***\"}", 15, &r, &value);
 	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
-	store_op_response(op, 404, "", 0, &r, &value);
+	store_op_response(op, 404, 0, "", 0, &r, &value);
 	CU_ASSERT_EQUAL(r.status, KV_ABSENT);
 	TAILQ_REMOVE(&ops, op, entry);
 	kv_op_destroy(op);
@@ -527,14 +527,22 @@
 	struct store_request c;
 	struct err e;
 
-	CU_ASSERT_EQUAL(store_watch_response(text, strlen(text), &p, &e), 0);
+	CU_ASSERT_EQUAL(store_watch_response(0, text, strlen(text), &p, &e), 0);
 	CU_ASSERT_EQUAL(p.revision, 7);
 	CU_ASSERT_EQUAL_FATAL(p.n, 2); /* malformed items are skipped */
 	CU_ASSERT_STRING_EQUAL(p.items[0].value, "x");
 	CU_ASSERT_PTR_NULL(p.items[1].value);
 	store_page_clear(&p);
-	CU_ASSERT_EQUAL(store_range_response("[]", 2, &p, &e), -1);
-	CU_ASSERT_EQUAL(store_range_response("{\"items\":3}", 11, &p, &e), -1);
+	/* Revisions that a later era gives out again are higher. */
+	CU_ASSERT_EQUAL(store_watch_response(3, text, strlen(text), &p, &e), 0);
+	CU_ASSERT_EQUAL_FATAL(p.n, 2);
+	CU_ASSERT(p.era == 3 && p.items[0].revision > 7);
+	store_watch_request("op/", p.items[0].revision, 10000, &c);
+	CU_ASSERT_PTR_NOT_NULL(strstr(c.path, "&after=4&"));
+	store_page_clear(&p);
+	CU_ASSERT_EQUAL(store_range_response(0, "[]", 2, &p, &e), -1);
+	CU_ASSERT_EQUAL(
+	    store_range_response(0, "{\"items\":3}", 11, &p, &e), -1);
 	store_watch_request("op/", 411, 10000, &c);
 	CU_ASSERT_STRING_EQUAL(
 	    c.path, "/api/kv-watch?path_prefix=op/&after=411&wait_ms=10000");
