Leases and fencing tokens belong to an era of the key-value service

What replicas saw: orders of two VMs with one fencing token, 5.5 to 8 s apart, and loads beyond their memory.

Cause: the counter of tokens is a key; it went back with the copy, and was given out again. Leases are gone with it, so who held one went on beside the next.

Change: a token has the era above its count, so it exceeds all that former eras gave out, also those that the copy has forgotten. A process that hears of a later era gives up its lease and what it had in flight, and takes no lease for a lease's lifetime, in which another may believe in one of the former era. The key that announces a process is written again at once.

Ruled out: the highest token that replicas or peers remember (none need be reachable); waiting alone (the token stays the same).

--- a/core/announce.c
+++ b/core/announce.c
@@ -22,6 +22,7 @@
 	uint64_t pending_op;  /* id of the operation in flight, 0 for none */
 	uint64_t next_try_at; /* next attempt or lease renewal */
 	uint64_t lease_id;
+	uint64_t era; /* of the service, 0: not known */
 };
 
 static struct kv_op *announce_send_op(
@@ -121,6 +122,21 @@
 	return 1;
 }
 
+void
+announce_set_era(struct announce *a, uint64_t now, uint64_t era)
+{
+	uint64_t was = a->era;
+
+	if (era <= was)
+		return;
+	a->era = era;
+	if (was == 0 || a->next_try_at == TIME_NEVER)
+		return;
+	a->state = ANNOUNCE_IDLE;
+	a->pending_op = 0;
+	a->next_try_at = now;
+}
+
 void
 announce_release(struct announce *a, struct kv_ops *out)
 {
--- a/core/announce.h
+++ b/core/announce.h
@@ -20,6 +20,8 @@
 struct announce *announce_create(const struct announce_config *, const char *,
     const char *, struct kv_ids *);
 void announce_destroy(struct announce *);
+/* The service's era: where it rises, the key and its lease are gone. */
+void announce_set_era(struct announce *, uint64_t, uint64_t);
 /* Starts operations that are due at the time given, in ns. */
 void announce_tick(struct announce *, uint64_t, struct kv_ops *);
 /* Handles a result.  Returns 1 when the operation belonged to this key. */
--- a/core/loader.c
+++ b/core/loader.c
@@ -193,6 +193,12 @@
 	return ownership_kv_result(s->ownership, now, r, out->kv);
 }
 
+void
+loader_set_era(struct loader *s, uint64_t now, uint64_t era)
+{
+	ownership_set_era(s->ownership, now, era);
+}
+
 void
 loader_release(struct loader *s, struct loader_output *out)
 {
--- a/core/loader.h
+++ b/core/loader.h
@@ -84,6 +84,8 @@
 void loader_set_candidate(struct loader *, int, uint64_t);
 /* The mean time that a request takes on a replica, in ns. */
 void loader_set_service_time(struct loader *, uint64_t);
+/* The era of the service that keeps leadership, see ownership.h. */
+void loader_set_era(struct loader *, uint64_t, uint64_t);
 /* Another process sends orders under this fencing token. */
 void loader_superseded(struct loader *, uint64_t);
 void loader_tick(struct loader *, uint64_t, const struct fleet_conf *,
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -7,6 +7,9 @@
 #include "mem.h"
 #include "ownership.h"
 
+/* Bits of a fencing token that count within an era of the service. */
+#define TOKEN_BITS 20
+
 enum ownership_state {
 	OWNERSHIP_IDLE,
 	OWNERSHIP_READ_LOCK,	       /* reading lease/CELL */
@@ -40,6 +43,7 @@
 	uint64_t uncontested_until; /* see ownership_uncontested() */
 	uint64_t fence;		    /* fencing token of the latest ownership */
 	uint64_t proposed_fencing_token; /* being written */
+	uint64_t era;			 /* of the service, 0: not known */
 };
 
 static struct kv_op *ownership_send_op(struct ownership *, uint64_t,
@@ -269,6 +273,8 @@
 			return;
 		}
 	}
+	if (fence < o->era << TOKEN_BITS)
+		fence = o->era << TOKEN_BITS;
 	o->proposed_fencing_token = fence + 1;
 	op = ownership_send_op(
 	    o, now, OWNERSHIP_WRITE_FENCING_TOKEN, KV_CAS, "cell", out);
@@ -384,6 +390,24 @@
 	op->lease_id = o->lease_id;
 }
 
+void
+ownership_set_era(struct ownership *o, uint64_t now, uint64_t era)
+{
+	uint64_t was = o->era;
+
+	if (era <= was)
+		return;
+	o->era = era;
+	if (was == 0)
+		return;
+	o->state = OWNERSHIP_IDLE;
+	o->pending_op = 0;
+	o->keepalive_op = 0;
+	o->lease_deadline = 0;
+	o->uncontested_until = 0;
+	o->retry_at = now + o->config.ttl_s * NSEC_PER_SEC;
+}
+
 void
 ownership_release(struct ownership *o, struct kv_ops *out)
 {
--- a/core/ownership.h
+++ b/core/ownership.h
@@ -32,6 +32,12 @@
 /* Handles a result.  Returns 1 when the operation belonged to this cell. */
 int ownership_kv_result(
     struct ownership *, uint64_t, const struct kv_result *, struct kv_ops *);
+/*
+ * The service's era.  Where it rises, the service has gone on from an older
+ * copy: leases are gone, and for a lease's lifetime their holders may not know
+ * it. Fencing tokens of an era are higher than those of all former ones.
+ */
+void ownership_set_era(struct ownership *, uint64_t, uint64_t);
 /* Gives up the cell and revokes its lease. */
 void ownership_release(struct ownership *, struct kv_ops *);
 /* Another process owns the cell under this fencing token. */
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -280,6 +280,12 @@
 	send_orders(e, &kv, &orders);
 }
 
+void
+loader_io_store_era(struct entry *e, uint64_t era)
+{
+	loader_set_era(e->loader_io->loader, e->now, era);
+}
+
 int
 loader_io_is_leader(const struct entry *e)
 {
--- a/entry/loader_io.h
+++ b/entry/loader_io.h
@@ -16,6 +16,8 @@
 /* Whether the process at a bus address is the known lease holder. */
 int loader_io_is_holder(const struct entry *, const char *);
 void loader_io_destroy(struct loader_io *);
+/* The key-value service is of an era, see ownership.h. */
+void loader_io_store_era(struct entry *, uint64_t);
 /* Whether this process holds the order lease. */
 int loader_io_is_leader(const struct entry *);
 /* Applies for or renews the order lease; the holder also sends orders. */
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -322,6 +322,12 @@
 	}
 }
 
+void
+peers_store_era(struct peers *p, uint64_t era)
+{
+	announce_set_era(p->announce, p->e->now, era);
+}
+
 void
 peers_leave(struct peers *p)
 {
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -20,6 +20,9 @@
 void peers_set_listed(struct peers *, const char *, const char *);
 /* The peer on a VM has no key in the store any more. */
 void peers_clear_listed(struct peers *, const char *);
+/* The key-value service is of an era; where it rises, keys are written again.
+ */
+void peers_store_era(struct peers *, uint64_t);
 /* Renews the announcement, elects hubs, sends reports, expires peers. */
 void peers_tick(struct peers *);
 /* This process is stopping: removes its key and reports it to the peers. */
--- a/entry/session.c
+++ b/entry/session.c
@@ -2,7 +2,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "loader_io.h"
 #include "mem.h"
+#include "peers.h"
 #include "session.h"
 #include "session_int.h"
 
@@ -101,6 +103,8 @@
 	uint64_t was = s->era;
 
 	s->era = era;
+	loader_io_store_era(s->e, era);
+	peers_store_era(s->e->peers, era);
 	if (was == 0)
 		return;
 	log_event(LOG_KV_RESTORED, NULL, "era=%llu was=%llu",
--- a/tests/test_ownership.c
+++ b/tests/test_ownership.c
@@ -28,6 +28,8 @@
 static void test_outage(void);
 static void test_stood_still(void);
 static void test_lease_gone(void);
+static void test_service_restored(void);
+static void test_answer_of_former_era(void);
 
 static void
 setup(void)
@@ -287,6 +289,65 @@
 	teardown();
 }
 
+/*
+ * The service goes on from a copy that has forgotten the token: the lease is
+ * gone, the next token is higher, and it is not taken within a lease's
+ * lifetime.
+ */
+static void
+test_service_restored(void)
+{
+	uint64_t before;
+
+	setup();
+	ownership_set_era(owner, now, 1);
+	acquire_cell();
+	before = ownership_fencing_token(owner);
+	CU_ASSERT(ownership_valid(owner, now));
+	ownership_set_era(owner, now, 2);
+	CU_ASSERT(!ownership_valid(owner, now));
+	CU_ASSERT(!ownership_uncontested(owner, now));
+	free(cell_value);
+	cell_value = NULL;
+	cell_revision = 0;
+	now += 3900 * NSEC_PER_MSEC;
+	ownership_tick(owner, now, &ops);
+	CU_ASSERT(TAILQ_EMPTY(&ops));
+	now += 200 * NSEC_PER_MSEC;
+	acquire_cell();
+	CU_ASSERT(ownership_valid(owner, now));
+	CU_ASSERT(ownership_fencing_token(owner) > before + 1000);
+	/* The same era told again changes nothing. */
+	ownership_set_era(owner, now, 2);
+	CU_ASSERT(ownership_valid(owner, now));
+	teardown();
+}
+
+/* What the former era answers takes no effect. */
+static void
+test_answer_of_former_era(void)
+{
+	struct kv_result r;
+	struct kv_op *op;
+
+	setup();
+	ownership_set_era(owner, now, 1);
+	ownership_tick(owner, now, &ops);
+	answer_op(take_op(KV_GET), KV_ABSENT, NULL);
+	op = take_op(KV_GRANT);
+	ownership_set_era(owner, now, 2);
+	memset(&r, 0, sizeof(r));
+	r.id = op->id;
+	r.kind = KV_GRANT;
+	r.status = KV_OK;
+	r.lease_id = 9;
+	CU_ASSERT_EQUAL(ownership_kv_result(owner, now, &r, &ops), 0);
+	CU_ASSERT(TAILQ_EMPTY(&ops));
+	CU_ASSERT(!ownership_held(owner));
+	kv_op_destroy(op);
+	teardown();
+}
+
 static const struct unit_case cases[] = {
 	{ "acquisition", test_acquire },
 	{ "owned by another process", test_owned_by_other },
@@ -298,6 +359,8 @@
 	{ "outage", test_outage },
 	{ "stood still during an outage", test_stood_still },
 	{ "lease gone", test_lease_gone },
+	{ "service restored from a copy", test_service_restored },
+	{ "answer of a former era", test_answer_of_former_era },
 };
 
 UNIT_MAIN("own", cases)
