Soak: the service comes back from an older copy; two holders of one token

Copies are 0.5 to 4 s old, leases and their numbers go back too, and what the operator and the replicas wrote is written again. Replicas check that no two holders use one token. The trace shows the start (stopping 3432.4, told 3433.8, started 3435.2, request 3436.5); a machine that was just started is not in touch, so the check now names the process.

--- a/soak/notices.py
+++ b/soak/notices.py
@@ -19,7 +19,7 @@
         self.world = world
         self.sent_at = {}   # id -> when its caller sent it
         self.said = {}      # (id, replica) -> its start, as it said leaving
-        self.left = {}      # (vm, replica, start) -> when it was passed on
+        self.left = {}      # (vm, replica, start) -> when, by which process
         self.refusals = {}  # (vm, replica, start) -> [[from, until, n], ...]
 
     async def play(self, until):
@@ -66,8 +66,10 @@
                         "requests to a replica that takes none",
                         "%s at %s" % (call.id, engine.name))
         left = self.left.get(key)
-        if left is not None and vm.signaled_at < left and not vm.paused and \
-                self.sent_at.get(call.id, 0) > left + DRAIN_S:
+        # A process that started since has not heard of it.
+        if left is not None and vm.signaled_at < left[0] and \
+                vm.process is left[1] and not vm.paused and \
+                self.sent_at.get(call.id, 0) > left[0] + DRAIN_S:
             self.world.violations.add(
                 "new request to a replica that says that it leaves",
                 "%s at %s" % (call.id, engine.name))
@@ -89,4 +91,5 @@
         born = self.said.get((id, name))
         if names.get("server-leaving") == "1" and born is not None:
             self.world.count("leaving")
-            self.left.setdefault((vm.index, name, born), time.monotonic())
+            self.left.setdefault((vm.index, name, born),
+                                 (time.monotonic(), vm.process))
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,9 +4,9 @@
 
 Several entry processes serve callers while external faults overlap: signals;
 links that are slow, cut in one direction, silent or reset; a key-value service
-that is unavailable or loses writes; replicas that crash, drain, stop
-responding, say that they leave or take no requests, or limit their requests;
-new configurations.
+that is unavailable, loses writes or comes back from an older copy; replicas
+that crash, drain, stop responding, say that they leave or take no requests, or
+limit their requests; new configurations.
 What callers and replicas receive is checked all the time.  The logs of a
 failed seed are copied to DIR/SEED.
 """
@@ -295,7 +295,8 @@
         vm.paused = False
 
     async def store_fault(self, rng):
-        what = rng.choice(["silent", "busy", "lose", "cut", "forget"])
+        what = rng.choice(["silent", "busy", "lose", "cut", "forget",
+                           "restore"])
         if what in ("silent", "busy"):
             self.store.mode = what
             await asyncio.sleep(rng.uniform(0.3, 3.0))
@@ -307,12 +308,28 @@
             self.store.loss_ratio = 0.0
         elif what == "cut":
             self.store.cut()
+        elif what == "restore":
+            await self.restore_store(rng)
         else:
             self.store.dropped = self.store.revision
             self.store.cut()
         for vm in self.vms:
             vm.mark_disturbed()
 
+    async def restore_store(self, rng):
+        """It is away for a moment, and comes back from an older copy."""
+        copy = self.store.copy()
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        self.store.mode = "silent"
+        await asyncio.sleep(rng.uniform(0.1, 1.5))
+        self.store.restore(copy)
+        self.store.mode = "up"
+        # What the operator and the replicas wrote is written again.
+        await self.put_config()
+        for engine in self.engines:
+            if not engine.unresponsive:
+                await engine.publish()
+
     async def link_fault(self, rng):
         links = [(vm.store_link, vm) for vm in self.vms] + \
             [(e.link, None) for e in self.engines]
--- a/soak/world.py
+++ b/soak/world.py
@@ -126,6 +126,10 @@
             self.lease_ends[doc["lease"]] = now + doc["ttl_ms"] / 1000
         return status, doc
 
+    def restore(self, copy):
+        self.lease_ends = {}
+        super().restore(copy)
+
     async def expire_leases(self):
         """Ends expired leases; they do not age while the store is down."""
         while True:
@@ -148,7 +152,7 @@
         self.models = []
         self.loading = None
         self.sequence = 0
-        self.fence = 0
+        self.fence, self.holder = 0, ""
         self.state = "ready"
         self.born = 0
         self.link = None
@@ -259,7 +263,12 @@
     def accept(self, doc):
         if doc["fencing_token"] < self.fence:
             return 412
-        self.fence = doc["fencing_token"]
+        if doc["fencing_token"] == self.fence and \
+                doc["holder"] != self.holder:
+            self.world.violations.add(
+                "two holders with one fencing token", "%s: %s and %s, %d" % (
+                    self.name, self.holder, doc["holder"], self.fence))
+        self.fence, self.holder = doc["fencing_token"], doc["holder"]
         if self.loading is not None or doc["expected"] != self.sequence:
             return 409
         holds = doc["model"] in self.models
