An older list entry of a replica does not replace a later one

Cause: after a restoration the list has entries of the copy until replicas write theirs again, in about a second: one that drains was ready again, and what it holds went back. Revisions cannot tell, since the copy's are of the new era.

Change: a replica counts the entries that it writes from its start; of one start, an entry with a lower count changes nothing (core/directory).

Ruled out: trusting no entry for two seconds after a new era (those that were written again meanwhile are true, and new replicas would wait). Open: an entry that was removed, and forgotten here, comes back with the copy until it lapses.

Evidence: test_fleet (older entry of a restored list) fails without the change.

--- a/core/directory.c
+++ b/core/directory.c
@@ -127,6 +127,9 @@
 		m->prefill_share = PREFILL_SHARE_INITIAL;
 		kept_notice_take(&d->kept_notices, r->id, &m->notice);
 		HASH_ADD_STR(d->replicas, info.id, m);
+	} else if (m->info.started_ms == r->started_ms &&
+	    r->heartbeats < m->info.heartbeats) {
+		return m;
 	} else {
 		if (m->info.started_ms != r->started_ms) {
 			m->consecutive_failures = 0;
--- a/core/directory.h
+++ b/core/directory.h
@@ -96,8 +96,10 @@
 struct directory_replica *directory_find(
     const struct directory *, const char *);
 /*
- * Adds or updates a replica from its list entry.  Adapters and the order count
- * are kept while the replica has not restarted: other sources are newer.
+ * Adds or updates a replica from its list entry; one that is older than the
+ * known one, as a copy of the list may have, changes nothing.  Adapters and the
+ * order count are kept while the replica has not restarted: other sources are
+ * newer.
  */
 struct directory_replica *directory_put(
     struct directory *, const struct fleet_replica *);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -110,6 +110,7 @@
 	uint64_t leave_left_ns; /* LEAVING: time until it stops, 0 if unknown */
 	uint64_t started_ms;	/* start of this incarnation, Unix time in ms */
 	uint64_t accepted_orders; /* since its start; only in reports */
+	uint64_t heartbeats;	  /* since its start; only in the list */
 	uint64_t warmup_left_ns;  /* until it runs at full speed */
 	int busy;		  /* an order is being carried out */
 	uint32_t nresident;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -22,6 +22,7 @@
 static void test_many_peers(void);
 static void test_exclusions(void);
 static void test_address_reused(void);
+static void test_older_entry(void);
 
 static void
 test_routes(void)
@@ -313,6 +314,41 @@
 	directory_clear(&d);
 }
 
+/* A replica that leaves does not come back by an older copy of its entry. */
+static void
+test_older_entry(void)
+{
+	struct directory d;
+	struct fleet_replica r = make_replica("a", "m");
+	struct directory_replica *m;
+
+	directory_init(&d);
+	r.started_ms = 5;
+	r.heartbeats = 7;
+	r.state = REPLICA_LEAVING;
+	m = directory_put(&d, &r);
+	r.heartbeats = 3;
+	r.state = REPLICA_READY;
+	directory_put(&d, &r);
+	CU_ASSERT(directory_is_leaving(m));
+	/* Nor does one that is gone; a later entry brings it back. */
+	directory_remove(&d, NSEC_PER_SEC, "a");
+	m->local_load.running = 1;
+	directory_put(&d, &r);
+	CU_ASSERT(!directory_usable(m, NSEC_PER_SEC));
+	r.heartbeats = 8;
+	directory_put(&d, &r);
+	CU_ASSERT(directory_usable(m, NSEC_PER_SEC));
+	/* A new incarnation counts anew. */
+	r.started_ms = 6;
+	r.heartbeats = 1;
+	r.state = REPLICA_LEAVING;
+	directory_put(&d, &r);
+	CU_ASSERT(directory_is_leaving(m));
+	m->local_load.running = 0;
+	directory_clear(&d);
+}
+
 static const struct unit_case cases[] = {
 	{ "routes", test_routes },
 	{ "split routes", test_split },
@@ -325,6 +361,7 @@
 	{ "many peers", test_many_peers },
 	{ "excluded models", test_exclusions },
 	{ "address reused", test_address_reused },
+	{ "older entry of a restored list", test_older_entry },
 };
 
 UNIT_MAIN("fleet", cases)
