--- /dev/null
+++ b/entry/list_entries.c
@@ -0,0 +1,99 @@
+/* What entries of the key-value service's lists mean to this process. */
+#include <stdio.h>
+#include <string.h>
+
+#include "config.h"
+#include "peers.h"
+#include "replica.h"
+#include "session_int.h"
+
+static const char *format_models(const struct fleet_replica *, char *, size_t);
+static void put_config(struct list *, const struct list_key *);
+static void put_replica(struct list *, const struct list_key *);
+static void put_peer(struct list *, const struct list_key *);
+static void drop_replica(struct list *, const struct list_key *);
+static void drop_peer(struct list *, const struct list_key *);
+
+const struct list_handler list_handlers[LIST__MAX] = {
+	[LIST_CONFIG] = { PLATFORM_CONFIG_PREFIX, put_config, NULL },
+	[LIST_REPLICAS] = { PLATFORM_REPLICA_PREFIX, put_replica,
+	    drop_replica },
+	[LIST_PEERS] = { STORE_KEY_PREFIX PEERS_KEY_PREFIX, put_peer,
+	    drop_peer },
+};
+
+static void
+put_config(struct list *l, const struct list_key *k)
+{
+	if (strcmp(k->key, PLATFORM_CONFIG_KEY) == 0)
+		entry_receive_config(l->s->e, k->value, k->len, "store");
+}
+
+/* Lists the models that a replica has loaded, as far as they fit. */
+static const char *
+format_models(const struct fleet_replica *r, char *out, size_t size)
+{
+	size_t len = 0;
+	uint32_t i;
+
+	out[0] = '\0';
+	for (i = 0; i < r->nresident && len + NAME_SIZE < size; i++)
+		len += (size_t)snprintf(out + len, size - len, "%s%s",
+		    i == 0 ? "" : ",", r->resident[i]);
+	return out;
+}
+
+static void
+put_replica(struct list *l, const struct list_key *k)
+{
+	const char *id = k->key + strlen(PLATFORM_REPLICA_PREFIX);
+	struct fleet_replica r;
+	struct entry *e = l->s->e;
+	struct log_subject about = { 0 };
+	struct err err;
+	char models[160];
+
+	about.backend = id;
+	if (platform_replica_decode(id, k->value, k->len, &r, &err) == -1) {
+		log_event(LOG_REPLICA_BAD, &about, "%s", err.text);
+		drop_replica(l, k);
+		return;
+	}
+	directory_put(&e->dir, &r)->listed_at = e->now;
+	log_event(r.state == REPLICA_LEAVING ? LOG_REPLICA_LEAVING
+					     : LOG_REPLICA_LISTED,
+	    &about, "revision=%llu service=%s addr=%s models=%s left_ms=%llu",
+	    (unsigned long long)k->revision, r.service, r.addr,
+	    format_models(&r, models, sizeof(models)),
+	    (unsigned long long)(r.leave_left_ns / NSEC_PER_MSEC));
+}
+
+static void
+drop_replica(struct list *l, const struct list_key *k)
+{
+	const char *id = k->key + strlen(PLATFORM_REPLICA_PREFIX);
+	struct log_subject about = { 0 };
+
+	about.backend = id;
+	log_event(LOG_REPLICA_GONE, &about, "revision=%llu service_up=%d",
+	    (unsigned long long)k->revision, l->s->up);
+	if (l->grace_ns == GRACE_UNKNOWN)
+		directory_remove(&l->s->e->dir, l->s->e->now, id);
+	else
+		directory_remove_reported(
+		    &l->s->e->dir, l->s->e->now, id, l->grace_ns);
+}
+
+static void
+put_peer(struct list *l, const struct list_key *k)
+{
+	peers_set_listed(l->s->e->peers,
+	    k->key + strlen(STORE_KEY_PREFIX PEERS_KEY_PREFIX), k->value);
+}
+
+static void
+drop_peer(struct list *l, const struct list_key *k)
+{
+	peers_clear_listed(
+	    l->s->e->peers, k->key + strlen(STORE_KEY_PREFIX PEERS_KEY_PREFIX));
+}
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -91,6 +91,15 @@
 /* Sends a cheap call if the store has not answered within PROBE_NS. */
 void session_probe(struct session *);
 
+/* How the entries below a prefix are applied; drop may be NULL. */
+struct list_handler {
+	const char *prefix;
+	void (*put)(struct list *, const struct list_key *);
+	void (*drop)(struct list *, const struct list_key *);
+};
+
+/* list_entries.c */
+extern const struct list_handler list_handlers[LIST__MAX];
 /* lists.c */
 /* Starts reading all lists. */
 void lists_start(struct session *);
