--- a/core/balance.c
+++ b/core/balance.c
@@ -287,6 +287,8 @@
 
 	if (max > BALANCE_LIMITED_MAX)
 		max = BALANCE_LIMITED_MAX;
+	if (w->affinity_key != 0)
+		max = 1;
 	for (m = d->replicas; m != NULL; m = m->hh.next) {
 		if (directory_permitted(m, now) ||
 		    !replica_suits(now, w, m, &result))
@@ -295,7 +297,9 @@
 		if (!replica_is_full(w, d->prefill_window_ns,
 			directory_prefill_share(m, now), m, &load))
 			n = insert_by_delay(ids, delays, n, max, m->info.id,
-			    replica_delay_ms(w, m, &load));
+			    w->affinity_key != 0
+				? affinity_rank(w, m)
+				: replica_delay_ms(w, m, &load));
 	}
 	return n;
 }
--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -145,7 +145,7 @@
 forward_hold(struct forward *f)
 {
 	enqueue(f);
-	wait_until(f, f->deadline);
+	wait_until(f, f->hold_until);
 }
 
 void
--- a/entry/permit_io.c
+++ b/entry/permit_io.c
@@ -6,6 +6,7 @@
 #include "mem.h"
 #include "peers.h"
 #include "permit_io.h"
+#include "poison_io.h"
 
 /* A request for a permit is repeated, in case it is lost. */
 #define REPEAT_MIN_NS (150 * NSEC_PER_MSEC)
@@ -138,7 +139,9 @@
 	struct balance_request w;
 
 	r->nreplicas = 0;
-	if (forward_fill_balance(f, &w) == 0)
+	if (forward_fill_balance(f, &w) == 0 &&
+	    poison_io_care(p->e->poison_io, &f->params, &w.affinity_key) !=
+		POISON_WAIT)
 		r->nreplicas = balance_limited(&p->e->dir, p->e->now, &w,
 		    r->replicas, PERMIT_CANDIDATES_MAX);
 	return r->nreplicas;
@@ -169,8 +172,8 @@
 {
 	struct permit_request r = { 0 };
 
-	if (p->e->now < f->permit_ask_at || f->suspect != 0 ||
-	    p->e->now < f->hold_until || fill_candidates(p, f, &r) == 0)
+	if (p->e->now < f->permit_ask_at || p->e->now < f->hold_until ||
+	    fill_candidates(p, f, &r) == 0)
 		return;
 	if (f->wait_until > p->e->now)
 		r.max_wait_ns = f->wait_until - p->e->now;
@@ -206,7 +209,7 @@
 	if (f->hold_until != 0 || f->waiting.group != NULL)
 		return e->now < f->hold_until;
 	if (p->nlimited == 0 || directory_limit(m) != 0.0 || f->suspect != 0 ||
-	    forward_fill_balance(f, &w) == -1 ||
+	    f->attempts_made != 0 || forward_fill_balance(f, &w) == -1 ||
 	    !balance_limited_is_better(&e->dir, e->now, &w, m) ||
 	    fill_candidates(p, f, &r) == 0)
 		return 0;
