--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -543,6 +543,13 @@
     def before_answer(self, writer, line, id):
         """For the faults of a case."""
 
+    def refuses(self, writer, id):
+        """Whether it is full, and has said so."""
+        return False
+
+    async def work(self):
+        await asyncio.sleep(self.work_s)
+
     def misdirected(self, writer, id):
         writer.write((
             "HTTP/1.1 421 X\r\n%sArbutusspindle-Not-Executed: 1\r\n"
@@ -577,11 +584,13 @@
                         self.id, line, id))
                     self.misdirected(writer, id)
                     continue
+                if self.refuses(writer, id):
+                    continue
                 self.arrived.append((time.monotonic(), id, fields))
                 self.record("replica %s runs %s" % (self.id, id))
                 self.running[id] = time.monotonic()
                 try:
-                    await asyncio.sleep(self.work_s)
+                    await self.work()
                 finally:
                     self.running.pop(id, None)
                 if self.down:
