--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -273,6 +273,12 @@
         for w in list(self.writers):
             reset(w)
 
+    async def start_again(self):
+        """A new incarnation under the same id: empty, counts at 0."""
+        self.start_empty([])
+        await self.listen()
+        self.record("replica %s starts again, empty" % self.id)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -293,6 +299,9 @@
                     status = self.order(json.loads(body), fields)
                     if self.down:
                         return
+                    if status is None:  # it stays unanswered
+                        await reader.read()
+                        return
                     writer.write(b"HTTP/1.1 %d X\r\nContent-Length: 0"
                                  b"\r\n\r\n" % status)
                 elif not await self.request(reader, writer, target, fields):
