--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 from world import (TROUBLE, Entry, Shop, Store, config, main,  # noqa: E402
                    send, until)
 
-MACHINES = 5
+MACHINES = int(os.environ.get("MACHINES", "5"))
 WORK_S = 0.1
 DRAIN_S = 2.0   # drain_ms
 SERVES_S = 8.0  # "a little longer (at times many seconds)"
