--- a/review/2/case.py
+++ b/review/2/case.py
@@ -35,8 +35,11 @@
     await asyncio.sleep(4)
     if TROUBLE:
         # From another writer, bytes that cannot be read.
-        store.put("servers/i-0", bytes(64))
-        record("another writer puts 64 zero bytes at servers/i-0")
+        value = bytes(64)
+        if os.environ.get("VALUE") == "large":
+            value = b"x" * 1048576  # value_bytes
+        store.put("servers/i-0", value)
+        record("another writer puts %d bytes at servers/i-0" % len(value))
     await asyncio.sleep(4)  # longer than stable_ms
 
     answers = []
