--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,46 +1,39 @@
-"""A replica sends its answer to a report twice, the second time late; a
-request that it runs goes on at another replica too."""
+"""A faulty replica's answer breaks inside the end of its head, and a late answer
+to an earlier request follows there."""
 import asyncio
-import json
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "lib"))
-from world import (TROUBLE, Engine, Entry, Store, config, main,  # noqa: E402
+from world import (TROUBLE, Entry, Shop, Store, config, main,  # noqa: E402
                    send, until)
 
-STILL_S = 0.4  # the rule's 400 ms
-TOKENS = "1460,172"  # the mean of plate-describe: 86 events
 
+class Garbling(Shop):
+    """Spoils one answer: before the last byte of its head it sends the answer
+    to an earlier request once more."""
+    armed = False
+    spoilt = False
 
-class Garbling(Engine):
-    """Sends an extra response where the next response is expected."""
-    extra = None  # (connection, bytes), once
-
-    async def before_answer(self, writer, target):
-        if self.extra is None and target == "/api/report" and TROUBLE:
-            text = json.dumps(self.report()).encode()
-            self.extra = (writer, b"HTTP/1.1 200 X\r\nContent-Type: "
-                          b"application/json\r\nContent-Length: %d\r\n\r\n"
-                          % len(text) + text)
-        elif self.extra is not None and self.extra[0] is writer:
-            self.record("replica %s sends an extra answer to the report" %
-                        self.id)
-            writer.write(self.extra[1])
-            self.extra = (None, b"")
+    def answer(self, id, body):
+        body = body.ljust(800, b".")  # the site's answers have 800 B
+        sound = super().answer(id, body)
+        if not self.armed or self.spoilt:
+            self.before = sound
+            return sound
+        self.spoilt = True
+        self.record("replica %s spoils its answer to %s" % (self.id, id))
+        at = len(sound) - len(body) - 1
+        return sound[:at] + self.before + sound[at:]
 
 
 async def case(record, folder, entries):
-    sizes = {"m0": 72700, "m1": 72700}
     store = Store(record)
     await store.listen()
-    store.put("op/config", config(sizes, adapters=0))
-    # A busy model is on both replicas, the other one on one of them.
-    a = Garbling(record, store, "i-1", ["m0", "m1"], sizes)
-    b = Engine(record, store, "i-2", ["m0"], sizes, zone="z2")
-    await a.listen()
-    await b.listen()
+    store.put("op/config", config({"m0": 72700}))
+    shop = Garbling(record, store, "i-1")
+    await shop.listen()
     entries += [Entry(record, folder, 1, store)]
     e = entries[0]
     e.start()
@@ -48,25 +41,18 @@
         record("%s is not ready" % e.name)
         return 2
     await asyncio.sleep(4)  # longer than stable_ms
-
-    tasks = []
-    for n in range(1, 7):
-        tasks.append(asyncio.ensure_future(send(
-            record, e.front, "s-%d" % n, model="m0" if n % 2 else "m1",
-            tokens=TOKENS)))
-        await asyncio.sleep(0.03)
-    await asyncio.wait(tasks, timeout=20)
-    broken = 0
-    for x in a.all_runs:
-        for y in b.all_runs:
-            if x["id"] != y["id"]:
-                continue
-            over = (x["to"] or y["to"]) - y["from"]
-            record("%s runs at i-2 from %.3f s on; i-1 still worked on it "
-                   "%.0f ms later" % (x["id"], y["from"] - record.start,
-                                      over * 1000))
-            broken += over > STILL_S
-    return 1 if broken else 0
+    first = await send(record, e.front, "order-1", path="/order/x",
+                       deadline_ms=1000)
+    shop.armed = TROUBLE
+    second = await send(record, e.front, "order-2", path="/order/x",
+                        deadline_ms=1000)
+    for a, id in ((first, "order-1"), (second, "order-2")):
+        record("%s: status %d, signature %s, body %r" % (
+            id, a.status, a.fields.get(
+                "arbutusspindle-response-signature"), a.body[:300]))
+    wrong = second.status == 200 and \
+        second.body != b"order-2 by i-1".ljust(800, b".")
+    return 1 if wrong else 0
 
 
 main(case)
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -559,6 +559,12 @@
     async def work(self):
         await asyncio.sleep(self.work_s)
 
+    def answer(self, id, body):
+        return ("HTTP/1.1 200 OK\r\nArbutusspindle-Attempt-Id: %s\r\n"
+                "Arbutusspindle-Response-Signature: sig.%s\r\n"
+                "Keep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n" % (
+                    id, self.id, len(body))).encode() + body
+
     def misdirected(self, writer, id):
         writer.write((
             "HTTP/1.1 421 X\r\n%sArbutusspindle-Not-Executed: 1\r\n"
@@ -605,12 +611,8 @@
                 if self.down:
                     return
                 self.finished.append(id)
-                body = b"done by " + self.id.encode()
-                writer.write((
-                    "HTTP/1.1 200 OK\r\nArbutusspindle-Attempt-Id: %s\r\n"
-                    "Arbutusspindle-Response-Signature: sig.%s\r\n"
-                    "Keep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n" % (
-                        id, self.id, len(body))).encode() + body)
+                writer.write(self.answer(id, ("%s by %s" % (
+                    id, self.id)).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError):
