--- a/review/1/case.py
+++ b/review/1/case.py
@@ -117,6 +117,9 @@
     record("TWICE: ran more than once: %s" % (" ".join(twice) or "none"))
     record("REFUSED: ran, and the client got 503: %s" % (
         " ".join(refused) or "none"))
+    if TROUBLE and first.extras == 0:
+        record("no order came to i-1 again on its connection")
+        return 2
     return 1 if twice or refused else 0
 
 
