--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "lib"))
+                                ".."))
 from world import (TROUBLE, Entry, Shop, Store, config, main,  # noqa: E402
                    send, until)
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "lib"))
+                                ".."))
 from world import (TROUBLE, Entry, Shop, Store, config, main,  # noqa: E402
                    send, until)
 
--- a/review/lib/world.py
+++ b/review/world.py
@@ -16,12 +16,12 @@
 import time
 import urllib.parse
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
-    os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = "target/spindle-entry"  # as in deploy/system.toml
 ID = "arbutusspindle-attempt-id"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.2
+STEP_S, SLOT_S = 0.0101, 0.0000328  # of an engine; an event has two tokens
 
 
 class Record:
@@ -506,7 +506,7 @@
             piece = b"id: %d\ndata: %s\n\n" % (i, b"x" * 28)
             writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
             run["events"] = i
-            await asyncio.sleep(2 * (10.1 + 0.0328 * len(self.runs)) / 1000)
+            await asyncio.sleep(2 * (STEP_S + SLOT_S * len(self.runs)))
         writer.write(b"0\r\n\r\n")
         return True
 
@@ -856,6 +856,7 @@
         sys.exit(2)
     entries = []
     status = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as folder:
         try:
             status = asyncio.run(asyncio.wait_for(
