--- a/entry/admin.c
+++ b/entry/admin.c
@@ -51,6 +51,7 @@
 static void write_config_metrics(struct entry *, FILE *);
 static void write_list_metrics(struct entry *, FILE *);
 static void write_attempt_metrics(struct entry *, FILE *);
+static void write_connection_metrics(const struct entry *, FILE *);
 
 static const struct acceptor_ops admin_ops = {
 	.accepted = on_accepted,
@@ -364,6 +365,20 @@
 	    e->list_source);
 }
 
+static void
+write_connection_metrics(const struct entry *e, FILE *f)
+{
+	metric_write(f, "spindle_entry_connections_total", "counter",
+	    "Connections opened to replicas.",
+	    conn_pool_opened_count(e->replicas));
+	metric_write(f, "spindle_entry_malformed_answers_total", "counter",
+	    "Connections to replicas closed for bytes that are no answer.",
+	    conn_pool_malformed_count(e->replicas));
+	metric_write(f, "spindle_entry_late_answers_total", "counter",
+	    "Answers of replicas that belong to an earlier request.",
+	    conn_pool_skipped_count(e->replicas));
+}
+
 static void
 write_metrics(struct entry *e, FILE *f)
 {
@@ -383,9 +398,7 @@
 	    "Calls to the key-value service.", session_calls(e->session));
 	metric_write(f, "spindle_entry_peers", "gauge", "Known peers.",
 	    peers_count(e->peers));
-	metric_write(f, "spindle_entry_connections_total", "counter",
-	    "Connections opened to replicas.",
-	    conn_pool_opened_count(e->replicas));
+	write_connection_metrics(e, f);
 	metric_write(f, "spindle_entry_holds_orders", "gauge",
 	    "Whether this process orders engines.", (uint64_t)t.is_leader);
 	metric_write(f, "spindle_entry_fence", "gauge",
--- a/net/http.c
+++ b/net/http.c
@@ -8,10 +8,12 @@
 
 #include "base.h"
 #include "http.h"
+#include "http_framing.h"
 #include "mem.h"
 
 struct http_reader {
 	http_parser parser;
+	struct http_framing framing;
 	const struct http_reader_ops *ops;
 	void *ctx;
 	enum http_message_kind kind;
@@ -39,6 +41,11 @@
 static int on_end(http_parser *);
 static void head_add_field(struct http_head *);
 static int head_is_valid(const struct http_head *);
+static int is_chunked_or_plain(const struct http_head *);
+static int is_broken(const struct http_reader *);
+static long reader_execute(struct http_reader *, const char *, size_t);
+static long reader_parse(struct http_reader *, const char *, size_t);
+static long reader_complete(struct http_reader *, size_t);
 static int message_has_body(
     const struct http_reader *, const struct http_head *);
 static int list_contains(const char *, const char *);
@@ -94,6 +101,7 @@
 {
 	http_parser_init(&r->parser,
 	    r->kind == HTTP_READ_REQUESTS ? HTTP_REQUEST : HTTP_RESPONSE);
+	http_framing_start(&r->framing, r->kind == HTTP_READ_RESPONSES);
 	r->parser.data = r;
 	r->in_message = 0;
 	r->in_value = 1;
@@ -199,6 +207,18 @@
 	return 1;
 }
 
+/*
+ * Whether a response has no transfer coding but "chunked".  With another one
+ * its body would be passed on with the coding's own bytes.
+ */
+static int
+is_chunked_or_plain(const struct http_head *h)
+{
+	const char *coding = http_field_find(h, "Transfer-Encoding");
+
+	return coding == NULL || strcasecmp(coding, "chunked") == 0;
+}
+
 static int
 message_has_body(const struct http_reader *r, const struct http_head *h)
 {
@@ -222,7 +242,8 @@
 		h->close_delimited = !(p->flags & F_CHUNKED) &&
 		    p->content_length == ULLONG_MAX && message_has_body(r, h);
 	}
-	if (!head_is_valid(h) || p->http_major != 1) {
+	if (!head_is_valid(h) || p->http_major != 1 ||
+	    (r->kind == HTTP_READ_RESPONSES && !is_chunked_or_plain(h))) {
 		r->invalid = 1;
 		return -1;
 	}
@@ -260,29 +281,84 @@
 	r->no_body = 1;
 }
 
+static int
+is_broken(const struct http_reader *r)
+{
+	return r->invalid || r->parser.upgrade ||
+	    HTTP_PARSER_ERRNO(&r->parser) != HPE_OK;
+}
+
+/* Handles the end of a message after n bytes. */
+static long
+reader_complete(struct http_reader *r, size_t n)
+{
+	if (r->kind == HTTP_READ_RESPONSES && r->head.status / 100 == 1) {
+		/* The final response follows. */
+		reader_restart(r);
+		return ++r->ninterim > INTERIM_MAX ? -1 : (long)n;
+	}
+	r->in_message = 0;
+	r->ops->end(r->ctx);
+	return (long)n;
+}
+
+/* Passes bytes to the parser; returns how many it took, or -1. */
+static long
+reader_execute(struct http_reader *r, const char *p, size_t len)
+{
+	size_t n = 0;
+
+	/* Without any, it takes the connection as closed. */
+	if (len != 0)
+		n = http_parser_execute(&r->parser, &http_callbacks, p, len);
+	return !r->complete && is_broken(r) ? -1 : (long)n;
+}
+
+/*
+ * Parses bytes of one part of a message: its head, or its body.  The parser
+ * gets no byte behind the end of the head that the framing has found, and must
+ * have found the same end.
+ */
+static long
+reader_parse(struct http_reader *r, const char *p, size_t len)
+{
+	int in_head = r->framing.state == FRAMING_HEAD;
+	size_t n = len;
+	long parsed;
+
+	if (r->framing.state != FRAMING_BODY)
+		n = http_framing_scan(&r->framing, p, len);
+	parsed = reader_execute(r, p, n);
+	if (parsed == -1 || r->framing.state == FRAMING_INVALID)
+		return -1;
+	if (in_head) {
+		if ((r->framing.state == FRAMING_BODY) != r->head_done)
+			return -1;
+		if (!r->head_done)
+			r->head_bytes += r->in_message ? n : 0;
+		else if (!r->complete && (r->parser.flags & F_CHUNKED))
+			http_framing_start_chunks(&r->framing);
+	}
+	return parsed;
+}
+
 long
 http_reader_feed(struct http_reader *r, const char *p, size_t len)
 {
-	size_t n;
+	int in_head = r->framing.state == FRAMING_HEAD;
+	long n;
+	long more;
 
-	n = http_parser_execute(&r->parser, &http_callbacks, p, len);
-	if (r->complete) {
-		if (r->kind == HTTP_READ_RESPONSES &&
-		    r->head.status / 100 == 1) {
-			/* The final response follows. */
-			reader_restart(r);
-			return ++r->ninterim > INTERIM_MAX ? -1 : (long)n;
-		}
-		r->in_message = 0;
-		r->ops->end(r->ctx);
-		return (long)n;
-	}
-	if (r->invalid || r->parser.upgrade ||
-	    HTTP_PARSER_ERRNO(&r->parser) != HPE_OK)
+	n = reader_parse(r, p, len);
+	if (n == -1)
 		return -1;
-	if (r->in_message && !r->head_done)
-		r->head_bytes += n;
-	return (long)n;
+	if (in_head && r->head_done && !r->complete && (size_t)n < len) {
+		more = reader_parse(r, p + n, len - (size_t)n);
+		if (more == -1)
+			return -1;
+		n += more;
+	}
+	return r->complete ? reader_complete(r, (size_t)n) : n;
 }
 
 int
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -54,6 +54,8 @@
 	struct conn_pool_config config;
 	struct pool_address *addresses;
 	uint64_t connections;
+	uint64_t malformed;
+	uint64_t skipped;
 };
 
 static struct pool_address *pool_find_address(struct conn_pool *, const char *);
@@ -122,6 +124,18 @@
 	return p->connections;
 }
 
+uint64_t
+conn_pool_malformed_count(const struct conn_pool *p)
+{
+	return p->malformed;
+}
+
+uint64_t
+conn_pool_skipped_count(const struct conn_pool *p)
+{
+	return p->skipped;
+}
+
 static struct pool_address *
 pool_find_address(struct conn_pool *p, const char *addr)
 {
@@ -361,7 +375,9 @@
 	if (x->ops == NULL)
 		return;
 	x->skipping = x->ops->head(x->ctx, h);
-	if (!x->skipping)
+	if (x->skipping)
+		x->pool->skipped++;
+	else
 		x->head_received = 1;
 }
 
@@ -404,6 +420,7 @@
 		}
 		if (x->skipping)
 			x->skipped_bytes += n < 0 ? 0 : (size_t)n;
+		x->pool->malformed += n < 0;
 		if (n < 0 || x->unwanted ||
 		    x->skipped_bytes > SKIPPED_MAX_BYTES) {
 			exchange_report_end(x, exchange_failure(x));
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -74,5 +74,9 @@
 int exchange_has_new_conn(const struct exchange *);
 /* Number of connections opened so far. */
 uint64_t conn_pool_opened_count(const struct conn_pool *);
+/* Number of connections closed for bytes that are no response. */
+uint64_t conn_pool_malformed_count(const struct conn_pool *);
+/* Number of responses that belonged to earlier requests. */
+uint64_t conn_pool_skipped_count(const struct conn_pool *);
 
 #endif
--- a/shell/fetch.c
+++ b/shell/fetch.c
@@ -8,6 +8,7 @@
 #include <uthash.h>
 
 #include "fetch.h"
+#include "http_framing.h"
 #include "mem.h"
 
 #define FETCH_POLL_MSEC 1000
@@ -27,6 +28,7 @@
 	void (*release)(void *);
 	int writing;
 	int head_reported;
+	struct http_framing framing; /* of the latest head */
 	int status;
 	char content_type[FETCH_CONTENT_TYPE_SIZE];
 	char *fields; /* of the latest head */
@@ -64,6 +66,7 @@
 static void transfer_free(struct transfer *);
 static void transfer_options(struct transfer *, const struct fetch_spec *);
 static int on_prereq(void *, char *, char *, int, int);
+static int transfer_check_line(struct transfer *, const char *, size_t);
 static size_t on_header(char *, size_t, size_t, void *);
 static size_t on_body(char *, size_t, size_t, void *);
 static void transfer_notify(
@@ -174,6 +177,16 @@
 	t->fields[t->fields_len] = '\0';
 }
 
+/* Whether a line goes on with a head, by a stricter rule than libcurl's. */
+static int
+transfer_check_line(struct transfer *t, const char *line, size_t len)
+{
+	if (t->framing.state != FRAMING_HEAD) /* after an interim response */
+		http_framing_start(&t->framing, 1);
+	return http_framing_scan(&t->framing, line, len) == len;
+}
+
+/* Any other value than the length of the line fails the transfer. */
 static size_t
 on_header(char *line, size_t size, size_t n, void *arg)
 {
@@ -189,8 +202,11 @@
 		snprintf(t->content_type, sizeof(t->content_type), "%.*s",
 		    (int)strcspn(line + skip, "\r\n"), line + skip);
 	}
-	if (!t->head_reported)
+	if (!t->head_reported) {
+		if (!transfer_check_line(t, line, len))
+			return 0;
 		transfer_add_field(t, line, len);
+	}
 	if (len > 2 || t->head_reported)
 		return len;
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
@@ -259,6 +275,7 @@
 	t->fetch = f;
 	t->cookie = spec->cookie;
 	t->release = spec->release;
+	http_framing_start(&t->framing, 1);
 	t->easy = curl_easy_init();
 	t->body = mem_alloc(spec->len + 1);
 	if (spec->len != 0)
--- /dev/null
+++ b/shell/http_framing.c
@@ -0,0 +1,184 @@
+#include <ctype.h>
+#include <string.h>
+
+#include "base.h"
+#include "http_framing.h"
+
+#define CR '\r'
+#define LF '\n'
+#define DELETE 127
+/* The start of a response; a # stands for a digit. */
+#define STATUS_LINE_START "HTTP/#.# ###"
+/* Of a chunk's size: 60 bits. */
+#define CHUNK_DIGITS_MAX 15
+
+static int is_text(unsigned char);
+static int status_line_begins(struct http_framing *, unsigned char);
+static int is_expected(struct http_framing *, unsigned char);
+static enum http_framing_state end_line(struct http_framing *);
+static enum http_framing_state scan_line(struct http_framing *, unsigned char);
+static enum http_framing_state scan_size(struct http_framing *, unsigned char);
+static enum http_framing_state scan_extension(unsigned char);
+static enum http_framing_state scan_chunked(
+    struct http_framing *, unsigned char);
+static size_t skip_data(struct http_framing *, size_t);
+
+void
+http_framing_start(struct http_framing *f, int response)
+{
+	memset(f, 0, sizeof(*f));
+	f->response = response;
+}
+
+void
+http_framing_start_chunks(struct http_framing *f)
+{
+	f->state = FRAMING_CHUNK_SIZE;
+	f->ndigits = 0;
+	f->chunk_left = 0;
+}
+
+static int
+is_text(unsigned char c)
+{
+	return c == '\t' || (c >= ' ' && c != DELETE);
+}
+
+/* Whether the byte completes the start of a response. */
+static int
+status_line_begins(struct http_framing *f, unsigned char c)
+{
+	static const char start[] = STATUS_LINE_START;
+	char want = start[f->matched];
+
+	if (want == '#' ? isdigit(c) : c == (unsigned char)want)
+		f->matched++;
+	else
+		f->matched = c == 'H';
+	if (f->matched < sizeof(start) - 1)
+		return 0;
+	f->matched = 0;
+	return 1;
+}
+
+/* Whether a response's line neither folds nor holds another response. */
+static int
+is_expected(struct http_framing *f, unsigned char c)
+{
+	if (f->lines != 0 && f->line_len == 0 && (c == ' ' || c == '\t'))
+		return 0;
+	return !status_line_begins(f, c) ||
+	    (f->lines == 0 && f->line_len == sizeof(STATUS_LINE_START) - 2);
+}
+
+/* The state after the end of a line of the head or of the trailer. */
+static enum http_framing_state
+end_line(struct http_framing *f)
+{
+	size_t len = f->line_len;
+
+	f->line_len = 0;
+	f->matched = 0;
+	if (len != 0)
+		f->lines++;
+	else if (f->lines != 0) /* otherwise it comes before the message */
+		return f->state == FRAMING_HEAD ? FRAMING_BODY : FRAMING_END;
+	return f->state;
+}
+
+static enum http_framing_state
+scan_line(struct http_framing *f, unsigned char c)
+{
+	if (f->after_cr) {
+		f->after_cr = 0;
+		return c == LF ? end_line(f) : FRAMING_INVALID;
+	}
+	if (c == CR) {
+		f->after_cr = 1;
+		return f->state;
+	}
+	if (c == LF && !f->response)
+		return end_line(f);
+	if (!is_text(c) || (f->response && !is_expected(f, c)))
+		return FRAMING_INVALID;
+	f->line_len++;
+	return f->state;
+}
+
+static enum http_framing_state
+scan_size(struct http_framing *f, unsigned char c)
+{
+	if (isxdigit(c)) {
+		if (f->ndigits++ == CHUNK_DIGITS_MAX)
+			return FRAMING_INVALID;
+		f->chunk_left = f->chunk_left << 4 |
+		    (uint64_t)(isdigit(c) ? c - '0' : tolower(c) - 'a' + 10);
+		return FRAMING_CHUNK_SIZE;
+	}
+	return f->ndigits == 0 ? FRAMING_INVALID : scan_extension(c);
+}
+
+static enum http_framing_state
+scan_extension(unsigned char c)
+{
+	if (c == CR)
+		return FRAMING_CHUNK_SIZE_LF;
+	return is_text(c) ? FRAMING_CHUNK_EXTENSION : FRAMING_INVALID;
+}
+
+static enum http_framing_state
+scan_chunked(struct http_framing *f, unsigned char c)
+{
+	switch (f->state) {
+	case FRAMING_CHUNK_SIZE:
+		return scan_size(f, c);
+	case FRAMING_CHUNK_EXTENSION:
+		return scan_extension(c);
+	case FRAMING_CHUNK_SIZE_LF:
+		if (c != LF)
+			return FRAMING_INVALID;
+		return f->chunk_left != 0 ? FRAMING_CHUNK_DATA
+					  : FRAMING_TRAILER;
+	case FRAMING_CHUNK_DATA_CR:
+		return c == CR ? FRAMING_CHUNK_DATA_LF : FRAMING_INVALID;
+	case FRAMING_CHUNK_DATA_LF:
+		f->ndigits = 0;
+		return c == LF ? FRAMING_CHUNK_SIZE : FRAMING_INVALID;
+	default:
+		return FRAMING_INVALID;
+	}
+}
+
+static size_t
+skip_data(struct http_framing *f, size_t len)
+{
+	size_t n = len < f->chunk_left ? len : (size_t)f->chunk_left;
+
+	f->chunk_left -= n;
+	if (f->chunk_left == 0)
+		f->state = FRAMING_CHUNK_DATA_CR;
+	return n;
+}
+
+size_t
+http_framing_scan(struct http_framing *f, const char *p, size_t len)
+{
+	unsigned char c;
+	size_t i = 0;
+
+	while (i < len && f->state != FRAMING_BODY && f->state != FRAMING_END) {
+		if (f->state == FRAMING_CHUNK_DATA) {
+			i += skip_data(f, len - i);
+			continue;
+		}
+		c = (unsigned char)p[i];
+		f->state =
+		    f->state == FRAMING_HEAD || f->state == FRAMING_TRAILER
+		    ? scan_line(f, c)
+		    : scan_chunked(f, c);
+		if (f->state == FRAMING_INVALID)
+			break;
+		i++;
+	}
+	return i;
+}
