--- a/Makefile
+++ b/Makefile
@@ -124,6 +124,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lcunit
 
+$(BUILD)/test_tag_set: $(BUILD)/tests/test_tag_set.o $(BUILD)/tests/unit.o \
+    $(BUILD)/net/tag_set.o $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lcunit
+
 $(BUILD)/test_conf_decoder: $(BUILD)/tests/test_conf_decoder.o \
     $(BUILD)/tests/unit.o $(BUILD)/entry/conf_decoder.o $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "forward_int.h"
+#include "hash.h"
 #include "mem.h"
 #include "peers.h"
 
@@ -20,6 +21,7 @@
 #define READ_PAUSE_BYTES 131072
 
 static void forward_add_work(struct forward *, struct directory_replica *);
+static void forward_open_exchange(struct forward *, const char *, int);
 static int on_head(void *, const struct http_head *);
 static int on_body(void *, const char *, size_t);
 static int on_stream_body(struct forward *, const char *, size_t);
@@ -53,6 +55,21 @@
 	peers_report_soon(f->e->peers);
 }
 
+static void
+forward_open_exchange(struct forward *f, const char *addr, int no_body)
+{
+	struct exchange_conn conn = { 0 };
+
+	conn.reuse_ns =
+	    f->route.kind == ROUTE_AT_MOST_ONCE ? ONCE_IDLE_NS : TIME_NEVER / 4;
+	conn.tag = hash_text(f->params.id);
+	/* Where a late copy of the response ends depends on the request. */
+	conn.single_use = no_body;
+	f->exchange = exchange_start(f->e->replicas, addr, &conn, &send_ops, f);
+	if (no_body)
+		exchange_expect_no_body(f->exchange);
+}
+
 void
 forward_start_attempt(struct forward *f, struct directory_replica *m)
 {
@@ -94,11 +111,7 @@
 	t.has_body = buf_len(body) != 0 || strcmp(h->method, "GET") != 0;
 	fields_write_request(&out, h, &t);
 	buf_add(&out, buf_data(body), buf_len(body));
-	f->exchange = exchange_start(f->e->replicas, m->info.addr,
-	    f->route.kind == ROUTE_AT_MOST_ONCE ? ONCE_IDLE_NS : TIME_NEVER / 4,
-	    &send_ops, f);
-	if (strcmp(h->method, "HEAD") == 0)
-		exchange_expect_no_body(f->exchange);
+	forward_open_exchange(f, m->info.addr, strcmp(h->method, "HEAD") == 0);
 	exchange_send(f->exchange, buf_data(&out), buf_len(&out));
 	buf_free(&out);
 	f->new_connection = exchange_has_new_conn(f->exchange);
--- a/entry/query.c
+++ b/entry/query.c
@@ -43,6 +43,7 @@
     const struct buf *request, uint64_t send_by, double timeout_s,
     query_head_callback head, query_callback answer, void *ctx)
 {
+	struct exchange_conn conn = { .reuse_ns = TIME_NEVER / 4 };
 	struct query *q;
 
 	q = mem_alloc(sizeof(*q));
@@ -51,7 +52,7 @@
 	q->callback = answer;
 	q->ctx = ctx;
 	TAILQ_INSERT_TAIL(&e->queries, q, entry);
-	q->exchange = exchange_start(pool, addr, TIME_NEVER / 4, &query_ops, q);
+	q->exchange = exchange_start(pool, addr, &conn, &query_ops, q);
 	exchange_set_send_by(q->exchange, send_by);
 	exchange_send(q->exchange, buf_data(request), buf_len(request));
 	q->expiry = expiry_create(e->loop, &query_expiry_ops, q);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -10,10 +10,13 @@
 #include "expiry.h"
 #include "http_client.h"
 #include "mem.h"
+#include "tag_set.h"
 
 /* Of late responses to earlier requests; with more, the connection is closed.
  */
 #define SKIPPED_MAX_BYTES 1048576
+/* Requests on one connection, whose ids it remembers; then it is closed. */
+#define CONN_REQUESTS_MAX 1024
 
 /* A connection with its current exchange; idle while ops is NULL. */
 struct exchange {
@@ -24,6 +27,8 @@
 	struct http_reader *reader;
 	const struct exchange_ops *ops;
 	void *ctx;
+	struct tag_set tags;   /* of the requests that it has carried */
+	int single_use;	       /* closed after the current exchange */
 	struct expiry *expiry; /* connect or idle timeout */
 	uint64_t idle_since_ns;
 	uint64_t reuse_until_ns; /* idle: not reused after this */
@@ -61,6 +66,8 @@
 static struct pool_address *pool_find_address(struct conn_pool *, const char *);
 static struct exchange *exchange_connect(
     struct conn_pool *, struct pool_address *);
+static struct exchange *pool_find_idle(
+    struct pool_address *, const struct exchange_conn *);
 static void exchange_destroy(struct exchange *);
 static void exchange_report_end(struct exchange *, enum exchange_result);
 static void exchange_return_to_pool(struct exchange *);
@@ -191,22 +198,41 @@
 	expiry_destroy(x->expiry);
 	conn_destroy(x->conn);
 	http_reader_destroy(x->reader);
+	tag_set_free(&x->tags);
 	free(x);
 }
 
+/* The connection used last that has not carried the tag, or NULL. */
+static struct exchange *
+pool_find_idle(struct pool_address *a, const struct exchange_conn *c)
+{
+	struct exchange *x, *next;
+	uint64_t now = clock_mono();
+
+	if (c->single_use)
+		return NULL;
+	for (x = TAILQ_FIRST(&a->idle); x != NULL; x = next) {
+		next = TAILQ_NEXT(x, entry);
+		/* The server has closed it, or sent what nobody asked for. */
+		if (exchange_has_input(x))
+			exchange_destroy(x);
+		else if (c->tag == 0 || !tag_set_has(&x->tags, c->tag))
+			break;
+	}
+	if (x == NULL || now >= x->reuse_until_ns ||
+	    (x->keep_alive_ns == 0 && now >= x->idle_since_ns + c->reuse_ns))
+		return NULL;
+	return x;
+}
+
 struct exchange *
-exchange_start(struct conn_pool *p, const char *addr, uint64_t reuse_ns,
-    const struct exchange_ops *ops, void *ctx)
+exchange_start(struct conn_pool *p, const char *addr,
+    const struct exchange_conn *c, const struct exchange_ops *ops, void *ctx)
 {
 	struct pool_address *a = pool_find_address(p, addr);
-	struct exchange *x;
-	uint64_t now = clock_mono();
+	struct exchange *x = pool_find_idle(a, c);
 
-	/* The server has closed it, or sent what nobody asked for. */
-	while ((x = TAILQ_FIRST(&a->idle)) != NULL && exchange_has_input(x))
-		exchange_destroy(x);
-	if (x != NULL && now < x->reuse_until_ns &&
-	    (x->keep_alive_ns != 0 || now < x->idle_since_ns + reuse_ns)) {
+	if (x != NULL) {
 		TAILQ_REMOVE(&a->idle, x, entry);
 		a->nidle--;
 		x->idle_since_ns = 0;
@@ -215,6 +241,9 @@
 	} else {
 		x = exchange_connect(p, a);
 	}
+	x->single_use = c->single_use;
+	if (c->tag != 0)
+		tag_set_add(&x->tags, c->tag);
 	x->ops = ops;
 	x->ctx = ctx;
 	x->head_received = 0;
@@ -313,6 +342,7 @@
 	const struct http_head *h = http_reader_head(x->reader);
 
 	return surplus == 0 && h->keep_alive && !h->close_delimited &&
+	    !x->single_use && x->tags.n < CONN_REQUESTS_MAX &&
 	    conn_unsent_bytes(x->conn) == 0;
 }
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -45,13 +45,32 @@
 struct conn_pool *conn_pool_create(
     struct ev_loop *, const struct conn_pool_config *);
 void conn_pool_destroy(struct conn_pool *);
+/* Which connection an exchange may use. */
+struct exchange_conn {
+	/*
+	 * An idle one that was last used within this time, ns, or whose server
+	 * announced a keep-alive time.
+	 */
+	uint64_t reuse_ns;
+	/*
+	 * Hash of the request's id; 0 without one.  A late copy of an earlier
+	 * response has the id of its request, so a request is never sent on a
+	 * connection that has carried the same id.
+	 */
+	uint64_t tag;
+	/*
+	 * Only a new one, which is closed afterwards: nothing in the response
+	 * tells it from a late copy of another.
+	 */
+	int single_use;
+};
+
 /*
- * Begins an exchange with the server at the address.  An idle connection is
- * reused when its server announced a keep-alive time, or when it was last used
- * within the given time (ns).  end() is never called before this returns.
+ * Begins an exchange with the server at the address; end() is never called
+ * before this returns.
  */
-struct exchange *exchange_start(struct conn_pool *, const char *, uint64_t,
-    const struct exchange_ops *, void *);
+struct exchange *exchange_start(struct conn_pool *, const char *,
+    const struct exchange_conn *, const struct exchange_ops *, void *);
 void exchange_send(struct exchange *, const void *, size_t);
 /*
  * The request is not sent after a time, monotonic ns, even if the connection is
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import os
+import random
 import re
 import resource
 import select
@@ -360,6 +361,94 @@
         w.stop()
 
 
+class RepeatingReplica:
+    """A script of a replica that refuses some requests, runs others, and
+    before an answer repeats earlier answers of the connection, in any order
+    and number."""
+    REFUSALS = (503, 429, 421, 408)
+
+    def __init__(self, seed, refuses=0.5, repeats=0.6):
+        self.random = random.Random(seed)
+        self.refuses, self.repeats = refuses, repeats
+        self.ran = []    # ids
+        self.tries = {}  # (replica, id) -> number
+        self.said = {}   # connection -> answers
+
+    async def __call__(self, call):
+        await call.read()
+        said = self.said.setdefault(call.writer, [])
+        key = call.replica.name, call.id
+        self.tries[key] = self.tries.get(key, 0) + 1
+        if said and self.random.random() < self.repeats:
+            for _ in range(self.random.randint(1, 4)):
+                call.writer.write(self.random.choice(said[-6:]))
+            await call.writer.drain()
+            await asyncio.sleep(0.004)
+        if self.random.random() < self.refuses:
+            answer = call.head(self.random.choice(self.REFUSALS), {
+                NOT_RUN: "1", "Content-Length": 0}, signed=False)
+        else:
+            self.ran.append(call.id)
+            answer = self.answer(call)
+        said.append(answer)
+        call.writer.write(answer)
+        await call.writer.drain()
+        return True
+
+    def answer(self, call):
+        text = b"id: 1\ndata: %s\n\n" % call.id.encode()
+        if "/tell/" in call.line:
+            return call.head(extra={
+                "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked"}) + \
+                b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text)
+        status = 500 if "/once/" in call.line and self.random.random() < 0.3 \
+            else 200
+        return call.head(status, {"Content-Length": len(text)}) + text
+
+
+def check_repeating(w, replica, count, seed):
+    """Sends requests, some of them again under their id once they were
+    refused; returns how many were answered by a replica."""
+    rng = random.Random(seed)
+    answered = 0
+    for i in range(count):
+        path, method = rng.choice((("/once/x", "POST"), ("/tell/x", "POST"),
+                                   ("/read/x", "GET")))
+        id = "id-%d" % i
+        for _ in range(2):
+            status, fields, body, whole = w.call(path, id, method, b"ask")
+            runs = replica.ran.count(id)
+            what = "%s %s: %d, %d runs, %r" % (path, id, status, runs, body)
+            check(what, whole and status in (200, 500, 503))
+            if status == 503 and SIGNATURE.lower() not in fields:
+                check("not run: " + what, runs == 0)
+                continue
+            check("ran once: " + what, runs == 1 or path == "/read/x")
+            check("its own answer: " + what, id.encode() in body)
+            answered += 1
+            break
+    return answered
+
+
+def test_answers_repeated_late():
+    """Guards against review/1: a late copy of a refusal was taken for the
+    refusal of the next sending of the same request, which ran twice."""
+    for seed in range(4):
+        script = RepeatingReplica(seed)
+        w, a, b = two_replicas(script, script)
+        try:
+            answered = check_repeating(w, script, 40, seed)
+            check("%d answered" % answered, answered >= 30)
+            sent = len(a.requests) + len(b.requests)
+            check("connections reused: %d for %d requests" % (
+                a.connections + b.connections, sent),
+                a.connections + b.connections < sent / 2)
+            check("tried again", max(script.tries.values()) > 1)
+        finally:
+            w.stop()
+
+
 def test_answer_lost_over_restart():
     """The process is killed while a replica runs a request, and starts again:
     the request is not sent again, and its answer reaches no other caller."""
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -48,6 +48,10 @@
 static void test_paused(void);
 static void test_in_time(void);
 static void test_idle_closed_by_server(void);
+static void answer_one(struct attempt *, const struct exchange_conn *, int *);
+static int is_new(struct attempt *, const struct exchange_conn *);
+static void test_connection_of_same_request(void);
+static void test_single_use(void);
 static void test_refused_while_sending(void);
 static struct conn *accept_caller(struct attempt *, int *);
 static void on_data(void *, const char *, size_t);
@@ -65,6 +69,8 @@
 static void test_events(void);
 
 static const struct exchange_ops ops = { on_head, on_body, on_end };
+static const struct exchange_conn fresh = { 0 };
+static const struct exchange_conn reusing = { .reuse_ns = NSEC_PER_SEC };
 
 static int
 on_head(void *ctx, const struct http_head *h)
@@ -175,7 +181,7 @@
 	struct exchange *x;
 
 	attempt_open(&t);
-	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	x = exchange_start(t.pool, t.addr, &fresh, &ops, &t);
 	exchange_set_send_by(x, clock_mono() + PAUSE_NS / 2);
 	exchange_send(x, "POST /order HTTP/1.1\r\n\r\n", 24);
 	pause_process();
@@ -197,7 +203,7 @@
 	attempt_open(&t);
 	conn_pool_destroy(t.pool);
 	t.pool = conn_pool_create(t.loop, &config);
-	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	x = exchange_start(t.pool, t.addr, &fresh, &ops, &t);
 	exchange_send(x, "GET / HTTP/1.1\r\n\r\n", 18);
 	pause_process();
 	attempt_run(&t);
@@ -215,7 +221,7 @@
 	struct exchange *x;
 
 	attempt_open(&t);
-	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	x = exchange_start(t.pool, t.addr, &fresh, &ops, &t);
 	exchange_set_send_by(x, clock_mono() + NSEC_PER_SEC);
 	exchange_send(x, "POST /order HTTP/1.1\r\n\r\n", 24);
 	pause_process();
@@ -276,7 +282,7 @@
 	int fd;
 
 	attempt_open(&t);
-	x = exchange_start(t.pool, t.addr, NSEC_PER_SEC, &ops, &t);
+	x = exchange_start(t.pool, t.addr, &reusing, &ops, &t);
 	exchange_send(x, "GET / HTTP/1.1\r\n\r\n", 18);
 	fd = accept(t.listener, NULL, NULL);
 	CU_ASSERT_EQUAL(
@@ -286,12 +292,88 @@
 	CU_ASSERT_EQUAL(t.result, EXCHANGE_COMPLETE);
 	close(fd);
 	pause_process();
-	x = exchange_start(t.pool, t.addr, NSEC_PER_SEC, &ops, &t);
+	x = exchange_start(t.pool, t.addr, &reusing, &ops, &t);
 	CU_ASSERT(exchange_has_new_conn(x));
 	exchange_cancel(x);
 	attempt_close(&t);
 }
 
+/* Sends a request and answers it; *fd is the connection, -1 for a new one. */
+static void
+answer_one(struct attempt *t, const struct exchange_conn *c, int *fd)
+{
+	static const char text[] =
+	    "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+	struct exchange *x = exchange_start(t->pool, t->addr, c, &ops, t);
+
+	exchange_send(x, "GET / HTTP/1.1\r\n\r\n", 18);
+	if (*fd == -1)
+		*fd = accept(t->listener, NULL, NULL);
+	CU_ASSERT_EQUAL(
+	    send(*fd, text, sizeof(text) - 1, 0), (ssize_t)sizeof(text) - 1);
+	t->ended = 0;
+	while (!t->ended)
+		attempt_run(t);
+	CU_ASSERT_EQUAL(t->result, EXCHANGE_COMPLETE);
+}
+
+/* Whether a request would open a connection. */
+static int
+is_new(struct attempt *t, const struct exchange_conn *c)
+{
+	struct exchange *x = exchange_start(t->pool, t->addr, c, &ops, t);
+	int new_conn = exchange_has_new_conn(x);
+
+	exchange_cancel(x);
+	return new_conn;
+}
+
+/*
+ * Guards against review/1: a late copy of an answer has the id of its request,
+ * so the same id is never sent on that connection again, whatever was sent on
+ * it in between; others are.
+ */
+static void
+test_connection_of_same_request(void)
+{
+	struct exchange_conn first = { NSEC_PER_SEC, 1, 0 };
+	struct exchange_conn second = { NSEC_PER_SEC, 2, 0 };
+	struct exchange_conn third = { NSEC_PER_SEC, 3, 0 };
+	struct attempt t;
+	int a = -1;
+
+	attempt_open(&t);
+	answer_one(&t, &first, &a);
+	answer_one(&t, &second, &a);
+	CU_ASSERT(is_new(&t, &first));
+	CU_ASSERT(is_new(&t, &second));
+	CU_ASSERT_EQUAL(conn_pool_opened_count(t.pool), 3);
+	CU_ASSERT(!is_new(&t, &third));
+	close(a);
+	attempt_close(&t);
+}
+
+/* Neither taken from the idle connections nor kept among them. */
+static void
+test_single_use(void)
+{
+	struct exchange_conn single = { NSEC_PER_SEC, 0, 1 };
+	struct attempt t;
+	int a = -1;
+	int b = -1;
+
+	attempt_open(&t);
+	answer_one(&t, &single, &a);
+	CU_ASSERT(is_new(&t, &reusing));
+	close(accept(t.listener, NULL, NULL));
+	answer_one(&t, &reusing, &b);
+	CU_ASSERT(is_new(&t, &single));
+	CU_ASSERT(!is_new(&t, &reusing));
+	close(a);
+	close(b);
+	attempt_close(&t);
+}
+
 /*
  * A server refuses a large request by its head and closes, while the request
  * is still being sent: the answer has arrived before the sending fails.
@@ -309,7 +391,7 @@
 
 	attempt_open(&t);
 	body = mem_alloc(LARGE_BYTES);
-	x = exchange_start(t.pool, t.addr, 0, &ops, &t);
+	x = exchange_start(t.pool, t.addr, &fresh, &ops, &t);
 	exchange_send(x, head, sizeof(head) - 1);
 	exchange_send(x, body, LARGE_BYTES);
 	attempt_run(&t);
@@ -556,6 +638,8 @@
 static const struct unit_case cases[] = {
 	{ "events", test_events },
 	{ "connected while paused", test_connected_late },
+	{ "connection of the same request", test_connection_of_same_request },
+	{ "single use", test_single_use },
 	{ "paused while connecting", test_paused },
 	{ "sent in time", test_in_time },
 	{ "idle connection closed by the server", test_idle_closed_by_server },
