--- a/core/msg.h
+++ b/core/msg.h
@@ -13,7 +13,7 @@
 #include "permits.h"
 #include "poison.h"
 
-#define MSG_VERSION 5
+#define MSG_VERSION 6
 #define MSG_SYNC_MAX 64	      /* grants in a SYNC */
 #define MSG_MEMBERS_MAX 8     /* membership entries in a probe */
 #define MSG_REPORTS_MAX 32    /* replicas in a REPORT */
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -52,6 +52,7 @@
 static void write_list_metrics(struct entry *, FILE *);
 static void write_attempt_metrics(struct entry *, FILE *);
 static void write_connection_metrics(const struct entry *, FILE *);
+static void write_peer_metrics(const struct entry *, FILE *);
 
 static const struct acceptor_ops admin_ops = {
 	.accepted = on_accepted,
@@ -379,6 +380,25 @@
 	    conn_pool_skipped_count(e->replicas));
 }
 
+static void
+write_peer_metrics(const struct entry *e, FILE *f)
+{
+	metric_write(f, "spindle_entry_peers", "gauge", "Known peers.",
+	    peers_count(e->peers));
+	metric_write(f, "spindle_entry_messages_dropped_total", "counter",
+	    "Messages to or of peers that were dropped or malformed.",
+	    peers_dropped_count(e->peers));
+	metric_write(f, "spindle_entry_bad_texts_total", "counter",
+	    "Lists of replicas of peers that could not be read.",
+	    e->counts.bad_texts);
+	metric_write(f, "spindle_entry_unsent_texts_total", "counter",
+	    "Texts for peers that were too large for a message.",
+	    e->counts.unsent_texts);
+	metric_write(f, "spindle_entry_bad_entries_total", "counter",
+	    "Entries of the list of replicas that cannot be used.",
+	    e->counts.bad_entries);
+}
+
 static void
 write_metrics(struct entry *e, FILE *f)
 {
@@ -396,8 +416,7 @@
 	    (uint64_t)session_is_up(e->session));
 	metric_write(f, "spindle_entry_store_calls_total", "counter",
 	    "Calls to the key-value service.", session_calls(e->session));
-	metric_write(f, "spindle_entry_peers", "gauge", "Known peers.",
-	    peers_count(e->peers));
+	write_peer_metrics(e, f);
 	write_connection_metrics(e, f);
 	metric_write(f, "spindle_entry_holds_orders", "gauge",
 	    "Whether this process orders engines.", (uint64_t)t.is_leader);
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -50,6 +50,9 @@
 	uint64_t limited;	  /* attempts at replicas with a limit */
 	uint64_t permit_requests; /* for such attempts, repeats included */
 	uint64_t permits;	  /* that this process got */
+	uint64_t bad_entries;	  /* of the list, that cannot be used */
+	uint64_t bad_texts;	  /* of peers, that could not be read */
+	uint64_t unsent_texts;	  /* for peers, too large for a message */
 	uint64_t attempts;
 	uint64_t attempt_ends[ATTEMPT__MAX];
 };
--- a/entry/list_entries.c
+++ b/entry/list_entries.c
@@ -8,6 +8,7 @@
 #include "session_int.h"
 
 static const char *format_models(const struct fleet_replica *, char *, size_t);
+static char *keep_replica(const struct list *, const struct store_item *);
 static void put_config(struct list *, const struct list_key *);
 static void put_replica(struct list *, const struct list_key *);
 static void put_peer(struct list *, const struct list_key *);
@@ -15,10 +16,10 @@
 static void drop_peer(struct list *, const struct list_key *);
 
 const struct list_handler list_handlers[LIST__MAX] = {
-	[LIST_CONFIG] = { PLATFORM_CONFIG_PREFIX, put_config, NULL },
-	[LIST_REPLICAS] = { PLATFORM_REPLICA_PREFIX, put_replica,
+	[LIST_CONFIG] = { PLATFORM_CONFIG_PREFIX, NULL, put_config, NULL },
+	[LIST_REPLICAS] = { PLATFORM_REPLICA_PREFIX, keep_replica, put_replica,
 	    drop_replica },
-	[LIST_PEERS] = { STORE_KEY_PREFIX PEERS_KEY_PREFIX, put_peer,
+	[LIST_PEERS] = { STORE_KEY_PREFIX PEERS_KEY_PREFIX, NULL, put_peer,
 	    drop_peer },
 };
 
@@ -43,6 +44,27 @@
 	return out;
 }
 
+/* Only what is known of a replica: other writers' values may be large. */
+static char *
+keep_replica(const struct list *l, const struct store_item *item)
+{
+	const char *id = item->key + strlen(PLATFORM_REPLICA_PREFIX);
+	struct fleet_replica r;
+	struct log_subject about = { 0 };
+	struct err err = { 0 };
+	char *text = NULL;
+
+	if (platform_replica_decode(id, item->value, item->len, &r, &err) == 0)
+		text = platform_replica_encode(&r);
+	if (text != NULL)
+		return text;
+	about.backend = id;
+	l->s->e->counts.bad_entries++;
+	log_event(LOG_REPLICA_BAD, &about, "revision=%llu bytes=%zu %s",
+	    (unsigned long long)item->revision, item->len, err.text);
+	return NULL;
+}
+
 static void
 put_replica(struct list *l, const struct list_key *k)
 {
@@ -56,7 +78,6 @@
 	about.backend = id;
 	if (platform_replica_decode(id, k->value, k->len, &r, &err) == -1) {
 		log_event(LOG_REPLICA_BAD, &about, "%s", err.text);
-		drop_replica(l, k);
 		return;
 	}
 	directory_put(&e->dir, &r)->listed_at = e->now;
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -19,6 +19,8 @@
 #define WATCH_WAIT_MSEC 10000
 #define WATCH_TIMEOUT_S 12.0
 #define READ_TIMEOUT_S 1.5
+/* Between reads of a list that a peer failed to send. */
+#define READ_AGAIN_NS (1 * NSEC_PER_SEC)
 #define RETRY_MIN_S 0.05
 #define RETRY_MAX_S 0.8
 #define RETRY_MAX_FOLLOWER_S 2.4 /* if changes come from the hubs */
@@ -54,6 +56,13 @@
 static void on_watch_response(void *, int, uint64_t, const char *, size_t);
 static void on_retry(struct ev_loop *, ev_timer *, int);
 static void list_put(struct list *, const struct store_item *);
+static void list_update_digest(struct list *, const char *, uint64_t, uint64_t);
+static void list_set_value(
+    struct list *, struct list_key *, const struct store_item *);
+static void list_end_use(struct list *, const struct list_key *, uint64_t);
+static void list_count_skipped(const struct list *, const struct store_page *);
+static int list_next_page(struct list *, const struct store_page *);
+static void list_read_failed(struct list *);
 static void list_refresh(struct list *);
 static int list_is_due(const struct list *);
 static void list_poll_later(struct list *, double);
@@ -227,6 +236,19 @@
 	list_read(l);
 }
 
+void
+session_read_replicas(struct session *s)
+{
+	struct list *l = &s->lists[LIST_REPLICAS];
+
+	if ((!l->idle && !l->polling) || s->e->now < s->read_replicas_at)
+		return;
+	s->read_replicas_at = s->e->now + READ_AGAIN_NS;
+	ev_timer_stop(s->e->loop, &l->retry);
+	l->polling = 0;
+	list_read(l);
+}
+
 void
 session_read_config(struct session *s)
 {
@@ -290,16 +312,12 @@
 	struct store_page page;
 	struct err err;
 	size_t i;
+	int more;
+	int found;
 
 	if (status != 200 ||
 	    store_range_response(era, body, len, &page, &err) == -1) {
-		l->page_after[0] = '\0';
-		l->read_revision = 0;
-		l->s->peers_known |= l->id == LIST_PEERS;
-		if (l->stale_read)
-			list_refresh(l);
-		else
-			list_retry_later(l);
+		list_read_failed(l);
 		return;
 	}
 	if (l->read_revision != 0 && page.era != l->read_era) {
@@ -315,19 +333,56 @@
 		l->read_era = page.era;
 		l->generation++;
 	}
+	l->grace_ns = GRACE_UNKNOWN;
+	list_count_skipped(l, &page);
 	for (i = 0; i < page.n; i++) {
 		if (!list_is_removed(l, &page.items[i], page.revision))
 			list_put(l, &page.items[i]);
-		memcpy(l->page_after, page.items[i].key, sizeof(l->page_after));
 	}
-	if (page.has_more && page.n != 0) {
-		store_page_clear(&page);
+	more = page.has_more;
+	found = more && list_next_page(l, &page);
+	store_page_clear(&page);
+	if (found) {
 		list_read(l);
-		return;
+	} else if (more) {
+		list_read_failed(l);
+	} else {
+		list_read_complete(l);
+		list_refresh(l);
 	}
-	store_page_clear(&page);
-	list_read_complete(l);
-	list_refresh(l);
+}
+
+static void
+list_count_skipped(const struct list *l, const struct store_page *page)
+{
+	if (page->nskipped == 0)
+		return;
+	l->s->e->counts.bad_entries += page->nskipped;
+	log_event(LOG_REPLICA_BAD, NULL, "list=%s skipped=%u at=%llu",
+	    l->prefix, page->nskipped, (unsigned long long)page->revision);
+}
+
+/* Sets where the next page begins; returns 0 if the page does not tell. */
+static int
+list_next_page(struct list *l, const struct store_page *page)
+{
+	if (page->last_key[0] == '\0' ||
+	    strcmp(page->last_key, l->page_after) == 0)
+		return 0;
+	memcpy(l->page_after, page->last_key, sizeof(l->page_after));
+	return 1;
+}
+
+static void
+list_read_failed(struct list *l)
+{
+	l->page_after[0] = '\0';
+	l->read_revision = 0;
+	l->s->peers_known |= l->id == LIST_PEERS;
+	if (l->stale_read)
+		list_refresh(l);
+	else
+		list_retry_later(l);
 }
 
 /* Updates the revision of the list of replicas that peers compare. */
@@ -386,6 +441,7 @@
 		session_push_changes(l->s,
 		    directory_removal_grace_left(&l->s->e->dir, l->s->e->now));
 	l->nchanges = 0;
+	l->advanced = 0;
 	l->s->e->retry_waiting = 1;
 }
 
@@ -423,6 +479,7 @@
 	}
 	l->stale_read = 0;
 	l->grace_ns = GRACE_UNKNOWN;
+	list_count_skipped(l, &page);
 	for (i = 0; i < page.n; i++) {
 		if (!list_is_removed(l, &page.items[i], l->revision))
 			list_apply_item(l, &page.items[i]);
@@ -493,32 +550,68 @@
 		HASH_ADD_STR(l->keys, key, k);
 	}
 	k->generation = l->generation;
-	if (k->value != NULL && item->revision <= k->revision)
-		return;
-	free(k->value);
-	k->value = mem_alloc(item->len + 1);
-	memcpy(k->value, item->value, item->len);
-	k->len = item->len;
+	if (item->revision > k->revision)
+		list_set_value(l, k, item);
+}
+
+/* The digest covers the entries that can be used, by their revisions. */
+static void
+list_update_digest(struct list *l, const char *key, uint64_t from, uint64_t to)
+{
 	if (l->id == LIST_REPLICAS)
-		l->s->e->dir.digest ^= hash_version(k->key, k->revision) ^
-		    hash_version(k->key, item->revision);
+		l->s->e->dir.digest ^=
+		    hash_version(key, from) ^ hash_version(key, to);
+}
+
+/* Sets the value of a key; one that cannot be used counts as a removal. */
+static void
+list_set_value(
+    struct list *l, struct list_key *k, const struct store_item *item)
+{
+	const struct list_handler *h = &list_handlers[l->id];
+	uint64_t was_used = k->value == NULL ? 0 : k->revision;
+
+	free(k->value);
+	if (h->keep != NULL) {
+		k->value = h->keep(l, item);
+		k->len = k->value == NULL ? 0 : strlen(k->value);
+	} else {
+		k->value = mem_alloc(item->len + 1);
+		memcpy(k->value, item->value, item->len);
+		k->len = item->len;
+	}
 	k->revision = item->revision;
-	list_add_change(l, k->key, k->revision);
-	list_handlers[l->id].put(l, k);
+	list_update_digest(
+	    l, k->key, was_used, k->value == NULL ? 0 : k->revision);
+	if (k->value != NULL) {
+		list_add_change(l, k->key, k->revision);
+		h->put(l, k);
+	} else if (was_used != 0) {
+		list_end_use(l, k, k->revision);
+	} else {
+		list_set_advanced(l);
+	}
 }
 
-void
-list_remove_key(
-    struct list *l, struct list_key *k, uint64_t revision, uint64_t grace_ns)
+/* An entry was removed, or replaced by one that cannot be used. */
+static void
+list_end_use(struct list *l, const struct list_key *k, uint64_t revision)
 {
 	list_add_change(l, k->key, revision);
-	l->grace_ns = grace_ns;
 	if (list_handlers[l->id].drop != NULL)
 		list_handlers[l->id].drop(l, k);
-	if (l->id == LIST_REPLICAS) {
-		l->s->e->dir.digest ^=
-		    hash_version(k->key, k->revision) ^ hash_version(k->key, 0);
+	if (l->id == LIST_REPLICAS)
 		removals_add(&l->s->removals, k->key, revision);
+}
+
+void
+list_remove_key(
+    struct list *l, struct list_key *k, uint64_t revision, uint64_t grace_ns)
+{
+	l->grace_ns = grace_ns;
+	if (k->value != NULL) {
+		list_update_digest(l, k->key, k->revision, 0);
+		list_end_use(l, k, revision);
 	}
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): it holds k */
 	HASH_DEL(l->keys, k);
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -137,9 +137,13 @@
 	struct log_subject about = { 0 };
 	struct fleet_replica r;
 	struct err err;
-	enum order_answer answer = platform_order_result(status);
+	enum order_answer answer;
 	int valid;
 
+	if (status == QUERY_TOO_LARGE)
+		status = 0;
+	answer = platform_order_result(status);
+
 	about.order = c->o.id;
 	about.backend = c->o.replica;
 	about.model = c->o.adapter[0] != '\0' ? c->o.adapter : c->o.model;
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -85,7 +85,7 @@
 		free(q);
 	}
 	announce_destroy(p->announce);
-	free(p->list_text);
+	list_texts_free(&p->list_texts);
 	free(p);
 }
 
@@ -101,8 +101,12 @@
 {
 	struct peers *p = ctx;
 
-	if (ring_push(p->inbox, m) == -1)
-		msg_destroy(m);
+	if (ring_push(p->inbox, m) == 0)
+		return;
+	__atomic_fetch_add(&p->unread, 1, __ATOMIC_RELAXED);
+	log_event(LOG_PEER_UNREAD, NULL, "from=%s kind=%d", m->from.addr,
+	    (int)m->kind);
+	msg_destroy(m);
 }
 
 static void
@@ -190,6 +194,16 @@
 	}
 }
 
+uint64_t
+peers_dropped_count(const struct peers *p)
+{
+	struct bus_counts c;
+
+	bus_counts(p->bus, &c);
+	return c.dropped + c.malformed +
+	    __atomic_load_n(&p->unread, __ATOMIC_RELAXED);
+}
+
 uint32_t
 peers_count(const struct peers *p)
 {
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -59,6 +59,8 @@
 uint64_t peers_newest_config(const struct peers *);
 /* Number of known peers, not counting this process. */
 uint32_t peers_count(const struct peers *);
+/* Number of messages to or of peers that were dropped or malformed. */
+uint64_t peers_dropped_count(const struct peers *);
 /* Index of the peer at a bus address as a report source; UINT32_MAX if none. */
 uint32_t peers_index(const struct peers *, const char *);
 /* Rank of this process among the hubs; above HUBS_MAX if it is not a hub. */
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -8,6 +8,7 @@
 #include "bus.h"
 #include "follow.h"
 #include "hubs.h"
+#include "list_text.h"
 #include "peers.h"
 #include "ring.h"
 
@@ -29,6 +30,7 @@
 	struct entry *e;
 	struct bus *bus;
 	struct ring *inbox;
+	uint64_t unread; /* messages that found it full; atomic */
 	ev_io io;
 	struct peer *peers;
 	uint32_t next_index; /* assigned to the next new peer */
@@ -39,9 +41,9 @@
 	uint64_t pull_list_at; /* earliest time of the next pull */
 	struct follow_lists list;
 	struct follow config;
-	char *list_text;       /* encoded for pulls, NULL: not yet */
-	uint64_t list_text_at; /* when it was encoded */
-	uint64_t list_text_digest;
+	struct list_texts list_texts; /* encoded for pulls */
+	uint64_t list_texts_at;	      /* when that was */
+	uint64_t list_texts_digest;
 	struct follow_answers answers;
 	uint64_t started_at;
 	uint32_t weight; /* this process's, while the store serves it */
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "conf_decoder.h"
+#include "list_text.h"
 #include "mem.h"
 #include "peers_int.h"
 #include "session.h"
@@ -21,7 +22,9 @@
 
 static void send_config_again(struct peers *, struct peer *, uint64_t);
 static void send_request(struct peers *, const char *, uint64_t, uint64_t);
-static const char *encoded_list(struct peers *);
+static const struct list_texts *encoded_list(struct peers *);
+static void send_list(struct peers *, const char *);
+static int fits_message(struct peers *, const char *, size_t);
 static struct msg *compose_text(uint64_t, const char *, size_t);
 static void push_text(struct peers *, struct msg *);
 static int is_behind(
@@ -76,10 +79,11 @@
 	const struct entry *e = p->e;
 
 	if (!peers_is_relay(p) || !peers_in_zone(p, q) ||
-	    !follow_is_to_send(&p->config, &q->sent, version, e->now) ||
-	    e->conf_len > MSG_BYTES_MAX)
+	    !follow_is_to_send(&p->config, &q->sent, version, e->now))
 		return;
 	follow_set_sent(&p->config, &q->sent, e->now);
+	if (!fits_message(p, "configuration", e->conf_len))
+		return;
 	send_text(p, q->hub.addr, PULL_CONFIG, e->conf_text, e->conf_len);
 }
 
@@ -126,19 +130,30 @@
 }
 
 /* When a whole fleet starts, all pull the same list from their relay. */
-static const char *
+static const struct list_texts *
 encoded_list(struct peers *p)
 {
 	struct entry *e = p->e;
 
-	if (p->list_text != NULL && p->list_text_digest == e->dir.digest &&
-	    e->now < p->list_text_at + LIST_TEXT_NS)
-		return p->list_text;
-	free(p->list_text);
-	p->list_text = session_list_text(e->session);
-	p->list_text_digest = e->dir.digest;
-	p->list_text_at = e->now;
-	return p->list_text;
+	if (p->list_texts.n != 0 && p->list_texts_digest == e->dir.digest &&
+	    e->now < p->list_texts_at + LIST_TEXT_NS)
+		return &p->list_texts;
+	list_texts_free(&p->list_texts);
+	list_texts_encode_whole(e->session, &p->list_texts);
+	p->list_texts_digest = e->dir.digest;
+	p->list_texts_at = e->now;
+	return &p->list_texts;
+}
+
+/* Whether a text fits in a message; one that does not is logged and counted. */
+static int
+fits_message(struct peers *p, const char *what, size_t len)
+{
+	if (len <= MSG_BYTES_MAX)
+		return 1;
+	p->e->counts.unsent_texts++;
+	log_event(LOG_TEXT_UNSENT, NULL, "text=%s bytes=%zu", what, len);
+	return 0;
 }
 
 /* Returns whether the request was for changes that are known. */
@@ -146,44 +161,52 @@
 answer_changes(struct peers *p, const struct msg *m)
 {
 	uint64_t since = m->u.conf.revision;
-	char *text;
+	struct list_texts texts = { 0 };
 	size_t len;
+	size_t i;
 
 	if (since != 0 && since >= p->e->dir.revision)
 		return 1;
-	text = session_changes_text(p->e->session, since);
-	if (text == NULL)
+	if (list_texts_encode_changes(p->e->session, since, &texts) == -1)
 		return 0;
-	len = strlen(text);
-	if (len <= MSG_BYTES_MAX &&
-	    follow_answers_changes(&p->answers, p->e->now, len))
-		send_text(p, m->from.addr, PUSH_LIST, text, len);
-	free(text);
+	/* After a part that is left out, the peer asks for the rest. */
+	for (i = 0; i < texts.n; i++) {
+		len = strlen(texts.texts[i]);
+		if (!fits_message(p, "changes", len) ||
+		    !follow_answers_changes(&p->answers, p->e->now, len))
+			break;
+		send_text(p, m->from.addr, PUSH_LIST, texts.texts[i], len);
+	}
+	list_texts_free(&texts);
 	return 1;
 }
 
+static void
+send_list(struct peers *p, const char *addr)
+{
+	const struct list_texts *t = encoded_list(p);
+	size_t i;
+
+	for (i = 0; i < t->n; i++)
+		send_text(p, addr, PULL_LIST, t->texts[i], strlen(t->texts[i]));
+}
+
 void
 peers_answer_pull(struct peers *p, const struct msg *m)
 {
-	struct entry *e = p->e;
-	const char *text = NULL;
-	size_t len = 0;
+	const struct entry *e = p->e;
 
 	if (m->u.conf.nonce == PULL_LIST && answer_changes(p, m))
 		return;
 	if (!follow_answers_pull(&p->answers, e->now,
 		m->u.conf.nonce == PULL_LIST ? FOLLOW_LIST : FOLLOW_CONFIG))
 		return;
-	if (m->u.conf.nonce == PULL_LIST) {
-		text = encoded_list(p);
-		len = strlen(text);
-	} else if (e->conf_text != NULL) {
-		text = e->conf_text;
-		len = e->conf_len;
-	}
-	if (text == NULL || len > MSG_BYTES_MAX)
-		return;
-	send_text(p, m->from.addr, m->u.conf.nonce, text, len);
+	if (m->u.conf.nonce == PULL_LIST)
+		send_list(p, m->from.addr);
+	else if (e->conf_text != NULL &&
+	    fits_message(p, "configuration", e->conf_len))
+		send_text(
+		    p, m->from.addr, PULL_CONFIG, e->conf_text, e->conf_len);
 }
 
 void
@@ -191,10 +214,15 @@
 {
 	const struct msg_conf *c = &m->u.conf;
 
-	if (c->nonce == PULL_CONFIG)
+	if (c->nonce == PULL_CONFIG) {
 		entry_receive_config(p->e, c->bytes, c->len, m->from.addr);
-	else if (session_apply_text(
-		     p->e->session, c->bytes, c->len, m->from.addr) == -1)
+		return;
+	}
+	/* Further parts are on their way. */
+	if (c->nonce == PULL_LIST)
+		p->pull_list_at = p->e->now + PULL_RETRY_NS;
+	if (session_apply_text(p->e->session, c->bytes, c->len, m->from.addr) ==
+	    -1)
 		pull_list(p, m->from.addr, p->e->dir.revision);
 }
 
@@ -253,7 +281,7 @@
 void
 peers_push_changes(struct peers *p, const char *text, size_t len)
 {
-	if (len <= MSG_BYTES_MAX)
+	if (fits_message(p, "changes", len))
 		push_text(p, compose_text(PUSH_LIST, text, len));
 }
 
@@ -265,7 +293,8 @@
 
 	follow_set_version(&p->config, e->now, e->conf->version);
 	/* In a small fleet every process watches the configuration. */
-	if (!peers_use_relays(p) || e->conf_len > MSG_BYTES_MAX)
+	if (!peers_use_relays(p) ||
+	    !fits_message(p, "configuration", e->conf_len))
 		return;
 	push_text(p, compose_text(PULL_CONFIG, e->conf_text, e->conf_len));
 	for (q = p->peers; q != NULL && peers_is_relay(p); q = q->hh.next) {
--- a/entry/query.c
+++ b/entry/query.c
@@ -11,13 +11,14 @@
 	struct exchange *exchange;
 	struct expiry *expiry;
 	int status;
+	int too_large;
 	struct buf body;
 	query_head_callback head;
 	query_callback callback;
 	void *ctx;
 };
 
-/* Larger responses count as none; a store's values have up to 1 MB. */
+/* A store's values have up to 1 MB. */
 #define QUERY_BODY_MAX_BYTES 4194304
 
 static int on_head(void *, const struct http_head *);
@@ -76,7 +77,8 @@
 {
 	struct query *q = ctx;
 
-	if (buf_len(&q->body) + len > QUERY_BODY_MAX_BYTES)
+	q->too_large = buf_len(&q->body) + len > QUERY_BODY_MAX_BYTES;
+	if (q->too_large)
 		return 1;
 	buf_add(&q->body, p, len);
 	return 0;
@@ -88,7 +90,10 @@
 	struct query *q = ctx;
 
 	entry_update_now(q->e);
-	query_finish(q, end == EXCHANGE_COMPLETE ? q->status : 0);
+	if (q->too_large)
+		query_finish(q, QUERY_TOO_LARGE);
+	else
+		query_finish(q, end == EXCHANGE_COMPLETE ? q->status : 0);
 }
 
 static int
--- a/entry/query.h
+++ b/entry/query.h
@@ -6,6 +6,9 @@
 
 /* Gets the head of a response, before its body. */
 typedef void (*query_head_callback)(void *, const struct http_head *);
+/* Status of a response that was not read to its end, as it is too large. */
+#define QUERY_TOO_LARGE (-1)
+
 /* Gets the HTTP status and body; status 0 if there was no complete response. */
 typedef void (*query_callback)(void *, int, const char *, size_t);
 
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -1,6 +1,6 @@
 /*
- * JSON encoding of the list of replicas for peers: the whole list, or the
- * changes since a revision.
+ * The list of replicas between peers: what is passed on, and applying what a
+ * peer sent.
  */
 #include <jansson.h>
 #include <stdio.h>
@@ -8,81 +8,37 @@
 #include <string.h>
 
 #include "follow.h"
+#include "list_text.h"
 #include "mem.h"
 #include "peers.h"
 #include "session.h"
 #include "session_int.h"
 
-static json_t *pack_item(const char *, const char *, size_t, uint64_t);
-static char *pack_list(
-    const struct session *, uint64_t, int, uint64_t, json_t *);
-static void apply_item(struct list *, const json_t *);
-static void remove_unlisted(struct list *, uint64_t);
-
-static json_t *
-pack_item(const char *key, const char *value, size_t len, uint64_t revision)
-{
-	if (value == NULL)
-		return json_pack(
-		    "{s:s,s:I}", "key", key, "revision", (json_int_t)revision);
-	return json_pack("{s:s,s:s%,s:I}", "key", key, "value", value, len,
-	    "revision", (json_int_t)revision);
-}
-
-static char *
-pack_list(const struct session *s, uint64_t from, int whole, uint64_t grace_ns,
-    json_t *items)
-{
-	const struct directory *d = &s->e->dir;
+/* A text of a peer; the strings belong to the document. */
+struct peer_text {
 	json_t *doc;
-	char *text;
-
-	doc = json_pack("{s:I,s:I,s:b,s:I,s:o}", "from", (json_int_t)from, "at",
-	    (json_int_t)d->revision, "whole", whole, "lapse_ns",
-	    (json_int_t)grace_ns, "items", items);
-	text = json_dumps(doc, JSON_COMPACT);
-	json_decref(doc);
-	return text;
-}
-
-char *
-session_list_text(const struct session *s)
-{
-	const struct list_key *k;
-	json_t *items = json_array();
-
-	for (k = s->lists[LIST_REPLICAS].keys; k != NULL; k = k->hh.next)
-		json_array_append_new(
-		    items, pack_item(k->key, k->value, k->len, k->revision));
-	return pack_list(s, 0, 1,
-	    directory_removal_grace_left(&s->e->dir, s->e->now), items);
-}
+	uint64_t from; /* changes since this revision */
+	uint64_t at;
+	uint64_t grace_ns;
+	int whole;
+	const char *after; /* whole: of the keys after this one */
+	const char *until; /* and up to this one, NULL: up to the end */
+};
+
+static int text_read(struct peer_text *, const char *, size_t);
+static int text_is_useless(const struct list *, const struct peer_text *);
+static int text_continues(struct list *, const struct peer_text *);
+static void text_apply(struct list *, const struct peer_text *);
+static void apply_item(struct list *, const json_t *);
+static void remove_unlisted(struct list *, const struct peer_text *);
 
-char *
-session_changes_text(const struct session *s, uint64_t since)
+void
+list_set_advanced(struct list *l)
 {
-	const struct removal *r;
-	const struct list_key *k;
-	json_t *items;
-	uint32_t i;
-
-	if (!removals_known_since(&s->removals, since) ||
-	    since >= s->e->dir.revision)
-		return NULL;
-	items = json_array();
-	for (k = s->lists[LIST_REPLICAS].keys; k != NULL; k = k->hh.next) {
-		if (k->revision > since)
-			json_array_append_new(items,
-			    pack_item(k->key, k->value, k->len, k->revision));
-	}
-	for (i = 0; i < REMOVALS_MAX; i++) {
-		r = removals_get(&s->removals, i, since);
-		if (r != NULL)
-			json_array_append_new(
-			    items, pack_item(r->key, NULL, 0, r->revision));
-	}
-	return pack_list(s, since, 0,
-	    directory_removal_grace_left(&s->e->dir, s->e->now), items);
+	if (l->advanced)
+		return;
+	l->advanced = 1;
+	l->changed_from = l->s->e->dir.revision;
 }
 
 void
@@ -92,8 +48,7 @@
 
 	if (l->id != LIST_REPLICAS)
 		return;
-	if (l->nchanges == 0)
-		l->changed_from = l->s->e->dir.revision;
+	list_set_advanced(l);
 	if (l->nchanges == l->changes_size) {
 		l->changes_size = l->changes_size * 2 + 16;
 		l->changes =
@@ -108,25 +63,19 @@
 session_push_changes(struct session *s, uint64_t grace_ns)
 {
 	struct list *l = &s->lists[LIST_REPLICAS];
-	const struct list_key *k;
-	json_t *items;
-	char *text;
-	uint32_t i;
+	struct list_texts texts = { 0 };
+	size_t i;
 
-	if (l->nchanges == 0)
+	if (!l->advanced)
 		return;
-	items = json_array();
-	for (i = 0; i < l->nchanges; i++) {
-		HASH_FIND_STR(l->keys, l->changes[i].key, k);
-		json_array_append_new(items,
-		    k == NULL
-			? pack_item(l->changes[i].key, NULL, 0,
-			      l->changes[i].revision)
-			: pack_item(k->key, k->value, k->len, k->revision));
-	}
-	text = pack_list(s, l->changed_from, 0, grace_ns, items);
-	peers_push_changes(s->e->peers, text, strlen(text));
-	free(text);
+	l->advanced = 0;
+	if (l->nchanges == 0 && s->e->dir.revision <= l->changed_from)
+		return;
+	list_texts_encode_recorded(s, grace_ns, &texts);
+	for (i = 0; i < texts.n; i++)
+		peers_push_changes(
+		    s->e->peers, texts.texts[i], strlen(texts.texts[i]));
+	list_texts_free(&texts);
 	l->nchanges = 0;
 }
 
@@ -148,15 +97,17 @@
 	list_apply_item(l, &item);
 }
 
-/* Removes keys that a peer's whole list, at the revision, did not contain. */
+/* Removes the keys of a text's range that it did not contain. */
 static void
-remove_unlisted(struct list *l, uint64_t at)
+remove_unlisted(struct list *l, const struct peer_text *t)
 {
 	struct list_key *k, *next;
 
 	HASH_ITER (hh, l->keys, k, next) {
-		if (k->generation != l->generation && k->revision <= at)
-			list_remove_key(l, k, at, l->grace_ns);
+		if (k->generation != l->generation && k->revision <= t->at &&
+		    strcmp(k->key, t->after) > 0 &&
+		    (t->until == NULL || strcmp(k->key, t->until) <= 0))
+			list_remove_key(l, k, t->at, l->grace_ns);
 	}
 }
 
@@ -183,59 +134,116 @@
 		&mine, item->revision, l->stale_read ? 0 : told_at);
 }
 
-int
-session_apply_text(
-    struct session *s, const char *text, size_t len, const char *source)
+/* Returns -1 if the text cannot be read. */
+static int
+text_read(struct peer_text *t, const char *text, size_t len)
 {
-	struct list *l = &s->lists[LIST_REPLICAS];
-	struct entry *e = s->e;
-	const json_t *item;
-	json_t *doc;
-	uint64_t at;
-	uint64_t grace_ns;
-	size_t i;
-	int whole;
-	int busy;
+	const json_t *doc;
+
+	memset(t, 0, sizeof(*t));
+	t->doc = json_loadb(text, len, JSON_ALLOW_NUL, NULL);
+	doc = t->doc;
+	if (!json_is_integer(json_object_get(doc, "at")) ||
+	    !json_is_array(json_object_get(doc, "items"))) {
+		json_decref(t->doc);
+		return -1;
+	}
+	t->at = (uint64_t)json_integer_value(json_object_get(doc, "at"));
+	t->from = (uint64_t)json_integer_value(json_object_get(doc, "from"));
+	t->grace_ns =
+	    (uint64_t)json_integer_value(json_object_get(doc, "lapse_ns"));
+	t->whole = json_is_true(json_object_get(doc, "whole"));
+	t->after = json_string_value(json_object_get(doc, "after"));
+	if (t->after == NULL)
+		t->after = "";
+	t->until = json_string_value(json_object_get(doc, "until"));
+	return 0;
+}
+
+static int
+text_is_useless(const struct list *l, const struct peer_text *t)
+{
+	const struct entry *e = l->s->e;
 
-	doc = json_loadb(text, len, 0, NULL);
-	at = (uint64_t)json_integer_value(json_object_get(doc, "at"));
-	whole = json_is_true(json_object_get(doc, "whole"));
+	if (t->at < e->dir.revision || (t->at == e->dir.revision && !t->whole))
+		return 1;
 	/*
 	 * During a local read, keys that the text lacks cannot be told from
 	 * those that have not been read yet.
 	 */
-	busy = whole &&
+	return t->whole &&
 	    (l->read_revision != 0 ||
-		(at == e->dir.revision && peers_is_active_hub(e->peers)));
-	if (at < e->dir.revision || (at == e->dir.revision && !whole) || busy) {
-		json_decref(doc);
+		(t->at == e->dir.revision && peers_is_active_hub(e->peers)));
+}
+
+/*
+ * Whether a part of a whole list is the first, or follows the latest one.
+ * Another one was lost in between, and the list is asked for again.
+ */
+static int
+text_continues(struct list *l, const struct peer_text *t)
+{
+	if (*t->after != '\0' &&
+	    (t->at != l->part_at || strcmp(t->after, l->part_after) != 0))
 		return 0;
-	}
-	if (!whole &&
-	    (uint64_t)json_integer_value(json_object_get(doc, "from")) >
-		e->dir.revision) {
-		json_decref(doc);
-		return -1;
-	}
+	l->part_at = t->until == NULL ? 0 : t->at;
+	snprintf(l->part_after, sizeof(l->part_after), "%s",
+	    t->until == NULL ? "" : t->until);
+	return 1;
+}
+
+static void
+text_apply(struct list *l, const struct peer_text *t)
+{
+	const json_t *item;
+	size_t i;
+
 	/*
 	 * Whether removed entries may come back is known to the process that
 	 * learned it from the store; this one may have been turned away.
 	 */
-	grace_ns =
-	    (uint64_t)json_integer_value(json_object_get(doc, "lapse_ns"));
-	directory_extend_removal_grace(&e->dir, e->now, grace_ns);
-	l->grace_ns = grace_ns;
-	l->generation += (uint32_t)whole;
-	json_array_foreach (json_object_get(doc, "items"), i, item)
+	directory_extend_removal_grace(
+	    &l->s->e->dir, l->s->e->now, t->grace_ns);
+	l->grace_ns = t->grace_ns;
+	l->generation += (uint32_t)t->whole;
+	json_array_foreach (json_object_get(t->doc, "items"), i, item)
 		apply_item(l, item);
-	if (whole)
-		remove_unlisted(l, at);
-	json_decref(doc);
-	e->dir.synced = 1;
-	e->dir.revision = at;
-	removals_start(&s->removals, at);
-	list_set_source(s, source);
-	session_push_changes(s, grace_ns);
+	if (t->whole)
+		remove_unlisted(l, t);
+}
+
+int
+session_apply_text(
+    struct session *s, const char *text, size_t len, const char *source)
+{
+	struct list *l = &s->lists[LIST_REPLICAS];
+	struct entry *e = s->e;
+	struct peer_text t;
+
+	if (text_read(&t, text, len) == -1) {
+		e->counts.bad_texts++;
+		log_event(
+		    LOG_LIST_TEXT_BAD, NULL, "peer=%s bytes=%zu", source, len);
+		session_read_replicas(s);
+		return 0;
+	}
+	if (text_is_useless(l, &t) || (t.whole && !text_continues(l, &t))) {
+		json_decref(t.doc);
+		return 0;
+	}
+	if (!t.whole && t.from > e->dir.revision) {
+		json_decref(t.doc);
+		return -1;
+	}
+	text_apply(l, &t);
+	if (!t.whole || t.until == NULL) {
+		e->dir.synced = 1;
+		e->dir.revision = t.at;
+		removals_start(&s->removals, t.at);
+		list_set_source(s, source);
+		session_push_changes(s, t.grace_ns);
+	}
+	json_decref(t.doc);
 	e->retry_waiting = 1;
 	return 0;
 }
--- a/entry/session.h
+++ b/entry/session.h
@@ -20,14 +20,10 @@
 int session_is_up(const struct session *);
 /* Calls made to the store since the process started. */
 uint64_t session_calls(const struct session *);
-/* The whole local list of replicas as JSON for a peer; freed by the caller. */
-char *session_list_text(const struct session *);
-/* Its changes since a revision; NULL if they are not known. */
-char *session_changes_text(const struct session *, uint64_t);
 /*
- * Applies a list of replicas or changes of it from a peer at an address.
- * Returns -1 if earlier changes are missing here, so that the whole list is
- * needed.
+ * Applies a text of the list of replicas from a peer at an address.  Returns -1
+ * if earlier changes are missing here, so that later ones cannot be applied.  A
+ * text that cannot be read is made up for by reading the list from the store.
  */
 int session_apply_text(struct session *, const char *, size_t, const char *);
 /*
@@ -35,6 +31,8 @@
  * process becomes a hub, or when no peer has sent them in time.
  */
 void session_tick(struct session *);
+/* Reads the list of replicas from the store, unless it is being read. */
+void session_read_replicas(struct session *);
 /* Reads the configuration from the store. */
 void session_read_config(struct session *);
 
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -24,7 +24,7 @@
 /* A key of a list with its value in the store. */
 struct list_key {
 	char key[KV_KEY_SIZE];
-	char *value;
+	char *value; /* NULL for an entry that cannot be used */
 	size_t len;
 	uint64_t revision;
 	uint32_t generation; /* of the latest read that returned it */
@@ -57,9 +57,12 @@
 	uint64_t read_revision; /* at the first page of the read, 0 if none */
 	uint64_t read_era;	/* of that page */
 	uint32_t generation;	/* number of the latest full read */
-	char page_after[KV_KEY_SIZE]; /* last key of the previous page */
+	char page_after[STORE_ESCAPED_KEY_SIZE]; /* last key of a page */
+	uint64_t part_at; /* revision of a whole text of which parts are due */
+	char part_after[KV_KEY_SIZE]; /* last key of its latest part */
 	struct list_key *keys;
 	uint64_t changed_from; /* revision before the first of the changes */
+	int advanced; /* the revision has changed since the latest push */
 	uint32_t nchanges;
 	uint32_t changes_size; /* allocated */
 	struct list_change *changes;
@@ -71,10 +74,11 @@
 	uint64_t era; /* of the service, 0: not known */
 	uint64_t ncalls;
 	uint64_t started_at;
-	uint64_t answered_at;	  /* latest answer of the store */
-	uint64_t unanswered_at;	  /* when a call last ended without an answer */
-	int probing;		  /* a probe is under way */
-	struct removals removals; /* of replicas */
+	uint64_t answered_at;	/* latest answer of the store */
+	uint64_t unanswered_at; /* when a call last ended without an answer */
+	int probing;		/* a probe is under way */
+	uint64_t read_replicas_at; /* earliest time of such a read again */
+	struct removals removals;  /* of replicas */
 	int peers_known;   /* the peers have been read, or could not be */
 	uint32_t failures; /* consecutive calls without an answer */
 	int up;
@@ -91,9 +95,14 @@
 /* Sends a cheap call if the store has not answered within PROBE_NS. */
 void session_probe(struct session *);
 
-/* How the entries below a prefix are applied; drop may be NULL. */
+/* How the entries below a prefix are applied; keep and drop may be NULL. */
 struct list_handler {
 	const char *prefix;
+	/*
+	 * What is kept of a value, for put() and for peers; NULL for an entry
+	 * that cannot be used, which counts as removed.
+	 */
+	char *(*keep)(const struct list *, const struct store_item *);
 	void (*put)(struct list *, const struct list_key *);
 	void (*drop)(struct list *, const struct list_key *);
 };
@@ -119,7 +128,8 @@
 void list_set_source(struct session *, const char *);
 /* Whether an item that the store told as of a revision was removed since. */
 int list_is_removed(const struct list *, const struct store_item *, uint64_t);
-/* Records a change to be passed on. */
+/* Records that the list's revision changes, and a change to be passed on. */
+void list_set_advanced(struct list *);
 void list_add_change(struct list *, const char *, uint64_t);
 /*
  * Passes the recorded changes of the replicas on, with the time for which
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -147,6 +147,7 @@
         run_check("entry", [sys.executable, "tests/entry.py"])
         run_check("endless bytes", [sys.executable, "tests/endless.py"])
         run_check("limits", [sys.executable, "tests/limits.py"])
+        run_check("lists", [sys.executable, "tests/lists.py"])
         run_check("soak", [sys.executable, "soak/soak.py", "--seeds", "1-2",
                            "--seconds", "10"])
         run_check("processes", [sys.executable, "tests/process.py"])
--- a/shell/bus.c
+++ b/shell/bus.c
@@ -126,6 +126,7 @@
 {
 	if (ring_push(b->out, m) == -1) {
 		counter_add(&b->counts.dropped, 1);
+		log_event(LOG_BUS_DROPPED, NULL, "to %s, not queued", m->to);
 		msg_destroy(m);
 	}
 }
--- a/shell/log.c
+++ b/shell/log.c
@@ -183,6 +183,14 @@
 	    "a malformed notice in a replica's answer was ignored" },
 	[LOG_REPLICA_LIMIT] = { 1626, LOGLEVEL_INFO, "replica-limit",
 	    "a replica named another limit on its requests, or none" },
+	[LOG_LIST_TEXT_BAD] = { 1627, LOGLEVEL_WARNING, "list-text-bad",
+	    "a peer's list of replicas could not be read; the key-value "
+	    "service is read instead" },
+	[LOG_TEXT_UNSENT] = { 1628, LOGLEVEL_WARNING, "text-unsent",
+	    "a text for peers is too large for a message and was not sent" },
+	[LOG_PEER_UNREAD] = { 1629, LOGLEVEL_WARNING, "peer-unread",
+	    "a message of a peer was dropped because the receive queue is "
+	    "full" },
 	[LOG_CELL_TAKEN] = { 1700, LOGLEVEL_NOTICE, "cell-taken",
 	    "this process owns the cell" },
 	[LOG_CELL_LOST] = { 1701, LOGLEVEL_WARNING, "cell-lost",
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -58,6 +58,7 @@
         self.next_lease = 100
         self.mode = "up"     # up, silent, busy
         self.hang_watches = False
+        self.page_items = 3  # of a range
         self.stale_items = None  # if set, served to serializable reads
         self.calls = []
         self.writers = set()
@@ -151,10 +152,11 @@
             keys = sorted(k for k in items
                           if k.startswith(query["path_prefix"]) and
                           k > query.get("after", ""))
-            page = keys[:3]
+            page = self.page_of(items, keys)
             return 200, {"items": [self.item(k, items[k])
                                    for k in page],
-                         "has_more": len(keys) > 3, "at": self.revision}
+                         "has_more": len(keys) > len(page),
+                         "at": self.revision}
         if url.path == "/api/kv-watch":
             return await self.watch(query)
         if url.path == "/api/kv-lease":
@@ -181,6 +183,15 @@
             return 200, {"revision": self.revision}
         return 404, {}
 
+    def page_of(self, items, keys):
+        """The first keys, up to a number and up to about 1 MB."""
+        size = 0
+        for n, k in enumerate(keys[:self.page_items]):
+            size += len(items[k][0])
+            if size >= 1048576:
+                return keys[:n + 1]
+        return keys[:self.page_items]
+
     async def watch(self, query):
         after, era = int(query["after"]), self.era
         if after > self.revision:
--- /dev/null
+++ b/tests/test_list_text.c
@@ -0,0 +1,313 @@
+/*
+ * Texts of the list of replicas: what one process encodes, another applies,
+ * whatever other writers put into the list.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "conf_decoder.h"
+#include "list_text.h"
+#include "loader_io.h"
+#include "mem.h"
+#include "peers_int.h"
+#include "permit_io.h"
+#include "poison_io.h"
+#include "query.h"
+#include "session_int.h"
+#include "unit.h"
+
+#define NOWHERE "127.0.0.1:9"
+#define SEED 7
+#define ROUNDS 40
+#define KEYS 300
+#define MANY 4000
+#define REVISION_START 100
+#define LARGE_BYTES 300000
+
+static void setup(struct entry *, int);
+static void finish(struct entry *);
+static char *random_value(unsigned *, uint32_t, uint64_t, size_t *);
+static void change(struct entry *, uint32_t, const char *, size_t, uint64_t);
+static void random_change(struct entry *, unsigned *, uint32_t, uint64_t);
+static void apply_all(struct entry *, const struct list_texts *, size_t);
+static void copy_list(const struct entry *, struct entry *, uint64_t);
+static void check_same(const struct entry *, const struct entry *);
+static void fill(struct entry *, unsigned *, uint32_t);
+static void test_any_values(void);
+static void test_many_entries(void);
+static void test_part_lost(void);
+static void test_unreadable_text(void);
+
+static void
+setup(struct entry *e, int number)
+{
+	struct conn_pool_config links = { NSEC_PER_SEC, NSEC_PER_SEC, 1 };
+	struct err err;
+
+	memset(e, 0, sizeof(*e));
+	e->loop = ev_loop_new(EVFLAG_AUTO);
+	TAILQ_INIT(&e->requests);
+	TAILQ_INIT(&e->queries);
+	directory_init(&e->dir);
+	snprintf(e->boot.vm, sizeof(e->boot.vm), "vm-%d", number);
+	snprintf(e->self.addr, sizeof(e->self.addr), "127.0.0.1:%d",
+	    20000 + (getpid() * 2 + number) % 10000);
+	e->self.incarnation = 1;
+	snprintf(e->boot.store, sizeof(e->boot.store), NOWHERE);
+	entry_update_now(e);
+	e->store = conn_pool_create(e->loop, &links);
+	e->conf_decoder =
+	    conf_decoder_create(e->loop, entry_apply_config, e, &err);
+	e->peers = peers_create(e, &err);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(e->peers);
+	e->loader_io = loader_io_create(e);
+	e->poison_io = poison_io_create(e);
+	e->permit_io = permit_io_create(e);
+	e->session = session_create(e);
+}
+
+static void
+finish(struct entry *e)
+{
+	session_close(e->session);
+	queries_cancel(e);
+	conf_decoder_destroy(e->conf_decoder);
+	loader_io_destroy(e->loader_io);
+	poison_io_destroy(e->poison_io);
+	permit_io_destroy(e->permit_io);
+	session_destroy(e->session);
+	peers_destroy(e->peers);
+	conn_pool_destroy(e->store);
+	directory_clear(&e->dir);
+	ev_loop_destroy(e->loop);
+}
+
+/* A replica's entry, or bytes of another writer. */
+static char *
+random_value(unsigned *seed, uint32_t key, uint64_t revision, size_t *len)
+{
+	char *out;
+	size_t i;
+
+	if (rand_r(seed) % 2 == 0) {
+		out = mem_alloc(512);
+		*len = (size_t)snprintf(out, 512,
+		    "{\"service\":\"s\",\"address\":\"10.0.0.1:%u\","
+		    "\"zone\":\"z\\u0001\\\"\",\"slots\":6,\"state\":\"ready\","
+		    "\"cold_left_ms\":0,\"sequence\":%llu,\"born\":1000,"
+		    "\"models\":[{\"name\":\"m%d\",\"adapters\":[\"a\"]}]}",
+		    key + 1, (unsigned long long)revision, rand_r(seed) % 9);
+		return out;
+	}
+	*len =
+	    rand_r(seed) % 50 == 0 ? LARGE_BYTES : (size_t)(rand_r(seed) % 70);
+	out = mem_alloc(*len + 1);
+	for (i = 0; i < *len; i++)
+		out[i] = (char)(rand_r(seed) % 3 == 0 ? 0 : rand_r(seed));
+	return out;
+}
+
+/* An entry, or its removal, as the store tells it. */
+static void
+change(struct entry *e, uint32_t key, const char *value, size_t len,
+    uint64_t revision)
+{
+	struct store_item item = {
+		.value = (char *)value, .len = len, .revision = revision
+	};
+
+	snprintf(item.key, sizeof(item.key), "servers/i-%05u", key);
+	list_apply_item(&e->session->lists[LIST_REPLICAS], &item);
+	e->dir.revision = revision;
+	removals_start(&e->session->removals, revision);
+}
+
+static void
+random_change(struct entry *e, unsigned *seed, uint32_t key, uint64_t revision)
+{
+	char *value = NULL;
+	size_t len = 0;
+
+	if (rand_r(seed) % 4 != 0)
+		value = random_value(seed, key, revision, &len);
+	change(e, key, value, len, revision);
+	free(value);
+}
+
+/* Applies all texts but one (none is left out at their number). */
+static void
+apply_all(struct entry *e, const struct list_texts *t, size_t left_out)
+{
+	size_t i;
+
+	for (i = 0; i < t->n; i++) {
+		CU_ASSERT(strlen(t->texts[i]) <= MSG_BYTES_MAX);
+		if (i != left_out)
+			(void)session_apply_text(e->session, t->texts[i],
+			    strlen(t->texts[i]), "peer");
+	}
+}
+
+/* As a process that is at a revision asks another one, 0 for the whole list. */
+static void
+copy_list(const struct entry *from, struct entry *to, uint64_t since)
+{
+	struct list_texts t = { 0 };
+
+	if (since == 0 ||
+	    list_texts_encode_changes(from->session, since, &t) == -1)
+		list_texts_encode_whole(from->session, &t);
+	apply_all(to, &t, t.n);
+	list_texts_free(&t);
+}
+
+static void
+check_same(const struct entry *a, const struct entry *b)
+{
+	const struct directory_replica *r;
+	const struct directory_replica *s;
+
+	CU_ASSERT_EQUAL(a->dir.revision, b->dir.revision);
+	CU_ASSERT_EQUAL(a->dir.digest, b->dir.digest);
+	CU_ASSERT_EQUAL(b->counts.bad_texts, 0);
+	for (r = a->dir.replicas; r != NULL; r = r->hh.next) {
+		s = directory_find(&b->dir, r->info.id);
+		if (r->presence != PRESENCE_LISTED) {
+			CU_ASSERT(s == NULL || s->presence != PRESENCE_LISTED);
+			continue;
+		}
+		CU_ASSERT(s != NULL && s->presence == PRESENCE_LISTED &&
+		    strcmp(r->info.zone, s->info.zone) == 0 &&
+		    r->info.heartbeats == s->info.heartbeats &&
+		    strcmp(r->info.resident[0], s->info.resident[0]) == 0);
+	}
+}
+
+static void
+fill(struct entry *e, unsigned *seed, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		random_change(e, seed, i, REVISION_START + i);
+}
+
+/* Guards against review/2: values of other writers ended all exchange. */
+static void
+test_any_values(void)
+{
+	struct entry a, b;
+	unsigned seed = SEED;
+	uint64_t since;
+	int round;
+	int n;
+
+	setup(&a, 0);
+	setup(&b, 1);
+	fill(&a, &seed, KEYS);
+	copy_list(&a, &b, 0);
+	check_same(&a, &b);
+	for (round = 0; round < ROUNDS; round++) {
+		since = a.dir.revision;
+		for (n = rand_r(&seed) % 30; n >= 0; n--)
+			random_change(&a, &seed, (uint32_t)rand_r(&seed) % KEYS,
+			    a.dir.revision + 1);
+		copy_list(&a, &b, round % 5 == 0 ? 0 : since);
+		check_same(&a, &b);
+	}
+	finish(&a);
+	finish(&b);
+}
+
+/* More than one message holds, as changes and as a whole. */
+static void
+test_many_entries(void)
+{
+	struct entry a, b;
+	struct list_texts t = { 0 };
+	unsigned seed = SEED;
+	uint64_t first;
+
+	setup(&a, 0);
+	setup(&b, 1);
+	change(&a, MANY, NULL, 0, REVISION_START - 1);
+	first = a.dir.revision;
+	copy_list(&a, &b, 0);
+	fill(&a, &seed, MANY);
+	CU_ASSERT_EQUAL(list_texts_encode_changes(a.session, first, &t), 0);
+	CU_ASSERT(t.n > 3);
+	apply_all(&b, &t, t.n);
+	list_texts_free(&t);
+	check_same(&a, &b);
+	finish(&b);
+	setup(&b, 1);
+	list_texts_encode_whole(a.session, &t);
+	CU_ASSERT(t.n > 3);
+	apply_all(&b, &t, t.n);
+	list_texts_free(&t);
+	check_same(&a, &b);
+	finish(&a);
+	finish(&b);
+}
+
+/* What lacks a part leads to no later revision; asking again completes it. */
+static void
+test_part_lost(void)
+{
+	struct entry a, b;
+	struct list_texts t = { 0 };
+	unsigned seed = SEED;
+	size_t left_out;
+	size_t n = 1;
+
+	setup(&a, 0);
+	fill(&a, &seed, KEYS * 4);
+	for (left_out = 0; left_out < n; left_out++) {
+		setup(&b, 1);
+		list_texts_encode_whole(a.session, &t);
+		n = t.n;
+		apply_all(&b, &t, left_out);
+		CU_ASSERT(!b.dir.synced && b.dir.revision == 0);
+		list_texts_free(&t);
+		copy_list(&a, &b, b.dir.revision);
+		check_same(&a, &b);
+		finish(&b);
+	}
+	CU_ASSERT(n > 2);
+	finish(&a);
+}
+
+/* It is counted, and the list is read from the store instead. */
+static void
+test_unreadable_text(void)
+{
+	static const char *const texts[] = { "", "{", "[]", "{\"at\":7}",
+		"{\"at\":7,\"whole\":true,\"items\":{}}", "\xff\xff" };
+	struct entry e;
+	uint64_t calls;
+	size_t i;
+
+	setup(&e, 0);
+	e.session->lists[LIST_REPLICAS].polling = 1;
+	calls = session_calls(e.session);
+	for (i = 0; i < nitems(texts); i++)
+		CU_ASSERT_EQUAL(session_apply_text(e.session, texts[i],
+				    strlen(texts[i]), "peer"),
+		    0);
+	CU_ASSERT_EQUAL(e.counts.bad_texts, nitems(texts));
+	CU_ASSERT(!e.dir.synced);
+	CU_ASSERT_EQUAL(session_calls(e.session), calls + 1);
+	finish(&e);
+}
+
+static const struct unit_case cases[] = {
+	{ "any values", test_any_values },
+	{ "many entries", test_many_entries },
+	{ "a part is lost", test_part_lost },
+	{ "unreadable text", test_unreadable_text },
+};
+
+UNIT_MAIN("list_text", cases)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -20,6 +20,7 @@
 
 static void test_replicas(void);
 static void test_replica_whole(void);
+static void test_replica_encoded(void);
 static void test_reports(void);
 static void test_configs(void);
 static void test_config_whole(void);
@@ -30,6 +31,7 @@
 static void test_answer(void);
 static void test_store_calls(void);
 static void test_store_pages(void);
+static void test_store_page_keys(void);
 static void test_orders(void);
 static void ignore_head(void *, const struct http_head *);
 static void ignore_body(void *, const char *, size_t);
@@ -113,6 +115,41 @@
 	CU_ASSERT_EQUAL(r.accepted_orders, 0);
 }
 
+/* What is kept of an entry has a bounded size and decodes to the same. */
+static void
+test_replica_encoded(void)
+{
+	static const char *const texts[] = {
+		REPLICA(",\"state\":\"ready\""),
+		REPLICA(",\"state\":\"draining\",\"remaining_ms\":1500.5"),
+		REPLICA(",\"state\":\"ready\",\"born\":9007199254740993,"
+			"\"occupied\":true,\"models\":["
+			"{\"name\":\"m1\",\"adapters\":[\"a1\",\"a2\"]},"
+			"{\"name\":\"m\\u0001\\\"\",\"adapters\":[\"b\"]}],"
+			"\"at_hand\":{\"in_memory\":[\"m1\"],"
+			"\"on_disk\":[{\"name\":\"m3\"}]},"
+			"\"unknown\":[1,{\"a\":[]}]"),
+	};
+	struct fleet_replica r, again;
+	struct err e;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < nitems(texts); i++) {
+		CU_ASSERT_EQUAL(platform_replica_decode(
+				    "i-1", texts[i], strlen(texts[i]), &r, &e),
+		    0);
+		text = platform_replica_encode(&r);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+		CU_ASSERT_PTR_NULL(strstr(text, "unknown"));
+		CU_ASSERT_EQUAL(platform_replica_decode(
+				    "i-1", text, strlen(text), &again, &e),
+		    0);
+		CU_ASSERT_EQUAL(memcmp(&r, &again, sizeof(r)), 0);
+		free(text);
+	}
+}
+
 static void
 test_reports(void)
 {
@@ -551,6 +588,37 @@
 	    c.path, "/api/kv-range?path_prefix=op/&after=op/x");
 }
 
+/* Keys of other writers: a page tells where the next one begins. */
+static void
+test_store_page_keys(void)
+{
+	static const char *const pages[][2] = {
+		{ "{\"items\":[{\"key\":\"a\\u0000b\",\"value\":\"\","
+		  "\"revision\":4}],\"has_more\":true,\"at\":7}",
+		    "a%00b" },
+		{ "{\"items\":[{\"key\":\"s/1\",\"value\":\"eA==\","
+		  "\"revision\":4},{\"key\":\"s/ &\",\"value\":\"*\","
+		  "\"revision\":5}],\"has_more\":true,\"at\":7}",
+		    "s/%20%26" },
+		{ "{\"items\":[{\"key\":\"\xc3\xa9%\"}],\"at\":7}",
+		    "%C3%A9%25" },
+		{ "{\"items\":[],\"at\":7}", "" },
+		{ "{\"items\":[{}],\"at\":7}", "" },
+		{ "{\"items\":[7],\"at\":7}", "" },
+	};
+	struct store_page p;
+	struct err e;
+	size_t i;
+
+	for (i = 0; i < nitems(pages); i++) {
+		CU_ASSERT_EQUAL(store_range_response(0, pages[i][0],
+				    strlen(pages[i][0]), &p, &e),
+		    0);
+		CU_ASSERT_STRING_EQUAL(p.last_key, pages[i][1]);
+		store_page_clear(&p);
+	}
+}
+
 static void
 test_orders(void)
 {
@@ -577,6 +645,7 @@
 static const struct unit_case cases[] = {
 	{ "replicas", test_replicas },
 	{ "replica with all members", test_replica_whole },
+	{ "replica encoded", test_replica_encoded },
 	{ "reports", test_reports },
 	{ "configurations", test_configs },
 	{ "configuration with all members", test_config_whole },
@@ -587,6 +656,7 @@
 	{ "response fields", test_answer },
 	{ "store calls", test_store_calls },
 	{ "store pages", test_store_pages },
+	{ "store page keys", test_store_page_keys },
 	{ "orders", test_orders },
 };
 
