entry: log and count pulls left out and parts of lists that are lost

A peer's request for a text that was left out, as many came at once, and a part of a list that did not follow the one before, were dropped without a trace; both are made up for by asking again. Events 1630 and 1631, two counters.

tests/lists.py 13 passed, test_list_text 4 passed (a lost part is counted).

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -396,6 +396,12 @@
 	metric_write(f, "spindle_entry_unsent_texts_total", "counter",
 	    "Texts for peers that were too large for a message.",
 	    e->counts.unsent_texts);
+	metric_write(f, "spindle_entry_unanswered_pulls_total", "counter",
+	    "Peers' requests for texts that were left out.",
+	    e->counts.unanswered_pulls);
+	metric_write(f, "spindle_entry_lost_list_parts_total", "counter",
+	    "Parts of peers' lists that did not follow the one before.",
+	    e->counts.lost_parts);
 	metric_write(f, "spindle_entry_bad_entries_total", "counter",
 	    "Entries of the list of replicas that cannot be used.",
 	    e->counts.bad_entries);
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -53,6 +53,8 @@
 	uint64_t bad_entries;	  /* of the list, that cannot be used */
 	uint64_t bad_texts;	  /* of peers, that could not be read */
 	uint64_t unsent_texts;	  /* for peers, too large for a message */
+	uint64_t unanswered_pulls; /* of peers, as many came at once */
+	uint64_t lost_parts;	   /* of peers' lists */
 	uint64_t attempts;
 	uint64_t attempt_ends[ATTEMPT__MAX];
 };
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -24,6 +24,7 @@
 static void send_request(struct peers *, const char *, uint64_t, uint64_t);
 static const struct list_texts *encoded_list(struct peers *);
 static void send_list(struct peers *, const char *);
+static void leave_unanswered(struct peers *, const char *);
 static int fits_message(struct peers *, const char *, size_t);
 static struct msg *compose_text(uint64_t, const char *, size_t);
 static void push_text(struct peers *, struct msg *);
@@ -156,6 +157,13 @@
 	return 0;
 }
 
+static void
+leave_unanswered(struct peers *p, const char *addr)
+{
+	p->e->counts.unanswered_pulls++;
+	log_event(LOG_PULL_UNANSWERED, NULL, "peer=%s", addr);
+}
+
 /* Returns whether the request was for changes that are known. */
 static int
 answer_changes(struct peers *p, const struct msg *m)
@@ -172,9 +180,12 @@
 	/* After a part that is left out, the peer asks for the rest. */
 	for (i = 0; i < texts.n; i++) {
 		len = strlen(texts.texts[i]);
-		if (!fits_message(p, "changes", len) ||
-		    !follow_answers_changes(&p->answers, p->e->now, len))
+		if (!fits_message(p, "changes", len))
+			break;
+		if (!follow_answers_changes(&p->answers, p->e->now, len)) {
+			leave_unanswered(p, m->from.addr);
 			break;
+		}
 		send_text(p, m->from.addr, PUSH_LIST, texts.texts[i], len);
 	}
 	list_texts_free(&texts);
@@ -199,8 +210,10 @@
 	if (m->u.conf.nonce == PULL_LIST && answer_changes(p, m))
 		return;
 	if (!follow_answers_pull(&p->answers, e->now,
-		m->u.conf.nonce == PULL_LIST ? FOLLOW_LIST : FOLLOW_CONFIG))
+		m->u.conf.nonce == PULL_LIST ? FOLLOW_LIST : FOLLOW_CONFIG)) {
+		leave_unanswered(p, m->from.addr);
 		return;
+	}
 	if (m->u.conf.nonce == PULL_LIST)
 		send_list(p, m->from.addr);
 	else if (e->conf_text != NULL &&
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -227,7 +227,14 @@
 		session_read_replicas(s);
 		return 0;
 	}
-	if (text_is_useless(l, &t) || (t.whole && !text_continues(l, &t))) {
+	if (text_is_useless(l, &t)) {
+		json_decref(t.doc);
+		return 0;
+	}
+	if (t.whole && !text_continues(l, &t)) {
+		e->counts.lost_parts++;
+		log_event(LOG_LIST_PART_LOST, NULL, "peer=%s after=%s", source,
+		    t.after);
 		json_decref(t.doc);
 		return 0;
 	}
--- a/shell/log.c
+++ b/shell/log.c
@@ -191,6 +191,12 @@
 	[LOG_PEER_UNREAD] = { 1629, LOGLEVEL_WARNING, "peer-unread",
 	    "a message of a peer was dropped because the receive queue is "
 	    "full" },
+	[LOG_PULL_UNANSWERED] = { 1630, LOGLEVEL_INFO, "pull-unanswered",
+	    "a peer's request for a list or configuration was left out, as "
+	    "many came at once; the peer repeats it" },
+	[LOG_LIST_PART_LOST] = { 1631, LOGLEVEL_INFO, "list-part-lost",
+	    "a part of a peer's list did not follow the one before; the list "
+	    "is asked for again" },
 	[LOG_CELL_TAKEN] = { 1700, LOGLEVEL_NOTICE, "cell-taken",
 	    "this process owns the cell" },
 	[LOG_CELL_LOST] = { 1701, LOGLEVEL_WARNING, "cell-lost",
--- a/tests/test_list_text.c
+++ b/tests/test_list_text.c
@@ -271,6 +271,7 @@
 		n = t.n;
 		apply_all(&b, &t, left_out);
 		CU_ASSERT(!b.dir.synced && b.dir.revision == 0);
+		CU_ASSERT(left_out + 1 == n || b.counts.lost_parts != 0);
 		list_texts_free(&t);
 		copy_list(&a, &b, b.dir.revision);
 		check_same(&a, &b);
