--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -63,7 +63,7 @@
 	conn.reuse_ns =
 	    f->route.kind == ROUTE_AT_MOST_ONCE ? ONCE_IDLE_NS : TIME_NEVER / 4;
 	conn.tag = hash_text(f->params.id);
-	/* Where a late copy of the response ends depends on the request. */
+	/* A late copy would be read as a response with a body. */
 	conn.single_use = no_body;
 	f->exchange = exchange_start(f->e->replicas, addr, &conn, &send_ops, f);
 	if (no_body)
--- a/entry/list_text.h
+++ b/entry/list_text.h
@@ -10,7 +10,7 @@
 
 struct list_texts {
 	size_t n;
-	char **texts; /* NULL: none were encoded yet */
+	char **texts;
 };
 
 /* The whole local list; each part covers a range of keys. */
@@ -21,8 +21,7 @@
  */
 int list_texts_encode_changes(
     const struct session *, uint64_t, struct list_texts *);
-/* The recorded changes, with the time for which removed replicas stay usable.
- */
+/* The recorded changes; removed replicas stay usable for a time in ns. */
 void list_texts_encode_recorded(
     const struct session *, uint64_t, struct list_texts *);
 void list_texts_free(struct list_texts *);
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -140,6 +140,7 @@
 	enum order_answer answer;
 	int valid;
 
+	/* What it was is not known. */
 	if (status == QUERY_TOO_LARGE)
 		status = 0;
 	answer = platform_order_result(status);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -53,9 +53,9 @@
 	 */
 	uint64_t reuse_ns;
 	/*
-	 * Hash of the request's id; 0 without one.  A late copy of an earlier
-	 * response has the id of its request, so a request is never sent on a
-	 * connection that has carried the same id.
+	 * Hash of the request's id; 0 without one.  Late copies of responses
+	 * are told by their id, so a request is never sent on a connection
+	 * that has carried its id before.
 	 */
 	uint64_t tag;
 	/*
