--- a/Makefile
+++ b/Makefile
@@ -153,6 +153,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_store: $(BUILD)/tests/test_store.o $(BUILD)/tests/unit.o $(NET) \
+    $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_http: $(BUILD)/tests/test_http.o $(BUILD)/tests/unit.o $(NET) \
     $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -116,6 +116,9 @@
 void lists_restart(struct session *);
 /* Stops the timers and frees all keys. */
 void lists_stop(struct session *);
+/* list_keys.c */
+/* Sets the value of a key, unless the local one is as new. */
+void list_put(struct list *, const struct store_item *);
 /* Applies one entry, or its removal if it has no value. */
 void list_apply_item(struct list *, const struct store_item *);
 /*
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -9,7 +9,6 @@
 #include "mem.h"
 #include "order.h"
 #include "replica.h"
-#include "store.h"
 #include "unit.h"
 
 /* A document, and a substring of the expected error or "" for none. */
@@ -29,9 +28,6 @@
 static void test_want(void);
 static void test_send(void);
 static void test_answer(void);
-static void test_store_calls(void);
-static void test_store_pages(void);
-static void test_store_page_keys(void);
 static void test_orders(void);
 static void ignore_head(void *, const struct http_head *);
 static void ignore_body(void *, const char *, size_t);
@@ -525,118 +521,6 @@
 	CU_ASSERT(t.not_executed && !t.misdirected);
 }
 
-static void
-test_store_calls(void)
-{
-	static const char found[] = "{\"value\":\"bm9kZS0x\",\"revision\":4}";
-	struct store_request c;
-	struct kv_result r;
-	struct kv_ops ops;
-	struct kv_op *op;
-	char *value;
-
-	TAILQ_INIT(&ops);
-	op = kv_op_create(&ops, 1, KV_CAS, "cell/x");
-	op->value = mem_strdup("node-1");
-	op->expected_revision = 5;
-	op->lease_id = 77;
-	store_op_request(op, &c);
-	CU_ASSERT_STRING_EQUAL(c.path, "/api/kv-txn");
-	CU_ASSERT_STRING_EQUAL(c.body,
-	    "{\"expected\":[{\"key\":\"spindle/cell/x\",\"revision\":5}],"
-	    "\"write\":[{\"key\":\"spindle/cell/x\",\"value\":\"bm9kZS0x\","
-	    "\"lease\":77}],\"remove\":[]}");
-	store_request_clear(&c);
-	store_op_response(op, 200, 0, "{\"revision\":9}", 14, &r, &value);
-	CU_ASSERT(r.status == KV_OK && r.revision == 9);
-	/* Only these statuses guarantee that nothing was written. */
-	store_op_response(op, 412, 0, "", 0, &r, &value);
-	CU_ASSERT_EQUAL(r.status, KV_CONFLICT);
-	store_op_response(op, 404, 0, "", 0, &r, &value);
-	CU_ASSERT_EQUAL(r.status, KV_CONFLICT); /* no such lease */
-	store_op_response(op, 0, 0, "", 0, &r, &value);
-	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
-	store_op_response(op, 503, 0, "", 0, &r, &value);
-	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
-	op->kind = KV_GET;
-	store_op_response(op, 200, 0, found, strlen(found), &r, &value);
-	CU_ASSERT_EQUAL(r.status, KV_OK);
-	CU_ASSERT(r.value != NULL && strcmp(r.value, "node-1") == 0);
-	free(value);
-	store_op_response(op, 200, 0, "{\"value\":\"***\"}", 15, &r, &value);
-	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
-	store_op_response(op, 404, 0, "", 0, &r, &value);
-	CU_ASSERT_EQUAL(r.status, KV_ABSENT);
-	TAILQ_REMOVE(&ops, op, entry);
-	kv_op_destroy(op);
-}
-
-static void
-test_store_pages(void)
-{
-	static const char text[] =
-	    "{\"events\":[{\"key\":\"a\",\"value\":\"eA==\",\"revision\":4},"
-	    "{\"key\":\"b\",\"revision\":5,\"deleted\":true},"
-	    "{\"key\":\"c\",\"value\":\"*\",\"revision\":6},{}],\"at\":7}";
-	struct store_page p;
-	struct store_request c;
-	struct err e;
-
-	CU_ASSERT_EQUAL(store_watch_response(0, text, strlen(text), &p, &e), 0);
-	CU_ASSERT_EQUAL(p.revision, 7);
-	CU_ASSERT_EQUAL_FATAL(p.n, 2); /* malformed items are skipped */
-	CU_ASSERT_STRING_EQUAL(p.items[0].value, "x");
-	CU_ASSERT_PTR_NULL(p.items[1].value);
-	store_page_clear(&p);
-	/* Revisions that a later era gives out again are higher. */
-	CU_ASSERT_EQUAL(store_watch_response(3, text, strlen(text), &p, &e), 0);
-	CU_ASSERT_EQUAL_FATAL(p.n, 2);
-	CU_ASSERT(p.era == 3 && p.items[0].revision > 7);
-	store_watch_request("op/", p.items[0].revision, 10000, &c);
-	CU_ASSERT_PTR_NOT_NULL(strstr(c.path, "&after=4&"));
-	store_page_clear(&p);
-	CU_ASSERT_EQUAL(store_range_response(0, "[]", 2, &p, &e), -1);
-	CU_ASSERT_EQUAL(
-	    store_range_response(0, "{\"items\":3}", 11, &p, &e), -1);
-	store_watch_request("op/", 411, 10000, &c);
-	CU_ASSERT_STRING_EQUAL(
-	    c.path, "/api/kv-watch?path_prefix=op/&after=411&wait_ms=10000");
-	store_range_request("op/", "op/x", 0, &c);
-	CU_ASSERT_STRING_EQUAL(
-	    c.path, "/api/kv-range?path_prefix=op/&after=op/x");
-}
-
-/* Keys of other writers: a page tells where the next one begins. */
-static void
-test_store_page_keys(void)
-{
-	static const char *const pages[][2] = {
-		{ "{\"items\":[{\"key\":\"a\\u0000b\",\"value\":\"\","
-		  "\"revision\":4}],\"has_more\":true,\"at\":7}",
-		    "a%00b" },
-		{ "{\"items\":[{\"key\":\"s/1\",\"value\":\"eA==\","
-		  "\"revision\":4},{\"key\":\"s/ &\",\"value\":\"*\","
-		  "\"revision\":5}],\"has_more\":true,\"at\":7}",
-		    "s/%20%26" },
-		{ "{\"items\":[{\"key\":\"\xc3\xa9%\"}],\"at\":7}",
-		    "%C3%A9%25" },
-		{ "{\"items\":[],\"at\":7}", "" },
-		{ "{\"items\":[{}],\"at\":7}", "" },
-		{ "{\"items\":[7],\"at\":7}", "" },
-	};
-	struct store_page p;
-	struct err e;
-	size_t i;
-
-	for (i = 0; i < nitems(pages); i++) {
-		CU_ASSERT_EQUAL(store_range_response(0, pages[i][0],
-				    strlen(pages[i][0]), &p, &e),
-		    0);
-		CU_ASSERT_STRING_EQUAL(p.last_key, pages[i][1]);
-		store_page_clear(&p);
-	}
-}
-
 static void
 test_orders(void)
 {
@@ -672,9 +556,6 @@
 	{ "request fields", test_want },
 	{ "forwarded fields", test_send },
 	{ "response fields", test_answer },
-	{ "store calls", test_store_calls },
-	{ "store pages", test_store_pages },
-	{ "store page keys", test_store_page_keys },
 	{ "orders", test_orders },
 };
 
