entry: log what a stop leaves unfinished, and callers that end while their order runs

The parts that end requests move to entry/forward_stop.c; no decision changes. test_sigterm, _late_stream, _waiting_request and test_caller_leaves_each_state pass.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -202,6 +202,19 @@
 	}
 }
 
+void
+callers_count(const struct entry *e, uint32_t *reading, size_t *unsent)
+{
+	const struct caller *c;
+
+	*reading = 0;
+	*unsent = conn_list_unsent_bytes(&e->flushing);
+	TAILQ_FOREACH (c, &e->callers, entry) {
+		*reading += !c->in_request && http_reader_in_message(c->reader);
+		*unsent += conn_unsent_bytes(c->conn);
+	}
+}
+
 /* Closes a connection without a request in progress. */
 static void
 caller_close_idle(struct caller *c)
@@ -327,10 +340,9 @@
 {
 	struct caller *c = ctx;
 
-	(void)error;
 	entry_update_now(c->e);
 	if (c->forward != NULL)
-		forward_caller_gone(c->forward);
+		forward_caller_gone(c->forward, error);
 	conn_destroy(c->conn);
 	caller_destroy(c);
 }
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -134,6 +134,8 @@
 /* Closes connections without a request in progress. */
 void callers_close_idle(struct entry *);
 void callers_destroy(struct entry *);
+/* Counts requests of which a part was read, and unsent bytes of answers. */
+void callers_count(const struct entry *, uint32_t *, size_t *);
 /* Head and body of the current request. */
 const struct http_head *caller_head(const struct caller *);
 const struct buf *caller_body(const struct caller *);
@@ -174,14 +176,20 @@
 /* forward.c */
 /* Starts forwarding the caller's request, which has been received in full. */
 void forward_start(struct entry *, struct caller *);
-/* The caller of the request has disconnected. */
-void forward_caller_gone(struct forward *);
+/*
+ * The caller of the request has disconnected, with an errno if its connection
+ * failed.
+ */
+void forward_caller_gone(struct forward *, int);
 /* The caller has read what was buffered for it. */
 void forward_caller_drained(struct forward *);
 /* Tries to dispatch the queued requests again. */
 void forward_retry_waiting(struct entry *);
+/* forward_stop.c */
 /* While stopping, ends queued requests that would start too late to end. */
 void forward_stop_waiting(struct entry *);
+/* Logs why a stop ends, and what is still in progress. */
+void forward_log_stop(const struct entry *, const char *);
 /* Ends all requests at the end of the process. */
 void forward_stop_all(struct entry *);
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -13,10 +13,6 @@
 #include "permit_io.h"
 #include "poison_io.h"
 
-/* Retry-After where nothing is known of a better time. */
-#define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
-/* What starts this long after SIGTERM may not end in time. */
-#define START_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
 /* For a retry that awaited evidence to be tried again. */
 #define EVIDENCE_NS (200 * NSEC_PER_MSEC)
 #define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
@@ -462,14 +458,20 @@
 
 /* A non-idempotent request that was sent is not cancelled: it may have run. */
 void
-forward_caller_gone(struct forward *f)
+forward_caller_gone(struct forward *f, int error)
 {
+	char detail[96];
+
 	f->caller = NULL;
 	f->e->counts.caller_gone++;
 	forward_log(f, LOG_REQUEST_CANCELLED, "", "caller disconnected");
 	if (f->exchange != NULL && f->route.kind == ROUTE_AT_MOST_ONCE &&
-	    f->attempts_made != 0)
+	    f->attempts_made != 0) {
+		snprintf(detail, sizeof(detail), "reason=%s",
+		    error == 0 ? "closed" : strerror(error));
+		forward_log(f, LOG_REQUEST_LEFT, f->replica->info.id, detail);
 		return;
+	}
 	if (f->exchange != NULL) {
 		exchange_cancel(f->exchange);
 		f->exchange = NULL;
@@ -486,44 +488,3 @@
 	f->read_paused = 0;
 	exchange_set_reading(f->exchange, 1);
 }
-
-void
-forward_stop_waiting(struct entry *e)
-{
-	struct forward *f, *next;
-
-	if (e->now < e->stopping_since + START_AFTER_STOP_NS)
-		return;
-	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
-		next = TAILQ_NEXT(f, entry);
-		if (f->waiting.group == NULL || f->caller == NULL ||
-		    f->response_started)
-			continue;
-		if (f->runs == 0)
-			forward_refuse(
-			    f, "this process is stopping", RETRY_AFTER_NS);
-		else
-			forward_report_unknown(f, 502, "process stopping",
-			    "the outcome is unknown");
-	}
-}
-
-void
-forward_stop_all(struct entry *e)
-{
-	struct forward *f;
-
-	while ((f = TAILQ_FIRST(&e->requests)) != NULL) {
-		if (f->exchange != NULL) {
-			exchange_cancel(f->exchange);
-			f->exchange = NULL;
-			forward_remove_work(f);
-		}
-		if (f->caller != NULL) {
-			forward_log(
-			    f, LOG_REQUEST_FAILED, "", "process stopping");
-			caller_abort_response(f->caller);
-		}
-		forward_free(f);
-	}
-}
--- a/entry/main.c
+++ b/entry/main.c
@@ -50,6 +50,7 @@
 static void daemon_stop(struct daemon *);
 static void on_tick(struct ev_loop *, ev_timer *, int);
 static void on_prepare(struct ev_loop *, ev_prepare *, int);
+static void end_stop(struct entry *, const char *);
 static void retry_waiting(struct daemon *);
 static void on_retry_timer(struct ev_loop *, ev_timer *, int);
 static void on_term(struct ev_loop *, ev_signal *, int);
@@ -89,11 +90,19 @@
 	}
 	if (d->listener == NULL)
 		callers_close_idle(e);
-	if ((d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
-		TAILQ_EMPTY(&e->requests) && TAILQ_EMPTY(&e->flushing)) ||
-	    e->now + GRACE_MARGIN_NS >=
-		e->stopping_since + e->boot.stop_grace_ns)
-		ev_break(loop, EVBREAK_ALL);
+	if (d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
+	    TAILQ_EMPTY(&e->requests) && TAILQ_EMPTY(&e->flushing))
+		end_stop(e, "done");
+	else if (e->now + GRACE_MARGIN_NS >=
+	    e->stopping_since + e->boot.stop_grace_ns)
+		end_stop(e, "time");
+}
+
+static void
+end_stop(struct entry *e, const char *reason)
+{
+	forward_log_stop(e, reason);
+	ev_break(e->loop, EVBREAK_ALL);
 }
 
 static void
--- a/net/conn.c
+++ b/net/conn.c
@@ -306,6 +306,17 @@
 	return buf_len(&c->out);
 }
 
+size_t
+conn_list_unsent_bytes(const struct conn_list *l)
+{
+	const struct conn *c;
+	size_t n = 0;
+
+	TAILQ_FOREACH (c, l, entry)
+		n += buf_len(&c->out);
+	return n;
+}
+
 void
 conn_clear_sent(struct conn *c)
 {
--- a/net/conn.h
+++ b/net/conn.h
@@ -61,6 +61,8 @@
 int conn_has_input(const struct conn *);
 /* Output bytes not yet accepted by the kernel. */
 size_t conn_unsent_bytes(const struct conn *);
+/* The same of all connections of a list. */
+size_t conn_list_unsent_bytes(const struct conn_list *);
 /* Whether nothing is left that the peer still has time to read. */
 int conn_is_flushed(const struct conn *);
 void conn_clear_sent(struct conn *);
--- a/shell/log.c
+++ b/shell/log.c
@@ -76,6 +76,9 @@
 	    "the settings file was read again" },
 	[LOG_LEFT_OUT] = { 1006, LOGLEVEL_NOTICE, "left-out",
 	    "log lines of an event were dropped by the rate limit" },
+	[LOG_STOP_ENDED] = { 1007, LOGLEVEL_NOTICE, "stop-ended",
+	    "nothing is in progress any more, or the time of the stop is "
+	    "over" },
 	[LOG_BUS_BAD] = { 1100, LOGLEVEL_WARNING, "bus-bad",
 	    "a bus message could not be decoded and is dropped" },
 	[LOG_BUS_DROPPED] = { 1101, LOGLEVEL_INFO, "bus-dropped",
@@ -108,6 +111,9 @@
 	    "the request has a part that crashes replicas and was rejected" },
 	[LOG_REQUEST_WITHDRAWN] = { 1211, LOGLEVEL_INFO, "request-withdrawn",
 	    "a request that may crash its replica was taken back from it" },
+	[LOG_REQUEST_LEFT] = { 1212, LOGLEVEL_INFO, "request-left",
+	    "the connection of a caller ended; its request, which may not be "
+	    "repeated, goes on" },
 	[LOG_GRANT_SENT] = { 1300, LOGLEVEL_DEBUG, "grant-sent",
 	    "a slot on a replica was granted" },
 	[LOG_GRANT_RELEASED] = { 1301, LOGLEVEL_DEBUG, "grant-released",
