entry: a stop keeps connections on which a request waits behind an answer

Callers saw a request without an answer around SIGTERM: sent during a stream on the same connection, it had been received, and was dropped. Cause: callers_close_idle() looks at the request being handled, the one being parsed and unread input, but not at bytes received behind a request, which are parsed in a later turn of the loop; a tick in between closed the connection.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -55,6 +55,7 @@
 static void caller_create(struct entry *, int);
 static void caller_destroy(struct caller *);
 static void caller_feed(struct caller *, const char *, size_t);
+static int caller_is_idle(const struct caller *);
 static void caller_reject(struct caller *, int, const char *);
 static void caller_set_timer(struct caller *, uint64_t);
 static uint64_t caller_idle_deadline(const struct caller *);
@@ -186,6 +187,14 @@
 	}
 }
 
+/* Whether no byte of a request has been received that has no answer. */
+static int
+caller_is_idle(const struct caller *c)
+{
+	return !c->in_request && !http_reader_in_message(c->reader) &&
+	    buf_len(&c->pipelined) == 0;
+}
+
 void
 callers_close_idle(struct entry *e)
 {
@@ -194,8 +203,7 @@
 
 	for (c = TAILQ_FIRST(&e->callers); c != NULL; c = next) {
 		next = TAILQ_NEXT(c, entry);
-		if (!c->in_request && !http_reader_in_message(c->reader) &&
-		    !conn_has_input(c->conn) &&
+		if (caller_is_idle(c) && !conn_has_input(c->conn) &&
 		    (c->response_sent ||
 			e->now >= c->accepted_at + FIRST_REQUEST_NS))
 			caller_close_idle(c);
