core/stop: what a stopping process takes, and the last answer to each request

Callers saw requests that had been passed on end with a closed connection, as the process that had them came to the end of its grace time. Cause: a stop had one rule for all requests but new streams: take them until the end, then abort whatever is in progress. On connections that are kept (the head of an answer said so before SIGTERM, or a request is being read) an order may come a moment before that. Class of fault: work is taken on without a look at the time that is left to finish it, and its end has no answer of its own.

Now the deadlines of a stop are set at SIGTERM (core/stop). From 2.6 s on, a request of any kind starts only if its own deadline is before the end; else 503, not run, at once. As the stop ends, requests that wait get 503, those at a replica 502 (the outcome is unknown), those that are still being read 503; what remains is cut only in streams that have begun. Then the process stays for up to 0.25 s, so that these answers are read. A request whose replica has sent input that is unread is left for a later turn.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -195,6 +195,26 @@
 	    buf_len(&c->pipelined) == 0;
 }
 
+/* What is unread is read first, in a later turn of the loop. */
+void
+callers_settle(struct entry *e)
+{
+	struct caller *c;
+	struct caller *next;
+
+	for (c = TAILQ_FIRST(&e->callers); c != NULL; c = next) {
+		next = TAILQ_NEXT(c, entry);
+		if (c->in_request || conn_has_input(c->conn))
+			continue;
+		if (buf_len(&c->pipelined) != 0)
+			caller_feed_pipelined(c);
+		else if (http_reader_in_message(c->reader))
+			caller_reject(c, 503, "this process is stopping");
+		else
+			caller_close_idle(c);
+	}
+}
+
 void
 callers_close_idle(struct entry *e)
 {
@@ -434,7 +454,8 @@
 	struct buf out = { 0 };
 
 	log_event(LOG_HTTP_BAD, NULL, "status=%d %s", status, text);
-	fields_write_local_response(&out, status, NULL, 0, text, 0);
+	fields_write_local_response(
+	    &out, status, NULL, status == 503 ? RETRY_AFTER_NS : 0, text, 0);
 	conn_write(c->conn, buf_data(&out), buf_len(&out));
 	buf_free(&out);
 	caller_close(c);
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -16,6 +16,7 @@
 #include "log.h"
 #include "metric.h"
 #include "pace.h"
+#include "stop.h"
 #include "waitq.h"
 
 struct caller;
@@ -33,6 +34,9 @@
 TAILQ_HEAD(caller_list, caller);
 TAILQ_HEAD(query_list, query);
 
+/* Retry-After where nothing is known of a better time. */
+#define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
+
 /* Counters since the process started. */
 struct entry_counts {
 	uint64_t arrived;
@@ -102,7 +106,7 @@
 	uint64_t random_state; /* state of the random generator */
 	int retry_waiting;     /* queued requests are tried on the next turn */
 	int stopping;
-	uint64_t stopping_since;
+	struct stop_schedule stop;
 	struct entry_counts counts;
 	struct entry_times times;
 };
@@ -133,6 +137,8 @@
 void listener_destroy(struct listener *);
 /* Closes connections without a request in progress. */
 void callers_close_idle(struct entry *);
+/* Refuses requests that are still being read at the end of a stop. */
+void callers_settle(struct entry *);
 void callers_destroy(struct entry *);
 /* Counts requests of which a part was read, and unsent bytes of answers. */
 void callers_count(const struct entry *, uint32_t *, size_t *);
@@ -190,6 +196,11 @@
 void forward_stop_waiting(struct entry *);
 /* Logs why a stop ends, and what is still in progress. */
 void forward_log_stop(const struct entry *, const char *);
+/*
+ * At the end of a stop, gives requests in progress their last answers, but for
+ * those whose replica has sent what is still unread.
+ */
+void forward_settle(struct entry *);
 /* Ends all requests at the end of the process. */
 void forward_stop_all(struct entry *);
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -77,9 +77,6 @@
 	if (r == NULL)
 		return 404;
 	f->route = *r;
-	if (f->e->stopping && r->kind == ROUTE_STREAM &&
-	    f->e->now >= f->e->stopping_since + START_AFTER_STOP_NS)
-		return 503;
 	t = fleet_pick_target(r, entry_random(f->e));
 	if (t == NULL)
 		return 503;
@@ -89,6 +86,8 @@
 	f->deadline = caller_request_started_at(f->caller) + limit_ns;
 	if (f->deadline > f->arrived + r->timeout_ns)
 		f->deadline = f->arrived + r->timeout_ns;
+	if (!stop_may_start(&f->e->stop, f->e->now, f->deadline))
+		return 503;
 	f->last_event_id = f->params.last_event_id;
 	caller_keep_until(f->caller, f->deadline);
 	return 0;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -6,11 +6,6 @@
 #include "expiry.h"
 #include "sse.h"
 
-/* Retry-After where nothing is known of a better time. */
-#define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
-/* What starts this long after SIGTERM may not end in time. */
-#define START_AFTER_STOP_NS (2600 * NSEC_PER_MSEC)
-
 struct forward {
 	TAILQ_ENTRY(forward) entry;
 	struct entry *e;
--- a/entry/forward_stop.c
+++ b/entry/forward_stop.c
@@ -13,6 +13,7 @@
 };
 
 static enum forward_state forward_state_of(const struct forward *);
+static void forward_end(struct forward *);
 
 static const char *const forward_state_names[FORWARD__MAX] = {
 	[FORWARD_WAITING] = "waiting",
@@ -46,51 +47,75 @@
 	    "reason=%s after_ms=%llu waiting=%u sent=%u answering=%u left=%u "
 	    "reading=%u unsent_bytes=%zu",
 	    reason,
-	    (unsigned long long)((e->now - e->stopping_since) / NSEC_PER_MSEC),
+	    (unsigned long long)((e->now - e->stop.since) / NSEC_PER_MSEC),
 	    n[FORWARD_WAITING], n[FORWARD_SENT], n[FORWARD_ANSWERING],
 	    n[FORWARD_LEFT], reading, unsent);
 }
 
+/* Gives a request that will not be finished its last answer and frees it. */
+static void
+forward_end(struct forward *f)
+{
+	struct stop_request r;
+	char detail[64];
+
+	r.has_caller = f->caller != NULL;
+	r.response_started = f->response_started;
+	r.may_have_run = f->runs != 0 || f->exchange != NULL;
+	snprintf(detail, sizeof(detail), "process stopping, state=%s",
+	    forward_state_names[forward_state_of(f)]);
+	if (f->exchange != NULL) {
+		exchange_cancel(f->exchange);
+		f->exchange = NULL;
+		forward_remove_work(f);
+	}
+	switch (stop_last_answer(&r)) {
+	case STOP_NO_ANSWER:
+		forward_free(f);
+		return;
+	case STOP_REFUSE:
+		forward_refuse(f, "this process is stopping", RETRY_AFTER_NS);
+		return;
+	case STOP_UNKNOWN:
+		forward_report_unknown(
+		    f, 502, detail, "the outcome is unknown");
+		return;
+	default:
+		forward_cut(f, detail);
+		return;
+	}
+}
+
 void
 forward_stop_waiting(struct entry *e)
 {
 	struct forward *f, *next;
 
-	if (e->now < e->stopping_since + START_AFTER_STOP_NS)
+	if (e->now < e->stop.start_until)
 		return;
 	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
 		next = TAILQ_NEXT(f, entry);
-		if (f->waiting.group == NULL || f->caller == NULL ||
-		    f->response_started)
-			continue;
-		if (f->runs == 0)
-			forward_refuse(
-			    f, "this process is stopping", RETRY_AFTER_NS);
-		else
-			forward_report_unknown(f, 502, "process stopping",
-			    "the outcome is unknown");
+		if (f->waiting.group != NULL && f->caller != NULL &&
+		    !f->response_started)
+			forward_end(f);
 	}
 }
 
 void
-forward_stop_all(struct entry *e)
+forward_settle(struct entry *e)
 {
-	struct forward *f;
-	char detail[64];
+	struct forward *f, *next;
 
-	while ((f = TAILQ_FIRST(&e->requests)) != NULL) {
-		if (f->caller != NULL) {
-			snprintf(detail, sizeof(detail),
-			    "process stopping, state=%s",
-			    forward_state_names[forward_state_of(f)]);
-			forward_log(f, LOG_REQUEST_FAILED, "", detail);
-			caller_abort_response(f->caller);
-		}
-		if (f->exchange != NULL) {
-			exchange_cancel(f->exchange);
-			f->exchange = NULL;
-			forward_remove_work(f);
-		}
-		forward_free(f);
+	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
+		next = TAILQ_NEXT(f, entry);
+		if (f->exchange == NULL || !exchange_has_input(f->exchange))
+			forward_end(f);
 	}
 }
+
+void
+forward_stop_all(struct entry *e)
+{
+	while (!TAILQ_EMPTY(&e->requests))
+		forward_end(TAILQ_FIRST(&e->requests));
+}
--- a/entry/main.c
+++ b/entry/main.c
@@ -27,9 +27,6 @@
 /* In a large fleet, for processes without duties: reports come every 0.2 s. */
 #define TICK_LARGE_S 0.05
 #define RETRY_WAITING_LARGE_S 0.03
-/* The load balancer notices within two readiness checks, 1 s apart. */
-#define LISTEN_AFTER_STOP_NS (2500 * NSEC_PER_MSEC)
-#define GRACE_MARGIN_NS (400 * NSEC_PER_MSEC)
 #define CONNECT_NS (400 * NSEC_PER_MSEC)
 #define IDLE_NS (20 * NSEC_PER_SEC)
 #define IDLE_MAX 6 /* idle connections to one replica */
@@ -38,6 +35,7 @@
 	struct entry e;
 	const char *settings_path;
 	struct listener *listener;
+	int settled; /* a stop has given requests their last answers */
 	ev_timer tick;
 	uint64_t tick_at; /* when it is due */
 	ev_prepare prepare;
@@ -50,7 +48,7 @@
 static void daemon_stop(struct daemon *);
 static void on_tick(struct ev_loop *, ev_timer *, int);
 static void on_prepare(struct ev_loop *, ev_prepare *, int);
-static void end_stop(struct entry *, const char *);
+static void tick_stop(struct daemon *);
 static void retry_waiting(struct daemon *);
 static void on_retry_timer(struct ev_loop *, ev_timer *, int);
 static void on_term(struct ev_loop *, ev_signal *, int);
@@ -82,27 +80,37 @@
 		e->retry_waiting = 1;
 	if (!e->stopping)
 		return;
+	tick_stop(d);
+}
+
+/* One step of a stop, until nothing is left or its time is over. */
+static void
+tick_stop(struct daemon *d)
+{
+	struct entry *e = &d->e;
+
 	forward_stop_waiting(e);
-	if (d->listener != NULL &&
-	    e->now >= e->stopping_since + LISTEN_AFTER_STOP_NS) {
+	if (d->listener != NULL && e->now >= e->stop.listen_until) {
 		listener_destroy(d->listener);
 		d->listener = NULL;
 	}
 	if (d->listener == NULL)
 		callers_close_idle(e);
+	if (e->now >= e->stop.settle_at) {
+		if (!d->settled)
+			forward_log_stop(e, "time");
+		d->settled = 1;
+		forward_settle(e);
+		callers_settle(e);
+	}
 	if (d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
-	    TAILQ_EMPTY(&e->requests) && TAILQ_EMPTY(&e->flushing))
-		end_stop(e, "done");
-	else if (e->now + GRACE_MARGIN_NS >=
-	    e->stopping_since + e->boot.stop_grace_ns)
-		end_stop(e, "time");
-}
-
-static void
-end_stop(struct entry *e, const char *reason)
-{
-	forward_log_stop(e, reason);
-	ev_break(e->loop, EVBREAK_ALL);
+	    TAILQ_EMPTY(&e->requests) && TAILQ_EMPTY(&e->flushing)) {
+		if (!d->settled)
+			forward_log_stop(e, "done");
+		ev_break(e->loop, EVBREAK_ALL);
+	} else if (e->now >= e->stop.end_at) {
+		ev_break(e->loop, EVBREAK_ALL);
+	}
 }
 
 static void
@@ -153,7 +161,8 @@
 	if (d->e.stopping)
 		return;
 	d->e.stopping = 1;
-	d->e.stopping_since = entry_update_now(&d->e);
+	stop_begin(
+	    &d->e.stop, entry_update_now(&d->e), d->e.boot.stop_grace_ns);
 	log_event(LOG_STOPPING, NULL, "vm=%s", d->e.boot.vm);
 	loader_io_leave(&d->e);
 	peers_leave(d->e.peers);
