net: a process ends after its callers have received their answers

Callers that read slowly lost the rest of an answer: connections left the list of those that the end of the process waits for once the kernel had taken their bytes. They stay in the list until they are closed, and the end of a stop waits until the kernel has passed on everything, or the time of the stop is over.

--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -93,7 +93,7 @@
 	struct forward_list requests; /* of callers, waiting ones included */
 	struct waitq waiting;	      /* requests without a replica */
 	struct caller_list callers;
-	struct conn_list flushing; /* closed callers with unsent output */
+	struct conn_list flushing; /* callers being closed */
 	struct query_list queries;
 	struct session *session;
 	struct peers *peers;
--- a/entry/main.c
+++ b/entry/main.c
@@ -104,7 +104,7 @@
 		callers_settle(e);
 	}
 	if (d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
-	    TAILQ_EMPTY(&e->requests) && TAILQ_EMPTY(&e->flushing)) {
+	    TAILQ_EMPTY(&e->requests) && conn_list_is_flushed(&e->flushing)) {
 		if (!d->settled)
 			forward_log_stop(e, "done");
 		ev_break(e->loop, EVBREAK_ALL);
--- a/net/conn.c
+++ b/net/conn.c
@@ -191,7 +191,6 @@
 static void
 conn_shutdown_write(struct conn *c)
 {
-	conn_end_flush(c);
 	shutdown(c->fd, SHUT_WR);
 	ev_io_stop(c->loop, &c->write_watcher);
 	ev_io_start(c->loop, &c->read_watcher);
@@ -206,12 +205,10 @@
 	}
 	c->closing = 1;
 	ev_timer_start(c->loop, &c->linger_timer);
-	if (buf_len(&c->out) == 0) {
-		conn_shutdown_write(c);
-		return;
-	}
 	c->flushing = flushing;
 	TAILQ_INSERT_TAIL(flushing, c, entry);
+	if (buf_len(&c->out) == 0)
+		conn_shutdown_write(c);
 }
 
 void
@@ -306,6 +303,18 @@
 	return buf_len(&c->out);
 }
 
+int
+conn_list_is_flushed(const struct conn_list *l)
+{
+	const struct conn *c;
+
+	TAILQ_FOREACH (c, l, entry) {
+		if (!conn_is_flushed(c))
+			return 0;
+	}
+	return 1;
+}
+
 size_t
 conn_list_unsent_bytes(const struct conn_list *l)
 {
--- a/net/conn.h
+++ b/net/conn.h
@@ -15,7 +15,7 @@
 
 struct conn;
 
-/* Connections that are being closed and have unsent output. */
+/* Connections that are being closed. */
 TAILQ_HEAD(conn_list, conn);
 
 struct conn_ops {
@@ -43,7 +43,8 @@
 void conn_abort(struct conn *);
 /*
  * Flushes the output buffer, sends FIN, then closes; no callback follows.  It
- * is in the list until the buffer is empty.
+ * is in the list until it is closed, since a close with input unread would
+ * discard what the peer has not received.
  */
 void conn_close_after_flush(struct conn *, struct conn_list *);
 /*
@@ -65,6 +66,8 @@
 size_t conn_list_unsent_bytes(const struct conn_list *);
 /* Whether nothing is left that the peer still has time to read. */
 int conn_is_flushed(const struct conn *);
+/* The same of all connections of a list. */
+int conn_list_is_flushed(const struct conn_list *);
 void conn_clear_sent(struct conn *);
 /* Whether any byte was passed to the kernel since conn_clear_sent(). */
 int conn_has_sent(const struct conn *);
--- a/tests/stops.py
+++ b/tests/stops.py
@@ -219,5 +219,28 @@
               (status, whole) == (200, True))
 
 
+def test_sigterm_answer_unread_beside_input():
+    """An answer that the kernel holds for a slow caller is whole, though the
+    caller sends another request once nothing else is in progress."""
+    async def large(call):
+        await call.read()
+        return await call.answer(b"x" * 400000)
+    with Stopped(large) as t:
+        s = socket.socket()
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        s.settimeout(10)
+        s.connect((t.w.ip, t.w.ports["front"]))
+        s.sendall(request("/read/x", "id-1"))
+        t.w.wait("answered", lambda: t.w.events("request-attempt"))
+        t.stop()
+        t.sleep_until(3.0)
+        s.sendall(request("/read/x", "id-2"))
+        time.sleep(0.1)
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 22)
+        status, _, body, whole = read_answer(s)
+        check("%d: %d bytes" % (status, len(body)),
+              (status, whole) == (200, True))
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:], globals()))
