core/stop: with a short grace time, a stop goes on until its last sixth

With a grace time below 2.4 s the fixed margin of 0.4 s cut requests before the last sixth, in which a replica that is still at work excuses it. Margins are parts of the grace time below 3.2 s. Found by reading, test_stop "schedule" failed before.

--- a/core/stop.c
+++ b/core/stop.c
@@ -1,16 +1,15 @@
 #include "stop.h"
 
-#include "base.h"
-
 /* The load balancer notices within two readiness checks, 1 s apart. */
 #define LISTEN_NS (2500 * NSEC_PER_MSEC)
-/* A connection accepted last may send its first request this long. */
-#define FIRST_REQUEST_NS (500 * NSEC_PER_MSEC)
 /* What starts later may not end in time. */
 #define START_NS (2600 * NSEC_PER_MSEC)
 /* Before SIGKILL: callers get the last answers, then the process ends. */
 #define SETTLE_MARGIN_NS (400 * NSEC_PER_MSEC)
 #define END_MARGIN_NS (150 * NSEC_PER_MSEC)
+/* At most this part of the grace time. */
+#define SETTLE_MARGIN_DIVISOR 8
+#define END_MARGIN_DIVISOR 24
 
 static uint64_t earlier(uint64_t, uint64_t);
 static uint64_t time_before(uint64_t, uint64_t, uint64_t);
@@ -34,10 +33,12 @@
 	uint64_t kill_at = now + grace_ns;
 
 	s->since = now;
-	s->settle_at = time_before(now, kill_at, SETTLE_MARGIN_NS);
-	s->end_at = time_before(now, kill_at, END_MARGIN_NS);
-	s->listen_until = earlier(
-	    now + LISTEN_NS, time_before(now, s->settle_at, FIRST_REQUEST_NS));
+	s->settle_at = kill_at -
+	    earlier(SETTLE_MARGIN_NS, grace_ns / SETTLE_MARGIN_DIVISOR);
+	s->end_at =
+	    kill_at - earlier(END_MARGIN_NS, grace_ns / END_MARGIN_DIVISOR);
+	s->listen_until = earlier(now + LISTEN_NS,
+	    time_before(now, s->settle_at, STOP_FIRST_REQUEST_NS));
 	s->start_until = earlier(now + START_NS, s->settle_at);
 }
 
--- a/core/stop.h
+++ b/core/stop.h
@@ -8,6 +8,11 @@
 
 #include <stdint.h>
 
+#include "base.h"
+
+/* While stopping, a new connection may send its first request this long. */
+#define STOP_FIRST_REQUEST_NS (500 * NSEC_PER_MSEC)
+
 struct stop_schedule {
 	uint64_t since;	       /* SIGTERM, 0: the process is not stopping */
 	uint64_t listen_until; /* connections are accepted before */
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -12,8 +12,6 @@
 #define PIPELINED_MAX_BYTES 65536 /* received after the current request */
 /* A caller that is not read is checked this often for having left. */
 #define LEFT_CHECK_NS (100 * NSEC_PER_MSEC)
-/* While stopping, a new connection may send its first request this long. */
-#define FIRST_REQUEST_NS (500 * NSEC_PER_MSEC)
 /*
  * Callers reuse a connection until it has been idle for the limit by their own
  * clock; what they sent last may still be on its way.
@@ -225,7 +223,7 @@
 		next = TAILQ_NEXT(c, entry);
 		if (caller_is_idle(c) && !conn_has_input(c->conn) &&
 		    (c->response_sent ||
-			e->now >= c->accepted_at + FIRST_REQUEST_NS))
+			e->now >= c->accepted_at + STOP_FIRST_REQUEST_NS))
 			caller_close_idle(c);
 	}
 }
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -27,6 +27,8 @@
 		CU_ASSERT(s.start_until <= s.settle_at);
 		CU_ASSERT(s.settle_at <= s.end_at);
 		CU_ASSERT(s.end_at <= SIGTERM_AT + grace_ns);
+		/* Requests go on until the last sixth of the grace time. */
+		CU_ASSERT(s.settle_at >= SIGTERM_AT + grace_ns * 5 / 6);
 	}
 	CU_ASSERT(s.settle_at < s.end_at);
 	CU_ASSERT(s.end_at < SIGTERM_AT + 30 * NSEC_PER_SEC);
