--- a/scripts/check.py
+++ b/scripts/check.py
@@ -118,7 +118,7 @@
     if run_check("build, asan ubsan", make_command(build, san, targets)):
         for name in unit_tests():
             run_check("asan " + name, [build + "/test_" + name])
-        for name in ("entry", "stops"):
+        for name in ("entry", "stops", "stops_late"):
             run_check("asan " + name, [sys.executable, "tests/%s.py" % name], {
                 "SPINDLE_ENTRY": os.path.join(ROOT, build, "spindle-entry")})
         run_fuzzers(build, SERVING_CASES // 10, STATE_CASES // 10,
@@ -150,6 +150,7 @@
         run_check("limits", [sys.executable, "tests/limits.py"])
         run_check("lists", [sys.executable, "tests/lists.py"])
         run_check("stops", [sys.executable, "tests/stops.py"])
+        run_check("late in stops", [sys.executable, "tests/stops_late.py"])
         run_check("soak", [sys.executable, "soak/soak.py", "--seeds", "1-2",
                            "--seconds", "10"])
         run_check("processes", [sys.executable, "tests/process.py"])
--- a/tests/stops_review.py
+++ b/tests/stops_late.py
@@ -1,4 +1,4 @@
-"""Tests of spindle-entry: suspicions of a review of its stop.
+"""Tests of spindle-entry: what comes, is repeated or ends late in a stop.
 
 Prints one line per test, and "result: N passed, N failed" at the end.
 """
