entry: an order that has not run is not repeated late in a stop

An order that its replica refuses late in a stop was passed on to another one, where it was still running as the stop ended; its caller got 502, though 503 had been true before. Cause: whether a request can still start was asked on its arrival only, not where attempts start (retries, withdrawals, the end of waiting). Now forward_dispatch() asks it, and waiting requests are judged by the same rule: those that are due before the end go on waiting.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -209,7 +209,7 @@
 	struct directory_replica *m;
 	enum balance_result result;
 
-	if (forward_end_if_blocked(f))
+	if (forward_end_if_blocked(f) || forward_end_if_late(f))
 		return 1;
 	result = forward_pick_replica(f, 0, &m);
 	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -104,6 +104,9 @@
 void forward_report_unknown(struct forward *, int, const char *, const char *);
 /* Breaks off a response that has begun; the detail is for the log. */
 void forward_cut(struct forward *, const char *);
+/* forward_stop.c */
+/* Ends a request that can't start any more as the process stops. */
+int forward_end_if_late(struct forward *);
 /* forward_suspect.c */
 /* Whether it goes to no replica until the evidence of all processes is known.
  */
--- a/entry/forward_stop.c
+++ b/entry/forward_stop.c
@@ -86,17 +86,32 @@
 	}
 }
 
+/*
+ * What has not run is refused while that is still true.  What may have run may
+ * be repeated until the stop ends.
+ */
+int
+forward_end_if_late(struct forward *f)
+{
+	const struct stop_schedule *s = &f->e->stop;
+
+	if (f->runs == 0 ? stop_may_start(s, f->e->now, f->deadline)
+			 : s->since == 0 || f->e->now < s->settle_at)
+		return 0;
+	forward_end(f);
+	return 1;
+}
+
 void
 forward_stop_waiting(struct entry *e)
 {
 	struct forward *f, *next;
 
-	if (e->now < e->stop.start_until)
-		return;
 	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
 		next = TAILQ_NEXT(f, entry);
 		if (f->waiting.group != NULL && f->caller != NULL &&
-		    !f->response_started)
+		    !f->response_started &&
+		    !stop_may_start(&e->stop, e->now, f->deadline))
 			forward_end(f);
 	}
 }
--- a/tests/stops_late.py
+++ b/tests/stops_late.py
@@ -595,11 +595,11 @@
         text = request("/once/x", "id-1", "PUT", deadline=FAR, fields={
             "Transfer-Encoding": "chunked"}) + b"3\r\nabc\r\n"
         s.sendall(text)
-        # A stop of 0.4 s or less gives its last answers at once.
+        # The stop ends before the attempt to connect is given up.
         path = os.path.join(t.w.dir.name, "node.json")
         with open(path) as f:
             doc = json.load(f)
-        doc["bounds"]["grace_s"] = 0.7
+        doc["bounds"]["grace_s"] = 0.4
         with open(path, "w") as f:
             json.dump(doc, f)
         t.w.process.send_signal(signal.SIGHUP)
