entry: what a replica has not been sent is refused as a stop ends

A caller got 502 for an order whose connection to the replica never came up, and could not repeat it; after a pause an order was even sent after the last answers were due. Cause: an attempt counted as having run as soon as it was begun, and a connection that has just been established counts as input.

--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -66,6 +66,8 @@
 	/* A late copy would be read as a response with a body. */
 	conn.single_use = no_body;
 	f->exchange = exchange_start(f->e->replicas, addr, &conn, &send_ops, f);
+	if (f->e->stopping)
+		exchange_set_send_by(f->exchange, f->e->stop.settle_at);
 	if (no_body)
 		exchange_expect_no_body(f->exchange);
 }
--- a/entry/forward_stop.c
+++ b/entry/forward_stop.c
@@ -5,7 +5,7 @@
 
 /* How far a request is. */
 enum forward_state {
-	FORWARD_WAITING,   /* for a replica */
+	FORWARD_WAITING,   /* for a replica, or the connection to it */
 	FORWARD_SENT,	   /* to a replica, which has not begun to answer */
 	FORWARD_ANSWERING, /* a part of the answer has been passed on */
 	FORWARD_LEFT,	   /* by its caller */
@@ -13,6 +13,7 @@
 };
 
 static enum forward_state forward_state_of(const struct forward *);
+static int forward_has_sent(const struct forward *);
 static void forward_end(struct forward *);
 
 static const char *const forward_state_names[FORWARD__MAX] = {
@@ -22,6 +23,13 @@
 	[FORWARD_LEFT] = "left",
 };
 
+/* Whether a byte of the current attempt has left. */
+static int
+forward_has_sent(const struct forward *f)
+{
+	return f->exchange != NULL && exchange_has_sent(f->exchange);
+}
+
 static enum forward_state
 forward_state_of(const struct forward *f)
 {
@@ -29,7 +37,7 @@
 		return FORWARD_LEFT;
 	if (f->response_started)
 		return FORWARD_ANSWERING;
-	return f->exchange == NULL ? FORWARD_WAITING : FORWARD_SENT;
+	return forward_has_sent(f) ? FORWARD_SENT : FORWARD_WAITING;
 }
 
 void
@@ -61,7 +69,7 @@
 
 	r.has_caller = f->caller != NULL;
 	r.response_started = f->response_started;
-	r.may_have_run = f->runs != 0 || f->exchange != NULL;
+	r.may_have_run = f->runs != 0 || forward_has_sent(f);
 	snprintf(detail, sizeof(detail), "process stopping, state=%s",
 	    forward_state_names[forward_state_of(f)]);
 	if (f->exchange != NULL) {
@@ -123,7 +131,7 @@
 
 	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
 		next = TAILQ_NEXT(f, entry);
-		if (f->exchange == NULL || !exchange_has_input(f->exchange))
+		if (!forward_has_sent(f) || !exchange_has_input(f->exchange))
 			forward_end(f);
 	}
 }
