entry: a stop answers requests received behind an answer

A caller that sent two requests on one connection got the answer to the first one with Connection: close, and none to the second one, which had been received. Cause: whether the connection stays open looked only at SIGTERM.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -511,7 +511,7 @@
 caller_keep_alive(const struct caller *c)
 {
 	return caller_head(c)->keep_alive && caller_accepts_chunked(c) &&
-	    !c->e->stopping;
+	    (!c->e->stopping || buf_len(&c->pipelined) != 0);
 }
 
 int
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -157,7 +157,10 @@
 void caller_keep_until(struct caller *, uint64_t);
 /* Whether the caller has closed its side, even if the loop has not read it. */
 int caller_has_left(const struct caller *);
-/* Whether the connection stays open after the current response. */
+/*
+ * Whether the connection stays open after the current response: in a stop, for
+ * requests that have been received behind it.
+ */
 int caller_keep_alive(const struct caller *);
 /* Whether the caller understands chunked encoding, as HTTP/1.1 does. */
 int caller_accepts_chunked(const struct caller *);
