net: an answer that the end of the process cuts off does not look complete

A caller that knows no chunks (HTTP/1.0) takes the end of the connection as that of the stream. What it had not read by the end of a stop was dropped with the process's buffer, and the kernel closed the connection as if all had been sent.

--- a/entry/main.c
+++ b/entry/main.c
@@ -260,6 +260,7 @@
 	forward_stop_all(e);
 	waitq_clear(&e->waiting);
 	callers_destroy(e);
+	conn_list_destroy(&e->flushing);
 	admin_destroy(e->admin);
 	session_close(e->session);
 	queries_cancel(e);
--- a/net/conn.c
+++ b/net/conn.c
@@ -315,6 +315,19 @@
 	return 1;
 }
 
+void
+conn_list_destroy(struct conn_list *l)
+{
+	struct conn *c;
+
+	while ((c = TAILQ_FIRST(l)) != NULL) {
+		if (buf_len(&c->out) != 0)
+			conn_abort(c);
+		else
+			conn_destroy(c);
+	}
+}
+
 size_t
 conn_list_unsent_bytes(const struct conn_list *l)
 {
@@ -424,7 +437,7 @@
 
 	c->send_error = ETIMEDOUT;
 	if (c->closing)
-		conn_destroy(c);
+		conn_abort(c);
 	else
 		conn_end_sending(c);
 }
--- a/net/conn.h
+++ b/net/conn.h
@@ -73,6 +73,11 @@
 int conn_has_sent(const struct conn *);
 /* A peer that is alive but does not read is not cut off before this time. */
 void conn_keep_until(struct conn *, uint64_t);
+/*
+ * Closes all connections of a list; those with unsent bytes are reset, so that
+ * an answer that ends with its connection does not look complete.
+ */
+void conn_list_destroy(struct conn_list *);
 /* Pauses (0) or resumes (1) reading. */
 void conn_set_reading(struct conn *, int);
 /* Returns a listening socket on "IP:port", or -1 with err set. */
