entry: a stop reads what has arrived before its last turn

After a pause across the end of a stop, 26 to 90 of 90 orders that had arrived were reset unread: the first tick after it settled and ended the process, before descriptors were looked at.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -261,6 +261,9 @@
 static void
 caller_close(struct caller *c)
 {
+	/* The process does not end before the caller has received it. */
+	if (c->e->stopping)
+		conn_keep_until(c->conn, c->e->stop.end_at);
 	conn_close_after_flush(c->conn, &c->e->flushing);
 	caller_destroy(c);
 }
--- a/entry/main.c
+++ b/entry/main.c
@@ -27,6 +27,8 @@
 /* In a large fleet, for processes without duties: reports come every 0.2 s. */
 #define TICK_LARGE_S 0.05
 #define RETRY_WAITING_LARGE_S 0.03
+/* After a pause, input that has arrived is read between two of them. */
+#define SETTLE_TICKS_MIN 2
 #define CONNECT_NS (400 * NSEC_PER_MSEC)
 #define IDLE_NS (20 * NSEC_PER_SEC)
 #define IDLE_MAX 6 /* idle connections to one replica */
@@ -35,7 +37,7 @@
 	struct entry e;
 	const char *settings_path;
 	struct listener *listener;
-	int settled; /* a stop has given requests their last answers */
+	uint32_t settled; /* ticks that gave requests their last answers */
 	ev_timer tick;
 	uint64_t tick_at; /* when it is due */
 	ev_prepare prepare;
@@ -97,18 +99,17 @@
 	if (d->listener == NULL)
 		callers_close_idle(e);
 	if (e->now >= e->stop.settle_at) {
-		if (!d->settled)
+		if (d->settled++ == 0)
 			forward_log_stop(e, "time");
-		d->settled = 1;
 		forward_settle(e);
 		callers_settle(e);
 	}
 	if (d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
 	    TAILQ_EMPTY(&e->requests) && conn_list_is_flushed(&e->flushing)) {
-		if (!d->settled)
+		if (d->settled == 0)
 			forward_log_stop(e, "done");
 		ev_break(e->loop, EVBREAK_ALL);
-	} else if (e->now >= e->stop.end_at) {
+	} else if (e->now >= e->stop.end_at && d->settled >= SETTLE_TICKS_MIN) {
 		ev_break(e->loop, EVBREAK_ALL);
 	}
 }
