--- a/entry/caller.c
+++ b/entry/caller.c
@@ -41,6 +41,7 @@
 	int head_received; /* of the request being read */
 	int request_complete;
 	int body_too_large;
+	int refused_early; /* the caller asked whether to send the body */
 };
 
 struct listener {
@@ -393,7 +394,12 @@
 	const char *expect = http_field_find(h, "Expect");
 
 	c->head_received = 1;
-	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
+	if (expect == NULL || strcasecmp(expect, "100-continue") != 0)
+		return;
+	/* The body would come later still. */
+	if (c->e->stopping && c->e->now >= c->e->stop.start_until)
+		c->refused_early = 1;
+	else
 		conn_write(c->conn, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
 
@@ -438,6 +444,10 @@
 		caller_reject(c, 413, "the body is too large");
 		return;
 	}
+	if (c->refused_early) {
+		caller_reject(c, 503, "this process is stopping");
+		return;
+	}
 	if (!c->request_complete) {
 		caller_set_read_timeout(c);
 		return;
