entry: an order whose deadline has passed is not passed on

An order whose body came after its deadline reached a replica, with no time left to run, and its caller got 504. Nothing looked at the deadline before the first attempt; its timer came later. It is refused as not run.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -70,24 +70,36 @@
 
 	if (fields_decode_request(h, &f->params, err) == -1)
 		return 400;
-	if (f->e->conf == NULL || !f->e->dir.synced)
+	if (f->e->conf == NULL || !f->e->dir.synced) {
+		err_set(err, ERR_UNAVAILABLE,
+		    f->e->stopping ? "this process is stopping"
+				   : "no configuration is known yet");
 		return 503;
+	}
 	r = fleet_find_route(
 	    f->e->conf, host == NULL ? "" : host, http_request_target(h));
 	if (r == NULL)
 		return 404;
 	f->route = *r;
 	t = fleet_pick_target(r, entry_random(f->e));
-	if (t == NULL)
+	if (t == NULL) {
+		err_set(err, ERR_UNAVAILABLE, "the route has no service");
 		return 503;
+	}
 	snprintf(f->service, sizeof(f->service), "%s", t->service);
 	limit_ns = f->params.timeout_ns != 0 ? f->params.timeout_ns
 					     : DEADLINE_DEFAULT_NS;
 	f->deadline = caller_request_started_at(f->caller) + limit_ns;
 	if (f->deadline > f->arrived + r->timeout_ns)
 		f->deadline = f->arrived + r->timeout_ns;
-	if (!stop_may_start(&f->e->stop, f->e->now, f->deadline))
+	if (f->e->now >= f->deadline) {
+		err_set(err, ERR_UNAVAILABLE, "its deadline has passed");
 		return 503;
+	}
+	if (!stop_may_start(&f->e->stop, f->e->now, f->deadline)) {
+		err_set(err, ERR_UNAVAILABLE, "this process is stopping");
+		return 503;
+	}
 	f->last_event_id = f->params.last_event_id;
 	caller_keep_until(f->caller, f->deadline);
 	return 0;
@@ -111,10 +123,7 @@
 	e->counts.arrived++;
 	status = forward_admit(f, &err);
 	if (status == 503) {
-		forward_refuse(f,
-		    f->e->stopping ? "this process is stopping"
-				   : "no configuration is known yet",
-		    RETRY_AFTER_NS);
+		forward_refuse(f, err.text, RETRY_AFTER_NS);
 		return;
 	}
 	if (status != 0) {
