scripts/check.py: name every known red with its outcome

Cause: check.py looked for the words "known red" in the output instead of reading the outcomes.

What counts as passed or failed is unchanged.

Ruled out: printing whole outputs, as entries without a run would still be missing.

In a scratch copy a listed test that fails and one that passes are printed as such by check.py, run on tests/entry.py.

--- a/scripts/check.py
+++ b/scripts/check.py
@@ -1,4 +1,5 @@
-"""Runs all checks; the last line is "N passed, N failed".
+"""Runs all checks; the last line is "N passed, N failed", after the outcome of
+each entry of KNOWN-RED.txt.
 
 The checks are builds, formatter and linter, unit tests, documents, fuzzers
 with fixed seeds, soak and process tests.  Unit tests and fuzzers run again
@@ -10,6 +11,8 @@
 import sys
 import time
 
+import known_red
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 JOBS = str(os.cpu_count() or 4)
 THREADED = ["ring", "fetch", "shell", "conf_decoder"]
@@ -17,6 +20,7 @@
 COUNT = re.compile(r"(?:result: )?(\d+) passed, (\d+) failed$")
 
 counts = {"passed": 0, "failed": 0}
+outcomes = []  # of known reds: (name, program, what it did)
 
 
 def run_command(args, env=None, timeout=1500):
@@ -38,6 +42,7 @@
         int(status == 0), int(status != 0))
     if status != 0 and failed == 0:
         failed = 1
+    outcomes.extend((red, name, what) for red, what in known_red.parse(text))
     counts["passed"] += passed
     counts["failed"] += failed
     print("%-28s %6.1f s  %d passed, %d failed" % (
@@ -89,24 +94,20 @@
     """A case listed in KNOWN-RED.txt is run and printed, but not counted."""
     seed = params.split()[0]
     case = "%s:%s" % (name, seed)
-    if case not in known_red():
+    if case not in known_red.entries():
         run_check("%s, %s" % (name, seed), [program], {"RC_PARAMS": params})
         return
     status, text = run_command([program], {"RC_PARAMS": params})
     found = [line for line in text.splitlines() if "RC_ASSERT" in line]
-    print("%-28s known red, exit %d: %s" % (
-        case, status, " ".join(found)), flush=True)
+    what = known_red.PASSES if status == 0 else "failed: exit %d: %s" % (
+        status, " ".join(found))
+    outcomes.append((case, os.path.basename(program), what))
+    print("%-28s known red: %s" % (case, what), flush=True)
     if status == 0:
         print("passes now: remove it from KNOWN-RED.txt", flush=True)
         counts["failed"] += 1
 
 
-def known_red():
-    with open(os.path.join(ROOT, "KNOWN-RED.txt")) as f:
-        return {line.split()[0] for line in f
-                if line.strip() and not line.startswith("#")}
-
-
 def run_sanitizers():
     build = "build/asan"
     san = "-fsanitize=address,undefined -fno-sanitize-recover=undefined"
@@ -143,6 +144,7 @@
         for name in unit_tests():
             run_check("unit " + name, ["build/test_" + name])
         run_check("documents", [sys.executable, "tests/documents.py"])
+        run_check("known reds", [sys.executable, "tests/test_check.py"])
         run_fuzzers("build", SERVING_CASES, STATE_CASES, PERMITS_CASES)
         run_regressions("build")
         run_check("entry", [sys.executable, "tests/entry.py"])
@@ -154,8 +156,15 @@
                            "--seconds", "10"])
         run_check("processes", [sys.executable, "tests/process.py"])
         run_sanitizers()
+    return report_result()
+
+
+def report_result():
+    print("known reds:")
+    print("\n".join(known_red.summary(outcomes)))
     print("%(passed)d passed, %(failed)d failed" % counts)
     return counts["failed"] != 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -19,6 +19,9 @@
 import traceback
 from email.utils import formatdate
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(
+    os.path.abspath(__file__))), "scripts"))
+import known_red  # noqa: E402
 from platform_world import (ID, NOT_RUN, SIGNATURE, Peer, World, answer_ok,
                             default_config, forget_worlds, keep_logs,
                             read_answer, request, route)
@@ -3534,27 +3537,22 @@
         w.stop()
 
 
-def known_red():
-    with open(os.path.join(ROOT, "KNOWN-RED.txt")) as f:
-        return {line.split()[0] for line in f
-                if line.strip() and not line.startswith("#")}
-
-
 def run_one(test, results, lock, limit):
     """A test named in KNOWN-RED.txt is reported, but not counted."""
     with limit:
         forget_worlds()
         try:
             test()
-            text, ok = "ok", True
-        except Exception:  # reported with its traceback
-            text, ok = traceback.format_exc(limit=-2), False
+            text, error = "ok", None
+        except Exception as e:  # reported with its traceback
+            text, error = traceback.format_exc(limit=-2), e
             text += "logs: %s" % " ".join(keep_logs(test.__name__))
     with lock:
-        if test.__name__ in known_red():
-            text = "known red: " + text
+        if test.__name__ in known_red.entries():
+            text = known_red.outcome(error) + (
+                "" if error is None else "\n" + text)
         else:
-            results.append(ok)
+            results.append(error is None)
         print("%-24s %s" % (test.__name__, text), flush=True)
 
 
--- a/tests/process.py
+++ b/tests/process.py
@@ -14,6 +14,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))), "scripts"))
+import known_red  # noqa: E402
 from cluster import (Cluster, ROOT, get_json, request,  # noqa: E402
                      wait_for)
 
@@ -813,31 +814,27 @@
     test_engine_limit, test_engine_notices, test_racing_operators]
 
 
-def known_red():
-    with open(os.path.join(ROOT, "KNOWN-RED.txt")) as f:
-        return {line.split()[0] for line in f
-                if line.strip() and not line.startswith("#")}
-
-
 def run_one(test, red, counts, lock, *args):
     start = time.monotonic()
     try:
         test(*args)
-        word = "ok"
+        word, error = "ok", None
     except Exception as e:  # any exception is a failed test
-        word = "FAILED: %s: %s" % (type(e).__name__, e)
+        word, error = "FAILED: %s: %s" % (type(e).__name__, e), e
     with lock:
-        if word != "ok" and test.__name__ in red:
-            word = "known red, " + word
+        if error is not None and test.__name__ in red:
             counts["red"] += 1
         else:
-            counts["passed" if word == "ok" else "failed"] += 1
+            counts["passed" if error is None else "failed"] += 1
+        if test.__name__ in red:
+            word = known_red.outcome(error) + (
+                "" if error is None else "\n" + word)
         print("%-24s %6.1f s  %s" % (
             test.__name__, time.monotonic() - start, word), flush=True)
 
 
 def main(names):
-    red = known_red()
+    red = known_red.entries()
     counts = {"passed": 0, "failed": 0, "red": 0}
     lock = threading.Lock()
     shared = [t for t in SHARED_CLUSTER_TESTS if not names or t.__name__ in names]
