tests/process.py: test_owner_paused leaves no process behind

The test takes the paused process out of the cluster while it waits for a new owner. If the wait failed, the process stayed, held its addresses, and later runs on the same ports failed with "2 owners" (4 of 5) or hung at the ticket (seen in a series of runs, whose first failure had a cause outside of the test). With the wait cut to 0.1 s in a scratch copy one spindle-control stayed before the change, none after.

No check is changed.

--- a/tests/process.py
+++ b/tests/process.py
@@ -454,6 +454,7 @@
     owner remains and no engine is overcommitted."""
     c = Cluster(vms=3, engines=4, models=8, base_port=PORT + 300,
                 memory_mb=40000, model_mb=9000, load_ms=800)
+    paused = None
     try:
         c.up()
         c.declare()
@@ -471,8 +472,10 @@
             c.control(i), "/v1/status")["cells"])
         check("%d owners" % owners, owners == 1)
         report, _, status = c.load("-d", 3, "-r", 20, "-S", 22)
-        check("served", status == 0 and report["not_run"] == 0)
+        check("served: %s" % report, status == 0 and report["not_run"] == 0)
     finally:
+        if paused is not None:  # it would outlive a failed test
+            c.procs["paused"] = paused
         c.down()
 
 
@@ -532,7 +535,7 @@
         c.start_engine(0)
         time.sleep(3)
         report, _, status = c.load("-d", 3, "-r", 20, "-S", 24)
-        check("served", status == 0 and report["not_run"] == 0)
+        check("served: %s" % report, status == 0 and report["not_run"] == 0)
         check("overcommitted", c.overcommits() == 0)
     finally:
         c.down()
