--- a/tests/process.py
+++ b/tests/process.py
@@ -14,6 +14,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))), "scripts"))
+import known_red  # noqa: E402
 from cluster import (Cluster, ROOT, get_json, request,  # noqa: E402
                      wait_for)
 
@@ -453,6 +454,7 @@
     owner remains and no engine is overcommitted."""
     c = Cluster(vms=3, engines=4, models=8, base_port=PORT + 300,
                 memory_mb=40000, model_mb=9000, load_ms=800)
+    paused = None
     try:
         c.up()
         c.declare()
@@ -470,8 +472,10 @@
             c.control(i), "/v1/status")["cells"])
         check("%d owners" % owners, owners == 1)
         report, _, status = c.load("-d", 3, "-r", 20, "-S", 22)
-        check("served", status == 0 and report["not_run"] == 0)
+        check("served: %s" % report, status == 0 and report["not_run"] == 0)
     finally:
+        if paused is not None:  # it would outlive a failed test
+            c.procs["paused"] = paused
         c.down()
 
 
@@ -531,7 +535,7 @@
         c.start_engine(0)
         time.sleep(3)
         report, _, status = c.load("-d", 3, "-r", 20, "-S", 24)
-        check("served", status == 0 and report["not_run"] == 0)
+        check("served: %s" % report, status == 0 and report["not_run"] == 0)
         check("overcommitted", c.overcommits() == 0)
     finally:
         c.down()
@@ -813,31 +817,27 @@
     test_engine_limit, test_engine_notices, test_racing_operators]
 
 
-def known_red():
-    with open(os.path.join(ROOT, "KNOWN-RED.txt")) as f:
-        return {line.split()[0] for line in f
-                if line.strip() and not line.startswith("#")}
-
-
 def run_one(test, red, counts, lock, *args):
     start = time.monotonic()
     try:
         test(*args)
-        word = "ok"
+        word, error = "ok", None
     except Exception as e:  # any exception is a failed test
-        word = "FAILED: %s: %s" % (type(e).__name__, e)
+        word, error = "FAILED: %s: %s" % (type(e).__name__, e), e
     with lock:
-        if word != "ok" and test.__name__ in red:
-            word = "known red, " + word
+        if error is not None and test.__name__ in red:
             counts["red"] += 1
         else:
-            counts["passed" if word == "ok" else "failed"] += 1
+            counts["passed" if error is None else "failed"] += 1
+        if test.__name__ in red:
+            word = known_red.outcome(error) + (
+                "" if error is None else "\n" + word)
         print("%-24s %6.1f s  %s" % (
             test.__name__, time.monotonic() - start, word), flush=True)
 
 
 def main(names):
-    red = known_red()
+    red = known_red.entries()
     counts = {"passed": 0, "failed": 0, "red": 0}
     lock = threading.Lock()
     shared = [t for t in SHARED_CLUSTER_TESTS if not names or t.__name__ in names]
