--- a/scripts/check.py
+++ b/scripts/check.py
@@ -153,6 +153,7 @@
         run_check("soak", [sys.executable, "soak/soak.py", "--seeds", "1-2",
                            "--seconds", "10"])
         run_check("processes", [sys.executable, "tests/process.py"])
+        run_check("gate stops", [sys.executable, "tests/gate_stops.py"])
         run_sanitizers()
     print("%(passed)d passed, %(failed)d failed" % counts)
     return counts["failed"] != 0
