shell/httpd: a request whose body ends early is refused, not passed on

What callers saw: an order whose connection broke while its body was being sent was run all the same, with a part of its body, or none where it came in chunks.

Cause: httpd_read_body() took the end of the connection, an error and a timeout for the end of the body, and never compared the length read with Content-Length.

Ruled out: that the watch of callers who leave prevents it: the request has been passed on by then, and an order that may have been sent is not stopped.

--- a/shell/httpd.c
+++ b/shell/httpd.c
@@ -16,6 +16,12 @@
 #define HTTPD_READ_SIZE 16384
 #define FIRST_FD 3
 
+enum body_result {
+	BODY_WHOLE,
+	BODY_TOO_LARGE,
+	BODY_INCOMPLETE /* its sender has ended, or is too slow */
+};
+
 struct httpd {
 	struct httpd_config config;
 	struct mg_context *mg;
@@ -24,7 +30,8 @@
 
 static int httpd_handle(struct mg_connection *, void *);
 static void httpd_discard_body(struct mg_connection *);
-static int httpd_read_body(struct httpd *, struct httpd_request *);
+static enum body_result httpd_read_body(struct httpd *, struct httpd_request *);
+static void httpd_refuse_body(struct httpd_request *, enum body_result);
 static void httpd_write_head(
     struct httpd_request *, int, const char *, const char *, const char *);
 static int httpd_is_shutting_down(const struct httpd_request *);
@@ -87,16 +94,15 @@
 	    &httpd_from_request(req)->shutting_down, __ATOMIC_ACQUIRE);
 }
 
-/* Reads the request body.  Returns -1 when it exceeds max_body_bytes. */
-static int
+static enum body_result
 httpd_read_body(struct httpd *h, struct httpd_request *req)
 {
 	const struct mg_request_info *info = mg_get_request_info(req->conn);
 	size_t size = HTTPD_READ_SIZE;
-	int n;
+	int n = 0;
 
 	if (info->content_length > (long long)h->config.max_body_bytes)
-		return -1;
+		return BODY_TOO_LARGE;
 	if (info->content_length > 0)
 		size = (size_t)info->content_length + 1;
 	req->body = mem_alloc(size);
@@ -106,7 +112,7 @@
 				break;
 			size *= 2;
 			if (size > 2 * h->config.max_body_bytes)
-				return -1;
+				return BODY_TOO_LARGE;
 			req->body = mem_grow(req->body, size, 1);
 		}
 		n = mg_read(
@@ -116,7 +122,33 @@
 		req->len += (size_t)n;
 	}
 	req->body[req->len] = '\0';
-	return req->len > h->config.max_body_bytes ? -1 : 0;
+	if (req->len > h->config.max_body_bytes)
+		return BODY_TOO_LARGE;
+	if (n < 0 || (long long)req->len < info->content_length)
+		return BODY_INCOMPLETE;
+	return BODY_WHOLE;
+}
+
+static void
+httpd_refuse_body(struct httpd_request *req, enum body_result result)
+{
+	const struct httpd_config *config = &httpd_from_request(req)->config;
+
+	if (config->on_bad_request != NULL)
+		config->on_bad_request(config->ctx,
+		    result == BODY_TOO_LARGE ? "body too large"
+					     : "body incomplete");
+	mg_disable_connection_keep_alive(req->conn);
+	if (result == BODY_TOO_LARGE) {
+		httpd_discard_body(req->conn);
+		httpd_reply_error(req, 413, "not-run-too-large",
+		    "the body is larger than this process takes; send less",
+		    "");
+	} else {
+		httpd_reply_error(req, 400, "not-run-bad-request",
+		    "the body ended early; send it whole",
+		    "X-Spindle-Outcome: not-run-bad-request\r\n");
+	}
 }
 
 /* Reads the remaining body, so that a reset does not discard the response. */
@@ -137,24 +169,18 @@
 	const struct mg_request_info *info = mg_get_request_info(conn);
 	struct httpd_request req;
 	struct httpd *h = arg;
+	enum body_result result;
 
 	memset(&req, 0, sizeof(req));
 	req.conn = conn;
 	req.method = info->request_method;
 	req.path = info->local_uri == NULL ? "" : info->local_uri;
 	req.query = info->query_string == NULL ? "" : info->query_string;
-	if (httpd_read_body(h, &req) == -1) {
-		if (h->config.on_bad_request != NULL)
-			h->config.on_bad_request(
-			    h->config.ctx, "body too large");
-		httpd_discard_body(conn);
-		httpd_reply_error(&req, 413, "not-run-too-large",
-		    "the body is larger than this process takes; send less",
-		    "");
-		mg_disable_connection_keep_alive(conn);
-	} else {
+	result = httpd_read_body(h, &req);
+	if (result == BODY_WHOLE)
 		h->config.on_request(h->config.ctx, &req);
-	}
+	else
+		httpd_refuse_body(&req, result);
 	free(req.body);
 	return 200;
 }
