gate: a stop answers requests that are being read or wait for a thread

What callers saw: a request whose body was still being read as the grace time ended, the first request on a connection accepted before SIGTERM, and requests that waited for a thread (20 of 20) had their connections closed without an answer.

Cause: a request counted as in progress only from its handler on, after its body. When the count was 0, mg_stop() followed at once; from then on CivetWeb reads and writes nothing more, and drops what waits for a thread.

Ruled out: SIGTERM twice (both signals stay blocked, the second is never taken); the requests in progress themselves, streams included, which end as before.

Now the connections are counted, also those that wait for a thread. They may send for 6 s more and get a refusal as not run; then their input ends, so that a request that is still incomplete gets its refusal as well. A request is counted before the gate looks whether it refuses, so that none can start in between.

--- a/gate/frontend.c
+++ b/gate/frontend.c
@@ -100,13 +100,19 @@
 void
 frontend_refuse_requests(struct frontend *f)
 {
-	__atomic_store_n(&f->refusing, 1, __ATOMIC_RELEASE);
+	__atomic_store_n(&f->refusing, 1, __ATOMIC_SEQ_CST);
 }
 
 uint32_t
 frontend_active_requests(const struct frontend *f)
 {
-	return __atomic_load_n(&f->active_requests, __ATOMIC_ACQUIRE);
+	return __atomic_load_n(&f->active_requests, __ATOMIC_SEQ_CST);
+}
+
+void
+frontend_drain(struct frontend *f, uint64_t read_until)
+{
+	httpd_drain(f->httpd, read_until);
 }
 
 void
@@ -270,11 +276,13 @@
 
 	if (frontend_handle_admin(f, req))
 		return;
-	if (__atomic_load_n(&f->refusing, __ATOMIC_ACQUIRE)) {
+	/* Counted first: a stop refuses requests, then waits for the count. */
+	__atomic_fetch_add(&f->active_requests, 1, __ATOMIC_SEQ_CST);
+	if (__atomic_load_n(&f->refusing, __ATOMIC_SEQ_CST)) {
 		frontend_refuse_request(req, 0, OUTCOME_CLOSING, 0);
+		__atomic_fetch_sub(&f->active_requests, 1, __ATOMIC_ACQ_REL);
 		return;
 	}
-	__atomic_fetch_add(&f->active_requests, 1, __ATOMIC_ACQ_REL);
 	x = frontend_parse_request(f, req, &why);
 	if (x != NULL) {
 		frontend_serve_request(f, req, x);
--- a/gate/frontend.h
+++ b/gate/frontend.h
@@ -23,6 +23,8 @@
 void frontend_refuse_requests(struct frontend *);
 /* Number of requests in progress. */
 uint32_t frontend_active_requests(const struct frontend *);
+/* Answers what callers send until a time, and ends their connections. */
+void frontend_drain(struct frontend *, uint64_t);
 /* Waits for the request handlers, then stops the server. */
 void frontend_destroy(struct frontend *);
 
--- a/gate/main.c
+++ b/gate/main.c
@@ -16,6 +16,8 @@
 
 #define NAME "spindle-gate"
 #define DRAIN_POLL_MSEC 20
+/* Idle connections end in 5 s; a request that is being read may take longer. */
+#define LAST_READ_NS (6 * NSEC_PER_SEC)
 
 struct settings {
 	char vm[NAME_SIZE];
@@ -120,6 +122,7 @@
 	frontend_refuse_requests(frontend);
 	while (frontend_active_requests(frontend) != 0)
 		sleep_ms(DRAIN_POLL_MSEC);
+	frontend_drain(frontend, clock_mono() + LAST_READ_NS);
 	frontend_destroy(frontend);
 	gate_loop_destroy(loop);
 	catalogue_clear();
--- a/shell/httpd.c
+++ b/shell/httpd.c
@@ -1,12 +1,16 @@
 #include <arpa/inet.h>
 #include <civetweb.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <time.h>
 
+#include "base.h"
+#include "clock.h"
 #include "httpd.h"
 #include "mem.h"
 
@@ -15,6 +19,11 @@
 #define HTTPD_DISCARD_MAX_BYTES (64U << 20)
 #define HTTPD_READ_SIZE 16384
 #define FIRST_FD 3
+/* The last answers, once no connection is read any more. */
+#define HTTPD_LAST_ANSWER_NS (4 * NSEC_PER_SEC)
+#define HTTPD_POLL_MSEC 25
+/* Longer than a handshake: 100 ms. */
+#define HTTPD_IDLE_POLLS 4
 
 enum body_result {
 	BODY_WHOLE,
@@ -22,6 +31,12 @@
 	BODY_INCOMPLETE /* its sender has ended, or is too slow */
 };
 
+enum socket_kind {
+	SOCKET_OTHER,
+	SOCKET_LISTENER,
+	SOCKET_CALLER
+};
+
 struct httpd {
 	struct httpd_config config;
 	struct mg_context *mg;
@@ -34,6 +49,10 @@
 static void httpd_refuse_body(struct httpd_request *, enum body_result);
 static void httpd_write_head(
     struct httpd_request *, int, const char *, const char *, const char *);
+static int httpd_max_fd(void);
+static enum socket_kind httpd_socket_kind(const struct httpd *, int);
+static int has_input(int);
+static unsigned int httpd_callers(const struct httpd *, int);
 static int httpd_is_shutting_down(const struct httpd_request *);
 static struct httpd *httpd_from_request(const struct httpd_request *);
 
@@ -87,6 +106,80 @@
 	__atomic_store_n(&h->shutting_down, 1, __ATOMIC_RELEASE);
 }
 
+static int
+httpd_max_fd(void)
+{
+	struct rlimit rl;
+
+	if (getrlimit(RLIMIT_NOFILE, &rl) == 0 && rl.rlim_cur < HTTPD_FD_MAX)
+		return (int)rl.rlim_cur;
+	return HTTPD_FD_MAX;
+}
+
+static enum socket_kind
+httpd_socket_kind(const struct httpd *h, int fd)
+{
+	const char *port = strrchr(h->config.addr, ':');
+	struct sockaddr_in sin = { 0 };
+	socklen_t len = sizeof(sin);
+	int listening = 0;
+
+	if (port == NULL ||
+	    getsockname(fd, (struct sockaddr *)&sin, &len) == -1 ||
+	    sin.sin_family != AF_INET ||
+	    ntohs(sin.sin_port) != strtol(port + 1, NULL, 10))
+		return SOCKET_OTHER;
+	len = sizeof(listening);
+	getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &len);
+	return listening ? SOCKET_LISTENER : SOCKET_CALLER;
+}
+
+static int
+has_input(int fd)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+
+	return poll(&p, 1, 0) == 1;
+}
+
+/*
+ * Counts the connections, with those that wait for a thread or to be accepted.
+ * With end_input, what has arrived is read, then readers see its end.
+ */
+static unsigned int
+httpd_callers(const struct httpd *h, int end_input)
+{
+	enum socket_kind kind;
+	unsigned int n = 0;
+	int max_fd = httpd_max_fd();
+	int fd;
+
+	for (fd = FIRST_FD; fd < max_fd; fd++) {
+		kind = httpd_socket_kind(h, fd);
+		if (kind == SOCKET_CALLER ||
+		    (kind == SOCKET_LISTENER && has_input(fd)))
+			n++;
+		if (kind == SOCKET_CALLER && end_input)
+			shutdown(fd, SHUT_RD);
+	}
+	return n;
+}
+
+void
+httpd_drain(struct httpd *h, uint64_t read_until)
+{
+	const struct timespec ts = { 0, HTTPD_POLL_MSEC * (long)NSEC_PER_MSEC };
+	uint64_t now = clock_mono();
+	int idle = 0;
+
+	while (idle < HTTPD_IDLE_POLLS &&
+	    now < read_until + HTTPD_LAST_ANSWER_NS) {
+		idle = httpd_callers(h, now >= read_until) == 0 ? idle + 1 : 0;
+		nanosleep(&ts, NULL);
+		now = clock_mono();
+	}
+}
+
 static int
 httpd_is_shutting_down(const struct httpd_request *req)
 {
@@ -144,6 +237,12 @@
 		httpd_reply_error(req, 413, "not-run-too-large",
 		    "the body is larger than this process takes; send less",
 		    "");
+	} else if (httpd_is_shutting_down(req)) {
+		httpd_reply_error(req, 503, "not-run-closing",
+		    "this process is shutting down; try again. The request "
+		    "was not run",
+		    "X-Spindle-Outcome: not-run-closing\r\n"
+		    "Retry-After: 1\r\n");
 	} else {
 		httpd_reply_error(req, 400, "not-run-bad-request",
 		    "the body ended early; send it whole",
@@ -298,15 +397,12 @@
 	const struct mg_request_info *info = mg_get_request_info(req->conn);
 	struct sockaddr_in sin = { 0 };
 	struct in_addr want;
-	struct rlimit rl;
 	socklen_t len;
-	int max_fd = HTTPD_FD_MAX;
+	int max_fd = httpd_max_fd();
 	int fd;
 
 	if (inet_pton(AF_INET, info->remote_addr, &want) != 1)
 		return -1;
-	if (getrlimit(RLIMIT_NOFILE, &rl) == 0 && rl.rlim_cur < HTTPD_FD_MAX)
-		max_fd = (int)rl.rlim_cur;
 	for (fd = FIRST_FD; fd < max_fd; fd++) {
 		len = sizeof(sin);
 		if (getpeername(fd, (struct sockaddr *)&sin, &len) == -1 ||
--- a/shell/httpd.h
+++ b/shell/httpd.h
@@ -34,7 +34,14 @@
 };
 
 struct httpd *httpd_create(const struct httpd_config *, struct err *);
-/* Waits for running handlers to return. */
+/*
+ * Ends the connections of callers, to be called after httpd_begin_shutdown()
+ * and once no request is in progress: each may end its request until a time,
+ * what is read by then is answered.  Returns when all are closed, or 4 s after
+ * that time.
+ */
+void httpd_drain(struct httpd *, uint64_t);
+/* Waits for running handlers to return; unfinished answers are cut off. */
 void httpd_destroy(struct httpd *);
 /* Disables keep-alive on all connections; running handlers continue. */
 void httpd_begin_shutdown(struct httpd *);
--- a/tests/gate_stops.py
+++ b/tests/gate_stops.py
@@ -148,7 +148,8 @@
         self.signal("gate0", signal.SIGTERM)
 
     def wait_stopped(self, seconds=15):
-        check("exit status", self.procs.pop("gate0").wait(seconds) == 0)
+        status = self.procs.pop("gate0").wait(seconds)
+        check("exit status %d" % status, status == 0)
 
 
 def test_body_read_during_gate_stop():
