shell/httpd: connections accepted at the end of a stop are not dropped

Cause: the listening socket is open until CivetWeb's stop, so the kernel goes on making connections on which callers send, and CivetWeb accepts them; its stop closes both unread.

Now a filter on the listening socket drops SYNs once no connection is left; connections that were being made are served for 100 ms more. A caller that connects later has sent nothing, and gets its refusal as the socket is closed.

--- a/shell/httpd.c
+++ b/shell/httpd.c
@@ -1,6 +1,8 @@
 #include <arpa/inet.h>
 #include <civetweb.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,6 +26,7 @@
 #define HTTPD_POLL_MSEC 25
 /* Longer than a handshake: 100 ms. */
 #define HTTPD_IDLE_POLLS 4
+#define TCP_FLAGS_OFFSET 13 /* bytes */
 
 enum body_result {
 	BODY_WHOLE,
@@ -52,6 +55,7 @@
 static int httpd_max_fd(void);
 static enum socket_kind httpd_socket_kind(const struct httpd *, int);
 static int has_input(int);
+static void httpd_refuse_connections(const struct httpd *);
 static unsigned int httpd_callers(const struct httpd *, int);
 static int httpd_is_shutting_down(const struct httpd_request *);
 static struct httpd *httpd_from_request(const struct httpd_request *);
@@ -165,16 +169,48 @@
 	return n;
 }
 
+/*
+ * Leaves new connections unanswered until the listening socket is closed.
+ * Closing it, or CivetWeb's stop, would reset what it has established.
+ */
+static void
+httpd_refuse_connections(const struct httpd *h)
+{
+	struct sock_filter drop_syn[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	const struct sock_fprog filter = { nitems(drop_syn), drop_syn };
+	int max_fd = httpd_max_fd();
+	int fd;
+
+	for (fd = FIRST_FD; fd < max_fd; fd++) {
+		if (httpd_socket_kind(h, fd) == SOCKET_LISTENER)
+			setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+			    sizeof(filter));
+	}
+}
+
 void
 httpd_drain(struct httpd *h, uint64_t read_until)
 {
 	const struct timespec ts = { 0, HTTPD_POLL_MSEC * (long)NSEC_PER_MSEC };
 	uint64_t now = clock_mono();
+	int refusing = 0;
 	int idle = 0;
 
-	while (idle < HTTPD_IDLE_POLLS &&
-	    now < read_until + HTTPD_LAST_ANSWER_NS) {
+	while (now < read_until + HTTPD_LAST_ANSWER_NS) {
 		idle = httpd_callers(h, now >= read_until) == 0 ? idle + 1 : 0;
+		if (idle == HTTPD_IDLE_POLLS && refusing)
+			return;
+		if (!refusing &&
+		    (idle == HTTPD_IDLE_POLLS || now >= read_until)) {
+			httpd_refuse_connections(h);
+			refusing = 1;
+			idle = 0;
+		}
 		nanosleep(&ts, NULL);
 		now = clock_mono();
 	}
