shell/httpd: an answer told to be the last is received before its connection is closed

What callers saw: a caller that read its answer late and sent another request meanwhile received 4 to 5 KB of it, then a reset.

Cause: CivetWeb closes a connection whose answer says "Connection: close" after 1 s without input, or at once as it stops. The kernel still held the rest of the answer, and discarded it as input came that nobody read.

Ruled out: that the answer was cut while it was written: its handler had returned, and the same answer is whole if the caller sends nothing.

Now the thread of such a connection ends its side, and reads and drops input until the kernel has passed on all of the answer, the caller reads nothing for 5 s, or the stop ends.

--- a/shell/httpd.c
+++ b/shell/httpd.c
@@ -1,12 +1,15 @@
 #include <arpa/inet.h>
 #include <civetweb.h>
+#include <limits.h>
 #include <linux/filter.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -24,6 +27,8 @@
 /* The last answers, once no connection is read any more. */
 #define HTTPD_LAST_ANSWER_NS (4 * NSEC_PER_SEC)
 #define HTTPD_POLL_MSEC 25
+/* A caller that reads nothing keeps its connection as long as an idle one. */
+#define HTTPD_LINGER_NS (5 * NSEC_PER_SEC)
 /* Longer than a handshake: 100 ms. */
 #define HTTPD_IDLE_POLLS 4
 #define TCP_FLAGS_OFFSET 13 /* bytes */
@@ -44,6 +49,7 @@
 	struct httpd_config config;
 	struct mg_context *mg;
 	int shutting_down;
+	int destroying;
 };
 
 static int httpd_handle(struct mg_connection *, void *);
@@ -52,6 +58,8 @@
 static void httpd_refuse_body(struct httpd_request *, enum body_result);
 static void httpd_write_head(
     struct httpd_request *, int, const char *, const char *, const char *);
+static void httpd_linger(struct httpd_request *);
+static void discard_input(int);
 static int httpd_max_fd(void);
 static enum socket_kind httpd_socket_kind(const struct httpd *, int);
 static int has_input(int);
@@ -100,6 +108,7 @@
 {
 	if (h == NULL)
 		return;
+	__atomic_store_n(&h->destroying, 1, __ATOMIC_RELEASE);
 	mg_stop(h->mg);
 	free(h);
 }
@@ -316,10 +325,55 @@
 		h->config.on_request(h->config.ctx, &req);
 	else
 		httpd_refuse_body(&req, result);
+	if (req.closing)
+		httpd_linger(&req);
 	free(req.body);
 	return 200;
 }
 
+static void
+discard_input(int fd)
+{
+	char buf[HTTPD_READ_SIZE];
+	ssize_t n;
+
+	do
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+	while (n > 0);
+}
+
+/*
+ * Waits until the caller has received the answer or reads nothing of it for a
+ * time: closing a connection with unread input discards what it has not.
+ */
+static void
+httpd_linger(struct httpd_request *req)
+{
+	const struct httpd *h = httpd_from_request(req);
+	const struct timespec ts = { 0, HTTPD_POLL_MSEC * (long)NSEC_PER_MSEC };
+	uint64_t idle_at = clock_mono() + HTTPD_LINGER_NS;
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+	int fd = httpd_fd(req);
+	int last = INT_MAX;
+	int unsent = 0;
+
+	if (fd == -1)
+		return;
+	shutdown(fd, SHUT_WR);
+	while (getpeername(fd, (struct sockaddr *)&sin, &len) == 0 &&
+	    ioctl(fd, SIOCOUTQ, &unsent) == 0 && unsent != 0 &&
+	    clock_mono() < idle_at &&
+	    !__atomic_load_n(&h->destroying, __ATOMIC_ACQUIRE)) {
+		if (unsent < last)
+			idle_at = clock_mono() + HTTPD_LINGER_NS;
+		last = unsent;
+		discard_input(fd);
+		nanosleep(&ts, NULL);
+	}
+	discard_input(fd);
+}
+
 const char *
 httpd_request_header(const struct httpd_request *req, const char *name)
 {
@@ -333,12 +387,13 @@
 	char head[HTTPD_HEAD_SIZE];
 	int n;
 
-	if (httpd_is_shutting_down(req))
+	req->closing = httpd_is_shutting_down(req);
+	if (req->closing)
 		mg_disable_connection_keep_alive(req->conn);
 	n = snprintf(head, sizeof(head),
 	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n%s%s%s\r\n", status,
 	    mg_get_response_code_text(req->conn, status), type, extra, length,
-	    httpd_is_shutting_down(req) ? "Connection: close\r\n" : "");
+	    req->closing ? "Connection: close\r\n" : "");
 	if (n > 0 && (size_t)n < sizeof(head))
 		mg_write(req->conn, head, (size_t)n);
 }
--- a/shell/httpd.h
+++ b/shell/httpd.h
@@ -21,6 +21,7 @@
 	char *body;	   /* NUL-terminated */
 	size_t len;
 	void *cookie; /* for use by the handler */
+	int closing;  /* the answer's head told the end of the connection */
 };
 
 struct httpd_config {
--- a/tests/gate_stops.py
+++ b/tests/gate_stops.py
@@ -216,6 +216,25 @@
         c.wait_stopped()
 
 
+def test_request_behind_stream_at_gate_stop():
+    """A request sent behind a stream that began before SIGTERM is answered."""
+    with OneGate(PORT + 50) as c:
+        s = connect(c.gate(0))
+        s.sendall(stream(100))
+        data = s.recv(20)
+        c.stop_gate()
+        time.sleep(0.5)
+        s.sendall(post("/shop/orders", ORDER))
+        try:
+            while more := s.recv(65536):
+                data += more
+        except OSError as e:
+            data += str(e).encode()
+        check("answers: %s" % data[-300:], data.count(b"HTTP/1.1 ") == 2 and
+              data.endswith(b"}\n") and b"[DONE]" in data)
+        c.wait_stopped()
+
+
 def test_unread_answer_at_gate_stop():
     """An answer that its caller reads late is not discarded by a reset."""
     with OneGate(PORT + 400) as c:
@@ -224,10 +243,10 @@
         host, port = c.gate(0).split(":")
         s.connect((host, int(port)))
         s.settimeout(10)
+        c.stop_gate()
         s.sendall(stream(400))
         wait_for("running", lambda: sum(c.stats(c.engine(i))["running"]
                                         for i in range(c.nengines)) == 1)
-        c.stop_gate()
         wait_for("idle", lambda: sum(c.stats(c.engine(i))["running"]
                                      for i in range(c.nengines)) == 0)
         time.sleep(1.5)
@@ -332,7 +351,8 @@
     test_body_read_during_gate_stop, test_body_never_ends_during_gate_stop,
     test_first_request_during_gate_stop,
     test_requests_behind_busy_threads_at_gate_stop,
-    test_unread_answer_at_gate_stop, test_order_of_gone_caller_at_gate_stop,
+    test_request_behind_stream_at_gate_stop, test_unread_answer_at_gate_stop,
+    test_order_of_gone_caller_at_gate_stop,
     test_half_an_order_is_passed_on, test_ticket_in_progress_at_control_stop,
     test_ticket_read_during_control_stop, test_gates_stop_in_a_row]
 
