gate: a stop does not cut orders whose callers have left

What callers saw: an order whose caller left while a service worked on it was cut off at the service 2 to 4 s after SIGTERM, though an order that may have been sent is to run to its end.

Ruled out: that the order is stopped as its caller leaves: without SIGTERM it ends.

Now the stop waits for the requests in progress in the core as well, 60 s at most, since nobody is left who could end an order at a service that is silent; `stop-ended` tells how many were cut.

--- a/gate/main.c
+++ b/gate/main.c
@@ -18,6 +18,8 @@
 #define DRAIN_POLL_MSEC 20
 /* Idle connections end in 5 s; a request that is being read may take longer. */
 #define LAST_READ_NS (6 * NSEC_PER_SEC)
+/* Orders whose callers have left, if a service does not end them. */
+#define LAST_ORDER_NS (60 * NSEC_PER_SEC)
 
 struct settings {
 	char vm[NAME_SIZE];
@@ -58,6 +60,8 @@
 static int load_settings(const char *, struct settings *, struct err *);
 static int run_daemon(const struct settings *, struct err *);
 static void sleep_ms(uint64_t);
+static void stop_serving(
+    const struct settings *, struct frontend *, struct gate_loop *);
 
 static int
 load_settings(const char *path, struct settings *s, struct err *e)
@@ -82,6 +86,30 @@
 	nanosleep(&ts, NULL);
 }
 
+/* Returns once all callers and the orders of those that left are done with. */
+static void
+stop_serving(
+    const struct settings *s, struct frontend *frontend, struct gate_loop *loop)
+{
+	struct gate_loop_status st;
+	uint64_t cut_at;
+
+	frontend_set_unready(frontend);
+	sleep_ms(s->drain_grace_ms);
+	frontend_refuse_requests(frontend);
+	while (frontend_active_requests(frontend) != 0)
+		sleep_ms(DRAIN_POLL_MSEC);
+	frontend_drain(frontend, clock_mono() + LAST_READ_NS);
+	cut_at = clock_mono() + LAST_ORDER_NS;
+	gate_loop_get_status(loop, &st);
+	while (st.totals.calls != 0 && clock_mono() < cut_at) {
+		sleep_ms(DRAIN_POLL_MSEC);
+		gate_loop_get_status(loop, &st);
+	}
+	log_event(LOG_STOP_ENDED, NULL, "orders=%llu",
+	    (unsigned long long)st.totals.calls);
+}
+
 static int
 run_daemon(const struct settings *s, struct err *e)
 {
@@ -117,12 +145,7 @@
 	cli_wait_signal();
 	log_event(LOG_STOPPING, NULL, "active=%u",
 	    frontend_active_requests(frontend));
-	frontend_set_unready(frontend);
-	sleep_ms(s->drain_grace_ms);
-	frontend_refuse_requests(frontend);
-	while (frontend_active_requests(frontend) != 0)
-		sleep_ms(DRAIN_POLL_MSEC);
-	frontend_drain(frontend, clock_mono() + LAST_READ_NS);
+	stop_serving(s, frontend, loop);
 	frontend_destroy(frontend);
 	gate_loop_destroy(loop);
 	catalogue_clear();
