control: a stop answers operators that wait for a ticket or are sending one

What operators saw: spindlectl apply got no answer (exit status 75) though the ticket was being decided, and may have been put in force, when its process stopped; likewise where the ticket was still being sent.

Cause: the process stopped its HTTP server 0.3 s after SIGTERM, whatever was in progress; CivetWeb writes nothing more from then on.

Ruled out: that the service refuses the ticket of a process that leaves: it was accepted, and the answer came once the process was left running.

Now connections are drained as in spindle-gate, for 20 s, the longest that a ticket takes, and the process leaves afterwards, so that it still decides what it has read.

--- a/control/api.c
+++ b/control/api.c
@@ -68,6 +68,13 @@
 	return NULL;
 }
 
+void
+api_drain(struct api *a, uint64_t read_until)
+{
+	httpd_begin_shutdown(a->httpd);
+	httpd_drain(a->httpd, read_until);
+}
+
 void
 api_destroy(struct api *a)
 {
--- a/control/api.h
+++ b/control/api.h
@@ -8,6 +8,8 @@
 struct api;
 
 struct api *api_create(const char *, struct control_loop *, struct err *);
+/* Answers what operators send until a time, and ends their connections. */
+void api_drain(struct api *, uint64_t);
 void api_destroy(struct api *);
 
 #endif
--- a/control/control.c
+++ b/control/control.c
@@ -14,6 +14,7 @@
 #include "control_loop.h"
 
 #define NAME "spindle-control"
+#define LAST_READ_NS (20 * NSEC_PER_SEC) /* a ticket may take that long */
 #define LEAVE_GRACE_MSEC 300 /* time for the last messages to be sent */
 
 struct settings {
@@ -89,6 +90,8 @@
 	    s->bus);
 	cli_wait_signal();
 	log_event(LOG_STOPPING, NULL, "%s", "");
+	/* A ticket is decided while the process still takes part. */
+	api_drain(api, clock_mono() + LAST_READ_NS);
 	control_loop_leave(loop);
 	nanosleep(&ts, NULL);
 	api_destroy(api);
