--- a/core/loader.h
+++ b/core/loader.h
@@ -44,6 +44,11 @@
 	uint64_t fence;		       /* the leader's fencing token */
 	uint64_t send_by;	       /* not sent later: the lease ends */
 	uint64_t started_ms;	       /* start of the incarnation addressed */
+	/*
+	 * Loads that count for the weight store's rate, with this one; 0 if it
+	 * is no load from there.
+	 */
+	uint32_t window_loads;
 };
 
 TAILQ_HEAD(loader_orders, loader_order);
--- a/core/loader_models.c
+++ b/core/loader_models.c
@@ -256,6 +256,8 @@
 {
 	const char *model = p->engine->models[move->model].name;
 	struct engine_state *e = p->engines[move->replica];
+	struct loader_order *o;
+	uint32_t window_loads = 0;
 	double left;
 
 	if (move->kind == PLACEMENT_UNLOAD) {
@@ -276,9 +278,11 @@
 		if (!weight_store_allows_load(s, p, left, move->filling))
 			return;
 		loader_add_store_load(s, now);
+		window_loads = s->nstore_loads;
 	}
 	e->reserved_until = 0;
-	loader_send_order(s, now, e, LOADER_LOAD, model, "", out);
+	o = loader_send_order(s, now, e, LOADER_LOAD, model, "", out);
+	o->window_loads = window_loads;
 	p->nloading++;
 	demand_get_or_create(&s->demand, model)->copies_changed_at = now;
 }
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -189,10 +189,11 @@
 	about.backend = o->replica;
 	about.model = o->adapter[0] != '\0' ? o->adapter : o->model;
 	if (body != NULL)
-		log_event(LOG_ORDER_SENT, &about, "%s expected=%llu fence=%llu",
+		log_event(LOG_ORDER_SENT, &about,
+		    "%s expected=%llu fence=%llu window=%u",
 		    o->kind == LOADER_LOAD ? "load" : "unload",
 		    (unsigned long long)o->expected_sequence,
-		    (unsigned long long)o->fence);
+		    (unsigned long long)o->fence, o->window_loads);
 	spec.pool = e->engines;
 	spec.addr = o->addr;
 	spec.request = &out;
--- a/shell/log.c
+++ b/shell/log.c
@@ -212,7 +212,8 @@
 	[LOG_LEDGER_CONFLICT] = { 1801, LOGLEVEL_WARNING, "ledger-conflict",
 	    "a memory ledger was changed by another owner" },
 	[LOG_ORDER_SENT] = { 1802, LOGLEVEL_INFO, "order-sent",
-	    "an order was sent to an engine" },
+	    "an order was sent to an engine; window: loads "
+	    "from the weight store that count, with it" },
 	[LOG_ORDER_DONE] = { 1803, LOGLEVEL_INFO, "order-done",
 	    "an engine confirmed an order" },
 	[LOG_ORDER_FAILED] = { 1804, LOGLEVEL_WARNING, "order-failed",
