fuzz_orders: loads keep to their rate over hand-overs (fails)

Loads of earlier holders that ended without a word and that begin over 1 s late are left out: nobody can know of them.

--- /dev/null
+++ b/tests/orders_world_loads.cc
@@ -0,0 +1,103 @@
+/* The loader fuzzer's world: the rate of loads, and planned stops. */
+#include "orders_world.h"
+
+/*
+ * The holder of orders knows of an order, unless an earlier holder that ended
+ * without a word has sent it and it was on its way for long.
+ */
+bool
+World::is_known_to_holder(const OrderRequest &c) const
+{
+	return c.order.fence == newest_fence || told_fences.count(c.order.fence) ||
+	    now < c.sent_at + kOnTime;
+}
+
+/* Counts the loads that began in the window that ends with this one. */
+void
+World::check_load_rate(const OrderRequest &c)
+{
+	size_t n = 0;
+
+	if (c.result != ANSWER_STARTED || c.order.kind != LOADER_LOAD ||
+	    c.order.adapter[0] != '\0' || !is_known_to_holder(c))
+		return;
+	loads_begun.push_back(now);
+	for (uint64_t at : loads_begun)
+		n += at + kLoadWindow > now;
+	RC_ASSERT(n <=
+	    (size_t)(loads_per_s * (double)kLoadWindow / (double)NSEC_PER_SEC) +
+		kLoadsSlack);
+}
+
+/* The process that may send orders, or the first. */
+int
+World::holder() const
+{
+	for (int i = 0; i < kLoaders; i++) {
+		if (loader_is_leader(loaders[i].loader, now))
+			return i;
+	}
+	return 0;
+}
+
+/* SIGTERM: gives the lease up, and starts again after a time. */
+void
+World::stop_planned(int i)
+{
+	kv_ops ops;
+	loader_orders orders;
+	loader_output out = { &ops, &orders };
+
+	if (is_frozen(i) || loaders[i].restart_at != 0)
+		return;
+	TAILQ_INIT(&ops);
+	TAILQ_INIT(&orders);
+	loader_set_candidate(loaders[i].loader, 0, 0);
+	loader_release(loaders[i].loader, &out);
+	collect_output(i, &ops, &orders);
+	loaders[i].restart_at = now + kStopTime;
+}
+
+void
+World::restart_stopped()
+{
+	for (int i = 0; i < kLoaders; i++) {
+		if (loaders[i].restart_at == 0 || now < loaders[i].restart_at)
+			continue;
+		stop_loader(i);
+		start_loader(i);
+	}
+}
+
+/* Restarts empty under the same id. */
+void
+World::restart_engine(int i)
+{
+	engines[i].current = EngineContents();
+	engines[i].current.started_ms = now;
+	engines[i].fence = 0;
+}
+
+/* Replaces all replicas but one, or every other one. */
+void
+World::replace_engines(int which)
+{
+	for (int i = 0; i < kReplicas; i++) {
+		if (which % 2 == 0 ? i != which % kReplicas : i % 2 == 0)
+			restart_engine(i);
+	}
+}
+
+bool
+World::all_models_loaded() const
+{
+	for (int m = 0; m < kModels; m++) {
+		size_t copies = 0;
+
+		for (auto &e : engines)
+			copies += e.current.models.count("m" + std::to_string(m));
+		if (copies == 0)
+			return false;
+	}
+	return true;
+}
