--- a/scripts/check.py
+++ b/scripts/check.py
@@ -150,6 +150,7 @@
         run_check("limits", [sys.executable, "tests/limits.py"])
         run_check("lists", [sys.executable, "tests/lists.py"])
         run_check("stops", [sys.executable, "tests/stops.py"])
+        run_check("hand-overs", [sys.executable, "tests/hand_over.py"])
         run_check("soak", [sys.executable, "soak/soak.py", "--seeds", "1-2",
                            "--seconds", "10"])
         run_check("processes", [sys.executable, "tests/process.py"])
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -359,6 +359,7 @@
         self.ports = dict(zip(names, free_ports(self.ip, len(names))))
         self.store = self.run(self._store())
         self.config = config or default_config()
+        self.bounds = {}  # of the settings, beside the usual ones
         if start:
             self.run(self.store.put("op/config", self.config))
             self.start()
@@ -414,7 +415,7 @@
             "limits": {"memory_mb": 260, "max_fds": 4100},
             "bounds": {"grace_s": 4, "retry_budget_ratio": 0.2,
                        "retry_window_s": 10, "budget_slack": 50,
-                       "lease_ms": 3000},
+                       "lease_ms": 3000, **self.bounds},
             "platform": {"address": "127.0.0.1:%d" % self.store_port}}
         path = os.path.join(self.dir.name, "node.json")
         with open(path, "w") as f:
