core/loader_rate: a holder of orders counts the loads of the holders before it

A holder that stops now tells which loads count (MSG_LOADS) before it gives its lease up, and again while answers are due; the next one goes on from there, and tells those as well. One that was told by none of the holder just before it (SIGKILL, a lost lease, a lost message) begins no load from the store for a window, unless it is told meanwhile or is the first of all. Loads from disks go on.

A load also counts from its order to a window after its answer: until now one sent again, or answered late, could begin after it had ceased to count. One that was never answered counts for 18 s, but three of them count for nothing: the rule allows three beyond the rate.

An older process ignores MSG_LOADS; beside one, a successor waits a window.

--- a/core/loader.c
+++ b/core/loader.c
@@ -113,17 +113,6 @@
 	s->service_time_s = (double)ns / (double)NSEC_PER_SEC;
 }
 
-void
-loader_add_store_load(struct loader *s, uint64_t now)
-{
-	if (s->nstore_loads == s->store_loads_size) {
-		s->store_loads_size = s->store_loads_size * 2 + 16;
-		s->store_loads = mem_grow(s->store_loads, s->store_loads_size,
-		    sizeof(*s->store_loads));
-	}
-	s->store_loads[s->nstore_loads++] = now;
-}
-
 void
 loader_superseded(struct loader *s, uint64_t fence)
 {
@@ -281,7 +270,7 @@
 	    ? now + s->config.takeover_delay_ns
 	    : now;
 	s->fence = ownership_fencing_token(s->ownership);
-	s->nstore_loads = 0;
+	store_loads_take_over(s, now, s->fence);
 	HASH_ITER (hh, s->engines, e, next) {
 		HASH_DEL(s->engines, e);
 		free(e);
@@ -354,6 +343,7 @@
 engine_states_resend(struct loader *s, uint64_t now, struct loader_output *out)
 {
 	struct loader_order last;
+	struct loader_order *o;
 	struct directory_replica *m;
 	struct engine_state *e;
 
@@ -372,8 +362,9 @@
 			continue;
 		last = e->last_order;
 		e->last_unanswered = 0;
-		loader_send_order(
+		o = loader_send_order(
 		    s, now, e, last.kind, last.model, last.adapter, out);
+		store_load_repeated(s, now, last.id, o);
 	}
 }
 
@@ -457,6 +448,7 @@
 {
 	struct engine_state *e = engine_state_find(s, o->replica);
 
+	store_load_answered(s, now, o, answer);
 	if (e == NULL || e->order_id != o->id)
 		return;
 	e->order_id = 0;
--- a/core/loader.h
+++ b/core/loader.h
@@ -11,6 +11,7 @@
 
 #include "demand.h"
 #include "directory.h"
+#include "loader_loads.h"
 #include "ownership.h"
 #include "placement.h"
 
@@ -106,6 +107,13 @@
 /* The replica's report, or NULL when the request failed. */
 void loader_report_received(struct loader *, uint64_t,
     const struct loader_order *, const struct fleet_replica *);
+/*
+ * The loads that count for the weight store's rate.  A leader that gives up
+ * tells them to the others; the caller frees the list.
+ */
+void loader_get_loads(struct loader *, uint64_t, struct loader_loads *);
+/* An earlier leader has told them. */
+void loader_take_loads(struct loader *, uint64_t, const struct loader_loads *);
 /* Gives up leadership. */
 void loader_release(struct loader *, struct loader_output *);
 /* Whether this process may send orders at a time. */
--- a/core/loader_int.h
+++ b/core/loader_int.h
@@ -23,6 +23,15 @@
 	uint64_t expires_at; /* not carried out after this */
 };
 
+/* A load from the weight store that counts for its rate. */
+struct store_load {
+	uint64_t order;	       /* its latest id, 0: an earlier leader's */
+	uint64_t counts_until; /* a window after it has begun at the latest */
+	int answered;
+	int repeated; /* sent more than once */
+	int lost;     /* no answer came */
+};
+
 /* Orders, loads and unloads in progress at one replica. */
 struct engine_state {
 	char replica[NAME_SIZE];
@@ -70,9 +79,11 @@
 	uint64_t list_settled_at;  /* the list is taken as complete from then */
 	uint64_t change_count;
 	double service_time_s;	   /* time that a request takes on a replica */
-	uint32_t nstore_loads;	   /* recent loads from the weight store */
+	uint32_t nstore_loads;	   /* loads that count for the rate */
 	uint32_t store_loads_size; /* allocated */
-	uint64_t *store_loads;	   /* their times */
+	struct store_load *store_loads;
+	uint64_t loads_known_fence;   /* store_loads has loads up to it */
+	uint64_t loads_unknown_until; /* any number of others may count */
 	struct loader_stats stats;
 };
 
@@ -84,8 +95,6 @@
 struct loader_order *loader_send_order(struct loader *, uint64_t,
     struct engine_state *, enum loader_order_kind, const char *, const char *,
     struct loader_output *);
-/* Records a load from the weight store. */
-void loader_add_store_load(struct loader *, uint64_t);
 /* The model that is, or may be, loading or unloading, or "". */
 const char *engine_state_loading_model(const struct engine_state *);
 const char *engine_state_unloading_model(const struct engine_state *);
@@ -105,6 +114,19 @@
  */
 int engine_state_has_lost_load(const struct engine_state *, const char *);
 uint32_t engine_state_lost_adapter_loads(const struct engine_state *);
+/* loader_rate.c */
+/* An order of a load from the weight store is sent, repeated, answered. */
+void store_load_sent(struct loader *, uint64_t, const struct loader_order *);
+void store_load_repeated(
+    struct loader *, uint64_t, uint64_t, const struct loader_order *);
+void store_load_answered(
+    struct loader *, uint64_t, const struct loader_order *, enum order_answer);
+/* Loads in a window, loads that count, and loads that the rate still allows. */
+double store_loads_most(const struct loader *, const struct fleet_engine *);
+uint32_t store_loads_counted(struct loader *, uint64_t);
+double store_loads_left(struct loader *, uint64_t, const struct fleet_engine *);
+/* This process takes over, under a fencing token. */
+void store_loads_take_over(struct loader *, uint64_t, uint64_t);
 /* loader_slots.c */
 /* Slots that adapters take, or lost orders may take. */
 uint32_t engine_state_slots_used(const struct engine_state *);
--- a/core/loader_models.c
+++ b/core/loader_models.c
@@ -47,8 +47,6 @@
 static void input_add_copies(struct placement_input *, uint32_t);
 static int input_model(const struct placement_input *, const char *);
 static void add_copy(struct placement_replica *, int, int);
-static double store_loads_left(
-    struct loader *, uint64_t, const struct fleet_engine *);
 static int weight_store_allows_load(
     const struct loader *, const struct placement_input *, double, int);
 static void set_evictions(const struct loader *, uint64_t,
@@ -216,23 +214,6 @@
 	return 0;
 }
 
-/* Loads from the weight store that its rate still allows in this window. */
-static double
-store_loads_left(struct loader *s, uint64_t now, const struct fleet_engine *g)
-{
-	double most = g->loads_per_s * (double)s->config.load_window_ns /
-	    (double)NSEC_PER_SEC * s->config.load_burst;
-	uint32_t kept = 0;
-	uint32_t i;
-
-	for (i = 0; i < s->nstore_loads; i++) {
-		if (now < s->store_loads[i] + s->config.load_window_ns)
-			s->store_loads[kept++] = s->store_loads[i];
-	}
-	s->nstore_loads = kept;
-	return most - kept;
-}
-
 static int
 weight_store_allows_load(const struct loader *s,
     const struct placement_input *p, double left, int filling)
@@ -245,7 +226,7 @@
 		    (double)p->engine->models[i].store_load_ns /
 			(double)NSEC_PER_SEC);
 	at_once = fmax(at_once * p->engine->loads_per_s, MIN_CONCURRENT_LOADS);
-	if (filling && left <= FILL_RATE_SHARE * (left + s->nstore_loads))
+	if (filling && left <= FILL_RATE_SHARE * store_loads_most(s, p->engine))
 		return 0;
 	return left >= 1.0 && p->nloading + 1.0 <= at_once;
 }
@@ -257,7 +238,7 @@
 	const char *model = p->engine->models[move->model].name;
 	struct engine_state *e = p->engines[move->replica];
 	struct loader_order *o;
-	uint32_t window_loads = 0;
+	int from_store;
 	double left;
 
 	if (move->kind == PLACEMENT_UNLOAD) {
@@ -273,16 +254,18 @@
 		loader_send_order(s, now, e, LOADER_UNLOAD, model, "", out);
 		return;
 	}
-	if (!has_cached_weights(p->entries[move->replica], model)) {
+	from_store = !has_cached_weights(p->entries[move->replica], model);
+	if (from_store) {
 		left = store_loads_left(s, now, p->engine);
 		if (!weight_store_allows_load(s, p, left, move->filling))
 			return;
-		loader_add_store_load(s, now);
-		window_loads = s->nstore_loads;
 	}
 	e->reserved_until = 0;
 	o = loader_send_order(s, now, e, LOADER_LOAD, model, "", out);
-	o->window_loads = window_loads;
+	if (from_store) {
+		store_load_sent(s, now, o);
+		o->window_loads = store_loads_counted(s, now);
+	}
 	p->nloading++;
 	demand_get_or_create(&s->demand, model)->copies_changed_at = now;
 }
--- a/core/msg.c
+++ b/core/msg.c
@@ -45,6 +45,7 @@
 	[MSG_WANT] = { "want", MSG_SIZE(want) },
 	[MSG_PERMIT_REQUEST] = { "permit-request", MSG_SIZE(permit_request) },
 	[MSG_PERMIT_ANSWER] = { "permit-answer", MSG_SIZE(permit_answer) },
+	[MSG_LOADS] = { "loads", MSG_SIZE(loads) },
 };
 
 static struct msg *msg_create_sized(enum msg_kind, const char *, size_t);
@@ -145,6 +146,9 @@
 	if (src->kind == MSG_HELD)
 		m->u.held.items = msg_copy_list(src->u.held.items,
 		    src->u.held.n, sizeof(*src->u.held.items));
+	if (src->kind == MSG_LOADS)
+		m->u.loads.loads = msg_copy_list(src->u.loads.loads,
+		    src->u.loads.n, sizeof(*src->u.loads.loads));
 	return m;
 }
 
@@ -163,6 +167,8 @@
 	}
 	if (m->kind == MSG_HELD)
 		free(m->u.held.items);
+	if (m->kind == MSG_LOADS)
+		free(m->u.loads.loads);
 	free(m);
 }
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -10,6 +10,7 @@
 #include <sys/queue.h>
 
 #include "base.h"
+#include "loader_loads.h"
 #include "permits.h"
 #include "poison.h"
 
@@ -55,6 +56,7 @@
 			     * requested */
 	MSG_PERMIT_REQUEST, /* entry -> pool: a permit for a replica */
 	MSG_PERMIT_ANSWER,  /* pool -> entry: a permit, or when there is one */
+	MSG_LOADS, /* stopping lease holder -> entries: loads that count */
 	MSG__MAX
 };
 
@@ -354,6 +356,7 @@
 		struct msg_front front;
 		struct msg_held held;
 		struct msg_want want;
+		struct loader_loads loads;
 		struct permit_request permit_request;
 		struct permit_answer permit_answer;
 	} u;
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -44,6 +44,7 @@
 	uint64_t fence;		    /* fencing token of the latest ownership */
 	uint64_t proposed_fencing_token; /* being written */
 	uint64_t era;			 /* of the service, 0: not known */
+	int first;			 /* no ownership before this one */
 };
 
 static struct kv_op *ownership_send_op(struct ownership *, uint64_t,
@@ -260,6 +261,7 @@
 	uint64_t lease = 0;
 	uint64_t fence = 0;
 
+	o->first = r->status == KV_ABSENT && o->era <= 1;
 	if (r->status == KV_UNKNOWN) {
 		ownership_retry_later(o, now);
 		return;
@@ -467,3 +469,9 @@
 {
 	return o->fence;
 }
+
+int
+ownership_is_first(const struct ownership *o)
+{
+	return o->first;
+}
--- a/core/ownership.h
+++ b/core/ownership.h
@@ -56,6 +56,8 @@
 int ownership_uncontested(const struct ownership *, uint64_t);
 /* Time from which orders must not be sent, as far as known; 0 if not held. */
 uint64_t ownership_valid_until(const struct ownership *);
+/* Whether no process has owned the cell before, in the service's first era. */
+int ownership_is_first(const struct ownership *);
 /* Fencing token of the latest ownership, 0 when there was none. */
 uint64_t ownership_fencing_token(const struct ownership *);
 
--- a/core/wire.c
+++ b/core/wire.c
@@ -71,6 +71,7 @@
 	[MSG_WANT] = wire_want,
 	[MSG_PERMIT_REQUEST] = wire_permit_request,
 	[MSG_PERMIT_ANSWER] = wire_permit_answer,
+	[MSG_LOADS] = wire_loads,
 };
 
 static const msgpack_object *
--- a/core/wire_entry.c
+++ b/core/wire_entry.c
@@ -77,6 +77,22 @@
 	}
 }
 
+void
+wire_loads(struct wire_cursor *w, struct msg *m)
+{
+	struct loader_loads *l = &m->u.loads;
+	uint32_t i;
+
+	wire_u64(w, &l->fence);
+	wire_u64(w, &l->unknown_ns);
+	wire_u32(w, &l->open);
+	l->loads = wire_list(w, &l->n, sizeof(*l->loads), l->loads);
+	for (i = 0; i < l->n; i++) {
+		wire_u64(w, &l->loads[i].left_ns);
+		wire_u32(w, &l->loads[i].lost);
+	}
+}
+
 void
 wire_want(struct wire_cursor *w, struct msg *m)
 {
--- a/core/wire_int.h
+++ b/core/wire_int.h
@@ -31,6 +31,7 @@
 void wire_front(struct wire_cursor *, struct msg *);
 void wire_held(struct wire_cursor *, struct msg *);
 void wire_want(struct wire_cursor *, struct msg *);
+void wire_loads(struct wire_cursor *, struct msg *);
 void wire_permit_request(struct wire_cursor *, struct msg *);
 void wire_permit_answer(struct wire_cursor *, struct msg *);
 
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -30,6 +30,8 @@
 /* Between rounds of orders that requests or peers ask for. */
 #define ROUND_INTERVAL_NS (5 * NSEC_PER_MSEC)
 #define ORDER_TIMEOUT_S 0.6
+/* A stopping holder tells its loads again while answers are due. */
+#define TELL_LOADS_INTERVAL_NS (100 * NSEC_PER_MSEC)
 #define SERVICE_TIME_NS (2 * NSEC_PER_SEC) /* until it has been measured */
 
 /* A pending order or report query. */
@@ -44,6 +46,7 @@
     struct entry *, struct kv_ops *, struct loader_orders *);
 static void on_result(void *, const struct kv_result *);
 static uint64_t engine_service_time(const struct entry *);
+static void tell_loads(struct entry *);
 
 struct loader_io *
 loader_io_create(struct entry *e)
@@ -278,10 +281,25 @@
 	}
 	if (t.is_leader)
 		adapter_table_send(e);
+	if (st->tell_loads_at != 0 && e->now >= st->tell_loads_at)
+		tell_loads(e);
 	st->load_requested = 0;
 	st->round_ended_at = entry_update_now(e);
 }
 
+/* Tells the next holder which loads count for the weight store's rate. */
+static void
+tell_loads(struct entry *e)
+{
+	struct loader_io *st = e->loader_io;
+	struct msg *m = msg_create(MSG_LOADS, "");
+
+	loader_get_loads(st->loader, e->now, &m->u.loads);
+	st->tell_loads_at =
+	    m->u.loads.open != 0 ? e->now + TELL_LOADS_INTERVAL_NS : 0;
+	peers_broadcast(e->peers, m);
+}
+
 void
 loader_io_leave(struct entry *e)
 {
@@ -291,6 +309,9 @@
 
 	TAILQ_INIT(&kv);
 	TAILQ_INIT(&orders);
+	/* Told before the lease is free to be taken. */
+	if (loader_is_leader(e->loader_io->loader, e->now))
+		tell_loads(e);
 	loader_release(e->loader_io->loader, &out);
 	send_orders(e, &kv, &orders);
 }
@@ -328,6 +349,10 @@
 		adapter_table_apply(e, m);
 		return;
 	}
+	if (m->kind == MSG_LOADS) {
+		loader_take_loads(e->loader_io->loader, e->now, &m->u.loads);
+		return;
+	}
 	if (m->kind != MSG_WANT)
 		return;
 	loader_request_adapter(e->loader_io->loader, e->now, m->u.want.wanted);
--- a/entry/loader_io.h
+++ b/entry/loader_io.h
@@ -53,7 +53,7 @@
 void loader_io_peer_stopping(struct entry *, const char *);
 /* The holder sends the orders for loads requested since the last call. */
 void loader_io_place_requested(struct entry *);
-/* Handles MSG_HELD (adapter table) and MSG_WANT (load request). */
+/* Handles MSG_HELD (adapter table), MSG_WANT (load request), MSG_LOADS. */
 void loader_io_receive(struct entry *, const struct msg *);
 /* Counters and lease state, for metrics. */
 void loader_io_totals(struct entry *, struct loader_stats *);
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -69,6 +69,7 @@
 	loaders[i].incarnation = self.incarnation;
 	loaders[i].frozen_until = 0;
 	loaders[i].restart_at = 0;
+	loaders[i].tells_loads = false;
 	loaders[i].ids.next = 0;
 	directory_init(&loaders[i].dir);
 	loaders[i].dir.synced = 1;
@@ -469,6 +470,7 @@
 	deliver_kv();
 	deliver_orders();
 	deliver_tables();
+	deliver_told_loads();
 	restart_stopped();
 	for (int i = 0; i < kLoaders; i++)
 		tick_loader(i);
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -99,6 +99,7 @@
 	uint64_t incarnation = 0;
 	uint64_t frozen_until = 0;
 	uint64_t restart_at = 0; /* it is stopping until then */
+	bool tells_loads = false;
 };
 
 /* An order or report request in flight. */
@@ -124,6 +125,15 @@
 	bool done;
 };
 
+/* The loads that a stopping leader tells, on their way to another process. */
+struct ToldLoads {
+	int receiver;
+	uint64_t arrives_at;
+	uint64_t fence;
+	uint64_t unknown_ns;
+	std::vector<loader_load> loads;
+};
+
 /* The adapters that a leader lists, on their way to another process. */
 struct AdapterTable {
 	int receiver;
@@ -162,6 +172,8 @@
 	bool is_known_to_holder(const OrderRequest &) const;
 	void check_load_rate(const OrderRequest &);
 	void stop_planned(int);
+	void tell_loads(int);
+	void deliver_told_loads();
 	void restart_stopped();
 	int holder() const;
 	void send_table(int);
@@ -192,6 +204,7 @@
 	bool scarce;
 	double loads_per_s;
 	uint64_t load_time;
+	std::vector<ToldLoads> told_loads;
 	uint64_t newest_fence = 0;
 	std::set<uint64_t> told_fences; /* whose loads a successor was told */
 	std::vector<uint64_t> loads_begun;
--- a/tests/orders_world_loads.cc
+++ b/tests/orders_world_loads.cc
@@ -53,17 +53,64 @@
 	TAILQ_INIT(&ops);
 	TAILQ_INIT(&orders);
 	loader_set_candidate(loaders[i].loader, 0, 0);
+	loaders[i].tells_loads = loader_is_leader(loaders[i].loader, now);
+	tell_loads(i);
 	loader_release(loaders[i].loader, &out);
 	collect_output(i, &ops, &orders);
 	loaders[i].restart_at = now + kStopTime;
 }
 
+/* Each message to another process may be lost or late. */
+void
+World::tell_loads(int i)
+{
+	loader_loads t;
+
+	if (!loaders[i].tells_loads)
+		return;
+	loader_get_loads(loaders[i].loader, now, &t);
+	loaders[i].tells_loads = t.open != 0;
+	for (int k = 0; k < kLoaders; k++) {
+		if (k == i || random_unit() < loss_probability)
+			continue;
+		told_loads.push_back({ k,
+		    now + (uint64_t)(random_unit() * 300e6), t.fence, t.unknown_ns,
+		    std::vector<loader_load>(t.loads, t.loads + t.n) });
+	}
+	free(t.loads);
+}
+
+void
+World::deliver_told_loads()
+{
+	for (size_t i = 0; i < told_loads.size();) {
+		ToldLoads &t = told_loads[i];
+
+		if (now < t.arrives_at || is_frozen(t.receiver)) {
+			i++;
+			continue;
+		}
+		loader_loads l = { t.fence, t.unknown_ns, 0, (uint32_t)t.loads.size(),
+			t.loads.data() };
+
+		loader_take_loads(loaders[t.receiver].loader, now, &l);
+		if (t.receiver == holder())
+			told_fences.insert(t.fence);
+		told_loads.erase(told_loads.begin() + (long)i);
+	}
+}
+
 void
 World::restart_stopped()
 {
 	for (int i = 0; i < kLoaders; i++) {
-		if (loaders[i].restart_at == 0 || now < loaders[i].restart_at)
+		if (loaders[i].restart_at == 0)
+			continue;
+		if (now < loaders[i].restart_at) {
+			if (!is_frozen(i))
+				tell_loads(i);
 			continue;
+		}
 		stop_loader(i);
 		start_loader(i);
 	}
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -90,6 +90,12 @@
 		msg_destroy(m);
 }
 
+void
+peers_broadcast(struct peers *p, struct msg *m)
+{
+	peers_send_down(p, m);
+}
+
 int
 peers_use_relays(const struct peers *p)
 {
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -13,6 +13,7 @@
 static void test_bit_flips(void);
 static void test_longest_list(void);
 static void test_lists(void);
+static void test_loads(void);
 static void test_unknown_kind(void);
 
 static struct msg *
@@ -206,6 +207,29 @@
 	msg_destroy(m);
 }
 
+static void
+test_loads(void)
+{
+	struct msg *m;
+	struct msg *out;
+
+	m = msg_create(MSG_LOADS, "");
+	m->u.loads.fence = 4;
+	m->u.loads.unknown_ns = 5;
+	m->u.loads.n = 2;
+	m->u.loads.loads = mem_alloc(2 * sizeof(*m->u.loads.loads));
+	m->u.loads.loads[1].left_ns = 7;
+	m->u.loads.loads[1].lost = 1;
+	out = round_trip(m);
+	CU_ASSERT_FATAL(out != NULL && out->u.loads.n == 2);
+	CU_ASSERT_EQUAL(out->u.loads.fence, 4);
+	CU_ASSERT_EQUAL(out->u.loads.unknown_ns, 5);
+	CU_ASSERT_EQUAL(out->u.loads.loads[1].left_ns, 7);
+	CU_ASSERT_EQUAL(out->u.loads.loads[1].lost, 1);
+	msg_destroy(out);
+	msg_destroy(m);
+}
+
 static void
 test_unknown_kind(void)
 {
@@ -225,6 +249,7 @@
 	{ "one bit changed", test_bit_flips },
 	{ "longest list", test_longest_list },
 	{ "owned lists", test_lists },
+	{ "loads", test_loads },
 	{ "unknown kind or version", test_unknown_kind },
 };
 
