--- a/core/loader.h
+++ b/core/loader.h
@@ -108,8 +108,8 @@
 void loader_report_received(struct loader *, uint64_t,
     const struct loader_order *, const struct fleet_replica *);
 /*
- * The loads that count for the weight store's rate.  A leader that gives up
- * tells them to the others; the caller frees the list.
+ * The loads that count for the weight store's rate.  A leader that gives up,
+ * or finds its lease lost, tells them to the others; the caller frees the list.
  */
 void loader_get_loads(struct loader *, uint64_t, struct loader_loads *);
 /* An earlier leader has told them. */
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -30,7 +30,7 @@
 /* Between rounds of orders that requests or peers ask for. */
 #define ROUND_INTERVAL_NS (5 * NSEC_PER_MSEC)
 #define ORDER_TIMEOUT_S 0.6
-/* A stopping holder tells its loads again while answers are due. */
+/* A former holder tells its loads again while answers are due. */
 #define TELL_LOADS_INTERVAL_NS (100 * NSEC_PER_MSEC)
 #define SERVICE_TIME_NS (2 * NSEC_PER_SEC) /* until it has been measured */
 
@@ -278,6 +278,8 @@
 		st->is_holder = t.is_leader;
 		log_event(t.is_leader ? LOG_CELL_TAKEN : LOG_CELL_LOST, NULL,
 		    "orders fence=%llu", (unsigned long long)t.fence);
+		if (!t.is_leader)
+			tell_loads(e);
 	}
 	if (t.is_leader)
 		adapter_table_send(e);
@@ -293,8 +295,16 @@
 {
 	struct loader_io *st = e->loader_io;
 	struct msg *m = msg_create(MSG_LOADS, "");
+	struct loader_stats t;
 
+	loader_get_stats(st->loader, e->now, &t);
 	loader_get_loads(st->loader, e->now, &m->u.loads);
+	/* A later holder has told its own. */
+	if (m->u.loads.fence != t.fence) {
+		st->tell_loads_at = 0;
+		msg_destroy(m);
+		return;
+	}
 	st->tell_loads_at =
 	    m->u.loads.open != 0 ? e->now + TELL_LOADS_INTERVAL_NS : 0;
 	peers_broadcast(e->peers, m);
--- a/entry/loader_io_int.h
+++ b/entry/loader_io_int.h
@@ -29,7 +29,7 @@
 	uint64_t holder_fencing_token;
 	char holder[ADDR_SIZE];
 	int is_holder;
-	uint64_t tell_loads_at;	 /* a stopping holder's; 0: no more */
+	uint64_t tell_loads_at;	 /* a former holder's; 0: no more */
 	int load_requested;	 /* since the last round of orders */
 	uint64_t round_ended_at; /* the last one */
 };
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -70,6 +70,7 @@
 	loaders[i].frozen_until = 0;
 	loaders[i].restart_at = 0;
 	loaders[i].tells_loads = false;
+	loaders[i].was_leader = false;
 	loaders[i].ids.next = 0;
 	directory_init(&loaders[i].dir);
 	loaders[i].dir.synced = 1;
@@ -455,6 +456,7 @@
 	TAILQ_INIT(&orders);
 	loader_tick(loaders[i].loader, now, conf, &out);
 	collect_output(i, &ops, &orders);
+	tell_loads_if_lost(i);
 	if (now >= table_at[i]) {
 		table_at[i] = now + kTableInterval;
 		send_table(i);
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -100,6 +100,7 @@
 	uint64_t frozen_until = 0;
 	uint64_t restart_at = 0; /* it is stopping until then */
 	bool tells_loads = false;
+	bool was_leader = false;
 };
 
 /* An order or report request in flight. */
@@ -173,6 +174,7 @@
 	void check_load_rate(const OrderRequest &);
 	void stop_planned(int);
 	void tell_loads(int);
+	void tell_loads_if_lost(int);
 	void deliver_told_loads();
 	void restart_stopped();
 	int holder() const;
--- a/tests/orders_world_loads.cc
+++ b/tests/orders_world_loads.cc
@@ -68,8 +68,15 @@
 
 	if (!loaders[i].tells_loads)
 		return;
+	loader_stats stats;
+
+	loader_get_stats(loaders[i].loader, now, &stats);
 	loader_get_loads(loaders[i].loader, now, &t);
-	loaders[i].tells_loads = t.open != 0;
+	loaders[i].tells_loads = t.open != 0 && t.fence == stats.fence;
+	if (t.fence != stats.fence) {
+		free(t.loads);
+		return;
+	}
 	for (int k = 0; k < kLoaders; k++) {
 		if (k == i || random_unit() < loss_probability)
 			continue;
@@ -80,6 +87,18 @@
 	free(t.loads);
 }
 
+/* A leader whose lease is lost tells them as one that stops does. */
+void
+World::tell_loads_if_lost(int i)
+{
+	bool leads = loader_is_leader(loaders[i].loader, now);
+
+	if (loaders[i].was_leader && !leads)
+		loaders[i].tells_loads = true;
+	loaders[i].was_leader = leads;
+	tell_loads(i);
+}
+
 void
 World::deliver_told_loads()
 {
