--- a/core/loader.h
+++ b/core/loader.h
@@ -11,6 +11,7 @@
 
 #include "demand.h"
 #include "directory.h"
+#include "loader_loads.h"
 #include "ownership.h"
 #include "placement.h"
 
@@ -44,6 +45,11 @@
 	uint64_t fence;		       /* the leader's fencing token */
 	uint64_t send_by;	       /* not sent later: the lease ends */
 	uint64_t started_ms;	       /* start of the incarnation addressed */
+	/*
+	 * Loads that count for the weight store's rate, with this one; 0 if it
+	 * is no load from there.
+	 */
+	uint32_t window_loads;
 };
 
 TAILQ_HEAD(loader_orders, loader_order);
@@ -101,6 +107,13 @@
 /* The replica's report, or NULL when the request failed. */
 void loader_report_received(struct loader *, uint64_t,
     const struct loader_order *, const struct fleet_replica *);
+/*
+ * The loads that count for the weight store's rate.  A leader that gives up,
+ * or finds its lease lost, tells them to the others; the caller frees the list.
+ */
+void loader_get_loads(struct loader *, uint64_t, struct loader_loads *);
+/* An earlier leader has told them. */
+void loader_take_loads(struct loader *, uint64_t, const struct loader_loads *);
 /* Gives up leadership. */
 void loader_release(struct loader *, struct loader_output *);
 /* Whether this process may send orders at a time. */
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -153,6 +153,7 @@
         run_check("lists", [sys.executable, "tests/lists.py"])
         run_check("stops", [sys.executable, "tests/stops.py"])
         run_check("late in stops", [sys.executable, "tests/stops_late.py"])
+        run_check("hand-overs", [sys.executable, "tests/hand_over.py"])
         run_check("soak", [sys.executable, "soak/soak.py", "--seeds", "1-2",
                            "--seconds", "10"])
         run_check("processes", [sys.executable, "tests/process.py"])
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -1,5 +1,5 @@
 /*
- * Simulated world of the loader fuzzer: two processes that compete for
+ * Simulated world of the loader fuzzer: processes that compete for
  * leadership, a key-value service, engines with delayed reports and list
  * entries, and orders that are carried out late or lose their answers.
  * Virtual time.
@@ -22,17 +22,21 @@
 #include "loader.h"
 }
 
-const int kLoaders = 2;
+const int kLoaders = 3;
 const int kReplicas = 4;
 const int kModels = 7;
 const int kAdapters = 5;
 const uint64_t kStep = 20 * NSEC_PER_MSEC;
-const uint64_t kMemoryMb = 250; /* two models of 100 MB and the adapters */
 const uint64_t kAdapterSlots = 3;
 const uint64_t kReportLag = 200 * NSEC_PER_MSEC;
 const uint64_t kListLag = 400 * NSEC_PER_MSEC;
 const uint64_t kHeartbeat = 1200 * NSEC_PER_MSEC;
 const uint64_t kTableInterval = 240 * NSEC_PER_MSEC;
+const uint64_t kLoadWindow = 5 * NSEC_PER_SEC;
+const size_t kLoadsSlack = 3; /* loads beyond the rate, in each window */
+const uint64_t kStopTime = 1 * NSEC_PER_SEC; /* from SIGTERM to the restart */
+/* An order that begins later than this was lost for a time. */
+const uint64_t kOnTime = 1 * NSEC_PER_SEC;
 
 enum OpKind {
 	OP_ADVANCE,
@@ -47,6 +51,11 @@
 	OP_REVOKE_LEASES,
 	OP_STOP_LOSSES,
 	OP_UNLIST_ADAPTER,
+	OP_STOP,
+	OP_STOP_HOLDER,
+	OP_REPLACE,
+	OP_DEMAND_ALL,
+	OP_KILL_HOLDER,
 	OP__MAX
 };
 
@@ -89,6 +98,9 @@
 	struct kv_ids ids = { 0 };
 	uint64_t incarnation = 0;
 	uint64_t frozen_until = 0;
+	uint64_t restart_at = 0; /* it is stopping until then */
+	bool tells_loads = false;
+	bool was_leader = false;
 };
 
 /* An order or report request in flight. */
@@ -100,6 +112,7 @@
 	uint64_t answered_at; /* when the sender has the answer or times out */
 	enum order_answer result;
 	EngineContents reported;
+	uint64_t sent_at;
 };
 
 struct KvRequest {
@@ -113,6 +126,15 @@
 	bool done;
 };
 
+/* The loads that a stopping leader tells, on their way to another process. */
+struct ToldLoads {
+	int receiver;
+	uint64_t arrives_at;
+	uint64_t fence;
+	uint64_t unknown_ns;
+	std::vector<loader_load> loads;
+};
+
 /* The adapters that a leader lists, on their way to another process. */
 struct AdapterTable {
 	int receiver;
@@ -129,6 +151,9 @@
 	void finish();
 
       private:
+	bool all_models_loaded() const;
+	void restart_engine(int);
+	void replace_engines(int);
 	void advance(uint64_t);
 	void step();
 	void start_loader(int);
@@ -145,6 +170,14 @@
 	enum order_answer accept_order(Engine &, const loader_order &);
 	void check_capacity(const Engine &, const loader_order &);
 	void check_sender(int);
+	bool is_known_to_holder(const OrderRequest &) const;
+	void check_load_rate(const OrderRequest &);
+	void stop_planned(int);
+	void tell_loads(int);
+	void tell_loads_if_lost(int);
+	void deliver_told_loads();
+	void restart_stopped();
+	int holder() const;
 	void send_table(int);
 	void deliver_tables();
 	void unlist_adapter(const std::string &, uint32_t);
@@ -169,6 +202,15 @@
 	uint64_t table_at[kLoaders] = {};
 	uint64_t arrivals[kModels] = {};
 	uint32_t running[kModels] = {};
+	/* In half of the worlds it is the rate of loads that binds. */
+	bool scarce;
+	double loads_per_s;
+	uint64_t memory_mb; /* two or seven models of 100 MB, and the adapters */
+	uint64_t load_time;
+	std::vector<ToldLoads> told_loads;
+	uint64_t newest_fence = 0;
+	std::set<uint64_t> told_fences; /* whose loads a successor was told */
+	std::vector<uint64_t> loads_begun;
 	struct fleet_conf *conf;
 };
 
