--- a/soak/soak.py
+++ b/soak/soak.py
@@ -23,12 +23,11 @@
 
 from limits import Limits
 from notices import Notices
-from world import (EVENTS, Engine, Violations, LeaseStore, Link,
+from world import (EVENTS, Engine, Violations, LeaseStore, Link, MODELS,
                    MODEL_MB, REPLICA_MB, rng_for)
 from platform_world import (BINARY, ID, default_config, free_ports,
                             request)
 
-MODELS = ["m%d" % i for i in range(6)]
 RECOVERY_S = 12.0   # until full service after the last fault
 CONFIG_S = 2.5      # until a new configuration is active everywhere
 DRAIN_S = 2.0       # until a draining replica gets no new requests
@@ -163,10 +162,13 @@
                 leave=rng.random() < 0.15)
             await asyncio.sleep(rng.uniform(0.01, 0.15))
 
+    def new_id(self, vm):
+        self.ids += 1
+        return "%d-%s-%d" % (vm.index, self.seed, self.ids)
+
     async def ask(self, rng, vm, kind, leave=False, model=None):
         """Sends one request on a new connection; returns its outcome."""
-        self.ids += 1
-        id = "%d-%s-%d" % (vm.index, self.seed, self.ids)
+        id = self.new_id(vm)
         body = b"" if kind == "read" else os.urandom(8).hex().encode()
         fields = {}
         if kind == "go":
@@ -202,22 +204,25 @@
                 await asyncio.sleep(rng.uniform(0.005, 0.2))
                 self.disconnected_at[id] = time.monotonic()
                 return "left"
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            status = int(head.split(" ")[1])
-            names = dict(line.lower().split(": ", 1)
-                         for line in head.split("\r\n")[1:] if ": " in line)
+            status, names = await self.read_head(reader)
             self.notices.passed_on(vm, id, names)
-            if names.get("transfer-encoding") == "chunked":
-                body = await self.read_chunks(reader)
-            else:
-                body = await reader.readexactly(
-                    int(names.get("content-length", 0)))
+            body = await self.read_body(reader, names)
             return self.check_response(id, kind, status, names, body)
         finally:
             writer.transport.abort()
 
     @staticmethod
-    async def read_chunks(reader):
+    async def read_head(reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        return int(head.split(" ")[1]), dict(
+            line.lower().split(": ", 1)
+            for line in head.split("\r\n")[1:] if ": " in line)
+
+    @staticmethod
+    async def read_body(reader, names):
+        if names.get("transfer-encoding") != "chunked":
+            return await reader.readexactly(
+                int(names.get("content-length", 0)))
         body = b""
         while True:
             size = int(await reader.readuntil(b"\r\n"), 16)
--- a/soak/world.py
+++ b/soak/world.py
@@ -17,6 +17,7 @@
 from platform_world import (Call, NOT_RUN, Store, read_head)  # noqa: E402
 
 MODEL_MB, REPLICA_MB = 70, 160  # two models fit on a replica
+MODELS = ["m%d" % i for i in range(6)]
 EVENTS = 12                     # server-sent events per stream
 
 
