soak: callers that keep their connections, and stops in series

The soak opened a connection for each request and closed it at its answer, so no request met a stop on a kept connection, and nothing asked whether a request that was sent whole got a whole answer.

Now six callers a VM keep their connections until the process closes them; some send bodies in chunks with pauses, some a second request during a stream. Stops come in series that overlap, with SIGHUP and configurations in between. The check "request lost around a stop" is rule LOST around a SIGTERM, with its exceptions. A disturbance of the store excuses nothing. Two cases are left out, since HTTP has no answer for them: requests behind an answer that says close, or behind one that may be cut, unless they have reached a replica.

A process that ended by itself or crashed in a stop is reported as such, and soak.log has the process ids.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -6,7 +6,7 @@
 links that are slow, cut in one direction, silent or reset; a key-value service
 that is unavailable, loses writes or comes back from an older copy; replicas
 that crash, drain, stop responding, say that they leave or take no requests, or
-limit their requests; new configurations.
+limit their requests; new configurations; stops in series.
 What callers and replicas receive is checked all the time.  The logs of a
 failed seed are copied to DIR/SEED.
 """
@@ -23,6 +23,7 @@
 
 from limits import Limits
 from notices import Notices
+from stopping import CALLERS_PER_VM, Stops
 from world import (EVENTS, Engine, Violations, LeaseStore, Link, MODELS,
                    MODEL_MB, REPLICA_MB, rng_for)
 from platform_world import (BINARY, ID, default_config, free_ports,
@@ -33,7 +34,6 @@
 DRAIN_S = 2.0       # until a draining replica gets no new requests
 CANCEL_S = 0.5      # until work stops after its caller disconnected
 SETTLE_S = 3.0      # undisturbed time before a process is checked
-TERM_TIMEOUT_S = 4.5  # grace_s of the settings plus a margin
 FAULT_GAP_S = (0.05, 0.9)
 
 
@@ -42,12 +42,17 @@
 
     def __init__(self, world, index):
         self.world, self.index = world, index
-        self.ip = "127.78.%d.%d" % (os.getpid() % 250 + 1, index + 1)
+        # Runs side by side differ, since the metrics port is fixed.
+        run = os.getpid()
+        self.ip = "127.%d.%d.%d" % (64 + run // 250 % 64, run % 250 + 1,
+                                    index + 1)
         names = ("front", "ready", "control", "bus")
         self.ports = dict(zip(names, free_ports(self.ip, len(names))))
         self.process = None
         self.store_link = None
         self.last_disturbance = self.signaled_at = time.monotonic()
+        self.started_at = self.unplanned_at = 0.0
+        self.terms = {}  # process -> when it was first sent SIGTERM
         self.paused = False
 
     async def start(self):
@@ -76,6 +81,8 @@
                 env=dict(os.environ, ARBUTUSSPINDLE_BOOT=path))
         self.paused = False
         self.mark_disturbed()
+        self.started_at = self.last_disturbance
+        self.world.log("vm%d is process %d" % (self.index, self.process.pid))
 
     def mark_disturbed(self):
         self.last_disturbance = time.monotonic()
@@ -94,8 +101,16 @@
         """Signals the process that this run started, if it is alive."""
         if self.alive():
             self.process.send_signal(number)
+            self.world.log("%s to vm%d, process %d" % (
+                signal.Signals(number).name, self.index, self.process.pid))
+        if number == signal.SIGHUP:
+            return
         self.mark_disturbed()
         self.signaled_at = self.last_disturbance
+        if number == signal.SIGTERM:
+            self.terms.setdefault(self.process, self.signaled_at)
+        else:
+            self.unplanned_at = self.signaled_at
 
 
 class Run:
@@ -107,10 +122,12 @@
         self.violations = Violations()
         self.notices = Notices(self)
         self.limits = Limits(self)
+        self.stops = Stops(self)
         self.store = LeaseStore(rng_for(seed, "store"))
         self.store_port = 0
         self.order_loss_ratio = 0.0
         self.vms, self.engines = [], []
+        self.exposed = []      # VMs that are killed, paused or cut off
         self.runs = {}         # id -> replicas that executed it
         self.sent_requests = {}    # id -> (kind, body)
         self.refused = set()
@@ -139,6 +156,7 @@
         vm = self.vm_of(call)
         if vm is None or not vm.is_settled():
             return
+        self.count("settled")
         since = self.draining_since.get(engine.name)
         if since is not None and now > since + DRAIN_S:
             self.violations.add("new request to a draining replica",
@@ -267,32 +285,24 @@
         await asyncio.gather(*pending)
 
     async def kill(self, rng):
-        for vm in rng.sample(self.vms, rng.choice([1, 1, 2, len(self.vms)])):
+        vms = self.exposed
+        for vm in rng.sample(vms, min(len(vms), rng.choice(
+                [1, 1, 2, len(vms)]))):
+            process = vm.process
             vm.signal(signal.SIGKILL)
             await asyncio.sleep(rng.uniform(0, 0.3))
+            while process.poll() is None:  # on a busy machine
+                await asyncio.sleep(0.01)
             if not vm.alive():
                 await vm.start()
 
     async def term(self, rng):
-        vm = rng.choice(self.vms)
-        process = vm.process
-        vm.signal(signal.SIGTERM)
-        paused = 0.0
-        end = time.monotonic() + TERM_TIMEOUT_S
-        while process.poll() is None and time.monotonic() < end + paused:
-            await asyncio.sleep(0.05)
-            paused += 0.05 * vm.paused
-            vm.mark_disturbed()
-        if process.poll() is None:
-            self.violations.add("process did not stop within its grace time",
-                                "vm%d" % vm.index)
-            process.kill()
-            process.wait()
-        if not vm.alive():
-            await vm.start()
+        await self.stops.stop(rng.choice(self.vms))
 
     async def pause(self, rng):
-        vm = rng.choice(self.vms)
+        if not self.exposed:
+            return
+        vm = rng.choice(self.exposed)
         vm.paused = True
         vm.signal(signal.SIGSTOP)
         await asyncio.sleep(rng.choice([0.2, 1.0, 2.5, 4.0]))
@@ -336,7 +346,7 @@
                 await engine.publish()
 
     async def link_fault(self, rng):
-        links = [(vm.store_link, vm) for vm in self.vms] + \
+        links = [(vm.store_link, vm) for vm in self.exposed] + \
             [(e.link, None) for e in self.engines]
         link, vm = rng.choice(links)
         if rng.random() < 0.3:
@@ -419,6 +429,10 @@
     async def check_recovery(self):
         """Checks that every process serves every model and the new config."""
         end = time.monotonic() + RECOVERY_S
+        for vm in self.vms:
+            if not vm.alive():
+                self.violations.add("process ended by itself", "vm%d: %d" % (
+                    vm.index, vm.process.returncode))
         # One after the other, the answers alone take almost this time.
         await asyncio.gather(*(self.check_models(vm, end) for vm in self.vms))
         for vm in self.vms:
@@ -445,6 +459,8 @@
         expiry = asyncio.ensure_future(self.store.expire_leases())
         await self.put_config()
         self.vms = [Vm(self, i) for i in range(self.options.vms)]
+        self.exposed = self.vms[rng_for(self.seed, "exposed").choice(
+            [0, 0, 2, self.options.vms]):]
         for vm in self.vms:
             await vm.start()
         for i in range(self.options.replicas):
@@ -454,13 +470,19 @@
         await asyncio.sleep(2.0)
         callers = [asyncio.ensure_future(self.caller(i))
                    for i in range(self.options.callers)]
+        kept = [asyncio.ensure_future(self.stops.caller(i))
+                for i in range(CALLERS_PER_VM * len(self.vms))]
+        kept.append(asyncio.ensure_future(self.stops.measure_lag()))
         until = time.monotonic() + self.options.seconds
         await asyncio.gather(self.faults(until), self.notices.play(until),
-                             self.limits.play(until))
+                             self.limits.play(until), self.stops.play(until))
         await self.check_recovery()
         self.done = True
         await asyncio.gather(*callers)
-        expiry.cancel()
+        for task in [expiry] + kept:
+            if task.done():
+                task.result()  # raises what a fault of this program raised
+            task.cancel()
         for vm in self.vms:
             if vm.alive():
                 vm.process.kill()
--- a/soak/world.py
+++ b/soak/world.py
@@ -226,17 +226,27 @@
         if "/api/order" in call.line:
             return await self.order(call)
         self.world.limits.arrived(self, call)
+        self.world.stops.arrived(self, call)
         if await self.world.notices.arrived(self, call):
             return True
         model = call.fields.get("arbutusspindle-model", "")
         if self.service == "llm" and model not in self.models:
             return await call.answer(b"", 421, {NOT_RUN: "1"}, signed=False)
         self.world.on_execution(self, call)
+        try:
+            return await self.work(call)
+        finally:
+            self.world.stops.worked(call)
+
+    async def work(self, call):
+        stops = self.world.stops
         if "/go/" not in call.line:
-            await asyncio.sleep(self.world.rng.uniform(0.002, 0.04))
+            await asyncio.sleep(stops.work_s(
+                call, self.world.rng.uniform(0.002, 0.04)))
             return await call.answer(self.body_of(call.id))
         first = int(call.fields.get("last-event-id", 0)) + 1
-        return await call.events(first, EVENTS, gap=0.03)
+        return await call.events(
+            first, EVENTS, gap=stops.work_s(call, 0.36) / EVENTS)
 
     @staticmethod
     def body_of(id):
