--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -205,7 +205,8 @@
 	/* In half of the worlds it is the rate of loads that binds. */
 	bool scarce;
 	double loads_per_s;
-	uint64_t memory_mb; /* two or seven models of 100 MB, and the adapters */
+	uint64_t
+	    memory_mb; /* two or seven models of 100 MB, and the adapters */
 	uint64_t load_time;
 	std::vector<ToldLoads> told_loads;
 	uint64_t newest_fence = 0;
