soak: the deadline of a request is what its header says

The process's log has "deadline exceeded during the response", left_ms=0: the rule allows it. The header has whole milliseconds, the check had the fraction too, up to 1 ms more; the check is as strict otherwise.

--- a/soak/stopping.py
+++ b/soak/stopping.py
@@ -23,7 +23,8 @@
 
     def __init__(self, id, kind, deadline_s, work_s):
         self.id, self.kind = id, kind
-        self.deadline_s, self.work_s = deadline_s, work_s
+        self.deadline_s = int(deadline_s * 1000) / 1000  # as it is sent
+        self.work_s = work_s
         self.began = time.monotonic()
         self.whole_at = None    # its last byte has been sent
         self.lag = 0.0          # of this program, by then
@@ -164,7 +165,7 @@
             "PUT" if chunked else "POST"
         head = request("/%s/x" % kind, sent.id, method,
                        body if method == "POST" else b"", fields,
-                       deadline=int(sent.deadline_s * 1000))
+                       deadline=round(sent.deadline_s * 1000))
         if method == "POST":
             head = head[:-len(body)]
         self.sent[sent.id] = sent
