--- a/scripts/check.py
+++ b/scripts/check.py
@@ -119,7 +119,7 @@
     if run_check("build, asan ubsan", make_command(build, san, targets)):
         for name in unit_tests():
             run_check("asan " + name, [build + "/test_" + name])
-        for name in ("entry", "stops", "stops_late"):
+        for name in ("entry", "second_answers", "stops", "stops_late"):
             run_check("asan " + name, [sys.executable, "tests/%s.py" % name], {
                 "SPINDLE_ENTRY": os.path.join(ROOT, build, "spindle-entry")})
         run_fuzzers(build, SERVING_CASES // 10, STATE_CASES // 10,
@@ -149,6 +149,8 @@
         run_regressions("build")
         run_check("entry", [sys.executable, "tests/entry.py"])
         run_check("endless bytes", [sys.executable, "tests/endless.py"])
+        run_check("second answers", [
+            sys.executable, "tests/second_answers.py"])
         run_check("limits", [sys.executable, "tests/limits.py"])
         run_check("lists", [sys.executable, "tests/lists.py"])
         run_check("stops", [sys.executable, "tests/stops.py"])
