entry: write new events that stand before a repeated one

Callers got streams without some of their events, marked as complete: events 1 to 4 of 10, or 0, 2, 5. Cause: forward_on_events() kept one offset, the end of the last repeated event in what was read at once, and wrote only what follows it; new events before it were counted as written and dropped. The log could not show it, as event= was the last one read.

entry/event_filter passes on each run of new events and keeps the last id read and the last one written; a stream is resumed behind the latter, and the log of an attempt names both. Any stream was affected, not only one behind which a second answer comes: a resumed stream whose replica repeats an event.

--- a/Makefile
+++ b/Makefile
@@ -129,6 +129,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lcunit
 
+$(BUILD)/test_event_filter: $(BUILD)/tests/test_event_filter.o \
+    $(BUILD)/tests/unit.o $(BUILD)/entry/event_filter.o $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_conf_decoder: $(BUILD)/tests/test_conf_decoder.o \
     $(BUILD)/tests/unit.o $(BUILD)/entry/conf_decoder.o $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -108,7 +108,7 @@
 	t.id = f->params.id;
 	t.replica = m->info.id;
 	t.timeout_ns = f->deadline > f->e->now ? f->deadline - f->e->now : 0;
-	t.resume_after = f->response_started ? f->last_event_id : 0;
+	t.resume_after = f->response_started ? f->passed.written_id : 0;
 	t.body_len = buf_len(body);
 	t.has_body = buf_len(body) != 0 || strcmp(h->method, "GET") != 0;
 	fields_write_request(&out, h, &t);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -100,7 +100,7 @@
 		err_set(err, ERR_UNAVAILABLE, "this process is stopping");
 		return 503;
 	}
-	f->last_event_id = f->params.last_event_id;
+	event_filter_start(&f->passed, f->params.last_event_id);
 	caller_keep_until(f->caller, f->deadline);
 	return 0;
 }
@@ -330,14 +330,15 @@
 			(end == ATTEMPT_NO_RESPONSE && f->new_connection));
 	snprintf(detail, sizeof(detail),
 	    "end=%s status=%d took_ms=%llu first_ms=%llu gap_ms=%llu "
-	    "event=%llu",
+	    "event=%llu written=%llu",
 	    attempt_outcome_name(end), f->status,
 	    (unsigned long long)((f->e->now - f->sent_at) / NSEC_PER_MSEC),
 	    (unsigned long long)(f->first_event_at == 0
 		    ? 0
 		    : (f->first_event_at - f->arrived) / NSEC_PER_MSEC),
 	    (unsigned long long)(f->max_gap_ns / NSEC_PER_MSEC),
-	    (unsigned long long)f->last_event_id);
+	    (unsigned long long)f->passed.read_id,
+	    (unsigned long long)f->passed.written_id);
 	forward_log(f, LOG_REQUEST_ATTEMPT, m->info.id, detail);
 	if (f->e->now < m->avoid_until)
 		log_event(LOG_REPLICA_AVOIDED, NULL,
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -3,6 +3,7 @@
 #define FORWARD_INT_H
 
 #include "entry_int.h"
+#include "event_filter.h"
 #include "expiry.h"
 #include "sse.h"
 
@@ -53,8 +54,8 @@
 	/* the response to the caller */
 	int response_started; /* its head has been sent */
 	int chunked;
-	int kept;		/* its head keeps the connection open */
-	uint64_t last_event_id; /* of the latest event sent */
+	int kept;		    /* its head keeps the connection open */
+	struct event_filter passed; /* events of all attempts */
 };
 
 /* attempt_send.c */
--- a/entry/response.c
+++ b/entry/response.c
@@ -13,7 +13,7 @@
 
 static void write_head(struct forward *, long);
 static void write_body(struct forward *, const char *, size_t);
-static uint64_t event_id_of(const char *, size_t);
+static void write_events(void *, const char *, size_t);
 
 /* A resumed stream keeps the head and signature of its first replica. */
 static void
@@ -46,44 +46,12 @@
 	buf_free(&out);
 }
 
-/* Numeric id of one event, 0 if it has none. */
-static uint64_t
-event_id_of(const char *p, size_t len)
-{
-	const char *end = p + len;
-	const char *nl;
-	uint64_t id;
-
-	for (; p < end; p = nl + 1) {
-		nl = memchr(p, '\n', (size_t)(end - p));
-		if (nl == NULL)
-			return 0;
-		id = fields_parse_event_id(p, (size_t)(nl - p));
-		if (id != 0)
-			return id;
-	}
-	return 0;
-}
-
-void
-forward_on_events(void *ctx, const char *p, size_t len)
+/* Writes events that the caller does not have. */
+static void
+write_events(void *ctx, const char *p, size_t len)
 {
 	struct forward *f = ctx;
-	size_t skip = 0;
-	size_t used = 0;
-	size_t n;
-	uint64_t id;
 
-	while (used < len && (n = sse_event_len(p + used, len - used)) != 0) {
-		id = event_id_of(p + used, n);
-		used += n;
-		if (id != 0 && id <= f->last_event_id)
-			skip = used;
-		else if (id != 0)
-			f->last_event_id = id;
-	}
-	if (skip == len)
-		return;
 	if (!f->response_started) {
 		write_head(f, -1);
 		f->first_event_at = f->e->now;
@@ -96,7 +64,15 @@
 		f->route.target_gap_ns * GAP_SHARE_NUM / GAP_SHARE_DEN)
 		directory_stream_paused(&f->e->dir, f->e->now, f->replica);
 	f->last_event_at = f->e->now;
-	write_body(f, p + skip, len - skip);
+	write_body(f, p, len);
+}
+
+void
+forward_on_events(void *ctx, const char *p, size_t len)
+{
+	struct forward *f = ctx;
+
+	event_filter_pass(&f->passed, p, len, write_events, f);
 }
 
 void
