net: no second answer in a body that ends with its connection

Cause: a response with neither length nor chunks takes in all that comes before its connection ends, and the reader asked nothing of these bytes. Copies before the next answer or inside a head were ruled out: they are told apart since.

shell/http_framing, which both HTTP clients use, now scans such a body too: with a status line that ends in CR LF anywhere in it, the response is malformed; if its last bytes may be the start of one, it is not complete. So an idempotent request is repeated, the outcome of another one is unknown, a stream is resumed or visibly broken off. A status line is complete before any event that it could be taken for, so none is passed on. The rule holds for replies of the store and reports as well, since all use this reader.

--- a/net/http.c
+++ b/net/http.c
@@ -338,6 +338,8 @@
 			r->head_bytes += r->in_message ? n : 0;
 		else if (!r->complete && (r->parser.flags & F_CHUNKED))
 			http_framing_start_chunks(&r->framing);
+		else if (!r->complete && r->head.close_delimited)
+			http_framing_start_until_close(&r->framing);
 	}
 	return parsed;
 }
@@ -364,7 +366,8 @@
 int
 http_reader_eof(struct http_reader *r)
 {
-	if (!r->in_message || !r->head_done || !r->head.close_delimited)
+	if (!r->in_message || !r->head_done ||
+	    !http_framing_may_close(&r->framing))
 		return -1;
 	r->in_message = 0;
 	r->ops->end(r->ctx);
--- a/shell/http_framing.c
+++ b/shell/http_framing.c
@@ -9,10 +9,13 @@
 #define DELETE 127
 /* The start of a response; a # stands for a digit. */
 #define STATUS_LINE_START "HTTP/#.# ###"
+#define STATUS_LINE_START_LEN (sizeof(STATUS_LINE_START) - 1)
 /* Of a chunk's size: 60 bits. */
 #define CHUNK_DIGITS_MAX 15
+#define STATUS_LINE_MAX 65536 /* bytes */
 
 static int is_text(unsigned char);
+static int is_in_start(size_t, unsigned char);
 static int status_line_begins(struct http_framing *, unsigned char);
 static int is_expected(struct http_framing *, unsigned char);
 static enum http_framing_state end_line(struct http_framing *);
@@ -21,6 +24,9 @@
 static enum http_framing_state scan_extension(unsigned char);
 static enum http_framing_state scan_chunked(
     struct http_framing *, unsigned char);
+static enum http_framing_state scan_until_close(
+    struct http_framing *, unsigned char);
+static enum http_framing_state scan_byte(struct http_framing *, unsigned char);
 static size_t skip_data(struct http_framing *, size_t);
 
 void
@@ -38,24 +44,41 @@
 	f->chunk_left = 0;
 }
 
+void
+http_framing_start_until_close(struct http_framing *f)
+{
+	f->state = FRAMING_UNTIL_CLOSE;
+	f->matched = 0;
+	f->after_cr = 0;
+}
+
+int
+http_framing_may_close(const struct http_framing *f)
+{
+	return f->state == FRAMING_UNTIL_CLOSE && f->matched == 0;
+}
+
 static int
 is_text(unsigned char c)
 {
 	return c == '\t' || (c >= ' ' && c != DELETE);
 }
 
+/* Whether a byte is the one at an offset in the start of a status line. */
+static int
+is_in_start(size_t at, unsigned char c)
+{
+	char want = STATUS_LINE_START[at];
+
+	return want == '#' ? isdigit(c) : c == (unsigned char)want;
+}
+
 /* Whether the byte completes the start of a response. */
 static int
 status_line_begins(struct http_framing *f, unsigned char c)
 {
-	static const char start[] = STATUS_LINE_START;
-	char want = start[f->matched];
-
-	if (want == '#' ? isdigit(c) : c == (unsigned char)want)
-		f->matched++;
-	else
-		f->matched = c == 'H';
-	if (f->matched < sizeof(start) - 1)
+	f->matched = is_in_start(f->matched, c) ? f->matched + 1 : c == 'H';
+	if (f->matched < STATUS_LINE_START_LEN)
 		return 0;
 	f->matched = 0;
 	return 1;
@@ -68,7 +91,7 @@
 	if (f->lines != 0 && f->line_len == 0 && (c == ' ' || c == '\t'))
 		return 0;
 	return !status_line_begins(f, c) ||
-	    (f->lines == 0 && f->line_len == sizeof(STATUS_LINE_START) - 2);
+	    (f->lines == 0 && f->line_len == STATUS_LINE_START_LEN - 1);
 }
 
 /* The state after the end of a line of the head or of the trailer. */
@@ -149,6 +172,40 @@
 	}
 }
 
+/* Looks for a whole status line, anywhere in a line. */
+static enum http_framing_state
+scan_until_close(struct http_framing *f, unsigned char c)
+{
+	int after_cr = f->after_cr;
+	int in_start = f->matched < STATUS_LINE_START_LEN;
+	int matches;
+
+	if (after_cr && c == LF)
+		return FRAMING_INVALID;
+	if (in_start)
+		matches = is_in_start(f->matched, c);
+	else
+		matches = !after_cr && f->matched < STATUS_LINE_MAX &&
+		    (c == CR || is_text(c));
+	f->after_cr = matches && c == CR;
+	f->matched = matches ? f->matched + 1 : c == 'H';
+	return FRAMING_UNTIL_CLOSE;
+}
+
+static enum http_framing_state
+scan_byte(struct http_framing *f, unsigned char c)
+{
+	switch (f->state) {
+	case FRAMING_HEAD:
+	case FRAMING_TRAILER:
+		return scan_line(f, c);
+	case FRAMING_UNTIL_CLOSE:
+		return scan_until_close(f, c);
+	default:
+		return scan_chunked(f, c);
+	}
+}
+
 static size_t
 skip_data(struct http_framing *f, size_t len)
 {
@@ -163,7 +220,6 @@
 size_t
 http_framing_scan(struct http_framing *f, const char *p, size_t len)
 {
-	unsigned char c;
 	size_t i = 0;
 
 	while (i < len && f->state != FRAMING_BODY && f->state != FRAMING_END) {
@@ -171,11 +227,7 @@
 			i += skip_data(f, len - i);
 			continue;
 		}
-		c = (unsigned char)p[i];
-		f->state =
-		    f->state == FRAMING_HEAD || f->state == FRAMING_TRAILER
-		    ? scan_line(f, c)
-		    : scan_chunked(f, c);
+		f->state = scan_byte(f, (unsigned char)p[i]);
 		if (f->state == FRAMING_INVALID)
 			break;
 		i++;
--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -4,6 +4,7 @@
 Prints one line per test, and "result: N passed, N failed" at the end.
 """
 import asyncio
+import itertools
 import sys
 
 from entry import check, event_numbers, main, two_replicas
@@ -79,20 +80,20 @@
         await call.read()
         return await call.events(
             int(call.fields.get("last-event-id", 0)) + 1, 3)
-    for plan["tail"] in (b"", b"id: 3\nda"):
-        for plan["size"] in (100000, 11, 1):
-            w, _, _ = two_replicas(twice, rest)
-            try:
-                for path, numbers, complete in (("/go/x", [1, 2, 3], True),
-                                                ("/tell/x", [1, 2], False)):
-                    _, _, body, whole = w.call(path, "id-1", "POST", b"p")
-                    check("%s %s: %r" % (plan, path, body),
-                          b"HTTP/" not in body and ID.encode() not in body)
-                    check("%s %s: %s, whole: %s" % (
-                        plan, path, event_numbers(body), whole),
-                        (event_numbers(body), whole) == (numbers, complete))
-            finally:
-                w.stop()
+    for plan["tail"], plan["size"], (path, numbers, complete) in (
+            itertools.product((b"", b"id: 3\nda"), (100000, 11, 1),
+                              (("/go/x", [1, 2, 3], True),
+                               ("/tell/x", [1, 2], False)))):
+        w, _, _ = two_replicas(twice, rest)
+        try:
+            _, _, body, whole = w.call(path, "id-1", "POST", b"p")
+            check("%s %s: %r" % (plan, path, body),
+                  b"HTTP/" not in body and ID.encode() not in body)
+            check("%s %s: %s, whole: %s" % (
+                plan, path, event_numbers(body), whole),
+                (event_numbers(body), whole) == (numbers, complete))
+        finally:
+            w.stop()
 
 
 def test_new_events_before_repeated():
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -50,6 +50,8 @@
 static void test_byte_of_head_missing(void);
 static void test_bytes_inside_chunk_framing(void);
 static void test_unknown_transfer_coding(void);
+static void test_second_answer_in_body(void);
+static void test_status_line_in_body(void);
 static void test_sound_messages(void);
 
 static const struct http_reader_ops ops = { on_head, on_body, on_end };
@@ -359,6 +361,60 @@
 	}
 }
 
+/*
+ * A body that ends with its connection is not whole if another answer, cut at
+ * any byte, follows it.
+ */
+static void
+test_second_answer_in_body(void)
+{
+	static const char whole[] = "HTTP/1.1 200 OK\r\nX: y\r\n\r\nright\r\n";
+	char in[INPUT_SIZE];
+	struct outcome o;
+	size_t cut, size;
+	size_t i;
+	int n;
+
+	for (i = 0; i < nitems(late); i++) {
+		for (cut = 1; cut <= strlen(late[i]); cut++) {
+			n = snprintf(
+			    in, sizeof(in), "%s%.*s", whole, (int)cut, late[i]);
+			for (size = 1; size < 64; size += 9) {
+				read_pieces(HTTP_READ_RESPONSES, in, (size_t)n,
+				    size, &o);
+				CU_ASSERT(!o.complete && o.broken);
+			}
+		}
+	}
+}
+
+/* What cannot be a whole answer is a part of the body. */
+static void
+test_status_line_in_body(void)
+{
+	static const char *const bodies[] = { "HTTP/1.1 200 OK\n", "GHTTP/1.",
+		"HHTTP/1.1 20\r\nHTTP/1.x 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\rHTTP/1.1 200\nH\r\n",
+		"HTTP/1.1 200 \x01\r\n" };
+	char in[INPUT_SIZE];
+	struct outcome o;
+	size_t size;
+	size_t i;
+	int n;
+
+	for (i = 0; i < nitems(bodies); i++) {
+		n = snprintf(
+		    in, sizeof(in), "HTTP/1.1 200 OK\r\n\r\n%s.", bodies[i]);
+		for (size = 1; size < 64; size += 9) {
+			read_pieces(
+			    HTTP_READ_RESPONSES, in, (size_t)n, size, &o);
+			CU_ASSERT(o.complete && !o.broken);
+			CU_ASSERT(o.len == strlen(bodies[i]) + 1 &&
+			    memcmp(o.body, bodies[i], o.len - 1) == 0);
+		}
+	}
+}
+
 static void
 test_sound_messages(void)
 {
@@ -413,6 +469,8 @@
 	{ "bytes inside the framing of chunks",
 	    test_bytes_inside_chunk_framing },
 	{ "unknown transfer coding", test_unknown_transfer_coding },
+	{ "second answer in a body until close", test_second_answer_in_body },
+	{ "status line in a body until close", test_status_line_in_body },
 	{ "sound messages", test_sound_messages },
 };
 
