--- a/shell/fetch.c
+++ b/shell/fetch.c
@@ -28,7 +28,10 @@
 	void (*release)(void *);
 	int writing;
 	int head_reported;
-	struct http_framing framing; /* of the latest head */
+	struct http_framing framing; /* of the latest head, then of the body */
+	int has_length;		     /* of the latest head: or is chunked */
+	char *held; /* end of the body, which may be another response */
+	size_t held_len;
 	int status;
 	char content_type[FETCH_CONTENT_TYPE_SIZE];
 	char *fields; /* of the latest head */
@@ -67,6 +70,10 @@
 static void transfer_options(struct transfer *, const struct fetch_spec *);
 static int on_prereq(void *, char *, char *, int, int);
 static int transfer_check_line(struct transfer *, const char *, size_t);
+static int is_field(const char *, size_t, const char *);
+static int is_chunked(const char *, size_t);
+static void transfer_release_body(struct transfer *, const char *, size_t);
+static int transfer_is_whole(const struct transfer *);
 static size_t on_header(char *, size_t, size_t, void *);
 static size_t on_body(char *, size_t, size_t, void *);
 static void transfer_notify(
@@ -124,6 +131,7 @@
 		t->release(t->cookie);
 	free(t->body);
 	free(t->fields);
+	free(t->held);
 	free(t);
 }
 
@@ -161,14 +169,39 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/* Whether a line of a head has a name, given in lower case with its colon. */
+static int
+is_field(const char *line, size_t len, const char *name)
+{
+	size_t n = strlen(name);
+
+	return len >= n && strncasecmp(line, name, n) == 0;
+}
+
+static int
+is_chunked(const char *line, size_t len)
+{
+	static const char name[] = "transfer-encoding:";
+	size_t skip = sizeof(name) - 1;
+
+	if (!is_field(line, len, name))
+		return 0;
+	while (skip < len && (line[skip] == ' ' || line[skip] == '\t'))
+		skip++;
+	return is_field(line + skip, len - skip, "chunked");
+}
+
 /* Keeps a line of the head; a status line begins another head. */
 static void
 transfer_add_field(struct transfer *t, const char *line, size_t len)
 {
 	if (len >= 5 && memcmp(line, "HTTP/", 5) == 0) {
 		t->fields_len = 0;
+		t->has_length = 0;
 		return;
 	}
+	t->has_length |=
+	    is_field(line, len, "content-length:") || is_chunked(line, len);
 	if (t->fields_len + len > FETCH_FIELDS_MAX)
 		return;
 	t->fields = mem_grow(t->fields, t->fields_len + len + 1, 1);
@@ -190,13 +223,13 @@
 static size_t
 on_header(char *line, size_t size, size_t n, void *arg)
 {
-	static const char name[] = "content-type:";
+	static const char type[] = "content-type:";
 	struct transfer *t = arg;
 	size_t len = size * n;
-	size_t skip = sizeof(name) - 1;
+	size_t skip = sizeof(type) - 1;
 	long status = 0;
 
-	if (len > skip && strncasecmp(line, name, skip) == 0) {
+	if (is_field(line, len, type)) {
 		while (skip < len && line[skip] == ' ')
 			skip++;
 		snprintf(t->content_type, sizeof(t->content_type), "%.*s",
@@ -213,18 +246,49 @@
 	if (status >= 200) {
 		t->status = (int)status;
 		t->head_reported = 1;
+		if (!t->has_length)
+			http_framing_start_until_close(&t->framing);
 		transfer_notify(t, FETCH_EVENT_HEAD, NULL, 0);
 	}
 	return len;
 }
 
+/* Reports what is not a part of another response, and holds the rest. */
+static void
+transfer_release_body(struct transfer *t, const char *bytes, size_t len)
+{
+	size_t held = t->framing.matched;
+	size_t sound;
+
+	if (held < len) {
+		if (t->held_len != 0)
+			transfer_notify(
+			    t, FETCH_EVENT_DATA, t->held, t->held_len);
+		t->held_len = 0;
+		sound = len - held;
+		transfer_notify(t, FETCH_EVENT_DATA, bytes, sound);
+		bytes += sound;
+		len = held;
+	}
+	t->held = mem_grow(t->held, t->held_len + len + 1, 1);
+	memcpy(t->held + t->held_len, bytes, len);
+	t->held_len += len;
+}
+
 static size_t
 on_body(char *bytes, size_t size, size_t n, void *arg)
 {
 	struct transfer *t = arg;
+	size_t len = size * n;
 
-	transfer_notify(t, FETCH_EVENT_DATA, bytes, size * n);
-	return size * n;
+	if (t->has_length) {
+		transfer_notify(t, FETCH_EVENT_DATA, bytes, len);
+		return len;
+	}
+	if (http_framing_scan(&t->framing, bytes, len) != len)
+		return 0;
+	transfer_release_body(t, bytes, len);
+	return len;
 }
 
 static void
@@ -368,6 +432,14 @@
 	t->fetch->on_event(t->fetch->ctx, &ev);
 }
 
+/* libcurl takes a body that ends with its connection for whole. */
+static int
+transfer_is_whole(const struct transfer *t)
+{
+	return t->framing.state != FRAMING_UNTIL_CLOSE ||
+	    http_framing_may_close(&t->framing);
+}
+
 static void
 fetch_finish(CURLMsg *msg)
 {
@@ -375,7 +447,7 @@
 	curl_off_t connect_us = 0;
 
 	curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &t);
-	if (msg->data.result == CURLE_OK) {
+	if (msg->data.result == CURLE_OK && transfer_is_whole(t)) {
 		transfer_notify(t, FETCH_EVENT_END, NULL, 0);
 		transfer_free(t);
 		return;
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -25,6 +25,7 @@
 	int requests;	   /* request heads received */
 	int responses_max; /* responses before connections are closed */
 	const char *reply;
+	int close; /* after each response */
 	int stop;
 	pthread_t thread;
 };
@@ -56,6 +57,9 @@
 static void test_withdrawn(void);
 static void test_late_answer_inside_line_end(void);
 static void test_sound_heads(void);
+static void fetch_until_close(const char *);
+static void test_second_answer_in_body(void);
+static void test_status_line_in_body(void);
 
 static struct result result = { PTHREAD_MUTEX_INITIALIZER,
 	PTHREAD_COND_INITIALIZER, 0, { 0 }, "", 0 };
@@ -74,7 +78,7 @@
 		if (__atomic_add_fetch(&p->requests, 1, __ATOMIC_RELAXED) >
 		    p->responses_max)
 			break;
-		if (write(fd, p->reply, strlen(p->reply)) <= 0)
+		if (write(fd, p->reply, strlen(p->reply)) <= 0 || p->close)
 			break;
 	}
 	close(fd);
@@ -362,6 +366,61 @@
 	}
 }
 
+/* Fetches a response whose connection is closed behind it. */
+static void
+fetch_until_close(const char *reply)
+{
+	struct fetch *f = fetch_create(on_event, NULL);
+	struct peer p;
+
+	peer_open_with(&p, 1, reply);
+	p.close = 1;
+	post_and_wait(f, &result, p.port, 0);
+	fetch_destroy(f);
+	peer_close(&p);
+}
+
+/* A copy, cut at any byte, is neither passed on nor makes the body whole. */
+static void
+test_second_answer_in_body(void)
+{
+	static const char *const heads[] = { "HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n" };
+	char reply[256];
+	size_t cut;
+	size_t i;
+
+	for (i = 0; i < nitems(heads); i++) {
+		for (cut = 1; cut <= strlen(LATE); cut++) {
+			snprintf(reply, sizeof(reply), "%sok%.*s", heads[i],
+			    (int)cut, LATE);
+			fetch_until_close(reply);
+			CU_ASSERT_EQUAL(result.last.type, FETCH_EVENT_FAIL);
+			CU_ASSERT(result.last.maybe_sent);
+			CU_ASSERT(result.len <= 2);
+		}
+	}
+}
+
+/* Text that cannot be a response is passed on in full. */
+static void
+test_status_line_in_body(void)
+{
+	static const char *const bodies[] = { "ok", "", "Hi HTTP/1.1 200 OK\n",
+		"HHTTP/1.1 2 HTTP/1.x\r\n", "HTTP/1.1 200 OK\r \r\n" };
+	char reply[256];
+	size_t i;
+
+	for (i = 0; i < nitems(bodies); i++) {
+		snprintf(reply, sizeof(reply), "HTTP/1.1 200 OK\r\n\r\n%s",
+		    bodies[i]);
+		fetch_until_close(reply);
+		CU_ASSERT_EQUAL(result.last.type, FETCH_EVENT_END);
+		CU_ASSERT_EQUAL(result.len, strlen(bodies[i]));
+		CU_ASSERT(memcmp(result.body, bodies[i], result.len) == 0);
+	}
+}
+
 static const struct unit_case cases[] = {
 	{ "answer", test_answer },
 	{ "connection refused", test_refused },
@@ -371,6 +430,8 @@
 	{ "withdrawn before sending", test_withdrawn },
 	{ "late answer inside a line end", test_late_answer_inside_line_end },
 	{ "sound heads", test_sound_heads },
+	{ "second answer in a body until close", test_second_answer_in_body },
+	{ "status line in a body until close", test_status_line_in_body },
 };
 
 UNIT_MAIN("fetch", cases)
