entry: the log tells which requests ask for the same

Nothing in the logs related two requests with the same path, caller and body, so that a request that crashes replicas again and again could not be told from several, nor from crashes by chance. The line of each attempt names a fingerprint of method, host, target, credentials, model, prompt and body.

--- a/core/hash.c
+++ b/core/hash.c
@@ -15,6 +15,12 @@
 	return XXH3_64bits(s, strlen(s));
 }
 
+uint64_t
+hash_add(uint64_t hash, const void *p, size_t len)
+{
+	return XXH3_64bits_withSeed(p, len, hash);
+}
+
 uint64_t
 hash_version(const char *name, uint64_t version)
 {
--- a/core/hash.h
+++ b/core/hash.h
@@ -7,6 +7,8 @@
 
 uint64_t hash_bytes(const void *, size_t);
 uint64_t hash_text(const char *);
+/* Adds bytes to a hash; their order counts. */
+uint64_t hash_add(uint64_t, const void *, size_t);
 /*
  * Hash of a (name, version) pair.  The hash of a set of pairs is the XOR of
  * their hashes, so it does not depend on their order.
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -122,6 +122,7 @@
 	TAILQ_INSERT_TAIL(&e->requests, f, entry);
 	e->counts.arrived++;
 	status = forward_admit(f, &err);
+	f->params.fingerprint = forward_fingerprint(f);
 	if (status == 503) {
 		forward_refuse(f, err.text, RETRY_AFTER_NS);
 		return;
@@ -315,7 +316,7 @@
 forward_attempt_ended(struct forward *f, enum attempt_outcome end)
 {
 	struct directory_replica *m = f->replica;
-	char detail[160];
+	char detail[192];
 	int suspect;
 
 	f->exchange = NULL;
@@ -330,7 +331,7 @@
 			(end == ATTEMPT_NO_RESPONSE && f->new_connection));
 	snprintf(detail, sizeof(detail),
 	    "end=%s status=%d took_ms=%llu first_ms=%llu gap_ms=%llu "
-	    "event=%llu written=%llu",
+	    "event=%llu written=%llu fingerprint=%016llx",
 	    attempt_outcome_name(end), f->status,
 	    (unsigned long long)((f->e->now - f->sent_at) / NSEC_PER_MSEC),
 	    (unsigned long long)(f->first_event_at == 0
@@ -338,7 +339,8 @@
 		    : (f->first_event_at - f->arrived) / NSEC_PER_MSEC),
 	    (unsigned long long)(f->max_gap_ns / NSEC_PER_MSEC),
 	    (unsigned long long)f->passed.read_id,
-	    (unsigned long long)f->passed.written_id);
+	    (unsigned long long)f->passed.written_id,
+	    (unsigned long long)f->params.fingerprint);
 	forward_log(f, LOG_REQUEST_ATTEMPT, m->info.id, detail);
 	if (f->e->now < m->avoid_until)
 		log_event(LOG_REPLICA_AVOIDED, NULL,
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -109,6 +109,11 @@
 /* Ends a request that can't start any more as the process stops. */
 int forward_end_if_late(struct forward *);
 /* forward_suspect.c */
+/*
+ * Fingerprint of what the request asks for: method, host, target, credentials,
+ * model, prompt and body.  Repeats by its caller have the same.
+ */
+uint64_t forward_fingerprint(const struct forward *);
 /* Whether it goes to no replica until the evidence of all processes is known.
  */
 int forward_awaits_evidence(const struct forward *);
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -1,14 +1,44 @@
 /* Requests that may crash replicas: evidence, blocking, taking them back. */
+#include <string.h>
+
 #include "forward_int.h"
+#include "hash.h"
 #include "poison_io.h"
 
 /* A crash this long after the first event is not due to the answer's begin. */
 #define BEGIN_NS (100 * NSEC_PER_MSEC)
 
+static uint64_t add_text(uint64_t, const char *);
 static uint64_t forward_suspect_part(const struct forward *);
 static int forward_is_answered(const struct forward *);
 static void forward_withdraw_if_suspect(struct forward *);
 
+static uint64_t
+add_text(uint64_t hash, const char *s)
+{
+	return hash_add(hash, s == NULL ? "" : s, s == NULL ? 0 : strlen(s));
+}
+
+uint64_t
+forward_fingerprint(const struct forward *f)
+{
+	const struct http_head *h = caller_head(f->caller);
+	const struct buf *body = caller_body(f->caller);
+	const struct request_params *r = &f->params;
+	uint64_t hash = 0;
+	uint32_t i;
+
+	hash = add_text(hash, h->method);
+	hash = add_text(hash, http_field_find(h, "Host"));
+	hash = add_text(hash, http_request_target(h));
+	hash = add_text(hash, http_field_find(h, "Authorization"));
+	hash = add_text(hash, r->model);
+	hash = add_text(hash, r->adapter);
+	for (i = 0; i < r->nparts; i++)
+		hash = hash_add(hash, &r->parts[i].id, sizeof(r->parts[i].id));
+	return hash_add(hash, buf_data(body), buf_len(body));
+}
+
 /* The part for which the request is treated with care, 0: none. */
 static uint64_t
 forward_suspect_part(const struct forward *f)
