--- a/scripts/check.py
+++ b/scripts/check.py
@@ -151,6 +151,8 @@
         run_check("endless bytes", [sys.executable, "tests/endless.py"])
         run_check("second answers", [
             sys.executable, "tests/second_answers.py"])
+        run_check("crashing requests", [
+            sys.executable, "tests/crashing.py"])
         run_check("limits", [sys.executable, "tests/limits.py"])
         run_check("lists", [sys.executable, "tests/lists.py"])
         run_check("stops", [sys.executable, "tests/stops.py"])
