entry: a request that crashes replicas is known as a whole

Cause: evidence was kept on the shared parts of prompts only. A plain request has none; those of a prompt were cleared by sound requests, and its last part was left out.

A request counts as one more part, whose id is a fingerprint of what it asks for. After one crash it goes to one replica at a time, after crashes at two times it is refused; an answer refutes. Late reports were ruled out: the same reports now suffice.

--- a/Makefile
+++ b/Makefile
@@ -179,7 +179,8 @@
 $(BUILD)/test_follow_bounds: $(BUILD)/tests/follow_world.o \
     $(BUILD)/tests/follow_list.o $(BUILD)/tests/follow_store.o
 $(BUILD)/test_cell: $(BUILD)/tests/cell_fixture.o
-$(BUILD)/test_poison $(BUILD)/test_poison_report: $(BUILD)/tests/poison_fixture.o
+$(BUILD)/test_poison $(BUILD)/test_poison_report \
+    $(BUILD)/test_poison_request: $(BUILD)/tests/poison_fixture.o
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(BUILD)/tests/unit.o $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lcunit
--- a/core/poison.c
+++ b/core/poison.c
@@ -4,6 +4,11 @@
 #include "mem.h"
 #include "poison_int.h"
 
+/*
+ * A sound request is either repeated so often that it is answered between two
+ * crashes, or so rarely that it hardly meets two by chance.
+ */
+#define REQUEST_GROUPS_MIN 2
 /* For a part that was never answered, fewer groups suffice. */
 #define UNPROVEN_GROUPS_MIN 2
 #define UNPROVEN_REPLICAS_MIN 3
@@ -32,6 +37,8 @@
 	uint32_t nreplicas; /* in all groups */
 };
 
+static int is_request(uint64_t);
+static struct part *part_to_drop(const struct poison *);
 static void part_remove(struct poison *, struct part *);
 static int part_make_room(struct part *, uint64_t);
 static int part_has_crash(const struct part *, uint64_t);
@@ -40,11 +47,13 @@
     const struct part *, struct part *const *, uint32_t);
 static int part_is_unproven(const struct part *, uint64_t);
 static int part_precedes(const struct part *, const struct part *);
+static enum poison_care request_care(const struct part *, uint64_t);
 static uint32_t find_candidates(struct poison *, uint64_t, struct part **);
 static void part_set_blocked(
     struct part *, int, void (*)(void *, uint64_t, int), void *);
 static uint64_t part_blocked_until(const struct part *);
 static uint32_t answered_slot(uint64_t);
+static uint32_t crashes_min(const struct part *);
 
 struct poison *
 poison_create(void)
@@ -62,6 +71,12 @@
 	free(p);
 }
 
+static int
+is_request(uint64_t id)
+{
+	return (id & POISON_REQUEST) != 0;
+}
+
 struct part *
 poison_part_find(const struct poison *p, uint64_t id)
 {
@@ -71,7 +86,25 @@
 	return t;
 }
 
-/* Makes room by dropping the oldest part with little evidence. */
+/*
+ * The oldest part with little evidence.  A crash adds each request that was in
+ * progress, so that those with one crash go first.
+ */
+static struct part *
+part_to_drop(const struct poison *p)
+{
+	struct part *found = NULL;
+	struct part *t;
+
+	for (t = p->parts; t != NULL; t = t->hh.next) {
+		if (is_request(t->id) && t->ncrashes <= 1)
+			return t;
+		if (found == NULL && !poison_part_blocks(t, NULL, 0))
+			found = t;
+	}
+	return found;
+}
+
 struct part *
 poison_part_add(struct poison *p, uint64_t id)
 {
@@ -80,15 +113,12 @@
 
 	if (t != NULL)
 		return t;
-	for (old = p->parts; old != NULL && HASH_COUNT(p->parts) >= PARTS_MAX;
-	     old = old->hh.next) {
-		if (!poison_part_blocks(old, NULL, 0)) {
-			part_remove(p, old);
-			break;
-		}
+	if (HASH_COUNT(p->parts) >= PARTS_MAX) {
+		old = part_to_drop(p);
+		if (old == NULL)
+			return NULL;
+		part_remove(p, old);
 	}
-	if (HASH_COUNT(p->parts) >= PARTS_MAX)
-		return NULL;
 	t = mem_alloc(sizeof(*t));
 	t->id = id;
 	HASH_ADD(hh, p->parts, id, sizeof(t->id), t);
@@ -243,12 +273,17 @@
 {
 	struct groups g = group_crashes(t, others, nothers);
 
+	if (is_request(t->id))
+		return g.n >= REQUEST_GROUPS_MIN;
 	return g.n >= GROUPS_MIN ||
 	    (t->answered_at == 0 && g.n >= UNPROVEN_GROUPS_MIN &&
 		g.nreplicas >= UNPROVEN_REPLICAS_MIN);
 }
 
-/* Parts that were never answered, and those with more crashes, go first. */
+/*
+ * Parts that were never answered, and those with more crashes, go first; among
+ * equals a whole request, which holds all parts and has the fewest callers.
+ */
 static int
 part_precedes(const struct part *a, const struct part *b)
 {
@@ -256,6 +291,8 @@
 		return a->answered_at == 0;
 	if (a->ncrashes != b->ncrashes)
 		return a->ncrashes > b->ncrashes;
+	if (is_request(a->id) != is_request(b->id))
+		return is_request(a->id);
 	return a->id < b->id;
 }
 
@@ -268,11 +305,18 @@
 	    (poison_part_blocks(t, NULL, 0) ? BLOCK_NS : SUSPECT_NS);
 }
 
+/* Fewer crashes cannot block a part. */
+static uint32_t
+crashes_min(const struct part *t)
+{
+	return is_request(t->id) ? REQUEST_GROUPS_MIN : GROUPS_MIN;
+}
+
 static uint64_t
 part_blocked_until(const struct part *t)
 {
-	int sure =
-	    t->ncrashes >= REPLICAS_SURE || poison_part_groups(t) > GROUPS_MIN;
+	int sure = t->ncrashes >= REPLICAS_SURE ||
+	    poison_part_groups(t) > crashes_min(t);
 
 	if (t->ncrashes == 0)
 		return 0;
@@ -300,8 +344,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < n; i++)
-		poison_part_set_answered(p, now, ids[i], now);
+	for (i = 0; i < n; i++) {
+		if (!is_request(ids[i]) || poison_part_find(p, ids[i]) != NULL)
+			poison_part_set_answered(p, now, ids[i], now);
+	}
 }
 
 void
@@ -366,10 +412,22 @@
 	    (t == NULL || t->answered_at == 0);
 }
 
+/* How to send a whole request; each crash is of one more replica. */
+static enum poison_care
+request_care(const struct part *t, uint64_t now)
+{
+	if (t == NULL || t->ncrashes == 0 || poison_part_is_old(t, now))
+		return POISON_ANY_REPLICA;
+	return t->ncrashes > 1 && now < t->crashes[0].at + SETTLE_NS
+	    ? POISON_WAIT
+	    : POISON_ONE_REPLICA;
+}
+
 enum poison_care
 poison_care(const struct poison *p, uint64_t now, const uint64_t *ids,
     uint32_t n, uint64_t *part)
 {
+	enum poison_care whole = POISON_ANY_REPLICA;
 	const struct part *worst = NULL;
 	const struct part *t;
 	int proven = 0;
@@ -378,6 +436,12 @@
 
 	for (i = 0; i < n && p->parts != NULL; i++) {
 		t = poison_part_find(p, ids[i]);
+		if (is_request(ids[i])) {
+			whole = request_care(t, now);
+			if (whole != POISON_ANY_REPLICA)
+				*part = ids[i];
+			continue;
+		}
 		proven |= !poison_is_new(p, ids[i]);
 		if (t == NULL || !part_is_unproven(t, now))
 			continue;
@@ -388,9 +452,11 @@
 	}
 	/* After a start of everything common parts are unproven, too. */
 	if (worst == NULL || !proven)
-		return POISON_ANY_REPLICA;
+		return whole;
+	/* A part binds more requests than one of them as a whole. */
 	*part = worst->id;
-	return settling ? POISON_WAIT : POISON_ONE_REPLICA;
+	return settling || whole == POISON_WAIT ? POISON_WAIT
+						: POISON_ONE_REPLICA;
 }
 
 /* Parts that may be blocked, in the order of part_precedes(). */
@@ -406,7 +472,8 @@
 			part_remove(p, t);
 			continue;
 		}
-		if (t->ncrashes < GROUPS_MIN || poison_part_is_old(t, now) ||
+		if (t->ncrashes < crashes_min(t) ||
+		    poison_part_is_old(t, now) ||
 		    now < t->crashes[0].at + SETTLE_NS)
 			continue;
 		for (i = n++; i > 0 && part_precedes(t, out[i - 1]); i--)
--- a/core/poison.h
+++ b/core/poison.h
@@ -1,9 +1,11 @@
 /*
- * Parts of prompts that crash the replicas which answer them ("queries of
- * death").  Evidence of all processes is merged: crashes of replicas that had
- * just begun to answer a request with the part, and answers that a part has had
- * since.  Merging is idempotent, so that evidence can be sent repeatedly and in
- * any order.  Deterministic: times are passed in, in monotonic ns.
+ * Parts of prompts, and whole requests, that crash the replicas which answer
+ * them ("queries of death").  A whole request counts as one more part of its
+ * prompt, which only its repeats share.  Evidence of all processes is merged:
+ * crashes of replicas that had just begun to answer a request with the part,
+ * and answers that a part has had since.  Merging is idempotent, so that
+ * evidence can be sent repeatedly and in any order.  Deterministic: times are
+ * passed in, in monotonic ns.
  */
 #ifndef POISON_H
 #define POISON_H
@@ -11,9 +13,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define POISON_CRASHES_MAX 24	/* kept for each part */
-#define POISON_REPORT_MAX 32	/* parts in a report to peers */
-#define POISON_NEVER UINT64_MAX /* not answered */
+#define POISON_CRASHES_MAX 24	    /* kept for each part */
+#define POISON_REPORT_MAX 32	    /* parts in a report to peers */
+#define POISON_NEVER UINT64_MAX	    /* not answered */
+#define POISON_REQUEST (1ULL << 63) /* in the id of a whole request */
 
 struct poison;
 
@@ -30,7 +33,10 @@
 
 struct poison *poison_create(void);
 void poison_destroy(struct poison *);
-/* Requests with these n parts were answered in full. */
+/*
+ * Requests with these n parts were answered in full.  Of whole requests, only
+ * answers to those with evidence are remembered.
+ */
 void poison_answered(struct poison *, uint64_t, const uint64_t *, uint32_t);
 /*
  * A replica, given by a hash of its incarnation, has crashed while it began to
@@ -60,7 +66,8 @@
 /*
  * How to send a request with these n parts, some of which may crash replicas
  * and were never answered, while others were, so that they cannot end all
- * replicas at a time.  Stores the part that binds to POISON_ONE_REPLICA.
+ * replicas at a time.  A whole request needs no part that was answered.  Stores
+ * the part that binds to POISON_ONE_REPLICA.
  */
 enum poison_care poison_care(
     const struct poison *, uint64_t, const uint64_t *, uint32_t, uint64_t *);
--- a/core/poison_report.c
+++ b/core/poison_report.c
@@ -3,7 +3,7 @@
 
 #include "poison_int.h"
 
-#define RANKS (2 * GROUPS_MIN + 4)    /* of parts in reports */
+#define RANKS (4 * GROUPS_MIN + 8)    /* of parts in reports */
 #define TURN_NS (100 * NSEC_PER_MSEC) /* then others go first */
 
 static uint64_t age_ms(uint64_t, uint64_t);
@@ -43,7 +43,8 @@
 /*
  * Rank in a report: blocked parts, then those with the most crashes held
  * against them or refuted.  Peers block a part on evidence that they do not
- * know to be refuted, so refuted parts go first among equals.
+ * know to be refuted, so refuted parts go first among equals; whole requests,
+ * of which a crash adds many, go last.
  */
 static uint32_t
 part_rank(const struct part *t)
@@ -54,7 +55,8 @@
 		n = GROUPS_MIN;
 	if (t->blocked)
 		n = GROUPS_MIN + 1;
-	return 2 * n + (t->ncrashes == 0);
+	return 2 * (2 * n + (t->ncrashes == 0)) +
+	    ((t->id & POISON_REQUEST) == 0);
 }
 
 uint32_t
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -7,8 +7,11 @@
 
 /* A crash this long after the first event is not due to the answer's begin. */
 #define BEGIN_NS (100 * NSEC_PER_MSEC)
+/* The same for the request as a whole, of which there are fewer. */
+#define REQUEST_BEGIN_NS (1 * NSEC_PER_SEC)
 
 static uint64_t add_text(uint64_t, const char *);
+static int broke_within(const struct forward *, enum attempt_outcome, uint64_t);
 static uint64_t forward_suspect_part(const struct forward *);
 static int forward_is_answered(const struct forward *);
 static void forward_withdraw_if_suspect(struct forward *);
@@ -58,12 +61,20 @@
 	    POISON_WAIT;
 }
 
+/* Whether an attempt has broken off within a time after its first event. */
+static int
+broke_within(const struct forward *f, enum attempt_outcome end, uint64_t ns)
+{
+	return (end == ATTEMPT_NO_RESPONSE || end == ATTEMPT_TRUNCATED ||
+		   (end == ATTEMPT_ANSWERED && f->until_close &&
+		       f->streaming)) &&
+	    (f->begun_at == 0 || f->e->now < f->begun_at + ns);
+}
+
 int
 forward_broke_at_begin(const struct forward *f, enum attempt_outcome end)
 {
-	return (end == ATTEMPT_NO_RESPONSE || end == ATTEMPT_TRUNCATED ||
-		   (end == ATTEMPT_ANSWERED && f->until_close)) &&
-	    (f->begun_at == 0 || f->e->now < f->begun_at + BEGIN_NS);
+	return broke_within(f, end, REQUEST_BEGIN_NS);
 }
 
 void
@@ -72,7 +83,8 @@
 	if (end == ATTEMPT_ANSWERED && f->status / 100 == 2 && !f->until_close)
 		poison_io_answered(f->e->poison_io, &f->params);
 	else if (forward_broke_at_begin(f, end))
-		poison_io_broken(f->e->poison_io, f->replica, &f->params);
+		poison_io_broken(f->e->poison_io, f->replica, &f->params,
+		    broke_within(f, end, BEGIN_NS));
 }
 
 /* Whether the body of an answer to the current attempt has begun. */
@@ -103,13 +115,13 @@
 	if (f->caller == NULL)
 		forward_free(f);
 	else if (f->response_started)
-		forward_cut(f, "its prompt crashes replicas");
+		forward_cut(f, "such requests crash replicas");
 	else if (f->runs == 0)
 		forward_refuse(
-		    f, "its prompt crashes replicas", until - f->e->now);
+		    f, "such requests crash replicas", until - f->e->now);
 	else
 		forward_report_unknown(
-		    f, 502, "outcome unknown", "its prompt crashes replicas");
+		    f, 502, "outcome unknown", "such requests crash replicas");
 	return 1;
 }
 
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -21,8 +21,8 @@
  * within this time; without peers it waits no longer.
  */
 #define EVIDENCE_WAIT_NS (500 * NSEC_PER_MSEC)
-#define CHECKS_MAX 64	   /* at a time */
-#define CHECK_PARTS_MAX 64 /* of the requests that broke off */
+#define CHECKS_MAX 64	    /* at a time */
+#define CHECK_PARTS_MAX 128 /* of the requests that broke off */
 
 /* A connection to a replica, to see whether its process is there. */
 struct check {
@@ -46,19 +46,21 @@
 	uint64_t crashes;
 	uint64_t tell_until; /* each report has the evidence */
 	uint64_t wait_until; /* for the evidence of a peer */
-	int heard;	     /* of it */
+	int has_peers;	     /* one has been heard */
+	int heard;	     /* its evidence */
 	int knows;	     /* requests go by it, or by none */
 	int newly_blocked;   /* parts, by the current update */
 	int has_news;	     /* crashes since the latest update */
 };
 
-static uint32_t shared_parts(const struct request_params *, uint64_t *);
+static uint32_t request_parts(const struct request_params *, uint64_t *);
 static uint64_t incarnation_hash(const struct directory_replica *);
 static int is_checked(const struct poison_io *, uint64_t);
 static struct check *check_find(struct poison_io *, const char *);
 static void check_add_parts(struct check *, const uint64_t *, uint32_t);
 static void check_start(struct check *, const char *);
 static void check_destroy(struct check *);
+static int check_has_part(const struct check *);
 static void check_crashed(struct check *);
 static int check_on_connected(void *);
 static void check_on_data(void *, const char *, size_t);
@@ -102,15 +104,19 @@
 	free(p);
 }
 
-/* Ids of the parts that other requests may have, too: all but the last. */
+/*
+ * Ids of the parts that other requests may have, too: all but the last; and, as
+ * the last one, that of the request as a whole.
+ */
 static uint32_t
-shared_parts(const struct request_params *r, uint64_t *ids)
+request_parts(const struct request_params *r, uint64_t *ids)
 {
 	uint32_t i;
 
 	for (i = 0; i + 1 < r->nparts; i++)
-		ids[i] = r->parts[i].id;
-	return i;
+		ids[i] = r->parts[i].id & ~POISON_REQUEST;
+	ids[i] = r->fingerprint | POISON_REQUEST;
+	return i + 1;
 }
 
 static uint64_t
@@ -146,16 +152,20 @@
 
 void
 poison_io_broken(struct poison_io *p, const struct directory_replica *m,
-    const struct request_params *r)
+    const struct request_params *r, int at_begin)
 {
-	uint64_t ids[PROMPT_PARTS_MAX];
-	uint32_t n = shared_parts(r, ids);
+	uint64_t found[PROMPT_PARTS_MAX];
+	uint32_t n = request_parts(r, found);
+	const uint64_t *ids = found;
 	struct check *c;
 
 	/* A replica that leaves ends without having crashed. */
-	if (n == 0 || directory_is_leaving(m) ||
-	    m->presence == PRESENCE_REMOVED)
+	if (directory_is_leaving(m) || m->presence == PRESENCE_REMOVED)
 		return;
+	if (!at_begin) {
+		ids += n - 1;
+		n = 1;
+	}
 	c = check_find(p, m->info.id);
 	if (c != NULL) {
 		check_add_parts(c, ids, n);
@@ -199,6 +209,19 @@
 	free(c);
 }
 
+/* Whether there is evidence against more than whole requests. */
+static int
+check_has_part(const struct check *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->nparts; i++) {
+		if ((c->parts[i] & POISON_REQUEST) == 0)
+			return 1;
+	}
+	return 0;
+}
+
 static void
 check_crashed(struct check *c)
 {
@@ -211,8 +234,9 @@
 	poison_crashed(
 	    p->poison, p->e->now, c->incarnation, c->parts, c->nparts);
 	about.backend = c->replica;
-	log_event(LOG_POISON_SUSPECT, &about, "parts=%u first=%llx", c->nparts,
-	    (unsigned long long)c->parts[0]);
+	log_event(check_has_part(c) ? LOG_POISON_SUSPECT : LOG_REQUEST_SUSPECT,
+	    &about, "parts=%u first=%llx", c->nparts,
+	    (unsigned long long)(c->parts[0] & ~POISON_REQUEST));
 	peers_report_soon(p->e->peers);
 	check_destroy(c);
 }
@@ -264,7 +288,7 @@
 poison_io_answered(struct poison_io *p, const struct request_params *r)
 {
 	uint64_t ids[PROMPT_PARTS_MAX];
-	uint32_t n = shared_parts(r, ids);
+	uint32_t n = request_parts(r, ids);
 
 	poison_answered(p->poison, p->e->now, ids, n);
 }
@@ -274,7 +298,7 @@
     const struct poison_io *p, const struct request_params *r)
 {
 	uint64_t ids[PROMPT_PARTS_MAX];
-	uint32_t n = shared_parts(r, ids);
+	uint32_t n = request_parts(r, ids);
 
 	return poison_blocked_until(p->poison, p->e->now, ids, n);
 }
@@ -284,7 +308,7 @@
     const struct poison_io *p, const struct request_params *r, uint64_t *part)
 {
 	uint64_t ids[PROMPT_PARTS_MAX];
-	uint32_t n = shared_parts(r, ids);
+	uint32_t n = request_parts(r, ids);
 
 	return poison_care(p->poison, p->e->now, ids, n, part);
 }
@@ -295,12 +319,12 @@
 {
 	enum poison_care care = poison_io_evidence(p, r, part);
 	uint64_t ids[PROMPT_PARTS_MAX];
-	uint32_t n = shared_parts(r, ids);
+	uint32_t n = request_parts(r, ids) - 1;
 	uint32_t checked = n;
 	uint32_t nnew = 0;
 	uint32_t i;
 
-	if (n != 0 && !p->knows)
+	if (!p->knows && (n != 0 || p->has_peers))
 		return POISON_WAIT;
 	if (care == POISON_WAIT || p->nchecks == 0)
 		return care;
@@ -312,6 +336,8 @@
 			checked = i;
 	}
 	if (checked == n || nnew == n)
+		checked = n;
+	if (checked == n && !is_checked(p, ids[n]))
 		return care;
 	if (care == POISON_ANY_REPLICA)
 		*part = ids[checked];
@@ -339,7 +365,7 @@
     const struct directory_replica *m, const struct request_params *r)
 {
 	uint64_t ids[PROMPT_PARTS_MAX];
-	uint32_t n = shared_parts(r, ids);
+	uint32_t n = request_parts(r, ids);
 
 	return poison_is_suspect(
 	    p->poison, p->e->now, incarnation_hash(m), ids, n);
@@ -351,7 +377,9 @@
 	struct poison_io *p = ctx;
 
 	log_event(blocked ? LOG_POISON_BLOCKED : LOG_POISON_CLEARED, NULL,
-	    "part=%llx", (unsigned long long)part);
+	    "kind=%s part=%llx",
+	    (part & POISON_REQUEST) != 0 ? "request" : "part",
+	    (unsigned long long)(part & ~POISON_REQUEST));
 	p->newly_blocked += blocked;
 }
 
@@ -375,6 +403,7 @@
 void
 poison_io_peer_started(struct poison_io *p)
 {
+	p->has_peers = 1;
 	p->tell_until = p->e->now + CHANGED_NS;
 	peers_report_soon(p->e->peers);
 }
--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -1,7 +1,7 @@
 /*
  * Requests that crash replicas: an attempt that breaks off as its answer begins
  * leads to a check whether the replica has crashed, which is evidence against
- * the parts of the prompt (see poison.h).
+ * the parts of the prompt and the request as a whole (see poison.h).
  */
 #ifndef POISON_IO_H
 #define POISON_IO_H
@@ -18,9 +18,12 @@
 void poison_io_tick(struct poison_io *);
 /* A request was answered in full. */
 void poison_io_answered(struct poison_io *, const struct request_params *);
-/* An attempt broke off before its answer, or soon after its first event. */
+/*
+ * An attempt broke off before its answer, or soon after its first event; so
+ * soon that parts of its prompt may have crashed the replica (1), or not (0).
+ */
 void poison_io_broken(struct poison_io *, const struct directory_replica *,
-    const struct request_params *);
+    const struct request_params *, int);
 /* Until when such requests are refused, 0 if they are not. */
 uint64_t poison_io_blocked_until(
     const struct poison_io *, const struct request_params *);
@@ -28,9 +31,9 @@
 enum poison_care poison_io_evidence(
     const struct poison_io *, const struct request_params *, uint64_t *);
 /*
- * The same, but to no replica while it is not yet known whether one, on which a
- * request with a new part broke off, has crashed; nor after a start until a
- * peer has told its evidence, for half a second at most.
+ * The same, but to no replica while it is not yet known whether one, on which
+ * the same request or one with a new part broke off, has crashed; nor after a
+ * start until a peer has told its evidence, for half a second at most.
  */
 enum poison_care poison_io_care(
     const struct poison_io *, const struct request_params *, uint64_t *);
