--- a/scripts/check.py
+++ b/scripts/check.py
@@ -162,6 +162,8 @@
                            "--seconds", "10"])
         run_check("processes", [sys.executable, "tests/process.py"])
         run_check("gate stops", [sys.executable, "tests/gate_stops.py"])
+        run_check("crashing requests, gate", [
+            sys.executable, "tests/gate_crashing.py"])
         run_sanitizers()
     return report_result()
 
