entry: no error response within a stream that has begun

What callers saw: a stream broke off after some events, the replica that should have resumed it answered 404 (any signed status below 500), and its head and body were written into the stream. With HTTP/1.0 the stream ends with its connection, so that it looked complete, with a second answer at its end. With HTTP/1.1 the head stood where a chunk's size should, and the connection was kept.

Cause: a complete response below 500 was forwarded in whole, whether or not the caller had the head and events of another one.

Ruled out: second answers in bodies that end with their connection; here the framing of both responses is sound.

Change: attempt_next_step() forwards a response within another one only if it continues it; otherwise the stream is resumed again where the route allows, or broken off.

Before: tests/second_answers.py test_other_answer_to_resumed_stream failed at its first case (404, HTTP/1.1), test_attempt did not know the case. After: second_answers.py 4 of 4, test_attempt 5 of 5 (one run each).

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -42,7 +42,8 @@
 	int again = f->attempts_made < ATTEMPTS_PER_REQUEST_MAX &&
 	    f->retry_allowed && f->deadline > now + RETRY_TIME_LEFT_MIN_NS;
 
-	if (end == ATTEMPT_ANSWERED)
+	if (end == ATTEMPT_ANSWERED &&
+	    (!f->response_started || !f->another_response))
 		return NEXT_FORWARD;
 	if (f->runs == 0)
 		return again ? NEXT_RETRY : NEXT_REFUSE;
--- a/core/attempt.h
+++ b/core/attempt.h
@@ -62,6 +62,7 @@
 	int response_started; /* the caller has received part of a response */
 	int retry_allowed;    /* by the retry budget */
 	uint64_t deadline;
+	int another_response; /* the attempt's does not continue a stream */
 };
 
 /*
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -385,6 +385,7 @@
 	c->retry_allowed =
 	    budget_allows_retry(&f->e->budget, f->e->now, f->service);
 	c->deadline = f->deadline;
+	c->another_response = !f->streaming;
 }
 
 static void
--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -8,7 +8,7 @@
 import sys
 
 from entry import check, event_numbers, main, two_replicas
-from platform_world import ID
+from platform_world import ID, request
 
 STREAM = {"Content-Type": "text/event-stream"}
 BODY = b"to the end"
@@ -115,5 +115,50 @@
         w.stop()
 
 
+def read_until_close(sock):
+    data = b""
+    while True:
+        piece = sock.recv(65536)
+        if not piece:
+            return data
+        data += piece
+
+
+def test_other_answer_to_resumed_stream():
+    """The answer with which a replica refuses to resume a stream is neither
+    its end nor a part of it, also where the stream ends with the
+    connection."""
+    plan = {}
+
+    async def breaks(call):
+        await call.read()
+        return await call.events(1, 2, end=False)
+
+    async def other(call):
+        await call.read()
+        return await call.answer(b"gone", plan["status"])
+    for plan["status"], version in itertools.product(
+            (404, 409, 302, 500), (b"HTTP/1.1", b"HTTP/1.0")):
+        w, _, b = two_replicas(breaks, other)
+        s = w.connect()
+        try:
+            s.sendall(request("/go/x", "id-1", "POST", b"p", {}, 5000).replace(
+                b"HTTP/1.1", version, 1))
+            try:
+                data = read_until_close(s)
+                closed = "in order"
+            except ConnectionResetError:
+                data, closed = b"", "reset"
+            check("%s %s: %s %r" % (plan, version, closed, data),
+                  data.count(b"HTTP/1.1 ") <= 1 and b"gone" not in data)
+            check("%s %s: visibly broken off: %s" % (plan, version, closed),
+                  closed == "reset" or
+                  version == b"HTTP/1.1" and not data.endswith(b"0\r\n\r\n"))
+            check("it was resumed", b.requests)
+        finally:
+            s.close()
+            w.stop()
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:], globals()))
--- a/tests/test_attempt.c
+++ b/tests/test_attempt.c
@@ -10,6 +10,7 @@
 #define S NSEC_PER_SEC
 
 static void test_attempts(void);
+static void test_other_answer_to_resumed_stream(void);
 static void test_at_most_once(void);
 static void test_budget_window(void);
 static void test_budget_shared(void);
@@ -18,8 +19,8 @@
 static void
 test_attempts(void)
 {
-	struct attempt_context f = { ROUTE_IDEMPOTENT, 0, 2, 0, 1, 0, 1,
-		10 * S };
+	struct attempt_context f = { ROUTE_IDEMPOTENT, 0, 2, 0, 1, 0, 1, 10 * S,
+		0 };
 
 	CU_ASSERT_EQUAL(attempt_next_step(&f, ATTEMPT_REFUSED, S), NEXT_RETRY);
 	f.attempts_made = ATTEMPTS_PER_REQUEST_MAX;
@@ -51,6 +52,21 @@
 	    attempt_next_step(&f, ATTEMPT_ANSWERED, S), NEXT_FORWARD);
 }
 
+/* An error response was written into a stream that had begun. */
+static void
+test_other_answer_to_resumed_stream(void)
+{
+	struct attempt_context f = { ROUTE_STREAM, 1, 3, 2, 2, 1, 1, 10 * S,
+		1 };
+
+	CU_ASSERT_EQUAL(attempt_next_step(&f, ATTEMPT_ANSWERED, S), NEXT_RETRY);
+	f.runs = 3;
+	CU_ASSERT_EQUAL(attempt_next_step(&f, ATTEMPT_ANSWERED, S), NEXT_ABORT);
+	f.response_started = 0;
+	CU_ASSERT_EQUAL(
+	    attempt_next_step(&f, ATTEMPT_ANSWERED, S), NEXT_FORWARD);
+}
+
 /*
  * A non-idempotent request that may have been executed is neither sent again
  * nor reported as not executed.
@@ -126,6 +142,8 @@
 
 static const struct unit_case cases[] = {
 	{ "steps after an attempt", test_attempts },
+	{ "other answer to a resumed stream",
+	    test_other_answer_to_resumed_stream },
 	{ "at most once", test_at_most_once },
 	{ "budget window", test_budget_window },
 	{ "budget per process", test_budget_shared },
