net: a response to HEAD has no body behind an interim response either

What callers may have seen: the answer to HEAD came behind an interim (1xx) response; the bytes behind its head, such as a late answer, passed for its body, of the length that the head names, and went to the caller. Without such bytes the answer counted as broken off.

Cause: the reader prepares for the final response as for any next message, and forgot that it is one to HEAD.

Ruled out: HEAD without an interim response; its connection is used once and what follows the head is not read.

Change: only http_reader_reset() ends the expectation.

--- a/net/http.c
+++ b/net/http.c
@@ -92,6 +92,7 @@
 http_reader_reset(struct http_reader *r)
 {
 	reader_restart(r);
+	r->no_body = 0;
 	r->ninterim = 0;
 }
 
@@ -108,7 +109,6 @@
 	r->head_done = 0;
 	r->complete = 0;
 	r->invalid = 0;
-	r->no_body = 0;
 	r->head_bytes = 0;
 	r->head.nfields = 0;
 	r->head.status = 0;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -52,6 +52,7 @@
 static void test_unknown_transfer_coding(void);
 static void test_second_answer_in_body(void);
 static void test_status_line_in_body(void);
+static void test_interim_before_response_to_head(void);
 static void test_sound_messages(void);
 
 static const struct http_reader_ops ops = { on_head, on_body, on_end };
@@ -415,6 +416,34 @@
 	}
 }
 
+/*
+ * A late answer passed for the body of a response to HEAD that came behind an
+ * interim response.
+ */
+static void
+test_interim_before_response_to_head(void)
+{
+	static const char head[] =
+	    "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" ANSWER_HEAD;
+	char in[INPUT_SIZE];
+	struct http_reader *r;
+	struct outcome o;
+	long n;
+
+	memset(&o, 0, sizeof(o));
+	snprintf(in, sizeof(in), "%s%s", head, late[0]);
+	r = http_reader_create(HTTP_READ_RESPONSES, &ops, &o);
+	http_reader_expect_no_body(r);
+	n = http_reader_feed(r, in, strlen(in));
+	if (n > 0 && !o.complete)
+		n += http_reader_feed(r, in + n, strlen(in) - (size_t)n);
+	CU_ASSERT(o.complete);
+	CU_ASSERT_EQUAL(n, (long)strlen(head));
+	CU_ASSERT_EQUAL(o.status, 200);
+	CU_ASSERT_EQUAL(o.len, 0);
+	http_reader_destroy(r);
+}
+
 static void
 test_sound_messages(void)
 {
@@ -471,6 +500,8 @@
 	{ "unknown transfer coding", test_unknown_transfer_coding },
 	{ "second answer in a body until close", test_second_answer_in_body },
 	{ "status line in a body until close", test_status_line_in_body },
+	{ "interim response before a response to HEAD",
+	    test_interim_before_response_to_head },
 	{ "sound messages", test_sound_messages },
 };
 
