entry: no body behind an answer to HEAD

What callers saw: an error that this process generates in answer to HEAD was followed by its text, and a stream's head by its last chunk. On a kept connection the next answer began with these bytes: it was not its own.

Cause: the method was not looked at where bodies are written.

Ruled out: answers of replicas that are not streamed; their body is empty.

Change: neither the text nor the last chunk is written in answer to HEAD.

Before: tests/second_answers.py test_head_request failed at /none/x ("no route matches" before the next answer) and, with the errors alone mended, at /go/x ("0", CR LF, CR LF). After: second_answers.py 5 of 5 (one run).

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -527,6 +527,12 @@
 	    (!c->e->stopping || buf_len(&c->pipelined) != 0);
 }
 
+int
+caller_takes_body(const struct caller *c)
+{
+	return strcmp(caller_head(c)->method, "HEAD") != 0;
+}
+
 int
 caller_accepts_chunked(const struct caller *c)
 {
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -162,6 +162,8 @@
  * requests that have been received behind it.
  */
 int caller_keep_alive(const struct caller *);
+/* Whether a body follows the head of the response, unlike with HEAD. */
+int caller_takes_body(const struct caller *);
 /* Whether the caller understands chunked encoding, as HTTP/1.1 does. */
 int caller_accepts_chunked(const struct caller *);
 /*
--- a/entry/response.c
+++ b/entry/response.c
@@ -84,7 +84,7 @@
 	} else {
 		if (!f->response_started)
 			write_head(f, -1);
-		if (f->chunked)
+		if (f->chunked && caller_takes_body(f->caller))
 			caller_write(f->caller, "0\r\n\r\n", 5);
 	}
 	caller_response_done(f->caller, f->kept);
@@ -97,8 +97,12 @@
 	struct buf out = { 0 };
 	int kept = caller_keep_alive(f->caller);
 
-	fields_write_local_response(
-	    &out, status, f->params.id, come_back_ns, text, kept);
+	if (caller_takes_body(f->caller))
+		fields_write_local_response(
+		    &out, status, f->params.id, come_back_ns, text, kept);
+	else
+		fields_write_local_head(
+		    &out, status, f->params.id, come_back_ns, text, kept);
 	caller_write(f->caller, buf_data(&out), buf_len(&out));
 	buf_free(&out);
 	caller_response_done(f->caller, kept);
--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -8,7 +8,7 @@
 import sys
 
 from entry import check, event_numbers, main, two_replicas
-from platform_world import ID, request
+from platform_world import ID, answer_ok, request
 
 STREAM = {"Content-Type": "text/event-stream"}
 BODY = b"to the end"
@@ -160,5 +160,35 @@
             w.stop()
 
 
+def test_head_request():
+    """No body follows an answer to HEAD, neither an error's nor the last chunk
+    of a stream: on a kept connection it would be read as the start of the
+    next answer."""
+    async def breaks(call):
+        await call.read()
+        call.reset()
+        return False
+    for path, script, expected in (
+            ("/none/x", answer_ok, 404), ("/once/x", breaks, 502),
+            ("/go/x", answer_ok, 200), ("/read/x", answer_ok, 200)):
+        w, _, _ = two_replicas(script, script)
+        s = w.connect()
+        try:
+            s.sendall(request(path, "id-1", "HEAD"))
+            data = b""
+            while b"\r\n\r\n" not in data:
+                data += s.recv(65536)
+            head, _, rest = data.partition(b"\r\n\r\n")
+            check("%s: %r" % (path, head), int(head.split()[1]) == expected)
+            check("kept", b"\r\nConnection: close" not in head)
+            s.sendall(request("/none/x", "id-2"))
+            while b"\r\n\r\n" not in rest:
+                rest += s.recv(65536)
+            check("%s: %r" % (path, rest), rest.startswith(b"HTTP/1.1 404"))
+        finally:
+            s.close()
+            w.stop()
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:], globals()))
