gate: no error response within a stream that has begun

What callers saw: a stream of an engine broke off after some events; the engine that should have resumed it answered 400 (any status that is not tried again), and its body was passed on as the rest of the stream, which ended orderly.

Cause: on_head() let go of the second head, whatever its status, and passed on what followed it.

Change: only a response with status 200 continues a stream that has begun; another one counts as a failed attempt.

--- a/core/gate_call.c
+++ b/core/gate_call.c
@@ -14,6 +14,7 @@
 #define TTFT_QUANTILE_STEP 0.1
 #define TTFT_QUANTILE 0.95
 
+#define HTTP_OK 200
 #define HTTP_NOT_FOUND 404
 #define HTTP_TOO_MANY_REQUESTS 429
 #define HTTP_SERVER_ERROR 500
@@ -250,12 +251,17 @@
 	a->call->tokens_delivered += a->call->req.stream ? tokens : 0;
 }
 
-/* Whether a model engine's response calls for another replica. */
+/*
+ * Whether a model engine's response calls for another replica.  Only events
+ * continue a stream that has begun.
+ */
 static int
 status_is_retryable(const struct call *call, int status)
 {
 	if (call->req.service[0] != '\0')
 		return 0;
+	if (call->response_started && status != HTTP_OK)
+		return 1;
 	return status == HTTP_NOT_FOUND || status == HTTP_TOO_MANY_REQUESTS ||
 	    status >= HTTP_SERVER_ERROR;
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -11,6 +11,7 @@
 static void test_owner_silent(void);
 static void test_no_owner(void);
 static void test_resume(void);
+static void test_other_answer_to_resumed_stream(void);
 static void test_unused_grant(void);
 static void test_interleaved_responses(void);
 static void test_hedge(void);
@@ -112,6 +113,33 @@
 	teardown();
 }
 
+/* An error's body was taken for the rest of a stream that had begun. */
+static void
+test_other_answer_to_resumed_stream(void)
+{
+	struct gate_fetch_event f = { .kind = FETCH_HEAD };
+
+	setup("10.0.0.1:1");
+	start_request(1, 0, 1);
+	send_grant(1, 1, "r0");
+	fetch_event(1, FETCH_HEAD, PHASE_RESPONSE_STARTED, 0);
+	fetch_event(1, FETCH_DATA, PHASE_RESPONSE_STARTED, 1);
+	fetch_event(1, FETCH_FAILED, PHASE_RESPONSE_STARTED, 0);
+	tick(100 * MSEC);
+	send_grant(1, 2, "r1");
+	clear_actions();
+	f.fetch_id = 2;
+	f.status = 400;
+	f.payload = &payload;
+	gate_handle_fetch(gate, now, &f, &out);
+	CU_ASSERT_PTR_NOT_NULL(last_action(GATE_FREE_PAYLOAD));
+	fetch_event(2, FETCH_DATA, PHASE_RESPONSE_STARTED, 0);
+	fetch_event(2, FETCH_END, PHASE_RESPONSE_STARTED, 0);
+	CU_ASSERT_PTR_NULL(last_action(GATE_FORWARD_DATA));
+	CU_ASSERT_PTR_NULL(last_action(GATE_END_RESPONSE));
+	teardown();
+}
+
 /* A grant that arrives after a local selection is released. */
 static void
 test_unused_grant(void)
@@ -320,6 +348,8 @@
 	{ "owner does not reply", test_owner_silent },
 	{ "no owner", test_no_owner },
 	{ "resume", test_resume },
+	{ "other answer to a resumed stream",
+	    test_other_answer_to_resumed_stream },
 	{ "grant after local selection", test_unused_grant },
 	{ "interleaved responses", test_interleaved_responses },
 	{ "hedge", test_hedge },
