gate: [DONE] ends the stream of an engine

What callers saw: bytes behind [DONE] were passed on, such as the events and the [DONE] of a second answer. If the transfer failed behind [DONE], for a second answer's head for one, the stream was resumed, and the text of another attempt followed.

Cause: relay.c looked for [DONE] only to tell a whole stream from a broken one at the end of the transfer.

Ruled out: second answers before [DONE]; the stream fails.

Change: what comes behind [DONE] is dropped, and the stream is complete however the transfer ends.

--- a/Makefile
+++ b/Makefile
@@ -174,6 +174,7 @@
 
 $(BUILD)/test_loader $(BUILD)/test_loader_adapters \
     $(BUILD)/test_loader_rate: $(BUILD)/tests/loader_fixture.o
+$(BUILD)/test_relay: $(BUILD)/gate/relay.o $(BUILD)/gate/exchange.o
 $(BUILD)/test_gate $(BUILD)/test_gate_notice: $(BUILD)/tests/gate_fixture.o
 $(BUILD)/test_fleet $(BUILD)/test_balance: $(BUILD)/tests/fleet_fixture.o
 $(BUILD)/test_follow_bounds: $(BUILD)/tests/follow_world.o \
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -252,7 +252,7 @@
 	size_t start = 0;
 	char *end;
 
-	while (
+	while (!r->seen_done &&
 	    (end = memmem(r->buf + start, r->len - start, "\n\n", 2)) != NULL) {
 		relay_handle_sse_event(
 		    r, r->buf + start, (size_t)(end - (r->buf + start)) + 2);
@@ -276,6 +276,8 @@
 		r->on_event(r->ctx, &f);
 		return;
 	}
+	if (r->seen_done)
+		return; /* no part of the stream */
 	if (r->len + len > RELAY_EVENT_MAX) {
 		relay_report_failure(r, PHASE_RESPONSE_STARTED);
 		return;
@@ -314,7 +316,9 @@
 			relay_report(r, FETCH_END, ev);
 		break;
 	case FETCH_EVENT_FAIL:
-		if (ev->maybe_sent)
+		if (r->seen_done)
+			relay_report(r, FETCH_END, ev);
+		else if (ev->maybe_sent)
 			relay_report_failure(r, PHASE_REQUEST_WRITTEN);
 		else
 			relay_report_failure(r,
