net: no second answer in a long line of a body

What callers could see: a body without a length has a line of text that holds the start of a status line, and 64 KB of text behind it; a second answer that began across that limit passed for text, and the body for whole. Found in review; no user reported it.

Cause: at the limit the scan began anew and forgot that its last bytes may be the start of another status line.

Ruled out: any other place of the line; the scan goes on with the status line that began first, which ends where a later one ends.

Change: a line that goes on past the limit is malformed, as it can't be told from a second answer. This refuses sound bodies without a length that hold such a line; with a shorter one they were refused only at its end.

--- a/shell/http_framing.c
+++ b/shell/http_framing.c
@@ -185,8 +185,10 @@
 	if (in_start)
 		matches = is_in_start(f->matched, c);
 	else
-		matches = !after_cr && f->matched < STATUS_LINE_MAX &&
-		    (c == CR || is_text(c));
+		matches = !after_cr && (c == CR || is_text(c));
+	/* Another one may begin within so long a line. */
+	if (matches && f->matched == STATUS_LINE_MAX)
+		return FRAMING_INVALID;
 	f->after_cr = matches && c == CR;
 	f->matched = matches ? f->matched + 1 : c == 'H';
 	return FRAMING_UNTIL_CLOSE;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -5,6 +5,7 @@
 
 #include "base.h"
 #include "http.h"
+#include "http_framing.h"
 #include "mem.h"
 #include "unit.h"
 
@@ -21,6 +22,7 @@
 #define LATE_BODY "late"
 #define BYTES 256
 #define INPUT_SIZE 1024
+#define LONG_LINE 65536 /* the longest status line */
 
 /* What a reader has made of its input. */
 struct outcome {
@@ -51,6 +53,7 @@
 static void test_bytes_inside_chunk_framing(void);
 static void test_unknown_transfer_coding(void);
 static void test_second_answer_in_body(void);
+static void test_second_answer_in_long_line(void);
 static void test_status_line_in_body(void);
 static void test_interim_before_response_to_head(void);
 static void test_sound_messages(void);
@@ -389,6 +392,29 @@
 	}
 }
 
+/*
+ * Behind a status line without an end, in a line of text of any length, another
+ * answer passed for text.
+ */
+static void
+test_second_answer_in_long_line(void)
+{
+	static const char text[] = "HTTP/1.1 200 is what it says";
+	struct http_framing f;
+	size_t len;
+	size_t n;
+
+	for (len = LONG_LINE - 64; len < LONG_LINE + 64; len++) {
+		http_framing_start(&f, 1);
+		http_framing_start_until_close(&f);
+		http_framing_scan(&f, text, strlen(text));
+		for (n = strlen(text); n < len; n++)
+			http_framing_scan(&f, ".", 1);
+		http_framing_scan(&f, late[0], strlen(late[0]));
+		CU_ASSERT(!http_framing_may_close(&f));
+	}
+}
+
 /* What cannot be a whole answer is a part of the body. */
 static void
 test_status_line_in_body(void)
@@ -499,6 +525,7 @@
 	    test_bytes_inside_chunk_framing },
 	{ "unknown transfer coding", test_unknown_transfer_coding },
 	{ "second answer in a body until close", test_second_answer_in_body },
+	{ "second answer in a long line", test_second_answer_in_long_line },
 	{ "status line in a body until close", test_status_line_in_body },
 	{ "interim response before a response to HEAD",
 	    test_interim_before_response_to_head },
