fetch: a length that cannot be read fails the transfer

What callers could see on the own interface: an answer whose Content-Length is too large for libcurl, or contradicts another one, or stands beside a transfer coding that is not "chunked", had another end than its head says; a second answer behind it was passed on as a part of the body, which looked whole.

Cause: libcurl passes over such a length (or takes the last one) and reads up to the end of the connection; fetch.c took the field's presence for a length and did not look for second answers.

Ruled out: net/http.c; its parser refuses each of these heads.

Change: one length of up to 18 digits, or the coding "chunked", or neither.

--- a/shell/fetch.c
+++ b/shell/fetch.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <curl/curl.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -14,6 +15,7 @@
 #define FETCH_POLL_MSEC 1000
 #define FETCH_CACHED_CONNS_MAX 512L /* idle connections kept for reuse */
 #define FETCH_CONTENT_TYPE_SIZE 128
+#define LENGTH_DIGITS_MAX 18   /* of 63 bits */
 #define FETCH_FIELDS_MAX 65536 /* bytes; further fields are left out */
 
 struct transfer {
@@ -71,7 +73,10 @@
 static int on_prereq(void *, char *, char *, int, int);
 static int transfer_check_line(struct transfer *, const char *, size_t);
 static int is_field(const char *, size_t, const char *);
+static const char *field_value(const char *, size_t *);
 static int is_chunked(const char *, size_t);
+static int is_length(const char *, size_t);
+static int transfer_note_end(struct transfer *, const char *, size_t);
 static void transfer_release_body(struct transfer *, const char *, size_t);
 static int transfer_is_whole(const struct transfer *);
 static size_t on_header(char *, size_t, size_t, void *);
@@ -178,17 +183,57 @@
 	return len >= n && strncasecmp(line, name, n) == 0;
 }
 
+/* The value of a field, without white space around it. */
+static const char *
+field_value(const char *line, size_t *len)
+{
+	const char *end = line + *len;
+	const char *s = memchr(line, ':', *len);
+
+	s = s == NULL ? end : s + 1;
+	while (s < end && isspace((unsigned char)*s))
+		s++;
+	while (s < end && isspace((unsigned char)end[-1]))
+		end--;
+	*len = (size_t)(end - s);
+	return s;
+}
+
 static int
 is_chunked(const char *line, size_t len)
 {
-	static const char name[] = "transfer-encoding:";
-	size_t skip = sizeof(name) - 1;
+	const char *value = field_value(line, &len);
+
+	return len == strlen("chunked") &&
+	    strncasecmp(value, "chunked", len) == 0;
+}
 
-	if (!is_field(line, len, name))
+static int
+is_length(const char *line, size_t len)
+{
+	const char *value = field_value(line, &len);
+	size_t i;
+
+	for (i = 0; i < len && isdigit((unsigned char)value[i]); i++)
+		;
+	return i == len && len != 0 && len <= LENGTH_DIGITS_MAX;
+}
+
+/*
+ * Notes where the body ends.  libcurl passes over what it cannot read, and then
+ * the body ends with its connection; other readers do not accept it.
+ */
+static int
+transfer_note_end(struct transfer *t, const char *line, size_t len)
+{
+	int chunked = is_field(line, len, "transfer-encoding:");
+
+	if (!chunked && !is_field(line, len, "content-length:"))
+		return 1;
+	if (t->has_length)
 		return 0;
-	while (skip < len && (line[skip] == ' ' || line[skip] == '\t'))
-		skip++;
-	return is_field(line + skip, len - skip, "chunked");
+	t->has_length = 1;
+	return chunked ? is_chunked(line, len) : is_length(line, len);
 }
 
 /* Keeps a line of the head; a status line begins another head. */
@@ -200,8 +245,6 @@
 		t->has_length = 0;
 		return;
 	}
-	t->has_length |=
-	    is_field(line, len, "content-length:") || is_chunked(line, len);
 	if (t->fields_len + len > FETCH_FIELDS_MAX)
 		return;
 	t->fields = mem_grow(t->fields, t->fields_len + len + 1, 1);
@@ -239,6 +282,8 @@
 		if (!transfer_check_line(t, line, len))
 			return 0;
 		transfer_add_field(t, line, len);
+		if (!transfer_note_end(t, line, len))
+			return 0;
 	}
 	if (len > 2 || t->head_reported)
 		return len;
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -60,6 +60,7 @@
 static void fetch_until_close(const char *);
 static void test_second_answer_in_body(void);
 static void test_status_line_in_body(void);
+static void test_second_answer_behind_bad_length(void);
 
 static struct result result = { PTHREAD_MUTEX_INITIALIZER,
 	PTHREAD_COND_INITIALIZER, 0, { 0 }, "", 0 };
@@ -350,6 +351,9 @@
 		"HTTP/1.1 200 \r\nX:\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 		"2\r\nok\r\n0\r\nT: v\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTRANSFER-ENCODING:\tChunked \r\n\r\n"
+		"2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: \t 002 \r\n\r\nok",
 	};
 	struct fetch *f;
 	struct peer p;
@@ -421,6 +425,28 @@
 	}
 }
 
+/* A length that cannot be read let the body end with its connection. */
+static void
+test_second_answer_behind_bad_length(void)
+{
+	static const char *const lengths[] = { "99999999999999999999",
+		"18446744073709551616", "-1", "", "x", "2, 2", "2x",
+		"2\r\nContent-Length: 40", "40\r\nContent-Length: 2",
+		"2\r\nTransfer-Encoding: identity",
+		"2\r\nTransfer-Encoding: chunked" };
+	char reply[256];
+	size_t i;
+
+	for (i = 0; i < nitems(lengths); i++) {
+		snprintf(reply, sizeof(reply),
+		    "HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\nok" LATE,
+		    lengths[i]);
+		fetch_until_close(reply);
+		CU_ASSERT_EQUAL(result.last.type, FETCH_EVENT_FAIL);
+		CU_ASSERT_EQUAL(result.len, 0);
+	}
+}
+
 static const struct unit_case cases[] = {
 	{ "answer", test_answer },
 	{ "connection refused", test_refused },
@@ -432,6 +458,8 @@
 	{ "sound heads", test_sound_heads },
 	{ "second answer in a body until close", test_second_answer_in_body },
 	{ "status line in a body until close", test_status_line_in_body },
+	{ "second answer behind a bad length",
+	    test_second_answer_behind_bad_length },
 };
 
 UNIT_MAIN("fetch", cases)
