httpd: no body behind an answer to HEAD

What callers of the own interface saw: an answer to HEAD was followed by an error's text or by chunks; on a kept connection the next answer began with these bytes.

Cause: the method was not looked at where bodies are written.

Change: httpd writes neither a body nor chunks in answer to HEAD.

--- a/shell/httpd.c
+++ b/shell/httpd.c
@@ -66,6 +66,7 @@
 static void httpd_refuse_connections(const struct httpd *);
 static unsigned int httpd_callers(const struct httpd *, int);
 static int httpd_is_shutting_down(const struct httpd_request *);
+static int has_body(const struct httpd_request *);
 static struct httpd *httpd_from_request(const struct httpd_request *);
 
 static struct httpd *
@@ -380,6 +381,13 @@
 	return mg_get_header(req->conn, name);
 }
 
+/* Whether a body follows the head of the response. */
+static int
+has_body(const struct httpd_request *req)
+{
+	return strcmp(req->method, "HEAD") != 0;
+}
+
 static void
 httpd_write_head(struct httpd_request *req, int status, const char *type,
     const char *extra, const char *length)
@@ -406,7 +414,7 @@
 
 	snprintf(length, sizeof(length), "Content-Length: %zu\r\n", len);
 	httpd_write_head(req, status, type, extra, length);
-	if (len != 0)
+	if (len != 0 && has_body(req))
 		mg_write(req->conn, body, len);
 }
 
@@ -449,7 +457,7 @@
 	int head;
 	int n;
 
-	if (len == 0)
+	if (len == 0 || !has_body(req))
 		return 0;
 	frame = mem_alloc(len + 24);
 	head = snprintf(frame, 24, "%zx\r\n", len);
@@ -464,6 +472,8 @@
 int
 httpd_end_chunked(struct httpd_request *req)
 {
+	if (!has_body(req))
+		return 0;
 	return mg_write(req->conn, "0\r\n\r\n", 5) <= 0 ? -1 : 0;
 }
 
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -38,6 +38,8 @@
 static void sleep_ms(long);
 static struct httpd *serve(void);
 static void test_http(void);
+static int connect_to_server(void);
+static void test_head_request(void);
 static void test_watch(void);
 static void test_bus(void);
 static void test_events(void);
@@ -79,6 +81,16 @@
 	int i;
 
 	(void)arg;
+	if (strcmp(req->path, "/error") == 0) {
+		httpd_reply_error(req, 404, "none", "no such path", "");
+		return;
+	}
+	if (strcmp(req->path, "/chunks") == 0) {
+		httpd_begin_chunked(req, 200, "text/plain", "");
+		httpd_write_chunk(req, "part", 4);
+		httpd_end_chunked(req);
+		return;
+	}
 	if (strcmp(req->path, "/wait") != 0) {
 		httpd_reply(req, 200, "text/plain", "", req->body, req->len);
 		return;
@@ -137,13 +149,64 @@
 	httpd_destroy(h);
 }
 
+static int
+connect_to_server(void)
+{
+	struct sockaddr_in sin;
+	char host[ADDR_SIZE];
+	int fd;
+
+	memset(&sin, 0, sizeof(sin));
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons(HTTP_PORT);
+	address(host, 0);
+	inet_pton(AF_INET, host, &sin.sin_addr);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	return fd;
+}
+
+/* The body of an answer to HEAD was read as the start of the next answer. */
+static void
+test_head_request(void)
+{
+	static const char requests[] =
+	    "HEAD /error HTTP/1.1\r\nHost: x\r\n\r\n"
+	    "HEAD /chunks HTTP/1.1\r\nHost: x\r\n\r\n"
+	    "GET /chunks HTTP/1.1\r\nHost: x\r\n"
+	    "Connection: close\r\n\r\n";
+	struct httpd *h = serve();
+	char text[4096];
+	const char *s = text;
+	size_t len = 0;
+	ssize_t n;
+	int fd;
+	int i;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(h);
+	fd = connect_to_server();
+	CU_ASSERT(write(fd, requests, sizeof(requests) - 1) > 0);
+	while ((n = read(fd, text + len, sizeof(text) - 1 - len)) > 0)
+		len += (size_t)n;
+	text[len] = '\0';
+	for (i = 0; i < 2; i++) {
+		s = strstr(s, "\r\n\r\n");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+		if (s == NULL)
+			return;
+		s += 4;
+		CU_ASSERT_EQUAL(strncmp(s, "HTTP/1.1 200", 12), 0);
+	}
+	CU_ASSERT_PTR_NOT_NULL(strstr(s, "\r\n\r\n4\r\npart\r\n0\r\n\r\n"));
+	close(fd);
+	httpd_destroy(h);
+}
+
 /* A disconnect is reported while the handler of the connection blocks. */
 static void
 test_watch(void)
 {
 	static const char request[] = "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n";
-	struct sockaddr_in sin;
-	char host[ADDR_SIZE];
 	struct httpd *h;
 	uint64_t closed;
 	int fd;
@@ -153,13 +216,7 @@
 	watch = watch_create(on_hangup, NULL);
 	h = serve();
 	CU_ASSERT_PTR_NOT_NULL_FATAL(h);
-	memset(&sin, 0, sizeof(sin));
-	sin.sin_family = AF_INET;
-	sin.sin_port = htons(HTTP_PORT);
-	address(host, 0);
-	inet_pton(AF_INET, host, &sin.sin_addr);
-	fd = socket(AF_INET, SOCK_STREAM, 0);
-	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	fd = connect_to_server();
 	CU_ASSERT(write(fd, request, sizeof(request) - 1) > 0);
 	sleep_ms(100);
 	CU_ASSERT_EQUAL(__atomic_load_n(&hangup_id, __ATOMIC_ACQUIRE), 0);
@@ -266,6 +323,7 @@
 
 static const struct unit_case cases[] = {
 	{ "http", test_http },
+	{ "HEAD", test_head_request },
 	{ "peer watch", test_watch },
 	{ "bus", test_bus },
 	{ "events", test_events },
