entry: events without ids are not written twice

What callers could see: a stream whose events have no ids broke off and was resumed from its start, so that the caller got its events twice, and the stream looked complete. Found in review; the protocol promises ids.

Cause: a request for the rest names the last id that was written; events written behind it, or without any, are sent again and not known as repeated.

Ruled out: events without an id that come before one with an id; the replica leaves them out. Comments may be repeated.

Change: a stream is resumed only while the last data that was written has an id; otherwise it is visibly broken off.

Before: tests/second_answers.py test_stream_without_ids_breaks failed (5 events of 3, complete). After: second_answers.py 6 of 6, test_event_filter 3 of 3 (one run each).

--- a/entry/event_filter.c
+++ b/entry/event_filter.c
@@ -5,12 +5,14 @@
 #include "sse.h"
 
 static uint64_t event_id_of(const char *, size_t);
+static int has_data(const char *, size_t);
 
 void
 event_filter_start(struct event_filter *f, uint64_t id)
 {
 	f->read_id = id;
 	f->written_id = id;
+	f->unnumbered = 0;
 }
 
 /* Numeric id of one event, 0 if it has none. */
@@ -32,6 +34,14 @@
 	return 0;
 }
 
+/* Whether an event is more than a comment. */
+static int
+has_data(const char *p, size_t len)
+{
+	return (len > 5 && memcmp(p, "data:", 5) == 0) ||
+	    memmem(p, len, "\ndata:", 6) != NULL;
+}
+
 void
 event_filter_pass(struct event_filter *f, const char *p, size_t len,
     void (*write)(void *, const char *, size_t), void *ctx)
@@ -51,6 +61,9 @@
 			start = used + n;
 		} else if (id != 0) {
 			f->written_id = id;
+			f->unnumbered = 0;
+		} else if (has_data(p + used, n)) {
+			f->unnumbered = 1;
 		}
 		used += n;
 	}
--- a/entry/event_filter.h
+++ b/entry/event_filter.h
@@ -11,6 +11,7 @@
 struct event_filter {
 	uint64_t read_id;    /* highest id that was read */
 	uint64_t written_id; /* id of the latest event that was written */
+	int unnumbered;	     /* data without an id was written since */
 };
 
 /* Begins behind the event with an id that the caller has, 0: none. */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -377,7 +377,8 @@
 forward_describe(const struct forward *f, struct attempt_context *c)
 {
 	c->kind = f->route.kind;
-	c->resumable = f->route.resumable;
+	/* A replica would repeat what no id tells apart. */
+	c->resumable = f->route.resumable && !f->passed.unnumbered;
 	c->max_runs = f->route.max_attempts;
 	c->runs = f->runs;
 	c->attempts_made = f->attempts_made;
--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -160,6 +160,27 @@
             w.stop()
 
 
+def test_stream_without_ids_breaks():
+    """Events without ids are not written twice: such a stream is visibly
+    broken off, since what a replica repeats can't be told."""
+    async def write(call, last, end):
+        await call.read()
+        events = b"".join(b": still here\n\ndata: piece-%d\n\n" % n
+                          for n in range(1, last + 1))
+        call.writer.write(call.head(extra=dict(STREAM, **{
+            "Content-Length": len(events) + (0 if end else 1)})) + events)
+        await call.writer.drain()
+        return end
+    w, _, _ = two_replicas(lambda call: write(call, 2, False),
+                           lambda call: write(call, 3, True))
+    try:
+        _, _, body, whole = w.call("/go/x", "id-1", "POST", b"p")
+        check("%r, whole: %s" % (body, whole),
+              not whole and body.count(b"data:") == 2)
+    finally:
+        w.stop()
+
+
 def test_head_request():
     """No body follows an answer to HEAD, neither an error's nor the last chunk
     of a stream: on a kept connection it would be read as the start of the
--- a/tests/test_event_filter.c
+++ b/tests/test_event_filter.c
@@ -95,10 +95,14 @@
 {
 	static const int in[] = { 0, 1, 0, 1, 0, 2, -1 };
 	static const int out[] = { 0, 1, 0, 0, 2, -1 };
+	static const int more[] = { 0, -1 };
 	struct event_filter f;
 
 	event_filter_start(&f, 0);
 	pass(&f, in, out);
+	CU_ASSERT(!f.unnumbered); /* they come before the last id */
+	pass(&f, more, more);
+	CU_ASSERT(f.unnumbered);
 }
 
 static const struct unit_case cases[] = {
