--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -8,7 +8,7 @@
 import sys
 
 from entry import check, event_numbers, main, two_replicas
-from platform_world import ID
+from platform_world import ID, answer_ok, request
 
 STREAM = {"Content-Type": "text/event-stream"}
 BODY = b"to the end"
@@ -115,5 +115,101 @@
         w.stop()
 
 
+def read_until_close(sock):
+    data = b""
+    while True:
+        piece = sock.recv(65536)
+        if not piece:
+            return data
+        data += piece
+
+
+def test_other_answer_to_resumed_stream():
+    """The answer with which a replica refuses to resume a stream is neither
+    its end nor a part of it, also where the stream ends with the
+    connection."""
+    plan = {}
+
+    async def breaks(call):
+        await call.read()
+        return await call.events(1, 2, end=False)
+
+    async def other(call):
+        await call.read()
+        return await call.answer(b"gone", plan["status"])
+    for plan["status"], version in itertools.product(
+            (404, 409, 302, 500), (b"HTTP/1.1", b"HTTP/1.0")):
+        w, _, b = two_replicas(breaks, other)
+        s = w.connect()
+        try:
+            s.sendall(request("/go/x", "id-1", "POST", b"p", {}, 5000).replace(
+                b"HTTP/1.1", version, 1))
+            try:
+                data = read_until_close(s)
+                closed = "in order"
+            except ConnectionResetError:
+                data, closed = b"", "reset"
+            check("%s %s: %s %r" % (plan, version, closed, data),
+                  data.count(b"HTTP/1.1 ") <= 1 and b"gone" not in data)
+            check("%s %s: visibly broken off: %s" % (plan, version, closed),
+                  closed == "reset" or
+                  version == b"HTTP/1.1" and not data.endswith(b"0\r\n\r\n"))
+            check("it was resumed", b.requests)
+        finally:
+            s.close()
+            w.stop()
+
+
+def test_stream_without_ids_breaks():
+    """Events without ids are not written twice: such a stream is visibly
+    broken off, since what a replica repeats can't be told."""
+    async def write(call, last, end):
+        await call.read()
+        events = b"".join(b": still here\n\ndata: piece-%d\n\n" % n
+                          for n in range(1, last + 1))
+        call.writer.write(call.head(extra=dict(STREAM, **{
+            "Content-Length": len(events) + (0 if end else 1)})) + events)
+        await call.writer.drain()
+        return end
+    w, _, _ = two_replicas(lambda call: write(call, 2, False),
+                           lambda call: write(call, 3, True))
+    try:
+        _, _, body, whole = w.call("/go/x", "id-1", "POST", b"p")
+        check("%r, whole: %s" % (body, whole),
+              not whole and body.count(b"data:") == 2)
+    finally:
+        w.stop()
+
+
+def test_head_request():
+    """No body follows an answer to HEAD, neither an error's nor the last chunk
+    of a stream: on a kept connection it would be read as the start of the
+    next answer."""
+    async def breaks(call):
+        await call.read()
+        call.reset()
+        return False
+    for path, script, expected in (
+            ("/none/x", answer_ok, 404), ("/once/x", breaks, 502),
+            ("/go/x", answer_ok, 200), ("/read/x", answer_ok, 200)):
+        w, _, _ = two_replicas(script, script)
+        s = w.connect()
+        try:
+            s.sendall(request(path, "id-1", "HEAD"))
+            data = b""
+            while b"\r\n\r\n" not in data:
+                data += s.recv(65536)
+            head, _, rest = data.partition(b"\r\n\r\n")
+            check("%s: %r" % (path, head), int(head.split()[1]) == expected)
+            check("kept", b"\r\nConnection: close" not in head)
+            s.sendall(request("/none/x", "id-2"))
+            while b"\r\n\r\n" not in rest:
+                rest += s.recv(65536)
+            check("%s: %r" % (path, rest), rest.startswith(b"HTTP/1.1 404"))
+        finally:
+            s.close()
+            w.stop()
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:], globals()))
