core: crashes by a request that comes rarely add up

Callers would see all requests of a service refused again and again: a request that crashes replicas and comes once in more than 30 s was never blocked. Cause: evidence that does not block was dropped 30 s after the latest crash, so the second crash was the first one each time. The budget of retries after the third crash has no such limit in time.

Evidence on whole requests is kept for as long as a block, ten minutes. Crashes at two times block a request if they are within 30 s, as before; else a third one is needed, since two may be chance. Care and repeats still go by the last 30 s. Ruled out: refutation, which needs an answer.

"crashes far apart" (test_poison_request): 12 crashes in 12 requests 45 s apart before, 3 after. "rare crashes" passed before, too: two sound crashes 90 s apart do not block.

--- a/core/poison.c
+++ b/core/poison.c
@@ -9,6 +9,8 @@
  * crashes, or so rarely that it hardly meets two by chance.
  */
 #define REQUEST_GROUPS_MIN 2
+/* Crashes further apart may be chance: one more is needed. */
+#define REQUEST_NEAR_NS (30 * NSEC_PER_SEC)
 /* For a part that was never answered, fewer groups suffice. */
 #define UNPROVEN_GROUPS_MIN 2
 #define UNPROVEN_REPLICAS_MIN 3
@@ -35,6 +37,8 @@
 struct groups {
 	uint32_t n;
 	uint32_t nreplicas; /* in all groups */
+	uint64_t first_at;
+	uint64_t last_at;
 };
 
 static int is_request(uint64_t);
@@ -54,6 +58,7 @@
 static uint64_t part_blocked_until(const struct part *);
 static uint32_t answered_slot(uint64_t);
 static uint32_t crashes_min(const struct part *);
+static int part_is_done(const struct part *, uint64_t);
 
 struct poison *
 poison_create(void)
@@ -241,7 +246,7 @@
 group_crashes(
     const struct part *t, struct part *const *others, uint32_t nothers)
 {
-	struct groups g = { 0, 0 };
+	struct groups g = { 0 };
 	uint64_t began_at = 0;
 	uint32_t i, j;
 
@@ -252,7 +257,9 @@
 		}
 		if (j < nothers)
 			continue;
-		g.nreplicas++;
+		if (g.nreplicas++ == 0)
+			g.first_at = t->crashes[i].at;
+		g.last_at = t->crashes[i].at;
 		if (g.n == 0 || t->crashes[i].at >= began_at + GROUP_NS) {
 			began_at = t->crashes[i].at;
 			g.n++;
@@ -274,7 +281,9 @@
 	struct groups g = group_crashes(t, others, nothers);
 
 	if (is_request(t->id))
-		return g.n >= REQUEST_GROUPS_MIN;
+		return g.n > REQUEST_GROUPS_MIN ||
+		    (g.n == REQUEST_GROUPS_MIN &&
+			g.last_at < g.first_at + REQUEST_NEAR_NS);
 	return g.n >= GROUPS_MIN ||
 	    (t->answered_at == 0 && g.n >= UNPROVEN_GROUPS_MIN &&
 		g.nreplicas >= UNPROVEN_REPLICAS_MIN);
@@ -305,6 +314,19 @@
 	    (poison_part_blocks(t, NULL, 0) ? BLOCK_NS : SUSPECT_NS);
 }
 
+/*
+ * Whether the part can be forgotten.  A request may come again after longer
+ * than its evidence counts by itself.
+ */
+static int
+part_is_done(const struct part *t, uint64_t now)
+{
+	if (!poison_part_is_old(t, now))
+		return 0;
+	return !is_request(t->id) || t->ncrashes == 0 ||
+	    now >= t->crashes[t->ncrashes - 1].at + BLOCK_NS;
+}
+
 /* Fewer crashes cannot block a part. */
 static uint32_t
 crashes_min(const struct part *t)
@@ -468,7 +490,7 @@
 	uint32_t i;
 
 	HASH_ITER (hh, p->parts, t, next) {
-		if (poison_part_is_old(t, now) && !t->blocked) {
+		if (part_is_done(t, now) && !t->blocked) {
 			part_remove(p, t);
 			continue;
 		}
--- a/tests/test_poison_request.c
+++ b/tests/test_poison_request.c
@@ -23,6 +23,8 @@
 static void test_crash_of_many_requests(void);
 static void test_answers_are_not_kept(void);
 static void test_tried_again(void);
+static void test_crashes_far_apart(void);
+static void test_rare_crashes(void);
 
 /* A replica crashed at a time with a prompt of two parts and the request. */
 static void
@@ -203,6 +205,42 @@
 	poison_destroy(p);
 }
 
+/* Guards against requests that crash replicas rarely, but for hours. */
+static void
+test_crashes_far_apart(void)
+{
+	struct poison *p = poison_create();
+	uint64_t now = 10 * S;
+	uint64_t i;
+	int ncrashes = 0;
+
+	for (i = 0; i < 12; i++, now += 45 * S) {
+		if (blocked(p, now, REQUEST) != 0)
+			continue;
+		crash(p, now, 1 + i, REQUEST);
+		ncrashes++;
+	}
+	CU_ASSERT_EQUAL(ncrashes, 3);
+	poison_destroy(p);
+}
+
+/* Two crashes that are far apart may be chance. */
+static void
+test_rare_crashes(void)
+{
+	struct poison *p = poison_create();
+	uint64_t id = REQUEST;
+
+	crash(p, 10 * S, 1, id);
+	CU_ASSERT_EQUAL(blocked(p, 99 * S, id), 0);
+	crash(p, 100 * S, 2, id);
+	CU_ASSERT_EQUAL(blocked(p, 102 * S, id), 0);
+	poison_answered(p, 103 * S, &id, 1);
+	crash(p, 110 * S, 3, id);
+	CU_ASSERT_EQUAL(blocked(p, 112 * S, id), 0);
+	poison_destroy(p);
+}
+
 static const struct unit_case cases[] = {
 	{ "crashes at two times", test_crashes_at_two_times },
 	{ "crashes at one time", test_crashes_at_one_time },
@@ -214,6 +252,8 @@
 	{ "a crash of many requests", test_crash_of_many_requests },
 	{ "answers are not kept", test_answers_are_not_kept },
 	{ "tried again", test_tried_again },
+	{ "crashes far apart", test_crashes_far_apart },
+	{ "rare crashes", test_rare_crashes },
 };
 
 UNIT_MAIN("poison_request", cases)
