entry: answers other than 2xx refute crashes by a request, too

Callers saw 503 for a minute, then for ten: a sound request that many of them send, and that replicas answer with 404 (or 304), was blocked once two replicas had ended by themselves with it in progress. Cause: only complete 2xx answers counted against the evidence, as for the parts of prompts, which such an answer does not process.

An answer of another status shows that the replica has run the request, too, and refutes the evidence on it as a whole; not 5xx, 408, 421, 425 and 429, which may come without a run. Ruled out: the number of callers, as the same test with 200 for 404 passed.

--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -11,6 +11,7 @@
 #define REQUEST_BEGIN_NS (1 * NSEC_PER_SEC)
 
 static uint64_t add_text(uint64_t, const char *);
+static int status_shows_run(int);
 static int broke_within(const struct forward *, enum attempt_outcome, uint64_t);
 static uint64_t forward_suspect_part(const struct forward *);
 static int forward_is_answered(const struct forward *);
@@ -77,11 +78,25 @@
 	return broke_within(f, end, REQUEST_BEGIN_NS);
 }
 
+/*
+ * Whether an answer of this status shows that the replica has run the request:
+ * a replica may send some without running it, or on behalf of a crashed one.
+ */
+static int
+status_shows_run(int status)
+{
+	return status / 100 == 2 || status / 100 == 3 ||
+	    (status / 100 == 4 && status != 408 && status != 421 &&
+		status != 425 && status != 429);
+}
+
 void
 forward_note_crash(struct forward *f, enum attempt_outcome end)
 {
-	if (end == ATTEMPT_ANSWERED && f->status / 100 == 2 && !f->until_close)
-		poison_io_answered(f->e->poison_io, &f->params);
+	if (end == ATTEMPT_ANSWERED && status_shows_run(f->status) &&
+	    !f->until_close)
+		poison_io_answered(
+		    f->e->poison_io, &f->params, f->status / 100 == 2);
 	else if (forward_broke_at_begin(f, end))
 		poison_io_broken(f->e->poison_io, f->replica, &f->params,
 		    broke_within(f, end, BEGIN_NS));
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -285,12 +285,16 @@
 }
 
 void
-poison_io_answered(struct poison_io *p, const struct request_params *r)
+poison_io_answered(
+    struct poison_io *p, const struct request_params *r, int with_parts)
 {
 	uint64_t ids[PROMPT_PARTS_MAX];
 	uint32_t n = request_parts(r, ids);
 
-	poison_answered(p->poison, p->e->now, ids, n);
+	if (with_parts)
+		poison_answered(p->poison, p->e->now, ids, n);
+	else
+		poison_answered(p->poison, p->e->now, ids + n - 1, 1);
 }
 
 uint64_t
--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -16,8 +16,11 @@
 void poison_io_destroy(struct poison_io *);
 /* Logs parts that are blocked from now on and ends requests with them. */
 void poison_io_tick(struct poison_io *);
-/* A request was answered in full. */
-void poison_io_answered(struct poison_io *, const struct request_params *);
+/*
+ * A request was answered in full; if with success, the parts of its prompt were
+ * processed, too.
+ */
+void poison_io_answered(struct poison_io *, const struct request_params *, int);
 /*
  * An attempt broke off before its answer, or soon after its first event; so
  * soon that parts of its prompt may have crashed the replica (1), or not (0).
--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -4,12 +4,13 @@
 Prints one line per test, and "result: N passed, N failed" at the end.
 """
 import asyncio
+import collections
 import sys
 import threading
 import time
 
 from entry import check, main
-from platform_world import World
+from platform_world import World, request
 
 DOWN_S = 1.5     # until a crashed replica is back
 STABLE_S = 3.0   # from the third crash until few repeats are allowed
@@ -154,5 +155,34 @@
               not any(w.events("poison-blocked") for w in f.worlds))
 
 
+def test_unknown_path_outlives_crashes():
+    """Replicas crash by themselves beside a request that many callers send and
+    that is answered with 404."""
+    running = collections.Counter()
+
+    async def script(call):
+        await call.read()
+        running[call.replica] += 1
+        await asyncio.sleep(0.15)
+        running[call.replica] -= 1
+        return await call.answer(status=404)
+    with Fleet(script, nreplicas=6) as f:
+        answers = []
+        for step in range(120):
+            if step in (20, 40, 60):
+                asyncio.run_coroutine_threadsafe(
+                    max(running, key=running.get).crash(DOWN_S),
+                    f.worlds[0].loop)
+                running.clear()
+            f.send("/read/unknown", "GET", b"", answers)
+            time.sleep(0.05)
+        f.join()
+        check("crashes", len(f.crashed_at()) == 3)
+        check("none blocked",
+              not any(w.events("poison-blocked") for w in f.worlds))
+        check("%d of %d answered" % (answers.count(404), len(answers)),
+              answers.count(404) >= 0.9 * len(answers))
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:], globals()))
