entry: a request whose caller leaves may still crash its replica

All requests of a service failed again and again: a request that crashes replicas, from a caller that leaves before the crash, was never blocked. Cause: an attempt that is cancelled, since its caller leaves, its deadline passes or it is taken back, ended without a look at its replica.

The replica is looked at 0.25 s after the first such attempt, or at once if another one breaks off; if it has crashed, that is evidence against the requests as a whole. Requests do not wait for this check, and it takes no more than half of the places for checks. Ruled out: late reports, as requests whose callers stay are blocked after two or three crashes.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -437,6 +437,7 @@
 
 	entry_update_now(f->e);
 	if (f->exchange != NULL) {
+		forward_note_left(f);
 		exchange_cancel(f->exchange);
 		f->exchange = NULL;
 		f->runs++;
@@ -484,6 +485,7 @@
 		return;
 	}
 	if (f->exchange != NULL) {
+		forward_note_left(f);
 		exchange_cancel(f->exchange);
 		f->exchange = NULL;
 		forward_remove_work(f);
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -124,6 +124,8 @@
 int forward_broke_at_begin(const struct forward *, enum attempt_outcome);
 /* Evidence for or against the parts of the request's prompt. */
 void forward_note_crash(struct forward *, enum attempt_outcome);
+/* The current attempt is given up; its replica may crash from it later. */
+void forward_note_left(const struct forward *);
 /*
  * Ends a request with a part that crashes replicas, unless a replica has begun
  * to answer it.  Returns whether it has ended.
--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -102,6 +102,13 @@
 		    broke_within(f, end, BEGIN_NS));
 }
 
+void
+forward_note_left(const struct forward *f)
+{
+	if (broke_within(f, ATTEMPT_NO_RESPONSE, REQUEST_BEGIN_NS))
+		poison_io_left(f->e->poison_io, f->replica, &f->params);
+}
+
 /* Whether the body of an answer to the current attempt has begun. */
 static int
 forward_is_answered(const struct forward *f)
@@ -173,6 +180,7 @@
 		NEXT_RETRY)
 		return;
 	forward_log(f, LOG_REQUEST_WITHDRAWN, f->replica->info.id, "");
+	forward_note_left(f);
 	exchange_cancel(f->exchange);
 	f->exchange = NULL;
 	f->runs++;
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -10,6 +10,8 @@
 #include "peers.h"
 #include "poison_io.h"
 
+/* From the end of an attempt that was given up to the check of its replica. */
+#define LEFT_NS (250 * NSEC_PER_MSEC)
 /* A process that has crashed refuses connections at once. */
 #define CHECK_NS (400 * NSEC_PER_MSEC)
 /* Reports carry evidence while it is new, and later one in four of them. */
@@ -29,8 +31,9 @@
 	TAILQ_ENTRY(check) entry;
 	struct poison_io *p;
 	char replica[NAME_SIZE];
+	char addr[ADDR_SIZE];
 	uint64_t incarnation; /* hash */
-	struct conn *conn;
+	struct conn *conn;    /* NULL: after a time */
 	struct expiry *expiry;
 	uint32_t nparts;
 	uint64_t parts[CHECK_PARTS_MAX];
@@ -58,7 +61,9 @@
 static int is_checked(const struct poison_io *, uint64_t);
 static struct check *check_find(struct poison_io *, const char *);
 static void check_add_parts(struct check *, const uint64_t *, uint32_t);
-static void check_start(struct check *, const char *);
+static struct check *check_find_or_add(
+    struct poison_io *, const struct directory_replica *);
+static void check_start(struct check *);
 static void check_destroy(struct check *);
 static int check_has_part(const struct check *);
 static void check_crashed(struct check *);
@@ -137,6 +142,24 @@
 	return NULL;
 }
 
+static struct check *
+check_find_or_add(struct poison_io *p, const struct directory_replica *m)
+{
+	struct check *c = check_find(p, m->info.id);
+
+	if (c != NULL || p->nchecks == CHECKS_MAX)
+		return c;
+	c = mem_alloc(sizeof(*c));
+	c->p = p;
+	snprintf(c->replica, sizeof(c->replica), "%s", m->info.id);
+	snprintf(c->addr, sizeof(c->addr), "%s", m->info.addr);
+	c->incarnation = incarnation_hash(m);
+	c->expiry = expiry_create(p->e->loop, &check_expiry_ops, c);
+	TAILQ_INSERT_TAIL(&p->checks, c, entry);
+	p->nchecks++;
+	return c;
+}
+
 static void
 check_add_parts(struct check *c, const uint64_t *ids, uint32_t n)
 {
@@ -166,30 +189,42 @@
 		ids += n - 1;
 		n = 1;
 	}
-	c = check_find(p, m->info.id);
-	if (c != NULL) {
-		check_add_parts(c, ids, n);
-		return;
-	}
-	if (p->nchecks == CHECKS_MAX)
+	c = check_find_or_add(p, m);
+	if (c == NULL)
 		return;
-	c = mem_alloc(sizeof(*c));
-	c->p = p;
-	snprintf(c->replica, sizeof(c->replica), "%s", m->info.id);
-	c->incarnation = incarnation_hash(m);
 	check_add_parts(c, ids, n);
-	TAILQ_INSERT_TAIL(&p->checks, c, entry);
-	p->nchecks++;
-	check_start(c, m->info.addr);
+	if (c->conn == NULL)
+		check_start(c);
+}
+
+void
+poison_io_left(struct poison_io *p, const struct directory_replica *m,
+    const struct request_params *r)
+{
+	uint64_t ids[PROMPT_PARTS_MAX];
+	uint32_t n = request_parts(r, ids);
+	struct check *c;
+
+	/* Room is left for attempts that break off. */
+	if (directory_is_leaving(m) || m->presence == PRESENCE_REMOVED ||
+	    p->nchecks >= CHECKS_MAX / 2)
+		return;
+	c = check_find_or_add(p, m);
+	if (c == NULL)
+		return;
+	/* The replica may have had no time for the prompt. */
+	check_add_parts(c, ids + n - 1, 1);
+	if (c->conn == NULL && !expiry_is_set(c->expiry))
+		expiry_set(c->expiry, p->e->now + LEFT_NS);
 }
 
 static void
-check_start(struct check *c, const char *addr)
+check_start(struct check *c)
 {
 	struct err err = { 0 };
 
-	c->expiry = expiry_create(c->p->e->loop, &check_expiry_ops, c);
-	c->conn = conn_connect(c->p->e->loop, addr, &check_conn_ops, c, &err);
+	c->conn =
+	    conn_connect(c->p->e->loop, c->addr, &check_conn_ops, c, &err);
 	if (c->conn != NULL)
 		expiry_set(c->expiry, c->p->e->now + CHECK_NS);
 	else if (err.kind == ERR_REFUSED)
@@ -274,14 +309,19 @@
 {
 	const struct check *c = ctx;
 
-	return conn_has_input(c->conn);
+	return c->conn != NULL && conn_has_input(c->conn);
 }
 
-/* Nobody answers: the replica may be cut off. */
 static void
 check_on_expired(void *ctx)
 {
-	check_destroy(ctx);
+	struct check *c = ctx;
+
+	entry_update_now(c->p->e);
+	if (c->conn == NULL)
+		check_start(c);
+	else /* nobody answers: the replica may be cut off */
+		check_destroy(c);
 }
 
 void
@@ -356,7 +396,7 @@
 	uint32_t i;
 
 	TAILQ_FOREACH (c, &p->checks, entry) {
-		for (i = 0; i < c->nparts; i++) {
+		for (i = 0; c->conn != NULL && i < c->nparts; i++) {
 			if (c->parts[i] == part)
 				return 1;
 		}
--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -27,6 +27,12 @@
  */
 void poison_io_broken(struct poison_io *, const struct directory_replica *,
     const struct request_params *, int);
+/*
+ * An attempt was given up before its answer began; the replica may crash while
+ * it still runs the request.
+ */
+void poison_io_left(struct poison_io *, const struct directory_replica *,
+    const struct request_params *);
 /* Until when such requests are refused, 0 if they are not. */
 uint64_t poison_io_blocked_until(
     const struct poison_io *, const struct request_params *);
--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -184,5 +184,32 @@
               answers.count(404) >= 0.9 * len(answers))
 
 
+def test_crash_after_caller_left():
+    """The callers leave before the replica crashes."""
+    async def script(call):
+        await call.read()
+        if DEADLY not in call.line:
+            return await call.answer()
+        await asyncio.sleep(0.08)
+        await call.replica.crash(DOWN_S)
+        return False
+    with Fleet(script) as f:
+        start = time.monotonic()
+        while time.monotonic() < start + 10:
+            f.sent += 1
+            w = f.worlds[f.sent % len(f.worlds)]
+            s = w.connect()
+            s.sendall(request("/read" + DEADLY, "%016x" % f.sent))
+            time.sleep(0.04)
+            s.close()
+            time.sleep(0.21)
+        times = f.crashed_at()
+        third = (times[:3])[-1] if len(times) >= 3 else time.monotonic()
+        late = [t for t in times if t > third + STABLE_S]
+        check("it crashes replicas", times)
+        check("%d of %d crashes late" % (len(late), len(times)),
+              len(late) <= RETRIES_MAX)
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:], globals()))
