--- a/tests/gate_crashing.py
+++ b/tests/gate_crashing.py
@@ -12,9 +12,8 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from gate_stops import read_message  # noqa: E402
-from process import check, run_one  # noqa: E402
-import known_red  # noqa: E402
+from gate_stops import main, read_message  # noqa: E402
+from process import check  # noqa: E402
 from cluster import Cluster, request, wait_for  # noqa: E402
 
 PORT = int(os.environ.get("SPINDLE_TEST_PORT", "17000")) + 2600
@@ -102,19 +101,5 @@
         c.down()
 
 
-TESTS = [test_request_crashes_instances]
-
-
-def main(names):
-    counts = {"passed": 0, "failed": 0, "red": 0}
-    red, lock = known_red.entries(), threading.Lock()
-    for test in TESTS:
-        if not names or test.__name__ in names:
-            run_one(test, red, counts, lock)
-    print("result: %(passed)d passed, %(failed)d failed, %(red)d known red" %
-          counts)
-    return 1 if counts["failed"] else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(main(sys.argv[1:], [test_request_crashes_instances]))
--- a/tests/gate_stops.py
+++ b/tests/gate_stops.py
@@ -358,10 +358,11 @@
     test_ticket_read_during_control_stop, test_gates_stop_in_a_row]
 
 
-def main(names):
+def main(names, tests):
+    """Runs tests, all or those named."""
     counts = {"passed": 0, "failed": 0, "red": 0}
     red, lock = known_red.entries(), threading.Lock()
-    for test in TESTS:
+    for test in tests:
         if not names or test.__name__ in names:
             run_one(test, red, counts, lock)
     print("result: %(passed)d passed, %(failed)d failed, %(red)d known red" %
@@ -370,4 +371,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(main(sys.argv[1:], TESTS))
