entry: no other answer follows the events of a stream

Callers saw, in a stream that had begun: a head with "HTTP/1.1 200" and a length between chunks, then the body of an error, when the stream was resumed at a replica that answered the rest with an error (404, 410). A caller that reads chunks strictly fails there; another may take the bytes for events.

Cause: attempt_end_of() takes any complete answer below 500 as answered, and forward_finish_response() then writes it as a plain answer, although the head and events of the stream were sent. Ruled out: 5xx (retried or broken off before) and refusals (the same).

--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -115,5 +115,30 @@
         w.stop()
 
 
+def test_error_in_resumed_stream():
+    """A replica answers the rest of a stream with an error: another one is
+    asked, or the stream breaks off, without bytes that are no part of it."""
+    plan = {}
+
+    async def answers(call):
+        await call.read()
+        if "last-event-id" in call.fields:
+            return await call.answer(b"no such stream", plan["status"])
+        call.writer.write(call.head(extra=STREAM) + event(1) + event(2) +
+                          b"id: 3\nda")
+        await call.writer.drain()
+        return False
+    for plan["status"] in (404, 410, 503):
+        w, a, b = two_replicas(answers, answers)
+        try:
+            status, _, body, whole = w.call("/go/x", "id-1", "POST", b"p")
+            check("%s: %d %r, whole: %s" % (plan, status, body, whole),
+                  (status, event_numbers(body), whole) ==
+                  (200, [1, 2], False) and b"no such" not in body)
+            check("two attempts", len(a.requests) + len(b.requests) == 2)
+        finally:
+            w.stop()
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:], globals()))
