tests: a property test from replicas' bytes to a caller's bytes

Drawn: plain bodies and streams; by length, chunks, or the end of the connection; interim answers; copies of this answer, of another, without an id, and refusals, before and behind it, whole or cut at any byte; repeated events; answers cut at any byte, by close or reset; resumption at another replica, also by the caller's Last-Event-Id and at replicas that begin again; errors in answer to it; fragments of 1 byte to all at once. What the caller got must be a prefix of the answer, one message, and complete only if whole; undisturbed answers, and those behind whole answers to another request, must arrive.

Left out, as no reader can tell it: what follows an answer cut inside its length or inside a chunk. A close in order where a body without a length could have ended may look complete.

--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,7 @@
 .PHONY: lint
 
 FUZZERS = $(BUILD)/fuzz_serving $(BUILD)/fuzz_state $(BUILD)/fuzz_orders \
-	  $(BUILD)/fuzz_notice $(BUILD)/fuzz_permits
+	  $(BUILD)/fuzz_notice $(BUILD)/fuzz_permits $(BUILD)/fuzz_answers
 
 $(BUILD)/tests/%.oo: tests/%.cc
 	@mkdir -p $(dir $@)
@@ -107,6 +107,17 @@
 	$(CXX) $(CXXFLAGS) -o $@ $(filter %.oo,$^) $(BUILD)/libcore.a -lrapidcheck -ljansson \
 	    -lxxhash -lmsgpackc -lm
 
+# The entry's own path of an answer; its connections are stand-ins.
+ANSWERS = net/http net/http_client net/sse net/buf net/tag_set platform/fields \
+	  entry/attempt_send entry/response entry/event_filter tests/answers_entry
+
+$(BUILD)/fuzz_answers: $(BUILD)/tests/fuzz_answers.oo \
+    $(BUILD)/tests/answers_world.oo $(BUILD)/tests/answers_wire.oo \
+    $(ANSWERS:%=$(BUILD)/%.o) $(LIBS)
+	$(CXX) $(CXXFLAGS) -o $@ $(filter %.oo %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a -lrapidcheck -lhttp_parser -ljansson -lnettle \
+	    -lxxhash -lmsgpackc -lpthread -lm
+
 TESTS = $(patsubst tests/test_%.c,$(BUILD)/test_%,$(wildcard tests/test_*.c))
 
 $(BUILD)/test_platform: $(BUILD)/tests/test_platform.o $(BUILD)/tests/unit.o \
@@ -196,6 +207,7 @@
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_orders
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_notice
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_permits
+	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_answers
 
 SEEDS = 1-50
 SECONDS = 12
--- a/tests/mutate.py
+++ b/tests/mutate.py
@@ -135,15 +135,58 @@
     ("no grant at a replica that leaves: not heard by the owner",
      "serving", "core/sched_notice.c",
      "if (it->leaving)", "if (0)"),
+    ("an answer is whole or known not to be: no scan for a second answer",
+     "answers", "shell/http_framing.c",
+     "if (after_cr && c == LF)\n\t\treturn FRAMING_INVALID;", ""),
+    ("an answer is whole or known not to be: a second one's start at the end",
+     "answers", "shell/http_framing.c",
+     "return f->state == FRAMING_UNTIL_CLOSE && f->matched == 0;",
+     "return f->state == FRAMING_UNTIL_CLOSE;"),
+    ("a prefix of the answer: events before a repeated one dropped",
+     "answers", "entry/event_filter.c",
+     "if (used != start)\n\t\t\t\twrite(ctx, p + start, used - start);", ""),
+    ("a prefix of the answer: repeated events written",
+     "answers", "entry/event_filter.c",
+     "if (id != 0 && id <= f->written_id) {", "if (0) {"),
+    ("a prefix of the answer: resumed one event too far",
+     "answers", "entry/attempt_send.c",
+     "f->response_started ? f->passed.written_id : 0",
+     "f->response_started ? f->passed.written_id + 1 : 0"),
+    ("a prefix of the answer: the start of an event kept for the next attempt",
+     "answers", "entry/attempt_send.c",
+     "sse_free(&f->events);\n\tforward_add_work", "forward_add_work"),
+    ("its own answer: another request's id",
+     "answers", "entry/attempt_send.c",
+     "if (t.has_id && !t.id_matches)", "if (0)"),
+    ("its own answer: an answer without id",
+     "answers", "entry/attempt_send.c",
+     "if (!t.has_signature || !t.id_matches || t.encoded)", "if (0)"),
+    ("whole only if it is all of it: a reset ends a body",
+     "answers", "net/http_client.c",
+     "if (x->ops != NULL && error == 0 && x->head_received)",
+     "if (x->ops != NULL && x->head_received)"),
+    ("whole only if it is all of it: a close ends any body",
+     "answers", "net/http.c",
+     "if (!r->in_message || !r->head_done ||\n\t    "
+     "!http_framing_may_close(&r->framing))",
+     "if (!r->in_message || !r->head_done)"),
+    ("whole only if it is all of it: a part of an event at the end",
+     "answers", "entry/attempt_send.c",
+     "if (f->invalid || buf_len(&f->events.partial) != 0)",
+     "if (f->invalid)"),
+    ("a prefix of the answer: an error behind events",
+     "answers", "entry/attempt_send.c",
+     "if (f->response_started && !f->streaming)", "if (0)"),
 ]
-CASES = {"serving": 6000, "state": 1500, "notice": 20000}
+CASES = {"serving": 6000, "state": 1500, "notice": 20000, "answers": 20000}
+SOURCES = ("core", "shell", "net", "platform", "entry", "tests", "Makefile")
 
 
 def run_mutant(job):
     number, (what, fuzzer, *edits) = job
     edits = edits[0] if len(edits) == 1 else [edits]
     with tempfile.TemporaryDirectory(prefix="mutate.") as scratch:
-        for name in ("core", "tests", "Makefile"):
+        for name in SOURCES:
             src = os.path.join(ROOT, name)
             dst = os.path.join(scratch, name)
             if os.path.isdir(src):
