--- a/tests/answers_entry.c
+++ b/tests/answers_entry.c
@@ -27,13 +27,14 @@
 	struct entry entry;
 	struct forward forward;
 	struct caller caller;
-	struct conn *conn; /* of the current attempt, NULL once closed */
+	struct conn *conn; /* of the latest attempt, NULL once closed */
 	enum answers_state state;
 };
 
 /* For the stand-ins; requests follow one another. */
 static struct answers_entry *current;
 
+static void request_free(struct answers_entry *);
 static void request_head(void *, const struct http_head *);
 static void request_body(void *, const char *, size_t);
 static void request_end(void *);
@@ -66,7 +67,7 @@
 }
 
 struct answers_entry *
-answers_entry_create(const struct answers_config *c)
+answers_entry_create(void)
 {
 	struct conn_pool_config pool = { .connect_timeout_ns = NSEC_PER_SEC,
 		.idle_timeout_ns = 60 * NSEC_PER_SEC,
@@ -74,7 +75,6 @@
 	struct budget_config budget = { .window_ns = 10 * NSEC_PER_SEC };
 	struct fleet_replica r = { 0 };
 	struct answers_entry *a = mem_alloc(sizeof(*a));
-	struct forward *f = &a->forward;
 
 	current = a;
 	a->entry.now = NSEC_PER_SEC;
@@ -86,6 +86,31 @@
 	snprintf(r.addr, sizeof(r.addr), "10.0.0.1:80");
 	r.slots = 1;
 	directory_put(&a->entry.dir, &r);
+	return a;
+}
+
+static void
+request_free(struct answers_entry *a)
+{
+	struct forward *f = &a->forward;
+
+	if (f->exchange != NULL)
+		exchange_cancel(f->exchange);
+	http_reader_destroy(a->caller.reader);
+	buf_free(&a->caller.written);
+	buf_free(&f->body);
+	sse_free(&f->events);
+	free(f->response_head.fields);
+	buf_free(&f->response_head.text);
+}
+
+void
+answers_entry_begin(struct answers_entry *a, const struct answers_config *c)
+{
+	struct forward *f = &a->forward;
+
+	request_free(a);
+	memset(f, 0, sizeof(*f));
 	a->caller.reader =
 	    http_reader_create(HTTP_READ_REQUESTS, &request_ops, a);
 	(void)http_reader_feed(
@@ -99,25 +124,15 @@
 	snprintf(f->params.id, sizeof(f->params.id), "%s", c->id);
 	event_filter_start(&f->passed, c->last_event_id);
 	a->state = ANSWERS_RETRY;
-	return a;
 }
 
 void
 answers_entry_destroy(struct answers_entry *a)
 {
-	struct forward *f = &a->forward;
-
-	if (f->exchange != NULL)
-		exchange_cancel(f->exchange);
+	request_free(a);
 	conn_pool_destroy(a->entry.replicas);
 	directory_clear(&a->entry.dir);
 	pace_clear(&a->entry.pace);
-	http_reader_destroy(a->caller.reader);
-	buf_free(&a->caller.written);
-	buf_free(&f->body);
-	sse_free(&f->events);
-	free(f->response_head.fields);
-	buf_free(&f->response_head.text);
 	free(a);
 	current = NULL;
 }
@@ -128,7 +143,8 @@
 	a->state = ANSWERS_RUNNING;
 	forward_start_attempt(
 	    &a->forward, directory_find(&a->entry.dir, REPLICA_ID));
-	(void)a->conn->ops->connected(a->conn->ctx);
+	if (a->forward.new_connection)
+		(void)a->conn->ops->connected(a->conn->ctx);
 }
 
 void
@@ -300,6 +316,7 @@
 void
 conn_write(struct conn *c, const void *p, size_t len)
 {
+	current->conn = c;
 	buf_add(&c->sent, p, len);
 }
 
@@ -320,7 +337,7 @@
 void
 conn_clear_sent(struct conn *c)
 {
-	(void)c;
+	buf_free(&c->sent);
 }
 
 int
--- a/tests/answers_entry.h
+++ b/tests/answers_entry.h
@@ -1,7 +1,7 @@
 /*
- * One request at an entry process, from the bytes of its replicas to the bytes
- * for its caller, without sockets: the connections to replicas and to the
- * caller are stand-ins.
+ * Requests one after another at an entry process, from the bytes of replicas to
+ * the bytes for callers, without sockets: the connections to replicas and to
+ * the caller are stand-ins.
  */
 #ifndef ANSWERS_ENTRY_H
 #define ANSWERS_ENTRY_H
@@ -26,8 +26,10 @@
 	ANSWERS_FAILED	 /* refused, unknown, or broken off */
 };
 
-struct answers_entry *answers_entry_create(const struct answers_config *);
+struct answers_entry *answers_entry_create(void);
 void answers_entry_destroy(struct answers_entry *);
+/* Begins a request; that before has ended.  Idle connections are kept. */
+void answers_entry_begin(struct answers_entry *, const struct answers_config *);
 void answers_entry_start_attempt(struct answers_entry *);
 /* Bytes of the replica, and the end of its connection: 0 or an errno. */
 void answers_entry_receive(struct answers_entry *, const char *, size_t);
--- a/tests/answers_wire.cc
+++ b/tests/answers_wire.cc
@@ -40,15 +40,22 @@
 	return (numbers.below(4) == 0 ? text + line : line + text) + end;
 }
 
+std::string
+request_id(unsigned request)
+{
+	return "q-" + std::to_string(request);
+}
+
 static std::string
-make_head(int status, Whose whose)
+make_head(unsigned request, int status, Whose whose)
 {
 	std::string s = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
 
 	if (whose == SAME_ID || whose == REFUSAL)
-		s += std::string("Arbutusspindle-Attempt-Id: ") + kId + "\r\n";
+		s += "Arbutusspindle-Attempt-Id: " + request_id(request) +
+		    "\r\n";
 	else if (whose != NO_ID)
-		s += std::string("Arbutusspindle-Attempt-Id: ") + kOtherId +
+		s += "Arbutusspindle-Attempt-Id: " + request_id(request - 1) +
 		    "\r\n";
 	if (whose == REFUSAL || whose == OTHER_REFUSAL)
 		s += "Arbutusspindle-Not-Executed: 1\r\n";
@@ -65,10 +72,10 @@
 }
 
 Wire
-make_answer(Numbers &numbers, int status, Whose whose, Framing framing,
-    const std::string &body)
+make_answer(Numbers &numbers, unsigned request, int status, Whose whose,
+    Framing framing, const std::string &body)
 {
-	std::string head = make_head(status, whose);
+	std::string head = make_head(request, status, whose);
 	Wire w;
 	size_t at;
 	size_t n;
--- a/tests/answers_wire.h
+++ b/tests/answers_wire.h
@@ -22,9 +22,6 @@
 	WHOSE_COUNT
 };
 
-constexpr const char *kId = "q-1";
-constexpr const char *kOtherId = "q-0";
-
 /* Deterministic numbers for what isn't a command. */
 class Numbers
 {
@@ -45,8 +42,10 @@
 
 std::string make_body(Numbers &numbers);
 std::string make_event(Numbers &numbers, unsigned id);
-Wire make_answer(Numbers &numbers, int status, Whose whose, Framing framing,
-    const std::string &body);
+/* To the request of a number; the one before it is the other. */
+Wire make_answer(Numbers &numbers, unsigned request, int status, Whose whose,
+    Framing framing, const std::string &body);
+std::string request_id(unsigned request);
 std::string make_interim(size_t kind);
 
 #endif
--- a/tests/answers_world.cc
+++ b/tests/answers_world.cc
@@ -40,6 +40,7 @@
 
 World::World(uint64_t seed) : numbers(seed)
 {
+	entry = answers_entry_create();
 	begin_request();
 }
 
@@ -55,6 +56,7 @@
 	std::string head = "GET /x HTTP/1.1\r\nHost: h\r\n";
 	size_t n = 1 + numbers.below(10);
 	size_t had = 0;
+	std::string id = request_id(++request);
 
 	stream = numbers.below(3) != 0;
 	plain = make_body(numbers);
@@ -73,13 +75,13 @@
 		whole = expected = plain;
 	if (had != 0)
 		head += "Last-Event-Id: " + std::to_string(had) + "\r\n";
-	head += std::string("Arbutusspindle-Attempt-Id: ") + kId + "\r\n\r\n";
+	head += "Arbutusspindle-Attempt-Id: " + id + "\r\n\r\n";
 	c.request = head.c_str();
-	c.id = kId;
+	c.id = id.c_str();
 	c.last_event_id = had;
 	c.stream = stream;
 	c.resumable = numbers.below(4) != 0;
-	entry = answers_entry_create(&c);
+	answers_entry_begin(entry, &c);
 	error_sent = false;
 	begun = false;
 }
@@ -151,8 +153,8 @@
 	bool error = whose == REFUSAL || whose == OTHER_REFUSAL ||
 	    (whose == SAME_ID && b % 7 == 0);
 	std::string text = whose == SAME_ID ? whole : kOtherText;
-	Wire w = make_answer(numbers, error ? 503 : 200, whose, framing,
-	    error ? kErrorText : text);
+	Wire w = make_answer(numbers, request, error ? 503 : 200, whose,
+	    framing, error ? kErrorText : text);
 	size_t len = w.bytes.size();
 
 	/* Whole answers to another request are skipped. */
@@ -186,7 +188,7 @@
 }
 
 void
-World::deliver(int error)
+World::deliver(int error, bool keep)
 {
 	static const size_t sizes[] = { 1, 3, 20, 100000 };
 	size_t most = sizes[numbers.below(4)];
@@ -199,7 +201,8 @@
 			n = wire.size() - at;
 		answers_entry_receive(entry, wire.data() + at, n);
 	}
-	answers_entry_close(entry, error);
+	if (!keep || answers_entry_state(entry) == ANSWERS_RUNNING)
+		answers_entry_close(entry, error);
 }
 
 Caller
@@ -227,12 +230,12 @@
 
 /* What the caller has is a prefix, and looks complete only if it is whole. */
 void
-World::end_attempt(int error, bool must_complete)
+World::end_attempt(int error, bool keep, bool must_complete)
 {
 	enum answers_state state;
 	Caller c;
 
-	deliver(error);
+	deliver(error, keep);
 	state = answers_entry_state(entry);
 	RC_ASSERT(state != ANSWERS_RUNNING);
 	begun = false;
@@ -254,7 +257,6 @@
 	}
 	if (state == ANSWERS_RETRY)
 		return;
-	answers_entry_destroy(entry);
 	begin_request();
 }
 
@@ -270,23 +272,24 @@
 		add_events(events.size());
 	must_complete = !cut && !disturbed && framing != BY_CLOSE &&
 	    ninterim <= kInterimMax;
-	w = make_answer(numbers, 200, SAME_ID, framing, stream ? body : plain);
+	w = make_answer(
+	    numbers, request, 200, SAME_ID, framing, stream ? body : plain);
 	add_message(w, cut ? (size_t)b % w.bytes.size() : w.bytes.size(),
 	    SAME_ID, false);
 	for (const auto &c : behind)
 		add_copy(c.first, c.second);
-	end_attempt(error, must_complete);
+	end_attempt(error, !cut && b % 3 != 0, must_complete);
 }
 
 /* A replica that does not know the stream any more, for one. */
 void
 World::answer_error(int a, int b)
 {
-	Wire w = make_answer(numbers, a % 2 == 0 ? 404 : 503, SAME_ID,
+	Wire w = make_answer(numbers, request, a % 2 == 0 ? 404 : 503, SAME_ID,
 	    (Framing)(b % FRAMING_COUNT), kErrorText);
 
 	add_message(w, w.bytes.size(), SAME_ID, true);
-	end_attempt(0, false);
+	end_attempt(0, b % 2 == 0, false);
 }
 
 void
--- a/tests/answers_world.h
+++ b/tests/answers_world.h
@@ -1,6 +1,7 @@
 /*
- * A caller's request, and replicas that answer it with repeats, late copies of
- * answers, and cuts, in fragments of any size; checks what the caller gets.
+ * Requests one after another, and replicas that answer them with repeats, late
+ * copies of answers, and cuts, in fragments of any size; checks what the caller
+ * gets.
  */
 #ifndef ANSWERS_WORLD_H
 #define ANSWERS_WORLD_H
@@ -57,13 +58,14 @@
 	void add_copy(int a, int b);
 	void answer(int a, int b, bool cut);
 	void answer_error(int a, int b);
-	void deliver(int error);
-	void end_attempt(int error, bool must_complete);
+	void deliver(int error, bool keep);
+	void end_attempt(int error, bool keep, bool must_complete);
 	bool may_have_ended(int error) const;
 	Caller read_caller() const;
 
 	Numbers numbers;
-	answers_entry *entry = nullptr;
+	answers_entry *entry;
+	unsigned request = 0; /* its number */
 	bool stream;
 	std::string plain;
 	std::vector<std::string> events; /* the whole answer, from id 1 */
