entry: answers that end with their connection refute crashes

Callers saw 503 for a minute, then for ten: a sound request that many of them send, and whose answers have neither length nor chunks, was blocked once two replicas had ended by themselves with it in progress. Cause: such an answer may have been cut by a crash, so it never counted against the evidence on its request.

If there is evidence on the request, the replica is looked at after such an answer: if it is there, the answer was whole and refutes; if not, that is one more crash. Ruled out: the status, since the same test with 404 and a length passes.

test_closed_answer_outlives_crashes (tests/crashing.py): a request blocked before (1 of 1 run), 4 of 4 runs pass now; so do the other 6 tests of the file and 30 of tests/entry.py on such requests. The test shares its body with test_unknown_path_outlives_crashes, whose checks are the same.

--- a/entry/forward_suspect.c
+++ b/entry/forward_suspect.c
@@ -93,13 +93,16 @@
 void
 forward_note_crash(struct forward *f, enum attempt_outcome end)
 {
-	if (end == ATTEMPT_ANSWERED && status_shows_run(f->status) &&
-	    !f->until_close)
-		poison_io_answered(
-		    f->e->poison_io, &f->params, f->status / 100 == 2);
+	struct poison_io *p = f->e->poison_io;
+	int answered = end == ATTEMPT_ANSWERED && status_shows_run(f->status);
+
+	if (answered && !f->until_close)
+		poison_io_answered(p, &f->params, f->status / 100 == 2);
 	else if (forward_broke_at_begin(f, end))
-		poison_io_broken(f->e->poison_io, f->replica, &f->params,
-		    broke_within(f, end, BEGIN_NS));
+		poison_io_broken(
+		    p, f->replica, &f->params, broke_within(f, end, BEGIN_NS));
+	if (answered && f->until_close)
+		poison_io_closed(p, f->replica, &f->params);
 }
 
 void
--- a/entry/poison_io.c
+++ b/entry/poison_io.c
@@ -25,6 +25,7 @@
 #define EVIDENCE_WAIT_NS (500 * NSEC_PER_MSEC)
 #define CHECKS_MAX 64	    /* at a time */
 #define CHECK_PARTS_MAX 128 /* of the requests that broke off */
+#define CHECK_CLOSED_MAX 16 /* requests answered, if it has not crashed */
 
 /* A connection to a replica, to see whether its process is there. */
 struct check {
@@ -37,6 +38,8 @@
 	struct expiry *expiry;
 	uint32_t nparts;
 	uint64_t parts[CHECK_PARTS_MAX];
+	uint32_t nclosed;
+	uint64_t closed[CHECK_CLOSED_MAX];
 };
 
 TAILQ_HEAD(check_list, check);
@@ -197,6 +200,25 @@
 		check_start(c);
 }
 
+void
+poison_io_closed(struct poison_io *p, const struct directory_replica *m,
+    const struct request_params *r)
+{
+	uint64_t id = r->fingerprint | POISON_REQUEST;
+	struct check *c;
+
+	if (!poison_is_suspect(p->poison, p->e->now, 0, &id, 1))
+		return;
+	c = check_find_or_add(p, m);
+	if (c == NULL)
+		return;
+	check_add_parts(c, &id, 1);
+	if (c->nclosed < CHECK_CLOSED_MAX)
+		c->closed[c->nclosed++] = id;
+	if (c->conn == NULL)
+		check_start(c);
+}
+
 void
 poison_io_left(struct poison_io *p, const struct directory_replica *m,
     const struct request_params *r)
@@ -279,7 +301,11 @@
 static int
 check_on_connected(void *ctx)
 {
-	check_destroy(ctx);
+	struct check *c = ctx;
+	struct poison_io *p = c->p;
+
+	poison_answered(p->poison, p->e->now, c->closed, c->nclosed);
+	check_destroy(c);
 	return 1;
 }
 
--- a/entry/poison_io.h
+++ b/entry/poison_io.h
@@ -27,6 +27,12 @@
  */
 void poison_io_broken(struct poison_io *, const struct directory_replica *,
     const struct request_params *, int);
+/*
+ * An answer ended with its connection: it was whole unless the replica has
+ * crashed.
+ */
+void poison_io_closed(struct poison_io *, const struct directory_replica *,
+    const struct request_params *);
 /*
  * An attempt was given up before its answer began; the replica may crash while
  * it still runs the request.
--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -155,9 +155,8 @@
               not any(w.events("poison-blocked") for w in f.worlds))
 
 
-def test_unknown_path_outlives_crashes():
-    """Replicas crash by themselves beside a request that many callers send and
-    that is answered with 404."""
+def outlives_crashes(answer, status):
+    """Replicas crash by themselves beside a request that many callers send."""
     running = collections.Counter()
 
     async def script(call):
@@ -165,7 +164,7 @@
         running[call.replica] += 1
         await asyncio.sleep(0.15)
         running[call.replica] -= 1
-        return await call.answer(status=404)
+        return await answer(call)
     with Fleet(script, nreplicas=6) as f:
         answers = []
         for step in range(120):
@@ -174,14 +173,28 @@
                     max(running, key=running.get).crash(DOWN_S),
                     f.worlds[0].loop)
                 running.clear()
-            f.send("/read/unknown", "GET", b"", answers)
+            f.send("/read/popular", "GET", b"", answers)
             time.sleep(0.05)
         f.join()
         check("crashes", len(f.crashed_at()) == 3)
         check("none blocked",
               not any(w.events("poison-blocked") for w in f.worlds))
-        check("%d of %d answered" % (answers.count(404), len(answers)),
-              answers.count(404) >= 0.9 * len(answers))
+        check("%d of %d answered" % (answers.count(status), len(answers)),
+              answers.count(status) >= 0.9 * len(answers))
+
+
+def test_unknown_path_outlives_crashes():
+    """Guards against 404 that does not count as an answer."""
+    outlives_crashes(lambda call: call.answer(status=404), 404)
+
+
+def test_closed_answer_outlives_crashes():
+    """The same with answers that end with their connection."""
+    async def answer(call):
+        call.writer.write(call.head(extra={"Connection": "close"}) + b"whole")
+        await call.writer.drain()
+        return False
+    outlives_crashes(answer, 200)
 
 
 def test_crash_after_caller_left():
