gate: each request to a backend server has its own connection

Cause: a repeatable request went on a kept connection, whose first response counts as its answer. Nothing in it says to which request it belongs: spindle-entry checks the id that replicas echo, but backend servers of the own interface promise none.

Ruled out: requests that are not repeatable; they had their own connections.

Change: all have, as those had; the field of fetch_spec is named after it. It costs a connection a request, which was not measured.

--- a/gate/relay.c
+++ b/gate/relay.c
@@ -463,7 +463,8 @@
 	spec.headers = list;
 	spec.body = body;
 	spec.len = len;
-	spec.at_most_once = act->at_most_once;
+	/* Answers bear no id: a late one would pass for the next. */
+	spec.own_connection = 1;
 	spec.connect_timeout_ms = RELAY_CONNECT_TIMEOUT_MSEC;
 	fetch_start(fetch, &spec);
 	free(body);
--- a/shell/fetch.c
+++ b/shell/fetch.c
@@ -356,7 +356,7 @@
 	curl_easy_setopt(
 	    e, CURLOPT_CONNECTTIMEOUT_MS, (long)spec->connect_timeout_ms);
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)spec->total_timeout_ms);
-	if (spec->at_most_once) {
+	if (spec->own_connection) {
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
 	}
--- a/shell/fetch.h
+++ b/shell/fetch.h
@@ -43,10 +43,11 @@
 	const char *body;	    /* copied */
 	size_t len;
 	/*
-	 * The request must not be sent twice: uses a new connection, since
-	 * libcurl resends a request when a reused connection breaks.
+	 * Uses a new connection, for no other request.  libcurl resends a
+	 * request when a reused connection breaks, and takes a late answer to
+	 * the request before for its answer.
 	 */
-	int at_most_once;
+	int own_connection;
 	uint64_t connect_timeout_ms;
 	uint64_t total_timeout_ms; /* 0: no limit */
 };
--- a/standin/load_run.c
+++ b/standin/load_run.c
@@ -217,7 +217,7 @@
 	spec.headers = headers;
 	spec.body = body;
 	spec.len = strlen(body);
-	spec.at_most_once = order;
+	spec.own_connection = order;
 	spec.connect_timeout_ms = 1000;
 	fetch_start(r->fetch, &spec);
 }
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -177,7 +177,7 @@
 	spec.method = "POST";
 	spec.body = "x";
 	spec.len = 1;
-	spec.at_most_once = once;
+	spec.own_connection = once;
 	spec.connect_timeout_ms = WAIT_MSEC;
 	spec.total_timeout_ms = WAIT_MSEC;
 	n->ended = 0;
@@ -248,7 +248,7 @@
 	peer_close(&p);
 }
 
-/* A request marked at_most_once must not reuse an idle connection. */
+/* A request marked own_connection must not reuse an idle connection. */
 static void
 test_once(void)
 {
@@ -270,8 +270,8 @@
 }
 
 /*
- * Shows why at_most_once needs a new connection: libcurl resends a request when
- * a reused connection breaks.
+ * Shows why own_connection needs a new connection: libcurl resends a request
+ * when a reused connection breaks.
  */
 static void
 test_reuse_repeats(void)
