loader: a load without an answer outlasts its replica's entry

A load that had no answer came 11.5 s late, after its replica had left the list for a time and restarted.

Cause: the note of such a load was in the state of its replica, which is freed once the list no longer names the replica, and with each new term. Ruled out: 13 s too short; another leader's load, which fencing tokens shut out.

The loader now notes each load as it is sent, by replica id and incarnation, beside the states of replicas: until its answer, or for 13 s after the time for the answer has ended. No fixed number of notes (four before).

--- a/core/loader.c
+++ b/core/loader.c
@@ -89,6 +89,7 @@
 		HASH_DEL(s->engines, e);
 		free(e);
 	}
+	lost_loads_clear(s);
 	demand_clear(&s->demand);
 	ownership_destroy(s->ownership);
 	free(s->store_loads);
@@ -215,6 +216,7 @@
 	e->started_ms = m->info.started_ms;
 	/* An earlier leader may have sent orders. */
 	e->sequence_unknown = 1;
+	lost_loads_attach(s, e);
 	HASH_ADD_STR(s->engines, replica, e);
 	return e;
 }
@@ -255,6 +257,8 @@
 		e->order_id = o->id;
 		e->last_order = *o;
 		s->change_count += kind == LOADER_UNLOAD;
+		if (kind == LOADER_LOAD)
+			lost_load_sent(s, e, o);
 	}
 	TAILQ_INSERT_TAIL(out->orders, o, entry);
 	return o;
@@ -294,7 +298,6 @@
 		e->nreported = 0;
 		s->change_count++;
 	}
-	lost_orders_expire(e, now);
 	if (now >= e->report_valid_until)
 		e->nreported = 0;
 	if (fleet_has_model(&m->info, e->loading))
@@ -395,6 +398,7 @@
 		return;
 	if (s->fence != ownership_fencing_token(s->ownership))
 		loader_take_over(s, now);
+	lost_loads_expire(s, now);
 	engine_states_update(s, now, conf);
 	loader_update_list_settled(s, now);
 	if (!loader_is_leader(s, now))
@@ -449,11 +453,10 @@
 	struct engine_state *e = engine_state_find(s, o->replica);
 
 	store_load_answered(s, now, o, answer);
+	lost_load_answered(s, now, o, answer);
 	if (e == NULL || e->order_id != o->id)
 		return;
 	e->order_id = 0;
-	if (answer == ANSWER_NONE)
-		lost_order_add(e, now, o);
 	if (o->started_ms != e->started_ms)
 		return;
 	switch (answer) {
--- a/core/loader_int.h
+++ b/core/loader_int.h
@@ -5,8 +5,6 @@
 #include "ownership.h"
 #include "loader.h"
 
-#define LOADER_LOST_ORDERS_MAX 4
-
 /* An adapter that a replica is loading. */
 struct adapter_loading {
 	char adapter[FLEET_NAME_SIZE];
@@ -14,13 +12,29 @@
 };
 
 /*
- * An order that got no answer.  After a restart of its replica sequences start
- * again, so that nothing in the order prevents a late delivery from being
- * carried out.
+ * A load that has no answer, yet or for good.  After a restart of its replica
+ * sequences start again, so that nothing in the order prevents a late delivery
+ * from being carried out.
  */
-struct lost_order {
-	struct loader_order order;
+struct lost_load {
+	TAILQ_ENTRY(lost_load) entry;
+	uint64_t order;	     /* id of the order sent last */
+	uint64_t started_ms; /* start of the incarnation addressed */
 	uint64_t expires_at; /* not carried out after this */
+	char model[NAME_SIZE];
+	char adapter[FLEET_NAME_SIZE]; /* MODEL/ADAPTER, or "" */
+};
+
+TAILQ_HEAD(lost_loads, lost_load);
+
+/*
+ * Those of one replica.  They outlast its entry in the list, which ends while
+ * it restarts, and leadership.
+ */
+struct replica_losses {
+	char replica[NAME_SIZE];
+	struct lost_loads loads;
+	UT_hash_handle hh;
 };
 
 /* A load from the weight store that counts for its rate. */
@@ -41,11 +55,11 @@
 	uint64_t next_report_at; /* no report request before */
 	uint64_t report_id;	 /* report request in flight, 0 for none */
 	uint64_t order_id;	 /* order in flight, 0 for none */
-	struct loader_order last_order; /* sent again until answered */
-	int last_unanswered;		/* last_order got no answer */
-	uint64_t next_order_at;		/* no order before */
-	struct lost_order lost_orders[LOADER_LOST_ORDERS_MAX];
-	char loading[NAME_SIZE]; /* a model, "" for none */
+	struct loader_order last_order;	     /* sent again until answered */
+	int last_unanswered;		     /* last_order got no answer */
+	uint64_t next_order_at;		     /* no order before */
+	const struct replica_losses *losses; /* NULL: none */
+	char loading[NAME_SIZE];	     /* a model, "" for none */
 	char unloading[NAME_SIZE];
 	char reserved_for[NAME_SIZE]; /* model that the last unload was for */
 	uint64_t reserved_until;
@@ -70,6 +84,7 @@
 	struct ownership *ownership;
 	struct demand demand;
 	struct engine_state *engines;
+	struct replica_losses *losses;
 	uint64_t next_id;
 	uint64_t leader_from; /* no orders before */
 	uint64_t fence;	      /* fencing token that leader_from is for */
@@ -103,16 +118,23 @@
 uint64_t engine_state_free_mb(const struct engine_state *,
     const struct directory_replica *, const struct fleet_engine *);
 /* loader_lost.c */
-/* Records an order that got no answer. */
-void lost_order_add(
-    struct engine_state *, uint64_t, const struct loader_order *);
-/* Drops lost orders that can no longer be carried out. */
-void lost_orders_expire(struct engine_state *, uint64_t);
+/* An order to load is sent, or answered. */
+void lost_load_sent(
+    struct loader *, struct engine_state *, const struct loader_order *);
+void lost_load_answered(
+    struct loader *, uint64_t, const struct loader_order *, enum order_answer);
+/* Drops those that can no longer be carried out. */
+void lost_loads_expire(struct loader *, uint64_t);
+void lost_loads_clear(struct loader *);
+/* The losses of the replica, which are in its state from then on. */
+void lost_loads_attach(const struct loader *, struct engine_state *);
 /*
- * Whether a lost load of the model, and how many lost loads of adapters, from
- * before the last restart may still be carried out.
+ * The next lost load after one, or the first after NULL, from before the last
+ * restart that may still be carried out; each model or adapter comes once.
  */
-int engine_state_has_lost_load(const struct engine_state *, const char *);
+const struct lost_load *engine_state_next_lost_load(
+    const struct engine_state *, const struct lost_load *);
+/* How many of them are loads of adapters. */
 uint32_t engine_state_lost_adapter_loads(const struct engine_state *);
 /* loader_rate.c */
 /* An order of a load from the weight store is sent, repeated, answered. */
--- a/core/loader_memory.c
+++ b/core/loader_memory.c
@@ -36,7 +36,7 @@
     const struct directory_replica *m, const struct fleet_engine *g)
 {
 	const char *loading = engine_state_loading_model(e);
-	const struct lost_order *lost;
+	const struct lost_load *lost = NULL;
 	uint64_t used = 0;
 	uint32_t i;
 
@@ -47,13 +47,12 @@
 	if (*loading != '\0' && !fleet_has_model(&m->info, loading) &&
 	    !report_names_model(e, loading))
 		used += model_memory_mb(g, loading);
-	for (i = 0; i < LOADER_LOST_ORDERS_MAX; i++) {
-		lost = &e->lost_orders[i];
-		if (engine_state_has_lost_load(e, lost->order.model) &&
-		    strcmp(lost->order.model, loading) != 0 &&
-		    !fleet_has_model(&m->info, lost->order.model) &&
-		    !report_names_model(e, lost->order.model))
-			used += model_memory_mb(g, lost->order.model);
+	while ((lost = engine_state_next_lost_load(e, lost)) != NULL) {
+		if (lost->adapter[0] == '\0' &&
+		    strcmp(lost->model, loading) != 0 &&
+		    !fleet_has_model(&m->info, lost->model) &&
+		    !report_names_model(e, lost->model))
+			used += model_memory_mb(g, lost->model);
 	}
 	return used;
 }
