tests: fuzz_orders' replicas crash and leave the list for a time

A replica that restarted was in the list all the while. It may now be down for up to 5 s, with its entry gone; orders to it get no answer. Checks as before.

--- a/tests/fuzz_orders.cc
+++ b/tests/fuzz_orders.cc
@@ -19,7 +19,7 @@
 		    { 2, OP_FREEZE }, { 2, OP_OUTAGE }, { 1, OP_REVOKE_LEASES },
 		    { 1, OP_STOP_LOSSES }, { 3, OP_UNLIST_ADAPTER },
 		    { 2, OP_STOP }, { 5, OP_STOP_HOLDER }, { 2, OP_REPLACE },
-		    { 2, OP_DEMAND_ALL } });
+		    { 2, OP_DEMAND_ALL }, { 3, OP_CRASH } });
 	}
 
 	static const char *
--- a/tests/orders_tables.cc
+++ b/tests/orders_tables.cc
@@ -14,12 +14,11 @@
 			now + (uint64_t)(random_unit() * 1e9), {} };
 
 		for (auto &e : engines) {
-			const fleet_replica &r =
-			    directory_find(&loaders[sender].dir, e.id.c_str())
-				->info;
+			const directory_replica *m =
+			    directory_find(&loaders[sender].dir, e.id.c_str());
 
-			for (uint32_t k = 0; k < r.nadapters; k++)
-				t.adapters[e.id].push_back(r.adapters[k]);
+			for (uint32_t k = 0; m != nullptr && k < m->info.nadapters; k++)
+				t.adapters[e.id].push_back(m->info.adapters[k]);
 		}
 		tables.push_back(t);
 	}
@@ -35,9 +34,12 @@
 			continue;
 		}
 		for (auto &e : engines) {
-			fleet_replica &r = directory_find(
-			    &loaders[tables[i].receiver].dir, e.id.c_str())
-					       ->info;
+			directory_replica *m = directory_find(
+			    &loaders[tables[i].receiver].dir, e.id.c_str());
+
+			if (m == nullptr)
+				continue;
+			fleet_replica &r = m->info;
 
 			r.nadapters = 0;
 			for (auto &a : tables[i].adapters[e.id])
@@ -53,10 +55,12 @@
 World::unlist_adapter(const std::string &id, uint32_t at)
 {
 	for (auto &h : loaders) {
-		fleet_replica &r = directory_find(&h.dir, id.c_str())->info;
+		directory_replica *m = directory_find(&h.dir, id.c_str());
 
-		if (r.nadapters == 0)
+		if (m == nullptr || m->info.nadapters == 0)
 			continue;
+		fleet_replica &r = m->info;
+
 		at %= r.nadapters--;
 		memmove(r.adapters[at], r.adapters[r.nadapters],
 		    FLEET_NAME_SIZE);
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -2,7 +2,7 @@
 
 const char *const op_names[OP__MAX] = { "advance", "long-advance", "demand",
 	"request-adapter", "lose-answers", "restart", "kill", "freeze", "outage", "revoke-leases",
-	"stop-losses", "unlist-adapter", "stop", "stop-holder", "replace", "demand-all", "kill-holder" };
+	"stop-losses", "unlist-adapter", "stop", "stop-holder", "replace", "demand-all", "kill-holder", "crash" };
 
 World::World(uint64_t seed_) : seed(seed_ * 2 + 1), scarce(seed_ % 2 == 0),
     loads_per_s(scarce ? 1.2 : 2.0), memory_mb(scarce ? 750 : 250),
@@ -80,7 +80,8 @@
 	for (auto &e : engines) {
 		fleet_replica r = list_entry(e, e.current);
 
-		directory_put(&loaders[i].dir, &r);
+		if (e.down_until == 0)
+			directory_put(&loaders[i].dir, &r);
 	}
 }
 
@@ -165,7 +166,7 @@
 World::publish_list()
 {
 	for (auto &e : engines) {
-		if (now < e.listed_at + kHeartbeat)
+		if (e.down_until != 0 || now < e.listed_at + kHeartbeat)
 			continue;
 		e.listed_at = now;
 		size_t back = kListLag / kStep;
@@ -232,6 +233,8 @@
 	Engine &e = engines[c.order.replica[1] - '0'];
 
 	c.arrives_at = TIME_NEVER;
+	if (e.down_until != 0)
+		return;
 	if (c.order.kind != LOADER_REPORT) {
 		c.result = accept_order(e, c.order);
 		check_load_rate(c);
@@ -467,6 +470,7 @@
 World::step()
 {
 	now += kStep;
+	restart_crashed();
 	advance_engines();
 	publish_list();
 	deliver_kv();
@@ -515,6 +519,9 @@
 		/* Restarts empty under the same id. */
 		restart_engine(a % kReplicas);
 		break;
+	case OP_CRASH:
+		crash_engine(a % kReplicas, (uint64_t)(b + 1) * 5 * NSEC_PER_MSEC);
+		break;
 	case OP_KILL:
 		stop_loader(a % kLoaders);
 		start_loader(a % kLoaders);
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -56,6 +56,7 @@
 	OP_REPLACE,
 	OP_DEMAND_ALL,
 	OP_KILL_HOLDER,
+	OP_CRASH,
 	OP__MAX
 };
 
@@ -83,6 +84,7 @@
 	EngineContents current;
 	uint64_t fence = 0;
 	uint64_t listed_at = 0;
+	uint64_t down_until = 0; /* crashed, its entry is gone */
 	std::vector<std::pair<uint64_t, EngineContents>> history;
 };
 
@@ -153,6 +155,8 @@
       private:
 	bool all_models_loaded() const;
 	void restart_engine(int);
+	void crash_engine(int, uint64_t);
+	void restart_crashed();
 	void replace_engines(int);
 	void advance(uint64_t);
 	void step();
--- a/tests/orders_world_loads.cc
+++ b/tests/orders_world_loads.cc
@@ -144,6 +144,34 @@
 	engines[i].fence = 0;
 }
 
+/* Its entry leaves the list until it restarts, after a time. */
+void
+World::crash_engine(int i, uint64_t down)
+{
+	if (engines[i].down_until != 0)
+		return;
+	engines[i].down_until = now + down;
+	for (auto &h : loaders) {
+		directory_remove(&h.dir, now, engines[i].id.c_str());
+		directory_tick(&h.dir, now);
+	}
+}
+
+void
+World::restart_crashed()
+{
+	for (int i = 0; i < kReplicas; i++) {
+		Engine &e = engines[i];
+
+		if (e.down_until == 0 || now < e.down_until)
+			continue;
+		e.down_until = 0;
+		restart_engine(i);
+		e.history.assign(1, { now, e.current });
+		e.listed_at = 0;
+	}
+}
+
 /* Replaces all replicas but one, or every other one. */
 void
 World::replace_engines(int which)
