core: a started process is told the loads that count

Cause: a holder that stops tells its loads once, to the processes that run then. The next holder is often one that starts later; it was told nothing and waited a window.

A process that knows the loads of an earlier holder and holds no right to order tells them to each process that it hears for the first time or again after a start.

Tests that failed before (with the decision stubbed to "no"): test_loader_rate "who tells a started process", test_loader_io "process started after a stop is told loads". fuzz_orders tells started processes too.

--- a/core/loader.h
+++ b/core/loader.h
@@ -112,6 +112,11 @@
  * or finds its lease lost, tells them to the others; the caller frees the list.
  */
 void loader_get_loads(struct loader *, uint64_t, struct loader_loads *);
+/*
+ * Whether a process that has just started is to be told them by this one: it
+ * knows those of an earlier leader, and sends no orders itself.
+ */
+int loader_knows_loads(const struct loader *);
 /* An earlier leader has told them. */
 void loader_take_loads(struct loader *, uint64_t, const struct loader_loads *);
 /* Gives up leadership. */
--- a/core/loader_rate.c
+++ b/core/loader_rate.c
@@ -163,6 +163,12 @@
 	}
 }
 
+int
+loader_knows_loads(const struct loader *s)
+{
+	return s->loads_known_fence != 0 && !ownership_held(s->ownership);
+}
+
 static void
 store_loads_append(struct loader *s, uint64_t now, const struct loader_loads *t)
 {
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -310,6 +310,19 @@
 	peers_broadcast(e->peers, m);
 }
 
+void
+loader_io_peer_started(struct entry *e, const char *addr)
+{
+	const struct loader *s = e->loader_io->loader;
+	struct msg *m;
+
+	if (!loader_knows_loads(s))
+		return;
+	m = msg_create(MSG_LOADS, addr);
+	loader_get_loads(e->loader_io->loader, e->now, &m->u.loads);
+	peers_send(e->peers, m);
+}
+
 void
 loader_io_leave(struct entry *e)
 {
--- a/entry/loader_io.h
+++ b/entry/loader_io.h
@@ -49,6 +49,8 @@
 /* The relay's part: demand of a process of its data centre, and their sum. */
 void loader_io_apply_zone_demand(struct entry *, const struct msg *);
 void loader_io_fill_zone_demand(struct entry *, struct msg_front *);
+/* The process at a bus address has started, or is heard for the first time. */
+void loader_io_peer_started(struct entry *, const char *);
 /* The process at a bus address is stopping. */
 void loader_io_peer_stopping(struct entry *, const char *);
 /* The holder sends the orders for loads requested since the last call. */
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -233,6 +233,7 @@
 		q->seq = 0;
 		memset(&q->sent, 0, sizeof(q->sent));
 		poison_io_peer_started(p->e->poison_io);
+		loader_io_peer_started(p->e, q->hub.addr);
 	}
 	if (!q->reachable)
 		log_event(LOG_PEER_HEARD, NULL, "peer=%s addr=%s", q->vm,
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -177,6 +177,7 @@
 	void tell_loads_if_lost(int);
 	void deliver_told_loads();
 	void restart_stopped();
+	void tell_started(int);
 	int holder() const;
 	void send_table(int);
 	void deliver_tables();
--- a/tests/orders_world_loads.cc
+++ b/tests/orders_world_loads.cc
@@ -132,6 +132,26 @@
 		}
 		stop_loader(i);
 		start_loader(i);
+		tell_started(i);
+	}
+}
+
+/* Each process that knows the loads of an earlier leader tells them. */
+void
+World::tell_started(int started)
+{
+	for (int i = 0; i < kLoaders; i++) {
+		loader_loads t;
+
+		if (i == started || is_frozen(i) ||
+		    !loader_knows_loads(loaders[i].loader) ||
+		    random_unit() < loss_probability)
+			continue;
+		loader_get_loads(loaders[i].loader, now, &t);
+		told_loads.push_back({ started,
+		    now + (uint64_t)(random_unit() * 300e6), t.fence, t.unknown_ns,
+		    std::vector<loader_load>(t.loads, t.loads + t.n) });
+		free(t.loads);
 	}
 }
 
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -44,6 +44,8 @@
 static uint32_t count_complete(struct entry *);
 static void test_table_of_many_replicas(void);
 static void test_replica_that_the_holder_does_not_list(void);
+static uint32_t count_told_loads(uint64_t);
+static void test_process_started_after_a_stop_is_told_loads(void);
 
 uint64_t
 entry_update_now(struct entry *e)
@@ -76,8 +78,7 @@
 void
 peers_send(struct peers *p, struct msg *m)
 {
-	(void)p;
-	msg_destroy(m);
+	peers_send_down(p, m);
 }
 
 void
@@ -406,6 +407,49 @@
 	finish(&e);
 }
 
+/* Messages of the loads up to a holder. */
+static uint32_t
+count_told_loads(uint64_t fence)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < told.n; i++)
+		n += told.tables[i]->kind == MSG_LOADS &&
+		    told.tables[i]->u.loads.fence == fence;
+	return n;
+}
+
+/*
+ * VMs stop in turn: the holder has told its loads and stopped, and the next one
+ * starts later.  It is told then, or it begins no load for a window.
+ */
+static void
+test_process_started_after_a_stop_is_told_loads(void)
+{
+	struct msg *m = msg_create(MSG_LOADS, "");
+	struct entry holder, other;
+
+	setup(&holder);
+	forget_tables();
+	loader_io_peer_started(&holder, "10.0.0.9:7000");
+	CU_ASSERT_EQUAL(told.n, 0); /* its loads go on */
+	memset(&other, 0, sizeof(other));
+	other.now = holder.now;
+	directory_init(&other.dir);
+	other.loader_io = loader_io_create(&other);
+	loader_io_peer_started(&other, "10.0.0.9:7000");
+	CU_ASSERT_EQUAL(told.n, 0); /* it knows nothing */
+	m->u.loads.fence = FORMER_FENCE + 1;
+	loader_io_receive(&other, m);
+	msg_destroy(m);
+	loader_io_peer_started(&other, "10.0.0.9:7000");
+	CU_ASSERT_EQUAL(count_told_loads(FORMER_FENCE + 1), 1);
+	loader_io_destroy(other.loader_io);
+	directory_clear(&other.dir);
+	finish(&holder);
+}
+
 static const struct unit_case cases[] = {
 	{ "requests of one turn", test_requests_of_one_turn },
 	{ "table of a former holder", test_table_of_former_holder },
@@ -413,6 +457,8 @@
 	{ "table of many replicas", test_table_of_many_replicas },
 	{ "replica that the holder does not list",
 	    test_replica_that_the_holder_does_not_list },
+	{ "process started after a stop is told loads",
+	    test_process_started_after_a_stop_is_told_loads },
 };
 
 UNIT_MAIN("loader_io", cases)
--- a/tests/test_loader_rate.c
+++ b/tests/test_loader_rate.c
@@ -6,6 +6,7 @@
 
 static void test_store_rate(void);
 static void test_unanswered_load_counts(void);
+static void test_who_tells_started_process(void);
 
 /* Loads from the weight store stay within its rate in a window. */
 static void
@@ -61,9 +62,37 @@
 	fixture_close(&t);
 }
 
+/*
+ * A process that starts after the leader has told its loads hears of them from
+ * any process that was told, but not from a leader, whose loads go on.
+ */
+static void
+test_who_tells_started_process(void)
+{
+	struct loader_loads told = { 0 };
+	struct loader_fixture t;
+
+	fixture_open(&t, 0);
+	CU_ASSERT(!loader_knows_loads(t.s));
+	fixture_run(&t, 500 * MS);
+	CU_ASSERT(loader_is_leader(t.s, t.now));
+	CU_ASSERT(!loader_knows_loads(t.s));
+	loader_release(t.s, &t.out);
+	CU_ASSERT(loader_knows_loads(t.s));
+	fixture_close(&t);
+	fixture_open(&t, 0);
+	told.fence = 3;
+	loader_take_loads(t.s, t.now, &told);
+	CU_ASSERT(loader_knows_loads(t.s));
+	fixture_run(&t, 500 * MS);
+	CU_ASSERT(!loader_knows_loads(t.s));
+	fixture_close(&t);
+}
+
 static const struct unit_case cases[] = {
 	{ "weight store rate", test_store_rate },
 	{ "unanswered load counts", test_unanswered_load_counts },
+	{ "who tells a started process", test_who_tells_started_process },
 };
 
 UNIT_MAIN("loader_rate", cases)
