core: models short of copies are loaded beside unserved ones

A model with twice the target of requests a copy and less than its share of the replicas by demand now ranks beside unserved models, by requests. It takes no copies away that it did not take before.

--- a/core/placement.c
+++ b/core/placement.c
@@ -6,8 +6,12 @@
 
 #define UNSERVED_RELIEF 1e6 /* no copy, and requests */
 #define FILL_RELIEF 1e-3    /* no copy, no requests */
+/* Requests a copy, in multiples of the target, that make a model short. */
+#define SHORT_USE 2.0
 
 static double model_relief(const struct placement *, uint32_t);
+static int is_short(const struct placement *, uint32_t);
+static double model_rank(const struct placement *, uint32_t);
 static int replica_takes_orders(const struct placement_replica *);
 static int replica_is_open(const struct placement_replica *, uint32_t);
 static int replica_caches(const struct placement_replica *, uint32_t);
@@ -163,7 +167,30 @@
 	return 0;
 }
 
-/* The model of most relief, nmodels if no copy would help. */
+/* Whether a model has far too few copies, and less than its share of them. */
+static int
+is_short(const struct placement *p, uint32_t model)
+{
+	const struct placement_state *s = &p->states[model];
+
+	return s->ncopies != 0 &&
+	    s->relief >= SHORT_USE * placement_copy_target(p) &&
+	    s->ncopies * p->demand < p->nreplicas * p->models[model].demand;
+}
+
+/*
+ * A model that is short of copies goes beside those that have none, by its
+ * requests: with many of those it would get none for many loads' time.
+ */
+static double
+model_rank(const struct placement *p, uint32_t model)
+{
+	double relief = p->states[model].relief;
+
+	return is_short(p, model) ? UNSERVED_RELIEF + relief : relief;
+}
+
+/* The model of highest rank, nmodels if no copy would help. */
 static uint32_t
 neediest_model(const struct placement *p)
 {
@@ -173,7 +200,7 @@
 	for (i = 0; i < p->nmodels; i++) {
 		if (p->states[i].relief > 0.0 &&
 		    (best == p->nmodels ||
-			p->states[i].relief > p->states[best].relief))
+			model_rank(p, i) > model_rank(p, best)))
 			best = i;
 	}
 	return best;
@@ -226,6 +253,8 @@
 	p.nreplicas = nreplicas;
 	for (i = 0; i < nreplicas; i++)
 		p.unloads += (uint32_t)(replicas[i].freeing_mb != 0);
+	for (i = 0; i < nmodels; i++)
+		p.demand += models[i].demand;
 	placement_index_copies(&p);
 	placement_assign_demand(&p);
 	for (i = 0; i < nmodels; i++)
--- a/core/placement_int.h
+++ b/core/placement_int.h
@@ -21,6 +21,7 @@
 	uint64_t now;
 	const struct placement_model *models;
 	uint32_t nmodels;
+	double demand; /* of all models */
 	struct placement_replica *replicas;
 	uint32_t nreplicas;
 	struct placement_state *states;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -57,6 +57,8 @@
 static void test_last_copy(void);
 static void test_all_models(void);
 static void test_large_tables(void);
+static void fleet_replace(struct fleet *, uint32_t);
+static void test_replaced_two_at_a_time(void);
 
 static void
 fleet_open(struct fleet *f, uint32_t nmodels, uint32_t nreplicas, int old_rule)
@@ -512,6 +514,54 @@
 	fleet_close(&f);
 }
 
+/* An empty replica in place of another. */
+static void
+fleet_replace(struct fleet *f, uint32_t replica)
+{
+	struct placement_replica *r = &f->replicas[replica];
+
+	r->ncopies = 0;
+	r->busy = 0;
+	r->reserved_for = PLACEMENT_NONE;
+	r->freeing_mb = 0;
+	r->free_mb = (uint64_t)PLACES * MODEL_MB;
+}
+
+/*
+ * All replicas are replaced, two a second, while the store allows 1.4 loads a
+ * second: the model asked for most gets copies beside those of rare models.
+ */
+static void
+test_replaced_two_at_a_time(void)
+{
+	struct fleet f;
+	uint32_t i;
+
+	fleet_open(&f, 20, 12, 0);
+	f.loads_per_s = 1.4;
+	f.slots = f.config.slots = 64;
+	for (i = 0; i < 12; i++) {
+		f.replicas[i].slots = f.slots;
+		fleet_hold(&f, i, i % 2 == 0 ? 0 : 1 + i / 2);
+		fleet_hold(&f, i, 7 + i);
+	}
+	for (i = 0; i < 20; i++)
+		f.models[i].demand = 1.0;
+	f.models[0].demand = 240.0;
+	for (i = 0; i < 12; i += 2) {
+		fleet_replace(&f, i);
+		fleet_replace(&f, i + 1);
+		fleet_run(&f, 1 * S);
+	}
+	fleet_run(&f, 13 * S);
+	CU_ASSERT(fleet_served(&f) >= 0.7);
+	CU_ASSERT(fleet_copies(&f, 0) >= 3);
+	fleet_run(&f, 30 * S);
+	for (i = 0; i < 20; i++)
+		CU_ASSERT(fleet_copies(&f, i) >= 1);
+	fleet_close(&f);
+}
+
 static const struct unit_case cases[] = {
 	{ "demand moves to other models", test_shift },
 	{ "rare models", test_rare_models },
@@ -520,6 +570,7 @@
 	{ "last copies", test_last_copy },
 	{ "all declared models", test_all_models },
 	{ "large tables", test_large_tables },
+	{ "replaced two at a time", test_replaced_two_at_a_time },
 };
 
 UNIT_MAIN("placement", cases)
