--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -208,6 +208,9 @@
             check("%s: %r" % (path, rest), rest.startswith(b"HTTP/1.1 404"))
         finally:
             s.close()
+            w.stop()
+
+
 def test_error_in_resumed_stream():
     """A replica answers the rest of a stream with an error: another one is
     asked, or the stream breaks off, without bytes that are no part of it."""
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -79,7 +79,8 @@
 		if (__atomic_add_fetch(&p->requests, 1, __ATOMIC_RELAXED) >
 		    p->responses_max)
 			break;
-		if (write(fd, p->reply, strlen(p->reply)) <= 0 || p->close)
+		if (write(fd, p->reply, strlen(p->reply)) <= 0 ||
+		    __atomic_load_n(&p->close, __ATOMIC_ACQUIRE))
 			break;
 	}
 	close(fd);
@@ -378,7 +379,7 @@
 	struct peer p;
 
 	peer_open_with(&p, 1, reply);
-	p.close = 1;
+	__atomic_store_n(&p.close, 1, __ATOMIC_RELEASE);
 	post_and_wait(f, &result, p.port, 0);
 	fetch_destroy(f);
 	peer_close(&p);
