--- a/tests/answers_entry.h
+++ b/tests/answers_entry.h
@@ -37,7 +37,7 @@
 enum answers_state answers_entry_state(const struct answers_entry *);
 /* The event behind which the current attempt begins. */
 uint64_t answers_entry_resumed_after(const struct answers_entry *);
-/* What has been written to the caller. */
+/* The bytes written to the caller. */
 const char *answers_entry_written(const struct answers_entry *, size_t *);
 
 #endif
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -16,7 +16,7 @@
 #define EVENT "data: piece\n\n"
 #define DONE "data: [DONE]\n\n"
 
-/* What the gate was told of one attempt. */
+/* Events that the gate has got from one attempt. */
 struct outcome {
 	pthread_mutex_t lock;
 	pthread_cond_t cond;
