peers: replace a hub or relay that stops at once

Callers were refused with 404 on routes that had been in force elsewhere for over 3 s (CONFIG), in one data centre.

Cause: at SIGTERM a process gives up its duties and says so in its reports, but its peers read that word for the lease of orders only. They keep it as their relay until it is silent for 0.8 s. Its deputy hears it for the whole stop, since the stopping process reports to the deputy, and never takes its place. The others pass over the deputy after another 0.8 s, and the next VM in rank, with a link of 10 Mbit/s, becomes relay.

Change: a candidate that says that it stops is passed over for hub and relay, until it reports again as a new process.

test_peers "a relay that stops" failed before: the relay and the first hub were still the stopping peer. A relay with a slow link still sends each version in full: up to 7.5 s to the last VM there. That is a fault of its own.

--- a/core/hubs.c
+++ b/core/hubs.c
@@ -40,7 +40,7 @@
 
 	for (i = 0; i < n; i++) {
 		hub_update_silent(all[i], now, timeout_ns);
-		if (all[i]->silent)
+		if (all[i]->silent || all[i]->stopping)
 			continue;
 		for (at = found;
 		     at > 0 && hub_ranks_before(all[i], out[at - 1]); at--) {
@@ -85,7 +85,7 @@
 
 	for (i = 0; i < n; i++) {
 		hub_update_silent(all[i], now, timeout_ns);
-		if (all[i]->silent)
+		if (all[i]->silent || all[i]->stopping)
 			continue;
 		for (at = 0;
 		     at < found && strcmp(out[at]->zone, all[i]->zone) != 0;
--- a/core/hubs.h
+++ b/core/hubs.h
@@ -20,12 +20,14 @@
 	uint64_t heard_at;    /* time of the latest message */
 	uint64_t hub_since;   /* when it became a hub, 0 if it is none */
 	int silent;	      /* timed out as a hub and not heard since */
+	int stopping;	      /* says that it ends, and takes no duty */
 };
 
 /*
  * Selects the hubs among n candidates, largest CPU share first, at a time and
  * with a timeout in ns, and updates hub_since and silent in each candidate.  A
- * hub that sent nothing within the timeout is skipped until it is heard again.
+ * hub that sent nothing within the timeout is skipped until it is heard again,
+ * and one that stops at once: it goes on reporting, but has given up its duty.
  * Returns the number of hubs.
  */
 uint32_t hubs_choose(
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -231,6 +231,8 @@
 	if (m->from.incarnation > q->incarnation) {
 		q->incarnation = m->from.incarnation;
 		q->seq = 0;
+		q->hub.stopping = 0;
+		q->relay.stopping = 0;
 		memset(&q->sent, 0, sizeof(q->sent));
 		poison_io_peer_started(p->e->poison_io);
 		loader_io_peer_started(p->e, q->hub.addr);
--- a/entry/report.c
+++ b/entry/report.c
@@ -64,6 +64,8 @@
 	q->seq = m->seq;
 	snprintf(q->vm, sizeof(q->vm), "%s", f->vm);
 	peer_set_rank(q, f->weight, f->zone);
+	q->hub.stopping = f->stopping != 0;
+	q->relay.stopping = q->hub.stopping;
 	if (reports_load(p, q, f)) {
 		directory_reset_peer_load(&e->dir, e->now, q->index);
 		for (i = 0; i < f->nwork; i++) {
--- a/tests/test_hubs.c
+++ b/tests/test_hubs.c
@@ -19,6 +19,7 @@
 static void test_relays(void);
 static void test_turned_away(void);
 static void test_relay_lost(void);
+static void test_stopping(void);
 
 static void
 setup(void)
@@ -187,6 +188,30 @@
 		CU_ASSERT_PTR_EQUAL(out[i], first[i]);
 }
 
+/* One that stops is passed over at once, though it is heard. */
+static void
+test_stopping(void)
+{
+	struct hub *out[CANDIDATES];
+	uint64_t now = NSEC_PER_SEC;
+
+	setup();
+	hubs_choose(all, CANDIDATES, now, SILENCE_NS, out);
+	CU_ASSERT_PTR_EQUAL(out[0], &hubs[0]);
+	hubs[0].stopping = 1;
+	hubs[0].heard_at = now;
+	CU_ASSERT_EQUAL(
+	    hubs_choose(all, CANDIDATES, now, SILENCE_NS, out), HUBS_MAX);
+	CU_ASSERT_PTR_EQUAL(out[0], &hubs[1]);
+	CU_ASSERT_EQUAL(hubs[0].hub_since, 0);
+	CU_ASSERT_EQUAL(
+	    relays_choose(all, CANDIDATES, now, SILENCE_NS, out), 1);
+	CU_ASSERT_PTR_EQUAL(out[0], &hubs[1]);
+	hubs[0].stopping = 0;
+	relays_choose(all, CANDIDATES, now, SILENCE_NS, out);
+	CU_ASSERT_PTR_EQUAL(out[0], &hubs[0]);
+}
+
 static const struct unit_case cases[] = {
 	{ "rank by weight, then by address", test_rank },
 	{ "silent hub skipped", test_silent },
@@ -195,6 +220,7 @@
 	{ "relays", test_relays },
 	{ "turned away by the store", test_turned_away },
 	{ "relays lost", test_relay_lost },
+	{ "one that stops", test_stopping },
 };
 
 UNIT_MAIN("hubs", cases)
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -13,6 +13,7 @@
 #include "unit.h"
 
 #define MESSAGES 1000
+#define PEERS 17U /* a large fleet */
 #define SENDER "127.0.0.1:9"
 
 /* Other input of the event loop. */
@@ -30,6 +31,9 @@
 static void on_input(struct ev_loop *, ev_io *, int);
 static void test_other_input_beside_messages(void);
 static void test_not_silent_while_messages_wait(void);
+static void push_report(struct entry *, uint32_t, uint64_t, int);
+static void report_all(struct entry *, uint64_t, int);
+static void test_relay_that_stops(void);
 
 static void
 setup(struct entry *e)
@@ -156,7 +160,56 @@
 	finish(&e);
 }
 
+/* The first peer has the largest CPU share, the second the next. */
+static void
+push_report(struct entry *e, uint32_t peer, uint64_t seq, int stopping)
+{
+	struct msg *m = msg_create(MSG_FRONT, e->self.addr);
+
+	snprintf(m->from.addr, sizeof(m->from.addr), "127.0.0.1:%u", 2 + peer);
+	m->from.incarnation = 1;
+	m->seq = seq;
+	snprintf(m->u.front.vm, sizeof(m->u.front.vm), "vm-%u", 2 + peer);
+	m->u.front.scope = FRONT_OWN;
+	m->u.front.weight = peer == 0 ? 100 : peer == 1 ? 50 : 12;
+	m->u.front.stopping = (uint32_t)stopping;
+	CU_ASSERT_EQUAL(ring_push(e->peers->inbox, m), 0);
+}
+
+static void
+report_all(struct entry *e, uint64_t seq, int first_stops)
+{
+	uint32_t i;
+
+	for (i = 0; i < PEERS; i++)
+		push_report(e, i, seq, i == 0 && first_stops);
+	entry_update_now(e);
+	peers_tick(e->peers);
+}
+
+/* It goes on reporting, so that it never becomes silent. */
+static void
+test_relay_that_stops(void)
+{
+	struct entry e;
+
+	setup(&e);
+	report_all(&e, 1, 0);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(e.peers->relay);
+	CU_ASSERT_STRING_EQUAL(e.peers->relay->addr, "127.0.0.1:2");
+	CU_ASSERT_STRING_EQUAL(e.peers->hubs[0]->addr, "127.0.0.1:2");
+	report_all(&e, 2, 1);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(e.peers->relay);
+	CU_ASSERT_STRING_EQUAL(e.peers->relay->addr, "127.0.0.1:3");
+	CU_ASSERT_STRING_EQUAL(e.peers->hubs[0]->addr, "127.0.0.1:3");
+	/* Started again. */
+	report_all(&e, 3, 0);
+	CU_ASSERT_STRING_EQUAL(e.peers->relay->addr, "127.0.0.1:2");
+	finish(&e);
+}
+
 static const struct unit_case cases[] = {
+	{ "a relay that stops", test_relay_that_stops },
 	{ "other input beside many messages",
 	    test_other_input_beside_messages },
 	{ "not silent while messages wait",
