lists: a peer's list does not bring back a removed entry

A process that had taken an entry out of the list of replicas put it back when a peer that missed the removal sent its whole list at a later revision. Requests would go to a replica that has left.

Cause: an entry of a peer's text was taken whenever the local list had none for its key. Nothing compared it with the removals that this process knows.

Change: an entry older than the removal of its key is left out.

--- a/core/removals.c
+++ b/core/removals.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "removals.h"
 
@@ -20,6 +21,19 @@
 	x->revision = revision;
 }
 
+int
+removals_has(const struct removals *r, const char *key, uint64_t revision)
+{
+	uint32_t i;
+
+	for (i = 0; i < REMOVALS_MAX; i++) {
+		if (r->latest[i].revision > revision &&
+		    strcmp(r->latest[i].key, key) == 0)
+			return 1;
+	}
+	return 0;
+}
+
 int
 removals_known_since(const struct removals *r, uint64_t revision)
 {
--- a/core/removals.h
+++ b/core/removals.h
@@ -24,6 +24,8 @@
 void removals_start(struct removals *, uint64_t);
 /* A key was removed at a revision. */
 void removals_add(struct removals *, const char *, uint64_t);
+/* Whether a key is known to have been removed since it had a revision. */
+int removals_has(const struct removals *, const char *, uint64_t);
 /* Whether all removals after a revision are known. */
 int removals_known_since(const struct removals *, uint64_t);
 /*
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -94,6 +94,10 @@
 	    (uint64_t)json_integer_value(json_object_get(doc, "revision"));
 	item.value = (char *)json_string_value(value);
 	item.len = json_string_length(value);
+	/* The peer may have missed the removal. */
+	if (value != NULL &&
+	    removals_has(&l->s->removals, item.key, item.revision))
+		return;
 	list_apply_item(l, &item);
 }
 
--- a/tests/follow_list.c
+++ b/tests/follow_list.c
@@ -201,6 +201,7 @@
 	const struct list_item *c;
 	uint64_t at = m->list.revision;
 	int listed[WORLD_ENTRIES] = { 0 };
+	char key[16];
 	uint32_t i;
 
 	if (at < p->list.revision ||
@@ -213,6 +214,9 @@
 	}
 	for (c = m->items; c < m->items + m->nitems; c++) {
 		listed[c->entry] = 1;
+		snprintf(key, sizeof(key), "%u", c->entry);
+		if (!c->removed && removals_has(&p->removals, key, c->revision))
+			continue;
 		if (c->revision <= p->list.entry[c->entry])
 			continue;
 		if (c->removed)
--- a/tests/test_list_text.c
+++ b/tests/test_list_text.c
@@ -40,6 +40,8 @@
 static void test_many_entries(void);
 static void test_part_lost(void);
 static void test_unreadable_text(void);
+static int is_listed(const struct entry *, const char *);
+static void test_removed_entry_from_peer(void);
 
 static void
 setup(struct entry *e, int number)
@@ -304,7 +306,46 @@
 	finish(&e);
 }
 
+static int
+is_listed(const struct entry *e, const char *id)
+{
+	const struct directory_replica *r = directory_find(&e->dir, id);
+
+	return r != NULL && r->presence == PRESENCE_LISTED;
+}
+
+/* A peer missed a removal, and then has the whole list at a later revision. */
+static void
+test_removed_entry_from_peer(void)
+{
+	static const char value[] =
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\","
+	    "\"zone\":\"z\",\"slots\":6,\"state\":\"ready\","
+	    "\"cold_left_ms\":0,\"sequence\":1,\"born\":1000}";
+	struct entry peer;
+	struct entry e;
+
+	setup(&peer, 0);
+	setup(&e, 1);
+	change(&peer, 1, value, strlen(value), REVISION_START);
+	copy_list(&peer, &e, 0);
+	CU_ASSERT(is_listed(&e, "i-00001"));
+	change(&e, 1, NULL, 0, REVISION_START + 1);
+	CU_ASSERT(!is_listed(&e, "i-00001"));
+	change(&peer, 2, value, strlen(value), REVISION_START + 2);
+	copy_list(&peer, &e, 0);
+	CU_ASSERT(!is_listed(&e, "i-00001"));
+	CU_ASSERT(is_listed(&e, "i-00002"));
+	/* Listed again. */
+	change(&peer, 1, value, strlen(value), REVISION_START + 3);
+	copy_list(&peer, &e, 0);
+	CU_ASSERT(is_listed(&e, "i-00001"));
+	finish(&peer);
+	finish(&e);
+}
+
 static const struct unit_case cases[] = {
+	{ "a removed entry in a peer's list", test_removed_entry_from_peer },
 	{ "any values", test_any_values },
 	{ "many entries", test_many_entries },
 	{ "a part is lost", test_part_lost },
--- a/tests/test_removals.c
+++ b/tests/test_removals.c
@@ -53,6 +53,9 @@
 	CU_ASSERT_EQUAL(count_after(&r, 9), 1);
 	CU_ASSERT_EQUAL(count_after(&r, 11), 0);
 	CU_ASSERT_STRING_EQUAL(removals_get(&r, 1, 9)->key, "b");
+	CU_ASSERT(removals_has(&r, "b", 10));
+	CU_ASSERT(!removals_has(&r, "b", 11));
+	CU_ASSERT(!removals_has(&r, "c", 10));
 }
 
 /* Only the latest are kept. */
