peers: relays send what their links carry

Versions queue in order, so the newest comes last, and reports wait behind them, so that peers take the relay for silent.

Change: a configuration goes between processes compressed (zlib; 222,592 bytes become 18,486), packed and unpacked in the thread that decodes it. A relay sends a VM the next version once the VM has reported the one before, or after 1 s, and then the newest. A process of an earlier release cannot read the compressed form, and reads the service after 1 s.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	 -iquote timeline -iquote standin -iquote tests -iquote net \
 	 -iquote platform -iquote entry -iquote bench
 LDLIBS = -lcivetweb -lcurl -lzmq -lmsgpackc -ljansson -largtable2 -lnettle \
-	 -lxxhash -lurcu-bp -lpthread -lm
+	 -lxxhash -lurcu-bp -lz -lpthread -lm
 
 CORE = $(patsubst %.c,$(BUILD)/%.o,$(wildcard core/*.c))
 SHELL_O = $(patsubst %.c,$(BUILD)/%.o,$(wildcard shell/*.c))
@@ -47,7 +47,7 @@
        $(BUILD)/libcore.a $(LDLIBS)
 
 $(BUILD)/spindle-entry: LDLIBS = -lev -lhttp_parser -lzmq -lmsgpackc -ljansson -largtable2 \
-    -lnettle -lxxhash -lpthread -lm
+    -lnettle -lxxhash -lz -lpthread -lm
 $(BUILD)/spindle-entry: $(patsubst %.c,$(BUILD)/%.o,$(wildcard entry/*.c)) \
     $(NET) $(LIBS)
 	$(link)
@@ -184,6 +184,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_deflate: $(BUILD)/tests/test_deflate.o $(BUILD)/tests/unit.o \
+    $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_net: $(BUILD)/tests/test_net.o $(BUILD)/tests/unit.o $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
--- a/core/follow.c
+++ b/core/follow.c
@@ -118,13 +118,26 @@
 	s->again_at = now + s->wait_ns;
 }
 
+void
+follow_set_reported(struct follow_sent *s, uint64_t version)
+{
+	s->reported = version;
+}
+
+int
+follow_is_to_push(const struct follow_sent *s, uint64_t now)
+{
+	return s->version <= s->reported || now >= s->again_at;
+}
+
 int
 follow_is_to_send(const struct follow *f, const struct follow_sent *s,
     uint64_t theirs, uint64_t now)
 {
 	if (theirs == 0 || theirs >= f->version)
 		return 0;
-	return s->version < f->version || now >= s->again_at;
+	return (s->version < f->version && theirs >= s->version) ||
+	    now >= s->again_at;
 }
 
 /* Starts a new window if the current one is over. */
--- a/core/follow.h
+++ b/core/follow.h
@@ -82,15 +82,24 @@
 unsigned follow_next(struct follow *, uint64_t);
 /* Whether a peer has a newer version than the local copy. */
 int follow_is_behind(const struct follow *);
-/* The version that was last sent to a peer. */
+/*
+ * The version that was last sent to a peer.  Until the peer has reported it, or
+ * it may be lost, nothing newer is sent: a link that is slower than versions
+ * come would carry ever older ones.
+ */
 struct follow_sent {
 	uint64_t version;
+	uint64_t reported; /* by the peer */
 	uint64_t again_at; /* when it may be sent again */
 	uint64_t wait_ns;  /* after that time */
 };
 
 /* Records that the local copy was sent to a peer, at a time. */
 void follow_set_sent(const struct follow *, struct follow_sent *, uint64_t);
+/* Records the version that the peer reported. */
+void follow_set_reported(struct follow_sent *, uint64_t);
+/* Whether a new version may be pushed to a peer, at a time. */
+int follow_is_to_push(const struct follow_sent *, uint64_t);
 /*
  * Whether the local copy is to be sent to a peer that reported a version, at a
  * time.  One that has none pulls at once.
--- a/entry/conf_decoder.c
+++ b/entry/conf_decoder.c
@@ -7,14 +7,18 @@
 #include "clock.h"
 #include "conf_decoder.h"
 #include "config.h"
+#include "deflate.h"
 #include "mem.h"
 #include "ring.h"
 
 /* Each may have 1 MB; the newest versions are kept. */
 #define QUEUED_MAX 8
+/* Of an unpacked text; the store's values are smaller. */
+#define TEXT_MAX_BYTES 4194304
 
 struct job {
 	TAILQ_ENTRY(job) entry;
+	int packed; /* the form that was added */
 	struct conf_decoded d;
 };
 
@@ -35,8 +39,10 @@
 
 static void *decode_run(void *);
 static void job_destroy(struct job *);
-static int job_has_text(const struct job *, const char *, size_t);
-static int is_queued(const struct conf_decoder *, const char *, size_t);
+static void job_complete(struct job *);
+static int job_has(const struct job *, int, const char *, size_t);
+static int is_queued(const struct conf_decoder *, int, const char *, size_t);
+static void add(struct conf_decoder *, int, const char *, size_t, const char *);
 static void start_next(struct conf_decoder *);
 static void on_done(struct ev_loop *, ev_io *, int);
 
@@ -96,9 +102,39 @@
 {
 	fleet_conf_destroy(j->d.conf);
 	free(j->d.text);
+	free(j->d.packed);
 	free(j);
 }
 
+/* Sets the text or its compressed form from the other one. */
+static void
+job_complete(struct job *j)
+{
+	struct buf out = { 0 };
+	char *copy;
+
+	if (j->d.text != NULL)
+		deflate_pack(&out, j->d.text, j->d.len);
+	else if (deflate_unpack(&out, j->d.packed, j->d.packed_len,
+		     TEXT_MAX_BYTES) == -1) {
+		err_set(&j->d.err, ERR_FORMAT,
+		    "the configuration cannot be unpacked; it is asked for "
+		    "again");
+		buf_free(&out);
+		return;
+	}
+	copy = mem_alloc(buf_len(&out) + 1);
+	memcpy(copy, buf_data(&out), buf_len(&out));
+	if (j->d.text == NULL) {
+		j->d.text = copy;
+		j->d.len = buf_len(&out);
+	} else {
+		j->d.packed = copy;
+		j->d.packed_len = buf_len(&out);
+	}
+	buf_free(&out);
+}
+
 /* At most one text is with the thread, so that the rings do not fill up. */
 static void *
 decode_run(void *arg)
@@ -109,8 +145,10 @@
 
 	while ((j = ring_pop(c->todo, TIME_NEVER)) != NULL) {
 		started_at = clock_mono();
-		j->d.conf =
-		    platform_config_decode(j->d.text, j->d.len, &j->d.err);
+		job_complete(j);
+		if (j->d.text != NULL)
+			j->d.conf = platform_config_decode(
+			    j->d.text, j->d.len, &j->d.err);
 		j->d.decode_ns = clock_mono() - started_at;
 		(void)ring_push(c->done, j);
 	}
@@ -118,30 +156,36 @@
 }
 
 static int
-job_has_text(const struct job *j, const char *text, size_t len)
+job_has(const struct job *j, int packed, const char *p, size_t len)
 {
-	return j->d.len == len && memcmp(j->d.text, text, len) == 0;
+	const char *own = packed ? j->d.packed : j->d.text;
+	size_t own_len = packed ? j->d.packed_len : j->d.len;
+
+	return own != NULL && own_len == len && memcmp(own, p, len) == 0;
 }
 
+/* The thread may be setting the other form of the current text. */
 static int
-is_queued(const struct conf_decoder *c, const char *text, size_t len)
+is_queued(const struct conf_decoder *c, int packed, const char *p, size_t len)
 {
 	const struct job *j;
 
 	TAILQ_FOREACH (j, &c->queued, entry) {
-		if (job_has_text(j, text, len))
+		if (job_has(j, packed, p, len))
 			return 1;
 	}
-	return c->current != NULL && job_has_text(c->current, text, len);
+	return c->current != NULL && c->current->packed == packed &&
+	    job_has(c->current, packed, p, len);
 }
 
-void
-conf_decoder_add(
-    struct conf_decoder *c, const char *text, size_t len, const char *source)
+static void
+add(struct conf_decoder *c, int packed, const char *p, size_t len,
+    const char *source)
 {
 	struct job *j;
+	char *copy;
 
-	if (is_queued(c, text, len))
+	if (is_queued(c, packed, p, len))
 		return;
 	if (c->nqueued == QUEUED_MAX) {
 		j = TAILQ_FIRST(&c->queued);
@@ -150,15 +194,36 @@
 		job_destroy(j);
 	}
 	j = mem_alloc(sizeof(*j));
-	j->d.text = mem_alloc(len + 1);
-	memcpy(j->d.text, text, len);
-	j->d.len = len;
+	copy = mem_alloc(len + 1);
+	memcpy(copy, p, len);
+	j->packed = packed;
+	if (packed) {
+		j->d.packed = copy;
+		j->d.packed_len = len;
+	} else {
+		j->d.text = copy;
+		j->d.len = len;
+	}
 	snprintf(j->d.source, sizeof(j->d.source), "%s", source);
 	TAILQ_INSERT_TAIL(&c->queued, j, entry);
 	c->nqueued++;
 	start_next(c);
 }
 
+void
+conf_decoder_add(
+    struct conf_decoder *c, const char *text, size_t len, const char *source)
+{
+	add(c, 0, text, len, source);
+}
+
+void
+conf_decoder_add_packed(
+    struct conf_decoder *c, const char *p, size_t len, const char *source)
+{
+	add(c, 1, p, len, source);
+}
+
 int
 conf_decoder_is_busy(const struct conf_decoder *c)
 {
--- a/entry/conf_decoder.h
+++ b/entry/conf_decoder.h
@@ -15,8 +15,10 @@
 
 /* A text that has been decoded. */
 struct conf_decoded {
-	char *text;
+	char *text; /* NULL if it could not be unpacked */
 	size_t len;
+	char *packed; /* the same, compressed */
+	size_t packed_len;
 	char source[ADDR_SIZE];	 /* "store" or a peer's address */
 	struct fleet_conf *conf; /* NULL if the text is malformed */
 	struct err err;		 /* in that case */
@@ -24,8 +26,8 @@
 };
 
 /*
- * Starts the thread.  The callback gets each decoded text, and takes over the
- * text and the configuration by setting them to NULL.  Returns NULL with the
+ * Starts the thread.  The callback gets each decoded text, and takes over
+ * what it sets to NULL.  Returns NULL with the
  * error filled in if the thread cannot be started.
  */
 struct conf_decoder *conf_decoder_create(struct ev_loop *,
@@ -38,6 +40,9 @@
  */
 void conf_decoder_add(
     struct conf_decoder *, const char *, size_t, const char *);
+/* The same for a compressed text. */
+void conf_decoder_add_packed(
+    struct conf_decoder *, const char *, size_t, const char *);
 /* Whether a text is queued or being decoded. */
 int conf_decoder_is_busy(const struct conf_decoder *);
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -49,6 +49,15 @@
 		conf_decoder_add(e->conf_decoder, text, len, source);
 }
 
+void
+entry_receive_packed_config(
+    struct entry *e, const char *p, size_t len, const char *source)
+{
+	if (e->conf_packed == NULL || e->conf_packed_len != len ||
+	    memcmp(e->conf_packed, p, len) != 0)
+		conf_decoder_add_packed(e->conf_decoder, p, len, source);
+}
+
 void
 entry_apply_config(void *ctx, struct conf_decoded *d)
 {
@@ -64,20 +73,25 @@
 		return;
 	fleet_conf_destroy(e->conf);
 	free(e->conf_text);
+	free(e->conf_packed);
 	e->conf = d->conf;
 	d->conf = NULL;
 	e->conf_text = d->text;
 	d->text = NULL;
 	e->conf_len = d->len;
+	e->conf_packed = d->packed;
+	d->packed = NULL;
+	e->conf_packed_len = d->packed_len;
 	e->conf_at = e->now;
 	memcpy(e->conf_source, d->source, sizeof(e->conf_source));
 	e->retry_waiting = 1;
 	http_set_max_head_size(e->conf->limits.max_header_bytes);
 	log_event(LOG_CONF_IN_FORCE, NULL,
 	    "version=%llu from=%s routes=%u services=%u bytes=%zu "
-	    "decode_ms=%llu",
+	    "packed_bytes=%zu decode_ms=%llu",
 	    (unsigned long long)e->conf->version, e->conf_source,
 	    e->conf->nroutes, e->conf->nservices, e->conf_len,
+	    e->conf_packed_len,
 	    (unsigned long long)(d->decode_ns / NSEC_PER_MSEC));
 	peers_push_config(e->peers);
 }
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -78,8 +78,10 @@
 	struct node_id self;
 	uint64_t now; /* time of the current loop event, monotonic ns */
 	struct fleet_conf *conf; /* NULL until one has been received */
-	char *conf_text;	 /* as stored by the platform, for peers */
+	char *conf_text;	 /* as stored by the platform */
 	size_t conf_len;
+	char *conf_packed; /* the same, compressed, for peers */
+	size_t conf_packed_len;
 	uint64_t conf_at;	     /* when it was put in force */
 	char conf_source[ADDR_SIZE]; /* "store" or a peer's address */
 	uint64_t list_at;	     /* when it was last read or changed */
@@ -120,6 +122,9 @@
 uint64_t entry_update_now(struct entry *);
 /* Decodes a configuration, which is then applied; the source is for the log. */
 void entry_receive_config(struct entry *, const char *, size_t, const char *);
+/* The same for a compressed one. */
+void entry_receive_packed_config(
+    struct entry *, const char *, size_t, const char *);
 /*
  * Applies a decoded configuration unless one of the same or a later version is
  * in force; called with the entry by its decoder.
--- a/entry/main.c
+++ b/entry/main.c
@@ -278,6 +278,7 @@
 	directory_clear(&e->dir);
 	fleet_conf_destroy(e->conf);
 	free(e->conf_text);
+	free(e->conf_packed);
 }
 
 int
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -17,6 +17,7 @@
 #define PULL_CONFIG 0 /* msg_conf.nonce: which text */
 #define PULL_LIST 1
 #define PUSH_LIST 2 /* changes of the list of replicas */
+#define PACKED_CONFIG 3
 /* An encoded list tells a grace period, which ends. */
 #define LIST_TEXT_NS (300 * NSEC_PER_MSEC)
 
@@ -28,6 +29,7 @@
 static int fits_message(struct peers *, const char *, size_t);
 static struct msg *compose_text(uint64_t, const char *, size_t);
 static void push_text(struct peers *, struct msg *);
+static void push_to_peer(struct peers *, struct peer *);
 static int is_behind(
     struct peers *, const struct peer *, const struct msg_front *);
 static void pull_list(struct peers *, const char *, uint64_t);
@@ -83,9 +85,10 @@
 	    !follow_is_to_send(&p->config, &q->sent, version, e->now))
 		return;
 	follow_set_sent(&p->config, &q->sent, e->now);
-	if (!fits_message(p, "configuration", e->conf_len))
+	if (!fits_message(p, "configuration", e->conf_packed_len))
 		return;
-	send_text(p, q->hub.addr, PULL_CONFIG, e->conf_text, e->conf_len);
+	send_text(
+	    p, q->hub.addr, PACKED_CONFIG, e->conf_packed, e->conf_packed_len);
 }
 
 void
@@ -93,6 +96,7 @@
     struct peers *p, struct peer *q, const struct msg_front *f)
 {
 	follow_report(&p->config, p->e->now, f->version, q->hub.addr);
+	follow_set_reported(&q->sent, f->version);
 	send_config_again(p, q, f->version);
 	/* A list that differs at the same revision lacks older changes. */
 	if (is_behind(p, q, f))
@@ -216,10 +220,10 @@
 	}
 	if (m->u.conf.nonce == PULL_LIST)
 		send_list(p, m->from.addr);
-	else if (e->conf_text != NULL &&
-	    fits_message(p, "configuration", e->conf_len))
-		send_text(
-		    p, m->from.addr, PULL_CONFIG, e->conf_text, e->conf_len);
+	else if (e->conf_packed != NULL &&
+	    fits_message(p, "configuration", e->conf_packed_len))
+		send_text(p, m->from.addr, PACKED_CONFIG, e->conf_packed,
+		    e->conf_packed_len);
 }
 
 void
@@ -227,6 +231,12 @@
 {
 	const struct msg_conf *c = &m->u.conf;
 
+	if (c->nonce == PACKED_CONFIG) {
+		entry_receive_packed_config(
+		    p->e, c->bytes, c->len, m->from.addr);
+		return;
+	}
+	/* From a process of an earlier release. */
 	if (c->nonce == PULL_CONFIG) {
 		entry_receive_config(p->e, c->bytes, c->len, m->from.addr);
 		return;
@@ -298,6 +308,23 @@
 		push_text(p, compose_text(PUSH_LIST, text, len));
 }
 
+/* Sends the configuration to a relay if hub, or to the own data centre. */
+static void
+push_to_peer(struct peers *p, struct peer *q)
+{
+	const struct entry *e = p->e;
+
+	if (peers_is_relay(p) && peers_in_zone(p, q)) {
+		if (!follow_is_to_push(&q->sent, e->now))
+			return;
+		follow_set_sent(&p->config, &q->sent, e->now);
+	} else if (peers_hub_rank(p) == p->nhubs || q->relay.hub_since == 0) {
+		return;
+	}
+	send_text(
+	    p, q->hub.addr, PACKED_CONFIG, e->conf_packed, e->conf_packed_len);
+}
+
 void
 peers_push_config(struct peers *p)
 {
@@ -307,11 +334,8 @@
 	follow_set_version(&p->config, e->now, e->conf->version);
 	/* In a small fleet every process watches the configuration. */
 	if (!peers_use_relays(p) ||
-	    !fits_message(p, "configuration", e->conf_len))
+	    !fits_message(p, "configuration", e->conf_packed_len))
 		return;
-	push_text(p, compose_text(PULL_CONFIG, e->conf_text, e->conf_len));
-	for (q = p->peers; q != NULL && peers_is_relay(p); q = q->hh.next) {
-		if (peers_in_zone(p, q))
-			follow_set_sent(&p->config, &q->sent, e->now);
-	}
+	for (q = p->peers; q != NULL; q = q->hh.next)
+		push_to_peer(p, q);
 }
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -4,6 +4,7 @@
 packages="gcc g++ make clang clang-format clang-tidy libcivetweb-dev
 libargtable2-dev liburcu-dev libcunit1-dev libmsgpack-dev libjansson-dev
 libzmq3-dev libcurl4-openssl-dev librapidcheck-dev libxxhash-dev uthash-dev
+zlib1g-dev
 libev-dev libhttp-parser-dev nettle-dev mandoc curl python3"
 missing=
 for p in $packages; do
--- a/tests/follow_world.c
+++ b/tests/follow_world.c
@@ -144,16 +144,26 @@
 push_config(struct process *p)
 {
 	struct message *m = message_create(p, MESSAGE_TEXT);
+	uint32_t self = process_index(p);
+	struct message *copy;
 	uint32_t i;
 
 	m->text = FOLLOW_CONFIG;
-	message_send_down(p, m);
-	free(m);
-	for (i = 0; i < WORLD_PROCESSES && world_is_relay(process_index(p));
-	     i++) {
-		if (world[i].zone == p->zone)
+	for (i = 0; i < WORLD_PROCESSES; i++) {
+		if (i == self)
+			continue;
+		if (world_is_relay(self) && world[i].zone == p->zone) {
+			if (!follow_is_to_push(&p->sent[i], world_now))
+				continue;
 			follow_set_sent(&p->follow, &p->sent[i], world_now);
+		} else if (!world_is_hub(self) || p->relay[i].hub_since == 0) {
+			continue;
+		}
+		copy = mem_alloc(sizeof(*copy));
+		*copy = *m;
+		message_send(self, i, copy);
 	}
+	free(m);
 }
 
 void
@@ -230,6 +240,7 @@
 	p->relay[m->from].weight = m->weight;
 	snprintf(addr, sizeof(addr), "%u", m->from);
 	follow_report(&p->follow, world_now, m->version, addr);
+	follow_set_reported(&p->sent[m->from], m->version);
 	if (world_is_relay(self) && world[m->from].zone == p->zone &&
 	    follow_is_to_send(
 		&p->follow, &p->sent[m->from], m->version, world_now)) {
--- a/tests/test_conf_decoder.c
+++ b/tests/test_conf_decoder.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "conf_decoder.h"
+#include "deflate.h"
 #include "unit.h"
 
 #define RESULTS_MAX 16
@@ -31,6 +32,7 @@
 static void test_same_text(void);
 static void test_many_sources(void);
 static void test_malformed(void);
+static void test_packed(void);
 static void test_added_by_callback(void);
 static void test_destroyed_while_busy(void);
 
@@ -218,7 +220,35 @@
 	CU_ASSERT_EQUAL(r.n, 0);
 }
 
+/* A compressed text is decoded as the text; one that is cut short is not. */
+static void
+test_packed(void)
+{
+	static const char text[] =
+	    "{\"version\":9,\"routes\":[],\"services\":[]}";
+	struct results r;
+	struct buf packed = { 0 };
+
+	setup(&r);
+	deflate_pack(&packed, text, strlen(text));
+	conf_decoder_add_packed(
+	    r.decoder, buf_data(&packed), buf_len(&packed), "10.0.0.1:7380");
+	conf_decoder_add_packed(
+	    r.decoder, buf_data(&packed), buf_len(&packed), "10.0.0.2:7380");
+	conf_decoder_add_packed(r.decoder, buf_data(&packed),
+	    buf_len(&packed) - 1, "10.0.0.3:7380");
+	conf_decoder_add(r.decoder, text, strlen(text), "store");
+	wait_results(&r, 3);
+	CU_ASSERT_EQUAL(r.versions[0], 9);
+	CU_ASSERT_STRING_EQUAL(r.sources[0], "10.0.0.1:7380");
+	CU_ASSERT_EQUAL(r.versions[1], 0);
+	CU_ASSERT_EQUAL(r.versions[2], 9);
+	buf_free(&packed);
+	finish(&r);
+}
+
 static const struct unit_case cases[] = {
+	{ "compressed", test_packed },
 	{ "texts are decoded in order", test_in_order },
 	{ "all texts of a source are decoded", test_all_of_source },
 	{ "the same text is decoded once", test_same_text },
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -98,6 +98,8 @@
 	if (relay_of(i) != i || !push)
 		return;
 	for (k = 1; k < ZONE_SIZE; k++) {
+		if (!follow_is_to_push(&fleet[i].sent[k], now))
+			continue;
 		follow_set_sent(&fleet[i].follow, &fleet[i].sent[k], now);
 		if (!fleet[i + k].cut)
 			apply(i + k, version, 0);
@@ -115,6 +117,8 @@
 		return;
 	snprintf(addr, sizeof(addr), "%u", from);
 	follow_report(&p->follow, now, version, addr);
+	if (relay_of(from) == to)
+		follow_set_reported(&p->sent[from - to], version);
 	if (relay_of(from) == to &&
 	    follow_is_to_send(&p->follow, &p->sent[from - to], version, now)) {
 		follow_set_sent(&p->follow, &p->sent[from - to], now);
