entry: a broken stream goes on at its version of the software

Callers got answers joined from events of two versions of a service's software, with nothing to show it (ORDER), when a replica broke a stream off while two versions served.

Cause: a stream goes on at any replica that has room. Nothing knew the version of a replica's software: it was not decoded.

A stream that its caller has events of goes on at a replica of the version that wrote them; if none is left it is broken off at once, and if the version is unknown, too.

--- a/core/balance.c
+++ b/core/balance.c
@@ -49,6 +49,8 @@
     const struct directory_replica *, const struct replica_load *);
 static double affinity_rank(
     const struct balance_request *, const struct directory_replica *);
+static int replica_serves(
+    const struct balance_request *, const struct directory_replica *);
 static int replica_suits(uint64_t, const struct balance_request *,
     const struct directory_replica *, enum balance_result *);
 static struct replica_load load_of(const struct directory *, uint64_t,
@@ -177,12 +179,20 @@
  * Whether the replica could run the request, apart from its load; raises the
  * result to the furthest that any replica came.
  */
+/* Whether a replica is of the service, and of the version if one is wanted. */
+static int
+replica_serves(
+    const struct balance_request *w, const struct directory_replica *m)
+{
+	return directory_serves(m, w->service, w->service_hash) &&
+	    (w->software == NULL || strcmp(w->software, m->info.software) == 0);
+}
+
 static int
 replica_suits(uint64_t now, const struct balance_request *w,
     const struct directory_replica *m, enum balance_result *result)
 {
-	if (!directory_serves(m, w->service, w->service_hash) ||
-	    !directory_in_service(m, now))
+	if (!replica_serves(w, m) || !directory_in_service(m, now))
 		return 0;
 	if (*result == BALANCE_NO_REPLICA)
 		*result = BALANCE_NO_MODEL;
@@ -334,8 +344,7 @@
 	double per_s = 0.0;
 
 	for (m = d->replicas; m != NULL; m = m->hh.next) {
-		if (directory_serves(m, w->service, w->service_hash) &&
-		    directory_usable(m, now) &&
+		if (replica_serves(w, m) && directory_usable(m, now) &&
 		    directory_holds(m, w->model, w->model_hash))
 			per_s += directory_limit(m);
 	}
@@ -350,8 +359,8 @@
 	uint32_t slots = 0;
 
 	for (m = d->replicas; m != NULL; m = m->hh.next) {
-		if (directory_serves(m, w->service, w->service_hash) &&
-		    directory_usable(m, now) && directory_limit(m) == 0.0 &&
+		if (replica_serves(w, m) && directory_usable(m, now) &&
+		    directory_limit(m) == 0.0 &&
 		    directory_holds(m, w->model, w->model_hash))
 			slots += m->info.slots;
 	}
@@ -368,8 +377,7 @@
 
 	*reopens_at = TIME_NEVER;
 	for (m = d->replicas; m != NULL; m = m->hh.next) {
-		if (!directory_serves(m, w->service, w->service_hash) ||
-		    !directory_in_service(m, now) ||
+		if (!replica_serves(w, m) || !directory_in_service(m, now) ||
 		    !directory_holds(m, w->model, w->model_hash))
 			continue;
 		until = directory_closed_until(m, now);
--- a/core/balance.h
+++ b/core/balance.h
@@ -17,8 +17,9 @@
 	const struct fleet_engine *engine; /* NULL for a plain service */
 	const char *model;		   /* "" for a plain service */
 	uint64_t model_hash;
-	const char *adapter; /* "" for none */
-	const char *zone;    /* data centre of this process */
+	const char *adapter;  /* "" for none */
+	const char *zone;     /* data centre of this process */
+	const char *software; /* of the replica, NULL for any */
 	uint32_t prompt_tokens;
 	uint32_t tokens;     /* prompt and expected output */
 	uint64_t prefill_ns; /* time to prefill the prompt */
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -105,6 +105,7 @@
 	char service[NAME_SIZE];
 	char addr[ADDR_SIZE];
 	char zone[NAME_SIZE];
+	char software[NAME_SIZE]; /* version of its software, "": unknown */
 	enum replica_state state;
 	uint32_t slots;
 	uint64_t leave_left_ns; /* LEAVING: time until it stops, 0 if unknown */
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -84,6 +84,7 @@
 
 	f->replica = m;
 	f->replica_started_ms = m->info.started_ms;
+	memcpy(f->replica_software, m->info.software, NAME_SIZE);
 	f->sent_at = f->e->now;
 	f->begun_at = 0;
 	f->status = 0;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -12,12 +12,14 @@
 #include "peers.h"
 #include "permit_io.h"
 #include "poison_io.h"
+#include "software.h"
 
 /* For a retry that awaited evidence to be tried again. */
 #define EVIDENCE_NS (200 * NSEC_PER_MSEC)
 #define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
 static int forward_admit(struct forward *, struct err *);
+static int forward_end_if_gone(struct forward *);
 static int forward_queue(struct forward *, enum balance_result);
 static int try_waiting(void *, struct waitq_item *);
 static int forward_is_late(const struct forward *);
@@ -181,6 +183,7 @@
 	balance_set_names(w, f->service, f->params.model, f->params.adapter);
 	w->engine = s->engine;
 	w->zone = f->e->boot.zone;
+	w->software = f->begun ? f->software : NULL;
 	w->prompt_tokens = f->params.prompt_tokens;
 	w->tokens = balance_expected_tokens(&f->params);
 	w->prefill_ns = s->engine == NULL
@@ -213,13 +216,29 @@
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
 
+/* Ends a stream that has begun if no replica of its version is left. */
+static int
+forward_end_if_gone(struct forward *f)
+{
+	if (!f->begun ||
+	    software_is_served(&f->e->dir, f->e->now, f->service, f->software))
+		return 0;
+	if (f->response_started)
+		forward_cut(f, "no replica of the stream's version is left");
+	else
+		forward_refuse(f, "no replica of the stream's version is left",
+		    RETRY_AFTER_NS);
+	return 1;
+}
+
 int
 forward_dispatch(struct forward *f)
 {
 	struct directory_replica *m;
 	enum balance_result result;
 
-	if (forward_end_if_blocked(f) || forward_end_if_late(f))
+	if (forward_end_if_blocked(f) || forward_end_if_late(f) ||
+	    forward_end_if_gone(f))
 		return 1;
 	result = forward_pick_replica(f, 0, &m);
 	if (result == BALANCE_NO_ADAPTER || result == BALANCE_NO_MODEL)
@@ -377,8 +396,12 @@
 forward_describe(const struct forward *f, struct attempt_context *c)
 {
 	c->kind = f->route.kind;
-	/* A replica would repeat what no id tells apart. */
-	c->resumable = f->route.resumable && !f->passed.unnumbered;
+	/*
+	 * A replica would repeat what no id tells apart, and what another
+	 * version of its software writes does not fit.
+	 */
+	c->resumable = f->route.resumable && !f->passed.unnumbered &&
+	    (!f->begun || f->software[0] != '\0');
 	c->max_runs = f->route.max_attempts;
 	c->runs = f->runs;
 	c->attempts_made = f->attempts_made;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -14,6 +14,8 @@
 	struct request_params params;
 	struct fleet_route route;
 	char service[NAME_SIZE];
+	int begun;		  /* its caller has events of the stream */
+	char software[NAME_SIZE]; /* version that made them, "": unknown */
 	uint64_t arrived;
 	uint64_t deadline;
 	struct expiry *expiry;	   /* of queueing, or of the request */
@@ -36,7 +38,8 @@
 	struct exchange *exchange;
 	struct directory_replica *replica;
 	uint64_t replica_started_ms; /* its incarnation */
-	struct replica_load work;    /* counted as load of the replica */
+	char replica_software[NAME_SIZE];
+	struct replica_load work; /* counted as load of the replica */
 	uint64_t sent_at;
 	uint64_t begun_at;  /* first bytes of the response's body, 0: none */
 	int new_connection; /* was opened for this attempt */
--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -65,6 +65,7 @@
 		return c;
 	memset(&w, 0, sizeof(w));
 	balance_set_names(&w, f->service, f->params.model, "");
+	w.software = f->begun ? f->software : NULL;
 	c.slots = balance_slots(&f->e->dir, f->e->now, &w);
 	if (c.slots == 0)
 		c.closed_slots = balance_closed_slots(
--- a/entry/response.c
+++ b/entry/response.c
@@ -14,6 +14,7 @@
 static void write_head(struct forward *, long);
 static void write_body(struct forward *, const char *, size_t);
 static void write_events(void *, const char *, size_t);
+static void stream_begun(struct forward *);
 
 /* A resumed stream keeps the head and signature of its first replica. */
 static void
@@ -46,6 +47,16 @@
 	buf_free(&out);
 }
 
+/* The first event goes to the caller: the others come from its version. */
+static void
+stream_begun(struct forward *f)
+{
+	if (f->begun)
+		return;
+	f->begun = 1;
+	memcpy(f->software, f->replica_software, sizeof(f->software));
+}
+
 /* Writes events that the caller does not have. */
 static void
 write_events(void *ctx, const char *p, size_t len)
@@ -55,6 +66,7 @@
 	if (!f->response_started) {
 		write_head(f, -1);
 		f->first_event_at = f->e->now;
+		stream_begun(f);
 	} else if (f->e->now - f->last_event_at > f->max_gap_ns) {
 		f->max_gap_ns = f->e->now - f->last_event_at;
 	}
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -6,6 +6,7 @@
 #include "balance.h"
 #include "fleet_fixture.h"
 #include "mem.h"
+#include "software.h"
 #include "unit.h"
 
 #define MS NSEC_PER_MSEC
@@ -16,6 +17,7 @@
 static void test_balance_affinity(void);
 static void test_affinity_after_failure(void);
 static void test_balance_failures(void);
+static void test_stream_keeps_software_version(void);
 static uint32_t replay_herd(int);
 static void test_late_reports(void);
 
@@ -310,7 +312,46 @@
 	CU_ASSERT(after < before / 2);
 }
 
+static void
+test_stream_keeps_software_version(void)
+{
+	static const char *const ids[] = { "a", "b", "c" };
+	static const char *const versions[] = { "v1", "v2", "" };
+	struct directory d;
+	struct fleet_replica r;
+	struct balance_request w;
+	struct directory_replica *m;
+	size_t i;
+
+	directory_init(&d);
+	for (i = 0; i < nitems(ids); i++) {
+		r = make_replica(ids[i], "m");
+		snprintf(r.software, sizeof(r.software), "%s", versions[i]);
+		directory_put(&d, &r);
+	}
+	memset(&w, 0, sizeof(w));
+	balance_set_names(&w, "llm", "m", "");
+	w.zone = "z1";
+	w.max_conns = 10;
+	CU_ASSERT_EQUAL(balance_slots(&d, S, &w), 12);
+	w.software = "v2";
+	CU_ASSERT_EQUAL(balance_slots(&d, S, &w), 4);
+	for (i = 0; i < 20; i++) {
+		CU_ASSERT_EQUAL(
+		    balance_pick(&d, S, &w, (double)i / 20, &m), BALANCE_FOUND);
+		CU_ASSERT(m != NULL && strcmp(m->info.id, "b") == 0);
+	}
+	w.software = "v3";
+	CU_ASSERT_EQUAL(balance_pick(&d, S, &w, 0.0, &m), BALANCE_NO_REPLICA);
+	CU_ASSERT(software_is_served(&d, S, "llm", "v2"));
+	CU_ASSERT(!software_is_served(&d, S, "llm", "v3"));
+	CU_ASSERT(!software_is_served(&d, S, "other", "v2"));
+	directory_clear(&d);
+}
+
 static const struct unit_case cases[] = {
+	{ "a stream keeps its software version",
+	    test_stream_keeps_software_version },
 	{ "prefill share", test_prefill_share },
 	{ "balance choice", test_balance_choice },
 	{ "same replica for a key", test_balance_affinity },
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -278,7 +278,7 @@
 static uint64_t
 wait_sent(struct entry *e, uint64_t messages)
 {
-	struct timespec pause = { 0, 10 * 1000 * 1000 };
+	struct timespec pause = { 0, 10000000 };
 	struct bus_counts c;
 	int i;
 
