entry: a stream is taken up at the version that began it

Cause: a take-up (`Last-Event-Id`) went to any replica. `Resumes` was not read, and no process knew which version had begun a stream, least of all after a restart.

Change: each process remembers the version of the streams that pass through it (core/origins). While a service has, or had within the last minute, several versions, its streams are recorded in the key-value service under a lease, also those that were running as the second version came. Processes send records to the first hub, which writes up to 32 a call. The first hub also lists the versions of all services there (core/software). A take-up of a stream that is not known here reads that list: with one version it goes on there, otherwise the record tells. What nothing tells is refused at once with 503, also while the service cannot be asked, since the local list may be old. So is a stream of whose version no replica is left. Records are written beside the first event, which waits for nothing; a record that is lost costs a refusal, never a joined stream.

Ruled out: records without a list of versions (with one version each take-up after a restart would be refused); a record for one of two versions only (a lost lease would pass for the other version); a hash of the id as the choice of version (replicas of a version do not hold all models).

--- a/Makefile
+++ b/Makefile
@@ -189,6 +189,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_origins: $(BUILD)/tests/test_origins.o $(BUILD)/tests/unit.o \
+    $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_net: $(BUILD)/tests/test_net.o $(BUILD)/tests/unit.o $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
--- a/core/attempt.h
+++ b/core/attempt.h
@@ -27,6 +27,8 @@
 	uint32_t output_hint_tokens; /* caller's estimate, 0: none */
 	uint64_t timeout_ns;	     /* caller's, 0 when not set */
 	uint64_t last_event_id;	     /* resume after it, 0: none */
+	/* The caller's attempt that brought the stream's first event, or "". */
+	char resumes[REQUEST_ID_SIZE];
 	uint64_t fingerprint; /* equal for requests that ask for the same */
 	uint32_t nparts;
 	struct prompt_part parts[PROMPT_PARTS_MAX];
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -128,6 +128,18 @@
 	return NULL;
 }
 
+int
+fleet_route_targets(const struct fleet_route *r, const char *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->ntargets; i++) {
+		if (strcmp(r->targets[i].service, service) == 0)
+			return 1;
+	}
+	return 0;
+}
+
 const struct fleet_target *
 fleet_pick_target(const struct fleet_route *r, double draw)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -142,6 +142,8 @@
     const struct fleet_conf *, const char *);
 const struct fleet_model *fleet_find_model(
     const struct fleet_engine *, const char *);
+/* Whether a route goes to a service. */
+int fleet_route_targets(const struct fleet_route *, const char *);
 /* Chooses a target by weight from a draw in [0, 1); NULL when there is none. */
 const struct fleet_target *fleet_pick_target(
     const struct fleet_route *, double);
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -13,6 +13,7 @@
 #include "peers.h"
 #include "poison_io.h"
 #include "session.h"
+#include "stream_io.h"
 #include "loader_io.h"
 
 #define ADMIN_ADDRESSES 2
@@ -51,6 +52,7 @@
 static void write_config_metrics(struct entry *, FILE *);
 static void write_list_metrics(struct entry *, FILE *);
 static void write_attempt_metrics(struct entry *, FILE *);
+static void write_stream_metrics(const struct entry *, FILE *);
 static void write_connection_metrics(const struct entry *, FILE *);
 static void write_peer_metrics(const struct entry *, FILE *);
 
@@ -366,6 +368,24 @@
 	    e->list_source);
 }
 
+static void
+write_stream_metrics(const struct entry *e, FILE *f)
+{
+	int i;
+
+	fprintf(f,
+	    "# HELP spindle_entry_take_ups_total Streams that callers took up "
+	    "again, by what told the version that began them.\n"
+	    "# TYPE spindle_entry_take_ups_total counter\n");
+	for (i = 0; i < ORIGIN__MAX; i++)
+		fprintf(f, "spindle_entry_take_ups_total{from=\"%s\"} %llu\n",
+		    stream_io_source_name((enum origin_source)i),
+		    (unsigned long long)e->counts.take_ups[i]);
+	metric_write(f, "spindle_entry_unrecorded_streams_total", "counter",
+	    "Records of streams that may not have been written.",
+	    e->counts.unrecorded_streams);
+}
+
 static void
 write_connection_metrics(const struct entry *e, FILE *f)
 {
@@ -425,6 +445,7 @@
 	metric_write(f, "spindle_entry_store_calls_total", "counter",
 	    "Calls to the key-value service.", session_calls(e->session));
 	write_peer_metrics(e, f);
+	write_stream_metrics(e, f);
 	write_connection_metrics(e, f);
 	metric_write(f, "spindle_entry_holds_orders", "gauge",
 	    "Whether this process orders engines.", (uint64_t)t.is_leader);
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -26,6 +26,7 @@
 struct loader_io;
 struct poison_io;
 struct permit_io;
+struct stream_io;
 struct admin;
 struct conf_decoded;
 struct conf_decoder;
@@ -37,6 +38,15 @@
 /* Retry-After where nothing is known of a better time. */
 #define RETRY_AFTER_NS (300 * NSEC_PER_MSEC)
 
+/* What tells the version that began a stream which a caller takes up. */
+enum origin_source {
+	ORIGIN_HERE,   /* it passed here */
+	ORIGIN_ONLY,   /* its service has one version */
+	ORIGIN_RECORD, /* in the key-value service */
+	ORIGIN_UNKNOWN,
+	ORIGIN__MAX
+};
+
 /* Counters since the process started. */
 struct entry_counts {
 	uint64_t arrived;
@@ -57,8 +67,10 @@
 	uint64_t bad_entries;	  /* of the list, that cannot be used */
 	uint64_t bad_texts;	  /* of peers, that could not be read */
 	uint64_t unsent_texts;	  /* for peers, too large for a message */
-	uint64_t unanswered_pulls; /* of peers, as many came at once */
-	uint64_t lost_parts;	   /* of peers' lists */
+	uint64_t unanswered_pulls;	/* of peers, as many came at once */
+	uint64_t lost_parts;		/* of peers' lists */
+	uint64_t take_ups[ORIGIN__MAX]; /* of streams */
+	uint64_t unrecorded_streams;	/* whose records may not be written */
 	uint64_t attempts;
 	uint64_t attempt_ends[ATTEMPT__MAX];
 };
@@ -102,6 +114,7 @@
 	struct loader_io *loader_io;
 	struct poison_io *poison_io;
 	struct permit_io *permit_io;
+	struct stream_io *stream_io;
 	struct admin *admin;
 	struct pace pace;
 	uint32_t nprocesses;   /* entry processes, which divide limits */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -13,6 +13,7 @@
 #include "permit_io.h"
 #include "poison_io.h"
 #include "software.h"
+#include "stream_io.h"
 
 /* For a retry that awaited evidence to be tried again. */
 #define EVIDENCE_NS (200 * NSEC_PER_MSEC)
@@ -141,7 +142,16 @@
 	budget_add_request(&e->budget, e->now, f->service);
 	loader_io_count_arrival(e, &f->params);
 	expiry_set(f->expiry, f->deadline);
-	forward_dispatch(f);
+	if (stream_io_is_take_up(f))
+		stream_io_take_up(f);
+	else
+		forward_dispatch(f);
+}
+
+const char *
+forward_origin_id(const struct forward *f)
+{
+	return f->params.last_event_id != 0 ? f->params.resumes : f->params.id;
 }
 
 void
@@ -150,6 +160,7 @@
 	struct entry *e = f->e;
 
 	expiry_destroy(f->expiry);
+	stream_io_forget(f);
 	permit_io_forget(e->permit_io, f);
 	if (f->waiting.group != NULL)
 		waitq_remove(&e->waiting, &f->waiting);
@@ -485,6 +496,11 @@
 		forward_cut(f, "deadline exceeded during the response");
 		return;
 	}
+	if (f->lookup != NULL) {
+		forward_refuse(f, "the stream's version was not found in time",
+		    RETRY_AFTER_NS);
+		return;
+	}
 	if (f->runs == 0) {
 		forward_waited(f);
 		return;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -14,8 +14,10 @@
 	struct request_params params;
 	struct fleet_route route;
 	char service[NAME_SIZE];
-	int begun;		  /* its caller has events of the stream */
-	char software[NAME_SIZE]; /* version that made them, "": unknown */
+	int begun;		      /* its caller has events of the stream */
+	char software[NAME_SIZE];     /* version that made them, "": unknown */
+	int recorded;		      /* in the key-value service */
+	struct stream_lookup *lookup; /* the version is being looked up */
 	uint64_t arrived;
 	uint64_t deadline;
 	struct expiry *expiry;	   /* of queueing, or of the request */
@@ -102,6 +104,8 @@
     struct forward *, int, struct directory_replica **);
 /* Ends the request; it has no exchange, and its caller has been told. */
 void forward_free(struct forward *);
+/* The caller's attempt that brought the first event of the stream. */
+const char *forward_origin_id(const struct forward *);
 /* Fills in what decides on the next step. */
 void forward_describe(const struct forward *, struct attempt_context *);
 /* Ends a request that a replica may have run; details are for the log. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -19,6 +19,7 @@
 #include "poison_io.h"
 #include "query.h"
 #include "session.h"
+#include "stream_io.h"
 #include "loader_io.h"
 
 #define NAME "spindle-entry"
@@ -74,6 +75,7 @@
 	session_tick(e->session);
 	poison_io_tick(e->poison_io);
 	permit_io_tick(e->permit_io);
+	stream_io_tick(e->stream_io);
 	w->repeat = peers_has_duty(e->peers) ? TICK_S : TICK_LARGE_S;
 	ev_timer_again(loop, w);
 	d->tick_at = e->now + (uint64_t)(w->repeat * NSEC_PER_SEC);
@@ -226,6 +228,7 @@
 	e->loader_io = loader_io_create(e);
 	e->poison_io = poison_io_create(e);
 	e->permit_io = permit_io_create(e);
+	e->stream_io = stream_io_create(e);
 	e->session = session_create(e);
 	e->admin = admin_create(e, err);
 	if (e->admin == NULL)
@@ -269,6 +272,7 @@
 	loader_io_destroy(e->loader_io);
 	poison_io_destroy(e->poison_io);
 	permit_io_destroy(e->permit_io);
+	stream_io_destroy(e->stream_io);
 	session_destroy(e->session);
 	peers_destroy(e->peers);
 	conn_pool_destroy(e->replicas);
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -40,6 +40,15 @@
 void peers_report_soon(struct peers *);
 /* Whether this process watches the list of replicas on behalf of others. */
 int peers_is_active_hub(const struct peers *);
+/*
+ * Sends records of streams towards the first hub, which writes them for all;
+ * -1 if this process is to write them.
+ */
+int peers_send_records(struct peers *, const char *, size_t);
+/* Whether what a peer sends for the first hub is passed on. */
+int peers_relays_for(const struct peers *, const char *);
+/* Whether it is the one that acts where one hub suffices. */
+int peers_is_first_hub(const struct peers *);
 /* Whether reports and lists go through relays, as in a large fleet. */
 int peers_use_relays(const struct peers *);
 /*
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -12,12 +12,14 @@
 #include "mem.h"
 #include "peers_int.h"
 #include "session.h"
+#include "stream_io.h"
 
 #define PULL_RETRY_NS (300 * NSEC_PER_MSEC)
 #define PULL_CONFIG 0 /* msg_conf.nonce: which text */
 #define PULL_LIST 1
 #define PUSH_LIST 2 /* changes of the list of replicas */
 #define PACKED_CONFIG 3
+#define STREAM_RECORDS 4
 /* An encoded list tells a grace period, which ends. */
 #define LIST_TEXT_NS (300 * NSEC_PER_MSEC)
 
@@ -236,6 +238,11 @@
 		    p->e, c->bytes, c->len, m->from.addr);
 		return;
 	}
+	if (c->nonce == STREAM_RECORDS) {
+		stream_io_apply_records(
+		    p->e->stream_io, m->from.addr, c->bytes, c->len);
+		return;
+	}
 	/* From a process of an earlier release. */
 	if (c->nonce == PULL_CONFIG) {
 		entry_receive_config(p->e, c->bytes, c->len, m->from.addr);
@@ -301,6 +308,25 @@
 	msg_destroy(m);
 }
 
+int
+peers_send_records(struct peers *p, const char *text, size_t len)
+{
+	if (p->nhubs == 0 || p->hubs[0] == &p->self)
+		return -1;
+	send_text(p, p->hubs[0]->addr, STREAM_RECORDS, text, len);
+	return 0;
+}
+
+int
+peers_relays_for(const struct peers *p, const char *addr)
+{
+	const struct peer *q;
+
+	HASH_FIND_STR(p->peers, addr, q);
+	return q != NULL && peers_is_relay(p) && peers_in_zone(p, q) &&
+	    p->nhubs != 0 && p->hubs[0] != &p->self;
+}
+
 void
 peers_push_changes(struct peers *p, const char *text, size_t len)
 {
--- a/entry/relays.c
+++ b/entry/relays.c
@@ -199,6 +199,12 @@
 	    p->e->now >= p->started_at + HUB_STARTUP_NS;
 }
 
+int
+peers_is_first_hub(const struct peers *p)
+{
+	return peers_hub_rank(p) == 0 && peers_is_active_hub(p);
+}
+
 int
 peers_follow_hubs(const struct peers *p)
 {
--- a/entry/response.c
+++ b/entry/response.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "forward_int.h"
+#include "stream_io.h"
 
 /*
  * Share of the route's longest allowed gap between events.  A longer gap means
@@ -51,10 +52,11 @@
 static void
 stream_begun(struct forward *f)
 {
-	if (f->begun)
-		return;
-	f->begun = 1;
-	memcpy(f->software, f->replica_software, sizeof(f->software));
+	if (!f->begun) {
+		f->begun = 1;
+		memcpy(f->software, f->replica_software, sizeof(f->software));
+	}
+	stream_io_begun(f);
 }
 
 /* Writes events that the caller does not have. */
--- a/entry/session.c
+++ b/entry/session.c
@@ -7,6 +7,7 @@
 #include "peers.h"
 #include "session.h"
 #include "session_int.h"
+#include "stream_io.h"
 
 #define CALL_TIMEOUT_S 1.5
 #define DOWN_AFTER_FAILURES 2 /* consecutive ones */
@@ -29,6 +30,7 @@
 static void note_era(struct session *, uint64_t);
 static void on_call_answer(void *, int, const char *, size_t);
 static void record_answer(struct session *, uint64_t, int);
+static void on_write_answer(void *, int, uint64_t, const char *, size_t);
 static void on_op_answer(void *, int, uint64_t, const char *, size_t);
 
 /* A pending operation. */
@@ -39,6 +41,11 @@
 	void *ctx;
 };
 
+struct write_call {
+	void (*result)(void *, int);
+	void *ctx;
+};
+
 void
 session_call(struct session *s, struct store_request *sc, double timeout_s,
     session_callback answer, void *ctx)
@@ -113,6 +120,7 @@
 	s->era = era;
 	loader_io_store_era(s->e, era);
 	peers_store_era(s->e->peers, era);
+	stream_io_store_era(s->e, era);
 	if (was == 0)
 		return;
 	log_event(LOG_KV_RESTORED, NULL, "era=%llu was=%llu",
@@ -190,6 +198,31 @@
 	}
 }
 
+static void
+on_write_answer(
+    void *ctx, int status, uint64_t era, const char *body, size_t len)
+{
+	struct write_call *wc = ctx;
+
+	(void)era;
+	(void)body;
+	(void)len;
+	wc->result(wc->ctx, status);
+	free(wc);
+}
+
+void
+session_write(struct session *s, struct store_request *sc,
+    void (*result)(void *, int), void *ctx)
+{
+	struct write_call *wc;
+
+	wc = mem_alloc(sizeof(*wc));
+	wc->result = result;
+	wc->ctx = ctx;
+	session_call(s, sc, CALL_TIMEOUT_S, on_write_answer, wc);
+}
+
 static void
 on_probe_answer(
     void *ctx, int status, uint64_t era, const char *body, size_t len)
--- a/entry/session.h
+++ b/entry/session.h
@@ -7,6 +7,7 @@
 
 #include "entry_int.h"
 #include "kv_op.h"
+#include "store.h"
 
 /* Starts reading the lists. */
 struct session *session_create(struct entry *);
@@ -16,6 +17,11 @@
 /* Sends the operations and takes ownership; the callback gets each result. */
 void session_send(struct session *, struct kv_ops *,
     void (*)(void *, const struct kv_result *), void *);
+/*
+ * Sends a write and clears it; the callback gets the HTTP status, 0 for none.
+ */
+void session_write(
+    struct session *, struct store_request *, void (*)(void *, int), void *);
 /* Whether the store answers, by the latest calls. */
 int session_is_up(const struct session *);
 /* Calls made to the store since the process started. */
--- /dev/null
+++ b/entry/stream_io.c
@@ -0,0 +1,561 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "forward_int.h"
+#include "mem.h"
+#include "origins.h"
+#include "peers.h"
+#include "session.h"
+#include "software.h"
+#include "stream_io.h"
+#include "stream_record.h"
+
+/* Records, before the lease that they are bound to ends. */
+#define LEASE_S 120
+#define LEASE_USE_NS (50 * NSEC_PER_SEC)
+#define RETRY_NS (500 * NSEC_PER_MSEC)
+#define PENDING_MAX 1024
+/* Records of all processes are written together; each call is charged. */
+#define WRITE_NS (100 * NSEC_PER_MSEC)
+/*
+ * The versions that the service listed at a time hold for so long: a replica
+ * that has just appeared holds no model yet.
+ */
+#define LISTED_NS (200 * NSEC_PER_MSEC)
+/* The replicas are looked at this often if nothing has changed. */
+#define SEE_NS (1 * NSEC_PER_SEC)
+
+/* A request whose stream is looked up in the service. */
+struct stream_lookup {
+	struct stream_io *io;
+	struct forward *f; /* NULL once it has ended */
+	uint64_t sent_at;
+};
+
+struct records {
+	struct origin o[PENDING_MAX];
+	uint32_t n;
+};
+
+struct stream_io {
+	struct entry *e;
+	struct software *software;
+	struct origins *origins;
+	uint64_t digest; /* of the list when its versions were seen */
+	uint64_t see_at;
+	/* The versions as listed in the service. */
+	char *text;	   /* NULL: not known */
+	uint64_t revision; /* of the key, 0: it does not exist */
+	int calling;	   /* it is being read or written */
+	uint64_t call_at;  /* not before */
+	uint64_t era;
+	int read; /* they have been read since the start */
+	/* As read for the latest take-up, with what is listed here. */
+	struct software *listed;
+	uint64_t listed_at;	/* when that read was sent, 0: never */
+	struct records passed;	/* to the first hub */
+	struct records written; /* by this process */
+	uint64_t write_at;	/* not before */
+	uint64_t lease;
+	uint64_t lease_at;
+	int granting;
+	uint64_t grant_at; /* not before */
+};
+
+static const char *const source_names[ORIGIN__MAX] = {
+	[ORIGIN_HERE] = "here",
+	[ORIGIN_ONLY] = "only",
+	[ORIGIN_RECORD] = "record",
+	[ORIGIN_UNKNOWN] = "unknown",
+};
+
+static void send_op(struct stream_io *, enum kv_op_kind, const char *,
+    void (*)(void *, const struct kv_result *), void *);
+static void on_read(void *, const struct kv_result *);
+static void on_written(void *, const struct kv_result *);
+static void apply_text(struct stream_io *, const struct kv_result *);
+static void write_text(struct stream_io *, char *);
+static void follow_text(struct stream_io *);
+static void on_granted(void *, const struct kv_result *);
+static void on_recorded(void *, int);
+static void records_add(
+    struct stream_io *, struct records *, const struct origin *);
+static void records_remove(struct records *, uint32_t);
+static uint32_t records_part(const struct records *);
+static void pass_records(struct stream_io *);
+static void write_records(struct stream_io *);
+static void record(struct forward *);
+static void on_versions(void *, const struct kv_result *);
+static void on_record(void *, const struct kv_result *);
+static struct forward *lookup_end(struct stream_lookup *);
+static void resolve(
+    struct forward *, const struct origin *, enum origin_source);
+static const char *only_version(const struct forward *);
+static void look_up_record(struct stream_lookup *);
+
+const char *
+stream_io_source_name(enum origin_source source)
+{
+	return source_names[source];
+}
+
+struct stream_io *
+stream_io_create(struct entry *e)
+{
+	struct stream_io *io;
+
+	io = mem_alloc(sizeof(*io));
+	io->e = e;
+	io->software = software_create();
+	io->origins = origins_create();
+	return io;
+}
+
+void
+stream_io_destroy(struct stream_io *io)
+{
+	if (io == NULL)
+		return;
+	software_destroy(io->software);
+	software_destroy(io->listed);
+	origins_destroy(io->origins);
+	free(io->text);
+	free(io);
+}
+
+void
+stream_io_store_era(struct entry *e, uint64_t era)
+{
+	struct stream_io *io = e->stream_io;
+
+	if (io == NULL || io->era == era)
+		return;
+	io->era = era;
+	/* The copy may lack versions and leases. */
+	free(io->text);
+	io->text = NULL;
+	io->read = 0;
+	io->listed_at = 0;
+	io->lease = 0;
+}
+
+static void
+send_op(struct stream_io *io, enum kv_op_kind kind, const char *key,
+    void (*result)(void *, const struct kv_result *), void *ctx)
+{
+	struct kv_ops ops;
+	struct kv_op *op;
+
+	TAILQ_INIT(&ops);
+	op = kv_op_create(&ops, 0, kind, key);
+	op->ttl_s = LEASE_S;
+	session_send(io->e->session, &ops, result, ctx);
+}
+
+/* --- the versions listed in the service */
+
+/* Sees what is listed; versions of an earlier era leave the list unknown. */
+static void
+apply_text(struct stream_io *io, const struct kv_result *r)
+{
+	io->read |= r->status == KV_OK || r->status == KV_ABSENT;
+	free(io->text);
+	io->text = NULL;
+	io->revision = 0;
+	if (r->status != KV_OK)
+		return;
+	io->revision = r->revision;
+	if (software_text_decode(r->value, io->era, io->e->now, io->software) ==
+	    0)
+		io->text = mem_strdup(r->value);
+}
+
+static void
+on_read(void *ctx, const struct kv_result *r)
+{
+	struct stream_io *io = ctx;
+
+	io->calling = 0;
+	io->call_at = io->e->now + RETRY_NS;
+	apply_text(io, r);
+}
+
+static void
+on_written(void *ctx, const struct kv_result *r)
+{
+	struct stream_io *io = ctx;
+
+	io->calling = 0;
+	if (r->status == KV_OK) {
+		io->revision = r->revision;
+		return;
+	}
+	/* Another process wrote it, or it may have been written. */
+	free(io->text);
+	io->text = NULL;
+	io->read = 0;
+	io->call_at = io->e->now;
+}
+
+/* Takes the text. */
+static void
+write_text(struct stream_io *io, char *text)
+{
+	struct kv_ops ops;
+	struct kv_op *op;
+
+	TAILQ_INIT(&ops);
+	op = kv_op_create(&ops, 0, KV_CAS, SOFTWARE_KEY);
+	op->value = mem_strdup(text);
+	op->expected_revision = io->revision;
+	free(io->text);
+	io->text = text;
+	io->calling = 1;
+	session_send(io->e->session, &ops, on_written, io);
+}
+
+/* Reads the versions once; the first hub keeps them up to date. */
+static void
+follow_text(struct stream_io *io)
+{
+	struct entry *e = io->e;
+	char *text;
+
+	if (io->calling || e->now < io->call_at || !session_is_up(e->session))
+		return;
+	if (!io->read) {
+		io->calling = 1;
+		send_op(io, KV_GET, SOFTWARE_KEY, on_read, io);
+		return;
+	}
+	if (!peers_is_first_hub(e->peers) || !e->dir.synced || e->stopping)
+		return;
+	text = software_text_encode(io->software, io->era);
+	if (io->text != NULL && strcmp(text, io->text) == 0)
+		free(text);
+	else
+		write_text(io, text);
+}
+
+/* --- records of streams */
+
+static void
+on_granted(void *ctx, const struct kv_result *r)
+{
+	struct stream_io *io = ctx;
+
+	io->granting = 0;
+	io->grant_at = io->e->now + RETRY_NS;
+	if (r->status != KV_OK)
+		return;
+	io->lease = r->lease_id;
+	io->lease_at = io->e->now;
+}
+
+static void
+on_recorded(void *ctx, int status)
+{
+	struct stream_io *io = ctx;
+
+	/* The lease has ended. */
+	if (status == 404)
+		io->lease = 0;
+	io->e->counts.unrecorded_streams += status != 200;
+}
+
+static void
+records_add(struct stream_io *io, struct records *r, const struct origin *o)
+{
+	if (r->n == PENDING_MAX) {
+		io->e->counts.unrecorded_streams++;
+		return;
+	}
+	r->o[r->n++] = *o;
+}
+
+static void
+records_remove(struct records *r, uint32_t n)
+{
+	r->n -= n;
+	memmove(r->o, r->o + n, r->n * sizeof(*r->o));
+}
+
+static uint32_t
+records_part(const struct records *r)
+{
+	return r->n < STREAM_RECORDS_MAX ? r->n : STREAM_RECORDS_MAX;
+}
+
+/* The first hub writes them, so that one call carries those of many. */
+static void
+pass_records(struct stream_io *io)
+{
+	uint32_t i;
+	uint32_t n;
+	char *text;
+	int sent;
+
+	while ((n = records_part(&io->passed)) != 0) {
+		text = stream_records_encode(io->passed.o, n);
+		sent = peers_send_records(io->e->peers, text, strlen(text));
+		free(text);
+		for (i = 0; sent == -1 && i < n; i++)
+			records_add(io, &io->written, &io->passed.o[i]);
+		records_remove(&io->passed, n);
+	}
+}
+
+void
+stream_io_apply_records(
+    struct stream_io *io, const char *from, const char *text, size_t len)
+{
+	struct origin o[STREAM_RECORDS_MAX];
+	size_t n = stream_records_decode(text, len, o, nitems(o));
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		records_add(io,
+		    peers_relays_for(io->e->peers, from) ? &io->passed
+							 : &io->written,
+		    &o[i]);
+}
+
+static void
+write_records(struct stream_io *io)
+{
+	struct entry *e = io->e;
+	struct store_request sc;
+	uint32_t n;
+
+	if (io->written.n == 0 || !session_is_up(e->session) ||
+	    (e->now < io->write_at && io->written.n < STREAM_RECORDS_MAX))
+		return;
+	if ((io->lease == 0 || e->now >= io->lease_at + LEASE_USE_NS) &&
+	    !io->granting && e->now >= io->grant_at) {
+		io->granting = 1;
+		send_op(io, KV_GRANT, "", on_granted, io);
+	}
+	if (io->lease == 0)
+		return;
+	io->write_at = e->now + WRITE_NS;
+	while ((n = records_part(&io->written)) != 0) {
+		stream_records_request(io->written.o, n, io->lease, &sc);
+		session_write(e->session, &sc, on_recorded, io);
+		records_remove(&io->written, n);
+	}
+}
+
+/* Records a stream that has begun, if its service has several versions. */
+static void
+record(struct forward *f)
+{
+	struct stream_io *io = f->e->stream_io;
+	const struct origin *o;
+
+	if (f->recorded || !f->begun || !f->route.resumable ||
+	    software_count(io->software, f->service) < 2)
+		return;
+	o = origins_find(io->origins, forward_origin_id(f));
+	if (o == NULL || o->software[0] == '\0')
+		return;
+	f->recorded = 1;
+	records_add(io, &io->passed, o);
+}
+
+void
+stream_io_begun(struct forward *f)
+{
+	struct stream_io *io = f->e->stream_io;
+	struct origin o;
+
+	if (io == NULL || !f->route.resumable || *forward_origin_id(f) == '\0')
+		return;
+	snprintf(o.id, sizeof(o.id), "%s", forward_origin_id(f));
+	memcpy(o.service, f->service, sizeof(o.service));
+	memcpy(o.software, f->software, sizeof(o.software));
+	origins_put(io->origins, f->e->now, &o);
+	record(f);
+}
+
+void
+stream_io_tick(struct stream_io *io)
+{
+	struct entry *e = io->e;
+	struct forward *f;
+
+	if (e->dir.digest != io->digest || e->now >= io->see_at) {
+		io->digest = e->dir.digest;
+		io->see_at = e->now + SEE_NS;
+		software_see_listed(io->software, e->now, &e->dir);
+		software_expire(io->software, e->now);
+		origins_expire(io->origins, e->now);
+		/* Those that began while there was one version. */
+		TAILQ_FOREACH (f, &e->requests, entry)
+			record(f);
+	}
+	follow_text(io);
+	pass_records(io);
+	write_records(io);
+}
+
+/* --- streams that are taken up */
+
+int
+stream_io_is_take_up(const struct forward *f)
+{
+	return f->route.kind == ROUTE_STREAM && f->route.resumable &&
+	    f->params.last_event_id != 0;
+}
+
+/* Ends a lookup; returns its request, NULL if that has ended. */
+static struct forward *
+lookup_end(struct stream_lookup *l)
+{
+	struct forward *f = l->f;
+
+	if (f != NULL)
+		f->lookup = NULL;
+	free(l);
+	return f;
+}
+
+void
+stream_io_forget(struct forward *f)
+{
+	if (f->lookup != NULL)
+		f->lookup->f = NULL;
+	f->lookup = NULL;
+}
+
+/* The version is known, or cannot be: sends the request, or refuses it. */
+static void
+resolve(struct forward *f, const struct origin *o, enum origin_source source)
+{
+	char detail[NAME_SIZE * 2 + REQUEST_ID_SIZE + 64];
+
+	f->e->counts.take_ups[source]++;
+	snprintf(detail, sizeof(detail),
+	    "origin=%s from=%s service=%s software=%s event=%llu",
+	    f->params.resumes, stream_io_source_name(source),
+	    o == NULL ? "" : o->service, o == NULL ? "" : o->software,
+	    (unsigned long long)f->params.last_event_id);
+	forward_log(f, LOG_STREAM_TAKEN_UP, "", detail);
+	if (o == NULL || o->software[0] == '\0' ||
+	    !fleet_route_targets(&f->route, o->service)) {
+		forward_refuse(
+		    f, "the stream's version is not known", RETRY_AFTER_NS);
+		return;
+	}
+	memcpy(f->service, o->service, sizeof(f->service));
+	memcpy(f->software, o->software, sizeof(f->software));
+	f->begun = 1;
+	f->recorded = source == ORIGIN_RECORD;
+	forward_dispatch(f);
+}
+
+static void
+on_record(void *ctx, const struct kv_result *r)
+{
+	struct forward *f = lookup_end(ctx);
+	struct origin o;
+
+	if (f == NULL)
+		return;
+	entry_update_now(f->e);
+	if (r->status == KV_OK &&
+	    stream_record_decode(r->value, f->params.resumes, &o) == 0)
+		resolve(f, &o, ORIGIN_RECORD);
+	else
+		resolve(f, NULL, ORIGIN_UNKNOWN);
+}
+
+/*
+ * The version of a request's service, if all services of its route have one by
+ * what the service and this process list.  What this process lists alone may be
+ * old.
+ */
+static const char *
+only_version(const struct forward *f)
+{
+	const struct software *s = f->e->stream_io->listed;
+	uint32_t i;
+
+	for (i = 0; i < f->route.ntargets; i++) {
+		if (software_only(s, f->route.targets[i].service) == NULL)
+			return NULL;
+	}
+	return software_only(s, f->service);
+}
+
+/* The versions of the services are known as of now. */
+static void
+look_up_record(struct stream_lookup *l)
+{
+	struct stream_io *io = l->io;
+	struct forward *f = l->f;
+	const char *only = only_version(f);
+	struct origin o;
+	char key[KV_KEY_SIZE];
+
+	if (only != NULL) {
+		memcpy(o.service, f->service, sizeof(o.service));
+		snprintf(o.software, sizeof(o.software), "%s", only);
+		(void)lookup_end(l);
+		resolve(f, &o, ORIGIN_ONLY);
+		return;
+	}
+	if (f->params.resumes[0] == '\0') {
+		(void)lookup_end(l);
+		resolve(f, NULL, ORIGIN_UNKNOWN);
+		return;
+	}
+	stream_record_key(f->params.resumes, key, sizeof(key));
+	send_op(io, KV_GET, key, on_record, l);
+}
+
+static void
+on_versions(void *ctx, const struct kv_result *r)
+{
+	struct stream_lookup *l = ctx;
+	struct stream_io *io = l->io;
+	int known;
+
+	if (l->f == NULL) {
+		free(l);
+		return;
+	}
+	entry_update_now(io->e);
+	software_destroy(io->listed);
+	io->listed = software_create();
+	known = r->status == KV_OK &&
+	    software_text_decode(r->value, r->era, io->e->now, io->listed) == 0;
+	software_see_listed(io->listed, io->e->now, &io->e->dir);
+	io->listed_at = known ? l->sent_at : 0;
+	if (known)
+		look_up_record(l);
+	else
+		resolve(lookup_end(l), NULL, ORIGIN_UNKNOWN);
+}
+
+void
+stream_io_take_up(struct forward *f)
+{
+	struct stream_io *io = f->e->stream_io;
+	const struct origin *o = origins_find(io->origins, f->params.resumes);
+	struct stream_lookup *l;
+
+	if (o != NULL) {
+		resolve(f, o, ORIGIN_HERE);
+		return;
+	}
+	l = mem_alloc(sizeof(*l));
+	l->io = io;
+	l->f = f;
+	l->sent_at = f->e->now;
+	f->lookup = l;
+	if (io->listed_at != 0 && f->e->now < io->listed_at + LISTED_NS)
+		look_up_record(l);
+	else
+		send_op(io, KV_GET, SOFTWARE_KEY, on_versions, l);
+}
--- a/shell/log.c
+++ b/shell/log.c
@@ -207,6 +207,9 @@
 	[LOG_LIST_PART_LOST] = { 1631, LOGLEVEL_INFO, "list-part-lost",
 	    "a part of a peer's list did not follow the one before; the list "
 	    "is asked for again" },
+	[LOG_STREAM_TAKEN_UP] = { 1632, LOGLEVEL_INFO, "stream-taken-up",
+	    "a caller takes up a stream; where the version of the software "
+	    "that began it is known from" },
 	[LOG_CELL_TAKEN] = { 1700, LOGLEVEL_NOTICE, "cell-taken",
 	    "this process owns the cell" },
 	[LOG_CELL_LOST] = { 1701, LOGLEVEL_WARNING, "cell-lost",
--- a/tests/answers_entry.c
+++ b/tests/answers_entry.c
@@ -6,6 +6,7 @@
 #include "answers_entry.h"
 #include "expiry.h"
 #include "forward_int.h"
+#include "stream_io.h"
 #include "mem.h"
 #include "peers.h"
 
@@ -220,6 +221,12 @@
 	}
 }
 
+void
+stream_io_begun(struct forward *f)
+{
+	(void)f;
+}
+
 void
 forward_apply_notice(struct forward *f, const struct response_info *t)
 {
