--- a/tests/test_deflate.c
+++ b/tests/test_deflate.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "deflate.h"
+#include "mem.h"
 #include "unit.h"
 
 #define TEXT_BYTES 300000U
@@ -77,8 +78,7 @@
 
 	fill(&text, 200);
 	deflate_pack(&packed, buf_data(&text), buf_len(&text));
-	copy = malloc(buf_len(&packed));
-	CU_ASSERT_PTR_NOT_NULL_FATAL(copy);
+	copy = mem_alloc(buf_len(&packed));
 	for (i = 0; i < buf_len(&packed); i++) {
 		CU_ASSERT_EQUAL(
 		    deflate_unpack(&out, buf_data(&packed), i, MAX_BYTES), -1);
