lists: a removal that was lost on the way is repaired at once

VMs sent requests to replicas that had left 8 to 10 s before (DRAIN), after a relay was killed during a release.

Cause: changes that a process passes on lead its receivers to a revision, as if nothing were missing before. A relay that has just got a whole list never had the removed entry, passes on no removal, and leads its data centre past it. The difference shows only in a digest that is compared at the same revision, and its time began anew with each change of the list. What was behind then asked in step, three answers at a time. A hub whose watch tells nothing never asked.

Change: a text of the list tells the digest of the list it leads to; who then has another list asks the sender for all of it at once, and a hub reads the service in place of its watch. New revisions do not end a difference. Whole lists go compressed (70 KB become 12 KB for 116 replicas), ten at a time instead of three, and requests are spread. An entry that a process knows to be gone, by the service's position that it has read or watched up to, is not taken back. The age of a difference stands on the metrics page.

test_follow_bounds "a lost removal while the list changes", "a relay that missed a removal" (never repaired in 10 s) and "random faults, removals lost" failed before.

--- a/core/follow.c
+++ b/core/follow.c
@@ -17,13 +17,13 @@
  */
 #define SEND_AGAIN_NS (1 * NSEC_PER_SEC)
 /*
- * Limits on texts, of about 40 KB each, sent in response to pulls, so that they
+ * Limits on texts, of up to 25 KB each, sent in response to pulls, so that they
  * do not pile up in memory on the slowest links (10 Mbit/s).  Each kind has its
  * own: all pull the list when many replicas change.
  */
 #define ANSWERS_WINDOW_NS (100 * NSEC_PER_MSEC)
 #define CONFIG_ANSWERS_MAX 2
-#define LIST_ANSWERS_MAX 3
+#define LIST_ANSWERS_MAX 10
 #define CHANGES_BYTES_MAX 80000
 
 static void follow_answers_update(struct follow_answers *, uint64_t);
@@ -192,12 +192,10 @@
 	if (!decides || theirs->revision < mine->revision)
 		return 0;
 	if (theirs->digest == mine->digest) {
-		l->differs_at = 0;
+		l->differs_since = 0;
 		return 0;
 	}
-	if (l->differs_at != mine->revision) {
-		l->differs_at = mine->revision;
+	if (l->differs_since == 0)
 		l->differs_since = now;
-	}
 	return now >= l->differs_since + PUSH_NS;
 }
--- a/core/follow.h
+++ b/core/follow.h
@@ -34,7 +34,7 @@
 struct follow_lists {
 	uint64_t newer; /* revision of the peer's, 0 for none */
 	uint64_t newer_since;
-	uint64_t differs_at; /* revision of both, 0: it does not differ */
+	/* 0: it does not differ; new revisions do not end a difference. */
 	uint64_t differs_since;
 };
 
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -422,6 +422,12 @@
 	metric_write(f, "spindle_entry_lost_list_parts_total", "counter",
 	    "Parts of peers' lists that did not follow the one before.",
 	    e->counts.lost_parts);
+	metric_write(f, "spindle_entry_list_differs_total", "counter",
+	    "Texts of peers after which the lists of replicas differed.",
+	    e->counts.list_differs);
+	metric_write(f, "spindle_entry_list_differs_seconds", "gauge",
+	    "Time for which the list of replicas has differed from a hub's.",
+	    peers_list_differs_ns(e->peers) / NSEC_PER_SEC);
 	metric_write(f, "spindle_entry_bad_entries_total", "counter",
 	    "Entries of the list of replicas that cannot be used.",
 	    e->counts.bad_entries);
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -67,8 +67,9 @@
 	uint64_t bad_entries;	  /* of the list, that cannot be used */
 	uint64_t bad_texts;	  /* of peers, that could not be read */
 	uint64_t unsent_texts;	  /* for peers, too large for a message */
-	uint64_t unanswered_pulls;	/* of peers, as many came at once */
-	uint64_t lost_parts;		/* of peers' lists */
+	uint64_t unanswered_pulls; /* of peers, as many came at once */
+	uint64_t lost_parts;	   /* of peers' lists */
+	uint64_t list_differs;	   /* texts after which the lists differed */
 	uint64_t take_ups[ORIGIN__MAX]; /* of streams */
 	uint64_t unrecorded_streams;	/* whose records may not be written */
 	uint64_t attempts;
--- a/entry/list_text.c
+++ b/entry/list_text.c
@@ -30,7 +30,8 @@
 
 /* What the texts of one list have in common. */
 struct text_head {
-	uint64_t at; /* revision that the last part leads to */
+	uint64_t at;	 /* revision that the last part leads to */
+	uint64_t digest; /* of the list at that revision */
 	uint64_t grace_ns;
 };
 
@@ -41,6 +42,7 @@
 static size_t item_bytes(const struct text_item *);
 static json_t *pack_items(const struct text_item *, size_t);
 static void texts_add(struct list_texts *, json_t *);
+static void set_digest(json_t *, const struct text_head *);
 static void encode_ranges(
     const struct text_head *, const struct text_items *, struct list_texts *);
 static size_t changes_of_part(
@@ -118,6 +120,13 @@
 	json_decref(doc);
 }
 
+/* The last part tells what the list then is. */
+static void
+set_digest(json_t *doc, const struct text_head *h)
+{
+	json_object_set_new(doc, "digest", json_integer((json_int_t)h->digest));
+}
+
 /* Encodes a whole list, sorted by key, in ranges of keys. */
 static void
 encode_ranges(const struct text_head *h, const struct text_items *a,
@@ -142,6 +151,8 @@
 		if (i < a->n) {
 			after = a->items[i - 1].key;
 			json_object_set_new(doc, "until", json_string(after));
+		} else {
+			set_digest(doc, h);
 		}
 		texts_add(out, doc);
 		from = i;
@@ -176,19 +187,22 @@
     const struct text_items *a, struct list_texts *out)
 {
 	size_t from = 0;
+	json_t *doc;
 	uint64_t at;
 	size_t n;
 
 	do {
 		n = changes_of_part(a, from, revision, h);
 		at = from + n == a->n ? h->at : a->items[from + n - 1].revision;
-		texts_add(out,
-		    json_pack("{s:I,s:I,s:b,s:I,s:o}", "from",
-			(json_int_t)revision, "at", (json_int_t)at, "whole", 0,
-			"lapse_ns", (json_int_t)h->grace_ns, "items",
-			pack_items(a->items + from, n)));
+		doc = json_pack("{s:I,s:I,s:b,s:I,s:o}", "from",
+		    (json_int_t)revision, "at", (json_int_t)at, "whole", 0,
+		    "lapse_ns", (json_int_t)h->grace_ns, "items",
+		    pack_items(a->items + from, n));
 		revision = at;
 		from += n;
+		if (from == a->n)
+			set_digest(doc, h);
+		texts_add(out, doc);
 	} while (from < a->n);
 }
 
@@ -200,6 +214,7 @@
 	struct text_head h;
 
 	h.at = s->e->dir.revision;
+	h.digest = s->e->dir.digest;
 	h.grace_ns = directory_removal_grace_left(&s->e->dir, s->e->now);
 	for (k = s->lists[LIST_REPLICAS].keys; k != NULL; k = k->hh.next) {
 		if (k->value != NULL)
@@ -225,6 +240,7 @@
 	    since >= s->e->dir.revision)
 		return -1;
 	h.at = s->e->dir.revision;
+	h.digest = s->e->dir.digest;
 	h.grace_ns = directory_removal_grace_left(&s->e->dir, s->e->now);
 	for (k = s->lists[LIST_REPLICAS].keys; k != NULL; k = k->hh.next) {
 		if (k->value != NULL && k->revision > since)
@@ -253,6 +269,7 @@
 	uint32_t i;
 
 	h.at = s->e->dir.revision;
+	h.digest = s->e->dir.digest;
 	h.grace_ns = grace_ns;
 	for (i = 0; i < l->nchanges; i++) {
 		HASH_FIND_STR(l->keys, l->changes[i].key, k);
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -243,6 +243,19 @@
 	list_read(l);
 }
 
+void
+session_renew_replicas(struct session *s)
+{
+	struct list *l = &s->lists[LIST_REPLICAS];
+
+	if (!l->watching || s->e->now < s->read_replicas_at)
+		return;
+	s->read_replicas_at = s->e->now + READ_AGAIN_NS;
+	l->watching = 0;
+	l->watch_number++;
+	list_read(l);
+}
+
 void
 session_read_config(struct session *s)
 {
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -38,6 +38,8 @@
 void peers_send(struct peers *, struct msg *);
 /* Brings the next report forward after a change of this process's load. */
 void peers_report_soon(struct peers *);
+/* Time for which the local list has differed from a hub's, in ns. */
+uint64_t peers_list_differs_ns(const struct peers *);
 /* Whether this process watches the list of replicas on behalf of others. */
 int peers_is_active_hub(const struct peers *);
 /*
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -8,19 +8,27 @@
 #include <string.h>
 
 #include "conf_decoder.h"
+#include "deflate.h"
 #include "list_text.h"
 #include "mem.h"
 #include "peers_int.h"
 #include "session.h"
 #include "stream_io.h"
 
-#define PULL_RETRY_NS (300 * NSEC_PER_MSEC)
+/*
+ * Between requests for the list, and added at random: processes that a push has
+ * led to ask at the same time would all be too many each time.
+ */
+#define PULL_RETRY_NS (200 * NSEC_PER_MSEC)
+#define PULL_SPREAD_NS (300 * NSEC_PER_MSEC)
 #define PULL_CONFIG 0 /* msg_conf.nonce: which text */
 #define PULL_LIST 1
 #define PUSH_LIST 2 /* changes of the list of replicas */
 #define PACKED_CONFIG 3
 #define STREAM_RECORDS 4
+#define PACKED_LIST 5 /* a part of the whole list */
 /* An encoded list tells a grace period, which ends. */
+#define LIST_TEXT_MAX_BYTES 4194304 /* unpacked */
 #define LIST_TEXT_NS (300 * NSEC_PER_MSEC)
 
 static void send_config_again(struct peers *, struct peer *, uint64_t);
@@ -38,6 +46,8 @@
 static void send_text(
     struct peers *, const char *, uint64_t, const char *, size_t);
 static int answer_changes(struct peers *, const struct msg *);
+static void apply_list(struct peers *, const char *, const char *, size_t, int);
+static void apply_packed_list(struct peers *, const struct msg *);
 
 /*
  * Whether the local list is to be pulled from a peer.  Where lists differ at
@@ -54,13 +64,21 @@
 	return follow_list_report(&p->list, p->e->now, &mine, &theirs, decides);
 }
 
+uint64_t
+peers_list_differs_ns(const struct peers *p)
+{
+	return p->list.differs_since == 0 ? 0
+					  : p->e->now - p->list.differs_since;
+}
+
 /* Asks for the changes of the list since a revision, 0 for the whole list. */
 static void
 pull_list(struct peers *p, const char *addr, uint64_t since)
 {
 	if (p->e->now < p->pull_list_at)
 		return;
-	p->pull_list_at = p->e->now + PULL_RETRY_NS;
+	p->pull_list_at = p->e->now + PULL_RETRY_NS +
+	    (uint64_t)(entry_random(p->e) * (double)PULL_SPREAD_NS);
 	send_request(p, addr, PULL_LIST, since);
 }
 
@@ -202,10 +220,16 @@
 send_list(struct peers *p, const char *addr)
 {
 	const struct list_texts *t = encoded_list(p);
+	struct buf packed;
 	size_t i;
 
-	for (i = 0; i < t->n; i++)
-		send_text(p, addr, PULL_LIST, t->texts[i], strlen(t->texts[i]));
+	for (i = 0; i < t->n; i++) {
+		memset(&packed, 0, sizeof(packed));
+		deflate_pack(&packed, t->texts[i], strlen(t->texts[i]));
+		send_text(
+		    p, addr, PACKED_LIST, buf_data(&packed), buf_len(&packed));
+		buf_free(&packed);
+	}
 }
 
 void
@@ -248,12 +272,45 @@
 		entry_receive_config(p->e, c->bytes, c->len, m->from.addr);
 		return;
 	}
+	if (c->nonce == PACKED_LIST) {
+		apply_packed_list(p, m);
+		return;
+	}
+	apply_list(p, m->from.addr, c->bytes, c->len, c->nonce == PULL_LIST);
+}
+
+/* Changes of the list, or a part of the whole one. */
+static void
+apply_list(
+    struct peers *p, const char *from, const char *text, size_t len, int whole)
+{
 	/* Further parts are on their way. */
-	if (c->nonce == PULL_LIST)
+	if (whole)
 		p->pull_list_at = p->e->now + PULL_RETRY_NS;
-	if (session_apply_text(p->e->session, c->bytes, c->len, m->from.addr) ==
-	    -1)
-		pull_list(p, m->from.addr, p->e->dir.revision);
+	switch (session_apply_text(p->e->session, text, len, from)) {
+	case TEXT_MISSES_CHANGES:
+		pull_list(p, from, p->e->dir.revision);
+		break;
+	case TEXT_DIFFERS:
+		p->e->counts.list_differs++;
+		pull_list(p, from, 0);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+apply_packed_list(struct peers *p, const struct msg *m)
+{
+	struct buf text = { 0 };
+
+	if (deflate_unpack(&text, m->u.conf.bytes, m->u.conf.len,
+		LIST_TEXT_MAX_BYTES) == -1)
+		p->e->counts.bad_texts++;
+	else
+		apply_list(p, m->from.addr, buf_data(&text), buf_len(&text), 1);
+	buf_free(&text);
 }
 
 static void
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -20,6 +20,7 @@
 	uint64_t from; /* changes since this revision */
 	uint64_t at;
 	uint64_t grace_ns;
+	const json_t *digest; /* of the list at that revision, NULL: not told */
 	int whole;
 	const char *after; /* whole: of the keys after this one */
 	const char *until; /* and up to this one, NULL: up to the end */
@@ -29,6 +30,8 @@
 static int text_is_useless(const struct list *, const struct peer_text *);
 static int text_continues(struct list *, const struct peer_text *);
 static void text_apply(struct list *, const struct peer_text *);
+static int text_differs(const struct entry *, const struct peer_text *);
+static int is_known_removed(const struct list *, const struct store_item *);
 static void apply_item(struct list *, const json_t *);
 static void remove_unlisted(struct list *, const struct peer_text *);
 
@@ -79,6 +82,21 @@
 	l->nchanges = 0;
 }
 
+/*
+ * Whether an entry was removed since, as this process was told, or as it read
+ * or watched the service up to a later revision and has no such entry.
+ */
+static int
+is_known_removed(const struct list *l, const struct store_item *item)
+{
+	const struct list_key *k;
+
+	if (removals_has(&l->s->removals, item->key, item->revision))
+		return 1;
+	HASH_FIND_STR(l->keys, item->key, k);
+	return k == NULL && item->revision <= l->revision;
+}
+
 static void
 apply_item(struct list *l, const json_t *doc)
 {
@@ -95,8 +113,7 @@
 	item.value = (char *)json_string_value(value);
 	item.len = json_string_length(value);
 	/* The peer may have missed the removal. */
-	if (value != NULL &&
-	    removals_has(&l->s->removals, item.key, item.revision))
+	if (value != NULL && is_known_removed(l, &item))
 		return;
 	list_apply_item(l, &item);
 }
@@ -156,6 +173,7 @@
 	t->from = (uint64_t)json_integer_value(json_object_get(doc, "from"));
 	t->grace_ns =
 	    (uint64_t)json_integer_value(json_object_get(doc, "lapse_ns"));
+	t->digest = json_object_get(doc, "digest");
 	t->whole = json_is_true(json_object_get(doc, "whole"));
 	t->after = json_string_value(json_object_get(doc, "after"));
 	if (t->after == NULL)
@@ -216,12 +234,24 @@
 		remove_unlisted(l, t);
 }
 
-int
+/*
+ * Whether the list, now at the peer's revision, is another one than the peer's:
+ * a removal was lost on the way here, or the peer never knew of it.
+ */
+static int
+text_differs(const struct entry *e, const struct peer_text *t)
+{
+	return t->digest != NULL &&
+	    (uint64_t)json_integer_value(t->digest) != e->dir.digest;
+}
+
+enum text_result
 session_apply_text(
     struct session *s, const char *text, size_t len, const char *source)
 {
 	struct list *l = &s->lists[LIST_REPLICAS];
 	struct entry *e = s->e;
+	enum text_result result = TEXT_APPLIED;
 	struct peer_text t;
 
 	if (text_read(&t, text, len) == -1) {
@@ -229,22 +259,22 @@
 		log_event(
 		    LOG_LIST_TEXT_BAD, NULL, "peer=%s bytes=%zu", source, len);
 		session_read_replicas(s);
-		return 0;
+		return TEXT_APPLIED;
 	}
 	if (text_is_useless(l, &t)) {
 		json_decref(t.doc);
-		return 0;
+		return TEXT_APPLIED;
 	}
 	if (t.whole && !text_continues(l, &t)) {
 		e->counts.lost_parts++;
 		log_event(LOG_LIST_PART_LOST, NULL, "peer=%s after=%s", source,
 		    t.after);
 		json_decref(t.doc);
-		return 0;
+		return TEXT_APPLIED;
 	}
 	if (!t.whole && t.from > e->dir.revision) {
 		json_decref(t.doc);
-		return -1;
+		return TEXT_MISSES_CHANGES;
 	}
 	text_apply(l, &t);
 	if (!t.whole || t.until == NULL) {
@@ -253,8 +283,13 @@
 		removals_start(&s->removals, t.at);
 		list_set_source(s, source);
 		session_push_changes(s, t.grace_ns);
+		/* A hub asks the service, since its watch may be deaf. */
+		if (text_differs(e, &t) && peers_is_active_hub(e->peers))
+			session_renew_replicas(s);
+		else if (text_differs(e, &t))
+			result = TEXT_DIFFERS;
 	}
 	json_decref(t.doc);
 	e->retry_waiting = 1;
-	return 0;
+	return result;
 }
--- a/entry/session.h
+++ b/entry/session.h
@@ -26,12 +26,18 @@
 int session_is_up(const struct session *);
 /* Calls made to the store since the process started. */
 uint64_t session_calls(const struct session *);
+enum text_result {
+	TEXT_APPLIED,	     /* or of no use */
+	TEXT_MISSES_CHANGES, /* earlier changes are missing here */
+	TEXT_DIFFERS	     /* applied, but the lists differ */
+};
+
 /*
- * Applies a text of the list of replicas from a peer at an address.  Returns -1
- * if earlier changes are missing here, so that later ones cannot be applied.  A
- * text that cannot be read is made up for by reading the list from the store.
+ * Applies a text of the list of replicas from a peer at an address.  A text
+ * that cannot be read is made up for by reading the list from the store.
  */
-int session_apply_text(struct session *, const char *, size_t, const char *);
+enum text_result session_apply_text(
+    struct session *, const char *, size_t, const char *);
 /*
  * Starts reading lists whose turn has come: once the peers are known, when this
  * process becomes a hub, or when no peer has sent them in time.
@@ -39,6 +45,8 @@
 void session_tick(struct session *);
 /* Reads the list of replicas from the store, unless it is being read. */
 void session_read_replicas(struct session *);
+/* The same for a hub, in place of its watch, whose changes may be lost. */
+void session_renew_replicas(struct session *);
 /* Reads the configuration from the store. */
 void session_read_config(struct session *);
 
--- a/tests/follow_world.h
+++ b/tests/follow_world.h
@@ -115,6 +115,7 @@
 	uint32_t weight;
 	struct follow_list list;
 	uint64_t list_from; /* of changes: revision before the first */
+	uint64_t digest;    /* of the list at the text's revision */
 	int whole;
 	uint32_t nitems;
 	struct list_item items[2 * WORLD_ENTRIES];
@@ -146,6 +147,8 @@
 int world_went_back(void);
 
 /* follow_world.c */
+/* A number from 0 to n - 1. */
+uint32_t world_draw(uint32_t);
 uint32_t process_index(const struct process *);
 void process_receive_config(struct process *, uint64_t);
 /* Asks a peer for a text; for the list, for its changes since a revision. */
