entry: streams that are taken up, in three files

The list of versions (stream_versions) and the records (stream_recorder) were in one file of 560 lines with the take-ups. No change of behaviour.

--- a/entry/stream_io.c
+++ b/entry/stream_io.c
@@ -1,23 +1,13 @@
+/* Streams that callers take up again, and what this process knows of them. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "forward_int.h"
 #include "mem.h"
-#include "origins.h"
-#include "peers.h"
 #include "session.h"
-#include "software.h"
-#include "stream_io.h"
-#include "stream_record.h"
+#include "stream_io_int.h"
 
-/* Records, before the lease that they are bound to ends. */
 #define LEASE_S 120
-#define LEASE_USE_NS (50 * NSEC_PER_SEC)
-#define RETRY_NS (500 * NSEC_PER_MSEC)
-#define PENDING_MAX 1024
-/* Records of all processes are written together; each call is charged. */
-#define WRITE_NS (100 * NSEC_PER_MSEC)
 /*
  * The versions that the service listed at a time hold for so long: a replica
  * that has just appeared holds no model yet.
@@ -33,36 +23,6 @@
 	uint64_t sent_at;
 };
 
-struct records {
-	struct origin o[PENDING_MAX];
-	uint32_t n;
-};
-
-struct stream_io {
-	struct entry *e;
-	struct software *software;
-	struct origins *origins;
-	uint64_t digest; /* of the list when its versions were seen */
-	uint64_t see_at;
-	/* The versions as listed in the service. */
-	char *text;	   /* NULL: not known */
-	uint64_t revision; /* of the key, 0: it does not exist */
-	int calling;	   /* it is being read or written */
-	uint64_t call_at;  /* not before */
-	uint64_t era;
-	int read; /* they have been read since the start */
-	/* As read for the latest take-up, with what is listed here. */
-	struct software *listed;
-	uint64_t listed_at;	/* when that read was sent, 0: never */
-	struct records passed;	/* to the first hub */
-	struct records written; /* by this process */
-	uint64_t write_at;	/* not before */
-	uint64_t lease;
-	uint64_t lease_at;
-	int granting;
-	uint64_t grant_at; /* not before */
-};
-
 static const char *const source_names[ORIGIN__MAX] = {
 	[ORIGIN_HERE] = "here",
 	[ORIGIN_ONLY] = "only",
@@ -70,21 +30,6 @@
 	[ORIGIN_UNKNOWN] = "unknown",
 };
 
-static void send_op(struct stream_io *, enum kv_op_kind, const char *,
-    void (*)(void *, const struct kv_result *), void *);
-static void on_read(void *, const struct kv_result *);
-static void on_written(void *, const struct kv_result *);
-static void apply_text(struct stream_io *, const struct kv_result *);
-static void write_text(struct stream_io *, char *);
-static void follow_text(struct stream_io *);
-static void on_granted(void *, const struct kv_result *);
-static void on_recorded(void *, int);
-static void records_add(
-    struct stream_io *, struct records *, const struct origin *);
-static void records_remove(struct records *, uint32_t);
-static uint32_t records_part(const struct records *);
-static void pass_records(struct stream_io *);
-static void write_records(struct stream_io *);
 static void record(struct forward *);
 static void on_versions(void *, const struct kv_result *);
 static void on_record(void *, const struct kv_result *);
@@ -133,15 +78,12 @@
 		return;
 	io->era = era;
 	/* The copy may lack versions and leases. */
-	free(io->text);
-	io->text = NULL;
-	io->read = 0;
-	io->listed_at = 0;
+	stream_versions_reset(io);
 	io->lease = 0;
 }
 
-static void
-send_op(struct stream_io *io, enum kv_op_kind kind, const char *key,
+void
+stream_io_send(struct stream_io *io, enum kv_op_kind kind, const char *key,
     void (*result)(void *, const struct kv_result *), void *ctx)
 {
 	struct kv_ops ops;
@@ -153,199 +95,6 @@
 	session_send(io->e->session, &ops, result, ctx);
 }
 
-/* --- the versions listed in the service */
-
-/* Sees what is listed; versions of an earlier era leave the list unknown. */
-static void
-apply_text(struct stream_io *io, const struct kv_result *r)
-{
-	io->read |= r->status == KV_OK || r->status == KV_ABSENT;
-	free(io->text);
-	io->text = NULL;
-	io->revision = 0;
-	if (r->status != KV_OK)
-		return;
-	io->revision = r->revision;
-	if (software_text_decode(r->value, io->era, io->e->now, io->software) ==
-	    0)
-		io->text = mem_strdup(r->value);
-}
-
-static void
-on_read(void *ctx, const struct kv_result *r)
-{
-	struct stream_io *io = ctx;
-
-	io->calling = 0;
-	io->call_at = io->e->now + RETRY_NS;
-	apply_text(io, r);
-}
-
-static void
-on_written(void *ctx, const struct kv_result *r)
-{
-	struct stream_io *io = ctx;
-
-	io->calling = 0;
-	if (r->status == KV_OK) {
-		io->revision = r->revision;
-		return;
-	}
-	/* Another process wrote it, or it may have been written. */
-	free(io->text);
-	io->text = NULL;
-	io->read = 0;
-	io->call_at = io->e->now;
-}
-
-/* Takes the text. */
-static void
-write_text(struct stream_io *io, char *text)
-{
-	struct kv_ops ops;
-	struct kv_op *op;
-
-	TAILQ_INIT(&ops);
-	op = kv_op_create(&ops, 0, KV_CAS, SOFTWARE_KEY);
-	op->value = mem_strdup(text);
-	op->expected_revision = io->revision;
-	free(io->text);
-	io->text = text;
-	io->calling = 1;
-	session_send(io->e->session, &ops, on_written, io);
-}
-
-/* Reads the versions once; the first hub keeps them up to date. */
-static void
-follow_text(struct stream_io *io)
-{
-	struct entry *e = io->e;
-	char *text;
-
-	if (io->calling || e->now < io->call_at || !session_is_up(e->session))
-		return;
-	if (!io->read) {
-		io->calling = 1;
-		send_op(io, KV_GET, SOFTWARE_KEY, on_read, io);
-		return;
-	}
-	if (!peers_is_first_hub(e->peers) || !e->dir.synced || e->stopping)
-		return;
-	text = software_text_encode(io->software, io->era);
-	if (io->text != NULL && strcmp(text, io->text) == 0)
-		free(text);
-	else
-		write_text(io, text);
-}
-
-/* --- records of streams */
-
-static void
-on_granted(void *ctx, const struct kv_result *r)
-{
-	struct stream_io *io = ctx;
-
-	io->granting = 0;
-	io->grant_at = io->e->now + RETRY_NS;
-	if (r->status != KV_OK)
-		return;
-	io->lease = r->lease_id;
-	io->lease_at = io->e->now;
-}
-
-static void
-on_recorded(void *ctx, int status)
-{
-	struct stream_io *io = ctx;
-
-	/* The lease has ended. */
-	if (status == 404)
-		io->lease = 0;
-	io->e->counts.unrecorded_streams += status != 200;
-}
-
-static void
-records_add(struct stream_io *io, struct records *r, const struct origin *o)
-{
-	if (r->n == PENDING_MAX) {
-		io->e->counts.unrecorded_streams++;
-		return;
-	}
-	r->o[r->n++] = *o;
-}
-
-static void
-records_remove(struct records *r, uint32_t n)
-{
-	r->n -= n;
-	memmove(r->o, r->o + n, r->n * sizeof(*r->o));
-}
-
-static uint32_t
-records_part(const struct records *r)
-{
-	return r->n < STREAM_RECORDS_MAX ? r->n : STREAM_RECORDS_MAX;
-}
-
-/* The first hub writes them, so that one call carries those of many. */
-static void
-pass_records(struct stream_io *io)
-{
-	uint32_t i;
-	uint32_t n;
-	char *text;
-	int sent;
-
-	while ((n = records_part(&io->passed)) != 0) {
-		text = stream_records_encode(io->passed.o, n);
-		sent = peers_send_records(io->e->peers, text, strlen(text));
-		free(text);
-		for (i = 0; sent == -1 && i < n; i++)
-			records_add(io, &io->written, &io->passed.o[i]);
-		records_remove(&io->passed, n);
-	}
-}
-
-void
-stream_io_apply_records(
-    struct stream_io *io, const char *from, const char *text, size_t len)
-{
-	struct origin o[STREAM_RECORDS_MAX];
-	size_t n = stream_records_decode(text, len, o, nitems(o));
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		records_add(io,
-		    peers_relays_for(io->e->peers, from) ? &io->passed
-							 : &io->written,
-		    &o[i]);
-}
-
-static void
-write_records(struct stream_io *io)
-{
-	struct entry *e = io->e;
-	struct store_request sc;
-	uint32_t n;
-
-	if (io->written.n == 0 || !session_is_up(e->session) ||
-	    (e->now < io->write_at && io->written.n < STREAM_RECORDS_MAX))
-		return;
-	if ((io->lease == 0 || e->now >= io->lease_at + LEASE_USE_NS) &&
-	    !io->granting && e->now >= io->grant_at) {
-		io->granting = 1;
-		send_op(io, KV_GRANT, "", on_granted, io);
-	}
-	if (io->lease == 0)
-		return;
-	io->write_at = e->now + WRITE_NS;
-	while ((n = records_part(&io->written)) != 0) {
-		stream_records_request(io->written.o, n, io->lease, &sc);
-		session_write(e->session, &sc, on_recorded, io);
-		records_remove(&io->written, n);
-	}
-}
-
 /* Records a stream that has begun, if its service has several versions. */
 static void
 record(struct forward *f)
@@ -360,7 +109,7 @@
 	if (o == NULL || o->software[0] == '\0')
 		return;
 	f->recorded = 1;
-	records_add(io, &io->passed, o);
+	stream_recorder_add(io, o);
 }
 
 void
@@ -394,13 +143,10 @@
 		TAILQ_FOREACH (f, &e->requests, entry)
 			record(f);
 	}
-	follow_text(io);
-	pass_records(io);
-	write_records(io);
+	stream_versions_tick(io);
+	stream_recorder_tick(io);
 }
 
-/* --- streams that are taken up */
-
 int
 stream_io_is_take_up(const struct forward *f)
 {
@@ -511,7 +257,7 @@
 		return;
 	}
 	stream_record_key(f->params.resumes, key, sizeof(key));
-	send_op(io, KV_GET, key, on_record, l);
+	stream_io_send(io, KV_GET, key, on_record, l);
 }
 
 static void
@@ -557,5 +303,5 @@
 	if (io->listed_at != 0 && f->e->now < io->listed_at + LISTED_NS)
 		look_up_record(l);
 	else
-		send_op(io, KV_GET, SOFTWARE_KEY, on_versions, l);
+		stream_io_send(io, KV_GET, SOFTWARE_KEY, on_versions, l);
 }
