--- a/entry/main.c
+++ b/entry/main.c
@@ -48,6 +48,7 @@
 };
 
 static int daemon_start(struct daemon *, struct err *);
+static void create_parts(struct entry *);
 static void daemon_stop(struct daemon *);
 static void on_tick(struct ev_loop *, ev_timer *, int);
 static void on_prepare(struct ev_loop *, ev_prepare *, int);
@@ -191,6 +192,17 @@
 	log_event(LOG_RELOADED, NULL, "file=%s", d->settings_path);
 }
 
+/* The session comes last: its first answers go to the others. */
+static void
+create_parts(struct entry *e)
+{
+	e->loader_io = loader_io_create(e);
+	e->poison_io = poison_io_create(e);
+	e->permit_io = permit_io_create(e);
+	e->stream_io = stream_io_create(e);
+	e->session = session_create(e);
+}
+
 static int
 daemon_start(struct daemon *d, struct err *err)
 {
@@ -225,11 +237,7 @@
 	e->peers = peers_create(e, err);
 	if (e->peers == NULL)
 		return -1;
-	e->loader_io = loader_io_create(e);
-	e->poison_io = poison_io_create(e);
-	e->permit_io = permit_io_create(e);
-	e->stream_io = stream_io_create(e);
-	e->session = session_create(e);
+	create_parts(e);
 	e->admin = admin_create(e, err);
 	if (e->admin == NULL)
 		return -1;
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -49,7 +49,6 @@
 static void test_source_silent(void);
 static void test_never_back(void);
 static void test_send_again(void);
-static void test_pulls_of_lists(void);
 static void test_list_differs(void);
 static void test_list_differs_shortly(void);
 static void test_list_behind(void);
@@ -323,32 +322,6 @@
 	CU_ASSERT(follow_is_to_send(&f, &s, 7, t));
 }
 
-#define PACKED_LIST_BYTES 12000U /* of 116 replicas */
-#define WINDOW_BYTES 120000U	 /* three of 40 KB, at 10 Mbit/s */
-
-/* However many lists are pulled, a configuration still is; both are limited. */
-static void
-test_pulls_of_lists(void)
-{
-	struct follow_answers a = { 0 };
-	uint64_t t = START_NS;
-	uint32_t lists = 0;
-	uint32_t configs = 0;
-	int i;
-
-	for (i = 0; i < 100; i++)
-		lists += follow_answers_pull(&a, t, FOLLOW_LIST) != 0;
-	for (i = 0; i < 100; i++)
-		configs += follow_answers_pull(&a, t, FOLLOW_CONFIG) != 0;
-	CU_ASSERT(lists >= 1);
-	/* As compressed; three in full before. */
-	CU_ASSERT(lists * PACKED_LIST_BYTES <= WINDOW_BYTES);
-	CU_ASSERT(configs >= 1);
-	CU_ASSERT(configs <= 3);
-	t += NSEC_PER_SEC;
-	CU_ASSERT(follow_answers_pull(&a, t, FOLLOW_LIST));
-}
-
 /*
  * Processes of the data centre, at the same revision, say nothing about a
  * relay's list that differs from a hub's.
@@ -589,7 +562,6 @@
 	{ "the newest peer is silent", test_source_silent },
 	{ "never back", test_never_back },
 	{ "sent again ever more seldom", test_send_again },
-	{ "a configuration beside pulls of lists", test_pulls_of_lists },
 	{ "a list differs", test_list_differs },
 	{ "a list differs shortly", test_list_differs_shortly },
 	{ "a list is behind", test_list_behind },
--- a/tests/test_follow_bounds.c
+++ b/tests/test_follow_bounds.c
@@ -12,8 +12,10 @@
 /* Most that any row may take; watches that are deaf end after 10 s. */
 #define APPLY_MS 2000U
 #define DEAF_MS 12000U
-#define LATE_MS 3000U	/* two reads of 1 s */
-#define REPAIR_MS 1000U /* of a removal that was lost */
+#define LATE_MS 3000U		 /* two reads of 1 s */
+#define PACKED_LIST_BYTES 12000U /* of 116 replicas */
+#define WINDOW_BYTES 120000U	 /* three of 40 KB, at 10 Mbit/s */
+#define REPAIR_MS 1000U		 /* of a removal that was lost */
 #define LIMIT_NS (20 * NSEC_PER_SEC)
 
 enum target {
@@ -66,6 +68,7 @@
 static void test_entry_removed(void);
 static void test_not_pushed(void);
 static void test_changes_limit(void);
+static void test_pulls_of_lists(void);
 static uint32_t draw(uint64_t *, uint32_t);
 static void disturb(uint64_t *);
 static void disturb_for(uint64_t *);
@@ -357,6 +360,29 @@
 	CU_ASSERT(follow_answers_changes(&a, t + NSEC_PER_SEC, 500));
 }
 
+/* However many lists are pulled, a configuration still is; both are limited. */
+static void
+test_pulls_of_lists(void)
+{
+	struct follow_answers a = { 0 };
+	uint64_t t = LIMIT_NS;
+	uint32_t lists = 0;
+	uint32_t configs = 0;
+	int i;
+
+	for (i = 0; i < 100; i++)
+		lists += follow_answers_pull(&a, t, FOLLOW_LIST) != 0;
+	for (i = 0; i < 100; i++)
+		configs += follow_answers_pull(&a, t, FOLLOW_CONFIG) != 0;
+	CU_ASSERT(lists >= 1);
+	/* As compressed; three in full before. */
+	CU_ASSERT(lists * PACKED_LIST_BYTES <= WINDOW_BYTES);
+	CU_ASSERT(configs >= 1);
+	CU_ASSERT(configs <= 3);
+	t += NSEC_PER_SEC;
+	CU_ASSERT(follow_answers_pull(&a, t, FOLLOW_LIST));
+}
+
 /* A number from 0 to n - 1. */
 static uint32_t
 draw(uint64_t *state, uint32_t n)
@@ -522,6 +548,7 @@
 	{ "an entry removed since a read", test_entry_removed },
 	{ "a list that is not pushed", test_not_pushed },
 	{ "a limit on changes", test_changes_limit },
+	{ "a configuration beside pulls of lists", test_pulls_of_lists },
 	{ "random faults", test_random_faults },
 	{ "random faults, removals lost", test_random_faults_of_lists },
 	{ "a lost removal while the list changes", test_lost_removal },
--- a/tests/test_origins.c
+++ b/tests/test_origins.c
@@ -4,15 +4,21 @@
 #include <string.h>
 
 #include "origins.h"
+#include "replica.h"
 #include "software.h"
 #include "stream_record.h"
 #include "unit.h"
 
 #define S NSEC_PER_SEC
 #define MANY 20000U
+#define VERSIONED(version)                                                     \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
+	"\"slots\":6,\"cold_left_ms\":0,\"sequence\":4,"                       \
+	"\"state\":\"ready\"" version "}"
 
 static struct origin make(const char *, const char *);
 static void test_kept(void);
+static void test_replica_software(void);
 static void test_same_id_twice(void);
 static void test_many(void);
 static void test_records(void);
@@ -161,7 +167,48 @@
 	software_destroy(b);
 }
 
+/* Only a text is a version; a long one is known by its hash, here and there. */
+static void
+test_replica_software(void)
+{
+	static const char *const unknown[] = { "", ",\"version\":\"\"",
+		",\"version\":7", ",\"version\":null",
+		",\"version\":[\"v1\"]" };
+	struct fleet_replica r, again, other;
+	struct err e;
+	char text[400];
+	char name[200];
+	char *kept;
+	size_t i;
+
+	for (i = 0; i < nitems(unknown); i++) {
+		snprintf(text, sizeof(text), VERSIONED("%s"), unknown[i]);
+		CU_ASSERT_EQUAL(
+		    platform_replica_decode("i-1", text, strlen(text), &r, &e),
+		    0);
+		CU_ASSERT_STRING_EQUAL(r.software, "");
+	}
+	memset(name, 'v', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	for (i = 0; i < 2; i++) {
+		name[sizeof(name) - 2] = (char)('a' + i);
+		snprintf(
+		    text, sizeof(text), VERSIONED(",\"version\":\"%s\""), name);
+		CU_ASSERT_EQUAL(platform_replica_decode("i-1", text,
+				    strlen(text), i == 0 ? &r : &other, &e),
+		    0);
+	}
+	CU_ASSERT_STRING_NOT_EQUAL(r.software, other.software);
+	kept = platform_replica_encode(&r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(kept);
+	CU_ASSERT_EQUAL(
+	    platform_replica_decode("i-1", kept, strlen(kept), &again, &e), 0);
+	CU_ASSERT_STRING_EQUAL(again.software, r.software);
+	free(kept);
+}
+
 static const struct unit_case cases[] = {
+	{ "version of a replica's software", test_replica_software },
 	{ "kept", test_kept },
 	{ "two streams of an id", test_same_id_twice },
 	{ "more than are kept", test_many },
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -20,7 +20,6 @@
 static void test_replicas(void);
 static void test_replica_whole(void);
 static void test_replica_encoded(void);
-static void test_replica_software(void);
 static void test_reports(void);
 static void test_configs(void);
 static void test_config_whole(void);
@@ -40,11 +39,6 @@
 	"\"version\":\"v1\",\"slots\":6,\"cold_left_ms\":0,"                   \
 	"\"sequence\":4" rest "}"
 
-#define VERSIONED(version)                                                     \
-	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
-	"\"slots\":6,\"cold_left_ms\":0,\"sequence\":4,"                       \
-	"\"state\":\"ready\"" version "}"
-
 static const struct decode_case replicas[] = {
 	{ REPLICA(",\"state\":\"ready\""), "" },
 	{ REPLICA(",\"state\":\"draining\",\"remaining_ms\":1500"), "" },
@@ -118,46 +112,6 @@
 	CU_ASSERT_EQUAL(r.accepted_orders, 0);
 }
 
-/* Only a text is a version; a long one is known by its hash, here and there. */
-static void
-test_replica_software(void)
-{
-	static const char *const unknown[] = { "", ",\"version\":\"\"",
-		",\"version\":7", ",\"version\":null",
-		",\"version\":[\"v1\"]" };
-	struct fleet_replica r, again, other;
-	struct err e;
-	char text[400];
-	char name[200];
-	char *kept;
-	size_t i;
-
-	for (i = 0; i < nitems(unknown); i++) {
-		snprintf(text, sizeof(text), VERSIONED("%s"), unknown[i]);
-		CU_ASSERT_EQUAL(
-		    platform_replica_decode("i-1", text, strlen(text), &r, &e),
-		    0);
-		CU_ASSERT_STRING_EQUAL(r.software, "");
-	}
-	memset(name, 'v', sizeof(name) - 1);
-	name[sizeof(name) - 1] = '\0';
-	for (i = 0; i < 2; i++) {
-		name[sizeof(name) - 2] = (char)('a' + i);
-		snprintf(
-		    text, sizeof(text), VERSIONED(",\"version\":\"%s\""), name);
-		CU_ASSERT_EQUAL(platform_replica_decode("i-1", text,
-				    strlen(text), i == 0 ? &r : &other, &e),
-		    0);
-	}
-	CU_ASSERT_STRING_NOT_EQUAL(r.software, other.software);
-	kept = platform_replica_encode(&r);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(kept);
-	CU_ASSERT_EQUAL(
-	    platform_replica_decode("i-1", kept, strlen(kept), &again, &e), 0);
-	CU_ASSERT_STRING_EQUAL(again.software, r.software);
-	free(kept);
-}
-
 /* What is kept of an entry has a bounded size and decodes to the same. */
 static void
 test_replica_encoded(void)
@@ -595,7 +549,6 @@
 	{ "replicas", test_replicas },
 	{ "replica with all members", test_replica_whole },
 	{ "replica encoded", test_replica_encoded },
-	{ "version of the software", test_replica_software },
 	{ "reports", test_reports },
 	{ "configurations", test_configs },
 	{ "configuration with all members", test_config_whole },
