entry: a take-up that may have run is not said to be refused

A caller whose take-up had reached the last replica of its version, which then left, got 503, which promises that nothing ran. It gets 502 now.

tests/software.py test_take_up_that_ran_on_last_replica failed before (503).

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -236,9 +236,13 @@
 		return 0;
 	if (f->response_started)
 		forward_cut(f, "no replica of the stream's version is left");
-	else
+	else if (f->runs == 0)
 		forward_refuse(f, "no replica of the stream's version is left",
 		    RETRY_AFTER_NS);
+	else
+		forward_report_unknown(f, 502,
+		    "no replica of the stream's version is left",
+		    "the outcome is unknown");
 	return 1;
 }
 
--- a/tests/software.py
+++ b/tests/software.py
@@ -128,22 +128,25 @@
     return w.call(path, id, "POST", b"p", named)
 
 
-def slow(version):
+async def write_slowly(call, version):
     """An event every 50 ms; goes on after the last one."""
+    first = int(call.fields.get("last-event-id", 0)) + 1
+    call.writer.write(call.head(extra={
+        "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
+    for i in range(first, 9):
+        piece = b"id: %d\ndata: %s-%d\n\n" % (i, version.encode(), i)
+        call.writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        await call.writer.drain()
+        await entry.asyncio.sleep(0.05)
+    call.writer.write(b"0\r\n\r\n")
+    await call.writer.drain()
+    return True
+
+
+def slow(version):
     async def script(call):
         await call.read()
-        first = int(call.fields.get("last-event-id", 0)) + 1
-        call.writer.write(call.head(extra={
-            "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked"}))
-        for i in range(first, 9):
-            piece = b"id: %d\ndata: %s-%d\n\n" % (i, version.encode(), i)
-            call.writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
-            await call.writer.drain()
-            await entry.asyncio.sleep(0.05)
-        call.writer.write(b"0\r\n\r\n")
-        await call.writer.drain()
-        return True
+        return await write_slowly(call, version)
     return script
 
 
@@ -289,6 +292,30 @@
         w.stop()
 
 
+def test_take_up_that_ran_on_last_replica():
+    """One that may have run is not said to be refused."""
+    async def leaves(call):
+        await call.read()
+        if "last-event-id" not in call.fields:
+            return await write_slowly(call, "v1")
+        await w.store.remove("servers/i-a")
+        while not w.events("replica-gone"):
+            await entry.asyncio.sleep(0.01)
+        call.writer.transport.abort()
+        return False
+    w = World(config())
+    try:
+        w.wait_ready()
+        w.replica("i-a", "plain", leaves, version="v1")
+        w.wait("i-a listed", lambda: w.events("replica-listed"))
+        origin = begin(w, "id-1", "v1")
+        add_slow(w, "i-b", "v2")
+        status, _, body, _ = take_up(w, origin, "id-2")
+        check("unknown: %r %r" % (status, body), status == 502)
+    finally:
+        w.stop()
+
+
 def test_stream_from_before_release():
     """A stream that began while there was one version is recorded as the
     second one comes."""
