entry: a stream waits while its service has no replica at all

A stream whose last replica broke it off while it drained was ended at once, since no replica of its version was left; its successor, of the same version, came a moment later.

--- a/core/software.c
+++ b/core/software.c
@@ -155,7 +155,7 @@
 
 	for (r = d->replicas; r != NULL; r = r->hh.next) {
 		if (strcmp(r->info.service, service) == 0 &&
-		    strcmp(r->info.software, name) == 0 &&
+		    (name == NULL || strcmp(r->info.software, name) == 0) &&
 		    directory_in_service(r, now))
 			return 1;
 	}
--- a/core/software.h
+++ b/core/software.h
@@ -33,7 +33,7 @@
  */
 int software_get(
     const struct software *, uint32_t, const char **, const char **);
-/* Whether a replica of a service in service has a version. */
+/* Whether a replica of a service in service has a version, NULL: any. */
 int software_is_served(
     const struct directory *, uint64_t, const char *, const char *);
 
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -227,12 +227,18 @@
 	return balance_pick(&f->e->dir, f->e->now, &w, entry_random(f->e), m);
 }
 
-/* Ends a stream that has begun if no replica of its version is left. */
+/*
+ * Ends a stream that has begun if replicas of other versions have taken the
+ * place of those of its own.  While there is none of any, one may come back.
+ */
 static int
 forward_end_if_gone(struct forward *f)
 {
+	const struct directory *d = &f->e->dir;
+
 	if (!f->begun ||
-	    software_is_served(&f->e->dir, f->e->now, f->service, f->software))
+	    software_is_served(d, f->e->now, f->service, f->software) ||
+	    !software_is_served(d, f->e->now, f->service, NULL))
 		return 0;
 	if (f->response_started)
 		forward_cut(f, "no replica of the stream's version is left");
--- a/tests/test_software.c
+++ b/tests/test_software.c
@@ -67,6 +67,8 @@
 	software_see_listed(s, S, &d);
 	CU_ASSERT_STRING_EQUAL(software_only(s, "llm"), "v1");
 	CU_ASSERT(software_is_served(&d, S, "llm", "v1"));
+	CU_ASSERT(software_is_served(&d, S, "llm", NULL));
+	CU_ASSERT(!software_is_served(&d, S, "shop", NULL));
 	/* One that names none may be of any. */
 	snprintf(r.id, sizeof(r.id), "b");
 	r.software[0] = '\0';
