--- a/core/balance.c
+++ b/core/balance.c
@@ -175,10 +175,6 @@
 	w->adapter = adapter;
 }
 
-/*
- * Whether the replica could run the request, apart from its load; raises the
- * result to the furthest that any replica came.
- */
 /* Whether a replica is of the service, and of the version if one is wanted. */
 static int
 replica_serves(
@@ -188,6 +184,10 @@
 	    (w->software == NULL || strcmp(w->software, m->info.software) == 0);
 }
 
+/*
+ * Whether the replica could run the request, apart from its load; raises the
+ * result to the furthest that any replica came.
+ */
 static int
 replica_suits(uint64_t now, const struct balance_request *w,
     const struct directory_replica *m, enum balance_result *result)
--- a/core/loader_models.c
+++ b/core/loader_models.c
@@ -23,7 +23,7 @@
 #define KEEP_ALL_RATE_MIN 0.01 /* a second */
 /* An unload waits for its requests; then the load that it is for follows. */
 #define RESERVE_NS (10 * NSEC_PER_SEC)
-/* A limit on requests is taken to last for this time at least. */
+/* Shortest time for which a limit on requests is assumed to hold. */
 #define LIMIT_MIN_NS (5 * NSEC_PER_SEC)
 /* Time with requests before their absence means that a copy is not needed. */
 #define DEMAND_KNOWN_NS (10 * NSEC_PER_SEC)
@@ -132,8 +132,8 @@
 }
 
 /*
- * Whether a limit, named for some time, is worth a load.  It is taken to last
- * for as long again; a load must be over in half of that.
+ * Whether a limit, named for some time, is worth a load.  It is assumed to
+ * hold for as long again; a load must be over in half of that.
  */
 static int
 limit_lasts(const struct fleet_engine *g, uint64_t for_ns)
--- a/core/loader_rate.c
+++ b/core/loader_rate.c
@@ -133,7 +133,7 @@
 	return store_loads_most(s, g) - store_loads_counted(s, now);
 }
 
-/* A leader that is told of no loads of the one before it assumes the most. */
+/* A leader that was told no loads of its predecessor assumes the maximum. */
 void
 store_loads_take_over(struct loader *s, uint64_t now, uint64_t fence)
 {
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -194,7 +194,7 @@
 	    buf_len(&c->pipelined) == 0;
 }
 
-/* What is unread is read first, in a later turn of the loop. */
+/* Unread input is handled first, in a later iteration of the loop. */
 void
 callers_settle(struct entry *e)
 {
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -26,9 +26,9 @@
 #define PUSH_LIST 2 /* changes of the list of replicas */
 #define PACKED_CONFIG 3
 #define STREAM_RECORDS 4
-#define PACKED_LIST 5 /* a part of the whole list */
-/* An encoded list tells a grace period, which ends. */
+#define PACKED_LIST 5		    /* a part of the whole list */
 #define LIST_TEXT_MAX_BYTES 4194304 /* unpacked */
+/* An encoded list tells a grace period, which ends. */
 #define LIST_TEXT_NS (300 * NSEC_PER_MSEC)
 
 static void send_config_again(struct peers *, struct peer *, uint64_t);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -288,7 +288,7 @@
 			break;
 		nanosleep(&pause, NULL);
 	}
-	/* What was sent beyond them, too. */
+	/* Messages beyond that number are counted, too. */
 	nanosleep(&pause, NULL);
 	bus_counts(e->peers->bus, &c);
 	CU_ASSERT_EQUAL(c.dropped, 0);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -112,7 +112,7 @@
 	CU_ASSERT_EQUAL(r.accepted_orders, 0);
 }
 
-/* What is kept of an entry has a bounded size and decodes to the same. */
+/* The members kept of an entry have a bounded size and decode unchanged. */
 static void
 test_replica_encoded(void)
 {
