--- a/entry/peers.c
+++ b/entry/peers.c
@@ -85,7 +85,7 @@
 		free(q);
 	}
 	announce_destroy(p->announce);
-	list_texts_free(&p->list_texts);
+	packed_list_clear(&p->packed_list);
 	free(p);
 }
 
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -5,6 +5,7 @@
 #include <uthash.h>
 
 #include "announce.h"
+#include "buf.h"
 #include "bus.h"
 #include "follow.h"
 #include "hubs.h"
@@ -26,6 +27,14 @@
 	UT_hash_handle hh;
 };
 
+/* The whole list of replicas in compressed parts. */
+struct packed_list {
+	struct buf *parts;
+	size_t n;
+	uint64_t packed_at;
+	uint64_t digest; /* of the list */
+};
+
 struct peers {
 	struct entry *e;
 	struct bus *bus;
@@ -41,9 +50,7 @@
 	uint64_t pull_list_at; /* earliest time of the next pull */
 	struct follow_lists list;
 	struct follow config;
-	struct list_texts list_texts; /* encoded for pulls */
-	uint64_t list_texts_at;	      /* when that was */
-	uint64_t list_texts_digest;
+	struct packed_list packed_list; /* for pulls */
 	struct follow_answers answers;
 	uint64_t started_at;
 	uint32_t weight; /* this process's, while the store serves it */
@@ -78,6 +85,7 @@
 /* Applies a peer's report; older ones than the latest are ignored. */
 void peers_apply_report(struct peers *, struct peer *, const struct msg *);
 /* pull.c */
+void packed_list_clear(struct packed_list *);
 /* Pulls what a peer's report shows to be newer than the local copy. */
 void peers_compare_versions(
     struct peers *, struct peer *, const struct msg_front *);
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -33,7 +33,7 @@
 
 static void send_config_again(struct peers *, struct peer *, uint64_t);
 static void send_request(struct peers *, const char *, uint64_t, uint64_t);
-static const struct list_texts *encoded_list(struct peers *);
+static const struct packed_list *pack_list(struct peers *);
 static void send_list(struct peers *, const char *);
 static void leave_unanswered(struct peers *, const char *);
 static int fits_message(struct peers *, const char *, size_t);
@@ -154,20 +154,39 @@
 					    : p->config.version;
 }
 
-/* When a whole fleet starts, all pull the same list from their relay. */
-static const struct list_texts *
-encoded_list(struct peers *p)
+void
+packed_list_clear(struct packed_list *l)
+{
+	size_t i;
+
+	for (i = 0; i < l->n; i++)
+		buf_free(&l->parts[i]);
+	free(l->parts);
+	memset(l, 0, sizeof(*l));
+}
+
+/* Many processes pull the same list; it is packed for all of them once. */
+static const struct packed_list *
+pack_list(struct peers *p)
 {
+	struct packed_list *l = &p->packed_list;
+	struct list_texts t = { 0 };
 	struct entry *e = p->e;
+	size_t i;
 
-	if (p->list_texts.n != 0 && p->list_texts_digest == e->dir.digest &&
-	    e->now < p->list_texts_at + LIST_TEXT_NS)
-		return &p->list_texts;
-	list_texts_free(&p->list_texts);
-	list_texts_encode_whole(e->session, &p->list_texts);
-	p->list_texts_digest = e->dir.digest;
-	p->list_texts_at = e->now;
-	return &p->list_texts;
+	if (l->n != 0 && l->digest == e->dir.digest &&
+	    e->now < l->packed_at + LIST_TEXT_NS)
+		return l;
+	packed_list_clear(l);
+	list_texts_encode_whole(e->session, &t);
+	l->parts = mem_alloc(t.n * sizeof(*l->parts));
+	l->n = t.n;
+	for (i = 0; i < t.n; i++)
+		deflate_pack(&l->parts[i], t.texts[i], strlen(t.texts[i]));
+	list_texts_free(&t);
+	l->digest = e->dir.digest;
+	l->packed_at = e->now;
+	return l;
 }
 
 /* Whether a text fits in a message; one that does not is logged and counted. */
@@ -219,17 +238,12 @@
 static void
 send_list(struct peers *p, const char *addr)
 {
-	const struct list_texts *t = encoded_list(p);
-	struct buf packed;
+	const struct packed_list *l = pack_list(p);
 	size_t i;
 
-	for (i = 0; i < t->n; i++) {
-		memset(&packed, 0, sizeof(packed));
-		deflate_pack(&packed, t->texts[i], strlen(t->texts[i]));
-		send_text(
-		    p, addr, PACKED_LIST, buf_data(&packed), buf_len(&packed));
-		buf_free(&packed);
-	}
+	for (i = 0; i < l->n; i++)
+		send_text(p, addr, PACKED_LIST, buf_data(&l->parts[i]),
+		    buf_len(&l->parts[i]));
 }
 
 void
