entry: the queue of records grows with the fleet

It had room for 1,024 records: 295 processes with four streams each, recorded as a second version comes, would have lost some, and with them the right to go on. It grows as needed now, up to 16,384.

--- a/entry/stream_io.c
+++ b/entry/stream_io.c
@@ -65,6 +65,7 @@
 	software_destroy(io->software);
 	software_destroy(io->listed);
 	origins_destroy(io->origins);
+	stream_recorder_clear(io);
 	free(io->text);
 	free(io);
 }
--- a/entry/stream_io_int.h
+++ b/entry/stream_io_int.h
@@ -10,11 +10,10 @@
 
 /* Between calls of a kind after one that failed. */
 #define STREAM_RETRY_NS (500 * NSEC_PER_MSEC)
-#define STREAM_RECORDS_PENDING_MAX 1024
-
 struct record_queue {
-	struct origin o[STREAM_RECORDS_PENDING_MAX];
+	struct origin *o;
 	uint32_t n;
+	uint32_t size; /* allocated */
 };
 
 struct stream_io {
@@ -60,5 +59,6 @@
 void stream_recorder_add(struct stream_io *, const struct origin *);
 /* Passes records on to the first hub, or writes them. */
 void stream_recorder_tick(struct stream_io *);
+void stream_recorder_clear(struct stream_io *);
 
 #endif
--- a/entry/stream_recorder.c
+++ b/entry/stream_recorder.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
 #include "peers.h"
 #include "session.h"
 #include "stream_io_int.h"
@@ -13,6 +14,8 @@
 #define LEASE_USE_NS (50 * NSEC_PER_SEC)
 /* Records of all processes are written together; each call is charged. */
 #define WRITE_NS (100 * NSEC_PER_MSEC)
+/* Bounds memory while the service writes nothing. */
+#define PENDING_MAX 16384
 
 static void on_granted(void *, const struct kv_result *);
 static void on_recorded(void *, int);
@@ -50,10 +53,14 @@
 static void
 add(struct stream_io *io, struct record_queue *r, const struct origin *o)
 {
-	if (r->n == STREAM_RECORDS_PENDING_MAX) {
+	if (r->n == PENDING_MAX) {
 		io->e->counts.unrecorded_streams++;
 		return;
 	}
+	if (r->n == r->size) {
+		r->size = r->size * 2 + STREAM_RECORDS_MAX;
+		r->o = mem_grow(r->o, r->size, sizeof(*r->o));
+	}
 	r->o[r->n++] = *o;
 }
 
@@ -141,3 +148,10 @@
 	pass_records(io);
 	write_records(io);
 }
+
+void
+stream_recorder_clear(struct stream_io *io)
+{
+	free(io->passed.o);
+	free(io->written.o);
+}
