entry: the list of versions is encoded only after a change

The first hub encoded it at each tick to compare it. Two checks for a missing stream_io, which is always there, and an include of the platform's header in session.h are gone.

--- a/core/software.c
+++ b/core/software.c
@@ -18,6 +18,7 @@
 /* Sorted by service and name. */
 struct software {
 	struct version_list versions;
+	uint64_t changes;
 };
 
 static int compare(const struct software_version *, const char *, const char *);
@@ -69,6 +70,7 @@
 		after->seen_at = now;
 		return;
 	}
+	s->changes++;
 	v = mem_alloc(sizeof(*v));
 	snprintf(v->service, sizeof(v->service), "%s", service);
 	snprintf(v->name, sizeof(v->name), "%s", name);
@@ -100,11 +102,18 @@
 		next = TAILQ_NEXT(v, entry);
 		if (now < v->seen_at + SOFTWARE_KEEP_NS)
 			continue;
+		s->changes++;
 		TAILQ_REMOVE(&s->versions, v, entry);
 		free(v);
 	}
 }
 
+uint64_t
+software_changes(const struct software *s)
+{
+	return s->changes;
+}
+
 uint32_t
 software_count(const struct software *s, const char *service)
 {
--- a/core/software.h
+++ b/core/software.h
@@ -23,6 +23,8 @@
 void software_see_listed(struct software *, uint64_t, const struct directory *);
 /* Forgets versions that have not been seen for SOFTWARE_KEEP_NS. */
 void software_expire(struct software *, uint64_t);
+/* Rises with each version that comes or goes. */
+uint64_t software_changes(const struct software *);
 /* Number of versions of a service. */
 uint32_t software_count(const struct software *, const char *);
 /* The version of a service that has one, NULL for none or several. */
--- a/entry/session.h
+++ b/entry/session.h
@@ -7,7 +7,8 @@
 
 #include "entry_int.h"
 #include "kv_op.h"
-#include "store.h"
+
+struct store_request;
 
 /* Starts reading the lists. */
 struct session *session_create(struct entry *);
--- a/entry/stream_io.c
+++ b/entry/stream_io.c
@@ -75,7 +75,7 @@
 {
 	struct stream_io *io = e->stream_io;
 
-	if (io == NULL || io->era == era)
+	if (io->era == era)
 		return;
 	io->era = era;
 	/* The copy may lack versions and leases. */
@@ -119,7 +119,7 @@
 	struct stream_io *io = f->e->stream_io;
 	struct origin o;
 
-	if (io == NULL || !f->route.resumable || *forward_origin_id(f) == '\0')
+	if (!f->route.resumable || *forward_origin_id(f) == '\0')
 		return;
 	snprintf(o.id, sizeof(o.id), "%s", forward_origin_id(f));
 	memcpy(o.service, f->service, sizeof(o.service));
--- a/entry/stream_io_int.h
+++ b/entry/stream_io_int.h
@@ -25,6 +25,7 @@
 	uint64_t era; /* of the service */
 	/* The versions as the service lists them. */
 	char *text;	   /* NULL: not known */
+	uint64_t changes;  /* of software that it has been compared with */
 	uint64_t revision; /* of the key, 0: it does not exist */
 	int calling;	   /* it is being read or written */
 	uint64_t call_at;  /* not before */
--- a/entry/stream_versions.c
+++ b/entry/stream_versions.c
@@ -25,6 +25,7 @@
 static void
 apply_text(struct stream_io *io, const struct kv_result *r)
 {
+	io->changes = 0;
 	io->read |= r->status == KV_OK || r->status == KV_ABSENT;
 	free(io->text);
 	io->text = NULL;
@@ -94,8 +95,10 @@
 		stream_io_send(io, KV_GET, SOFTWARE_KEY, on_read, io);
 		return;
 	}
-	if (!peers_is_first_hub(e->peers) || !e->dir.synced || e->stopping)
+	if (!peers_is_first_hub(e->peers) || !e->dir.synced || e->stopping ||
+	    (io->text != NULL && io->changes == software_changes(io->software)))
 		return;
+	io->changes = software_changes(io->software);
 	text = software_text_encode(io->software, io->era);
 	if (io->text != NULL && strcmp(text, io->text) == 0)
 		free(text);
--- a/tests/test_software.c
+++ b/tests/test_software.c
@@ -22,6 +22,7 @@
 	CU_ASSERT_PTR_NULL(software_only(s, "llm"));
 	software_see(s, S, "llm", "v2");
 	software_see(s, S, "llm", "v2");
+	CU_ASSERT_EQUAL(software_changes(s), 1);
 	software_see(s, S, "shop", "v9");
 	CU_ASSERT_STRING_EQUAL(software_only(s, "llm"), "v2");
 	software_see(s, S, "llm", "v1");
@@ -46,7 +47,9 @@
 	software_see(s, 30 * S, "llm", "v2");
 	software_expire(s, 60 * S);
 	CU_ASSERT_EQUAL(software_count(s, "llm"), 2);
+	CU_ASSERT_EQUAL(software_changes(s), 2);
 	software_expire(s, 61 * S);
+	CU_ASSERT_EQUAL(software_changes(s), 3);
 	CU_ASSERT_STRING_EQUAL(software_only(s, "llm"), "v2");
 	software_destroy(s);
 }
