entry: a hub that takes over reads the list of versions before it writes

The first hub of a fleet keeps the list of versions up to date. Its successor compared its own view with what it had read at its start. A list that the hub before had changed since would have stayed wrong, and a take-up could have been sent to a version that did not begin it. Found by reading the change again.

tests/software.py test_versions_listed_by_next_hub failed before (not within 5 s).

--- a/entry/stream_io_int.h
+++ b/entry/stream_io_int.h
@@ -30,6 +30,7 @@
 	int calling;	   /* it is being read or written */
 	uint64_t call_at;  /* not before */
 	int read;	   /* it has been read since the start */
+	int writes;	   /* this process keeps it up to date */
 	/* As read for the latest take-up, with what is listed here. */
 	struct software *listed;
 	uint64_t listed_at; /* when that read was sent, 0: never */
--- a/entry/stream_versions.c
+++ b/entry/stream_versions.c
@@ -86,8 +86,14 @@
 stream_versions_tick(struct stream_io *io)
 {
 	struct entry *e = io->e;
+	int writes =
+	    peers_is_first_hub(e->peers) && e->dir.synced && !e->stopping;
 	char *text;
 
+	/* The hub before may have written it since it was read. */
+	if (writes && !io->writes)
+		io->read = 0;
+	io->writes = writes;
 	if (io->calling || e->now < io->call_at || !session_is_up(e->session))
 		return;
 	if (!io->read) {
@@ -95,7 +101,7 @@
 		stream_io_send(io, KV_GET, SOFTWARE_KEY, on_read, io);
 		return;
 	}
-	if (!peers_is_first_hub(e->peers) || !e->dir.synced || e->stopping ||
+	if (!writes ||
 	    (io->text != NULL && io->changes == software_changes(io->software)))
 		return;
 	io->changes = software_changes(io->software);
--- a/tests/software.py
+++ b/tests/software.py
@@ -11,6 +11,7 @@
 
 import entry
 from entry import check
+from limits import Fleet
 from platform_world import World
 
 STREAMS = 12
@@ -336,6 +337,35 @@
         w.stop()
 
 
+def test_versions_listed_by_next_hub():
+    """The list of versions lost one since the next hub read it, which writes
+    it anew as it takes the duty over."""
+    f = Fleet(2)
+    try:
+        f.start([])
+        for name, version in (("i-a", "v1"), ("i-b", "v2")):
+            f.first.replica(name, "plain", slow(version), version=version)
+        f.first.wait("versions listed", lambda: listed(f.first) ==
+                     ["v1", "v2"])
+        # Both have read the list with both versions.
+        first, other = sorted(f.worlds, key=lambda w: "%s:%d" % (
+            w.ip, w.ports["bus"]))
+        restart(other)
+        time.sleep(2)
+        entry_of = f.first.store.items["spindle/streams/software"]
+        doc = entry.json.loads(entry_of[0])
+        doc["software"] = doc["software"][:1]
+        first.process.kill()
+        first.process.wait()
+        f.first.run(f.first.store.put(
+            "spindle/streams/software", entry.json.dumps(doc).encode()))
+        check("lost one", listed(f.first) == ["v1"])
+        f.first.wait("both listed", lambda: listed(f.first) == ["v1", "v2"],
+                     5)
+    finally:
+        f.stop()
+
+
 def test_take_up_without_service():
     """A process that cannot ask the service refuses what it does not know:
     its own list may be old."""
