--- a/Makefile
+++ b/Makefile
@@ -156,14 +156,14 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
-$(BUILD)/test_list_text: $(BUILD)/tests/test_list_text.o \
+$(BUILD)/test_list_text: $(BUILD)/tests/test_list_text.o $(BUILD)/tests/entry_fixture.o \
     $(BUILD)/tests/unit.o \
     $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(wildcard entry/*.c))) \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
-$(BUILD)/test_peers: $(BUILD)/tests/test_peers.o $(BUILD)/tests/unit.o \
+$(BUILD)/test_peers: $(BUILD)/tests/test_peers.o $(BUILD)/tests/entry_fixture.o $(BUILD)/tests/unit.o \
     $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(wildcard entry/*.c))) \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/tests/test_list_text.c
+++ b/tests/test_list_text.c
@@ -8,7 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "conf_decoder.h"
+#include "entry_fixture.h"
 #include "list_text.h"
 #include "loader_io.h"
 #include "mem.h"
@@ -19,7 +19,6 @@
 #include "session_int.h"
 #include "unit.h"
 
-#define NOWHERE "127.0.0.1:9"
 #define SEED 7
 #define ROUNDS 40
 #define KEYS 300
@@ -27,8 +26,6 @@
 #define REVISION_START 100
 #define LARGE_BYTES 300000
 
-static void setup(struct entry *, int);
-static void finish(struct entry *);
 static char *random_value(unsigned *, uint32_t, uint64_t, size_t *);
 static void change(struct entry *, uint32_t, const char *, size_t, uint64_t);
 static void random_change(struct entry *, unsigned *, uint32_t, uint64_t);
@@ -43,50 +40,6 @@
 static int is_listed(const struct entry *, const char *);
 static void test_removed_entry_from_peer(void);
 
-static void
-setup(struct entry *e, int number)
-{
-	struct conn_pool_config links = { NSEC_PER_SEC, NSEC_PER_SEC, 1 };
-	struct err err;
-
-	memset(e, 0, sizeof(*e));
-	e->loop = ev_loop_new(EVFLAG_AUTO);
-	TAILQ_INIT(&e->requests);
-	TAILQ_INIT(&e->queries);
-	directory_init(&e->dir);
-	snprintf(e->boot.vm, sizeof(e->boot.vm), "vm-%d", number);
-	snprintf(e->self.addr, sizeof(e->self.addr), "127.0.0.1:%d",
-	    20000 + (getpid() * 2 + number) % 10000);
-	e->self.incarnation = 1;
-	snprintf(e->boot.store, sizeof(e->boot.store), NOWHERE);
-	entry_update_now(e);
-	e->store = conn_pool_create(e->loop, &links);
-	e->conf_decoder =
-	    conf_decoder_create(e->loop, entry_apply_config, e, &err);
-	e->peers = peers_create(e, &err);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(e->peers);
-	e->loader_io = loader_io_create(e);
-	e->poison_io = poison_io_create(e);
-	e->permit_io = permit_io_create(e);
-	e->session = session_create(e);
-}
-
-static void
-finish(struct entry *e)
-{
-	session_close(e->session);
-	queries_cancel(e);
-	conf_decoder_destroy(e->conf_decoder);
-	loader_io_destroy(e->loader_io);
-	poison_io_destroy(e->poison_io);
-	permit_io_destroy(e->permit_io);
-	session_destroy(e->session);
-	peers_destroy(e->peers);
-	conn_pool_destroy(e->store);
-	directory_clear(&e->dir);
-	ev_loop_destroy(e->loop);
-}
-
 /* A replica's entry, or bytes of another writer. */
 static char *
 random_value(unsigned *seed, uint32_t key, uint64_t revision, size_t *len)
@@ -207,8 +160,8 @@
 	int round;
 	int n;
 
-	setup(&a, 0);
-	setup(&b, 1);
+	entry_fixture_start(&a, 0);
+	entry_fixture_start(&b, 1);
 	fill(&a, &seed, KEYS);
 	copy_list(&a, &b, 0);
 	check_same(&a, &b);
@@ -220,8 +173,8 @@
 		copy_list(&a, &b, round % 5 == 0 ? 0 : since);
 		check_same(&a, &b);
 	}
-	finish(&a);
-	finish(&b);
+	entry_fixture_stop(&a);
+	entry_fixture_stop(&b);
 }
 
 /* More than one message holds, as changes and as a whole. */
@@ -233,8 +186,8 @@
 	unsigned seed = SEED;
 	uint64_t first;
 
-	setup(&a, 0);
-	setup(&b, 1);
+	entry_fixture_start(&a, 0);
+	entry_fixture_start(&b, 1);
 	change(&a, MANY, NULL, 0, REVISION_START - 1);
 	first = a.dir.revision;
 	copy_list(&a, &b, 0);
@@ -244,15 +197,15 @@
 	apply_all(&b, &t, t.n);
 	list_texts_free(&t);
 	check_same(&a, &b);
-	finish(&b);
-	setup(&b, 1);
+	entry_fixture_stop(&b);
+	entry_fixture_start(&b, 1);
 	list_texts_encode_whole(a.session, &t);
 	CU_ASSERT(t.n > 3);
 	apply_all(&b, &t, t.n);
 	list_texts_free(&t);
 	check_same(&a, &b);
-	finish(&a);
-	finish(&b);
+	entry_fixture_stop(&a);
+	entry_fixture_stop(&b);
 }
 
 /* What lacks a part leads to no later revision; asking again completes it. */
@@ -265,10 +218,10 @@
 	size_t left_out;
 	size_t n = 1;
 
-	setup(&a, 0);
+	entry_fixture_start(&a, 0);
 	fill(&a, &seed, KEYS * 4);
 	for (left_out = 0; left_out < n; left_out++) {
-		setup(&b, 1);
+		entry_fixture_start(&b, 1);
 		list_texts_encode_whole(a.session, &t);
 		n = t.n;
 		apply_all(&b, &t, left_out);
@@ -277,10 +230,10 @@
 		list_texts_free(&t);
 		copy_list(&a, &b, b.dir.revision);
 		check_same(&a, &b);
-		finish(&b);
+		entry_fixture_stop(&b);
 	}
 	CU_ASSERT(n > 2);
-	finish(&a);
+	entry_fixture_stop(&a);
 }
 
 /* It is counted, and the list is read from the store instead. */
@@ -293,7 +246,7 @@
 	uint64_t calls;
 	size_t i;
 
-	setup(&e, 0);
+	entry_fixture_start(&e, 0);
 	e.session->lists[LIST_REPLICAS].polling = 1;
 	calls = session_calls(e.session);
 	for (i = 0; i < nitems(texts); i++)
@@ -303,7 +256,7 @@
 	CU_ASSERT_EQUAL(e.counts.bad_texts, nitems(texts));
 	CU_ASSERT(!e.dir.synced);
 	CU_ASSERT_EQUAL(session_calls(e.session), calls + 1);
-	finish(&e);
+	entry_fixture_stop(&e);
 }
 
 static int
@@ -325,8 +278,8 @@
 	struct entry peer;
 	struct entry e;
 
-	setup(&peer, 0);
-	setup(&e, 1);
+	entry_fixture_start(&peer, 0);
+	entry_fixture_start(&e, 1);
 	change(&peer, 1, value, strlen(value), REVISION_START);
 	copy_list(&peer, &e, 0);
 	CU_ASSERT(is_listed(&e, "i-00001"));
@@ -340,8 +293,8 @@
 	change(&peer, 1, value, strlen(value), REVISION_START + 3);
 	copy_list(&peer, &e, 0);
 	CU_ASSERT(is_listed(&e, "i-00001"));
-	finish(&peer);
-	finish(&e);
+	entry_fixture_stop(&peer);
+	entry_fixture_stop(&e);
 }
 
 static const struct unit_case cases[] = {
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -5,7 +5,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#include "conf_decoder.h"
+#include "entry_fixture.h"
 #include "loader_io.h"
 #include "peers_int.h"
 #include "permit_io.h"
@@ -20,7 +20,7 @@
 /* Half of config_apply_ms on a link of 10 Mbit/s, for a whole data centre. */
 #define DATA_CENTRE_BYTES (3000ULL / 2 * 10000 / 8)
 #define DATA_CENTRE_PEERS 24U
-#define SENDER "127.0.0.1:9"
+#define SENDER ENTRY_FIXTURE_NOWHERE
 
 /* Other input of the event loop. */
 struct input {
@@ -31,8 +31,6 @@
 	int handled;
 };
 
-static void setup(struct entry *);
-static void finish(struct entry *);
 static void push_messages(struct entry *, uint32_t);
 static void on_input(struct ev_loop *, ev_io *, int);
 static void test_other_input_beside_messages(void);
@@ -50,52 +48,6 @@
 static void test_config_over_slow_link(void);
 static void test_config_storm_over_slow_link(void);
 
-static void
-setup(struct entry *e)
-{
-	struct conn_pool_config links = { NSEC_PER_SEC, NSEC_PER_SEC, 1 };
-	struct err err;
-
-	memset(e, 0, sizeof(*e));
-	e->loop = ev_loop_new(EVFLAG_AUTO);
-	TAILQ_INIT(&e->requests);
-	TAILQ_INIT(&e->queries);
-	directory_init(&e->dir);
-	snprintf(e->boot.vm, sizeof(e->boot.vm), "vm-1");
-	snprintf(e->self.addr, sizeof(e->self.addr), "127.0.0.1:%d",
-	    20000 + getpid() % 10000);
-	e->self.incarnation = 1;
-	/* Nobody listens there. */
-	snprintf(e->boot.store, sizeof(e->boot.store), SENDER);
-	entry_update_now(e);
-	e->store = conn_pool_create(e->loop, &links);
-	e->conf_decoder =
-	    conf_decoder_create(e->loop, entry_apply_config, e, &err);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(e->conf_decoder);
-	e->peers = peers_create(e, &err);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(e->peers);
-	e->loader_io = loader_io_create(e);
-	e->poison_io = poison_io_create(e);
-	e->permit_io = permit_io_create(e);
-	e->session = session_create(e);
-}
-
-static void
-finish(struct entry *e)
-{
-	session_close(e->session);
-	queries_cancel(e);
-	conf_decoder_destroy(e->conf_decoder);
-	loader_io_destroy(e->loader_io);
-	poison_io_destroy(e->poison_io);
-	permit_io_destroy(e->permit_io);
-	session_destroy(e->session);
-	peers_destroy(e->peers);
-	conn_pool_destroy(e->store);
-	directory_clear(&e->dir);
-	ev_loop_destroy(e->loop);
-}
-
 static void
 push_messages(struct entry *e, uint32_t n)
 {
@@ -129,7 +81,7 @@
 	struct input in;
 	int i;
 
-	setup(&e);
+	entry_fixture_start(&e, 0);
 	memset(&in, 0, sizeof(in));
 	in.peers = e.peers;
 	CU_ASSERT_EQUAL_FATAL(pipe(in.fds), 0);
@@ -149,7 +101,7 @@
 	CU_ASSERT_EQUAL(ring_count(e.peers->inbox), 0);
 	close(in.fds[0]);
 	close(in.fds[1]);
-	finish(&e);
+	entry_fixture_stop(&e);
 }
 
 /* What a peer has sent may wait for long after a delay of this process. */
@@ -159,7 +111,7 @@
 	struct entry e;
 	struct peer *q;
 
-	setup(&e);
+	entry_fixture_start(&e, 0);
 	push_messages(&e, 1);
 	ev_run(e.loop, EVRUN_ONCE);
 	q = e.peers->peers;
@@ -172,7 +124,7 @@
 	peers_tick(e.peers);
 	CU_ASSERT(ring_count(e.peers->inbox) != 0);
 	CU_ASSERT(q->reachable);
-	finish(&e);
+	entry_fixture_stop(&e);
 }
 
 static void
@@ -222,7 +174,7 @@
 {
 	struct entry e;
 
-	setup(&e);
+	entry_fixture_start(&e, 0);
 	report_all(&e, 1, 0);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(e.peers->relay);
 	CU_ASSERT_STRING_EQUAL(e.peers->relay->addr, "127.0.0.1:2");
@@ -234,7 +186,7 @@
 	/* Started again. */
 	report_all(&e, 3, 0);
 	CU_ASSERT_STRING_EQUAL(e.peers->relay->addr, "127.0.0.1:2");
-	finish(&e);
+	entry_fixture_stop(&e);
 }
 
 /* Names are random, since they limit how far a text can be compressed. */
@@ -301,7 +253,7 @@
 {
 	uint32_t i;
 
-	setup(e);
+	entry_fixture_start(e, 0);
 	e->peers->weight = 200;
 	for (i = 0; i < DATA_CENTRE_PEERS; i++)
 		push_report(e, i, 1, 0);
@@ -316,7 +268,7 @@
 	fleet_conf_destroy(e->conf);
 	free(e->conf_text);
 	free(e->conf_packed);
-	finish(e);
+	entry_fixture_stop(e);
 }
 
 static void
