--- a/tests/test_list_text.c
+++ b/tests/test_list_text.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "deflate.h"
 #include "entry_fixture.h"
 #include "list_text.h"
 #include "loader_io.h"
@@ -23,6 +24,8 @@
 #define ROUNDS 40
 #define KEYS 300
 #define MANY 4000
+#define ENGINES 116U
+#define LINK_BYTES 125000U /* 0.1 s at 10 Mbit/s */
 #define REVISION_START 100
 #define LARGE_BYTES 300000
 
@@ -38,6 +41,8 @@
 static void test_part_lost(void);
 static void test_unreadable_text(void);
 static int is_listed(const struct entry *, const char *);
+static void list_engine(struct entry *, unsigned *, uint32_t);
+static void test_compressed_size(void);
 static void test_removed_entry_from_peer(void);
 
 /* A replica's entry, or bytes of another writer. */
@@ -297,7 +302,53 @@
 	entry_fixture_stop(&e);
 }
 
+/* An entry with three models and some adapters; names are random. */
+static void
+list_engine(struct entry *e, unsigned *seed, uint32_t key)
+{
+	char value[700];
+	int len;
+
+	len = snprintf(value, sizeof(value),
+	    "{\"service\":\"s\",\"address\":\"10.%d.64.%d:%d\",\"zone\":\"z%"
+	    "d\","
+	    "\"version\":\"v1\",\"slots\":12,\"state\":\"ready\","
+	    "\"cold_left_ms\":0,\"sequence\":%d,\"born\":%d,\"models\":["
+	    "{\"name\":\"m%08x\",\"adapters\":[\"a%d\",\"a%d\"]},"
+	    "{\"name\":\"m%08x\",\"adapters\":[\"a%d\"]},"
+	    "{\"name\":\"m%08x\",\"adapters\":[]}]}",
+	    rand_r(seed) % 4, rand_r(seed) % 255, 8000 + rand_r(seed) % 1000,
+	    rand_r(seed) % 4, rand_r(seed) % 100, 1774852 + rand_r(seed) % 9999,
+	    (unsigned)rand_r(seed), rand_r(seed) % 30, rand_r(seed) % 30,
+	    (unsigned)rand_r(seed), rand_r(seed) % 30, (unsigned)rand_r(seed));
+	change(e, key, value, (size_t)len, REVISION_START + key);
+}
+
+/* Ten answers in 0.1 s are to fit a link of 10 Mbit/s (core/follow). */
+static void
+test_compressed_size(void)
+{
+	struct list_texts t = { 0 };
+	struct buf packed = { 0 };
+	struct entry e;
+	unsigned seed = SEED;
+	uint32_t i;
+
+	entry_fixture_start(&e, 0);
+	for (i = 1; i <= ENGINES; i++)
+		list_engine(&e, &seed, i);
+	list_texts_encode_whole(e.session, &t);
+	for (i = 0; i < t.n; i++)
+		deflate_pack(&packed, t.texts[i], strlen(t.texts[i]));
+	CU_ASSERT(buf_len(&packed) * 10 <= LINK_BYTES);
+	printf("list of %u engines: %zu bytes\n", ENGINES, buf_len(&packed));
+	buf_free(&packed);
+	list_texts_free(&t);
+	entry_fixture_stop(&e);
+}
+
 static const struct unit_case cases[] = {
+	{ "compressed size", test_compressed_size },
 	{ "a removed entry in a peer's list", test_removed_entry_from_peer },
 	{ "any values", test_any_values },
 	{ "many entries", test_many_entries },
