--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -500,31 +500,22 @@
 		advance((uint64_t)(b + 1) * 10 * NSEC_PER_MSEC);
 		break;
 	case OP_DEMAND:
-		running[a % kModels] = (uint32_t)b / 5;
-		arrivals[a % kModels] += (uint64_t)b;
+		add_demand(a % kModels, b);
 		break;
 	case OP_REQUEST_ADAPTER:
-		for (auto &h : loaders) {
-			char name[FLEET_NAME_SIZE];
-
-			snprintf(name, sizeof(name), "m%d/a%d", a % kModels,
-			    b % kAdapters);
-			loader_request_adapter(h.loader, now, name);
-		}
+		request_adapter(a % kModels, b % kAdapters);
 		break;
 	case OP_LOSE_ANSWERS:
 		loss_probability = b / 2000.0;
 		break;
 	case OP_RESTART:
-		/* Restarts empty under the same id. */
 		restart_engine(a % kReplicas);
 		break;
 	case OP_CRASH:
 		crash_engine(a % kReplicas, (uint64_t)(b + 1) * 5 * NSEC_PER_MSEC);
 		break;
 	case OP_KILL:
-		stop_loader(a % kLoaders);
-		start_loader(a % kLoaders);
+		restart_loader(a % kLoaders);
 		break;
 	case OP_FREEZE:
 		loaders[a % kLoaders].frozen_until =
@@ -534,8 +525,7 @@
 		outage_until = now + (uint64_t)b * 5 * NSEC_PER_MSEC;
 		break;
 	case OP_REVOKE_LEASES:
-		leases.clear();
-		revoked_at = now;
+		revoke_leases();
 		break;
 	case OP_UNLIST_ADAPTER:
 		unlist_adapter("r" + std::to_string(a % kReplicas), (uint32_t)b);
@@ -547,18 +537,13 @@
 		stop_planned(holder());
 		break;
 	case OP_KILL_HOLDER:
-		a = holder();
-		stop_loader(a);
-		start_loader(a);
+		restart_loader(holder());
 		break;
 	case OP_REPLACE:
 		replace_engines(a);
 		break;
 	case OP_DEMAND_ALL:
-		for (int m = 0; m < kModels; m++) {
-			running[m] = (uint32_t)b / 5;
-			arrivals[m] += (uint64_t)b;
-		}
+		add_demand_to_all(b);
 		break;
 	default:
 		loss_probability = 0.0;
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -150,6 +150,11 @@
 	explicit World(uint64_t);
 	~World();
 	void apply(OpKind, int, int);
+	void add_demand(int, int);
+	void request_adapter(int, int);
+	void add_demand_to_all(int);
+	void restart_loader(int);
+	void revoke_leases();
 	void finish();
 
       private:
--- a/tests/orders_world_loads.cc
+++ b/tests/orders_world_loads.cc
@@ -215,3 +215,41 @@
 	}
 	return true;
 }
+
+void
+World::add_demand(int model, int n)
+{
+	running[model] = (uint32_t)n / 5;
+	arrivals[model] += (uint64_t)n;
+}
+
+void
+World::add_demand_to_all(int n)
+{
+	for (int m = 0; m < kModels; m++)
+		add_demand(m, n);
+}
+
+void
+World::request_adapter(int model, int adapter)
+{
+	char name[FLEET_NAME_SIZE];
+
+	snprintf(name, sizeof(name), "m%d/a%d", model, adapter);
+	for (auto &h : loaders)
+		loader_request_adapter(h.loader, now, name);
+}
+
+void
+World::restart_loader(int i)
+{
+	stop_loader(i);
+	start_loader(i);
+}
+
+void
+World::revoke_leases()
+{
+	leases.clear();
+	revoked_at = now;
+}
