entry: a VM that reaches no replica serves its callers through a peer

Cause: a failure was kept for each replica, and nothing concluded from many of them that this process is the one that is cut off; no process could pass a request on to another.

Change: core/reach judges from this process's own attempts whether it can connect (three replicas in a row, none in between); core/detours chooses the peer; entry/detour_attempt sends the bytes of one attempt to it, and entry/detour_server there passes them on to the replica, and to nobody else. All decisions stay with the process that the caller is connected to: the choice of the replica, repeats, budget, permits, versions of a stream, notices. The peer applies what the replica says of itself, too. A peer says what became of an attempt; only what it says was not sent is refused or sent elsewhere. Attempts that hang are given up where they may be repeated.

tests/test_detour fails without the choice of a peer: a plain request is refused.

--- a/Makefile
+++ b/Makefile
@@ -169,6 +169,12 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_detour: $(BUILD)/tests/test_detour.o $(BUILD)/tests/entry_fixture.o $(BUILD)/tests/unit.o \
+    $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(wildcard entry/*.c))) \
+    $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_store: $(BUILD)/tests/test_store.o $(BUILD)/tests/unit.o $(NET) \
     $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/core/directory.c
+++ b/core/directory.c
@@ -574,6 +574,14 @@
 	m->error_rate_at = now;
 }
 
+void
+directory_forget_failures(struct directory_replica *m)
+{
+	m->consecutive_failures = 0;
+	m->avoid_until = 0;
+	m->error_rate = 0.0;
+}
+
 void
 directory_attempt_failed(
     struct directory_replica *m, uint64_t now, int unreachable)
--- a/core/directory.h
+++ b/core/directory.h
@@ -175,5 +175,7 @@
 /* Records an attempt's end; an unreachable replica is avoided for a while. */
 void directory_attempt_succeeded(struct directory_replica *, uint64_t);
 void directory_attempt_failed(struct directory_replica *, uint64_t, int);
+/* The attempts failed for a reason that was not the replica's. */
+void directory_forget_failures(struct directory_replica *);
 
 #endif
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -6,6 +6,8 @@
 #include "admin.h"
 #include "clock.h"
 #include "conn.h"
+#include "detour_io.h"
+#include "detour_server.h"
 #include "expiry.h"
 #include "forward_int.h"
 #include "mem.h"
@@ -441,6 +443,8 @@
 	loader_io_totals(e, &t);
 	write_request_metrics(e, f);
 	write_attempt_metrics(e, f);
+	detour_io_write_metrics(e, f);
+	detour_server_write_metrics(e->detour_server, f);
 	metric_write(f, "spindle_entry_waiting", "gauge",
 	    "Requests that wait for a replica.", e->waiting.nitems);
 	write_config_metrics(e, f);
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -21,16 +21,17 @@
 #define READ_PAUSE_BYTES 131072
 
 static void forward_add_work(struct forward *, struct directory_replica *);
-static void forward_open_exchange(struct forward *, const char *, int);
+static void forward_open_exchange(struct forward *);
+static int is_head(const struct forward *);
+static void on_connected(void *);
 static int on_head(void *, const struct http_head *);
 static int on_body(void *, const char *, size_t);
 static int on_stream_body(struct forward *, const char *, size_t);
 static void on_end(void *, enum exchange_result);
 static void copy_head(struct http_head *, const struct http_head *);
-static enum attempt_outcome attempt_end_of(
-    const struct forward *, enum exchange_result);
 
 static const struct exchange_ops send_ops = {
+	.connected = on_connected,
 	.head = on_head,
 	.body = on_body,
 	.end = on_end,
@@ -55,8 +56,15 @@
 	peers_report_soon(f->e->peers);
 }
 
-static void
-forward_open_exchange(struct forward *f, const char *addr, int no_body)
+/* Whether an answer to the request has no body, whatever its head says. */
+static int
+is_head(const struct forward *f)
+{
+	return strcmp(caller_head(f->caller)->method, "HEAD") == 0;
+}
+
+struct exchange_conn
+forward_exchange_conn(const struct forward *f)
 {
 	struct exchange_conn conn = { 0 };
 
@@ -64,27 +72,67 @@
 	    f->route.kind == ROUTE_AT_MOST_ONCE ? ONCE_IDLE_NS : TIME_NEVER / 4;
 	conn.tag = hash_text(f->params.id);
 	/* A late copy would be read as a response with a body. */
-	conn.single_use = no_body;
-	f->exchange = exchange_start(f->e->replicas, addr, &conn, &send_ops, f);
+	conn.single_use = is_head(f);
+	return conn;
+}
+
+uint64_t
+forward_time_left(const struct forward *f)
+{
+	return f->deadline > f->e->now ? f->deadline - f->e->now : 0;
+}
+
+void
+forward_compose_request(const struct forward *f, struct buf *out)
+{
+	const struct http_head *h = caller_head(f->caller);
+	const struct buf *body = caller_body(f->caller);
+	struct forward_params t;
+
+	memset(&t, 0, sizeof(t));
+	t.id = f->params.id;
+	t.replica = f->replica->info.id;
+	t.timeout_ns = forward_time_left(f);
+	t.resume_after = f->response_started ? f->passed.written_id : 0;
+	t.body_len = buf_len(body);
+	t.has_body = buf_len(body) != 0 || strcmp(h->method, "GET") != 0;
+	fields_write_request(out, h, &t);
+	buf_add(out, buf_data(body), buf_len(body));
+}
+
+static void
+forward_open_exchange(struct forward *f)
+{
+	struct exchange_conn conn = forward_exchange_conn(f);
+	struct buf out = { 0 };
+
+	if (detour_io_is_needed(f->e, f->replica->info.addr, &conn) &&
+	    forward_open_detour(f) == 0)
+		return;
+	f->exchange = exchange_start(
+	    f->e->replicas, f->replica->info.addr, &conn, &send_ops, f);
 	if (f->e->stopping)
 		exchange_set_send_by(f->exchange, f->e->stop.settle_at);
-	if (no_body)
+	if (is_head(f))
 		exchange_expect_no_body(f->exchange);
+	forward_compose_request(f, &out);
+	exchange_send(f->exchange, buf_data(&out), buf_len(&out));
+	buf_free(&out);
+	f->new_connection = exchange_has_new_conn(f->exchange);
 }
 
 void
 forward_start_attempt(struct forward *f, struct directory_replica *m)
 {
-	const struct http_head *h = caller_head(f->caller);
-	const struct buf *body = caller_body(f->caller);
-	struct forward_params t;
 	struct replica_load load;
-	struct buf out = { 0 };
 	struct log_subject about = { 0 };
 
 	f->replica = m;
 	f->replica_started_ms = m->info.started_ms;
 	memcpy(f->replica_software, m->info.software, NAME_SIZE);
+	f->via[0] = '\0';
+	f->path_failed = 0;
+	f->new_connection = 0;
 	f->sent_at = f->e->now;
 	f->begun_at = 0;
 	f->status = 0;
@@ -105,19 +153,7 @@
 	if (f->ntried < BALANCE_TRIED_MAX)
 		snprintf(f->tried[f->ntried++], NAME_SIZE, "%s", m->info.id);
 
-	memset(&t, 0, sizeof(t));
-	t.id = f->params.id;
-	t.replica = m->info.id;
-	t.timeout_ns = f->deadline > f->e->now ? f->deadline - f->e->now : 0;
-	t.resume_after = f->response_started ? f->passed.written_id : 0;
-	t.body_len = buf_len(body);
-	t.has_body = buf_len(body) != 0 || strcmp(h->method, "GET") != 0;
-	fields_write_request(&out, h, &t);
-	buf_add(&out, buf_data(body), buf_len(body));
-	forward_open_exchange(f, m->info.addr, strcmp(h->method, "HEAD") == 0);
-	exchange_send(f->exchange, buf_data(&out), buf_len(&out));
-	buf_free(&out);
-	f->new_connection = exchange_has_new_conn(f->exchange);
+	forward_open_exchange(f);
 	about.call = f->params.id;
 	about.backend = m->info.id;
 	about.model = f->params.model;
@@ -136,6 +172,7 @@
 {
 	struct directory_replica *m = f->replica;
 
+	forward_leave_detour(f);
 	m->local_load.running -= f->work.running;
 	m->local_load.unread_us -= f->work.unread_us;
 	m->local_load.tokens -= f->work.tokens;
@@ -159,13 +196,30 @@
 		    from->nfields * sizeof(*to->fields));
 }
 
+static void
+on_connected(void *ctx)
+{
+	struct forward *f = ctx;
+
+	entry_update_now(f->e);
+	detour_io_connected(f->e);
+}
+
 static int
 on_head(void *ctx, const struct http_head *h)
 {
 	struct forward *f = ctx;
-	struct response_info t;
 
 	entry_update_now(f->e);
+	detour_io_heard(f->e);
+	return forward_on_head(f, h);
+}
+
+int
+forward_on_head(struct forward *f, const struct http_head *h)
+{
+	struct response_info t;
+
 	fields_decode_response(h, f->params.id, &t);
 	forward_apply_notice(f, &t);
 	if (t.has_id && !t.id_matches)
@@ -214,12 +268,20 @@
 	return 0;
 }
 
-/* Returns whether the rest of the response is of no use. */
 static int
 on_body(void *ctx, const char *p, size_t len)
 {
 	struct forward *f = ctx;
 
+	entry_update_now(f->e);
+	detour_io_heard(f->e);
+	return forward_on_body(f, p, len);
+}
+
+/* Returns whether the rest of the response is of no use. */
+int
+forward_on_body(struct forward *f, const char *p, size_t len)
+{
 	if (f->refused || f->invalid) {
 		f->unused_bytes += len;
 		return f->unused_bytes > UNUSED_MAX_BYTES;
@@ -234,8 +296,8 @@
 	return f->invalid;
 }
 
-static enum attempt_outcome
-attempt_end_of(const struct forward *f, enum exchange_result end)
+enum attempt_outcome
+forward_outcome_of(const struct forward *f, enum exchange_result end)
 {
 	switch (end) {
 	case EXCHANGE_NOT_SENT:
@@ -260,5 +322,7 @@
 	struct forward *f = ctx;
 
 	entry_update_now(f->e);
-	forward_attempt_ended(f, attempt_end_of(f, end));
+	if (end == EXCHANGE_NOT_SENT)
+		detour_io_not_connected(f->e, f->replica);
+	forward_attempt_ended(f, forward_outcome_of(f, end));
 }
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -27,6 +27,8 @@
 struct poison_io;
 struct permit_io;
 struct stream_io;
+struct detour_io;
+struct detour_server;
 struct admin;
 struct conf_decoded;
 struct conf_decoder;
@@ -116,6 +118,8 @@
 	struct poison_io *poison_io;
 	struct permit_io *permit_io;
 	struct stream_io *stream_io;
+	struct detour_io *detour_io;
+	struct detour_server *detour_server;
 	struct admin *admin;
 	struct pace pace;
 	uint32_t nprocesses;   /* entry processes, which divide limits */
@@ -203,6 +207,22 @@
 void replica_notice_limit(struct entry *, struct directory_replica *, uint64_t,
     uint64_t, double, const char *);
 
+/* An answer in which a replica may say something of itself. */
+struct replica_answer {
+	const char *id;	     /* of the request */
+	uint64_t started_ms; /* the replica's incarnation */
+	uint64_t sent_at;
+	int status;
+};
+
+struct response_info;
+/*
+ * Takes what a replica says of itself; returns whether it takes no requests
+ * from now on.
+ */
+int replica_notice_apply(struct entry *, struct directory_replica *,
+    const struct replica_answer *, const struct response_info *);
+
 /* forward.c */
 /* Starts forwarding the caller's request, which has been received in full. */
 void forward_start(struct entry *, struct caller *);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -22,6 +22,7 @@
 static int forward_admit(struct forward *, struct err *);
 static int forward_end_if_gone(struct forward *);
 static int forward_queue(struct forward *, enum balance_result);
+static int forward_refuse_if_unreached(struct forward *);
 static int try_waiting(void *, struct waitq_item *);
 static int forward_is_late(const struct forward *);
 static int forward_has_input(void *);
@@ -252,6 +253,19 @@
 	return 1;
 }
 
+/* What has not run is refused at once while no replica can be reached. */
+static int
+forward_refuse_if_unreached(struct forward *f)
+{
+	if (f->runs != 0 || f->response_started ||
+	    detour_io_mode(f->e) != REACH_NONE ||
+	    peers_count(f->e->peers) == 0 || detour_io_has_peer(f->e))
+		return 0;
+	forward_refuse(f, "neither this process nor a peer reaches a replica",
+	    RETRY_AFTER_NS);
+	return 1;
+}
+
 int
 forward_dispatch(struct forward *f)
 {
@@ -270,6 +284,8 @@
 		    f->e, f->params.model, result == BALANCE_NO_MODEL);
 	if (result != BALANCE_FOUND)
 		return forward_queue(f, result);
+	if (forward_refuse_if_unreached(f))
+		return 1;
 	if (permit_io_holds(f->e->permit_io, f, m))
 		return 0;
 	if (f->waiting.group != NULL) {
@@ -357,7 +373,7 @@
 forward_attempt_ended(struct forward *f, enum attempt_outcome end)
 {
 	struct directory_replica *m = f->replica;
-	char detail[192];
+	char detail[256];
 	int suspect;
 
 	f->exchange = NULL;
@@ -366,13 +382,13 @@
 		f->runs++;
 	if (end == ATTEMPT_ANSWERED || end == ATTEMPT_REFUSED)
 		directory_attempt_succeeded(m, f->e->now);
-	else
+	else if (!f->path_failed)
 		directory_attempt_failed(m, f->e->now,
 		    end == ATTEMPT_NOT_SENT ||
 			(end == ATTEMPT_NO_RESPONSE && f->new_connection));
 	snprintf(detail, sizeof(detail),
 	    "end=%s status=%d took_ms=%llu first_ms=%llu gap_ms=%llu "
-	    "event=%llu written=%llu fingerprint=%016llx",
+	    "event=%llu written=%llu fingerprint=%016llx peer=%s",
 	    attempt_outcome_name(end), f->status,
 	    (unsigned long long)((f->e->now - f->sent_at) / NSEC_PER_MSEC),
 	    (unsigned long long)(f->first_event_at == 0
@@ -381,7 +397,7 @@
 	    (unsigned long long)(f->max_gap_ns / NSEC_PER_MSEC),
 	    (unsigned long long)f->passed.read_id,
 	    (unsigned long long)f->passed.written_id,
-	    (unsigned long long)f->params.fingerprint);
+	    (unsigned long long)f->params.fingerprint, f->via);
 	forward_log(f, LOG_REQUEST_ATTEMPT, m->info.id, detail);
 	if (f->e->now < m->avoid_until)
 		log_event(LOG_REPLICA_AVOIDED, NULL,
@@ -389,9 +405,10 @@
 		    m->consecutive_failures,
 		    (unsigned long long)((m->avoid_until - f->e->now) /
 			NSEC_PER_MSEC));
-	suspect = forward_broke_at_begin(f, end) &&
+	suspect = !f->path_failed && forward_broke_at_begin(f, end) &&
 	    poison_io_is_suspect(f->e->poison_io, m, &f->params);
-	forward_note_crash(f, end);
+	if (!f->path_failed)
+		forward_note_crash(f, end);
 	loader_io_attempt_ended(f->e, f->replica, &f->params, end, f->status);
 	forward_remove_work(f);
 	if (f->caller == NULL) {
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -2,6 +2,7 @@
 #ifndef FORWARD_INT_H
 #define FORWARD_INT_H
 
+#include "detour_io.h"
 #include "entry_int.h"
 #include "event_filter.h"
 #include "expiry.h"
@@ -38,6 +39,10 @@
 	uint64_t max_gap_ns;	 /* longest gap between two events */
 	/* the current attempt */
 	struct exchange *exchange;
+	char via[ADDR_SIZE];  /* the peer that passes it on, "": none */
+	uint32_t peers_tried; /* for this attempt */
+	enum detour_answer detour_answer;
+	int path_failed; /* its end tells nothing of the replica */
 	struct directory_replica *replica;
 	uint64_t replica_started_ms; /* its incarnation */
 	char replica_software[NAME_SIZE];
@@ -68,6 +73,23 @@
 void forward_start_attempt(struct forward *, struct directory_replica *);
 /* Subtracts the attempt from the replica's load. */
 void forward_remove_work(struct forward *);
+/* Which connection the current attempt may use. */
+struct exchange_conn forward_exchange_conn(const struct forward *);
+/* Writes the request for the replica of the current attempt. */
+void forward_compose_request(const struct forward *, struct buf *);
+/* Time until the deadline of the request, ns. */
+uint64_t forward_time_left(const struct forward *);
+/* Handle the replica's answer; see exchange_ops. */
+int forward_on_head(struct forward *, const struct http_head *);
+int forward_on_body(struct forward *, const char *, size_t);
+/* How the attempt has ended, by the end of its exchange. */
+enum attempt_outcome forward_outcome_of(
+    const struct forward *, enum exchange_result);
+/* detour_attempt.c */
+/* Sends the current attempt to a peer; -1 if there is none to try. */
+int forward_open_detour(struct forward *);
+/* The current attempt has ended at its peer, if it went to one. */
+void forward_leave_detour(struct forward *);
 /* replica_notice.c */
 /* Takes what a replica says of itself in the head of its answer. */
 void forward_apply_notice(struct forward *, const struct response_info *);
--- a/entry/main.c
+++ b/entry/main.c
@@ -12,6 +12,8 @@
 #include "cli.h"
 #include "clock.h"
 #include "conf_decoder.h"
+#include "detour_io.h"
+#include "detour_server.h"
 #include "entry_int.h"
 #include "mem.h"
 #include "peers.h"
@@ -77,6 +79,7 @@
 	poison_io_tick(e->poison_io);
 	permit_io_tick(e->permit_io);
 	stream_io_tick(e->stream_io);
+	detour_io_tick(e);
 	w->repeat = peers_has_duty(e->peers) ? TICK_S : TICK_LARGE_S;
 	ev_timer_again(loop, w);
 	d->tick_at = e->now + (uint64_t)(w->repeat * NSEC_PER_SEC);
@@ -108,7 +111,9 @@
 		callers_settle(e);
 	}
 	if (d->listener == NULL && TAILQ_EMPTY(&e->callers) &&
-	    TAILQ_EMPTY(&e->requests) && conn_list_is_flushed(&e->flushing)) {
+	    TAILQ_EMPTY(&e->requests) &&
+	    detour_server_is_idle(e->detour_server) &&
+	    conn_list_is_flushed(&e->flushing)) {
 		if (d->settled == 0)
 			forward_log_stop(e, "done");
 		ev_break(e->loop, EVBREAK_ALL);
@@ -200,6 +205,7 @@
 	e->poison_io = poison_io_create(e);
 	e->permit_io = permit_io_create(e);
 	e->stream_io = stream_io_create(e);
+	e->detour_io = detour_io_create(e);
 	e->session = session_create(e);
 }
 
@@ -241,6 +247,9 @@
 	e->admin = admin_create(e, err);
 	if (e->admin == NULL)
 		return -1;
+	e->detour_server = detour_server_create(e, err);
+	if (e->detour_server == NULL)
+		return -1;
 	d->listener = listener_create(e, err);
 	if (d->listener == NULL)
 		return -1;
@@ -273,6 +282,7 @@
 	waitq_clear(&e->waiting);
 	callers_destroy(e);
 	conn_list_destroy(&e->flushing);
+	detour_server_destroy(e->detour_server);
 	admin_destroy(e->admin);
 	session_close(e->session);
 	queries_cancel(e);
@@ -281,6 +291,7 @@
 	poison_io_destroy(e->poison_io);
 	permit_io_destroy(e->permit_io);
 	stream_io_destroy(e->stream_io);
+	detour_io_destroy(e->detour_io);
 	session_destroy(e->session);
 	peers_destroy(e->peers);
 	conn_pool_destroy(e->replicas);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -210,6 +210,33 @@
 	return HASH_COUNT(p->peers);
 }
 
+/* In a large fleet only relays are heard of all the time. */
+void
+peers_for_each(
+    const struct peers *p, void (*each)(void *, const char *, int), void *ctx)
+{
+	const struct peer *q;
+
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (!q->hub.stopping && (q->reachable || peers_use_relays(p)))
+			each(ctx, q->hub.addr, peers_in_zone(p, q));
+	}
+}
+
+int
+peers_has_ip(const struct peers *p, const char *ip)
+{
+	const struct peer *q;
+	size_t len = strlen(ip);
+
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (strncmp(q->hub.addr, ip, len) == 0 &&
+		    q->hub.addr[len] == ':')
+			return 1;
+	}
+	return 0;
+}
+
 uint32_t
 peers_index(const struct peers *p, const char *addr)
 {
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -70,6 +70,14 @@
 uint64_t peers_newest_config(const struct peers *);
 /* Number of known peers, not counting this process. */
 uint32_t peers_count(const struct peers *);
+/*
+ * Calls a function with the bus address of each peer that may be running and is
+ * not stopping, and whether it is in the data centre of this process.
+ */
+void peers_for_each(
+    const struct peers *, void (*)(void *, const char *, int), void *);
+/* Whether a peer has an IP address. */
+int peers_has_ip(const struct peers *, const char *);
 /* Number of messages to or of peers that were dropped or malformed. */
 uint64_t peers_dropped_count(const struct peers *);
 /* Index of the peer at a bus address as a report source; UINT32_MAX if none. */
--- a/entry/replica_notice.c
+++ b/entry/replica_notice.c
@@ -6,8 +6,10 @@
 
 #include "forward_int.h"
 
-static void withdraw_unsent(struct forward *);
-static void apply_limit(struct forward *, const struct response_info *);
+static void withdraw_unsent(
+    struct entry *, const struct directory_replica *, const struct forward *);
+static void apply_limit(struct entry *, struct directory_replica *,
+    const struct replica_answer *, const struct response_info *);
 static void log_notice(
     const struct directory_replica *, enum log_id, uint64_t, uint64_t);
 
@@ -33,10 +35,9 @@
  * established yet, go to other replicas.
  */
 static void
-withdraw_unsent(struct forward *by)
+withdraw_unsent(struct entry *e, const struct directory_replica *m,
+    const struct forward *by)
 {
-	struct directory_replica *m = by->replica;
-	struct entry *e = by->e;
 	struct forward *f, *next;
 
 	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
@@ -58,13 +59,14 @@
  * one, at an address used again, it says nothing.
  */
 static void
-apply_limit(struct forward *f, const struct response_info *t)
+apply_limit(struct entry *e, struct directory_replica *m,
+    const struct replica_answer *a, const struct response_info *t)
 {
 	if (t->limit_is_bad || t->misdirected ||
 	    (t->limit_per_s == 0.0 && !t->id_matches))
 		return;
-	replica_notice_limit(f->e, f->replica, f->replica_started_ms, f->e->now,
-	    t->limit_per_s, "answer");
+	replica_notice_limit(
+	    e, m, a->started_ms, e->now, t->limit_per_s, "answer");
 }
 
 void
@@ -86,38 +88,45 @@
 	    m->local_load.running);
 }
 
-void
-forward_apply_notice(struct forward *f, const struct response_info *t)
+int
+replica_notice_apply(struct entry *e, struct directory_replica *m,
+    const struct replica_answer *a, const struct response_info *t)
 {
-	struct directory_replica *m = f->replica;
 	struct log_subject about = { 0 };
-	uint64_t now = f->e->now;
+	uint64_t now = e->now;
 	int news = 0;
 
 	about.backend = m->info.id;
-	about.call = f->params.id;
+	about.call = a->id;
 	if (t->unknown != NULL)
 		log_event(LOG_REPLICA_NOTICE_BAD, &about, "field=%s status=%d",
-		    t->unknown, f->status);
-	if (t->leaving &&
-	    notice_leaving(&m->notice, f->replica_started_ms, now)) {
-		f->e->counts.leaving_notices++;
+		    t->unknown, a->status);
+	if (t->leaving && notice_leaving(&m->notice, a->started_ms, now)) {
+		e->counts.leaving_notices++;
 		log_notice(m, LOG_REPLICA_SAYS_LEAVING, now, now);
 		news = 1;
 	}
 	if (t->closed_ns != 0 &&
-	    notice_closed(
-		&m->notice, f->replica_started_ms, now, t->closed_ns)) {
-		f->e->counts.closed_notices++;
+	    notice_closed(&m->notice, a->started_ms, now, t->closed_ns)) {
+		e->counts.closed_notices++;
 		log_notice(
 		    m, LOG_REPLICA_REFUSING, now, m->notice.closed_until);
 		news = 1;
 	}
-	apply_limit(f, t);
+	apply_limit(e, m, a, t);
 	if (t->closed_ns == 0 && !t->not_executed)
-		notice_answered(&m->notice, f->replica_started_ms, f->sent_at);
-	if (news)
-		withdraw_unsent(f);
+		notice_answered(&m->notice, a->started_ms, a->sent_at);
+	return news;
+}
+
+void
+forward_apply_notice(struct forward *f, const struct response_info *t)
+{
+	struct replica_answer a = { f->params.id, f->replica_started_ms,
+		f->sent_at, f->status };
+
+	if (replica_notice_apply(f->e, f->replica, &a, t))
+		withdraw_unsent(f->e, f->replica, f);
 }
 
 void
--- a/net/conn.c
+++ b/net/conn.c
@@ -297,6 +297,12 @@
 	return poll(&p, 1, 0) == 1;
 }
 
+int
+conn_is_unacked(const struct conn *c, uint64_t since)
+{
+	return stall_is_unacked(c->stall, since);
+}
+
 size_t
 conn_unsent_bytes(const struct conn *c)
 {
--- a/net/conn.h
+++ b/net/conn.h
@@ -60,6 +60,11 @@
  * result of connecting.
  */
 int conn_has_input(const struct conn *);
+/*
+ * Whether the peer has acknowledged nothing since a time, monotonic ns, though
+ * bytes that were sent wait for it.
+ */
+int conn_is_unacked(const struct conn *, uint64_t);
 /* Output bytes not yet accepted by the kernel. */
 size_t conn_unsent_bytes(const struct conn *);
 /* The same of all connections of a list. */
--- a/net/http.c
+++ b/net/http.c
@@ -62,7 +62,8 @@
 
 static const char *const hop_by_hop_fields[] = { "connection", "keep-alive",
 	"proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
-	"trailer", "transfer-encoding", "upgrade", "expect", "content-length" };
+	"trailer", "transfer-encoding", "upgrade", "expect", "content-length",
+	"spindle-path" };
 
 struct http_reader *
 http_reader_create(
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -308,6 +308,28 @@
 	return x->conn != NULL && conn_has_sent(x->conn);
 }
 
+int
+exchange_is_unacked(const struct exchange *x, uint64_t since)
+{
+	return x->conn != NULL && conn_is_unacked(x->conn, since);
+}
+
+void
+exchange_release(struct exchange *x)
+{
+	if (x->connected)
+		exchange_return_to_pool(x);
+	else
+		exchange_destroy(x);
+}
+
+int
+conn_pool_has_idle(
+    struct conn_pool *p, const char *addr, const struct exchange_conn *c)
+{
+	return pool_find_idle(pool_find_address(p, addr), c) != NULL;
+}
+
 int
 exchange_has_new_conn(const struct exchange *x)
 {
@@ -377,6 +399,8 @@
 
 	x->connected = 1;
 	expiry_stop(x->expiry);
+	if (x->ops->connected != NULL)
+		x->ops->connected(x->ctx);
 	if (clock_mono() <= x->send_by)
 		return 0;
 	exchange_report_end(x, EXCHANGE_NOT_SENT);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -22,6 +22,8 @@
 };
 
 struct exchange_ops {
+	/* A new connection is established; may be NULL. */
+	void (*connected)(void *);
 	/*
 	 * The head of a response.  Return 0 to accept it, or 1 to skip the
 	 * response, as it belongs to an earlier request, and wait for the next.
@@ -89,6 +91,17 @@
 int exchange_has_input(const struct exchange *);
 /* Whether a byte of the request has been sent. */
 int exchange_has_sent(const struct exchange *);
+/* Whether the server has acknowledged nothing since a time, though bytes wait.
+ */
+int exchange_is_unacked(const struct exchange *, uint64_t);
+/*
+ * Keeps the established connection of an exchange in which nothing was sent;
+ * no callback follows.
+ */
+void exchange_release(struct exchange *);
+/* Whether an idle connection to the address would be used. */
+int conn_pool_has_idle(
+    struct conn_pool *, const char *, const struct exchange_conn *);
 /* Whether the exchange opened a new connection. */
 int exchange_has_new_conn(const struct exchange *);
 /* Number of connections opened so far. */
--- a/net/stall.c
+++ b/net/stall.c
@@ -175,6 +175,16 @@
 	return i.unsent_bytes != 0 || i.unacked_segments != 0;
 }
 
+int
+stall_is_unacked(const struct stall *s, uint64_t since)
+{
+	struct stall_info i;
+
+	if (s->info_missing || stall_read_info(s, &i, clock_mono()) == -1)
+		return 0;
+	return i.unacked_segments != 0 && i.acked_at < since;
+}
+
 static void
 stall_check(struct ev_loop *loop, ev_timer *w, int events)
 {
--- a/net/stall.h
+++ b/net/stall.h
@@ -48,6 +48,8 @@
 void stall_written(struct stall *);
 /* A peer that is alive but does not read keeps the connection until then. */
 void stall_keep_until(struct stall *, uint64_t);
+/* Whether bytes wait for an acknowledgement, and none has come since a time. */
+int stall_is_unacked(const struct stall *, uint64_t);
 /* Whether the kernel has bytes that the peer still has time to read. */
 int stall_is_unread(const struct stall *);
 
--- a/tests/answers_entry.c
+++ b/tests/answers_entry.c
@@ -234,6 +234,48 @@
 	(void)t;
 }
 
+void
+detour_io_connected(struct entry *e)
+{
+	(void)e;
+}
+
+void
+detour_io_heard(struct entry *e)
+{
+	(void)e;
+}
+
+void
+detour_io_not_connected(struct entry *e, const struct directory_replica *m)
+{
+	(void)e;
+	(void)m;
+}
+
+int
+detour_io_is_needed(
+    const struct entry *e, const char *addr, const struct exchange_conn *conn)
+{
+	(void)e;
+	(void)addr;
+	(void)conn;
+	return 0;
+}
+
+int
+forward_open_detour(struct forward *f)
+{
+	(void)f;
+	return -1;
+}
+
+void
+forward_leave_detour(struct forward *f)
+{
+	(void)f;
+}
+
 uint64_t
 entry_update_now(struct entry *e)
 {
@@ -335,6 +377,14 @@
 	buf_add(&c->sent, p, len);
 }
 
+int
+conn_is_unacked(const struct conn *c, uint64_t since)
+{
+	(void)c;
+	(void)since;
+	return 0;
+}
+
 int
 conn_has_input(const struct conn *c)
 {
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -1,9 +1,11 @@
 /* The parts of spindle-entry that exchange texts with peers, without a loop. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "conf_decoder.h"
+#include "detour_io.h"
 #include "entry_fixture.h"
 #include "loader_io.h"
 #include "peers_int.h"
@@ -11,8 +13,11 @@
 #include "poison_io.h"
 #include "query.h"
 #include "session.h"
+#include "stream_io.h"
 #include "unit.h"
 
+#define WINDOW_NS (10 * NSEC_PER_SEC)
+
 void
 entry_fixture_start(struct entry *e, int number)
 {
@@ -57,3 +62,43 @@
 	directory_clear(&e->dir);
 	ev_loop_destroy(e->loop);
 }
+
+void
+entry_fixture_serve(struct entry *e, const char *config)
+{
+	struct conn_pool_config links = { 400 * NSEC_PER_MSEC,
+		20 * NSEC_PER_SEC, 6 };
+	struct budget_config budget = { 0.2, WINDOW_NS, 50.0 };
+
+	TAILQ_INIT(&e->callers);
+	TAILQ_INIT(&e->flushing);
+	waitq_init(&e->waiting);
+	entry_times_init(&e->times);
+	budget_init(&e->budget, &budget);
+	e->nprocesses = 1;
+	e->replicas = conn_pool_create(e->loop, &links);
+	e->engines = conn_pool_create(e->loop, &links);
+	e->stream_io = stream_io_create(e);
+	e->detour_io = detour_io_create(e);
+	e->dir.synced = 1;
+	entry_receive_config(e, config, strlen(config), "test");
+	while (e->conf == NULL)
+		ev_run(e->loop, EVRUN_ONCE);
+}
+
+void
+entry_fixture_end_serving(struct entry *e)
+{
+	forward_stop_all(e);
+	waitq_clear(&e->waiting);
+	callers_destroy(e);
+	conn_list_destroy(&e->flushing);
+	stream_io_destroy(e->stream_io);
+	detour_io_destroy(e->detour_io);
+	conn_pool_destroy(e->replicas);
+	conn_pool_destroy(e->engines);
+	pace_clear(&e->pace);
+	fleet_conf_destroy(e->conf);
+	free(e->conf_text);
+	free(e->conf_packed);
+}
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -10,5 +10,8 @@
 /* Starts a process by a number, which gives it its name and port. */
 void entry_fixture_start(struct entry *, int);
 void entry_fixture_stop(struct entry *);
+/* Adds what serves callers, with a configuration. */
+void entry_fixture_serve(struct entry *, const char *);
+void entry_fixture_end_serving(struct entry *);
 
 #endif
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -627,15 +627,21 @@
 
 
 def free_ports(ip, n):
-    """Different ports: all are bound at once before any is given up."""
-    sockets = [socket.socket() for _ in range(n)]
-    try:
-        for s in sockets:
-            s.bind((ip, 0))
-        return [s.getsockname()[1] for s in sockets]
-    finally:
-        for s in sockets:
-            s.close()
+    """Different ports: all are bound at once before any is given up.  The one
+    after the last is free, too: a process uses two internal ports."""
+    while True:
+        sockets = [socket.socket() for _ in range(n + 1)]
+        try:
+            for s in sockets[:n]:
+                s.bind((ip, 0))
+            ports = [s.getsockname()[1] for s in sockets[:n]]
+            sockets[n].bind((ip, ports[-1] + 1))
+            return ports
+        except (OSError, OverflowError):
+            continue
+        finally:
+            for s in sockets:
+                s.close()
 
 
 def route(name, prefix, kind, service="plain", **more):
