entry: a relay that the store turns away says so at once, and its successors ask

Cause: a relay that does not reach the store gives its duty up, and the next in rank takes it. That one makes no calls as long as it has no duty, so it finds out only then that the store turns it away, too; the others hear of it by a silence of 0.8 s. Where the first few in rank do not reach the store, the duty passes down the ranks, at 0.7 to 2.2 s each, while nobody follows the lists for the data centre.

Change: a process whose rank changes tells its data centre at once; the others then ask the store by themselves (core/store_check), so that all that are turned away know and say so within one call.

tests/test_follow_store, a fleet of 300 in virtual time, the first eight of each data centre: turned away, 5,650 ms before and 1,040 ms after; not answered, 11,560 ms before and 2,770 ms after (bound 3,000 ms).

--- a/entry/lists.c
+++ b/entry/lists.c
@@ -221,8 +221,7 @@
 			list_read(l);
 		list_renew_watch(l);
 	}
-	if (peers_is_active_hub(s->e->peers))
-		session_probe(s);
+	session_probe(s);
 	l = &s->lists[LIST_REPLICAS];
 	if (!l->polling || !peers_is_active_hub(s->e->peers))
 		return;
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -54,6 +54,7 @@
 	memcpy(p->self.zone, e->boot.zone, sizeof(p->self.zone));
 	p->weight = (uint32_t)(e->boot.cpu_share * HUB_WEIGHT_PER_CORE);
 	p->self.weight = p->weight;
+	p->reported_weight = p->weight;
 	p->self.self = 1;
 	p->self_relay = p->self;
 	p->started_at = entry_update_now(e);
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -54,6 +54,7 @@
 	struct follow_answers answers;
 	uint64_t started_at;
 	uint32_t weight; /* this process's, while the store serves it */
+	uint32_t reported_weight; /* that the data centre was told at once */
 	struct hub self;
 	struct hub self_relay;
 	struct hub *relay; /* of this data centre, NULL before it is known */
--- a/entry/report.c
+++ b/entry/report.c
@@ -13,6 +13,7 @@
 #include "loader_io.h"
 #include "permit_io.h"
 #include "poison_io.h"
+#include "session.h"
 
 #define REPORT_NS (100 * NSEC_PER_MSEC)	    /* report interval */
 #define REPORT_SOON_NS (10 * NSEC_PER_MSEC) /* after a change of load */
@@ -37,6 +38,8 @@
 static void send_copy(struct peers *, const struct msg *, const char *);
 static void relay_to_fleet(struct peers *);
 static void relay_to_zone(struct peers *);
+static void report_rank(struct peers *);
+static void apply_rank(struct peers *, struct peer *, const struct msg_front *);
 
 /* Whether a report's work is not contained in another one that is applied. */
 static int
@@ -51,6 +54,17 @@
 	return f->scope == FRONT_ALL;
 }
 
+/* A process without weight does not reach the store; others may not either. */
+static void
+apply_rank(struct peers *p, struct peer *q, const struct msg_front *f)
+{
+	int lost = q->relay.weight != 0 && f->weight == 0;
+
+	peer_set_rank(q, f->weight, f->zone);
+	if (lost && peers_use_relays(p) && peers_in_zone(p, q))
+		session_doubt_store(p->e->session);
+}
+
 void
 peers_apply_report(struct peers *p, struct peer *q, const struct msg *m)
 {
@@ -63,7 +77,7 @@
 		return;
 	q->seq = m->seq;
 	snprintf(q->vm, sizeof(q->vm), "%s", f->vm);
-	peer_set_rank(q, f->weight, f->zone);
+	apply_rank(p, q, f);
 	q->hub.stopping = f->stopping != 0;
 	q->relay.stopping = q->hub.stopping;
 	if (reports_load(p, q, f)) {
@@ -251,11 +265,32 @@
 	peers_broadcast(p, m);
 }
 
+/*
+ * A process that gives a duty up, or takes it back, says so at once to those
+ * that go by it: they would take the duty from it only after a silence.
+ */
+static void
+report_rank(struct peers *p)
+{
+	struct msg *m;
+
+	if (p->self.weight == p->reported_weight)
+		return;
+	p->reported_weight = p->self.weight;
+	if (!peers_use_relays(p))
+		return;
+	m = compose_report(p, FRONT_OWN);
+	fill_work(p, &m->u.front, NULL, NULL);
+	loader_io_fill_demand(p->e, &m->u.front);
+	peers_send_to_own_zone(p, m);
+}
+
 void
 peers_report(struct peers *p)
 {
 	struct msg *m;
 
+	report_rank(p);
 	if (p->e->now < p->report_at)
 		return;
 	p->report_at =
--- a/entry/session.c
+++ b/entry/session.c
@@ -10,9 +10,7 @@
 #include "stream_io.h"
 
 #define CALL_TIMEOUT_S 1.5
-#define DOWN_AFTER_FAILURES 2 /* consecutive ones */
 /* A watch may hang; a cheap call shows whether the store answers. */
-#define PROBE_NS (1 * NSEC_PER_SEC) /* without an answer */
 #define PROBE_TIMEOUT_S 0.6
 #define PROBE_KEY STORE_KEY_PREFIX "probe/"
 
@@ -153,7 +151,7 @@
 		directory_set_service_up(&s->e->dir, s->e->now, 1);
 		return;
 	}
-	if (++s->failures < DOWN_AFTER_FAILURES || !s->up)
+	if (++s->failures < store_check_failures_max(&s->check) || !s->up)
 		return;
 	s->up = 0;
 	log_event(LOG_KV_DOWN, NULL, "status=%d calls_in_row=%u", status,
@@ -239,15 +237,24 @@
 void
 session_probe(struct session *s)
 {
+	struct store_check_state state = { peers_is_active_hub(s->e->peers),
+		s->up, s->answered_at };
 	struct store_request sc;
 
-	if (s->closing || s->probing || s->e->now < s->answered_at + PROBE_NS)
+	if (s->closing || s->probing ||
+	    !store_check_due(&s->check, &state, s->e->now))
 		return;
 	s->probing = 1;
 	store_range_request(PROBE_KEY, "", 1, &sc);
 	session_call(s, &sc, PROBE_TIMEOUT_S, on_probe_answer, s);
 }
 
+void
+session_doubt_store(struct session *s)
+{
+	store_check_doubt(&s->check, s->e->now);
+}
+
 int
 session_is_up(const struct session *s)
 {
--- a/entry/session.h
+++ b/entry/session.h
@@ -23,6 +23,8 @@
  */
 void session_write(
     struct session *, struct store_request *, void (*)(void *, int), void *);
+/* A process of the data centre says that the store turns it away. */
+void session_doubt_store(struct session *);
 /* Whether the store answers, by the latest calls. */
 int session_is_up(const struct session *);
 /* Calls made to the store since the process started. */
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -3,6 +3,7 @@
 #define SESSION_INT_H
 
 #include "query.h"
+#include "store_check.h"
 #include "removals.h"
 #include "store.h"
 
@@ -77,6 +78,7 @@
 	uint64_t answered_at;	/* latest answer of the store */
 	uint64_t unanswered_at; /* when a call last ended without an answer */
 	int probing;		/* a probe is under way */
+	struct store_check check;
 	uint64_t read_replicas_at; /* earliest time of such a read again */
 	struct removals removals;  /* of replicas */
 	int peers_known;   /* the peers have been read, or could not be */
@@ -92,7 +94,7 @@
 void session_call(
     struct session *, struct store_request *, double, session_callback, void *);
 
-/* Sends a cheap call if the store has not answered within PROBE_NS. */
+/* Sends a cheap call if it is to be known whether the store answers. */
 void session_probe(struct session *);
 
 /* How the entries below a prefix are applied; keep and drop may be NULL. */
--- a/tests/follow_store.c
+++ b/tests/follow_store.c
@@ -16,7 +16,6 @@
 #define RETRY_MIN_NS (50 * NSEC_PER_MSEC)
 #define RETRY_MAX_NS (800 * NSEC_PER_MSEC)
 #define WATCH_BATCH_NS (200 * NSEC_PER_MSEC)
-#define DOWN_AFTER_FAILURES 2
 
 /* The configuration, or one entry of the list, was written or removed. */
 struct change {
@@ -160,7 +159,7 @@
 		p->failures = 0;
 		p->answered_at = world_now;
 		p->up = 1;
-	} else if (++p->failures >= DOWN_AFTER_FAILURES) {
+	} else if (++p->failures >= store_check_failures_max(&p->check)) {
 		p->up = 0;
 	}
 }
@@ -308,7 +307,7 @@
 	int is_watch = f->call == CALL_WATCH;
 	int status = 200;
 
-	if (p->fault == FAULT_CUT)
+	if (p->fault == FAULT_CUT || p->fault == FAULT_NO_STORE)
 		f->lost = 1;
 	if (p->fault == FAULT_STALE && !is_watch)
 		takes = CALL_STALE_NS;
@@ -334,7 +333,7 @@
 store_answers(struct process *p)
 {
 	enum follow_text t;
-	int lost = p->fault == FAULT_CUT;
+	int lost = p->fault == FAULT_CUT || p->fault == FAULT_NO_STORE;
 
 	for (t = 0; t < FOLLOW_TEXT__MAX; t++) {
 		if (p->feeds[t].call != CALL_NONE)
@@ -353,6 +352,7 @@
 store_tick(struct process *p)
 {
 	int hub = world_is_hub(process_index(p));
+	struct store_check_state state = { hub, p->up, p->answered_at };
 	struct feed *f;
 	enum follow_text t;
 
@@ -372,8 +372,7 @@
 			store_read(p, t);
 		}
 	}
-	if (hub && p->probe_at == 0 &&
-	    world_now >= p->answered_at + NSEC_PER_SEC) {
+	if (p->probe_at == 0 && store_check_due(&p->check, &state, world_now)) {
 		p->probe_at = world_now;
 		world_calls++;
 	}
--- a/tests/follow_world.c
+++ b/tests/follow_world.c
@@ -32,6 +32,7 @@
 static void push_config(struct process *);
 static void send_report(struct process *, uint32_t);
 static void report(struct process *);
+static void report_rank(struct process *);
 static void answer_pull(struct process *, const struct message *);
 static void apply_report(struct process *, const struct message *);
 static void deliver(struct message *);
@@ -199,6 +200,19 @@
 	}
 }
 
+/* As entry/report.c does. */
+static void
+report_rank(struct process *p)
+{
+	uint32_t i;
+
+	p->reported_weight = p->hub[process_index(p)].weight;
+	for (i = 0; i < WORLD_PROCESSES; i++) {
+		if (world[i].zone == p->zone)
+			send_report(p, i);
+	}
+}
+
 void
 process_pull(
     struct process *p, uint32_t from, enum follow_text text, uint64_t since)
@@ -236,6 +250,9 @@
 	struct message *copy;
 	char addr[ADDR_SIZE];
 
+	if (p->relay[m->from].weight != 0 && m->weight == 0 &&
+	    world[m->from].zone == p->zone)
+		store_check_doubt(&p->check, world_now);
 	p->hub[m->from].weight = m->weight;
 	p->relay[m->from].weight = m->weight;
 	snprintf(addr, sizeof(addr), "%u", m->from);
@@ -337,6 +354,8 @@
 	p->relay[self].weight = p->hub[self].weight;
 	choose_relays(p);
 	choose_hubs(p);
+	if (p->reported_weight != p->hub[self].weight)
+		report_rank(p);
 	if (world_now >= p->report_at) {
 		p->report_at = world_now + REPORT_NS;
 		report(p);
@@ -371,6 +390,7 @@
 
 	p->zone = i / WORLD_ZONE_SIZE;
 	p->weight = 50 + i % WORLD_ZONE_SIZE % 7;
+	p->reported_weight = p->weight;
 	p->up = 1;
 	p->answered_at = world_now;
 	p->tick_at = world_now + world_draw(5) * WORLD_STEP_NS;
--- a/tests/follow_world.h
+++ b/tests/follow_world.h
@@ -11,6 +11,7 @@
 #include "follow.h"
 #include "hubs.h"
 #include "removals.h"
+#include "store_check.h"
 
 #define WORLD_PROCESSES 300U
 #define WORLD_ZONES 5U
@@ -24,6 +25,7 @@
 	FAULT_FROZEN,
 	FAULT_CUT,	   /* neither peers nor the store are reached */
 	FAULT_TURNED_AWAY, /* refused by the store */
+	FAULT_NO_STORE,	   /* not answered by the store */
 	FAULT_SLOW,	   /* its messages and calls take longer */
 	FAULT_DEAF,	   /* its watches tell nothing */
 	FAULT_STALE,	   /* history dropped; reads are answered late */
@@ -89,6 +91,8 @@
 	uint64_t answered_at;
 	uint64_t unanswered_at;
 	uint64_t probe_at; /* 0: none under way */
+	struct store_check check;
+	uint32_t reported_weight;
 	/* Roles. */
 	struct hub hub[WORLD_PROCESSES];
 	struct hub relay[WORLD_PROCESSES];
