pull: answers to pulls of a configuration wait instead of being dropped

Cause: two pulls in 100 ms were answered, the others dropped. They came again together, so that two of 24 processes were answered each 300 ms: 3.6 s for a data centre.

Change: those beyond the limit wait in order, and are answered as the limit allows. What is sent a second stays the same.

--- a/entry/peers.c
+++ b/entry/peers.c
@@ -87,6 +87,7 @@
 	}
 	announce_destroy(p->announce);
 	packed_list_clear(&p->packed_list);
+	pulls_clear(&p->pulls);
 	free(p);
 }
 
@@ -338,6 +339,7 @@
 	peers_choose(p);
 	peers_report(p);
 	peers_follow_config(p);
+	peers_answer_waiting(p);
 	/* A peer is silent only if nothing of it has arrived. */
 	if (ring_count(p->inbox) == 0)
 		find_silent(p);
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -11,6 +11,7 @@
 #include "hubs.h"
 #include "list_text.h"
 #include "peers.h"
+#include "pulls.h"
 #include "ring.h"
 
 struct peer {
@@ -52,6 +53,7 @@
 	struct follow config;
 	struct packed_list packed_list; /* for pulls */
 	struct follow_answers answers;
+	struct pulls pulls; /* of the configuration, to be answered */
 	uint64_t started_at;
 	uint32_t weight; /* this process's, while the store serves it */
 	uint32_t reported_weight; /* that the data centre was told at once */
@@ -92,8 +94,10 @@
     struct peers *, struct peer *, const struct msg_front *);
 /* Pulls or reads a configuration that peers have; called at every tick. */
 void peers_follow_config(struct peers *);
-/* Sends the configuration or list that a peer asked for. */
+/* Sends the configuration or list that a peer asked for, or sends it later. */
 void peers_answer_pull(struct peers *, const struct msg *);
+/* Sends the configuration to peers that wait for it; called at every tick. */
+void peers_answer_waiting(struct peers *);
 /* Applies a configuration or list received from a peer. */
 void peers_apply_text(struct peers *, const struct msg *);
 
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -253,17 +253,28 @@
 
 	if (m->u.conf.nonce == PULL_LIST && answer_changes(p, m))
 		return;
-	if (!follow_answers_pull(&p->answers, e->now,
-		m->u.conf.nonce == PULL_LIST ? FOLLOW_LIST : FOLLOW_CONFIG)) {
+	if (m->u.conf.nonce != PULL_LIST) {
+		pulls_add(&p->pulls, m->from.addr);
+		peers_answer_waiting(p);
+	} else if (follow_answers_pull(&p->answers, e->now, FOLLOW_LIST)) {
+		send_list(p, m->from.addr);
+	} else {
 		leave_unanswered(p, m->from.addr);
-		return;
 	}
-	if (m->u.conf.nonce == PULL_LIST)
-		send_list(p, m->from.addr);
-	else if (e->conf_packed != NULL &&
-	    fits_message(p, "configuration", e->conf_packed_len))
-		send_text(p, m->from.addr, PACKED_CONFIG, e->conf_packed,
-		    e->conf_packed_len);
+}
+
+void
+peers_answer_waiting(struct peers *p)
+{
+	const struct entry *e = p->e;
+	char addr[ADDR_SIZE];
+
+	while (pulls_next(&p->pulls, &p->answers, e->now, addr)) {
+		if (e->conf_packed != NULL &&
+		    fits_message(p, "configuration", e->conf_packed_len))
+			send_text(p, addr, PACKED_CONFIG, e->conf_packed,
+			    e->conf_packed_len);
+	}
 }
 
 void
--- a/tests/follow_world.c
+++ b/tests/follow_world.c
@@ -34,6 +34,7 @@
 static void report(struct process *);
 static void report_rank(struct process *);
 static void answer_pull(struct process *, const struct message *);
+static void answer_waiting(struct process *);
 static void apply_report(struct process *, const struct message *);
 static void deliver(struct message *);
 static void deliver_due(void);
@@ -227,19 +228,31 @@
 static void
 answer_pull(struct process *p, const struct message *m)
 {
-	struct message *reply;
+	char addr[ADDR_SIZE];
 
 	if (m->text == FOLLOW_LIST && process_answer_changes(p, m))
 		return;
-	if (!follow_answers_pull(&p->answers, world_now, m->text))
-		return;
-	if (m->text == FOLLOW_LIST) {
+	if (m->text == FOLLOW_CONFIG) {
+		snprintf(addr, sizeof(addr), "%u", m->from);
+		pulls_add(&p->pulls, addr);
+		answer_waiting(p);
+	} else if (follow_answers_pull(&p->answers, world_now, m->text)) {
 		process_send_list(p, m->from);
-		return;
 	}
-	reply = message_create(p, MESSAGE_TEXT);
-	reply->text = FOLLOW_CONFIG;
-	message_send(process_index(p), m->from, reply);
+}
+
+static void
+answer_waiting(struct process *p)
+{
+	struct message *reply;
+	char addr[ADDR_SIZE];
+
+	while (pulls_next(&p->pulls, &p->answers, world_now, addr)) {
+		reply = message_create(p, MESSAGE_TEXT);
+		reply->text = FOLLOW_CONFIG;
+		message_send(
+		    process_index(p), (uint32_t)strtoul(addr, NULL, 10), reply);
+	}
 }
 
 static void
@@ -369,6 +382,7 @@
 		if ((todo & FOLLOW_READ) && p->feeds[FOLLOW_CONFIG].idle)
 			store_read(p, FOLLOW_CONFIG);
 	}
+	answer_waiting(p);
 	store_tick(p);
 	p->tick_at =
 	    world_now + (world_is_relay(self) ? TICK_DUTY_NS : TICK_NS);
@@ -432,11 +446,14 @@
 world_end(void)
 {
 	struct message *m;
+	uint32_t i;
 
 	while ((m = TAILQ_FIRST(&queue)) != NULL) {
 		TAILQ_REMOVE(&queue, m, entry);
 		free(m);
 	}
+	for (i = 0; i < WORLD_PROCESSES; i++)
+		pulls_clear(&world[i].pulls);
 	free(world);
 }
 
--- a/tests/follow_world.h
+++ b/tests/follow_world.h
@@ -10,6 +10,7 @@
 
 #include "follow.h"
 #include "hubs.h"
+#include "pulls.h"
 #include "removals.h"
 #include "store_check.h"
 
@@ -74,6 +75,7 @@
 	struct follow follow;
 	struct follow_sent sent[WORLD_PROCESSES];
 	struct follow_answers answers;
+	struct pulls pulls;
 	uint64_t decoding; /* version, 0 for none */
 	uint64_t decoded_at;
 	/* The list. */
