relays: processes whose relay is silent find out at once who is alive

Cause: a process that is no relay hears its relay alone. When the relay is lost together with those next in rank, it waits for each of them in turn, 0.8 s each, and nothing reaches the data centre meanwhile.

Change: once the relay is silent, each process tells its data centre that it is alive, also when it hears another do so; those that are not heard within 0.25 s are passed over together (core/roll_call).

Ruled out: lost messages (none were sent to these VMs); the service (they reach it, and are to read it only if they know of a newer version).

tests/test_follow_ranks, 300 processes, the first eight of each data centre: lost 7,100 ms before, 1,450 ms after; partitioned 7,080 ms, 1,430 ms (bound 3,000 ms).

--- a/Makefile
+++ b/Makefile
@@ -209,7 +209,7 @@
 $(BUILD)/test_relay: $(BUILD)/gate/relay.o $(BUILD)/gate/exchange.o
 $(BUILD)/test_gate $(BUILD)/test_gate_notice: $(BUILD)/tests/gate_fixture.o
 $(BUILD)/test_fleet $(BUILD)/test_balance: $(BUILD)/tests/fleet_fixture.o
-$(BUILD)/test_follow_bounds $(BUILD)/test_follow_store: $(BUILD)/tests/follow_world.o \
+$(BUILD)/test_follow_bounds $(BUILD)/test_follow_ranks: $(BUILD)/tests/follow_world.o \
     $(BUILD)/tests/follow_list.o $(BUILD)/tests/follow_store.o
 $(BUILD)/test_cell: $(BUILD)/tests/cell_fixture.o
 $(BUILD)/test_poison $(BUILD)/test_poison_report \
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -13,6 +13,7 @@
 #include "peers.h"
 #include "pulls.h"
 #include "ring.h"
+#include "roll_call.h"
 
 struct peer {
 	char vm[NAME_SIZE];
@@ -57,6 +58,8 @@
 	uint64_t started_at;
 	uint32_t weight; /* this process's, while the store serves it */
 	uint32_t reported_weight; /* that the data centre was told at once */
+	struct roll_call roll_call;
+	int tells_zone; /* this process is to tell it that it is alive */
 	struct hub self;
 	struct hub self_relay;
 	struct hub *relay; /* of this data centre, NULL before it is known */
--- a/entry/relays.c
+++ b/entry/relays.c
@@ -20,6 +20,8 @@
 static void choose_hubs(struct peers *);
 static void choose_relays(struct peers *);
 static void forget_relays(struct peers *);
+static uint32_t count_silent(const struct peers *);
+static void call_roll(struct peers *, int);
 static void send_to_zone(struct peers *, const struct msg *, const char *);
 
 void
@@ -118,6 +120,34 @@
 	}
 }
 
+/* Candidates of this data centre. */
+static uint32_t
+count_silent(const struct peers *p)
+{
+	const struct peer *q;
+	uint32_t n = 0;
+
+	for (q = p->peers; q != NULL; q = q->hh.next)
+		n += q->relay.silent && peers_in_zone(p, q);
+	return n;
+}
+
+/* Begins a roll call if the relay is silent, and applies the answers. */
+static void
+call_roll(struct peers *p, int relay_is_silent)
+{
+	struct peer *q;
+
+	if (relay_is_silent)
+		p->tells_zone |= roll_call_start(&p->roll_call, p->e->now);
+	if (!roll_call_is_over(&p->roll_call, p->e->now))
+		return;
+	for (q = p->peers; q != NULL; q = q->hh.next) {
+		if (peers_in_zone(p, q))
+			roll_call_judge(&p->roll_call, &q->relay);
+	}
+}
+
 /*
  * Chooses the relay of this data centre and, for a relay or lease holder, those
  * of the others: only these hear them.
@@ -125,6 +155,7 @@
 static void
 choose_relays(struct peers *p)
 {
+	uint32_t silent = count_silent(p);
 	struct hub **all;
 	struct hub **out;
 	struct peer *q;
@@ -147,6 +178,8 @@
 			all[n++] = &q->relay;
 	}
 	n = relays_choose(all, n, p->e->now, HUB_SILENT_NS, out);
+	if (peers_use_relays(p))
+		call_roll(p, count_silent(p) > silent);
 	p->relay = NULL;
 	for (i = 0; i < n; i++) {
 		if (strcmp(out[i]->zone, p->self.zone) == 0)
--- a/entry/report.c
+++ b/entry/report.c
@@ -38,7 +38,7 @@
 static void send_copy(struct peers *, const struct msg *, const char *);
 static void relay_to_fleet(struct peers *);
 static void relay_to_zone(struct peers *);
-static void report_rank(struct peers *);
+static void report_to_zone(struct peers *);
 static void apply_rank(struct peers *, struct peer *, const struct msg_front *);
 
 /* Whether a report's work is not contained in another one that is applied. */
@@ -54,15 +54,23 @@
 	return f->scope == FRONT_ALL;
 }
 
-/* A process without weight does not reach the store; others may not either. */
+/*
+ * A process without weight does not reach the store; others may not either.
+ * One that reports to others than its relay calls the roll.
+ */
 static void
 apply_rank(struct peers *p, struct peer *q, const struct msg_front *f)
 {
 	int lost = q->relay.weight != 0 && f->weight == 0;
 
 	peer_set_rank(q, f->weight, f->zone);
-	if (lost && peers_use_relays(p) && peers_in_zone(p, q))
+	if (!peers_use_relays(p) || !peers_in_zone(p, q))
+		return;
+	if (lost)
 		session_doubt_store(p->e->session);
+	if (f->scope == FRONT_OWN && !peers_is_relay(p) &&
+	    q->relay.hub_since == 0)
+		p->tells_zone |= roll_call_start(&p->roll_call, p->e->now);
 }
 
 void
@@ -267,16 +275,18 @@
 
 /*
  * A process that gives a duty up, or takes it back, says so at once to those
- * that go by it: they would take the duty from it only after a silence.
+ * that go by it: they would take the duty from it only after a silence.  In a
+ * roll call each says that it is alive.
  */
 static void
-report_rank(struct peers *p)
+report_to_zone(struct peers *p)
 {
 	struct msg *m;
 
-	if (p->self.weight == p->reported_weight)
+	if (p->self.weight == p->reported_weight && !p->tells_zone)
 		return;
 	p->reported_weight = p->self.weight;
+	p->tells_zone = 0;
 	if (!peers_use_relays(p))
 		return;
 	m = compose_report(p, FRONT_OWN);
@@ -290,7 +300,7 @@
 {
 	struct msg *m;
 
-	report_rank(p);
+	report_to_zone(p);
 	if (p->e->now < p->report_at)
 		return;
 	p->report_at =
--- a/tests/follow_world.c
+++ b/tests/follow_world.c
@@ -32,13 +32,14 @@
 static void push_config(struct process *);
 static void send_report(struct process *, uint32_t);
 static void report(struct process *);
-static void report_rank(struct process *);
+static void tell_zone(struct process *);
 static void answer_pull(struct process *, const struct message *);
 static void answer_waiting(struct process *);
 static void apply_report(struct process *, const struct message *);
 static void deliver(struct message *);
 static void deliver_due(void);
 static void run_process(struct process *);
+static uint32_t count_silent(const struct process *);
 static void choose_relays(struct process *);
 static void choose_hubs(struct process *);
 static void tick(struct process *);
@@ -203,10 +204,11 @@
 
 /* As entry/report.c does. */
 static void
-report_rank(struct process *p)
+tell_zone(struct process *p)
 {
 	uint32_t i;
 
+	p->tells_zone = 0;
 	p->reported_weight = p->hub[process_index(p)].weight;
 	for (i = 0; i < WORLD_PROCESSES; i++) {
 		if (world[i].zone == p->zone)
@@ -266,6 +268,9 @@
 	if (p->relay[m->from].weight != 0 && m->weight == 0 &&
 	    world[m->from].zone == p->zone)
 		store_check_doubt(&p->check, world_now);
+	if (world[m->from].zone == p->zone && !world_is_relay(self) &&
+	    p->relay[m->from].hub_since == 0)
+		p->tells_zone |= roll_call_start(&p->roll_call, world_now);
 	p->hub[m->from].weight = m->weight;
 	p->relay[m->from].weight = m->weight;
 	snprintf(addr, sizeof(addr), "%u", m->from);
@@ -304,6 +309,18 @@
 		process_apply_list(p, m);
 }
 
+/* Candidates of the data centre. */
+static uint32_t
+count_silent(const struct process *p)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < WORLD_ZONE_SIZE; i++)
+		n += (uint32_t)p->relay[p->zone * WORLD_ZONE_SIZE + i].silent;
+	return n;
+}
+
 /* As entry/relays.c does. */
 static void
 choose_relays(struct process *p)
@@ -313,6 +330,7 @@
 	uint32_t self = process_index(p);
 	uint32_t first;
 	uint32_t end;
+	uint32_t silent;
 	uint32_t n = 0;
 	uint32_t i;
 	int fleet = world_is_relay(self);
@@ -329,7 +347,15 @@
 	end = fleet ? WORLD_PROCESSES : first + WORLD_ZONE_SIZE;
 	for (i = first; i < end; i++)
 		all[n++] = &p->relay[i];
+	silent = count_silent(p);
 	n = relays_choose(all, n, world_now, SILENT_NS, out);
+	if (count_silent(p) > silent)
+		p->tells_zone |= roll_call_start(&p->roll_call, world_now);
+	if (roll_call_is_over(&p->roll_call, world_now)) {
+		for (i = 0; i < WORLD_ZONE_SIZE; i++)
+			roll_call_judge(&p->roll_call,
+			    &p->relay[p->zone * WORLD_ZONE_SIZE + i]);
+	}
 	p->my_relay = WORLD_PROCESSES;
 	for (i = 0; i < n; i++) {
 		if (strcmp(out[i]->zone, p->relay[self].zone) == 0)
@@ -367,8 +393,8 @@
 	p->relay[self].weight = p->hub[self].weight;
 	choose_relays(p);
 	choose_hubs(p);
-	if (p->reported_weight != p->hub[self].weight)
-		report_rank(p);
+	if (p->tells_zone || p->reported_weight != p->hub[self].weight)
+		tell_zone(p);
 	if (world_now >= p->report_at) {
 		p->report_at = world_now + REPORT_NS;
 		report(p);
--- a/tests/follow_world.h
+++ b/tests/follow_world.h
@@ -12,6 +12,7 @@
 #include "hubs.h"
 #include "pulls.h"
 #include "removals.h"
+#include "roll_call.h"
 #include "store_check.h"
 
 #define WORLD_PROCESSES 300U
@@ -95,6 +96,8 @@
 	uint64_t probe_at; /* 0: none under way */
 	struct store_check check;
 	uint32_t reported_weight;
+	struct roll_call roll_call;
+	int tells_zone; /* that it is alive */
 	/* Roles. */
 	struct hub hub[WORLD_PROCESSES];
 	struct hub relay[WORLD_PROCESSES];
--- a/tests/test_follow_ranks.c
+++ b/tests/test_follow_ranks.c
@@ -1,7 +1,7 @@
 /*
  * The longest time to each process, of 300 in five data centres, for a version
- * of the configuration while many processes do not reach the store, among them
- * those that rank first as relays.
+ * of the configuration while those that rank first as relays are lost, or do
+ * not reach the store.
  */
 #include <stdio.h>
 #include <string.h>
@@ -18,6 +18,8 @@
 static void run_fault(const char *, enum world_fault);
 static void test_turned_away(void);
 static void test_not_answered(void);
+static void test_lost(void);
+static void test_partitioned(void);
 
 /* Rank of a process among the candidates of its data centre. */
 static uint32_t
@@ -88,9 +90,23 @@
 	run_fault("not answered", FAULT_NO_STORE);
 }
 
+static void
+test_lost(void)
+{
+	run_fault("lost", FAULT_DEAD);
+}
+
+static void
+test_partitioned(void)
+{
+	run_fault("partitioned", FAULT_CUT);
+}
+
 static const struct unit_case cases[] = {
+	{ "the first candidates are lost", test_lost },
+	{ "the first candidates are partitioned", test_partitioned },
 	{ "the first candidates are turned away", test_turned_away },
 	{ "the first candidates are not answered", test_not_answered },
 };
 
-UNIT_MAIN("follow_store", cases)
+UNIT_MAIN("follow_ranks", cases)
