detours: a cut-off peer blames no replica; peers rest for a second at most

A peer says so only while it hears other replicas. Connections that were heard before the first failure do not count as working any more, so that attempts that hang are given up at once. A stopping peer serves what it would serve of its own callers.

--- a/core/detours.c
+++ b/core/detours.c
@@ -10,7 +10,7 @@
 #define COST_FAR 2.0	 /* in another data centre */
 #define COST_UNTRIED 4.0 /* it may be cut off as well */
 #define REST_MIN_NS (500 * NSEC_PER_MSEC)
-#define REST_MAX_NS (4 * NSEC_PER_SEC)
+#define REST_MAX_NS (1 * NSEC_PER_SEC)
 
 struct detour_peer {
 	char addr[ADDR_SIZE];
--- a/core/reach.c
+++ b/core/reach.c
@@ -6,6 +6,7 @@
 #define FAILURES_WINDOW_NS (3 * NSEC_PER_SEC)
 /* Open connections that work are heard of at least this often. */
 #define KEPT_SILENT_NS (1 * NSEC_PER_SEC)
+#define HEARD_LATELY_NS (500 * NSEC_PER_MSEC)
 #define PROBE_NS (300 * NSEC_PER_MSEC)
 
 static void forget(struct reach *, uint32_t);
@@ -63,6 +64,7 @@
 	if (r->cut_since != 0 || r->nfailures < needed)
 		return 0;
 	r->cut_since = now;
+	r->failing_from = r->failures[0].at;
 	r->probe_at = now + PROBE_NS;
 	return 1;
 }
@@ -102,7 +104,17 @@
 {
 	if (r->cut_since == 0)
 		return REACH_DIRECT;
-	return now < r->heard_at + KEPT_SILENT_NS ? REACH_KEPT : REACH_NONE;
+	/* Bytes from before the failures show nothing. */
+	return r->heard_at >= r->failing_from &&
+		now < r->heard_at + KEPT_SILENT_NS
+	    ? REACH_KEPT
+	    : REACH_NONE;
+}
+
+int
+reach_hears_others(const struct reach *r, uint64_t now)
+{
+	return r->cut_since == 0 && now < r->heard_at + HEARD_LATELY_NS;
 }
 
 int
--- a/core/reach.h
+++ b/core/reach.h
@@ -25,6 +25,7 @@
 	} failures[REACH_FAILED_MAX]; /* distinct replicas, newest last */
 	uint32_t nfailures;
 	uint64_t cut_since;    /* 0: not cut off */
+	uint64_t failing_from; /* the first of the failures before that */
 	uint64_t connected_at; /* the latest new connection */
 	uint64_t heard_at;     /* latest bytes of a replica */
 	uint64_t probe_at;     /* earliest time of the next probe */
@@ -46,6 +47,10 @@
  */
 int reach_replica_down(struct reach *, uint64_t);
 enum reach_mode reach_mode(const struct reach *, uint64_t);
+/*
+ * Whether a failure to connect is likely to be the replica's: others are heard.
+ */
+int reach_hears_others(const struct reach *, uint64_t);
 /* Whether a connection is to be tried now, to find out that the cut ended. */
 int reach_probe_due(struct reach *, uint64_t);
 const char *reach_mode_name(enum reach_mode);
--- a/entry/detour_io.c
+++ b/entry/detour_io.c
@@ -227,6 +227,12 @@
 	return reach_mode(&e->detour_io->reach, e->now);
 }
 
+int
+detour_io_hears_others(const struct entry *e)
+{
+	return reach_hears_others(&e->detour_io->reach, e->now);
+}
+
 int
 detour_io_is_needed(
     const struct entry *e, const char *addr, const struct exchange_conn *conn)
--- a/entry/detour_io.h
+++ b/entry/detour_io.h
@@ -51,6 +51,8 @@
 /* A peer cannot connect to the replica either. */
 void detour_io_replica_down(struct entry *, const struct directory_replica *);
 enum reach_mode detour_io_mode(const struct entry *);
+/* Whether a replica that cannot be connected is likely to be down. */
+int detour_io_hears_others(const struct entry *);
 /* Whether an attempt has to go through a peer. */
 int detour_io_is_needed(
     const struct entry *, const char *, const struct exchange_conn *);
--- a/entry/detour_server.c
+++ b/entry/detour_server.c
@@ -347,8 +347,12 @@
 refusal(const struct detour *d, const struct directory_replica *m)
 {
 	const struct entry *e = d->server->e;
+	uint64_t deadline = e->now +
+	    field_number(http_reader_head(d->reader), DETOUR_FIELD_TIMEOUT) *
+		NSEC_PER_MSEC;
 
-	if (e->stopping || detour_io_mode(e) != REACH_DIRECT ||
+	if (!stop_may_start(&e->stop, e->now, deadline) ||
+	    detour_io_mode(e) != REACH_DIRECT ||
 	    d->server->in_progress >= ATTEMPTS_MAX)
 		return DETOUR_NO_PATH;
 	/* What it has told this process binds this process. */
@@ -512,7 +516,10 @@
 	case EXCHANGE_NOT_SENT:
 		if (m != NULL)
 			detour_io_not_connected(e, m);
-		answer(d, DETOUR_UNREACHABLE);
+		/* This process may be cut off as well, and not know yet. */
+		answer(d,
+		    detour_io_hears_others(e) ? DETOUR_UNREACHABLE
+					      : DETOUR_NO_PATH);
 		return;
 	case EXCHANGE_NO_RESPONSE:
 		answer(d, DETOUR_SILENT);
