detours: replicas that crash together are not taken for a cut

Two VMs that were connected took three crashed replicas for a cut, again and again, and turned the attempts of the cut-off VMs away meanwhile: 364 requests were refused as nobody reached a replica. The first probe after such a conclusion goes out at once, to a replica that has not failed; and a process whose open connections work passes attempts on over those.

--- a/core/reach.c
+++ b/core/reach.c
@@ -65,10 +65,23 @@
 		return 0;
 	r->cut_since = now;
 	r->failing_from = r->failures[0].at;
-	r->probe_at = now + PROBE_NS;
+	/* Others may be reached: replicas fail together, too. */
+	r->probe_at = now;
 	return 1;
 }
 
+int
+reach_has_failed(const struct reach *r, uint64_t replica)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->nfailures; i++) {
+		if (r->failures[i].replica == replica)
+			return 1;
+	}
+	return 0;
+}
+
 int
 reach_connected(struct reach *r, uint64_t now)
 {
--- a/core/reach.h
+++ b/core/reach.h
@@ -37,6 +37,8 @@
  * process is cut off from now on.
  */
 int reach_failed(struct reach *, uint64_t, uint64_t, uint32_t);
+/* Whether a replica is among the last ones that failed. */
+int reach_has_failed(const struct reach *, uint64_t);
 /* A new connection was made.  Returns 1 if the process was cut off. */
 int reach_connected(struct reach *, uint64_t);
 /* Bytes of a replica were received on any connection. */
--- a/entry/detour_io.c
+++ b/entry/detour_io.c
@@ -315,10 +315,14 @@
 	}
 }
 
-/* Another replica each time, since the one probed may be down. */
+/*
+ * Another replica each time, since the one probed may be down; those that have
+ * just failed only where there are no others.
+ */
 static const struct directory_replica *
 next_probed(struct detour_io *d)
 {
+	const struct directory_replica *other = NULL;
 	const struct directory_replica *m;
 	uint32_t n = count_listed(d->e);
 	uint32_t skip;
@@ -327,10 +331,14 @@
 		return NULL;
 	skip = d->probed++ % n;
 	for (m = d->e->dir.replicas; m != NULL; m = m->hh.next) {
-		if (m->presence == PRESENCE_LISTED && skip-- == 0)
+		if (m->presence != PRESENCE_LISTED ||
+		    reach_has_failed(&d->reach, hash_text(m->info.id)))
+			continue;
+		other = m;
+		if (skip-- == 0)
 			break;
 	}
-	return m;
+	return other != NULL ? other : d->e->dir.replicas;
 }
 
 static void
--- a/entry/detour_server.c
+++ b/entry/detour_server.c
@@ -72,9 +72,11 @@
 static int read_fields(struct detour *);
 static void start(struct detour *);
 static struct directory_replica *find_replica(const struct detour *);
-static enum detour_answer refusal(
-    const struct detour *, const struct directory_replica *);
-static void send_to_replica(struct detour *, const struct directory_replica *);
+static struct exchange_conn conn_of(const struct detour *);
+static enum detour_answer refusal(const struct detour *,
+    const struct directory_replica *, const struct exchange_conn *);
+static void send_to_replica(struct detour *, const struct directory_replica *,
+    const struct exchange_conn *);
 static void on_connected(void *);
 static int on_head(void *, const struct http_head *);
 static int on_body(void *, const char *, size_t);
@@ -344,7 +346,8 @@
 
 /* Why an attempt is not passed on; DETOUR_REPLICA if it is. */
 static enum detour_answer
-refusal(const struct detour *d, const struct directory_replica *m)
+refusal(const struct detour *d, const struct directory_replica *m,
+    const struct exchange_conn *conn)
 {
 	const struct entry *e = d->server->e;
 	uint64_t deadline = e->now +
@@ -352,18 +355,21 @@
 		NSEC_PER_MSEC;
 
 	if (!stop_may_start(&e->stop, e->now, deadline) ||
-	    detour_io_mode(e) != REACH_DIRECT ||
+	    detour_io_mode(e) == REACH_NONE ||
 	    d->server->in_progress >= ATTEMPTS_MAX)
 		return DETOUR_NO_PATH;
 	/* What it has told this process binds this process. */
 	if (m == NULL || !directory_usable(m, e->now))
 		return DETOUR_UNREACHABLE;
+	if (detour_io_is_needed(e, m->info.addr, conn))
+		return DETOUR_NO_PATH;
 	return DETOUR_REPLICA;
 }
 
 static void
 start(struct detour *d)
 {
+	struct exchange_conn conn;
 	struct detour_server *s = d->server;
 	struct directory_replica *m;
 	enum detour_answer why;
@@ -374,31 +380,42 @@
 		return;
 	}
 	m = find_replica(d);
-	why = refusal(d, m);
+	conn = conn_of(d);
+	why = refusal(d, m, &conn);
 	if (why == DETOUR_REPLICA)
-		send_to_replica(d, m);
+		send_to_replica(d, m, &conn);
 	else
 		answer(d, why);
 }
 
-static void
-send_to_replica(struct detour *d, const struct directory_replica *m)
+/* Which connection to the replica the attempt may use. */
+static struct exchange_conn
+conn_of(const struct detour *d)
 {
 	const struct http_head *h = http_reader_head(d->reader);
-	struct detour_server *s = d->server;
 	struct exchange_conn conn = { 0 };
-	struct log_subject about = { 0 };
 
 	conn.reuse_ns = field_number(h, DETOUR_FIELD_REUSE) * NSEC_PER_MSEC;
 	conn.tag = hash_text(d->id);
 	conn.single_use = http_field_find(h, DETOUR_FIELD_NO_BODY) != NULL;
+	return conn;
+}
+
+static void
+send_to_replica(struct detour *d, const struct directory_replica *m,
+    const struct exchange_conn *conn)
+{
+	const struct http_head *h = http_reader_head(d->reader);
+	struct detour_server *s = d->server;
+	struct log_subject about = { 0 };
+
 	d->sent_at = s->e->now;
 	expiry_set(d->expiry,
 	    s->e->now + field_number(h, DETOUR_FIELD_TIMEOUT) * NSEC_PER_MSEC);
 	s->in_progress++;
-	d->exchange = exchange_start(
-	    s->e->replicas, m->info.addr, &conn, &replica_ops, d);
-	if (conn.single_use)
+	d->exchange =
+	    exchange_start(s->e->replicas, m->info.addr, conn, &replica_ops, d);
+	if (conn->single_use)
 		exchange_expect_no_body(d->exchange);
 	exchange_send(d->exchange, buf_data(&d->request), buf_len(&d->request));
 	buf_free(&d->request);
