detours: attempts leave a peer that is frozen or lost

Two of the four VMs that were connected were frozen for 2 s; attempts that they had taken waited for them, and new ones were sent to them until they had been silent for 1.5 s. A peer is chosen only while it is heard, and attempts that may be repeated leave one that is not, or acknowledges nothing for 0.25 s. A process also counts as silent for all replicas after 0.25 s without a byte, once three replicas do not acknowledge or their streams stand still; what hangs is given up only after a probe would have shown that it is no cut.

--- a/core/detours.c
+++ b/core/detours.c
@@ -189,6 +189,12 @@
 	}
 }
 
+int
+detours_knows(const struct detours *d, const char *addr)
+{
+	return find(d, addr) != NULL;
+}
+
 uint32_t
 detours_in_progress(const struct detours *d)
 {
--- a/core/detours.h
+++ b/core/detours.h
@@ -33,6 +33,8 @@
 void detours_failed(struct detours *, const char *, uint64_t);
 /* Forgets failures and successes, but not what is under way. */
 void detours_reset(struct detours *);
+/* Whether a peer may be chosen, apart from its failures. */
+int detours_knows(const struct detours *, const char *);
 /* Number of requests that peers are passing on. */
 uint32_t detours_in_progress(const struct detours *);
 
--- a/entry/detour_attempt.c
+++ b/entry/detour_attempt.c
@@ -66,6 +66,7 @@
 		return -1;
 	snprintf(f->via, sizeof(f->via), "%s", peer);
 	f->peers_tried++;
+	f->peer_sent_at = f->e->now;
 	f->detour_answer = DETOUR_UNKNOWN;
 	f->exchange = exchange_start(d->pool, f->via, &conn, &detour_ops, f);
 	if (f->e->stopping)
@@ -91,6 +92,18 @@
 	return open_next(f);
 }
 
+void
+forward_give_up_detour(struct forward *f)
+{
+	struct detour_io *d = f->e->detour_io;
+
+	detours_failed(d->peers, f->via, f->e->now);
+	f->path_failed = 1;
+	exchange_cancel(f->exchange);
+	forward_attempt_ended(
+	    f, f->response_started ? ATTEMPT_TRUNCATED : ATTEMPT_NO_RESPONSE);
+}
+
 void
 forward_leave_detour(struct forward *f)
 {
--- a/entry/detour_io.c
+++ b/entry/detour_io.c
@@ -15,8 +15,12 @@
 #define IDLE_NS (10 * NSEC_PER_SEC)	 /* connections to peers */
 #define IDLE_MAX 16			 /* of them, to one peer */
 #define PEERS_NS (200 * NSEC_PER_MSEC)
-/* A replica whose system acknowledges nothing for so long is not reached. */
-#define UNACKED_NS (400 * NSEC_PER_MSEC)
+/* Nothing is heard of any replica, nor acknowledged, for so long. */
+#define SILENT_NS (250 * NSEC_PER_MSEC)
+/* Attempts are given up once a probe would have shown that it is no cut. */
+#define CONFIRM_NS (150 * NSEC_PER_MSEC)
+/* After a connection, a silence shows nothing for so long. */
+#define CONNECTED_NS (1 * NSEC_PER_SEC)
 #define CHECK_NS (100 * NSEC_PER_MSEC)
 
 static void update_peers(struct detour_io *);
@@ -28,7 +32,9 @@
     const struct detour_io *, enum log_id, const char *, const char *);
 static void look_for_hanging(struct detour_io *);
 static void give_up_hanging(struct detour_io *);
-static int is_unacked(const struct forward *);
+static int peer_is_silent(const struct detour_io *, const struct forward *);
+static void give_up_silent_peers(struct detour_io *);
+static int is_silent(const struct forward *);
 static int may_be_given_up(const struct forward *);
 static void probe(struct detour_io *);
 static void end_probe(struct detour_io *);
@@ -256,22 +262,27 @@
 	return detours_choose(d->peers, e->now, 0.0) != NULL;
 }
 
-/* Whether an attempt's bytes have not reached the replica's system. */
+/*
+ * While no replica is heard: whether an attempt's bytes have not reached the
+ * replica's system, or a stream that has begun does not go on.
+ */
 static int
-is_unacked(const struct forward *f)
+is_silent(const struct forward *f)
 {
-	return f->exchange != NULL && f->via[0] == '\0' &&
-	    f->e->now >= f->sent_at + UNACKED_NS &&
-	    exchange_has_sent(f->exchange) &&
-	    exchange_is_unacked(f->exchange, f->sent_at);
+	if (f->exchange == NULL || f->via[0] != '\0' ||
+	    f->e->now < f->sent_at + SILENT_NS)
+		return 0;
+	return (f->streaming && f->begun_at != 0) ||
+	    (exchange_has_sent(f->exchange) &&
+		exchange_is_unacked(f->exchange, f->sent_at));
 }
 
 /* What may not be repeated is left: it may have been received. */
 static int
 may_be_given_up(const struct forward *f)
 {
-	return f->exchange != NULL && f->via[0] == '\0' && f->caller != NULL &&
-	    f->e->now >= f->sent_at + UNACKED_NS &&
+	return f->exchange != NULL && f->caller != NULL &&
+	    f->e->now >= f->sent_at + SILENT_NS &&
 	    (f->route.kind == ROUTE_IDEMPOTENT ||
 		(f->route.kind == ROUTE_STREAM && f->route.resumable));
 }
@@ -284,7 +295,7 @@
 
 	for (f = TAILQ_FIRST(&d->e->requests); f != NULL; f = next) {
 		next = TAILQ_NEXT(f, entry);
-		if (!may_be_given_up(f))
+		if (f->via[0] != '\0' || !may_be_given_up(f))
 			continue;
 		d->hanging++;
 		exchange_cancel(f->exchange);
@@ -294,6 +305,35 @@
 	}
 }
 
+/* Whether the peer of an attempt is frozen or lost. */
+static int
+peer_is_silent(const struct detour_io *d, const struct forward *f)
+{
+	return !detours_knows(d->peers, f->via) ||
+	    (f->e->now >= f->peer_sent_at + SILENT_NS &&
+		exchange_is_unacked(f->exchange, f->peer_sent_at));
+}
+
+static void
+give_up_silent_peers(struct detour_io *d)
+{
+	struct entry *e = d->e;
+	struct forward *f, *next;
+
+	if (e->now < d->check_peers_at || detours_in_progress(d->peers) == 0)
+		return;
+	d->check_peers_at = e->now + CHECK_NS;
+	update_peers(d);
+	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
+		next = TAILQ_NEXT(f, entry);
+		if (f->via[0] == '\0' || !may_be_given_up(f) ||
+		    !peer_is_silent(d, f))
+			continue;
+		d->hanging++;
+		forward_give_up_detour(f);
+	}
+}
+
 /* While replicas are heard, an attempt without an answer runs or waits. */
 static void
 look_for_hanging(struct detour_io *d)
@@ -301,16 +341,19 @@
 	struct entry *e = d->e;
 	struct forward *f, *next;
 
-	if (e->now < d->check_at || e->now < d->reach.heard_at + UNACKED_NS)
+	if (e->now < d->check_at || e->now < d->reach.heard_at + SILENT_NS)
 		return;
 	d->check_at = e->now + CHECK_NS;
 	if (detour_io_mode(e) == REACH_NONE) {
-		give_up_hanging(d);
+		if (e->now >= d->reach.cut_since + CONFIRM_NS)
+			give_up_hanging(d);
 		return;
 	}
+	if (e->now < d->reach.connected_at + CONNECTED_NS)
+		return;
 	for (f = TAILQ_FIRST(&e->requests); f != NULL; f = next) {
 		next = TAILQ_NEXT(f, entry);
-		if (is_unacked(f))
+		if (is_silent(f))
 			detour_io_not_connected(e, f->replica);
 	}
 }
@@ -405,6 +448,7 @@
 	struct detour_io *d = e->detour_io;
 
 	look_for_hanging(d);
+	give_up_silent_peers(d);
 	if (d->probe != NULL && d->probe_connected)
 		end_probe(d);
 	else if (d->probe == NULL && reach_probe_due(&d->reach, e->now))
--- a/entry/detour_io_int.h
+++ b/entry/detour_io_int.h
@@ -12,13 +12,14 @@
 	struct conn_pool *pool; /* connections to peers */
 	struct exchange *probe; /* to a replica, NULL: none */
 	int probe_connected;
-	uint32_t probed;       /* number of the replica probed last */
-	uint64_t peers_at;     /* when the peers are looked at again */
-	uint64_t check_at;     /* when hanging attempts are looked for */
-	uint64_t attempts;     /* passed to peers */
-	uint64_t failed_peers; /* that were tried in vain */
-	uint64_t cuts;	       /* times that no replica was reached */
-	uint64_t hanging;      /* attempts that were given up */
+	uint32_t probed;	 /* number of the replica probed last */
+	uint64_t peers_at;	 /* when the peers are looked at again */
+	uint64_t check_peers_at; /* when silent peers are looked for */
+	uint64_t check_at;	 /* when hanging attempts are looked for */
+	uint64_t attempts;	 /* passed to peers */
+	uint64_t failed_peers;	 /* that were tried in vain */
+	uint64_t cuts;		 /* times that no replica was reached */
+	uint64_t hanging;	 /* attempts that were given up */
 };
 
 #endif
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -41,6 +41,7 @@
 	struct exchange *exchange;
 	char via[ADDR_SIZE];  /* the peer that passes it on, "": none */
 	uint32_t peers_tried; /* for this attempt */
+	uint64_t peer_sent_at;
 	enum detour_answer detour_answer;
 	int path_failed; /* its end tells nothing of the replica */
 	struct directory_replica *replica;
@@ -88,6 +89,11 @@
 /* detour_attempt.c */
 /* Sends the current attempt to a peer; -1 if there is none to try. */
 int forward_open_detour(struct forward *);
+/*
+ * The peer of the current attempt does not answer any more: goes on elsewhere,
+ * if the request may be repeated.
+ */
+void forward_give_up_detour(struct forward *);
 /* The current attempt has ended at its peer, if it went to one. */
 void forward_leave_detour(struct forward *);
 /* replica_notice.c */
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -15,6 +15,8 @@
 #define PEER_RETRY_NS (500 * NSEC_PER_MSEC)
 #define PEER_SILENT_NS (1500 * NSEC_PER_MSEC)
 #define PEER_FORGET_NS (15 * NSEC_PER_SEC) /* if unlisted */
+/* In a small fleet each peer is heard of several times in this span. */
+#define PEER_ALIVE_NS (400 * NSEC_PER_MSEC)
 #define INBOX_SLOTS 4096
 /* Handled in a row; more may arrive meanwhile than can be handled. */
 #define RECEIVE_MAX 128
@@ -26,6 +28,7 @@
 static void receive_some(struct peers *);
 static void find_silent(struct peers *);
 static void receive_msg(struct peers *, struct msg *);
+static int may_be_alive(const struct peers *, const struct peer *);
 static struct peer *peer_find(struct peers *, const char *);
 static struct peer *peer_add(struct peers *, const char *, const char *);
 
@@ -213,6 +216,14 @@
 }
 
 /* In a large fleet only relays are heard of all the time. */
+static int
+may_be_alive(const struct peers *p, const struct peer *q)
+{
+	return !q->hub.stopping &&
+	    (peers_use_relays(p) ||
+		p->e->now < q->hub.heard_at + PEER_ALIVE_NS);
+}
+
 void
 peers_for_each(
     const struct peers *p, void (*each)(void *, const char *, int), void *ctx)
@@ -220,7 +231,7 @@
 	const struct peer *q;
 
 	for (q = p->peers; q != NULL; q = q->hh.next) {
-		if (!q->hub.stopping && (q->reachable || peers_use_relays(p)))
+		if (may_be_alive(p, q))
 			each(ctx, q->hub.addr, peers_in_zone(p, q));
 	}
 }
--- a/tests/test_detour.c
+++ b/tests/test_detour.c
@@ -62,6 +62,7 @@
 	int caller;
 	struct buf answer;
 	int answer_ended;
+	int peer_stands_still;
 };
 
 static struct world w;
@@ -74,6 +75,7 @@
 static void put_peer(struct entry *, const struct entry *);
 static void start(int, const char *);
 static void finish(void);
+static void hear_peer(void);
 static void turn(void);
 static int wait_for(int (*)(void));
 static void ask(const char *, const char *);
@@ -91,6 +93,7 @@
 static void test_answer_breaks_off(void);
 static void test_replica_closes_at_once(void);
 static void test_peer_is_cut_off(void);
+static void test_peer_stands_still(void);
 static void test_stranger(void);
 
 static const struct acceptor_ops replica_acceptor_ops = {
@@ -240,6 +243,16 @@
 	entry_fixture_stop(&w.peer);
 }
 
+/* The peer reports all the time, unless it stands still. */
+static void
+hear_peer(void)
+{
+	struct peer *q;
+
+	for (q = w.cut.peers->peers; q != NULL; q = q->hh.next)
+		q->hub.heard_at = w.cut.now;
+}
+
 /* One turn of both loops and of the caller. */
 static void
 turn(void)
@@ -248,8 +261,11 @@
 	ssize_t n;
 
 	ev_run(w.cut.loop, EVRUN_NOWAIT);
-	ev_run(w.peer.loop, EVRUN_NOWAIT);
 	entry_update_now(&w.cut);
+	if (!w.peer_stands_still) {
+		ev_run(w.peer.loop, EVRUN_NOWAIT);
+		hear_peer();
+	}
 	poison_io_tick(w.cut.poison_io);
 	detour_io_tick(&w.cut);
 	forward_retry_waiting(&w.cut);
@@ -452,6 +468,20 @@
 	finish();
 }
 
+/* A request that may be repeated does not wait for a peer that is frozen. */
+static void
+test_peer_stands_still(void)
+{
+	start(0, NULL);
+	ask("POST", "read");
+	CU_ASSERT(wait_for(has_request));
+	w.peer_stands_still = 1;
+	CU_ASSERT(wait_for(has_answer));
+	CU_ASSERT(answer_contains("HTTP/1.1 502"));
+	CU_ASSERT_EQUAL(w.replica.requests, 1);
+	finish();
+}
+
 /* The address for peers serves nobody else. */
 static void
 test_stranger(void)
@@ -490,6 +520,7 @@
 	{ "the answer breaks off", test_answer_breaks_off },
 	{ "the replica closes at once", test_replica_closes_at_once },
 	{ "the peer is cut off", test_peer_is_cut_off },
+	{ "the peer stands still", test_peer_stands_still },
 	{ "a stranger", test_stranger },
 };
 
