http: a status that the protocol does not have is no response

Cause: the status was whatever number the parser library gave. The framing check, which the entry's reader and libcurl's transfers share, now takes only HTTP/1.x with a status from 100 to 599 as a response's first line.

--- a/shell/http_framing.c
+++ b/shell/http_framing.c
@@ -10,6 +10,8 @@
 /* The start of a response; a # stands for a digit. */
 #define STATUS_LINE_START "HTTP/#.# ###"
 #define STATUS_LINE_START_LEN (sizeof(STATUS_LINE_START) - 1)
+#define MAJOR_VERSION_AT (sizeof("HTTP/") - 1)
+#define STATUS_AT (sizeof("HTTP/1.1 ") - 1)
 /* Of a chunk's size: 60 bits. */
 #define CHUNK_DIGITS_MAX 15
 #define STATUS_LINE_MAX 65536 /* bytes */
@@ -17,6 +19,7 @@
 static int is_text(unsigned char);
 static int is_in_start(size_t, unsigned char);
 static int status_line_begins(struct http_framing *, unsigned char);
+static int is_in_status_line(size_t, unsigned char);
 static int is_expected(struct http_framing *, unsigned char);
 static enum http_framing_state end_line(struct http_framing *);
 static enum http_framing_state scan_line(struct http_framing *, unsigned char);
@@ -84,10 +87,28 @@
 	return 1;
 }
 
+/*
+ * Whether a byte may be at an offset of a response's first line: HTTP/1.x, a
+ * status from 100 to 599, and nothing, or a blank and a reason.
+ */
+static int
+is_in_status_line(size_t at, unsigned char c)
+{
+	if (at == MAJOR_VERSION_AT)
+		return c == '1';
+	if (at == STATUS_AT)
+		return c >= '1' && c <= '5';
+	if (at == STATUS_LINE_START_LEN)
+		return c == ' ';
+	return at > STATUS_LINE_START_LEN || is_in_start(at, c);
+}
+
 /* Whether a response's line neither folds nor holds another response. */
 static int
 is_expected(struct http_framing *f, unsigned char c)
 {
+	if (f->lines == 0 && !is_in_status_line(f->line_len, c))
+		return 0;
 	if (f->lines != 0 && f->line_len == 0 && (c == ' ' || c == '\t'))
 		return 0;
 	return !status_line_begins(f, c) ||
@@ -118,7 +139,11 @@
 	}
 	if (c == CR) {
 		f->after_cr = 1;
-		return f->state;
+		/* The status is missing, or cut short. */
+		return f->response && f->lines == 0 && f->line_len != 0 &&
+			f->line_len < STATUS_LINE_START_LEN
+		    ? FRAMING_INVALID
+		    : f->state;
 	}
 	if (c == LF && !f->response)
 		return end_line(f);
--- a/tests/answers_wire.cc
+++ b/tests/answers_wire.cc
@@ -18,7 +18,8 @@
 make_body(Numbers &numbers)
 {
 	static const char *const parts[] = { "H", "HTTP/1.1", " 200 OK", "\r\n",
-		"\n", "a", "0", "xyz ", "HTTP/1.1 200", "\r\n\r\n", "id: 3" };
+		"\n", "a", "0", "xyz ", "HTTP/1.1 200", "\r\n\r\n", "id: 3",
+		"HTTP/1.1 000 X\r\n", " 600 ", "0200" };
 	size_t n = numbers.below(12);
 	std::string s;
 
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -222,6 +222,33 @@
         w.stop()
 
 
+def test_status_line():
+    """An answer whose status the protocol does not have is none: 502, or a
+    repeat where that is allowed."""
+    lines = [b"HTTP/1.1 000 X", b"HTTP/1.1 099 X", b"HTTP/1.1 600 X",
+             b"HTTP/1.1 999 X", b"HTTP/1.1 20 X", b"HTTP/1.1 0200 X"]
+
+    async def wrong(call):
+        await call.read()
+        line = lines[int(call.id.rpartition("-")[2])]
+        rest = call.head(200, {"Content-Length": 3}).partition(b"\r\n")[2]
+        call.writer.write(line + b"\r\n" + rest + b"bad")
+        await call.writer.drain()
+        return True
+    w, _, _ = two_replicas(wrong)
+    try:
+        for i in range(len(lines)):
+            status, _, body = w.call(
+                "/once/x", "once-%d" % i, "POST", b"p")[:3]
+            check("502 or the sound one, got %d" % status,
+                  status == 502 or (status, body) == (200, b"whole"))
+            status, _, body = w.call("/read/x", "read-%d" % i)[:3]
+            check("repeated, got %d" % status,
+                  (status, body) == (200, b"whole"))
+    finally:
+        w.stop()
+
+
 def faulty_scripts():
     async def cut(call):
         await call.read()
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -57,6 +57,7 @@
 static void test_withdrawn(void);
 static void test_late_answer_inside_line_end(void);
 static void test_sound_heads(void);
+static void test_status_line(void);
 static void fetch_until_close(const char *);
 static void test_second_answer_in_body(void);
 static void test_status_line_in_body(void);
@@ -344,6 +345,30 @@
 	}
 }
 
+static void
+test_status_line(void)
+{
+	static const char *const statuses[] = { "000 X", "099 X", "600 X",
+		"999 X", "20 X", "0200 X", "2000 X", "+20 X", " 200 X",
+		"200\tX", "" };
+	struct fetch *f;
+	struct peer p;
+	char reply[128];
+	size_t i;
+
+	for (i = 0; i < nitems(statuses); i++) {
+		snprintf(reply, sizeof(reply),
+		    "HTTP/1.1 %s\r\nContent-Length: 2\r\n\r\nok", statuses[i]);
+		f = fetch_create(on_event, NULL);
+		peer_open_with(&p, 1, reply);
+		post_and_wait(f, &result, p.port, 0);
+		CU_ASSERT_EQUAL(result.last.type, FETCH_EVENT_FAIL);
+		CU_ASSERT_EQUAL(result.len, 0);
+		fetch_destroy(f);
+		peer_close(&p);
+	}
+}
+
 static void
 test_sound_heads(void)
 {
@@ -449,6 +474,7 @@
 }
 
 static const struct unit_case cases[] = {
+	{ "status line", test_status_line },
 	{ "answer", test_answer },
 	{ "connection refused", test_refused },
 	{ "closed after sending", test_written },
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -57,6 +57,7 @@
 static void test_status_line_in_body(void);
 static void test_interim_before_response_to_head(void);
 static void test_sound_messages(void);
+static void test_status_line(void);
 
 static const struct http_reader_ops ops = { on_head, on_body, on_end };
 
@@ -514,7 +515,63 @@
 	}
 }
 
+/* Statuses that the protocol does not have are no response. */
+static void
+test_status_line(void)
+{
+	static const struct {
+		const char *line;
+		int status; /* 0: no response */
+	} lines[] = {
+		{ "HTTP/1.1 100 Continue", 0 }, /* with no final one */
+		{ "HTTP/1.1 200 OK", 200 },
+		{ "HTTP/1.1 200 ", 200 },
+		{ "HTTP/1.1 200", 200 },
+		{ "HTTP/1.0 299 X", 299 },
+		{ "HTTP/1.1 599 X\tY", 599 },
+		{ "HTTP/1.1 000 X", 0 },
+		{ "HTTP/1.1 099 X", 0 },
+		{ "HTTP/1.1 600 X", 0 },
+		{ "HTTP/1.1 999 X", 0 },
+		{ "HTTP/1.1 20 X", 0 },
+		{ "HTTP/1.1 0200 X", 0 },
+		{ "HTTP/1.1 2000 X", 0 },
+		{ "HTTP/1.1 +20 X", 0 },
+		{ "HTTP/1.1 -20 X", 0 },
+		{ "HTTP/1.1  200 X", 0 },
+		{ "HTTP/1.1\t200 X", 0 },
+		{ "HTTP/1.1 200\tX", 0 },
+		{ "HTTP/1.1 2x0 X", 0 },
+		{ "HTTP/1.1 ", 0 },
+		{ "HTTP/1.1", 0 },
+		{ "HTTP/2.0 200 OK", 0 },
+		{ "HTTP/11.1 200 OK", 0 },
+		{ "HTTP/1 200 OK", 0 },
+		{ "http/1.1 200 OK", 0 },
+		{ "HTTP/1.1 200 O\aK", 0 },
+		{ "HTTP/1.1 101 Switching", 0 },
+	};
+	struct outcome o;
+	char text[INPUT_SIZE];
+	size_t size;
+	size_t i;
+
+	for (i = 0; i < nitems(lines); i++) {
+		snprintf(text, sizeof(text),
+		    "%s\r\nContent-Length: 2\r\n\r\nok", lines[i].line);
+		for (size = 1; size < 48; size++) {
+			read_pieces(
+			    HTTP_READ_RESPONSES, text, strlen(text), size, &o);
+			CU_ASSERT_EQUAL(o.complete, lines[i].status != 0);
+			CU_ASSERT_EQUAL(o.nheads, lines[i].status != 0);
+			if (lines[i].status != 0)
+				CU_ASSERT_EQUAL(o.status, lines[i].status);
+		}
+	}
+}
+
 static const struct unit_case cases[] = {
+	{ "status line", test_status_line },
 	{ "late answer inside a line end", test_late_answer_inside_line_end },
 	{ "late answer without an id inside a head",
 	    test_late_answer_without_id_inside_head },
