loader: a holder of the order lease that reaches no replica gives it up

After a second in which it reaches no replica while a peer does, it gives the lease up as a stopping holder does, and applies again once it is connected.

test_loader_io "holder that reaches no replica".

--- a/core/detours.c
+++ b/core/detours.c
@@ -195,6 +195,18 @@
 	return find(d, addr) != NULL;
 }
 
+int
+detours_any_worked(const struct detours *d)
+{
+	const struct detour_peer *p;
+
+	for (p = d->peers; p != NULL; p = p->hh.next) {
+		if (p->worked)
+			return 1;
+	}
+	return 0;
+}
+
 uint32_t
 detours_in_progress(const struct detours *d)
 {
--- a/core/detours.h
+++ b/core/detours.h
@@ -35,6 +35,8 @@
 void detours_reset(struct detours *);
 /* Whether a peer may be chosen, apart from its failures. */
 int detours_knows(const struct detours *, const char *);
+/* Whether a peer has reached a replica, and has not failed since. */
+int detours_any_worked(const struct detours *);
 /* Number of requests that peers are passing on. */
 uint32_t detours_in_progress(const struct detours *);
 
--- a/entry/detour_io.c
+++ b/entry/detour_io.c
@@ -19,6 +19,8 @@
 #define SILENT_NS (250 * NSEC_PER_MSEC)
 /* Attempts are given up once a probe would have shown that it is no cut. */
 #define CONFIRM_NS (150 * NSEC_PER_MSEC)
+/* A cut of this length shows that orders would be late. */
+#define YIELD_NS (1 * NSEC_PER_SEC)
 /* After a connection, a silence shows nothing for so long. */
 #define CONNECTED_NS (1 * NSEC_PER_SEC)
 #define CHECK_NS (100 * NSEC_PER_MSEC)
@@ -239,6 +241,22 @@
 	return reach_hears_others(&e->detour_io->reach, e->now);
 }
 
+int
+detour_io_may_order(const struct entry *e)
+{
+	return detour_io_mode(e) == REACH_DIRECT;
+}
+
+int
+detour_io_yields_orders(const struct entry *e)
+{
+	const struct detour_io *d = e->detour_io;
+
+	return d->reach.cut_since != 0 &&
+	    e->now >= d->reach.cut_since + YIELD_NS &&
+	    detours_any_worked(d->peers);
+}
+
 int
 detour_io_is_needed(
     const struct entry *e, const char *addr, const struct exchange_conn *conn)
--- a/entry/detour_io.h
+++ b/entry/detour_io.h
@@ -53,6 +53,10 @@
 enum reach_mode detour_io_mode(const struct entry *);
 /* Whether a replica that cannot be connected is likely to be down. */
 int detour_io_hears_others(const struct entry *);
+/* Whether this process may apply for the right to order engines. */
+int detour_io_may_order(const struct entry *);
+/* Whether it is to give that right up to a peer, which reaches replicas. */
+int detour_io_yields_orders(const struct entry *);
 /* Whether an attempt has to go through a peer. */
 int detour_io_is_needed(
     const struct entry *, const char *, const struct exchange_conn *);
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -266,8 +266,11 @@
 	TAILQ_INIT(&orders);
 	from = st->holder_heard_at + HOLDER_SILENT_NS +
 	    peers_candidate_rank(e->peers) * CANDIDATE_STEP_NS;
+	if (loader_is_leader(st->loader, e->now) && detour_io_yields_orders(e))
+		loader_io_leave(e);
 	loader_set_candidate(st->loader,
 	    !e->stopping && e->dir.synced && e->now >= from &&
+		detour_io_may_order(e) &&
 		peers_candidate_rank(e->peers) < HUBS_MAX,
 	    0);
 	loader_set_service_time(st->loader, engine_service_time(e));
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -23,6 +23,7 @@
 	uint32_t orders;
 } sent;
 static struct kv_ids ids;
+static int cut_off; /* this process reaches no replica, and a peer does */
 
 /* The messages to the other processes. */
 static struct {
@@ -46,6 +47,21 @@
 static void test_replica_that_the_holder_does_not_list(void);
 static uint32_t count_told_loads(uint64_t);
 static void test_process_started_after_a_stop_is_told_loads(void);
+static void test_holder_that_reaches_no_replica(void);
+
+int
+detour_io_may_order(const struct entry *e)
+{
+	(void)e;
+	return !cut_off;
+}
+
+int
+detour_io_yields_orders(const struct entry *e)
+{
+	(void)e;
+	return cut_off;
+}
 
 uint64_t
 entry_update_now(struct entry *e)
@@ -155,6 +171,7 @@
 
 	memset(e, 0, sizeof(*e));
 	memset(&sent, 0, sizeof(sent));
+	cut_off = 0;
 	e->now = 100 * NSEC_PER_SEC;
 	e->boot.require_fencing = 1;
 	e->boot.load_window_ns = 5 * NSEC_PER_SEC;
@@ -450,7 +467,29 @@
 	finish(&holder);
 }
 
+/* The right to order goes to a process that reaches the replicas. */
+static void
+test_holder_that_reaches_no_replica(void)
+{
+	struct entry e;
+
+	setup(&e);
+	run(&e, NSEC_PER_SEC);
+	CU_ASSERT(loader_io_is_leader(&e));
+	cut_off = 1;
+	run(&e, 100 * NSEC_PER_MSEC);
+	CU_ASSERT(!loader_io_is_leader(&e));
+	run(&e, 10 * NSEC_PER_SEC);
+	CU_ASSERT(!loader_io_is_leader(&e));
+	cut_off = 0;
+	run(&e, 10 * NSEC_PER_SEC);
+	CU_ASSERT(loader_io_is_leader(&e));
+	finish(&e);
+}
+
 static const struct unit_case cases[] = {
+	{ "holder that reaches no replica",
+	    test_holder_that_reaches_no_replica },
 	{ "requests of one turn", test_requests_of_one_turn },
 	{ "table of a former holder", test_table_of_former_holder },
 	{ "table of a later holder", test_table_of_later_holder },
