detours: where a whole data centre is cut off, peers of others are tried

All near peers were cut off as well, and each rested for a second at most, so that the four tries of an attempt went to near ones. Failures of near peers now count against all near peers that have not reached a replica, and the same for far ones.

test_detours "data centre cut off" failed before.

--- a/core/detours.c
+++ b/core/detours.c
@@ -9,6 +9,9 @@
 /* Cost of a peer, in requests that it already passes on. */
 #define COST_FAR 2.0	 /* in another data centre */
 #define COST_UNTRIED 4.0 /* it may be cut off as well */
+/* A whole data centre may be cut off: of an untried peer, for each failure. */
+#define COST_FAILED_BESIDE 2.0
+#define FAILED_BESIDE_MAX 8U
 #define REST_MIN_NS (500 * NSEC_PER_MSEC)
 #define REST_MAX_NS (1 * NSEC_PER_SEC)
 
@@ -25,11 +28,12 @@
 
 struct detours {
 	struct detour_peer *peers;
+	uint32_t failed[2]; /* in a row, of far peers and of near ones */
 };
 
 static struct detour_peer *find(const struct detours *, const char *);
 static void forget_unnamed(struct detours *);
-static double cost(const struct detour_peer *);
+static double cost(const struct detours *, const struct detour_peer *);
 
 struct detours *
 detours_create(void)
@@ -99,10 +103,14 @@
 }
 
 static double
-cost(const struct detour_peer *p)
+cost(const struct detours *d, const struct detour_peer *p)
 {
-	return p->in_progress + (p->near ? 0.0 : COST_FAR) +
-	    (p->worked ? 0.0 : COST_UNTRIED);
+	double far = p->near ? 0.0 : COST_FAR;
+
+	if (p->worked)
+		return p->in_progress + far;
+	return p->in_progress + far + COST_UNTRIED +
+	    d->failed[p->near] * COST_FAILED_BESIDE;
 }
 
 const char *
@@ -116,15 +124,15 @@
 	for (p = d->peers; p != NULL; p = p->hh.next) {
 		if (now < p->rests_until)
 			continue;
-		if (best == NULL || cost(p) < cost(best)) {
+		if (best == NULL || cost(d, p) < cost(d, best)) {
 			best = p;
 			nbest = 0;
 		}
-		nbest += cost(p) <= cost(best);
+		nbest += cost(d, p) <= cost(d, best);
 	}
 	skip = (uint32_t)(draw * nbest);
 	for (p = best; p != NULL; p = p->hh.next) {
-		if (now >= p->rests_until && cost(p) <= cost(best) &&
+		if (now >= p->rests_until && cost(d, p) <= cost(d, best) &&
 		    skip-- == 0)
 			return p->addr;
 	}
@@ -156,6 +164,7 @@
 
 	if (p == NULL)
 		return;
+	d->failed[p->near] = 0;
 	p->worked = 1;
 	p->failures = 0;
 	p->rests_until = 0;
@@ -172,6 +181,8 @@
 		return;
 	for (i = 0; i < p->failures && rest < REST_MAX_NS; i++)
 		rest *= 2;
+	if (d->failed[p->near] < FAILED_BESIDE_MAX)
+		d->failed[p->near]++;
 	p->failures++;
 	p->worked = 0;
 	p->rests_until = now + (rest < REST_MAX_NS ? rest : REST_MAX_NS);
@@ -182,6 +193,7 @@
 {
 	struct detour_peer *p;
 
+	memset(d->failed, 0, sizeof(d->failed));
 	for (p = d->peers; p != NULL; p = p->hh.next) {
 		p->worked = 0;
 		p->failures = 0;
--- a/core/detours.h
+++ b/core/detours.h
@@ -12,8 +12,8 @@
 struct detours *detours_create(void);
 void detours_destroy(struct detours *);
 /*
- * A peer may be chosen from now on; it is near if it is in the data centre of
- * this process.  Those that are not named until detours_end_update() are
+ * A peer may be chosen from now on; it is near (1) if it is in the data centre
+ * of this process.  Those that are not named until detours_end_update() are
  * forgotten.
  */
 void detours_begin_update(struct detours *);
--- a/tests/test_detours.c
+++ b/tests/test_detours.c
@@ -16,6 +16,7 @@
 static void test_all_cut_off(void);
 static void test_peers_that_go(void);
 static void test_random(void);
+static void test_data_centre_cut_off(void);
 
 /* Peers by number, of which the first ones are near. */
 static struct detours *
@@ -156,7 +157,30 @@
 	detours_destroy(d);
 }
 
+/* All near peers are cut off: a request finds a far one within its tries. */
+static void
+test_data_centre_cut_off(void)
+{
+	struct detours *d = setup(64, 56);
+	const char *addr = NULL;
+	int i, k = 0;
+
+	for (i = 0; i < 4; i++) {
+		addr = detours_choose(d, S, 0.5);
+		(void)sscanf(addr, "10.0.0.%d:", &k);
+		if (k >= 56)
+			break;
+		detours_failed(d, addr, S);
+	}
+	CU_ASSERT(k >= 56);
+	detours_worked(d, addr);
+	/* Also when the others have rested. */
+	CU_ASSERT_STRING_EQUAL(detours_choose(d, 60 * S, 0.5), addr);
+	detours_destroy(d);
+}
+
 static const struct unit_case cases[] = {
+	{ "data centre cut off", test_data_centre_cut_off },
 	{ "near first", test_near_first },
 	{ "failed rests", test_failed_rests },
 	{ "spread", test_spread },
