detours: strangers and peers not known yet are told that there is no path

A process that has just started may ask a peer that does not know it yet. Its connection was closed, so that a request which may not be repeated ended as unknown (502), though nothing had been sent. The peer now says so, and still passes nothing on. Failures of replicas are forgotten at a cut only where no replica is heard: three that crash together stay avoided.

test_detour "a stranger" as changed; comments.

--- a/core/detours.h
+++ b/core/detours.h
@@ -20,7 +20,7 @@
 void detours_put(struct detours *, const char *, int);
 void detours_end_update(struct detours *);
 /*
- * Address of the best peer, or NULL if each has failed lately.  The random
+ * Address of the best peer, or NULL if each rests after a failure.  The random
  * number in [0, 1) decides between equal ones.
  */
 const char *detours_choose(const struct detours *, uint64_t, double);
--- a/core/directory.c
+++ b/core/directory.c
@@ -132,9 +132,7 @@
 		return m;
 	} else {
 		if (m->info.started_ms != r->started_ms) {
-			m->consecutive_failures = 0;
-			m->avoid_until = 0;
-			m->error_rate = 0.0;
+			directory_forget_failures(m);
 		}
 		update_listed_info(m, r);
 	}
--- a/core/store_check.h
+++ b/core/store_check.h
@@ -14,7 +14,7 @@
 	uint64_t called_at;  /* the latest call of this kind */
 };
 
-/* What is known of the service. */
+/* The service, as far as this process knows. */
 struct store_check_state {
 	int is_hub;
 	int up;
--- a/entry/detour_io.c
+++ b/entry/detour_io.c
@@ -7,7 +7,6 @@
 #include "detour_io_int.h"
 #include "forward_int.h"
 #include "hash.h"
-#include "loader_io.h"
 #include "mem.h"
 #include "peers.h"
 
@@ -171,7 +170,7 @@
 	    (unsigned long long)d->attempts);
 }
 
-/* Replicas that were avoided were not the ones that failed. */
+/* Where none is heard, the replicas that are avoided were not at fault. */
 static void
 set_cut(struct detour_io *d, const char *replica)
 {
@@ -179,7 +178,8 @@
 
 	d->cuts++;
 	log_reach(d, LOG_REPLICAS_UNREACHED, replica, "not-connected");
-	for (m = d->e->dir.replicas; m != NULL; m = m->hh.next)
+	for (m = d->e->dir.replicas;
+	     m != NULL && detour_io_mode(d->e) == REACH_NONE; m = m->hh.next)
 		directory_forget_failures(m);
 	detours_reset(d->peers);
 	d->peers_at = 0;
@@ -295,7 +295,7 @@
 		exchange_is_unacked(f->exchange, f->sent_at));
 }
 
-/* What may not be repeated is left: it may have been received. */
+/* An attempt that may not be repeated goes on: it may have been received. */
 static int
 may_be_given_up(const struct forward *f)
 {
--- a/entry/detour_server.c
+++ b/entry/detour_server.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "acceptor.h"
 #include "conn.h"
@@ -35,6 +34,7 @@
 	struct buf request;    /* for the replica */
 	int request_complete;
 	int too_large;
+	int from_peer;		   /* nothing is passed on for others */
 	struct exchange *exchange; /* NULL: no attempt in progress */
 	char replica[NAME_SIZE];
 	uint64_t started_ms; /* its incarnation */
@@ -169,7 +169,7 @@
 		    (unsigned long long)s->answers[i]);
 }
 
-/* Nobody else may send to replicas in this way. */
+/* A peer that has just started may not be known yet. */
 static int
 is_from_peer(const struct entry *e, int fd)
 {
@@ -190,12 +190,9 @@
 	struct detour *d;
 
 	entry_update_now(s->e);
-	if (!is_from_peer(s->e, fd)) {
-		close(fd);
-		return;
-	}
 	d = mem_alloc(sizeof(*d));
 	d->server = s;
+	d->from_peer = is_from_peer(s->e, fd);
 	d->reader = http_reader_create(HTTP_READ_REQUESTS, &request_ops, d);
 	d->expiry = expiry_create(s->e->loop, &detour_expiry_ops, d);
 	expiry_set(d->expiry, s->e->now + IDLE_NS);
@@ -272,7 +269,7 @@
 	struct detour *d = ctx;
 
 	d->too_large |= buf_len(&d->request) + len > REQUEST_MAX_BYTES;
-	if (!d->too_large)
+	if (!d->too_large && d->from_peer)
 		buf_add(&d->request, p, len);
 }
 
@@ -354,7 +351,7 @@
 	    field_number(http_reader_head(d->reader), DETOUR_FIELD_TIMEOUT) *
 		NSEC_PER_MSEC;
 
-	if (!stop_may_start(&e->stop, e->now, deadline) ||
+	if (!d->from_peer || !stop_may_start(&e->stop, e->now, deadline) ||
 	    detour_io_mode(e) == REACH_NONE ||
 	    d->server->in_progress >= ATTEMPTS_MAX)
 		return DETOUR_NO_PATH;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -253,7 +253,8 @@
 	return 1;
 }
 
-/* What has not run is refused at once while no replica can be reached. */
+/* A request that has not run is refused at once while nobody reaches replicas.
+ */
 static int
 forward_refuse_if_unreached(struct forward *f)
 {
--- a/tests/test_detour.c
+++ b/tests/test_detour.c
@@ -15,8 +15,6 @@
 #include "detour_io.h"
 #include "detour_server.h"
 #include "entry_fixture.h"
-#include "hash.h"
-#include "loader_io.h"
 #include "peers_int.h"
 #include "poison_io.h"
 #include "unit.h"
@@ -433,7 +431,7 @@
 	finish();
 }
 
-/* What was sent may have run: not refused, and not repeated. */
+/* A request that was sent may have run: not refused, and not repeated. */
 static void
 test_replica_closes_at_once(void)
 {
@@ -506,8 +504,9 @@
 	CU_ASSERT_EQUAL(
 	    connect(w.caller, (struct sockaddr *)&sa, sizeof(sa)), 0);
 	(void)send(w.caller, text, strlen(text), MSG_NOSIGNAL);
-	(void)wait_for(has_answer);
-	CU_ASSERT_EQUAL(buf_len(&w.answer), 0);
+	CU_ASSERT(wait_for(has_answer));
+	CU_ASSERT(answer_contains("HTTP/1.1 502"));
+	CU_ASSERT(answer_contains(DETOUR_FIELD_PATH ": no-path"));
 	CU_ASSERT_EQUAL(w.replica.requests, 0);
 	finish();
 }
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -103,7 +103,7 @@
 	(void)reach_failed(&r, 10 * S, 1, LISTED);
 	(void)reach_failed(&r, 10 * S, 2, LISTED);
 	(void)reach_failed(&r, 10 * S, 3, LISTED);
-	/* What was heard before the first failure shows nothing. */
+	/* Bytes from before the first failure show nothing. */
 	CU_ASSERT_EQUAL(reach_mode(&r, 10 * S), REACH_NONE);
 	reach_heard(&r, 10 * S + MSEC);
 	CU_ASSERT_EQUAL(reach_mode(&r, 10 * S + MSEC), REACH_KEPT);
