tests: a line of the log that is still being written is not read

The log is written in blocks, and the reader of its events took the last line before its end. Such a line is read with the next look, once it is complete. A file that ends in the middle of a line raised the same error before, and does not now.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -450,8 +450,10 @@
     def events(self, name):
         self.log.flush()
         with open(self.log.name) as f:
+            # The last line may still be being written.
             return [json.loads(line) for line in f
-                    if '"event":"%s"' % name in line]
+                    if '"event":"%s"' % name in line and
+                    line.endswith("\n")]
 
     def connect(self, port="front"):
         s = socket.create_connection((self.ip, self.ports[port]), 5)
