--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -17,6 +17,7 @@
 static void test_whose_failure(void);
 static void test_probes(void);
 static void test_random_order(void);
+static void test_replicas_crash_together(void);
 
 static void
 test_three_replicas_fail(void)
@@ -177,7 +178,27 @@
 	}
 }
 
+/* Replicas that crash together are no cut: another one is probed at once. */
+static void
+test_replicas_crash_together(void)
+{
+	struct reach r = { 0 };
+	uint64_t i;
+
+	reach_heard(&r, 10 * S);
+	for (i = 1; i <= 3; i++)
+		(void)reach_failed(&r, 10 * S, i, LISTED);
+	CU_ASSERT_EQUAL(reach_mode(&r, 10 * S), REACH_KEPT);
+	CU_ASSERT_EQUAL(reach_probe_due(&r, 10 * S), 1);
+	for (i = 1; i <= 3; i++)
+		CU_ASSERT(reach_has_failed(&r, i));
+	CU_ASSERT(!reach_has_failed(&r, 4));
+	CU_ASSERT_EQUAL(reach_connected(&r, 10 * S + MSEC), 1);
+	CU_ASSERT_EQUAL(reach_mode(&r, 10 * S + MSEC), REACH_DIRECT);
+}
+
 static const struct unit_case cases[] = {
+	{ "replicas crash together", test_replicas_crash_together },
 	{ "three replicas fail", test_three_replicas_fail },
 	{ "one service down", test_one_service_down },
 	{ "release", test_release },
