--- a/entry/detour_attempt.c
+++ b/entry/detour_attempt.c
@@ -5,7 +5,6 @@
 
 #include "detour_io_int.h"
 #include "forward_int.h"
-#include "hash.h"
 
 /* Peers that are tried for one attempt. */
 #define PEERS_TRIED_MAX 4U
--- a/entry/detour_io.h
+++ b/entry/detour_io.h
@@ -23,7 +23,7 @@
 /* In each answer of a peer, one of the names below. */
 #define DETOUR_FIELD_PATH "Spindle-Path"
 
-/* Who answers, and what became of the attempt. */
+/* Sender of an answer to a peer, and the outcome of the attempt. */
 enum detour_answer {
 	DETOUR_REPLICA,	       /* the replica's answer */
 	DETOUR_REPLICA_CLOSES, /* the same; it ends with its connection */
