accounts: keys of client accounts are checked, quotas hold over all VMs

Cause: no line of the code knew client accounts.

Change: the first VM checks the key (core/key_table, 401 for what no account holds), sets the account's name on every attempt and leaves out the key. Quotas in tokens or requests hold over all processes: each one lends the two halves of its share to two pools (core/shares), whose token buckets grant the tokens of each request (core/quota). Replayed in test_quota and test_shares, fuzzed in fuzz_quota, with real processes in tests/accounts.py. Weighed, and built first: one pool by the relay tree's loans, which stood still for 2 to 3 s when a pool or relay was lost (docs/design/client-accounts.md).

--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,14 @@
 CXXFLAGS = -std=gnu++17 -D_GNU_SOURCE -O1 -g -Wall -Wextra $(SAN)
 IQUOTE = -iquote core -iquote shell -iquote gate -iquote control -iquote ctl \
 	 -iquote timeline -iquote standin -iquote tests -iquote net \
-	 -iquote platform -iquote entry -iquote bench
+	 -iquote platform -iquote entry -iquote entry/accounts \
+	 -iquote bench
 LDLIBS = -lcivetweb -lcurl -lzmq -lmsgpackc -ljansson -largtable2 -lnettle \
 	 -lxxhash -lurcu-bp -lz -lpthread -lm
 
 CORE = $(patsubst %.c,$(BUILD)/%.o,$(wildcard core/*.c))
 SHELL_O = $(patsubst %.c,$(BUILD)/%.o,$(wildcard shell/*.c))
+ENTRY_C = $(wildcard entry/*.c entry/*/*.c)
 NET = $(patsubst %.c,$(BUILD)/%.o,$(wildcard net/*.c platform/*.c))
 LIBS = $(BUILD)/libcore.a $(BUILD)/libshell.a
 
@@ -24,7 +26,7 @@
 LOAD = spindle_load load_trace load_run load_report
 
 FORMATTED = $(wildcard core/*.[ch] shell/*.[ch] gate/*.[ch] control/*.[ch] \
-	    net/*.[ch] platform/*.[ch] entry/*.[ch] \
+	    net/*.[ch] platform/*.[ch] entry/*.[ch] entry/*/*.[ch] \
 	    ctl/*.[ch] timeline/*.[ch] standin/*.[ch] tests/*.[ch] bench/*.[ch])
 LINTED = $(filter %.c,$(FORMATTED))
 
@@ -48,7 +50,7 @@
 
 $(BUILD)/spindle-entry: LDLIBS = -lev -lhttp_parser -lzmq -lmsgpackc -ljansson -largtable2 \
     -lnettle -lxxhash -lz -lpthread -lm
-$(BUILD)/spindle-entry: $(patsubst %.c,$(BUILD)/%.o,$(wildcard entry/*.c)) \
+$(BUILD)/spindle-entry: $(patsubst %.c,$(BUILD)/%.o,$(ENTRY_C)) \
     $(NET) $(LIBS)
 	$(link)
 $(BUILD)/spindle-gate: $(patsubst %.c,$(BUILD)/%.o,$(wildcard gate/*.c)) $(LIBS)
@@ -79,7 +81,7 @@
 clean:
 	rm -rf $(BUILD)
 
--include $(wildcard $(BUILD)/*/*.d)
+-include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
 
 .PHONY: all deps demo format clean
 
@@ -89,7 +91,8 @@
 .PHONY: lint
 
 FUZZERS = $(BUILD)/fuzz_serving $(BUILD)/fuzz_state $(BUILD)/fuzz_orders \
-	  $(BUILD)/fuzz_notice $(BUILD)/fuzz_permits $(BUILD)/fuzz_answers
+	  $(BUILD)/fuzz_notice $(BUILD)/fuzz_permits $(BUILD)/fuzz_quota \
+	  $(BUILD)/fuzz_answers
 
 $(BUILD)/tests/%.oo: tests/%.cc
 	@mkdir -p $(dir $@)
@@ -100,6 +103,7 @@
 WORLD_orders = orders_world orders_world_loads orders_tables
 WORLD_notice = notice_world
 WORLD_permits = permits_world
+WORLD_quota = quota_world permits_world
 
 .SECONDEXPANSION:
 $(BUILD)/fuzz_%: $(BUILD)/tests/fuzz_%.oo \
@@ -125,6 +129,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_account_config: $(BUILD)/tests/test_account_config.o \
+    $(BUILD)/tests/unit.o $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_fields: $(BUILD)/tests/test_fields.o $(BUILD)/tests/unit.o \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
@@ -158,19 +167,19 @@
 
 $(BUILD)/test_list_text: $(BUILD)/tests/test_list_text.o $(BUILD)/tests/entry_fixture.o \
     $(BUILD)/tests/unit.o \
-    $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(wildcard entry/*.c))) \
+    $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(ENTRY_C))) \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
 $(BUILD)/test_peers: $(BUILD)/tests/test_peers.o $(BUILD)/tests/entry_fixture.o $(BUILD)/tests/unit.o \
-    $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(wildcard entry/*.c))) \
+    $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(ENTRY_C))) \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
 $(BUILD)/test_detour: $(BUILD)/tests/test_detour.o $(BUILD)/tests/entry_fixture.o $(BUILD)/tests/unit.o \
-    $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(wildcard entry/*.c))) \
+    $(patsubst %.c,$(BUILD)/%.o,$(filter-out entry/main.c,$(ENTRY_C))) \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
@@ -229,6 +238,7 @@
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_orders
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_notice
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_permits
+	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_quota
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/fuzz_answers
 
 SEEDS = 1-50
--- a/core/attempt.h
+++ b/core/attempt.h
@@ -22,6 +22,7 @@
 	char id[REQUEST_ID_SIZE];      /* of the caller's attempt */
 	char model[NAME_SIZE];	       /* "" for a plain service */
 	char adapter[FLEET_NAME_SIZE]; /* MODEL/ADAPTER, or "" */
+	int counts_tokens; /* it names both numbers of tokens below */
 	uint32_t prompt_tokens;
 	uint32_t max_output_tokens;  /* upper bound */
 	uint32_t output_hint_tokens; /* caller's estimate, 0: none */
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -3,6 +3,7 @@
 #include <strings.h>
 
 #include "fleet.h"
+#include "key_table.h"
 #include "mem.h"
 
 static int compare_prefix_length(const void *, const void *);
@@ -28,6 +29,8 @@
 		free(c->services[i].engine->models);
 		free(c->services[i].engine);
 	}
+	key_table_destroy(c->keys);
+	free(c->accounts);
 	free(c->services);
 	free(c->routes);
 	free(c);
@@ -140,6 +143,15 @@
 	return 0;
 }
 
+const struct fleet_account *
+fleet_find_account(const struct fleet_conf *c, const char *key, size_t len)
+{
+	uint32_t i = c->keys == NULL ? KEY_TABLE_NONE
+				     : key_table_find(c->keys, key, len);
+
+	return i == KEY_TABLE_NONE ? NULL : &c->accounts[i];
+}
+
 const struct fleet_target *
 fleet_pick_target(const struct fleet_route *r, double draw)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -22,6 +22,17 @@
 	ROUTE__MAX
 };
 
+/* A client account of the operator's, by whose keys callers are admitted. */
+struct fleet_account {
+	char name[NAME_SIZE];
+	int has_priority; /* goes before the route's */
+	uint32_t priority;
+	int counts_tokens;	 /* its quota is in tokens, or in requests */
+	uint64_t default_tokens; /* of a request that names no number */
+	double rate_per_s;	 /* quota over all processes, 0: none */
+	double burst;
+};
+
 struct fleet_target {
 	char service[NAME_SIZE];
 	double weight; /* share of the traffic, relative to the others */
@@ -32,6 +43,7 @@
 	char host[PATH_SIZE];
 	char path_prefix[PATH_SIZE]; /* starts and ends with a slash */
 	enum route_kind kind;
+	int is_public;	       /* needs no key of an account */
 	int resumable;	       /* a stream may continue on another replica */
 	uint32_t max_attempts; /* replicas tried for one request */
 	uint32_t priority;     /* 0 is the highest */
@@ -91,6 +103,10 @@
 	struct fleet_route *routes; /* longest prefix first */
 	uint32_t nservices;
 	struct fleet_service *services;
+	int has_accounts; /* callers need a key, unless the route is public */
+	uint32_t naccounts;
+	struct fleet_account *accounts;
+	struct key_table *keys; /* to indexes of accounts, NULL: none */
 };
 
 enum replica_state {
@@ -144,6 +160,9 @@
     const struct fleet_engine *, const char *);
 /* Whether a route goes to a service. */
 int fleet_route_targets(const struct fleet_route *, const char *);
+/* The account of a key of a length, or NULL. */
+const struct fleet_account *fleet_find_account(
+    const struct fleet_conf *, const char *, size_t);
 /* Chooses a target by weight from a draw in [0, 1); NULL when there is none. */
 const struct fleet_target *fleet_pick_target(
     const struct fleet_route *, double);
--- a/core/msg.c
+++ b/core/msg.c
@@ -45,6 +45,10 @@
 	[MSG_WANT] = { "want", MSG_SIZE(want) },
 	[MSG_PERMIT_REQUEST] = { "permit-request", MSG_SIZE(permit_request) },
 	[MSG_PERMIT_ANSWER] = { "permit-answer", MSG_SIZE(permit_answer) },
+	[MSG_SHARE_LOAN] = { "share-loan", MSG_SIZE(share_loan) },
+	[MSG_SHARE_ACK] = { "share-ack", MSG_SIZE(share_ack) },
+	[MSG_QUOTA_REQUEST] = { "quota-request", MSG_SIZE(quota_request) },
+	[MSG_QUOTA_ANSWER] = { "quota-answer", MSG_SIZE(quota_answer) },
 	[MSG_LOADS] = { "loads", MSG_SIZE(loads) },
 };
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -13,6 +13,7 @@
 #include "loader_loads.h"
 #include "permits.h"
 #include "poison.h"
+#include "quota.h"
 
 #define MSG_VERSION 6
 #define MSG_SYNC_MAX 64	      /* grants in a SYNC */
@@ -56,7 +57,11 @@
 			     * requested */
 	MSG_PERMIT_REQUEST, /* entry -> pool: a permit for a replica */
 	MSG_PERMIT_ANSWER,  /* pool -> entry: a permit, or when there is one */
-	MSG_LOADS, /* stopping lease holder -> entries: loads that count */
+	MSG_LOADS,	/* stopping lease holder -> entries: loads that count */
+	MSG_SHARE_LOAN, /* entry -> pool: a share of all quotas */
+	MSG_SHARE_ACK,	/* pool -> entry: the loan has arrived */
+	MSG_QUOTA_REQUEST, /* entry -> pool: tokens of an account's quota */
+	MSG_QUOTA_ANSWER,  /* pool -> entry: tokens, or when there are some */
 	MSG__MAX
 };
 
@@ -359,6 +364,10 @@
 		struct loader_loads loads;
 		struct permit_request permit_request;
 		struct permit_answer permit_answer;
+		struct share_loan share_loan;
+		struct share_ack share_ack;
+		struct quota_request quota_request;
+		struct quota_answer quota_answer;
 	} u;
 };
 
--- a/core/wire.c
+++ b/core/wire.c
@@ -72,6 +72,10 @@
 	[MSG_PERMIT_REQUEST] = wire_permit_request,
 	[MSG_PERMIT_ANSWER] = wire_permit_answer,
 	[MSG_LOADS] = wire_loads,
+	[MSG_SHARE_LOAN] = wire_share_loan,
+	[MSG_SHARE_ACK] = wire_share_ack,
+	[MSG_QUOTA_REQUEST] = wire_quota_request,
+	[MSG_QUOTA_ANSWER] = wire_quota_answer,
 };
 
 static const msgpack_object *
--- a/core/wire_entry.c
+++ b/core/wire_entry.c
@@ -129,3 +129,55 @@
 	wire_str(w, a->replica, sizeof(a->replica));
 	wire_u64(w, &a->wait_ns);
 }
+
+void
+wire_quota_request(struct wire_cursor *w, struct msg *m)
+{
+	struct quota_request *r = &m->u.quota_request;
+
+	wire_str(w, r->origin, sizeof(r->origin));
+	wire_u64(w, &r->id);
+	wire_u64(w, &r->asked_at);
+	wire_str(w, r->account, sizeof(r->account));
+	wire_u64(w, &r->tokens);
+	wire_u64(w, &r->spare_tokens);
+	wire_u64(w, &r->max_wait_ns);
+}
+
+void
+wire_quota_answer(struct wire_cursor *w, struct msg *m)
+{
+	struct quota_answer *a = &m->u.quota_answer;
+
+	wire_str(w, a->origin, sizeof(a->origin));
+	wire_u64(w, &a->id);
+	wire_u64(w, &a->asked_at);
+	wire_str(w, a->account, sizeof(a->account));
+	wire_u64(w, &a->tokens);
+	wire_count(w, &a->granted, 2);
+	wire_u64(w, &a->spare_tokens);
+	wire_u64(w, &a->wait_ns);
+}
+
+void
+wire_share_loan(struct wire_cursor *w, struct msg *m)
+{
+	struct share_loan *l = &m->u.share_loan;
+
+	wire_u64(w, &l->number);
+	wire_u64(w, &l->incarnation);
+	wire_u64(w, &l->pool_time);
+	wire_count(w, &l->slots, SHARES_SLOTS + 1);
+	wire_u32(w, &l->processes);
+}
+
+void
+wire_share_ack(struct wire_cursor *w, struct msg *m)
+{
+	struct share_ack *a = &m->u.share_ack;
+
+	wire_u64(w, &a->number);
+	wire_u64(w, &a->incarnation);
+	wire_u64(w, &a->pool_time);
+	wire_count(w, &a->closing, 2);
+}
--- a/core/wire_int.h
+++ b/core/wire_int.h
@@ -34,5 +34,9 @@
 void wire_loads(struct wire_cursor *, struct msg *);
 void wire_permit_request(struct wire_cursor *, struct msg *);
 void wire_permit_answer(struct wire_cursor *, struct msg *);
+void wire_share_loan(struct wire_cursor *, struct msg *);
+void wire_share_ack(struct wire_cursor *, struct msg *);
+void wire_quota_request(struct wire_cursor *, struct msg *);
+void wire_quota_answer(struct wire_cursor *, struct msg *);
 
 #endif
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -14,6 +14,7 @@
 #include "metric.h"
 #include "peers.h"
 #include "poison_io.h"
+#include "quota_io.h"
 #include "session.h"
 #include "stream_io.h"
 #include "loader_io.h"
@@ -443,6 +444,7 @@
 	loader_io_totals(e, &t);
 	write_request_metrics(e, f);
 	write_attempt_metrics(e, f);
+	quota_io_write_metrics(e->quota_io, f);
 	detour_io_write_metrics(e, f);
 	detour_server_write_metrics(e->detour_server, f);
 	metric_write(f, "spindle_entry_waiting", "gauge",
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,6 +8,7 @@
 #include "entry_int.h"
 #include "mem.h"
 #include "peers.h"
+#include "quota_io.h"
 
 void
 entry_times_init(struct entry_times *t)
@@ -86,12 +87,13 @@
 	memcpy(e->conf_source, d->source, sizeof(e->conf_source));
 	e->retry_waiting = 1;
 	http_set_max_head_size(e->conf->limits.max_header_bytes);
+	quota_io_config_applied(e->quota_io);
 	log_event(LOG_CONF_IN_FORCE, NULL,
-	    "version=%llu from=%s routes=%u services=%u bytes=%zu "
+	    "version=%llu from=%s routes=%u services=%u accounts=%u bytes=%zu "
 	    "packed_bytes=%zu decode_ms=%llu",
 	    (unsigned long long)e->conf->version, e->conf_source,
-	    e->conf->nroutes, e->conf->nservices, e->conf_len,
-	    e->conf_packed_len,
+	    e->conf->nroutes, e->conf->nservices, e->conf->naccounts,
+	    e->conf_len, e->conf_packed_len,
 	    (unsigned long long)(d->decode_ns / NSEC_PER_MSEC));
 	peers_push_config(e->peers);
 }
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -26,6 +26,7 @@
 struct loader_io;
 struct poison_io;
 struct permit_io;
+struct quota_io;
 struct stream_io;
 struct detour_io;
 struct detour_server;
@@ -117,6 +118,7 @@
 	struct loader_io *loader_io;
 	struct poison_io *poison_io;
 	struct permit_io *permit_io;
+	struct quota_io *quota_io;
 	struct stream_io *stream_io;
 	struct detour_io *detour_io;
 	struct detour_server *detour_server;
@@ -223,9 +225,10 @@
 int replica_notice_apply(struct entry *, struct directory_replica *,
     const struct replica_answer *, const struct response_info *);
 
-/* forward.c */
+/* forward_admit.c */
 /* Starts forwarding the caller's request, which has been received in full. */
 void forward_start(struct entry *, struct caller *);
+/* forward.c */
 /*
  * The caller of the request has disconnected, with an errno if its connection
  * failed.
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -1,5 +1,5 @@
 /*
- * Forwarding of requests: routing, choice of a replica, queueing, and the next
+ * Forwarding of requests: choice of a replica, queueing, and the next
  * step after each attempt.
  */
 #include <stdio.h>
@@ -12,14 +12,13 @@
 #include "peers.h"
 #include "permit_io.h"
 #include "poison_io.h"
+#include "quota_io.h"
 #include "software.h"
 #include "stream_io.h"
 
 /* For a retry that awaited evidence to be tried again. */
 #define EVIDENCE_NS (200 * NSEC_PER_MSEC)
-#define DEADLINE_DEFAULT_NS (60 * NSEC_PER_SEC)
 
-static int forward_admit(struct forward *, struct err *);
 static int forward_end_if_gone(struct forward *);
 static int forward_queue(struct forward *, enum balance_result);
 static int forward_refuse_if_unreached(struct forward *);
@@ -32,7 +31,7 @@
 static uint32_t max_conns_per_replica(
     const struct entry *, const struct fleet_service *);
 
-static const struct expiry_ops forward_expiry_ops = {
+const struct expiry_ops forward_expiry_ops = {
 	.has_input = forward_has_input,
 	.expired = forward_expired,
 };
@@ -59,96 +58,6 @@
 	    detail);
 }
 
-/*
- * Finds the route and sets the deadlines.  Returns 0, or the HTTP status to
- * refuse the request with.
- */
-static int
-forward_admit(struct forward *f, struct err *err)
-{
-	const struct http_head *h = caller_head(f->caller);
-	const char *host = http_field_find(h, "Host");
-	const struct fleet_route *r;
-	const struct fleet_target *t;
-	uint64_t limit_ns;
-
-	if (fields_decode_request(h, &f->params, err) == -1)
-		return 400;
-	if (f->e->conf == NULL || !f->e->dir.synced) {
-		err_set(err, ERR_UNAVAILABLE,
-		    f->e->stopping ? "this process is stopping"
-				   : "no configuration is known yet");
-		return 503;
-	}
-	r = fleet_find_route(
-	    f->e->conf, host == NULL ? "" : host, http_request_target(h));
-	if (r == NULL)
-		return 404;
-	f->route = *r;
-	t = fleet_pick_target(r, entry_random(f->e));
-	if (t == NULL) {
-		err_set(err, ERR_UNAVAILABLE, "the route has no service");
-		return 503;
-	}
-	snprintf(f->service, sizeof(f->service), "%s", t->service);
-	limit_ns = f->params.timeout_ns != 0 ? f->params.timeout_ns
-					     : DEADLINE_DEFAULT_NS;
-	f->deadline = caller_request_started_at(f->caller) + limit_ns;
-	if (f->deadline > f->arrived + r->timeout_ns)
-		f->deadline = f->arrived + r->timeout_ns;
-	if (f->e->now >= f->deadline) {
-		err_set(err, ERR_UNAVAILABLE, "its deadline has passed");
-		return 503;
-	}
-	if (!stop_may_start(&f->e->stop, f->e->now, f->deadline)) {
-		err_set(err, ERR_UNAVAILABLE, "this process is stopping");
-		return 503;
-	}
-	event_filter_start(&f->passed, f->params.last_event_id);
-	caller_keep_until(f->caller, f->deadline);
-	return 0;
-}
-
-void
-forward_start(struct entry *e, struct caller *c)
-{
-	struct forward *f;
-	struct err err = { 0 };
-	int status;
-
-	f = mem_alloc(sizeof(*f));
-	f->e = e;
-	f->caller = c;
-	f->arrived = e->now;
-	f->deadline = e->now;
-	f->expiry = expiry_create(e->loop, &forward_expiry_ops, f);
-	caller_set_forward(c, f);
-	TAILQ_INSERT_TAIL(&e->requests, f, entry);
-	e->counts.arrived++;
-	status = forward_admit(f, &err);
-	f->params.fingerprint = forward_fingerprint(f);
-	if (status == 503) {
-		forward_refuse(f, err.text, RETRY_AFTER_NS);
-		return;
-	}
-	if (status != 0) {
-		forward_send_error(f, status, 0,
-		    status == 404 ? "no route matches" : "bad request");
-		forward_log(f, LOG_REQUEST_FAILED, "", err.text);
-		forward_free(f);
-		return;
-	}
-	if (forward_end_if_blocked(f))
-		return;
-	budget_add_request(&e->budget, e->now, f->service);
-	loader_io_count_arrival(e, &f->params);
-	expiry_set(f->expiry, f->deadline);
-	if (stream_io_is_take_up(f))
-		stream_io_take_up(f);
-	else
-		forward_dispatch(f);
-}
-
 const char *
 forward_origin_id(const struct forward *f)
 {
@@ -163,6 +72,7 @@
 	expiry_destroy(f->expiry);
 	stream_io_forget(f);
 	permit_io_forget(e->permit_io, f);
+	quota_io_forget(f, f->attempts_made != 0);
 	if (f->waiting.group != NULL)
 		waitq_remove(&e->waiting, &f->waiting);
 	TAILQ_REMOVE(&e->requests, f, entry);
@@ -341,11 +251,22 @@
 	waitq_dispatch(&e->waiting, e->now, try_waiting, NULL);
 }
 
+void
+forward_refuse_quota(struct forward *f, uint64_t retry_after_ns)
+{
+	f->e->counts.refused++;
+	forward_log(f, LOG_REQUEST_REFUSED, "", "the account's quota is used");
+	forward_send_error(
+	    f, 429, retry_after_ns, "the quota of the account is used");
+	forward_free(f);
+}
+
 /* Ends a request that no replica has run. */
 void
 forward_refuse(struct forward *f, const char *text, uint64_t retry_after_ns)
 {
 	f->e->counts.refused++;
+	quota_io_forget(f, 0);
 	forward_log(f, LOG_REQUEST_REFUSED, "", text);
 	forward_send_error(f, 503, retry_after_ns, text);
 	forward_free(f);
@@ -501,6 +422,10 @@
 	struct forward *f = ctx;
 
 	entry_update_now(f->e);
+	if (quota_io_awaits(f)) {
+		quota_io_waited(f);
+		return;
+	}
 	if (f->exchange != NULL) {
 		forward_note_left(f);
 		exchange_cancel(f->exchange);
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -19,6 +19,12 @@
 	char software[NAME_SIZE];     /* version that made them, "": unknown */
 	int recorded;		      /* in the key-value service */
 	struct stream_lookup *lookup; /* the version is being looked up */
+	char account[NAME_SIZE];      /* of its caller, "": none */
+	uint64_t quota_tokens;	      /* that it costs */
+	uint32_t quota_tries;	      /* to get them, at pools in turn */
+	uint64_t quota_id;	      /* of its request for them, 0: none yet */
+	uint64_t quota_asked_at;      /* when they were asked for */
+	int quota_state;	      /* see quota_io.c */
 	uint64_t arrived;
 	uint64_t deadline;
 	struct expiry *expiry;	   /* of queueing, or of the request */
@@ -69,6 +75,8 @@
 	struct event_filter passed; /* events of all attempts */
 };
 
+/* Of the request's queueing, or of the request. */
+extern const struct expiry_ops forward_expiry_ops;
 /* attempt_send.c */
 /* Sends the request to a replica. */
 void forward_start_attempt(struct forward *, struct directory_replica *);
@@ -99,6 +107,9 @@
 /* replica_notice.c */
 /* Takes what a replica says of itself in the head of its answer. */
 void forward_apply_notice(struct forward *, const struct response_info *);
+/* forward_admit.c */
+/* Begins a request that has its tokens. */
+void forward_begin(struct forward *);
 /* forward_wait.c */
 /* Queues a request that no replica can take now, or refuses it. */
 void forward_wait(struct forward *, enum balance_result);
@@ -114,6 +125,9 @@
 int forward_dispatch(struct forward *);
 /* Ends a request that no replica has run; the caller may return after ns. */
 void forward_refuse(struct forward *, const char *, uint64_t);
+/* The same for one beyond the quota of its account. */
+void forward_refuse_quota(struct forward *, uint64_t);
+
 void forward_log(
     const struct forward *, enum log_id, const char *, const char *);
 /* Records the end of the attempt and decides on the next step. */
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -442,6 +442,7 @@
 	l->page_after[0] = '\0';
 	l->retry_s = RETRY_MIN_S;
 	l->s->peers_known |= l->id == LIST_PEERS;
+	l->s->peers_read |= l->id == LIST_PEERS;
 	list_update_revision(l, dropped);
 	if (l->id == LIST_REPLICAS && !l->stale_read)
 		session_push_changes(l->s,
--- a/entry/main.c
+++ b/entry/main.c
@@ -20,6 +20,7 @@
 #include "permit_io.h"
 #include "poison_io.h"
 #include "query.h"
+#include "quota_io.h"
 #include "session.h"
 #include "stream_io.h"
 #include "loader_io.h"
@@ -78,6 +79,7 @@
 	session_tick(e->session);
 	poison_io_tick(e->poison_io);
 	permit_io_tick(e->permit_io);
+	quota_io_tick(e->quota_io);
 	stream_io_tick(e->stream_io);
 	detour_io_tick(e);
 	w->repeat = peers_has_duty(e->peers) ? TICK_S : TICK_LARGE_S;
@@ -204,6 +206,7 @@
 	e->loader_io = loader_io_create(e);
 	e->poison_io = poison_io_create(e);
 	e->permit_io = permit_io_create(e);
+	e->quota_io = quota_io_create(e);
 	e->stream_io = stream_io_create(e);
 	e->detour_io = detour_io_create(e);
 	e->session = session_create(e);
@@ -290,6 +293,7 @@
 	loader_io_destroy(e->loader_io);
 	poison_io_destroy(e->poison_io);
 	permit_io_destroy(e->permit_io);
+	quota_io_destroy(e->quota_io);
 	stream_io_destroy(e->stream_io);
 	detour_io_destroy(e->detour_io);
 	session_destroy(e->session);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -10,6 +10,7 @@
 #include "loader_io.h"
 #include "permit_io.h"
 #include "poison_io.h"
+#include "quota_io.h"
 
 #define PEER_LEASE_S 30
 #define PEER_RETRY_NS (500 * NSEC_PER_MSEC)
@@ -57,6 +58,7 @@
 	memcpy(p->self.zone, e->boot.zone, sizeof(p->self.zone));
 	p->weight = (uint32_t)(e->boot.cpu_share * HUB_WEIGHT_PER_CORE);
 	p->self.weight = p->weight;
+	p->own_weight = p->weight;
 	p->reported_weight = p->weight;
 	p->self.self = 1;
 	p->self_relay = p->self;
@@ -178,11 +180,10 @@
 	if (addr != NULL && strcmp(addr, p->e->self.addr) != 0) {
 		q = peer_add(p, addr, vm);
 		q->listed = 1;
+		q->listed_weight = (uint32_t)json_integer_value(
+		    json_object_get(doc, "weight"));
 		zone = json_string_value(json_object_get(doc, "zone"));
-		peer_set_rank(q,
-		    (uint32_t)json_integer_value(
-			json_object_get(doc, "weight")),
-		    zone == NULL ? "" : zone);
+		peer_set_rank(q, q->listed_weight, zone == NULL ? "" : zone);
 		snprintf(q->vm, sizeof(q->vm), "%s", vm);
 	}
 	json_decref(doc);
@@ -236,6 +237,27 @@
 	}
 }
 
+size_t
+peers_fill_candidates(
+    const struct peers *p, struct share_candidate *c, size_t max)
+{
+	const struct peer *q;
+	size_t n = 0;
+
+	memset(c, 0, max * sizeof(*c));
+	memcpy(c[n].addr, p->self.addr, sizeof(c[n].addr));
+	memcpy(c[n].zone, p->self.zone, sizeof(c[n].zone));
+	c[n++].weight = p->own_weight;
+	for (q = p->peers; q != NULL && n < max; q = q->hh.next) {
+		if (!q->listed)
+			continue;
+		memcpy(c[n].addr, q->hub.addr, sizeof(c[n].addr));
+		memcpy(c[n].zone, q->relay.zone, sizeof(c[n].zone));
+		c[n++].weight = q->listed_weight;
+	}
+	return n;
+}
+
 int
 peers_has_ip(const struct peers *p, const char *ip)
 {
@@ -297,6 +319,12 @@
 	case MSG_PERMIT_ANSWER:
 		permit_io_receive(p->e->permit_io, m);
 		break;
+	case MSG_SHARE_LOAN:
+	case MSG_SHARE_ACK:
+	case MSG_QUOTA_REQUEST:
+	case MSG_QUOTA_ANSWER:
+		quota_io_receive(p->e->quota_io, m);
+		break;
 	case MSG_HELD:
 		peers_relay_table(p, m);
 		loader_io_receive(p->e, m);
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -76,6 +76,13 @@
  */
 void peers_for_each(
     const struct peers *, void (*)(void *, const char *, int), void *);
+struct share_candidate;
+/*
+ * Fills in all processes that may keep pools, this one included, up to a
+ * number; returns how many there are.
+ */
+size_t peers_fill_candidates(
+    const struct peers *, struct share_candidate *, size_t);
 /* Whether a peer has an IP address. */
 int peers_has_ip(const struct peers *, const char *);
 /* Number of messages to or of peers that were dropped or malformed. */
--- a/entry/peers_int.h
+++ b/entry/peers_int.h
@@ -17,12 +17,13 @@
 
 struct peer {
 	char vm[NAME_SIZE];
-	struct hub hub;	   /* its bus address and when it was last heard */
-	struct hub relay;  /* the same, as a candidate for relay */
-	uint32_t hub_rank; /* rank of the hub that sends changes to it */
-	uint32_t index;	   /* in the directory's per-peer tables */
-	int listed;	   /* has a key in the store */
-	int reachable;	   /* heard within PEER_SILENT_NS */
+	struct hub hub;		/* its bus address and when it was last heard */
+	struct hub relay;	/* the same, as a candidate for relay */
+	uint32_t hub_rank;	/* rank of the hub that sends changes to it */
+	uint32_t index;		/* in the directory's per-peer tables */
+	int listed;		/* has a key in the store */
+	uint32_t listed_weight; /* by its key */
+	int reachable;		/* heard within PEER_SILENT_NS */
 	uint64_t incarnation;
 	uint64_t seq;		 /* of its latest report */
 	struct follow_sent sent; /* of the configuration */
@@ -56,7 +57,8 @@
 	struct follow_answers answers;
 	struct pulls pulls; /* of the configuration, to be answered */
 	uint64_t started_at;
-	uint32_t weight; /* this process's, while the store serves it */
+	uint32_t own_weight;	  /* this process's, as it announces it */
+	uint32_t weight;	  /* the same, while the store serves it */
 	uint32_t reported_weight; /* that the data centre was told at once */
 	struct roll_call roll_call;
 	int tells_zone; /* this process is to tell it that it is alive */
--- a/entry/session.c
+++ b/entry/session.c
@@ -255,6 +255,12 @@
 	store_check_doubt(&s->check, s->e->now);
 }
 
+int
+session_has_read_peers(const struct session *s)
+{
+	return s->peers_read;
+}
+
 int
 session_is_up(const struct session *s)
 {
--- a/entry/session.h
+++ b/entry/session.h
@@ -27,6 +27,8 @@
 void session_doubt_store(struct session *);
 /* Whether the store answers, by the latest calls. */
 int session_is_up(const struct session *);
+/* Whether the list of processes has been read since this process started. */
+int session_has_read_peers(const struct session *);
 /* Calls made to the store since the process started. */
 uint64_t session_calls(const struct session *);
 enum text_result {
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -82,6 +82,7 @@
 	uint64_t read_replicas_at; /* earliest time of such a read again */
 	struct removals removals;  /* of replicas */
 	int peers_known;   /* the peers have been read, or could not be */
+	int peers_read;	   /* they have been read since the process started */
 	uint32_t failures; /* consecutive calls without an answer */
 	int up;
 	int closing;
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -17,6 +17,7 @@
 JOBS = str(os.cpu_count() or 4)
 THREADED = ["ring", "fetch", "shell", "conf_decoder"]
 SERVING_CASES, STATE_CASES, PERMITS_CASES = 3000, 400, 60
+QUOTA_CASES = 300
 ANSWERS_CASES = 15000
 COUNT = re.compile(r"(?:result: )?(\d+) passed, (\d+) failed$")
 
@@ -64,7 +65,7 @@
     return names
 
 
-def run_fuzzers(build, serving, state, permits, answers, what=""):
+def run_fuzzers(build, serving, state, permits, quota, answers, what=""):
     env = {"ASAN_OPTIONS": "detect_leaks=0"}
     run_check("fuzz serving" + what, [build + "/fuzz_serving"], dict(
         env, RC_PARAMS="seed=1 max_success=%d" % serving))
@@ -74,6 +75,8 @@
         env, RC_PARAMS="seed=1 max_success=%d" % serving))
     run_check("fuzz permits" + what, [build + "/fuzz_permits"], dict(
         env, RC_PARAMS="seed=1 max_success=%d" % permits))
+    run_check("fuzz quota" + what, [build + "/fuzz_quota"], dict(
+        env, RC_PARAMS="seed=1 max_success=%d" % quota))
     run_check("fuzz answers" + what, [build + "/fuzz_answers"], dict(
         env, RC_PARAMS="seed=1 max_success=%d" % answers))
     run_check("fuzz orders" + what, [build + "/fuzz_orders"], dict(
@@ -117,16 +120,18 @@
     targets = [build + "/test_" + n for n in unit_tests()] + [
         build + "/fuzz_serving", build + "/fuzz_state",
         build + "/fuzz_orders", build + "/fuzz_notice",
-        build + "/fuzz_permits", build + "/fuzz_answers",
-        build + "/spindle-entry"]
+        build + "/fuzz_permits", build + "/fuzz_quota",
+        build + "/fuzz_answers", build + "/spindle-entry"]
     if run_check("build, asan ubsan", make_command(build, san, targets)):
         for name in unit_tests():
             run_check("asan " + name, [build + "/test_" + name])
-        for name in ("entry", "second_answers", "stops", "stops_late"):
+        for name in ("entry", "accounts", "second_answers", "stops",
+                     "stops_late"):
             run_check("asan " + name, [sys.executable, "tests/%s.py" % name], {
                 "SPINDLE_ENTRY": os.path.join(ROOT, build, "spindle-entry")})
         run_fuzzers(build, SERVING_CASES // 10, STATE_CASES // 10,
-                    PERMITS_CASES // 10, ANSWERS_CASES // 10, ", asan")
+                    PERMITS_CASES // 10, QUOTA_CASES // 10,
+                    ANSWERS_CASES // 10, ", asan")
     build = "build/tsan"
     names = [n for n in THREADED if n in unit_tests()]
     targets = [build + "/test_" + n for n in names]
@@ -141,7 +146,8 @@
 def main():
     targets = ["all"] + ["build/test_" + n for n in unit_tests()] + [
         "build/fuzz_serving", "build/fuzz_state", "build/fuzz_orders",
-        "build/fuzz_notice", "build/fuzz_permits", "build/fuzz_answers"]
+        "build/fuzz_notice", "build/fuzz_permits", "build/fuzz_quota",
+        "build/fuzz_answers"]
     if run_check("build", make_command("build", "", targets)):
         run_check("formatter and linter", ["make", "-s", "lint"])
         for name in unit_tests():
@@ -149,7 +155,7 @@
         run_check("documents", [sys.executable, "tests/documents.py"])
         run_check("known reds", [sys.executable, "tests/test_check.py"])
         run_fuzzers("build", SERVING_CASES, STATE_CASES, PERMITS_CASES,
-                    ANSWERS_CASES)
+                    QUOTA_CASES, ANSWERS_CASES)
         run_regressions("build")
         run_check("entry", [sys.executable, "tests/entry.py"])
         run_check("endless bytes", [sys.executable, "tests/endless.py"])
@@ -158,6 +164,7 @@
         run_check("crashing requests", [
             sys.executable, "tests/crashing.py"])
         run_check("limits", [sys.executable, "tests/limits.py"])
+        run_check("accounts", [sys.executable, "tests/accounts.py"])
         run_check("lists", [sys.executable, "tests/lists.py"])
         run_check("software", [sys.executable, "tests/software.py"])
         run_check("software, random", [
--- a/shell/log.c
+++ b/shell/log.c
@@ -117,6 +117,8 @@
 	    "repeated, goes on" },
 	[LOG_REQUEST_SUSPECT] = { 1213, LOGLEVEL_INFO, "request-suspect",
 	    "a replica crashed while it ran these requests" },
+	[LOG_ACCOUNT_LIMITED] = { 1214, LOGLEVEL_NOTICE, "account-limited",
+	    "a client account's quota is used; its requests are rejected" },
 	[LOG_GRANT_SENT] = { 1300, LOGLEVEL_DEBUG, "grant-sent",
 	    "a slot on a replica was granted" },
 	[LOG_GRANT_RELEASED] = { 1301, LOGLEVEL_DEBUG, "grant-released",
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -10,6 +10,7 @@
 #include "loader_io.h"
 #include "peers_int.h"
 #include "permit_io.h"
+#include "quota_io.h"
 #include "poison_io.h"
 #include "query.h"
 #include "session.h"
@@ -44,6 +45,7 @@
 	e->loader_io = loader_io_create(e);
 	e->poison_io = poison_io_create(e);
 	e->permit_io = permit_io_create(e);
+	e->quota_io = quota_io_create(e);
 	e->session = session_create(e);
 }
 
@@ -56,6 +58,7 @@
 	loader_io_destroy(e->loader_io);
 	poison_io_destroy(e->poison_io);
 	permit_io_destroy(e->permit_io);
+	quota_io_destroy(e->quota_io);
 	session_destroy(e->session);
 	peers_destroy(e->peers);
 	conn_pool_destroy(e->store);
--- a/tests/permits_world.cc
+++ b/tests/permits_world.cc
@@ -58,7 +58,7 @@
 	for (int i = 0; i < kProcesses; i++) {
 		processes[i].world = this;
 		processes[i].index = i;
-		start(processes[i]);
+		World::start(processes[i]);
 	}
 	net.faults.delay = 5 * kMs;
 	advance(2 * NSEC_PER_SEC);
@@ -67,7 +67,7 @@
 World::~World()
 {
 	for (auto &p : processes)
-		stop(p);
+		World::stop(p);
 }
 
 std::string
--- a/tests/permits_world.h
+++ b/tests/permits_world.h
@@ -91,17 +91,17 @@
 
 struct World {
 	explicit World(uint64_t seed);
-	~World();
-	void apply(OpKind op, int a, int b);
-	void finish();
+	virtual ~World();
+	virtual void apply(OpKind op, int a, int b);
+	virtual void finish();
 
-	void start(Process &p);
-	void stop(Process &p);
+	virtual void start(Process &p);
+	virtual void stop(Process &p);
 	void step();
 	void advance(uint64_t ns);
-	void tick(Process &p);
+	virtual void tick(Process &p);
 	void report(Process &p);
-	void receive(Process &p, const msg *m);
+	virtual void receive(Process &p, const msg *m);
 	void ask(Process &p, Waiting &w);
 	void send(Process &p, msg *m);
 	void answered(Process &p, const permit_answer *a, uint64_t until);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -463,7 +463,8 @@
 test_send(void)
 {
 	const struct http_head *h;
-	struct forward_params t = { "x", "i-7", 1500 * NSEC_PER_MSEC, 3, 4, 1 };
+	struct forward_params t = { "x", "i-7", 1500 * NSEC_PER_MSEC, 3, 4, 1,
+		"", 0 };
 	struct buf out = { 0 };
 
 	h = parse("PUT /p?q HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n"
