callers: what they have not finished is bounded, and gives way

Cause: on_body() bounds one body, and nothing bounded those of all callers, nor the time in which a body has to be whole. Requests sent behind one another were read on at each answer, and answers to a caller that does not read piled up.

Change: bytes of unfinished requests, of whole ones and of unread answers are counted for the process (callers/caller_held) and bounded by memory_mb; what is unfinished and without progress for the longest time gives way. Connections are bounded by max_fds. A body has to be whole by its request's own deadline. A length over the limit is refused as it is announced. caller.c is split.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 IQUOTE = -iquote core -iquote shell -iquote gate -iquote control -iquote ctl \
 	 -iquote timeline -iquote standin -iquote tests -iquote net \
 	 -iquote platform -iquote entry -iquote entry/accounts \
+	 -iquote entry/callers \
 	 -iquote bench
 LDLIBS = -lcivetweb -lcurl -lzmq -lmsgpackc -ljansson -largtable2 -lnettle \
 	 -lxxhash -lurcu-bp -lz -lpthread -lm
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -444,6 +444,7 @@
 	loader_io_totals(e, &t);
 	write_request_metrics(e, f);
 	write_attempt_metrics(e, f);
+	callers_write_held(e, f);
 	quota_io_write_metrics(e->quota_io, f);
 	detour_io_write_metrics(e, f);
 	detour_server_write_metrics(e->detour_server, f);
--- a/entry/caller.c
+++ b/entry/callers/caller.c
@@ -2,14 +2,13 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <unistd.h>
 
 #include "acceptor.h"
-#include "conn.h"
-#include "entry_int.h"
-#include "expiry.h"
+#include "caller_int.h"
 #include "mem.h"
 
-#define PIPELINED_MAX_BYTES 65536 /* received after the current request */
+#define PIPELINED_MAX_BYTES 16384 /* received after the current request */
 /* A caller that is not read is checked this often for having left. */
 #define LEFT_CHECK_NS (100 * NSEC_PER_MSEC)
 /*
@@ -17,33 +16,13 @@
  * clock; what they sent last may still be on its way.
  */
 #define IDLE_MARGIN_NS (2 * NSEC_PER_SEC)
-/* A caller is idle once it has read its answer; looked at this often. */
-#define UNREAD_CHECK_NS NSEC_PER_SEC
+/* A request that names no time in which it is wanted. */
+#define WHOLE_BY_DEFAULT_NS (60 * NSEC_PER_SEC)
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES 4194304
 #define DEFAULT_HEADER_NS (3 * NSEC_PER_SEC)
 #define DEFAULT_IDLE_NS (15 * NSEC_PER_SEC)
 
-struct caller {
-	TAILQ_ENTRY(caller) entry;
-	struct entry *e;
-	struct conn *conn;
-	struct http_reader *reader;
-	struct forward *forward; /* the current request */
-	struct expiry *expiry;	 /* of waiting for input, or for its end */
-	struct buf pipelined;	 /* bytes received after the current request */
-	struct buf body;
-	uint64_t accepted_at;
-	uint64_t idle_since; /* end of the latest response, or accepted_at */
-	uint64_t request_started_at;
-	int response_sent; /* has had a response */
-	int in_request;	   /* a complete request is being handled */
-	int head_received; /* of the request being read */
-	int request_complete;
-	int body_too_large;
-	int refused_early; /* the caller asked whether to send the body */
-};
-
 struct listener {
 	struct entry *e;
 	struct acceptor *acceptor;
@@ -52,16 +31,14 @@
 static void listener_accepted(void *, int);
 static void listener_failed(void *, int);
 static void caller_create(struct entry *, int);
-static void caller_destroy(struct caller *);
 static void caller_feed(struct caller *, const char *, size_t);
 static int caller_is_idle(const struct caller *);
-static void caller_reject(struct caller *, int, const char *);
-static void caller_set_timer(struct caller *, uint64_t);
 static uint64_t caller_idle_deadline(const struct caller *);
 static void caller_set_read_timeout(struct caller *);
 static void caller_feed_pipelined(struct caller *);
 static void caller_check_left(struct caller *);
-static void caller_close(struct caller *);
+static void caller_check_unread(struct caller *);
+static void caller_read_more(struct caller *);
 static void caller_close_idle(struct caller *);
 static void on_data(void *, const char *, size_t);
 static void on_closed(void *, int);
@@ -136,7 +113,10 @@
 	struct listener *l = ctx;
 
 	entry_update_now(l->e);
-	caller_create(l->e, fd);
+	if (callers_make_room(l->e))
+		caller_create(l->e, fd);
+	else
+		close(fd);
 }
 
 static void
@@ -155,20 +135,23 @@
 	c->e = e;
 	c->accepted_at = e->now;
 	c->idle_since = e->now;
+	c->progress_at = e->now;
 	c->reader =
 	    http_reader_create(HTTP_READ_REQUESTS, &caller_reader_ops, c);
 	c->expiry = expiry_create(e->loop, &caller_expiry_ops, c);
 	TAILQ_INSERT_TAIL(&e->callers, c, entry);
+	e->held.ncallers++;
 	c->conn = conn_accept(e->loop, fd, &caller_conn_ops, c);
 	expiry_set(c->expiry, caller_idle_deadline(c));
 }
 
-/* Frees the caller; its connection must be closed separately. */
-static void
+void
 caller_destroy(struct caller *c)
 {
+	caller_held_clear(c);
 	expiry_destroy(c->expiry);
 	TAILQ_REMOVE(&c->e->callers, c, entry);
+	c->e->held.ncallers--;
 	http_reader_destroy(c->reader);
 	buf_free(&c->pipelined);
 	buf_free(&c->body);
@@ -258,8 +241,7 @@
 	caller_destroy(c);
 }
 
-/* Closes the connection once the buffered bytes have been sent. */
-static void
+void
 caller_close(struct caller *c)
 {
 	/* The process does not end before the caller has received it. */
@@ -269,7 +251,7 @@
 	caller_destroy(c);
 }
 
-static void
+void
 caller_set_timer(struct caller *c, uint64_t ns)
 {
 	expiry_set(c->expiry, c->e->now + ns);
@@ -292,7 +274,10 @@
 	if (!http_reader_in_message(c->reader))
 		expiry_set(c->expiry, caller_idle_deadline(c));
 	else if (c->head_received)
-		caller_set_timer(c, l.idle_timeout_ns);
+		expiry_set(c->expiry,
+		    c->e->now + l.idle_timeout_ns < c->whole_by
+			? c->e->now + l.idle_timeout_ns
+			: c->whole_by);
 	else if (!expiry_is_set(c->expiry) ||
 	    c->request_started_at == c->e->now)
 		caller_set_timer(c, l.header_timeout_ns);
@@ -303,7 +288,7 @@
 {
 	const struct caller *c = ctx;
 
-	return !c->in_request && conn_has_input(c->conn);
+	return !c->in_request && !c->unread && conn_has_input(c->conn);
 }
 
 static void
@@ -316,6 +301,10 @@
 		caller_check_left(c);
 		return;
 	}
+	if (c->unread) {
+		caller_check_unread(c);
+		return;
+	}
 	if (buf_len(&c->pipelined) != 0) {
 		caller_feed_pipelined(c);
 		return;
@@ -326,7 +315,7 @@
 	}
 	if (!conn_is_flushed(c->conn)) {
 		c->idle_since = c->e->now;
-		caller_set_timer(c, UNREAD_CHECK_NS);
+		caller_set_timer(c, CALLER_UNREAD_CHECK_NS);
 		return;
 	}
 	/* The limit may have been raised. */
@@ -347,14 +336,50 @@
 		caller_set_timer(c, LEFT_CHECK_NS);
 }
 
+/* Answers are delivered for as long as the caller reads any of them. */
+static void
+caller_check_unread(struct caller *c)
+{
+	uint64_t ns = limits_in_force(c->e).idle_timeout_ns + IDLE_MARGIN_NS;
+
+	if (c->e->now > ns && conn_is_unacked(c->conn, c->e->now - ns))
+		caller_give_way(c, "unread");
+	else
+		caller_set_timer(c, CALLER_UNREAD_CHECK_NS);
+}
+
+/* What has been received and not parsed is bounded. */
+static void
+caller_read_more(struct caller *c)
+{
+	int more = buf_len(&c->pipelined) <= PIPELINED_MAX_BYTES;
+
+	conn_set_reading(c->conn, more);
+	if (!more && c->in_request)
+		caller_set_timer(c, LEFT_CHECK_NS);
+}
+
+void
+caller_resume(struct caller *c)
+{
+	caller_read_more(c);
+	/* Pipelined bytes are parsed from the event loop to avoid recursion. */
+	if (buf_len(&c->pipelined) != 0)
+		caller_set_timer(c, 0);
+	else
+		expiry_set(c->expiry, caller_idle_deadline(c));
+}
+
 static void
 on_data(void *ctx, const char *p, size_t len)
 {
 	struct caller *c = ctx;
 
 	entry_update_now(c->e);
+	c->progress_at = c->e->now;
 	if (c->in_request || buf_len(&c->pipelined) != 0) {
 		buf_add(&c->pipelined, p, len);
+		caller_held_update(c);
 		if (buf_len(&c->pipelined) <= PIPELINED_MAX_BYTES)
 			return;
 		conn_set_reading(c->conn, 0);
@@ -365,6 +390,15 @@
 	caller_feed(c, p, len);
 }
 
+void
+caller_drop(struct caller *c)
+{
+	if (c->forward != NULL)
+		forward_caller_gone(c->forward, 0);
+	conn_abort(c->conn);
+	caller_destroy(c);
+}
+
 static void
 on_closed(void *ctx, int error)
 {
@@ -385,6 +419,11 @@
 	entry_update_now(c->e);
 	if (c->forward != NULL)
 		forward_caller_drained(c->forward);
+	if (!c->unread)
+		return;
+	c->unread = 0;
+	c->idle_since = c->e->now;
+	caller_resume(c);
 }
 
 static void
@@ -392,8 +431,16 @@
 {
 	struct caller *c = ctx;
 	const char *expect = http_field_find(h, "Expect");
+	const char *length = http_field_find(h, "Content-Length");
 
 	c->head_received = 1;
+	c->whole_by = c->request_started_at + WHOLE_BY_DEFAULT_NS;
+	if (fields_timeout(h) != 0)
+		c->whole_by = c->request_started_at + fields_timeout(h);
+	c->body_too_large = length != NULL &&
+	    strtoull(length, NULL, 10) > limits_in_force(c->e).max_body_bytes;
+	if (c->body_too_large)
+		return;
 	if (expect == NULL || strcasecmp(expect, "100-continue") != 0)
 		return;
 	/* The body would come later still. */
@@ -408,7 +455,8 @@
 {
 	struct caller *c = ctx;
 
-	if (buf_len(&c->body) + len > limits_in_force(c->e).max_body_bytes)
+	if (c->body_too_large ||
+	    buf_len(&c->body) + len > limits_in_force(c->e).max_body_bytes)
 		c->body_too_large = 1;
 	else
 		buf_add(&c->body, p, len);
@@ -448,18 +496,29 @@
 		caller_reject(c, 503, "this process is stopping");
 		return;
 	}
+	caller_held_update(c);
 	if (!c->request_complete) {
-		caller_set_read_timeout(c);
+		caller_read_more(c);
+		if (caller_held_make_room(c))
+			caller_set_read_timeout(c);
+		else
+			caller_reject(
+			    c, 503, "too many requests are unfinished");
+		return;
+	}
+	if (!caller_held_fits(c)) {
+		caller_reject(c, 503, "too many large requests are waiting");
 		return;
 	}
 	expiry_stop(c->expiry);
 	buf_add(&c->pipelined, p + n, len - (size_t)n);
 	c->in_request = 1;
+	caller_read_more(c);
+	caller_held_update(c);
 	forward_start(c->e, c);
 }
 
-/* Sends an error for a request that cannot be read, and closes. */
-static void
+void
 caller_reject(struct caller *c, int status, const char *text)
 {
 	struct buf out = { 0 };
@@ -472,117 +531,12 @@
 	caller_close(c);
 }
 
-const struct http_head *
-caller_head(const struct caller *c)
-{
-	return http_reader_head(c->reader);
-}
-
-const struct buf *
-caller_body(const struct caller *c)
-{
-	return &c->body;
-}
-
-uint64_t
-caller_request_started_at(const struct caller *c)
-{
-	return c->request_started_at;
-}
-
-void
-caller_set_forward(struct caller *c, struct forward *f)
-{
-	c->forward = f;
-}
-
-void
-caller_write(struct caller *c, const void *p, size_t len)
-{
-	conn_write(c->conn, p, len);
-}
-
-size_t
-caller_pending_bytes(const struct caller *c)
-{
-	return conn_unsent_bytes(c->conn);
-}
-
-void
-caller_keep_until(struct caller *c, uint64_t at)
-{
-	conn_keep_until(c->conn, at);
-}
-
-int
-caller_has_left(const struct caller *c)
-{
-	return conn_peer_closed(c->conn);
-}
-
-int
-caller_keep_alive(const struct caller *c)
-{
-	return caller_head(c)->keep_alive && caller_accepts_chunked(c) &&
-	    (!c->e->stopping || buf_len(&c->pipelined) != 0);
-}
-
-int
-caller_takes_body(const struct caller *c)
-{
-	return strcmp(caller_head(c)->method, "HEAD") != 0;
-}
-
-int
-caller_accepts_chunked(const struct caller *c)
-{
-	return caller_head(c)->minor_version >= 1;
-}
-
-void
-caller_response_done(struct caller *c, int kept)
-{
-	c->forward = NULL;
-	if (!kept) {
-		caller_close(c);
-		return;
-	}
-	c->in_request = 0;
-	c->idle_since = c->e->now;
-	c->response_sent = 1;
-	c->head_received = 0;
-	c->request_complete = 0;
-	buf_free(&c->body);
-	http_reader_reset(c->reader);
-	conn_set_reading(c->conn, 1);
-	/* Pipelined bytes are parsed from the event loop to avoid recursion. */
-	if (buf_len(&c->pipelined) != 0)
-		caller_set_timer(c, 0);
-	else
-		expiry_set(c->expiry, caller_idle_deadline(c));
-}
-
 static void
 caller_feed_pipelined(struct caller *c)
 {
 	struct buf inbox = c->pipelined;
 
 	memset(&c->pipelined, 0, sizeof(c->pipelined));
-	/* More may have arrived than fits before this was parsed. */
-	conn_set_reading(c->conn, 1);
 	caller_feed(c, buf_data(&inbox), buf_len(&inbox));
 	buf_free(&inbox);
 }
-
-void
-caller_abort_response(struct caller *c)
-{
-	c->forward = NULL;
-	if (caller_accepts_chunked(c)) {
-		/* The missing last chunk shows that it is incomplete. */
-		caller_close(c);
-		return;
-	}
-	conn_abort(c->conn);
-	caller_destroy(c);
-}
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -3,6 +3,7 @@
 #define ENTRY_INT_H
 
 #include <ev.h>
+#include <stdio.h>
 #include <sys/queue.h>
 
 #include "attempt.h"
@@ -79,6 +80,15 @@
 	uint64_t attempt_ends[ATTEMPT__MAX];
 };
 
+/* What callers' connections hold; see caller_held.c. */
+struct entry_held {
+	uint32_t ncallers;
+	size_t unfinished;  /* bytes of requests that are not whole */
+	size_t whole;	    /* of those that are */
+	size_t unsent;	    /* of answers, for callers that read slowly */
+	uint64_t given_way; /* connections closed to make room */
+};
+
 /* Latencies of requests that were answered by a replica. */
 struct entry_times {
 	struct metric_histogram wait;	     /* arrival to the last attempt */
@@ -130,6 +140,7 @@
 	int stopping;
 	struct stop_schedule stop;
 	struct entry_counts counts;
+	struct entry_held held;
 	struct entry_times times;
 };
 
@@ -165,6 +176,10 @@
 /* Refuses requests that are still being read at the end of a stop. */
 void callers_settle(struct entry *);
 void callers_destroy(struct entry *);
+/* Closes connections whose unread answers fill the memory. */
+void callers_bound_answers(struct entry *);
+/* Writes the metrics of what callers' connections hold. */
+void callers_write_held(const struct entry *, FILE *);
 /* Counts requests of which a part was read, and unsent bytes of answers. */
 void callers_count(const struct entry *, uint32_t *, size_t *);
 /* Head and body of the current request. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -80,6 +80,7 @@
 	poison_io_tick(e->poison_io);
 	permit_io_tick(e->permit_io);
 	quota_io_tick(e->quota_io);
+	callers_bound_answers(e);
 	stream_io_tick(e->stream_io);
 	detour_io_tick(e);
 	w->repeat = peers_has_duty(e->peers) ? TICK_S : TICK_LARGE_S;
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -159,6 +159,8 @@
         run_regressions("build")
         run_check("entry", [sys.executable, "tests/entry.py"])
         run_check("endless bytes", [sys.executable, "tests/endless.py"])
+        run_check("unfinished requests", [
+            sys.executable, "tests/unfinished.py"])
         run_check("second answers", [
             sys.executable, "tests/second_answers.py"])
         run_check("crashing requests", [
--- a/shell/log.c
+++ b/shell/log.c
@@ -119,6 +119,8 @@
 	    "a replica crashed while it ran these requests" },
 	[LOG_ACCOUNT_LIMITED] = { 1214, LOGLEVEL_NOTICE, "account-limited",
 	    "a client account's quota is used; its requests are rejected" },
+	[LOG_CALLER_DROPPED] = { 1215, LOGLEVEL_NOTICE, "caller-dropped",
+	    "a caller's connection was closed to make room for others" },
 	[LOG_GRANT_SENT] = { 1300, LOGLEVEL_DEBUG, "grant-sent",
 	    "a slot on a replica was granted" },
 	[LOG_GRANT_RELEASED] = { 1301, LOGLEVEL_DEBUG, "grant-released",
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -360,6 +360,7 @@
         self.store = self.run(self._store())
         self.config = config or default_config()
         self.bounds = {}  # of the settings, beside the usual ones
+        self.limits = {"memory_mb": 260, "max_fds": 4100}
         if start:
             self.run(self.store.put("op/config", self.config))
             self.start()
@@ -412,7 +413,7 @@
             "bind": {n: "%s:%d" % (self.ip, self.ports[n])
                      for n in ("front", "ready", "control")},
             "internal_ports": [self.ports["bus"], self.ports["bus"] + 1],
-            "limits": {"memory_mb": 260, "max_fds": 4100},
+            "limits": self.limits,
             "bounds": {"grace_s": 4, "retry_budget_ratio": 0.2,
                        "retry_window_s": 10, "budget_slack": 50,
                        "lease_ms": 3000, **self.bounds},
