accounts: those that wait take turns by what they are owed

Cause: the queue of waiting requests went by priority and age, so that the others waited behind all requests of an account that asks for many times its usual. Candidates for pools that are gone, or of an earlier build, were asked 2.5 times a second for good.

Change: within a priority, an account's requests take turns as far apart as they cost of its quota; without accounts the order is as before. A candidate that is silent for 2 s is asked every 2 s.

--- a/core/quota.c
+++ b/core/quota.c
@@ -122,6 +122,14 @@
 	return a != NULL && account_is_limited(a);
 }
 
+double
+quota_rate(const struct quota *q, const char *name)
+{
+	const struct quota_account *a = quota_find(q, name);
+
+	return a == NULL ? 0.0 : a->rate_per_s;
+}
+
 /* Spare tokens that no lot has room for are lost. */
 static void
 add_lot(struct quota_account *a, uint64_t now, uint64_t tokens,
--- a/core/quota.h
+++ b/core/quota.h
@@ -78,6 +78,8 @@
 void quota_set_part(struct quota *, uint64_t, double);
 /* Whether requests of the account need tokens. */
 int quota_is_limited(const struct quota *, const char *);
+/* The rate of the account's quota, 0 for none. */
+double quota_rate(const struct quota *, const char *);
 /* Takes tokens that this process holds; returns whether there are enough. */
 int quota_take(struct quota *, uint64_t, const char *, uint64_t);
 /*
--- a/core/shares.c
+++ b/core/shares.c
@@ -12,6 +12,9 @@
 #define RENEW_NS (200 * NSEC_PER_MSEC)
 /* A candidate that does not answer is asked less often. */
 #define PROBE_NS (400 * NSEC_PER_MSEC)
+/* One that has been silent for longer may be gone, or of an earlier build. */
+#define LOST_NS (2 * NSEC_PER_SEC)
+#define LOST_PROBE_NS (2 * NSEC_PER_SEC)
 /* A candidate that was last heard of earlier is taken for lost. */
 #define ALIVE_NS (450 * NSEC_PER_MSEC)
 /* One that was lost takes over again after this time. */
@@ -26,8 +29,9 @@
 	int closing;
 	uint64_t incarnation; /* of the latest acknowledgement */
 	uint64_t pool_time;
-	uint64_t acked_at;    /* 0: never */
-	uint64_t alive_since; /* 0: it is not */
+	uint64_t acked_at;	/* 0: never */
+	uint64_t alive_since;	/* 0: it is not */
+	uint64_t first_sent_at; /* 0: never */
 	uint64_t sent_at;
 };
 
@@ -68,6 +72,7 @@
 static void choose_pools(struct shares *, uint64_t, const char **);
 static uint32_t slots_at(const struct shares *, const char *);
 static void send_loan(struct shares *, uint64_t, struct pool *);
+static uint64_t renew_ns(const struct shares *, const struct pool *, uint64_t);
 static void move_slot(struct shares *, uint64_t, struct slot *, const char *);
 
 struct shares *
@@ -260,6 +265,8 @@
 	uint32_t i;
 
 	l.number = ++s->nloans;
+	if (p->first_sent_at == 0)
+		p->first_sent_at = now;
 	p->sent_at = now;
 	if (p->pool_time != 0 && now < p->acked_at + LOAN_NS) {
 		l.incarnation = p->incarnation;
@@ -302,6 +309,17 @@
 		send_loan(s, now, p);
 }
 
+/* Time between two loans to a pool, or questions whether it is there. */
+static uint64_t
+renew_ns(const struct shares *s, const struct pool *p, uint64_t now)
+{
+	if (slots_at(s, p->who.addr) != 0)
+		return RENEW_NS;
+	return now < p->first_sent_at + LOST_NS || now < p->acked_at + LOST_NS
+	    ? PROBE_NS
+	    : LOST_PROBE_NS;
+}
+
 void
 shares_tick(struct shares *s, uint64_t now)
 {
@@ -322,10 +340,7 @@
 		p = &s->pools[i];
 		if (!is_alive(s, p, now))
 			p->alive_since = 0;
-		if (!p->self &&
-		    now >= p->sent_at +
-			    (slots_at(s, p->who.addr) != 0 ? RENEW_NS
-							   : PROBE_NS))
+		if (!p->self && now >= p->sent_at + renew_ns(s, p, now))
 			send_loan(s, now, p);
 	}
 	choose_pools(s, now, chosen);
--- a/core/waitq.c
+++ b/core/waitq.c
@@ -16,6 +16,16 @@
 	UT_hash_handle hh;
 };
 
+/* An account that has had more than the others, or is waiting for more. */
+struct waitq_account {
+	char name[NAME_SIZE];
+	uint64_t next_turn;
+	UT_hash_handle hh;
+};
+
+static void set_turn(struct waitq *, struct waitq_item *);
+static void forget_accounts(struct waitq *, int);
+static int goes_after(const struct waitq_item *, const struct waitq_item *);
 static int item_precedes(
     const struct waitq_item *, const struct waitq_item *, uint64_t);
 static struct waitq_item *group_best(const struct waitq_group *, uint64_t);
@@ -25,6 +35,8 @@
 waitq_init(struct waitq *q)
 {
 	q->groups = NULL;
+	q->accounts = NULL;
+	q->turn = 0;
 	q->nitems = 0;
 }
 
@@ -39,6 +51,54 @@
 	HASH_ITER (hh, q->groups, g, next) {
 		group_release(q, g);
 	}
+	forget_accounts(q, 1);
+}
+
+/* Those that are not ahead are like those that are not known. */
+static void
+forget_accounts(struct waitq *q, int all)
+{
+	struct waitq_account *a, *next;
+
+	HASH_ITER (hh, q->accounts, a, next) {
+		if (!all && a->next_turn > q->turn)
+			continue;
+		HASH_DEL(q->accounts, a);
+		free(a);
+	}
+}
+
+/*
+ * The requests of an account take turns that are as far apart as they cost; one
+ * that has asked for nothing lately begins at the current turn.
+ */
+static void
+set_turn(struct waitq *q, struct waitq_item *i)
+{
+	struct waitq_account *a;
+
+	i->turn = q->turn;
+	if (i->account == NULL || *i->account == '\0' || i->cost == 0)
+		return;
+	HASH_FIND_STR(q->accounts, i->account, a);
+	if (a == NULL) {
+		a = mem_alloc(sizeof(*a));
+		snprintf(a->name, sizeof(a->name), "%s", i->account);
+		HASH_ADD_STR(q->accounts, name, a);
+	}
+	if (a->next_turn > i->turn)
+		i->turn = a->next_turn;
+	a->next_turn = i->turn + i->cost;
+}
+
+static int
+goes_after(const struct waitq_item *a, const struct waitq_item *b)
+{
+	if (a->priority != b->priority)
+		return a->priority > b->priority;
+	if (a->turn != b->turn)
+		return a->turn > b->turn;
+	return a->arrived > b->arrived;
 }
 
 void
@@ -57,11 +117,10 @@
 		TAILQ_INIT(&g->items);
 		HASH_ADD_STR(q->groups, key, g);
 	}
+	set_turn(q, i);
 	TAILQ_FOREACH_REVERSE(after, &g->items, waitq_items, entry)
 	{
-		if (after->priority < i->priority ||
-		    (after->priority == i->priority &&
-			after->arrived <= i->arrived))
+		if (!goes_after(after, i))
 			break;
 	}
 	if (after == NULL)
@@ -84,6 +143,8 @@
 	TAILQ_REMOVE(&g->items, i, entry);
 	g->nitems--;
 	i->group = NULL;
+	if (i->turn > q->turn)
+		q->turn = i->turn;
 	q->nitems--;
 }
 
@@ -114,9 +175,7 @@
 
 	if (a_late != b_late)
 		return b_late;
-	if (a->priority != b->priority)
-		return a->priority < b->priority;
-	return a->arrived < b->arrived;
+	return goes_after(b, a);
 }
 
 /* The first of a group that can be in time, or else the first. */
@@ -151,6 +210,7 @@
 		if (TAILQ_EMPTY(&g->items))
 			group_release(q, g);
 	}
+	forget_accounts(q, 0);
 	for (;;) {
 		best = NULL;
 		for (g = q->groups; g != NULL; g = g->hh.next) {
--- a/entry/accounts/quota_io.c
+++ b/entry/accounts/quota_io.c
@@ -24,6 +24,8 @@
 
 /* Priorities of routes are below this. */
 #define ROUTE_PRIORITIES 256
+/* Weight in the queue of an account without a quota, as a rate. */
+#define UNLIMITED_PER_S 100000.0
 /* How far the request is on the way to its tokens; see struct forward. */
 enum {
 	TOKENS_NONE,
@@ -240,6 +242,19 @@
 	return NULL;
 }
 
+uint64_t
+quota_io_cost(const struct forward *f)
+{
+	double per_s = quota_rate(f->e->quota_io->quota, f->account);
+
+	if (f->account[0] == '\0')
+		return 0;
+	if (per_s <= 0.0)
+		per_s = UNLIMITED_PER_S;
+	return (
+	    uint64_t)((double)f->quota_tokens / per_s * (double)NSEC_PER_SEC);
+}
+
 int
 quota_io_awaits(const struct forward *f)
 {
--- a/entry/accounts/quota_io.h
+++ b/entry/accounts/quota_io.h
@@ -28,6 +28,8 @@
  * begins later, or has been refused.
  */
 int quota_io_admit(struct forward *);
+/* The time in which the account's quota yields what the request costs, ns. */
+uint64_t quota_io_cost(const struct forward *);
 /* Whether the request waits for its tokens. */
 int quota_io_awaits(const struct forward *);
 /* The time for which such a request was to wait has passed. */
--- a/entry/forward_wait.c
+++ b/entry/forward_wait.c
@@ -6,6 +6,7 @@
 #include "forward_int.h"
 #include "loader_io.h"
 #include "permit_io.h"
+#include "quota_io.h"
 
 /* Minimum queueing time of a retry; callers wait 2 s or more for an event. */
 #define RETRY_QUEUE_NS (800 * NSEC_PER_MSEC)
@@ -132,6 +133,8 @@
 
 	f->waiting.owner = f;
 	f->waiting.priority = f->route.priority;
+	f->waiting.account = f->account;
+	f->waiting.cost = quota_io_cost(f);
 	f->waiting.arrived = f->arrived;
 	f->waiting.target =
 	    caller_request_started_at(f->caller) + f->route.target_latency_ns;
--- a/tests/test_waitq.c
+++ b/tests/test_waitq.c
@@ -28,6 +28,7 @@
 static void test_order(void);
 static void test_blocked_model(void);
 static void test_removed_in_pass(void);
+static void test_accounts(void);
 
 static int
 try_run(void *ctx, struct waitq_item *i)
@@ -148,10 +149,50 @@
 	waitq_dispatch(&q, 3 * S, try_run, &r);
 }
 
+/*
+ * Load: one account has 30 requests waiting as two others come with three each,
+ * of which one is owed twice as much.  Guards against a hot account that makes
+ * the others wait behind all of its own.
+ */
+static void
+test_accounts(void)
+{
+	static const char *const names[] = { "hot", "owed-more", "owed-less" };
+	struct request w[36];
+	struct room r = { .left = { 7 } };
+	uint32_t ran[3] = { 0 };
+	struct waitq q;
+	uint32_t i;
+	int k;
+
+	waitq_init(&q);
+	r.q = &q;
+	for (i = 0; i < 36; i++) {
+		k = i < 30 ? 0 : 1 + (int)(i % 2);
+		memset(&w[i], 0, sizeof(w[i]));
+		w[i].number = k;
+		w[i].item.owner = &w[i];
+		w[i].item.arrived = i;
+		w[i].item.target = S;
+		w[i].item.account = names[k];
+		w[i].item.cost = k == 1 ? 5 : 10;
+		waitq_add(&q, &w[i].item, "s", "m0", "");
+	}
+	waitq_dispatch(&q, 0, try_run, &r);
+	for (i = 0; i < r.runs; i++)
+		ran[r.order[i]]++;
+	CU_ASSERT_EQUAL(r.runs, 7);
+	CU_ASSERT_EQUAL(ran[0], 2);
+	CU_ASSERT_EQUAL(ran[1], 3);
+	CU_ASSERT_EQUAL(ran[2], 2);
+	waitq_clear(&q);
+}
+
 static const struct unit_case cases[] = {
 	{ "order", test_order },
 	{ "a model without a copy", test_blocked_model },
 	{ "removed while waiting", test_removed_in_pass },
+	{ "accounts take turns by what they are owed", test_accounts },
 };
 
 UNIT_MAIN("waitq", cases)
