quota: tokens that are given back are no younger than they were

Cause: tokens that a process held counted as asked for anew when they were taken, so that what was given back by one refused request after the other never became void, and could be spent in a later window. Found by reading. Change: the age of the oldest tokens taken stays with the request; test_quota and the fuzzer cover it.

--- a/core/quota.c
+++ b/core/quota.c
@@ -173,7 +173,8 @@
 
 /* All of the tokens come from lots that are valid, or none do. */
 int
-quota_take(struct quota *q, uint64_t now, const char *name, uint64_t tokens)
+quota_take(struct quota *q, uint64_t now, const char *name, uint64_t tokens,
+    uint64_t *asked_at)
 {
 	struct quota_account *a = quota_find(q, name);
 	uint64_t held = 0;
@@ -181,6 +182,7 @@
 	uint64_t part;
 	uint32_t i;
 
+	*asked_at = now;
 	if (a == NULL || !account_is_limited(a))
 		return 1;
 	for (i = 0; i < a->nlots; i++)
@@ -193,6 +195,8 @@
 		part = a->lots[i].tokens < left ? a->lots[i].tokens : left;
 		a->lots[i].tokens -= part;
 		left -= part;
+		if (*asked_at > a->lots[i].valid_until - QUOTA_VALID_NS)
+			*asked_at = a->lots[i].valid_until - QUOTA_VALID_NS;
 	}
 	note_spent(a, now, tokens);
 	return 1;
--- a/core/quota.h
+++ b/core/quota.h
@@ -80,8 +80,11 @@
 int quota_is_limited(const struct quota *, const char *);
 /* The rate of the account's quota, 0 for none. */
 double quota_rate(const struct quota *, const char *);
-/* Takes tokens that this process holds; returns whether there are enough. */
-int quota_take(struct quota *, uint64_t, const char *, uint64_t);
+/*
+ * Takes tokens that this process holds; returns whether there are enough, and
+ * since when the oldest of them have been asked for.
+ */
+int quota_take(struct quota *, uint64_t, const char *, uint64_t, uint64_t *);
 /*
  * Asks for tokens at one pool or, at the next try, another; the origin, the
  * time and the spare tokens are filled in.  The answer may come at once.
--- a/entry/accounts/quota_io.c
+++ b/entry/accounts/quota_io.c
@@ -280,9 +280,9 @@
 
 	if (f->account[0] == '\0' || !quota_is_limited(q->quota, f->account))
 		return 1;
-	if (quota_take(q->quota, f->e->now, f->account, f->quota_tokens)) {
+	if (quota_take(q->quota, f->e->now, f->account, f->quota_tokens,
+		&f->quota_asked_at)) {
 		f->quota_state = TOKENS_TAKEN;
-		f->quota_asked_at = f->e->now;
 		quota_count(
 		    q->quota, f->e->now, f->account, f->quota_tokens, 1);
 		return 1;
--- a/tests/quota_world.cc
+++ b/tests/quota_world.cc
@@ -245,13 +245,18 @@
 	const char *name = q.accounts[account].name;
 	uint64_t id = ++q.last_id;
 	uint64_t tokens = kSizes[id * 7 % 4];
+	uint64_t asked_at;
 
 	if (q.accounts[account].rate_per_s < 1000.0)
 		tokens = kSizes[0];
 	q.owed[account] -= (double)tokens;
 	if (!quota_is_limited(q.state, name) ||
-	    quota_take(q.state, now, name, tokens)) {
-		run(account, tokens);
+	    quota_take(q.state, now, name, tokens, &asked_at)) {
+		if (some_fail && id % 8 == 0)
+			quota_give_back(
+			    q.state, now, name, tokens, asked_at);
+		else
+			run(account, tokens);
 		return;
 	}
 	q.waiting.push_back({ id, account, tokens, now, now, 0, 0, 0 });
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -14,6 +14,7 @@
 #define SELF "10.0.0.1:1"
 #define STEP_NS (5 * MS)
 
+static uint64_t asked_at;	 /* of the tokens taken last */
 static struct quota_answer last; /* latest answer to this process */
 static uint32_t nanswers;
 
@@ -97,7 +98,7 @@
 	struct quota_request r = { .id = 1 };
 
 	quota_set_part(q, now, 1.0);
-	if (quota_take(q, now, account, tokens))
+	if (quota_take(q, now, account, tokens, &asked_at))
 		return 1;
 	snprintf(r.account, sizeof(r.account), "%s", account);
 	r.tokens = tokens;
@@ -191,10 +192,12 @@
 	advance(q, S, 3 * S);
 	CU_ASSERT_TRUE(ask(q, 3 * S, "hot", 100, 0));
 	quota_keep(q, 3 * S, &last);
-	CU_ASSERT_FALSE(quota_take(q, 3 * S, "hot", 101));
-	CU_ASSERT_FALSE(quota_take(q, 3 * S + QUOTA_VALID_NS, "hot", 100));
+	CU_ASSERT_FALSE(quota_take(q, 3 * S, "hot", 101, &asked_at));
+	CU_ASSERT_FALSE(
+	    quota_take(q, 3 * S + QUOTA_VALID_NS, "hot", 100, &asked_at));
 	quota_keep(q, 3 * S + QUOTA_VALID_NS - 1, &last);
-	CU_ASSERT_TRUE(quota_take(q, 3 * S + QUOTA_VALID_NS - 1, "hot", 100));
+	CU_ASSERT_TRUE(
+	    quota_take(q, 3 * S + QUOTA_VALID_NS - 1, "hot", 100, &asked_at));
 	quota_destroy(q);
 }
 
@@ -209,6 +212,10 @@
 	CU_ASSERT_FALSE(ask(q, 3 * S, "hot", 900, 0));
 	quota_give_back(q, 3 * S, "hot", 900, 3 * S);
 	CU_ASSERT_TRUE(ask(q, 3 * S, "hot", 900, 0));
+	/* What is given back again is no younger. */
+	quota_give_back(q, 3 * S, "hot", 900, 3 * S);
+	CU_ASSERT_TRUE(quota_take(q, 3 * S + 300 * MS, "hot", 900, &asked_at));
+	CU_ASSERT_EQUAL(asked_at, 3 * S);
 	quota_destroy(q);
 }
 
