callers: none gives way to another during a stop

Cause: the end of a stop goes through the list of callers and parses what they sent ahead; a caller that has to make room then closed others, among them the next one of the list. Change: while a process stops, the one that does not fit is refused itself.

--- a/entry/callers/caller_held.c
+++ b/entry/callers/caller_held.c
@@ -100,7 +100,8 @@
 	struct caller *other;
 
 	while (e->held.unfinished > most(e, UNFINISHED_SHARE)) {
-		other = oldest_unfinished(e, c);
+		/* The end of a stop goes through the list of callers. */
+		other = e->stopping ? NULL : oldest_unfinished(e, c);
 		if (other == NULL)
 			return 0;
 		caller_give_way(other, "unfinished");
--- a/tests/unfinished.py
+++ b/tests/unfinished.py
@@ -8,6 +8,7 @@
 """
 import os
 import re
+import signal
 import socket
 import sys
 import threading
@@ -203,6 +204,24 @@
         w.stop()
 
 
+def test_stop():
+    """Guards against a stop that goes on with callers which have just given
+    way: what was sent ahead is parsed at its end, and may need their room."""
+    w = world()
+    socks = []
+    try:
+        one = head(1, "Content-Length: %d" % BODY) + b"x" * (BODY - 1)
+        ahead = request("/read/x", "id-p", deadline=60000) * 100
+        socks = crowd(w, CROWD, lambda i: ahead + one if i % 2 else one)
+        settle(w)
+        w.process.send_signal(signal.SIGTERM)
+        check("ends: %s" % w.process.wait(20), w.process.returncode == 0)
+    finally:
+        for s in socks:
+            s.close()
+        w.stop()
+
+
 def main(names):
     """One test at a time: the crowds share no machine with another test."""
     results = []
