soak: accounts whose keys change, one beyond its quota, unfinished callers

Cause: the soak knew no client accounts and no unfinished bodies. Change: all callers have keys, which change; old ones must run nowhere. One account asks for several times its quota, which is checked over all processes; callers leave bodies unfinished.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -6,7 +6,8 @@
 links that are slow, cut in one direction, silent or reset; a key-value service
 that is unavailable, loses writes or comes back from an older copy; replicas
 that crash, drain, stop responding, say that they leave or take no requests, or
-limit their requests; new configurations; stops in series.
+limit their requests; new configurations; stops in series; accounts whose keys
+change, and one that exceeds its quota; callers that leave requests unfinished.
 What callers and replicas receive is checked all the time.  The logs of a
 failed seed are copied to DIR/SEED.
 """
@@ -23,6 +24,7 @@
 
 from limits import Limits
 from notices import Notices
+from client_accounts import BOUNDS, Accounts
 from stopping import CALLERS_PER_VM, Stops
 from world import (EVENTS, Engine, Violations, LeaseStore, Link, MODELS,
                    MODEL_MB, REPLICA_MB, rng_for)
@@ -69,7 +71,7 @@
             "limits": {"memory_mb": 160, "max_fds": 4100, "cpu_share": 0.25},
             "bounds": {"grace_s": 4, "drain_ms": 2000, "lease_ms": 3000,
                        "retry_budget_ratio": 0.2, "retry_window_s": 10,
-                       "budget_slack": 58, "require_fence": True},
+                       "budget_slack": 58, "require_fence": True, **BOUNDS},
             "platform": {"address": "127.0.0.1:%d" % self.store_link.port}}
         path = os.path.join(self.world.dir, "vm%d.json" % self.index)
         with open(path, "w") as f:
@@ -123,6 +125,7 @@
         self.notices = Notices(self)
         self.limits = Limits(self)
         self.stops = Stops(self)
+        self.accounts = Accounts(self)
         self.store = LeaseStore(rng_for(seed, "store"))
         self.store_port = 0
         self.order_loss_ratio = 0.0
@@ -148,6 +151,7 @@
         if call.body != body:
             self.violations.add("request body altered", call.id)
         self.runs.setdefault(call.id, []).append(engine.name)
+        self.accounts.executed(call)
         if kind == "once" and len(self.runs[call.id]) > 1:
             self.violations.add("request executed more than once",
                                 "%s on %s" % (call.id, self.runs[call.id]))
@@ -193,6 +197,7 @@
             fields = {"Arbutusspindle-Model": model or rng.choice(MODELS),
                       "Arbutusspindle-Token-Count": "200,36",
                       "Arbutusspindle-Prompt-Prefix": "a1:200"}
+        fields.update(self.accounts.fields(id))
         self.sent_requests[id] = (kind, body)
         self.notices.sent_at[id] = time.monotonic()
         raw = request("/%s/x" % kind, id, "GET" if kind == "read" else "POST",
@@ -257,6 +262,8 @@
             return "refused"
         if status == 404:
             self.violations.add("404 for an existing route", id)
+        if status == 401:
+            self.accounts.check_refusal(id)
         if status != 200:
             return "failed"
         whole = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i)
@@ -382,6 +389,7 @@
 
     async def configure(self, rng):
         self.version += rng.randint(1, 9)
+        self.accounts.change_keys()
         await self.put_config()
 
     async def drop_order_responses(self, rng):
@@ -399,6 +407,7 @@
         for r in config["routes"]:
             if r["name"] in ("go", "tell"):
                 r["service"] = "llm"
+        config["tenants"] = self.accounts.declare()
         config["routes"].append(dict(
             config["routes"][0], name="probe",
             path_prefix="/probe%d/" % self.version))
@@ -440,7 +449,9 @@
                 reader, writer = await asyncio.open_connection(
                     vm.ip, vm.ports["front"])
                 self.sent_requests["probe"] = ("read", b"")
-                writer.write(request("/probe%d/x" % self.version, "probe"))
+                writer.write(request(
+                    "/probe%d/x" % self.version, "probe",
+                    fields=self.accounts.fields("probe")))
                 head = await asyncio.wait_for(
                     reader.readuntil(b"\r\n\r\n"), 5)
                 writer.transport.abort()
@@ -475,7 +486,8 @@
         kept.append(asyncio.ensure_future(self.stops.measure_lag()))
         until = time.monotonic() + self.options.seconds
         await asyncio.gather(self.faults(until), self.notices.play(until),
-                             self.limits.play(until), self.stops.play(until))
+                             self.limits.play(until), self.stops.play(until),
+                             self.accounts.play(until))
         await self.check_recovery()
         self.done = True
         await asyncio.gather(*callers)
--- a/soak/stopping.py
+++ b/soak/stopping.py
@@ -154,6 +154,7 @@
             "Arbutusspindle-Model": rng.choice(MODELS),
             "Arbutusspindle-Token-Count": "200,36",
             "Arbutusspindle-Prompt-Prefix": "a1:200"}
+        fields.update(self.world.accounts.fields(sent.id))
         pieces, pauses = [body], [0]
         if chunked:
             fields["Transfer-Encoding"] = "chunked"
