accounts: the state of a request's tokens has a type

Cause: struct forward held an int whose values only quota_io.c named. Change: an enum beside the struct. Behaviour is as before.

--- a/entry/accounts/quota_io.c
+++ b/entry/accounts/quota_io.c
@@ -26,14 +26,6 @@
 #define ROUTE_PRIORITIES 256
 /* Weight in the queue of an account without a quota, as a rate. */
 #define UNLIMITED_PER_S 100000.0
-/* How far the request is on the way to its tokens; see struct forward. */
-enum {
-	TOKENS_NONE,
-	TOKENS_ASKED,  /* the pool has not answered */
-	TOKENS_COMING, /* granted, but not there yet */
-	TOKENS_TAKEN,
-};
-
 struct quota_io {
 	struct entry *e;
 	struct quota *quota;
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -8,6 +8,15 @@
 #include "expiry.h"
 #include "sse.h"
 
+/* How far a request is on the way to the tokens of its account's quota. */
+enum tokens_state {
+	TOKENS_NONE,   /* it needs none, or has none yet */
+	TOKENS_ASKED,  /* no pool has answered */
+	TOKENS_COMING, /* granted, for a later time */
+	TOKENS_TAKEN,
+	TOKENS__MAX
+};
+
 struct forward {
 	TAILQ_ENTRY(forward) entry;
 	struct entry *e;
@@ -24,7 +33,7 @@
 	uint32_t quota_tries;	      /* to get them, at pools in turn */
 	uint64_t quota_id;	      /* of its request for them, 0: none yet */
 	uint64_t quota_asked_at;      /* when they were asked for */
-	int quota_state;	      /* see quota_io.c */
+	enum tokens_state quota_state;
 	uint64_t arrived;
 	uint64_t deadline;
 	struct expiry *expiry;	   /* of queueing, or of the request */
