forward: one function refuses a request

Cause: forward_refuse_quota() was forward_refuse() written again with another status. Change: both call one. The text of a 429 is that of the log now.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -19,6 +19,7 @@
 /* For a retry that awaited evidence to be tried again. */
 #define EVIDENCE_NS (200 * NSEC_PER_MSEC)
 
+static void refuse(struct forward *, int, const char *, uint64_t);
 static int forward_end_if_gone(struct forward *);
 static int forward_queue(struct forward *, enum balance_result);
 static int forward_refuse_if_unreached(struct forward *);
@@ -251,25 +252,27 @@
 	waitq_dispatch(&e->waiting, e->now, try_waiting, NULL);
 }
 
-void
-forward_refuse_quota(struct forward *f, uint64_t retry_after_ns)
+/* Ends a request that no replica has run. */
+static void
+refuse(struct forward *f, int status, const char *text, uint64_t retry_after_ns)
 {
 	f->e->counts.refused++;
-	forward_log(f, LOG_REQUEST_REFUSED, "", "the account's quota is used");
-	forward_send_error(
-	    f, 429, retry_after_ns, "the quota of the account is used");
+	quota_io_forget(f, 0);
+	forward_log(f, LOG_REQUEST_REFUSED, "", text);
+	forward_send_error(f, status, retry_after_ns, text);
 	forward_free(f);
 }
 
-/* Ends a request that no replica has run. */
+void
+forward_refuse_quota(struct forward *f, uint64_t retry_after_ns)
+{
+	refuse(f, 429, "the account's quota is used", retry_after_ns);
+}
+
 void
 forward_refuse(struct forward *f, const char *text, uint64_t retry_after_ns)
 {
-	f->e->counts.refused++;
-	quota_io_forget(f, 0);
-	forward_log(f, LOG_REQUEST_REFUSED, "", text);
-	forward_send_error(f, 503, retry_after_ns, text);
-	forward_free(f);
+	refuse(f, 503, text, retry_after_ns);
 }
 
 void
