tests: heads are parsed, and commands weighed, in one place each

Cause: test_account_config had the parser of test_platform again, and fuzz_quota the commands of fuzz_permits. Change: tests/parse_fixture, and a template in permits_world.h; weights and ranges are as they were.

--- a/Makefile
+++ b/Makefile
@@ -125,13 +125,14 @@
 
 TESTS = $(patsubst tests/test_%.c,$(BUILD)/test_%,$(wildcard tests/test_*.c))
 
-$(BUILD)/test_platform: $(BUILD)/tests/test_platform.o $(BUILD)/tests/unit.o \
+$(BUILD)/test_platform: $(BUILD)/tests/test_platform.o \
+    $(BUILD)/tests/parse_fixture.o $(BUILD)/tests/unit.o \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
 $(BUILD)/test_account_config: $(BUILD)/tests/test_account_config.o \
-    $(BUILD)/tests/unit.o $(NET) $(LIBS)
+    $(BUILD)/tests/parse_fixture.o $(BUILD)/tests/unit.o $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
--- a/tests/permits_world.h
+++ b/tests/permits_world.h
@@ -49,6 +49,28 @@
 
 extern const char *const op_names[OP__MAX];
 
+/* The commands, of which those that set the demand have a weight. */
+template <int Demand> struct OpTraits {
+	using Kind = OpKind;
+
+	static const int range = 12000;
+
+	static rc::Gen<Kind>
+	kinds()
+	{
+		return rc::gen::weightedElement<Kind>({ { 14, OP_ADVANCE },
+		    { Demand, OP_DEMAND }, { 2, OP_LIMIT }, { 3, OP_LOSSES },
+		    { 3, OP_CUT }, { 2, OP_CUT_OFF }, { 3, OP_HEAL },
+		    { 3, OP_FREEZE }, { 3, OP_RESTART } });
+	}
+
+	static const char *
+	name(Kind kind)
+	{
+		return op_names[kind];
+	}
+};
+
 struct Model {
 	int steps = 0;
 };
--- a/tests/test_account_config.c
+++ b/tests/test_account_config.c
@@ -3,14 +3,9 @@
 
 #include "config.h"
 #include "fields.h"
+#include "parse_fixture.h"
 #include "unit.h"
 
-static struct http_reader *reader;
-
-static void on_head(void *, const struct http_head *);
-static void on_body(void *, const char *, size_t);
-static void on_end(void *);
-static const struct http_head *parse(const char *);
 static const struct fleet_account *account_of(
     const struct fleet_conf *, const char *);
 static void test_config(void);
@@ -19,38 +14,6 @@
 static void test_key(void);
 static void test_fields_of_request(void);
 
-static const struct http_reader_ops ops = { on_head, on_body, on_end };
-
-static void
-on_head(void *ctx, const struct http_head *h)
-{
-	(void)ctx;
-	(void)h;
-}
-
-static void
-on_body(void *ctx, const char *p, size_t len)
-{
-	(void)ctx;
-	(void)p;
-	(void)len;
-}
-
-static void
-on_end(void *ctx)
-{
-	(void)ctx;
-}
-
-static const struct http_head *
-parse(const char *text)
-{
-	http_reader_destroy(reader);
-	reader = http_reader_create(HTTP_READ_REQUESTS, &ops, NULL);
-	(void)http_reader_feed(reader, text, strlen(text));
-	return http_reader_head(reader);
-}
-
 static const struct fleet_account *
 account_of(const struct fleet_conf *c, const char *key)
 {
@@ -140,18 +103,21 @@
 test_key(void)
 {
 	CU_ASSERT_STRING_EQUAL(
-	    fields_find_key(parse("GET / HTTP/1.1\r\nHost: h\r\n"
-				  "Authorization: Bearer k1\r\n\r\n")),
+	    fields_find_key(parse_head("GET / HTTP/1.1\r\nHost: h\r\n"
+				       "Authorization: Bearer k1\r\n\r\n",
+		HTTP_READ_REQUESTS)),
 	    "k1");
 	CU_ASSERT_PTR_NULL(
-	    fields_find_key(parse("GET / HTTP/1.1\r\nHost: h\r\n"
-				  "Authorization: Bearer k1\r\n"
-				  "authorization: Bearer k1\r\n\r\n")));
-	CU_ASSERT_PTR_NULL(
-	    fields_find_key(parse("GET / HTTP/1.1\r\nHost: h\r\n"
-				  "Authorization: bearer k1\r\n\r\n")));
+	    fields_find_key(parse_head("GET / HTTP/1.1\r\nHost: h\r\n"
+				       "Authorization: Bearer k1\r\n"
+				       "authorization: Bearer k1\r\n\r\n",
+		HTTP_READ_REQUESTS)));
 	CU_ASSERT_PTR_NULL(
-	    fields_find_key(parse("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+	    fields_find_key(parse_head("GET / HTTP/1.1\r\nHost: h\r\n"
+				       "Authorization: bearer k1\r\n\r\n",
+		HTTP_READ_REQUESTS)));
+	CU_ASSERT_PTR_NULL(fields_find_key(parse_head(
+	    "GET / HTTP/1.1\r\nHost: h\r\n\r\n", HTTP_READ_REQUESTS)));
 }
 
 /* Guards against accounts that a caller names, and keys at replicas. */
@@ -166,10 +132,12 @@
 	struct buf out = { 0 };
 	struct err e;
 
-	h = parse("GET /p HTTP/1.1\r\nHost: h\r\nArbutusspindle-Tenant: b\r\n"
-		  "Authorization: Bearer k1\r\nAUTHORIZATION: Basic x\r\n"
-		  "Arbutusspindle-Token-Count: 99999999999,7\r\n"
-		  "Arbutusspindle-Attempt-Id: x\r\n\r\n");
+	h = parse_head(
+	    "GET /p HTTP/1.1\r\nHost: h\r\nArbutusspindle-Tenant: b\r\n"
+	    "Authorization: Bearer k1\r\nAUTHORIZATION: Basic x\r\n"
+	    "Arbutusspindle-Token-Count: 99999999999,7\r\n"
+	    "Arbutusspindle-Attempt-Id: x\r\n\r\n",
+	    HTTP_READ_REQUESTS);
 	fields_write_request(&out, h, &t);
 	buf_add(&out, "", 1);
 	CU_ASSERT_PTR_NULL(strstr(buf_data(&out), "k1"));
@@ -182,13 +150,12 @@
 	CU_ASSERT_EQUAL(fields_decode_request(h, &w, &e), 0);
 	CU_ASSERT_EQUAL(w.prompt_tokens, UINT32_MAX);
 	CU_ASSERT_EQUAL(w.counts_tokens, 1);
-	h = parse("GET /p HTTP/1.1\r\nHost: h\r\n"
-		  "Arbutusspindle-Token-Count: 12\r\n"
-		  "Arbutusspindle-Attempt-Id: x\r\n\r\n");
+	h = parse_head("GET /p HTTP/1.1\r\nHost: h\r\n"
+		       "Arbutusspindle-Token-Count: 12\r\n"
+		       "Arbutusspindle-Attempt-Id: x\r\n\r\n",
+	    HTTP_READ_REQUESTS);
 	CU_ASSERT_EQUAL(fields_decode_request(h, &w, &e), 0);
 	CU_ASSERT_EQUAL(w.counts_tokens, 0);
-	http_reader_destroy(reader);
-	reader = NULL;
 }
 
 static const struct unit_case cases[] = {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -8,6 +8,7 @@
 #include "fields.h"
 #include "mem.h"
 #include "order.h"
+#include "parse_fixture.h"
 #include "replica.h"
 #include "unit.h"
 
@@ -29,10 +30,6 @@
 static void test_send(void);
 static void test_answer(void);
 static void test_orders(void);
-static void ignore_head(void *, const struct http_head *);
-static void ignore_body(void *, const char *, size_t);
-static void ignore_end(void *);
-static const struct http_head *parse(const char *, enum http_message_kind);
 
 #define REPLICA(rest)                                                          \
 	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
@@ -382,41 +379,6 @@
 	fleet_conf_destroy(c);
 }
 
-static void
-ignore_head(void *ctx, const struct http_head *h)
-{
-	(void)ctx;
-	(void)h;
-}
-
-static void
-ignore_body(void *ctx, const char *p, size_t len)
-{
-	(void)ctx;
-	(void)p;
-	(void)len;
-}
-
-static void
-ignore_end(void *ctx)
-{
-	(void)ctx;
-}
-
-/* Parses one message; the head is valid until the next call. */
-static const struct http_head *
-parse(const char *text, enum http_message_kind side)
-{
-	static const struct http_reader_ops ops = { ignore_head, ignore_body,
-		ignore_end };
-	static struct http_reader *r;
-
-	http_reader_destroy(r);
-	r = http_reader_create(side, &ops, NULL);
-	CU_ASSERT(http_reader_feed(r, text, strlen(text)) > 0);
-	return http_reader_head(r);
-}
-
 static void
 test_want(void)
 {
@@ -424,15 +386,15 @@
 	struct request_params w;
 	struct err e;
 
-	h = parse("POST /p/x HTTP/1.1\r\nHost: h\r\n"
-		  "arbutusspindle-attempt-id: 9c41\r\n"
-		  "Arbutusspindle-Model: m/a3\r\n"
-		  "Arbutusspindle-Token-Count: 1460,80\r\n"
-		  "Arbutusspindle-Prompt-Prefix: 5c1e07a2:800, ff:410\r\n"
-		  "Arbutusspindle-Length-Hint: 70\r\n"
-		  "Last-Event-Id: 12\r\n"
-		  "Arbutusspindle-Deadline-Ms: 15000\r\n"
-		  "Content-Length: 0\r\n\r\n",
+	h = parse_head("POST /p/x HTTP/1.1\r\nHost: h\r\n"
+		       "arbutusspindle-attempt-id: 9c41\r\n"
+		       "Arbutusspindle-Model: m/a3\r\n"
+		       "Arbutusspindle-Token-Count: 1460,80\r\n"
+		       "Arbutusspindle-Prompt-Prefix: 5c1e07a2:800, ff:410\r\n"
+		       "Arbutusspindle-Length-Hint: 70\r\n"
+		       "Last-Event-Id: 12\r\n"
+		       "Arbutusspindle-Deadline-Ms: 15000\r\n"
+		       "Content-Length: 0\r\n\r\n",
 	    HTTP_READ_REQUESTS);
 	CU_ASSERT_EQUAL(fields_decode_request(h, &w, &e), 0);
 	CU_ASSERT_STRING_EQUAL(w.id, "9c41");
@@ -445,13 +407,13 @@
 	CU_ASSERT_EQUAL(w.parts[1].tokens, 410);
 	CU_ASSERT_EQUAL(w.last_event_id, 12);
 	CU_ASSERT_EQUAL(w.timeout_ns, 15 * NSEC_PER_SEC);
-	h = parse("GET / HTTP/1.1\r\nHost: h\r\n\r\n", HTTP_READ_REQUESTS);
+	h = parse_head("GET / HTTP/1.1\r\nHost: h\r\n\r\n", HTTP_READ_REQUESTS);
 	CU_ASSERT_EQUAL(fields_decode_request(h, &w, &e), -1);
 	/* Non-numeric values count as absent. */
-	h = parse("GET / HTTP/1.1\r\nArbutusspindle-Attempt-Id: x\r\n"
-		  "Arbutusspindle-Token-Count: many\r\n"
-		  "Arbutusspindle-Prompt-Prefix: zz:1,:,12\r\n"
-		  "Arbutusspindle-Deadline-Ms: -5\r\n\r\n",
+	h = parse_head("GET / HTTP/1.1\r\nArbutusspindle-Attempt-Id: x\r\n"
+		       "Arbutusspindle-Token-Count: many\r\n"
+		       "Arbutusspindle-Prompt-Prefix: zz:1,:,12\r\n"
+		       "Arbutusspindle-Deadline-Ms: -5\r\n\r\n",
 	    HTTP_READ_REQUESTS);
 	CU_ASSERT_EQUAL(fields_decode_request(h, &w, &e), 0);
 	CU_ASSERT_EQUAL(w.prompt_tokens, 0);
@@ -467,11 +429,12 @@
 		"", 0 };
 	struct buf out = { 0 };
 
-	h = parse("PUT /p?q HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n"
-		  "Connection: close, X-B\r\nX-B: 2\r\nTE: trailers\r\n"
-		  "Transfer-Encoding: chunked\r\nLast-Event-Id: 1\r\n"
-		  "Arbutusspindle-Attempt-Id: x\r\n"
-		  "Arbutusspindle-Pin-Ms: 9\r\nKv-From: 1.1.1.1:1/x\r\n\r\n",
+	h = parse_head(
+	    "PUT /p?q HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n"
+	    "Connection: close, X-B\r\nX-B: 2\r\nTE: trailers\r\n"
+	    "Transfer-Encoding: chunked\r\nLast-Event-Id: 1\r\n"
+	    "Arbutusspindle-Attempt-Id: x\r\n"
+	    "Arbutusspindle-Pin-Ms: 9\r\nKv-From: 1.1.1.1:1/x\r\n\r\n",
 	    HTTP_READ_REQUESTS);
 	fields_write_request(&out, h, &t);
 	buf_add(&out, "", 1);
@@ -490,9 +453,10 @@
 	const struct http_head *h;
 	struct response_info t;
 
-	h = parse("HTTP/1.1 200 OK\r\nArbutusspindle-Attempt-Id: x\r\n"
-		  "Arbutusspindle-Response-Signature: s\r\n"
-		  "Keep-Alive: timeout=4, max=9\r\nContent-Length: 0\r\n\r\n",
+	h = parse_head(
+	    "HTTP/1.1 200 OK\r\nArbutusspindle-Attempt-Id: x\r\n"
+	    "Arbutusspindle-Response-Signature: s\r\n"
+	    "Keep-Alive: timeout=4, max=9\r\nContent-Length: 0\r\n\r\n",
 	    HTTP_READ_RESPONSES);
 	fields_decode_response(h, "x", &t);
 	CU_ASSERT(
@@ -501,23 +465,23 @@
 	fields_decode_response(h, "y", &t);
 	CU_ASSERT(t.has_id && !t.id_matches);
 	/* The fields of two answers; the parser refuses two status lines. */
-	h = parse("HTTP/1.1 200 OK\r\nArbutusspindle-Attempt-Id: x\r\n"
-		  "Arbutusspindle-Response-Signature: s\r\n"
-		  "Arbutusspindle-Attempt-Id: y\r\n"
-		  "Arbutusspindle-Response-Signature: t\r\n"
-		  "Content-Length: 0\r\n\r\n",
+	h = parse_head("HTTP/1.1 200 OK\r\nArbutusspindle-Attempt-Id: x\r\n"
+		       "Arbutusspindle-Response-Signature: s\r\n"
+		       "Arbutusspindle-Attempt-Id: y\r\n"
+		       "Arbutusspindle-Response-Signature: t\r\n"
+		       "Content-Length: 0\r\n\r\n",
 	    HTTP_READ_RESPONSES);
 	fields_decode_response(h, "x", &t);
 	CU_ASSERT(t.has_id && !t.id_matches);
 	fields_decode_response(h, "y", &t);
 	CU_ASSERT(t.has_id && !t.id_matches);
-	h = parse("HTTP/1.1 421 M\r\nContent-Encoding: gzip\r\n"
-		  "Content-Length: 0\r\n\r\n",
+	h = parse_head("HTTP/1.1 421 M\r\nContent-Encoding: gzip\r\n"
+		       "Content-Length: 0\r\n\r\n",
 	    HTTP_READ_RESPONSES);
 	fields_decode_response(h, "x", &t);
 	CU_ASSERT(t.not_executed && t.misdirected && t.encoded && !t.has_id);
-	h = parse("HTTP/1.1 503 S\r\nArbutusspindle-Not-Executed: 1\r\n"
-		  "Content-Length: 0\r\n\r\n",
+	h = parse_head("HTTP/1.1 503 S\r\nArbutusspindle-Not-Executed: 1\r\n"
+		       "Content-Length: 0\r\n\r\n",
 	    HTTP_READ_RESPONSES);
 	fields_decode_response(h, "x", &t);
 	CU_ASSERT(t.not_executed && !t.misdirected);
