shares: a loan that a later one has overtaken does not count

Cause: a renewal and the loan that takes a slot back may leave in one tick. If the renewal arrived last, the pool counted the slot for up to 0.9 s although the lender had the acknowledgement and had lent it elsewhere. Change: pools remember the number of each lender's latest loan, and ignore earlier ones; numbers of a new incarnation begin above its predecessor's. The fuzzer checks at each step that no share is in use twice, a restart is replayed in test_shares, and test_late_loan uses numbers that rise, or its later parts could not fail.

--- a/core/shares.c
+++ b/core/shares.c
@@ -47,7 +47,8 @@
 	uint64_t number;
 	uint32_t slots;
 	uint32_t processes;
-	uint64_t until;
+	uint64_t ends_at; /* of the loan */
+	uint64_t until;	  /* its number is remembered */
 	UT_hash_handle hh;
 };
 
@@ -72,6 +73,8 @@
 static void choose_pools(struct shares *, uint64_t, const char **);
 static uint32_t slots_at(const struct shares *, const char *);
 static void send_loan(struct shares *, uint64_t, struct pool *);
+static void set_loan(
+    struct shares *, uint64_t, struct lender *, const struct share_loan *);
 static uint64_t renew_ns(const struct shares *, const struct pool *, uint64_t);
 static void move_slot(struct shares *, uint64_t, struct slot *, const char *);
 
@@ -87,6 +90,8 @@
 	s->ops = ops;
 	s->ctx = ctx;
 	s->ticked_at = now;
+	/* Above the numbers of its predecessor, which had sent fewer. */
+	s->nloans = now;
 	/* Its predecessor may have lent the share. */
 	for (i = 0; i < SHARES_SLOTS; i++)
 		s->slots[i].lent_until = now + LOAN_NS;
@@ -355,6 +360,25 @@
 		move_slot(s, now, &s->slots[i], chosen[i]);
 }
 
+/*
+ * Loans may overtake each other.  The record outlives any earlier loan, since
+ * that ends within LOAN_NS.
+ */
+static void
+set_loan(struct shares *s, uint64_t now, struct lender *l,
+    const struct share_loan *r)
+{
+	l->number = r->number;
+	l->slots = 0;
+	l->until = now + LOAN_NS;
+	if (r->incarnation == s->self.incarnation && r->pool_time <= now &&
+	    r->processes != 0 && r->slots <= SHARES_SLOTS) {
+		l->slots = r->slots;
+		l->processes = r->processes;
+		l->ends_at = r->pool_time + LOAN_NS;
+	}
+}
+
 void
 shares_lent(struct shares *s, uint64_t now, const char *from,
     const struct share_loan *r)
@@ -369,14 +393,8 @@
 		snprintf(l->addr, sizeof(l->addr), "%s", from);
 		HASH_ADD_STR(s->lenders, addr, l);
 	}
-	l->slots = 0;
-	l->until = now + LOAN_NS;
-	if (r->incarnation == s->self.incarnation && r->pool_time <= now &&
-	    r->processes != 0 && r->slots <= SHARES_SLOTS) {
-		l->slots = r->slots;
-		l->processes = r->processes;
-		l->until = r->pool_time + LOAN_NS;
-	}
+	if (r->number > l->number)
+		set_loan(s, now, l, r);
 	s->ops->send_ack(s->ctx, from, &ack);
 }
 
@@ -415,7 +433,7 @@
 	if (now > s->ticked_at + PAUSED_NS)
 		return 0.0;
 	for (l = s->lenders; l != NULL; l = l->hh.next) {
-		if (l->slots != 0 && now < l->until)
+		if (l->slots != 0 && now < l->ends_at)
 			part += (double)l->slots / l->processes;
 	}
 	if (s->processes != 0)
--- a/tests/quota_world.cc
+++ b/tests/quota_world.cc
@@ -275,6 +275,7 @@
 	for (uint32_t i = 0; i < SHARES_SLOTS; i++)
 		quota_set_pool(q.state, i, shares_pool(q.loans, i));
 	quota_set_part(q.state, now, shares_part(q.loans, now));
+	check_shares();
 	for (int k = 0; k < kAccounts; k++) {
 		q.owed[k] +=
 		    q.demand[k] * (double)kStep / (double)NSEC_PER_SEC;
@@ -302,6 +303,19 @@
 	}
 }
 
+/* No share is in use twice, by processes that can act on it. */
+void
+QuotaWorld::check_shares() const
+{
+	double sum = 0.0;
+
+	for (auto &p : processes) {
+		if (quotas[p.index].loans != nullptr && runs(p))
+			sum += shares_part(quotas[p.index].loans, now);
+	}
+	RC_ASSERT(sum <= 1.0001);
+}
+
 void
 QuotaWorld::receive(Process &p, const msg *m)
 {
--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -88,6 +88,7 @@
 	void run(int account, uint64_t tokens);
 	double allowed(Customer &c) const;
 	double spent(int account, uint64_t since) const;
+	void check_shares() const;
 
 	bool ready = false;
 	bool some_fail = true; /* one request in eight finds no replica */
--- a/tests/test_shares.c
+++ b/tests/test_shares.c
@@ -33,6 +33,8 @@
 static void test_cut_off(void);
 static void test_closing(void);
 static void test_late_loan(void);
+static void test_reordered(void);
+static void test_restarted(void);
 static void test_count_unknown(void);
 
 static const struct shares_ops ops = { send_loan, send_ack };
@@ -250,8 +252,11 @@
 	l.pool_time = now - 2 * S;
 	shares_lent(p->shares, now, "10.0.0.9:1", &l);
 	CU_ASSERT_DOUBLE_EQUAL(sum(), 1.0, 0.001);
+	l.number++;
 	l.pool_time = now + 2 * S;
 	shares_lent(p->shares, now, "10.0.0.9:1", &l);
+	CU_ASSERT_DOUBLE_EQUAL(sum(), 1.0, 0.001);
+	l.number++;
 	l.pool_time = now;
 	l.incarnation--;
 	shares_lent(p->shares, now, "10.0.0.9:1", &l);
@@ -259,6 +264,47 @@
 	stop_all();
 }
 
+/*
+ * Guards against a loan that overtakes the one by which its slot was taken
+ * back: the lender has lent the slot elsewhere once that one was acknowledged.
+ */
+static void
+test_reordered(void)
+{
+	struct process *p;
+	struct share_loan l = { .number = UINT64_MAX - 1, .processes = 5 };
+
+	start_all();
+	p = find(shares_pool(processes[4].shares, 0));
+	l.incarnation = p->id.incarnation;
+	l.pool_time = now;
+	l.slots = 0;
+	shares_lent(p->shares, now, processes[3].id.addr, &l);
+	CU_ASSERT_DOUBLE_EQUAL(sum(), 0.9, 0.001);
+	l.number--;
+	l.slots = 1;
+	shares_lent(p->shares, now, processes[3].id.addr, &l);
+	CU_ASSERT_DOUBLE_EQUAL(sum(), 0.9, 0.001);
+	stop_all();
+}
+
+/* Guards against a share that a process uses while its predecessor's is lent.
+ */
+static void
+test_restarted(void)
+{
+	uint32_t i;
+
+	start_all();
+	for (i = 0; i < PROCESSES; i++) {
+		shares_destroy(processes[i].shares);
+		start(&processes[i], i);
+		run(2 * S);
+	}
+	CU_ASSERT_DOUBLE_EQUAL(sum(), 1.0, 0.001);
+	stop_all();
+}
+
 /* Guards against a process that takes all limits for its own as it starts. */
 static void
 test_count_unknown(void)
@@ -283,6 +329,8 @@
 	{ "a process is cut off", test_cut_off },
 	{ "a pool's process stops", test_closing },
 	{ "late loans do not count", test_late_loan },
+	{ "loans overtake each other", test_reordered },
+	{ "processes start again", test_restarted },
 	{ "the number of processes is not known", test_count_unknown },
 };
 
