--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -29,6 +29,7 @@
 static void test_sizes(void);
 static void test_returns_spread(void);
 static void test_void(void);
+static void test_late_answer(void);
 static void test_given_back(void);
 static void test_lowered(void);
 static void test_paused(void);
@@ -201,6 +202,26 @@
 	quota_destroy(q);
 }
 
+/* Guards against tokens of an answer that comes in a later window. */
+static void
+test_late_answer(void)
+{
+	struct quota *q = start(1000.0, 1000.0, 0.0);
+	struct quota_answer a = { .id = 1, .asked_at = 3 * S };
+
+	advance(q, S, 4 * S);
+	snprintf(a.origin, sizeof(a.origin), "%s", SELF);
+	snprintf(a.account, sizeof(a.account), "hot");
+	a.granted = 1;
+	a.tokens = 100;
+	a.spare_tokens = 100;
+	quota_answered(q, 3 * S + QUOTA_VALID_NS, &a);
+	CU_ASSERT_EQUAL(nanswers, 0);
+	quota_answered(q, 3 * S + QUOTA_VALID_NS - 1, &a);
+	CU_ASSERT_EQUAL(nanswers, 1);
+	quota_destroy(q);
+}
+
 /* Guards against requests that ran nowhere being charged. */
 static void
 test_given_back(void)
@@ -264,6 +285,7 @@
 	{ "refused callers come back one after the other",
 	    test_returns_spread },
 	{ "granted tokens are void after a time", test_void },
+	{ "late answers are dropped", test_late_answer },
 	{ "requests that ran nowhere are not charged", test_given_back },
 	{ "a lower quota begins without debts", test_lowered },
 	{ "a pool grants nothing after a freeze", test_paused },
