wording: comments and names of accounts and callers in the field's terms

Cause: some comments were figurative or hard to read, and connections that are closed for others gave way. Change: they are evicted; comments say what the code does. No behaviour changes.

--- a/core/quota.c
+++ b/core/quota.c
@@ -5,11 +5,11 @@
 #include "mem.h"
 #include "quota_int.h"
 
-/* A process that stood still for longer does not know what its share is. */
+/* After a longer pause the share that was last set is out of date. */
 #define PAUSED_NS (500 * NSEC_PER_MSEC)
 /* After a refusal, the next one within this time is not the first one. */
 #define QUIET_NS (5 * NSEC_PER_SEC)
-/* What was spent in this time is wanted as spare tokens. */
+/* Spare tokens are requested for the consumption of one such interval. */
 #define INTERVAL_NS (500 * NSEC_PER_MSEC)
 
 static double own_part(const struct quota *, uint64_t);
@@ -130,7 +130,7 @@
 	return a == NULL ? 0.0 : a->rate_per_s;
 }
 
-/* Spare tokens that no lot has room for are lost. */
+/* If all lots are in use, the tokens are dropped. */
 static void
 add_lot(struct quota_account *a, uint64_t now, uint64_t tokens,
     uint64_t valid_until)
@@ -171,7 +171,7 @@
 	return a->spent > a->spent_last ? a->spent : a->spent_last;
 }
 
-/* All of the tokens come from lots that are valid, or none do. */
+/* Takes all tokens or none. */
 int
 quota_take(struct quota *q, uint64_t now, const char *name, uint64_t tokens,
     uint64_t *asked_at)
@@ -222,7 +222,7 @@
 	return 0;
 }
 
-/* A pool that has lost its share says so by no answer. */
+/* A pool without a share does not answer; the origin asks another one. */
 void
 quota_requested(struct quota *q, uint64_t now, const char *from,
     const struct quota_request *r)
@@ -265,7 +265,7 @@
 void
 quota_keep(struct quota *q, uint64_t now, const struct quota_answer *r)
 {
-	/* Those that come later are not there yet. */
+	/* Tokens granted ahead of time cannot be used by another request. */
 	if (r->granted && r->wait_ns == 0)
 		quota_give_back(q, now, r->account, r->tokens, r->asked_at);
 }
--- a/core/quota_pool.c
+++ b/core/quota_pool.c
@@ -5,13 +5,13 @@
  */
 #include "quota_int.h"
 
-/* A quota without a burst still lets this part of a second through at once. */
+/* Smallest size of a bucket, as a time at the rate of the quota. */
 #define BURST_MIN_S 0.1
 /* Part of the operator's slack by which a bucket may be in debt. */
 #define DEBT_SHARE 0.5
-/* Spare tokens leave this part of a bucket. */
+/* Spare tokens are granted from above this part of a bucket only. */
 #define SPARE_ABOVE 0.5
-/* Callers do not wait for longer before they come back. */
+/* Longest Retry-After. */
 #define RETURN_MAX_NS (5 * NSEC_PER_SEC)
 
 static double bucket_size(const struct quota *, const struct quota_account *);
@@ -42,7 +42,7 @@
 		b->tokens = size;
 }
 
-/* The time in which a rate makes up for missing tokens. */
+/* Time in which a rate yields a number of tokens, one hour at most. */
 static uint64_t
 time_for(double tokens, double per_s)
 {
@@ -54,9 +54,7 @@
 			  : (uint64_t)(s * (double)NSEC_PER_SEC);
 }
 
-/*
- * Until a refused request finds room, behind those that were refused before it.
- */
+/* Time until a refused request may be granted, after those refused earlier. */
 static uint64_t
 return_wait(struct quota_account *a, uint64_t now, uint64_t room_ns,
     double tokens, double per_s)
@@ -83,11 +81,11 @@
 	uint64_t wait_ns;
 
 	fill(q, now, a);
-	/* Sizes within the debt are treated alike. */
+	/* Requests up to the allowed debt need no tokens in the bucket. */
 	needed = tokens - DEBT_SHARE * q->slack * q->part;
 	if (needed < 0.0)
 		needed = 0.0;
-	/* More than this is never there: a larger one needs a full bucket. */
+	/* A request larger than the bucket needs a full one. */
 	if (needed > size && q->part >= 1.0)
 		needed = size;
 	wait_ns = time_for(needed - a->bucket.tokens, per_s);
@@ -107,7 +105,7 @@
 	}
 }
 
-/* A lower rate takes no longer to make up for a debt than the former one. */
+/* Scales a debt down with the rate, so that it is not paid off any later. */
 void
 quota_pool_rate_changed(struct quota_account *a, double per_s)
 {
--- a/core/shares.c
+++ b/core/shares.c
@@ -17,9 +17,9 @@
 #define LOST_PROBE_NS (2 * NSEC_PER_SEC)
 /* A candidate that was last heard of earlier is taken for lost. */
 #define ALIVE_NS (450 * NSEC_PER_MSEC)
-/* One that was lost takes over again after this time. */
+/* A candidate that returns has to stay alive for this time to be preferred. */
 #define STEADY_NS (3 * NSEC_PER_SEC)
-/* A process that stood still for longer goes on as if it had started. */
+/* Ticks further apart than this count as a pause, for example a freeze. */
 #define PAUSED_NS (500 * NSEC_PER_MSEC)
 
 /* A pool to which this process may lend. */
@@ -127,7 +127,7 @@
 	return strcmp(a->addr, b->addr);
 }
 
-/* Only the first few count, so that a selection of each next one suffices. */
+/* Only the first SHARES_CANDIDATES_MAX are used, so the rest stays sorted. */
 void
 shares_rank(struct share_candidate *c, size_t n)
 {
@@ -207,7 +207,7 @@
 	return p->acked_at != 0 && now < p->acked_at + ALIVE_NS && !p->closing;
 }
 
-/* After a pause nothing is known of loans, neither those made nor those got. */
+/* After a pause the process continues as if it had started. */
 static void
 note_pause(struct shares *s, uint64_t now)
 {
@@ -288,8 +288,7 @@
 	s->ops->send_loan(s->ctx, p->who.addr, &l);
 }
 
-/* A slot leaves its pool at once, and is lent again when that one's loan ends.
- */
+/* Takes a slot back; lends it to another pool once the loan has ended. */
 static void
 move_slot(struct shares *s, uint64_t now, struct slot *t, const char *to)
 {
@@ -349,7 +348,7 @@
 			send_loan(s, now, p);
 	}
 	choose_pools(s, now, chosen);
-	/* Slots keep their pools where these are chosen in another order. */
+	/* The same pools in another order move no slot. */
 	if (strcmp(s->slots[0].addr, chosen[1]) == 0 ||
 	    strcmp(s->slots[1].addr, chosen[0]) == 0) {
 		move_slot(s, now, &s->slots[0], chosen[1]);
@@ -406,7 +405,7 @@
 	struct slot *t;
 	uint32_t i;
 
-	/* What a slot was taken back with has arrived. */
+	/* The pool has received the loan that takes the slot back. */
 	for (i = 0; i < SHARES_SLOTS; i++) {
 		t = &s->slots[i];
 		if (t->returned_number != 0 &&
--- a/core/shares.h
+++ b/core/shares.h
@@ -60,7 +60,7 @@
     struct shares *, const struct share_candidate *, size_t);
 /* Sets the number of processes, 0 while it is not known: there is no share. */
 void shares_set_processes(struct shares *, uint32_t);
-/* This process ends, and takes no more loans. */
+/* This process is stopping and accepts no more loans. */
 void shares_close(struct shares *);
 /* Renews and moves loans; to be called some tens of times a second. */
 void shares_tick(struct shares *, uint64_t);
--- a/core/waitq.c
+++ b/core/waitq.c
@@ -16,7 +16,7 @@
 	UT_hash_handle hh;
 };
 
-/* An account that has had more than the others, or is waiting for more. */
+/* An account whose next turn is later than the current one. */
 struct waitq_account {
 	char name[NAME_SIZE];
 	uint64_t next_turn;
@@ -54,7 +54,7 @@
 	forget_accounts(q, 1);
 }
 
-/* Those that are not ahead are like those that are not known. */
+/* An account that is not ahead of the current turn needs no entry. */
 static void
 forget_accounts(struct waitq *q, int all)
 {
@@ -69,8 +69,9 @@
 }
 
 /*
- * The requests of an account take turns that are as far apart as they cost; one
- * that has asked for nothing lately begins at the current turn.
+ * Start-time fair queueing: the turns of an account's requests are as far apart
+ * as the requests cost.  An account without recent requests starts at the
+ * current turn.
  */
 static void
 set_turn(struct waitq *q, struct waitq_item *i)
--- a/entry/accounts/quota_io.c
+++ b/entry/accounts/quota_io.c
@@ -17,7 +17,7 @@
 #define ANSWER_WAIT_MAX_NS (1 * NSEC_PER_SEC)
 /* Part of its target latency for which it waits for tokens that come later. */
 #define TOKENS_WAIT_SHARE 5
-/* Processes come and go seldom. */
+/* Interval at which the candidates for pools are ranked. */
 #define RANK_NS (500 * NSEC_PER_MSEC)
 /* Accounts in the metrics: those with most refusals. */
 #define METRIC_ACCOUNTS_MAX 32
@@ -152,7 +152,7 @@
 	}
 }
 
-/* All processes choose the same ones, as the list of processes names them. */
+/* All processes rank the same list and choose the same candidates. */
 static void
 choose_candidates(struct quota_io *q)
 {
@@ -170,7 +170,7 @@
 	free(all);
 }
 
-/* Who does not know the number of processes does not know its share. */
+/* Without the list of processes the size of a share is unknown. */
 void
 quota_io_tick(struct quota_io *q)
 {
--- a/entry/callers/caller.c
+++ b/entry/callers/caller.c
@@ -343,12 +343,12 @@
 	uint64_t ns = limits_in_force(c->e).idle_timeout_ns + IDLE_MARGIN_NS;
 
 	if (c->e->now > ns && conn_is_unacked(c->conn, c->e->now - ns))
-		caller_give_way(c, "unread");
+		caller_evict(c, "unread");
 	else
 		caller_set_timer(c, CALLER_UNREAD_CHECK_NS);
 }
 
-/* What has been received and not parsed is bounded. */
+/* Reads on only while few bytes wait to be parsed. */
 static void
 caller_read_more(struct caller *c)
 {
--- a/entry/callers/caller_held.c
+++ b/entry/callers/caller_held.c
@@ -11,11 +11,11 @@
 #define WHOLE_SHARE 8
 /* The same for answers that callers have not read. */
 #define UNSENT_SHARE 6
-/* No VM's callers hold more, however large it is. */
+/* Upper limit of each kind, for VMs with much memory. */
 #define HELD_MAX_BYTES (48ULL << 20)
-/* One request of the largest size fits, whose buffer may be twice its size. */
+/* Least limit, in bodies of the largest size: a buffer may have twice that. */
 #define LARGEST_FACTOR 3
-/* A whole body is held here, composed, and buffered for the replica. */
+/* The caller's body, the composed request and the output buffer. */
 #define WHOLE_COPIES 3
 /* Descriptors of files, which the platform sets aside. */
 #define FILE_DESCRIPTORS 200
@@ -84,9 +84,9 @@
 }
 
 void
-caller_give_way(struct caller *c, const char *why)
+caller_evict(struct caller *c, const char *why)
 {
-	c->e->held.given_way++;
+	c->e->held.evicted++;
 	log_event(LOG_CALLER_DROPPED, NULL, "%s held=%zu silent_ms=%llu", why,
 	    c->held,
 	    (unsigned long long)((c->e->now - c->progress_at) / NSEC_PER_MSEC));
@@ -100,11 +100,11 @@
 	struct caller *other;
 
 	while (e->held.unfinished > most(e, UNFINISHED_SHARE)) {
-		/* The end of a stop goes through the list of callers. */
+		/* A stop iterates over the list of callers. */
 		other = e->stopping ? NULL : oldest_unfinished(e, c);
 		if (other == NULL)
 			return 0;
-		caller_give_way(other, "unfinished");
+		caller_evict(other, "unfinished");
 	}
 	return 1;
 }
@@ -147,11 +147,11 @@
 	c = oldest_idle(e);
 	if (c == NULL)
 		return 0;
-	caller_give_way(c, "connections");
+	caller_evict(c, "connections");
 	return 1;
 }
 
-/* The answers that are read least go first, where they fill the memory. */
+/* Closes the connections with the most unread bytes until the rest fits. */
 void
 callers_bound_answers(struct entry *e)
 {
@@ -171,7 +171,7 @@
 				largest = c;
 		}
 		if (e->held.unsent > most(e, UNSENT_SHARE) && largest != NULL)
-			caller_give_way(largest, "unread");
+			caller_evict(largest, "unread");
 	} while (e->held.unsent > most(e, UNSENT_SHARE) && largest != NULL);
 }
 
@@ -188,5 +188,5 @@
 	    "Held of answers that callers have not read.", e->held.unsent);
 	metric_write(f, "spindle_entry_callers_dropped_total", "counter",
 	    "Callers' connections closed to make room for others.",
-	    e->held.given_way);
+	    e->held.evicted);
 }
--- a/entry/callers/caller_int.h
+++ b/entry/callers/caller_int.h
@@ -51,8 +51,8 @@
 /* Closes at once, whatever the state of the request. */
 void caller_drop(struct caller *);
 /* caller_held.c */
-/* Closes the connection to make room for others; the reason is for the log. */
-void caller_give_way(struct caller *, const char *);
+/* Closes the connection to make room for others; the reason is logged. */
+void caller_evict(struct caller *, const char *);
 /* Counts what the caller's connection holds now. */
 void caller_held_update(struct caller *);
 /* The connection is closed: it holds nothing. */
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -83,10 +83,10 @@
 /* What callers' connections hold; see caller_held.c. */
 struct entry_held {
 	uint32_t ncallers;
-	size_t unfinished;  /* bytes of requests that are not whole */
-	size_t whole;	    /* of those that are */
-	size_t unsent;	    /* of answers, for callers that read slowly */
-	uint64_t given_way; /* connections closed to make room */
+	size_t unfinished; /* bytes of requests that are not whole */
+	size_t whole;	   /* of those that are */
+	size_t unsent;	   /* of answers, for callers that read slowly */
+	uint64_t evicted;  /* connections closed to make room */
 };
 
 /* Latencies of requests that were answered by a replica. */
--- a/shell/bus.c
+++ b/shell/bus.c
@@ -274,7 +274,7 @@
 		zmq_msg_close(&frame);
 		if (m == NULL) {
 			counter_add(&b->counts.malformed, 1);
-			/* Builds differ while VMs are replaced in turn. */
+			/* Expected during a rolling replacement. */
 			if (e.kind != ERR_UNSUPPORTED)
 				log_event(LOG_BUS_BAD, NULL, "%s", e.text);
 			continue;
--- a/tests/quota_world.h
+++ b/tests/quota_world.h
@@ -59,7 +59,7 @@
 	std::vector<Asked> waiting;
 };
 
-/* A quota that a process is told of later. */
+/* A change of a quota that one process has yet to apply. */
 struct Told {
 	uint64_t at;
 	int process;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -233,7 +233,7 @@
 	CU_ASSERT_FALSE(ask(q, 3 * S, "hot", 900, 0));
 	quota_give_back(q, 3 * S, "hot", 900, 3 * S);
 	CU_ASSERT_TRUE(ask(q, 3 * S, "hot", 900, 0));
-	/* What is given back again is no younger. */
+	/* Tokens that are returned twice keep their age. */
 	quota_give_back(q, 3 * S, "hot", 900, 3 * S);
 	CU_ASSERT_TRUE(quota_take(q, 3 * S + 300 * MS, "hot", 900, &asked_at));
 	CU_ASSERT_EQUAL(asked_at, 3 * S);
