--- a/review/world2.py
+++ b/review/world2.py
@@ -631,6 +631,77 @@
                 self.models[model].discard(adapter)
 
 
+class Plain:
+    """A replica of a plain service: each run takes a time."""
+
+    def __init__(self, world, id, service, slots=6, work_s=0.03):
+        self.world, self.id, self.service = world, id, service
+        self.slots, self.work_s = slots, work_s
+        self.state, self.beats, self.listed = "ready", 0, True
+        self.born = int(time.time() * 1000)
+        self.ran = []           # (id, request line), as runs begin
+        self.running = 0
+        self.ip = "%s.%d" % (world.net, 100 + next(world.replica_ports))
+
+    async def start(self):
+        self.port = free_ports(self.ip, 1)[0]
+        self.server = await asyncio.start_server(
+            self.serve, self.ip, self.port)
+        self.world.servers.append(self.server)
+        self.world.tasks.append(asyncio.create_task(self.heartbeat()))
+
+    async def heartbeat(self):
+        while self.listed:
+            self.beats += 1
+            self.world.store.put("servers/" + self.id, {
+                "service": self.service,
+                "address": "%s:%d" % (self.ip, self.port), "zone": "z1",
+                "version": "v1", "slots": self.slots, "state": self.state,
+                "cold_left_ms": 0, "sequence": self.beats,
+                "born": self.born})
+            await asyncio.sleep(1.2)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                message = await read_message(reader)
+                if message is None:
+                    return
+                await self.answer(message, writer)
+        except (ConnectionError, asyncio.IncompleteReadError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, message, writer):
+        line, fields, body = message
+        id = fields.get(ID.lower(), "")
+        if fields.get("arbutusspindle-expect-instance",
+                      self.id) != self.id:
+            self.write(writer, 421, b"", {NOT_RUN: "1", ID: id})
+        elif self.running >= self.slots:
+            self.write(writer, 503, b"", {NOT_RUN: "1", ID: id})
+        else:
+            self.ran.append((id, line))
+            self.world.record("replica %s of %s runs %s (%s)" % (
+                self.id, self.service, id, line))
+            self.running += 1
+            try:
+                await asyncio.sleep(self.work_s)
+            finally:
+                self.running -= 1
+            self.write(writer, 200, b"done by " + self.id.encode(), {
+                ID: id, SIGNATURE: "%s.%s" % (self.id, id)})
+        await writer.drain()
+
+    def write(self, writer, status, body, fields):
+        out = "HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (
+            status, len(body))
+        out += "".join("%s: %s\r\n" % f for f in fields.items())
+        writer.write(out.encode() + b"\r\n" + body)
+
+
 def play(folder, case):
     """Plays a case: an async function of the folder and of whether there is
     the disruption.  Returns the exit status."""
