--- a/review/world2.py
+++ b/review/world2.py
@@ -437,11 +437,14 @@
     """A model replica: runs streams, carries orders out, registers itself."""
 
     def __init__(self, world, id, service, slots, adapter_slots, weights_mb,
-                 models, events=300, gap_s=0.04):
+                 models, events=300, gap_s=0.04, sizes=None, load_s=2.2):
         self.world, self.id, self.service = world, id, service
         self.slots, self.adapter_slots = slots, adapter_slots
         self.weights_mb, self.events, self.gap_s = weights_mb, events, gap_s
         self.models = {m: set() for m in models}   # with their adapters
+        self.sizes = sizes or {}    # of models, in MB
+        self.load_s = load_s
+        self.changing = None        # the model that an order loads or unloads
         self.coming = {}        # (model, adapter) -> task
         self.dropping = set()   # adapters whose unload waits for its runs
         self.runs = {}          # id -> (model, adapter)
@@ -525,7 +528,8 @@
         elif target == "/api/report":
             self.write_doc(writer, 200, {
                 "stage": "colocated", "models": self.describe(),
-                "occupied": False, "sequence": self.sequence, "queued": 0,
+                "occupied": self.changing is not None,
+                "sequence": self.sequence, "queued": 0,
                 "in_flight": len(self.runs), "kv_used": 0,
                 "kv_total": 146448, "handles": 0, "born": self.born,
                 "coming": ["%s/%s@1" % c for c in sorted(self.coming)]})
@@ -539,12 +543,12 @@
         status = self.order_status(doc)
         self.world.record(
             "replica %s: order %s %s%s of %s, expected %s, fencing token %s:"
-            " %d; %d of %d adapter slots taken" % (
+            " %d; %d of %d adapter slots taken, %d models" % (
                 self.id, doc["operation"], doc["model"],
                 "/" + doc["adapter"] if "adapter" in doc else "",
                 doc.get("holder"), doc.get("expected"),
                 doc.get("fencing_token"), status, self.taken(),
-                self.adapter_slots))
+                self.adapter_slots, len(self.models)))
         if not self.crashed:
             self.write_doc(writer, status, {"sequence": self.sequence})
 
@@ -557,8 +561,10 @@
         if doc.get("expected", self.sequence) != self.sequence:
             return 409
         model, adapter = doc["model"], doc.get("adapter")
-        if adapter is None or model not in self.models:
-            return 400          # these cases load and unload adapters only
+        if adapter is None:
+            return self.model_order(doc["operation"], model)
+        if model not in self.models:
+            return 421
         if doc["operation"] == "load":
             if adapter in self.models[model] or (
                     model, adapter) in self.coming:
@@ -581,6 +587,36 @@
         self.dropping.add((model, adapter))
         return 202
 
+    def model_order(self, operation, model):
+        if model not in self.sizes:
+            return 400
+        if (operation == "load") == (model in self.models):
+            return 200
+        if self.changing is not None:
+            return 409
+        self.sequence += 1
+        self.changing = model
+        if operation == "load":
+            used = sum(self.sizes[m] for m in self.models)
+            if used + self.sizes[model] > self.weights_mb:
+                self.crash("ordered to load %s of %d MB beside %d models of "
+                           "%d MB, of %d MB in all" % (
+                               model, self.sizes[model], len(self.models),
+                               used, self.weights_mb))
+        self.world.tasks.append(asyncio.create_task(
+            self.change(operation, model)))
+        return 202
+
+    async def change(self, operation, model):
+        if operation == "load":
+            await asyncio.sleep(self.load_s)
+            self.models[model] = set()
+        else:
+            while any(m == model for m, _ in self.runs.values()):
+                await asyncio.sleep(0.02)
+            self.models.pop(model, None)
+        self.changing = None
+
     async def bring(self, model, adapter):
         await asyncio.sleep(0.0094)
         del self.coming[model, adapter]
