--- a/review/world2.py
+++ b/review/world2.py
@@ -347,6 +347,9 @@
         for node in self.nodes:
             await self.until(node.is_ready, 15, "%s is not ready" % node.name)
 
+    def now(self):
+        return time.monotonic() - self.record.since
+
     async def until(self, test, seconds, text):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -676,7 +679,9 @@
         self.state, self.beats, self.listed = "ready", 0, True
         self.born = int(time.time() * 1000)
         self.ran = []           # (id, request line), as runs begin
+        self.began = []         # (id, seconds since the start), the same
         self.running = 0
+        self.writers = set()
         self.ip = "%s.%d" % (world.net, 100 + next(world.replica_ports))
 
     async def start(self):
@@ -688,16 +693,27 @@
 
     async def heartbeat(self):
         while self.listed:
-            self.beats += 1
-            self.world.store.put("servers/" + self.id, {
-                "service": self.service,
-                "address": "%s:%d" % (self.ip, self.port), "zone": "z1",
-                "version": "v1", "slots": self.slots, "state": self.state,
-                "cold_left_ms": 0, "sequence": self.beats,
-                "born": self.born})
+            self.announce()
             await asyncio.sleep(1.2)
 
+    def announce(self):
+        self.beats += 1
+        self.world.store.put("servers/" + self.id, {
+            "service": self.service,
+            "address": "%s:%d" % (self.ip, self.port), "zone": "z1",
+            "version": "v1", "slots": self.slots, "state": self.state,
+            "cold_left_ms": 0, "sequence": self.beats, "born": self.born})
+
+    def leave(self):
+        """Exits: its entry goes, and nobody listens at its address."""
+        self.listed = False
+        self.world.store.remove("servers/" + self.id)
+        self.server.close()
+        for w in list(self.writers):
+            w.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -708,6 +724,7 @@
                 asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, message, writer):
@@ -720,6 +737,7 @@
             self.write(writer, 503, b"", {NOT_RUN: "1", ID: id})
         else:
             self.ran.append((id, line))
+            self.began.append((id, self.world.now()))
             self.world.record("replica %s of %s runs %s (%s)" % (
                 self.id, self.service, id, line))
             self.running += 1
