--- a/review/7/case.py
+++ b/review/7/case.py
@@ -31,8 +31,8 @@
                  for n in ("werkstatt", "giesserei")]}
 
 
-async def case(folder, trouble):
-    w = world2.World(folder, 3, CONFIG)
+async def case(record, trouble):
+    w = world2.World(record, 3, CONFIG)
     await w.start()
     try:
         return await play(w, trouble)
@@ -113,4 +113,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(world2.play(HERE, case))
+    sys.exit(world2.play(os.path.join(HERE, "record.txt"), case))
