config: names, texts and splits of any length

Callers saw: a version that adds a route with a name of 75 characters was never in force, nor was any later one.

Cause: the configuration kept texts in arrays of 64 and 128 bytes and at most 8 targets of a split, and the decoder refused the whole document for one text that did not fit. The store bounds only the document. The list of replicas refused or cut the same names; two models with 60 equal characters became one.

Change: texts and targets belong to their route or service and have any length. Names are known by keys of bounded size, which end in a hash of the whole name where it is longer; tables and messages keep their sizes. What goes out to replicas, orders and the account's field, bears the full name.

Why it works: no length of a text decides any more whether a version decodes, and no name is cut, so that different ones stay different.

--- a/Makefile
+++ b/Makefile
@@ -136,6 +136,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_conf_bounds: $(BUILD)/tests/test_conf_bounds.o \
+    $(BUILD)/tests/unit.o $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_fields: $(BUILD)/tests/test_fields.o $(BUILD)/tests/unit.o \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
--- a/core/attempt.h
+++ b/core/attempt.h
@@ -20,7 +20,7 @@
 /* Parameters of a caller's request. */
 struct request_params {
 	char id[REQUEST_ID_SIZE];      /* of the caller's attempt */
-	char model[NAME_SIZE];	       /* "" for a plain service */
+	char model[NAME_SIZE];	       /* key, "" for a plain service */
 	char adapter[FLEET_NAME_SIZE]; /* MODEL/ADAPTER, or "" */
 	int counts_tokens; /* it names both numbers of tokens below */
 	uint32_t prompt_tokens;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -6,6 +6,7 @@
 #include "key_table.h"
 #include "mem.h"
 
+static void service_clear(struct fleet_service *);
 static int compare_prefix_length(const void *, const void *);
 static int host_matches(const char *, const char *);
 
@@ -15,6 +16,22 @@
 	return mem_alloc(sizeof(struct fleet_conf));
 }
 
+static void
+service_clear(struct fleet_service *s)
+{
+	struct fleet_engine *g = s->engine;
+	uint32_t i;
+
+	free(s->health_path);
+	if (g == NULL)
+		return;
+	HASH_CLEAR(hh, g->index);
+	for (i = 0; i < g->nmodels; i++)
+		free(g->models[i].full_name);
+	free(g->models);
+	free(g);
+}
+
 void
 fleet_conf_destroy(struct fleet_conf *c)
 {
@@ -22,13 +39,12 @@
 
 	if (c == NULL)
 		return;
-	for (i = 0; i < c->nservices; i++) {
-		if (c->services[i].engine == NULL)
-			continue;
-		HASH_CLEAR(hh, c->services[i].engine->index);
-		free(c->services[i].engine->models);
-		free(c->services[i].engine);
-	}
+	for (i = 0; i < c->nroutes; i++)
+		fleet_route_clear(&c->routes[i]);
+	for (i = 0; i < c->nservices; i++)
+		service_clear(&c->services[i]);
+	for (i = 0; i < c->naccounts; i++)
+		free(c->accounts[i].full_name);
 	key_table_destroy(c->keys);
 	free(c->accounts);
 	free(c->services);
@@ -131,6 +147,27 @@
 	return NULL;
 }
 
+void
+fleet_route_copy(struct fleet_route *to, const struct fleet_route *from)
+{
+	size_t size = from->ntargets * sizeof(*from->targets);
+
+	*to = *from;
+	to->host = NULL;
+	to->path_prefix = NULL;
+	to->targets = mem_alloc(size + 1);
+	if (size != 0)
+		memcpy(to->targets, from->targets, size);
+}
+
+void
+fleet_route_clear(struct fleet_route *r)
+{
+	free(r->host);
+	free(r->path_prefix);
+	free(r->targets);
+}
+
 int
 fleet_route_targets(const struct fleet_route *r, const char *service)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -9,9 +9,8 @@
 
 #include "base.h"
 
-#define FLEET_TARGETS_MAX 8   /* services that share one route's traffic */
-#define FLEET_RESIDENT_MAX 16 /* models loaded on one replica */
-#define FLEET_ADAPTERS_MAX 32 /* adapters loaded on one replica */
+#define FLEET_RESIDENT_MAX 16	     /* models loaded on one replica */
+#define FLEET_ADAPTERS_MAX 32	     /* adapters loaded on one replica */
 #define FLEET_LOADING_ADAPTERS_MAX 4 /* being loaded on one replica */
 #define FLEET_NAME_SIZE 96	     /* MODEL/ADAPTER */
 
@@ -24,7 +23,8 @@
 
 /* A client account of the operator's, by whose keys callers are admitted. */
 struct fleet_account {
-	char name[NAME_SIZE];
+	char name[NAME_SIZE]; /* key of the full name */
+	char *full_name;
 	int has_priority; /* goes before the route's */
 	uint32_t priority;
 	int counts_tokens;	 /* its quota is in tokens, or in requests */
@@ -40,8 +40,8 @@
 
 struct fleet_route {
 	char name[NAME_SIZE];
-	char host[PATH_SIZE];
-	char path_prefix[PATH_SIZE]; /* starts and ends with a slash */
+	char *host;
+	char *path_prefix; /* starts and ends with a slash */
 	enum route_kind kind;
 	int is_public;	       /* needs no key of an account */
 	int resumable;	       /* a stream may continue on another replica */
@@ -51,11 +51,12 @@
 	uint64_t target_latency_ns; /* to the response or its first event */
 	uint64_t target_gap_ns;	    /* between two events of a stream */
 	uint32_t ntargets;
-	struct fleet_target targets[FLEET_TARGETS_MAX];
+	struct fleet_target *targets;
 };
 
 struct fleet_model {
-	char name[NAME_SIZE];
+	char name[NAME_SIZE]; /* key of the full name */
+	char *full_name;
 	uint64_t memory_mb;
 	uint64_t store_load_ns; /* load time from the weight store */
 	uint64_t disk_load_ns;	/* load time from the replica's disk */
@@ -82,7 +83,7 @@
 
 struct fleet_service {
 	char name[NAME_SIZE];
-	char health_path[PATH_SIZE];
+	char *health_path;
 	uint32_t max_conns;	     /* to one replica, from all processes */
 	struct fleet_engine *engine; /* NULL for a plain service */
 };
@@ -95,7 +96,10 @@
 	uint64_t idle_timeout_ns;
 };
 
-/* One version of the operator's configuration; immutable. */
+/*
+ * One version of the operator's configuration; immutable.  Its names are keys,
+ * see name.h; its other texts have any length.
+ */
 struct fleet_conf {
 	uint64_t version;
 	struct fleet_limits limits;
@@ -158,6 +162,13 @@
     const struct fleet_conf *, const char *);
 const struct fleet_model *fleet_find_model(
     const struct fleet_engine *, const char *);
+/*
+ * Copies what a request needs of a route beyond the life of its configuration:
+ * all but the host and the prefix, which are NULL.
+ */
+void fleet_route_copy(struct fleet_route *, const struct fleet_route *);
+/* Frees the texts and targets of a route. */
+void fleet_route_clear(struct fleet_route *);
 /* Whether a route goes to a service. */
 int fleet_route_targets(const struct fleet_route *, const char *);
 /* The account of a key of a length, or NULL. */
--- a/entry/accounts/quota_io.c
+++ b/entry/accounts/quota_io.c
@@ -206,6 +206,7 @@
 		return -1;
 	}
 	memcpy(f->account, a->name, sizeof(f->account));
+	f->account_name = mem_strdup(a->full_name);
 	/* Among callers of equal accounts, routes keep their order. */
 	if (a->has_priority)
 		f->route.priority += a->priority * ROUTE_PRIORITIES;
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -94,7 +94,7 @@
 	t.replica = f->replica->info.id;
 	t.timeout_ns = forward_time_left(f);
 	t.resume_after = f->response_started ? f->passed.written_id : 0;
-	t.account = f->account;
+	t.account = f->account_name;
 	t.checks_keys = f->account[0] != '\0' ||
 	    (f->e->conf != NULL && f->e->conf->has_accounts);
 	t.body_len = buf_len(body);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -77,6 +77,8 @@
 	if (f->waiting.group != NULL)
 		waitq_remove(&e->waiting, &f->waiting);
 	TAILQ_REMOVE(&e->requests, f, entry);
+	fleet_route_clear(&f->route);
+	free(f->account_name);
 	buf_free(&f->body);
 	sse_free(&f->events);
 	free(f->response_head.fields);
--- a/entry/forward_int.h
+++ b/entry/forward_int.h
@@ -29,6 +29,7 @@
 	int recorded;		      /* in the key-value service */
 	struct stream_lookup *lookup; /* the version is being looked up */
 	char account[NAME_SIZE];      /* of its caller, "": none */
+	char *account_name;	      /* the same in full, NULL: none */
 	uint64_t quota_tokens;	      /* that it costs */
 	uint32_t quota_tries;	      /* to get them, at pools in turn */
 	uint64_t quota_id;	      /* of its request for them, 0: none yet */
--- a/entry/forwarding/forward_admit.c
+++ b/entry/forwarding/forward_admit.c
@@ -38,7 +38,7 @@
 	    f->e->conf, host == NULL ? "" : host, http_request_target(h));
 	if (r == NULL)
 		return 404;
-	f->route = *r;
+	fleet_route_copy(&f->route, r);
 	if (quota_io_identify(f) == -1)
 		return 401;
 	t = fleet_pick_target(r, entry_random(f->e));
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -41,6 +41,8 @@
 };
 
 static void on_order_answer(void *, int, const char *, size_t);
+static const char *full_model_name(
+    const struct entry *, const struct loader_order *);
 static void send_order(struct entry *, const struct loader_order *);
 static void send_orders(
     struct entry *, struct kv_ops *, struct loader_orders *);
@@ -171,6 +173,22 @@
 	free(c);
 }
 
+/* An order to a model that has left the configuration bears its key. */
+static const char *
+full_model_name(const struct entry *e, const struct loader_order *o)
+{
+	const struct directory_replica *m = directory_find(&e->dir, o->replica);
+	const struct fleet_service *s = NULL;
+	const struct fleet_model *model = NULL;
+
+	if (m != NULL && e->conf != NULL)
+		s = fleet_find_service(e->conf, m->info.service);
+	if (s != NULL && s->engine != NULL)
+		model = fleet_find_model(s->engine, o->model);
+	return model == NULL || model->full_name == NULL ? o->model
+							 : model->full_name;
+}
+
 static void
 send_order(struct entry *e, const struct loader_order *o)
 {
@@ -184,7 +202,8 @@
 	c->e = e;
 	c->o = *o;
 	if (o->kind != LOADER_REPORT)
-		body = platform_order_body(o, e->boot.vm);
+		body =
+		    platform_order_body(o, full_model_name(e, o), e->boot.vm);
 	fields_write_control_request(&out,
 	    body == NULL ? REPORT_TARGET : ORDER_TARGET, o->addr, o->replica,
 	    body);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -34,11 +34,11 @@
 
 	c->routes = mem_alloc(4 * sizeof(*c->routes));
 	for (i = 0; i < 3; i++) {
-		strcpy(c->routes[i].host, "shop.example");
-		strcpy(c->routes[i].path_prefix, prefixes[i]);
+		c->routes[i].host = mem_strdup("shop.example");
+		c->routes[i].path_prefix = mem_strdup(prefixes[i]);
 	}
-	strcpy(c->routes[3].host, "other.example");
-	strcpy(c->routes[3].path_prefix, "/a/b/c/");
+	c->routes[3].host = mem_strdup("other.example");
+	c->routes[3].path_prefix = mem_strdup("/a/b/c/");
 	c->nroutes = 4;
 	fleet_conf_sort_routes(c);
 	r = fleet_find_route(c, "shop.example", "/a/b/c/d");
@@ -55,10 +55,13 @@
 static void
 test_split(void)
 {
+	struct fleet_target targets[3];
 	struct fleet_route r;
 
 	memset(&r, 0, sizeof(r));
+	memset(targets, 0, sizeof(targets));
 	CU_ASSERT_PTR_NULL(fleet_pick_target(&r, 0.5));
+	r.targets = targets;
 	r.ntargets = 3;
 	r.targets[0].weight = 90;
 	r.targets[1].weight = 0;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -495,7 +495,7 @@
 		.adapter = "m/a3",
 		.expected_sequence = 2,
 		.fence = 41 };
-	char *body = platform_order_body(&o, "node-7");
+	char *body = platform_order_body(&o, "m", "node-7");
 
 	CU_ASSERT_STRING_EQUAL(body,
 	    "{\"operation\":\"load\",\"model\":\"m\",\"expected\":2,"
