--- a/entry/accounts/quota_io.c
+++ b/entry/accounts/quota_io.c
@@ -23,7 +23,8 @@
 #define METRIC_ACCOUNTS_MAX 32
 
 /* Priorities of routes are below this. */
-#define ROUTE_PRIORITIES 256
+#define ROUTE_PRIORITIES 256U
+#define ACCOUNT_PRIORITY_MAX (UINT32_MAX / ROUTE_PRIORITIES - 1)
 /* Weight in the queue of an account without a quota, as a rate. */
 #define UNLIMITED_PER_S 100000.0
 struct quota_io {
@@ -38,6 +39,7 @@
 static void send_loan(void *, const char *, const struct share_loan *);
 static void send_ack(void *, const char *, const struct share_ack *);
 static void choose_candidates(struct quota_io *);
+static uint32_t priority_of(uint32_t, uint32_t);
 static void send_request(void *, const char *, const struct quota_request *);
 static void send_answer(void *, const char *, const struct quota_answer *);
 static void on_answered(void *, const struct quota_answer *);
@@ -190,6 +192,17 @@
 	quota_set_part(q->quota, e->now, shares_part(q->shares, e->now));
 }
 
+/* Larger priorities than the queue tells apart are equal, and last. */
+static uint32_t
+priority_of(uint32_t account, uint32_t route)
+{
+	if (account > ACCOUNT_PRIORITY_MAX)
+		account = ACCOUNT_PRIORITY_MAX;
+	if (route >= ROUTE_PRIORITIES)
+		route = ROUTE_PRIORITIES - 1;
+	return account * ROUTE_PRIORITIES + route;
+}
+
 int
 quota_io_identify(struct forward *f)
 {
@@ -209,7 +222,7 @@
 	f->account_name = mem_strdup(a->full_name);
 	/* Among callers of equal accounts, routes keep their order. */
 	if (a->has_priority)
-		f->route.priority += a->priority * ROUTE_PRIORITIES;
+		f->route.priority = priority_of(a->priority, f->route.priority);
 	f->quota_tokens = 1;
 	if (a->counts_tokens)
 		f->quota_tokens =
--- a/entry/callers/caller.c
+++ b/entry/callers/caller.c
@@ -434,6 +434,7 @@
 	const char *length = http_field_find(h, "Content-Length");
 
 	c->head_received = 1;
+	c->head_too_large = h->bytes > limits_in_force(c->e).max_header_bytes;
 	c->whole_by = c->request_started_at + WHOLE_BY_DEFAULT_NS;
 	if (fields_timeout(h) != 0)
 		c->whole_by = c->request_started_at + fields_timeout(h);
@@ -479,8 +480,9 @@
 	if (!http_reader_in_message(c->reader))
 		c->request_started_at = c->e->now;
 	n = http_reader_feed(c->reader, p, len);
-	if (http_reader_head_bytes(c->reader) >
-	    limits_in_force(c->e).max_header_bytes) {
+	if (c->head_too_large ||
+	    http_reader_head_bytes(c->reader) >
+		limits_in_force(c->e).max_header_bytes) {
 		caller_reject(c, 431, "the header is too large");
 		return;
 	}
--- a/entry/callers/caller_int.h
+++ b/entry/callers/caller_int.h
@@ -29,6 +29,7 @@
 	int in_request;	   /* a complete request is being handled */
 	int head_received; /* of the request being read */
 	int request_complete;
+	int head_too_large;
 	int body_too_large;
 	int unread; /* its answers wait to be read, and it is not read */
 	uint64_t progress_at; /* latest input */
--- a/net/http.c
+++ b/net/http.c
@@ -24,12 +24,15 @@
 	int invalid;
 	int no_body; /* response to HEAD */
 	size_t head_bytes;
+	size_t parsing;	   /* bytes that the parser has now */
 	uint32_t ninterim; /* before the current response */
 	struct http_head head;
 };
 
 /* Interim responses before a final one; more are taken as no response. */
 #define INTERIM_MAX 16
+/* Of the largest head that is accepted, whatever callers may send. */
+#define HEAD_SIZE_MIN 65536
 
 static void reader_restart(struct http_reader *);
 static int on_begin(http_parser *);
@@ -249,6 +252,7 @@
 		return -1;
 	}
 	r->head_done = 1;
+	h->bytes = r->head_bytes + r->parsing;
 	r->head_bytes = 0;
 	/* An interim (1xx) response has no body; another head follows. */
 	if (r->kind == HTTP_READ_RESPONSES && h->status / 100 == 1)
@@ -329,6 +333,7 @@
 
 	if (r->framing.state != FRAMING_BODY)
 		n = http_framing_scan(&r->framing, p, len);
+	r->parsing = n;
 	parsed = reader_execute(r, p, n);
 	if (parsed == -1 || r->framing.state == FRAMING_INVALID)
 		return -1;
@@ -476,5 +481,8 @@
 void
 http_set_max_head_size(size_t bytes)
 {
-	http_parser_set_max_header_size((uint32_t)bytes);
+	if (bytes < HEAD_SIZE_MIN)
+		bytes = HEAD_SIZE_MIN;
+	http_parser_set_max_header_size(
+	    bytes > UINT32_MAX ? UINT32_MAX : (uint32_t)bytes);
 }
--- a/net/http.h
+++ b/net/http.h
@@ -25,6 +25,7 @@
 	int keep_alive;
 	int close_delimited; /* the body ends at connection close */
 	size_t target;	     /* offset of the request target */
+	size_t bytes;	     /* received */
 	size_t nfields;
 	size_t fields_capacity;
 	struct http_field *fields;
@@ -72,7 +73,10 @@
 int http_field_is_hop_by_hop(const struct http_head *, const char *);
 /* Reason phrase of a status code. */
 const char *http_reason_phrase(int);
-/* Sets the largest head, in bytes, that any reader accepts. */
+/*
+ * Sets the largest head, in bytes, that any reader accepts; those of answers
+ * may have 64 KB whatever the limit on callers is.
+ */
 void http_set_max_head_size(size_t);
 
 #endif
--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -92,5 +92,30 @@
         w.stop()
 
 
+def test_version_with_large_limits():
+    """A limit of 2^32 bytes on headers bounds neither callers nor the answers
+    of the service, as a small one does not bound the latter: requests are
+    served and later versions put in force."""
+    w = World()
+    try:
+        w.replica("i-1")
+        w.wait_ready()
+        w.wait("listed", lambda: w.events("replica-listed"))
+        number = 5
+        for size in (1 << 32, 1 << 53, 200):
+            config = default_config(
+                version=number, max_header_bytes=size, max_body_bytes=size,
+                idle_timeout_ms=max(size, 1500))
+            config["routes"][0].update(priority=1.0, timeout_ms=1 << 53)
+            check("in force: %d" % size, put(w, config))
+            check("served: %d" % size,
+                  w.call("/read/x", "n-%d" % number)[0] == 200)
+            number += 1
+        status = w.call("/read/x", "n-0", fields={"X-Long": "x" * 300})[0]
+        check("a large header is refused: %d" % status, status == 431)
+    finally:
+        w.stop()
+
+
 if __name__ == "__main__":
     sys.exit(entry.main(sys.argv[1:], globals()))
--- a/tests/test_conf_bounds.c
+++ b/tests/test_conf_bounds.c
@@ -19,6 +19,8 @@
 static void test_long_names(void);
 static void test_long_texts(void);
 static void test_wide_split(void);
+static void test_numbers(void);
+static void test_large_numbers(void);
 
 static const size_t lengths[] = { 1, 63, 64, 65, 127, 128, 200, LONGEST };
 
@@ -218,10 +220,77 @@
 	fleet_route_clear(&copy);
 }
 
+#define NUMBERS(n, large)                                                      \
+	"{\"version\":" n ".0,\"limits\":{\"max_header_bytes\":" large         \
+	",\"max_body_bytes\":" large ",\"idle_timeout_ms\":" large             \
+	"},\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","  \
+	"\"kind\":\"idempotent\",\"service\":\"s\",\"priority\":" n            \
+	".0,\"max_attempts\":" large ",\"timeout_ms\":" large                  \
+	"}],\"services\":[{\"name\":\"s\",\"health_path\":\"/\","              \
+	"\"max_conns\":" large ",\"engine\":{\"slots\":" large                 \
+	",\"adapter_slots\":" large                                            \
+	",\"models\":[{\"name\":\"m\",\"load_s\":" large                       \
+	",\"adapters\":" large ",\"adapter_mb\":" large                        \
+	",\"weights_mb\":" large "}]}}]}"
+
+/* Guards against a version that is kept out for an integer written as 1.0. */
+static void
+test_numbers(void)
+{
+	struct buf text = { 0 };
+	struct fleet_conf *c;
+
+	buf_add_string(&text, NUMBERS("7", "300.0"));
+	c = decode(&text);
+	CU_ASSERT_EQUAL(c->version, 7);
+	CU_ASSERT_EQUAL(c->routes[0].priority, 7);
+	CU_ASSERT_EQUAL(c->routes[0].max_attempts, 300);
+	CU_ASSERT_EQUAL(c->routes[0].timeout_ns, 300 * NSEC_PER_MSEC);
+	CU_ASSERT_EQUAL(c->services[0].engine->models[0].adapter_count, 300);
+	fleet_conf_destroy(c);
+}
+
+/*
+ * Guards against a version that is kept out for a number beyond 2^32, 2^53 or
+ * 2^63, and against one that is cut to a small one.
+ */
+static void
+test_large_numbers(void)
+{
+	static const char *const texts[] = { NUMBERS("7", "4294967296"),
+		NUMBERS("7", "9007199254740993"),
+		NUMBERS("7", "18446744073709551615") };
+	const struct fleet_engine *g;
+	struct buf text = { 0 };
+	struct fleet_conf *c;
+	size_t i;
+
+	for (i = 0; i < nitems(texts); i++) {
+		buf_add_string(&text, texts[i]);
+		c = decode(&text);
+		CU_ASSERT_EQUAL(c->version, 7);
+		CU_ASSERT(c->limits.max_header_bytes >= 4294967296ULL);
+		CU_ASSERT(c->limits.idle_timeout_ns >= 4294967295ULL);
+		CU_ASSERT(c->limits.idle_timeout_ns <= INT64_MAX);
+		CU_ASSERT_EQUAL(c->routes[0].max_attempts, UINT32_MAX);
+		CU_ASSERT(c->routes[0].timeout_ns <= INT64_MAX);
+		CU_ASSERT_EQUAL(c->services[0].max_conns, UINT32_MAX);
+		g = c->services[0].engine;
+		CU_ASSERT(g->models[0].store_load_ns <= INT64_MAX);
+		CU_ASSERT(g->models[0].memory_mb >= 1000000000ULL);
+		/* Nothing fits beside what cannot be computed. */
+		CU_ASSERT(g->largest_adapter_mb * g->adapter_slots >=
+		    g->largest_adapter_mb);
+		fleet_conf_destroy(c);
+	}
+}
+
 static const struct unit_case cases[] = {
 	{ "different names have different keys", test_keys },
 	{ "names of any length", test_long_names },
 	{ "hosts, prefixes and paths of any length", test_long_texts },
+	{ "integers with a point", test_numbers },
+	{ "numbers of any size", test_large_numbers },
 	{ "a split over any number of services", test_wide_split },
 };
 
