--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,4 +1,4 @@
-"""Rare adapters are asked for at once, on replicas with 40 places for them."""
+"""All processes are killed, with a store whose revisions are large."""
 import asyncio
 import os
 import sys
@@ -8,24 +8,32 @@
 sys.path.insert(0, os.path.dirname(HERE))
 from world3 import HOST, Replica, play, trouble  # noqa: E402
 
-PLACES, ADAPTERS, USUAL = int(os.environ.get("PLACES", 40)), 96, 12
+FIRST = int(os.environ.get("FIRST", 1796670000000))
+RECOVERY_S = 12
+MODELS = ["daka51000%d" % i for i in range(4)]
 ENGINE = {"slots": 64, "kv_capacity": 146448, "stride": 2,
-          "weights_mb": 230000, "adapter_slots": PLACES, "loads_per_s": 1.5,
-          "models": [{"name": "daka510000", "weights_mb": 65100,
-                      "load_s": 2.2, "adapters": ADAPTERS,
-                      "adapter_mb": 12}]}
+          "weights_mb": 230000, "adapter_slots": 8, "loads_per_s": 1.5,
+          "models": [{"name": m, "weights_mb": 65100, "load_s": 2.2,
+                      "adapters": 0, "adapter_mb": 12} for m in MODELS]}
 
 
-async def client(w, machine, number, count):
-    """Asks for adapters one after another; comes back after a refusal."""
-    for i in range(count):
-        model = "daka510000/a%d" % (number(i) + 1)
-        end = time.monotonic() + 10
-        while time.monotonic() < end and not w.breaks:
-            status, fields, _, _ = await w.ask(machine, "/lohu930/2f", model)
-            if status != 503:
-                break
-            await asyncio.sleep(float(fields.get("retry-after", "0.3")))
+async def clients(w, until):
+    """Two requests a second at each machine; (sent, served)."""
+    counts = [0, 0]
+
+    async def one(n, model):
+        counts[0] += 1
+        status, _, _, whole = await w.ask(n, "/lohu930/2f", model)
+        counts[1] += status == 200 and whole
+    tasks = []
+    i = 0
+    while time.monotonic() < until:
+        for n in (1, 2, 3):
+            i += 1
+            tasks.append(asyncio.ensure_future(one(n, MODELS[i % 4])))
+        await asyncio.sleep(0.5)
+    await asyncio.gather(*tasks)
+    return counts
 
 
 async def case(w):
@@ -38,7 +46,7 @@
         [{"name": "griffel", "health_path": "/health", "max_conns": 370,
           "engine": ENGINE}])
     replicas = [Replica(w, "i-7f3a91c%d" % i, "griffel", ENGINE,
-                        ["daka510000"]) for i in range(2)]
+                        MODELS[i * 2:i * 2 + 2]) for i in range(2)]
     for r in replicas:
         await r.start("127.0.0.1")
     for n in (1, 2, 3):
@@ -46,19 +54,38 @@
     for n in (1, 2, 3):
         if not await w.ready(n):
             return False
-    await asyncio.sleep(4)
-    work = [client(w, n, lambda i, n=n: (7 * i + n) % USUAL, 30)
-            for n in (1, 2, 3)]
+    await asyncio.sleep(5)
+    before = await clients(w, time.monotonic() + 10)
+    w.record("before: %d of %d served" % (before[1], before[0]))
+    if before[1] * 4 < before[0]:
+        return False
+    # Replicas crash and start again, empty.
+    for i, r in enumerate(replicas):
+        await r.crash()
+        w.store.put([], ["servers/" + r.name])
+        w.record("%s crashes" % r.name)
     if trouble():
-        # A burst for rare adapters: each once, of six clients, in some seconds.
-        work += [client(w, 1 + c % 3,
-                        lambda i, c=c: USUAL + c * 14 + i, 14)
-                 for c in range(6)]
-    await asyncio.gather(*work)
-    for r in replicas:
-        w.record("%s held %d adapters at most, of %d places" % (
-            r.name, r.most_adapters, PLACES))
+        for n in (1, 2, 3):
+            w.kill(n)
+    await asyncio.sleep(1)
+    for i in range(2):
+        await Replica(w, "i-91bd3f0%d" % i, "griffel", ENGINE,
+                      []).start("127.0.0.1")
+    if trouble():
+        for n in (1, 2, 3):
+            w.processes[n].wait()
+            w.start(n, first=False)
+    for n in (1, 2, 3):
+        if not await w.ready(n):
+            return False
+    await asyncio.sleep(RECOVERY_S)
+    after = await clients(w, time.monotonic() + 15)
+    text = "later than %d s after: %d of %d served" % (
+        RECOVERY_S, after[1], after[0])
+    w.record(text)
+    if after[1] * 4 < after[0]:
+        w.broken("RECOVER", text)
     return True
 
 
-play(case, HERE)
+play(case, HERE, first_revision=FIRST)
--- a/review/world3.py
+++ b/review/world3.py
@@ -419,6 +419,7 @@
         self.load_s, self.events = load_s, events
         self.breaks = []
         self.processes = {}
+        self.names = {}  # of machines, where not the usual ones
         self.dir = tempfile.TemporaryDirectory()
         self.base = "127.%d.%d." % (100 + os.getpid() // 250 % 100,
                                     os.getpid() % 250 + 1)
@@ -439,7 +440,7 @@
         """As on the pages, for a machine of a small deployment."""
         ip = self.base + str(n)
         return {
-            "node_name": "front-z%d-%d" % (n, n), "role": "entry",
+            "node_name": self.names.get(n, "front-z1-%d" % n), "role": "entry",
             "machine_class": "front", "serves": ["front", "control"],
             "ip": ip, "zone": "z1", "region": "r1", "zones": {"z1": "r1"},
             "bind": {"front": ip + ":8149", "ready": ip + ":8141",
