--- a/review/12/run.py
+++ b/review/12/run.py
@@ -83,4 +83,4 @@
     return True
 
 
-play(case, HERE, first_revision=FIRST, load_s=2.2)
+play(case, os.path.join(HERE, "record.txt"), first_revision=FIRST, load_s=2.2)
--- a/review/14/run.py
+++ b/review/14/run.py
@@ -61,4 +61,4 @@
     return True
 
 
-play(case, HERE)
+play(case, os.path.join(HERE, "record.txt"))
--- a/review/world3.py
+++ b/review/world3.py
@@ -413,8 +413,8 @@
 class World:
     """The stand-ins, the machines and what was seen."""
 
-    def __init__(self, folder, first_revision=1, load_s=1.0, events=6):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record, first_revision=1, load_s=1.0, events=6):
+        self.record = Record(record)
         self.store = Store(first_revision)
         self.load_s, self.events = load_s, events
         self.breaks = []
@@ -565,15 +565,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def play(case, folder, **options):
-    """Runs a case; exits with 0 (held), 1 (broken) or 2 (could not run)."""
+def play(case, record, **options):
+    """Runs a case and writes its record; exits with 0 (held), 1 (broken) or
+    2 (could not run)."""
     if not os.access(PROGRAM, os.X_OK):
         print("target/spindle-entry is not built")
         sys.exit(2)
 
     async def run():
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        world = World(folder, **options)
+        world = World(record, **options)
         try:
             return world, await asyncio.wait_for(case(world), 110)
         finally:
