platform: revisions of the service are kept whole

Cause: the adapter kept 40 bits of a revision, below the service's era, and sent "expected" and "after" from them. With a counter of 2^40 and more the service never gave such a revision: each conditional write of a key that exists was answered 412, each watch 410, and each list was read anew.

A revision is now the era and the service's number in full (core/revision), compared in this order; the number is sent as it was read. Lists, removals and digests hold it. Messages between processes keep the 64 bits that earlier builds read, and hold the whole revision beside them where these are too few; a text that an earlier build has cut is not applied to a list with whole revisions, which is read from the service instead.

--- a/core/directory.h
+++ b/core/directory.h
@@ -10,6 +10,7 @@
 
 #include "fleet.h"
 #include "notice.h"
+#include "revision.h"
 
 #define DIRECTORY_EXCLUSIONS_MAX 8
 #define DIRECTORY_SENT_PROMPTS_MAX 32
@@ -81,7 +82,7 @@
 struct directory {
 	struct directory_replica *replicas;
 	struct kept_notice *kept_notices; /* of replicas that were removed */
-	uint64_t revision;		  /* of the newest entry */
+	revision_t revision;		  /* of the newest entry */
 	uint64_t digest; /* hash of the entries and their revisions */
 	int synced;	 /* the whole list has been read */
 	uint64_t service_down_since; /* of the list, TIME_NEVER: it is up */
--- a/core/follow.c
+++ b/core/follow.c
@@ -170,7 +170,7 @@
 
 int
 follow_list_is_removed(
-    const struct follow_list *mine, uint64_t revision, uint64_t listed_at)
+    const struct follow_list *mine, revision_t revision, revision_t listed_at)
 {
 	return revision <= mine->revision && listed_at < mine->revision;
 }
--- a/core/follow.h
+++ b/core/follow.h
@@ -8,6 +8,7 @@
 #define FOLLOW_H
 
 #include "base.h"
+#include "revision.h"
 
 /* What to do now; bits. */
 #define FOLLOW_PULL 1U /* ask the peer at source */
@@ -26,13 +27,13 @@
 
 /* A list: revision of its newest entry, digest of all. */
 struct follow_list {
-	uint64_t revision;
+	revision_t revision;
 	uint64_t digest;
 };
 
 /* When the local list was first seen to be behind a peer's, or to differ. */
 struct follow_lists {
-	uint64_t newer; /* revision of the peer's, 0 for none */
+	revision_t newer; /* revision of the peer's, 0 for none */
 	uint64_t newer_since;
 	/* 0: it does not differ; new revisions do not end a difference. */
 	uint64_t differs_since;
@@ -51,7 +52,7 @@
  * the store listed it with the first revision as of the second: peers told what
  * is newer.
  */
-int follow_list_is_removed(const struct follow_list *, uint64_t, uint64_t);
+int follow_list_is_removed(const struct follow_list *, revision_t, revision_t);
 
 /* What peers pull. */
 enum follow_text {
--- a/core/msg.h
+++ b/core/msg.h
@@ -281,7 +281,7 @@
 	char zone[NAME_SIZE];	/* the sender's data centre */
 	uint32_t scope;		/* enum front_scope */
 	uint64_t version;	/* of the configuration in effect */
-	uint64_t list_revision; /* revision of the list of replicas */
+	uint64_t list_revision; /* short, of the list of replicas */
 	uint64_t list_digest;	/* of that list */
 	uint32_t stopping;
 	uint32_t weight; /* see hubs.h */
--- a/core/removals.c
+++ b/core/removals.c
@@ -4,14 +4,14 @@
 #include "removals.h"
 
 void
-removals_start(struct removals *r, uint64_t revision)
+removals_start(struct removals *r, revision_t revision)
 {
 	if (r->since == 0)
 		r->since = revision;
 }
 
 void
-removals_add(struct removals *r, const char *key, uint64_t revision)
+removals_add(struct removals *r, const char *key, revision_t revision)
 {
 	struct removal *x = &r->latest[r->n++ % REMOVALS_MAX];
 
@@ -22,7 +22,7 @@
 }
 
 int
-removals_has(const struct removals *r, const char *key, uint64_t revision)
+removals_has(const struct removals *r, const char *key, revision_t revision)
 {
 	uint32_t i;
 
@@ -35,13 +35,13 @@
 }
 
 int
-removals_known_since(const struct removals *r, uint64_t revision)
+removals_known_since(const struct removals *r, revision_t revision)
 {
 	return r->since != 0 && revision >= r->since;
 }
 
 const struct removal *
-removals_get(const struct removals *r, uint32_t i, uint64_t revision)
+removals_get(const struct removals *r, uint32_t i, revision_t revision)
 {
 	return r->latest[i].revision > revision ? &r->latest[i] : NULL;
 }
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -361,7 +361,8 @@
 	if (e->list_at != 0)
 		age = (e->now - e->list_at) / NSEC_PER_SEC;
 	metric_write(f, "spindle_entry_list_revision", "gauge",
-	    "Revision of the list of replicas.", e->dir.revision);
+	    "Revision of the list of replicas.",
+	    revision_number(e->dir.revision));
 	metric_write(f, "spindle_entry_list_age_seconds", "gauge",
 	    "Time since the list was last read or changed here.", age);
 	fprintf(f,
--- a/entry/attempt_send.c
+++ b/entry/attempt_send.c
@@ -166,8 +166,8 @@
 	    "list_at=%llu fresh=%d limit=%.2f",
 	    load.running, load.unread_us, load.recent_us,
 	    directory_prefill_share(m, f->e->now), f->work.unread_us,
-	    (unsigned long long)f->e->dir.revision, f->new_connection,
-	    directory_limit(m));
+	    (unsigned long long)revision_number(f->e->dir.revision),
+	    f->new_connection, directory_limit(m));
 }
 
 void
--- a/entry/list_entries.c
+++ b/entry/list_entries.c
@@ -61,7 +61,8 @@
 	about.backend = id;
 	l->s->e->counts.bad_entries++;
 	log_event(LOG_REPLICA_BAD, &about, "revision=%llu bytes=%zu %s",
-	    (unsigned long long)item->revision, item->len, err.text);
+	    (unsigned long long)revision_number(item->revision), item->len,
+	    err.text);
 	return NULL;
 }
 
@@ -84,7 +85,7 @@
 	log_event(r.state == REPLICA_LEAVING ? LOG_REPLICA_LEAVING
 					     : LOG_REPLICA_LISTED,
 	    &about, "revision=%llu service=%s addr=%s models=%s left_ms=%llu",
-	    (unsigned long long)k->revision, r.service, r.addr,
+	    (unsigned long long)revision_number(k->revision), r.service, r.addr,
 	    format_models(&r, models, sizeof(models)),
 	    (unsigned long long)(r.leave_left_ns / NSEC_PER_MSEC));
 }
@@ -97,7 +98,7 @@
 
 	about.backend = id;
 	log_event(LOG_REPLICA_GONE, &about, "revision=%llu service_up=%d",
-	    (unsigned long long)k->revision, l->s->up);
+	    (unsigned long long)revision_number(k->revision), l->s->up);
 	if (l->grace_ns == GRACE_UNKNOWN)
 		directory_remove(&l->s->e->dir, l->s->e->now, id);
 	else
--- a/entry/list_keys.c
+++ b/entry/list_keys.c
@@ -2,14 +2,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "hash.h"
 #include "mem.h"
 #include "session_int.h"
 
-static void list_update_digest(struct list *, const char *, uint64_t, uint64_t);
+static void list_update_digest(
+    struct list *, const char *, revision_t, revision_t);
 static void list_set_value(
     struct list *, struct list_key *, const struct store_item *);
-static void list_end_use(struct list *, const struct list_key *, uint64_t);
+static void list_end_use(struct list *, const struct list_key *, revision_t);
 
 void
 list_apply_item(struct list *l, const struct store_item *item)
@@ -43,11 +43,12 @@
 
 /* The digest covers the entries that can be used, by their revisions. */
 static void
-list_update_digest(struct list *l, const char *key, uint64_t from, uint64_t to)
+list_update_digest(
+    struct list *l, const char *key, revision_t from, revision_t to)
 {
 	if (l->id == LIST_REPLICAS)
 		l->s->e->dir.digest ^=
-		    hash_version(key, from) ^ hash_version(key, to);
+		    revision_hash(key, from) ^ revision_hash(key, to);
 }
 
 /* Sets the value of a key; one that cannot be used counts as a removal. */
@@ -56,7 +57,7 @@
     struct list *l, struct list_key *k, const struct store_item *item)
 {
 	const struct list_handler *h = &list_handlers[l->id];
-	uint64_t was_used = k->value == NULL ? 0 : k->revision;
+	revision_t was_used = k->value == NULL ? 0 : k->revision;
 
 	free(k->value);
 	if (h->keep != NULL) {
@@ -82,7 +83,7 @@
 
 /* An entry was removed, or replaced by one that cannot be used. */
 static void
-list_end_use(struct list *l, const struct list_key *k, uint64_t revision)
+list_end_use(struct list *l, const struct list_key *k, revision_t revision)
 {
 	list_add_change(l, k->key, revision);
 	if (list_handlers[l->id].drop != NULL)
@@ -93,7 +94,7 @@
 
 void
 list_remove_key(
-    struct list *l, struct list_key *k, uint64_t revision, uint64_t grace_ns)
+    struct list *l, struct list_key *k, revision_t revision, uint64_t grace_ns)
 {
 	l->grace_ns = grace_ns;
 	if (k->value != NULL) {
--- a/entry/list_text.c
+++ b/entry/list_text.c
@@ -19,7 +19,7 @@
 	const char *key;
 	const char *value;
 	size_t len;
-	uint64_t revision;
+	revision_t revision;
 };
 
 struct text_items {
@@ -30,29 +30,31 @@
 
 /* What the texts of one list have in common. */
 struct text_head {
-	uint64_t at;	 /* revision that the last part leads to */
+	revision_t at;	 /* revision that the last part leads to */
 	uint64_t digest; /* of the list at that revision */
 	uint64_t grace_ns;
 };
 
 static void items_add(
-    struct text_items *, const struct list_key *, const char *, uint64_t);
+    struct text_items *, const struct list_key *, const char *, revision_t);
 static int compare_keys(const void *, const void *);
 static int compare_revisions(const void *, const void *);
 static size_t item_bytes(const struct text_item *);
+static json_t *pack_item(const struct text_item *);
 static json_t *pack_items(const struct text_item *, size_t);
 static void texts_add(struct list_texts *, json_t *);
+static json_t *pack_head(revision_t, revision_t, int, const struct text_head *);
 static void set_digest(json_t *, const struct text_head *);
 static void encode_ranges(
     const struct text_head *, const struct text_items *, struct list_texts *);
 static size_t changes_of_part(
-    const struct text_items *, size_t, uint64_t, const struct text_head *);
-static void encode_steps(const struct text_head *, uint64_t,
+    const struct text_items *, size_t, revision_t, const struct text_head *);
+static void encode_steps(const struct text_head *, revision_t,
     const struct text_items *, struct list_texts *);
 
 static void
 items_add(struct text_items *a, const struct list_key *k, const char *key,
-    uint64_t revision)
+    revision_t revision)
 {
 	struct text_item *i;
 
@@ -93,21 +95,25 @@
 	    ITEM_BYTES;
 }
 
+static json_t *
+pack_item(const struct text_item *i)
+{
+	json_t *doc = i->value == NULL
+	    ? json_pack("{s:s}", "key", i->key)
+	    : json_pack("{s:s,s:s%}", "key", i->key, "value", i->value, i->len);
+
+	revision_pack(doc, "revision", i->revision);
+	return doc;
+}
+
 static json_t *
 pack_items(const struct text_item *items, size_t n)
 {
 	json_t *list = json_array();
 	size_t i;
 
-	for (i = 0; i < n; i++) {
-		json_array_append_new(list,
-		    items[i].value == NULL
-			? json_pack("{s:s,s:I}", "key", items[i].key,
-			      "revision", (json_int_t)items[i].revision)
-			: json_pack("{s:s,s:s%,s:I}", "key", items[i].key,
-			      "value", items[i].value, items[i].len, "revision",
-			      (json_int_t)items[i].revision));
-	}
+	for (i = 0; i < n; i++)
+		json_array_append_new(list, pack_item(&items[i]));
 	return list;
 }
 
@@ -127,6 +133,20 @@
 	json_object_set_new(doc, "digest", json_integer((json_int_t)h->digest));
 }
 
+/* What all texts begin with: changes since a revision, or the whole list. */
+static json_t *
+pack_head(revision_t from, revision_t at, int whole, const struct text_head *h)
+{
+	json_t *doc = json_object();
+
+	revision_pack(doc, "from", from);
+	revision_pack(doc, "at", at);
+	json_object_set_new(doc, "whole", json_boolean(whole));
+	json_object_set_new(
+	    doc, "lapse_ns", json_integer((json_int_t)h->grace_ns));
+	return doc;
+}
+
 /* Encodes a whole list, sorted by key, in ranges of keys. */
 static void
 encode_ranges(const struct text_head *h, const struct text_items *a,
@@ -143,10 +163,10 @@
 		for (i = from; i < a->n && (i == from || bytes < PART_BYTES);
 		     i++)
 			bytes += item_bytes(&a->items[i]);
-		doc = json_pack("{s:I,s:I,s:b,s:I,s:s,s:o}", "from",
-		    (json_int_t)0, "at", (json_int_t)h->at, "whole", 1,
-		    "lapse_ns", (json_int_t)h->grace_ns, "after", after,
-		    "items", pack_items(a->items + from, i - from));
+		doc = pack_head(0, h->at, 1, h);
+		json_object_set_new(doc, "after", json_string(after));
+		json_object_set_new(
+		    doc, "items", pack_items(a->items + from, i - from));
 		/* The last part has no upper end. */
 		if (i < a->n) {
 			after = a->items[i - 1].key;
@@ -164,7 +184,7 @@
  * revision.  A part leads to a later revision, of which no item is left out.
  */
 static size_t
-changes_of_part(const struct text_items *a, size_t from, uint64_t revision,
+changes_of_part(const struct text_items *a, size_t from, revision_t revision,
     const struct text_head *h)
 {
 	size_t bytes = 0;
@@ -183,21 +203,20 @@
 
 /* Encodes changes after a revision, sorted by theirs, in steps of revisions. */
 static void
-encode_steps(const struct text_head *h, uint64_t revision,
+encode_steps(const struct text_head *h, revision_t revision,
     const struct text_items *a, struct list_texts *out)
 {
 	size_t from = 0;
 	json_t *doc;
-	uint64_t at;
+	revision_t at;
 	size_t n;
 
 	do {
 		n = changes_of_part(a, from, revision, h);
 		at = from + n == a->n ? h->at : a->items[from + n - 1].revision;
-		doc = json_pack("{s:I,s:I,s:b,s:I,s:o}", "from",
-		    (json_int_t)revision, "at", (json_int_t)at, "whole", 0,
-		    "lapse_ns", (json_int_t)h->grace_ns, "items",
-		    pack_items(a->items + from, n));
+		doc = pack_head(revision, at, 0, h);
+		json_object_set_new(
+		    doc, "items", pack_items(a->items + from, n));
 		revision = at;
 		from += n;
 		if (from == a->n)
@@ -228,7 +247,7 @@
 
 int
 list_texts_encode_changes(
-    const struct session *s, uint64_t since, struct list_texts *out)
+    const struct session *s, revision_t since, struct list_texts *out)
 {
 	const struct removal *r;
 	const struct list_key *k;
--- a/entry/list_text.h
+++ b/entry/list_text.h
@@ -20,7 +20,7 @@
  * they are not known.
  */
 int list_texts_encode_changes(
-    const struct session *, uint64_t, struct list_texts *);
+    const struct session *, revision_t, struct list_texts *);
 /* The recorded changes; removed replicas stay usable for a time in ns. */
 void list_texts_encode_recorded(
     const struct session *, uint64_t, struct list_texts *);
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -289,7 +289,8 @@
 	w->number = ++l->watch_number;
 	l->watching = 1;
 	l->watched_at = l->s->e->now;
-	store_watch_request(l->prefix, l->revision, WATCH_WAIT_MSEC, &sc);
+	store_watch_request(
+	    l->prefix, revision_number(l->revision), WATCH_WAIT_MSEC, &sc);
 	session_call(l->s, &sc, WATCH_TIMEOUT_S, on_watch_response, w);
 }
 
@@ -326,7 +327,8 @@
 		list_read_failed(l);
 		return;
 	}
-	if (l->read_revision != 0 && page.era != l->read_era) {
+	if (l->read_revision != 0 &&
+	    revision_era(page.revision) != revision_era(l->read_revision)) {
 		/* The pages before are of an era that has ended. */
 		store_page_clear(&page);
 		l->page_after[0] = '\0';
@@ -336,7 +338,6 @@
 	}
 	if (l->read_revision == 0) {
 		l->read_revision = page.revision;
-		l->read_era = page.era;
 		l->generation++;
 	}
 	l->grace_ns = GRACE_UNKNOWN;
@@ -365,7 +366,8 @@
 		return;
 	l->s->e->counts.bad_entries += page->nskipped;
 	log_event(LOG_REPLICA_BAD, NULL, "list=%s skipped=%u at=%llu",
-	    l->prefix, page->nskipped, (unsigned long long)page->revision);
+	    l->prefix, page->nskipped,
+	    (unsigned long long)revision_number(page->revision));
 }
 
 /* Sets where the next page begins; returns 0 if the page does not tell. */
@@ -437,7 +439,7 @@
 	if (!l->stale_read)
 		log_event(LOG_LIST_READ, NULL, "list=%s keys=%u at=%llu",
 		    l->prefix, HASH_COUNT(l->keys),
-		    (unsigned long long)l->revision);
+		    (unsigned long long)revision_number(l->revision));
 	l->read_revision = 0;
 	l->page_after[0] = '\0';
 	l->retry_s = RETRY_MIN_S;
@@ -476,7 +478,8 @@
 		 * next change, so the list is read in full again.
 		 */
 		log_event(LOG_WATCH_LOST, NULL, "list=%s status=%d at=%llu",
-		    l->prefix, status, (unsigned long long)l->revision);
+		    l->prefix, status,
+		    (unsigned long long)revision_number(l->revision));
 		l->revision = 0;
 		if (peers_follow_hubs(l->s->e->peers))
 			l->idle = 1;
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -26,13 +26,16 @@
 #define PUSH_LIST 2 /* changes of the list of replicas */
 #define PACKED_CONFIG 3
 #define STREAM_RECORDS 4
-#define PACKED_LIST 5		    /* a part of the whole list */
+#define PACKED_LIST 5 /* a part of the whole list */
+/* Of msg_conf.hashes in a request: era and number that were cut. */
+#define EXACT_HASHES 2
 #define LIST_TEXT_MAX_BYTES 4194304 /* unpacked */
 /* An encoded list tells a grace period, which ends. */
 #define LIST_TEXT_NS (300 * NSEC_PER_MSEC)
 
 static void send_config_again(struct peers *, struct peer *, uint64_t);
-static void send_request(struct peers *, const char *, uint64_t, uint64_t);
+static void send_request(struct peers *, const char *, uint64_t, revision_t);
+static revision_t requested_since(const struct msg_conf *);
 static const struct packed_list *pack_list(struct peers *);
 static void send_list(struct peers *, const char *);
 static void leave_unanswered(struct peers *, const char *);
@@ -42,7 +45,7 @@
 static void push_to_peer(struct peers *, struct peer *);
 static int is_behind(
     struct peers *, const struct peer *, const struct msg_front *);
-static void pull_list(struct peers *, const char *, uint64_t);
+static void pull_list(struct peers *, const char *, revision_t);
 static void send_text(
     struct peers *, const char *, uint64_t, const char *, size_t);
 static int answer_changes(struct peers *, const struct msg *);
@@ -58,7 +61,9 @@
 {
 	const struct follow_list mine = { p->e->dir.revision,
 		p->e->dir.digest };
-	const struct follow_list theirs = { f->list_revision, f->list_digest };
+	const struct follow_list theirs = { revision_near(f->list_revision,
+						p->e->dir.revision),
+		f->list_digest };
 	int decides = p->self.hub_since == 0 && q->hub.hub_since != 0;
 
 	return follow_list_report(&p->list, p->e->now, &mine, &theirs, decides);
@@ -73,7 +78,7 @@
 
 /* Asks for the changes of the list since a revision, 0 for the whole list. */
 static void
-pull_list(struct peers *p, const char *addr, uint64_t since)
+pull_list(struct peers *p, const char *addr, revision_t since)
 {
 	if (p->e->now < p->pull_list_at)
 		return;
@@ -83,15 +88,30 @@
 }
 
 static void
-send_request(struct peers *p, const char *addr, uint64_t what, uint64_t since)
+send_request(struct peers *p, const char *addr, uint64_t what, revision_t since)
 {
 	struct msg *m = msg_create(MSG_CONF_PULL, addr);
-
-	m->u.conf.nonce = what;
-	m->u.conf.revision = since;
+	struct msg_conf *c = &m->u.conf;
+
+	c->nonce = what;
+	c->revision = revision_short(since);
+	if (!revision_fits_short(since)) {
+		c->nhashes = EXACT_HASHES;
+		c->hashes[0] = revision_era(since);
+		c->hashes[1] = revision_number(since);
+	}
 	bus_send(p->bus, m);
 }
 
+/* An earlier build may have cut it, and asks for more than it needs then. */
+static revision_t
+requested_since(const struct msg_conf *c)
+{
+	if (c->nhashes != EXACT_HASHES)
+		return revision_of_short(c->revision);
+	return revision_of(c->hashes[0], c->hashes[1]);
+}
+
 /*
  * A relay sends its configuration to a process of its data centre that reports
  * an older one: a push was lost, or not sent while it was no relay.
@@ -121,8 +141,9 @@
 	/* A list that differs at the same revision lacks older changes. */
 	if (is_behind(p, q, f))
 		pull_list(p, q->hub.addr,
-		    f->list_revision > p->e->dir.revision ? p->e->dir.revision
-							  : 0);
+		    f->list_revision == revision_short(p->e->dir.revision)
+			? 0
+			: p->e->dir.revision);
 }
 
 void
@@ -211,7 +232,7 @@
 static int
 answer_changes(struct peers *p, const struct msg *m)
 {
-	uint64_t since = m->u.conf.revision;
+	revision_t since = requested_since(&m->u.conf);
 	struct list_texts texts = { 0 };
 	size_t len;
 	size_t i;
--- a/entry/replica_sync.c
+++ b/entry/replica_sync.c
@@ -17,8 +17,9 @@
 /* A text of a peer; the strings belong to the document. */
 struct peer_text {
 	json_t *doc;
-	uint64_t from; /* changes since this revision */
-	uint64_t at;
+	revision_t from; /* changes since this revision */
+	revision_t at;
+	int exact; /* an earlier build did not cut them */
 	uint64_t grace_ns;
 	const json_t *digest; /* of the list at that revision, NULL: not told */
 	int whole;
@@ -27,6 +28,7 @@
 };
 
 static int text_read(struct peer_text *, const char *, size_t);
+static int text_is_cut(const struct entry *, const struct peer_text *);
 static int text_is_useless(const struct list *, const struct peer_text *);
 static int text_continues(struct list *, const struct peer_text *);
 static void text_apply(struct list *, const struct peer_text *);
@@ -45,7 +47,7 @@
 }
 
 void
-list_add_change(struct list *l, const char *key, uint64_t revision)
+list_add_change(struct list *l, const char *key, revision_t revision)
 {
 	struct list_change *c;
 
@@ -108,8 +110,7 @@
 		return;
 	memset(&item, 0, sizeof(item));
 	snprintf(item.key, sizeof(item.key), "%s", key);
-	item.revision =
-	    (uint64_t)json_integer_value(json_object_get(doc, "revision"));
+	revision_unpack(doc, "revision", &item.revision);
 	item.value = (char *)json_string_value(value);
 	item.len = json_string_length(value);
 	/* The peer may have missed the removal. */
@@ -141,7 +142,7 @@
 
 int
 list_is_removed(
-    const struct list *l, const struct store_item *item, uint64_t told_at)
+    const struct list *l, const struct store_item *item, revision_t told_at)
 {
 	const struct directory *d = &l->s->e->dir;
 	const struct follow_list mine = { d->revision, d->digest };
@@ -169,8 +170,8 @@
 		json_decref(t->doc);
 		return -1;
 	}
-	t->at = (uint64_t)json_integer_value(json_object_get(doc, "at"));
-	t->from = (uint64_t)json_integer_value(json_object_get(doc, "from"));
+	t->exact = revision_unpack(doc, "at", &t->at);
+	revision_unpack(doc, "from", &t->from);
 	t->grace_ns =
 	    (uint64_t)json_integer_value(json_object_get(doc, "lapse_ns"));
 	t->digest = json_object_get(doc, "digest");
@@ -182,6 +183,18 @@
 	return 0;
 }
 
+/*
+ * Whether the text of a peer of an earlier build, which cuts revisions, tells
+ * of changes: it cannot be applied to a list whose revisions are whole.
+ */
+static int
+text_is_cut(const struct entry *e, const struct peer_text *t)
+{
+	return !t->exact && !revision_fits_short(e->dir.revision) &&
+	    revision_near(revision_short(t->at), e->dir.revision) >
+	    e->dir.revision;
+}
+
 static int
 text_is_useless(const struct list *l, const struct peer_text *t)
 {
@@ -261,6 +274,8 @@
 		session_read_replicas(s);
 		return TEXT_APPLIED;
 	}
+	if (text_is_cut(e, &t))
+		session_read_replicas(s);
 	if (text_is_useless(l, &t)) {
 		json_decref(t.doc);
 		return TEXT_APPLIED;
--- a/entry/report.c
+++ b/entry/report.c
@@ -124,7 +124,7 @@
 	snprintf(m->u.front.zone, sizeof(m->u.front.zone), "%s", e->boot.zone);
 	m->u.front.scope = scope;
 	m->u.front.version = e->conf == NULL ? 0 : e->conf->version;
-	m->u.front.list_revision = e->dir.revision;
+	m->u.front.list_revision = revision_short(e->dir.revision);
 	m->u.front.list_digest = e->dir.digest;
 	m->u.front.stopping = (uint32_t)e->stopping;
 	m->u.front.weight = p->self.weight;
--- a/entry/session_int.h
+++ b/entry/session_int.h
@@ -27,7 +27,7 @@
 	char key[KV_KEY_SIZE];
 	char *value; /* NULL for an entry that cannot be used */
 	size_t len;
-	uint64_t revision;
+	revision_t revision;
 	uint32_t generation; /* of the latest read that returned it */
 	UT_hash_handle hh;
 };
@@ -35,11 +35,15 @@
 /* A key that was written or removed, to be passed on to peers. */
 struct list_change {
 	char key[KV_KEY_SIZE];
-	uint64_t revision;
+	revision_t revision;
 };
 
 /* Keys below a prefix: read in full, then watched or polled. */
 struct list {
+	revision_t revision;	  /* up to which it is current, 0 if unknown */
+	revision_t read_revision; /* at the first page of the read, 0 if none */
+	revision_t part_at;	  /* of a whole text of which parts are due */
+	revision_t changed_from;  /* before the first of the changes */
 	struct session *s;
 	enum list_id id;
 	const char *prefix;
@@ -50,19 +54,14 @@
 	int idle;	 /* neither read nor watched: peers send it */
 	uint64_t due_at; /* when it is read, if they have not sent it */
 	int watching;	 /* the latest watch has not been answered */
-	uint64_t watch_number;	/* of that watch */
-	uint64_t watched_at;	/* when it was sent */
-	uint64_t grace_ns;	/* for which a removed replica stays usable */
-	int stale_read;		/* the pending read may return old data */
-	uint64_t revision;	/* up to which it is current, 0 if unknown */
-	uint64_t read_revision; /* at the first page of the read, 0 if none */
-	uint64_t read_era;	/* of that page */
-	uint32_t generation;	/* number of the latest full read */
+	uint64_t watch_number; /* of that watch */
+	uint64_t watched_at;   /* when it was sent */
+	uint64_t grace_ns;     /* for which a removed replica stays usable */
+	int stale_read;	       /* the pending read may return old data */
+	uint32_t generation;   /* number of the latest full read */
 	char page_after[STORE_ESCAPED_KEY_SIZE]; /* last key of a page */
-	uint64_t part_at; /* revision of a whole text of which parts are due */
 	char part_after[KV_KEY_SIZE]; /* last key of its latest part */
 	struct list_key *keys;
-	uint64_t changed_from; /* revision before the first of the changes */
 	int advanced; /* the revision has changed since the latest push */
 	uint32_t nchanges;
 	uint32_t changes_size; /* allocated */
@@ -72,7 +71,8 @@
 struct session {
 	struct entry *e;
 	struct list lists[LIST__MAX];
-	uint64_t era; /* of the service, 0: not known */
+	struct removals removals; /* of replicas */
+	uint64_t era;		  /* of the service, 0: not known */
 	uint64_t ncalls;
 	uint64_t started_at;
 	uint64_t answered_at;	/* latest answer of the store */
@@ -80,7 +80,6 @@
 	int probing;		/* a probe is under way */
 	struct store_check check;
 	uint64_t read_replicas_at; /* earliest time of such a read again */
-	struct removals removals;  /* of replicas */
 	int peers_known;   /* the peers have been read, or could not be */
 	int peers_read;	   /* they have been read since the process started */
 	uint32_t failures; /* consecutive calls without an answer */
@@ -128,15 +127,15 @@
  * Removes and frees a key that is gone as of a revision; its replica stays
  * usable for a grace period in ns.
  */
-void list_remove_key(struct list *, struct list_key *, uint64_t, uint64_t);
+void list_remove_key(struct list *, struct list_key *, revision_t, uint64_t);
 /* replica_sync.c */
 /* Records who told the list of replicas that is now in use. */
 void list_set_source(struct session *, const char *);
 /* Whether an item that the store told as of a revision was removed since. */
-int list_is_removed(const struct list *, const struct store_item *, uint64_t);
+int list_is_removed(const struct list *, const struct store_item *, revision_t);
 /* Records that the list's revision changes, and a change to be passed on. */
 void list_set_advanced(struct list *);
-void list_add_change(struct list *, const char *, uint64_t);
+void list_add_change(struct list *, const char *, revision_t);
 /*
  * Passes the recorded changes of the replicas on, with the time for which
  * removed ones stay usable.
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -168,6 +168,7 @@
         run_check("limits", [sys.executable, "tests/limits.py"])
         run_check("accounts", [sys.executable, "tests/accounts.py"])
         run_check("lists", [sys.executable, "tests/lists.py"])
+        run_check("revisions", [sys.executable, "tests/revisions.py"])
         run_check("configurations", [
             sys.executable, "tests/configurations.py"])
         run_check("software", [sys.executable, "tests/software.py"])
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -52,6 +52,9 @@
         self.items = {}      # key -> (value, revision, lease)
         self.history = []    # (revision, key, value or None)
         self.revision = 1
+        self.step = 1        # by which it increases
+        self.shown = lambda revision: revision  # in answers
+        self.conditions = []  # rows of all writes
         self.dropped = 0     # revisions up to here are compacted
         self.era = 1         # counts restorations from a copy
         self.leases = {}
@@ -66,7 +69,7 @@
     async def put(self, key, value, lease=0):
         if not isinstance(value, bytes):
             value = json.dumps(value).encode()
-        self.revision += 1
+        self.revision += self.step
         self.items[key] = (value, self.revision, lease)
         self.history.append((self.revision, key, value))
         return self.revision
@@ -74,7 +77,7 @@
     async def remove(self, key):
         if key not in self.items:
             return
-        self.revision += 1
+        self.revision += self.step
         del self.items[key]
         self.history.append((self.revision, key, None))
 
@@ -96,9 +99,9 @@
         for w in list(self.writers):
             w.transport.abort()
 
-    @staticmethod
-    def item(key, entry):
+    def item(self, key, entry):
         value, revision, lease = entry
+        revision = self.shown(revision)
         return {"key": key, "value": base64.b64encode(value).decode(),
                 "revision": revision, "created": revision, "lease": lease}
 
@@ -156,7 +159,7 @@
             return 200, {"items": [self.item(k, items[k])
                                    for k in page],
                          "has_more": len(keys) > len(page),
-                         "at": self.revision}
+                         "at": self.shown(self.revision)}
         if url.path == "/api/kv-watch":
             return await self.watch(query)
         if url.path == "/api/kv-lease":
@@ -173,6 +176,7 @@
                 await self.remove(key)
             return 200, {}
         if url.path == "/api/kv-txn":
+            self.conditions += doc["expected"]
             for row in doc["expected"]:
                 now = self.items.get(row["key"], (None, 0, 0))[1]
                 if now != row["revision"]:
@@ -180,7 +184,7 @@
             for row in doc["write"]:
                 await self.put(row["key"], base64.b64decode(row["value"]),
                                row.get("lease", 0))
-            return 200, {"revision": self.revision}
+            return 200, {"revision": self.shown(self.revision)}
         return 404, {}
 
     def page_of(self, items, keys):
--- a/tests/test_list_text.c
+++ b/tests/test_list_text.c
@@ -27,13 +27,14 @@
 #define ENGINES 116U
 #define LINK_BYTES 125000U /* 0.1 s at 10 Mbit/s */
 #define REVISION_START 100
+#define REVISION_LARGE revision_of(2, 1796670000000)
 #define LARGE_BYTES 300000
 
 static char *random_value(unsigned *, uint32_t, uint64_t, size_t *);
-static void change(struct entry *, uint32_t, const char *, size_t, uint64_t);
-static void random_change(struct entry *, unsigned *, uint32_t, uint64_t);
+static void change(struct entry *, uint32_t, const char *, size_t, revision_t);
+static void random_change(struct entry *, unsigned *, uint32_t, revision_t);
 static void apply_all(struct entry *, const struct list_texts *, size_t);
-static void copy_list(const struct entry *, struct entry *, uint64_t);
+static void copy_list(const struct entry *, struct entry *, revision_t);
 static void check_same(const struct entry *, const struct entry *);
 static void fill(struct entry *, unsigned *, uint32_t);
 static void test_any_values(void);
@@ -44,6 +45,9 @@
 static void list_engine(struct entry *, unsigned *, uint32_t);
 static void test_compressed_size(void);
 static void test_removed_entry_from_peer(void);
+static void test_large_revisions(void);
+static void test_cut_revisions(void);
+static void copy_cut_list(const struct entry *, struct entry *);
 
 /* A replica's entry, or bytes of another writer. */
 static char *
@@ -73,7 +77,7 @@
 /* An entry, or its removal, as the store tells it. */
 static void
 change(struct entry *e, uint32_t key, const char *value, size_t len,
-    uint64_t revision)
+    revision_t revision)
 {
 	struct store_item item = {
 		.value = (char *)value, .len = len, .revision = revision
@@ -86,13 +90,15 @@
 }
 
 static void
-random_change(struct entry *e, unsigned *seed, uint32_t key, uint64_t revision)
+random_change(
+    struct entry *e, unsigned *seed, uint32_t key, revision_t revision)
 {
 	char *value = NULL;
 	size_t len = 0;
 
 	if (rand_r(seed) % 4 != 0)
-		value = random_value(seed, key, revision, &len);
+		value =
+		    random_value(seed, key, revision_number(revision), &len);
 	change(e, key, value, len, revision);
 	free(value);
 }
@@ -113,7 +119,7 @@
 
 /* As a process that is at a revision asks another one, 0 for the whole list. */
 static void
-copy_list(const struct entry *from, struct entry *to, uint64_t since)
+copy_list(const struct entry *from, struct entry *to, revision_t since)
 {
 	struct list_texts t = { 0 };
 
@@ -130,7 +136,7 @@
 	const struct directory_replica *r;
 	const struct directory_replica *s;
 
-	CU_ASSERT_EQUAL(a->dir.revision, b->dir.revision);
+	CU_ASSERT(a->dir.revision == b->dir.revision);
 	CU_ASSERT_EQUAL(a->dir.digest, b->dir.digest);
 	CU_ASSERT_EQUAL(b->counts.bad_texts, 0);
 	for (r = a->dir.replicas; r != NULL; r = r->hh.next) {
@@ -302,6 +308,89 @@
 	entry_fixture_stop(&e);
 }
 
+/* Revisions that rise by any amount, so that earlier builds would cut them. */
+static void
+test_large_revisions(void)
+{
+	struct entry a, b;
+	unsigned seed = SEED;
+	revision_t since;
+	int round;
+	int n;
+
+	entry_fixture_start(&a, 0);
+	entry_fixture_start(&b, 1);
+	random_change(&a, &seed, 0, REVISION_LARGE);
+	for (round = 0; round < ROUNDS; round++) {
+		since = a.dir.revision;
+		for (n = rand_r(&seed) % 30; n >= 0; n--)
+			random_change(&a, &seed, (uint32_t)rand_r(&seed) % KEYS,
+			    a.dir.revision +
+				((uint64_t)1 << rand_r(&seed) % 52));
+		copy_list(&a, &b, round % 5 == 0 ? 0 : since);
+		check_same(&a, &b);
+	}
+	entry_fixture_stop(&a);
+	entry_fixture_stop(&b);
+}
+
+/* Applies the whole list as a process of an earlier build would send it. */
+static void
+copy_cut_list(const struct entry *from, struct entry *to)
+{
+	struct list_texts t = { 0 };
+	const json_t *items;
+	json_t *doc, *item;
+	char *text;
+	size_t i;
+
+	list_texts_encode_whole(from->session, &t);
+	CU_ASSERT_EQUAL_FATAL(t.n, 1);
+	doc = json_loads(t.texts[0], 0, NULL);
+	json_object_del(doc, "at_exact");
+	items = json_object_get(doc, "items");
+	json_array_foreach (items, i, item)
+		json_object_del(item, "revision_exact");
+	text = json_dumps(doc, JSON_COMPACT);
+	(void)session_apply_text(to->session, text, strlen(text), "peer");
+	free(text);
+	json_decref(doc);
+	list_texts_free(&t);
+}
+
+/*
+ * Beside processes of an earlier build, which cut revisions, the service is
+ * asked for changes; what was cut replaces nothing.
+ */
+static void
+test_cut_revisions(void)
+{
+	static const char value[] =
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\","
+	    "\"zone\":\"z\",\"slots\":6,\"state\":\"ready\","
+	    "\"cold_left_ms\":0,\"sequence\":1,\"born\":1000}";
+	struct entry peer, e;
+	uint64_t calls;
+
+	entry_fixture_start(&peer, 0);
+	entry_fixture_start(&e, 1);
+	change(&peer, 1, value, strlen(value), REVISION_LARGE);
+	copy_list(&peer, &e, 0);
+	calls = e.session->ncalls;
+	copy_cut_list(&peer, &e);
+	CU_ASSERT_EQUAL(e.session->ncalls, calls);
+	change(&peer, 1, NULL, 0, REVISION_LARGE + 1);
+	change(&peer, 2, value, strlen(value), REVISION_LARGE + 2);
+	copy_cut_list(&peer, &e);
+	CU_ASSERT(is_listed(&e, "i-00001") && !is_listed(&e, "i-00002"));
+	CU_ASSERT(e.dir.revision == REVISION_LARGE);
+	CU_ASSERT_EQUAL(e.session->ncalls, calls + 1);
+	copy_list(&peer, &e, e.dir.revision);
+	check_same(&peer, &e);
+	entry_fixture_stop(&peer);
+	entry_fixture_stop(&e);
+}
+
 /* An entry with three models and some adapters; names are random. */
 static void
 list_engine(struct entry *e, unsigned *seed, uint32_t key)
@@ -354,6 +443,8 @@
 	{ "many entries", test_many_entries },
 	{ "a part is lost", test_part_lost },
 	{ "unreadable text", test_unreadable_text },
+	{ "large revisions", test_large_revisions },
+	{ "revisions of an earlier build", test_cut_revisions },
 };
 
 UNIT_MAIN("list_text", cases)
--- a/tests/test_permits.c
+++ b/tests/test_permits.c
@@ -28,10 +28,10 @@
 
 /* One process; the first one keeps the pool. */
 struct sim {
-	struct permits *permits;
-	uint64_t wait_ns; /* by the latest answer without one */
-	uint64_t last_id; /* of these requests got a permit */
 	struct directory directory;
+	struct permits *permits;
+	uint64_t wait_ns;  /* by the latest answer without one */
+	uint64_t last_id;  /* of these requests got a permit */
 	uint32_t got;	   /* permits */
 	int pool_is_alive; /* its messages arrive */
 	char addr[ADDR_SIZE];
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,4 +1,5 @@
 /* Requests and responses of the platform's key-value service. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,6 +11,7 @@
 static void test_store_calls(void);
 static void test_store_pages(void);
 static void test_store_page_keys(void);
+static void test_large_revisions(void);
 
 static void
 test_store_calls(void)
@@ -69,7 +71,7 @@
 	struct err e;
 
 	CU_ASSERT_EQUAL(store_watch_response(0, text, strlen(text), &p, &e), 0);
-	CU_ASSERT_EQUAL(p.revision, 7);
+	CU_ASSERT(p.revision == 7);
 	CU_ASSERT_EQUAL_FATAL(p.n, 2); /* malformed items are skipped */
 	CU_ASSERT_STRING_EQUAL(p.items[0].value, "x");
 	CU_ASSERT_PTR_NULL(p.items[1].value);
@@ -77,8 +79,9 @@
 	/* Revisions that a later era gives out again are higher. */
 	CU_ASSERT_EQUAL(store_watch_response(3, text, strlen(text), &p, &e), 0);
 	CU_ASSERT_EQUAL_FATAL(p.n, 2);
-	CU_ASSERT(p.era == 3 && p.items[0].revision > 7);
-	store_watch_request("op/", p.items[0].revision, 10000, &c);
+	CU_ASSERT(revision_era(p.revision) == 3 && p.items[0].revision > 7);
+	store_watch_request(
+	    "op/", revision_number(p.items[0].revision), 10000, &c);
 	CU_ASSERT_PTR_NOT_NULL(strstr(c.path, "&after=4&"));
 	store_page_clear(&p);
 	CU_ASSERT_EQUAL(store_range_response(0, "[]", 2, &p, &e), -1);
@@ -123,10 +126,58 @@
 	}
 }
 
+/* What is sent to the service is what it said, to the last bit. */
+static void
+test_large_revisions(void)
+{
+	static const char *const numbers[] = { "1", "1099511627775",
+		"1099511627776", "1796670000001", "9007199254740993",
+		"9223372036854775807" };
+	struct store_request c;
+	struct store_page p;
+	struct kv_result r;
+	struct kv_ops ops;
+	struct kv_op *op;
+	struct err e;
+	char text[256], expected[64];
+	char *value;
+	size_t i;
+
+	TAILQ_INIT(&ops);
+	op = kv_op_create(&ops, 1, KV_GET, "cell/x");
+	op->value = mem_strdup("node-1");
+	for (i = 0; i < nitems(numbers); i++) {
+		snprintf(text, sizeof(text),
+		    "{\"value\":\"eA==\",\"revision\":%s,\"at\":%s,"
+		    "\"events\":[]}",
+		    numbers[i], numbers[i]);
+		op->kind = KV_GET;
+		store_op_response(op, 200, 3, text, strlen(text), &r, &value);
+		free(value);
+		op->kind = KV_CAS;
+		op->expected_revision = r.revision;
+		store_op_request(op, &c);
+		snprintf(
+		    expected, sizeof(expected), "\"revision\":%s}", numbers[i]);
+		CU_ASSERT_PTR_NOT_NULL(strstr(c.body, expected));
+		store_request_clear(&c);
+		CU_ASSERT_EQUAL(
+		    store_watch_response(3, text, strlen(text), &p, &e), 0);
+		store_watch_request(
+		    "op/", revision_number(p.revision), 10000, &c);
+		snprintf(expected, sizeof(expected), "&after=%s&", numbers[i]);
+		CU_ASSERT_PTR_NOT_NULL(strstr(c.path, expected));
+		store_page_clear(&p);
+	}
+	TAILQ_REMOVE(&ops, op, entry);
+	kv_op_destroy(op);
+}
+
 static const struct unit_case cases[] = {
 	{ "calls", test_store_calls },
 	{ "pages", test_store_pages },
 	{ "page keys", test_store_page_keys },
+	{ "large revisions", test_large_revisions },
 };
 
 UNIT_MAIN("store", cases)
