platform: an unusable number of the service is an error with its name

An answer whose revision or lease is no integer below 2^63 was taken as revision 0, which stands for "the key must not exist", as a real number cut to an integer, or as a page that is "not a JSON object". The list of replicas was then read again all the time, and no log line said why.

Such an answer cannot be used now: a call of an operation ends as unknown, a page is read again later, and an entry is skipped alone. kv-bad and replica-bad name the member and what to check; spindle_entry_bad_answers_total counts them.

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -432,6 +432,9 @@
 	metric_write(f, "spindle_entry_list_differs_seconds", "gauge",
 	    "Time for which the list of replicas has differed from a hub's.",
 	    peers_list_differs_ns(e->peers) / NSEC_PER_SEC);
+	metric_write(f, "spindle_entry_bad_answers_total", "counter",
+	    "Answers of the key-value service that cannot be used.",
+	    e->counts.bad_answers);
 	metric_write(f, "spindle_entry_bad_entries_total", "counter",
 	    "Entries of the list of replicas that cannot be used.",
 	    e->counts.bad_entries);
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -68,6 +68,7 @@
 	uint64_t limited;	  /* attempts at replicas with a limit */
 	uint64_t permit_requests; /* for such attempts, repeats included */
 	uint64_t permits;	  /* that this process got */
+	uint64_t bad_answers;	  /* of the store, that cannot be used */
 	uint64_t bad_entries;	  /* of the list, that cannot be used */
 	uint64_t bad_texts;	  /* of peers, that could not be read */
 	uint64_t unsent_texts;	  /* for peers, too large for a message */
--- a/entry/lists.c
+++ b/entry/lists.c
@@ -54,6 +54,7 @@
 static void on_range_response(void *, int, uint64_t, const char *, size_t);
 static void on_watch_response(void *, int, uint64_t, const char *, size_t);
 static void on_retry(struct ev_loop *, ev_timer *, int);
+static void list_count_bad_answer(const struct list *, const struct err *);
 static void list_count_skipped(const struct list *, const struct store_page *);
 static int list_next_page(struct list *, const struct store_page *);
 static void list_read_failed(struct list *);
@@ -322,8 +323,12 @@
 	int more;
 	int found;
 
-	if (status != 200 ||
-	    store_range_response(era, body, len, &page, &err) == -1) {
+	if (status != 200) {
+		list_read_failed(l);
+		return;
+	}
+	if (store_range_response(era, body, len, &page, &err) == -1) {
+		list_count_bad_answer(l, &err);
 		list_read_failed(l);
 		return;
 	}
@@ -359,15 +364,23 @@
 	}
 }
 
+static void
+list_count_bad_answer(const struct list *l, const struct err *e)
+{
+	l->s->e->counts.bad_answers++;
+	log_event(LOG_KV_BAD, NULL, "list=%s %s", l->prefix, e->text);
+}
+
 static void
 list_count_skipped(const struct list *l, const struct store_page *page)
 {
 	if (page->nskipped == 0)
 		return;
 	l->s->e->counts.bad_entries += page->nskipped;
-	log_event(LOG_REPLICA_BAD, NULL, "list=%s skipped=%u at=%llu",
+	log_event(LOG_REPLICA_BAD, NULL, "list=%s skipped=%u at=%llu %s",
 	    l->prefix, page->nskipped,
-	    (unsigned long long)revision_number(page->revision));
+	    (unsigned long long)revision_number(page->revision),
+	    page->skipped.text);
 }
 
 /* Sets where the next page begins; returns 0 if the page does not tell. */
@@ -465,13 +478,17 @@
 	struct err err;
 	size_t page_items;
 	size_t i;
+	int bad;
 
 	free(w);
 	if (renewed)
 		return;
 	l->watching = 0;
-	if (status != 200 ||
-	    store_watch_response(era, body, len, &page, &err) == -1) {
+	bad = status == 200 &&
+	    store_watch_response(era, body, len, &page, &err) == -1;
+	if (bad)
+		list_count_bad_answer(l, &err);
+	if (status != 200 || bad) {
 		/*
 		 * The store may have compacted the history since this
 		 * revision, and a new watch would not report that until the
--- a/entry/session.c
+++ b/entry/session.c
@@ -163,13 +163,17 @@
 on_op_answer(void *ctx, int status, uint64_t era, const char *body, size_t len)
 {
 	struct op_call *oc = ctx;
+	struct err err = { 0 };
 	struct kv_result r;
 	char *value;
 
-	store_op_response(oc->op, status, era, body, len, &r, &value);
+	if (store_op_response(
+		oc->op, status, era, body, len, &r, &value, &err) == -1)
+		oc->s->e->counts.bad_answers++;
 	if (r.status == KV_UNKNOWN)
-		log_event(LOG_KV_BAD, NULL, "op=%s key=%s status=%d",
-		    kv_op_kind_name(oc->op->kind), oc->op->key, status);
+		log_event(LOG_KV_BAD, NULL, "op=%s key=%s status=%d %s",
+		    kv_op_kind_name(oc->op->kind), oc->op->key, status,
+		    err.text);
 	oc->result(oc->ctx, &r);
 	free(value);
 	kv_op_destroy(oc->op);
--- a/tests/revisions.py
+++ b/tests/revisions.py
@@ -2,6 +2,7 @@
 
 Prints one line per test, and "result: N passed, N failed" at the end.
 """
+import json
 import signal
 import sys
 import time
@@ -170,5 +171,48 @@
         f.stop()
 
 
+def test_unusable_revisions():
+    """A revision that is no integer below 2^63 is named in the log; nothing is
+    written under a condition taken from it."""
+    for odd in (2 ** 63, 2 ** 64 + 7, -1, 4.0, "4", None):
+        w = World(start=False)
+        try:
+            w.run(w.store.put("op/config", w.config))
+            w.store.shown = lambda r, odd=odd: odd
+            w.start()
+            w.wait("named: %r" % odd, lambda w=w: any(
+                "2^63" in e["detail"] for e in w.events("kv-bad")))
+            time.sleep(1.0)
+            check("not ready", not w.ready())
+            written = [row for row in w.store.conditions
+                       if row["revision"] != 0]
+            check("%r: conditions %s" % (odd, written), not written)
+            check("counted", metric(w, "spindle_entry_bad_answers_total") > 0)
+            w.store.shown = lambda r: r
+            w.wait("ready", w.ready)
+        finally:
+            w.stop()
+
+
+def test_unusable_revision_of_one_entry():
+    """It costs only the entry that has it."""
+    w = World(start=False)
+    try:
+        w.run(w.store.put("op/config", w.config))
+        for name in ("i-a", "i-b"):
+            w.replica(name, "plain", answer_ok)
+        odd = w.store.items["servers/i-a"][1]
+        w.store.shown = lambda r: 4.0 if r == odd else r
+        w.start()
+        w.wait_ready()
+        w.wait("named", lambda: any(
+            "2^63" in e["detail"] for e in w.events("replica-bad")))
+        check("served", w.call()[0] == 200)
+        check("listed: %s" % json.dumps(w.events("replica-listed")),
+              {e["backend"] for e in w.events("replica-listed")} == {"i-b"})
+    finally:
+        w.stop()
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:], globals()))
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -12,6 +12,7 @@
 static void test_store_pages(void);
 static void test_store_page_keys(void);
 static void test_large_revisions(void);
+static void test_unusable_revisions(void);
 
 static void
 test_store_calls(void)
@@ -21,6 +22,7 @@
 	struct kv_result r;
 	struct kv_ops ops;
 	struct kv_op *op;
+	struct err e;
 	char *value;
 
 	TAILQ_INIT(&ops);
@@ -35,25 +37,26 @@
 	    "\"write\":[{\"key\":\"spindle/cell/x\",\"value\":\"bm9kZS0x\","
 	    "\"lease\":77}],\"remove\":[]}");
 	store_request_clear(&c);
-	store_op_response(op, 200, 0, "{\"revision\":9}", 14, &r, &value);
+	store_op_response(op, 200, 0, "{\"revision\":9}", 14, &r, &value, &e);
 	CU_ASSERT(r.status == KV_OK && r.revision == 9);
 	/* Only these statuses guarantee that nothing was written. */
-	store_op_response(op, 412, 0, "", 0, &r, &value);
+	store_op_response(op, 412, 0, "", 0, &r, &value, &e);
 	CU_ASSERT_EQUAL(r.status, KV_CONFLICT);
-	store_op_response(op, 404, 0, "", 0, &r, &value);
+	store_op_response(op, 404, 0, "", 0, &r, &value, &e);
 	CU_ASSERT_EQUAL(r.status, KV_CONFLICT); /* no such lease */
-	store_op_response(op, 0, 0, "", 0, &r, &value);
+	store_op_response(op, 0, 0, "", 0, &r, &value, &e);
 	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
-	store_op_response(op, 503, 0, "", 0, &r, &value);
+	store_op_response(op, 503, 0, "", 0, &r, &value, &e);
 	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
 	op->kind = KV_GET;
-	store_op_response(op, 200, 0, found, strlen(found), &r, &value);
+	store_op_response(op, 200, 0, found, strlen(found), &r, &value, &e);
 	CU_ASSERT_EQUAL(r.status, KV_OK);
 	CU_ASSERT(r.value != NULL && strcmp(r.value, "node-1") == 0);
 	free(value);
-	store_op_response(op, 200, 0, "{\"value\":\"***\"}", 15, &r, &value);
+	store_op_response(
+	    op, 200, 0, "{\"value\":\"***\"}", 15, &r, &value, &e);
 	CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
-	store_op_response(op, 404, 0, "", 0, &r, &value);
+	store_op_response(op, 404, 0, "", 0, &r, &value, &e);
 	CU_ASSERT_EQUAL(r.status, KV_ABSENT);
 	TAILQ_REMOVE(&ops, op, entry);
 	kv_op_destroy(op);
@@ -152,7 +155,9 @@
 		    "\"events\":[]}",
 		    numbers[i], numbers[i]);
 		op->kind = KV_GET;
-		store_op_response(op, 200, 3, text, strlen(text), &r, &value);
+		CU_ASSERT_EQUAL(store_op_response(op, 200, 3, text,
+				    strlen(text), &r, &value, &e),
+		    0);
 		free(value);
 		op->kind = KV_CAS;
 		op->expected_revision = r.revision;
@@ -173,11 +178,53 @@
 	kv_op_destroy(op);
 }
 
+/* No condition is taken from a revision that is no integer below 2^63. */
+static void
+test_unusable_revisions(void)
+{
+	static const char *const numbers[] = { "9223372036854775808",
+		"18446744073709551616", "-1", "1.0", "1e3", "\"4\"", "null" };
+	static const enum kv_op_kind kinds[] = { KV_GET, KV_CAS, KV_GRANT };
+	struct store_page p;
+	struct kv_result r;
+	struct kv_ops ops;
+	struct kv_op *op;
+	struct err e;
+	char text[256];
+	char *value;
+	size_t i, k;
+
+	TAILQ_INIT(&ops);
+	op = kv_op_create(&ops, 1, KV_GET, "cell/x");
+	for (i = 0; i < nitems(numbers); i++) {
+		snprintf(text, sizeof(text),
+		    "{\"value\":\"eA==\",\"revision\":%s,\"lease\":%s,"
+		    "\"at\":%s,\"items\":[]}",
+		    numbers[i], numbers[i], numbers[i]);
+		for (k = 0; k < nitems(kinds); k++) {
+			op->kind = kinds[k];
+			CU_ASSERT_EQUAL(store_op_response(op, 200, 0, text,
+					    strlen(text), &r, &value, &e),
+			    -1);
+			CU_ASSERT_EQUAL(r.status, KV_UNKNOWN);
+			CU_ASSERT_PTR_NOT_NULL(strstr(e.text, "2^63"));
+			free(value);
+		}
+		CU_ASSERT_EQUAL(
+		    store_range_response(0, text, strlen(text), &p, &e), -1);
+		CU_ASSERT_PTR_NOT_NULL(strstr(e.text, "2^63"));
+		store_page_clear(&p);
+	}
+	TAILQ_REMOVE(&ops, op, entry);
+	kv_op_destroy(op);
+}
+
 static const struct unit_case cases[] = {
 	{ "calls", test_store_calls },
 	{ "pages", test_store_pages },
 	{ "page keys", test_store_page_keys },
 	{ "large revisions", test_large_revisions },
+	{ "unusable revisions", test_unusable_revisions },
 };
 
 UNIT_MAIN("store", cases)
