loader: all adapters of a replica are counted and served

Cause: the adapters of a replica were kept in arrays of 32 names, in reports, list entries, the leader's count of slots and the table between processes. A name that did not fit was dropped, and the count was the number of names: the rest of the places was free for ever. Of adapters on their way only four were read.

Names are in lists that grow (core/name_list), up to 1,024, which a message between processes holds. Names beyond are counted and take their places, are logged (names-left-out) and shown by spindle_entry_names_left_out_total.

--- a/Makefile
+++ b/Makefile
@@ -101,7 +101,7 @@
 
 WORLD_serving = serving_world serving_fetch
 WORLD_state = state_world state_kv state_engine state_oracle
-WORLD_orders = orders_world orders_world_loads orders_tables
+WORLD_orders = orders_world orders_world_loads orders_tables orders_store
 WORLD_notice = notice_world
 WORLD_permits = permits_world
 WORLD_quota = quota_world permits_world
@@ -116,6 +116,16 @@
 ANSWERS = net/http net/http_client net/sse net/buf net/tag_set platform/fields \
 	  entry/attempt_send entry/response entry/event_filter tests/answers_entry
 
+# The platform's messages of the key-value service.
+STORE_MESSAGES = platform/store platform/decode net/http net/buf
+
+$(BUILD)/fuzz_orders: $(BUILD)/tests/fuzz_orders.oo \
+    $(WORLD_orders:%=$(BUILD)/tests/%.oo) $(STORE_MESSAGES:%=$(BUILD)/%.o) \
+    $(LIBS)
+	$(CXX) $(CXXFLAGS) -o $@ $(filter %.oo %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a -lrapidcheck -lhttp_parser -ljansson -lnettle \
+	    -lxxhash -lmsgpackc -lpthread -lm
+
 $(BUILD)/fuzz_answers: $(BUILD)/tests/fuzz_answers.oo \
     $(BUILD)/tests/answers_world.oo $(BUILD)/tests/answers_wire.oo \
     $(ANSWERS:%=$(BUILD)/%.o) $(LIBS)
--- a/core/directory.c
+++ b/core/directory.c
@@ -27,6 +27,7 @@
 #define ERROR_RATE_HALF_LIFE_NS (2 * NSEC_PER_SEC)
 #define ERROR_RATE_WEIGHT 0.15
 
+static void replica_destroy(struct directory_replica *);
 static void remove_predecessors(
     struct directory *, const struct fleet_replica *);
 static void update_listed_info(
@@ -46,6 +47,14 @@
 	d->prefill_window_ns = DEFAULT_PREFILL_WINDOW_NS;
 }
 
+static void
+replica_destroy(struct directory_replica *m)
+{
+	fleet_replica_clear(&m->info);
+	free(m->peer_loads);
+	free(m);
+}
+
 void
 directory_clear(struct directory *d)
 {
@@ -53,8 +62,7 @@
 
 	HASH_ITER (hh, d->replicas, m, next) {
 		HASH_DEL(d->replicas, m);
-		free(m->peer_loads);
-		free(m);
+		replica_destroy(m);
 	}
 	kept_notice_clear(&d->kept_notices);
 	free(d->peer_heard_at);
@@ -78,26 +86,26 @@
 static void
 update_listed_info(struct directory_replica *m, const struct fleet_replica *r)
 {
-	struct fleet_replica old = m->info;
+	struct name_list held = m->info.adapters;
+	uint64_t accepted_orders = m->info.accepted_orders;
+	char model[NAME_SIZE];
 	uint32_t i;
 
-	m->info = *r;
-	if (old.started_ms != r->started_ms)
+	if (m->info.started_ms != r->started_ms) {
+		fleet_replica_copy(&m->info, r);
 		return;
-	m->info.accepted_orders = old.accepted_orders;
-	m->info.nadapters = 0;
-	for (i = 0; i < old.nadapters; i++) {
-		char model[NAME_SIZE];
-		size_t len = strcspn(old.adapters[i], "/");
-
-		if (len >= sizeof(model))
-			continue;
-		memcpy(model, old.adapters[i], len);
-		model[len] = '\0';
-		if (fleet_has_model(r, model))
-			memcpy(m->info.adapters[m->info.nadapters++],
-			    old.adapters[i], FLEET_NAME_SIZE);
 	}
+	memset(&m->info.adapters, 0, sizeof(m->info.adapters));
+	fleet_replica_copy(&m->info, r);
+	m->info.accepted_orders = accepted_orders;
+	for (i = held.n; i-- > 0;) {
+		snprintf(model, sizeof(model), "%.*s",
+		    (int)strcspn(held.names[i], "/"), held.names[i]);
+		if (!fleet_has_model(r, model))
+			name_list_remove_at(&held, i);
+	}
+	name_list_clear(&m->info.adapters);
+	m->info.adapters = held;
 }
 
 /* An address serves one replica at a time: earlier ones there have ended. */
@@ -123,7 +131,7 @@
 	m = directory_find(d, r->id);
 	if (m == NULL) {
 		m = mem_alloc(sizeof(*m));
-		m->info = *r;
+		fleet_replica_copy(&m->info, r);
 		m->prefill_share = PREFILL_SHARE_INITIAL;
 		kept_notice_take(&d->kept_notices, r->id, &m->notice);
 		HASH_ADD_STR(d->replicas, info.id, m);
@@ -258,8 +266,7 @@
 			continue;
 		kept_notice_put(&d->kept_notices, now, m->info.id, &m->notice);
 		HASH_DEL(d->replicas, m);
-		free(m->peer_loads);
-		free(m);
+		replica_destroy(m);
 	}
 }
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -206,6 +206,26 @@
 	return r->ntargets == 0 ? NULL : &r->targets[0];
 }
 
+void
+fleet_replica_clear(struct fleet_replica *r)
+{
+	name_list_clear(&r->adapters);
+	name_list_clear(&r->loading_adapters);
+	memset(r, 0, sizeof(*r));
+}
+
+void
+fleet_replica_copy(struct fleet_replica *to, const struct fleet_replica *from)
+{
+	struct fleet_replica copy = *from;
+
+	copy.adapters = to->adapters;
+	name_list_copy(&copy.adapters, &from->adapters);
+	copy.loading_adapters = to->loading_adapters;
+	name_list_copy(&copy.loading_adapters, &from->loading_adapters);
+	*to = copy;
+}
+
 int
 fleet_has_model(const struct fleet_replica *r, const char *model)
 {
@@ -221,11 +241,5 @@
 int
 fleet_has_adapter(const struct fleet_replica *r, const char *adapter)
 {
-	uint32_t i;
-
-	for (i = 0; i < r->nadapters; i++) {
-		if (strcmp(r->adapters[i], adapter) == 0)
-			return 1;
-	}
-	return 0;
+	return name_list_has(&r->adapters, adapter);
 }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -8,11 +8,10 @@
 #include <uthash.h>
 
 #include "base.h"
+#include "name_list.h"
 
-#define FLEET_RESIDENT_MAX 16	     /* models loaded on one replica */
-#define FLEET_ADAPTERS_MAX 32	     /* adapters loaded on one replica */
-#define FLEET_LOADING_ADAPTERS_MAX 4 /* being loaded on one replica */
-#define FLEET_NAME_SIZE 96	     /* MODEL/ADAPTER */
+#define FLEET_RESIDENT_MAX 16		    /* models loaded on one replica */
+#define FLEET_NAME_SIZE NAME_LIST_NAME_SIZE /* MODEL/ADAPTER */
 
 enum route_kind {
 	ROUTE_AT_MOST_ONCE, /* non-idempotent: executed at most once */
@@ -119,7 +118,10 @@
 	REPLICA__MAX
 };
 
-/* A replica as listed by the platform or as reported by itself. */
+/*
+ * A replica as listed by the platform or as reported by itself.  Zeroed: empty;
+ * its lists are freed by fleet_replica_clear().
+ */
 struct fleet_replica {
 	char id[NAME_SIZE];
 	char service[NAME_SIZE];
@@ -136,10 +138,8 @@
 	int busy;		  /* an order is being carried out */
 	uint32_t nresident;
 	char resident[FLEET_RESIDENT_MAX][NAME_SIZE];
-	uint32_t nadapters;
-	char adapters[FLEET_ADAPTERS_MAX][FLEET_NAME_SIZE];
-	uint32_t nloading_adapters; /* only in reports */
-	char loading_adapters[FLEET_LOADING_ADAPTERS_MAX][FLEET_NAME_SIZE];
+	struct name_list adapters;	   /* loaded */
+	struct name_list loading_adapters; /* only in reports */
 	uint32_t ncached_models; /* weights on disk or in host memory */
 	char cached_models[FLEET_RESIDENT_MAX][NAME_SIZE];
 };
@@ -177,6 +177,9 @@
 /* Chooses a target by weight from a draw in [0, 1); NULL when there is none. */
 const struct fleet_target *fleet_pick_target(
     const struct fleet_route *, double);
+void fleet_replica_clear(struct fleet_replica *);
+/* Copies all, lists included; the former contents of the copy are freed. */
+void fleet_replica_copy(struct fleet_replica *, const struct fleet_replica *);
 /* Whether the replica lists the model or the adapter, "MODEL/ADAPTER". */
 int fleet_has_model(const struct fleet_replica *, const char *);
 int fleet_has_adapter(const struct fleet_replica *, const char *);
--- a/core/loader.c
+++ b/core/loader.c
@@ -87,7 +87,7 @@
 		return;
 	HASH_ITER (hh, s->engines, e, next) {
 		HASH_DEL(s->engines, e);
-		free(e);
+		engine_state_destroy(e);
 	}
 	lost_loads_clear(s);
 	demand_clear(&s->demand);
@@ -195,6 +195,14 @@
 	ownership_release(s->ownership, out->kv);
 }
 
+void
+engine_state_destroy(struct engine_state *e)
+{
+	name_list_clear(&e->adapters);
+	free(e->loading_adapters);
+	free(e);
+}
+
 struct engine_state *
 engine_state_find(const struct loader *s, const char *id)
 {
@@ -277,7 +285,7 @@
 	store_loads_take_over(s, now, s->fence);
 	HASH_ITER (hh, s->engines, e, next) {
 		HASH_DEL(s->engines, e);
-		free(e);
+		engine_state_destroy(e);
 	}
 }
 
@@ -293,7 +301,7 @@
 		e->sequence_unknown = 0;
 		e->loading[0] = '\0';
 		e->unloading[0] = '\0';
-		e->nadapters = 0;
+		name_list_truncate(&e->adapters);
 		e->nloading_adapters = 0;
 		e->nreported = 0;
 		s->change_count++;
@@ -333,7 +341,7 @@
 		if (directory_find(s->directory, e->replica) != NULL)
 			continue;
 		HASH_DEL(s->engines, e);
-		free(e);
+		engine_state_destroy(e);
 	}
 }
 
--- a/core/loader_adapters.c
+++ b/core/loader_adapters.c
@@ -11,6 +11,8 @@
 #define ADAPTER_REQUEST_VALID_NS (500 * NSEC_PER_MSEC)
 /* An adapter used within this time is not unloaded for another. */
 #define ADAPTER_MIN_KEEP_NS (300 * NSEC_PER_MSEC)
+/* A replica that loads so many adapters is not ordered to load another. */
+#define LOADING_ADAPTERS_MAX 4
 
 /* The usable replicas of a service, found once for all adapters of a round. */
 struct adapter_round {
@@ -102,7 +104,7 @@
 {
 	return directory_holds(p->m, w->model, w->model_hash) &&
 	    engine_state_accepts_orders(r->s, r->now, p->e) &&
-	    p->e->nloading_adapters < FLEET_LOADING_ADAPTERS_MAX &&
+	    p->e->nloading_adapters < LOADING_ADAPTERS_MAX &&
 	    strcmp(engine_state_unloading_model(p->e), w->model) != 0;
 }
 
@@ -146,19 +148,21 @@
 {
 	const struct demand_item *d;
 	const char *best = NULL;
+	const char *name;
 	double best_rate = 0.0;
 	uint32_t i;
 
-	for (i = 0; i < e->nadapters; i++) {
-		d = demand_find(&s->demand, e->adapters[i]);
+	for (i = 0; i < e->adapters.n; i++) {
+		name = e->adapters.names[i];
+		d = demand_find(&s->demand, name);
 		if (d == NULL)
-			return e->adapters[i];
+			return name;
 		if (now < d->last_arrival_at + ADAPTER_MIN_KEEP_NS ||
 		    demand_current_load(d, now) > 0.0)
 			continue;
 		if (best != NULL && d->rate >= best_rate)
 			continue;
-		best = e->adapters[i];
+		best = name;
 		best_rate = d->rate;
 	}
 	return best;
--- a/core/loader_int.h
+++ b/core/loader_int.h
@@ -71,10 +71,10 @@
 	 * Adapters that take slots, as reports and answered orders show: the
 	 * directory's list also follows tables and refusals.
 	 */
-	uint32_t nadapters;
-	char adapters[FLEET_ADAPTERS_MAX][FLEET_NAME_SIZE];
+	struct name_list adapters;
 	uint32_t nloading_adapters;
-	struct adapter_loading loading_adapters[FLEET_LOADING_ADAPTERS_MAX];
+	uint32_t loading_adapters_size; /* allocated */
+	struct adapter_loading *loading_adapters;
 	UT_hash_handle hh;
 };
 
@@ -103,6 +103,8 @@
 };
 
 /* loader.c */
+/* Frees the state and what it holds. */
+void engine_state_destroy(struct engine_state *);
 struct engine_state *engine_state_find(const struct loader *, const char *);
 /* Whether an order can be sent to the replica at a time. */
 int engine_state_accepts_orders(
--- a/entry/adapter_table.c
+++ b/entry/adapter_table.c
@@ -18,6 +18,9 @@
 /* A model being unloaded is announced again well within this time. */
 #define UNLOADING_AVOID_NS (600 * NSEC_PER_MSEC)
 
+_Static_assert(
+    NAME_LIST_MAX + 2 < MSG_LIST_MAX, "a message holds all items of a replica");
+
 /* A table that is being sent, in as many messages as it takes. */
 struct table {
 	struct entry *e;
@@ -45,7 +48,10 @@
 	h->items = mem_alloc(MSG_LIST_MAX * sizeof(*h->items));
 }
 
-/* A replica's items are in one message: each may be lost. */
+/*
+ * A replica's items are in one message, since each may be lost; it holds more
+ * than NAME_LIST_MAX.
+ */
 static void
 table_make_room(struct table *t, uint32_t nitems)
 {
@@ -73,8 +79,8 @@
 	uint64_t hash = m->info.started_ms + 1;
 	uint32_t i;
 
-	for (i = 0; i < m->info.nadapters; i++)
-		hash ^= hash_version(m->info.adapters[i], 1);
+	for (i = 0; i < m->info.adapters.n; i++)
+		hash ^= hash_version(m->info.adapters.names[i], 1);
 	return hash == 0 ? 1 : hash;
 }
 
@@ -91,10 +97,10 @@
 		return;
 	m->adapters_hash_sent = hash;
 	/* The replica, its adapters and a model being unloaded. */
-	table_make_room(t, m->info.nadapters + 2);
+	table_make_room(t, m->info.adapters.n + 2);
 	table_add(t, m, "");
-	for (i = 0; i < m->info.nadapters; i++)
-		table_add(t, m, m->info.adapters[i]);
+	for (i = 0; i < m->info.adapters.n; i++)
+		table_add(t, m, m->info.adapters.names[i]);
 	if (*leaving == '\0')
 		return;
 	table_add(t, m, leaving);
@@ -141,7 +147,6 @@
 	const struct msg_held *h = &msg->u.held;
 	struct loader_io *st = e->loader_io;
 	struct directory_replica *m;
-	struct fleet_replica *r;
 	struct loader_stats t;
 	uint32_t i;
 
@@ -160,19 +165,15 @@
 			continue;
 		/* The items of each replica start with an empty name. */
 		if (h->items[i].name[0] == '\0') {
-			m->info.nadapters = 0;
+			name_list_truncate(&m->info.adapters);
 			continue;
 		}
-		if (m->info.nadapters == FLEET_ADAPTERS_MAX)
-			continue;
 		if (strchr(h->items[i].name, '/') == NULL) {
 			directory_exclude(
 			    m, h->items[i].name, e->now + UNLOADING_AVOID_NS);
 			continue;
 		}
-		r = &m->info;
-		snprintf(r->adapters[r->nadapters++], FLEET_NAME_SIZE, "%s",
-		    h->items[i].name);
+		name_list_append(&m->info.adapters, h->items[i].name);
 	}
 	e->retry_waiting = 1;
 }
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -438,6 +438,9 @@
 	metric_write(f, "spindle_entry_bad_entries_total", "counter",
 	    "Entries of the list of replicas that cannot be used.",
 	    e->counts.bad_entries);
+	metric_write(f, "spindle_entry_names_left_out_total", "counter",
+	    "Models and adapters that replicas name beyond those kept.",
+	    e->counts.unnamed);
 }
 
 static void
--- a/entry/entry_int.h
+++ b/entry/entry_int.h
@@ -70,6 +70,7 @@
 	uint64_t permits;	  /* that this process got */
 	uint64_t bad_answers;	  /* of the store, that cannot be used */
 	uint64_t bad_entries;	  /* of the list, that cannot be used */
+	uint64_t unnamed;	  /* names of replicas beyond those kept */
 	uint64_t bad_texts;	  /* of peers, that could not be read */
 	uint64_t unsent_texts;	  /* for peers, too large for a message */
 	uint64_t unanswered_pulls; /* of peers, as many came at once */
--- a/entry/list_entries.c
+++ b/entry/list_entries.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "config.h"
+#include "loader_io.h"
 #include "peers.h"
 #include "replica.h"
 #include "session_int.h"
@@ -56,6 +57,8 @@
 
 	if (platform_replica_decode(id, item->value, item->len, &r, &err) == 0)
 		text = platform_replica_encode(&r);
+	loader_io_note_unnamed(l->s->e, &r);
+	fleet_replica_clear(&r);
 	if (text != NULL)
 		return text;
 	about.backend = id;
@@ -79,6 +82,7 @@
 	about.backend = id;
 	if (platform_replica_decode(id, k->value, k->len, &r, &err) == -1) {
 		log_event(LOG_REPLICA_BAD, &about, "%s", err.text);
+		fleet_replica_clear(&r);
 		return;
 	}
 	directory_put(&e->dir, &r)->listed_at = e->now;
@@ -88,6 +92,7 @@
 	    (unsigned long long)revision_number(k->revision), r.service, r.addr,
 	    format_models(&r, models, sizeof(models)),
 	    (unsigned long long)(r.leave_left_ns / NSEC_PER_MSEC));
+	fleet_replica_clear(&r);
 }
 
 static void
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -112,8 +112,6 @@
 loader_io_attempt_ended(struct entry *e, struct directory_replica *m,
     const struct request_params *w, enum attempt_outcome end, int status)
 {
-	uint32_t i;
-
 	if (end != ATTEMPT_REFUSED || w->model[0] == '\0')
 		return;
 	directory_exclude(m, loader_io_wanted_name(w),
@@ -121,16 +119,22 @@
 		(status == 421 && w->adapter[0] == '\0' ? ABSENT_AVOID_NS
 							: REFUSED_AVOID_NS));
 	/* The adapter is not loaded: unlisted until the next adapter table. */
-	if (status != 421 || w->adapter[0] == '\0')
+	if (status == 421 && w->adapter[0] != '\0')
+		name_list_remove(&m->info.adapters, w->adapter);
+}
+
+void
+loader_io_note_unnamed(struct entry *e, const struct fleet_replica *r)
+{
+	struct log_subject about = { 0 };
+	uint32_t n = r->adapters.nunnamed + r->loading_adapters.nunnamed;
+
+	if (n == 0)
 		return;
-	for (i = 0; i < m->info.nadapters; i++) {
-		if (strcmp(m->info.adapters[i], w->adapter) != 0)
-			continue;
-		m->info.nadapters--;
-		memmove(m->info.adapters[i],
-		    m->info.adapters[m->info.nadapters], FLEET_NAME_SIZE);
-		break;
-	}
+	e->counts.unnamed += n;
+	about.backend = r->id;
+	log_event(LOG_NAMES_LEFT_OUT, &about, "left_out=%u kept=%d", n,
+	    NAME_LIST_MAX);
 }
 
 /* Handles the response to an order or report query; status 0 if none. */
@@ -161,6 +165,9 @@
 		    "report status=%d orders=%llu busy=%d", status,
 		    (unsigned long long)r.accepted_orders, r.busy);
 		loader_report_received(s, c->e->now, &c->o, valid ? &r : NULL);
+		snprintf(r.id, sizeof(r.id), "%s", c->o.replica);
+		loader_io_note_unnamed(c->e, &r);
+		fleet_replica_clear(&r);
 	} else {
 		log_event(answer <= ANSWER_ALREADY_DONE ? LOG_ORDER_DONE
 							: LOG_ORDER_FAILED,
--- a/entry/loader_io.h
+++ b/entry/loader_io.h
@@ -34,6 +34,8 @@
 uint32_t loader_io_waiting(const struct entry *, const char *);
 /* As a relay, adds the models that requests wait for to a report. */
 void loader_io_fill_waiting(struct entry *, struct msg_front *);
+/* Counts and logs what a replica names beyond what is kept. */
+void loader_io_note_unnamed(struct entry *, const struct fleet_replica *);
 /* Asks the holder to load the model or adapter that a request waits for. */
 void loader_io_request_load(struct entry *, const struct request_params *);
 /*
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -167,6 +167,7 @@
             sys.executable, "tests/crashing.py"])
         run_check("limits", [sys.executable, "tests/limits.py"])
         run_check("accounts", [sys.executable, "tests/accounts.py"])
+        run_check("places", [sys.executable, "tests/places.py"])
         run_check("lists", [sys.executable, "tests/lists.py"])
         run_check("revisions", [sys.executable, "tests/revisions.py"])
         run_check("configurations", [
--- a/shell/log.c
+++ b/shell/log.c
@@ -169,6 +169,8 @@
 	    "a replica was removed from the platform's list" },
 	[LOG_REPLICA_BAD] = { 1613, LOGLEVEL_INFO, "replica-bad",
 	    "a malformed entry of the platform's list was ignored" },
+	[LOG_NAMES_LEFT_OUT] = { 1637, LOGLEVEL_WARNING, "names-left-out",
+	    "a replica names more models or adapters than are kept" },
 	[LOG_REPLICA_AVOIDED] = { 1614, LOGLEVEL_INFO, "replica-avoided",
 	    "a replica could not be reached and is temporarily avoided" },
 	[LOG_PEER_HEARD] = { 1615, LOGLEVEL_INFO, "peer-heard",
--- a/tests/fuzz_orders.cc
+++ b/tests/fuzz_orders.cc
@@ -66,6 +66,40 @@
 	});
 }
 
+/* A step on adapters, and the adapter. */
+rc::Gen<std::pair<OpKind, int>>
+adapter_step()
+{
+	return rc::gen::pair(rc::gen::weightedElement<OpKind>({ { 20, OP_REQUEST_ADAPTER },
+				 { 5, OP_ADVANCE }, { 2, OP_UNLIST_ADAPTER },
+				 { 1, OP_KILL_HOLDER }, { 1, OP_LOSE_ANSWERS },
+				 { 1, OP_STOP_LOSSES } }),
+	    rc::gen::inRange(0, kReplicas * kManyAdapters));
+}
+
+/*
+ * Replicas with some tens to hundreds of places for adapters, nearly all of
+ * them taken: World checks each order.
+ */
+bool
+check_many_places()
+{
+	return rc::check("orders never exceed many adapter slots", []() {
+		uint64_t seed = *rc::gen::inRange<uint64_t>(0, 1000000);
+		uint32_t slots = *rc::gen::inRange<uint32_t>(20, 400);
+		auto steps = *rc::gen::container<std::vector<
+		    std::pair<OpKind, int>>>(80, adapter_step());
+		World world(seed, slots);
+
+		world.apply(OP_LONG_ADVANCE, 0, 100);
+		for (auto &step : steps) {
+			world.apply(step.first, step.second % kReplicas,
+			    step.second / kReplicas);
+			world.apply(OP_ADVANCE, 0, 30);
+		}
+	});
+}
+
 } // namespace
 
 int
@@ -75,5 +109,7 @@
 	    "orders never exceed the memory and adapter slots of engines, nor "
 	    "the rate of the weight store");
 
-	return check_hand_overs() ? status : 1;
+	bool hand_overs = check_hand_overs();
+
+	return check_many_places() && hand_overs ? status : 1;
 }
--- a/tests/orders_tables.cc
+++ b/tests/orders_tables.cc
@@ -17,8 +17,8 @@
 			const directory_replica *m =
 			    directory_find(&loaders[sender].dir, e.id.c_str());
 
-			for (uint32_t k = 0; m != nullptr && k < m->info.nadapters; k++)
-				t.adapters[e.id].push_back(m->info.adapters[k]);
+			for (uint32_t k = 0; m != nullptr && k < m->info.adapters.n; k++)
+				t.adapters[e.id].push_back(m->info.adapters.names[k]);
 		}
 		tables.push_back(t);
 	}
@@ -41,10 +41,9 @@
 				continue;
 			fleet_replica &r = m->info;
 
-			r.nadapters = 0;
+			name_list_truncate(&r.adapters);
 			for (auto &a : tables[i].adapters[e.id])
-				snprintf(r.adapters[r.nadapters++],
-				    FLEET_NAME_SIZE, "%s", a.c_str());
+				name_list_append(&r.adapters, a.c_str());
 		}
 		tables.erase(tables.begin() + (long)i);
 	}
@@ -57,12 +56,9 @@
 	for (auto &h : loaders) {
 		directory_replica *m = directory_find(&h.dir, id.c_str());
 
-		if (m == nullptr || m->info.nadapters == 0)
+		if (m == nullptr || m->info.adapters.n == 0)
 			continue;
-		fleet_replica &r = m->info;
-
-		at %= r.nadapters--;
-		memmove(r.adapters[at], r.adapters[r.nadapters],
-		    FLEET_NAME_SIZE);
+		at %= m->info.adapters.n;
+		name_list_remove_at(&m->info.adapters, at);
 	}
 }
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -4,8 +4,13 @@
 	"request-adapter", "lose-answers", "restart", "kill", "freeze", "outage", "revoke-leases",
 	"stop-losses", "unlist-adapter", "stop", "stop-holder", "replace", "demand-all", "kill-holder", "crash" };
 
-World::World(uint64_t seed_) : seed(seed_ * 2 + 1), scarce(seed_ % 2 == 0),
-    loads_per_s(scarce ? 1.2 : 2.0), memory_mb(scarce ? 750 : 250),
+World::World(uint64_t seed_) : World(seed_, kAdapterSlots) {}
+
+World::World(uint64_t seed_, uint32_t adapter_slots_) : seed(seed_ * 2 + 1),
+    revision(first_revision(seed_)), scarce(seed_ % 2 == 0),
+    loads_per_s(scarce ? 1.2 : 2.0), adapter_slots(adapter_slots_),
+    memory_mb((scarce ? 750 : 250) +
+	(adapter_slots - kAdapterSlots) * kAdapterMb),
     load_time((scarce ? 500 : 2000) * NSEC_PER_MSEC)
 {
 	struct fleet_engine *g;
@@ -19,7 +24,7 @@
 	g->slots = 16;
 	g->kv_tokens = 100000;
 	g->memory_mb = memory_mb;
-	g->adapter_slots = kAdapterSlots;
+	g->adapter_slots = adapter_slots;
 	g->loads_per_s = loads_per_s;
 	g->models = (struct fleet_model *)mem_alloc(kModels * sizeof(struct fleet_model));
 	g->nmodels = kModels;
@@ -28,18 +33,28 @@
 		g->models[i].memory_mb = 100;
 		g->models[i].store_load_ns = (scarce ? 5 : 2) * NSEC_PER_SEC; /* so many may run at once */
 		g->models[i].adapter_count = kAdapters;
-		g->models[i].adapter_mb = 10;
+		g->models[i].adapter_mb = kAdapterMb;
 	}
 	fleet_engine_index_models(g);
 	for (int i = 0; i < kReplicas; i++) {
 		engines[i].id = "r" + std::to_string(i);
 		engines[i].current.models.insert("m" + std::to_string(i));
+		fill_places(engines[i], i);
 		engines[i].history.push_back({ 0, engines[i].current });
 	}
 	for (int i = 0; i < kLoaders; i++)
 		start_loader(i);
 }
 
+/* Takes all places but a few by adapters, where there are many. */
+void
+World::fill_places(Engine &e, int model)
+{
+	for (uint32_t k = kAdapterSlots; k + 2 < adapter_slots; k++)
+		e.current.adapters.insert(
+		    "m" + std::to_string(model) + "/b" + std::to_string(k));
+}
+
 World::~World()
 {
 	for (int i = 0; i < kLoaders; i++)
@@ -78,10 +93,10 @@
 	    &config, &loaders[i].dir, &self, &loaders[i].ids);
 	loader_set_candidate(loaders[i].loader, 1, 0);
 	for (auto &e : engines) {
-		fleet_replica r = list_entry(e, e.current);
+		ReplicaEntry r = list_entry(e, e.current);
 
 		if (e.down_until == 0)
-			directory_put(&loaders[i].dir, &r);
+			directory_put(&loaders[i].dir, &r.info);
 	}
 }
 
@@ -99,10 +114,11 @@
 	return now < loaders[i].frozen_until;
 }
 
-fleet_replica
+ReplicaEntry
 World::list_entry(const Engine &e, const EngineContents &h) const
 {
-	fleet_replica r = {};
+	ReplicaEntry entry;
+	fleet_replica &r = entry.info;
 
 	snprintf(r.id, sizeof(r.id), "%s", e.id.c_str());
 	snprintf(r.service, sizeof(r.service), "llm");
@@ -116,13 +132,10 @@
 		snprintf(
 		    r.resident[r.nresident++], NAME_SIZE, "%s", m.c_str());
 	for (auto &a : h.adapters)
-		snprintf(r.adapters[r.nadapters++], FLEET_NAME_SIZE, "%s",
-		    a.c_str());
+		name_list_append(&r.adapters, a.c_str());
 	for (auto &c : h.loading_adapters)
-		if (r.nloading_adapters < FLEET_LOADING_ADAPTERS_MAX)
-			snprintf(r.loading_adapters[r.nloading_adapters++], FLEET_NAME_SIZE, "%s",
-			    c.first.c_str());
-	return r;
+		name_list_append(&r.loading_adapters, c.first.c_str());
+	return entry;
 }
 
 /* Finishes loads and unloads, and records the history for delayed reports. */
@@ -173,10 +186,10 @@
 		const EngineContents &h = e.history.size() > back
 		    ? e.history[e.history.size() - 1 - back].second
 		    : e.history[0].second;
-		fleet_replica r = list_entry(e, h);
+		ReplicaEntry r = list_entry(e, h);
 
 		for (auto &process : loaders)
-			directory_put(&process.dir, &r);
+			directory_put(&process.dir, &r.info);
 	}
 }
 
@@ -188,10 +201,10 @@
 		return;
 	if (o.adapter[0] != '\0') {
 		RC_ASSERT(e.current.adapters.size() + e.current.loading_adapters.size() + 1 <=
-		    kAdapterSlots);
+		    adapter_slots);
 		return;
 	}
-	RC_ASSERT(e.current.models.size() * 100 + 100 + kAdapterSlots * 10 <= memory_mb);
+	RC_ASSERT(e.current.models.size() * 100 + 100 + adapter_slots * kAdapterMb <= memory_mb);
 }
 
 enum order_answer
@@ -276,11 +289,11 @@
 			loader_order_answered(h.loader, now, &c.order, c.result);
 			continue;
 		}
-		fleet_replica r =
+		ReplicaEntry r =
 		    list_entry(engines[c.order.replica[1] - '0'], c.reported);
 
 		loader_report_received(h.loader, now, &c.order,
-		    c.result == ANSWER_NONE ? nullptr : &r);
+		    c.result == ANSWER_NONE ? nullptr : &r.info);
 	}
 }
 
@@ -290,6 +303,7 @@
 	kv_op *op = c.op;
 	std::string key = op->key;
 	auto found = keys.find(key);
+	uint64_t expected;
 
 	c.done = true;
 	c.result.status = KV_OK;
@@ -300,17 +314,21 @@
 			break;
 		}
 		c.value = found->second.value;
-		c.result.revision = found->second.revision;
+		c.result.revision = read_revision(op, found->second.revision);
 		break;
 	case KV_CAS:
+		expected = sent_revision(op);
+		RC_ASSERT(expected == 0 || given.count({ key, expected }) != 0);
 		if ((found == keys.end() ? 0 : found->second.revision) !=
-			op->expected_revision ||
+			expected ||
 		    (op->lease_id != 0 && !leases.count(op->lease_id))) {
 			c.result.status = KV_CONFLICT;
 			break;
 		}
-		keys[key] = { op->value, ++revision, op->lease_id };
-		c.result.revision = revision;
+		revision = next_revision(revision);
+		given.insert({ key, revision });
+		keys[key] = { op->value, revision, op->lease_id };
+		c.result.revision = read_revision(op, revision);
 		break;
 	case KV_GRANT:
 		c.result.lease_id = ++next_lease;
@@ -503,7 +521,7 @@
 		add_demand(a % kModels, b);
 		break;
 	case OP_REQUEST_ADAPTER:
-		request_adapter(a % kModels, b % kAdapters);
+		request_adapter(a % kModels, b % (adapter_slots == kAdapterSlots ? kAdapters : kManyAdapters));
 		break;
 	case OP_LOSE_ANSWERS:
 		loss_probability = b / 2000.0;
--- a/tests/orders_world.h
+++ b/tests/orders_world.h
@@ -26,8 +26,10 @@
 const int kReplicas = 4;
 const int kModels = 7;
 const int kAdapters = 5;
+const int kManyAdapters = 60; /* where there are many places */
 const uint64_t kStep = 20 * NSEC_PER_MSEC;
-const uint64_t kAdapterSlots = 3;
+const uint32_t kAdapterSlots = 3;
+const uint64_t kAdapterMb = 10;
 const uint64_t kReportLag = 200 * NSEC_PER_MSEC;
 const uint64_t kListLag = 400 * NSEC_PER_MSEC;
 const uint64_t kHeartbeat = 1200 * NSEC_PER_MSEC;
@@ -38,6 +40,12 @@
 /* An order that begins later than this was lost for a time. */
 const uint64_t kOnTime = 1 * NSEC_PER_SEC;
 
+/* orders_store.cc */
+uint64_t first_revision(uint64_t);
+uint64_t next_revision(uint64_t);
+uint64_t sent_revision(const kv_op *);
+uint64_t read_revision(const kv_op *, uint64_t);
+
 enum OpKind {
 	OP_ADVANCE,
 	OP_LONG_ADVANCE,
@@ -79,6 +87,21 @@
 	uint64_t change_at = TIME_NEVER; /* end of the load or unload */
 };
 
+/* Owns the lists of a replica. */
+struct ReplicaEntry {
+	fleet_replica info = {};
+
+	ReplicaEntry() = default;
+	ReplicaEntry(ReplicaEntry &&o) noexcept
+	{
+		std::swap(info, o.info);
+	}
+	~ReplicaEntry()
+	{
+		fleet_replica_clear(&info);
+	}
+};
+
 struct Engine {
 	std::string id;
 	EngineContents current;
@@ -148,6 +171,8 @@
 {
       public:
 	explicit World(uint64_t);
+	/* With a number of places for adapters on each replica. */
+	World(uint64_t, uint32_t);
 	~World();
 	void apply(OpKind, int, int);
 	void add_demand(int, int);
@@ -173,6 +198,7 @@
 	void deliver_orders();
 	void deliver_kv();
 	void execute_kv(KvRequest &);
+	void fill_places(Engine &, int);
 	void tick_loader(int);
 	void collect_output(int, kv_ops *, loader_orders *);
 	void execute_order(OrderRequest &);
@@ -192,14 +218,16 @@
 	void deliver_tables();
 	void unlist_adapter(const std::string &, uint32_t);
 	bool is_frozen(int) const;
-	fleet_replica list_entry(const Engine &, const EngineContents &) const;
+	ReplicaEntry list_entry(const Engine &, const EngineContents &) const;
 
 	uint64_t now = 1000 * NSEC_PER_SEC;
 	uint64_t seed;
 	double loss_probability = 0.0;
 	uint64_t outage_until = 0;
 	uint64_t revoked_at = 0;
-	uint64_t revision = 1;
+	uint64_t revision;
+	std::set<std::pair<std::string, uint64_t>>
+	    given; /* revisions of keys */
 	uint64_t next_lease = 1;
 	uint64_t incarnations = 0;
 	std::map<std::string, Key> keys;
@@ -215,6 +243,7 @@
 	/* In half of the worlds it is the rate of loads that binds. */
 	bool scarce;
 	double loads_per_s;
+	uint32_t adapter_slots;
 	uint64_t
 	    memory_mb; /* two or seven models of 100 MB, and the adapters */
 	uint64_t load_time;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -176,8 +176,8 @@
 
 	directory_init(&d);
 	m = directory_put(&d, &r);
-	strcpy(m->info.adapters[m->info.nadapters++], "m/a1");
-	strcpy(m->info.adapters[m->info.nadapters++], "gone/a1");
+	name_list_append(&m->info.adapters, "m/a1");
+	name_list_append(&m->info.adapters, "gone/a1");
 	m->info.accepted_orders = 7;
 	directory_put(&d, &r);
 	CU_ASSERT(fleet_has_adapter(&m->info, "m/a1"));
@@ -189,7 +189,7 @@
 	r.nresident = 0;
 	directory_put(&d, &r);
 	CU_ASSERT(directory_usable(m, 2 * S + MS));
-	CU_ASSERT_EQUAL(m->info.nadapters, 0);
+	CU_ASSERT_EQUAL(m->info.adapters.n, 0);
 	CU_ASSERT_EQUAL(m->info.accepted_orders, 0);
 	directory_clear(&d);
 }
--- a/tests/test_loader.c
+++ b/tests/test_loader.c
@@ -424,20 +424,19 @@
 test_loading_adapters_counted(void)
 {
 	struct loader_order *o;
-	struct fleet_replica r;
+	struct fleet_replica r = { 0 };
 	struct loader_fixture t;
 
 	fixture_open(&t, 0);
 	fixture_run(&t, 500 * MS);
 	while ((o = fixture_take_order(&t, LOADER_REPORT)) != NULL) {
-		r = t.replicas[o->replica[1] - '0'];
-		strcpy(r.adapters[0], "m0/a1");
-		strcpy(r.loading_adapters[0], "m0/a2");
-		r.nadapters = 1;
-		r.nloading_adapters = 1;
+		fleet_replica_copy(&r, &t.replicas[o->replica[1] - '0']);
+		name_list_append(&r.adapters, "m0/a1");
+		name_list_append(&r.loading_adapters, "m0/a2");
 		loader_report_received(t.s, t.now, o, &r);
 		free(o);
 	}
+	fleet_replica_clear(&r);
 	loader_request_adapter(t.s, t.now, "m0/a3");
 	fixture_run(&t, 40 * MS);
 	CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
--- a/tests/test_loader_adapters.c
+++ b/tests/test_loader_adapters.c
@@ -22,6 +22,9 @@
 static void test_more_lost_loads(void);
 static void test_lost_load_forgotten_late(void);
 static void test_lost_load_new_term(void);
+static void report_many(struct loader_fixture *, uint32_t, uint32_t);
+static void test_many_places(void);
+static void test_many_loading(void);
 
 /* Answers report requests; r0 has two adapters, or one if the second is "". */
 static void
@@ -29,19 +32,20 @@
     const char *first, const char *second)
 {
 	struct loader_order *o;
-	struct fleet_replica r;
+	struct fleet_replica r = { 0 };
 
 	while ((o = fixture_take_order(t, LOADER_REPORT)) != NULL) {
-		r = t->replicas[o->replica[1] - '0'];
+		fleet_replica_copy(&r, &t->replicas[o->replica[1] - '0']);
 		r.accepted_orders = orders;
 		if (strcmp(r.id, "r0") == 0) {
-			strcpy(r.adapters[0], first);
-			strcpy(r.adapters[1], second);
-			r.nadapters = *second == '\0' ? 1 : 2;
+			name_list_append(&r.adapters, first);
+			if (*second != '\0')
+				name_list_append(&r.adapters, second);
 		}
 		loader_report_received(t->s, t->now, o, &r);
 		free(o);
 	}
+	fleet_replica_clear(&r);
 }
 
 /*
@@ -57,7 +61,7 @@
 	fixture_open(&t, 0);
 	fixture_run(&t, 500 * MS);
 	answer_report_of_r0(&t, 14, "m0/a1", "m0/a2");
-	directory_find(&t.dir, "r0")->info.nadapters = 1;
+	name_list_remove(&directory_find(&t.dir, "r0")->info.adapters, "m0/a2");
 	fixture_set_running(&t, "m0/a1", 5);
 	loader_request_adapter(t.s, t.now, "m0/a3");
 	fixture_run(&t, 40 * MS);
@@ -290,6 +294,81 @@
 	fixture_close(&t);
 }
 
+/* r0 reports so many adapters in use, and so many that it is loading. */
+static void
+report_many(struct loader_fixture *t, uint32_t loaded, uint32_t loading)
+{
+	struct loader_order *o;
+	struct fleet_replica r = { 0 };
+	char name[FLEET_NAME_SIZE];
+	uint32_t i;
+
+	while ((o = fixture_take_order(t, LOADER_REPORT)) != NULL) {
+		fleet_replica_copy(&r, &t->replicas[o->replica[1] - '0']);
+		for (i = 0; strcmp(r.id, "r0") == 0 && i < loaded + loading;
+		     i++) {
+			snprintf(name, sizeof(name), "m0/b%u", i);
+			name_list_append(
+			    i < loaded ? &r.adapters : &r.loading_adapters,
+			    name);
+			fixture_set_running(t, name, 1);
+		}
+		loader_report_received(t->s, t->now, o, &r);
+		free(o);
+	}
+	fleet_replica_clear(&r);
+}
+
+/*
+ * Guards against review/14: adapters beyond the 32nd of a replica were not
+ * counted, so that it was ordered over its places.
+ */
+static void
+test_many_places(void)
+{
+	static const uint32_t places[] = { 32, 33, 40, 64, 65, 300,
+		NAME_LIST_MAX, NAME_LIST_MAX + 1 };
+	struct loader_order *o;
+	struct loader_fixture t;
+	size_t i;
+
+	for (i = 0; i < nitems(places); i++) {
+		fixture_open(&t, 0);
+		t.conf->services[0].engine->adapter_slots = places[i];
+		fixture_run(&t, 500 * MS);
+		report_many(&t, places[i], 0);
+		loader_request_adapter(t.s, t.now, "m0/a3");
+		fixture_run(&t, 40 * MS);
+		CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
+		CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_UNLOAD));
+		t.conf->services[0].engine->adapter_slots++;
+		loader_request_adapter(t.s, t.now, "m0/a3");
+		fixture_run(&t, 40 * MS);
+		o = fixture_require_order(&t, LOADER_LOAD);
+		CU_ASSERT_STRING_EQUAL(o->adapter, "m0/a3");
+		free(o);
+		fixture_close(&t);
+	}
+}
+
+/* The same of those that a replica is loading, beyond the fourth. */
+static void
+test_many_loading(void)
+{
+	struct loader_fixture t;
+
+	fixture_open(&t, 0);
+	t.conf->services[0].engine->adapter_slots = 9;
+	fixture_run(&t, 500 * MS);
+	report_many(&t, 0, 9);
+	loader_request_adapter(t.s, t.now, "m0/a3");
+	fixture_run(&t, 100 * MS);
+	CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
+	CU_ASSERT(
+	    fleet_has_adapter(&directory_find(&t.dir, "r0")->info, "m0/b8"));
+	fixture_close(&t);
+}
+
 static const struct unit_case cases[] = {
 	{ "unlisted adapters", test_unlisted_adapters_counted },
 	{ "list entry without a model", test_list_lacks_model },
@@ -298,6 +377,8 @@
 	{ "more lost loads", test_more_lost_loads },
 	{ "lost load forgotten in time", test_lost_load_forgotten_late },
 	{ "lost load, lease taken anew", test_lost_load_new_term },
+	{ "many places", test_many_places },
+	{ "many adapters being loaded", test_many_loading },
 };
 
 UNIT_MAIN("loader_adapters", cases)
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -14,6 +14,7 @@
 #define FORMER_FENCE 6 /* of the holder before this process */
 #define MANY_REPLICAS 730
 #define ADAPTERS 8
+#define MANY_ADAPTERS 300 /* of one replica */
 
 /* What the loader has sent to replicas and is not answered yet. */
 static struct {
@@ -28,7 +29,7 @@
 /* The messages to the other processes. */
 static struct {
 	uint32_t n;
-	struct msg *tables[64];
+	struct msg *tables[4096];
 } told;
 
 static void setup(struct entry *);
@@ -42,8 +43,10 @@
 static void test_table_of_later_holder(void);
 static void forget_tables(void);
 static void list_replicas(struct entry *, uint32_t);
-static uint32_t count_complete(struct entry *);
+static uint32_t count_complete(struct entry *, uint32_t);
+static void check_whole_table(uint32_t);
 static void test_table_of_many_replicas(void);
+static void test_table_of_many_adapters(void);
 static void test_replica_that_the_holder_does_not_list(void);
 static uint32_t count_told_loads(uint64_t);
 static void test_process_started_after_a_stop_is_told_loads(void);
@@ -211,7 +214,7 @@
 	CU_ASSERT(loader_io_is_leader(e));
 	CU_ASSERT_EQUAL(sent.n, 1);
 	answer(200, report);
-	CU_ASSERT_EQUAL(directory_find(&e->dir, "r0")->info.nadapters, 2);
+	CU_ASSERT_EQUAL(directory_find(&e->dir, "r0")->info.adapters.n, 2);
 }
 
 static void
@@ -312,7 +315,7 @@
 	setup(&e);
 	receive_table(&e, FORMER_FENCE, "m0/a7");
 	r = &directory_find(&e.dir, "r0")->info;
-	CU_ASSERT_EQUAL(r->nadapters, 2);
+	CU_ASSERT_EQUAL(r->adapters.n, 2);
 	CU_ASSERT(fleet_has_adapter(r, "m0/a1"));
 	CU_ASSERT(fleet_has_adapter(r, "m0/a2"));
 	CU_ASSERT(!loader_io_is_holder(&e, "10.0.0.9:7000"));
@@ -328,7 +331,7 @@
 	setup(&e);
 	receive_table(&e, FORMER_FENCE + 2, "m0/a7");
 	r = &directory_find(&e.dir, "r0")->info;
-	CU_ASSERT_EQUAL(r->nadapters, 1);
+	CU_ASSERT_EQUAL(r->adapters.n, 1);
 	CU_ASSERT(fleet_has_adapter(r, "m0/a7"));
 	CU_ASSERT(loader_io_is_holder(&e, "10.0.0.9:7000"));
 	run(&e, 20 * NSEC_PER_MSEC);
@@ -349,6 +352,7 @@
 {
 	struct fleet_replica r = { 0 };
 	struct fleet_replica *info;
+	char name[FLEET_NAME_SIZE];
 	uint32_t i, k;
 
 	strcpy(r.service, "other");
@@ -358,16 +362,17 @@
 		snprintf(r.id, sizeof(r.id), "other%u", i);
 		directory_put(&e->dir, &r);
 		info = &directory_find(&e->dir, r.id)->info;
-		info->nadapters = nadapters;
-		for (k = 0; k < nadapters; k++)
-			snprintf(info->adapters[k], FLEET_NAME_SIZE, "m0/a%u",
-			    i + k);
+		name_list_truncate(&info->adapters);
+		for (k = 0; k < nadapters; k++) {
+			snprintf(name, sizeof(name), "m0/a%u", i + k);
+			name_list_append(&info->adapters, name);
+		}
 	}
 }
 
 /* Replicas with all adapters that list_replicas() gave them. */
 static uint32_t
-count_complete(struct entry *e)
+count_complete(struct entry *e, uint32_t nadapters)
 {
 	const struct directory_replica *m;
 	char name[FLEET_NAME_SIZE];
@@ -377,25 +382,24 @@
 	for (i = 0; i < MANY_REPLICAS; i++) {
 		snprintf(name, sizeof(name), "other%u", i);
 		m = directory_find(&e->dir, name);
-		for (k = 0; m != NULL && k < ADAPTERS; k++) {
+		for (k = 0; m != NULL && k < nadapters; k++) {
 			snprintf(name, sizeof(name), "m0/a%u", i + k);
 			if (!fleet_has_adapter(&m->info, name))
 				break;
 		}
-		n += k == ADAPTERS && m->info.nadapters == ADAPTERS;
+		n += k == nadapters && m->info.adapters.n == nadapters;
 	}
 	return n;
 }
 
-/* A whole table of more adapters than a message holds is not cut. */
 static void
-test_table_of_many_replicas(void)
+check_whole_table(uint32_t nadapters)
 {
 	struct entry holder, other;
 	uint32_t i;
 
 	setup(&holder);
-	list_replicas(&holder, ADAPTERS);
+	list_replicas(&holder, nadapters);
 	forget_tables();
 	run(&holder, 3 * NSEC_PER_SEC);
 	memset(&other, 0, sizeof(other));
@@ -405,12 +409,26 @@
 	other.loader_io = loader_io_create(&other);
 	for (i = 0; i < told.n; i++)
 		loader_io_receive(&other, told.tables[i]);
-	CU_ASSERT_EQUAL(count_complete(&other), MANY_REPLICAS);
+	CU_ASSERT_EQUAL(count_complete(&other, nadapters), MANY_REPLICAS);
 	loader_io_destroy(other.loader_io);
 	directory_clear(&other.dir);
 	finish(&holder);
 }
 
+/* A whole table of more adapters than a message holds is not cut. */
+static void
+test_table_of_many_replicas(void)
+{
+	check_whole_table(ADAPTERS);
+}
+
+/* Guards against review/14: adapters beyond the 32nd were left out. */
+static void
+test_table_of_many_adapters(void)
+{
+	check_whole_table(MANY_ADAPTERS);
+}
+
 /* Adapters known from a list stay, if the table does not name the replica. */
 static void
 test_replica_that_the_holder_does_not_list(void)
@@ -420,7 +438,7 @@
 	setup(&e);
 	list_replicas(&e, ADAPTERS);
 	receive_table(&e, FORMER_FENCE + 2, "m0/a7");
-	CU_ASSERT_EQUAL(count_complete(&e), MANY_REPLICAS);
+	CU_ASSERT_EQUAL(count_complete(&e, ADAPTERS), MANY_REPLICAS);
 	finish(&e);
 }
 
@@ -494,6 +512,7 @@
 	{ "table of a former holder", test_table_of_former_holder },
 	{ "table of a later holder", test_table_of_later_holder },
 	{ "table of many replicas", test_table_of_many_replicas },
+	{ "table of many adapters", test_table_of_many_adapters },
 	{ "replica that the holder does not list",
 	    test_replica_that_the_holder_does_not_list },
 	{ "process started after a stop is told loads",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -22,6 +22,7 @@
 static void test_replica_whole(void);
 static void test_replica_encoded(void);
 static void test_reports(void);
+static void test_report_many(void);
 static void test_configs(void);
 static void test_config_whole(void);
 static void test_boots(void);
@@ -77,6 +78,7 @@
 		    "i-1", replicas[i].text, strlen(replicas[i].text), &r, &e);
 		CU_ASSERT_EQUAL(status, *replicas[i].error == '\0' ? 0 : -1);
 		CU_ASSERT_PTR_NOT_NULL(strstr(e.text, replicas[i].error));
+		fleet_replica_clear(&r);
 	}
 	CU_ASSERT_EQUAL(platform_replica_decode("", replicas[0].text,
 			    strlen(replicas[0].text), &r, &e),
@@ -107,6 +109,7 @@
 	CU_ASSERT_EQUAL(r.ncached_models, 2);
 	/* In a list entry, "sequence" counts heartbeats, not orders. */
 	CU_ASSERT_EQUAL(r.accepted_orders, 0);
+	fleet_replica_clear(&r);
 }
 
 /* The members kept of an entry have a bounded size and decode unchanged. */
@@ -128,6 +131,7 @@
 	struct err e;
 	char *text;
 	char *second;
+	uint32_t k;
 	size_t i;
 
 	for (i = 0; i < nitems(texts); i++) {
@@ -149,19 +153,49 @@
 		    r.leave_left_ns == again.leave_left_ns &&
 		    r.state == again.state && r.busy == again.busy &&
 		    r.nresident == again.nresident &&
-		    r.nadapters == again.nadapters &&
+		    r.adapters.n == again.adapters.n &&
 		    r.ncached_models == again.ncached_models);
-		CU_ASSERT(memcmp(r.adapters, again.adapters,
-			      sizeof(r.adapters)) == 0 &&
-		    memcmp(r.resident, again.resident, sizeof(r.resident)) ==
-			0 &&
+		for (k = 0; k < r.adapters.n; k++)
+			CU_ASSERT_STRING_EQUAL(
+			    r.adapters.names[k], again.adapters.names[k]);
+		CU_ASSERT(memcmp(r.resident, again.resident,
+			      sizeof(r.resident)) == 0 &&
 		    memcmp(r.cached_models, again.cached_models,
 			sizeof(r.cached_models)) == 0);
 		free(text);
 		free(second);
+		fleet_replica_clear(&r);
+		fleet_replica_clear(&again);
 	}
 }
 
+/* All adapters of a report count, whatever their number. */
+static void
+test_report_many(void)
+{
+	struct fleet_replica r = { 0 };
+	char text[8192] = "{\"sequence\":1,\"models\":[{\"name\":\"m\","
+			  "\"adapters\":[\"a\"";
+	size_t len = strlen(text);
+	struct err e;
+	int i;
+
+	for (i = 0; i < 399; i++)
+		len += (size_t)snprintf(
+		    text + len, sizeof(text) - len, ",\"a%d\"", i);
+	len += (size_t)snprintf(
+	    text + len, sizeof(text) - len, "]}],\"coming\":[\"m/c@1\"");
+	for (i = 0; i < 8; i++)
+		len += (size_t)snprintf(
+		    text + len, sizeof(text) - len, ",\"m/c%d@1\"", i);
+	len += (size_t)snprintf(text + len, sizeof(text) - len, "]}");
+	CU_ASSERT_EQUAL(platform_report_decode(text, len, &r, &e), 0);
+	CU_ASSERT_EQUAL(r.adapters.n, 400);
+	CU_ASSERT(fleet_has_adapter(&r, "m/a398"));
+	CU_ASSERT_EQUAL(r.loading_adapters.n, 9);
+	fleet_replica_clear(&r);
+}
+
 static void
 test_reports(void)
 {
@@ -176,9 +210,10 @@
 	CU_ASSERT_EQUAL(platform_report_decode(text, strlen(text), &r, &e), 0);
 	CU_ASSERT_EQUAL(r.accepted_orders, 12);
 	CU_ASSERT(r.busy);
-	CU_ASSERT_EQUAL(r.nloading_adapters, 1);
-	CU_ASSERT_STRING_EQUAL(r.loading_adapters[0], "m/a7");
+	CU_ASSERT_EQUAL(r.loading_adapters.n, 1);
+	CU_ASSERT_STRING_EQUAL(r.loading_adapters.names[0], "m/a7");
 	CU_ASSERT_EQUAL(platform_report_decode("[]", 2, &r, &e), -1);
+	fleet_replica_clear(&r);
 }
 
 #define ROUTE(rest)                                                            \
@@ -515,6 +550,7 @@
 	{ "replica with all members", test_replica_whole },
 	{ "replica encoded", test_replica_encoded },
 	{ "reports", test_reports },
+	{ "report of many adapters", test_report_many },
 	{ "configurations", test_configs },
 	{ "configuration with all members", test_config_whole },
 	{ "boot settings", test_boots },
