loader: all models of a replica are counted

Cause: as with adapters, models were kept in arrays of 16 names, and the rest was not read: their memory counted as free.

They are in the lists that grow (core/name_list). The plan of placements has room for as many copies as a replica holds.

--- a/core/directory.c
+++ b/core/directory.c
@@ -32,7 +32,6 @@
     struct directory *, const struct fleet_replica *);
 static void update_listed_info(
     struct directory_replica *, const struct fleet_replica *);
-static void hash_names(struct directory_replica *);
 static int peer_is_current(const struct directory *, uint64_t, uint32_t);
 static struct replica_load decayed_load(
     const struct directory *, uint64_t, const struct peer_load *);
@@ -145,18 +144,8 @@
 		update_listed_info(m, r);
 	}
 	m->presence = PRESENCE_LISTED;
-	hash_names(m);
-	return m;
-}
-
-static void
-hash_names(struct directory_replica *m)
-{
-	uint32_t i;
-
 	m->service_hash = hash_text(m->info.service);
-	for (i = 0; i < m->info.nresident; i++)
-		m->resident_hashes[i] = hash_text(m->info.resident[i]);
+	return m;
 }
 
 int
@@ -170,16 +159,8 @@
 directory_holds(
     const struct directory_replica *m, const char *model, uint64_t hash)
 {
-	uint32_t i;
-
-	if (*model == '\0')
-		return 1;
-	for (i = 0; i < m->info.nresident; i++) {
-		if (m->resident_hashes[i] == hash &&
-		    strcmp(m->info.resident[i], model) == 0)
-			return 1;
-	}
-	return 0;
+	return *model == '\0' ||
+	    name_list_has_hashed(&m->info.resident, model, hash);
 }
 
 void
--- a/core/directory.h
+++ b/core/directory.h
@@ -50,8 +50,7 @@
 
 /* A replica with this process's view of its load and health. */
 struct directory_replica {
-	uint64_t service_hash;			      /* of info.service */
-	uint64_t resident_hashes[FLEET_RESIDENT_MAX]; /* of info.resident */
+	uint64_t service_hash; /* of info.service */
 	struct fleet_replica info;
 	enum presence presence;
 	uint64_t grace_until; /* GRACE: removed unless listed again by then */
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -209,6 +209,8 @@
 void
 fleet_replica_clear(struct fleet_replica *r)
 {
+	name_list_clear(&r->resident);
+	name_list_clear(&r->cached_models);
 	name_list_clear(&r->adapters);
 	name_list_clear(&r->loading_adapters);
 	memset(r, 0, sizeof(*r));
@@ -219,6 +221,10 @@
 {
 	struct fleet_replica copy = *from;
 
+	copy.resident = to->resident;
+	name_list_copy(&copy.resident, &from->resident);
+	copy.cached_models = to->cached_models;
+	name_list_copy(&copy.cached_models, &from->cached_models);
 	copy.adapters = to->adapters;
 	name_list_copy(&copy.adapters, &from->adapters);
 	copy.loading_adapters = to->loading_adapters;
@@ -229,13 +235,7 @@
 int
 fleet_has_model(const struct fleet_replica *r, const char *model)
 {
-	uint32_t i;
-
-	for (i = 0; i < r->nresident; i++) {
-		if (strcmp(r->resident[i], model) == 0)
-			return 1;
-	}
-	return 0;
+	return name_list_has(&r->resident, model);
 }
 
 int
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -10,7 +10,6 @@
 #include "base.h"
 #include "name_list.h"
 
-#define FLEET_RESIDENT_MAX 16		    /* models loaded on one replica */
 #define FLEET_NAME_SIZE NAME_LIST_NAME_SIZE /* MODEL/ADAPTER */
 
 enum route_kind {
@@ -132,16 +131,14 @@
 	uint32_t slots;
 	uint64_t leave_left_ns; /* LEAVING: time until it stops, 0 if unknown */
 	uint64_t started_ms;	/* start of this incarnation, Unix time in ms */
-	uint64_t accepted_orders; /* since its start; only in reports */
-	uint64_t heartbeats;	  /* since its start; only in the list */
-	uint64_t warmup_left_ns;  /* until it runs at full speed */
-	int busy;		  /* an order is being carried out */
-	uint32_t nresident;
-	char resident[FLEET_RESIDENT_MAX][NAME_SIZE];
-	struct name_list adapters;	   /* loaded */
+	uint64_t accepted_orders;  /* since its start; only in reports */
+	uint64_t heartbeats;	   /* since its start; only in the list */
+	uint64_t warmup_left_ns;   /* until it runs at full speed */
+	int busy;		   /* an order is being carried out */
+	struct name_list resident; /* models loaded */
+	struct name_list adapters; /* loaded */
 	struct name_list loading_adapters; /* only in reports */
-	uint32_t ncached_models; /* weights on disk or in host memory */
-	char cached_models[FLEET_RESIDENT_MAX][NAME_SIZE];
+	struct name_list cached_models; /* weights on disk or in host memory */
 };
 
 /* An empty configuration; its arrays belong to it and are freed with it. */
--- a/core/loader.c
+++ b/core/loader.c
@@ -198,6 +198,7 @@
 void
 engine_state_destroy(struct engine_state *e)
 {
+	name_list_clear(&e->reported);
 	name_list_clear(&e->adapters);
 	free(e->loading_adapters);
 	free(e);
@@ -303,11 +304,11 @@
 		e->unloading[0] = '\0';
 		name_list_truncate(&e->adapters);
 		e->nloading_adapters = 0;
-		e->nreported = 0;
+		name_list_truncate(&e->reported);
 		s->change_count++;
 	}
 	if (now >= e->report_valid_until)
-		e->nreported = 0;
+		name_list_truncate(&e->reported);
 	if (fleet_has_model(&m->info, e->loading))
 		e->loading[0] = '\0';
 	if (e->unloading[0] != '\0' &&
@@ -512,8 +513,7 @@
 		return;
 	e->sequence_unknown = 0;
 	e->sequence = r->accepted_orders;
-	e->nreported = r->nresident;
-	memcpy(e->reported, r->resident, sizeof(e->reported));
+	name_list_copy(&e->reported, &r->resident);
 	e->report_valid_until = now + REPORT_VALID_NS;
 	engine_state_take_adapters(e, now + s->config.adapter_load_ns, m, r);
 	/* An order of an earlier leader is being carried out. */
--- a/core/loader_int.h
+++ b/core/loader_int.h
@@ -63,9 +63,8 @@
 	char unloading[NAME_SIZE];
 	char reserved_for[NAME_SIZE]; /* model that the last unload was for */
 	uint64_t reserved_until;
-	uint32_t nreported; /* models in its last report */
-	char reported[FLEET_RESIDENT_MAX][NAME_SIZE];
-	uint64_t report_valid_until; /* the list shows reported[] by then */
+	struct name_list reported;   /* models in its last report */
+	uint64_t report_valid_until; /* the list shows them by then */
 	uint64_t change_listed_by;   /* else a report is requested */
 	/*
 	 * Adapters that take slots, as reports and answered orders show: the
--- a/core/loader_memory.c
+++ b/core/loader_memory.c
@@ -3,24 +3,10 @@
 
 #include "loader_int.h"
 
-static int report_names_model(const struct engine_state *, const char *);
 static uint64_t model_memory_mb(const struct fleet_engine *, const char *);
 static uint64_t unlisted_memory_mb(const struct engine_state *,
     const struct directory_replica *, const struct fleet_engine *);
 
-/* Whether its last report named the model; the list may lag behind it. */
-static int
-report_names_model(const struct engine_state *e, const char *model)
-{
-	uint32_t i;
-
-	for (i = 0; i < e->nreported; i++) {
-		if (strcmp(e->reported[i], model) == 0)
-			return 1;
-	}
-	return 0;
-}
-
 /* Memory of a model; one that is not configured may use all of it. */
 static uint64_t
 model_memory_mb(const struct fleet_engine *g, const char *name)
@@ -40,18 +26,21 @@
 	uint64_t used = 0;
 	uint32_t i;
 
-	for (i = 0; i < e->nreported; i++) {
-		if (!fleet_has_model(&m->info, e->reported[i]))
-			used += model_memory_mb(g, e->reported[i]);
+	/* Models that are not named may use all of it. */
+	if (e->reported.nunnamed + m->info.resident.nunnamed != 0)
+		return g->memory_mb;
+	for (i = 0; i < e->reported.n; i++) {
+		if (!fleet_has_model(&m->info, e->reported.names[i]))
+			used += model_memory_mb(g, e->reported.names[i]);
 	}
 	if (*loading != '\0' && !fleet_has_model(&m->info, loading) &&
-	    !report_names_model(e, loading))
+	    !name_list_has(&e->reported, loading))
 		used += model_memory_mb(g, loading);
 	while ((lost = engine_state_next_lost_load(e, lost)) != NULL) {
 		if (lost->adapter[0] == '\0' &&
 		    strcmp(lost->model, loading) != 0 &&
 		    !fleet_has_model(&m->info, lost->model) &&
-		    !report_names_model(e, lost->model))
+		    !name_list_has(&e->reported, lost->model))
 			used += model_memory_mb(g, lost->model);
 	}
 	return used;
@@ -65,7 +54,7 @@
 	    unlisted_memory_mb(e, m, g);
 	uint32_t i;
 
-	for (i = 0; i < m->info.nresident; i++)
-		used += model_memory_mb(g, m->info.resident[i]);
+	for (i = 0; i < m->info.resident.n; i++)
+		used += model_memory_mb(g, m->info.resident.names[i]);
 	return used >= g->memory_mb ? 0 : g->memory_mb - used;
 }
--- a/core/loader_models.c
+++ b/core/loader_models.c
@@ -13,6 +13,8 @@
 /* Unloads run ahead of the loads that may start within this time. */
 #define UNLOAD_AHEAD_S 1.0
 #define MOVES_MAX 32 /* of one step */
+/* One being loaded, and one that the step adds. */
+#define EXTRA_COPIES 2
 /* A replica closed for longer is missed more than a load costs. */
 #define CLOSED_LONG_NS (10 * NSEC_PER_SEC)
 /*
@@ -51,7 +53,6 @@
     const struct loader *, const struct placement_input *, double, int);
 static void set_evictions(const struct loader *, uint64_t,
     const struct placement_input *, struct placement_config *);
-static int has_cached_weights(const struct directory_replica *, const char *);
 static void execute_move(struct placement_input *, struct loader *, uint64_t,
     const struct placement_move *, struct loader_output *);
 
@@ -94,7 +95,7 @@
 static void
 add_copy(struct placement_replica *r, int model, int resident)
 {
-	if (model == -1 || r->ncopies == PLACEMENT_COPIES_MAX)
+	if (model == -1 || r->ncopies == r->copies_size)
 		return;
 	r->copies[r->ncopies].model = (uint32_t)model;
 	r->copies[r->ncopies++].resident = resident;
@@ -112,9 +113,12 @@
 	int model;
 	uint32_t i;
 
-	for (i = 0; i < info->nresident; i++) {
-		model = input_model(p, info->resident[i]);
-		if (strcmp(info->resident[i], unloading) != 0)
+	r->copies_size = info->resident.n + EXTRA_COPIES;
+	r->copies = mem_alloc(r->copies_size * sizeof(*r->copies));
+	r->cached = mem_alloc((info->cached_models.n + 1) * sizeof(*r->cached));
+	for (i = 0; i < info->resident.n; i++) {
+		model = input_model(p, info->resident.names[i]);
+		if (strcmp(info->resident.names[i], unloading) != 0)
 			add_copy(r, model, 1);
 		else if (model != -1)
 			r->freeing_mb = p->models[model].memory_mb;
@@ -124,8 +128,8 @@
 		if (!fleet_has_model(info, loading))
 			add_copy(r, input_model(p, loading), 0);
 	}
-	for (i = 0; i < info->ncached_models; i++) {
-		model = input_model(p, info->cached_models[i]);
+	for (i = 0; i < info->cached_models.n; i++) {
+		model = input_model(p, info->cached_models.names[i]);
 		if (model != -1)
 			r->cached[r->ncached++] = (uint32_t)model;
 	}
@@ -202,18 +206,6 @@
 	}
 }
 
-static int
-has_cached_weights(const struct directory_replica *m, const char *model)
-{
-	uint32_t i;
-
-	for (i = 0; i < m->info.ncached_models; i++) {
-		if (strcmp(m->info.cached_models[i], model) == 0)
-			return 1;
-	}
-	return 0;
-}
-
 static int
 weight_store_allows_load(const struct loader *s,
     const struct placement_input *p, double left, int filling)
@@ -254,7 +246,8 @@
 		loader_send_order(s, now, e, LOADER_UNLOAD, model, "", out);
 		return;
 	}
-	from_store = !has_cached_weights(p->entries[move->replica], model);
+	from_store = !name_list_has(
+	    &p->entries[move->replica]->info.cached_models, model);
 	if (from_store) {
 		left = store_loads_left(s, now, p->engine);
 		if (!weight_store_allows_load(s, p, left, move->filling))
@@ -318,6 +311,10 @@
 	    p.replicas, p.nreplicas, moves, MOVES_MAX);
 	for (i = 0; i < n; i++)
 		execute_move(&p, s, now, &moves[i], out);
+	for (i = 0; i < p.nreplicas; i++) {
+		free(p.replicas[i].copies);
+		free(p.replicas[i].cached);
+	}
 	free(p.models);
 	free(p.replicas);
 	free(p.entries);
--- a/core/placement.c
+++ b/core/placement.c
@@ -117,7 +117,7 @@
 	for (i = 0; i < p->nreplicas; i++) {
 		r = &p->replicas[i];
 		if (!replica_takes_orders(r) || !replica_is_open(r, model) ||
-		    r->ncopies == PLACEMENT_COPIES_MAX ||
+		    r->ncopies == r->copies_size ||
 		    r->free_mb < p->models[model].memory_mb ||
 		    placement_has_copy(r, model))
 			continue;
@@ -155,7 +155,7 @@
 		r = &p->replicas[i];
 		if (r->leaving || !r->usable || r->freeing_mb == 0 ||
 		    !replica_is_open(r, model) ||
-		    r->ncopies == PLACEMENT_COPIES_MAX ||
+		    r->ncopies == r->copies_size ||
 		    placement_has_copy(r, model) ||
 		    r->free_mb + r->freeing_mb < p->models[model].memory_mb)
 			continue;
--- a/core/placement.h
+++ b/core/placement.h
@@ -11,9 +11,6 @@
 #include "base.h"
 #include "fleet.h"
 
-/* A replica's models and one more that it loads. */
-#define PLACEMENT_COPIES_MAX (FLEET_RESIDENT_MAX + 1)
-
 #define PLACEMENT_NONE (-1)
 
 /* Copies that give way to a model that no request asks for. */
@@ -68,9 +65,10 @@
 	uint64_t freeing_mb; /* by an unload in progress */
 	int reserved_for;    /* only this model is loaded next, or NONE */
 	uint32_t ncopies;
-	struct placement_copy copies[PLACEMENT_COPIES_MAX];
+	uint32_t copies_size; /* allocated; no copy is added beyond it */
+	struct placement_copy *copies;
 	uint32_t ncached; /* weights in its caches, by index */
-	uint32_t cached[FLEET_RESIDENT_MAX];
+	uint32_t *cached;
 };
 
 enum placement_kind {
--- a/entry/list_entries.c
+++ b/entry/list_entries.c
@@ -39,9 +39,9 @@
 	uint32_t i;
 
 	out[0] = '\0';
-	for (i = 0; i < r->nresident && len + NAME_SIZE < size; i++)
+	for (i = 0; i < r->resident.n && len + NAME_SIZE < size; i++)
 		len += (size_t)snprintf(out + len, size - len, "%s%s",
-		    i == 0 ? "" : ",", r->resident[i]);
+		    i == 0 ? "" : ",", r->resident.names[i]);
 	return out;
 }
 
--- a/entry/loader_io.c
+++ b/entry/loader_io.c
@@ -127,7 +127,8 @@
 loader_io_note_unnamed(struct entry *e, const struct fleet_replica *r)
 {
 	struct log_subject about = { 0 };
-	uint32_t n = r->adapters.nunnamed + r->loading_adapters.nunnamed;
+	uint32_t n = r->resident.nunnamed + r->adapters.nunnamed +
+	    r->loading_adapters.nunnamed;
 
 	if (n == 0)
 		return;
--- a/tests/fleet_fixture.c
+++ b/tests/fleet_fixture.c
@@ -3,9 +3,15 @@
 
 #include "fleet_fixture.h"
 
+#define REPLICAS_MAX 16
+
 struct fleet_replica
 make_replica(const char *id, const char *model)
 {
+	/* Freed by nobody: the replica is copied, not changed. */
+	static struct name_list models[REPLICAS_MAX];
+	static uint32_t nmade;
+	struct name_list *l = &models[nmade++ % REPLICAS_MAX];
 	struct fleet_replica r;
 
 	memset(&r, 0, sizeof(r));
@@ -15,7 +21,9 @@
 	snprintf(r.zone, sizeof(r.zone), "z1");
 	r.slots = 4;
 	r.started_ms = 1;
+	name_list_truncate(l);
 	if (*model != '\0')
-		snprintf(r.resident[r.nresident++], NAME_SIZE, "%s", model);
+		name_list_add(l, model);
+	r.resident = *l;
 	return r;
 }
--- a/tests/loader_fixture.c
+++ b/tests/loader_fixture.c
@@ -57,8 +57,7 @@
 		strcpy(t->replicas[i].zone, "z");
 		t->replicas[i].slots = 8;
 		t->replicas[i].started_ms = 1;
-		snprintf(t->replicas[i].resident[0], NAME_SIZE, "m%d", i);
-		t->replicas[i].nresident = 1;
+		name_list_append(&t->replicas[i].resident, names[i]);
 		fixture_list_replica(t, i);
 	}
 	loader_set_candidate(t->s, 1, 0);
@@ -75,7 +74,10 @@
 {
 	struct loader_order *o;
 	struct kv_op *op;
+	int i;
 
+	for (i = 0; i < REPLICAS; i++)
+		fleet_replica_clear(&t->replicas[i]);
 	while ((o = TAILQ_FIRST(&t->orders)) != NULL) {
 		TAILQ_REMOVE(&t->orders, o, entry);
 		free(o);
--- a/tests/orders_world.cc
+++ b/tests/orders_world.cc
@@ -129,8 +129,7 @@
 	r.accepted_orders = h.accepted_orders;
 	r.busy = !h.loading.empty() || !h.unloading.empty();
 	for (auto &m : h.models)
-		snprintf(
-		    r.resident[r.nresident++], NAME_SIZE, "%s", m.c_str());
+		name_list_append(&r.resident, m.c_str());
 	for (auto &a : h.adapters)
 		name_list_append(&r.adapters, a.c_str());
 	for (auto &c : h.loading_adapters)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -186,7 +186,7 @@
 	directory_attempt_failed(m, 2 * S, 1);
 	CU_ASSERT(!directory_usable(m, 2 * S));
 	r.started_ms = 2;
-	r.nresident = 0;
+	r.resident.n = 0;
 	directory_put(&d, &r);
 	CU_ASSERT(directory_usable(m, 2 * S + MS));
 	CU_ASSERT_EQUAL(m->info.adapters.n, 0);
--- a/tests/test_list_text.c
+++ b/tests/test_list_text.c
@@ -148,7 +148,10 @@
 		CU_ASSERT(s != NULL && s->presence == PRESENCE_LISTED &&
 		    strcmp(r->info.zone, s->info.zone) == 0 &&
 		    r->info.heartbeats == s->info.heartbeats &&
-		    strcmp(r->info.resident[0], s->info.resident[0]) == 0);
+		    r->info.resident.n == s->info.resident.n &&
+		    (r->info.resident.n == 0 ||
+			strcmp(r->info.resident.names[0],
+			    s->info.resident.names[0]) == 0));
 	}
 }
 
--- a/tests/test_loader_adapters.c
+++ b/tests/test_loader_adapters.c
@@ -86,12 +86,11 @@
 	struct loader_fixture t;
 
 	fixture_open(&t, 0);
-	strcpy(t.replicas[0].resident[1], "m3");
-	t.replicas[0].nresident = 2;
+	name_list_append(&t.replicas[0].resident, "m3");
 	fixture_list_replica(&t, 0);
 	fixture_run(&t, 500 * MS);
 	answer_report_of_r0(&t, 14, "m0/a1", "m3/a2");
-	t.replicas[0].nresident = 1;
+	name_list_remove(&t.replicas[0].resident, "m3");
 	fixture_list_replica(&t, 0);
 	loader_request_adapter(t.s, t.now, "m0/a3");
 	fixture_run(&t, 40 * MS);
--- a/tests/test_loader_io.c
+++ b/tests/test_loader_io.c
@@ -206,9 +206,9 @@
 	strcpy(r.addr, "10.0.0.2:80");
 	r.slots = 8;
 	r.started_ms = 1;
-	strcpy(r.resident[0], "m0");
-	r.nresident = 1;
+	name_list_append(&r.resident, "m0");
 	directory_put(&e->dir, &r);
+	fleet_replica_clear(&r);
 	e->loader_io = loader_io_create(e);
 	run(e, 100 * NSEC_PER_MSEC);
 	CU_ASSERT(loader_io_is_leader(e));
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -15,7 +15,8 @@
 #define S NSEC_PER_SEC
 #define STEP (100 * MS)
 #define UNLOAD_TIME (200 * MS)
-#define PLACES 3 /* models that fit a replica */
+#define PLACES 3  /* models that fit a replica */
+#define COPIES 17 /* of a replica, at most */
 #define MODEL_MB 70
 #define TEN_REQUESTS 10.0
 
@@ -85,12 +86,19 @@
 		f->replicas[i].slots = f->slots;
 		f->replicas[i].free_mb = (uint64_t)PLACES * MODEL_MB;
 		f->replicas[i].reserved_for = PLACEMENT_NONE;
+		f->replicas[i].copies_size = COPIES;
+		f->replicas[i].copies =
+		    mem_alloc(COPIES * sizeof(*f->replicas[i].copies));
 	}
 }
 
 static void
 fleet_close(struct fleet *f)
 {
+	uint32_t i;
+
+	for (i = 0; i < f->nreplicas; i++)
+		free(f->replicas[i].copies);
 	free(f->models);
 	free(f->replicas);
 	free(f->done_at);
@@ -160,11 +168,13 @@
 {
 	struct placement_move moves[32];
 	struct placement_replica *plan;
+	struct placement_copy *copies;
 	uint64_t end = f->now + for_ns;
 	uint32_t n;
 	uint32_t i;
 
 	plan = mem_alloc(f->nreplicas * sizeof(*plan));
+	copies = mem_alloc((size_t)f->nreplicas * COPIES * sizeof(*copies));
 	for (; f->now < end; f->now += STEP) {
 		fleet_finish_orders(f);
 		f->allowance += f->loads_per_s * (double)STEP / (double)S;
@@ -176,6 +186,11 @@
 		}
 		/* The plan's view of the replicas is thrown away. */
 		memcpy(plan, f->replicas, f->nreplicas * sizeof(*plan));
+		for (i = 0; i < f->nreplicas; i++) {
+			plan[i].copies = copies + (size_t)i * COPIES;
+			memcpy(plan[i].copies, f->replicas[i].copies,
+			    COPIES * sizeof(*copies));
+		}
 		f->config.max_unloads = (uint32_t)f->loads_per_s;
 		n = f->old_rule
 		    ? old_plan(f, moves, 8)
@@ -184,6 +199,7 @@
 		for (i = 0; i < n; i++)
 			fleet_start(f, &moves[i]);
 	}
+	free(copies);
 	free(plan);
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "boot.h"
+#include "buf.h"
 #include "config.h"
 #include "fields.h"
 #include "mem.h"
@@ -23,6 +24,9 @@
 static void test_replica_encoded(void);
 static void test_reports(void);
 static void test_report_many(void);
+static void test_replica_many_models(void);
+static void check_same_names(
+    const struct name_list *, const struct name_list *);
 static void test_configs(void);
 static void test_config_whole(void);
 static void test_boots(void);
@@ -106,12 +110,23 @@
 	CU_ASSERT_EQUAL(r.started_ms, 1700000000123ULL);
 	CU_ASSERT(fleet_has_model(&r, "m2"));
 	CU_ASSERT(fleet_has_adapter(&r, "m1/a2"));
-	CU_ASSERT_EQUAL(r.ncached_models, 2);
+	CU_ASSERT_EQUAL(r.cached_models.n, 2);
 	/* In a list entry, "sequence" counts heartbeats, not orders. */
 	CU_ASSERT_EQUAL(r.accepted_orders, 0);
 	fleet_replica_clear(&r);
 }
 
+static void
+check_same_names(const struct name_list *a, const struct name_list *b)
+{
+	uint32_t i;
+
+	CU_ASSERT_EQUAL_FATAL(a->n, b->n);
+	CU_ASSERT_EQUAL(a->nunnamed, b->nunnamed);
+	for (i = 0; i < a->n; i++)
+		CU_ASSERT_STRING_EQUAL(a->names[i], b->names[i]);
+}
+
 /* The members kept of an entry have a bounded size and decode unchanged. */
 static void
 test_replica_encoded(void)
@@ -131,7 +146,6 @@
 	struct err e;
 	char *text;
 	char *second;
-	uint32_t k;
 	size_t i;
 
 	for (i = 0; i < nitems(texts); i++) {
@@ -152,16 +166,10 @@
 		    r.heartbeats == again.heartbeats &&
 		    r.leave_left_ns == again.leave_left_ns &&
 		    r.state == again.state && r.busy == again.busy &&
-		    r.nresident == again.nresident &&
-		    r.adapters.n == again.adapters.n &&
-		    r.ncached_models == again.ncached_models);
-		for (k = 0; k < r.adapters.n; k++)
-			CU_ASSERT_STRING_EQUAL(
-			    r.adapters.names[k], again.adapters.names[k]);
-		CU_ASSERT(memcmp(r.resident, again.resident,
-			      sizeof(r.resident)) == 0 &&
-		    memcmp(r.cached_models, again.cached_models,
-			sizeof(r.cached_models)) == 0);
+		    r.software[0] == again.software[0]);
+		check_same_names(&r.resident, &again.resident);
+		check_same_names(&r.adapters, &again.adapters);
+		check_same_names(&r.cached_models, &again.cached_models);
 		free(text);
 		free(second);
 		fleet_replica_clear(&r);
@@ -169,6 +177,43 @@
 	}
 }
 
+/* All models of an entry count, also those that have no room, and in a text. */
+static void
+test_replica_many_models(void)
+{
+	static const uint32_t counts[] = { 16, 17, 300, NAME_LIST_MAX + 7 };
+	struct fleet_replica r, again;
+	struct buf b = { 0 };
+	struct err e;
+	char *text;
+	uint32_t i, k;
+
+	for (i = 0; i < nitems(counts); i++) {
+		buf_add_string(&b,
+		    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		    "\"zone\":\"z\",\"slots\":6,\"cold_left_ms\":0,"
+		    "\"sequence\":4,\"state\":\"ready\",\"models\":[");
+		for (k = 0; k < counts[i]; k++)
+			buf_printf(
+			    &b, "%s{\"name\":\"m%u\"}", k == 0 ? "" : ",", k);
+		buf_add_string(&b, "]}");
+		CU_ASSERT_EQUAL(platform_replica_decode(
+				    "i-1", buf_data(&b), buf_len(&b), &r, &e),
+		    0);
+		CU_ASSERT_EQUAL(name_list_count(&r.resident), counts[i]);
+		CU_ASSERT_EQUAL(fleet_has_model(&r, "m299"), counts[i] >= 300);
+		text = platform_replica_encode(&r);
+		CU_ASSERT_EQUAL(platform_replica_decode(
+				    "i-1", text, strlen(text), &again, &e),
+		    0);
+		check_same_names(&r.resident, &again.resident);
+		fleet_replica_clear(&r);
+		fleet_replica_clear(&again);
+		free(text);
+		buf_free(&b);
+	}
+}
+
 /* All adapters of a report count, whatever their number. */
 static void
 test_report_many(void)
@@ -551,6 +596,7 @@
 	{ "replica encoded", test_replica_encoded },
 	{ "reports", test_reports },
 	{ "report of many adapters", test_report_many },
+	{ "entry of many models", test_replica_many_models },
 	{ "configurations", test_configs },
 	{ "configuration with all members", test_config_whole },
 	{ "boot settings", test_boots },
