--- a/Makefile
+++ b/Makefile
@@ -151,6 +151,11 @@
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
+$(BUILD)/test_replica_names: $(BUILD)/tests/test_replica_names.o \
+    $(BUILD)/tests/unit.o $(NET) $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
+	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
+
 $(BUILD)/test_fields: $(BUILD)/tests/test_fields.o $(BUILD)/tests/unit.o \
     $(NET) $(LIBS)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(BUILD)/libshell.a \
@@ -231,7 +236,7 @@
 	    $(BUILD)/libcore.a $(LDLIBS) -lev -lhttp_parser -lcunit
 
 $(BUILD)/test_loader $(BUILD)/test_loader_adapters \
-    $(BUILD)/test_loader_rate: $(BUILD)/tests/loader_fixture.o
+    $(BUILD)/test_loader_models $(BUILD)/test_loader_rate: $(BUILD)/tests/loader_fixture.o
 $(BUILD)/test_relay: $(BUILD)/gate/relay.o $(BUILD)/gate/exchange.o
 $(BUILD)/test_gate $(BUILD)/test_gate_notice: $(BUILD)/tests/gate_fixture.o
 $(BUILD)/test_fleet $(BUILD)/test_balance: $(BUILD)/tests/fleet_fixture.o
