--- a/soak/soak.py
+++ b/soak/soak.py
@@ -126,7 +126,9 @@
         self.limits = Limits(self)
         self.stops = Stops(self)
         self.accounts = Accounts(self)
-        self.store = LeaseStore(rng_for(seed, "store"))
+        self.store = LeaseStore(
+            rng_for(seed, "store"), rng_for(seed, "revisions"),
+            self.violations)
         self.store_port = 0
         self.order_loss_ratio = 0.0
         self.vms, self.engines = [], []
--- a/soak/world.py
+++ b/soak/world.py
@@ -96,12 +96,21 @@
             await writer.drain()
 
 
+FIRST_REVISIONS = [1, 2 ** 40 - 20, 1796670000000, 2 ** 53, 2 ** 62]
+REVISION_STEPS = [1, 1, 1000003, 2 ** 40]
+
+
 class LeaseStore(Store):
-    """Store with lease expiry, lost write responses and delayed writes."""
+    """Store with lease expiry, lost write responses and delayed writes.  Its
+    revisions are of any size."""
 
-    def __init__(self, rng):
+    def __init__(self, rng, revisions, violations):
         super().__init__()
         self.rng = rng
+        self.violations = violations
+        self.revision = revisions.choice(FIRST_REVISIONS)
+        self.step = revisions.choice(REVISION_STEPS)
+        self.given = set()      # (key, revision)
         self.lease_ends = {}    # lease -> expiry time
         self.loss_ratio = 0.0   # share of writes without a response
         self.late_ratio = 0.0   # share of those that are applied late
@@ -110,6 +119,8 @@
         now = time.monotonic()
         path = target.partition("?")[0]
         write = path == "/api/kv-txn"
+        if write:
+            self.check_conditions(json.loads(body)["expected"])
         if write and self.rng.random() < self.loss_ratio:
             if self.rng.random() < self.late_ratio:
                 asyncio.get_running_loop().call_later(
@@ -127,6 +138,17 @@
             self.lease_ends[doc["lease"]] = now + doc["ttl_ms"] / 1000
         return status, doc
 
+    async def put(self, key, value, lease=0):
+        revision = await super().put(key, value, lease)
+        self.given.add((key, revision))
+        return revision
+
+    def check_conditions(self, rows):
+        for row in rows:
+            given = (row["key"], row["revision"])
+            if row["revision"] != 0 and given not in self.given:
+                self.violations.add("a revision that was never given", row)
+
     def restore(self, copy):
         self.lease_ends = {}
         super().restore(copy)
