loader: adapters that are only counted are named once there is room

Of a replica with more than 1,024 adapters the rest is counted. After some were unloaded, the count stayed until another cause asked for a report, so that places stayed taken that were free. Adapters on their way beyond that number were not counted.

A report is asked for after an unload while adapters are only counted; those on their way count. Found by reading; "more adapters than are kept" of tests/test_loader_adapters.c fails without the request for a report.

--- a/core/loader_slots.c
+++ b/core/loader_slots.c
@@ -8,6 +8,8 @@
 #include "mem.h"
 #include "loader_int.h"
 
+static void request_unnamed(struct engine_state *);
+
 uint32_t
 engine_state_slots_used(const struct engine_state *e)
 {
@@ -21,6 +23,14 @@
 	return name_list_has(&e->adapters, adapter);
 }
 
+/* The list has room again for adapters that are only counted. */
+static void
+request_unnamed(struct engine_state *e)
+{
+	if (e->adapters.nunnamed != 0)
+		e->sequence_unknown = 1;
+}
+
 /* One that was there already takes one slot, not two. */
 void
 adapter_load_started(
@@ -46,6 +56,7 @@
 	name_list_remove(&e->adapters, adapter);
 	if (m != NULL)
 		name_list_remove(&m->info.adapters, adapter);
+	request_unnamed(e);
 }
 
 uint32_t
@@ -79,6 +90,7 @@
 		    e->adapters.names[i][len] == '/')
 			name_list_remove_at(&e->adapters, i);
 	}
+	request_unnamed(e);
 }
 
 void
@@ -88,6 +100,7 @@
 	uint32_t i;
 
 	name_list_copy(&e->adapters, &r->adapters);
+	e->adapters.nunnamed += r->loading_adapters.nunnamed;
 	name_list_copy(&m->info.adapters, &r->adapters);
 	e->nloading_adapters = 0;
 	for (i = 0; i < r->loading_adapters.n; i++)
--- a/tests/test_loader_adapters.c
+++ b/tests/test_loader_adapters.c
@@ -22,9 +22,10 @@
 static void test_more_lost_loads(void);
 static void test_lost_load_forgotten_late(void);
 static void test_lost_load_new_term(void);
-static void report_many(struct loader_fixture *, uint32_t, uint32_t);
+static void report_many(struct loader_fixture *, uint64_t, uint32_t, uint32_t);
 static void test_many_places(void);
 static void test_many_loading(void);
+static void test_unnamed(void);
 
 /* Answers report requests; r0 has two adapters, or one if the second is "". */
 static void
@@ -295,7 +296,8 @@
 
 /* r0 reports so many adapters in use, and so many that it is loading. */
 static void
-report_many(struct loader_fixture *t, uint32_t loaded, uint32_t loading)
+report_many(struct loader_fixture *t, uint64_t orders, uint32_t loaded,
+    uint32_t loading)
 {
 	struct loader_order *o;
 	struct fleet_replica r = { 0 };
@@ -304,6 +306,7 @@
 
 	while ((o = fixture_take_order(t, LOADER_REPORT)) != NULL) {
 		fleet_replica_copy(&r, &t->replicas[o->replica[1] - '0']);
+		r.accepted_orders = orders;
 		for (i = 0; strcmp(r.id, "r0") == 0 && i < loaded + loading;
 		     i++) {
 			snprintf(name, sizeof(name), "m0/b%u", i);
@@ -335,7 +338,7 @@
 		fixture_open(&t, 0);
 		t.conf->services[0].engine->adapter_slots = places[i];
 		fixture_run(&t, 500 * MS);
-		report_many(&t, places[i], 0);
+		report_many(&t, 0, places[i], 0);
 		loader_request_adapter(t.s, t.now, "m0/a3");
 		fixture_run(&t, 40 * MS);
 		CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
@@ -350,6 +353,37 @@
 	}
 }
 
+/* Adapters that are only counted are named by a report once there is room. */
+static void
+test_unnamed(void)
+{
+	struct loader_order *o;
+	struct loader_fixture t;
+
+	fixture_open(&t, 0);
+	t.conf->services[0].engine->adapter_slots = NAME_LIST_MAX + 9;
+	fixture_run(&t, 500 * MS);
+	report_many(&t, 0, 0, NAME_LIST_MAX + 9);
+	fixture_run(&t, 100 * MS);
+	fixture_set_running(&t, "m0/b0", 0);
+	fixture_run(&t, S);
+	loader_request_adapter(t.s, t.now, "m0/a3");
+	fixture_run(&t, 40 * MS);
+	CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
+	o = fixture_require_order(&t, LOADER_UNLOAD);
+	loader_order_answered(t.s, t.now, o, ANSWER_ALREADY_DONE);
+	free(o);
+	fixture_run(&t, 40 * MS);
+	CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
+	report_many(&t, 1, NAME_LIST_MAX + 8, 0);
+	loader_request_adapter(t.s, t.now, "m0/a3");
+	fixture_run(&t, 40 * MS);
+	o = fixture_require_order(&t, LOADER_LOAD);
+	CU_ASSERT_STRING_EQUAL(o->adapter, "m0/a3");
+	free(o);
+	fixture_close(&t);
+}
+
 /* The same of those that a replica is loading, beyond the fourth. */
 static void
 test_many_loading(void)
@@ -359,7 +393,7 @@
 	fixture_open(&t, 0);
 	t.conf->services[0].engine->adapter_slots = 9;
 	fixture_run(&t, 500 * MS);
-	report_many(&t, 0, 9);
+	report_many(&t, 0, 0, 9);
 	loader_request_adapter(t.s, t.now, "m0/a3");
 	fixture_run(&t, 100 * MS);
 	CU_ASSERT_PTR_NULL(fixture_take_order(&t, LOADER_LOAD));
@@ -378,6 +412,7 @@
 	{ "lost load, lease taken anew", test_lost_load_new_term },
 	{ "many places", test_many_places },
 	{ "many adapters being loaded", test_many_loading },
+	{ "more adapters than are kept", test_unnamed },
 };
 
 UNIT_MAIN("loader_adapters", cases)
