platform: repeated names of a replica are kept once

Since lists of names grow, an entry of another writer that repeats a model 40 times, with 40 adapters each, was kept as 1.5 MB of text: each model was written with the adapters of all. No message holds it (text-unsent), so that processes that are no hubs learned of no later change of the list.

A name that is repeated is kept once, and counts once. An entry whose names take more than 256 KB, which a message holds with all bytes escaped, cannot be used, alone (replica-bad with the remedy).

"repeated names" and "long names" of tests/test_replica_names.c show both.

--- a/entry/list_entries.c
+++ b/entry/list_entries.c
@@ -55,8 +55,15 @@
 	struct err err = { 0 };
 	char *text = NULL;
 
-	if (platform_replica_decode(id, item->value, item->len, &r, &err) == 0)
+	if (platform_replica_decode(id, item->value, item->len, &r, &err) ==
+	    0) {
 		text = platform_replica_encode(&r);
+		if (text == NULL)
+			err_set(&err, ERR_FORMAT,
+			    "its names are no valid text or too long, over %d "
+			    "bytes; give the replica fewer or shorter ones",
+			    PLATFORM_REPLICA_TEXT_MAX);
+	}
 	loader_io_note_unnamed(l->s->e, &r);
 	fleet_replica_clear(&r);
 	if (text != NULL)
--- a/tests/test_replica_names.c
+++ b/tests/test_replica_names.c
@@ -7,10 +7,17 @@
 #include "replica.h"
 #include "unit.h"
 
+#define REPLICA_HEAD                                                           \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
+	"\"slots\":6,\"cold_left_ms\":0,\"sequence\":4,"                       \
+	"\"state\":\"ready\",\"models\":["
+
 static void check_same_names(
     const struct name_list *, const struct name_list *);
 static void test_report_many(void);
 static void test_replica_many_models(void);
+static void test_repeated_names(void);
+static void test_long_names(void);
 
 static void
 check_same_names(const struct name_list *a, const struct name_list *b)
@@ -35,10 +42,7 @@
 	uint32_t i, k;
 
 	for (i = 0; i < nitems(counts); i++) {
-		buf_add_string(&b,
-		    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
-		    "\"zone\":\"z\",\"slots\":6,\"cold_left_ms\":0,"
-		    "\"sequence\":4,\"state\":\"ready\",\"models\":[");
+		buf_add_string(&b, REPLICA_HEAD);
 		for (k = 0; k < counts[i]; k++)
 			buf_printf(
 			    &b, "%s{\"name\":\"m%u\"}", k == 0 ? "" : ",", k);
@@ -87,9 +91,67 @@
 	fleet_replica_clear(&r);
 }
 
+/* Whatever another writer repeats is kept once, so that a message holds it. */
+static void
+test_repeated_names(void)
+{
+	struct fleet_replica r;
+	struct buf b = { 0 };
+	struct err e;
+	char *text;
+	int i, k;
+
+	buf_add_string(&b, REPLICA_HEAD);
+	for (i = 0; i < 40; i++) {
+		buf_printf(&b, "%s{\"name\":\"m\",\"adapters\":[\"a\"",
+		    i == 0 ? "" : ",");
+		for (k = 0; k < 40; k++)
+			buf_printf(&b, ",\"a%d\"", k);
+		buf_add_string(&b, "]}");
+	}
+	buf_add_string(&b, "]}");
+	CU_ASSERT_EQUAL(
+	    platform_replica_decode("i-1", buf_data(&b), buf_len(&b), &r, &e),
+	    0);
+	CU_ASSERT_EQUAL(name_list_count(&r.resident), 1);
+	CU_ASSERT_EQUAL(name_list_count(&r.adapters), 41);
+	text = platform_replica_encode(&r);
+	CU_ASSERT(text != NULL && strlen(text) < 1000);
+	free(text);
+	fleet_replica_clear(&r);
+	buf_free(&b);
+}
+
+/* Names that a message does not hold make an entry unusable, and no other. */
+static void
+test_long_names(void)
+{
+	struct fleet_replica r;
+	struct buf b = { 0 };
+	struct err e;
+	int i, k;
+
+	buf_add_string(&b, REPLICA_HEAD);
+	for (i = 0; i < NAME_LIST_MAX; i++) {
+		buf_printf(&b, "%s{\"name\":\"%d", i == 0 ? "" : ",", i);
+		for (k = 0; k < 55; k++)
+			buf_add_string(&b, "\\u0001");
+		buf_add_string(&b, "\"}");
+	}
+	buf_add_string(&b, "]}");
+	CU_ASSERT_EQUAL(
+	    platform_replica_decode("i-1", buf_data(&b), buf_len(&b), &r, &e),
+	    0);
+	CU_ASSERT_PTR_NULL(platform_replica_encode(&r));
+	fleet_replica_clear(&r);
+	buf_free(&b);
+}
+
 static const struct unit_case cases[] = {
 	{ "report of many adapters", test_report_many },
 	{ "entry of many models", test_replica_many_models },
+	{ "repeated names", test_repeated_names },
+	{ "long names", test_long_names },
 };
 
 UNIT_MAIN("replica_names", cases)
