--- a/tests/test_name_list.c
+++ b/tests/test_name_list.c
@@ -1,4 +1,4 @@
-/* Names of what a replica holds: they grow, and what has no room is counted. */
+/* Lists of names: they grow up to a bound, beyond which names are counted. */
 #include <stdio.h>
 #include <string.h>
 
@@ -70,7 +70,7 @@
 	name_list_clear(&copy);
 }
 
-/* What has no room is counted, until the names are told anew. */
+/* Names beyond the bound are counted until the list is filled again. */
 static void
 test_beyond_bound(void)
 {
--- a/tests/test_revision.c
+++ b/tests/test_revision.c
@@ -30,7 +30,7 @@
 	CU_ASSERT_EQUAL(revision_number(revision_of(3, LARGEST)), LARGEST);
 }
 
-/* What is packed is unpacked to the last bit. */
+/* Encoding and decoding keep all bits of a revision. */
 static void
 test_message_form(void)
 {
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -129,7 +129,7 @@
 	}
 }
 
-/* What is sent to the service is what it said, to the last bit. */
+/* A revision is sent to the service with all bits that it was read with. */
 static void
 test_large_revisions(void)
 {
